--- /dev/null
+++ b/library/src/main/java/org/chivetally/job/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs, their tasks and their outcomes as values. */
+package org.chivetally.job;
--- /dev/null
+++ b/library/src/main/java/org/chivetally/log/NewRecord.java
@@ -0,0 +1,12 @@
+package org.chivetally.log;
+
+import java.util.Objects;
+
+/** A record to append: a globally unique id, by which readers drop repeats, and its content. */
+public record NewRecord(String id, byte[] payload) {
+    /** Refuses missing parts. */
+    public NewRecord {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(payload, "payload");
+    }
+}
