--- /dev/null
+++ b/library/src/main/java/org/chivetally/transport/package-info.java
@@ -0,0 +1,2 @@
+/** Frames between chivetally's own processes over Netty. */
+package org.chivetally.transport;
