--- /dev/null
+++ b/library/src/test/java/org/chivetally/ModuleBordersTest.java
@@ -0,0 +1,60 @@
+package org.chivetally;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+
+/** Keeps decisions free of sockets, threads and clocks, and the packages in their layers. */
+@AnalyzeClasses(packages = "org.chivetally", importOptions = ImportOption.DoNotIncludeTests.class)
+class ModuleBordersTest {
+    @ArchTest
+    static final ArchRule DECISIONS_USE_NO_SHELL = noClasses()
+            .that()
+            .resideInAnyPackage("org.chivetally.job", "org.chivetally.placement", "org.chivetally.coordination")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("org.apache.pekko..", "io.netty..", "java.net..", "java.util.concurrent..")
+            .because("a decision that reads a socket, a thread or a clock can't be replayed");
+
+    @ArchTest
+    static final ArchRule DECISIONS_READ_NO_CLOCK = noClasses()
+            .that()
+            .resideInAnyPackage(
+                    "org.chivetally.job",
+                    "org.chivetally.placement",
+                    "org.chivetally.coordination",
+                    "org.chivetally.agent",
+                    "org.chivetally.claim")
+            .should()
+            .callMethod(System.class, "nanoTime")
+            .orShould()
+            .callMethod(System.class, "currentTimeMillis")
+            .because("tests pause and advance the clock that is passed in");
+
+    @ArchTest
+    static final ArchRule NO_CLUSTERING_OF_LIBRARIES = noClasses()
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "org.apache.pekko.cluster..", "org.apache.pekko.remote..", "org.apache.pekko.discovery..")
+            .because("what has to be agreed goes through the platform's log");
+
+    @ArchTest
+    static final ArchRule JOBS_KNOW_NOBODY = noClasses()
+            .that()
+            .resideInAPackage("org.chivetally.job")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage("org.chivetally.coordination..", "org.chivetally.entry..", "org.chivetally.agent..");
+
+    @ArchTest
+    static final ArchRule THE_ENTRY_KNOWS_NO_AGENT = noClasses()
+            .that()
+            .resideInAnyPackage("org.chivetally.entry..", "org.chivetally.coordination..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.chivetally.agent..");
+}
