Log in memory and over HTTP, stand-ins for log and minion

Cause: entries, agents and the command need a log and minions to run against. Throughput not yet measured.

--- /dev/null
+++ b/library/src/main/java/org/chivetally/log/InMemoryPlatformLog.java
@@ -0,0 +1,195 @@
+package org.chivetally.log;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.Cancellable;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.log.RecordStream.Landing;
+import org.chivetally.log.RecordStream.WaitingRead;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
+
+/**
+ * A log in the memory of one process, for tests and for running everything in one process. Safe from any thread.
+ *
+ * <p>Ages are read from the given clock, and delays pass on the actor system's scheduler. Without delays an append
+ * takes effect, and answers waiting reads, on the caller's thread.
+ */
+public final class InMemoryPlatformLog implements PlatformLog {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String DOWN = "the log is down";
+    private static final String ANSWER_LOST = "the answer was lost";
+
+    private final ActorSystem<?> system;
+    private final NanoClock clock;
+    private final InMemoryLogSettings settings;
+    private final AppendPacer pacer;
+    private final Random random;
+    private final Map<String, RecordStream> streams = new ConcurrentHashMap<>();
+    private final AtomicReference<LogFaults> faults = new AtomicReference<>(LogFaults.NONE);
+    private final LongAdder appends = new LongAdder();
+    private final LongAdder writtenRecords = new LongAdder();
+    private final LongAdder reads = new LongAdder();
+    private final LongAdder refusedAppends = new LongAdder();
+    private final LongAdder lostAnswers = new LongAdder();
+
+    /** Creates an empty log without faults. */
+    public InMemoryPlatformLog(ActorSystem<?> system, NanoClock clock, InMemoryLogSettings settings) {
+        this.system = system;
+        this.clock = clock;
+        this.settings = settings;
+        this.pacer = new AppendPacer(settings.appendsPerSecond());
+        this.random = new Random(settings.seed());
+    }
+
+    /** Returns the faults in force; the number of answers still to lose is current. */
+    public LogFaults faults() {
+        return faults.get();
+    }
+
+    /** Replaces the faults in force. Waiting reads fail at once when the log goes down. */
+    public void setFaults(LogFaults next) {
+        faults.set(next);
+        LOG.atInfo().log("%s", EventLine.of("log-faults-set").with("faults", next));
+        next.expireUpTo().forEach((stream, upTo) -> stream(stream).expire(upTo));
+        if (next.down()) {
+            streams.values().forEach(this::failWaiting);
+        }
+    }
+
+    /** Returns counts since the log was created. */
+    public LogStatistics statistics() {
+        return new LogStatistics(
+                appends.sum(), writtenRecords.sum(), reads.sum(), refusedAppends.sum(), lostAnswers.sum());
+    }
+
+    @Override
+    public CompletionStage<AppendOutcome> append(String stream, List<NewRecord> records) {
+        List<NewRecord> copy = List.copyOf(records);
+        if (faults.get().down()) {
+            return CompletableFuture.completedFuture(refuse());
+        }
+        Duration delay = pacer.reserve(clock.nanos())
+                .plus(settings.appendLatency())
+                .plusMillis(faults.get().appendDelayMillis());
+        return after(delay, () -> CompletableFuture.completedFuture(takeEffect(stream, copy)));
+    }
+
+    @Override
+    public CompletionStage<ReadOutcome> read(String stream, long from, int limit, Duration wait) {
+        reads.increment();
+        Duration delay = Duration.ofMillis(faults.get().readDelayMillis());
+        return after(delay, () -> readNow(stream(stream), from, limit, wait));
+    }
+
+    private AppendOutcome takeEffect(String stream, List<NewRecord> records) {
+        LogFaults current = faults.get();
+        if (current.down()) {
+            return refuse();
+        }
+        if (!losesAnswer()) {
+            return new AppendOutcome.Appended(write(stream, records));
+        }
+        lostAnswers.increment();
+        Duration late = Duration.ofMillis(current.lateWriteMillis());
+        later(late, () -> write(stream, records));
+        if (current.lateDuplicateMillis() > 0) {
+            later(late.plusMillis(current.lateDuplicateMillis()), () -> write(stream, records));
+        }
+        return new AppendOutcome.Unknown(ANSWER_LOST);
+    }
+
+    private long write(String stream, List<NewRecord> records) {
+        Landing landing = stream(stream).append(records, clock.nanos());
+        appends.increment();
+        writtenRecords.add(records.size());
+        landing.answered().forEach(read -> answer(stream(stream), read));
+        return landing.firstOffset();
+    }
+
+    private AppendOutcome refuse() {
+        refusedAppends.increment();
+        return new AppendOutcome.Refused(DOWN);
+    }
+
+    private boolean losesAnswer() {
+        LogFaults before = faults.getAndUpdate(current ->
+                current.loseNextAnswers() == 0
+                        ? current
+                        : current.withLoseNextAnswers(current.loseNextAnswers() - 1));
+        if (before.loseNextAnswers() > 0) {
+            return true;
+        }
+        return before.lostAnswerShare() > 0 && random.nextDouble() < before.lostAnswerShare();
+    }
+
+    private CompletionStage<ReadOutcome> readNow(RecordStream stream, long from, int limit, Duration wait) {
+        if (faults.get().down()) {
+            return CompletableFuture.completedFuture(new ReadOutcome.Unavailable(DOWN));
+        }
+        if (!wait.isPositive()) {
+            return CompletableFuture.completedFuture(stream.read(from, limit, clock.nanos()));
+        }
+        WaitingRead read = new WaitingRead(from, limit);
+        Optional<ReadOutcome> found = stream.readOrWait(read, clock.nanos());
+        if (found.isPresent()) {
+            return CompletableFuture.completedFuture(found.get());
+        }
+        Cancellable timeout = later(wait, () -> stopWaiting(stream, read));
+        read.answer().whenComplete((outcome, failure) -> timeout.cancel());
+        // The log may have gone down between the check above and the start of the wait; nobody would then answer
+        // this read before its wait is over. Looking again after it waits leaves no such gap.
+        if (faults.get().down()) {
+            stopWaiting(stream, read);
+        }
+        return read.answer();
+    }
+
+    private void stopWaiting(RecordStream stream, WaitingRead read) {
+        stream.forget(read);
+        answer(stream, read);
+    }
+
+    private void failWaiting(RecordStream stream) {
+        stream.takeWaiting().forEach(read -> answer(stream, read));
+    }
+
+    private void answer(RecordStream stream, WaitingRead read) {
+        if (faults.get().down()) {
+            read.answer().complete(new ReadOutcome.Unavailable(DOWN));
+            return;
+        }
+        read.answer().complete(stream.read(read.from(), read.limit(), clock.nanos()));
+    }
+
+    private RecordStream stream(String name) {
+        return streams.computeIfAbsent(name, ignored -> new RecordStream(settings));
+    }
+
+    private <T> CompletionStage<T> after(Duration delay, Supplier<CompletionStage<T>> step) {
+        if (!delay.isPositive()) {
+            return step.get();
+        }
+        CompletableFuture<Void> passed = new CompletableFuture<>();
+        later(delay, () -> passed.complete(null));
+        return passed.thenCompose(ignored -> step.get());
+    }
+
+    private Cancellable later(Duration delay, Runnable step) {
+        if (!delay.isPositive()) {
+            step.run();
+            return Cancellable.alreadyCancelled();
+        }
+        return system.scheduler().scheduleOnce(delay, step, system.executionContext());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/log/RecordStream.java
@@ -0,0 +1,137 @@
+package org.chivetally.log;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/** One stream: its kept records and the reads that wait for more. Safe from any thread; completes no future itself. */
+final class RecordStream {
+    private final int keptRecords;
+    private final long keptForNanos;
+    private final List<KeptRecord> kept = new ArrayList<>();
+    private final Set<WaitingRead> waiting = new LinkedHashSet<>();
+    /** Number of expired records at the front of the list that are not yet removed from it. */
+    private int expired;
+
+    private long endOffset;
+
+    RecordStream(InMemoryLogSettings settings) {
+        this.keptRecords = settings.keptRecords();
+        this.keptForNanos = settings.keptFor().toNanos();
+    }
+
+    /** Appends records and returns the waiting reads that now have an answer; the caller completes them. */
+    synchronized Landing append(List<NewRecord> records, long nowNanos) {
+        long firstOffset = endOffset;
+        for (NewRecord added : records) {
+            kept.add(new KeptRecord(new LogRecord(endOffset, added.id(), added.payload()), nowNanos));
+            endOffset++;
+        }
+        expireOld(nowNanos);
+        return new Landing(firstOffset, takeAnswered());
+    }
+
+    /** Returns what a read finds now, possibly no records. */
+    synchronized ReadOutcome read(long from, int limit, long nowNanos) {
+        expireOld(nowNanos);
+        if (from < earliestOffset()) {
+            return new ReadOutcome.Expired(earliestOffset());
+        }
+        int first = (int) Math.min(kept.size(), expired + (from - earliestOffset()));
+        int end = (int) Math.min(kept.size(), (long) first + limit);
+        List<LogRecord> found =
+                kept.subList(first, end).stream().map(KeptRecord::content).toList();
+        return new ReadOutcome.Records(found, endOffset);
+    }
+
+    /** Returns what a read finds now, or keeps it waiting when there is no record for it yet. */
+    synchronized Optional<ReadOutcome> readOrWait(WaitingRead read, long nowNanos) {
+        if (read.from() >= endOffset) {
+            waiting.add(read);
+            return Optional.empty();
+        }
+        return Optional.of(read(read.from(), read.limit(), nowNanos));
+    }
+
+    /** Stops a read from waiting. */
+    synchronized void forget(WaitingRead read) {
+        waiting.remove(read);
+    }
+
+    /** Stops all reads from waiting and returns them. */
+    synchronized List<WaitingRead> takeWaiting() {
+        List<WaitingRead> taken = List.copyOf(waiting);
+        waiting.clear();
+        return taken;
+    }
+
+    /** Expires the records below an offset. */
+    synchronized void expire(long upTo) {
+        while (earliestOffset() < Math.min(upTo, endOffset)) {
+            expired++;
+        }
+        compact();
+    }
+
+    private long earliestOffset() {
+        return endOffset - (kept.size() - expired);
+    }
+
+    private List<WaitingRead> takeAnswered() {
+        List<WaitingRead> answered =
+                waiting.stream().filter(read -> read.from() < endOffset).toList();
+        answered.forEach(waiting::remove);
+        return answered;
+    }
+
+    private void expireOld(long nowNanos) {
+        while (expired < kept.size() && isOld(kept.get(expired), nowNanos)) {
+            expired++;
+        }
+        compact();
+    }
+
+    private boolean isOld(KeptRecord oldest, long nowNanos) {
+        return kept.size() - expired > keptRecords || nowNanos - oldest.writtenNanos() > keptForNanos;
+    }
+
+    /** Removes expired records only once they are half of the list, so that expiry costs constant time a record. */
+    private void compact() {
+        if (expired > kept.size() / 2) {
+            kept.subList(0, expired).clear();
+            expired = 0;
+        }
+    }
+
+    /** What an append did: where its records stand, and the waiting reads that it answers. */
+    record Landing(long firstOffset, List<WaitingRead> answered) {}
+
+    /** A read that waits for a record; each waits by itself, so equality is identity. */
+    static final class WaitingRead {
+        private final long from;
+        private final int limit;
+        private final CompletableFuture<ReadOutcome> answer = new CompletableFuture<>();
+
+        WaitingRead(long from, int limit) {
+            this.from = from;
+            this.limit = limit;
+        }
+
+        long from() {
+            return from;
+        }
+
+        int limit() {
+            return limit;
+        }
+
+        CompletableFuture<ReadOutcome> answer() {
+            return answer;
+        }
+    }
+
+    private record KeptRecord(LogRecord content, long writtenNanos) {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/chivetally/standins/Minion.java
@@ -0,0 +1,156 @@
+package org.chivetally.standins;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
+
+/** The work of a minion without its HTTP: slots, faults, and the record of starts. Safe from any thread. */
+final class Minion {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final String ALL_SLOTS_TAKEN = "all slots are taken";
+    private static final String DOWN = "the minion is down";
+
+    private final ActorSystem<?> system;
+    private final NanoClock clock;
+    private final MinionStandInSettings settings;
+    private final Random random;
+    private final List<MinionStart> starts = new ArrayList<>();
+    private MinionFaults faults = MinionFaults.NONE;
+    private int running;
+    private long overruns;
+    private Long drainingSinceNanos;
+
+    Minion(ActorSystem<?> system, NanoClock clock, MinionStandInSettings settings) {
+        this.system = system;
+        this.clock = clock;
+        this.settings = settings;
+        this.random = new Random(settings.name().hashCode());
+    }
+
+    /** Runs a task; the stage completes with its answer, never when the minion is silent. */
+    CompletionStage<MinionAnswer> run(MinionTask task) {
+        Plan plan;
+        int start;
+        synchronized (this) {
+            if (faults.down()) {
+                return CompletableFuture.completedFuture(new MinionAnswer.Refused(DOWN));
+            }
+            if (running >= faults.usableSlots(settings.slots())) {
+                countOverrun(task);
+                return CompletableFuture.completedFuture(new MinionAnswer.Refused(ALL_SLOTS_TAKEN));
+            }
+            running++;
+            start = recordStart(task);
+            plan = plan(task);
+        }
+        CompletableFuture<MinionAnswer> answer = new CompletableFuture<>();
+        later(plan.duration(), () -> finish(start, task, plan, answer));
+        return answer;
+    }
+
+    /** Counts a task that was refused because a limit was exceeded. */
+    synchronized void countOverrun(MinionTask task) {
+        overruns++;
+        LOG.atWarning().log(
+                "%s",
+                EventLine.of("minion-overrun")
+                        .with("minion", settings.name())
+                        .with("job", task.job())
+                        .with("task", task.index())
+                        .with("attempt", task.attempt())
+                        .with("running", running));
+    }
+
+    synchronized MinionState state() {
+        int free = Math.max(0, faults.usableSlots(settings.slots()) - running);
+        return new MinionState(
+                free, running, drainingSinceNanos != null, !faults.unhealthy(), overruns, drainingSinceNanos);
+    }
+
+    synchronized List<MinionStart> starts() {
+        return List.copyOf(starts);
+    }
+
+    synchronized int startCount() {
+        return starts.size();
+    }
+
+    synchronized MinionFaults faults() {
+        return faults;
+    }
+
+    synchronized void setFaults(MinionFaults next) {
+        faults = next;
+        LOG.atInfo().log(
+                "%s",
+                EventLine.of("minion-faults-set").with("minion", settings.name()).with("faults", next));
+    }
+
+    synchronized void drain() {
+        if (drainingSinceNanos != null) {
+            return;
+        }
+        drainingSinceNanos = clock.nanos();
+        LOG.atInfo().log("%s", EventLine.of("minion-draining").with("minion", settings.name()));
+    }
+
+    private int recordStart(MinionTask task) {
+        starts.add(new MinionStart(
+                task.job(), task.index(), task.attempt(), clock.nanos(), null, MinionStart.RUNNING));
+        return starts.size() - 1;
+    }
+
+    private Plan plan(MinionTask task) {
+        if (faults.failEveryTask()) {
+            return new Plan(Duration.ZERO, true, faults.silent());
+        }
+        double factor = happens(faults.straggleShare()) ? faults.straggleFactor() : 1;
+        Duration duration = Duration.ofMillis(Math.round(task.work().workMillis() * factor) + faults.delayMillis());
+        boolean fails = task.work().fail() || happens(faults.failShare());
+        return new Plan(duration, fails, faults.silent());
+    }
+
+    private boolean happens(double share) {
+        return share > 0 && random.nextDouble() < share;
+    }
+
+    /** Ends a task. Its slot is free before the answer is out, so that whoever reads the answer may use it. */
+    private void finish(int start, MinionTask task, Plan plan, CompletableFuture<MinionAnswer> answer) {
+        synchronized (this) {
+            running--;
+            starts.set(start, starts.get(start).ended(clock.nanos(), plan.outcome()));
+        }
+        if (plan.silent()) {
+            return;
+        }
+        answer.complete(
+                plan.fails()
+                        ? new MinionAnswer.Failed(task.index(), "the task failed", settings.name())
+                        : new MinionAnswer.Done(task.index(), task.work().answer(), settings.name()));
+    }
+
+    private void later(Duration delay, Runnable step) {
+        if (!delay.isPositive()) {
+            step.run();
+            return;
+        }
+        system.scheduler().scheduleOnce(delay, step, system.executionContext());
+    }
+
+    /** How one task goes, decided at its start. */
+    private record Plan(Duration duration, boolean fails, boolean silent) {
+        String outcome() {
+            if (silent) {
+                return MinionStart.SILENT;
+            }
+            return fails ? MinionStart.FAILED : MinionStart.DONE;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/chivetally/standins/MinionAnswer.java
@@ -0,0 +1,15 @@
+package org.chivetally.standins;
+
+import tools.jackson.databind.JsonNode;
+
+/** What a minion says to a task. */
+sealed interface MinionAnswer {
+    /** The task ran; the components are the answer's JSON. */
+    record Done(int task, JsonNode answer, String minion) implements MinionAnswer {}
+
+    /** The task ran and failed. */
+    record Failed(int task, String error, String minion) implements MinionAnswer {}
+
+    /** The task did not start. */
+    record Refused(String reason) implements MinionAnswer {}
+}
--- /dev/null
+++ b/standins/src/main/java/org/chivetally/standins/MinionStart.java
@@ -0,0 +1,23 @@
+package org.chivetally.standins;
+
+/**
+ * One start in a minion's own record, by which duplicate starts are judged.
+ *
+ * @param job name of the job
+ * @param task index of the task in its job
+ * @param attempt id of the attempt
+ * @param startedNanos reading of the machine's monotonic clock at the start
+ * @param endedNanos reading at the end; null while the task runs
+ * @param outcome {@code running}, {@code done}, {@code failed}, or {@code silent} when it ended without an answer
+ */
+public record MinionStart(
+        String job, int task, String attempt, long startedNanos, Long endedNanos, String outcome) {
+    static final String RUNNING = "running";
+    static final String DONE = "done";
+    static final String FAILED = "failed";
+    static final String SILENT = "silent";
+
+    MinionStart ended(long nanos, String how) {
+        return new MinionStart(job, task, attempt, startedNanos, nanos, how);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/chivetally/standins/MinionTask.java
@@ -0,0 +1,35 @@
+package org.chivetally.standins;
+
+import java.util.Objects;
+import tools.jackson.databind.JsonNode;
+
+/**
+ * One task as a minion receives it.
+ *
+ * @param job name of the job, from the header {@code Chivetally-Job}
+ * @param index index of the task in its job, from {@code Chivetally-Task}
+ * @param attempt id of the attempt, from {@code Chivetally-Attempt}
+ * @param work what the task does
+ */
+record MinionTask(String job, int index, String attempt, Work work) {
+    MinionTask {
+        Objects.requireNonNull(job, "job");
+        Objects.requireNonNull(attempt, "attempt");
+        Objects.requireNonNull(work, "work");
+    }
+
+    /**
+     * The task's payload.
+     *
+     * @param workMillis how long the task runs, in milliseconds
+     * @param answer any JSON, given back as the task's answer; null when left out
+     * @param fail whether the task fails after its work
+     */
+    record Work(long workMillis, JsonNode answer, boolean fail) {
+        Work {
+            if (workMillis < 0) {
+                throw new IllegalArgumentException("workMillis can't be negative");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/chivetally/standins/StandInHttp.java
@@ -0,0 +1,75 @@
+package org.chivetally.standins;
+
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.ServerBuilder;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCode;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
+import org.apache.pekko.japi.function.Function;
+import org.apache.pekko.stream.javadsl.Flow;
+import scala.concurrent.duration.Duration;
+import tools.jackson.databind.DeserializationFeature;
+import tools.jackson.databind.json.JsonMapper;
+
+/** What the stand-ins' HTTP servers share: JSON, settings and answers. */
+final class StandInHttp {
+    /** Missing numbers are zero, so that faults are set by naming only what differs; unknown names are refused. */
+    static final JsonMapper JSON = JsonMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .disable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .build();
+
+    private static final int CONNECTIONS = 16_384;
+    private static final long LARGEST_REQUEST_BYTES = 64L << 20;
+
+    private StandInHttp() {}
+
+    static CompletionStage<ServerBinding> bind(
+            ActorSystem<?> system, String host, int port, Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+        return server(system, host, port).bind(handler);
+    }
+
+    static CompletionStage<ServerBinding> bindFlow(
+            ActorSystem<?> system, String host, int port, Flow<HttpRequest, HttpResponse, ?> flow) {
+        return server(system, host, port).bindFlow(flow);
+    }
+
+    static HttpResponse json(StatusCode status, Object document) {
+        return json(status, JSON.writeValueAsBytes(document));
+    }
+
+    static HttpResponse json(StatusCode status, byte[] document) {
+        return HttpResponse.create().withStatus(status).withEntity(ContentTypes.APPLICATION_JSON, document);
+    }
+
+    static HttpResponse text(StatusCode status, String sentence) {
+        return HttpResponse.create().withStatus(status).withEntity(sentence + "\n");
+    }
+
+    static HttpResponse badRequest(RuntimeException cause) {
+        return text(StatusCodes.BAD_REQUEST, cause.getMessage());
+    }
+
+    private static ServerBuilder server(ActorSystem<?> system, String host, int port) {
+        return Http.get(system).newServerAt(host, port).withSettings(settings(system));
+    }
+
+    private static ServerSettings settings(ActorSystem<?> system) {
+        ServerSettings defaults = ServerSettings.create(system.classicSystem());
+        return defaults.withMaxConnections(CONNECTIONS)
+                .withParserSettings(defaults.getParserSettings()
+                        .withMaxContentLength(LARGEST_REQUEST_BYTES)
+                        .withMaxToStrictBytes(LARGEST_REQUEST_BYTES))
+                // The server would answer 503 by itself after 20 s. Of a slow append or a hung task that is false:
+                // it may still take effect. Without this timeout a late answer is late, and a silent one is silent.
+                .withTimeouts(defaults.getTimeouts()
+                        .withRequestTimeout(Duration.Inf())
+                        .withIdleTimeout(Duration.Inf()));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/chivetally/standins/TaskConnections.java
@@ -0,0 +1,45 @@
+package org.chivetally.standins;
+
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Counts the connections that carry tasks against a minion's limit; control requests take none. */
+final class TaskConnections {
+    private final int limit;
+    private final AtomicInteger open = new AtomicInteger();
+
+    TaskConnections(int limit) {
+        this.limit = limit;
+    }
+
+    /** Begins to follow a connection, which counts from its first task on. */
+    Connection opened() {
+        return new Connection();
+    }
+
+    private boolean take() {
+        return open.getAndUpdate(count -> Math.min(limit, count + 1)) < limit;
+    }
+
+    /** One connection of the server. */
+    final class Connection {
+        private boolean counted;
+        private boolean closed;
+
+        /** Tells whether this connection may carry a task. */
+        synchronized boolean admitsTask() {
+            if (!counted && !closed) {
+                counted = take();
+            }
+            return counted;
+        }
+
+        /** Gives the connection's place back. */
+        synchronized void closed() {
+            closed = true;
+            if (counted) {
+                counted = false;
+                open.decrementAndGet();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/chivetally/log/HttpPlatformLogTest.java
@@ -0,0 +1,188 @@
+package org.chivetally.log;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.chivetally.standins.HttpTester;
+import org.chivetally.standins.LogStandIn;
+import org.chivetally.time.NanoClock;
+import org.hamcrest.MatcherAssert;
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpPlatformLogTest {
+    private static final Duration PATIENT = Duration.ofSeconds(10);
+    private static final Duration IMPATIENT = Duration.ofMillis(200);
+
+    private final ActorTestKit kit = ActorTestKit.create();
+    private final InMemoryPlatformLog behind =
+            new InMemoryPlatformLog(kit.system(), NanoClock.system(), InMemoryLogSettings.immediate());
+    private HttpTester server;
+    private HttpPlatformLog log;
+
+    @BeforeEach
+    void start() {
+        server = new HttpTester(
+                kit.system(), HttpTester.await(LogStandIn.start(kit.system(), "127.0.0.1", 0, behind)));
+        log = new HttpPlatformLog(kit.system(), server.uri(), PATIENT);
+    }
+
+    @AfterEach
+    void stop() {
+        kit.shutdownTestKit();
+    }
+
+    @Test
+    void readsBackWhatItAppended() {
+        List<NewRecord> records = List.of(record("a", "\u0000\u00e5"), record("b", ""));
+        MatcherAssert.assertThat(await(log.append("a stream", records)), Matchers.is(new AppendOutcome.Appended(0)));
+        MatcherAssert.assertThat(await(log.append("a stream", records)), Matchers.is(new AppendOutcome.Appended(2)));
+        ReadOutcome.Records found = (ReadOutcome.Records) await(log.read("a stream", 1, 2, Duration.ZERO));
+        MatcherAssert.assertThat(found.endOffset(), Matchers.is(4L));
+        MatcherAssert.assertThat(
+                found.records().stream().map(HttpPlatformLogTest::shown).toList(),
+                Matchers.contains("1 b ", "2 a \u0000\u00e5"));
+    }
+
+    @Test
+    void aWaitingReadIsAnsweredByAnAppend() {
+        CompletionStage<ReadOutcome> waiting = log.read("claims", 0, 10, HttpPlatformLog.LONGEST_WAIT);
+        awaitReads(1);
+        await(log.append("claims", List.of(record("a", "x"))));
+        ReadOutcome.Records found = (ReadOutcome.Records) await(waiting);
+        MatcherAssert.assertThat(found.records(), Matchers.hasSize(1));
+    }
+
+    @Test
+    void aReadWithoutRecordsEndsWithItsWait() {
+        ReadOutcome.Records found = (ReadOutcome.Records) await(log.read("claims", 0, 10, Duration.ofMillis(1)));
+        MatcherAssert.assertThat(found.records(), Matchers.empty());
+    }
+
+    @Test
+    void anExpiredOffsetNamesTheOldest() {
+        await(log.append("claims", List.of(record("a", ""), record("b", ""))));
+        behind.setFaults(LogFaults.NONE.withExpiry("claims", 1));
+        MatcherAssert.assertThat(
+                await(log.read("claims", 0, 10, Duration.ZERO)), Matchers.is(new ReadOutcome.Expired(1)));
+    }
+
+    // The log says that it is down. The caller may tell its own caller that nothing was claimed.
+    @Test
+    void aDownLogRefusesAppendsAndFailsReads() {
+        behind.setFaults(LogFaults.NONE.withDown(true));
+        MatcherAssert.assertThat(
+                await(log.append("claims", List.of(record("a", "")))),
+                Matchers.instanceOf(AppendOutcome.Refused.class));
+        MatcherAssert.assertThat(
+                await(log.read("claims", 0, 10, PATIENT)), Matchers.instanceOf(ReadOutcome.Unavailable.class));
+    }
+
+    // The append takes effect and then its answer is lost. The caller must not hear that nothing was written, or it
+    // would tell its caller "not run" while the claim stands.
+    @Test
+    void aLostAnswerIsUnknownAndTheRecordStands() {
+        behind.setFaults(LogFaults.NONE.withLoseNextAnswers(1));
+        MatcherAssert.assertThat(
+                await(log.append("claims", List.of(record("a", "")))),
+                Matchers.instanceOf(AppendOutcome.Unknown.class));
+        ReadOutcome.Records found = (ReadOutcome.Records) await(log.read("claims", 0, 10, Duration.ZERO));
+        MatcherAssert.assertThat(found.records(), Matchers.hasSize(1));
+    }
+
+    // The log is slower than the client's patience. The client gives up with Unknown, and the append lands later all
+    // the same: the reader that waits for it sees it.
+    @Test
+    void aSlowAppendIsUnknownAndLandsLater() {
+        HttpPlatformLog hasty = new HttpPlatformLog(kit.system(), server.uri(), IMPATIENT);
+        behind.setFaults(LogFaults.NONE.withDelays(2 * IMPATIENT.toMillis(), 0));
+        MatcherAssert.assertThat(
+                await(hasty.append("claims", List.of(record("a", "")))),
+                Matchers.instanceOf(AppendOutcome.Unknown.class));
+        ReadOutcome.Records found = (ReadOutcome.Records) await(log.read("claims", 0, 10, PATIENT));
+        MatcherAssert.assertThat(found.records(), Matchers.hasSize(1));
+    }
+
+    // Nobody listens at the address: the connection is refused before a byte of the append is sent, so the append
+    // certainly did not take effect.
+    @Test
+    void aRefusedConnectionIsRefused() throws IOException {
+        HttpPlatformLog nowhere = new HttpPlatformLog(kit.system(), closedPort(), PATIENT);
+        MatcherAssert.assertThat(
+                await(nowhere.append("claims", List.of(record("a", "")))),
+                Matchers.instanceOf(AppendOutcome.Refused.class));
+        MatcherAssert.assertThat(
+                await(nowhere.read("claims", 0, 10, Duration.ZERO)),
+                Matchers.instanceOf(ReadOutcome.Unavailable.class));
+    }
+
+    // Something accepts the connection and closes it once it has read the append. What became of the append is open.
+    @Test
+    void aConnectionClosedAfterSendingIsUnknown() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> closeAfterFirstByte(socket));
+            HttpPlatformLog cut = new HttpPlatformLog(kit.system(), address(socket), PATIENT);
+            MatcherAssert.assertThat(
+                    await(cut.append("claims", List.of(record("a", "")))),
+                    Matchers.instanceOf(AppendOutcome.Unknown.class));
+        }
+    }
+
+    // Something accepts connections and never answers. Both outcomes come by the client's own timer.
+    @Test
+    void aSilentServerIsUnknown() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            HttpPlatformLog silent = new HttpPlatformLog(kit.system(), address(socket), IMPATIENT);
+            MatcherAssert.assertThat(
+                    await(silent.append("claims", List.of(record("a", "")))),
+                    Matchers.instanceOf(AppendOutcome.Unknown.class));
+            MatcherAssert.assertThat(
+                    await(silent.read("claims", 0, 10, Duration.ZERO)),
+                    Matchers.instanceOf(ReadOutcome.Unavailable.class));
+        }
+    }
+
+    private void awaitReads(long count) {
+        while (behind.statistics().reads() < count) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static void closeAfterFirstByte(ServerSocket socket) {
+        try (var connection = socket.accept()) {
+            connection.getInputStream().read();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    private static URI closedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return address(socket);
+        }
+    }
+
+    private static URI address(ServerSocket socket) {
+        return URI.create("http://127.0.0.1:" + socket.getLocalPort());
+    }
+
+    private static NewRecord record(String id, String payload) {
+        return new NewRecord(id, payload.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static String shown(LogRecord one) {
+        return one.offset() + " " + one.id() + " " + new String(one.payload(), StandardCharsets.UTF_8);
+    }
+
+    private static <T> T await(CompletionStage<T> stage) {
+        return HttpTester.await(stage);
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
@@ -0,0 +1,128 @@
+package org.chivetally.standins;
+
+import java.util.concurrent.CompletableFuture;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.hamcrest.Matcher;
+import org.hamcrest.MatcherAssert;
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The HTTP side; MinionTest covers slots, faults and the record of starts with paused time. */
+class MinionStandInTest {
+    private static final long VERY_LONG_MILLIS = 3_600_000;
+
+    private final ActorTestKit kit = ActorTestKit.create();
+    private ServerBinding binding;
+    private HttpTester server;
+
+    @BeforeEach
+    void start() {
+        binding = HttpTester.await(
+                MinionStandIn.start(kit.system(), "127.0.0.1", 0, new MinionStandInSettings("m", 2, 1)));
+        server = new HttpTester(kit.system(), binding);
+    }
+
+    @AfterEach
+    void stop() {
+        kit.shutdownTestKit();
+    }
+
+    @Test
+    void runsTasksAndReportsThem() {
+        MatcherAssert.assertThat(
+                run(task("{\"workMillis\":1,\"answer\":{\"place\":4},\"more\":[]}")),
+                answered(200, "{\"task\":7,\"answer\":{\"place\":4},\"minion\":\"m\"}"));
+        MatcherAssert.assertThat(
+                run(task("{\"fail\":true}")),
+                answered(500, "{\"task\":7,\"error\":\"the task failed\",\"minion\":\"m\"}"));
+        MatcherAssert.assertThat(
+                server.get("/starts").body().lines().toList(),
+                Matchers.contains(
+                        Matchers.matchesPattern(
+                                "\\{\"job\":\"j\",\"task\":7,\"attempt\":\"a\",\"startedNanos\":-?\\d+,"
+                                        + "\"endedNanos\":-?\\d+,\"outcome\":\"done\"}"),
+                        Matchers.endsWith("\"outcome\":\"failed\"}")));
+        MatcherAssert.assertThat(
+                server.get("/state"),
+                answered(
+                        200,
+                        "{\"freeSlots\":2,\"running\":0,\"draining\":false,\"healthy\":true,"
+                                + "\"overruns\":0,\"drainingSinceNanos\":null}"));
+        MatcherAssert.assertThat(
+                server.get("/metrics").body(),
+                Matchers.allOf(
+                        Matchers.containsString("\nminion_free_slots 2.0\n"),
+                        Matchers.containsString("\nminion_starts_total 2.0\n")));
+    }
+
+    @Test
+    void malformedTasksAreNotStarted() {
+        MatcherAssert.assertThat(run(task("{\"workMillis\":-1}")).status(), Matchers.is(400));
+        MatcherAssert.assertThat(run(server.post("/tasks", "{}")).status(), Matchers.is(400));
+        MatcherAssert.assertThat(server.get("/starts").body(), Matchers.is(""));
+    }
+
+    // One task's connection is open and the minion allows one. A task over a second connection is refused and counted,
+    // although a slot is free; state and control need none of the allowed connections.
+    @Test
+    void aTaskOverOneConnectionTooManyIsRefused() {
+        server.send(task("{\"workMillis\":%d}".formatted(VERY_LONG_MILLIS)));
+        awaitState(Matchers.containsString("\"running\":1"));
+        MatcherAssert.assertThat(
+                run(task("{}")), answered(503, "{\"reason\":\"too many connections carry tasks\"}"));
+        MatcherAssert.assertThat(server.get("/state").body(), Matchers.containsString("\"overruns\":1"));
+    }
+
+    // The minion is down: tasks and state are refused, and nothing starts. The test's own routes still work.
+    @Test
+    void aDownMinionRefusesAllButControl() {
+        MatcherAssert.assertThat(server.put("/faults", "{\"down\":true}").status(), Matchers.is(200));
+        MatcherAssert.assertThat(run(task("{}")).status(), Matchers.is(503));
+        MatcherAssert.assertThat(server.get("/state").status(), Matchers.is(503));
+        MatcherAssert.assertThat(server.get("/starts"), answered(200, ""));
+        MatcherAssert.assertThat(server.put("/faults", "{}").status(), Matchers.is(200));
+        MatcherAssert.assertThat(run(task("{}")).status(), Matchers.is(200));
+    }
+
+    @Test
+    void drainingIsReported() {
+        MatcherAssert.assertThat(run(server.post("/drain", "")).status(), Matchers.is(200));
+        MatcherAssert.assertThat(server.get("/state").body(), Matchers.containsString("\"draining\":true"));
+    }
+
+    // The server is told to stop while a task runs. The caller still gets the task's answer, because the stop waits
+    // for requests in progress.
+    @Test
+    void stoppingWaitsForRunningTasks() {
+        CompletableFuture<HttpTester.Answer> answer = server.send(task("{\"workMillis\":200}"));
+        awaitState(Matchers.containsString("\"running\":1"));
+        binding.terminate(java.time.Duration.ofSeconds(20));
+        MatcherAssert.assertThat(HttpTester.await(answer).status(), Matchers.is(200));
+    }
+
+    private HttpRequest task(String json) {
+        return server.post("/tasks", json)
+                .addHeader(RawHeader.create(MinionStandIn.JOB_HEADER, "j"))
+                .addHeader(RawHeader.create(MinionStandIn.TASK_HEADER, "7"))
+                .addHeader(RawHeader.create(MinionStandIn.ATTEMPT_HEADER, "a"));
+    }
+
+    private HttpTester.Answer run(HttpRequest request) {
+        return HttpTester.await(server.send(request));
+    }
+
+    private void awaitState(Matcher<String> matcher) {
+        while (!matcher.matches(server.get("/state").body())) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static Matcher<HttpTester.Answer> answered(int status, String body) {
+        return Matchers.is(new HttpTester.Answer(status, body));
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/chivetally/standins/MinionTest.java
@@ -0,0 +1,134 @@
+package org.chivetally.standins;
+
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
+import org.hamcrest.MatcherAssert;
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import tools.jackson.databind.node.StringNode;
+
+class MinionTest {
+    private static final MinionAnswer DONE = new MinionAnswer.Done(3, StringNode.valueOf("yes"), "m");
+    private static final MinionAnswer FAILED = new MinionAnswer.Failed(3, "the task failed", "m");
+
+    private final ActorTestKit kit = ActorTestKit.create(ManualTime.config());
+    private final ManualTime time = ManualTime.get(kit.system());
+    private final AtomicLong clock = new AtomicLong();
+    private final Minion minion = new Minion(kit.system(), clock::get, new MinionStandInSettings("m", 2, 4));
+
+    @AfterEach
+    void stop() {
+        kit.shutdownTestKit();
+    }
+
+    @Test
+    void answersAfterTheWorkAndRecordsTheStart() {
+        clock.set(10);
+        CompletionStage<MinionAnswer> answer = run("a", 300, false);
+        MatcherAssert.assertThat(
+                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running")));
+        passMillis(299);
+        MatcherAssert.assertThat(now(answer), Matchers.nullValue());
+        clock.set(20);
+        passMillis(1);
+        MatcherAssert.assertThat(now(answer), Matchers.is(DONE));
+        MatcherAssert.assertThat(minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, 20L, "done")));
+    }
+
+    @Test
+    void aTaskMayAskToFail() {
+        CompletionStage<MinionAnswer> answer = run("a", 5, true);
+        passMillis(5);
+        MatcherAssert.assertThat(now(answer), Matchers.is(FAILED));
+        MatcherAssert.assertThat(minion.starts().getFirst().outcome(), Matchers.is("failed"));
+    }
+
+    // A caller starts one task more than there are slots: it is refused, counted as an overrun, and not recorded as
+    // started. Once a task has ended its slot takes the next.
+    @Test
+    void oneTaskMoreThanSlotsIsAnOverrun() {
+        run("a", 5, false);
+        run("b", 10, false);
+        MatcherAssert.assertThat(now(run("c", 5, false)), Matchers.instanceOf(MinionAnswer.Refused.class));
+        MatcherAssert.assertThat(minion.state(), Matchers.is(new MinionState(0, 2, false, true, 1, null)));
+        passMillis(5);
+        run("d", 5, false);
+        MatcherAssert.assertThat(minion.startCount(), Matchers.is(3));
+        MatcherAssert.assertThat(minion.state().overruns(), Matchers.is(1L));
+    }
+
+    @Test
+    void fewerSlotsMayBeLeft() {
+        minion.setFaults(faults(false, 0, 0, 0, false, false, 1));
+        MatcherAssert.assertThat(minion.state().freeSlots(), Matchers.is(1));
+        run("a", 5, false);
+        MatcherAssert.assertThat(now(run("b", 5, false)), Matchers.instanceOf(MinionAnswer.Refused.class));
+    }
+
+    @Test
+    void failingEveryTaskTakesNoTime() {
+        minion.setFaults(faults(true, 0, 0, 0, false, false, null));
+        MatcherAssert.assertThat(now(run("a", 1000, false)), Matchers.is(FAILED));
+    }
+
+    @Test
+    void sharesOfOneFailAndStraggle() {
+        minion.setFaults(faults(false, 1, 1, 4, false, false, null));
+        CompletionStage<MinionAnswer> answer = run("a", 10, false);
+        passMillis(39);
+        MatcherAssert.assertThat(now(answer), Matchers.nullValue());
+        passMillis(1);
+        MatcherAssert.assertThat(now(answer), Matchers.is(FAILED));
+    }
+
+    // The minion runs the task but its answer never comes. The caller can't know; the record of starts does.
+    @Test
+    void aSilentMinionRunsTasksWithoutAnswering() {
+        minion.setFaults(faults(false, 0, 0, 0, true, false, null));
+        CompletionStage<MinionAnswer> answer = run("a", 10, false);
+        passMillis(10);
+        MatcherAssert.assertThat(now(answer), Matchers.nullValue());
+        MatcherAssert.assertThat(minion.starts().getFirst().outcome(), Matchers.is("silent"));
+        MatcherAssert.assertThat(minion.state().freeSlots(), Matchers.is(2));
+    }
+
+    @Test
+    void aDownMinionStartsNothing() {
+        minion.setFaults(faults(false, 0, 0, 0, false, true, null));
+        MatcherAssert.assertThat(now(run("a", 10, false)), Matchers.instanceOf(MinionAnswer.Refused.class));
+        MatcherAssert.assertThat(minion.starts(), Matchers.empty());
+    }
+
+    // A leaving minion that gets work anyway runs it: no request is cut, and the record shows the late start.
+    @Test
+    void aDrainingMinionStillRunsWhatItGets() {
+        clock.set(7);
+        minion.drain();
+        clock.set(9);
+        minion.drain();
+        run("a", 10, false);
+        MatcherAssert.assertThat(minion.state(), Matchers.is(new MinionState(1, 1, true, true, 0, 7L)));
+    }
+
+    private CompletionStage<MinionAnswer> run(String attempt, long workMillis, boolean fail) {
+        return minion.run(
+                new MinionTask("j", 3, attempt, new MinionTask.Work(workMillis, StringNode.valueOf("yes"), fail)));
+    }
+
+    private static MinionFaults faults(
+            boolean failEvery, double failShare, double share, double factor, boolean silent, boolean down, Integer left) {
+        return new MinionFaults(failEvery, failShare, share, factor, 0, silent, down, false, left);
+    }
+
+    private void passMillis(long millis) {
+        time.timePasses(Duration.ofMillis(millis));
+    }
+
+    private static <T> T now(CompletionStage<T> stage) {
+        return stage.toCompletableFuture().getNow(null);
+    }
+}
