--- /dev/null
+++ b/library/src/main/java/org/chivetally/transport/BoundedFrameDecoder.java
@@ -0,0 +1,54 @@
+package org.chivetally.transport;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.protobuf.ProtobufVarint32FrameDecoder;
+import java.util.List;
+
+/**
+ * Cuts the byte stream into frames by their varint length prefix, and refuses long ones.
+ *
+ * <p>A peer that sends garbage would otherwise name a length of up to 2 GiB and make this process buffer all of it. The
+ * prefix is looked at before anything is buffered, so memory per connection stays under the bound.
+ */
+final class BoundedFrameDecoder extends ProtobufVarint32FrameDecoder {
+    private static final int PREFIX_BYTES = 5;
+    private static final int VALUE_BITS = 7;
+    private static final int VALUE_MASK = 0x7f;
+
+    private final int maximumBytes;
+
+    BoundedFrameDecoder(int maximumBytes) {
+        this.maximumBytes = maximumBytes;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        checkLength(in);
+        super.decode(context, in, out);
+    }
+
+    private void checkLength(ByteBuf in) {
+        long length = 0;
+        int available = Math.min(PREFIX_BYTES, in.readableBytes());
+        for (int place = 0; place < available; place++) {
+            byte next = in.getByte(in.readerIndex() + place);
+            length |= (long) (next & VALUE_MASK) << (place * VALUE_BITS);
+            if (next >= 0) {
+                requireShort(length);
+                return;
+            }
+        }
+        if (available == PREFIX_BYTES) {
+            throw new CorruptedFrameException("length prefix of more than " + PREFIX_BYTES + " bytes");
+        }
+    }
+
+    private void requireShort(long length) {
+        if (length > maximumBytes) {
+            throw new TooLongFrameException("frame of " + length + " bytes, at most " + maximumBytes + " are allowed");
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/transport/FrameChannelHandler.java
@@ -0,0 +1,95 @@
+package org.chivetally.transport;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import java.io.IOException;
+import org.chivetally.logging.EventLine;
+import org.chivetally.wire.v1.Frame;
+
+/** Parses the frames of one channel and tells the listener. */
+final class FrameChannelHandler extends SimpleChannelInboundHandler<ByteBuf> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final NettyFrameConnection connection;
+    private final FrameListener listener;
+    private final FrameMeters meters;
+    private String closeReason = "closed by the peer";
+    private boolean failed;
+
+    FrameChannelHandler(NettyFrameConnection connection, FrameListener listener, FrameMeters meters) {
+        this.connection = connection;
+        this.listener = listener;
+        this.meters = meters;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        connection.attach(context.channel());
+        listener.connected(connection);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf bytes) throws IOException {
+        if (failed) {
+            return;
+        }
+        int length = bytes.readableBytes();
+        Frame frame = Frame.parseFrom(CodedInputStream.newInstance(bytes.nioBuffer()));
+        meters.received(frame, length);
+        // A kind of frame that only a newer release knows; skipping it lets releases run side by side.
+        if (frame.getBodyCase() != Frame.BodyCase.BODY_NOT_SET) {
+            listener.received(connection, frame);
+        }
+    }
+
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        if (context.channel().isWritable() || !context.channel().isActive()) {
+            return;
+        }
+        // A peer that stopped reading would make this process buffer for it until memory ends. Its connection is
+        // closed; what it missed can be asked for over a new one.
+        meters.closedAsOverflowing();
+        closeReason = "peer reads too slowly";
+        LOGGER.atWarning().log("%s", EventLine.of("connection-overflow").with("peer", connection.peer()));
+        context.close();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        connection.detach();
+        listener.disconnected(connection, closeReason);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (failed) {
+            return;
+        }
+        failed = true;
+        closeReason = String.valueOf(cause);
+        if (isMalformed(cause)) {
+            meters.closedAsMalformed();
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("frame-malformed").with("peer", connection.peer()).with("cause", cause));
+        } else if (cause instanceof IOException) {
+            LOGGER.atFine().log(
+                    "%s",
+                    EventLine.of("connection-lost").with("peer", connection.peer()).with("cause", cause));
+        } else {
+            LOGGER.atSevere().withCause(cause).log(
+                    "%s", EventLine.of("listener-failed").with("peer", connection.peer()));
+        }
+        context.close();
+    }
+
+    private static boolean isMalformed(Throwable cause) {
+        return cause instanceof DecoderException || cause instanceof InvalidProtocolBufferException;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/transport/FrameTransport.java
@@ -0,0 +1,142 @@
+package org.chivetally.transport;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+
+/** Listens for and dials connections that carry frames, over TCP. */
+public final class FrameTransport implements AutoCloseable {
+    /** Event loop threads of a transport that names no number. */
+    public static final int DEFAULT_THREADS = 2;
+
+    /** Longest frame that is sent or accepted, in bytes without its length prefix. */
+    public static final int MAXIMUM_FRAME_BYTES = 4 * 1024 * 1024;
+
+    /** Most bytes that may wait for a slow peer before its connection is closed. */
+    static final int MAXIMUM_WAITING_BYTES = 8 * 1024 * 1024;
+
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+    private static final int PENDING_ACCEPTS = 1024;
+    private static final long SHUTDOWN_SECONDS = 2;
+
+    private final EventLoopGroup eventLoops;
+    private final FrameMeters meters;
+
+    /** Creates a transport with the default number of threads. */
+    public FrameTransport(MeterRegistry registry) {
+        this(DEFAULT_THREADS, registry);
+    }
+
+    /**
+     * Creates a transport.
+     *
+     * @param threads event loop threads shared by all connections, at least 1
+     * @param registry receives counts of frames and bytes by direction and kind of frame
+     */
+    public FrameTransport(int threads, MeterRegistry registry) {
+        Objects.requireNonNull(registry, "registry");
+        this.eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this.meters = new FrameMeters(registry);
+    }
+
+    /**
+     * Accepts connections on an address; completes with the bound address, or exceptionally when it can't be bound.
+     *
+     * @param port port, or zero for any free one
+     * @param listener told about every accepted connection
+     */
+    public CompletionStage<InetSocketAddress> listen(String host, int port, FrameListener listener) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(eventLoops)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, PENDING_ACCEPTS)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .childHandler(acceptedChannels(listener));
+        CompletableFuture<InetSocketAddress> bound = new CompletableFuture<>();
+        bootstrap.bind(host, port).addListener((ChannelFuture attempt) -> {
+            if (attempt.isSuccess()) {
+                bound.complete((InetSocketAddress) attempt.channel().localAddress());
+                return;
+            }
+            bound.completeExceptionally(new ChivetallyException(
+                    ErrorCode.INTERNAL, "can't listen on " + host + ":" + port, attempt.cause()));
+        });
+        return bound;
+    }
+
+    /** Opens a connection; a failure, also one of more than 500 ms, is told as {@code disconnected}. */
+    public void dial(String host, int port, FrameListener listener) {
+        String peer = host + ":" + port;
+        NettyFrameConnection connection = new NettyFrameConnection(peer, meters);
+        Bootstrap bootstrap = new Bootstrap()
+                .group(eventLoops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
+                .handler(dialledChannel(connection, listener));
+        bootstrap.connect(host, port).addListener((ChannelFuture attempt) -> {
+            if (!attempt.isSuccess()) {
+                listener.disconnected(connection, "dial failed: " + attempt.cause());
+            }
+        });
+    }
+
+    /** Closes every connection and listener; waits at most a few seconds. */
+    @Override
+    public void close() {
+        eventLoops
+                .shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS)
+                .awaitUninterruptibly(2 * SHUTDOWN_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private ChannelInitializer<Channel> acceptedChannels(FrameListener listener) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                InetSocketAddress remote = (InetSocketAddress) channel.remoteAddress();
+                String peer = remote.getHostString() + ":" + remote.getPort();
+                install(channel, new NettyFrameConnection(peer, meters), listener);
+            }
+        };
+    }
+
+    private ChannelInitializer<Channel> dialledChannel(NettyFrameConnection connection, FrameListener listener) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                install(channel, connection, listener);
+            }
+        };
+    }
+
+    private void install(Channel channel, NettyFrameConnection connection, FrameListener listener) {
+        channel.pipeline().addLast(new BoundedFrameDecoder(MAXIMUM_FRAME_BYTES));
+        channel.pipeline().addLast(new FrameChannelHandler(connection, listener, meters));
+    }
+
+    private static WriteBufferWaterMark waterMark() {
+        return new WriteBufferWaterMark(MAXIMUM_WAITING_BYTES / 2, MAXIMUM_WAITING_BYTES);
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/transport/FrameTransportTest.java
@@ -0,0 +1,173 @@
+package org.chivetally.transport;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.Result;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class FrameTransportTest {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int END_OF_STREAM = -1;
+
+    private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    private final FrameTransport transport = new FrameTransport(registry);
+    private final RecordingListener server = new RecordingListener();
+    private final RecordingListener client = new RecordingListener();
+    private InetSocketAddress address;
+
+    @BeforeEach
+    void listen() {
+        address = transport.listen(LOOPBACK, 0, server).toCompletableFuture().join();
+    }
+
+    @AfterEach
+    void close() {
+        transport.close();
+    }
+
+    @Test
+    void carriesFramesBothWaysInOrder() throws InterruptedException {
+        transport.dial(LOOPBACK, address.getPort(), client);
+        FrameConnection dialled = client.nextConnection();
+        int frames = 2_000;
+        for (int number = 1; number <= frames; number++) {
+            dialled.send(result(number, "x".repeat(number % 200)));
+        }
+        for (int number = 1; number <= frames; number++) {
+            assertThat(server.nextFrame(), is(result(number, "x".repeat(number % 200))));
+        }
+        server.nextConnection().send(hello());
+        assertThat(client.nextFrame(), is(hello()));
+        assertThat(count("chivetally.transport.frames", "out", "result"), is((double) frames));
+        assertThat(count("chivetally.transport.frames", "in", "result"), is((double) frames));
+        assertThat(count("chivetally.transport.bytes", "in", "hello"), is((double) hello().getSerializedSize()));
+    }
+
+    @Test
+    void carriesAFrameOfTheGreatestSize() throws InterruptedException {
+        transport.dial(LOOPBACK, address.getPort(), client);
+        Frame frame = result(1, "y".repeat(FrameTransport.MAXIMUM_FRAME_BYTES - 64));
+        client.nextConnection().send(frame);
+        assertThat(server.nextFrame(), is(frame));
+    }
+
+    @Test
+    void flushesWhatWasSentBeforeClose() throws InterruptedException {
+        transport.dial(LOOPBACK, address.getPort(), client);
+        FrameConnection dialled = client.nextConnection();
+        dialled.send(result(1, "z".repeat(1_000_000)));
+        dialled.close();
+        dialled.send(hello());
+        assertThat(server.nextFrame().getRequestId(), is(1L));
+        server.nextClosing();
+        client.nextClosing();
+        assertThat(server.framesLeft(), is(0));
+    }
+
+    @Test
+    void tellsThatADialFailed() throws Exception {
+        int unused;
+        try (ServerSocket reserved = new ServerSocket(0, 1, InetAddress.getByName(LOOPBACK))) {
+            unused = reserved.getLocalPort();
+        }
+        transport.dial(LOOPBACK, unused, client);
+        assertThat(client.nextClosing(), startsWith("dial failed"));
+    }
+
+    /**
+     * What the caller sees: garbage costs the sender its connection, and nobody else anything.
+     * A stray program connects and writes bytes whose length prefix fits but whose content is no frame.
+     * The connection closes, with the cause logged; the next connection works.
+     */
+    @Test
+    void closesAConnectionThatSendsGarbage() throws Exception {
+        try (Socket socket = new Socket(LOOPBACK, address.getPort())) {
+            socket.getOutputStream().write(new byte[] {3, 7, 7, 7, 9, 9});
+            assertThat(socket.getInputStream().read(), is(END_OF_STREAM));
+        }
+        assertThat(server.nextClosing(), containsString("InvalidProtocolBuffer"));
+        server.nextConnection();
+        carriesFramesBothWaysInOrder();
+    }
+
+    /**
+     * What the caller sees: a length prefix of over 4 MiB closes the connection at once.
+     * A broken peer announces a frame of 2 GiB; waiting for it would fill this process's memory.
+     * The prefix alone is enough to refuse, before any content is buffered.
+     */
+    @Test
+    void closesAConnectionThatAnnouncesAnOversizeFrame() throws Exception {
+        try (Socket socket = new Socket(LOOPBACK, address.getPort())) {
+            socket.getOutputStream().write(new byte[] {-1, -1, -1, -1, 7});
+            assertThat(socket.getInputStream().read(), is(END_OF_STREAM));
+        }
+        assertThat(server.nextClosing(), containsString("TooLongFrame"));
+    }
+
+    @Test
+    void dropsAnOversizeFrameAndKeepsTheConnection() throws InterruptedException {
+        transport.dial(LOOPBACK, address.getPort(), client);
+        FrameConnection dialled = client.nextConnection();
+        dialled.send(result(1, "y".repeat(FrameTransport.MAXIMUM_FRAME_BYTES)));
+        dialled.send(hello());
+        assertThat(server.nextFrame(), is(hello()));
+        assertThat(registry.counter("chivetally.transport.oversize.dropped").count(), is(1.0));
+    }
+
+    /**
+     * What the caller sees: a peer that stops reading loses its connection, and memory stays bounded.
+     * The peer opens a connection and reads nothing while this side sends megabytes to it.
+     * The kernel's buffers fill, then ours up to 8 MiB; then the connection is closed and the rest dropped.
+     */
+    @Test
+    void closesAConnectionWhosePeerDoesNotRead() throws Exception {
+        try (Socket socket = new Socket()) {
+            socket.setReceiveBufferSize(4_096);
+            socket.connect(address);
+            FrameConnection accepted = server.nextConnection();
+            String megabyte = "x".repeat(1_000_000);
+            for (int number = 1; number <= 64; number++) {
+                accepted.send(result(number, megabyte));
+            }
+            assertThat(server.nextClosing(), is("peer reads too slowly"));
+        }
+    }
+
+    @Test
+    void skipsKindsOfFramesItDoesNotKnow() throws InterruptedException {
+        transport.dial(LOOPBACK, address.getPort(), client);
+        FrameConnection dialled = client.nextConnection();
+        dialled.send(Frame.newBuilder().setRequestId(5).build());
+        dialled.send(hello());
+        assertThat(server.nextFrame(), is(hello()));
+    }
+
+    private double count(String name, String direction, String body) {
+        return registry.counter(name, "direction", direction, "body", body).count();
+    }
+
+    private static Frame hello() {
+        return Frame.newBuilder()
+                .setHello(Hello.newBuilder().setProcessId("entry-1"))
+                .build();
+    }
+
+    private static Frame result(long requestId, String body) {
+        return Frame.newBuilder()
+                .setRequestId(requestId)
+                .setResult(Result.newBuilder().setAttemptId("a" + requestId).setBody(body))
+                .build();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/transport/RecordingListener.java
@@ -0,0 +1,58 @@
+package org.chivetally.transport;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.chivetally.wire.v1.Frame;
+
+/** Keeps what a listener is told, so that a test can wait for it. */
+public final class RecordingListener implements FrameListener {
+    private static final long WAIT_SECONDS = 20;
+
+    private final BlockingQueue<FrameConnection> opened = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Frame> frames = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> closings = new LinkedBlockingQueue<>();
+
+    @Override
+    public void connected(FrameConnection connection) {
+        opened.add(connection);
+    }
+
+    @Override
+    public void received(FrameConnection connection, Frame frame) {
+        frames.add(frame);
+    }
+
+    @Override
+    public void disconnected(FrameConnection connection, String reason) {
+        closings.add(reason);
+    }
+
+    /** Waits for the next connection. */
+    public FrameConnection nextConnection() throws InterruptedException {
+        return next(opened);
+    }
+
+    /** Waits for the next frame. */
+    public Frame nextFrame() throws InterruptedException {
+        return next(frames);
+    }
+
+    /** Waits for the next closing and returns its reason. */
+    public String nextClosing() throws InterruptedException {
+        return next(closings);
+    }
+
+    /** Returns the number of frames that nobody took. */
+    public int framesLeft() {
+        return frames.size();
+    }
+
+    private static <T> T next(BlockingQueue<T> queue) throws InterruptedException {
+        T next = queue.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("nothing came within " + WAIT_SECONDS + " s");
+        }
+        return next;
+    }
+}
