--- a/library/src/main/java/org/chivetally/claim/Claim.java
+++ b/library/src/main/java/org/chivetally/claim/Claim.java
@@ -12,13 +12,16 @@
  */
 public record Claim(
         SubmissionKey key, String bodyDigest, JobId job, Coordinator coordinator, int generation, boolean finished) {
+    /** Generation of a claim that nobody has taken over. */
+    public static final int FIRST_GENERATION = 1;
+
     /** Refuses missing parts and generations below one. */
     public Claim {
         Objects.requireNonNull(key, "key");
         Objects.requireNonNull(bodyDigest, "bodyDigest");
         Objects.requireNonNull(job, "job");
         Objects.requireNonNull(coordinator, "coordinator");
-        if (generation < 1) {
+        if (generation < FIRST_GENERATION) {
             throw new IllegalArgumentException("generations begin at 1");
         }
     }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/ClaimRecordCodec.java
@@ -0,0 +1,201 @@
+package org.chivetally.claim;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.time.Instant;
+import org.chivetally.job.JobId;
+import tools.jackson.core.JacksonException;
+import tools.jackson.core.JsonGenerator;
+import tools.jackson.core.JsonParser;
+import tools.jackson.core.JsonToken;
+import tools.jackson.core.ObjectReadContext;
+import tools.jackson.core.ObjectWriteContext;
+import tools.jackson.core.json.JsonFactory;
+
+/** Writes records of the claims stream as flat JSON objects, and reads them. */
+final class ClaimRecordCodec {
+    /** Format version of the records that this class writes, and the only one that it reads. */
+    static final int FORMAT = 1;
+
+    private static final JsonFactory JSON = new JsonFactory();
+    private static final int USUAL_SIZE = 400;
+
+    private ClaimRecordCodec() {}
+
+    /**
+     * Returns the bytes of a record.
+     *
+     * @param written wall-clock time of writing, for operators only
+     */
+    static byte[] encode(ClaimEntry entry, Instant written) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(USUAL_SIZE);
+        try (JsonGenerator json = JSON.createGenerator(ObjectWriteContext.empty(), bytes)) {
+            json.writeStartObject();
+            json.writeNumberProperty("format", FORMAT);
+            json.writeStringProperty("type", typeOf(entry.content()));
+            json.writeNumberProperty("time", entry.streamMillis());
+            json.writeStringProperty("written", written.toString());
+            writeContent(json, entry.content());
+            json.writeEndObject();
+        }
+        return bytes.toByteArray();
+    }
+
+    /** Reads a record; whatever can't be understood is a value, so that one bad record stops no reader. */
+    static DecodedEntry decode(byte[] payload) {
+        try {
+            return decodeFields(readFields(payload));
+        } catch (JacksonException | IllegalArgumentException | NullPointerException exception) {
+            return new DecodedEntry.Skipped("malformed: " + exception.getClass().getSimpleName());
+        }
+    }
+
+    private static String typeOf(ClaimRecord content) {
+        return switch (content) {
+            case ClaimRecord.Claimed ignored -> "claim";
+            case ClaimRecord.TakenOver ignored -> "takeover";
+            case ClaimRecord.Renewed ignored -> "renewal";
+            case ClaimRecord.Departed ignored -> "departed";
+            case ClaimRecord.Finished ignored -> "finished";
+            case ClaimRecord.Released ignored -> "released";
+        };
+    }
+
+    private static void writeContent(JsonGenerator json, ClaimRecord content) {
+        switch (content) {
+            case ClaimRecord.Claimed claimed -> {
+                writeJob(json, claimed.key(), claimed.job());
+                json.writeStringProperty("digest", claimed.bodyDigest());
+                json.writeNumberProperty("window", claimed.window().toMillis());
+                writeCoordinator(json, claimed.coordinator());
+            }
+            case ClaimRecord.TakenOver taken -> {
+                writeJob(json, taken.key(), taken.job());
+                json.writeNumberProperty("generation", taken.generation());
+                writeCoordinator(json, taken.coordinator());
+            }
+            case ClaimRecord.Renewed renewed -> {
+                json.writeNumberProperty("lease", renewed.lease().toMillis());
+                writeCoordinator(json, renewed.coordinator());
+            }
+            case ClaimRecord.Departed departed -> writeCoordinator(json, departed.coordinator());
+            case ClaimRecord.Finished finished -> writeJob(json, finished.key(), finished.job());
+            case ClaimRecord.Released released -> {
+                writeJob(json, released.key(), released.job());
+                json.writeNumberProperty("generation", released.generation());
+                writeCoordinator(json, released.coordinator());
+            }
+        }
+    }
+
+    private static void writeJob(JsonGenerator json, SubmissionKey key, JobId job) {
+        json.writeStringProperty("team", key.team());
+        json.writeStringProperty("key", key.key());
+        json.writeStringProperty("job", job.text());
+    }
+
+    private static void writeCoordinator(JsonGenerator json, Coordinator coordinator) {
+        json.writeStringProperty("process", coordinator.processId());
+        json.writeStringProperty("incarnation", coordinator.incarnation());
+        json.writeStringProperty("host", coordinator.host());
+        json.writeNumberProperty("port", coordinator.port());
+    }
+
+    private static Fields readFields(byte[] payload) {
+        try (JsonParser json = JSON.createParser(ObjectReadContext.empty(), payload)) {
+            Fields fields = new Fields();
+            if (json.nextToken() != JsonToken.START_OBJECT) {
+                throw new IllegalArgumentException("not an object");
+            }
+            while (json.nextToken() == JsonToken.PROPERTY_NAME) {
+                String name = json.currentName();
+                json.nextToken();
+                fields.read(name, json);
+            }
+            return fields;
+        }
+    }
+
+    private static DecodedEntry decodeFields(Fields fields) {
+        if (fields.format != FORMAT) {
+            return new DecodedEntry.Skipped("format " + fields.format);
+        }
+        if (fields.type == null) {
+            return new DecodedEntry.Skipped("no type");
+        }
+        return switch (fields.type) {
+            case "claim" ->
+                fields.known(new ClaimRecord.Claimed(
+                        fields.submissionKey(),
+                        fields.digest,
+                        fields.jobId(),
+                        fields.coordinator(),
+                        Duration.ofMillis(fields.window)));
+            case "takeover" ->
+                fields.known(new ClaimRecord.TakenOver(
+                        fields.submissionKey(), fields.jobId(), fields.coordinator(), fields.generation));
+            case "renewal" ->
+                fields.known(new ClaimRecord.Renewed(fields.coordinator(), Duration.ofMillis(fields.lease)));
+            case "departed" -> fields.known(new ClaimRecord.Departed(fields.coordinator()));
+            case "finished" -> fields.known(new ClaimRecord.Finished(fields.submissionKey(), fields.jobId()));
+            case "released" ->
+                fields.known(new ClaimRecord.Released(
+                        fields.submissionKey(), fields.jobId(), fields.coordinator(), fields.generation));
+            default -> new DecodedEntry.Skipped("type " + fields.type);
+        };
+    }
+
+    /** The fields of one record while it is read; names that this version doesn't know are passed over. */
+    private static final class Fields {
+        private int format;
+        private String type;
+        private long time;
+        private String team;
+        private String key;
+        private String job;
+        private String digest;
+        private long window;
+        private long lease;
+        private int generation;
+        private String process;
+        private String incarnation;
+        private String host;
+        private int port;
+
+        private void read(String name, JsonParser json) {
+            switch (name) {
+                case "format" -> format = json.getIntValue();
+                case "type" -> type = json.getString();
+                case "time" -> time = json.getLongValue();
+                case "team" -> team = json.getString();
+                case "key" -> key = json.getString();
+                case "job" -> job = json.getString();
+                case "digest" -> digest = json.getString();
+                case "window" -> window = json.getLongValue();
+                case "lease" -> lease = json.getLongValue();
+                case "generation" -> generation = json.getIntValue();
+                case "process" -> process = json.getString();
+                case "incarnation" -> incarnation = json.getString();
+                case "host" -> host = json.getString();
+                case "port" -> port = json.getIntValue();
+                default -> json.skipChildren();
+            }
+        }
+
+        private SubmissionKey submissionKey() {
+            return new SubmissionKey(team, key);
+        }
+
+        private JobId jobId() {
+            return new JobId(job);
+        }
+
+        private Coordinator coordinator() {
+            return new Coordinator(process, incarnation, host, port);
+        }
+
+        private DecodedEntry known(ClaimRecord content) {
+            return new DecodedEntry.Known(new ClaimEntry(content, time));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -0,0 +1,224 @@
+package org.chivetally.claim;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.chivetally.job.JobId;
+
+/**
+ * The claims in force after a prefix of the claims stream; a pure function of that prefix.
+ *
+ * <p>Several 100,000 claims stand in it, so one claim is kept as one {@link HeldClaim} that both indexes share.
+ */
+final class ClaimTable {
+    /** How long a silent writer's count is kept, in the stream's time; far longer than any late repeat takes. */
+    private static final long WRITER_MILLIS = TimeUnit.HOURS.toMillis(24);
+
+    private final Map<SubmissionKey, HeldClaim> byKey = new LinkedHashMap<>();
+    private final Map<JobId, HeldClaim> byJob = new HashMap<>();
+    private final Map<String, TableImage.Writer> writers = new HashMap<>();
+    private final Map<Coordinator, Coordinator> coordinators = new HashMap<>();
+    private long nextOffset;
+    private long streamMillis;
+
+    /** Returns a table with the content of an image. */
+    static ClaimTable of(TableImage image) {
+        ClaimTable table = new ClaimTable();
+        table.nextOffset = image.nextOffset();
+        table.streamMillis = image.streamMillis();
+        image.writers().forEach(writer -> table.writers.put(writer.name(), writer));
+        for (TableImage.Held held : image.held()) {
+            table.put(table.pack(held.claim(), image.streamMillis() + held.millisLeft()));
+        }
+        return table;
+    }
+
+    /** Returns what is in force now, in an order that is the same for all readers. */
+    TableImage image() {
+        List<TableImage.Writer> sortedWriters = new ArrayList<>(writers.values());
+        sortedWriters.sort(Comparator.comparing(TableImage.Writer::name));
+        List<TableImage.Held> held = new ArrayList<>(byKey.size());
+        for (HeldClaim claim : byKey.values()) {
+            if (isInForce(claim)) {
+                held.add(new TableImage.Held(claim.claim(), claim.endMillis() - streamMillis));
+            }
+        }
+        return new TableImage(nextOffset, streamMillis, sortedWriters, held);
+    }
+
+    /** Takes the stream's next record in; one before {@link #nextOffset} was taken in already and changes nothing. */
+    Folded fold(long offset, RecordId id, ClaimEntry entry) {
+        if (offset < nextOffset) {
+            return new Folded.Unchanged();
+        }
+        nextOffset = offset + 1;
+        if (!isFirst(id)) {
+            return new Folded.Unchanged();
+        }
+        streamMillis = Math.max(streamMillis, entry.streamMillis());
+        writers.put(id.writer(), new TableImage.Writer(id.writer(), id.sequence(), streamMillis));
+        forgetEnded();
+        return switch (entry.content()) {
+            case ClaimRecord.Claimed claimed -> foldClaimed(claimed);
+            case ClaimRecord.TakenOver taken -> foldTakenOver(taken);
+            case ClaimRecord.Renewed renewed ->
+                new Folded.Renewed(renewed.coordinator(), renewed.lease(), id.sequence());
+            case ClaimRecord.Departed departed -> new Folded.Departed(departed.coordinator());
+            case ClaimRecord.Finished finished -> foldFinished(finished);
+            case ClaimRecord.Released released -> foldReleased(released);
+        };
+    }
+
+    /** Passes over records up to an offset: unreadable ones, or ones that have expired in the log. */
+    void skipTo(long offset) {
+        nextOffset = Math.max(nextOffset, offset);
+    }
+
+    /** Returns the claim in force for a key. */
+    Optional<Claim> find(SubmissionKey key) {
+        return Optional.ofNullable(inForce(key)).map(HeldClaim::claim);
+    }
+
+    /** Returns the claim in force for a job. */
+    Optional<Claim> find(JobId job) {
+        return Optional.ofNullable(byJob.get(job)).filter(this::isInForce).map(HeldClaim::claim);
+    }
+
+    /** Returns the offset of the first record not taken in. */
+    long nextOffset() {
+        return nextOffset;
+    }
+
+    /** Returns the stream's time in milliseconds. */
+    long streamMillis() {
+        return streamMillis;
+    }
+
+    /** Returns the count of the newest record taken in of a writer, zero when there is none. */
+    long sequenceOf(String writer) {
+        TableImage.Writer known = writers.get(writer);
+        return known == null ? 0 : known.sequence();
+    }
+
+    /** Returns how many claims stand in the table. */
+    int size() {
+        return byKey.size();
+    }
+
+    /**
+     * Tells whether a record is the first of its id.
+     *
+     * <p>An append whose answer was lost is repeated, and the first may land late: the record stands twice. Folded twice
+     * it could claim a key again that was released in between, and nobody would work on it.
+     */
+    private boolean isFirst(RecordId id) {
+        TableImage.Writer known = writers.get(id.writer());
+        if (known == null) {
+            writers.values().removeIf(writer -> writer.lastMillis() + WRITER_MILLIS < streamMillis);
+            return true;
+        }
+        return id.sequence() > known.sequence();
+    }
+
+    private Folded foldClaimed(ClaimRecord.Claimed claimed) {
+        if (inForce(claimed.key()) != null) {
+            return new Folded.Unchanged();
+        }
+        Claim claim = new Claim(
+                claimed.key(),
+                claimed.bodyDigest(),
+                claimed.job(),
+                claimed.coordinator(),
+                Claim.FIRST_GENERATION,
+                false);
+        remove(byKey.get(claimed.key()));
+        put(pack(claim, streamMillis + claimed.window().toMillis()));
+        return new Folded.Won(claim);
+    }
+
+    private Folded foldTakenOver(ClaimRecord.TakenOver taken) {
+        HeldClaim held = inForce(taken.key());
+        if (held == null || !held.job().equals(taken.job()) || held.generation() + 1 != taken.generation()) {
+            return new Folded.Unchanged();
+        }
+        HeldClaim successor = held.withCoordinator(shared(taken.coordinator()), taken.generation());
+        put(successor);
+        return new Folded.TakenOver(successor.claim(), held.coordinator());
+    }
+
+    private Folded foldFinished(ClaimRecord.Finished finished) {
+        HeldClaim held = inForce(finished.key());
+        if (held == null || !held.job().equals(finished.job()) || held.finished()) {
+            return new Folded.Unchanged();
+        }
+        HeldClaim marked = held.asFinished();
+        put(marked);
+        return new Folded.Finished(marked.claim());
+    }
+
+    private Folded foldReleased(ClaimRecord.Released released) {
+        HeldClaim held = inForce(released.key());
+        if (held == null
+                || !held.job().equals(released.job())
+                || !held.coordinator().equals(released.coordinator())
+                || held.generation() != released.generation()) {
+            return new Folded.Unchanged();
+        }
+        if (held.generation() == Claim.FIRST_GENERATION) {
+            remove(held);
+        } else {
+            put(held.withCoordinator(Coordinator.NOBODY, held.generation()));
+        }
+        return new Folded.Released(held.claim());
+    }
+
+    private HeldClaim inForce(SubmissionKey key) {
+        HeldClaim held = byKey.get(key);
+        return held != null && isInForce(held) ? held : null;
+    }
+
+    private boolean isInForce(HeldClaim held) {
+        return held.endMillis() > streamMillis;
+    }
+
+    private void put(HeldClaim held) {
+        byKey.put(held.key(), held);
+        byJob.put(held.job(), held);
+    }
+
+    private void remove(HeldClaim held) {
+        if (held == null) {
+            return;
+        }
+        byKey.remove(held.key());
+        byJob.remove(held.job(), held);
+    }
+
+    /** Frees the memory of ended claims; oldest first, so that each is looked at once. */
+    private void forgetEnded() {
+        Iterator<HeldClaim> oldest = byKey.values().iterator();
+        while (oldest.hasNext()) {
+            HeldClaim held = oldest.next();
+            if (isInForce(held)) {
+                return;
+            }
+            oldest.remove();
+            byJob.remove(held.job(), held);
+        }
+    }
+
+    private HeldClaim pack(Claim claim, long endMillis) {
+        return HeldClaim.of(claim, shared(claim.coordinator()), endMillis);
+    }
+
+    private Coordinator shared(Coordinator coordinator) {
+        Coordinator known = coordinators.putIfAbsent(coordinator, coordinator);
+        return known == null ? coordinator : known;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -0,0 +1,590 @@
+package org.chivetally.claim;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.chivetally.job.JobId;
+import org.chivetally.job.ServicePolicy.ClaimMode;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.LogRecord;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
+
+/**
+ * The claims of one process: what it decides from the stream, and what it writes there.
+ *
+ * <p>Free of threads, timers and the log itself; its shell hands in what happens with the reading of the clock, then
+ * takes the effects and the next append.
+ */
+final class Claimant {
+    private static final String NOT_RUN = "not run: ";
+    private static final int FAILURES_OF_AN_OUTAGE = 2;
+    private static final int MAXIMUM_LATE = 100_000;
+
+    private final ClaimSettings settings;
+    private final Coordinator self;
+    private final String writer;
+    private final LeaseTable leases;
+    private final OwnLease lease;
+    private final GroupCommit commit;
+    private final StreamTime streamTime;
+    private final MemoryClaims memory;
+    private final Map<ClaimRecord, WaitingClaim> waiting = new LinkedHashMap<>();
+    private final Map<ClaimRecord, Long> abandoned = new LinkedHashMap<>();
+    private final Map<ClaimRecord.Claimed, Long> late = new LinkedHashMap<>();
+    private final Set<JobId> releasing = new HashSet<>();
+    private List<ClaimEffect> effects = new ArrayList<>();
+    private ClaimTable table = new ClaimTable();
+    private boolean caughtUp;
+    private boolean readFailing;
+    private int appendFailures;
+    private long readSequence;
+    private boolean leaseHeld;
+    private boolean renewalQueued;
+    private long renewalNanos;
+    private boolean departing;
+    private boolean departureConfirmed;
+    private long departureNanos;
+
+    /**
+     * Creates the claims of a process that has read nothing yet.
+     *
+     * @param clock read only by claims that are made in memory
+     */
+    Claimant(
+            ClaimSettings settings,
+            Coordinator self,
+            LeaseTable leases,
+            OwnLease lease,
+            NanoClock clock) {
+        long nanos = clock.nanos();
+        this.settings = settings;
+        this.self = self;
+        this.writer = RecordId.writerOf(self);
+        this.leases = leases;
+        this.lease = lease;
+        this.commit = new GroupCommit(settings.commit(), nanos);
+        this.streamTime = new StreamTime(nanos);
+        this.memory = new MemoryClaims(self, settings.window(), clock);
+    }
+
+    /** Claims a key; the reply comes as an effect, now or later. */
+    void claim(ClaimRecord.Claimed claimed, ClaimMode mode, CompletableFuture<ClaimDecision> reply, long nanos) {
+        Optional<ClaimDecision> known = decideFromKnown(claimed);
+        if (known.isPresent()) {
+            decide(reply, known.get(), 0);
+            return;
+        }
+        if (mode == ClaimMode.MEMORY && isLogDown()) {
+            decide(reply, claimInMemory(claimed), 0);
+            return;
+        }
+        Optional<String> obstacle = mode == ClaimMode.MEMORY ? departure() : obstacle();
+        if (obstacle.isPresent()) {
+            decide(reply, unavailable(obstacle.get()), 0);
+            return;
+        }
+        offer(new WaitingClaim(claimed, mode, reply, nanos));
+    }
+
+    /** Takes a job over from a coordinator whose lease has lapsed; the reply comes as an effect, now or later. */
+    void takeOver(Claim current, CompletableFuture<ClaimDecision> reply, long nanos) {
+        Optional<Claim> inForce = table.find(current.key());
+        if (inForce.isEmpty()) {
+            decide(reply, unavailable("the claim is no longer in force"), 0);
+            return;
+        }
+        Claim claim = inForce.get();
+        boolean same = claim.job().equals(current.job()) && claim.generation() == current.generation();
+        if (!same || claim.coordinator().equals(self) || !leases.hasLapsed(claim.coordinator(), nanos)) {
+            decide(reply, new ClaimDecision.Attached(claim), 0);
+            return;
+        }
+        Optional<String> obstacle = obstacle();
+        if (obstacle.isPresent()) {
+            decide(reply, unavailable(obstacle.get()), 0);
+            return;
+        }
+        ClaimRecord.TakenOver taken =
+                new ClaimRecord.TakenOver(claim.key(), claim.job(), self, claim.generation() + 1);
+        offer(new WaitingClaim(taken, ClaimMode.LOG, reply, nanos));
+    }
+
+    /** Notes that a job has its final outcome. */
+    void finished(Claim claim) {
+        commit.addLazy(new ClaimRecord.Finished(claim.key(), claim.job()));
+    }
+
+    /** Gives the lease up: this process starts nothing from now on, and others may take its jobs over at once. */
+    void depart(long nanos) {
+        if (departing) {
+            return;
+        }
+        departureNanos = nanos;
+        lease.end();
+        giveUpAll(nanos);
+        commit.addUrgent(new ClaimRecord.Departed(self));
+        noticeLease(nanos);
+    }
+
+    /**
+     * Takes in what a read returned.
+     *
+     * @param endOffset end of the stream when it was read
+     * @param sentNanos reading of the clock before the read was sent
+     */
+    void read(List<LogRecord> records, long endOffset, long sentNanos, long nanos) {
+        readFailing = false;
+        for (LogRecord logRecord : records) {
+            fold(logRecord, nanos);
+        }
+        streamTime.reached(table.streamMillis(), nanos);
+        if (table.nextOffset() >= endOffset) {
+            leases.endRead(sentNanos);
+            noticeEnd(endOffset);
+        }
+        settle(nanos);
+    }
+
+    /** Learns that a read failed. */
+    void readFailed(String reason) {
+        if (!readFailing) {
+            write(EventLine.of("claims-log-unreadable").with("reason", reason));
+        }
+        readFailing = true;
+    }
+
+    /** Learns the outcome of an append. */
+    void appended(long number, AppendOutcome outcome, long nanos) {
+        if (!commit.answered(number, outcome, nanos)) {
+            return;
+        }
+        switch (outcome) {
+            case AppendOutcome.Appended ignored -> appendFailures = 0;
+            case AppendOutcome.Refused refused ->
+                noticeAppendFailure(FAILURES_OF_AN_OUTAGE, "refused", refused.reason());
+            // One lost answer may be just that: the records are looked for before claims are refused.
+            case AppendOutcome.Unknown unknown -> noticeAppendFailure(1, "unknown", unknown.reason());
+        }
+    }
+
+    /** Replaces the table by a snapshot's, unless the table is further. */
+    void restore(TableImage image, long nanos) {
+        if (image.nextOffset() <= table.nextOffset()) {
+            return;
+        }
+        table = ClaimTable.of(image);
+        image.held().forEach(held -> leases.needed(held.claim().coordinator(), nanos));
+        streamTime.reached(table.streamMillis(), nanos);
+        settle(nanos);
+    }
+
+    /** Passes over records that the log no longer keeps; their windows are over, as no window is longer than that. */
+    void skipTo(long offset) {
+        write(EventLine.of("claims-expired").with("from", table.nextOffset()).with("to", offset));
+        table.skipTo(offset);
+    }
+
+    /** Refuses whatever waits, as this process stops. */
+    void giveUpAll(long nanos) {
+        departing = true;
+        List.copyOf(waiting.values()).forEach(claim -> giveUp(claim, nanos));
+        waiting.clear();
+    }
+
+    /** Lets time pass: gives up what waits too long, renews the lease, notices its loss. */
+    void tick(long nanos) {
+        giveUpOld(nanos);
+        renew(nanos);
+        noticeLease(nanos);
+        boolean overdue = nanos - departureNanos >= settings.claimTimeout().toNanos();
+        if (departing && overdue) {
+            confirmDeparture();
+        }
+    }
+
+    /** Returns the next append, if one may be sent now; {@code nanos} must be read before it is sent. */
+    Optional<GroupCommit.Batch> nextAppend(long nanos) {
+        Optional<GroupCommit.Batch> batch = commit.poll(nanos, streamTime.estimate(nanos));
+        batch.ifPresent(sent -> sent.records().forEach(outgoing -> noteSending(outgoing, nanos)));
+        return batch;
+    }
+
+    /** Returns the effects since the last call, in order. */
+    List<ClaimEffect> takeEffects() {
+        List<ClaimEffect> taken = effects;
+        effects = new ArrayList<>();
+        return taken;
+    }
+
+    /** Returns the claim in force for a key. */
+    Optional<Claim> find(SubmissionKey key) {
+        return table.find(key).or(() -> memory.lookUp(key));
+    }
+
+    /** Returns the claim in force for a job. */
+    Optional<Claim> find(JobId job) {
+        return table.find(job).or(() -> memory.lookUp(job));
+    }
+
+    /** Returns the table's content, for a snapshot. */
+    TableImage image() {
+        return table.image();
+    }
+
+    /** Returns how many claims stand in the table. */
+    int tableSize() {
+        return table.size();
+    }
+
+    /** Returns the offset to read from. */
+    long nextOffset() {
+        return table.nextOffset();
+    }
+
+    /** Tells whether the log was read to its end at least once. */
+    boolean caughtUp() {
+        return caughtUp;
+    }
+
+    private boolean isLogDown() {
+        return readFailing || appendFailures >= FAILURES_OF_AN_OUTAGE;
+    }
+
+    private Optional<String> departure() {
+        return departing ? Optional.of("this process departs") : Optional.empty();
+    }
+
+    private Optional<String> obstacle() {
+        if (departing) {
+            return departure();
+        }
+        if (isLogDown()) {
+            return Optional.of("the log can't be reached");
+        }
+        return caughtUp ? Optional.empty() : Optional.of("the log is not read to its end yet");
+    }
+
+    private Optional<ClaimDecision> decideFromKnown(ClaimRecord.Claimed claimed) {
+        return find(claimed.key())
+                .filter(inForce -> !releasing.contains(inForce.job()))
+                .map(inForce -> decideAgainst(inForce, claimed.bodyDigest()));
+    }
+
+    private static ClaimDecision decideAgainst(Claim inForce, String bodyDigest) {
+        return inForce.bodyDigest().equals(bodyDigest)
+                ? new ClaimDecision.Attached(inForce)
+                : new ClaimDecision.KeyReused(inForce);
+    }
+
+    private void offer(WaitingClaim claim) {
+        if (commit.offer(claim.content())) {
+            waiting.put(claim.content(), claim);
+            return;
+        }
+        decide(claim.reply(), unavailable("too many claims wait for the log"), 0);
+    }
+
+    private ClaimDecision claimInMemory(ClaimRecord.Claimed claimed) {
+        if (departing) {
+            return unavailable("this process departs");
+        }
+        if (late.size() >= MAXIMUM_LATE) {
+            return unavailable("too many claims in memory wait for the log");
+        }
+        ClaimDecision decision = memory.decide(claimed.key(), claimed.bodyDigest(), claimed.job());
+        if (decision instanceof ClaimDecision.Won) {
+            late.put(claimed, 0L);
+            commit.addLazy(claimed);
+            write(line("claim-in-memory", claimed.key(), claimed.job()));
+        }
+        return decision;
+    }
+
+    private void fold(LogRecord logRecord, long nanos) {
+        Optional<RecordId> id = RecordId.parse(logRecord.id());
+        DecodedEntry decoded = id.isPresent()
+                ? ClaimRecordCodec.decode(logRecord.payload())
+                : new DecodedEntry.Skipped("id of another kind");
+        switch (decoded) {
+            case DecodedEntry.Known known -> apply(table.fold(logRecord.offset(), id.get(), known.entry()), nanos);
+            case DecodedEntry.Skipped skipped -> skip(logRecord, skipped.reason());
+        }
+    }
+
+    private void skip(LogRecord logRecord, String reason) {
+        table.skipTo(logRecord.offset() + 1);
+        effects.add(new ClaimEffect.CountSkipped());
+        write(EventLine.of("claim-record-skipped")
+                .with("offset", logRecord.offset())
+                .with("reason", reason));
+    }
+
+    private void apply(Folded folded, long nanos) {
+        switch (folded) {
+            case Folded.Won won -> leases.needed(won.claim().coordinator(), nanos);
+            case Folded.TakenOver taken -> applyTakenOver(taken, nanos);
+            case Folded.Renewed renewed -> applyRenewed(renewed, nanos);
+            case Folded.Departed departed -> applyDeparted(departed, nanos);
+            case Folded.Released released -> releasing.remove(released.claim().job());
+            case Folded.Finished ignored -> {}
+            case Folded.Unchanged ignored -> {}
+        }
+    }
+
+    private void applyTakenOver(Folded.TakenOver taken, long nanos) {
+        Claim claim = taken.claim();
+        leases.needed(claim.coordinator(), nanos);
+        if (!taken.previous().equals(self)) {
+            return;
+        }
+        releasing.remove(claim.job());
+        effects.add(new ClaimEffect.TellReplaced(claim));
+        write(line("claim-replaced", claim.key(), claim.job())
+                .with("by", claim.coordinator().processId())
+                .with("generation", claim.generation()));
+    }
+
+    private void applyRenewed(Folded.Renewed renewed, long nanos) {
+        leases.renewed(renewed.coordinator(), renewed.lease(), nanos);
+        if (renewed.coordinator().equals(self)) {
+            lease.readBack(renewed.sequence());
+        }
+    }
+
+    private void applyDeparted(Folded.Departed departed, long nanos) {
+        leases.departed(departed.coordinator(), nanos);
+        if (departed.coordinator().equals(self)) {
+            confirmDeparture();
+        }
+    }
+
+    private void noticeEnd(long endOffset) {
+        if (!caughtUp) {
+            write(EventLine.of("claims-caught-up")
+                    .with("offset", endOffset)
+                    .with("claims", table.size()));
+        }
+        caughtUp = true;
+    }
+
+    private void noticeAppendFailure(int weight, String kind, String reason) {
+        appendFailures += weight;
+        write(EventLine.of("claims-append-failed").with("outcome", kind).with("reason", reason));
+    }
+
+    /** Decides what waits for records of this process that have been read, or can't count any more. */
+    private void settle(long nanos) {
+        long sequence = table.sequenceOf(writer);
+        if (sequence > readSequence) {
+            readSequence = sequence;
+            appendFailures = 0;
+        }
+        commit.readBack(sequence, nanos);
+        settleAbandoned(sequence);
+        settleWaiting(sequence, nanos);
+        settleLate(sequence);
+        noticeLease(nanos);
+    }
+
+    private void settleAbandoned(long sequence) {
+        Iterator<Map.Entry<ClaimRecord, Long>> entries = abandoned.entrySet().iterator();
+        while (entries.hasNext()) {
+            Map.Entry<ClaimRecord, Long> entry = entries.next();
+            if (entry.getValue() > sequence) {
+                return;
+            }
+            release(entry.getKey());
+            entries.remove();
+        }
+    }
+
+    /** Frees what a given-up record won; see {@link ClaimRecord.Released} for why that is safe. */
+    private void release(ClaimRecord content) {
+        ownClaimOf(content).ifPresent(claim -> {
+            releasing.add(claim.job());
+            commit.add(new ClaimRecord.Released(claim.key(), claim.job(), self, claim.generation()));
+            write(line("claim-released", claim.key(), claim.job()).with("generation", claim.generation()));
+        });
+    }
+
+    private Optional<Claim> ownClaimOf(ClaimRecord content) {
+        return switch (content) {
+            case ClaimRecord.Claimed claimed ->
+                ownClaim(claimed.key(), claimed.job(), Claim.FIRST_GENERATION);
+            case ClaimRecord.TakenOver taken -> ownClaim(taken.key(), taken.job(), taken.generation());
+            default -> Optional.empty();
+        };
+    }
+
+    private Optional<Claim> ownClaim(SubmissionKey key, JobId job, int generation) {
+        return table.find(key)
+                .filter(claim -> claim.job().equals(job))
+                .filter(claim -> claim.generation() == generation)
+                .filter(claim -> claim.coordinator().equals(self));
+    }
+
+    private void settleWaiting(long sequence, long nanos) {
+        List<WaitingClaim> read = waiting.values().stream()
+                .filter(claim -> claim.wasSent() && claim.sequence() <= sequence)
+                .toList();
+        read.forEach(claim -> settleOne(claim, nanos));
+    }
+
+    private void settleOne(WaitingClaim claim, long nanos) {
+        Optional<Claim> inForce = table.find(claim.key());
+        if (inForce.isPresent() && releasing.contains(inForce.get().job())) {
+            // Lost to a claim of this process that was given up: after its release the next one wins.
+            claim.sendAgain();
+            commit.add(claim.content());
+            return;
+        }
+        waiting.remove(claim.content());
+        Optional<Claim> own = ownClaimOf(claim.content());
+        if (own.isPresent()) {
+            decide(claim.reply(), new ClaimDecision.Won(own.get()), nanos - claim.startedNanos());
+            return;
+        }
+        ClaimDecision decision = inForce
+                .map(other -> decideAgainst(other, claim.bodyDigest().orElse(other.bodyDigest())))
+                .orElseGet(() -> unavailable("the claim is no longer in force"));
+        decide(claim.reply(), decision, nanos - claim.startedNanos());
+    }
+
+    private void settleLate(long sequence) {
+        Iterator<Map.Entry<ClaimRecord.Claimed, Long>> entries = late.entrySet().iterator();
+        while (entries.hasNext()) {
+            Map.Entry<ClaimRecord.Claimed, Long> entry = entries.next();
+            long sent = entry.getValue();
+            if (sent == 0 || sent > sequence) {
+                return;
+            }
+            entries.remove();
+            landLate(entry.getKey());
+        }
+    }
+
+    private void landLate(ClaimRecord.Claimed claimed) {
+        memory.forget(claimed.job());
+        Optional<Claim> inForce = table.find(claimed.key());
+        if (inForce.isPresent() && !inForce.get().job().equals(claimed.job())) {
+            write(line("memory-claim-lost", claimed.key(), claimed.job())
+                    .with("goesOn", true)
+                    .with("inForce", inForce.get().job())
+                    .with("by", inForce.get().coordinator().processId()));
+        }
+    }
+
+    private void giveUpOld(long nanos) {
+        long timeout = settings.claimTimeout().toNanos();
+        Iterator<WaitingClaim> oldest = waiting.values().iterator();
+        while (oldest.hasNext()) {
+            WaitingClaim claim = oldest.next();
+            if (nanos - claim.startedNanos() < timeout) {
+                return;
+            }
+            oldest.remove();
+            giveUp(claim, nanos);
+        }
+    }
+
+    private void giveUp(WaitingClaim claim, long nanos) {
+        commit.withdraw(claim.content());
+        ClaimDecision decision = claim.memoryContent()
+                .map(this::claimInMemory)
+                .orElseGet(() -> unavailable("no answer of the log in time"));
+        boolean goesOn = decision instanceof ClaimDecision.Won;
+        if (claim.wasSent() && !goesOn) {
+            abandoned.put(claim.content(), claim.sequence());
+        }
+        decide(claim.reply(), decision, nanos - claim.startedNanos());
+    }
+
+    private void renew(long nanos) {
+        boolean due = !renewalQueued || nanos - renewalNanos >= settings.renewalInterval().toNanos();
+        if (departing || !due) {
+            return;
+        }
+        ClaimRecord.Renewed renewed = new ClaimRecord.Renewed(self, settings.lease());
+        commit.withdraw(renewed);
+        commit.addUrgent(renewed);
+        renewalQueued = true;
+        renewalNanos = nanos;
+    }
+
+    private void noteSending(GroupCommit.Outgoing outgoing, long nanos) {
+        ClaimRecord content = outgoing.content();
+        if (content instanceof ClaimRecord.Renewed) {
+            lease.sending(outgoing.sequence(), nanos);
+        }
+        if (content instanceof ClaimRecord.Claimed claimed) {
+            late.replace(claimed, 0L, outgoing.sequence());
+        }
+        WaitingClaim claim = waiting.get(content);
+        if (claim != null) {
+            claim.sentAs(outgoing.sequence());
+        }
+    }
+
+    private void noticeLease(long nanos) {
+        boolean held = lease.isHeldAt(nanos);
+        if (held == leaseHeld) {
+            return;
+        }
+        leaseHeld = held;
+        effects.add(new ClaimEffect.TellLease(held));
+        write(EventLine.of(held ? "lease-gained" : "lease-lost")
+                .with("process", self.processId())
+                .with("incarnation", self.incarnation()));
+    }
+
+    private void confirmDeparture() {
+        if (!departureConfirmed) {
+            departureConfirmed = true;
+            effects.add(new ClaimEffect.ConfirmDeparture());
+        }
+    }
+
+    private void decide(CompletableFuture<ClaimDecision> reply, ClaimDecision decision, long waitedNanos) {
+        effects.add(new ClaimEffect.Decide(reply, decision, waitedNanos));
+        if (decision instanceof ClaimDecision.Won won) {
+            write(describe("claim-won", won.claim()));
+        }
+        if (decision instanceof ClaimDecision.Attached attached) {
+            write(describe("claim-attached", attached.claim()));
+        }
+        if (decision instanceof ClaimDecision.KeyReused reused) {
+            write(describe("claim-key-reused", reused.claim()));
+        }
+        if (decision instanceof ClaimDecision.LogUnavailable unavailable) {
+            write(EventLine.of("claim-refused").with("reason", unavailable.reason()));
+        }
+    }
+
+    private static EventLine describe(String event, Claim claim) {
+        return line(event, claim.key(), claim.job())
+                .with("coordinator", claim.coordinator().processId())
+                .with("generation", claim.generation());
+    }
+
+    private static EventLine line(String event, SubmissionKey key, JobId job) {
+        return EventLine.of(event)
+                .with("team", key.team())
+                .with("key", key.key())
+                .with("job", job);
+    }
+
+    private static ClaimDecision unavailable(String reason) {
+        return new ClaimDecision.LogUnavailable(NOT_RUN + reason);
+    }
+
+    private void write(EventLine line) {
+        effects.add(new ClaimEffect.WriteLine(line));
+    }
+}
--- a/library/src/main/java/org/chivetally/claim/Claims.java
+++ b/library/src/main/java/org/chivetally/claim/Claims.java
@@ -2,13 +2,27 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 import org.chivetally.job.JobId;
+import org.chivetally.job.ServicePolicy;
 
 /** Claims of submissions, as one process sees them. Stages never complete exceptionally. */
 public interface Claims {
     /** Claims a key for a job of this process; completes once the log's order is known or the log is given up on. */
     CompletionStage<ClaimDecision> claim(SubmissionKey key, String bodyDigest, JobId job);
 
+    /**
+     * Claims a key for a job of this process, in the way that the job's service declares.
+     *
+     * <p>With {@link ServicePolicy.ClaimMode#MEMORY} an unavailable log doesn't refuse the claim: this process's memory
+     * decides it at once, and the claim is written when the log is back. If another process's claim of the key stands
+     * before it then, both jobs go on.
+     */
+    default CompletionStage<ClaimDecision> claim(
+            SubmissionKey key, String bodyDigest, JobId job, ServicePolicy.ClaimMode mode) {
+        return claim(key, bodyDigest, job);
+    }
+
     /** Takes a claim over from a coordinator whose lease has lapsed. */
     CompletionStage<ClaimDecision> takeOver(Claim current);
 
@@ -32,4 +46,10 @@
 
     /** Ends this process's lease in the log; completes when that is written or given up on. */
     CompletionStage<Void> depart();
+
+    /** Calls back, from a thread of the claims, whenever this process gains or loses its lease. */
+    default void onLeaseChange(Consumer<Boolean> listener) {}
+
+    /** Calls back, from a thread of the claims, when another process took a job of this one over. */
+    default void onReplaced(Consumer<Claim> listener) {}
 }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -0,0 +1,266 @@
+package org.chivetally.claim;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.NewRecord;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.log.ReadOutcome;
+import org.chivetally.time.NanoClock;
+
+/** Connects a {@link Claimant} with the log, the clock and its callers. */
+final class ClaimsActor extends AbstractBehavior<ClaimsCommand> {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration TICK = Duration.ofMillis(10);
+    private static final Duration EMPTY_READ_PAUSE = Duration.ofMillis(20);
+
+    private final TimerScheduler<ClaimsCommand> timers;
+    private final Claimant claimant;
+    private final PlatformLog log;
+    private final ClaimSettings settings;
+    private final String writer;
+    private final NanoClock clock;
+    private final ClaimMeters meters;
+    private final AtomicBoolean caughtUp;
+    private final List<Consumer<Boolean>> leaseListeners = new ArrayList<>();
+    private final List<Consumer<Claim>> replacedListeners = new ArrayList<>();
+    private final List<CompletableFuture<Void>> departures = new ArrayList<>();
+    private boolean departed;
+    private boolean stopped;
+    private boolean leaseHeld;
+    private boolean readOpen;
+    private long readNumber;
+    private long readSentNanos;
+    private long readNotBeforeNanos;
+    private boolean appendOpen;
+    private long appendNumber;
+    private long appendSentNanos;
+
+    private ClaimsActor(
+            ActorContext<ClaimsCommand> context,
+            TimerScheduler<ClaimsCommand> timers,
+            Claimant claimant,
+            PlatformLog log,
+            ClaimSettings settings,
+            Coordinator self,
+            NanoClock clock,
+            ClaimMeters meters,
+            AtomicBoolean caughtUp) {
+        super(context);
+        this.timers = timers;
+        this.claimant = claimant;
+        this.log = log;
+        this.settings = settings;
+        this.writer = RecordId.writerOf(self);
+        this.clock = clock;
+        this.meters = meters;
+        this.caughtUp = caughtUp;
+        this.readNotBeforeNanos = clock.nanos();
+    }
+
+    /** Returns the behaviour; the first tick sets it going. */
+    static Behavior<ClaimsCommand> create(
+            Claimant claimant,
+            PlatformLog log,
+            ClaimSettings settings,
+            Coordinator self,
+            NanoClock clock,
+            ClaimMeters meters,
+            AtomicBoolean caughtUp) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            timers.startTimerWithFixedDelay(new ClaimsCommand.Tick(), TICK);
+            context.getSelf().tell(new ClaimsCommand.Tick());
+            return new ClaimsActor(context, timers, claimant, log, settings, self, clock, meters, caughtUp);
+        }));
+    }
+
+    @Override
+    public Receive<ClaimsCommand> createReceive() {
+        return newReceiveBuilder()
+                .onMessage(ClaimsCommand.class, this::receive)
+                .build();
+    }
+
+    private Behavior<ClaimsCommand> receive(ClaimsCommand command) {
+        handle(command, clock.nanos());
+        if (!stopped) {
+            readOn();
+            append();
+        }
+        perform();
+        meters.tableSize(claimant.tableSize());
+        caughtUp.set(claimant.caughtUp());
+        return this;
+    }
+
+    private void handle(ClaimsCommand command, long nanos) {
+        switch (command) {
+            case ClaimsCommand.MakeClaim make -> claimant.claim(make.claimed(), make.mode(), make.reply(), nanos);
+            case ClaimsCommand.TakeOver take -> claimant.takeOver(take.current(), take.reply(), nanos);
+            case ClaimsCommand.FindKey find -> find.reply().complete(claimant.find(find.key()));
+            case ClaimsCommand.FindJob find -> find.reply().complete(claimant.find(find.job()));
+            case ClaimsCommand.Finish finish -> claimant.finished(finish.claim());
+            case ClaimsCommand.Depart depart -> depart(depart.reply(), nanos);
+            case ClaimsCommand.ListenToLease listen -> listenToLease(listen.listener());
+            case ClaimsCommand.ListenToReplaced listen -> replacedListeners.add(listen.listener());
+            case ClaimsCommand.ReadAnswered answered -> readAnswered(answered, nanos);
+            case ClaimsCommand.AppendAnswered answered -> appendAnswered(answered.number(), answered.outcome(), nanos);
+            case ClaimsCommand.Tick ignored -> tick(nanos);
+            case ClaimsCommand.Stop ignored -> stop(nanos);
+        }
+    }
+
+    /** Ends the work on the log; the actor stays until its system ends, so that late callers get an answer. */
+    private void stop(long nanos) {
+        stopped = true;
+        timers.cancelAll();
+        claimant.giveUpAll(nanos);
+        departed = true;
+        completeDepartures();
+    }
+
+    private void completeDepartures() {
+        departures.forEach(reply -> reply.complete(null));
+        departures.clear();
+    }
+
+    private void depart(CompletableFuture<Void> reply, long nanos) {
+        if (departed) {
+            reply.complete(null);
+            return;
+        }
+        departures.add(reply);
+        claimant.depart(nanos);
+    }
+
+    private void listenToLease(Consumer<Boolean> listener) {
+        leaseListeners.add(listener);
+        if (leaseHeld) {
+            listener.accept(true);
+        }
+    }
+
+    private void tick(long nanos) {
+        Duration readLimit = settings.tail().pollWait().plus(settings.tail().answerTimeout());
+        if (readOpen && nanos - readSentNanos > readLimit.toNanos()) {
+            readFailed("no answer in time", nanos);
+        }
+        if (appendOpen && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
+            appendAnswered(appendNumber, new AppendOutcome.Unknown("no answer in time"), nanos);
+        }
+        claimant.tick(nanos);
+    }
+
+    private void readOn() {
+        long nanos = clock.nanos();
+        if (readOpen || nanos - readNotBeforeNanos < 0) {
+            return;
+        }
+        readOpen = true;
+        readNumber++;
+        readSentNanos = nanos;
+        long number = readNumber;
+        Duration wait = claimant.caughtUp() ? settings.tail().pollWait() : Duration.ZERO;
+        log.read(LogClaims.STREAM, claimant.nextOffset(), settings.tail().readLimit(), wait)
+                .whenComplete((outcome, failure) -> getContext()
+                        .getSelf()
+                        .tell(new ClaimsCommand.ReadAnswered(
+                                number, failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString()))));
+    }
+
+    private void readAnswered(ClaimsCommand.ReadAnswered answered, long nanos) {
+        if (!readOpen || answered.number() != readNumber) {
+            return;
+        }
+        readOpen = false;
+        switch (answered.outcome()) {
+            case ReadOutcome.Records found -> recordsRead(found, nanos);
+            case ReadOutcome.Expired expired -> claimant.skipTo(expired.earliestOffset());
+            case ReadOutcome.Unavailable unavailable -> readFailed(unavailable.reason(), nanos);
+        }
+    }
+
+    private void recordsRead(ReadOutcome.Records found, long nanos) {
+        claimant.read(found.records(), found.endOffset(), readSentNanos, nanos);
+        if (found.records().isEmpty()) {
+            // A log that doesn't hold empty reads back would otherwise be asked without a pause.
+            readNotBeforeNanos = readSentNanos + EMPTY_READ_PAUSE.toNanos();
+        }
+    }
+
+    private void readFailed(String reason, long nanos) {
+        readOpen = false;
+        readNotBeforeNanos = nanos + settings.tail().retryInterval().toNanos();
+        claimant.readFailed(reason);
+    }
+
+    private void append() {
+        claimant.nextAppend(clock.nanos()).ifPresent(this::send);
+    }
+
+    private void send(GroupCommit.Batch batch) {
+        appendOpen = true;
+        appendNumber = batch.number();
+        appendSentNanos = clock.nanos();
+        meters.appending(batch.records().size());
+        log.append(LogClaims.STREAM, encode(batch)).whenComplete((outcome, failure) -> getContext()
+                .getSelf()
+                .tell(new ClaimsCommand.AppendAnswered(
+                        batch.number(), failure == null ? outcome : new AppendOutcome.Unknown(failure.toString()))));
+    }
+
+    private List<NewRecord> encode(GroupCommit.Batch batch) {
+        Instant written = Instant.now();
+        return batch.records().stream()
+                .map(outgoing -> new NewRecord(
+                        new RecordId(writer, outgoing.sequence()).text(),
+                        ClaimRecordCodec.encode(outgoing.entry(), written)))
+                .toList();
+    }
+
+    private void appendAnswered(long number, AppendOutcome outcome, long nanos) {
+        if (number == appendNumber) {
+            appendOpen = false;
+        }
+        claimant.appended(number, outcome, nanos);
+    }
+
+    private void perform() {
+        for (ClaimEffect effect : claimant.takeEffects()) {
+            perform(effect);
+        }
+    }
+
+    private void perform(ClaimEffect effect) {
+        switch (effect) {
+            case ClaimEffect.Decide decide -> {
+                meters.decided(decide.waitedNanos());
+                decide.reply().complete(decide.decision());
+            }
+            case ClaimEffect.TellLease tell -> {
+                leaseHeld = tell.held();
+                leaseListeners.forEach(listener -> listener.accept(tell.held()));
+            }
+            case ClaimEffect.TellReplaced tell ->
+                replacedListeners.forEach(listener -> listener.accept(tell.successor()));
+            case ClaimEffect.ConfirmDeparture ignored -> {
+                departed = true;
+                completeDepartures();
+            }
+            case ClaimEffect.CountSkipped ignored -> meters.skipped();
+            case ClaimEffect.WriteLine write -> logger.atInfo().log("%s", write.line());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/DecodedEntry.java
@@ -0,0 +1,10 @@
+package org.chivetally.claim;
+
+/** What the bytes of a record turned out to be. */
+sealed interface DecodedEntry {
+    /** A record that this version understands. */
+    record Known(ClaimEntry entry) implements DecodedEntry {}
+
+    /** A record of an unknown type or format version, or a damaged one; every reader of this version passes over it. */
+    record Skipped(String reason) implements DecodedEntry {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/HeldClaim.java
@@ -0,0 +1,66 @@
+package org.chivetally.claim;
+
+import java.util.HexFormat;
+import org.chivetally.job.JobId;
+
+/**
+ * A claim in the form in which a table keeps it; the digest as four numbers takes a third of the memory of its text.
+ *
+ * @param endMillis the stream's time at which its window ends
+ */
+record HeldClaim(
+        SubmissionKey key,
+        long digest1,
+        long digest2,
+        long digest3,
+        long digest4,
+        JobId job,
+        Coordinator coordinator,
+        int generation,
+        boolean finished,
+        long endMillis) {
+    private static final int DIGITS = 16;
+
+    /** Packs a claim. */
+    static HeldClaim of(Claim claim, Coordinator coordinator, long endMillis) {
+        return new HeldClaim(
+                claim.key(),
+                part(claim.bodyDigest(), 0),
+                part(claim.bodyDigest(), 1),
+                part(claim.bodyDigest(), 2),
+                part(claim.bodyDigest(), 3),
+                claim.job(),
+                coordinator,
+                claim.generation(),
+                claim.finished(),
+                endMillis);
+    }
+
+    /** Returns the claim unpacked. */
+    Claim claim() {
+        return new Claim(key, bodyDigest(), job, coordinator, generation, finished);
+    }
+
+    /** Returns the same claim of another coordinator. */
+    HeldClaim withCoordinator(Coordinator successor, int newGeneration) {
+        return new HeldClaim(
+                key, digest1, digest2, digest3, digest4, job, successor, newGeneration, finished, endMillis);
+    }
+
+    /** Returns the same claim, marked as finished. */
+    HeldClaim asFinished() {
+        return new HeldClaim(key, digest1, digest2, digest3, digest4, job, coordinator, generation, true, endMillis);
+    }
+
+    private static long part(String digest, int number) {
+        return HexFormat.fromHexDigitsToLong(digest, number * DIGITS, (number + 1) * DIGITS);
+    }
+
+    private String bodyDigest() {
+        HexFormat format = HexFormat.of();
+        return format.toHexDigits(digest1)
+                + format.toHexDigits(digest2)
+                + format.toHexDigits(digest3)
+                + format.toHexDigits(digest4);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/MemoryClaims.java
@@ -0,0 +1,153 @@
+package org.chivetally.claim;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.chivetally.job.JobId;
+import org.chivetally.time.NanoClock;
+
+/**
+ * Claims in the memory of one process: the same rules of repeats and reuse, but no other process knows of them.
+ *
+ * <p>For tests, and for services that go on in memory while the log is down. Safe from any thread.
+ */
+public final class MemoryClaims implements Claims {
+    private final Coordinator self;
+    private final long windowNanos;
+    private final NanoClock clock;
+    private final Map<SubmissionKey, Held> byKey = new LinkedHashMap<>();
+    private final Map<JobId, SubmissionKey> keys = new HashMap<>();
+    private boolean departed;
+
+    /** Creates an empty set of claims of one process; a key stays taken for the window. */
+    public MemoryClaims(Coordinator self, Duration window, NanoClock clock) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.windowNanos = window.toNanos();
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    @Override
+    public CompletionStage<ClaimDecision> claim(SubmissionKey key, String bodyDigest, JobId job) {
+        return CompletableFuture.completedFuture(decide(key, bodyDigest, job));
+    }
+
+    @Override
+    public synchronized CompletionStage<ClaimDecision> takeOver(Claim current) {
+        Held held = inForce(current.key());
+        if (held == null || !held.claim().equals(current)) {
+            ClaimDecision decision = held == null
+                    ? new ClaimDecision.LogUnavailable("the claim is no longer in force")
+                    : new ClaimDecision.Attached(held.claim());
+            return CompletableFuture.completedFuture(decision);
+        }
+        Claim successor = new Claim(
+                current.key(), current.bodyDigest(), current.job(), self, current.generation() + 1, false);
+        byKey.put(current.key(), new Held(successor, held.endNanos()));
+        return CompletableFuture.completedFuture(new ClaimDecision.Won(successor));
+    }
+
+    @Override
+    public synchronized CompletionStage<Optional<Claim>> find(JobId job) {
+        return CompletableFuture.completedFuture(lookUp(job));
+    }
+
+    @Override
+    public synchronized CompletionStage<Optional<Claim>> find(SubmissionKey key) {
+        return CompletableFuture.completedFuture(lookUp(key));
+    }
+
+    @Override
+    public synchronized void finished(Claim claim) {
+        Held held = inForce(claim.key());
+        if (held == null || !held.claim().job().equals(claim.job())) {
+            return;
+        }
+        Claim known = held.claim();
+        Claim marked = new Claim(
+                known.key(), known.bodyDigest(), known.job(), known.coordinator(), known.generation(), true);
+        byKey.put(claim.key(), new Held(marked, held.endNanos()));
+    }
+
+    @Override
+    public synchronized boolean holdsLease() {
+        return !departed;
+    }
+
+    @Override
+    public boolean hasLapsed(Coordinator coordinator) {
+        return coordinator.equals(Coordinator.NOBODY);
+    }
+
+    @Override
+    public boolean caughtUp() {
+        return true;
+    }
+
+    @Override
+    public synchronized CompletionStage<Void> depart() {
+        departed = true;
+        return CompletableFuture.completedFuture(null);
+    }
+
+    /** Decides a claim at once. */
+    synchronized ClaimDecision decide(SubmissionKey key, String bodyDigest, JobId job) {
+        if (departed) {
+            return new ClaimDecision.LogUnavailable("this process departs");
+        }
+        forgetEnded();
+        Held held = inForce(key);
+        if (held == null) {
+            Claim claim = new Claim(key, bodyDigest, job, self, Claim.FIRST_GENERATION, false);
+            byKey.put(key, new Held(claim, clock.nanos() + windowNanos));
+            keys.put(job, key);
+            return new ClaimDecision.Won(claim);
+        }
+        return held.claim().bodyDigest().equals(bodyDigest)
+                ? new ClaimDecision.Attached(held.claim())
+                : new ClaimDecision.KeyReused(held.claim());
+    }
+
+    /** Returns the claim in force for a key. */
+    synchronized Optional<Claim> lookUp(SubmissionKey key) {
+        return Optional.ofNullable(inForce(key)).map(Held::claim);
+    }
+
+    /** Returns the claim in force for a job. */
+    synchronized Optional<Claim> lookUp(JobId job) {
+        return Optional.ofNullable(keys.get(job)).flatMap(this::lookUp);
+    }
+
+    /** Drops a job's claim, as another place holds it now. */
+    synchronized void forget(JobId job) {
+        SubmissionKey key = keys.remove(job);
+        if (key != null) {
+            byKey.remove(key);
+        }
+    }
+
+    private Held inForce(SubmissionKey key) {
+        Held held = byKey.get(key);
+        return held != null && held.endNanos() - clock.nanos() > 0 ? held : null;
+    }
+
+    private void forgetEnded() {
+        Iterator<Held> oldest = byKey.values().iterator();
+        while (oldest.hasNext()) {
+            Held held = oldest.next();
+            if (held.endNanos() - clock.nanos() > 0) {
+                return;
+            }
+            oldest.remove();
+            keys.remove(held.claim().job());
+        }
+    }
+
+    /** A claim and the reading of the clock at which its window ends. */
+    private record Held(Claim claim, long endNanos) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/TableImage.java
@@ -0,0 +1,42 @@
+package org.chivetally.claim;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * The content of a {@link ClaimTable} at one offset.
+ *
+ * @param nextOffset offset of the first record that is not in it
+ * @param streamMillis the stream's time at that offset
+ * @param writers how far each writer has got
+ * @param held the claims in force, oldest first
+ */
+record TableImage(long nextOffset, long streamMillis, List<Writer> writers, List<Held> held) {
+    TableImage {
+        writers = List.copyOf(writers);
+        held = List.copyOf(held);
+    }
+
+    /**
+     * How far one writer has got.
+     *
+     * @param sequence count of its newest record
+     * @param lastMillis the stream's time when that record was folded
+     */
+    record Writer(String name, long sequence, long lastMillis) {
+        Writer {
+            Objects.requireNonNull(name, "name");
+        }
+    }
+
+    /**
+     * A claim in force.
+     *
+     * @param millisLeft what is left of its window at the stream's time of the image
+     */
+    record Held(Claim claim, long millisLeft) {
+        Held {
+            Objects.requireNonNull(claim, "claim");
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/WaitingClaim.java
@@ -0,0 +1,77 @@
+package org.chivetally.claim;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.chivetally.job.ServicePolicy.ClaimMode;
+
+/** A claim or takeover whose caller waits. */
+final class WaitingClaim {
+    private final ClaimRecord content;
+    private final ClaimMode mode;
+    private final CompletableFuture<ClaimDecision> reply;
+    private final long startedNanos;
+    private long sequence;
+
+    /** Creates one that is not sent yet; {@code startedNanos} is the reading of the clock when the caller asked. */
+    WaitingClaim(ClaimRecord content, ClaimMode mode, CompletableFuture<ClaimDecision> reply, long startedNanos) {
+        this.content = content;
+        this.mode = mode;
+        this.reply = reply;
+        this.startedNanos = startedNanos;
+    }
+
+    /** Returns the record that is to decide. */
+    ClaimRecord content() {
+        return content;
+    }
+
+    /** Returns the claim that may be made in memory instead, if its service allows that. */
+    Optional<ClaimRecord.Claimed> memoryContent() {
+        boolean allowed = mode == ClaimMode.MEMORY;
+        return allowed && content instanceof ClaimRecord.Claimed claimed ? Optional.of(claimed) : Optional.empty();
+    }
+
+    /** Returns where the decision goes. */
+    CompletableFuture<ClaimDecision> reply() {
+        return reply;
+    }
+
+    /** Returns the reading of the clock when the caller asked. */
+    long startedNanos() {
+        return startedNanos;
+    }
+
+    /** Tells whether the record may stand in the stream. */
+    boolean wasSent() {
+        return sequence > 0;
+    }
+
+    /** Returns the record's count, zero before it is sent. */
+    long sequence() {
+        return sequence;
+    }
+
+    /** Notes the count with which the record is sent. */
+    void sentAs(long newSequence) {
+        this.sequence = newSequence;
+    }
+
+    /** Notes that the record is sent anew, with another count. */
+    void sendAgain() {
+        this.sequence = 0;
+    }
+
+    /** Returns the key. */
+    SubmissionKey key() {
+        return switch (content) {
+            case ClaimRecord.Claimed claimed -> claimed.key();
+            case ClaimRecord.TakenOver taken -> taken.key();
+            default -> throw new IllegalStateException("nobody waits for this record");
+        };
+    }
+
+    /** Returns the digest of the submission; a takeover has none. */
+    Optional<String> bodyDigest() {
+        return content instanceof ClaimRecord.Claimed claimed ? Optional.of(claimed.bodyDigest()) : Optional.empty();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/claim/ScriptedLog.java
@@ -0,0 +1,199 @@
+package org.chivetally.claim;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.LogRecord;
+import org.chivetally.log.NewRecord;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.log.ReadOutcome;
+
+/** A log in memory whose faults a test switches on and off; all views of one share the streams. */
+final class ScriptedLog implements PlatformLog {
+    private final Shared shared;
+    private final List<HeldAppend> heldAppends = new ArrayList<>();
+    private boolean down;
+    private boolean holdsAppends;
+    private int answersToLose;
+    private int appends;
+
+    private ScriptedLog(Shared shared) {
+        this.shared = shared;
+    }
+
+    static ScriptedLog create() {
+        return new ScriptedLog(new Shared());
+    }
+
+    /** Returns another process's access to the same streams, with faults of its own. */
+    ScriptedLog view() {
+        return new ScriptedLog(shared);
+    }
+
+    @Override
+    public CompletionStage<AppendOutcome> append(String stream, List<NewRecord> records) {
+        synchronized (shared) {
+            appends++;
+            if (down) {
+                return CompletableFuture.completedFuture(new AppendOutcome.Refused("down"));
+            }
+            if (holdsAppends) {
+                HeldAppend held = new HeldAppend(stream, records, new CompletableFuture<>());
+                heldAppends.add(held);
+                return held.answer();
+            }
+            long offset = shared.write(stream, records);
+            if (answersToLose > 0) {
+                answersToLose--;
+                return CompletableFuture.completedFuture(new AppendOutcome.Unknown("answer lost"));
+            }
+            return CompletableFuture.completedFuture(new AppendOutcome.Appended(offset));
+        }
+    }
+
+    @Override
+    public CompletionStage<ReadOutcome> read(String stream, long from, int limit, Duration wait) {
+        synchronized (shared) {
+            if (down) {
+                return CompletableFuture.completedFuture(new ReadOutcome.Unavailable("down"));
+            }
+            ReadOutcome now = shared.read(stream, from, limit);
+            boolean empty = now instanceof ReadOutcome.Records found && found.records().isEmpty();
+            if (!empty || wait.isZero()) {
+                return CompletableFuture.completedFuture(now);
+            }
+            Poll poll = new Poll(this, stream, from, limit, new CompletableFuture<>());
+            shared.polls.add(poll);
+            return poll.answer();
+        }
+    }
+
+    /** Cuts this view off, or connects it again; reads that the log holds back fail. */
+    void down(boolean isDown) {
+        synchronized (shared) {
+            down = isDown;
+            if (isDown) {
+                shared.answer(poll -> poll.view() == this, poll -> new ReadOutcome.Unavailable("down"));
+            }
+        }
+    }
+
+    /** Writes the next appends but answers them with Unknown. */
+    void loseAnswers(int count) {
+        synchronized (shared) {
+            answersToLose = count;
+        }
+    }
+
+    /** Keeps appends back, neither written nor answered, from now on or no longer. */
+    void holdAppends(boolean holds) {
+        synchronized (shared) {
+            holdsAppends = holds;
+        }
+    }
+
+    /** Returns the appends that are kept back. */
+    List<HeldAppend> heldAppends() {
+        synchronized (shared) {
+            return List.copyOf(heldAppends);
+        }
+    }
+
+    /** Writes records as if they arrived now; may be called again with the same ones. */
+    void land(HeldAppend held) {
+        synchronized (shared) {
+            shared.write(held.stream(), held.records());
+        }
+    }
+
+    /** Writes records of another writer. */
+    void write(String stream, NewRecord... records) {
+        synchronized (shared) {
+            shared.write(stream, List.of(records));
+        }
+    }
+
+    /** Answers the reads that the log holds back: nothing new. */
+    void answerPolls() {
+        synchronized (shared) {
+            shared.answer(poll -> true, poll -> shared.read(poll.stream(), poll.from(), poll.limit()));
+        }
+    }
+
+    /** Drops all records of a stream before an offset. */
+    void expire(String stream, long earliest) {
+        synchronized (shared) {
+            shared.earliest.put(stream, earliest);
+        }
+    }
+
+    /** Drops a stream's last records, as if they had never been written. */
+    void cut(String stream, int count) {
+        synchronized (shared) {
+            List<LogRecord> records = shared.records(stream);
+            records.subList(records.size() - count, records.size()).clear();
+        }
+    }
+
+    List<LogRecord> records(String stream) {
+        synchronized (shared) {
+            return List.copyOf(shared.records(stream));
+        }
+    }
+
+    int appends() {
+        synchronized (shared) {
+            return appends;
+        }
+    }
+
+    record HeldAppend(String stream, List<NewRecord> records, CompletableFuture<AppendOutcome> answer) {}
+
+    private record Poll(
+            ScriptedLog view, String stream, long from, int limit, CompletableFuture<ReadOutcome> answer) {}
+
+    private static final class Shared {
+        private final Map<String, List<LogRecord>> streams = new HashMap<>();
+        private final Map<String, Long> earliest = new HashMap<>();
+        private final List<Poll> polls = new ArrayList<>();
+
+        private List<LogRecord> records(String stream) {
+            return streams.computeIfAbsent(stream, ignored -> new ArrayList<>());
+        }
+
+        private long write(String stream, List<NewRecord> added) {
+            List<LogRecord> records = records(stream);
+            long first = records.size();
+            for (NewRecord record : added) {
+                records.add(new LogRecord(records.size(), record.id(), record.payload()));
+            }
+            answer(poll -> poll.stream().equals(stream), poll -> read(stream, poll.from(), poll.limit()));
+            return first;
+        }
+
+        private ReadOutcome read(String stream, long from, int limit) {
+            long first = earliest.getOrDefault(stream, 0L);
+            if (from < first) {
+                return new ReadOutcome.Expired(first);
+            }
+            List<LogRecord> records = records(stream);
+            int start = (int) Math.min(from, records.size());
+            int end = Math.min(start + limit, records.size());
+            return new ReadOutcome.Records(records.subList(start, end), records.size());
+        }
+
+        private void answer(
+                Predicate<Poll> which, Function<Poll, ReadOutcome> outcome) {
+            List<Poll> answered = polls.stream().filter(which).toList();
+            polls.removeAll(answered);
+            answered.forEach(poll -> poll.answer().complete(outcome.apply(poll)));
+        }
+    }
+}
