Strict reading of YAML and JSON documents with places

Settings, resources and load files need every mistake in one report, each with its place. Anchors, aliases, tags, deep nesting and long texts are refused.

Section: requiredText, text, whole, requiredWhole, decimal, duration, bytes, choice, flag, section, sections, namedSections, texts, map, json, toJson, mistake(key, message).

--- /dev/null
+++ b/library/src/main/java/org/chivetally/document/NodeReader.java
@@ -0,0 +1,209 @@
+package org.chivetally.document;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import org.snakeyaml.engine.v2.api.LoadSettings;
+import org.snakeyaml.engine.v2.api.lowlevel.Parse;
+import org.snakeyaml.engine.v2.events.AliasEvent;
+import org.snakeyaml.engine.v2.events.Event;
+import org.snakeyaml.engine.v2.events.MappingStartEvent;
+import org.snakeyaml.engine.v2.events.NodeEvent;
+import org.snakeyaml.engine.v2.events.ScalarEvent;
+import org.snakeyaml.engine.v2.events.SequenceStartEvent;
+import org.snakeyaml.engine.v2.exceptions.Mark;
+import org.snakeyaml.engine.v2.exceptions.MarkedYamlEngineException;
+import org.snakeyaml.engine.v2.exceptions.ReaderException;
+import org.snakeyaml.engine.v2.exceptions.YamlEngineException;
+
+/**
+ * Reads the events of a YAML parser into nodes.
+ *
+ * <p>Safeguards against hostile texts: an alias that refers to a list of aliases grows a few lines to gigabytes, and a
+ * thousand opening brackets overflow the stack. Anchors, aliases and tags are therefore refused, and so are deeper
+ * nesting than {@link #MAXIMUM_DEPTH} and longer texts than {@link #MAXIMUM_LENGTH}. With these the number of nodes is
+ * bounded by the length of the text, and recursion by the depth.
+ */
+final class NodeReader {
+    /** Deepest nesting of lists and sections. */
+    static final int MAXIMUM_DEPTH = 64;
+
+    /** Longest text, in characters. */
+    static final int MAXIMUM_LENGTH = 4 * 1024 * 1024;
+
+    private final String place;
+    private final String text;
+    private Event last;
+
+    private NodeReader(String place, String text) {
+        this.place = place;
+        this.text = text;
+    }
+
+    /** What a text holds: its documents up to the first mistake, and that mistake. */
+    record Reading(List<DocumentNode> documents, Optional<Mistake> mistake) {}
+
+    static Reading read(String place, String text) {
+        return new NodeReader(place, text).readAll();
+    }
+
+    private Reading readAll() {
+        List<DocumentNode> documents = new ArrayList<>();
+        if (text.length() > MAXIMUM_LENGTH) {
+            return new Reading(documents, Optional.of(mistake(1, 1, "longer than " + MAXIMUM_LENGTH + " characters")));
+        }
+        try {
+            readDocuments(documents);
+            return new Reading(documents, Optional.empty());
+        } catch (RefusedException refused) {
+            return new Reading(documents, Optional.of(refused.mistake));
+        } catch (YamlEngineException malformed) {
+            return new Reading(documents, Optional.of(mistakeOf(malformed)));
+        } catch (RuntimeException fault) {
+            // A fault of the parser itself on odd input, such as an index out of bounds, would otherwise end the
+            // request or the daemon's start with a stack trace. The text is refused like any malformed one; the place
+            // is that of the last value understood.
+            return new Reading(documents, Optional.of(mistakeAfterLast("malformed text: " + fault.getMessage())));
+        }
+    }
+
+    private void readDocuments(List<DocumentNode> documents) {
+        LoadSettings settings = LoadSettings.builder()
+                .setLabel(place)
+                .setParseComments(false)
+                .setCodePointLimit(MAXIMUM_LENGTH)
+                .build();
+        Iterator<Event> events = new Parse(settings).parseString(text).iterator();
+        while (events.hasNext()) {
+            last = events.next();
+            if (last.getEventId() == Event.ID.DocumentStart) {
+                documents.add(readNode(events, 0));
+            }
+        }
+    }
+
+    private DocumentNode readNode(Iterator<Event> events, int depth) {
+        return nodeOf(next(events), events, depth);
+    }
+
+    private DocumentNode nodeOf(Event event, Iterator<Event> events, int depth) {
+        int line = lineOf(event);
+        int column = columnOf(event);
+        refuseUnsupported(event, depth);
+        return switch (event) {
+            case ScalarEvent scalar -> new DocumentNode.Scalar(scalar.getValue(), scalar.isPlain(), line, column);
+            case SequenceStartEvent ignored -> new DocumentNode.ItemList(readItems(events, depth + 1), line, column);
+            case MappingStartEvent ignored -> new DocumentNode.KeyedValues(readValues(events, depth + 1), line, column);
+            default -> throw refusal(event, "a value is needed here");
+        };
+    }
+
+    private List<DocumentNode> readItems(Iterator<Event> events, int depth) {
+        List<DocumentNode> items = new ArrayList<>();
+        Event event = next(events);
+        while (event.getEventId() != Event.ID.SequenceEnd) {
+            items.add(nodeOf(event, events, depth));
+            event = next(events);
+        }
+        return items;
+    }
+
+    private List<DocumentNode.KeyedValue> readValues(Iterator<Event> events, int depth) {
+        List<DocumentNode.KeyedValue> values = new ArrayList<>();
+        Event event = next(events);
+        while (event.getEventId() != Event.ID.MappingEnd) {
+            if (!(nodeOf(event, events, depth) instanceof DocumentNode.Scalar key)) {
+                throw refusal(event, "a key must be a single value");
+            }
+            values.add(new DocumentNode.KeyedValue(key, readNode(events, depth)));
+            event = next(events);
+        }
+        return values;
+    }
+
+    private Event next(Iterator<Event> events) {
+        last = events.next();
+        return last;
+    }
+
+    private void refuseUnsupported(Event event, int depth) {
+        if (depth > MAXIMUM_DEPTH) {
+            throw refusal(event, "nested deeper than " + MAXIMUM_DEPTH + " levels");
+        }
+        if (event instanceof AliasEvent) {
+            throw refusal(event, "aliases are not allowed");
+        }
+        if (event instanceof NodeEvent node && node.getAnchor().isPresent()) {
+            throw refusal(event, "anchors are not allowed");
+        }
+        if (hasTag(event)) {
+            throw refusal(event, "tags are not allowed");
+        }
+    }
+
+    private static boolean hasTag(Event event) {
+        return switch (event) {
+            case ScalarEvent scalar -> scalar.getTag().isPresent();
+            case SequenceStartEvent list -> list.getTag().isPresent();
+            case MappingStartEvent section -> section.getTag().isPresent();
+            default -> false;
+        };
+    }
+
+    private RefusedException refusal(Event event, String message) {
+        return new RefusedException(mistake(lineOf(event), columnOf(event), message));
+    }
+
+    private Mistake mistakeOf(YamlEngineException malformed) {
+        if (malformed instanceof MarkedYamlEngineException marked) {
+            Optional<Mark> mark = marked.getProblemMark().or(marked::getContextMark);
+            String message = "malformed text: " + marked.getProblem();
+            return mark.map(at -> mistake(at.getLine() + 1, at.getColumn() + 1, message))
+                    .orElseGet(() -> mistakeAfterLast(message));
+        }
+        if (malformed instanceof ReaderException unreadable) {
+            return mistakeAt(unreadable.getPosition(), "a character that a text can't hold");
+        }
+        return mistakeAfterLast("malformed text: " + malformed.getMessage());
+    }
+
+    private Mistake mistakeAt(int position, String message) {
+        int end = Math.clamp(position, 0, text.length());
+        String before = text.substring(0, end);
+        int line = (int) before.chars().filter(character -> character == '\n').count() + 1;
+        int column = end - before.lastIndexOf('\n');
+        return mistake(line, column, message);
+    }
+
+    private Mistake mistakeAfterLast(String message) {
+        if (last == null) {
+            return mistake(1, 1, message);
+        }
+        return mistake(lineOf(last), columnOf(last), message);
+    }
+
+    private Mistake mistake(int line, int column, String message) {
+        return new Mistake(place + ":" + line + ":" + column, "", message);
+    }
+
+    private static int lineOf(Event event) {
+        return event.getStartMark().map(mark -> mark.getLine() + 1).orElse(1);
+    }
+
+    private static int columnOf(Event event) {
+        return event.getStartMark().map(mark -> mark.getColumn() + 1).orElse(1);
+    }
+
+    /** Leaves the recursion when the text holds something that is not allowed; never leaves this class. */
+    private static final class RefusedException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        private final transient Mistake mistake;
+
+        private RefusedException(Mistake mistake) {
+            super(mistake.message());
+            this.mistake = mistake;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/document/Section.java
@@ -0,0 +1,376 @@
+package org.chivetally.document;
+
+import java.math.BigDecimal;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/**
+ * A section of keys and values. Each method below notes its key as known, and reports a value it can't use.
+ *
+ * <p>A default is returned as it is, without a check against the limits; where null is passed, null comes back for a
+ * missing value.
+ */
+public final class Section {
+    private static final Pattern WHOLE = Pattern.compile("[+-]?\\d{1,18}");
+    private static final Pattern DECIMAL = Pattern.compile("[+-]?\\d{1,18}(\\.\\d{1,18})?([eE][+-]?\\d{1,2})?");
+    private static final int LONGEST_QUOTE = 60;
+
+    private final Document document;
+    private final DocumentNode.KeyedValues node;
+    private final String path;
+    private final Map<String, DocumentNode> values = new LinkedHashMap<>();
+    private final Map<String, DocumentNode.Scalar> keys = new LinkedHashMap<>();
+    private final Map<String, Section> children = new LinkedHashMap<>();
+    private final TreeSet<String> known = new TreeSet<>();
+
+    Section(Document document, DocumentNode.KeyedValues node, String path) {
+        this.document = document;
+        this.node = node;
+        this.path = path;
+        for (DocumentNode.KeyedValue entry : node.values()) {
+            keys.putIfAbsent(entry.key().text(), entry.key());
+            values.putIfAbsent(entry.key().text(), entry.value());
+        }
+    }
+
+    /** Returns the keys that lead here, such as {@code limits} or {@code seeds[2]}; empty for the root. */
+    public String path() {
+        return path;
+    }
+
+    /** Returns where this section begins, as {@code name:line:column}. */
+    public String place() {
+        return document.placeOf(node);
+    }
+
+    /** Returns where a key's value stands, or where this section begins when it has no such key. */
+    public String place(String key) {
+        return document.placeOf(values.getOrDefault(key, node));
+    }
+
+    /** Returns the keys that the document gives here, in its order. */
+    public List<String> keys() {
+        return List.copyOf(keys.keySet());
+    }
+
+    /** Tells whether the document gives the key with a value. */
+    public boolean has(String key) {
+        known.add(key);
+        DocumentNode value = values.get(key);
+        return value != null && !value.missing();
+    }
+
+    /** Reports a mistake at a key's value, for rules that concern more than one value. */
+    public void mistake(String key, String message) {
+        document.addMistake(values.getOrDefault(key, node), pathOf(key), message);
+    }
+
+    /** Returns a text that must be given and not be empty; an empty text otherwise. */
+    public String requiredText(String key) {
+        Optional<String> text = required(key);
+        if (text.isPresent() && text.get().isEmpty()) {
+            mistake(key, "must not be empty");
+        }
+        return text.orElse("");
+    }
+
+    /** Returns a text, or the default. */
+    public String text(String key, String otherwise) {
+        return scalar(key).orElse(otherwise);
+    }
+
+    /** Returns a whole number within limits, both included, or the default. */
+    public long whole(String key, long minimum, long maximum, long otherwise) {
+        return scalar(key)
+                .flatMap(text -> wholeWithin(key, text, minimum, maximum))
+                .orElse(otherwise);
+    }
+
+    /** Returns a whole number that must be given within limits, both included; the lower limit otherwise. */
+    public long requiredWhole(String key, long minimum, long maximum) {
+        return required(key)
+                .flatMap(text -> wholeWithin(key, text, minimum, maximum))
+                .orElse(minimum);
+    }
+
+    /** Returns a decimal number within limits, both included, or the default. */
+    public double decimal(String key, double minimum, double maximum, double otherwise) {
+        return scalar(key)
+                .flatMap(text -> decimalWithin(key, text, minimum, maximum))
+                .orElse(otherwise);
+    }
+
+    /** Returns a duration such as {@code 250ms} within limits, both included, or the default. */
+    public Duration duration(String key, Duration minimum, Duration maximum, Duration otherwise) {
+        return scalar(key)
+                .flatMap(text -> durationWithin(key, text, minimum, maximum))
+                .orElse(otherwise);
+    }
+
+    /** Returns a duration that must be given within limits, both included; the lower limit otherwise. */
+    public Duration requiredDuration(String key, Duration minimum, Duration maximum) {
+        return required(key)
+                .flatMap(text -> durationWithin(key, text, minimum, maximum))
+                .orElse(minimum);
+    }
+
+    /** Returns a size such as {@code 16MiB} within limits, both included, in bytes, or the default. */
+    public long bytes(String key, long minimum, long maximum, long otherwise) {
+        return scalar(key)
+                .flatMap(text -> bytesWithin(key, text, minimum, maximum))
+                .orElse(otherwise);
+    }
+
+    /** Returns a size that must be given within limits, both included, in bytes; the lower limit otherwise. */
+    public long requiredBytes(String key, long minimum, long maximum) {
+        return required(key)
+                .flatMap(text -> bytesWithin(key, text, minimum, maximum))
+                .orElse(minimum);
+    }
+
+    /** Returns true or false as given, or the default. */
+    public boolean flag(String key, boolean otherwise) {
+        return scalar(key).flatMap(text -> flagOf(key, text)).orElse(otherwise);
+    }
+
+    /** Returns true or false, which must be given; false otherwise. */
+    public boolean requiredFlag(String key) {
+        return required(key).flatMap(text -> flagOf(key, text)).orElse(false);
+    }
+
+    /** Returns the constant whose name is given in lower case with hyphens, or the default. */
+    public <E extends Enum<E>> E choice(String key, Class<E> type, E otherwise) {
+        return scalar(key).flatMap(text -> constant(key, text, type)).orElse(otherwise);
+    }
+
+    /** Returns the constant whose name must be given in lower case with hyphens; the first constant otherwise. */
+    public <E extends Enum<E>> E requiredChoice(String key, Class<E> type) {
+        return required(key)
+                .flatMap(text -> constant(key, text, type))
+                .orElseGet(() -> type.getEnumConstants()[0]);
+    }
+
+    /** Returns how a constant is written in documents: lower case with hyphens. */
+    public static String written(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Returns the section below a key; an empty one when it is missing. */
+    public Section section(String key) {
+        known.add(key);
+        return children.computeIfAbsent(key, this::openSection);
+    }
+
+    /** Returns the sections in the list below a key; none when it is missing. */
+    public List<Section> sections(String key) {
+        List<Section> found = new ArrayList<>();
+        List<DocumentNode> items = items(key);
+        for (int position = 0; position < items.size(); position++) {
+            String itemPath = pathOf(key) + "[" + position + "]";
+            DocumentNode item = items.get(position);
+            found.add(children.computeIfAbsent(itemPath, ignored -> sectionOf(item, itemPath)));
+        }
+        return List.copyOf(found);
+    }
+
+    /** Returns the sections below a key by their names, in the document's order; none when it is missing. */
+    public Map<String, Section> namedSections(String key) {
+        Section whole = section(key);
+        Map<String, Section> found = new LinkedHashMap<>();
+        for (String name : whole.keys()) {
+            found.put(name, whole.section(name));
+        }
+        return found;
+    }
+
+    /** Returns the texts in the list below a key; none when it is missing. */
+    public List<String> texts(String key) {
+        List<String> found = new ArrayList<>();
+        List<DocumentNode> items = items(key);
+        for (int position = 0; position < items.size(); position++) {
+            textOf(items.get(position), pathOf(key) + "[" + position + "]").ifPresent(found::add);
+        }
+        return List.copyOf(found);
+    }
+
+    /** Returns the texts below a key by their names, in the document's order; none when it is missing. */
+    public Map<String, String> map(String key) {
+        Section whole = section(key);
+        Map<String, String> found = new LinkedHashMap<>();
+        for (String name : whole.keys()) {
+            whole.scalar(name).ifPresent(text -> found.put(name, text));
+        }
+        return found;
+    }
+
+    /** Returns the value of a key of whatever shape as JSON text; empty when it is missing. */
+    public Optional<String> json(String key) {
+        known.add(key);
+        return Optional.ofNullable(values.get(key)).map(JsonWriter::write);
+    }
+
+    /** Returns the whole section as JSON text and notes all its keys as known. */
+    public String toJson() {
+        known.addAll(keys.keySet());
+        return JsonWriter.write(node);
+    }
+
+    /** Reports every key that was never asked for; {@link Document#finish()} calls it for all sections. */
+    void rejectUnknownKeys() {
+        for (Map.Entry<String, DocumentNode.Scalar> entry : keys.entrySet()) {
+            if (!known.contains(entry.getKey())) {
+                document.addMistake(entry.getValue(), pathOf(entry.getKey()), "unknown key" + allowedKeys());
+            }
+        }
+    }
+
+    private String allowedKeys() {
+        if (known.isEmpty()) {
+            return "; none is allowed here";
+        }
+        return "; allowed here: " + String.join(", ", known);
+    }
+
+    private Section openSection(String key) {
+        DocumentNode value = values.get(key);
+        if (value instanceof DocumentNode.KeyedValues section) {
+            return document.newSection(section, pathOf(key));
+        }
+        if (value != null && !value.missing()) {
+            mistake(key, "a section of keys and values is needed, not " + value.kind());
+        }
+        return emptySection(pathOf(key));
+    }
+
+    private Section sectionOf(DocumentNode item, String itemPath) {
+        if (item instanceof DocumentNode.KeyedValues section) {
+            return document.newSection(section, itemPath);
+        }
+        document.addMistake(item, itemPath, "a section of keys and values is needed, not " + item.kind());
+        return document.newSection(Document.emptySection(item.line(), item.column()), itemPath);
+    }
+
+    private Section emptySection(String childPath) {
+        return document.newSection(Document.emptySection(node.line(), node.column()), childPath);
+    }
+
+    private List<DocumentNode> items(String key) {
+        known.add(key);
+        DocumentNode value = values.get(key);
+        if (value == null || value.missing()) {
+            return List.of();
+        }
+        if (value instanceof DocumentNode.ItemList list) {
+            return list.items();
+        }
+        mistake(key, "a list is needed, not " + value.kind());
+        return List.of();
+    }
+
+    private Optional<String> required(String key) {
+        known.add(key);
+        if (!values.containsKey(key)) {
+            mistake(key, "is missing");
+            return Optional.empty();
+        }
+        return scalar(key);
+    }
+
+    private Optional<String> scalar(String key) {
+        known.add(key);
+        DocumentNode value = values.get(key);
+        return value == null ? Optional.empty() : textOf(value, pathOf(key));
+    }
+
+    private Optional<String> textOf(DocumentNode value, String valuePath) {
+        if (value instanceof DocumentNode.Scalar scalar && !scalar.missing()) {
+            return Optional.of(scalar.text());
+        }
+        document.addMistake(value, valuePath, "a single value is needed, not " + value.kind());
+        return Optional.empty();
+    }
+
+    private Optional<Long> wholeWithin(String key, String text, long minimum, long maximum) {
+        Optional<Long> number =
+                WHOLE.matcher(text).matches() ? Optional.of(Long.parseLong(text)) : Optional.empty();
+        String wanted = "a whole number from " + minimum + " to " + maximum;
+        return within(key, text, number, minimum, maximum, wanted);
+    }
+
+    private Optional<Double> decimalWithin(String key, String text, double minimum, double maximum) {
+        Optional<Double> number =
+                DECIMAL.matcher(text).matches() ? Optional.of(Double.parseDouble(text)) : Optional.empty();
+        String wanted = "a number from " + plain(minimum) + " to " + plain(maximum);
+        return within(key, text, number, minimum, maximum, wanted);
+    }
+
+    private static String plain(double number) {
+        return BigDecimal.valueOf(number).stripTrailingZeros().toPlainString();
+    }
+
+    private Optional<Duration> durationWithin(String key, String text, Duration minimum, Duration maximum) {
+        String wanted = "a duration from " + Units.duration(minimum) + " to " + Units.duration(maximum)
+                + ", as a whole number with us, ms, s, m or h";
+        return within(key, text, Units.parseDuration(text), minimum, maximum, wanted);
+    }
+
+    private Optional<Long> bytesWithin(String key, String text, long minimum, long maximum) {
+        String wanted = "a size from " + Units.bytes(minimum) + " to " + Units.bytes(maximum)
+                + ", as a whole number with B, KiB, MiB, GiB or TiB";
+        return within(key, text, Units.parseBytes(text), minimum, maximum, wanted);
+    }
+
+    private <T extends Comparable<T>> Optional<T> within(
+            String key, String text, Optional<T> value, T minimum, T maximum, String wanted) {
+        if (value.isPresent()
+                && value.get().compareTo(minimum) >= 0
+                && value.get().compareTo(maximum) <= 0) {
+            return value;
+        }
+        mistake(key, quoted(text) + " is not " + wanted);
+        return Optional.empty();
+    }
+
+    private Optional<Boolean> flagOf(String key, String text) {
+        if (text.equals("true") || text.equals("false")) {
+            return Optional.of(text.equals("true"));
+        }
+        mistake(key, quoted(text) + " is not true or false");
+        return Optional.empty();
+    }
+
+    private <E extends Enum<E>> Optional<E> constant(String key, String text, Class<E> type) {
+        Function<E, String> name = Section::written;
+        for (E constant : type.getEnumConstants()) {
+            if (name.apply(constant).equals(text)) {
+                return Optional.of(constant);
+            }
+        }
+        String allowed = Arrays.stream(type.getEnumConstants()).map(name).collect(Collectors.joining(", "));
+        mistake(key, quoted(text) + " is not one of " + allowed);
+        return Optional.empty();
+    }
+
+    private static String quoted(String text) {
+        String shown = text.length() <= LONGEST_QUOTE ? text : text.substring(0, LONGEST_QUOTE) + "...";
+        return '"' + shown + '"';
+    }
+
+    private String pathOf(String key) {
+        return join(path, key);
+    }
+
+    static String join(String path, String key) {
+        return path.isEmpty() ? key : path + "." + key;
+    }
+}
