--- a/library/src/main/java/org/chivetally/document/Section.java
+++ b/library/src/main/java/org/chivetally/document/Section.java
@@ -70,6 +70,11 @@
         return value != null && !value.missing();
     }
 
+    /** Tells whether no mistake has been found in the whole document so far. */
+    public boolean isSound() {
+        return document.mistakes().isEmpty();
+    }
+
     /** Reports a mistake at a key's value, for rules that concern more than one value. */
     public void mistake(String key, String message) {
         document.addMistake(values.getOrDefault(key, node), pathOf(key), message);
