--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/Caller.java
@@ -0,0 +1,97 @@
+package org.chivetally.load;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpTimeoutException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.chivetally.load.Targets.Target;
+
+/** Sends requests to entries as a caller does; every outcome is a {@link Reply}. */
+public final class Caller implements AutoCloseable {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration ANSWER_MARGIN = Duration.ofSeconds(5);
+    private static final int ACCEPTED = 202;
+
+    private final HttpClient client =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(CONNECT_TIMEOUT).build();
+
+    /** Submits a job and waits for its outcome; the stage never completes exceptionally. */
+    public CompletableFuture<Reply> submit(Target entry, String key, String body, Duration deadline) {
+        URI address = entry.at("/v1/jobs?wait=" + waitSeconds(deadline));
+        return send(submission(address, key, body, deadline), deadline);
+    }
+
+    /** Submits a job without waiting; completes with its name, or with an empty text. Never exceptionally. */
+    public CompletableFuture<String> announce(Target entry, String key, String body, Duration deadline) {
+        HttpRequest request = submission(entry.at("/v1/jobs"), key, body, deadline);
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .handle((response, failure) -> failure == null ? JobInterface.jobName(response.body()) : "");
+    }
+
+    /** Waits for the outcome of a job by its name. */
+    public CompletableFuture<Reply> answer(Target entry, String job, Duration deadline) {
+        URI address = entry.at("/v1/jobs/" + job + "/answer?wait=" + waitSeconds(deadline));
+        return send(HttpRequest.newBuilder(address).timeout(limit(deadline)).GET().build(), deadline);
+    }
+
+    /** Cancels a job; whether it took effect shows in the job's answer. */
+    public void cancel(Target entry, String job) {
+        HttpRequest request =
+                HttpRequest.newBuilder(entry.at("/v1/jobs/" + job)).timeout(CONNECT_TIMEOUT).DELETE().build();
+        client.sendAsync(request, HttpResponse.BodyHandlers.discarding());
+    }
+
+    @Override
+    public void close() {
+        client.shutdownNow();
+    }
+
+    private static HttpRequest submission(URI address, String key, String body, Duration deadline) {
+        return HttpRequest.newBuilder(address)
+                .timeout(limit(deadline))
+                .header("Content-Type", "application/json")
+                .header("Idempotency-Key", key)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    private CompletableFuture<Reply> send(HttpRequest request, Duration deadline) {
+        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).handle(Caller::reply);
+    }
+
+    private static Reply reply(HttpResponse<String> response, Throwable failure) {
+        if (failure != null) {
+            return unanswered(failure);
+        }
+        if (response.statusCode() == ACCEPTED) {
+            return new Reply.TimedOut();
+        }
+        return JobInterface.reply(response.statusCode(), response.body());
+    }
+
+    private static Reply unanswered(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException wrapped ? wrapped.getCause() : failure;
+        return switch (cause) {
+            case ConnectException refused -> new Reply.Unreachable(String.valueOf(refused.getMessage()));
+            case HttpConnectTimeoutException slow -> new Reply.Unreachable("connect timeout");
+            case HttpTimeoutException late -> new Reply.TimedOut();
+            case IOException closed -> new Reply.Closed(String.valueOf(closed.getMessage()));
+            default -> new Reply.Closed(cause.toString());
+        };
+    }
+
+    private static long waitSeconds(Duration deadline) {
+        return deadline.plusMillis(999).toSeconds();
+    }
+
+    private static Duration limit(Duration deadline) {
+        return deadline.plus(ANSWER_MARGIN);
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/CallerRecord.java
@@ -0,0 +1,29 @@
+package org.chivetally.load;
+
+import java.util.Objects;
+
+/**
+ * One request as its caller saw it.
+ *
+ * @param job the submission it belongs to
+ * @param repeat 0 for the first request of the submission, higher for requests under the same key
+ * @param entry name of the entry it went to
+ * @param dueNanos when it was due, from the beginning of the run
+ * @param sentNanos when it was sent
+ * @param endedNanos when its reply was whole
+ * @param reply how it ended
+ */
+public record CallerRecord(
+        ScheduledJob job, int repeat, String entry, long dueNanos, long sentNanos, long endedNanos, Reply reply) {
+    /** Refuses missing parts. */
+    public CallerRecord {
+        Objects.requireNonNull(job, "job");
+        Objects.requireNonNull(entry, "entry");
+        Objects.requireNonNull(reply, "reply");
+    }
+
+    /** Returns the time from when the request was due to its reply, in nanoseconds. */
+    public long responseNanos() {
+        return endedNanos - dueNanos;
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/Judge.java
@@ -0,0 +1,173 @@
+package org.chivetally.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.chivetally.job.JobOutcome.Certainty;
+
+/**
+ * Compares what callers were told with what minions recorded.
+ *
+ * <p>The minions' clocks are compared with each other only for idempotent tasks; minions of one machine share the
+ * monotonic clock, so their readings can be compared there.
+ */
+public final class Judge {
+    private static final String FAILED = "failed";
+    private static final String DONE = "done";
+
+    private final Tokens tokens;
+    private final Map<Integer, List<CallerRecord>> requests = new TreeMap<>();
+    private final Map<String, List<StartRecord>> starts = new HashMap<>();
+
+    /** Sorts the records of one run; those of other runs are left out. */
+    public Judge(Tokens tokens, List<CallerRecord> callers, List<StartRecord> records) {
+        this.tokens = tokens;
+        for (CallerRecord caller : callers) {
+            requests.computeIfAbsent(caller.job().index(), index -> new ArrayList<>()).add(caller);
+        }
+        for (StartRecord record : records) {
+            if (tokens.parse(record.token()).isPresent()) {
+                starts.computeIfAbsent(record.token(), token -> new ArrayList<>()).add(record);
+            }
+        }
+    }
+
+    /** Finds every broken promise, given the times at which entries were stopping gracefully. */
+    public Verdict judge(List<GracefulStop> stops) {
+        return new Verdict(duplicateStarts(), partialAnswers(), falseRefusals(), cutRequests(stops), unrecorded());
+    }
+
+    /** Returns the number of starts recorded for this run. */
+    public int startCount() {
+        return starts.values().stream().mapToInt(List::size).sum();
+    }
+
+    private List<String> duplicateStarts() {
+        List<String> duplicates = new ArrayList<>();
+        for (Map.Entry<String, List<StartRecord>> entry : new TreeMap<>(starts).entrySet()) {
+            if (entry.getValue().size() > 1 && startedAgain(entry.getKey(), entry.getValue())) {
+                duplicates.add(entry.getKey());
+            }
+        }
+        return duplicates;
+    }
+
+    private boolean startedAgain(String token, List<StartRecord> records) {
+        Optional<Workload.ServiceShare> service = service(token);
+        if (service.isEmpty() || !service.get().idempotent()) {
+            return true;
+        }
+        List<StartRecord> ordered = new ArrayList<>(records);
+        ordered.sort(Comparator.comparingLong(StartRecord::startedNanos));
+        for (int later = 1; later < ordered.size(); later++) {
+            for (int earlier = 0; earlier < later; earlier++) {
+                if (!mayFollow(ordered.get(earlier), ordered.get(later), service.get())) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /** An idempotent task may start again once its earlier attempt has failed, or its lease is over at its agent. */
+    private static boolean mayFollow(StartRecord earlier, StartRecord later, Workload.ServiceShare service) {
+        boolean overBefore = earlier.endedNanos() > 0 && earlier.endedNanos() <= later.startedNanos();
+        if (overBefore && !earlier.outcome().equals(DONE)) {
+            return true;
+        }
+        long lease = service.attemptLease().toNanos();
+        return lease > 0 && later.startedNanos() - earlier.startedNanos() >= lease;
+    }
+
+    private Optional<Workload.ServiceShare> service(String token) {
+        return tokens.parse(token)
+                .map(name -> requests.get(name.job()))
+                .map(records -> records.getFirst().job().service());
+    }
+
+    private List<String> partialAnswers() {
+        List<String> partial = new ArrayList<>();
+        for (List<CallerRecord> records : requests.values()) {
+            for (CallerRecord record : records) {
+                if (record.reply() instanceof Reply.Complete complete
+                        && !complete.answers().equals(expectedAnswers(record.job()))) {
+                    partial.add(tokens.key(record.job().index()));
+                    break;
+                }
+            }
+        }
+        return partial;
+    }
+
+    private List<String> expectedAnswers(ScheduledJob job) {
+        List<String> expected = new ArrayList<>();
+        for (int task = 0; task < job.taskMillis().size(); task++) {
+            expected.add(tokens.token(job.index(), task));
+        }
+        return expected;
+    }
+
+    /**
+     * A refusal is false when every request of the submission was told not-run and yet a task started. Where a request
+     * of the same key ended otherwise, or without an answer, its start may be the one recorded.
+     */
+    private List<String> falseRefusals() {
+        Set<Integer> startedJobs = startedJobs();
+        List<String> refused = new ArrayList<>();
+        for (Map.Entry<Integer, List<CallerRecord>> entry : requests.entrySet()) {
+            if (startedJobs.contains(entry.getKey()) && entry.getValue().stream().allMatch(Judge::toldNotRun)) {
+                refused.add(tokens.key(entry.getKey()));
+            }
+        }
+        return refused;
+    }
+
+    private static boolean toldNotRun(CallerRecord record) {
+        return switch (record.reply()) {
+            case Reply.Problem problem -> problem.certainty() == Certainty.NOT_RUN;
+            case Reply.Unreachable unreachable -> true;
+            default -> false;
+        };
+    }
+
+    private Set<Integer> startedJobs() {
+        Set<Integer> jobs = new HashSet<>();
+        for (String token : starts.keySet()) {
+            tokens.parse(token).ifPresent(name -> jobs.add(name.job()));
+        }
+        return jobs;
+    }
+
+    private List<String> cutRequests(List<GracefulStop> stops) {
+        List<String> cut = new ArrayList<>();
+        for (List<CallerRecord> records : requests.values()) {
+            for (CallerRecord record : records) {
+                if (record.reply() instanceof Reply.Closed
+                        && stops.stream().anyMatch(stop -> stop.covers(record))) {
+                    cut.add(tokens.key(record.job().index()));
+                }
+            }
+        }
+        return cut;
+    }
+
+    private List<String> unrecorded() {
+        List<String> unrecorded = new ArrayList<>();
+        for (List<CallerRecord> records : requests.values()) {
+            for (CallerRecord record : records) {
+                if (record.reply() instanceof Reply.Complete complete) {
+                    complete.answers().stream()
+                            .filter(answer -> !starts.containsKey(answer))
+                            .forEach(unrecorded::add);
+                }
+            }
+        }
+        return unrecorded.stream().distinct().toList();
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/ResponseRatio.java
@@ -0,0 +1,33 @@
+package org.chivetally.load;
+
+import org.HdrHistogram.Histogram;
+
+/** Distribution of response times divided by ideal times. */
+public final class ResponseRatio {
+    private static final long UNITS_PER_ONE = 10_000;
+    private static final long HIGHEST = 100_000 * UNITS_PER_ONE;
+    private static final int SIGNIFICANT_DIGITS = 4;
+
+    private final Histogram histogram = new Histogram(1, HIGHEST, SIGNIFICANT_DIGITS);
+
+    /** Adds one job: its response time and its ideal time, in the same unit. */
+    public void add(long responseNanos, long idealNanos) {
+        double ratio = (double) responseNanos / Math.max(1, idealNanos);
+        histogram.recordValue(Math.clamp(Math.round(ratio * UNITS_PER_ONE), 1, HIGHEST));
+    }
+
+    /** Returns the ratio that this percentage of the jobs don't exceed; zero without jobs. */
+    public double percentile(double percentage) {
+        return count() == 0 ? 0 : histogram.getValueAtPercentile(percentage) / (double) UNITS_PER_ONE;
+    }
+
+    /** Returns the highest ratio; zero without jobs. */
+    public double highest() {
+        return histogram.getMaxValue() / (double) UNITS_PER_ONE;
+    }
+
+    /** Returns the number of jobs. */
+    public long count() {
+        return histogram.getTotalCount();
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/Verdict.java
@@ -0,0 +1,37 @@
+package org.chivetally.load;
+
+import java.util.List;
+
+/**
+ * Broken promises found in a run. Each is named, so that logs can be searched for it.
+ *
+ * @param duplicateStarts tokens of tasks that started again when they must not
+ * @param partialAnswers keys of submissions told complete whose answers are not exactly the ones asked for
+ * @param falseRefusals keys of submissions told not-run of which a task had started
+ * @param cutRequests keys of requests whose connection closed unanswered while their entry stopped gracefully
+ * @param unrecordedAnswers tokens that stand in a complete answer without a recorded start; a minion's record was lost, or
+ *     the answer was made up
+ */
+public record Verdict(
+        List<String> duplicateStarts,
+        List<String> partialAnswers,
+        List<String> falseRefusals,
+        List<String> cutRequests,
+        List<String> unrecordedAnswers) {
+    /** Copies the lists. */
+    public Verdict {
+        duplicateStarts = List.copyOf(duplicateStarts);
+        partialAnswers = List.copyOf(partialAnswers);
+        falseRefusals = List.copyOf(falseRefusals);
+        cutRequests = List.copyOf(cutRequests);
+        unrecordedAnswers = List.copyOf(unrecordedAnswers);
+    }
+
+    /** Tells whether any promise was broken. */
+    public boolean clean() {
+        return duplicateStarts.isEmpty()
+                && partialAnswers.isEmpty()
+                && falseRefusals.isEmpty()
+                && cutRequests.isEmpty();
+    }
+}
