Load plans from YAML, fault schedules, figures with goals

LoadPlanReader.read(place, text) reads a plan strictly; LoadRun(plan, progress, faultsFolder).run() returns a LoadReport for ReportTable.of, ReportJson.of and ReportTable.markdownRow. Not yet run against entries.

--- a/load/src/main/java/org/chivetally/load/Caller.java
+++ b/load/src/main/java/org/chivetally/load/Caller.java
@@ -14,45 +14,46 @@
 import org.chivetally.load.Targets.Target;
 
 /** Sends requests to entries as a caller does; every outcome is a {@link Reply}. */
-public final class Caller implements AutoCloseable {
-    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+final class Caller {
+    private static final Duration CANCEL_LIMIT = Duration.ofSeconds(2);
     private static final Duration ANSWER_MARGIN = Duration.ofSeconds(5);
     private static final int ACCEPTED = 202;
 
-    private final HttpClient client =
-            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(CONNECT_TIMEOUT).build();
+    private final HttpClient client;
+
+    Caller(HttpClient client) {
+        this.client = client;
+    }
 
     /** Submits a job and waits for its outcome; the stage never completes exceptionally. */
-    public CompletableFuture<Reply> submit(Target entry, String key, String body, Duration deadline) {
+    CompletableFuture<Reply> submit(Target entry, String key, String body, Duration deadline) {
         URI address = entry.at("/v1/jobs?wait=" + waitSeconds(deadline));
-        return send(submission(address, key, body, deadline), deadline);
+        return send(submission(address, key, body, deadline));
     }
 
     /** Submits a job without waiting; completes with its name, or with an empty text. Never exceptionally. */
-    public CompletableFuture<String> announce(Target entry, String key, String body, Duration deadline) {
+    CompletableFuture<String> announce(Target entry, String key, String body, Duration deadline) {
         HttpRequest request = submission(entry.at("/v1/jobs"), key, body, deadline);
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
                 .handle((response, failure) -> failure == null ? JobInterface.jobName(response.body()) : "");
     }
 
     /** Waits for the outcome of a job by its name. */
-    public CompletableFuture<Reply> answer(Target entry, String job, Duration deadline) {
+    CompletableFuture<Reply> answer(Target entry, String job, Duration deadline) {
         URI address = entry.at("/v1/jobs/" + job + "/answer?wait=" + waitSeconds(deadline));
-        return send(HttpRequest.newBuilder(address).timeout(limit(deadline)).GET().build(), deadline);
+        return send(
+                HttpRequest.newBuilder(address).timeout(limit(deadline)).GET().build());
     }
 
     /** Cancels a job; whether it took effect shows in the job's answer. */
-    public void cancel(Target entry, String job) {
-        HttpRequest request =
-                HttpRequest.newBuilder(entry.at("/v1/jobs/" + job)).timeout(CONNECT_TIMEOUT).DELETE().build();
+    void cancel(Target entry, String job) {
+        HttpRequest request = HttpRequest.newBuilder(entry.at("/v1/jobs/" + job))
+                .timeout(CANCEL_LIMIT)
+                .DELETE()
+                .build();
         client.sendAsync(request, HttpResponse.BodyHandlers.discarding());
     }
 
-    @Override
-    public void close() {
-        client.shutdownNow();
-    }
-
     private static HttpRequest submission(URI address, String key, String body, Duration deadline) {
         return HttpRequest.newBuilder(address)
                 .timeout(limit(deadline))
@@ -62,7 +63,7 @@
                 .build();
     }
 
-    private CompletableFuture<Reply> send(HttpRequest request, Duration deadline) {
+    private CompletableFuture<Reply> send(HttpRequest request) {
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofString()).handle(Caller::reply);
     }
 
--- a/load/src/main/java/org/chivetally/load/CallerRecord.java
+++ b/load/src/main/java/org/chivetally/load/CallerRecord.java
@@ -6,7 +6,8 @@
  * One request as its caller saw it.
  *
  * @param job the submission it belongs to
- * @param repeat 0 for the first request of the submission, higher for requests under the same key
+ * @param repeat 0 for the submission itself, 1 for its planned repeat under the same key
+ * @param attempt 0 for the first request, higher for those after one without an outcome
  * @param entry name of the entry it went to
  * @param dueNanos when it was due, from the beginning of the run
  * @param sentNanos when it was sent
@@ -14,7 +15,14 @@
  * @param reply how it ended
  */
 public record CallerRecord(
-        ScheduledJob job, int repeat, String entry, long dueNanos, long sentNanos, long endedNanos, Reply reply) {
+        ScheduledJob job,
+        int repeat,
+        int attempt,
+        String entry,
+        long dueNanos,
+        long sentNanos,
+        long endedNanos,
+        Reply reply) {
     /** Refuses missing parts. */
     public CallerRecord {
         Objects.requireNonNull(job, "job");
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/Counters.java
@@ -0,0 +1,92 @@
+package org.chivetally.load;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Counters of one process at one time, or what they grew by.
+ *
+ * @param frames frames sent and received, by kind
+ * @param bytes bytes of frames sent and received
+ * @param wasted messages that did no good, by kind
+ */
+public record Counters(Map<String, Long> frames, long bytes, Map<String, Long> wasted) {
+    /** Nothing counted. */
+    public static final Counters NONE = new Counters(Map.of(), 0, Map.of());
+
+    private static final String FRAMES = "chivetally_frames_total";
+    private static final String BYTES = "chivetally_frame_bytes_total";
+    private static final String WASTED = "chivetally_wasted_messages_total";
+    private static final Pattern SAMPLE = Pattern.compile("^(\\w+)(?:\\{(.*)\\})? (\\S+)$", Pattern.MULTILINE);
+    private static final Pattern KIND = Pattern.compile("\\bkind=\"([^\"]*)\"");
+
+    /** Copies the maps. */
+    public Counters {
+        frames = new TreeMap<>(frames);
+        wasted = new TreeMap<>(wasted);
+    }
+
+    /** Reads the counters from a page in Prometheus' text format. */
+    public static Counters parse(String page) {
+        Map<String, Long> frames = new TreeMap<>();
+        Map<String, Long> wasted = new TreeMap<>();
+        long bytes = 0;
+        Matcher sample = SAMPLE.matcher(page);
+        while (sample.find()) {
+            long value = (long) Double.parseDouble(sample.group(3));
+            switch (sample.group(1)) {
+                case FRAMES -> frames.merge(kind(sample.group(2)), value, Long::sum);
+                case WASTED -> wasted.merge(kind(sample.group(2)), value, Long::sum);
+                case BYTES -> bytes += value;
+                default -> {
+                    // Other metrics don't concern the load tool.
+                }
+            }
+        }
+        return new Counters(frames, bytes, wasted);
+    }
+
+    /** Returns the sum of these and others. */
+    public Counters plus(Counters others) {
+        return new Counters(sum(frames, others.frames), bytes + others.bytes, sum(wasted, others.wasted));
+    }
+
+    /** Returns what grew since earlier counters of the same process; a lower counter is that of a restarted process. */
+    public Counters since(Counters earlier) {
+        return new Counters(
+                growth(frames, earlier.frames), growth(bytes, earlier.bytes), growth(wasted, earlier.wasted));
+    }
+
+    /** Returns the number of frames of all kinds. */
+    public long frameCount() {
+        return frames.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    /** Returns the number of wasted messages of all kinds. */
+    public long wastedCount() {
+        return wasted.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    private static String kind(String labels) {
+        Matcher matcher = KIND.matcher(labels == null ? "" : labels);
+        return matcher.find() ? matcher.group(1) : "";
+    }
+
+    private static Map<String, Long> sum(Map<String, Long> first, Map<String, Long> second) {
+        Map<String, Long> sum = new TreeMap<>(first);
+        second.forEach((kind, value) -> sum.merge(kind, value, Long::sum));
+        return sum;
+    }
+
+    private static Map<String, Long> growth(Map<String, Long> now, Map<String, Long> earlier) {
+        Map<String, Long> growth = new TreeMap<>();
+        now.forEach((kind, value) -> growth.put(kind, growth(value, earlier.getOrDefault(kind, 0L))));
+        return growth;
+    }
+
+    private static long growth(long now, long earlier) {
+        return now >= earlier ? now - earlier : now;
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/FaultSchedule.java
@@ -0,0 +1,68 @@
+package org.chivetally.load;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.chivetally.document.Section;
+import org.chivetally.load.Fault.ProcessFault;
+import org.chivetally.load.Fault.StandInFault;
+
+/**
+ * Faults of a run.
+ *
+ * @param faults faults by rising time
+ */
+public record FaultSchedule(List<Fault> faults) {
+    /** No faults. */
+    public static final FaultSchedule NONE = new FaultSchedule(List.of());
+
+    /** Sorts and copies the list. */
+    public FaultSchedule {
+        faults = faults.stream().sorted(Comparator.comparing(Fault::at)).toList();
+    }
+
+    /** Returns the faults of stand-ins. */
+    public List<StandInFault> standInFaults() {
+        return faults.stream()
+                .filter(StandInFault.class::isInstance)
+                .map(StandInFault.class::cast)
+                .toList();
+    }
+
+    /** Returns the faults of processes. */
+    public List<ProcessFault> processFaults() {
+        return faults.stream()
+                .filter(ProcessFault.class::isInstance)
+                .map(ProcessFault.class::cast)
+                .toList();
+    }
+
+    /**
+     * Returns the steps for the script that carries out process faults, one a line: milliseconds from the beginning of
+     * the run, what to do ({@code pause}, {@code resume}, {@code kill}, {@code terminate} or {@code start}) and the
+     * name of the process; by rising time.
+     */
+    public List<String> processSteps() {
+        List<Step> steps = new ArrayList<>();
+        for (ProcessFault fault : processFaults()) {
+            steps.add(new Step(fault.at().toMillis(), Section.written(fault.action()), fault.target()));
+            if (fault.lasting().isPositive()) {
+                long endMillis = fault.at().plus(fault.lasting()).toMillis();
+                steps.add(new Step(endMillis, ending(fault.action()), fault.target()));
+            }
+        }
+        steps.sort(Comparator.comparingLong(Step::millis));
+        return steps.stream()
+                .map(step -> step.millis() + " " + step.what() + " " + step.target())
+                .toList();
+    }
+
+    private static String ending(Fault.Action action) {
+        return switch (action) {
+            case PAUSE -> "resume";
+            case KILL, TERMINATE -> "start";
+        };
+    }
+
+    private record Step(long millis, String what, String target) {}
+}
--- a/load/src/main/java/org/chivetally/load/GracefulStop.java
+++ b/load/src/main/java/org/chivetally/load/GracefulStop.java
@@ -17,8 +17,6 @@
 
     /** Tells whether a request to an entry ended within this stop. */
     public boolean covers(CallerRecord request) {
-        return request.entry().equals(entry)
-                && request.endedNanos() >= fromNanos
-                && request.endedNanos() <= untilNanos;
+        return request.entry().equals(entry) && request.endedNanos() >= fromNanos && request.endedNanos() <= untilNanos;
     }
 }
--- a/load/src/main/java/org/chivetally/load/JobInterface.java
+++ b/load/src/main/java/org/chivetally/load/JobInterface.java
@@ -46,8 +46,7 @@
         }
         for (Certainty certainty : Certainty.values()) {
             if (certainty.text().equals(root.path("certainty").asString(""))) {
-                String code = root.path("code").asString("");
-                return new Reply.Problem(status, code, certainty, root.path("detail").asString(""));
+                return problem(status, certainty, root);
             }
         }
         return new Reply.Malformed(status, body);
@@ -62,6 +61,13 @@
         }
     }
 
+    private static Reply.Problem problem(int status, Certainty certainty, JsonNode root) {
+        String code = root.path("code").asString("");
+        String detail = root.path("detail").asString("");
+        return new Reply.Problem(
+                status, code, certainty, detail, root.path("retryAfterMillis").asLong(0));
+    }
+
     private static List<String> answers(JsonNode list) {
         List<String> answers = new ArrayList<>();
         for (JsonNode answer : list) {
--- a/load/src/main/java/org/chivetally/load/Judge.java
+++ b/load/src/main/java/org/chivetally/load/Judge.java
@@ -29,11 +29,13 @@
     public Judge(Tokens tokens, List<CallerRecord> callers, List<StartRecord> records) {
         this.tokens = tokens;
         for (CallerRecord caller : callers) {
-            requests.computeIfAbsent(caller.job().index(), index -> new ArrayList<>()).add(caller);
+            requests.computeIfAbsent(caller.job().index(), index -> new ArrayList<>())
+                    .add(caller);
         }
         for (StartRecord record : records) {
             if (tokens.parse(record.token()).isPresent()) {
-                starts.computeIfAbsent(record.token(), token -> new ArrayList<>()).add(record);
+                starts.computeIfAbsent(record.token(), token -> new ArrayList<>())
+                        .add(record);
             }
         }
     }
@@ -48,6 +50,11 @@
         return starts.values().stream().mapToInt(List::size).sum();
     }
 
+    /** Returns the number of tasks of this run with a recorded start. */
+    public int startedTasks() {
+        return starts.size();
+    }
+
     private List<String> duplicateStarts() {
         List<String> duplicates = new ArrayList<>();
         for (Map.Entry<String, List<StartRecord>> entry : new TreeMap<>(starts).entrySet()) {
@@ -121,7 +128,8 @@
         Set<Integer> startedJobs = startedJobs();
         List<String> refused = new ArrayList<>();
         for (Map.Entry<Integer, List<CallerRecord>> entry : requests.entrySet()) {
-            if (startedJobs.contains(entry.getKey()) && entry.getValue().stream().allMatch(Judge::toldNotRun)) {
+            if (startedJobs.contains(entry.getKey())
+                    && entry.getValue().stream().allMatch(Judge::toldNotRun)) {
                 refused.add(tokens.key(entry.getKey()));
             }
         }
@@ -148,8 +156,7 @@
         List<String> cut = new ArrayList<>();
         for (List<CallerRecord> records : requests.values()) {
             for (CallerRecord record : records) {
-                if (record.reply() instanceof Reply.Closed
-                        && stops.stream().anyMatch(stop -> stop.covers(record))) {
+                if (record.reply() instanceof Reply.Closed && stops.stream().anyMatch(stop -> stop.covers(record))) {
                     cut.add(tokens.key(record.job().index()));
                 }
             }
--- a/load/src/main/java/org/chivetally/load/LoadPlan.java
+++ b/load/src/main/java/org/chivetally/load/LoadPlan.java
@@ -1,7 +1,9 @@
 package org.chivetally.load;
 
 import java.time.Duration;
+import java.util.Map;
 import java.util.Objects;
+import java.util.TreeMap;
 
 /**
  * A run of the load tool, as declared.
@@ -10,26 +12,39 @@
  * @param seed every random choice of the schedule follows from it
  * @param duration time over which jobs are submitted
  * @param warmUp time at the beginning whose jobs don't count for response ratios
- * @param drain longest wait for answers after the last submission
  * @param targets processes to talk to
  * @param workload what is offered
+ * @param faults faults brought about meanwhile
+ * @param goals limits that figures are held against
  */
 public record LoadPlan(
         String name,
         long seed,
         Duration duration,
         Duration warmUp,
-        Duration drain,
         Targets targets,
-        Workload workload) {
+        Workload workload,
+        FaultSchedule faults,
+        Map<Figure, Double> goals) {
     /** Refuses missing parts and a warm-up that leaves nothing to measure. */
     public LoadPlan {
         Objects.requireNonNull(name, "name");
-        Objects.requireNonNull(drain, "drain");
         Objects.requireNonNull(targets, "targets");
         Objects.requireNonNull(workload, "workload");
+        Objects.requireNonNull(faults, "faults");
+        goals = new TreeMap<>(goals);
         if (warmUp.compareTo(duration) >= 0) {
             throw new IllegalArgumentException("the warm-up must be shorter than the run");
         }
     }
+
+    /** Tells whether an instant, in nanoseconds from the beginning of the run, counts for figures. */
+    public boolean measures(long nanos) {
+        return nanos >= warmUp.toNanos() && nanos < duration.toNanos();
+    }
+
+    /** Returns the time that counts for figures. */
+    public Duration measured() {
+        return duration.minus(warmUp);
+    }
 }
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/LoadPlanReader.java
@@ -0,0 +1,253 @@
+package org.chivetally.load;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.chivetally.document.Document;
+import org.chivetally.document.Mistakes;
+import org.chivetally.document.Section;
+import org.chivetally.job.JobSpecification;
+import org.chivetally.load.Targets.Target;
+
+/** Reads a load plan from YAML, strictly: every mistake is reported with its place. */
+public final class LoadPlanReader {
+    private static final Duration LONGEST = Duration.ofHours(24);
+    private static final Duration SHORTEST = Duration.ofMillis(1);
+    private static final double HIGHEST_WEIGHT = 1e6;
+    private static final double HIGHEST_RATE = 1e6;
+    private static final int MOST_SLOTS = 1_000_000;
+    private static final int MOST_RETRIES = 1_000;
+
+    private final Document document;
+    private final Section root;
+
+    private LoadPlanReader(Document document) {
+        this.document = document;
+        this.root = document.root();
+    }
+
+    /**
+     * Reads a plan.
+     *
+     * @param place name of the file, for mistakes
+     * @param text content of the file
+     */
+    public static Reading read(String place, String text) {
+        return new LoadPlanReader(Document.parse(place, text)).read();
+    }
+
+    private Reading read() {
+        Section targets = root.section("targets");
+        Section workload = root.section("workload");
+        List<Target> entries = targets(targets, "entries");
+        if (entries.isEmpty()) {
+            targets.mistake("entries", "at least one entry is needed");
+        }
+        PlanParts parts = new PlanParts(
+                root.requiredText("name"),
+                root.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE, 1),
+                root.requiredDuration("duration", SHORTEST, LONGEST),
+                root.duration("warmUp", Duration.ZERO, LONGEST, Duration.ZERO));
+        if (parts.warmUp().compareTo(parts.duration()) >= 0) {
+            root.mistake("warmUp", "must be shorter than the duration");
+        }
+        WorkloadParts load = workloadParts(workload);
+        List<Target> minions = targets(targets, "minions");
+        List<Target> logs = targets(targets, "logs");
+        List<Target> relays = targets(targets, "relays");
+        List<Fault> faults = list(root, "faults", LoadPlanReader::fault);
+        Map<Figure, Double> goals = goals(root.section("goals"));
+        Mistakes mistakes = document.finish();
+        if (!mistakes.isEmpty()) {
+            return new Reading(Optional.empty(), mistakes);
+        }
+        LoadPlan plan = new LoadPlan(
+                parts.name(),
+                parts.seed(),
+                parts.duration(),
+                parts.warmUp(),
+                new Targets(entries, minions, logs, relays),
+                load.build(),
+                new FaultSchedule(faults),
+                goals);
+        return new Reading(Optional.of(plan), mistakes);
+    }
+
+    private static List<Target> targets(Section section, String key) {
+        return list(section, key, item -> new Target(item.requiredText("name"), address(item)));
+    }
+
+    private static URI address(Section item) {
+        String text = item.requiredText("url");
+        if (!text.matches("https?://[^/\\s]+/?")) {
+            item.mistake("url", "must be http://HOST:PORT");
+            return URI.create("http://invalid");
+        }
+        return URI.create(text);
+    }
+
+    private static WorkloadParts workloadParts(Section section) {
+        return new WorkloadParts(
+                (int) section.requiredWhole("slots", 1, MOST_SLOTS),
+                offered(section),
+                list(section, "phases", LoadPlanReader::phase),
+                required(section, "services", LoadPlanReader::service),
+                required(section, "teams", item -> new Workload.TeamShare(item.requiredText("name"), weight(item))),
+                required(section, "jobSizes", LoadPlanReader::jobSize),
+                required(section, "taskTimes", LoadPlanReader::taskTimes),
+                resubmissions(section.section("resubmissions")),
+                cancellations(section.section("cancellations")),
+                retries(section.section("retries")),
+                section.requiredDuration("deadline", SHORTEST, LONGEST));
+    }
+
+    private static Workload.OfferedLoad offered(Section workload) {
+        Section section = workload.section("offered");
+        boolean share = section.has("slotShare");
+        if (share == section.has("jobsPerSecond")) {
+            workload.mistake("offered", "needs either slotShare or jobsPerSecond");
+        }
+        if (share) {
+            return new Workload.OfferedLoad.SlotShare(section.decimal("slotShare", 0.001, 100, 1));
+        }
+        return new Workload.OfferedLoad.JobRate(section.decimal("jobsPerSecond", 0.001, HIGHEST_RATE, 1));
+    }
+
+    private static Workload.Phase phase(Section item) {
+        return new Workload.Phase(
+                item.requiredText("name"),
+                item.requiredDuration("start", Duration.ZERO, LONGEST),
+                item.requiredDuration("length", SHORTEST, LONGEST),
+                item.decimal("factor", 0, 1000, 1));
+    }
+
+    private static Workload.ServiceShare service(Section item) {
+        return new Workload.ServiceShare(
+                item.requiredText("name"),
+                item.requiredFlag("idempotent"),
+                item.duration("attemptLease", Duration.ZERO, LONGEST, Duration.ZERO),
+                weight(item));
+    }
+
+    private static Workload.JobSize jobSize(Section item) {
+        return new Workload.JobSize((int) item.requiredWhole("tasks", 1, JobSpecification.MAXIMUM_TASKS), weight(item));
+    }
+
+    private static Workload.TaskTimeBand taskTimes(Section item) {
+        Duration shortest = item.requiredDuration("shortest", SHORTEST, LONGEST);
+        Duration longest = item.requiredDuration("longest", SHORTEST, LONGEST);
+        if (longest.compareTo(shortest) < 0) {
+            item.mistake("longest", "must not be shorter than the shortest");
+        }
+        return new Workload.TaskTimeBand(shortest, longest, weight(item));
+    }
+
+    private static double weight(Section item) {
+        return item.decimal("weight", 1e-6, HIGHEST_WEIGHT, 1);
+    }
+
+    private static Workload.Resubmissions resubmissions(Section section) {
+        return new Workload.Resubmissions(
+                section.decimal("share", 0, 1, 0),
+                list(section, "delays", item -> item.requiredDuration("after", Duration.ZERO, LONGEST)));
+    }
+
+    private static Workload.Cancellations cancellations(Section section) {
+        return new Workload.Cancellations(
+                section.decimal("share", 0, 1, 0),
+                section.duration("delay", Duration.ZERO, LONGEST, Duration.ZERO),
+                list(section, "waves", item -> item.requiredDuration("at", Duration.ZERO, LONGEST)));
+    }
+
+    private static Workload.Retries retries(Section section) {
+        return new Workload.Retries(
+                (int) section.whole("most", 0, MOST_RETRIES, 0),
+                section.duration("delay", Duration.ZERO, LONGEST, Duration.ofMillis(200)));
+    }
+
+    private static Fault fault(Section item) {
+        Duration at = item.requiredDuration("at", Duration.ZERO, LONGEST);
+        Duration lasting = item.duration("lasting", Duration.ZERO, LONGEST, Duration.ZERO);
+        String target = item.requiredText("target");
+        boolean standIn = item.has("settings");
+        if (standIn == item.has("action")) {
+            item.mistake("action", "a fault needs either settings (of a stand-in) or an action (on a process)");
+        }
+        if (standIn) {
+            return new Fault.StandInFault(
+                    at, lasting, target, item.section("settings").toJson());
+        }
+        Fault.Action action = item.choice("action", Fault.Action.class, Fault.Action.PAUSE);
+        return new Fault.ProcessFault(at, lasting, target, action);
+    }
+
+    private static Map<Figure, Double> goals(Section section) {
+        Map<Figure, Double> goals = new EnumMap<>(Figure.class);
+        for (Figure figure : Figure.values()) {
+            if (section.has(figure.text())) {
+                goals.put(figure, section.decimal(figure.text(), 0, 1e9, 0));
+            }
+        }
+        return goals;
+    }
+
+    private static <T> List<T> required(Section section, String key, Function<Section, T> reader) {
+        List<T> items = list(section, key, reader);
+        if (items.isEmpty()) {
+            section.mistake(key, "at least one is needed");
+        }
+        return items;
+    }
+
+    private static <T> List<T> list(Section section, String key, Function<Section, T> reader) {
+        List<T> items = new ArrayList<>();
+        for (Section item : section.sections(key)) {
+            items.add(reader.apply(item));
+        }
+        return items;
+    }
+
+    /**
+     * What reading a plan came to.
+     *
+     * @param plan the plan, if there are no mistakes
+     * @param mistakes everything that is wrong with the document
+     */
+    public record Reading(Optional<LoadPlan> plan, Mistakes mistakes) {}
+
+    private record PlanParts(String name, long seed, Duration duration, Duration warmUp) {}
+
+    /** The workload as read: a document with mistakes may leave lists empty, which the workload itself refuses. */
+    private record WorkloadParts(
+            int slots,
+            Workload.OfferedLoad offered,
+            List<Workload.Phase> phases,
+            List<Workload.ServiceShare> services,
+            List<Workload.TeamShare> teams,
+            List<Workload.JobSize> jobSizes,
+            List<Workload.TaskTimeBand> taskTimes,
+            Workload.Resubmissions resubmissions,
+            Workload.Cancellations cancellations,
+            Workload.Retries retries,
+            Duration deadline) {
+        Workload build() {
+            return new Workload(
+                    slots,
+                    offered,
+                    phases,
+                    services,
+                    teams,
+                    jobSizes,
+                    taskTimes,
+                    resubmissions,
+                    cancellations,
+                    retries,
+                    deadline);
+        }
+    }
+}
--- a/load/src/main/java/org/chivetally/load/LoadReport.java
+++ b/load/src/main/java/org/chivetally/load/LoadReport.java
@@ -5,31 +5,52 @@
 import java.util.TreeMap;
 
 /**
- * Figures of one run.
+ * What came of one run.
  *
- * @param plan name of the plan
+ * @param plan the plan
  * @param run name of the run, with which its keys and tokens begin
- * @param jobs submissions whose outcome is known
+ * @param jobs submissions with a known outcome
  * @param outcomes submissions by outcome: complete, or certainty and code
- * @param ratio response ratios of complete jobs after the warm-up
- * @param goodput slot time of complete jobs after the warm-up as a share of all slot time
- * @param starts starts recorded by minions
- * @param unreadMinions minions whose record couldn't be read
+ * @param figures figures that could be measured
+ * @param counters what the entries' counters grew by
+ * @param faults faults injected, by target and kind
+ * @param unreadMinions minions whose record couldn't be read at the end
  * @param verdict broken promises
  */
 public record LoadReport(
-        String plan,
+        LoadPlan plan,
         String run,
         int jobs,
         Map<String, Integer> outcomes,
-        ResponseRatio ratio,
-        double goodput,
-        int starts,
+        Map<Figure, Double> figures,
+        Counters counters,
+        Map<String, Integer> faults,
         List<String> unreadMinions,
         Verdict verdict) {
     /** Copies the collections. */
     public LoadReport {
         outcomes = new TreeMap<>(outcomes);
+        figures = new TreeMap<>(figures);
+        faults = new TreeMap<>(faults);
         unreadMinions = List.copyOf(unreadMinions);
     }
+
+    /** Returns the number of faults injected. */
+    public int faultCount() {
+        return faults.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    /** Tells whether a goal is set for a figure and missed; a figure that couldn't be measured misses its goal. */
+    public boolean misses(Figure figure) {
+        Double limit = plan.goals().get(figure);
+        Double value = figures.get(figure);
+        return limit != null && (value == null || !figure.meets(value, limit));
+    }
+
+    /** Tells whether all goals are met, no promise is broken, and every minion's record could be read. */
+    public boolean good() {
+        return verdict.clean()
+                && unreadMinions.isEmpty()
+                && plan.goals().keySet().stream().noneMatch(this::misses);
+    }
 }
--- a/load/src/main/java/org/chivetally/load/LoadRun.java
+++ b/load/src/main/java/org/chivetally/load/LoadRun.java
@@ -1,147 +1,187 @@
 package org.chivetally.load;
 
+import java.io.IOException;
 import java.io.PrintStream;
 import java.net.http.HttpClient;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.TimeoutException;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
 import org.chivetally.load.Targets.Target;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
 
-/** Submits a plan's schedule to its entries and judges what came of it. */
+/** Submits a plan's schedule to its entries, brings about its faults, and judges what came of it. */
 public final class LoadRun implements AutoCloseable {
+    /** File in the faults folder with the wall-clock time of the beginning, in milliseconds since 1970. */
+    public static final String BEGIN_FILE = "begin";
+    /** File in the faults folder to which the script that carries out process faults adds what it did. */
+    public static final String DONE_FILE = "done";
+
     private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(2);
-    private static final Duration START_MARGIN = Duration.ofMillis(200);
+    private static final Duration READINESS_INTERVAL = Duration.ofMillis(200);
+    private static final Duration BEGIN_DELAY = Duration.ofMillis(500);
+    private static final Duration LONGEST_UNREADY = Duration.ofSeconds(60);
+    private static final Duration ANSWER_MARGIN = Duration.ofSeconds(6);
 
     private final LoadPlan plan;
     private final PrintStream progress;
-    private final Tokens tokens = new Tokens("r" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX));
-    private final Caller caller = new Caller();
-    private final ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(1);
-    private final Queue<CallerRecord> records = new ConcurrentLinkedQueue<>();
-    private final AtomicInteger open = new AtomicInteger();
-    private long beginNanos;
+    private final Optional<Path> faultsFolder;
+    private final Tokens tokens;
+    private final HttpClient client;
+    private final Caller caller;
+    private final Balancer balancer;
+    private final CounterWatch counters;
+    private final StartWatch starts;
+    private final FaultInjector injector;
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final ScheduledExecutorService watcher = Executors.newScheduledThreadPool(1);
 
-    /** Prepares a run; progress lines go to the stream. */
-    public LoadRun(LoadPlan plan, PrintStream progress) {
+    /**
+     * Prepares a run.
+     *
+     * @param plan what to do
+     * @param progress takes a line every two seconds, and one for each fault
+     * @param faultsFolder folder shared with the script that carries out process faults; empty without such a script
+     */
+    public LoadRun(LoadPlan plan, PrintStream progress, Optional<Path> faultsFolder) {
         this.plan = plan;
         this.progress = progress;
+        this.faultsFolder = faultsFolder;
+        this.tokens = new Tokens("r" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX));
+        this.client = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .connectTimeout(Duration.ofSeconds(2))
+                .build();
+        this.caller = new Caller(client);
+        this.balancer = new Balancer(client, plan.targets().entries());
+        this.counters = new CounterWatch(client, plan.targets().entries());
+        this.starts = new StartWatch(client, plan.targets().minions());
+        this.injector = new FaultInjector(client, plan.targets(), progress);
     }
 
-    /** Runs the whole plan; returns after the last answer or the drain time. */
+    /**
+     * Runs the whole plan and returns after the last answer, at the latest some seconds after the last deadline.
+     *
+     * @throws ChivetallyException when no entry becomes ready, or the faults folder can't be used
+     */
     public LoadReport run() throws InterruptedException {
         Schedule schedule = Schedule.of(plan);
-        List<CompletableFuture<Void>> requests = new ArrayList<>();
-        beginNanos = System.nanoTime() + START_MARGIN.toNanos();
-        for (ScheduledJob job : schedule.jobs()) {
-            requests.add(at(job.instantNanos(), () -> submit(job, 0, job.instantNanos())));
-            job.resubmitNanos().ifPresent(nanos -> requests.add(at(nanos, () -> submit(job, 1, nanos))));
-        }
-        timer.scheduleAtFixedRate(
-                this::printProgress, PROGRESS_INTERVAL.toMillis(), PROGRESS_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
-        await(CompletableFuture.allOf(requests.toArray(CompletableFuture[]::new)));
-        timer.shutdownNow();
-        return report();
+        awaitReadiness();
+        counters.read(true);
+        RunClock clock = new RunClock(NanoClock.system(), BEGIN_DELAY.toNanos());
+        writeBegin(clock);
+        Submitter submitter = new Submitter(plan, tokens, caller, balancer, timer, clock);
+        CompletableFuture<Void> end = submitter.schedule(schedule.jobs());
+        injector.schedule(plan.faults(), clock, timer);
+        every(READINESS_INTERVAL, timer, balancer::check);
+        every(PROGRESS_INTERVAL, watcher, () -> watch(submitter, clock));
+        await(end, clock);
+        injector.clear(plan.faults());
+        watcher.shutdown();
+        watcher.awaitTermination(1, TimeUnit.MINUTES);
+        counters.read(false);
+        return report(schedule, submitter.records(), clock);
     }
 
     @Override
     public void close() {
         timer.shutdownNow();
-        caller.close();
-    }
-
-    private CompletableFuture<Void> at(long nanos, java.util.function.Supplier<CompletableFuture<Void>> action) {
-        CompletableFuture<Void> done = new CompletableFuture<>();
-        Runnable step = () -> action.get().whenComplete((nothing, failure) -> done.complete(null));
-        timer.schedule(step, beginNanos + nanos - System.nanoTime(), TimeUnit.NANOSECONDS);
-        return done;
+        watcher.shutdownNow();
+        client.shutdownNow();
     }
 
-    private CompletableFuture<Void> submit(ScheduledJob job, int repeat, long dueNanos) {
-        List<Target> entries = plan.targets().entries();
-        Target entry = entries.get((job.index() + repeat) % entries.size());
-        Duration deadline = plan.workload().deadline();
-        String body = JobInterface.submission(job, tokens, deadline.toMillis());
-        long sentNanos = System.nanoTime() - beginNanos;
-        open.incrementAndGet();
-        return caller.submit(entry, tokens.key(job.index()), body, deadline).thenAccept(reply -> {
-            long endedNanos = System.nanoTime() - beginNanos;
-            open.decrementAndGet();
-            records.add(new CallerRecord(job, repeat, entry.name(), dueNanos, sentNanos, endedNanos, reply));
-        });
+    private void awaitReadiness() throws InterruptedException {
+        long giveUp = System.nanoTime() + LONGEST_UNREADY.toNanos();
+        for (Target entry : plan.targets().entries()) {
+            while (!balancer.isReady(entry)) {
+                if (System.nanoTime() > giveUp) {
+                    throw new ChivetallyException(ErrorCode.NOT_READY, "not ready: " + entry.at("/readyz"));
+                }
+                TimeUnit.NANOSECONDS.sleep(READINESS_INTERVAL.toNanos());
+            }
+        }
     }
 
-    private void await(CompletableFuture<Void> all) throws InterruptedException {
-        Duration limit = plan.duration().plus(plan.drain()).plus(plan.workload().deadline());
+    private void writeBegin(RunClock clock) {
+        if (faultsFolder.isEmpty()) {
+            return;
+        }
         try {
-            all.get(limit.toMillis(), TimeUnit.MILLISECONDS);
-        } catch (java.util.concurrent.ExecutionException | java.util.concurrent.TimeoutException late) {
-            progress.println("event=load-cut-off open=" + open.get());
+            Files.createDirectories(faultsFolder.get());
+            Files.deleteIfExists(faultsFolder.get().resolve(DONE_FILE));
+            Files.writeString(faultsFolder.get().resolve(BEGIN_FILE), clock.beginEpochMillis() + "\n");
+        } catch (IOException unusable) {
+            throw new ChivetallyException(ErrorCode.INVALID_INPUT, "faults folder: " + unusable, unusable);
         }
     }
 
-    private void printProgress() {
-        progress.printf(
-                Locale.ROOT,
-                "event=load-progress seconds=%.0f answered=%d open=%d%n",
-                (System.nanoTime() - beginNanos) / 1e9,
-                records.size(),
-                open.get());
+    private static void every(Duration interval, ScheduledExecutorService executor, Runnable action) {
+        executor.scheduleAtFixedRate(action, interval.toNanos(), interval.toNanos(), TimeUnit.NANOSECONDS);
     }
 
-    private LoadReport report() throws InterruptedException {
-        List<CallerRecord> callers = List.copyOf(records);
-        List<StartRecord> starts = new ArrayList<>();
-        List<String> unread = new ArrayList<>();
-        try (HttpClient client = HttpClient.newHttpClient()) {
-            for (Target minion : plan.targets().minions()) {
-                Optional<List<StartRecord>> fetched = MinionRecords.fetch(client, minion);
-                fetched.ifPresentOrElse(starts::addAll, () -> unread.add(minion.name()));
-            }
+    private void await(CompletableFuture<Void> end, RunClock clock) throws InterruptedException {
+        Duration limit = plan.duration().plus(plan.workload().deadline()).plus(ANSWER_MARGIN);
+        try {
+            end.get(limit.toNanos() - clock.nanos(), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException | TimeoutException late) {
+            progress.println(EventLine.of("load-cut-off").with("reason", late.toString()));
         }
-        Judge judge = new Judge(tokens, callers, starts);
-        return summary(callers, judge, unread);
     }
 
-    private LoadReport summary(List<CallerRecord> callers, Judge judge, List<String> unread) {
-        ResponseRatio ratio = new ResponseRatio();
-        Map<String, Integer> outcomes = new HashMap<>();
-        long workNanos = 0;
-        int slots = plan.workload().slots();
-        for (CallerRecord record : callers) {
-            if (record.repeat() > 0) {
-                continue;
-            }
-            outcomes.merge(outcome(record.reply()), 1, Integer::sum);
-            if (record.reply() instanceof Reply.Complete && record.dueNanos() >= plan.warmUp().toNanos()) {
-                ratio.add(record.responseNanos(), record.job().idealNanos(slots));
-                workNanos += record.job().workNanos();
-            }
-        }
-        double slotNanos = (double) slots * plan.duration().minus(plan.warmUp()).toNanos();
-        int jobs = outcomes.values().stream().mapToInt(Integer::intValue).sum();
+    private void watch(Submitter submitter, RunClock clock) {
+        counters.read(false);
+        starts.read();
+        progress.println(EventLine.of("load-progress")
+                .with("seconds", TimeUnit.NANOSECONDS.toSeconds(clock.nanos()))
+                .with("answered", submitter.answered())
+                .with("complete", submitter.completed())
+                .with("open", submitter.open())
+                .with("frames", counters.growth().frameCount())
+                .with("wasted", counters.growth().wastedCount()));
+    }
+
+    private LoadReport report(Schedule schedule, List<CallerRecord> callers, RunClock clock) {
+        List<String> unread = starts.read();
+        Judge judge = new Judge(tokens, callers, starts.records());
+        ProcessFaultLog processFaults = processFaults();
+        Verdict verdict = judge.judge(processFaults.stops(clock));
+        Summary summary = new Summary(plan, callers);
+        Map<String, Integer> faults = new HashMap<>(injector.injected());
+        faults.putAll(processFaults.counts());
         return new LoadReport(
-                plan.name(), tokens.run(), jobs, outcomes, ratio, workNanos / slotNanos, judge.startCount(), unread,
-                judge.judge(List.of()));
+                plan,
+                tokens.run(),
+                summary.jobs(),
+                summary.outcomeCounts(),
+                summary.figures(schedule, judge, verdict, counters.growth()),
+                counters.growth(),
+                faults,
+                unread,
+                verdict);
     }
 
-    private static String outcome(Reply reply) {
-        return switch (reply) {
-            case Reply.Complete complete -> "complete";
-            case Reply.Problem problem -> problem.certainty().text() + " " + problem.code();
-            case Reply.Malformed malformed -> "malformed " + malformed.status();
-            case Reply.Unreachable unreachable -> "unreachable";
-            case Reply.Closed closed -> "closed";
-            case Reply.TimedOut late -> "no answer";
-        };
+    private ProcessFaultLog processFaults() {
+        Optional<Path> file = faultsFolder.map(folder -> folder.resolve(DONE_FILE));
+        if (file.isEmpty() || !Files.exists(file.get())) {
+            return ProcessFaultLog.parse(new ArrayList<>());
+        }
+        try {
+            return ProcessFaultLog.parse(Files.readAllLines(file.get()));
+        } catch (IOException unreadable) {
+            throw new ChivetallyException(ErrorCode.INVALID_INPUT, "faults folder: " + unreadable, unreadable);
+        }
     }
 }
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/ProcessFaultLog.java
@@ -0,0 +1,72 @@
+package org.chivetally.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * What the script beside a run did to processes.
+ *
+ * @param events steps by rising time
+ */
+public record ProcessFaultLog(List<Event> events) {
+    private static final String TERMINATE = "terminate";
+    private static final String ENDED = "ended";
+    private static final Set<String> FAULTS = Set.of("pause", "kill", TERMINATE);
+    private static final int PARTS = 3;
+
+    /** Copies the list. */
+    public ProcessFaultLog {
+        events = List.copyOf(events);
+    }
+
+    /** Parses lines of milliseconds since 1970, what was done, and the process's name; others are left out. */
+    public static ProcessFaultLog parse(List<String> lines) {
+        List<Event> events = new ArrayList<>();
+        for (String line : lines) {
+            String[] parts = line.trim().split(" ");
+            if (parts.length == PARTS && parts[0].matches("\\d{1,18}")) {
+                events.add(new Event(Long.parseLong(parts[0]), parts[1], parts[2]));
+            }
+        }
+        return new ProcessFaultLog(events);
+    }
+
+    /** Returns the number of faults, by what was done and to which process. */
+    public Map<String, Integer> counts() {
+        Map<String, Integer> counts = new TreeMap<>();
+        for (Event event : events) {
+            if (FAULTS.contains(event.what())) {
+                counts.merge(event.what() + " " + event.target(), 1, Integer::sum);
+            }
+        }
+        return counts;
+    }
+
+    /** Returns the graceful stops; one whose end is not noted lasts to the end of the run. */
+    List<GracefulStop> stops(RunClock clock) {
+        List<GracefulStop> stops = new ArrayList<>();
+        for (int index = 0; index < events.size(); index++) {
+            Event event = events.get(index);
+            if (event.what().equals(TERMINATE)) {
+                stops.add(new GracefulStop(event.target(), clock.nanosAt(event.epochMillis()), end(index, clock)));
+            }
+        }
+        return stops;
+    }
+
+    private long end(int terminated, RunClock clock) {
+        String target = events.get(terminated).target();
+        for (Event later : events.subList(terminated + 1, events.size())) {
+            if (later.target().equals(target) && later.what().equals(ENDED)) {
+                return clock.nanosAt(later.epochMillis());
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
+    /** One step: when, in milliseconds since 1970, what, and to which process. */
+    public record Event(long epochMillis, String what, String target) {}
+}
--- a/load/src/main/java/org/chivetally/load/Reply.java
+++ b/load/src/main/java/org/chivetally/load/Reply.java
@@ -20,8 +20,10 @@
      * @param code stable code
      * @param certainty what is said about the work
      * @param detail one sentence for a person
+     * @param retryAfterMillis when the caller may come back; zero gives no advice
      */
-    record Problem(int status, String code, Certainty certainty, String detail) implements Reply {}
+    record Problem(int status, String code, Certainty certainty, String detail, long retryAfterMillis)
+            implements Reply {}
 
     /** The entry answered with something that the interface does not describe. */
     record Malformed(int status, String body) implements Reply {}
--- a/load/src/main/java/org/chivetally/load/ReportTable.java
+++ b/load/src/main/java/org/chivetally/load/ReportTable.java
@@ -1,41 +1,103 @@
 package org.chivetally.load;
 
+import java.util.List;
 import java.util.Locale;
 
-/** Prints a report for a person. */
+/** Writes reports for people: a table of one run, and Markdown rows for pages that list runs. */
 public final class ReportTable {
-    private static final String ROW = "%-28s %s%n";
+    private static final String ROW = "%-30s %14s  %s%n";
+    private static final int NAMED_VIOLATIONS = 5;
+    private static final List<Figure> MARKDOWN_FIGURES = List.of(
+            Figure.RESPONSE_P50,
+            Figure.RESPONSE_P99,
+            Figure.SINGLE_QUEUE_P99,
+            Figure.GOODPUT,
+            Figure.STARTS_PER_SECOND,
+            Figure.EXTRA_MESSAGES_PER_TASK,
+            Figure.WASTED_PER_TASK,
+            Figure.DUPLICATE_STARTS,
+            Figure.PARTIAL_ANSWERS,
+            Figure.FALSE_REFUSALS,
+            Figure.CUT_REQUESTS,
+            Figure.UNANSWERED_JOBS);
 
     private ReportTable() {}
 
-    /** Returns the table, one figure a line. */
+    /** Returns the table of one run, one figure a line, goals beside their figures. */
     public static String of(LoadReport report) {
         StringBuilder text = new StringBuilder();
-        row(text, "plan", report.plan());
-        row(text, "jobs judged", report.jobs());
-        report.outcomes().forEach((outcome, count) -> row(text, "  " + outcome, count));
-        ResponseRatio ratio = report.ratio();
-        row(text, "response ratio", String.format(
-                Locale.ROOT,
-                "p50 %.3f  p90 %.3f  p99 %.3f  max %.3f  (%d jobs)",
-                ratio.percentile(50),
-                ratio.percentile(90),
-                ratio.percentile(99),
-                ratio.highest(),
-                ratio.count()));
-        row(text, "goodput, share of slots", String.format(Locale.ROOT, "%.3f", report.goodput()));
-        row(text, "starts recorded", report.starts());
+        row(text, "plan", report.plan().name(), "seed " + report.plan().seed() + ", run " + report.run());
+        row(text, "jobs judged", report.jobs(), "");
+        report.outcomes().forEach((outcome, count) -> row(text, "  " + outcome, count, ""));
+        for (Figure figure : Figure.values()) {
+            figureRow(text, report, figure);
+        }
+        report.counters().frames().forEach((kind, count) -> row(text, "  frames " + kind, count, ""));
+        report.counters().wasted().forEach((kind, count) -> row(text, "  wasted " + kind, count, ""));
+        row(text, "faults injected", report.faultCount(), "");
+        report.faults().forEach((fault, count) -> row(text, "  " + fault, count, ""));
         Verdict verdict = report.verdict();
-        row(text, "duplicate starts", verdict.duplicateStarts().size());
-        row(text, "partial answers", verdict.partialAnswers().size());
-        row(text, "false refusals", verdict.falseRefusals().size());
-        row(text, "cut requests", verdict.cutRequests().size());
-        row(text, "answers without a start", verdict.unrecordedAnswers().size());
-        row(text, "minions without a record", report.unreadMinions());
+        violations(text, "duplicate start", verdict.duplicateStarts());
+        violations(text, "partial answer", verdict.partialAnswers());
+        violations(text, "false refusal", verdict.falseRefusals());
+        violations(text, "cut request", verdict.cutRequests());
+        row(text, "answers without a start", verdict.unrecordedAnswers().size(), "");
+        row(text, "minions without a record", report.unreadMinions().size(), String.join(" ", report.unreadMinions()));
         return text.toString();
     }
 
-    private static void row(StringBuilder text, String name, Object value) {
-        text.append(String.format(Locale.ROOT, ROW, name, value));
+    /** Returns the two heading lines of a Markdown table of runs. */
+    public static String markdownHeading() {
+        StringBuilder names = new StringBuilder("| plan | seed | jobs | faults |");
+        StringBuilder rule = new StringBuilder("| --- | --- | --- | --- |");
+        for (Figure figure : MARKDOWN_FIGURES) {
+            names.append(' ').append(figure.text()).append(" |");
+            rule.append(" --- |");
+        }
+        return names + "\n" + rule + "\n";
+    }
+
+    /** Returns one run as a line of that table. */
+    public static String markdownRow(LoadReport report) {
+        StringBuilder row = new StringBuilder();
+        row.append("| ").append(report.plan().name());
+        row.append(" | ").append(report.plan().seed());
+        row.append(" | ").append(report.jobs());
+        row.append(" | ").append(report.faultCount()).append(" |");
+        for (Figure figure : MARKDOWN_FIGURES) {
+            Double value = report.figures().get(figure);
+            row.append(' ').append(value == null ? "-" : number(figure, value));
+            row.append(report.misses(figure) ? " (missed) |" : " |");
+        }
+        return row.append('\n').toString();
+    }
+
+    private static void figureRow(StringBuilder text, LoadReport report, Figure figure) {
+        Double value = report.figures().get(figure);
+        Double limit = report.plan().goals().get(figure);
+        if (value == null && limit == null) {
+            return;
+        }
+        String shown = value == null ? "not measured" : number(figure, value);
+        row(text, figure.text(), shown, limit == null ? "" : goal(report, figure, limit));
+    }
+
+    private static String goal(LoadReport report, Figure figure, double limit) {
+        String result = report.misses(figure) ? "missed" : "met";
+        return "goal " + figure.sign() + " " + number(figure, limit) + " " + result;
+    }
+
+    private static void violations(StringBuilder text, String name, List<String> names) {
+        for (String violation : names.subList(0, Math.min(NAMED_VIOLATIONS, names.size()))) {
+            row(text, "  " + name, violation, "");
+        }
+    }
+
+    private static String number(Figure figure, double value) {
+        return String.format(Locale.ROOT, "%." + figure.decimals() + "f", value);
+    }
+
+    private static void row(StringBuilder text, String name, Object value, String remark) {
+        text.append(String.format(Locale.ROOT, ROW, name, value, remark).replaceAll(" +(?=\\R)", ""));
     }
 }
--- a/load/src/main/java/org/chivetally/load/Schedule.java
+++ b/load/src/main/java/org/chivetally/load/Schedule.java
@@ -10,8 +10,8 @@
 /**
  * All submissions of a run, fixed before it begins.
  *
- * <p>Arrivals are a Poisson process whose rate follows the plan's phases. The schedule does not react to the system: when
- * answers are slow, jobs are submitted at the same instants, so that waiting shows in their response times.
+ * <p>Arrivals are a Poisson process whose rate follows the plan's phases. The schedule does not react to the system:
+ * when answers are slow, jobs are submitted at the same instants, so that waiting shows in their response times.
  *
  * @param jobs submissions by rising instant
  */
--- a/load/src/main/java/org/chivetally/load/Verdict.java
+++ b/load/src/main/java/org/chivetally/load/Verdict.java
@@ -9,8 +9,8 @@
  * @param partialAnswers keys of submissions told complete whose answers are not exactly the ones asked for
  * @param falseRefusals keys of submissions told not-run of which a task had started
  * @param cutRequests keys of requests whose connection closed unanswered while their entry stopped gracefully
- * @param unrecordedAnswers tokens that stand in a complete answer without a recorded start; a minion's record was lost, or
- *     the answer was made up
+ * @param unrecordedAnswers tokens that stand in a complete answer without a recorded start; a minion's record was lost,
+ *     or the answer was made up
  */
 public record Verdict(
         List<String> duplicateStarts,
--- a/load/src/main/java/org/chivetally/load/Workload.java
+++ b/load/src/main/java/org/chivetally/load/Workload.java
@@ -16,6 +16,7 @@
  * @param taskTimes bands of task times with their shares of the tasks
  * @param resubmissions repeats of submissions under the same key
  * @param cancellations submissions that their caller cancels
+ * @param retries what a caller does without an answer
  * @param deadline deadline given with each job
  */
 public record Workload(
@@ -28,12 +29,14 @@
         List<TaskTimeBand> taskTimes,
         Resubmissions resubmissions,
         Cancellations cancellations,
+        Retries retries,
         Duration deadline) {
     /** Copies the lists and refuses empty ones where a choice must be made. */
     public Workload {
         Objects.requireNonNull(offered, "offered");
         Objects.requireNonNull(resubmissions, "resubmissions");
         Objects.requireNonNull(cancellations, "cancellations");
+        Objects.requireNonNull(retries, "retries");
         Objects.requireNonNull(deadline, "deadline");
         phases = List.copyOf(phases);
         services = nonEmpty(services, "services");
@@ -176,6 +179,25 @@
         }
     }
 
+    /**
+     * Further requests of a caller, under the same key, after a request that ended without an outcome: unreachable,
+     * closed, or refused as not run with a time to come back.
+     *
+     * @param most most further requests of one submission
+     * @param delay time from the end of one request to the next; a longer one that the entry asks for goes first
+     */
+    public record Retries(int most, Duration delay) {
+        /** No further requests. */
+        public static final Retries NONE = new Retries(0, Duration.ZERO);
+
+        /** Refuses negative numbers. */
+        public Retries {
+            if (most < 0 || delay.isNegative()) {
+                throw new IllegalArgumentException("retries can't be negative");
+            }
+        }
+    }
+
     /** Something chosen with a probability proportional to its weight. */
     public sealed interface Weighted permits ServiceShare, TeamShare, JobSize, TaskTimeBand {
         /** Returns the weight, more than zero. */
