--- a/load/src/main/java/org/chivetally/load/Counters.java
+++ b/load/src/main/java/org/chivetally/load/Counters.java
@@ -16,11 +16,11 @@
     /** Nothing counted. */
     public static final Counters NONE = new Counters(Map.of(), 0, Map.of());
 
-    private static final String FRAMES = "chivetally_frames_total";
-    private static final String BYTES = "chivetally_frame_bytes_total";
+    private static final String FRAMES = "chivetally_transport_frames_total";
+    private static final String BYTES = "chivetally_transport_bytes_total";
     private static final String WASTED = "chivetally_wasted_messages_total";
     private static final Pattern SAMPLE = Pattern.compile("^(\\w+)(?:\\{(.*)\\})? (\\S+)$", Pattern.MULTILINE);
-    private static final Pattern KIND = Pattern.compile("\\bkind=\"([^\"]*)\"");
+    private static final Pattern KIND = Pattern.compile("\\b(?:kind|body)=\"([^\"]*)\"");
 
     /** Copies the maps. */
     public Counters {
--- /dev/null
+++ b/load/src/test/java/org/chivetally/load/JudgeTest.java
@@ -0,0 +1,107 @@
+package org.chivetally.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.OptionalLong;
+import org.chivetally.job.JobOutcome.Certainty;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class JudgeTest {
+    private static final Duration LEASE = Duration.ofNanos(8000);
+    private static final GracefulStop STOP = new GracefulStop("entry-1", 100, 200);
+
+    private Judge judge;
+    private Verdict verdict;
+
+    @BeforeEach
+    void judge() throws IOException {
+        List<CallerRecord> callers = new ArrayList<>();
+        for (String line : resource("callers.txt").split("\n")) {
+            if (!line.startsWith("#")) {
+                callers.add(caller(line.split(" ")));
+            }
+        }
+        judge = new Judge(new Tokens("r1"), callers, StartWatch.parse("minion-1", resource("starts.jsonl")));
+        verdict = judge.judge(List.of(STOP));
+    }
+
+    @Test
+    void startsOfOtherRunsAreLeftOut() {
+        assertThat(judge.startCount(), is(14));
+        assertThat(judge.startedTasks(), is(10));
+    }
+
+    /**
+     * Task 2/0 must run once and ran again after it had failed. Task 6/0 may run again, but did so while its first
+     * attempt ran. Task 1/0 ran again after a failure, and 7/0 after the lease of its first attempt: both may.
+     */
+    @Test
+    void secondStartsAreFoundWhereTheServiceForbidsThem() {
+        assertThat(verdict.duplicateStarts(), contains("r1/2/0", "r1/6/0"));
+    }
+
+    @Test
+    void completeAnswerThatLacksTasksIsPartial() {
+        assertThat(verdict.partialAnswers(), contains("r1/3"));
+    }
+
+    /**
+     * Submission 4 was told not-run while its task runs. Of 5 a repeat was told unknown, so its start may belong to
+     * that; of 11 nothing started.
+     */
+    @Test
+    void refusalIsFalseWhereATaskStarted() {
+        assertThat(verdict.falseRefusals(), contains("r1/4"));
+    }
+
+    @Test
+    void connectionsClosedDuringAGracefulStopAreCut() {
+        assertThat(verdict.cutRequests(), contains("r1/8"));
+    }
+
+    @Test
+    void answerWithoutARecordedStartIsNamed() {
+        assertThat(verdict.unrecordedAnswers(), contains("r1/10/0"));
+    }
+
+    private static CallerRecord caller(String[] parts) {
+        boolean idempotent = parts[2].equals("again");
+        ScheduledJob job = new ScheduledJob(
+                Integer.parseInt(parts[0]),
+                0,
+                new Workload.ServiceShare(parts[2], idempotent, LEASE, 1),
+                "team",
+                Collections.nCopies(Integer.parseInt(parts[1]), 100),
+                OptionalLong.empty(),
+                OptionalLong.empty());
+        long ended = Long.parseLong(parts[5]);
+        Reply reply = reply(Arrays.asList(parts).subList(6, parts.length));
+        return new CallerRecord(job, Integer.parseInt(parts[3]), 0, parts[4], 0, 0, ended, reply);
+    }
+
+    private static Reply reply(List<String> words) {
+        return switch (words.getFirst()) {
+            case "complete" -> new Reply.Complete("job", words.subList(1, words.size()));
+            case "closed" -> new Reply.Closed("closed");
+            case "not-run" -> new Reply.Problem(503, "log-unavailable", Certainty.NOT_RUN, "", 0);
+            default -> new Reply.Problem(502, "outcome-unknown", Certainty.UNKNOWN, "", 0);
+        };
+    }
+
+    private static String resource(String name) throws IOException {
+        try (InputStream stream = JudgeTest.class.getResourceAsStream(name)) {
+            return new String(stream.readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+}
--- /dev/null
+++ b/load/src/test/java/org/chivetally/load/LoadRunTest.java
@@ -0,0 +1,47 @@
+package org.chivetally.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class LoadRunTest {
+    private static final Duration DURATION = Duration.ofSeconds(1);
+    private static final PrintStream NOWHERE = new PrintStream(OutputStream.nullOutputStream());
+
+    @Test
+    void everyJobIsJudgedAgainstTheRecordOfStarts() throws IOException, InterruptedException {
+        try (FakeEntry entry = new FakeEntry(1)) {
+            LoadReport report = run(entry);
+            assertThat(report.jobs(), greaterThan(10));
+            assertThat(report.verdict().clean(), is(true));
+            assertThat(report.verdict().unrecordedAnswers().isEmpty(), is(true));
+            assertThat(ReportJson.of(report), containsString("\"duplicateStarts\" : [ ]"));
+        }
+    }
+
+    @Test
+    void entryThatStartsTasksTwiceIsFoundOut() throws IOException, InterruptedException {
+        try (FakeEntry entry = new FakeEntry(2)) {
+            LoadReport report = run(entry);
+            assertThat(report.verdict().duplicateStarts().size(), greaterThan(0));
+            assertThat(report.good(), is(false));
+        }
+    }
+
+    private static LoadReport run(FakeEntry entry) throws InterruptedException {
+        List<URI> address = List.of(entry.address());
+        try (LoadRun run = new LoadRun(LoadPlans.small(3, DURATION, address, address), NOWHERE, Optional.empty())) {
+            return run.run();
+        }
+    }
+}
