--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/CancelCommand.java
@@ -0,0 +1,46 @@
+package org.chivetally.command;
+
+import java.util.List;
+import java.util.concurrent.Callable;
+import org.chivetally.command.client.EntryClient;
+import org.chivetally.command.client.EntryReply;
+import org.chivetally.command.client.EntryRequest;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Cancels jobs. */
+@Command(name = "cancel", description = "Cancel jobs: tasks that wait are dropped, tasks that run finish.")
+final class CancelCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec command;
+
+    @Mixin
+    private EntryOptions connection;
+
+    @Parameters(arity = "1..*", paramLabel = "JOB", description = "Names of jobs.")
+    private List<String> jobs;
+
+    @Override
+    public Integer call() {
+        Console console = Console.of(command);
+        int worst = ExitCodes.OK;
+        try (EntryClient client = connection.client()) {
+            for (String job : jobs) {
+                worst = Math.max(worst, cancel(client, console, job));
+            }
+        }
+        return worst;
+    }
+
+    private static int cancel(EntryClient client, Console console, String job) {
+        EntryReply reply = client.send(EntryRequest.delete(ResourcePath.job(job)));
+        if (!reply.succeeded()) {
+            return console.failed(reply);
+        }
+        console.line("job " + job + " is cancelled");
+        return ExitCodes.OK;
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/DocumentFile.java
@@ -0,0 +1,74 @@
+package org.chivetally.command;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import tools.jackson.core.JacksonException;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.databind.MappingIterator;
+import tools.jackson.dataformat.yaml.YAMLMapper;
+
+/** Files of YAML or JSON documents, parted by {@code ---}. */
+final class DocumentFile {
+    private static final YAMLMapper MAPPER = YAMLMapper.shared();
+
+    private DocumentFile() {}
+
+    /** Returns the text of a file. */
+    static String text(Path file) {
+        try {
+            return Files.readString(file);
+        } catch (IOException unreadable) {
+            throw new ChivetallyException(ErrorCode.INVALID_INPUT, file + " can't be read: " + unreadable, unreadable);
+        }
+    }
+
+    /** Returns the documents of a file, or of all YAML and JSON files of a folder in the order of their names. */
+    static List<JsonNode> read(Path path) {
+        if (!Files.isDirectory(path)) {
+            return documents(path);
+        }
+        return filesOf(path).stream().flatMap(file -> documents(file).stream()).toList();
+    }
+
+    /** Returns the one document of a file. */
+    static JsonNode readOne(Path file) {
+        List<JsonNode> documents = documents(file);
+        if (documents.size() != 1) {
+            throw new ChivetallyException(
+                    ErrorCode.INVALID_INPUT, file + " holds " + documents.size() + " documents, and one is needed");
+        }
+        return documents.getFirst();
+    }
+
+    private static List<Path> filesOf(Path folder) {
+        try (Stream<Path> files = Files.list(folder)) {
+            return files.filter(DocumentFile::isDocument).sorted().toList();
+        } catch (IOException unreadable) {
+            throw new ChivetallyException(
+                    ErrorCode.INVALID_INPUT, folder + " can't be read: " + unreadable, unreadable);
+        }
+    }
+
+    private static boolean isDocument(Path file) {
+        String name = file.getFileName().toString();
+        return Stream.of(".yaml", ".yml", ".json").anyMatch(name::endsWith);
+    }
+
+    private static List<JsonNode> documents(Path file) {
+        List<JsonNode> found = new ArrayList<>();
+        try (MappingIterator<JsonNode> documents =
+                MAPPER.readerFor(JsonNode.class).readValues(text(file))) {
+            documents.forEachRemaining(found::add);
+        } catch (JacksonException malformed) {
+            throw new ChivetallyException(
+                    ErrorCode.INVALID_INPUT, file + " is malformed: " + malformed.getMessage(), malformed);
+        }
+        return found.stream().filter(document -> !document.isNull()).toList();
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/GetCommand.java
@@ -0,0 +1,52 @@
+package org.chivetally.command;
+
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.chivetally.command.client.EntryClient;
+import org.chivetally.command.client.EntryReply;
+import org.chivetally.command.client.EntryRequest;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Lists resources of a kind, or shows one. */
+@Command(name = "get", description = "List the resources of a kind, or show one of them.")
+final class GetCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec command;
+
+    @Mixin
+    private EntryOptions connection;
+
+    @Mixin
+    private OutputOptions output;
+
+    @Parameters(index = "0", paramLabel = "KIND", description = "Kind of resource, such as services.")
+    private String kind;
+
+    @Parameters(index = "1", arity = "0..1", paramLabel = "NAME", description = "Name of one resource.")
+    private Optional<String> name;
+
+    @Override
+    public Integer call() {
+        Console console = Console.of(command);
+        try (EntryClient client = connection.client()) {
+            EntryReply reply = client.send(EntryRequest.get(path()));
+            if (!reply.succeeded()) {
+                return console.failed(reply);
+            }
+            if (output.isTable()) {
+                console.lines(ResourceTable.lines(reply.document()));
+            } else {
+                console.document(reply.document(), output.format());
+            }
+            return ExitCodes.OK;
+        }
+    }
+
+    private String path() {
+        return name.map(one -> ResourcePath.resource(kind, one)).orElseGet(() -> ResourcePath.kind(kind));
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/OutputOptions.java
@@ -0,0 +1,22 @@
+package org.chivetally.command;
+
+import org.chivetally.command.output.OutputFormat;
+import picocli.CommandLine.Option;
+
+/** How a command writes what it found. */
+final class OutputOptions {
+    @Option(
+            names = {"-o", "--output"},
+            paramLabel = "FORMAT",
+            defaultValue = "TABLE",
+            description = "table (default), json or yaml.")
+    private OutputFormat format;
+
+    OutputFormat format() {
+        return format;
+    }
+
+    boolean isTable() {
+        return format == OutputFormat.TABLE;
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/ResourceTable.java
@@ -0,0 +1,46 @@
+package org.chivetally.command;
+
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.chivetally.command.output.Table;
+import tools.jackson.databind.JsonNode;
+
+/** Resources as a table: one line each, with its specification and status in short. */
+final class ResourceTable {
+    private static final int LONGEST_CELL = 80;
+
+    private ResourceTable() {}
+
+    /** Returns the lines for a list of resources, or for one. */
+    static List<String> lines(JsonNode document) {
+        Table table = new Table("KIND", "NAME", "VERSION", "SPECIFICATION", "STATUS");
+        if (document.has("items")) {
+            document.path("items").forEach(resource -> addRow(table, resource));
+        } else {
+            addRow(table, document);
+        }
+        return table.lines();
+    }
+
+    private static void addRow(Table table, JsonNode resource) {
+        table.row(
+                resource.path("kind").asString(""),
+                resource.path("name").asString(""),
+                resource.path("version").asString(""),
+                shortForm(resource.path("spec")),
+                shortForm(resource.path("status")));
+    }
+
+    private static String shortForm(JsonNode section) {
+        String text = section.properties().stream()
+                .map(ResourceTable::pair)
+                .collect(Collectors.joining(" "));
+        return text.length() <= LONGEST_CELL ? text : text.substring(0, LONGEST_CELL) + "...";
+    }
+
+    private static String pair(Map.Entry<String, JsonNode> property) {
+        JsonNode value = property.getValue();
+        return property.getKey() + "=" + (value.isContainer() ? value.toString() : value.asString());
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/SubmitCommand.java
@@ -0,0 +1,83 @@
+package org.chivetally.command;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.UUID;
+import java.util.concurrent.Callable;
+import org.chivetally.command.client.EntryClient;
+import org.chivetally.command.client.EntryReply;
+import org.chivetally.command.client.EntryRequest;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Submits a job. */
+@Command(
+        name = "submit",
+        description = {
+            "Submit a job and wait for its whole answer.",
+            "The same key with the same file is the same job: submitting it again starts nothing new."
+        })
+final class SubmitCommand implements Callable<Integer> {
+    private static final String KEY_HEADER = "Idempotency-Key";
+
+    @Spec
+    private CommandSpec command;
+
+    @Mixin
+    private EntryOptions connection;
+
+    @Mixin
+    private OutputOptions output;
+
+    @Option(names = "--key", description = "Idempotency key; a new one by default, which is shown.")
+    private String key;
+
+    @Option(
+            names = "--wait",
+            paramLabel = "DURATION",
+            defaultValue = "60s",
+            converter = DurationConverter.class,
+            description = "Longest wait for the answer; 60s by default, 0s returns once the job is accepted.")
+    private Duration wait;
+
+    @Parameters(paramLabel = "FILE", description = "Job as YAML or JSON.")
+    private Path file;
+
+    @Override
+    public Integer call() {
+        Console console = Console.of(command);
+        String usedKey = key == null ? UUID.randomUUID().toString() : key;
+        EntryRequest request = request(usedKey);
+        console.note("key: " + usedKey);
+        try (EntryClient client = connection.client(wait)) {
+            EntryReply reply = client.send(request);
+            return reply.succeeded() ? show(console, reply) : console.failed(reply);
+        } catch (ChivetallyException failure) {
+            if (failure.code() == ErrorCode.OUTCOME_UNKNOWN) {
+                console.note("submit again with --key " + usedKey + " to learn the outcome; nothing starts twice");
+            }
+            throw failure;
+        }
+    }
+
+    private EntryRequest request(String usedKey) {
+        String body = DocumentFile.readOne(file).toString();
+        String path = ResourcePath.jobs() + "?wait=" + wait.toSeconds();
+        return EntryRequest.post(path, body).with(KEY_HEADER, usedKey);
+    }
+
+    private int show(Console console, EntryReply reply) {
+        if (output.isTable()) {
+            console.lines(AnswerTable.lines(reply.document()));
+        } else {
+            console.document(reply.document(), output.format());
+        }
+        return ExitCodes.OK;
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/client/EntryReply.java
@@ -0,0 +1,45 @@
+package org.chivetally.command.client;
+
+import java.util.Optional;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.errors.ChivetallyException;
+import tools.jackson.core.JacksonException;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.databind.json.JsonMapper;
+
+/**
+ * An entry's answer to one request.
+ *
+ * @param status HTTP status
+ * @param body text of the body, possibly empty
+ */
+public record EntryReply(int status, String body) {
+    private static final JsonMapper MAPPER = JsonMapper.shared();
+    private static final int FIRST_ERROR_STATUS = 400;
+
+    /** Tells whether the entry did what was asked. */
+    public boolean succeeded() {
+        return status < FIRST_ERROR_STATUS;
+    }
+
+    /** Returns the body as JSON; an empty body gives an empty object. */
+    public JsonNode document() {
+        if (body.isBlank()) {
+            return MAPPER.createObjectNode();
+        }
+        try {
+            return MAPPER.readTree(body);
+        } catch (JacksonException malformed) {
+            throw new ChivetallyException(
+                    ErrorCode.INTERNAL, "the entry answered " + status + " with a body that is not JSON", malformed);
+        }
+    }
+
+    /** Returns the problem that a failed request was answered with, and nothing for one that succeeded. */
+    public Optional<Problem> problem() {
+        if (succeeded()) {
+            return Optional.empty();
+        }
+        return Optional.of(Problem.of(this));
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/client/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP client of an entry, as the command line uses it. */
+package org.chivetally.command.client;
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/daemon/GracefulStop.java
@@ -0,0 +1,63 @@
+package org.chivetally.command.daemon;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+import org.chivetally.logging.EventLine;
+
+/** Drains a process when it is asked to end by SIGTERM or SIGINT. */
+public final class GracefulStop {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private static final String COMPLETE = "complete";
+    private static final int DRAINED_STATUS = 0;
+    private static final int CUT_STATUS = 1;
+
+    private final Duration limit;
+    private final Supplier<CompletionStage<Void>> drain;
+
+    /**
+     * Creates a stop.
+     *
+     * @param limit longest wait for the drain
+     * @param drain starts the drain; its stage completes when no request is in progress any more
+     */
+    public GracefulStop(Duration limit, Supplier<CompletionStage<Void>> drain) {
+        this.limit = limit;
+        this.drain = drain;
+    }
+
+    /** Registers the stop with the process and waits for a signal; never returns, as the process ends in the stop. */
+    public void awaitSignal() throws InterruptedException {
+        Runtime.getRuntime().addShutdownHook(new Thread(this::run, "graceful-stop"));
+        new CountDownLatch(1).await();
+    }
+
+    // A signal ends the JVM as soon as its hooks return; the hook therefore waits for the drain, or requests in
+    // progress would be cut. The limit keeps a drain that hangs from keeping the machine.
+    private void run() {
+        LOGGER.atInfo().log("%s", EventLine.of("drain-started").with("limit", limit));
+        String result = drained();
+        LOGGER.atInfo().log("%s", EventLine.of("drain-ended").with("result", result));
+        Runtime.getRuntime().halt(result.equals(COMPLETE) ? DRAINED_STATUS : CUT_STATUS);
+    }
+
+    private String drained() {
+        try {
+            drain.get().toCompletableFuture().get(limit.toMillis(), TimeUnit.MILLISECONDS);
+            return COMPLETE;
+        } catch (TimeoutException slow) {
+            return "timed-out";
+        } catch (ExecutionException failed) {
+            return "failed: " + failed.getCause();
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            return "interrupted";
+        }
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/daemon/LogSetup.java
@@ -0,0 +1,35 @@
+package org.chivetally.command.daemon;
+
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** Sends log lines of one process to standard error. */
+public final class LogSetup {
+    private static final Logger ROOT = Logger.getLogger("");
+    private static final Logger OWN = Logger.getLogger("org.chivetally");
+
+    private LogSetup() {}
+
+    /**
+     * Replaces whatever handlers there are.
+     *
+     * @param level least level of chivetally's own lines; libraries are kept at warnings unless this is higher
+     */
+    public static void install(Level level) {
+        for (Handler handler : ROOT.getHandlers()) {
+            ROOT.removeHandler(handler);
+        }
+        Handler standardError = new ConsoleHandler();
+        standardError.setLevel(Level.ALL);
+        standardError.setFormatter(new KeyValueFormatter());
+        ROOT.addHandler(standardError);
+        ROOT.setLevel(higher(level, Level.WARNING));
+        OWN.setLevel(level);
+    }
+
+    private static Level higher(Level one, Level other) {
+        return one.intValue() > other.intValue() ? one : other;
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/output/package-info.java
@@ -0,0 +1,2 @@
+/** Tables, JSON and YAML on standard output. */
+package org.chivetally.command.output;
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of chivetally: daemons, operators' and callers' commands, stand-ins. */
+package org.chivetally.command;
