--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/deployment/package-info.java
@@ -0,0 +1,2 @@
+/** Whole deployments in one process. */
+package org.chivetally.command.deployment;
--- /dev/null
+++ b/library/src/main/java/org/chivetally/settings/AgentDaemonSettings.java
@@ -0,0 +1,62 @@
+package org.chivetally.settings;
+
+import java.time.Duration;
+import java.util.Objects;
+import org.chivetally.document.Section;
+
+/**
+ * Settings of an agent's process.
+ *
+ * @param process what every daemon is told
+ * @param minion the backend server instance beside the agent
+ * @param queue most tasks that wait at the agent for a slot
+ * @param ticketAge oldest start permit that is accepted
+ * @param retention how long results are kept for a coordinator that takes over
+ */
+public record AgentDaemonSettings(
+        ProcessSettings process, MinionSettings minion, int queue, Duration ticketAge, Duration retention) {
+    private static final int MAXIMUM_SLOTS = 1024;
+    private static final int MAXIMUM_CONNECTIONS = 65_536;
+    private static final int MAXIMUM_PROCESSORS = 4096;
+    private static final int MAXIMUM_ACCELERATORS = 1024;
+    private static final int MAXIMUM_QUEUE = 10_000;
+    private static final long MAXIMUM_MEMORY = 1L << 46;
+    private static final int MILLIS = 1000;
+    private static final int DEFAULT_QUEUE = 8;
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration MINUTE = Duration.ofMinutes(1);
+    private static final Duration HOUR = Duration.ofHours(1);
+    private static final Duration DEFAULT_TICKET_AGE = Duration.ofSeconds(3);
+    private static final Duration DEFAULT_RETENTION = Duration.ofMinutes(2);
+
+    /** Refuses missing parts. */
+    public AgentDaemonSettings {
+        Objects.requireNonNull(process, "process");
+        Objects.requireNonNull(minion, "minion");
+        Objects.requireNonNull(ticketAge, "ticketAge");
+        Objects.requireNonNull(retention, "retention");
+    }
+
+    /** Reads the settings of a document; its mistakes tell whether they may be used. */
+    public static AgentDaemonSettings read(Section root) {
+        Section limits = root.section("limits");
+        return new AgentDaemonSettings(
+                SettingsSections.process(root),
+                minion(root.section("minion")),
+                (int) limits.whole("queue", 0, MAXIMUM_QUEUE, DEFAULT_QUEUE),
+                limits.duration("ticketAge", SECOND, MINUTE, DEFAULT_TICKET_AGE),
+                limits.duration("retention", SECOND, HOUR, DEFAULT_RETENTION));
+    }
+
+    private static MinionSettings minion(Section minion) {
+        return new MinionSettings(
+                minion.requiredText("backend"),
+                minion.requiredText("service"),
+                SettingsSections.url(minion, "url"),
+                (int) minion.requiredWhole("slots", 1, MAXIMUM_SLOTS),
+                (int) minion.requiredWhole("connections", 1, MAXIMUM_CONNECTIONS),
+                minion.requiredWhole("processors", 1, MAXIMUM_PROCESSORS) * MILLIS,
+                minion.requiredBytes("memory", 0, MAXIMUM_MEMORY),
+                (int) minion.whole("accelerators", 0, MAXIMUM_ACCELERATORS, 0));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/settings/ClaimTimes.java
@@ -0,0 +1,21 @@
+package org.chivetally.settings;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Times and rates of claims in the platform's log; all entries of a deployment need the same.
+ *
+ * @param window how long an idempotency key is remembered; no longer than the log keeps records
+ * @param lease how long a coordinator may start tasks after its last renewal
+ * @param ticketAge oldest start permit that an agent accepts
+ * @param appendsPerSecond this entry's share of the log's append budget
+ */
+public record ClaimTimes(Duration window, Duration lease, Duration ticketAge, int appendsPerSecond) {
+    /** Refuses missing parts. */
+    public ClaimTimes {
+        Objects.requireNonNull(window, "window");
+        Objects.requireNonNull(lease, "lease");
+        Objects.requireNonNull(ticketAge, "ticketAge");
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/settings/EntryDaemonSettings.java
@@ -0,0 +1,46 @@
+package org.chivetally.settings;
+
+import java.time.Duration;
+import java.util.Objects;
+import org.chivetally.document.Section;
+
+/**
+ * Settings of an entry's process.
+ *
+ * @param process what every daemon is told
+ * @param http where callers and operators are served
+ * @param claims times and rates of claims
+ */
+public record EntryDaemonSettings(ProcessSettings process, HostPort http, ClaimTimes claims) {
+    private static final Duration DAY = Duration.ofDays(1);
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration MINUTE = Duration.ofMinutes(1);
+    private static final Duration DEFAULT_WINDOW = Duration.ofMinutes(10);
+    private static final Duration DEFAULT_LEASE = Duration.ofSeconds(3);
+    private static final Duration DEFAULT_TICKET_AGE = Duration.ofSeconds(3);
+    private static final int DEFAULT_APPENDS = 33;
+    private static final int MAXIMUM_APPENDS = 1000;
+
+    /** Refuses missing parts. */
+    public EntryDaemonSettings {
+        Objects.requireNonNull(process, "process");
+        Objects.requireNonNull(http, "http");
+        Objects.requireNonNull(claims, "claims");
+    }
+
+    /** Reads the settings of a document; its mistakes tell whether they may be used. */
+    public static EntryDaemonSettings read(Section root) {
+        return new EntryDaemonSettings(
+                SettingsSections.process(root),
+                SettingsSections.listener(root.section("http")),
+                claims(root.section("claims")));
+    }
+
+    private static ClaimTimes claims(Section claims) {
+        return new ClaimTimes(
+                claims.duration("window", MINUTE, DAY, DEFAULT_WINDOW),
+                claims.duration("lease", SECOND, MINUTE, DEFAULT_LEASE),
+                claims.duration("ticketAge", SECOND, MINUTE, DEFAULT_TICKET_AGE),
+                (int) claims.whole("appendsPerSecond", 1, MAXIMUM_APPENDS, DEFAULT_APPENDS));
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings files of the daemons, checked as a whole before anything starts. */
+package org.chivetally.settings;
