--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/LayoutCommand.java
@@ -0,0 +1,46 @@
+package org.chivetally.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.chivetally.command.deployment.DeploymentCatalogue;
+import org.chivetally.command.deployment.DeploymentFiles;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+
+/** Writes the settings files of a deployment. */
+@Command(
+        name = "layout",
+        description = {
+            "Write the settings files of a deployment whose processes run separately on this machine.",
+            "scripts/processes.sh starts them."
+        })
+final class LayoutCommand implements Callable<Integer> {
+    @Mixin
+    private DeploymentOptions deployment;
+
+    @Option(
+            names = "--first-port",
+            paramLabel = "PORT",
+            defaultValue = "18600",
+            description = "First of the ports used; 18600 by default.")
+    private int firstPort;
+
+    @Option(names = "--minions-in-one", description = "Run all minions in one process, to save memory.")
+    private boolean minionsInOneProcess;
+
+    @Parameters(paramLabel = "FOLDER", description = "Existing folder to write to.")
+    private Path folder;
+
+    @Override
+    public Integer call() {
+        new DeploymentFiles(
+                        DeploymentCatalogue.read(deployment.name()),
+                        folder.toAbsolutePath(),
+                        firstPort,
+                        minionsInOneProcess)
+                .write();
+        return ExitCodes.OK;
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -0,0 +1,170 @@
+package org.chivetally.command;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.logging.Level;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.chivetally.command.daemon.GracefulStop;
+import org.chivetally.command.daemon.LogSetup;
+import org.chivetally.standins.LogStandIn;
+import org.chivetally.standins.LogStandInSettings;
+import org.chivetally.standins.MinionStandIn;
+import org.chivetally.standins.MinionStandInSettings;
+import org.chivetally.standins.StandInSystem;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** Runs small programs in the place of the platform's log, of minions and of the network between processes. */
+@Command(
+        name = "stand-in",
+        description = "Run a small program in the place of the platform's log or of minions, with settable faults.",
+        subcommands = {StandInCommand.LogCommand.class, StandInCommand.MinionCommand.class})
+final class StandInCommand implements Runnable {
+    private static final Duration LONGEST_STOP = Duration.ofSeconds(30);
+
+    @Spec
+    private CommandSpec command;
+
+    @Override
+    public void run() {
+        throw new ParameterException(command.commandLine(), "Name a subcommand: log or minion.");
+    }
+
+    private static void runUntilSignal(ActorSystem<Void> system, List<ServerBinding> bindings)
+            throws InterruptedException {
+        new GracefulStop(LONGEST_STOP, () -> stop(system, bindings)).awaitSignal();
+    }
+
+    private static CompletionStage<Void> stop(ActorSystem<Void> system, List<ServerBinding> bindings) {
+        CompletableFuture<?>[] stops = bindings.stream()
+                .map(binding -> binding.terminate(LONGEST_STOP).toCompletableFuture())
+                .toArray(CompletableFuture[]::new);
+        return CompletableFuture.allOf(stops).thenRun(system::terminate);
+    }
+
+    private static String addressOf(ServerBinding binding) {
+        return "http://" + binding.localAddress().getAddress().getHostAddress() + ":"
+                + binding.localAddress().getPort();
+    }
+
+    /** Where a stand-in listens. */
+    static final class ListenOptions {
+        @Option(names = "--host", defaultValue = "127.0.0.1", description = "Host to listen on; 127.0.0.1 by default.")
+        private String host;
+
+        @Option(names = "--port", defaultValue = "0", description = "Port to listen on; 0, the default, takes a free one.")
+        private int port;
+    }
+
+    /** Runs a log. */
+    @Command(name = "log", description = "Run a log that keeps its records in memory; see docs/LOG-PROTOCOL.md.")
+    static final class LogCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec command;
+
+        @Mixin
+        private ListenOptions listen;
+
+        @Option(
+                names = "--append-latency",
+                paramLabel = "DURATION",
+                defaultValue = "4ms",
+                converter = DurationConverter.class,
+                description = "Time from the arrival of an append to its answer; 4ms by default.")
+        private Duration appendLatency;
+
+        @Option(
+                names = "--appends-per-second",
+                paramLabel = "NUMBER",
+                defaultValue = "400",
+                description = "Most appends a second; 400 by default, 0 sets no ceiling.")
+        private int appendsPerSecond;
+
+        @Option(
+                names = "--kept-records",
+                paramLabel = "NUMBER",
+                defaultValue = "1000000",
+                description = "Most records kept per stream; 1000000 by default.")
+        private int keptRecords;
+
+        @Option(
+                names = "--kept-for",
+                paramLabel = "DURATION",
+                defaultValue = "1h",
+                converter = DurationConverter.class,
+                description = "Longest time a record is kept; 1h by default.")
+        private Duration keptFor;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            LogSetup.install(Level.INFO);
+            ActorSystem<Void> system = StandInSystem.start("log");
+            LogStandInSettings settings =
+                    new LogStandInSettings(appendLatency, appendsPerSecond, keptRecords, keptFor);
+            ServerBinding binding = LogStandIn.start(system, listen.host, listen.port, settings)
+                    .toCompletableFuture()
+                    .join();
+            Console.of(command).line("log " + addressOf(binding));
+            runUntilSignal(system, List.of(binding));
+            return ExitCodes.OK;
+        }
+    }
+
+    /** Runs minions. */
+    @Command(name = "minion", description = "Run minions that work for as long as each task's payload says.")
+    static final class MinionCommand implements Callable<Integer> {
+        @Spec
+        private CommandSpec command;
+
+        @Mixin
+        private ListenOptions listen;
+
+        @Option(names = "--count", defaultValue = "1", description = "Number of minions, at ports that follow; 1 by default.")
+        private int count;
+
+        @Option(
+                names = "--first",
+                paramLabel = "NUMBER",
+                defaultValue = "1",
+                description = "Number in the first minion's name, minion-1 by default.")
+        private int first;
+
+        @Option(names = "--slots", defaultValue = "8", description = "Most tasks at once; 8 by default.")
+        private int slots;
+
+        @Option(names = "--connections", defaultValue = "64", description = "Most connections at once; 64 by default.")
+        private int connections;
+
+        @Override
+        public Integer call() throws InterruptedException {
+            LogSetup.install(Level.INFO);
+            ActorSystem<Void> system = StandInSystem.start("minion");
+            List<ServerBinding> bindings = new ArrayList<>();
+            for (int position = 0; position < count; position++) {
+                bindings.add(start(system, position));
+            }
+            runUntilSignal(system, bindings);
+            return ExitCodes.OK;
+        }
+
+        private ServerBinding start(ActorSystem<Void> system, int position) {
+            String name = "minion-" + (first + position);
+            int port = listen.port == 0 ? 0 : listen.port + position;
+            ServerBinding binding = MinionStandIn.start(
+                            system, listen.host, port, new MinionStandInSettings(name, slots, connections))
+                    .toCompletableFuture()
+                    .join();
+            Console.of(command).line(name + " " + addressOf(binding));
+            return binding;
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/settings/AgentDaemonSettings.java
+++ b/library/src/main/java/org/chivetally/settings/AgentDaemonSettings.java
@@ -16,18 +16,19 @@
 public record AgentDaemonSettings(
         ProcessSettings process, MinionSettings minion, int queue, Duration ticketAge, Duration retention) {
     private static final int MAXIMUM_SLOTS = 1024;
+    private static final int MINIMUM_CONNECTIONS = 2;
     private static final int MAXIMUM_CONNECTIONS = 65_536;
     private static final int MAXIMUM_PROCESSORS = 4096;
     private static final int MAXIMUM_ACCELERATORS = 1024;
     private static final int MAXIMUM_QUEUE = 10_000;
     private static final long MAXIMUM_MEMORY = 1L << 46;
     private static final int MILLIS = 1000;
-    private static final int DEFAULT_QUEUE = 8;
+    private static final int DEFAULT_QUEUE = 16;
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final Duration MINUTE = Duration.ofMinutes(1);
     private static final Duration HOUR = Duration.ofHours(1);
     private static final Duration DEFAULT_TICKET_AGE = Duration.ofSeconds(3);
-    private static final Duration DEFAULT_RETENTION = Duration.ofMinutes(2);
+    private static final Duration DEFAULT_RETENTION = Duration.ofMinutes(5);
 
     /** Refuses missing parts. */
     public AgentDaemonSettings {
@@ -40,12 +41,17 @@
     /** Reads the settings of a document; its mistakes tell whether they may be used. */
     public static AgentDaemonSettings read(Section root) {
         Section limits = root.section("limits");
-        return new AgentDaemonSettings(
+        AgentDaemonSettings settings = new AgentDaemonSettings(
                 SettingsSections.process(root),
                 minion(root.section("minion")),
                 (int) limits.whole("queue", 0, MAXIMUM_QUEUE, DEFAULT_QUEUE),
                 limits.duration("ticketAge", SECOND, MINUTE, DEFAULT_TICKET_AGE),
                 limits.duration("retention", SECOND, HOUR, DEFAULT_RETENTION));
+        // A start may arrive for as long as its ticket is accepted; an attempt forgotten before that could run twice.
+        if (settings.retention.compareTo(settings.ticketAge.multipliedBy(2)) < 0) {
+            limits.mistake("retention", "must be at least twice ticketAge");
+        }
+        return settings;
     }
 
     private static MinionSettings minion(Section minion) {
@@ -54,7 +60,7 @@
                 minion.requiredText("service"),
                 SettingsSections.url(minion, "url"),
                 (int) minion.requiredWhole("slots", 1, MAXIMUM_SLOTS),
-                (int) minion.requiredWhole("connections", 1, MAXIMUM_CONNECTIONS),
+                (int) minion.requiredWhole("connections", MINIMUM_CONNECTIONS, MAXIMUM_CONNECTIONS),
                 minion.requiredWhole("processors", 1, MAXIMUM_PROCESSORS) * MILLIS,
                 minion.requiredBytes("memory", 0, MAXIMUM_MEMORY),
                 (int) minion.whole("accelerators", 0, MAXIMUM_ACCELERATORS, 0));
--- a/library/src/main/java/org/chivetally/settings/ClaimTimes.java
+++ b/library/src/main/java/org/chivetally/settings/ClaimTimes.java
@@ -6,16 +6,26 @@
 /**
  * Times and rates of claims in the platform's log; all entries of a deployment need the same.
  *
- * @param window how long an idempotency key is remembered; no longer than the log keeps records
+ * @param window how long an idempotency key is remembered
+ * @param logRetention how long the log keeps records at least
  * @param lease how long a coordinator may start tasks after its last renewal
  * @param ticketAge oldest start permit that an agent accepts
+ * @param claimTimeout how long a submission waits for the log before it is refused as not run
  * @param appendsPerSecond this entry's share of the log's append budget
  */
-public record ClaimTimes(Duration window, Duration lease, Duration ticketAge, int appendsPerSecond) {
+public record ClaimTimes(
+        Duration window,
+        Duration logRetention,
+        Duration lease,
+        Duration ticketAge,
+        Duration claimTimeout,
+        int appendsPerSecond) {
     /** Refuses missing parts. */
     public ClaimTimes {
         Objects.requireNonNull(window, "window");
+        Objects.requireNonNull(logRetention, "logRetention");
         Objects.requireNonNull(lease, "lease");
         Objects.requireNonNull(ticketAge, "ticketAge");
+        Objects.requireNonNull(claimTimeout, "claimTimeout");
     }
 }
--- a/library/src/main/java/org/chivetally/settings/EntryDaemonSettings.java
+++ b/library/src/main/java/org/chivetally/settings/EntryDaemonSettings.java
@@ -16,9 +16,13 @@
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final Duration MINUTE = Duration.ofMinutes(1);
     private static final Duration DEFAULT_WINDOW = Duration.ofMinutes(10);
-    private static final Duration DEFAULT_LEASE = Duration.ofSeconds(3);
+    private static final Duration MONTH = Duration.ofDays(31);
+    private static final Duration SHORTEST_CLAIM = Duration.ofMillis(100);
+    private static final Duration DEFAULT_LOG_RETENTION = Duration.ofMinutes(30);
+    private static final Duration DEFAULT_LEASE = Duration.ofSeconds(6);
+    private static final Duration DEFAULT_CLAIM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration DEFAULT_TICKET_AGE = Duration.ofSeconds(3);
-    private static final int DEFAULT_APPENDS = 33;
+    private static final int DEFAULT_APPENDS = 30;
     private static final int MAXIMUM_APPENDS = 1000;
 
     /** Refuses missing parts. */
@@ -36,11 +40,18 @@
                 claims(root.section("claims")));
     }
 
-    private static ClaimTimes claims(Section claims) {
-        return new ClaimTimes(
-                claims.duration("window", MINUTE, DAY, DEFAULT_WINDOW),
-                claims.duration("lease", SECOND, MINUTE, DEFAULT_LEASE),
-                claims.duration("ticketAge", SECOND, MINUTE, DEFAULT_TICKET_AGE),
-                (int) claims.whole("appendsPerSecond", 1, MAXIMUM_APPENDS, DEFAULT_APPENDS));
+    private static ClaimTimes claims(Section section) {
+        ClaimTimes claims = new ClaimTimes(
+                section.duration("window", MINUTE, DAY, DEFAULT_WINDOW),
+                section.duration("logRetention", MINUTE, MONTH, DEFAULT_LOG_RETENTION),
+                section.duration("lease", SECOND, MINUTE, DEFAULT_LEASE),
+                section.duration("ticketAge", SECOND, MINUTE, DEFAULT_TICKET_AGE),
+                section.duration("claimTimeout", SHORTEST_CLAIM, MINUTE, DEFAULT_CLAIM_TIMEOUT),
+                (int) section.whole("appendsPerSecond", 1, MAXIMUM_APPENDS, DEFAULT_APPENDS));
+        Duration needed = claims.window().plus(claims.lease()).plus(claims.claimTimeout());
+        if (needed.compareTo(claims.logRetention()) > 0) {
+            section.mistake("logRetention", "must not be shorter than window, lease and claimTimeout together");
+        }
+        return claims;
     }
 }
--- /dev/null
+++ b/scripts/processes.sh
@@ -0,0 +1,131 @@
+#!/usr/bin/env bash
+# Runs a whole deployment as separate processes on this machine: log stand-in, minions, entries, agents.
+#
+#   scripts/processes.sh start FOLDER [--deployment NAME] [--first-port PORT] [--minions-in-one]
+#   scripts/processes.sh start-one FOLDER NAME
+#   scripts/processes.sh stop-one FOLDER NAME [SIGNAL]
+#   scripts/processes.sh stop FOLDER
+#
+# FOLDER is made anew and holds settings, logs (NAME.log), process ids (NAME.pid) and addresses (targets.yaml).
+# Stopping ends only processes whose ids stand in FOLDER and that still run a command of FOLDER's own list.
+# CHIVETALLY_PROCESS_OPTIONS replaces the JVM options of each process.
+set -euo pipefail
+
+root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
+readonly root
+readonly READY_SECONDS=60
+readonly STOP_SECONDS=40
+readonly DEFAULT_OPTIONS="-Xmx96m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ReservedCodeCacheSize=48m"
+
+fail() {
+    echo "processes.sh: $*" >&2
+    exit 1
+}
+
+command_of() {
+    awk -F '\t' -v name="$2" '$1 == name { print $2 }' "$1/processes"
+}
+
+names() {
+    cut -f 1 "$1/processes"
+}
+
+start_one() {
+    local folder=$1 name=$2 words
+    words=$(command_of "$folder" "$name")
+    [[ -n "$words" ]] || fail "no process $name in $folder/processes"
+    # A token in the command line tells this folder's processes from any other that gets the same id later.
+    # shellcheck disable=SC2086 # the command is made of words
+    CHIVETALLY_JAVA_OPTIONS="${CHIVETALLY_PROCESS_OPTIONS:-$DEFAULT_OPTIONS} -Dchivetally.process=$folder/$name" \
+        setsid "$root/bin/chivetally" $words >>"$folder/$name.log" 2>&1 </dev/null &
+    echo $! >"$folder/$name.pid"
+}
+
+# Prints the id of a process that was started from the folder and still runs.
+running_id() {
+    local folder=$1 name=$2 id
+    [[ -r "$folder/$name.pid" ]] || return 0
+    id=$(<"$folder/$name.pid")
+    # The id may have gone to a stranger since; without this check stop would end the stranger.
+    if tr '\0' '\n' <"/proc/$id/cmdline" 2>/dev/null | grep -qxF -- "-Dchivetally.process=$folder/$name"; then
+        echo "$id"
+    fi
+}
+
+signal_one() {
+    local id
+    id=$(running_id "$1" "$2")
+    if [[ -n "$id" ]]; then
+        kill "-$3" "$id" 2>/dev/null || true
+    fi
+}
+
+await_end() {
+    local folder=$1 name=$2 deadline=$((SECONDS + STOP_SECONDS))
+    while [[ -n "$(running_id "$folder" "$name")" ]]; do
+        if ((SECONDS >= deadline)); then
+            echo "processes.sh: $name did not end in $STOP_SECONDS s; killed" >&2
+            signal_one "$folder" "$name" KILL
+        fi
+        sleep 0.1
+    done
+    rm -f "$folder/$name.pid"
+}
+
+stop_one() {
+    signal_one "$1" "$2" "${3:-TERM}"
+    await_end "$1" "$2"
+}
+
+# Entries first, which drain while agents and minions still answer; the log last.
+stop_all() {
+    local folder=$1 kind name
+    for kind in entry agent minion log; do
+        for name in $(names "$folder" | grep "^$kind" || true); do
+            signal_one "$folder" "$name" TERM
+        done
+        for name in $(names "$folder" | grep "^$kind" || true); do
+            await_end "$folder" "$name"
+        done
+    done
+}
+
+entry_urls() {
+    sed -n '/^  entries:/,/^  minions:/s/.*url: "\(.*\)".*/\1/p' "$1/targets.yaml"
+}
+
+await_ready() {
+    local folder=$1 url deadline=$((SECONDS + READY_SECONDS))
+    for url in $(entry_urls "$folder"); do
+        until curl --silent --fail --max-time 2 --output /dev/null "$url/readyz"; do
+            ((SECONDS < deadline)) || fail "$url is not ready after $READY_SECONDS s; see $folder/*.log"
+            sleep 0.2
+        done
+    done
+}
+
+start_all() {
+    local folder=$1 name
+    shift
+    mkdir -p "$folder"
+    [[ ! -e "$folder/processes" ]] || fail "$folder holds a deployment already"
+    "$root/bin/chivetally" layout "$@" "$folder"
+    for name in $(names "$folder"); do
+        start_one "$folder" "$name"
+    done
+    await_ready "$folder"
+    entry_urls "$folder"
+}
+
+(($# >= 2)) || fail "usage: processes.sh start|start-one|stop-one|stop FOLDER ..."
+action=$1
+mkdir -p "$2"
+folder=$(cd "$2" && pwd)
+shift 2
+case "$action" in
+    start) start_all "$folder" "$@" ;;
+    start-one) start_one "$folder" "$@" ;;
+    stop-one) stop_one "$folder" "$@" ;;
+    stop) stop_all "$folder" ;;
+    *) fail "unknown action $action" ;;
+esac
