--- a/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
@@ -42,7 +42,9 @@
             JobsCommand.class,
             CancelCommand.class,
             ExplainCommand.class,
-            ConfigurationCommand.class
+            ConfigurationCommand.class,
+            StandInCommand.class,
+            LayoutCommand.class
         })
 public final class ChivetallyCommand implements Runnable {
     @Spec
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -98,7 +98,7 @@
                         shared(entryName(entry), entry, framesPort(entry)),
                         HOST,
                         httpPort(entry),
-                        RunningDeployment.appendsPerSecond(entries()));
+                        plan.appendsPerSecond());
     }
 
     private String agentSettings(int agent) {
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentPlan.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentPlan.java
@@ -33,6 +33,7 @@
         int slots,
         int connections,
         Resources worker) {
+    private static final int APPENDS_PER_SECOND = 270;
     private static final int MAXIMUM_PORT = 65_535;
     private static final int MAXIMUM_MINIONS = 1000;
     private static final int MAXIMUM_SLOTS = 1024;
@@ -91,6 +92,11 @@
         return failureDomains.get(position % failureDomains.size());
     }
 
+    /** Returns each entry's share of the log's append budget. */
+    public int appendsPerSecond() {
+        return APPENDS_PER_SECOND / httpPorts.size();
+    }
+
     private static List<String> failureDomains(Section root) {
         List<String> names = root.texts("failureDomains");
         if (names.isEmpty()) {
