--- a/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
@@ -52,7 +52,7 @@
 
     /** Runs one command and ends the process with its exit code. */
     public static void main(String[] arguments) {
-        LastingLogManager.use();
+        System.setProperty(LastingLogManager.PROPERTY, LastingLogManager.class.getName());
         CommandLine commandLine = commandLine();
         System.exit(commandLine.execute(arguments));
     }
--- a/command/src/main/java/org/chivetally/command/daemon/LastingLogManager.java
+++ b/command/src/main/java/org/chivetally/command/daemon/LastingLogManager.java
@@ -9,12 +9,8 @@
  * in another: the lines of the drain would be lost. Standard error needs no closing, so the removal is left out.
  */
 public final class LastingLogManager extends LogManager {
-    private static final String PROPERTY = "java.util.logging.manager";
-
-    /** Makes this the process's manager; has an effect only before the first logger is made. */
-    public static void use() {
-        System.setProperty(PROPERTY, LastingLogManager.class.getName());
-    }
+    /** System property that names the manager's class; read once, before the first logger is made. */
+    public static final String PROPERTY = "java.util.logging.manager";
 
     @Override
     public void reset() {
--- a/command/src/main/java/org/chivetally/command/daemon/LogSetup.java
+++ b/command/src/main/java/org/chivetally/command/daemon/LogSetup.java
@@ -4,6 +4,7 @@
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Sends log lines of one process to standard error. */
 public final class LogSetup {
@@ -27,6 +28,8 @@
         ROOT.addHandler(standardError);
         ROOT.setLevel(higher(level, Level.WARNING));
         OWN.setLevel(level);
+        // Pekko logs from several threads while it starts; SLF4J would warn about lines it had to hold back meanwhile.
+        LoggerFactory.getILoggerFactory();
     }
 
     private static Level higher(Level one, Level other) {
