--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/AgentActor.java
@@ -0,0 +1,346 @@
+package org.chivetally.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.PostStop;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
+import org.chivetally.transport.FrameConnection;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+
+/** Shell around {@link AgentState}: connections, the minion, and time. */
+final class AgentActor extends AbstractBehavior<AgentActor.Command> {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration BUSY_TICK = Duration.ofMillis(20);
+    private static final Duration IDLE_TICK = Duration.ofMillis(250);
+    private static final int LONGEST_STASH = 1_000;
+
+    private final AgentSettings settings;
+    private final NanoClock clock;
+    private final AgentMeters meters;
+    private final MinionClient minion;
+    private final CompletableFuture<Void> stopped;
+    private final TimerScheduler<Command> timers;
+    private final AgentState state;
+    private final Map<FrameConnection, Peer> peers = new IdentityHashMap<>();
+    private final Map<PeerId, FrameConnection> connections = new HashMap<>();
+    private final Map<String, MinionExchange> runs = new HashMap<>();
+    private MinionExchange stateReading;
+    private long peersSeen;
+    private boolean tickIsBusy;
+    private boolean stopReady;
+
+    private AgentActor(
+            ActorContext<Command> context, TimerScheduler<Command> timers, Parts parts, InetSocketAddress bound) {
+        super(context);
+        this.settings = parts.settings();
+        this.clock = parts.clock();
+        this.meters = parts.meters();
+        this.minion = parts.minion();
+        this.stopped = parts.stopped();
+        this.timers = timers;
+        Hello hello = settings.hello(parts.incarnation(), bound.getPort());
+        this.state = new AgentState(settings, hello, new SecureRandom().nextLong(), clock.nanos());
+        timers.startSingleTimer(new Tick(), IDLE_TICK);
+        timers.startTimerWithFixedDelay(new ReadState(), Duration.ZERO, settings.limits().statePoll());
+    }
+
+    /** Returns the behavior of an agent; it begins its work once it knows its bound address. */
+    static Behavior<Command> create(Parts parts) {
+        return Behaviors.withStash(
+                LONGEST_STASH,
+                stash -> Behaviors.receive(Command.class)
+                        .onMessage(Bound.class, bound -> stash.unstashAll(running(parts, bound.address())))
+                        .onAnyMessage(command -> {
+                            stash.stash(command);
+                            return Behaviors.same();
+                        })
+                        .build());
+    }
+
+    private static Behavior<Command> running(Parts parts, InetSocketAddress bound) {
+        return Behaviors.setup(
+                context -> Behaviors.withTimers(timers -> new AgentActor(context, timers, parts, bound)));
+    }
+
+    @Override
+    public Receive<Command> createReceive() {
+        return newReceiveBuilder()
+                .onMessage(Command.class, this::handle)
+                .onSignal(PostStop.class, signal -> cleanUp())
+                .build();
+    }
+
+    private Behavior<Command> handle(Command command) {
+        switch (command) {
+            case Received received -> receive(received.connection(), received.frame());
+            case RunEnded ended -> runEnded(ended);
+            case Connected connected -> connect(connected.connection());
+            case Disconnected disconnected -> disconnect(disconnected.connection());
+            case Drain drain -> apply(new AgentEvent.DrainRequested(drain.reason()));
+            case Tick tick -> tick();
+            case ReadState read -> readState();
+            case StateRead read -> stateRead(read.answer());
+            case Bound bound -> throw new IllegalStateException("bound twice");
+        }
+        meters.load(state.runningTasks(), state.waitingTasks());
+        if (stopReady && peers.isEmpty()) {
+            stopped.complete(null);
+            return Behaviors.stopped();
+        }
+        return this;
+    }
+
+    private Behavior<Command> cleanUp() {
+        stopped.completeExceptionally(new ChivetallyException(ErrorCode.INTERNAL, "the agent's actor ended early"));
+        for (FrameConnection connection : peers.keySet()) {
+            connection.close();
+        }
+        for (MinionExchange run : runs.values()) {
+            run.cancel();
+        }
+        minion.close();
+        return this;
+    }
+
+    private void connect(FrameConnection connection) {
+        if (stopReady) {
+            connection.close();
+            return;
+        }
+        peersSeen++;
+        Peer peer = new Peer(new PeerId(peersSeen), clock.nanos());
+        peers.put(connection, peer);
+        connections.put(peer.id, connection);
+        apply(new AgentEvent.PeerConnected(peer.id));
+    }
+
+    private void disconnect(FrameConnection connection) {
+        Peer peer = peers.remove(connection);
+        if (peer == null) {
+            return;
+        }
+        connections.remove(peer.id);
+        apply(new AgentEvent.PeerDisconnected(peer.id));
+    }
+
+    private void receive(FrameConnection connection, Frame frame) {
+        Peer peer = peers.get(connection);
+        if (peer == null) {
+            return;
+        }
+        peer.lastHeardNanos = clock.nanos();
+        if (!peer.identified && !frame.hasHello()) {
+            // Results find their way back by the process that Hello names; without it they would be lost.
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("agent-peer-without-hello")
+                            .with("peer", connection.peer())
+                            .with("body", frame.getBodyCase()));
+            connection.close();
+            disconnect(connection);
+            return;
+        }
+        receive(peer, connection, frame);
+    }
+
+    private void receive(Peer peer, FrameConnection connection, Frame frame) {
+        long requestId = frame.getRequestId();
+        switch (frame.getBodyCase()) {
+            case START -> apply(new AgentEvent.StartRequested(peer.id, requestId, frame.getStart()));
+            case HEARTBEAT -> {
+                if (!frame.getHeartbeat().getAnswer()) {
+                    apply(new AgentEvent.HeartbeatRequested(peer.id, requestId));
+                }
+            }
+            case CANCEL -> apply(
+                    new AgentEvent.CancelRequested(peer.id, frame.getCancel().getJobIdsList()));
+            case INQUIRY -> apply(new AgentEvent.InquiryRequested(peer.id, requestId, frame.getInquiry()));
+            case HELLO -> identify(peer, frame.getHello());
+            case LEAVING -> LOGGER.atFine().log(
+                    "%s", EventLine.of("agent-peer-leaving").with("peer", connection.peer()));
+            default -> LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("agent-stray-frame")
+                            .with("peer", connection.peer())
+                            .with("body", frame.getBodyCase()));
+        }
+    }
+
+    private void identify(Peer peer, Hello hello) {
+        peer.identified = true;
+        apply(new AgentEvent.PeerIdentified(peer.id, hello.getProcessId(), hello.getIncarnation()));
+    }
+
+    private void runEnded(RunEnded ended) {
+        if (runs.remove(ended.attemptId()) == null) {
+            return;
+        }
+        apply(new AgentEvent.MinionAnswered(ended.attemptId(), ended.answer()));
+    }
+
+    private void tick() {
+        closeSilentPeers();
+        apply(new AgentEvent.Ticked());
+        tickIsBusy = isBusy();
+        timers.startSingleTimer(new Tick(), tickIsBusy ? BUSY_TICK : IDLE_TICK);
+    }
+
+    private boolean isBusy() {
+        return state.runningTasks() + state.waitingTasks() > 0;
+    }
+
+    private void closeSilentPeers() {
+        // A process that died without a word leaves its connection open for hours; entries send something every two
+        // seconds, so a longer silence means that nobody is there.
+        long longest = settings.limits().peerSilence().toNanos();
+        long now = clock.nanos();
+        for (Map.Entry<FrameConnection, Peer> entry : List.copyOf(peers.entrySet())) {
+            if (now - entry.getValue().lastHeardNanos > longest) {
+                entry.getKey().close();
+                disconnect(entry.getKey());
+            }
+        }
+    }
+
+    private void readState() {
+        if (stateReading != null) {
+            stateReading.cancel();
+            return;
+        }
+        stateReading = minion.get(statePath());
+        stateReading.answer().thenAccept(answer -> getContext().getSelf().tell(new StateRead(answer)));
+    }
+
+    private void stateRead(MinionAnswer answer) {
+        stateReading = null;
+        apply(new AgentEvent.MinionReported(stateOf(answer)));
+    }
+
+    private String statePath() {
+        return switch (settings.stateSource()) {
+            case MinionStateSource.Native own -> "/state";
+            case MinionStateSource.Adapted adapted -> adapted.path();
+        };
+    }
+
+    private MinionState stateOf(MinionAnswer answer) {
+        if (!(answer instanceof MinionAnswer.Success success)) {
+            return new MinionState.Unreachable(answer.toString());
+        }
+        return switch (settings.stateSource()) {
+            case MinionStateSource.Native own -> new NativeStateReader().read(success.body());
+            case MinionStateSource.Adapted adapted -> adapted.reader().read(success.body());
+        };
+    }
+
+    private void apply(AgentEvent event) {
+        for (AgentEffect effect : state.apply(event, clock.nanos())) {
+            carryOut(effect);
+        }
+        if (!tickIsBusy && isBusy()) {
+            tickIsBusy = true;
+            timers.startSingleTimer(new Tick(), BUSY_TICK);
+        }
+    }
+
+    private void carryOut(AgentEffect effect) {
+        switch (effect) {
+            case AgentEffect.RunOnMinion run -> run(run);
+            case AgentEffect.SendTo send -> send(send);
+            case AgentEffect.WriteLine line -> LOGGER.atInfo().log("%s", line.line());
+            case AgentEffect.AbandonRun abandon -> abandon(abandon.attemptId());
+            case AgentEffect.CountWaste waste -> meters.wasted(waste.kind());
+            case AgentEffect.StopReady ready -> closeConnections();
+        }
+    }
+
+    /** Closes all connections; the agent stops once each has flushed what was sent. */
+    private void closeConnections() {
+        stopReady = true;
+        for (FrameConnection connection : peers.keySet()) {
+            connection.close();
+        }
+    }
+
+    private void run(AgentEffect.RunOnMinion run) {
+        meters.started();
+        MinionExchange exchange = minion.run(run);
+        runs.put(run.attemptId(), exchange);
+        exchange.answer().thenAccept(answer -> getContext().getSelf().tell(new RunEnded(run.attemptId(), answer)));
+    }
+
+    private void send(AgentEffect.SendTo send) {
+        FrameConnection connection = connections.get(send.peer());
+        if (connection == null) {
+            return;
+        }
+        meters.sent(send.frame());
+        connection.send(send.frame());
+    }
+
+    private void abandon(String attemptId) {
+        MinionExchange exchange = runs.remove(attemptId);
+        if (exchange != null) {
+            exchange.cancel();
+        }
+    }
+
+    /** What the shell is made of. */
+    record Parts(
+            AgentSettings settings,
+            String incarnation,
+            MinionClient minion,
+            AgentMeters meters,
+            NanoClock clock,
+            CompletableFuture<Void> stopped) {}
+
+    /** Messages of the shell. */
+    sealed interface Command {}
+
+    record Bound(InetSocketAddress address) implements Command {}
+
+    record Connected(FrameConnection connection) implements Command {}
+
+    record Received(FrameConnection connection, Frame frame) implements Command {}
+
+    record Disconnected(FrameConnection connection) implements Command {}
+
+    record RunEnded(String attemptId, MinionAnswer answer) implements Command {}
+
+    record ReadState() implements Command {}
+
+    record StateRead(MinionAnswer answer) implements Command {}
+
+    record Drain(String reason) implements Command {}
+
+    record Tick() implements Command {}
+
+    /** One connection as the shell sees it. */
+    private static final class Peer {
+        private final PeerId id;
+        private long lastHeardNanos;
+        private boolean identified;
+
+        Peer(PeerId id, long lastHeardNanos) {
+            this.id = id;
+            this.lastHeardNanos = lastHeardNanos;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/AgentServer.java
@@ -0,0 +1,118 @@
+package org.chivetally.agent;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.net.InetSocketAddress;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Props;
+import org.chivetally.time.NanoClock;
+import org.chivetally.transport.FrameConnection;
+import org.chivetally.transport.FrameListener;
+import org.chivetally.transport.FrameTransport;
+import org.chivetally.wire.v1.Frame;
+
+/** A running agent: listens for coordinators and runs their tasks on its minion. */
+public final class AgentServer {
+    private final AgentSettings settings;
+    private final String incarnation;
+    private final InetSocketAddress address;
+    private final ActorRef<AgentActor.Command> actor;
+    private final CompletableFuture<Void> stopped;
+
+    private AgentServer(
+            AgentSettings settings,
+            String incarnation,
+            InetSocketAddress address,
+            ActorRef<AgentActor.Command> actor,
+            CompletableFuture<Void> stopped) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        this.address = address;
+        this.actor = actor;
+        this.stopped = stopped;
+    }
+
+    /**
+     * Starts an agent; completes once it listens, or exceptionally when it can't.
+     *
+     * <p>The transport stays the caller's: it is closed after {@link #drain} has completed.
+     */
+    public static CompletionStage<AgentServer> start(
+            ActorSystem<?> system,
+            AgentSettings settings,
+            FrameTransport transport,
+            MeterRegistry registry,
+            NanoClock clock) {
+        String incarnation = UUID.randomUUID().toString();
+        MinionClient minion =
+                new MinionClient(system, settings.minionBase(), settings.limits().answerBytes(), clock);
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        AgentActor.Parts parts =
+                new AgentActor.Parts(settings, incarnation, minion, new AgentMeters(registry), clock, stopped);
+        ActorRef<AgentActor.Command> actor =
+                system.systemActorOf(AgentActor.create(parts), "agent-" + incarnation, Props.empty());
+        return transport
+                .listen(settings.host(), settings.port(), new ToActor(actor, stopped))
+                .thenApply(address -> {
+                    actor.tell(new AgentActor.Bound(address));
+                    return new AgentServer(settings, incarnation, address, actor, stopped);
+                });
+    }
+
+    /**
+     * Stops gracefully: tells all peers, refuses waiting and new tasks, and lets running ones finish.
+     *
+     * @param reason why, for the peers' logs
+     * @return completes once nothing runs and lost results had time to be asked for
+     */
+    public CompletionStage<Void> drain(String reason) {
+        actor.tell(new AgentActor.Drain(reason));
+        return whenStopped();
+    }
+
+    /** Completes when the agent has drained, or exceptionally when a broken invariant ended it. */
+    public CompletionStage<Void> whenStopped() {
+        return stopped.minimalCompletionStage();
+    }
+
+    /** Returns the address that the agent listens on. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** Returns the name of this run of the process. */
+    public String incarnation() {
+        return incarnation;
+    }
+
+    /** Returns what the agent announces of itself. */
+    public Member member() {
+        return Member.of(settings, incarnation, address.getPort());
+    }
+
+    /** Hands what happens on connections to the actor; once the agent stopped, new connections are closed. */
+    private record ToActor(ActorRef<AgentActor.Command> actor, CompletableFuture<Void> stopped)
+            implements FrameListener {
+        @Override
+        public void connected(FrameConnection connection) {
+            if (stopped.isDone()) {
+                connection.close();
+                return;
+            }
+            actor.tell(new AgentActor.Connected(connection));
+        }
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            actor.tell(new AgentActor.Received(connection, frame));
+        }
+
+        @Override
+        public void disconnected(FrameConnection connection, String reason) {
+            actor.tell(new AgentActor.Disconnected(connection));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/AgentSettings.java
@@ -0,0 +1,67 @@
+package org.chivetally.agent;
+
+import java.net.URI;
+import java.util.Objects;
+import org.chivetally.wire.v1.Hello;
+
+/**
+ * Settings of one agent.
+ *
+ * @param processId name of the process, stable over restarts
+ * @param failureDomain failure domain of its worker
+ * @param host address to listen on
+ * @param port port to listen on; zero takes any free one
+ * @param advertisedHost address at which entries reach the agent
+ * @param advertisedPort port at which entries reach the agent; zero gives the bound one
+ * @param service service that the minion runs
+ * @param backend name of the backend server instance
+ * @param capacity what the minion may use
+ * @param minionBase base address of the minion's HTTP interface
+ * @param stateSource how the minion's state is read
+ * @param limits bounds and times
+ */
+public record AgentSettings(
+        String processId,
+        String failureDomain,
+        String host,
+        int port,
+        String advertisedHost,
+        int advertisedPort,
+        String service,
+        String backend,
+        MinionCapacity capacity,
+        URI minionBase,
+        MinionStateSource stateSource,
+        AgentLimits limits) {
+    /** Refuses missing parts. */
+    public AgentSettings {
+        Objects.requireNonNull(processId, "processId");
+        Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(advertisedHost, "advertisedHost");
+        Objects.requireNonNull(service, "service");
+        Objects.requireNonNull(backend, "backend");
+        Objects.requireNonNull(capacity, "capacity");
+        Objects.requireNonNull(minionBase, "minionBase");
+        Objects.requireNonNull(stateSource, "stateSource");
+        Objects.requireNonNull(limits, "limits");
+        if (minionBase.getHost() == null) {
+            throw new IllegalArgumentException("the minion's base address names no host: " + minionBase);
+        }
+    }
+
+    /** Returns what the agent says of itself, without a report. */
+    Hello hello(String incarnation, int boundPort) {
+        return Hello.newBuilder()
+                .setProcessId(processId)
+                .setIncarnation(incarnation)
+                .setFailureDomain(failureDomain)
+                .setRole("agent")
+                .setListenHost(advertisedHost)
+                .setListenPort(advertisedPort == 0 ? boundPort : advertisedPort)
+                .setService(service)
+                .setBackend(backend)
+                .setCapacity(capacity.toWire())
+                .build();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/AgentState.java
@@ -0,0 +1,585 @@
+package org.chivetally.agent;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.chivetally.logging.EventLine;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Heartbeat;
+import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.InquiryAnswer;
+import org.chivetally.wire.v1.Leaving;
+import org.chivetally.wire.v1.Refusal;
+import org.chivetally.wire.v1.RefusalReason;
+import org.chivetally.wire.v1.Report;
+import org.chivetally.wire.v1.Result;
+import org.chivetally.wire.v1.Start;
+import org.chivetally.wire.v1.TaskStatus;
+
+/**
+ * The decisions of an agent: which starts are admitted, when they run, and who is told of their end.
+ *
+ * <p>Pure and not thread-safe: it takes events with the time, and returns effects. An admitted start ends in exactly one
+ * result or refusal. Times are readings of one monotonic clock, in nanoseconds.
+ */
+public final class AgentState {
+    /** Error of a result whose attempt was ended by its lease. */
+    public static final String LEASE_OVER = "attempt lease over";
+
+    /** Error of a result whose texts were dropped for space. */
+    public static final String RESULT_NOT_KEPT = Attempt.RESULT_NOT_KEPT;
+
+    private static final RefusalReason ADMITTED = RefusalReason.REFUSAL_REASON_UNSPECIFIED;
+    private static final long DEFAULT_LEASE_MILLIS = 30_000;
+    private static final long LONGEST_MILLIS = 86_400_000;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final AgentSettings settings;
+    private final Hello self;
+    private final Tickets tickets;
+    private final Peers peers = new Peers();
+    private final Fences fences = new Fences();
+    private final RecentRefusals recentRefusals = new RecentRefusals();
+    private final AttemptBook attempts;
+    private final MinionView minion;
+    private final Deque<Attempt> waiting = new ArrayDeque<>();
+    private final Map<String, Attempt> running = new LinkedHashMap<>();
+
+    private List<AgentEffect> effects = List.of();
+    private long now;
+    private long reports;
+    private boolean draining;
+    private boolean stopped;
+    private boolean toldUnhealthy = true;
+    private boolean toldDraining;
+    private long lingerEndNanos;
+
+    /**
+     * Creates the state of a fresh process.
+     *
+     * @param self what the agent says of itself, without a report
+     * @param ticketOffset a random number, new for every process
+     * @param startNanos the clock's reading now
+     */
+    public AgentState(AgentSettings settings, Hello self, long ticketOffset, long startNanos) {
+        AgentLimits limits = settings.limits();
+        this.settings = settings;
+        this.self = self;
+        this.tickets = new Tickets(ticketOffset, startNanos, limits.longestTicketAge());
+        this.attempts = new AttemptBook(limits.resultRetention().toNanos(), limits.resultBytes());
+        this.minion = new MinionView(limits.failuresUntilUnhealthy());
+        this.lingerEndNanos = startNanos;
+    }
+
+    /** Takes an event and returns what to do, in order. */
+    public List<AgentEffect> apply(AgentEvent event, long nowNanos) {
+        now = nowNanos;
+        effects = new ArrayList<>(4);
+        switch (event) {
+            case AgentEvent.StartRequested request -> start(request);
+            case AgentEvent.MinionAnswered answered -> minionAnswered(answered);
+            case AgentEvent.HeartbeatRequested request -> answerHeartbeat(request);
+            case AgentEvent.CancelRequested request -> cancel(request);
+            case AgentEvent.InquiryRequested request -> inquire(request);
+            case AgentEvent.MinionReported reported -> minion.observe(reported.state(), running.size());
+            case AgentEvent.PeerConnected connected -> greet(connected.peer());
+            case AgentEvent.PeerIdentified identified -> identify(identified);
+            case AgentEvent.PeerDisconnected disconnected -> peers.disconnected(disconnected.peer());
+            case AgentEvent.DrainRequested request -> drain(request.reason());
+            case AgentEvent.Ticked ticked -> tick();
+        }
+        settle();
+        return effects;
+    }
+
+    /** Returns the number of tasks that wait for a slot. */
+    public int waitingTasks() {
+        return waiting.size();
+    }
+
+    /** Returns the number of tasks on the minion. */
+    public int runningTasks() {
+        return running.size();
+    }
+
+    /** Returns the bytes of kept results. */
+    public long keptBytes() {
+        return attempts.keptBytes();
+    }
+
+    private void greet(PeerId peer) {
+        peers.connected(peer);
+        send(peer, Frame.newBuilder().setHello(self.toBuilder().setReport(report())));
+        if (draining) {
+            send(peer, leaving("draining"));
+        }
+    }
+
+    private void identify(AgentEvent.PeerIdentified identified) {
+        peers.identified(
+                identified.peer(), new Peers.ProcessKey(identified.processId(), identified.incarnation()));
+    }
+
+    private void answerHeartbeat(AgentEvent.HeartbeatRequested request) {
+        Heartbeat answer =
+                Heartbeat.newBuilder().setAnswer(true).setReport(report()).build();
+        send(request.peer(), Frame.newBuilder().setRequestId(request.requestId()).setHeartbeat(answer));
+    }
+
+    private void start(AgentEvent.StartRequested request) {
+        Start start = request.start();
+        Attempt known = attempts.find(start.getAttemptId());
+        if (known != null) {
+            repeatAttempt(known, request);
+            return;
+        }
+        RefusalReason recent = recentRefusals.reason(start.getAttemptId());
+        if (recent != ADMITTED) {
+            waste(AgentEffect.WasteKind.REPEATED_START);
+            sendRefusal(request.peer(), request.requestId(), start.getAttemptId(), recent);
+            return;
+        }
+        RefusalReason fenced = fencedBecause(start);
+        if (fenced != ADMITTED) {
+            refuse(request, fenced);
+            return;
+        }
+        Attempt sameTask = attempts.find(start.getJobId(), start.getTaskIndex());
+        if (sameTask != null && !mayRunAgain(sameTask, start)) {
+            repeatTask(sameTask, request);
+            return;
+        }
+        RefusalReason unfit = unfitBecause(start);
+        if (unfit != ADMITTED) {
+            refuse(request, unfit);
+            return;
+        }
+        admit(request);
+    }
+
+    /** Answers a second start of one attempt: it starts once, and its result goes to whoever asked last. */
+    private void repeatAttempt(Attempt known, AgentEvent.StartRequested request) {
+        waste(AgentEffect.WasteKind.REPEATED_START);
+        known.answerTo(request.peer(), peers.process(request.peer()));
+        if (known.ended()) {
+            sendResult(request.peer(), request.requestId(), known.id, known);
+        }
+    }
+
+    private RefusalReason fencedBecause(Start start) {
+        if (!tickets.isFresh(start.getTicket(), now)
+                || !fences.admitsTicket(start.getJobId(), tickets.place(start.getTicket()))) {
+            return RefusalReason.REFUSAL_REASON_STALE_TICKET;
+        }
+        int floor = fences.generation(start.getJobId());
+        if (start.getGeneration() < floor) {
+            return RefusalReason.REFUSAL_REASON_OLD_GENERATION;
+        }
+        if (start.getGeneration() > Math.max(floor, 1)) {
+            raiseFence(start.getJobId(), start.getGeneration(), 0);
+        }
+        return ADMITTED;
+    }
+
+    /**
+     * Tells whether a task that an attempt was admitted for may run once more.
+     *
+     * <p>Work that isn't idempotent would be done twice after a lost answer or a takeover, so one admitted attempt is
+     * the only one. An idempotent task may run again when no attempt of it runs here and there is no answer to resend.
+     */
+    private static boolean mayRunAgain(Attempt attempt, Start start) {
+        return attempt.idempotent
+                && start.getIdempotent()
+                && attempt.ended()
+                && attempt.status() != TaskStatus.TASK_STATUS_DONE;
+    }
+
+    private void repeatTask(Attempt sameTask, AgentEvent.StartRequested request) {
+        if (!sameTask.ended()) {
+            refuse(request, RefusalReason.REFUSAL_REASON_ALREADY_STARTED);
+            return;
+        }
+        waste(AgentEffect.WasteKind.REPEATED_START);
+        sendResult(request.peer(), request.requestId(), request.start().getAttemptId(), sameTask);
+    }
+
+    private RefusalReason unfitBecause(Start start) {
+        if (!start.getService().equals(settings.service())) {
+            return RefusalReason.REFUSAL_REASON_WRONG_SERVICE;
+        }
+        if (draining || minion.draining()) {
+            return RefusalReason.REFUSAL_REASON_DRAINING;
+        }
+        if (!minion.healthy()) {
+            return RefusalReason.REFUSAL_REASON_MINION_DOWN;
+        }
+        if (!settings.capacity().fits(start)) {
+            return RefusalReason.REFUSAL_REASON_TOO_LARGE;
+        }
+        boolean mustWait = freeSlots() == 0;
+        boolean mayWait = start.getQueueMillis() != 0 && waiting.size() < settings.limits().queueBound();
+        if (mustWait && !mayWait) {
+            return RefusalReason.REFUSAL_REASON_FULL;
+        }
+        return ADMITTED;
+    }
+
+    private void admit(AgentEvent.StartRequested request) {
+        Start start = request.start();
+        Attempt attempt = new Attempt(
+                start, request.peer(), peers.process(request.peer()), request.requestId(), timesOf(start));
+        attempts.add(attempt);
+        if (settings.limits().logDecisions()) {
+            writeLine(startLine("agent-start", start));
+        }
+        if (freeSlots() == 0) {
+            waiting.add(attempt);
+            return;
+        }
+        run(attempt);
+    }
+
+    private Attempt.Times timesOf(Start start) {
+        long leaseMillis = start.getLeaseMillis() == 0 ? DEFAULT_LEASE_MILLIS : start.getLeaseMillis();
+        return new Attempt.Times(now, now + nanosOf(start.getQueueMillis()), now + nanosOf(leaseMillis));
+    }
+
+    private static long nanosOf(long unsignedMillis) {
+        boolean tooLong = unsignedMillis < 0 || unsignedMillis > LONGEST_MILLIS;
+        return (tooLong ? LONGEST_MILLIS : unsignedMillis) * NANOS_PER_MILLI;
+    }
+
+    private void run(Attempt attempt) {
+        running.put(attempt.id, attempt);
+        effects.add(new AgentEffect.RunOnMinion(
+                attempt.id, attempt.jobId, attempt.taskIndex, attempt.begin(now)));
+    }
+
+    private void minionAnswered(AgentEvent.MinionAnswered answered) {
+        Attempt attempt = running.remove(answered.attemptId());
+        if (attempt == null) {
+            waste(AgentEffect.WasteKind.LATE_ANSWER);
+            return;
+        }
+        if (!(answered.answer() instanceof MinionAnswer.NotSent)) {
+            minion.connected();
+        }
+        switch (answered.answer()) {
+            case MinionAnswer.Success success -> end(attempt, TaskStatus.TASK_STATUS_DONE, success.body(), "");
+            case MinionAnswer.Failure failure -> end(attempt, TaskStatus.TASK_STATUS_FAILED, "", failure.error());
+            case MinionAnswer.Lost lost -> end(attempt, TaskStatus.TASK_STATUS_UNKNOWN, "", lost.reason());
+            case MinionAnswer.Declined declined -> declined(attempt);
+            case MinionAnswer.NotSent notSent -> notSent(attempt);
+        }
+    }
+
+    private void declined(Attempt attempt) {
+        // The minion has work that the agent does not know of; without holding the slot back, every waiting task would
+        // be sent and declined in turn.
+        minion.addStrayRun();
+        refuse(attempt, RefusalReason.REFUSAL_REASON_FULL);
+    }
+
+    private void notSent(Attempt attempt) {
+        minion.connectFailed();
+        refuse(attempt, RefusalReason.REFUSAL_REASON_MINION_DOWN);
+    }
+
+    private void end(Attempt attempt, TaskStatus status, String body, String error) {
+        attempt.end(status, body, error, now);
+        lingerEndNanos = now + settings.limits().drainLinger().toNanos();
+        if (settings.limits().logDecisions()) {
+            writeLine(resultLine(attempt));
+        }
+        // Before the result, so that its report tells of the slot as it is then.
+        fillSlots();
+        PeerId route = peers.route(attempt.peer(), attempt.process());
+        if (route == null) {
+            waste(AgentEffect.WasteKind.UNDELIVERED);
+        } else {
+            sendResult(route, attempt.requestId(), attempt.id, attempt);
+        }
+        attempts.keep(attempt);
+    }
+
+    private void cancel(AgentEvent.CancelRequested request) {
+        Set<String> jobIds = new HashSet<>(request.jobIds());
+        Peers.ProcessKey process = peers.process(request.peer());
+        // Only what the same process asked for: a coordinator that was taken over from must not drop its successor's.
+        refuseWaiting(
+                attempt -> jobIds.contains(attempt.jobId) && attempt.process().equals(process),
+                RefusalReason.REFUSAL_REASON_CANCELLED);
+    }
+
+    private void inquire(AgentEvent.InquiryRequested request) {
+        String jobId = request.inquiry().getJobId();
+        int generation = request.inquiry().getGeneration();
+        if (generation < fences.generation(jobId)) {
+            // No answer: a coordinator that was taken over from would read tasks missing here as never to be run.
+            waste(AgentEffect.WasteKind.OLD_INQUIRY);
+            return;
+        }
+        raiseFence(jobId, generation, tickets.lastPlace());
+        Peers.ProcessKey process = peers.process(request.peer());
+        for (Attempt attempt : attempts.ofJob(jobId)) {
+            attempt.answerTo(request.peer(), process);
+        }
+        answerInquiry(request, attempts.ofJob(jobId));
+    }
+
+    private void raiseFence(String jobId, int generation, long ticketPlace) {
+        fences.raise(jobId, generation, ticketPlace, now);
+        refuseWaiting(
+                attempt -> attempt.jobId.equals(jobId) && attempt.generation < generation,
+                RefusalReason.REFUSAL_REASON_OLD_GENERATION);
+    }
+
+    /** Answers with every task; results that don't fit are said to run, and follow in frames of their own. */
+    private void answerInquiry(AgentEvent.InquiryRequested request, List<Attempt> known) {
+        InquiryAnswer.Builder answer =
+                InquiryAnswer.newBuilder().setJobId(request.inquiry().getJobId()).setReport(report());
+        List<Attempt> following = new ArrayList<>();
+        int bytes = 0;
+        for (Attempt attempt : known) {
+            bytes += attempt.keptBytes();
+            if (bytes > AgentLimits.LONGEST_ANSWER_BYTES) {
+                following.add(attempt);
+                answer.addTasks(attempt.toTaskState().toBuilder()
+                        .setStatus(TaskStatus.TASK_STATUS_RUNNING)
+                        .clearBody()
+                        .clearError());
+                continue;
+            }
+            answer.addTasks(attempt.toTaskState());
+        }
+        if (settings.limits().logDecisions()) {
+            writeLine(EventLine.of("agent-inquiry")
+                    .with("job", request.inquiry().getJobId())
+                    .with("generation", request.inquiry().getGeneration())
+                    .with("known", known.size()));
+        }
+        send(request.peer(), Frame.newBuilder().setRequestId(request.requestId()).setInquiryAnswer(answer));
+        for (Attempt attempt : following) {
+            if (attempt.ended()) {
+                sendResult(request.peer(), 0, attempt.id, attempt);
+            }
+        }
+    }
+
+    private void drain(String reason) {
+        if (draining) {
+            return;
+        }
+        draining = true;
+        writeLine(EventLine.of("agent-drain")
+                .with("reason", reason)
+                .with("queued", waiting.size())
+                .with("running", running.size()));
+        for (PeerId peer : peers.all()) {
+            send(peer, leaving(reason));
+        }
+    }
+
+    private void tick() {
+        AgentLimits limits = settings.limits();
+        endLeases();
+        refuseWaiting(attempt -> !attempt.mayWait(now), RefusalReason.REFUSAL_REASON_EXPIRED);
+        attempts.forget(now);
+        fences.forget(now, limits.resultRetention().toNanos());
+        recentRefusals.forget(now, 2 * limits.longestTicketAge().toNanos());
+    }
+
+    private void endLeases() {
+        List<Attempt> over = new ArrayList<>(0);
+        for (Attempt attempt : running.values()) {
+            if (attempt.leaseOver(now)) {
+                over.add(attempt);
+            }
+        }
+        for (Attempt attempt : over) {
+            running.remove(attempt.id);
+            minion.addStrayRun();
+            effects.add(new AgentEffect.AbandonRun(attempt.id));
+            end(attempt, TaskStatus.TASK_STATUS_UNKNOWN, "", LEASE_OVER);
+        }
+    }
+
+    /** Brings the queue and what peers were told in line with the state after an event. */
+    private void settle() {
+        if (draining || minion.draining()) {
+            refuseWaiting(attempt -> true, RefusalReason.REFUSAL_REASON_DRAINING);
+        } else if (!minion.healthy()) {
+            refuseWaiting(attempt -> true, RefusalReason.REFUSAL_REASON_MINION_DOWN);
+        }
+        fillSlots();
+        tellPeersOfChange();
+        boolean idle = running.isEmpty() && now - lingerEndNanos >= 0;
+        if (draining && idle && !stopped) {
+            stopped = true;
+            effects.add(new AgentEffect.StopReady());
+        }
+    }
+
+    private void fillSlots() {
+        if (!accepts()) {
+            return;
+        }
+        while (!waiting.isEmpty() && freeSlots() > 0) {
+            Attempt next = waiting.remove();
+            if (next.mayWait(now)) {
+                run(next);
+            } else {
+                refuse(next, RefusalReason.REFUSAL_REASON_EXPIRED);
+            }
+        }
+    }
+
+    private void tellPeersOfChange() {
+        boolean unhealthy = !minion.healthy();
+        boolean leaving = draining || minion.draining();
+        if (unhealthy == toldUnhealthy && leaving == toldDraining) {
+            return;
+        }
+        toldUnhealthy = unhealthy;
+        toldDraining = leaving;
+        writeLine(EventLine.of("agent-availability").with("unhealthy", unhealthy).with("draining", leaving));
+        for (PeerId peer : peers.all()) {
+            Heartbeat news =
+                    Heartbeat.newBuilder().setAnswer(true).setReport(report()).build();
+            send(peer, Frame.newBuilder().setHeartbeat(news));
+        }
+    }
+
+    private boolean accepts() {
+        return minion.healthy() && !minion.draining() && !draining;
+    }
+
+    private int freeSlots() {
+        return Math.max(0, settings.capacity().runnableTasks() - running.size() - minion.strayRuns());
+    }
+
+    private void refuseWaiting(Predicate<Attempt> condition, RefusalReason reason) {
+        if (waiting.isEmpty()) {
+            return;
+        }
+        Iterator<Attempt> oldestFirst = waiting.iterator();
+        while (oldestFirst.hasNext()) {
+            Attempt attempt = oldestFirst.next();
+            if (condition.test(attempt)) {
+                oldestFirst.remove();
+                refuse(attempt, reason);
+            }
+        }
+    }
+
+    /** Refuses a start that was not admitted. */
+    private void refuse(AgentEvent.StartRequested request, RefusalReason reason) {
+        Start start = request.start();
+        recentRefusals.add(start.getAttemptId(), reason, now);
+        if (settings.limits().logDecisions()) {
+            writeLine(startLine("agent-refuse", start).with("reason", reason));
+        }
+        sendRefusal(request.peer(), request.requestId(), start.getAttemptId(), reason);
+    }
+
+    /** Refuses an admitted attempt that did not run. */
+    private void refuse(Attempt attempt, RefusalReason reason) {
+        attempts.withdraw(attempt);
+        recentRefusals.add(attempt.id, reason, now);
+        if (settings.limits().logDecisions()) {
+            writeLine(attemptLine("agent-refuse", attempt).with("reason", reason));
+        }
+        PeerId route = peers.route(attempt.peer(), attempt.process());
+        if (route == null) {
+            waste(AgentEffect.WasteKind.UNDELIVERED);
+            return;
+        }
+        sendRefusal(route, attempt.requestId(), attempt.id, reason);
+    }
+
+    private void sendRefusal(PeerId peer, long requestId, String attemptId, RefusalReason reason) {
+        Refusal refusal = Refusal.newBuilder()
+                .setAttemptId(attemptId)
+                .setReason(reason)
+                .setReport(report())
+                .build();
+        send(peer, Frame.newBuilder().setRequestId(requestId).setRefusal(refusal));
+    }
+
+    private void sendResult(PeerId peer, long requestId, String attemptId, Attempt outcome) {
+        Result result = Result.newBuilder()
+                .setAttemptId(attemptId)
+                .setStatus(outcome.status())
+                .setBody(outcome.body())
+                .setError(outcome.error())
+                .setRunMicros(outcome.runMicros())
+                .setQueueMicros(outcome.queueMicros())
+                .setReport(report())
+                .build();
+        send(peer, Frame.newBuilder().setRequestId(requestId).setResult(result));
+    }
+
+    private Report report() {
+        reports++;
+        return Report.newBuilder()
+                .setTicket(tickets.issue(now))
+                .setFreeSlots(accepts() ? freeSlots() : 0)
+                .setQueued(waiting.size())
+                .setRunning(running.size())
+                .setDraining(draining || minion.draining())
+                .setMinionUnhealthy(!minion.healthy())
+                .setSequence(reports)
+                .build();
+    }
+
+    private static Frame.Builder leaving(String reason) {
+        return Frame.newBuilder().setLeaving(Leaving.newBuilder().setReason(reason));
+    }
+
+    private void send(PeerId peer, Frame.Builder frame) {
+        effects.add(new AgentEffect.SendTo(peer, frame.build()));
+    }
+
+    private void waste(AgentEffect.WasteKind kind) {
+        effects.add(new AgentEffect.CountWaste(kind));
+    }
+
+    private void writeLine(EventLine line) {
+        effects.add(new AgentEffect.WriteLine(line));
+    }
+
+    private EventLine startLine(String event, Start start) {
+        return EventLine.of(event)
+                .with("job", start.getJobId())
+                .with("task", start.getTaskIndex())
+                .with("attempt", start.getAttemptId())
+                .with("generation", start.getGeneration())
+                .with("queued", waiting.size())
+                .with("running", running.size())
+                .with("ticketAgeMillis", tickets.ageMillis(start.getTicket(), now));
+    }
+
+    private EventLine attemptLine(String event, Attempt attempt) {
+        return EventLine.of(event)
+                .with("job", attempt.jobId)
+                .with("task", attempt.taskIndex)
+                .with("attempt", attempt.id)
+                .with("generation", attempt.generation)
+                .with("queued", waiting.size())
+                .with("running", running.size());
+    }
+
+    private EventLine resultLine(Attempt attempt) {
+        return attemptLine("agent-result", attempt)
+                .with("status", attempt.status())
+                .with("runMicros", attempt.runMicros())
+                .with("queueMicros", attempt.queueMicros());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
@@ -0,0 +1,167 @@
+package org.chivetally.agent;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.Props;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.NewRecord;
+import org.chivetally.log.PlatformLog;
+
+/**
+ * Announces a process on the log's stream of members: on start, then regularly, and its leave at the end.
+ *
+ * <p>The log keeps records for a limited time only, so a process that stays is announced again and again. At most one
+ * append is in flight. A failed one is repeated under the same record id, so that a lost answer leaves no second record.
+ */
+public final class MemberAnnouncer {
+    /** Time between announcements when nothing fails. */
+    public static final Duration DEFAULT_INTERVAL = Duration.ofSeconds(30);
+
+    private final ActorRef<Command> actor;
+
+    /** Starts announcing a process. */
+    public MemberAnnouncer(ActorSystem<?> system, PlatformLog log, Member member, Duration interval) {
+        actor = system.systemActorOf(
+                Behaviors.setup(context ->
+                        Behaviors.withTimers(timers -> new Announcing(context, timers, log, member, interval))),
+                "announcer-" + member.incarnation(),
+                Props.empty());
+    }
+
+    /** Stops announcing and appends the leave; completes when that is written, or after five seconds. */
+    public CompletionStage<Void> leave() {
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        actor.tell(new Leave(left));
+        return left;
+    }
+
+    private sealed interface Command {}
+
+    private record Append() implements Command {}
+
+    private record Appended(AppendOutcome outcome) implements Command {}
+
+    private record Leave(CompletableFuture<Void> left) implements Command {}
+
+    private record GiveUp() implements Command {}
+
+    private static final class Announcing extends AbstractBehavior<Command> {
+        private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
+        private static final Duration LEAVE_LIMIT = Duration.ofSeconds(5);
+
+        private final TimerScheduler<Command> timers;
+        private final PlatformLog log;
+        private final Member member;
+        private final Duration interval;
+        private NewRecord record;
+        private Duration backoff = FIRST_BACKOFF;
+        private long records;
+        private boolean inFlight;
+        private boolean leaveSent;
+        private CompletableFuture<Void> left;
+
+        Announcing(
+                ActorContext<Command> context,
+                TimerScheduler<Command> timers,
+                PlatformLog log,
+                Member member,
+                Duration interval) {
+            super(context);
+            this.timers = timers;
+            this.log = log;
+            this.member = member;
+            this.interval = interval;
+            this.record = nextRecord(new MemberRecord.Announced(member));
+            append();
+        }
+
+        @Override
+        public Receive<Command> createReceive() {
+            return newReceiveBuilder().onMessage(Command.class, this::handle).build();
+        }
+
+        private Behavior<Command> handle(Command command) {
+            return switch (command) {
+                case Append due -> append();
+                case Appended appended -> appended(appended.outcome());
+                case Leave leave -> leave(leave.left());
+                case GiveUp giveUp -> stop();
+            };
+        }
+
+        private Behavior<Command> append() {
+            inFlight = true;
+            log.append(MemberRecord.STREAM, List.of(record))
+                    .thenAccept(outcome -> getContext().getSelf().tell(new Appended(outcome)));
+            return this;
+        }
+
+        private Behavior<Command> leave(CompletableFuture<Void> whenLeft) {
+            if (left != null) {
+                left.thenAccept(whenLeft::complete);
+                return this;
+            }
+            left = whenLeft;
+            timers.cancelAll();
+            timers.startSingleTimer(new GiveUp(), LEAVE_LIMIT);
+            // An announce in flight is waited for, so that the leave stands after it.
+            return inFlight ? this : appendLeave();
+        }
+
+        private Behavior<Command> appendLeave() {
+            leaveSent = true;
+            record = nextRecord(new MemberRecord.Left(member.processId(), member.incarnation()));
+            return append();
+        }
+
+        private Behavior<Command> appended(AppendOutcome outcome) {
+            inFlight = false;
+            boolean written = outcome instanceof AppendOutcome.Appended;
+            if (left != null) {
+                return leaving(written);
+            }
+            if (!written) {
+                return appendAfterBackoff();
+            }
+            backoff = FIRST_BACKOFF;
+            record = nextRecord(new MemberRecord.Announced(member));
+            timers.startSingleTimer(new Append(), interval);
+            return this;
+        }
+
+        private Behavior<Command> leaving(boolean written) {
+            if (!leaveSent) {
+                return appendLeave();
+            }
+            return written ? stop() : appendAfterBackoff();
+        }
+
+        private Behavior<Command> stop() {
+            left.complete(null);
+            return Behaviors.stopped();
+        }
+
+        private Behavior<Command> appendAfterBackoff() {
+            timers.startSingleTimer(new Append(), backoff);
+            Duration doubled = backoff.multipliedBy(2);
+            backoff = doubled.compareTo(interval) < 0 ? doubled : interval;
+            return this;
+        }
+
+        private NewRecord nextRecord(MemberRecord content) {
+            records++;
+            String id = member.processId() + "/" + member.incarnation() + "/" + records;
+            return new NewRecord(id, content.toJson());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/MinionConnection.java
@@ -0,0 +1,96 @@
+package org.chivetally.agent;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.Done;
+import org.apache.pekko.http.javadsl.OutgoingConnection;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.BoundedSourceQueue;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.Materializer;
+import org.apache.pekko.stream.QueueOfferResult;
+import org.apache.pekko.stream.SharedKillSwitch;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+
+/** One HTTP connection to the minion, for one request at a time. */
+final class MinionConnection {
+    private final SharedKillSwitch killSwitch = KillSwitches.shared("minion-connection");
+    private final BoundedSourceQueue<HttpRequest> requests;
+    private final CompletionStage<OutgoingConnection> connected;
+    private volatile CompletableFuture<HttpResponse> awaited = new CompletableFuture<>();
+    private volatile boolean ended;
+    private long idleSinceNanos;
+
+    MinionConnection(
+            Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> flow, Materializer materializer) {
+        Pair<Pair<BoundedSourceQueue<HttpRequest>, CompletionStage<OutgoingConnection>>, CompletionStage<Done>> stream =
+                Source.<HttpRequest>queue(1)
+                        .via(killSwitch.flow())
+                        .viaMat(flow, Keep.both())
+                        .via(killSwitch.flow())
+                        .toMat(Sink.foreach(this::answered), Keep.both())
+                        .run(materializer);
+        requests = stream.first().first();
+        connected = stream.first().second();
+        stream.second().whenComplete((done, failure) -> end(failure));
+    }
+
+    /** Completes when the connection is open; nothing is sent before. */
+    CompletionStage<OutgoingConnection> connected() {
+        return connected;
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @return the answer, or null when the connection has ended and nothing was sent
+     */
+    CompletionStage<HttpResponse> send(HttpRequest request) {
+        CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+        awaited = answer;
+        if (ended) {
+            return null;
+        }
+        if (requests.offer(request) != QueueOfferResult.enqueued()) {
+            abort("connection takes no request");
+            return null;
+        }
+        return answer;
+    }
+
+    boolean hasEnded() {
+        return ended;
+    }
+
+    long idleSinceNanos() {
+        return idleSinceNanos;
+    }
+
+    void idleSince(long nanos) {
+        idleSinceNanos = nanos;
+    }
+
+    /** Closes the connection at once, also below a request in flight. */
+    void abort(String reason) {
+        killSwitch.abort(new IllegalStateException(reason));
+    }
+
+    private void answered(HttpResponse response) {
+        awaited.complete(response);
+    }
+
+    private void end(Throwable failure) {
+        // Set before the look at the awaited answer; a sender does it the other way round, so one of them sees the other.
+        ended = true;
+        awaited.completeExceptionally(lost(failure));
+    }
+
+    private static IllegalStateException lost(Throwable cause) {
+        return new IllegalStateException("connection lost", cause);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/MinionView.java
@@ -0,0 +1,64 @@
+package org.chivetally.agent;
+
+/** What the agent believes of its minion. */
+final class MinionView {
+    private final int failuresUntilUnhealthy;
+    private boolean healthy;
+    private boolean draining;
+    private int failures;
+    private int strayRuns;
+
+    MinionView(int failuresUntilUnhealthy) {
+        this.failuresUntilUnhealthy = failuresUntilUnhealthy;
+    }
+
+    /** Tells whether tasks can be sent; false until the first good report. */
+    boolean healthy() {
+        return healthy;
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    /** Returns how many slots runs hold that the agent no longer counts as its own. */
+    int strayRuns() {
+        return strayRuns;
+    }
+
+    /**
+     * Notes that a run may go on in the minion without an open request of the agent.
+     *
+     * <p>A broken-off request frees the agent's slot while the minion may still work on it; a new task would then be one
+     * too many. The slot is held until the next report shows it free.
+     */
+    void addStrayRun() {
+        strayRuns++;
+    }
+
+    void connected() {
+        failures = 0;
+    }
+
+    void connectFailed() {
+        failures++;
+        if (failures >= failuresUntilUnhealthy) {
+            healthy = false;
+        }
+    }
+
+    void observe(MinionState state, int ownRuns) {
+        switch (state) {
+            case MinionState.Reported reported -> accept(reported, ownRuns);
+            case MinionState.Unreachable unreachable -> connectFailed();
+        }
+    }
+
+    private void accept(MinionState.Reported reported, int ownRuns) {
+        failures = 0;
+        healthy = reported.healthy();
+        draining = reported.draining();
+        int beyondOwn = Math.max(0, reported.running() - ownRuns);
+        strayRuns = Math.min(strayRuns, beyondOwn);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/agent/NativeStateReader.java
@@ -0,0 +1,25 @@
+package org.chivetally.agent;
+
+import tools.jackson.core.JacksonException;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.databind.json.JsonMapper;
+
+/** Reads the minion's own state document: freeSlots, running, draining and healthy. */
+final class NativeStateReader implements MinionStateSource.StateReader {
+    private static final JsonMapper MAPPER = JsonMapper.shared();
+    private static final int NOT_TOLD = -1;
+
+    @Override
+    public MinionState read(String body) {
+        try {
+            JsonNode state = MAPPER.readTree(body);
+            return new MinionState.Reported(
+                    state.path("healthy").asBoolean(true),
+                    state.path("draining").asBoolean(false),
+                    state.path("freeSlots").asInt(NOT_TOLD),
+                    state.path("running").asInt(NOT_TOLD));
+        } catch (JacksonException e) {
+            return new MinionState.Unreachable("state can't be read: " + e.getOriginalMessage());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/agent/LoopbackMinion.java
@@ -0,0 +1,96 @@
+package org.chivetally.agent;
+
+import java.net.URI;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/** A minion on the loopback address whose answers the test gives. */
+final class LoopbackMinion {
+    private static final long WAIT_SECONDS = 20;
+    private static final long BODY_MILLIS = 5_000;
+
+    private final ActorSystem<?> system;
+    private final ServerBinding binding;
+    private final BlockingQueue<Arrival> arrivals = new LinkedBlockingQueue<>();
+    private volatile String state = "{\"freeSlots\":2,\"running\":0,\"draining\":false,\"healthy\":true}";
+
+    LoopbackMinion(ActorSystem<?> system) {
+        this.system = system;
+        this.binding = Http.get(system)
+                .newServerAt("127.0.0.1", 0)
+                .bind(this::handle)
+                .toCompletableFuture()
+                .join();
+    }
+
+    URI base() {
+        return URI.create("http://127.0.0.1:" + binding.localAddress().getPort());
+    }
+
+    void tellState(String json) {
+        state = json;
+    }
+
+    /** Waits for the next task. */
+    Arrival nextArrival() throws InterruptedException {
+        Arrival next = arrivals.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("no task came within " + WAIT_SECONDS + " s");
+        }
+        return next;
+    }
+
+    int arrivalsLeft() {
+        return arrivals.size();
+    }
+
+    private CompletionStage<HttpResponse> handle(HttpRequest request) {
+        if (request.getUri().path().equals("/state")) {
+            HttpResponse answer = HttpResponse.create().withEntity(ContentTypes.APPLICATION_JSON, state);
+            return CompletableFuture.completedFuture(answer);
+        }
+        return request.entity()
+                .toStrict(BODY_MILLIS, system)
+                .thenCompose(entity -> arrive(request, entity.getData().utf8String()));
+    }
+
+    private CompletionStage<HttpResponse> arrive(HttpRequest request, String body) {
+        Arrival arrival = new Arrival(
+                header(request, "Chivetally-Attempt"),
+                header(request, "Chivetally-Job"),
+                header(request, "Chivetally-Task"),
+                body,
+                new CompletableFuture<>());
+        arrivals.add(arrival);
+        return arrival.answer();
+    }
+
+    private static String header(HttpRequest request, String name) {
+        return request.getHeader(name).map(HttpHeader::value).orElse("");
+    }
+
+    /** One task as it reached the minion. */
+    record Arrival(String attempt, String job, String task, String body, CompletableFuture<HttpResponse> answer) {
+        void succeed(String json) {
+            answer.complete(HttpResponse.create().withEntity(ContentTypes.APPLICATION_JSON, json));
+        }
+
+        void fail(int status, String text) {
+            answer.complete(HttpResponse.create().withStatus(status).withEntity(text));
+        }
+
+        void loseConnection() {
+            answer.completeExceptionally(new IllegalStateException("the minion dies"));
+        }
+    }
+}
