TCP relay with silent, delayed and cut connections

Cause: silent connections and distance between failure domains must be tested between real processes.

--- /dev/null
+++ b/standins/src/main/java/org/chivetally/standins/TcpRelay.java
@@ -0,0 +1,204 @@
+package org.chivetally.standins;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
+import org.chivetally.logging.EventLine;
+import org.chivetally.standins.RelayFaults.NewConnections;
+import org.chivetally.standins.RelayFaults.Silence;
+
+/**
+ * Stands between two processes like a network that adds distance, loses track of connections, or closes them.
+ *
+ * <p>Listens on the loopback address. A half-closed connection is treated as closed. Safe from any thread except the
+ * relay's own.
+ */
+public final class TcpRelay implements AutoCloseable {
+    private static final FluentLogger LOG = FluentLogger.forEnclosingClass();
+    private static final int THREADS = 2;
+    private static final long STOP_SECONDS = 5;
+
+    private final InetSocketAddress target;
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private final Set<Link> links = ConcurrentHashMap.newKeySet();
+    private final LongAdder accepted = new LongAdder();
+    private final LongAdder bytesToTarget = new LongAdder();
+    private final LongAdder bytesToClient = new LongAdder();
+    private final LongAdder bytesWithheld = new LongAdder();
+    private volatile RelayFaults faults = RelayFaults.NONE;
+    private Channel listener;
+
+    private TcpRelay(InetSocketAddress target) {
+        this.target = target;
+    }
+
+    /**
+     * Starts a relay; throws when the port can't be bound.
+     *
+     * @param listenPort port on the loopback address; 0 takes a free one
+     * @param targetHost host that each connection is forwarded to
+     * @param targetPort port that each connection is forwarded to
+     */
+    public static TcpRelay start(int listenPort, String targetHost, int targetPort) {
+        TcpRelay relay = new TcpRelay(new InetSocketAddress(targetHost, targetPort));
+        relay.listen(listenPort);
+        return relay;
+    }
+
+    /** Returns the port that the relay listens on. */
+    public int port() {
+        return ((InetSocketAddress) listener.localAddress()).getPort();
+    }
+
+    /** Returns the faults set last. */
+    public RelayFaults faults() {
+        return faults;
+    }
+
+    /** Replaces the faults; returns once the connections open now are silenced or cut. */
+    public synchronized void setFaults(RelayFaults next) {
+        faults = next;
+        LOG.atInfo().log(
+                "%s",
+                EventLine.of("relay-faults-set").with("port", port()).with("faults", next));
+        List<? extends Future<?>> applied = links.stream()
+                .map(link -> link.client().eventLoop().submit(() -> link.apply(next)))
+                .toList();
+        applied.forEach(Future::awaitUninterruptibly);
+        if (next.cut()) {
+            channels.close().awaitUninterruptibly();
+        }
+    }
+
+    /** Returns counts since the start. */
+    public RelayStatistics statistics() {
+        return new RelayStatistics(
+                accepted.sum(), links.size(), bytesToTarget.sum(), bytesToClient.sum(), bytesWithheld.sum());
+    }
+
+    /** Stops listening and closes every connection. */
+    @Override
+    public void close() {
+        listener.close().awaitUninterruptibly();
+        channels.close().awaitUninterruptibly();
+        group.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private void listen(int port) {
+        ServerBootstrap bootstrap = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel client) {
+                        accept(client);
+                    }
+                });
+        ChannelFuture bound =
+                bootstrap.bind(InetAddress.getLoopbackAddress(), port).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            group.shutdownGracefully();
+            throw new IllegalStateException("can't listen on port " + port, bound.cause());
+        }
+        listener = bound.channel();
+    }
+
+    private void accept(Channel client) {
+        accepted.increment();
+        channels.add(client);
+        NewConnections fate = faults.newConnections();
+        switch (fate) {
+            case FORWARDED -> dial(client);
+            // Never read from, and dropped only when the relay closes.
+            case SILENT -> {}
+            case CLOSED -> client.close();
+        }
+    }
+
+    /** Dials the target on the client's event loop, so that both directions of a connection share one thread. */
+    private void dial(Channel client) {
+        Bootstrap bootstrap = new Bootstrap()
+                .group(client.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInboundHandlerAdapter());
+        ChannelFuture dialled = bootstrap.connect(target);
+        dialled.addListener(done -> {
+            if (done.isSuccess()) {
+                join(client, dialled.channel());
+            } else {
+                client.close();
+            }
+        });
+    }
+
+    private void join(Channel client, Channel server) {
+        channels.add(server);
+        // A client that was reset while the target was dialled has had its last event; nothing else would close the
+        // target's side, and the target would serve a connection without an owner.
+        if (!client.isActive()) {
+            server.close();
+            return;
+        }
+        RelayDirection toTarget =
+                new RelayDirection(server, () -> faults.delayMillis(), bytesToTarget, bytesWithheld);
+        RelayDirection toClient =
+                new RelayDirection(client, () -> faults.delayMillis(), bytesToClient, bytesWithheld);
+        Link link = new Link(client, server, toTarget, toClient);
+        links.add(link);
+        client.closeFuture().addListener(closed -> forgetIfClosed(link));
+        server.closeFuture().addListener(closed -> forgetIfClosed(link));
+        client.pipeline().addLast(toTarget);
+        server.pipeline().addLast(toClient);
+        client.config().setAutoRead(true);
+        server.config().setAutoRead(true);
+    }
+
+    private void forgetIfClosed(Link link) {
+        if (link.isClosed()) {
+            links.remove(link);
+        }
+    }
+
+    /** One forwarded connection. */
+    private record Link(Channel client, Channel server, RelayDirection toTarget, RelayDirection toClient) {
+        void apply(RelayFaults faults) {
+            Silence silence = faults.silence();
+            if (silence.coversToTarget()) {
+                toTarget.silence();
+            }
+            if (silence.coversToClient()) {
+                toClient.silence();
+            }
+        }
+
+        boolean isClosed() {
+            return !client.isOpen() && !server.isOpen();
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/chivetally/standins/RelayDirectionTest.java
@@ -0,0 +1,98 @@
+package org.chivetally.standins;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.hamcrest.MatcherAssert;
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.Test;
+
+class RelayDirectionTest {
+    private static final int LONGEST_DELAY_MILLIS = 20;
+
+    private final AtomicLong delayMillis = new AtomicLong();
+    private final LongAdder forwarded = new LongAdder();
+    private final LongAdder withheld = new LongAdder();
+    private final EmbeddedChannel sink = new EmbeddedChannel();
+    private final RelayDirection direction = new RelayDirection(sink, delayMillis::get, forwarded, withheld);
+    private final EmbeddedChannel source = new EmbeddedChannel(direction);
+
+    @Test
+    void forwardsAfterTheDelayAndThenTheEnd() {
+        source.freezeTime();
+        delayMillis.set(5);
+        receive("ab");
+        passMillis(4);
+        MatcherAssert.assertThat(sent(), Matchers.is(""));
+        passMillis(1);
+        MatcherAssert.assertThat(sent(), Matchers.is("ab"));
+        source.pipeline().fireChannelInactive();
+        passMillis(4);
+        MatcherAssert.assertThat(sink.isOpen(), Matchers.is(true));
+        passMillis(1);
+        MatcherAssert.assertThat(sink.isOpen(), Matchers.is(false));
+    }
+
+    // The connection falls silent while bytes are under way: these never arrive either, nor does the end.
+    @Test
+    void silenceWithholdsWhatIsUnderWay() {
+        source.freezeTime();
+        delayMillis.set(5);
+        receive("ab");
+        direction.silence();
+        receive("c");
+        source.pipeline().fireChannelInactive();
+        passMillis(5);
+        MatcherAssert.assertThat(sent(), Matchers.is(""));
+        MatcherAssert.assertThat(sink.isOpen(), Matchers.is(true));
+        MatcherAssert.assertThat(withheld.sum(), Matchers.is(3L));
+    }
+
+    @Property
+    void changesOfTheDelayNeverReorder(
+            @ForAll @Size(max = 30) List<@IntRange(max = LONGEST_DELAY_MILLIS) Integer> delays,
+            @ForAll @IntRange(max = LONGEST_DELAY_MILLIS) int pause) {
+        source.freezeTime();
+        StringBuilder expected = new StringBuilder();
+        StringBuilder seen = new StringBuilder();
+        for (int delay : delays) {
+            delayMillis.set(delay);
+            String next = Integer.toString(expected.length()) + ' ';
+            receive(next);
+            expected.append(next);
+            passMillis(pause);
+            seen.append(sent());
+            MatcherAssert.assertThat(expected.toString(), Matchers.startsWith(seen.toString()));
+        }
+        passMillis(LONGEST_DELAY_MILLIS);
+        seen.append(sent());
+        MatcherAssert.assertThat(seen.toString(), Matchers.is(expected.toString()));
+    }
+
+    private void receive(String text) {
+        source.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private void passMillis(long millis) {
+        source.advanceTimeBy(millis, TimeUnit.MILLISECONDS);
+        source.runScheduledPendingTasks();
+    }
+
+    private String sent() {
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf bytes = sink.readOutbound(); bytes != null; bytes = sink.readOutbound()) {
+            text.append(bytes.toString(StandardCharsets.UTF_8));
+            bytes.release();
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/chivetally/standins/TcpRelayTest.java
@@ -0,0 +1,127 @@
+package org.chivetally.standins;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.function.BooleanSupplier;
+import org.chivetally.standins.RelayFaults.NewConnections;
+import org.chivetally.standins.RelayFaults.Silence;
+import org.hamcrest.MatcherAssert;
+import org.hamcrest.Matchers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class TcpRelayTest {
+    private static final int END = -1;
+
+    private EchoServer server;
+    private TcpRelay relay;
+
+    @BeforeEach
+    void start() throws IOException {
+        server = new EchoServer();
+        relay = TcpRelay.start(0, "127.0.0.1", server.port());
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        relay.close();
+        server.close();
+    }
+
+    @Test
+    void forwardsBothWaysAndTheEnd() throws IOException {
+        try (Socket socket = dial()) {
+            MatcherAssert.assertThat(echo(socket, 'x'), Matchers.is((int) 'x'));
+        }
+        await(() -> relay.statistics().open() == 0);
+        MatcherAssert.assertThat(relay.statistics(), Matchers.is(new RelayStatistics(1, 0, 1, 1, 0)));
+    }
+
+    // An open connection falls silent both ways: what the caller sends is taken and never arrives, and no end is seen.
+    // A connection opened afterwards works, and the old one stays silent when the fault is taken back.
+    @Test
+    void silencesOpenConnectionsWhileNewOnesWork() throws IOException {
+        try (Socket old = dial()) {
+            echo(old, 'a');
+            relay.setFaults(RelayFaults.silencing(Silence.BOTH));
+            relay.setFaults(RelayFaults.NONE);
+            old.getOutputStream().write('b');
+            await(() -> relay.statistics().bytesWithheld() == 1);
+            try (Socket fresh = dial()) {
+                MatcherAssert.assertThat(echo(fresh, 'c'), Matchers.is((int) 'c'));
+            }
+            MatcherAssert.assertThat(server.received(), Matchers.is(2L));
+            MatcherAssert.assertThat(old.getInputStream().available(), Matchers.is(0));
+        }
+    }
+
+    // Only the way back is silent: the target acts on what the caller sends, and the caller never hears of it.
+    @Test
+    void silencesOneWay() throws IOException {
+        try (Socket socket = dial()) {
+            echo(socket, 'a');
+            relay.setFaults(RelayFaults.silencing(Silence.TO_CLIENT));
+            socket.getOutputStream().write('b');
+            await(() -> relay.statistics().bytesWithheld() == 1);
+            MatcherAssert.assertThat(server.received(), Matchers.is(2L));
+            MatcherAssert.assertThat(relay.statistics().bytesToClient(), Matchers.is(1L));
+        }
+    }
+
+    @Test
+    void cutsOpenConnections() throws IOException {
+        try (Socket socket = dial()) {
+            echo(socket, 'a');
+            relay.setFaults(new RelayFaults(0, Silence.NONE, true, NewConnections.FORWARDED));
+            MatcherAssert.assertThat(socket.getInputStream().read(), Matchers.is(END));
+        }
+        await(() -> relay.statistics().open() == 0);
+    }
+
+    // The target's whole side is cut off: new connections open, but nothing passes and the target never sees them.
+    // They may also be closed at once. Both end with the fault, for connections opened then.
+    @Test
+    void newConnectionsMayBeSilentOrClosed() throws IOException {
+        relay.setFaults(new RelayFaults(0, Silence.NONE, false, NewConnections.SILENT));
+        try (Socket silent = dial()) {
+            silent.getOutputStream().write('a');
+            await(() -> relay.statistics().accepted() == 1);
+            relay.setFaults(new RelayFaults(0, Silence.NONE, false, NewConnections.CLOSED));
+            try (Socket closed = dial()) {
+                MatcherAssert.assertThat(closed.getInputStream().read(), Matchers.is(END));
+            }
+            relay.setFaults(RelayFaults.NONE);
+            try (Socket fresh = dial()) {
+                MatcherAssert.assertThat(echo(fresh, 'c'), Matchers.is((int) 'c'));
+            }
+            MatcherAssert.assertThat(server.received(), Matchers.is(1L));
+        }
+    }
+
+    @Test
+    void aTargetThatRefusesClosesTheConnection() throws IOException {
+        server.close();
+        try (Socket socket = dial()) {
+            MatcherAssert.assertThat(socket.getInputStream().read(), Matchers.is(END));
+        }
+    }
+
+    private Socket dial() throws IOException {
+        return new Socket(InetAddress.getLoopbackAddress(), relay.port());
+    }
+
+    private static int echo(Socket socket, char letter) throws IOException {
+        socket.getOutputStream().write(letter);
+        return socket.getInputStream().read();
+    }
+
+    private static void await(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            Thread.onSpinWait();
+        }
+    }
+}
