--- a/load/src/main/java/org/chivetally/load/LoadPlanReader.java
+++ b/load/src/main/java/org/chivetally/load/LoadPlanReader.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.chivetally.document.Document;
 import org.chivetally.document.Mistakes;
 import org.chivetally.document.Section;
@@ -25,10 +26,12 @@
 
     private final Document document;
     private final Section root;
+    private final Optional<Targets> otherTargets;
 
-    private LoadPlanReader(Document document) {
+    private LoadPlanReader(Document document, Optional<Targets> otherTargets) {
         this.document = document;
         this.root = document.root();
+        this.otherTargets = otherTargets;
     }
 
     /**
@@ -36,18 +39,20 @@
      *
      * @param place name of the file, for mistakes
      * @param text content of the file
+     * @param otherTargets processes to talk to in place of the plan's own, which may then be left out
      */
-    public static Reading read(String place, String text) {
-        return new LoadPlanReader(Document.parse(place, text)).read();
+    public static Reading<LoadPlan> read(String place, String text, Optional<Targets> otherTargets) {
+        return new LoadPlanReader(Document.parse(place, text), otherTargets).plan();
     }
 
-    private Reading read() {
-        Section targets = root.section("targets");
-        Section workload = root.section("workload");
-        List<Target> entries = targets(targets, "entries");
-        if (entries.isEmpty()) {
-            targets.mistake("entries", "at least one entry is needed");
-        }
+    /** Reads a file that holds nothing but targets, as the layout of a deployment writes it. */
+    public static Reading<Targets> readTargets(String place, String text) {
+        LoadPlanReader reader = new LoadPlanReader(Document.parse(place, text), Optional.empty());
+        TargetParts parts = targetParts(reader.root.section("targets"), true);
+        return reader.finish(parts::build);
+    }
+
+    private Reading<LoadPlan> plan() {
         PlanParts parts = new PlanParts(
                 root.requiredText("name"),
                 root.whole("seed", Long.MIN_VALUE, Long.MAX_VALUE, 1),
@@ -56,26 +61,33 @@
         if (parts.warmUp().compareTo(parts.duration()) >= 0) {
             root.mistake("warmUp", "must be shorter than the duration");
         }
-        WorkloadParts load = workloadParts(workload);
-        List<Target> minions = targets(targets, "minions");
-        List<Target> logs = targets(targets, "logs");
-        List<Target> relays = targets(targets, "relays");
+        WorkloadParts load = workloadParts(root.section("workload"));
+        TargetParts targets = targetParts(root.section("targets"), otherTargets.isEmpty());
         List<Fault> faults = list(root, "faults", LoadPlanReader::fault);
         Map<Figure, Double> goals = goals(root.section("goals"));
-        Mistakes mistakes = document.finish();
-        if (!mistakes.isEmpty()) {
-            return new Reading(Optional.empty(), mistakes);
-        }
-        LoadPlan plan = new LoadPlan(
+        return finish(() -> new LoadPlan(
                 parts.name(),
                 parts.seed(),
                 parts.duration(),
                 parts.warmUp(),
-                new Targets(entries, minions, logs, relays),
+                otherTargets.orElseGet(targets::build),
                 load.build(),
                 new FaultSchedule(faults),
-                goals);
-        return new Reading(Optional.of(plan), mistakes);
+                goals));
+    }
+
+    private <T> Reading<T> finish(Supplier<T> whole) {
+        Mistakes mistakes = document.finish();
+        return new Reading<>(mistakes.isEmpty() ? Optional.of(whole.get()) : Optional.empty(), mistakes);
+    }
+
+    private static TargetParts targetParts(Section section, boolean needed) {
+        List<Target> entries = targets(section, "entries");
+        if (needed && entries.isEmpty()) {
+            section.mistake("entries", "at least one entry is needed");
+        }
+        return new TargetParts(
+                entries, targets(section, "minions"), targets(section, "logs"), targets(section, "relays"));
     }
 
     private static List<Target> targets(Section section, String key) {
@@ -213,12 +225,18 @@
     }
 
     /**
-     * What reading a plan came to.
+     * What reading a document came to.
      *
-     * @param plan the plan, if there are no mistakes
+     * @param content what it says, if there are no mistakes
      * @param mistakes everything that is wrong with the document
      */
-    public record Reading(Optional<LoadPlan> plan, Mistakes mistakes) {}
+    public record Reading<T>(Optional<T> content, Mistakes mistakes) {}
+
+    private record TargetParts(List<Target> entries, List<Target> minions, List<Target> logs, List<Target> relays) {
+        Targets build() {
+            return new Targets(entries, minions, logs, relays);
+        }
+    }
 
     private record PlanParts(String name, long seed, Duration duration, Duration warmUp) {}
 
--- a/load/src/main/java/org/chivetally/load/LoadRun.java
+++ b/load/src/main/java/org/chivetally/load/LoadRun.java
@@ -30,7 +30,7 @@
     /** File in the faults folder to which the script that carries out process faults adds what it did. */
     public static final String DONE_FILE = "done";
 
-    private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(2);
+    private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(1);
     private static final Duration READINESS_INTERVAL = Duration.ofMillis(200);
     private static final Duration BEGIN_DELAY = Duration.ofMillis(500);
     private static final Duration LONGEST_UNREADY = Duration.ofSeconds(60);
@@ -53,7 +53,7 @@
      * Prepares a run.
      *
      * @param plan what to do
-     * @param progress takes a line every two seconds, and one for each fault
+     * @param progress takes a line every second, and one for each fault
      * @param faultsFolder folder shared with the script that carries out process faults; empty without such a script
      */
     public LoadRun(LoadPlan plan, PrintStream progress, Optional<Path> faultsFolder) {
@@ -143,7 +143,7 @@
 
     private void watch(Submitter submitter, RunClock clock) {
         counters.read(false);
-        starts.read();
+        starts.readNew();
         progress.println(EventLine.of("load-progress")
                 .with("seconds", TimeUnit.NANOSECONDS.toSeconds(clock.nanos()))
                 .with("answered", submitter.answered())
@@ -154,7 +154,7 @@
     }
 
     private LoadReport report(Schedule schedule, List<CallerRecord> callers, RunClock clock) {
-        List<String> unread = starts.read();
+        List<String> unread = starts.readAll();
         Judge judge = new Judge(tokens, callers, starts.records());
         ProcessFaultLog processFaults = processFaults();
         Verdict verdict = judge.judge(processFaults.stops(clock));
--- a/load/src/main/java/org/chivetally/load/StartWatch.java
+++ b/load/src/main/java/org/chivetally/load/StartWatch.java
@@ -6,9 +6,11 @@
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.chivetally.load.Targets.Target;
 import tools.jackson.core.JacksonException;
 import tools.jackson.databind.JsonNode;
@@ -17,30 +19,46 @@
 /**
  * Reads the minions' own records of starts, again and again during a run.
  *
- * <p>A minion that is killed loses its record. What was read before counts on; what it recorded in the last seconds is
- * lost and shows as answers without a start.
+ * <p>A minion that is killed loses its record. What was read before counts on; what it recorded since is lost, and
+ * shows as answers without a start.
  */
-public final class StartWatch {
+final class StartWatch {
     private static final JsonMapper MAPPER = JsonMapper.shared();
     private static final Duration LIMIT = Duration.ofSeconds(20);
+    private static final String RUNNING = "running";
     private static final int SUCCESS = 200;
 
     private final HttpClient client;
     private final List<Target> minions;
     private final Map<String, StartRecord> records = new LinkedHashMap<>();
+    /** By minion: the number of its first records that are ended and read. */
+    private final Map<String, Integer> settled = new HashMap<>();
 
     StartWatch(HttpClient client, List<Target> minions) {
         this.client = client;
         this.minions = minions;
     }
 
-    /** Reads all minions once and returns the names of those that couldn't be read. */
-    synchronized List<String> read() {
-        List<String> unread = new ArrayList<>();
+    /** Reads what is new. */
+    synchronized void readNew() {
         for (Target minion : minions) {
-            if (!read(minion)) {
-                unread.add(minion.name());
+            Optional<List<JsonNode>> lines = fetch(minion, settled.getOrDefault(minion.name(), 0));
+            if (lines.isEmpty()) {
+                // It may come back with a new record.
+                settled.remove(minion.name());
+                continue;
             }
+            keep(minion, lines.get());
+            settled.merge(minion.name(), leadingEnded(lines.get()), Integer::sum);
+        }
+    }
+
+    /** Reads every record from its beginning and returns the names of the minions that couldn't be read. */
+    synchronized List<String> readAll() {
+        List<String> unread = new ArrayList<>();
+        for (Target minion : minions) {
+            Optional<List<JsonNode>> lines = fetch(minion, 0);
+            lines.ifPresentOrElse(found -> keep(minion, found), () -> unread.add(minion.name()));
         }
         return unread;
     }
@@ -50,52 +68,64 @@
         return new ArrayList<>(records.values());
     }
 
-    /** Parses JSON lines, one start each; lines without a token are of other callers and left out. */
-    static List<StartRecord> parse(String minion, String lines) {
-        List<StartRecord> parsed = new ArrayList<>();
-        for (String line : lines.split("\n")) {
-            if (line.isBlank()) {
-                continue;
-            }
-            JsonNode node = MAPPER.readTree(line);
-            if (node.hasNonNull("token")) {
-                parsed.add(record(minion, node));
+    /** Parses JSON lines, one start each. */
+    static List<JsonNode> lines(String text) {
+        List<JsonNode> nodes = new ArrayList<>();
+        for (String line : text.split("\n")) {
+            if (!line.isBlank()) {
+                nodes.add(MAPPER.readTree(line));
             }
         }
-        return parsed;
+        return nodes;
+    }
+
+    /** Reads one start; empty for one without a token, which belongs to another caller. */
+    static Optional<StartRecord> start(String minion, JsonNode node) {
+        if (!node.hasNonNull("token")) {
+            return Optional.empty();
+        }
+        return Optional.of(new StartRecord(
+                minion,
+                node.path("token").asString(""),
+                node.path("attempt").asString(""),
+                node.path("startedNanos").asLong(0),
+                node.path("endedNanos").asLong(0),
+                node.path("outcome").asString("")));
     }
 
-    private boolean read(Target minion) {
-        HttpRequest request =
-                HttpRequest.newBuilder(minion.at("/starts")).timeout(LIMIT).build();
+    private Optional<List<JsonNode>> fetch(Target minion, int from) {
+        HttpRequest request = HttpRequest.newBuilder(minion.at("/starts?from=" + from))
+                .timeout(LIMIT)
+                .build();
         try {
             HttpResponse<String> response = client.send(request, HttpResponse.BodyHandlers.ofString());
-            if (response.statusCode() != SUCCESS) {
-                return false;
-            }
-            for (StartRecord start : parse(minion.name(), response.body())) {
-                records.put(identity(start), start);
-            }
-            return true;
+            return response.statusCode() == SUCCESS ? Optional.of(lines(response.body())) : Optional.empty();
         } catch (IOException | JacksonException unreadable) {
-            return false;
+            return Optional.empty();
         } catch (InterruptedException interrupted) {
             Thread.currentThread().interrupt();
-            return false;
+            return Optional.empty();
         }
     }
 
-    private static String identity(StartRecord start) {
-        return start.minion() + ' ' + start.token() + ' ' + start.attempt() + ' ' + start.startedNanos();
+    private void keep(Target minion, List<JsonNode> lines) {
+        for (JsonNode line : lines) {
+            start(minion.name(), line).ifPresent(start -> records.put(identity(start), start));
+        }
     }
 
-    private static StartRecord record(String minion, JsonNode node) {
-        return new StartRecord(
-                minion,
-                node.path("token").asString(""),
-                node.path("attempt").asString(""),
-                node.path("startedNanos").asLong(0),
-                node.path("endedNanos").asLong(0),
-                node.path("outcome").asString(""));
+    private static int leadingEnded(List<JsonNode> lines) {
+        int ended = 0;
+        for (JsonNode line : lines) {
+            if (line.path("outcome").asString("").equals(RUNNING)) {
+                return ended;
+            }
+            ended++;
+        }
+        return ended;
+    }
+
+    private static String identity(StartRecord start) {
+        return start.minion() + ' ' + start.token() + ' ' + start.attempt() + ' ' + start.startedNanos();
     }
 }
--- a/load/src/test/java/org/chivetally/load/JudgeTest.java
+++ b/load/src/test/java/org/chivetally/load/JudgeTest.java
@@ -32,7 +32,10 @@
                 callers.add(caller(line.split(" ")));
             }
         }
-        judge = new Judge(new Tokens("r1"), callers, StartWatch.parse("minion-1", resource("starts.jsonl")));
+        List<StartRecord> starts = StartWatch.lines(resource("starts.jsonl")).stream()
+                .flatMap(line -> StartWatch.start("minion-1", line).stream())
+                .toList();
+        judge = new Judge(new Tokens("r1"), callers, starts);
         verdict = judge.judge(List.of(STOP));
     }
 
--- a/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
@@ -15,6 +15,7 @@
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.apache.pekko.http.javadsl.server.Directives;
 import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.http.javadsl.unmarshalling.StringUnmarshallers;
 import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
 import org.apache.pekko.japi.function.Function;
 import org.apache.pekko.stream.javadsl.Flow;
@@ -29,8 +30,9 @@
  * HTTP server in the place of a minion.
  *
  * <p>Routes: {@code POST /tasks} runs a task; {@code GET /state} and {@code GET /metrics} report, as do the headers of
- * each task's answer; {@code POST /drain} begins to leave; for the test's control {@code GET /starts} returns every
- * start as JSON lines, and {@code GET} and {@code PUT /faults} read and replace {@link MinionFaults}.
+ * each task's answer; {@code POST /drain} begins to leave; for the test's control {@code GET /starts?from=N} returns
+ * the starts from the N-th on, counted from 0, or all of them, as JSON lines, and {@code GET} and {@code PUT /faults}
+ * read and replace {@link MinionFaults}.
  */
 public final class MinionStandIn {
     /** Request header with the id of the attempt. */
@@ -81,7 +83,8 @@
 
     private Flow<HttpRequest, HttpResponse, NotUsed> requestsOfConnection(ActorSystem<?> system) {
         TaskConnections.Connection connection = connections.opened();
-        Function<HttpRequest, CompletionStage<HttpResponse>> handler = routes(connection).function(system);
+        Function<HttpRequest, CompletionStage<HttpResponse>> handler =
+                routes(connection).function(system);
         // A task that is never answered would keep its connection counted after the caller closed it, and later callers
         // would meet a false limit. So the requests are watched, not the answers: they end when the caller closes.
         return Flow.of(HttpRequest.class)
@@ -98,7 +101,12 @@
                 Directives.path("state", () -> Directives.get(() -> Directives.completeWithFuture(state()))),
                 Directives.path("metrics", () -> Directives.get(() -> Directives.completeWithFuture(metricsText()))),
                 Directives.path("drain", () -> Directives.post(() -> Directives.completeWithFuture(drain()))),
-                Directives.path("starts", () -> Directives.get(() -> Directives.complete(starts()))),
+                Directives.path(
+                        "starts",
+                        () -> Directives.get(() -> Directives.parameterOptional(
+                                StringUnmarshallers.INTEGER,
+                                "from",
+                                from -> Directives.complete(starts(from.orElse(0)))))),
                 FaultsRoute.of(MinionFaults.class, minion::faults, minion::setFaults));
     }
 
@@ -138,12 +146,11 @@
     }
 
     private HttpResponse response(MinionAnswer answer) {
-        HttpResponse response =
-                switch (answer) {
-                    case MinionAnswer.Done done -> StandInHttp.json(StatusCodes.OK, done);
-                    case MinionAnswer.Failed failed -> StandInHttp.json(StatusCodes.INTERNAL_SERVER_ERROR, failed);
-                    case MinionAnswer.Refused refused -> StandInHttp.json(StatusCodes.SERVICE_UNAVAILABLE, refused);
-                };
+        HttpResponse response = switch (answer) {
+            case MinionAnswer.Done done -> StandInHttp.json(StatusCodes.OK, done);
+            case MinionAnswer.Failed failed -> StandInHttp.json(StatusCodes.INTERNAL_SERVER_ERROR, failed);
+            case MinionAnswer.Refused refused -> StandInHttp.json(StatusCodes.SERVICE_UNAVAILABLE, refused);
+        };
         MinionState state = minion.state();
         return response.addHeader(RawHeader.create(FREE_SLOTS_HEADER, Integer.toString(state.freeSlots())))
                 .addHeader(RawHeader.create(DRAINING_HEADER, Boolean.toString(state.draining())))
@@ -174,9 +181,11 @@
         return faults.silent() ? new CompletableFuture<>() : CompletableFuture.completedFuture(response);
     }
 
-    private HttpResponse starts() {
+    private HttpResponse starts(int from) {
+        List<MinionStart> starts = minion.starts();
+        List<MinionStart> wanted = starts.subList(Math.clamp(from, 0, starts.size()), starts.size());
         Source<ByteString, NotUsed> lines =
-                Source.from(minion.starts()).grouped(LINES_PER_CHUNK).map(MinionStandIn::lines);
+                Source.from(wanted).grouped(LINES_PER_CHUNK).map(MinionStandIn::lines);
         return HttpResponse.create().withEntity(HttpEntities.create(ContentTypes.TEXT_PLAIN_UTF8, lines));
     }
 
--- a/standins/src/main/java/org/chivetally/standins/MinionTask.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionTask.java
@@ -24,8 +24,9 @@
      * @param workMillis how long the task runs, in milliseconds
      * @param answer any JSON, given back as the task's answer; null when left out
      * @param fail whether the task fails after its work
+     * @param token copied to the record of starts; null when left out
      */
-    record Work(long workMillis, JsonNode answer, boolean fail) {
+    record Work(long workMillis, JsonNode answer, boolean fail, String token) {
         Work {
             if (workMillis < 0) {
                 throw new IllegalArgumentException("workMillis can't be negative");
--- a/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
@@ -38,15 +38,17 @@
                 run(task("{\"workMillis\":1,\"answer\":{\"place\":4},\"more\":[]}")),
                 answered(200, "{\"task\":7,\"answer\":{\"place\":4},\"minion\":\"m\"}"));
         MatcherAssert.assertThat(
-                run(task("{\"fail\":true}")),
+                run(task("{\"fail\":true,\"token\":\"r/1/7\"}")),
                 answered(500, "{\"task\":7,\"error\":\"the task failed\",\"minion\":\"m\"}"));
         MatcherAssert.assertThat(
                 server.get("/starts").body().lines().toList(),
                 Matchers.contains(
-                        Matchers.matchesPattern(
-                                "\\{\"job\":\"j\",\"task\":7,\"attempt\":\"a\",\"startedNanos\":-?\\d+,"
-                                        + "\"endedNanos\":-?\\d+,\"outcome\":\"done\"}"),
-                        Matchers.endsWith("\"outcome\":\"failed\"}")));
+                        Matchers.matchesPattern("\\{\"job\":\"j\",\"task\":7,\"attempt\":\"a\",\"startedNanos\":-?\\d+,"
+                                + "\"endedNanos\":-?\\d+,\"outcome\":\"done\"}"),
+                        Matchers.endsWith("\"outcome\":\"failed\",\"token\":\"r/1/7\"}")));
+        MatcherAssert.assertThat(
+                server.get("/starts?from=1").body().lines().toList(),
+                Matchers.contains(Matchers.containsString("\"outcome\":\"failed\"")));
         MatcherAssert.assertThat(
                 server.get("/state"),
                 answered(
@@ -73,8 +75,7 @@
     void aTaskOverOneConnectionTooManyIsRefused() {
         server.send(task("{\"workMillis\":%d}".formatted(VERY_LONG_MILLIS)));
         awaitState(Matchers.containsString("\"running\":1"));
-        MatcherAssert.assertThat(
-                run(task("{}")), answered(503, "{\"reason\":\"too many connections carry tasks\"}"));
+        MatcherAssert.assertThat(run(task("{}")), answered(503, "{\"reason\":\"too many connections carry tasks\"}"));
         MatcherAssert.assertThat(server.get("/state").body(), Matchers.containsString("\"overruns\":1"));
     }
 
--- a/standins/src/test/java/org/chivetally/standins/MinionTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionTest.java
@@ -30,13 +30,14 @@
         clock.set(10);
         CompletionStage<MinionAnswer> answer = run("a", 300, false);
         MatcherAssert.assertThat(
-                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running")));
+                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running", "t")));
         passMillis(299);
         MatcherAssert.assertThat(now(answer), Matchers.nullValue());
         clock.set(20);
         passMillis(1);
         MatcherAssert.assertThat(now(answer), Matchers.is(DONE));
-        MatcherAssert.assertThat(minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, 20L, "done")));
+        MatcherAssert.assertThat(
+                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, 20L, "done", "t")));
     }
 
     @Test
@@ -116,11 +117,17 @@
 
     private CompletionStage<MinionAnswer> run(String attempt, long workMillis, boolean fail) {
         return minion.run(
-                new MinionTask("j", 3, attempt, new MinionTask.Work(workMillis, StringNode.valueOf("yes"), fail)));
+                new MinionTask("j", 3, attempt, new MinionTask.Work(workMillis, StringNode.valueOf("yes"), fail, "t")));
     }
 
     private static MinionFaults faults(
-            boolean failEvery, double failShare, double share, double factor, boolean silent, boolean down, Integer left) {
+            boolean failEvery,
+            double failShare,
+            double share,
+            double factor,
+            boolean silent,
+            boolean down,
+            Integer left) {
         return new MinionFaults(failEvery, failShare, share, factor, 0, silent, down, false, left);
     }
 
