--- a/library/src/main/java/org/chivetally/coordination/DispatchEffect.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEffect.java
@@ -7,7 +7,13 @@
 
 /** What a coordinator wants done; its shell carries effects out in order. */
 public sealed interface DispatchEffect {
-    /** Send a frame on the agent's usable connection; the shell sets the request id. */
+    /** Smallest request id that a dispatcher gives; those of the shell stay below. */
+    long FIRST_REQUEST_ID = 1L << 62;
+
+    /**
+     * Send a frame on the agent's usable connection. The shell sets the request id of a frame that has none; an Inquiry
+     * comes with its own, from {@link #FIRST_REQUEST_ID} on, by which its answer is told from answers to earlier ones.
+     */
     record SendFrame(AgentId agent, Frame frame) implements DispatchEffect {}
 
     /** The job has its final outcome. */
--- /dev/null
+++ b/library/src/main/java/org/chivetally/placement/FitRule.java
@@ -0,0 +1,23 @@
+package org.chivetally.placement;
+
+import org.chivetally.job.Resources;
+import org.chivetally.job.ServicePolicy;
+import org.chivetally.job.TaskSpecification;
+
+/** What a task needs of a worker, and whether any worker has it. */
+public final class FitRule {
+    private FitRule() {}
+
+    /** Returns what a task needs: what it declares, or what its service declares for tasks that say nothing. */
+    public static Resources need(TaskSpecification task, ServicePolicy service) {
+        return task.resources().equals(Resources.NONE) ? service.resources() : task.resources();
+    }
+
+    /**
+     * Tells whether no known worker of the service is large enough. A service without known agents refuses nothing: its
+     * agents may not have been heard of yet.
+     */
+    public static boolean neverFits(Resources need, ServiceFleet fleet) {
+        return !fleet.members().isEmpty() && fleet.poolsFor(need).isEmpty();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/placement/ServiceFleet.java
@@ -0,0 +1,100 @@
+package org.chivetally.placement;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivetally.job.Resources;
+
+/** The agents of one service. */
+public final class ServiceFleet {
+    private final String service;
+    private final int overcommit;
+    private final IndexedSet members = new IndexedSet();
+    private final Map<Resources, AgentPool> pools = new LinkedHashMap<>();
+    private final Map<AgentView, AgentPool> poolOf = new LinkedHashMap<>();
+    private int slots;
+
+    ServiceFleet(String service, int overcommit) {
+        this.service = service;
+        this.overcommit = overcommit;
+    }
+
+    /** Returns the name of the service. */
+    public String service() {
+        return service;
+    }
+
+    /** Returns the agents that are known and not gone, reachable or not. */
+    public List<AgentView> members() {
+        return members.view();
+    }
+
+    /** Returns the slots of all known agents. */
+    public int slots() {
+        return slots;
+    }
+
+    /** Tells whether any agent is thought to have a free slot. */
+    public boolean hasFree() {
+        for (AgentPool pool : pools.values()) {
+            if (pool.free().size() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Tells whether any agent takes new work, with or without a free slot. */
+    public boolean hasAccepting() {
+        for (AgentPool pool : pools.values()) {
+            if (pool.accepting().size() > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns the pools of workers that are large enough for a task. */
+    List<AgentPool> poolsFor(Resources need) {
+        List<AgentPool> fitting = new ArrayList<>(pools.size());
+        for (AgentPool pool : pools.values()) {
+            if (need.fitWithin(pool.size())) {
+                fitting.add(pool);
+            }
+        }
+        return fitting;
+    }
+
+    void add(AgentView agent) {
+        if (poolOf.containsKey(agent)) {
+            return;
+        }
+        members.add(agent);
+        AgentPool pool = pools.computeIfAbsent(agent.size(), AgentPool::new);
+        pool.join();
+        poolOf.put(agent, pool);
+        slots += agent.slots();
+        update(agent);
+    }
+
+    void remove(AgentView agent) {
+        AgentPool pool = poolOf.remove(agent);
+        if (pool == null) {
+            return;
+        }
+        members.remove(agent);
+        slots -= agent.slots();
+        pool.leave(agent);
+        if (pool.members() == 0) {
+            pools.remove(pool.size());
+        }
+    }
+
+    void update(AgentView agent) {
+        AgentPool pool = poolOf.get(agent);
+        if (pool != null) {
+            pool.update(agent, overcommit);
+        }
+    }
+}
