--- a/library/src/main/java/org/chivetally/coordination/AttemptEnds.java
+++ b/library/src/main/java/org/chivetally/coordination/AttemptEnds.java
@@ -58,7 +58,7 @@
         }
         context.waste(WasteKind.REFUSED);
         switch (reason) {
-            case REFUSAL_REASON_OLD_GENERATION -> superseded(attempt);
+            case REFUSAL_REASON_OLD_GENERATION -> jobEnds.superseded(attempt.job());
             case REFUSAL_REASON_ALREADY_STARTED -> startedEarlier(attempt);
             case REFUSAL_REASON_STALE_TICKET -> notRun(attempt, reason.name());
             case REFUSAL_REASON_WRONG_SERVICE -> {
@@ -215,19 +215,6 @@
         return context.finished.contains(job) ? WasteKind.LATE : WasteKind.STRAY;
     }
 
-    /**
-     * Another coordinator has the job. Its tasks may run there, so no outcome of this one may say "not run", whatever
-     * was started from here.
-     */
-    private void superseded(Attempt attempt) {
-        JobProgress job = attempt.job();
-        context.attempts.remove(attempt);
-        for (TaskProgress task : job.tasks) {
-            task.lostAttempt = true;
-        }
-        jobEnds.fail(job, ErrorCode.OUTCOME_UNKNOWN, "another coordinator took the job over");
-    }
-
     private void startedEarlier(Attempt attempt) {
         attempt.startedEarlier = true;
         attempt.inDoubt = true;
--- a/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
@@ -20,6 +20,12 @@
     /** The claim was lost or given up: the job is dropped without an outcome, as nothing of it started here. */
     record JobWithdrawn(JobId job) implements DispatchEvent {}
 
+    /**
+     * The log shows that another coordinator took the job over. Sent before {@link LeaseChanged} says that a lost lease
+     * is held again: a job taken over in between must not go on here.
+     */
+    record JobTakenOver(JobId job) implements DispatchEvent {}
+
     /** The caller cancelled the job. */
     record JobCancelled(JobId job) implements DispatchEvent {}
 
--- a/library/src/main/java/org/chivetally/coordination/Dispatcher.java
+++ b/library/src/main/java/org/chivetally/coordination/Dispatcher.java
@@ -94,6 +94,7 @@
             case DispatchEvent.JobSubmitted submitted -> admission.submitted(submitted);
             case DispatchEvent.JobClaimed claimed -> admission.claimed(claimed);
             case DispatchEvent.JobWithdrawn withdrawn -> admission.withdrawn(withdrawn);
+            case DispatchEvent.JobTakenOver takenOver -> takenOver(takenOver);
             case DispatchEvent.JobCancelled cancelled -> admission.cancelled(cancelled);
             case DispatchEvent.AgentConnected connected -> connected(connected);
             case DispatchEvent.AgentUnreachable unreachable ->
@@ -160,6 +161,13 @@
         }
     }
 
+    private void takenOver(DispatchEvent.JobTakenOver event) {
+        JobProgress job = context.jobs.get(event.job());
+        if (job != null) {
+            jobEnds.superseded(job);
+        }
+    }
+
     private void entriesChanged(int entries) {
         context.teams.changeEntries(entries);
         for (TeamAccount team : context.teams.all()) {
--- a/library/src/main/java/org/chivetally/coordination/JobEnds.java
+++ b/library/src/main/java/org/chivetally/coordination/JobEnds.java
@@ -31,6 +31,17 @@
         end(job, OutcomeJudge.failure(job, context.mayBeTakenOver(job), code, detail, retryAfterMillis));
     }
 
+    /**
+     * Another coordinator has the job. Its tasks may run there, so no outcome of this one may say "not run", whatever
+     * was started from here.
+     */
+    void superseded(JobProgress job) {
+        for (TaskProgress task : job.tasks) {
+            task.lostAttempt = true;
+        }
+        fail(job, ErrorCode.OUTCOME_UNKNOWN, "another coordinator took the job over");
+    }
+
     /** Drops a job without an outcome. */
     void withdraw(JobProgress job) {
         release(job);
