--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -0,0 +1,198 @@
+package org.chivetally.entry.member;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.chivetally.log.LogRecord;
+import org.chivetally.log.NewRecord;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.log.ReadOutcome;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
+
+/** Reads the stream {@code members}, publishes the view, and announces this process there. */
+public final class MemberActor extends AbstractBehavior<MemberActor.Command> {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int RECORDS_PER_READ = 1_000;
+    private static final Duration LONGEST_READ = Duration.ofSeconds(5);
+    private static final Duration READ_RETRY = Duration.ofMillis(500);
+    private static final Duration ANNOUNCE_INTERVAL = Duration.ofSeconds(30);
+    private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(1);
+    private static final Duration KEPT_UNHEARD = Duration.ofSeconds(120);
+
+    private final TimerScheduler<Command> timers;
+    private final PlatformLog log;
+    private final NanoClock clock;
+    private final Member self;
+    private final Consumer<MemberView> publish;
+    private final Runnable caughtUp;
+    private final MemberTable table = new MemberTable();
+    private long nextOffset;
+    private boolean atEnd;
+
+    private MemberActor(
+            ActorContext<Command> context,
+            TimerScheduler<Command> timers,
+            PlatformLog log,
+            NanoClock clock,
+            Member self,
+            Consumer<MemberView> publish,
+            Runnable caughtUp) {
+        super(context);
+        this.timers = timers;
+        this.log = log;
+        this.clock = clock;
+        this.self = self;
+        this.publish = publish;
+        this.caughtUp = caughtUp;
+        table.fold(new MemberRecord.Announce(self), clock.nanos());
+        timers.startTimerWithFixedDelay(new Expire(), EXPIRY_INTERVAL);
+        timers.startTimerWithFixedDelay(new Announce(), ANNOUNCE_INTERVAL);
+        announce();
+        read();
+    }
+
+    /**
+     * Creates the behavior.
+     *
+     * @param self this process as a member
+     * @param publish takes each new view, on the actor's thread
+     * @param caughtUp run once, when the stream was read to its end for the first time
+     */
+    public static Behavior<Command> create(
+            PlatformLog log, NanoClock clock, Member self, Consumer<MemberView> publish, Runnable caughtUp) {
+        return Behaviors.setup(context -> Behaviors.withTimers(
+                timers -> new MemberActor(context, timers, log, clock, self, publish, caughtUp)));
+    }
+
+    @Override
+    public Receive<Command> createReceive() {
+        return newReceiveBuilder()
+                .onMessage(ReadDone.class, this::onRead)
+                .onMessage(ReadAgain.class, again -> read())
+                .onMessage(Introduced.class, this::onIntroduced)
+                .onMessage(Connected.class, this::onConnected)
+                .onMessage(Expire.class, expire -> onExpire())
+                .onMessage(Announce.class, announce -> announce())
+                .onMessage(AnnounceDone.class, done -> this)
+                .onMessage(Leave.class, this::onLeave)
+                .build();
+    }
+
+    private Behavior<Command> onRead(ReadDone done) {
+        switch (done.outcome()) {
+            case ReadOutcome.Records records -> foldAll(records);
+            case ReadOutcome.Expired expired -> nextOffset = expired.earliestOffset();
+            case ReadOutcome.Unavailable unavailable -> {
+                logger.atWarning().log(
+                        "%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
+                timers.startSingleTimer(new ReadAgain(), READ_RETRY);
+                return this;
+            }
+        }
+        return read();
+    }
+
+    private void foldAll(ReadOutcome.Records records) {
+        boolean changed = false;
+        for (LogRecord record : records.records()) {
+            changed |= fold(record);
+            nextOffset = record.offset() + 1;
+        }
+        if (!atEnd && nextOffset >= records.endOffset()) {
+            atEnd = true;
+            caughtUp.run();
+            changed = true;
+        }
+        publishIf(changed);
+    }
+
+    private boolean fold(LogRecord record) {
+        return MemberRecords.read(record.payload())
+                .map(known -> table.fold(known, clock.nanos()))
+                .orElse(false);
+    }
+
+    private Behavior<Command> onIntroduced(Introduced introduced) {
+        publishIf(table.fold(new MemberRecord.Announce(introduced.member()), clock.nanos()));
+        return this;
+    }
+
+    private Behavior<Command> onConnected(Connected connected) {
+        long now = clock.nanos();
+        connected.processIds().forEach(processId -> table.heard(processId, now));
+        return this;
+    }
+
+    private Behavior<Command> onExpire() {
+        table.heard(self.processId(), clock.nanos());
+        publishIf(table.expire(clock.nanos() - KEPT_UNHEARD.toNanos()));
+        return this;
+    }
+
+    private Behavior<Command> announce() {
+        NewRecord record = record(new MemberRecord.Announce(self));
+        getContext()
+                .pipeToSelf(
+                        log.append(MemberRecords.STREAM, List.of(record)), (outcome, failure) -> new AnnounceDone());
+        return this;
+    }
+
+    private Behavior<Command> onLeave(Leave leave) {
+        NewRecord record = record(new MemberRecord.Leave(self.processId(), self.incarnation()));
+        log.append(MemberRecords.STREAM, List.of(record))
+                .whenComplete((outcome, failure) -> leave.done().complete(null));
+        return Behaviors.stopped();
+    }
+
+    private Behavior<Command> read() {
+        getContext()
+                .pipeToSelf(
+                        log.read(MemberRecords.STREAM, nextOffset, RECORDS_PER_READ, LONGEST_READ),
+                        (outcome, failure) -> new ReadDone(
+                                failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString())));
+        return this;
+    }
+
+    private void publishIf(boolean changed) {
+        if (changed) {
+            publish.accept(new MemberView(table.members()));
+        }
+    }
+
+    private static NewRecord record(MemberRecord record) {
+        return new NewRecord(UUID.randomUUID().toString(), MemberRecords.write(record));
+    }
+
+    /** Messages of the actor. */
+    public sealed interface Command {}
+
+    /** A process introduced itself over a connection. */
+    public record Introduced(Member member) implements Command {}
+
+    /** These processes are connected now. */
+    public record Connected(Set<String> processIds) implements Command {}
+
+    /** Says in the log that this process stops, and ends the actor. */
+    public record Leave(CompletableFuture<Void> done) implements Command {}
+
+    private record ReadDone(ReadOutcome outcome) implements Command {}
+
+    private record ReadAgain() implements Command {}
+
+    private record AnnounceDone() implements Command {}
+
+    private record Announce() implements Command {}
+
+    private record Expire() implements Command {}
+}
