--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -0,0 +1,20 @@
+package org.chivetally.entry.dispatch;
+
+import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.MemberView;
+
+/** Messages of {@link DispatchActor}. */
+public sealed interface DispatchCommand {
+    /** An event for the decisions. */
+    record Event(DispatchEvent event) implements DispatchCommand {}
+
+    /** The transport reports about a connection to an agent. */
+    record Signal(LinkSignal signal) implements DispatchCommand {}
+
+    /** The members changed. */
+    record View(MemberView view) implements DispatchCommand {}
+
+    /** Time passed. */
+    record Tick() implements DispatchCommand {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/http/EntryRoutes.java
@@ -0,0 +1,45 @@
+package org.chivetally.entry.http;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.pekko.http.javadsl.server.AllDirectives;
+import org.apache.pekko.http.javadsl.server.ExceptionHandler;
+import org.apache.pekko.http.javadsl.server.MethodRejection;
+import org.apache.pekko.http.javadsl.server.RejectionHandler;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.chivetally.logging.EventLine;
+
+/** Joins routes into one that answers every request, with a problem document where nothing else answers. */
+public final class EntryRoutes extends AllDirectives {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int BAD_REQUEST = 400;
+
+    /** Returns the sealed route; earlier routes go first. */
+    public Route join(List<Route> routes) {
+        List<Route> others = new ArrayList<>(routes);
+        Route first = others.removeFirst();
+        return concat(first, others.toArray(Route[]::new)).seal(rejections(), exceptions());
+    }
+
+    private RejectionHandler rejections() {
+        return RejectionHandler.newBuilder()
+                .handleAll(MethodRejection.class, rejected -> complete(Responses.mistakes(
+                        METHOD_NOT_ALLOWED, List.of(new InputMistake("method", "is not allowed here")))))
+                .handleNotFound(extractUnmatchedPath(path -> complete(Responses.notFound("nothing at " + path))))
+                .build()
+                .withFallback(RejectionHandler.defaultHandler()
+                        .mapRejectionResponse(response -> Responses.mistakes(
+                                BAD_REQUEST, List.of(new InputMistake("request", "can't be understood")))));
+    }
+
+    private ExceptionHandler exceptions() {
+        return ExceptionHandler.newBuilder()
+                .matchAny(failure -> {
+                    logger.atSevere().withCause(failure).log("%s", EventLine.of("request-failed"));
+                    return complete(Responses.internal("the request failed inside the entry"));
+                })
+                .build();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
@@ -0,0 +1,299 @@
+package org.chivetally.entry.http;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.server.AllDirectives;
+import org.apache.pekko.http.javadsl.server.PathMatchers;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.apache.pekko.stream.Materializer;
+import org.chivetally.entry.submission.Failures;
+import org.chivetally.entry.submission.JobStatus;
+import org.chivetally.entry.submission.Jobs;
+import org.chivetally.entry.submission.Submission;
+import org.chivetally.entry.submission.SubmissionReply;
+import org.chivetally.entry.submission.Waits;
+import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
+import org.chivetally.job.ServicePolicies;
+import org.chivetally.logging.EventLine;
+
+/** Submissions, their answers, their status and their end. */
+public final class JobRoutes extends AllDirectives {
+    /** Header that carries the idempotency key, both ways. */
+    public static final String KEY_HEADER = "Idempotency-Key";
+
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final String JOB_HEADER = "Chivetally-Job";
+    private static final long BODY_TIMEOUT_MILLIS = 30_000;
+    private static final Duration AFTER_DEADLINE = Duration.ofSeconds(5);
+    private static final Duration CANCEL_WAIT = Duration.ofSeconds(1);
+    private static final int USUAL_LIST = 50;
+    private static final int LONGEST_LIST = 1_000;
+    private static final int BAD_REQUEST = 400;
+    private static final int TOO_LARGE = 413;
+
+    private final Parts parts;
+    private final AtomicInteger open = new AtomicInteger();
+
+    /** Creates the routes. */
+    public JobRoutes(Parts parts) {
+        this.parts = parts;
+    }
+
+    /** Returns the route of everything under {@code /v1/jobs} and of single requests. */
+    public Route route() {
+        return concat(
+                path(PathMatchers.segment("v1").slash("jobs"), () -> concat(post(() -> serve(this::submit)), get(() -> serve(this::list)))),
+                path(
+                        PathMatchers.segment("v1").slash("jobs").slash(PathMatchers.segment()),
+                        name -> concat(
+                                get(() -> serve(request -> status(name))),
+                                delete(() -> serve(request -> cancel(name, request))))),
+                path(
+                        PathMatchers.segment("v1").slash("jobs").slash(PathMatchers.segment()).slash("answer"),
+                        name -> get(() -> serve(request -> answer(name, request)))),
+                path(
+                        PathMatchers.segment("v1").slash("services").slash(PathMatchers.segment()).slash("run"),
+                        service -> post(() -> serve(request -> run(service, request)))));
+    }
+
+    /** Returns how many submissions are held now. */
+    public int openSubmissions() {
+        return open.get();
+    }
+
+    private Route serve(Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+        return extractRequest(request -> completeWithFuture(guarded(handler, request)));
+    }
+
+    private CompletionStage<HttpResponse> guarded(
+            Function<HttpRequest, CompletionStage<HttpResponse>> handler, HttpRequest request) {
+        try {
+            return handler.apply(request).exceptionally(this::failed);
+        } catch (IllegalArgumentException invalid) {
+            request.discardEntityBytes(parts.materializer());
+            InputMistake mistake = new InputMistake("wait", "must be a number of seconds");
+            return CompletableFuture.completedStage(Responses.mistakes(BAD_REQUEST, List.of(mistake)));
+        }
+    }
+
+    private HttpResponse failed(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException wrapped ? wrapped.getCause() : failure;
+        if (cause instanceof EntityStreamSizeException) {
+            String rule = "longer than " + parts.maximumBodyBytes() + " bytes";
+            return Responses.mistakes(TOO_LARGE, List.of(new InputMistake("", rule)));
+        }
+        logger.atSevere().withCause(cause).log("%s", EventLine.of("request-failed"));
+        return Responses.internal("the request failed inside the entry");
+    }
+
+    private CompletionStage<HttpResponse> submit(HttpRequest request) {
+        Optional<Duration> wait = WaitPreference.of(request);
+        return counted(request, body -> {
+            SubmissionReader reader = new SubmissionReader(parts.policies(), parts.newKey());
+            SubmissionReader.Result read = reader.readJob(body, header(request, KEY_HEADER));
+            return read.submission()
+                    .map(submission -> submit(submission, wait))
+                    .orElseGet(() -> refused(read.mistakes()));
+        });
+    }
+
+    private CompletionStage<HttpResponse> submit(Submission submission, Optional<Duration> wait) {
+        return parts.jobs()
+                .submit(submission)
+                .thenCompose(reply -> switch (reply) {
+                    case SubmissionReply.Refused refused ->
+                        CompletableFuture.completedStage(Responses.failure(refused.failure()));
+                    case SubmissionReply.Accepted accepted -> held(submission, accepted, wait);
+                })
+                .thenApply(response -> response.addHeader(
+                        RawHeader.create(KEY_HEADER, submission.key().key())));
+    }
+
+    private CompletionStage<HttpResponse> held(
+            Submission submission, SubmissionReply.Accepted accepted, Optional<Duration> wait) {
+        return parts.waits()
+                .within(wait.orElse(Duration.ZERO), accepted.outcome())
+                .thenApplyAsync(
+                        outcome -> outcome.map(last -> Responses.outcome(accepted.job(), last))
+                                .orElseGet(() -> Responses.pending(running(submission, accepted.job()))),
+                        parts.executor());
+    }
+
+    private JobStatus running(Submission submission, JobId job) {
+        return new JobStatus(
+                job,
+                submission.specification().service(),
+                submission.key().team(),
+                submission.specification().tasks().size(),
+                JobStatus.Phase.RUNNING,
+                parts.processId(),
+                1,
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    private CompletionStage<HttpResponse> run(String service, HttpRequest request) {
+        Optional<String> team = request.getUri().query().get("team");
+        Optional<String> deadline = request.getUri().query().get("deadlineMillis");
+        return counted(request, body -> {
+            SubmissionReader reader = new SubmissionReader(parts.policies(), parts.newKey());
+            SubmissionReader.Result read =
+                    reader.readSingle(service, body, team, deadline, header(request, KEY_HEADER));
+            return read.submission().map(this::runSingle).orElseGet(() -> refused(read.mistakes()));
+        });
+    }
+
+    private CompletionStage<HttpResponse> runSingle(Submission submission) {
+        Duration longest = submission.specification().deadline().plus(AFTER_DEADLINE);
+        return parts.jobs()
+                .submit(submission)
+                .thenCompose(reply -> switch (reply) {
+                    case SubmissionReply.Refused refused ->
+                        CompletableFuture.completedStage(Responses.failure(refused.failure()));
+                    case SubmissionReply.Accepted accepted ->
+                        parts.waits()
+                                .within(longest, accepted.outcome())
+                                .thenApplyAsync(outcome -> single(accepted.job(), outcome), parts.executor());
+                })
+                .thenApply(response -> response.addHeader(
+                        RawHeader.create(KEY_HEADER, submission.key().key())));
+    }
+
+    private HttpResponse single(JobId job, Optional<JobOutcome> outcome) {
+        HttpResponse response =
+                switch (outcome.orElseGet(() -> Failures.coordinatorSilent(parts.processId()))) {
+                    case JobOutcome.Complete complete ->
+                        Responses.json(Responses.OK, complete.answers().getFirst());
+                    case JobOutcome.Failure failure -> Responses.outcome(job, failure);
+                };
+        return response.addHeader(RawHeader.create(JOB_HEADER, job.text()));
+    }
+
+    private CompletionStage<HttpResponse> status(String name) {
+        return parts.jobs()
+                .status(new JobId(name))
+                .thenApplyAsync(
+                        found -> found.map(status -> Responses.json(
+                                        Responses.OK,
+                                        Responses.statusDocument(status).toString()))
+                                .orElseGet(() -> noJob(name)),
+                        parts.executor());
+    }
+
+    private CompletionStage<HttpResponse> answer(String name, HttpRequest request) {
+        Duration wait = WaitPreference.of(request).orElse(Duration.ZERO);
+        return parts.jobs()
+                .outcome(new JobId(name), wait)
+                .thenApplyAsync(
+                        found -> found.map(JobRoutes::answerOf).orElseGet(() -> noJob(name)), parts.executor());
+    }
+
+    private static HttpResponse answerOf(JobStatus status) {
+        return status.outcome()
+                .map(outcome -> Responses.outcome(status.job(), outcome))
+                .orElseGet(() -> Responses.pending(status));
+    }
+
+    private CompletionStage<HttpResponse> cancel(String name, HttpRequest request) {
+        Duration wait = WaitPreference.of(request).orElse(CANCEL_WAIT);
+        return parts.jobs()
+                .cancel(new JobId(name), wait)
+                .thenApplyAsync(
+                        found -> found.map(JobRoutes::cancelled).orElseGet(() -> noJob(name)), parts.executor());
+    }
+
+    private static HttpResponse cancelled(JobStatus status) {
+        int code = status.outcome().isPresent() ? Responses.OK : Responses.ACCEPTED;
+        return Responses.json(code, Responses.statusDocument(status).toString());
+    }
+
+    private CompletionStage<HttpResponse> list(HttpRequest request) {
+        Optional<String> team = request.getUri().query().get("team");
+        int limit = request.getUri().query().get("limit").map(JobRoutes::limit).orElse(USUAL_LIST);
+        if (limit < 1) {
+            InputMistake mistake = new InputMistake("limit", "must be a whole number from 1 to " + LONGEST_LIST);
+            return refused(List.of(mistake));
+        }
+        return parts.jobs().list(team, limit).thenApplyAsync(Responses::jobs, parts.executor());
+    }
+
+    private static int limit(String text) {
+        try {
+            int limit = Integer.parseInt(text);
+            return limit > LONGEST_LIST ? 0 : limit;
+        } catch (NumberFormatException notWhole) {
+            return 0;
+        }
+    }
+
+    // Every held submission keeps its content and its answer in memory. Without a bound, a burst ends the process by lack
+    // of memory and every caller is left without an outcome.
+    private CompletionStage<HttpResponse> counted(
+            HttpRequest request, Function<String, CompletionStage<HttpResponse>> handler) {
+        if (open.incrementAndGet() > parts.maximumOpen()) {
+            open.decrementAndGet();
+            request.discardEntityBytes(parts.materializer());
+            return CompletableFuture.completedStage(tooMany(request));
+        }
+        return request.entity()
+                .withSizeLimit(parts.maximumBodyBytes())
+                .toStrict(BODY_TIMEOUT_MILLIS, parts.materializer())
+                .thenCompose(body -> handler.apply(body.getData().utf8String()))
+                .whenComplete((response, failure) -> open.decrementAndGet());
+    }
+
+    private HttpResponse tooMany(HttpRequest request) {
+        JobOutcome.Certainty certainty = header(request, KEY_HEADER).isPresent()
+                ? JobOutcome.Certainty.UNKNOWN
+                : JobOutcome.Certainty.NOT_RUN;
+        String detail = "too many requests are held by this entry; this one started nothing";
+        return Responses.failure(Failures.overloaded(certainty, detail));
+    }
+
+    private static CompletionStage<HttpResponse> refused(List<InputMistake> mistakes) {
+        return CompletableFuture.completedStage(Responses.mistakes(BAD_REQUEST, mistakes));
+    }
+
+    private static HttpResponse noJob(String name) {
+        return Responses.notFound("no job " + name + " is known in the dedupe window");
+    }
+
+    private static Optional<String> header(HttpRequest request, String name) {
+        return request.getHeader(name).map(HttpHeader::value);
+    }
+
+    /**
+     * What the routes work with.
+     *
+     * @param processId process id of this entry
+     * @param newKey makes keys for submissions without one
+     * @param maximumBodyBytes longest body of a request
+     * @param maximumOpen most submissions held at once
+     * @param executor writes documents, which may be large
+     */
+    public record Parts(
+            String processId,
+            Jobs jobs,
+            ServicePolicies policies,
+            Supplier<String> newKey,
+            Waits waits,
+            long maximumBodyBytes,
+            int maximumOpen,
+            Executor executor,
+            Materializer materializer) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/http/SubmissionReader.java
@@ -0,0 +1,283 @@
+package org.chivetally.entry.http;
+
+import java.math.BigDecimal;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.chivetally.claim.SubmissionKey;
+import org.chivetally.entry.submission.RawJson;
+import org.chivetally.entry.submission.Submission;
+import org.chivetally.job.JobSpecification;
+import org.chivetally.job.Resources;
+import org.chivetally.job.ServicePolicies;
+import org.chivetally.job.TaskSpecification;
+import tools.jackson.core.JacksonException;
+import tools.jackson.core.JsonParser;
+import tools.jackson.core.JsonToken;
+import tools.jackson.core.TokenStreamLocation;
+
+/** Reads submissions and lists every mistake in them. One instance reads one request. */
+final class SubmissionReader {
+    /** Team of a submission that names none. */
+    static final String DEFAULT_TEAM = "default";
+
+    private static final int LONGEST_NAME = 200;
+    private static final long LONGEST_DEADLINE_MILLIS = Duration.ofHours(1).toMillis();
+    private static final int MOST_PROCESSORS = 100_000;
+    private static final int MOST_ACCELERATORS = 100_000;
+    private static final BigDecimal MILLIS_PER_PROCESSOR = BigDecimal.valueOf(1_000);
+
+    private final ServicePolicies policies;
+    private final Supplier<String> newKey;
+    private final List<InputMistake> mistakes = new ArrayList<>();
+    private final Map<String, String> names = new HashMap<>();
+    private final List<Task> tasks = new ArrayList<>();
+    private Optional<Duration> deadline = Optional.empty();
+    private boolean tasksSeen;
+
+    SubmissionReader(ServicePolicies policies, Supplier<String> newKey) {
+        this.policies = policies;
+        this.newKey = newKey;
+    }
+
+    /** Reads a job. */
+    Result readJob(String body, Optional<String> key) {
+        try (JsonParser parser = RawJson.parser(body)) {
+            readDocument(parser, body);
+        } catch (JacksonException malformed) {
+            mistakes.clear();
+            mistakes.add(mistakeOf(malformed));
+            return new Result(Optional.empty(), mistakes);
+        }
+        requireName("service");
+        if (!tasksSeen) {
+            reject("tasks", "is missing: a list of 1 to " + JobSpecification.MAXIMUM_TASKS + " tasks");
+        }
+        return finish(key);
+    }
+
+    /** Reads a job of one task whose payload is the whole body. */
+    Result readSingle(String service, String body, Optional<String> team, Optional<String> wanted, Optional<String> key) {
+        names.put("service", service);
+        requireName("service");
+        team.ifPresent(name -> names.put("team", name));
+        wanted.ifPresent(this::readDeadlineText);
+        try (JsonParser parser = RawJson.parser(body)) {
+            parser.nextToken();
+            tasks.add(new Task(RawJson.slice(parser, body), Optional.empty()));
+            if (parser.nextToken() != null) {
+                reject("", "one JSON value is needed, and more follows it");
+            }
+        } catch (JacksonException malformed) {
+            mistakes.add(mistakeOf(malformed));
+        }
+        return finish(key);
+    }
+
+    private Result finish(Optional<String> key) {
+        key.ifPresent(this::checkKey);
+        checkName("team");
+        if (!mistakes.isEmpty()) {
+            return new Result(Optional.empty(), mistakes);
+        }
+        String service = names.get("service");
+        String team = names.getOrDefault("team", DEFAULT_TEAM);
+        Resources usual = policies.service(service).resources();
+        List<TaskSpecification> specified = tasks.stream()
+                .map(task -> new TaskSpecification(
+                        task.payload(), task.resources().orElse(usual)))
+                .toList();
+        Duration until = deadline.orElseGet(() -> policies.service(service).defaultDeadline());
+        JobSpecification specification = new JobSpecification(service, team, until, specified);
+        SubmissionKey submissionKey = new SubmissionKey(team, key.orElseGet(newKey));
+        String digest = ContentDigest.of(service, team, tasks);
+        return new Result(
+                Optional.of(new Submission(submissionKey, key.isEmpty(), digest, specification)), mistakes);
+    }
+
+    private void readDocument(JsonParser parser, String body) {
+        if (parser.nextToken() != JsonToken.START_OBJECT) {
+            reject("", "an object is needed");
+            return;
+        }
+        while (parser.nextToken() == JsonToken.PROPERTY_NAME) {
+            String name = parser.currentName();
+            parser.nextToken();
+            switch (name) {
+                case "service", "team" -> readName(parser, name);
+                case "deadlineMillis" -> readDeadline(parser);
+                case "tasks" -> readTasks(parser, body);
+                default -> rejectUnknown(parser, name, "service, team, deadlineMillis, tasks");
+            }
+        }
+        if (parser.nextToken() != null) {
+            reject("", "one JSON object is needed, and more follows it");
+        }
+    }
+
+    private void readName(JsonParser parser, String name) {
+        if (parser.currentToken() != JsonToken.VALUE_STRING) {
+            reject(name, "must be a text");
+            names.put(name, "invalid");
+            parser.skipChildren();
+            return;
+        }
+        names.put(name, parser.getString());
+    }
+
+    private void readDeadline(JsonParser parser) {
+        whole(parser, "deadlineMillis", 1, LONGEST_DEADLINE_MILLIS)
+                .ifPresent(millis -> deadline = Optional.of(Duration.ofMillis(millis)));
+    }
+
+    private void readDeadlineText(String text) {
+        String rule = "must be a whole number from 1 to " + LONGEST_DEADLINE_MILLIS;
+        try {
+            long millis = Long.parseLong(text);
+            if (millis >= 1 && millis <= LONGEST_DEADLINE_MILLIS) {
+                deadline = Optional.of(Duration.ofMillis(millis));
+                return;
+            }
+            reject("deadlineMillis", rule);
+        } catch (NumberFormatException notWhole) {
+            reject("deadlineMillis", rule);
+        }
+    }
+
+    private void readTasks(JsonParser parser, String body) {
+        tasksSeen = true;
+        if (parser.currentToken() != JsonToken.START_ARRAY) {
+            reject("tasks", "must be a list");
+            parser.skipChildren();
+            return;
+        }
+        int count = 0;
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            readTask(parser, body, "tasks[" + count + "]");
+            count++;
+        }
+        if (count < 1 || count > JobSpecification.MAXIMUM_TASKS) {
+            reject("tasks", "a job has 1 to " + JobSpecification.MAXIMUM_TASKS + " tasks, not " + count);
+        }
+    }
+
+    private void readTask(JsonParser parser, String body, String place) {
+        if (parser.currentToken() != JsonToken.START_OBJECT) {
+            reject(place, "must be an object with a payload");
+            parser.skipChildren();
+            return;
+        }
+        String payload = null;
+        Optional<Long> processorMillis = Optional.empty();
+        Optional<Long> memoryBytes = Optional.empty();
+        Optional<Long> accelerators = Optional.empty();
+        while (parser.nextToken() == JsonToken.PROPERTY_NAME) {
+            String name = parser.currentName();
+            String at = place + "." + name;
+            parser.nextToken();
+            switch (name) {
+                case "payload" -> payload = RawJson.slice(parser, body);
+                case "processors" -> processorMillis = processors(parser, at);
+                case "memoryBytes" -> memoryBytes = whole(parser, at, 0, Long.MAX_VALUE);
+                case "accelerators" -> accelerators = whole(parser, at, 0, MOST_ACCELERATORS);
+                default -> rejectUnknown(parser, at, "payload, processors, memoryBytes, accelerators");
+            }
+        }
+        if (payload == null) {
+            reject(place + ".payload", "is missing");
+            return;
+        }
+        boolean declared = processorMillis.isPresent() || memoryBytes.isPresent() || accelerators.isPresent();
+        Resources resources = new Resources(
+                processorMillis.orElse(0L),
+                memoryBytes.orElse(0L),
+                accelerators.orElse(0L).intValue());
+        tasks.add(new Task(payload, declared ? Optional.of(resources) : Optional.empty()));
+    }
+
+    private Optional<Long> processors(JsonParser parser, String place) {
+        String rule = "must be a number from 0 to " + MOST_PROCESSORS;
+        if (!parser.currentToken().isNumeric()) {
+            reject(place, rule);
+            parser.skipChildren();
+            return Optional.empty();
+        }
+        BigDecimal value = parser.getDecimalValue();
+        if (value.signum() < 0 || value.compareTo(BigDecimal.valueOf(MOST_PROCESSORS)) > 0) {
+            reject(place, rule);
+            return Optional.empty();
+        }
+        return Optional.of(value.multiply(MILLIS_PER_PROCESSOR).longValue());
+    }
+
+    private Optional<Long> whole(JsonParser parser, String place, long least, long most) {
+        String rule = "must be a whole number from " + least + " to " + most;
+        boolean number = parser.currentToken() == JsonToken.VALUE_NUMBER_INT;
+        if (!number || parser.getNumberType() == JsonParser.NumberType.BIG_INTEGER) {
+            reject(place, rule);
+            parser.skipChildren();
+            return Optional.empty();
+        }
+        long value = parser.getLongValue();
+        if (value < least || value > most) {
+            reject(place, rule);
+            return Optional.empty();
+        }
+        return Optional.of(value);
+    }
+
+    private void requireName(String name) {
+        if (!names.containsKey(name)) {
+            reject(name, "is missing");
+            return;
+        }
+        checkName(name);
+    }
+
+    private void checkName(String name) {
+        String value = names.get(name);
+        if (value == null) {
+            return;
+        }
+        boolean unprintable = value.chars().anyMatch(Character::isISOControl);
+        if (value.isBlank() || value.length() > LONGEST_NAME || unprintable) {
+            reject(name, "must be 1 to " + LONGEST_NAME + " printable characters");
+        }
+    }
+
+    private void checkKey(String key) {
+        boolean unprintable = key.chars().anyMatch(character -> character <= ' ' || character > '~');
+        if (key.isEmpty() || key.length() > LONGEST_NAME || unprintable) {
+            reject("Idempotency-Key", "must be 1 to " + LONGEST_NAME + " visible ASCII characters");
+        }
+    }
+
+    private void rejectUnknown(JsonParser parser, String place, String allowed) {
+        reject(place, "is not known; allowed are " + allowed);
+        parser.skipChildren();
+    }
+
+    private void reject(String place, String message) {
+        mistakes.add(new InputMistake(place, message));
+    }
+
+    private static InputMistake mistakeOf(JacksonException malformed) {
+        TokenStreamLocation location = malformed.getLocation();
+        String place = location == null ? "" : "line " + location.getLineNr() + ", column " + location.getColumnNr();
+        return new InputMistake(place, "malformed JSON: " + malformed.getOriginalMessage());
+    }
+
+    /** A submission, or the mistakes that it has. */
+    record Result(Optional<Submission> submission, List<InputMistake> mistakes) {
+        Result {
+            mistakes = List.copyOf(mistakes);
+        }
+    }
+
+    /** A task as written; without resources when it declares none. */
+    record Task(String payload, Optional<Resources> resources) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface for callers and operators. */
+package org.chivetally.entry.http;
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
@@ -0,0 +1,143 @@
+package org.chivetally.entry.peer;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+import org.chivetally.coordination.AgentId;
+import org.chivetally.entry.submission.OutcomeDocument;
+import org.chivetally.entry.submission.SubmissionCommand;
+import org.chivetally.entry.submission.SubmissionCommand.AttachAnswer;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
+import org.chivetally.job.JobOutcome.Certainty;
+import org.chivetally.transport.FrameConnection;
+import org.chivetally.transport.FrameListener;
+import org.chivetally.wire.v1.Attach;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Heartbeat;
+import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.JobAnswer;
+import org.chivetally.wire.v1.SuspicionAnswer;
+import org.chivetally.wire.v1.SuspicionQuery;
+
+/** Answers other processes that dial this entry. */
+public final class InboundFrames implements FrameListener {
+    /** Longest outcome that one frame carries, in bytes. */
+    private static final int LONGEST_OUTCOME = 3 * 1024 * 1024;
+
+    private final Parts parts;
+
+    /** Creates the listener. */
+    public InboundFrames(Parts parts) {
+        this.parts = parts;
+    }
+
+    @Override
+    public void connected(FrameConnection connection) {
+        connection.send(Frame.newBuilder()
+                .setRequestId(parts.requestIds().getAsLong())
+                .setHello(parts.hello().get())
+                .build());
+    }
+
+    @Override
+    public void received(FrameConnection connection, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case HELLO -> parts.introduced().accept(frame.getHello());
+            case HEARTBEAT -> beat(connection, frame);
+            case ATTACH -> attach(connection, frame.getRequestId(), frame.getAttach());
+            case CANCEL -> frame.getCancel().getJobIdsList().forEach(this::cancel);
+            case SUSPICION_QUERY -> suspicion(connection, frame.getRequestId(), frame.getSuspicionQuery());
+            default -> parts.others().received(connection, frame);
+        }
+    }
+
+    @Override
+    public void disconnected(FrameConnection connection, String reason) {
+        parts.others().disconnected(connection, reason);
+    }
+
+    private static void beat(FrameConnection connection, Frame frame) {
+        if (frame.getHeartbeat().getAnswer()) {
+            return;
+        }
+        connection.send(Frame.newBuilder()
+                .setRequestId(frame.getRequestId())
+                .setHeartbeat(Heartbeat.newBuilder().setAnswer(true))
+                .build());
+    }
+
+    private void attach(FrameConnection connection, long requestId, Attach attach) {
+        Optional<JobId> job = Optional.of(attach.getJobId())
+                .filter(text -> !text.isEmpty())
+                .map(JobId::new);
+        parts.submissions()
+                .accept(new SubmissionCommand.Attach(
+                        job,
+                        attach.getKey(),
+                        answer -> parts.executor().execute(() -> answer(connection, requestId, answer))));
+    }
+
+    private static void answer(FrameConnection connection, long requestId, AttachAnswer answer) {
+        JobAnswer.Builder body = JobAnswer.newBuilder()
+                .setJobId(answer.job().map(JobId::text).orElse(""))
+                .setKnown(answer.known())
+                .setOutcome(answer.outcome().map(outcome -> fitting(answer, outcome)).orElse(""));
+        connection.send(
+                Frame.newBuilder().setRequestId(requestId).setJobAnswer(body).build());
+    }
+
+    // A frame over the transport's limit would close the connection, and the asking entry would dial and ask again for
+    // ever. It is told instead that the answer has to be fetched from this entry.
+    private static String fitting(AttachAnswer answer, JobOutcome outcome) {
+        JobId job = answer.job().orElseThrow();
+        String document = OutcomeDocument.write(job, outcome);
+        if (document.getBytes(StandardCharsets.UTF_8).length <= LONGEST_OUTCOME) {
+            return document;
+        }
+        String detail = "the whole answer is too large to pass between entries; ask the entry that coordinates the job";
+        return OutcomeDocument.write(
+                job, new JobOutcome.Failure(ErrorCode.OUTCOME_UNKNOWN, Certainty.UNKNOWN, detail, List.of(), 0));
+    }
+
+    private void cancel(String job) {
+        if (!job.isEmpty()) {
+            parts.submissions().accept(new SubmissionCommand.CancelForPeer(new JobId(job)));
+        }
+    }
+
+    private void suspicion(FrameConnection connection, long requestId, SuspicionQuery query) {
+        boolean alive = parts.usable().test(new AgentId(query.getProcessId(), query.getIncarnation()));
+        connection.send(Frame.newBuilder()
+                .setRequestId(requestId)
+                .setSuspicionAnswer(SuspicionAnswer.newBuilder()
+                        .setProcessId(query.getProcessId())
+                        .setAlive(alive))
+                .build());
+    }
+
+    /**
+     * What the listener works with; all parts are safe from any thread.
+     *
+     * @param hello introduction of this process
+     * @param introduced takes introductions of processes that dialled
+     * @param submissions takes questions about jobs
+     * @param usable tells whether an agent can be reached from here now
+     * @param others told of all other frames and of closed connections
+     * @param executor writes answers, which may be large
+     */
+    public record Parts(
+            Supplier<Hello> hello,
+            LongSupplier requestIds,
+            Consumer<Hello> introduced,
+            Consumer<SubmissionCommand> submissions,
+            Predicate<AgentId> usable,
+            FrameListener others,
+            Executor executor) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -0,0 +1,240 @@
+package org.chivetally.entry.peer;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.PostStop;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.chivetally.claim.Coordinator;
+import org.chivetally.entry.link.Address;
+import org.chivetally.entry.link.HeartbeatSettings;
+import org.chivetally.entry.link.LinkObserver;
+import org.chivetally.entry.link.LinkSet;
+import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.Member;
+import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.submission.OutcomeDocument;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
+import org.chivetally.job.JobOutcome.Certainty;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
+import org.chivetally.wire.v1.Attach;
+import org.chivetally.wire.v1.Cancel;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.JobAnswer;
+
+/** Asks other entries for the outcomes of jobs that they coordinate. */
+public final class PeerActor extends AbstractBehavior<PeerCommand> implements LinkObserver {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+    private static final long ASK_AGAIN_NANOS = Duration.ofMillis(500).toNanos();
+
+    private final Parts parts;
+    private final LinkSet links;
+    private final Map<JobId, Question> questions = new HashMap<>();
+    private Set<String> viewed = Set.of();
+
+    private PeerActor(ActorContext<PeerCommand> context, Parts parts) {
+        super(context);
+        this.parts = parts;
+        Consumer<LinkSignal> signals = signal -> context.getSelf().tell(new PeerCommand.Signal(signal));
+        this.links = new LinkSet(parts.wiring().apply(signals), parts.heartbeats(), this);
+    }
+
+    /** Creates the behavior. */
+    public static Behavior<PeerCommand> create(Parts parts) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            timers.startTimerWithFixedDelay(new PeerCommand.Tick(), TICK_INTERVAL);
+            return new PeerActor(context, parts);
+        }));
+    }
+
+    @Override
+    public Receive<PeerCommand> createReceive() {
+        return newReceiveBuilder()
+                .onMessage(PeerCommand.class, command -> {
+                    handle(command);
+                    return this;
+                })
+                .onSignal(PostStop.class, stop -> {
+                    links.close();
+                    return this;
+                })
+                .build();
+    }
+
+    private void handle(PeerCommand command) {
+        switch (command) {
+            case PeerCommand.Ask ask -> onAsk(ask);
+            case PeerCommand.Forget forget -> questions.remove(forget.job());
+            case PeerCommand.CancelJob cancel -> onCancel(cancel);
+            case PeerCommand.Signal signal ->
+                links.signal(signal.signal(), parts.clock().nanos());
+            case PeerCommand.View view -> onView(view.view());
+            case PeerCommand.Tick tick -> onTick();
+        }
+    }
+
+    private void onAsk(PeerCommand.Ask ask) {
+        Question question = new Question(ask.coordinator(), ask.job(), ask.key());
+        questions.put(ask.job(), question);
+        keep(ask.coordinator());
+        send(question);
+    }
+
+    private void onCancel(PeerCommand.CancelJob cancel) {
+        keep(cancel.coordinator());
+        Frame frame = Frame.newBuilder()
+                .setCancel(Cancel.newBuilder().addJobIds(cancel.job().text()))
+                .build();
+        links.send(cancel.coordinator().processId(), frame);
+    }
+
+    // The view may name a newer address of the process than an old claim does, so the claim's is only used when the view
+    // names none.
+    private void keep(Coordinator coordinator) {
+        if (links.processes().contains(coordinator.processId())) {
+            return;
+        }
+        Address address = new Address(coordinator.host(), coordinator.port());
+        links.keep(coordinator.processId(), address, parts.clock().nanos());
+    }
+
+    private void onView(MemberView view) {
+        Set<String> named = new HashSet<>();
+        for (Member entry : view.entries()) {
+            if (entry.processId().equals(parts.self())) {
+                continue;
+            }
+            named.add(entry.processId());
+            links.keep(entry.processId(), entry.address(), parts.clock().nanos());
+        }
+        viewed = Set.copyOf(named);
+        dropUnwanted();
+    }
+
+    private void dropUnwanted() {
+        for (String processId : links.processes()) {
+            if (!viewed.contains(processId) && !awaits(processId)) {
+                links.drop(processId, "not a member");
+            }
+        }
+    }
+
+    private void onTick() {
+        long now = parts.clock().nanos();
+        links.tick(now, this::awaits);
+        for (Question question : questions.values()) {
+            if (question.dueAgain && now - question.askAt >= 0) {
+                send(question);
+            }
+        }
+    }
+
+    private void send(Question question) {
+        question.dueAgain = false;
+        Frame frame = Frame.newBuilder()
+                .setAttach(Attach.newBuilder().setJobId(question.job.text()).setKey(question.key))
+                .build();
+        links.send(question.coordinator.processId(), frame);
+    }
+
+    private boolean awaits(String processId) {
+        return questions.values().stream()
+                .anyMatch(question -> question.coordinator.processId().equals(processId));
+    }
+
+    @Override
+    public void up(Hello hello) {
+        questions.values().stream()
+                .filter(question -> question.coordinator.processId().equals(hello.getProcessId()))
+                .forEach(this::send);
+    }
+
+    @Override
+    public void down(Hello hello, String reason) {
+        // Questions are asked again on the next connection.
+    }
+
+    @Override
+    public void stranger(Hello hello) {
+        parts.introduced().accept(hello);
+    }
+
+    @Override
+    public void received(Hello sender, Frame frame) {
+        if (frame.hasJobAnswer()) {
+            onAnswer(frame.getJobAnswer());
+        }
+    }
+
+    private void onAnswer(JobAnswer answer) {
+        Question question =
+                answer.getJobId().isEmpty() ? null : questions.get(new JobId(answer.getJobId()));
+        if (question == null) {
+            return;
+        }
+        if (!answer.getKnown()) {
+            question.dueAgain = true;
+            question.askAt = parts.clock().nanos() + ASK_AGAIN_NANOS;
+            return;
+        }
+        questions.remove(question.job);
+        parts.answered().accept(question.job, read(answer));
+    }
+
+    private static JobOutcome read(JobAnswer answer) {
+        try {
+            return OutcomeDocument.read(answer.getOutcome());
+        } catch (IllegalArgumentException malformed) {
+            logger.atWarning().withCause(malformed).log(
+                    "%s", EventLine.of("peer-answer-malformed").with("job", answer.getJobId()));
+            return new JobOutcome.Failure(
+                    ErrorCode.INTERNAL, Certainty.UNKNOWN, "another entry's answer can't be read", List.of(), 0);
+        }
+    }
+
+    private static final class Question {
+        private final Coordinator coordinator;
+        private final JobId job;
+        private final String key;
+        private boolean dueAgain;
+        private long askAt;
+
+        private Question(Coordinator coordinator, JobId job, String key) {
+            this.coordinator = coordinator;
+            this.job = job;
+            this.key = key;
+        }
+    }
+
+    /**
+     * What the actor works with.
+     *
+     * @param self process id of this entry
+     * @param wiring makes the links' wiring for the actor's signals
+     * @param answered takes outcomes
+     * @param introduced takes introductions of processes found at another's address
+     */
+    public record Parts(
+            String self,
+            Function<Consumer<LinkSignal>, LinkSet.Wiring> wiring,
+            HeartbeatSettings heartbeats,
+            BiConsumer<JobId, JobOutcome> answered,
+            Consumer<Hello> introduced,
+            NanoClock clock) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -0,0 +1,27 @@
+package org.chivetally.entry.peer;
+
+import org.chivetally.claim.Coordinator;
+import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.MemberView;
+import org.chivetally.job.JobId;
+
+/** Messages of {@link PeerActor}. */
+public sealed interface PeerCommand {
+    /** Ask a coordinator for its job's outcome until it answers or the question is forgotten. */
+    record Ask(Coordinator coordinator, JobId job, String key) implements PeerCommand {}
+
+    /** The answer is no longer wanted. */
+    record Forget(JobId job) implements PeerCommand {}
+
+    /** Ask a coordinator to cancel its job. */
+    record CancelJob(Coordinator coordinator, JobId job) implements PeerCommand {}
+
+    /** The transport reports about a connection to an entry. */
+    record Signal(LinkSignal signal) implements PeerCommand {}
+
+    /** The members changed. */
+    record View(MemberView view) implements PeerCommand {}
+
+    /** Time passed. */
+    record Tick() implements PeerCommand {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -0,0 +1,611 @@
+package org.chivetally.entry.submission;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.chivetally.claim.Claim;
+import org.chivetally.claim.ClaimDecision;
+import org.chivetally.claim.Claims;
+import org.chivetally.claim.Coordinator;
+import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.entry.submission.SubmissionCommand.AttachAnswer;
+import org.chivetally.entry.submission.SubmissionCommand.Awaited;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
+import org.chivetally.job.JobOutcome.Certainty;
+import org.chivetally.job.ServicePolicies;
+import org.chivetally.job.ServicePolicy;
+import org.chivetally.job.TeamPolicy;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.NanoClock;
+
+/** Claims submissions, hands them to the dispatcher, and finds the outcomes of jobs that other entries coordinate. */
+public final class SubmissionActor extends AbstractBehavior<SubmissionCommand> {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
+    private static final Duration TAKEOVER_RETRY = Duration.ofMillis(500);
+    private static final int TICKS_PER_REFRESH = 10;
+
+    private final ActorRef<SubmissionCommand> self;
+    private final Parts parts;
+    private final JobLedger ledger;
+    private final Map<JobId, RemoteJob> remotes = new HashMap<>();
+    private final Map<String, TeamPolicy> teams = new HashMap<>();
+    private final List<CompletableFuture<Void>> draining = new ArrayList<>();
+    private boolean stopping;
+    private long ticks;
+
+    private SubmissionActor(ActorContext<SubmissionCommand> context, Parts parts) {
+        super(context);
+        this.self = context.getSelf();
+        this.parts = parts;
+        this.ledger = new JobLedger(
+                parts.settings().dedupeWindow().toNanos(), parts.settings().maximumKeptBytes());
+    }
+
+    /** Creates the behavior. */
+    public static Behavior<SubmissionCommand> create(Parts parts) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            timers.startTimerWithFixedDelay(new SubmissionCommand.Tick(), TICK_INTERVAL);
+            return new SubmissionActor(context, parts);
+        }));
+    }
+
+    @Override
+    public Receive<SubmissionCommand> createReceive() {
+        return newReceiveBuilder()
+                .onMessage(SubmissionCommand.class, command -> {
+                    handle(command);
+                    return this;
+                })
+                .build();
+    }
+
+    private void handle(SubmissionCommand command) {
+        switch (command) {
+            case SubmissionCommand.Submit submit -> onSubmit(submit);
+            case SubmissionCommand.JobFinished finished -> onJobFinished(finished);
+            case SubmissionCommand.PeerAnswered answered -> onPeerAnswered(answered);
+            case SubmissionCommand.Attach attach -> onAttach(attach);
+            case SubmissionCommand.CancelForPeer cancel -> cancelHere(cancel.job());
+            case SubmissionCommand.Await await -> onAwait(await);
+            case SubmissionCommand.ListJobs list -> list.reply().complete(statuses(list.team(), list.limit()));
+            case SubmissionCommand.Drain drain -> onDrain(drain);
+            case SubmissionCommand.ClaimDecided decided -> onClaimDecided(decided);
+            case SubmissionCommand.TakeoverDecided decided -> onTakeoverDecided(decided);
+            case SubmissionCommand.ClaimRefreshed refreshed -> onClaimRefreshed(refreshed.claim());
+            case SubmissionCommand.AwaitedFound found -> onAwaitedFound(found);
+            case SubmissionCommand.RefusedFound found -> onRefusedFound(found);
+            case SubmissionCommand.Tick tick -> onTick();
+        }
+    }
+
+    private void onSubmit(SubmissionCommand.Submit submit) {
+        Submission submission = submit.submission();
+        if (stopping) {
+            refuse(submission, certainty -> Failures.notReady(certainty, "this entry is stopping"), submit.reply());
+            return;
+        }
+        Optional<JobRecord> open = ledger.find(submission.key())
+                .filter(present -> present.phase() != JobStatus.Phase.FINAL)
+                .filter(present -> present.digest().equals(submission.digest()));
+        if (open.isPresent()) {
+            join(open.get(), submit.reply());
+            return;
+        }
+        JobRecord record = new JobRecord(
+                parts.jobIds().get(),
+                submission,
+                parts.time().instant(),
+                parts.clock().nanos());
+        record.addAccepting(submit.reply());
+        ledger.add(record);
+        dispatch(record.job(), submission);
+        parts.claims()
+                .claim(submission.key(), submission.digest(), record.job())
+                .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
+    }
+
+    private static void join(JobRecord record, CompletableFuture<SubmissionReply> reply) {
+        if (record.phase() == JobStatus.Phase.CLAIMING) {
+            record.addAccepting(reply);
+            return;
+        }
+        reply.complete(new SubmissionReply.Accepted(record.job(), record.done()));
+    }
+
+    private void dispatch(JobId job, Submission submission) {
+        ServicePolicy service =
+                parts.policies().service(submission.specification().service());
+        announceTeam(submission.specification().team());
+        parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service));
+    }
+
+    private void announceTeam(String name) {
+        TeamPolicy policy = parts.policies().team(name);
+        boolean undeclared = policy.equals(TeamPolicy.undeclared(name));
+        TeamPolicy before = undeclared ? teams.remove(name) : teams.put(name, policy);
+        boolean changed = undeclared ? before != null : !policy.equals(before);
+        if (changed) {
+            parts.dispatch().tell(new DispatchEvent.TeamChanged(policy));
+        }
+    }
+
+    private void onClaimDecided(SubmissionCommand.ClaimDecided decided) {
+        Optional<JobRecord> found = ledger.find(decided.job());
+        if (found.isEmpty()) {
+            return;
+        }
+        JobRecord record = found.get();
+        switch (decided.decision()) {
+            case ClaimDecision.Won won -> onWon(record, won.claim());
+            case ClaimDecision.Attached attached -> onLost(record, attached.claim());
+            case ClaimDecision.KeyReused reused -> onKeyReused(record);
+            case ClaimDecision.LogUnavailable unavailable -> onLogUnavailable(record, unavailable.reason());
+        }
+    }
+
+    private void onWon(JobRecord record, Claim claim) {
+        Optional<JobOutcome> early = record.outcome();
+        record.claimed(claim);
+        if (early.isPresent()) {
+            finish(record, early.get());
+        } else {
+            parts.dispatch().tell(new DispatchEvent.JobClaimed(record.job(), claim.generation()));
+            logger.atInfo().log("%s", line("job-claimed", record));
+        }
+        replyAll(record, new SubmissionReply.Accepted(record.job(), record.done()));
+    }
+
+    private void onLost(JobRecord record, Claim claim) {
+        Submission submission = record.submission();
+        withdraw(record);
+        logger.atInfo().log(
+                "%s",
+                line("job-attached", record)
+                        .with("to", claim.job())
+                        .with("coordinator", claim.coordinator().processId()));
+        SubmissionReply reply = attach(claim, submission);
+        replyAll(record, reply);
+        switch (reply) {
+            case SubmissionReply.Accepted accepted -> accepted.outcome().thenAccept(record::finish);
+            case SubmissionReply.Refused refused -> record.finish(refused.failure());
+        }
+    }
+
+    private void onKeyReused(JobRecord record) {
+        withdraw(record);
+        replyAll(record, new SubmissionReply.Refused(Failures.keyReused()));
+        record.finish(Failures.keyReused());
+    }
+
+    private SubmissionReply attach(Claim claim, Submission submission) {
+        if (!isSelf(claim.coordinator())) {
+            return attachRemote(claim, submission);
+        }
+        Optional<JobRecord> own = ledger.find(claim.job());
+        if (own.isEmpty()) {
+            return new SubmissionReply.Refused(Failures.nothingKept());
+        }
+        JobRecord record = own.get();
+        if (record.mayRunAgain() && record.relinquished()) {
+            return attachRemote(claim, submission);
+        }
+        if (record.mayRunAgain()) {
+            runAgain(record, claim, submission);
+        }
+        return new SubmissionReply.Accepted(record.job(), record.done());
+    }
+
+    // A job that was refused as not run keeps its claim, so its key would get the same refusal for the whole dedupe
+    // window, also when there is room again. Nothing of it ever started and only this entry may start it, so it may be
+    // run under the same claim.
+    private void runAgain(JobRecord record, Claim claim, Submission submission) {
+        ledger.reopen(record, claim);
+        dispatch(record.job(), submission);
+        parts.dispatch().tell(new DispatchEvent.JobClaimed(record.job(), claim.generation()));
+        logger.atInfo().log("%s", line("job-runs-again", record));
+    }
+
+    private SubmissionReply attachRemote(Claim claim, Submission submission) {
+        long until = parts.clock().nanos()
+                + submission.specification().deadline().toNanos();
+        RemoteJob remote = remote(claim);
+        remote.offer(submission);
+        return new SubmissionReply.Accepted(claim.job(), remote.await(until));
+    }
+
+    private RemoteJob remote(Claim claim) {
+        return remotes.computeIfAbsent(claim.job(), job -> {
+            ask(claim);
+            return new RemoteJob(claim, parts.clock().nanos());
+        });
+    }
+
+    private void ask(Claim claim) {
+        if (!isSelf(claim.coordinator())) {
+            parts.peers().ask(claim.coordinator(), claim.job(), claim.key().key());
+        }
+    }
+
+    private void onLogUnavailable(JobRecord record, String reason) {
+        Submission submission = record.submission();
+        ServicePolicy policy =
+                parts.policies().service(submission.specification().service());
+        if (policy.claimMode() == ServicePolicy.ClaimMode.MEMORY) {
+            logger.atWarning().log("%s", line("claimed-in-memory", record).with("reason", reason));
+            runUnlogged(record);
+            return;
+        }
+        parts.dispatch().tell(new DispatchEvent.JobWithdrawn(record.job()));
+        List<CompletableFuture<SubmissionReply>> callers = record.takeAccepting();
+        finish(record, Failures.logUnavailable(Certainty.NOT_RUN, reason));
+        for (CompletableFuture<SubmissionReply> caller : callers) {
+            refuse(submission, certainty -> Failures.logUnavailable(certainty, reason), caller);
+        }
+    }
+
+    private void runUnlogged(JobRecord record) {
+        Optional<JobOutcome> early = record.outcome();
+        record.claimed(null);
+        if (early.isPresent()) {
+            finish(record, early.get());
+        } else {
+            parts.dispatch().tell(new DispatchEvent.JobClaimed(record.job(), 1));
+        }
+        replyAll(record, new SubmissionReply.Accepted(record.job(), record.done()));
+    }
+
+    /** Refuses a submission without a claim; what is certain depends on whether its key may have been used before. */
+    private void refuse(
+            Submission submission, SubmissionCommand.Refusal refusal, CompletableFuture<SubmissionReply> reply) {
+        if (submission.keyGenerated()) {
+            reply.complete(new SubmissionReply.Refused(refusal.with(Certainty.NOT_RUN)));
+            return;
+        }
+        parts.claims()
+                .find(submission.key())
+                .thenAccept(claim -> tell(new SubmissionCommand.RefusedFound(submission, claim, refusal, reply)));
+    }
+
+    // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could send
+    // the same offer again under a new key. The claims read so far tell; an earlier submission that they show is joined
+    // instead of refused.
+    private void onRefusedFound(SubmissionCommand.RefusedFound found) {
+        Optional<Claim> claim = found.claim();
+        if (claim.isEmpty()) {
+            found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.NOT_RUN)));
+            return;
+        }
+        if (!claim.get().bodyDigest().equals(found.submission().digest())) {
+            found.reply().complete(new SubmissionReply.Refused(Failures.keyReused()));
+            return;
+        }
+        found.reply().complete(joinEarlier(claim.get(), found));
+    }
+
+    private SubmissionReply joinEarlier(Claim claim, SubmissionCommand.RefusedFound found) {
+        if (stopping && !isSelf(claim.coordinator())) {
+            return new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN));
+        }
+        Optional<JobRecord> own = ledger.find(claim.job());
+        if (own.isPresent() && own.get().mayRunAgain()) {
+            return new SubmissionReply.Refused(found.refusal().with(Certainty.NOT_RUN));
+        }
+        return attach(claim, found.submission());
+    }
+
+    private void onJobFinished(SubmissionCommand.JobFinished finished) {
+        Optional<JobRecord> found = ledger.find(finished.job());
+        if (found.isEmpty()) {
+            return;
+        }
+        JobRecord record = found.get();
+        switch (record.phase()) {
+            case CLAIMING -> onEndedEarly(record, finished.outcome());
+            case RUNNING -> finish(record, finished.outcome());
+            case FINAL -> logger.atWarning().log("%s", line("job-finished-twice", record));
+        }
+    }
+
+    // The claim of a slow log may come long after the deadline. Callers are told in time that the deadline passed; as the
+    // log has not said yet whether an earlier submission of the key runs, "not run" is only certain of a new key.
+    private static void onEndedEarly(JobRecord record, JobOutcome outcome) {
+        record.endedEarly(outcome);
+        if (!(outcome instanceof JobOutcome.Failure failure) || failure.code() != ErrorCode.DEADLINE_EXCEEDED) {
+            return;
+        }
+        Certainty certainty = record.submission().keyGenerated() ? Certainty.NOT_RUN : Certainty.UNKNOWN;
+        replyAll(record, new SubmissionReply.Refused(Failures.claimTooLate(certainty)));
+    }
+
+    private void finish(JobRecord record, JobOutcome outcome) {
+        long now = parts.clock().nanos();
+        boolean passing = JobRecord.isPassingRefusal(outcome);
+        record.claim().filter(claim -> !passing).ifPresent(parts.claims()::finished);
+        ledger.finish(record, outcome, now);
+        parts.finished().accept(outcome, now - record.submittedNanos());
+        logger.atInfo().log("%s", finalLine(record, outcome, now));
+        endDrainWhenIdle();
+    }
+
+    private void withdraw(JobRecord record) {
+        parts.dispatch().tell(new DispatchEvent.JobWithdrawn(record.job()));
+        ledger.withdraw(record);
+        endDrainWhenIdle();
+    }
+
+    private static void replyAll(JobRecord record, SubmissionReply reply) {
+        record.takeAccepting().forEach(caller -> caller.complete(reply));
+    }
+
+    private void onPeerAnswered(SubmissionCommand.PeerAnswered answered) {
+        RemoteJob remote = remotes.get(answered.job());
+        if (remote == null || remote.takingOver()) {
+            return;
+        }
+        JobOutcome outcome = answered.outcome();
+        // The coordinator refused the job as not run and left it to whoever gets it again.
+        if (JobRecord.isPassingRefusal(outcome) && remote.beginTakeover(parts.clock().nanos())) {
+            takeOver(remote);
+            return;
+        }
+        endRemote(remote, outcome);
+    }
+
+    private void endRemote(RemoteJob remote, JobOutcome outcome) {
+        remotes.remove(remote.job());
+        parts.peers().forget(remote.job());
+        remote.complete(outcome);
+        endDrainWhenIdle();
+    }
+
+    private void takeOver(RemoteJob remote) {
+        parts.claims()
+                .takeOver(remote.claim())
+                .thenAccept(decision -> tell(new SubmissionCommand.TakeoverDecided(remote.job(), decision)));
+    }
+
+    private void onTakeoverDecided(SubmissionCommand.TakeoverDecided decided) {
+        RemoteJob remote = remotes.get(decided.job());
+        if (remote == null) {
+            return;
+        }
+        remote.endTakeover(parts.clock().nanos() + TAKEOVER_RETRY.toNanos());
+        switch (decided.decision()) {
+            case ClaimDecision.Won won -> runTakenOver(remote, won.claim());
+            case ClaimDecision.Attached attached -> {
+                remote.changed(attached.claim());
+                ask(attached.claim());
+            }
+            case ClaimDecision.KeyReused reused -> endRemote(remote, Failures.keyReused());
+            case ClaimDecision.LogUnavailable unavailable ->
+                logger.atWarning().log(
+                        "%s",
+                        EventLine.of("takeover-failed")
+                                .with("job", decided.job())
+                                .with("reason", unavailable.reason()));
+        }
+    }
+
+    private void runTakenOver(RemoteJob remote, Claim claim) {
+        Submission submission = remote.submission().orElseThrow();
+        remotes.remove(remote.job());
+        parts.peers().forget(remote.job());
+        JobRecord record = new JobRecord(
+                claim.job(), submission, parts.time().instant(), parts.clock().nanos());
+        ledger.add(record);
+        record.claimed(claim);
+        record.done().thenAccept(remote::complete);
+        dispatch(claim.job(), submission);
+        parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
+        logger.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
+    }
+
+    private void onClaimRefreshed(Claim claim) {
+        RemoteJob remote = remotes.get(claim.job());
+        if (remote == null || !remote.changed(claim)) {
+            return;
+        }
+        parts.peers().forget(claim.job());
+        ask(claim);
+    }
+
+    private void onAttach(SubmissionCommand.Attach attach) {
+        if (attach.job().isEmpty()) {
+            attach.reply().accept(new AttachAnswer(Optional.empty(), false, Optional.empty()));
+            return;
+        }
+        JobId job = attach.job().get();
+        Optional<JobRecord> found = ledger.find(job);
+        if (found.isEmpty()) {
+            attach.reply().accept(new AttachAnswer(attach.job(), false, Optional.empty()));
+            return;
+        }
+        JobRecord record = found.get();
+        record.done().thenAccept(outcome -> {
+            if (record.mayRunAgain()) {
+                record.relinquish();
+            }
+            attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome)));
+        });
+    }
+
+    private boolean cancelHere(JobId job) {
+        Optional<JobRecord> open =
+                ledger.find(job).filter(record -> record.phase() != JobStatus.Phase.FINAL);
+        open.ifPresent(record -> parts.dispatch().tell(new DispatchEvent.JobCancelled(job)));
+        return open.isPresent();
+    }
+
+    private void onAwait(SubmissionCommand.Await await) {
+        Optional<JobRecord> own = ledger.find(await.job());
+        if (own.isPresent()) {
+            awaitOwn(await, own.get());
+            return;
+        }
+        parts.claims()
+                .find(await.job())
+                .thenAccept(claim -> tell(new SubmissionCommand.AwaitedFound(await, claim)));
+    }
+
+    private void awaitOwn(SubmissionCommand.Await await, JobRecord record) {
+        if (await.cancel()) {
+            cancelHere(record.job());
+        }
+        await.reply()
+                .complete(Optional.of(new Awaited(record.status(parts.self().processId()), record.done(), true)));
+    }
+
+    private void onAwaitedFound(SubmissionCommand.AwaitedFound found) {
+        SubmissionCommand.Await await = found.await();
+        Optional<JobRecord> own = ledger.find(await.job());
+        if (own.isPresent()) {
+            awaitOwn(await, own.get());
+            return;
+        }
+        await.reply().complete(found.claim().map(claim -> awaitClaimed(await, claim)));
+    }
+
+    private Awaited awaitClaimed(SubmissionCommand.Await await, Claim claim) {
+        if (isSelf(claim.coordinator())) {
+            CompletionStage<JobOutcome> nothing = CompletableFuture.completedFuture(Failures.nothingKept());
+            return new Awaited(remoteStatus(claim), nothing, true);
+        }
+        if (await.cancel()) {
+            parts.peers().cancel(claim.coordinator(), claim.job());
+        }
+        return new Awaited(remoteStatus(claim), remote(claim).await(await.until()), false);
+    }
+
+    private static JobStatus remoteStatus(Claim claim) {
+        return new JobStatus(
+                claim.job(),
+                "",
+                claim.key().team(),
+                0,
+                claim.finished() ? JobStatus.Phase.FINAL : JobStatus.Phase.RUNNING,
+                claim.coordinator().processId(),
+                claim.generation(),
+                Optional.empty(),
+                Optional.empty());
+    }
+
+    private List<JobStatus> statuses(Optional<String> team, int limit) {
+        return ledger.recent(team, limit).stream()
+                .map(record -> record.status(parts.self().processId()))
+                .toList();
+    }
+
+    private void onTick() {
+        long now = parts.clock().nanos();
+        ticks++;
+        ledger.expire(now);
+        for (RemoteJob remote : List.copyOf(remotes.values())) {
+            tend(remote, now);
+        }
+        endDrainWhenIdle();
+    }
+
+    private void tend(RemoteJob remote, long now) {
+        remote.expire(now);
+        if (!remote.awaited() && !remote.takingOver()) {
+            remotes.remove(remote.job());
+            parts.peers().forget(remote.job());
+            return;
+        }
+        Coordinator coordinator = remote.claim().coordinator();
+        boolean orphaned = isSelf(coordinator) || parts.claims().hasLapsed(coordinator);
+        if (orphaned && remote.beginTakeover(now)) {
+            takeOver(remote);
+            return;
+        }
+        if (ticks % TICKS_PER_REFRESH == 0) {
+            parts.claims()
+                    .find(remote.job())
+                    .thenAccept(claim -> claim.map(SubmissionCommand.ClaimRefreshed::new)
+                            .ifPresent(this::tell));
+        }
+    }
+
+    private void onDrain(SubmissionCommand.Drain drain) {
+        stopping = true;
+        draining.add(drain.drained());
+        endDrainWhenIdle();
+    }
+
+    private void endDrainWhenIdle() {
+        if (!stopping || ledger.open() > 0 || !remotes.isEmpty()) {
+            return;
+        }
+        draining.forEach(waiting -> waiting.complete(null));
+        draining.clear();
+    }
+
+    private boolean isSelf(Coordinator coordinator) {
+        return coordinator.processId().equals(parts.self().processId())
+                && coordinator.incarnation().equals(parts.self().incarnation());
+    }
+
+    private void tell(SubmissionCommand command) {
+        self.tell(command);
+    }
+
+    private static EventLine line(String event, JobRecord record) {
+        return EventLine.of(event)
+                .with("job", record.job())
+                .with("team", record.key().team());
+    }
+
+    private static EventLine finalLine(JobRecord record, JobOutcome outcome, long now) {
+        EventLine line = line("job-final", record)
+                .with("micros", Duration.ofNanos(now - record.submittedNanos()).toNanos() / 1_000);
+        return switch (outcome) {
+            case JobOutcome.Complete complete -> line.with("state", "complete");
+            case JobOutcome.Failure failure ->
+                line.with("state", "failed")
+                        .with("code", failure.code().text())
+                        .with("certainty", failure.certainty().text());
+        };
+    }
+
+    /**
+     * What the actor works with.
+     *
+     * @param self this entry's incarnation
+     * @param finished told of each outcome with the nanoseconds since the submission
+     */
+    public record Parts(
+            Coordinator self,
+            SubmissionSettings settings,
+            Claims claims,
+            Dispatch dispatch,
+            Peers peers,
+            ServicePolicies policies,
+            Supplier<JobId> jobIds,
+            NanoClock clock,
+            InstantSource time,
+            FinishedObserver finished) {}
+
+    /** Told of final outcomes. */
+    @FunctionalInterface
+    public interface FinishedObserver {
+        /** A job is final. */
+        void accept(JobOutcome outcome, long nanos);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionSettings.java
@@ -0,0 +1,21 @@
+package org.chivetally.entry.submission;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * Limits of the jobs that one entry keeps.
+ *
+ * @param dedupeWindow how long final outcomes are kept; the same as the claims' window
+ * @param maximumKeptBytes most bytes of kept outcomes; older answers are dropped over it
+ * @param maximumOpenSubmissions most submissions whose claim or outcome callers wait for
+ */
+public record SubmissionSettings(Duration dedupeWindow, long maximumKeptBytes, int maximumOpenSubmissions) {
+    /** Refuses missing or non-positive limits. */
+    public SubmissionSettings {
+        Objects.requireNonNull(dedupeWindow, "dedupeWindow");
+        if (dedupeWindow.isNegative() || maximumKeptBytes < 1 || maximumOpenSubmissions < 1) {
+            throw new IllegalArgumentException("limits must be positive");
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/errors/ErrorCode.java
+++ b/library/src/main/java/org/chivetally/errors/ErrorCode.java
@@ -14,6 +14,8 @@
     NEVER_FITS("never-fits", 422),
     /** A watch asked for a version that is no longer kept. HTTP 410. */
     VERSION_TOO_OLD("version-too-old", 410),
+    /** The job was answered before, and its answer is no longer kept. HTTP 410. */
+    ANSWER_EXPIRED("answer-expired", 410),
     /** Queues are full or the team is over its quota. HTTP 429, with Retry-After. */
     OVERLOADED("overloaded", 429),
     /** The platform's log can't be reached. HTTP 503, with Retry-After. */
