--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -405,13 +405,21 @@
         }
     }
 
+    /** Gives a claim of this process up, of which nothing was started. */
+    void release(Claim claim) {
+        memory.forget(claim.job());
+        ownClaim(claim.key(), claim.job(), claim.generation()).ifPresent(this::releaseOwn);
+    }
+
     /** Frees what a given-up record won; see {@link ClaimRecord.Released} for why that is safe. */
     private void release(ClaimRecord content) {
-        ownClaimOf(content).ifPresent(claim -> {
-            releasing.add(claim.job());
-            commit.add(new ClaimRecord.Released(claim.key(), claim.job(), self, claim.generation()));
-            write(line("claim-released", claim.key(), claim.job()).with("generation", claim.generation()));
-        });
+        ownClaimOf(content).ifPresent(this::releaseOwn);
+    }
+
+    private void releaseOwn(Claim claim) {
+        releasing.add(claim.job());
+        commit.add(new ClaimRecord.Released(claim.key(), claim.job(), self, claim.generation()));
+        write(line("claim-released", claim.key(), claim.job()).with("generation", claim.generation()));
     }
 
     private Optional<Claim> ownClaimOf(ClaimRecord content) {
--- a/library/src/main/java/org/chivetally/claim/Claims.java
+++ b/library/src/main/java/org/chivetally/claim/Claims.java
@@ -35,6 +35,13 @@
     /** Records, with a later append, that a job has its final outcome. */
     void finished(Claim claim);
 
+    /**
+     * Gives a claim of this process up with a later append; its key can be claimed anew afterwards.
+     *
+     * <p>Only for a job of which nothing was started, and of which this process will start nothing.
+     */
+    default void release(Claim claim) {}
+
     /** Tells whether this process holds its lease, so that it may start tasks. Safe from any thread. */
     boolean holdsLease();
 
--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -112,6 +112,7 @@
             case ClaimsCommand.FindKey find -> find.reply().complete(claimant.find(find.key()));
             case ClaimsCommand.FindJob find -> find.reply().complete(claimant.find(find.job()));
             case ClaimsCommand.Finish finish -> claimant.finished(finish.claim());
+            case ClaimsCommand.Release release -> claimant.release(release.claim());
             case ClaimsCommand.Depart depart -> depart(depart.reply(), nanos);
             case ClaimsCommand.ListenToLease listen -> listenToLease(listen.listener());
             case ClaimsCommand.ListenToReplaced listen -> replacedListeners.add(listen.listener());
--- a/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
@@ -26,6 +26,9 @@
     /** Note a final outcome. */
     record Finish(Claim claim) implements ClaimsCommand {}
 
+    /** Give a claim up. */
+    record Release(Claim claim) implements ClaimsCommand {}
+
     /** Give the lease up. */
     record Depart(CompletableFuture<Void> reply) implements ClaimsCommand {}
 
--- a/library/src/main/java/org/chivetally/claim/LogClaims.java
+++ b/library/src/main/java/org/chivetally/claim/LogClaims.java
@@ -119,6 +119,11 @@
         actor.tell(new ClaimsCommand.Finish(claim));
     }
 
+    @Override
+    public void release(Claim claim) {
+        actor.tell(new ClaimsCommand.Release(claim));
+    }
+
     @Override
     public boolean holdsLease() {
         return lease.isHeldAt(clock.nanos());
--- a/library/src/main/java/org/chivetally/claim/MemoryClaims.java
+++ b/library/src/main/java/org/chivetally/claim/MemoryClaims.java
@@ -74,6 +74,11 @@
         byKey.put(claim.key(), new Held(marked, held.endNanos()));
     }
 
+    @Override
+    public synchronized void release(Claim claim) {
+        forget(claim.job());
+    }
+
     @Override
     public synchronized boolean holdsLease() {
         return !departed;
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -0,0 +1,233 @@
+package org.chivetally.entry;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.time.Duration;
+import java.time.InstantSource;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.typed.ActorRef;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.Props;
+import org.chivetally.claim.Claims;
+import org.chivetally.claim.Coordinator;
+import org.chivetally.coordination.AgentId;
+import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.entry.dispatch.DispatchActor;
+import org.chivetally.entry.dispatch.DispatchCommand;
+import org.chivetally.entry.dispatch.DispatchCore;
+import org.chivetally.entry.link.Dialer;
+import org.chivetally.entry.link.LinkSet;
+import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.Member;
+import org.chivetally.entry.member.MemberActor;
+import org.chivetally.entry.member.MemberRecords;
+import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.peer.PeerActor;
+import org.chivetally.entry.peer.PeerCommand;
+import org.chivetally.entry.submission.Peers;
+import org.chivetally.entry.submission.SubmissionActor;
+import org.chivetally.entry.submission.SubmissionCommand;
+import org.chivetally.entry.submission.SubmissionSettings;
+import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.time.NanoClock;
+import org.chivetally.wire.v1.Hello;
+
+/** The actors of one entry and the ways between them. */
+final class EntryActors {
+    private final ActorSystem<?> system;
+    private final Parts parts;
+    private final Set<AgentId> usableAgents = ConcurrentHashMap.newKeySet();
+    private final AtomicBoolean membersRead = new AtomicBoolean();
+    // Actors that tell each other are made one after the other; the ways to later ones are open once those are made.
+    private final CompletableFuture<ActorRef<DispatchCommand>> dispatch = new CompletableFuture<>();
+    private final CompletableFuture<ActorRef<PeerCommand>> peers = new CompletableFuture<>();
+    private final CompletableFuture<ActorRef<MemberActor.Command>> members = new CompletableFuture<>();
+    private final ActorRef<SubmissionCommand> submissions;
+
+    EntryActors(ActorSystem<?> system, Parts parts) {
+        this.system = system;
+        this.parts = parts;
+        this.submissions = spawn("submissions", SubmissionActor.create(submissionParts()));
+        this.dispatch.complete(spawn("dispatch", DispatchActor.create(dispatchParts())));
+        this.peers.complete(spawn("peers", PeerActor.create(peerParts())));
+        this.members.complete(spawn("members", MemberActor.create(memberParts())));
+        parts.claims().onReplaced(claim -> submissions.tell(new SubmissionCommand.Replaced(claim)));
+    }
+
+    ActorRef<SubmissionCommand> submissions() {
+        return submissions;
+    }
+
+    boolean membersRead() {
+        return membersRead.get();
+    }
+
+    Set<AgentId> usableAgents() {
+        return usableAgents;
+    }
+
+    /** Hands an event to the dispatcher. */
+    void tell(DispatchEvent event) {
+        dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Event(event)));
+    }
+
+    /** Notes a process that introduced itself. */
+    void introduced(Hello hello) {
+        boolean self = hello.getProcessId().equals(parts.member().processId());
+        if (!self) {
+            MemberRecords.ofHello(hello).ifPresent(member -> tellMembers(new MemberActor.Introduced(member)));
+        }
+    }
+
+    /** Takes no new submissions; completes once nothing is in progress. */
+    CompletableFuture<Void> drain() {
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        submissions.tell(new SubmissionCommand.Drain(drained));
+        return drained;
+    }
+
+    /** Says in the log that this process stops. */
+    CompletableFuture<Void> leave() {
+        CompletableFuture<Void> left = new CompletableFuture<>();
+        tellMembers(new MemberActor.Leave(left));
+        return left;
+    }
+
+    /** Ends the actors and with them their connections. */
+    void stop() {
+        dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Stop()));
+        peers.thenAccept(actor -> actor.tell(new PeerCommand.Stop()));
+        submissions.tell(new SubmissionCommand.Stop());
+    }
+
+    private void tellMembers(MemberActor.Command command) {
+        members.thenAccept(actor -> actor.tell(command));
+    }
+
+    private void publish(MemberView view) {
+        dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.View(view)));
+        peers.thenAccept(actor -> actor.tell(new PeerCommand.View(view)));
+    }
+
+    private <T> ActorRef<T> spawn(String name, Behavior<T> behavior) {
+        return system.systemActorOf(
+                behavior, name + "-" + parts.member().incarnation(), Props.empty());
+    }
+
+    private SubmissionActor.Parts submissionParts() {
+        SubmissionSettings settings = new SubmissionSettings(
+                parts.settings().claims().window(), parts.settings().limits().maximumKeptBytes());
+        return new SubmissionActor.Parts(
+                parts.self(),
+                settings,
+                parts.claims(),
+                this::tell,
+                new ActorPeers(),
+                parts.extension().policies(),
+                parts.jobIds(),
+                parts.clock(),
+                parts.time(),
+                this::measure);
+    }
+
+    private void measure(JobOutcome outcome, long nanos) {
+        String state =
+                switch (outcome) {
+                    case JobOutcome.Complete complete -> "complete";
+                    case JobOutcome.Failure failure -> failure.code().text();
+                };
+        parts.meters().timer("chivetally.job.time", "state", state).record(Duration.ofNanos(nanos));
+    }
+
+    private MemberActor.Parts memberParts() {
+        return new MemberActor.Parts(
+                parts.log(),
+                parts.clock(),
+                parts.member(),
+                this::publish,
+                () -> membersRead.set(true),
+                new Introduction(parts, this::introduced)::dialSeeds);
+    }
+
+    private DispatchActor.Parts dispatchParts() {
+        return new DispatchActor.Parts(
+                parts.core(),
+                this::wiring,
+                parts.settings().heartbeats(),
+                parts.claims()::holdsLease,
+                (job, outcome) -> submissions.tell(new SubmissionCommand.JobFinished(job, outcome)),
+                this::introduced,
+                connected -> tellMembers(new MemberActor.Connected(connected)),
+                usableAgents,
+                parts.meters(),
+                parts.clock());
+    }
+
+    private PeerActor.Parts peerParts() {
+        return new PeerActor.Parts(
+                parts.self().processId(),
+                this::wiring,
+                parts.settings().heartbeats(),
+                (job, outcome) -> submissions.tell(new SubmissionCommand.PeerAnswered(job, outcome)),
+                this::introduced,
+                parts.clock());
+    }
+
+    private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
+        return new LinkSet.Wiring(
+                parts.dialer(), parts.hello(), parts.requestIds()::incrementAndGet, new SplittableRandom(), signals);
+    }
+
+    private final class ActorPeers implements Peers {
+        @Override
+        public void ask(Coordinator coordinator, JobId job, String key) {
+            tellPeers(new PeerCommand.Ask(coordinator, job, key));
+        }
+
+        @Override
+        public void forget(JobId job) {
+            tellPeers(new PeerCommand.Forget(job));
+        }
+
+        @Override
+        public void cancel(Coordinator coordinator, JobId job) {
+            tellPeers(new PeerCommand.CancelJob(coordinator, job));
+        }
+
+        private void tellPeers(PeerCommand command) {
+            peers.thenAccept(actor -> actor.tell(command));
+        }
+    }
+
+    /**
+     * What the actors work with.
+     *
+     * @param member this process as a member
+     * @param hello makes this process's introduction
+     * @param requestIds counts request ids of this process
+     */
+    record Parts(
+            EntrySettings settings,
+            EntryExtension extension,
+            Coordinator self,
+            Member member,
+            Claims claims,
+            DispatchCore core,
+            PlatformLog log,
+            Dialer dialer,
+            Supplier<Hello> hello,
+            AtomicLong requestIds,
+            Supplier<JobId> jobIds,
+            MeterRegistry meters,
+            NanoClock clock,
+            InstantSource time) {}
+}
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -66,6 +66,7 @@
     @Override
     public Receive<DispatchCommand> createReceive() {
         return newReceiveBuilder()
+                .onMessage(DispatchCommand.Stop.class, stop -> Behaviors.stopped())
                 .onMessage(DispatchCommand.class, command -> {
                     handle(command);
                     return this;
@@ -85,6 +86,7 @@
                 links.signal(signal.signal(), parts.clock().nanos());
             case DispatchCommand.View view -> onView(view.view());
             case DispatchCommand.Tick tick -> onTick();
+            case DispatchCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
     }
 
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -15,6 +15,9 @@
     /** The members changed. */
     record View(MemberView view) implements DispatchCommand {}
 
+    /** Ends the actor. */
+    record Stop() implements DispatchCommand {}
+
     /** Time passed. */
     record Tick() implements DispatchCommand {}
 }
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -31,48 +31,27 @@
     private static final Duration KEPT_UNHEARD = Duration.ofSeconds(120);
 
     private final TimerScheduler<Command> timers;
-    private final PlatformLog log;
-    private final NanoClock clock;
-    private final Member self;
-    private final Consumer<MemberView> publish;
-    private final Runnable caughtUp;
+    private final Parts parts;
     private final MemberTable table = new MemberTable();
     private long nextOffset;
     private boolean atEnd;
+    private boolean reachable;
 
-    private MemberActor(
-            ActorContext<Command> context,
-            TimerScheduler<Command> timers,
-            PlatformLog log,
-            NanoClock clock,
-            Member self,
-            Consumer<MemberView> publish,
-            Runnable caughtUp) {
+    private MemberActor(ActorContext<Command> context, TimerScheduler<Command> timers, Parts parts) {
         super(context);
         this.timers = timers;
-        this.log = log;
-        this.clock = clock;
-        this.self = self;
-        this.publish = publish;
-        this.caughtUp = caughtUp;
-        table.fold(new MemberRecord.Announce(self), clock.nanos());
+        this.parts = parts;
+        table.fold(new MemberRecord.Announce(parts.self()), parts.clock().nanos());
         timers.startTimerWithFixedDelay(new Expire(), EXPIRY_INTERVAL);
         timers.startTimerWithFixedDelay(new Announce(), ANNOUNCE_INTERVAL);
         announce();
         read();
     }
 
-    /**
-     * Creates the behavior.
-     *
-     * @param self this process as a member
-     * @param publish takes each new view, on the actor's thread
-     * @param caughtUp run once, when the stream was read to its end for the first time
-     */
-    public static Behavior<Command> create(
-            PlatformLog log, NanoClock clock, Member self, Consumer<MemberView> publish, Runnable caughtUp) {
-        return Behaviors.setup(context -> Behaviors.withTimers(
-                timers -> new MemberActor(context, timers, log, clock, self, publish, caughtUp)));
+    /** Creates the behavior. */
+    public static Behavior<Command> create(Parts parts) {
+        return Behaviors.setup(
+                context -> Behaviors.withTimers(timers -> new MemberActor(context, timers, parts)));
     }
 
     @Override
@@ -96,6 +75,7 @@
             case ReadOutcome.Unavailable unavailable -> {
                 logger.atWarning().log(
                         "%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
+                reachable = false;
                 timers.startSingleTimer(new ReadAgain(), READ_RETRY);
                 return this;
             }
@@ -104,6 +84,7 @@
     }
 
     private void foldAll(ReadOutcome.Records records) {
+        reachable = true;
         boolean changed = false;
         for (LogRecord record : records.records()) {
             changed |= fold(record);
@@ -111,7 +92,7 @@
         }
         if (!atEnd && nextOffset >= records.endOffset()) {
             atEnd = true;
-            caughtUp.run();
+            parts.caughtUp().run();
             changed = true;
         }
         publishIf(changed);
@@ -119,38 +100,43 @@
 
     private boolean fold(LogRecord record) {
         return MemberRecords.read(record.payload())
-                .map(known -> table.fold(known, clock.nanos()))
+                .map(known -> table.fold(known, parts.clock().nanos()))
                 .orElse(false);
     }
 
     private Behavior<Command> onIntroduced(Introduced introduced) {
-        publishIf(table.fold(new MemberRecord.Announce(introduced.member()), clock.nanos()));
+        publishIf(table.fold(new MemberRecord.Announce(introduced.member()), parts.clock().nanos()));
         return this;
     }
 
     private Behavior<Command> onConnected(Connected connected) {
-        long now = clock.nanos();
+        long now = parts.clock().nanos();
         connected.processIds().forEach(processId -> table.heard(processId, now));
         return this;
     }
 
     private Behavior<Command> onExpire() {
-        table.heard(self.processId(), clock.nanos());
-        publishIf(table.expire(clock.nanos() - KEPT_UNHEARD.toNanos()));
+        table.heard(parts.self().processId(), parts.clock().nanos());
+        publishIf(table.expire(parts.clock().nanos() - KEPT_UNHEARD.toNanos()));
         return this;
     }
 
+    // While the log is down nobody reads an announcement, and a process that starts then would stay unknown. It says so to
+    // the processes of its settings instead.
     private Behavior<Command> announce() {
-        NewRecord record = record(new MemberRecord.Announce(self));
+        if (!reachable) {
+            parts.introduce().run();
+        }
+        NewRecord record = record(new MemberRecord.Announce(parts.self()));
         getContext()
                 .pipeToSelf(
-                        log.append(MemberRecords.STREAM, List.of(record)), (outcome, failure) -> new AnnounceDone());
+                        parts.log().append(MemberRecords.STREAM, List.of(record)), (outcome, failure) -> new AnnounceDone());
         return this;
     }
 
     private Behavior<Command> onLeave(Leave leave) {
-        NewRecord record = record(new MemberRecord.Leave(self.processId(), self.incarnation()));
-        log.append(MemberRecords.STREAM, List.of(record))
+        NewRecord record = record(new MemberRecord.Leave(parts.self().processId(), parts.self().incarnation()));
+        parts.log().append(MemberRecords.STREAM, List.of(record))
                 .whenComplete((outcome, failure) -> leave.done().complete(null));
         return Behaviors.stopped();
     }
@@ -158,7 +144,7 @@
     private Behavior<Command> read() {
         getContext()
                 .pipeToSelf(
-                        log.read(MemberRecords.STREAM, nextOffset, RECORDS_PER_READ, LONGEST_READ),
+                        parts.log().read(MemberRecords.STREAM, nextOffset, RECORDS_PER_READ, LONGEST_READ),
                         (outcome, failure) -> new ReadDone(
                                 failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString())));
         return this;
@@ -166,7 +152,7 @@
 
     private void publishIf(boolean changed) {
         if (changed) {
-            publish.accept(new MemberView(table.members()));
+            parts.publish().accept(new MemberView(table.members()));
         }
     }
 
@@ -195,4 +181,20 @@
     private record Announce() implements Command {}
 
     private record Expire() implements Command {}
+
+    /**
+     * What the actor works with.
+     *
+     * @param self this process as a member
+     * @param publish takes each new view, on the actor's thread
+     * @param caughtUp run once, when the stream was read to its end for the first time
+     * @param introduce tells the processes of the settings of this one, while the log can't
+     */
+    public record Parts(
+            PlatformLog log,
+            NanoClock clock,
+            Member self,
+            Consumer<MemberView> publish,
+            Runnable caughtUp,
+            Runnable introduce) {}
 }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -66,6 +66,7 @@
     @Override
     public Receive<PeerCommand> createReceive() {
         return newReceiveBuilder()
+                .onMessage(PeerCommand.Stop.class, stop -> Behaviors.stopped())
                 .onMessage(PeerCommand.class, command -> {
                     handle(command);
                     return this;
@@ -86,6 +87,7 @@
                 links.signal(signal.signal(), parts.clock().nanos());
             case PeerCommand.View view -> onView(view.view());
             case PeerCommand.Tick tick -> onTick();
+            case PeerCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
     }
 
--- a/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -22,6 +22,9 @@
     /** The members changed. */
     record View(MemberView view) implements PeerCommand {}
 
+    /** Ends the actor. */
+    record Stop() implements PeerCommand {}
+
     /** Time passed. */
     record Tick() implements PeerCommand {}
 }
--- a/library/src/main/java/org/chivetally/entry/submission/JobLedger.java
+++ b/library/src/main/java/org/chivetally/entry/submission/JobLedger.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.SequencedMap;
 import java.util.SequencedSet;
-import org.chivetally.claim.Claim;
 import org.chivetally.claim.SubmissionKey;
 import org.chivetally.job.JobId;
 import org.chivetally.job.JobOutcome;
@@ -76,14 +75,6 @@
         shrink();
     }
 
-    /** Opens a final job again. */
-    void reopen(JobRecord record, Claim claim) {
-        keptBytes -= record.keptBytes();
-        endedAt.remove(record.job());
-        record.reopen(claim);
-        open++;
-    }
-
     /** Forgets final jobs whose window has passed. */
     void expire(long now) {
         while (!endedAt.isEmpty() && now - endedAt.firstEntry().getValue() >= windowNanos) {
--- a/library/src/main/java/org/chivetally/entry/submission/JobRecord.java
+++ b/library/src/main/java/org/chivetally/entry/submission/JobRecord.java
@@ -7,10 +7,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.chivetally.claim.Claim;
 import org.chivetally.claim.SubmissionKey;
-import org.chivetally.errors.ErrorCode;
 import org.chivetally.job.JobId;
 import org.chivetally.job.JobOutcome;
-import org.chivetally.job.JobOutcome.Certainty;
 
 /** One job that this entry submitted to its dispatcher. Owned by one actor. */
 final class JobRecord {
@@ -30,7 +28,6 @@
     private Submission submission;
     private Claim claim;
     private JobOutcome outcome;
-    private boolean relinquished;
 
     JobRecord(JobId job, Submission submission, Instant submittedAt, long submittedNanos) {
         this.job = job;
@@ -116,49 +113,15 @@
         waiting.complete(last);
     }
 
-    /** Opens a job again that ended without a start. */
-    void reopen(Claim inForce) {
-        outcome = null;
-        done = new CompletableFuture<>();
-        claimed(inForce);
-    }
-
     /** Replaces a kept answer by the statement that it is no longer kept. */
     void dropAnswer() {
         outcome = Failures.answerDropped();
     }
 
-    /** Another entry was told that nothing of the job was run, and may run it. */
-    void relinquish() {
-        relinquished = true;
-    }
-
-    boolean relinquished() {
-        return relinquished;
-    }
-
     boolean hasAnswer() {
         return outcome instanceof JobOutcome.Complete;
     }
 
-    /** Tells whether the same key may run the job after all: no task started, and the cause can pass. */
-    boolean mayRunAgain() {
-        return phase == JobStatus.Phase.FINAL && isPassingRefusal(outcome);
-    }
-
-    /** Tells whether an outcome says that nothing was run, for a cause that can pass. */
-    static boolean isPassingRefusal(JobOutcome outcome) {
-        if (!(outcome instanceof JobOutcome.Failure failure) || failure.certainty() != Certainty.NOT_RUN) {
-            return false;
-        }
-        ErrorCode code = failure.code();
-        return code == ErrorCode.OVERLOADED
-                || code == ErrorCode.LOG_UNAVAILABLE
-                || code == ErrorCode.NOT_READY
-                || code == ErrorCode.NEVER_FITS
-                || code == ErrorCode.DEADLINE_EXCEEDED;
-    }
-
     /** Returns about how many bytes the record keeps once final. */
     long keptBytes() {
         return FIXED_BYTES
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -39,6 +39,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final Duration TAKEOVER_RETRY = Duration.ofMillis(500);
+    private static final Duration REPLACED_WAIT = Duration.ofSeconds(60);
     private static final int TICKS_PER_REFRESH = 10;
 
     private final ActorRef<SubmissionCommand> self;
@@ -69,6 +70,7 @@
     @Override
     public Receive<SubmissionCommand> createReceive() {
         return newReceiveBuilder()
+                .onMessage(SubmissionCommand.Stop.class, stop -> Behaviors.stopped())
                 .onMessage(SubmissionCommand.class, command -> {
                     handle(command);
                     return this;
@@ -89,9 +91,11 @@
             case SubmissionCommand.ClaimDecided decided -> onClaimDecided(decided);
             case SubmissionCommand.TakeoverDecided decided -> onTakeoverDecided(decided);
             case SubmissionCommand.ClaimRefreshed refreshed -> onClaimRefreshed(refreshed.claim());
+            case SubmissionCommand.Replaced replaced -> onReplaced(replaced.claim());
             case SubmissionCommand.AwaitedFound found -> onAwaitedFound(found);
             case SubmissionCommand.RefusedFound found -> onRefusedFound(found);
             case SubmissionCommand.Tick tick -> onTick();
+            case SubmissionCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
     }
 
@@ -115,9 +119,11 @@
                 parts.clock().nanos());
         record.addAccepting(submit.reply());
         ledger.add(record);
-        dispatch(record.job(), submission);
+        ServicePolicy service =
+                parts.policies().service(submission.specification().service());
+        dispatch(record.job(), submission, service);
         parts.claims()
-                .claim(submission.key(), submission.digest(), record.job())
+                .claim(submission.key(), submission.digest(), record.job(), service.claimMode())
                 .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
     }
 
@@ -129,9 +135,7 @@
         reply.complete(new SubmissionReply.Accepted(record.job(), record.done()));
     }
 
-    private void dispatch(JobId job, Submission submission) {
-        ServicePolicy service =
-                parts.policies().service(submission.specification().service());
+    private void dispatch(JobId job, Submission submission, ServicePolicy service) {
         announceTeam(submission.specification().team());
         parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service));
     }
@@ -203,25 +207,9 @@
             return new SubmissionReply.Refused(Failures.nothingKept());
         }
         JobRecord record = own.get();
-        if (record.mayRunAgain() && record.relinquished()) {
-            return attachRemote(claim, submission);
-        }
-        if (record.mayRunAgain()) {
-            runAgain(record, claim, submission);
-        }
         return new SubmissionReply.Accepted(record.job(), record.done());
     }
 
-    // A job that was refused as not run keeps its claim, so its key would get the same refusal for the whole dedupe
-    // window, also when there is room again. Nothing of it ever started and only this entry may start it, so it may be
-    // run under the same claim.
-    private void runAgain(JobRecord record, Claim claim, Submission submission) {
-        ledger.reopen(record, claim);
-        dispatch(record.job(), submission);
-        parts.dispatch().tell(new DispatchEvent.JobClaimed(record.job(), claim.generation()));
-        logger.atInfo().log("%s", line("job-runs-again", record));
-    }
-
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
         long until = parts.clock().nanos()
                 + submission.specification().deadline().toNanos();
@@ -245,13 +233,6 @@
 
     private void onLogUnavailable(JobRecord record, String reason) {
         Submission submission = record.submission();
-        ServicePolicy policy =
-                parts.policies().service(submission.specification().service());
-        if (policy.claimMode() == ServicePolicy.ClaimMode.MEMORY) {
-            logger.atWarning().log("%s", line("claimed-in-memory", record).with("reason", reason));
-            runUnlogged(record);
-            return;
-        }
         parts.dispatch().tell(new DispatchEvent.JobWithdrawn(record.job()));
         List<CompletableFuture<SubmissionReply>> callers = record.takeAccepting();
         finish(record, Failures.logUnavailable(Certainty.NOT_RUN, reason));
@@ -260,17 +241,6 @@
         }
     }
 
-    private void runUnlogged(JobRecord record) {
-        Optional<JobOutcome> early = record.outcome();
-        record.claimed(null);
-        if (early.isPresent()) {
-            finish(record, early.get());
-        } else {
-            parts.dispatch().tell(new DispatchEvent.JobClaimed(record.job(), 1));
-        }
-        replyAll(record, new SubmissionReply.Accepted(record.job(), record.done()));
-    }
-
     /** Refuses a submission without a claim; what is certain depends on whether its key may have been used before. */
     private void refuse(
             Submission submission, SubmissionCommand.Refusal refusal, CompletableFuture<SubmissionReply> reply) {
@@ -303,10 +273,6 @@
         if (stopping && !isSelf(claim.coordinator())) {
             return new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN));
         }
-        Optional<JobRecord> own = ledger.find(claim.job());
-        if (own.isPresent() && own.get().mayRunAgain()) {
-            return new SubmissionReply.Refused(found.refusal().with(Certainty.NOT_RUN));
-        }
         return attach(claim, found.submission());
     }
 
@@ -336,14 +302,29 @@
 
     private void finish(JobRecord record, JobOutcome outcome) {
         long now = parts.clock().nanos();
-        boolean passing = JobRecord.isPassingRefusal(outcome);
-        record.claim().filter(claim -> !passing).ifPresent(parts.claims()::finished);
+        record.claim().ifPresent(claim -> endClaim(claim, outcome));
         ledger.finish(record, outcome, now);
         parts.finished().accept(outcome, now - record.submittedNanos());
         logger.atInfo().log("%s", finalLine(record, outcome, now));
         endDrainWhenIdle();
     }
 
+    // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole dedupe
+    // window, also when there is room again. Nothing of it was started and nothing will be, so its key is set free.
+    private void endClaim(Claim claim, JobOutcome outcome) {
+        if (isPassingRefusal(outcome)) {
+            parts.claims().release(claim);
+        } else {
+            parts.claims().finished(claim);
+        }
+    }
+
+    private static boolean isPassingRefusal(JobOutcome outcome) {
+        return outcome instanceof JobOutcome.Failure failure
+                && failure.certainty() == Certainty.NOT_RUN
+                && failure.code() != ErrorCode.CANCELLED;
+    }
+
     private void withdraw(JobRecord record) {
         parts.dispatch().tell(new DispatchEvent.JobWithdrawn(record.job()));
         ledger.withdraw(record);
@@ -359,13 +340,7 @@
         if (remote == null || remote.takingOver()) {
             return;
         }
-        JobOutcome outcome = answered.outcome();
-        // The coordinator refused the job as not run and left it to whoever gets it again.
-        if (JobRecord.isPassingRefusal(outcome) && remote.beginTakeover(parts.clock().nanos())) {
-            takeOver(remote);
-            return;
-        }
-        endRemote(remote, outcome);
+        endRemote(remote, answered.outcome());
     }
 
     private void endRemote(RemoteJob remote, JobOutcome outcome) {
@@ -412,7 +387,7 @@
         ledger.add(record);
         record.claimed(claim);
         record.done().thenAccept(remote::complete);
-        dispatch(claim.job(), submission);
+        dispatch(claim.job(), submission, parts.policies().service(submission.specification().service()));
         parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
         logger.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
@@ -426,24 +401,38 @@
         ask(claim);
     }
 
+    // Another entry took the job over while this one's lease had lapsed; results that still come here may be of attempts
+    // that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all callers of a key
+    // get the same.
+    private void onReplaced(Claim claim) {
+        Optional<JobRecord> found =
+                ledger.find(claim.job()).filter(record -> record.phase() == JobStatus.Phase.RUNNING);
+        if (found.isEmpty() || isSelf(claim.coordinator())) {
+            return;
+        }
+        JobRecord record = found.get();
+        logger.atWarning().log(
+                "%s",
+                line("job-replaced", record).with("by", claim.coordinator().processId()));
+        long until = parts.clock().nanos() + REPLACED_WAIT.toNanos();
+        remote(claim).await(until).thenAccept(record::finish);
+        withdraw(record);
+    }
+
     private void onAttach(SubmissionCommand.Attach attach) {
         if (attach.job().isEmpty()) {
             attach.reply().accept(new AttachAnswer(Optional.empty(), false, Optional.empty()));
             return;
         }
-        JobId job = attach.job().get();
-        Optional<JobRecord> found = ledger.find(job);
+        Optional<JobRecord> found = ledger.find(attach.job().get());
         if (found.isEmpty()) {
             attach.reply().accept(new AttachAnswer(attach.job(), false, Optional.empty()));
             return;
         }
         JobRecord record = found.get();
-        record.done().thenAccept(outcome -> {
-            if (record.mayRunAgain()) {
-                record.relinquish();
-            }
-            attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome)));
-        });
+        record.done()
+                .thenAccept(outcome ->
+                        attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome))));
     }
 
     private boolean cancelHere(JobId job) {
@@ -530,8 +519,7 @@
             return;
         }
         Coordinator coordinator = remote.claim().coordinator();
-        boolean orphaned = isSelf(coordinator) || parts.claims().hasLapsed(coordinator);
-        if (orphaned && remote.beginTakeover(now)) {
+        if (parts.claims().hasLapsed(coordinator) && remote.beginTakeover(now)) {
             takeOver(remote);
             return;
         }
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
@@ -47,6 +47,9 @@
     /** The claim in force for an awaited job of another entry was looked up. */
     record ClaimRefreshed(Claim claim) implements SubmissionCommand {}
 
+    /** Another entry took a job of this one over. */
+    record Replaced(Claim claim) implements SubmissionCommand {}
+
     /** The claim of a job that a caller awaits was looked up. */
     record AwaitedFound(Await await, Optional<Claim> claim) implements SubmissionCommand {}
 
@@ -55,6 +58,9 @@
             Submission submission, Optional<Claim> claim, Refusal refusal, CompletableFuture<SubmissionReply> reply)
             implements SubmissionCommand {}
 
+    /** Ends the actor. */
+    record Stop() implements SubmissionCommand {}
+
     /** Time passed. */
     record Tick() implements SubmissionCommand {}
 
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionSettings.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionSettings.java
@@ -8,13 +8,12 @@
  *
  * @param dedupeWindow how long final outcomes are kept; the same as the claims' window
  * @param maximumKeptBytes most bytes of kept outcomes; older answers are dropped over it
- * @param maximumOpenSubmissions most submissions whose claim or outcome callers wait for
  */
-public record SubmissionSettings(Duration dedupeWindow, long maximumKeptBytes, int maximumOpenSubmissions) {
+public record SubmissionSettings(Duration dedupeWindow, long maximumKeptBytes) {
     /** Refuses missing or non-positive limits. */
     public SubmissionSettings {
         Objects.requireNonNull(dedupeWindow, "dedupeWindow");
-        if (dedupeWindow.isNegative() || maximumKeptBytes < 1 || maximumOpenSubmissions < 1) {
+        if (dedupeWindow.isNegative() || maximumKeptBytes < 1) {
             throw new IllegalArgumentException("limits must be positive");
         }
     }
