--- /dev/null
+++ b/library/src/main/java/org/chivetally/resource/ProcessVersions.java
@@ -0,0 +1,25 @@
+package org.chivetally.resource;
+
+import java.util.List;
+import java.util.Objects;
+
+/** Which version of the configuration other processes reported; safe from any thread and never blocking. */
+@FunctionalInterface
+public interface ProcessVersions {
+    /** Returns the last report of each known process. */
+    List<ProcessVersion> lastReports();
+
+    /**
+     * One process's report.
+     *
+     * @param role {@code entry} or {@code agent}
+     * @param observedNanos reading of this process's clock when the report arrived
+     */
+    record ProcessVersion(String processId, String role, long version, long observedNanos) {
+        /** Refuses missing parts. */
+        public ProcessVersion {
+            Objects.requireNonNull(processId, "processId");
+            Objects.requireNonNull(role, "role");
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/resource/RecordOutcome.java
+++ b/library/src/main/java/org/chivetally/resource/RecordOutcome.java
@@ -18,4 +18,9 @@
     public boolean applied() {
         return conflicts.isEmpty();
     }
+
+    /** Returns what the write's caller is told. */
+    WriteOutcome outcomeOf(String id) {
+        return applied() ? new WriteOutcome.Applied(id, version) : new WriteOutcome.Conflicting(id, conflicts);
+    }
 }
--- a/library/src/main/java/org/chivetally/resource/ResourceDocuments.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceDocuments.java
@@ -85,7 +85,7 @@
             return readContent(section, new ResourceKey(kind.get(), isName ? name : "unnamed"));
         }
         // Without a kind there is no schema: what stands below is neither checked nor called unknown.
-        readLabels(section.section("labels"));
+        readLabels(section);
         section.json("spec");
         return Optional.empty();
     }
@@ -103,7 +103,7 @@
     }
 
     private static Optional<DeclaredResource> readContent(Section section, ResourceKey key) {
-        Map<String, String> labels = readLabels(section.section("labels"));
+        Map<String, String> labels = readLabels(section);
         Section spec = section.section("spec");
         Optional<String> canonical = key.kind().schema().canonical(key.name(), spec);
         if (canonical.isPresent() && canonical.get().length() > MAXIMUM_SPEC_LENGTH) {
@@ -114,8 +114,9 @@
                 json -> new DeclaredResource(key, Change.Content.of(labels, json), section.place()));
     }
 
-    private static Map<String, String> readLabels(Section section) {
+    private static Map<String, String> readLabels(Section resource) {
         Map<String, String> labels = new TreeMap<>();
+        Section section = resource.section("labels");
         for (String label : section.keys()) {
             String value = section.text(label, "");
             if (!LABEL.matcher(label).matches()) {
@@ -127,7 +128,7 @@
             labels.put(label, value);
         }
         if (labels.size() > MOST_LABELS) {
-            section.mistake("", "more than " + MOST_LABELS + " labels");
+            resource.mistake("labels", "more than " + MOST_LABELS + " labels");
         }
         return labels;
     }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/resource/http/ApplyRequest.java
@@ -0,0 +1,67 @@
+package org.chivetally.resource.http;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chivetally.document.Document;
+import org.chivetally.document.Mistakes;
+import org.chivetally.document.Section;
+import org.chivetally.resource.DeclaredResource;
+import org.chivetally.resource.ResourceDocuments;
+import org.chivetally.resource.ResourceKey;
+import org.chivetally.resource.WriteRecord;
+
+/**
+ * Body of {@code POST /v1/apply}; usable only without mistakes.
+ *
+ * @param basedOn versions that the writer has seen, where given
+ * @param prune labels of the resources to delete unless declared; empty deletes none
+ */
+record ApplyRequest(
+        List<DeclaredResource> resources,
+        Map<ResourceKey, Long> basedOn,
+        Map<String, String> prune,
+        Mistakes mistakes) {
+    private static final String PLACE = "body";
+    private static final long NOT_GIVEN = -1;
+
+    static ApplyRequest read(String body) {
+        Document document = Document.parse(PLACE, body);
+        Section root = document.root();
+        List<DeclaredResource> resources = new ArrayList<>();
+        Map<ResourceKey, Long> basedOn = new HashMap<>();
+        for (Section section : root.sections("resources")) {
+            long seen = section.whole("basedOn", 0, Long.MAX_VALUE, NOT_GIVEN);
+            Optional<DeclaredResource> resource = ResourceDocuments.readResource(section);
+            resource.ifPresent(resources::add);
+            resource.filter(ignored -> seen != NOT_GIVEN).ifPresent(found -> basedOn.put(found.key(), seen));
+        }
+        Map<String, String> prune = readPrune(root);
+        checkNumber(root);
+        Mistakes mistakes = document.finish();
+        ResourceDocuments.refuseRepeats(resources, mistakes);
+        return new ApplyRequest(resources, basedOn, prune, mistakes);
+    }
+
+    private static void checkNumber(Section root) {
+        int number = root.sections("resources").size();
+        // Pruning against an empty list, as from a mistyped folder, would delete everything with the labels.
+        if (number == 0 || number > WriteRecord.MAXIMUM_CHANGES) {
+            root.mistake("resources", "1 to " + WriteRecord.MAXIMUM_CHANGES + " resources are needed, not " + number);
+        }
+    }
+
+    private static Map<String, String> readPrune(Section root) {
+        Section prune = root.section("prune");
+        if (!root.has("prune")) {
+            return Map.of();
+        }
+        Map<String, String> labels = prune.map("labels");
+        if (labels.isEmpty()) {
+            prune.mistake("labels", "at least one label is needed, or everything would be pruned");
+        }
+        return labels;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
@@ -0,0 +1,373 @@
+package org.chivetally.resource.http;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.pekko.http.javadsl.model.ContentType;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.http.javadsl.server.AllDirectives;
+import org.apache.pekko.http.javadsl.server.PathMatchers;
+import org.apache.pekko.http.javadsl.server.Route;
+import org.apache.pekko.http.javadsl.unmarshalling.Unmarshaller;
+import org.apache.pekko.util.ByteString;
+import org.chivetally.document.Mistakes;
+import org.chivetally.document.Section;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.resource.ApplyPlan;
+import org.chivetally.resource.Change;
+import org.chivetally.resource.Conflict;
+import org.chivetally.resource.DeclaredResource;
+import org.chivetally.resource.ProcessVersions;
+import org.chivetally.resource.Resource;
+import org.chivetally.resource.ResourceDocuments;
+import org.chivetally.resource.ResourceKey;
+import org.chivetally.resource.ResourceKind;
+import org.chivetally.resource.ResourceService;
+import org.chivetally.resource.ResourceStatus;
+import org.chivetally.resource.StatusSource;
+import org.chivetally.resource.WatchAnswer;
+import org.chivetally.resource.WriteOutcome;
+import org.chivetally.resource.WriteRecord;
+import org.chivetally.resource.WriteStatus;
+import org.chivetally.time.NanoClock;
+import tools.jackson.databind.node.ArrayNode;
+import tools.jackson.databind.node.ObjectNode;
+
+/** Routes for resources under {@code /v1}. */
+public final class ResourceRoutes extends AllDirectives {
+    /** Largest body accepted, in bytes. */
+    public static final long MAXIMUM_BODY_BYTES = 4L * 1024 * 1024;
+
+    private static final ContentType LINES_OF_JSON =
+            MediaTypes.applicationBinary("x-ndjson", true, "ndjson").toContentType();
+    private static final String BODY = "body";
+
+    private final ResourceService resources;
+    private final StatusSource status;
+    private final ProcessVersions processes;
+    private final String processId;
+    private final NanoClock clock;
+
+    /**
+     * Creates the routes.
+     *
+     * @param status where the status of backend servers comes from
+     * @param processes where the other processes' versions come from
+     * @param processId name of this process, for its status
+     * @param clock the clock of the reports of both
+     */
+    public ResourceRoutes(
+            ResourceService resources,
+            StatusSource status,
+            ProcessVersions processes,
+            String processId,
+            NanoClock clock) {
+        this.resources = Objects.requireNonNull(resources, "resources");
+        this.status = Objects.requireNonNull(status, "status");
+        this.processes = Objects.requireNonNull(processes, "processes");
+        this.processId = Objects.requireNonNull(processId, "processId");
+        this.clock = Objects.requireNonNull(clock, "clock");
+    }
+
+    /** Returns the route; paths of other kinds, such as jobs, are left to other routes. */
+    public Route route() {
+        return pathPrefix(
+                "v1",
+                () -> concat(
+                        path("apply", () -> post(() -> withBody(this::apply))),
+                        path(PathMatchers.segment("configuration").slash("status"), () -> get(this::ownStatus)),
+                        path(PathMatchers.segment("writes").slash(PathMatchers.segment()), id -> get(() -> write(id))),
+                        allOf(ResourceKind.BACKEND_SERVER),
+                        allOf(ResourceKind.SERVICE),
+                        allOf(ResourceKind.TEAM),
+                        allOf(ResourceKind.ROUTING)));
+    }
+
+    private Route allOf(ResourceKind kind) {
+        return concat(
+                path(kind.plural(), () -> get(() -> extractRequest(request -> list(kind, request)))),
+                path(PathMatchers.segment(kind.plural()).slash(PathMatchers.segment()), name -> one(kind, name)));
+    }
+
+    private Route withBody(BodyHandler handler) {
+        return withSizeLimit(
+                MAXIMUM_BODY_BYTES,
+                () -> entity(
+                        Unmarshaller.entityToByteString(),
+                        body -> extractRequest(
+                                request -> completeWithFuture(handler.handle(request, body.utf8String())))));
+    }
+
+    @FunctionalInterface
+    private interface BodyHandler {
+        CompletionStage<HttpResponse> handle(HttpRequest request, String body);
+    }
+
+    private Route one(ResourceKind kind, String name) {
+        if (!ResourceKey.isName(name)) {
+            return complete(ProblemDocument.of(ErrorCode.INVALID_INPUT, ResourceKey.NAME_RULE).response());
+        }
+        ResourceKey key = new ResourceKey(kind, name);
+        return concat(
+                get(() -> complete(view(key))),
+                put(() -> withBody((request, body) -> replace(key, request, body))),
+                delete(() -> extractRequest(request -> completeWithFuture(remove(key, request)))));
+    }
+
+    private Route list(ResourceKind kind, HttpRequest request) {
+        QueryParameters query = new QueryParameters(request);
+        Map<String, String> labels = query.labels("label");
+        boolean watch = query.flag("watch");
+        OptionalLong from = query.version("from");
+        Mistakes mistakes = query.finish();
+        if (!mistakes.isEmpty()) {
+            return complete(ProblemDocument.of(mistakes).response());
+        }
+        return complete(watch ? watch(kind, from) : list(kind, labels));
+    }
+
+    private HttpResponse list(ResourceKind kind, Map<String, String> labels) {
+        ObjectNode node = ResourceJson.object();
+        // Read before the list, so that a watch from this version repeats a change at worst, and never misses one.
+        node.put("kind", kind.plural()).put("version", resources.version());
+        node.put("ageMillis", resources.age().toMillis());
+        ArrayNode items = node.putArray("items");
+        for (Resource resource : resources.list(kind, labels)) {
+            items.add(ResourceJson.of(resource, statusOf(resource)));
+        }
+        return json(200, node);
+    }
+
+    private HttpResponse watch(ResourceKind kind, OptionalLong from) {
+        return switch (resources.watch(Optional.of(kind), from)) {
+            case WatchAnswer.Refused refused ->
+                ProblemDocument.of(refused.code(), refused.detail()).response();
+            case WatchAnswer.Started started ->
+                HttpResponse.create()
+                        .withEntity(HttpEntities.createChunked(
+                                LINES_OF_JSON,
+                                started.events().map(event -> ByteString.fromString(ResourceJson.of(event) + "\n"))));
+        };
+    }
+
+    private HttpResponse view(ResourceKey key) {
+        Optional<Resource> resource = resources.get(key);
+        if (resource.isEmpty()) {
+            return ProblemDocument.of(ErrorCode.NOT_FOUND, key + " does not exist")
+                    .response();
+        }
+        return tagged(resource.get().version(), json(200, ResourceJson.of(resource.get(), statusOf(resource.get()))));
+    }
+
+    private ResourceStatus statusOf(Resource resource) {
+        if (resource.key().kind() == ResourceKind.BACKEND_SERVER) {
+            return ResourceStatus.ofBackendServer(status.lastReport(resource.key().name()), clock.nanos());
+        }
+        return ResourceStatus.ofDeclaration(resources.age());
+    }
+
+    private CompletionStage<HttpResponse> replace(ResourceKey key, HttpRequest request, String body) {
+        WriteParameters parameters = WriteParameters.ofOne(request);
+        ResourceDocuments.Declared declared = ResourceDocuments.readBody(BODY, key, body);
+        Mistakes mistakes = parameters.mistakes();
+        mistakes.addAll(declared.mistakes());
+        if (!mistakes.isEmpty()) {
+            return now(ProblemDocument.of(mistakes).response());
+        }
+        DeclaredResource resource = declared.resources().getFirst();
+        Change change = new Change(
+                key, parameters.basedOn().orElse(0), parameters.force(), Optional.of(resource.content()));
+        return carryOut(List.of(change), parameters);
+    }
+
+    private CompletionStage<HttpResponse> remove(ResourceKey key, HttpRequest request) {
+        WriteParameters parameters = WriteParameters.ofOne(request);
+        Mistakes mistakes = parameters.mistakes();
+        if (!mistakes.isEmpty()) {
+            return now(ProblemDocument.of(mistakes).response());
+        }
+        long basedOn = parameters.basedOn().orElse(0);
+        if (basedOn == 0 && !parameters.force()) {
+            return now(ProblemDocument.of(ErrorCode.INVALID_INPUT, "what must not exist can't be deleted")
+                    .response());
+        }
+        return carryOut(List.of(new Change(key, basedOn, parameters.force(), Optional.empty())), parameters);
+    }
+
+    private CompletionStage<HttpResponse> apply(HttpRequest request, String body) {
+        WriteParameters parameters = WriteParameters.ofSeveral(request);
+        ApplyRequest wanted = ApplyRequest.read(body);
+        Mistakes mistakes = parameters.mistakes();
+        mistakes.addAll(wanted.mistakes());
+        if (!mistakes.isEmpty()) {
+            return now(ProblemDocument.of(mistakes).response());
+        }
+        ApplyPlan plan = ApplyPlan.of(resources.table(), wanted.resources(), wanted.basedOn(), wanted.prune());
+        List<Change> changes = plan.changes();
+        if (changes.size() > WriteRecord.MAXIMUM_CHANGES) {
+            return now(ProblemDocument.of(ErrorCode.INVALID_INPUT, "too many changes with those pruned")
+                    .response());
+        }
+        if (parameters.dryRun()) {
+            return now(preview(plan));
+        }
+        if (changes.isEmpty()) {
+            return now(json(200, results(plan, plan.basis())));
+        }
+        return resources
+                .write(parameters.writeId(), changes, parameters.changedBy())
+                .thenApply(outcome -> response(outcome, version -> json(200, results(plan, version))));
+    }
+
+    private CompletionStage<HttpResponse> carryOut(List<Change> changes, WriteParameters parameters) {
+        Change change = changes.getFirst();
+        if (parameters.dryRun()) {
+            return now(preview(planOf(change)));
+        }
+        return resources
+                .write(parameters.writeId(), changes, parameters.changedBy())
+                .thenApply(outcome -> response(outcome, version -> written(change, version, parameters)));
+    }
+
+    private ApplyPlan planOf(Change change) {
+        Optional<Resource> before = resources.get(change.key());
+        ApplyPlan.Action action = before.isEmpty() ? ApplyPlan.Action.ADDED : ApplyPlan.Action.CHANGED;
+        if (change.content().isEmpty()) {
+            action = ApplyPlan.Action.DELETED;
+        }
+        long current = before.map(Resource::version).orElse(0L);
+        long basedOn = change.force() ? current : change.basedOn();
+        ApplyPlan.Step step = new ApplyPlan.Step(change.key(), action, before, change.content(), basedOn);
+        return new ApplyPlan(resources.version(), List.of(step));
+    }
+
+    private HttpResponse preview(ApplyPlan plan) {
+        List<Conflict> conflicts = plan.changes().stream()
+                .map(change -> resources.table().conflictOf(change))
+                .flatMap(Optional::stream)
+                .toList();
+        if (!conflicts.isEmpty()) {
+            return ProblemDocument.of(conflicts).response();
+        }
+        ObjectNode node = results(plan, plan.basis());
+        return json(200, node.put("dryRun", true));
+    }
+
+    private static ObjectNode results(ApplyPlan plan, long version) {
+        ObjectNode node = ResourceJson.object().put("version", version);
+        ArrayNode results = node.putArray("results");
+        for (ApplyPlan.Step step : plan.steps()) {
+            ObjectNode result = results.addObject();
+            ResourceJson.write(result, step.key());
+            result.put("action", Section.written(step.action()));
+            step.before().ifPresent(before -> result.set("before", ResourceJson.of(before)));
+            step.after().ifPresent(after -> ResourceJson.write(result.putObject("after"), after));
+        }
+        return node;
+    }
+
+    private HttpResponse written(Change change, long version, WriteParameters parameters) {
+        ObjectNode node = ResourceJson.object();
+        ResourceJson.write(node, change.key());
+        change.content().ifPresent(content -> ResourceJson.write(node, content));
+        node.put("version", version).put("changedBy", parameters.changedBy());
+        node.put("deleted", change.content().isEmpty());
+        boolean isNew = change.content().isPresent() && change.basedOn() == 0 && !change.force();
+        return tagged(version, json(isNew ? 201 : 200, node));
+    }
+
+    private static HttpResponse response(WriteOutcome outcome, Function<Long, HttpResponse> applied) {
+        HttpResponse response =
+                switch (outcome) {
+                    case WriteOutcome.Applied done -> applied.apply(done.version());
+                    case WriteOutcome.Conflicting conflicting ->
+                        ProblemDocument.of(conflicting.conflicts())
+                                .with("writeId", outcome.id())
+                                .response();
+                    case WriteOutcome.NotWritten not ->
+                        ProblemDocument.of(not.code(), "nothing was written: " + not.reason())
+                                .with("writeId", outcome.id())
+                                .response();
+                    case WriteOutcome.InDoubt doubt ->
+                        ProblemDocument.of(ErrorCode.LOG_UNAVAILABLE, doubtText(doubt))
+                                .with("writeId", outcome.id())
+                                .response();
+                };
+        return response.addHeader(RawHeader.create("Chivetally-Write-Id", outcome.id()));
+    }
+
+    private static String doubtText(WriteOutcome.InDoubt doubt) {
+        return "the write may still take effect under id " + doubt.id() + " (" + doubt.reason() + "); /v1/writes/"
+                + doubt.id() + " tells once the log can be read";
+    }
+
+    private Route write(String id) {
+        return completeWithFuture(resources.writeStatus(id).thenApply(known -> json(200, writeJson(id, known))));
+    }
+
+    private static ObjectNode writeJson(String id, WriteStatus known) {
+        ObjectNode node = ResourceJson.object().put("id", id);
+        return switch (known) {
+            case WriteStatus.Open ignored -> node.put("state", "open");
+            case WriteStatus.NotSeen unseen ->
+                node.put("state", "not-seen")
+                        .put("version", unseen.version())
+                        .put("ageMillis", unseen.age().toMillis());
+            case WriteStatus.Decided decided -> {
+                node.put("state", decided.outcome().applied() ? "applied" : "conflict");
+                node.put("version", decided.outcome().version());
+                ArrayNode conflicts = node.putArray("conflicts");
+                decided.outcome().conflicts().forEach(conflict -> ResourceJson.write(conflicts.addObject(), conflict));
+                yield node;
+            }
+        };
+    }
+
+    private Route ownStatus() {
+        ObjectNode node = ResourceJson.object().put("process", processId);
+        node.put("version", resources.version()).put("ageMillis", resources.age().toMillis());
+        node.put("usable", resources.isUsable());
+        node.put("earliestWatch", resources.table().earliestWatch());
+        resources.table().unreadableFormat().ifPresent(format -> node.put("unreadableFormat", format));
+        ArrayNode others = node.putArray("processes");
+        for (ProcessVersions.ProcessVersion report : processes.lastReports()) {
+            Duration age = Duration.ofNanos(Math.max(0, clock.nanos() - report.observedNanos()));
+            ObjectNode other = others.addObject().put("process", report.processId());
+            other.put("role", report.role()).put("ageMillis", age.toMillis());
+            if (age.compareTo(ResourceStatus.SILENT_AFTER) > 0) {
+                other.put("state", ResourceStatus.State.UNKNOWN.text());
+            } else {
+                other.put("version", report.version());
+                other.put("state", report.version() >= resources.version() ? "current" : "lagging");
+            }
+        }
+        return complete(json(200, node));
+    }
+
+    private static HttpResponse tagged(long version, HttpResponse response) {
+        return response.addHeader(RawHeader.create("ETag", "\"" + version + "\""));
+    }
+
+    private static HttpResponse json(int code, ObjectNode node) {
+        return HttpResponse.create()
+                .withStatus(code)
+                .withEntity(HttpEntities.create(
+                        ContentTypes.APPLICATION_JSON, node.toString().getBytes(StandardCharsets.UTF_8)));
+    }
+
+    private static CompletionStage<HttpResponse> now(HttpResponse response) {
+        return CompletableFuture.completedStage(response);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/resource/http/WriteParameters.java
@@ -0,0 +1,76 @@
+package org.chivetally.resource.http;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.UUID;
+import java.util.regex.Pattern;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.chivetally.document.Mistakes;
+
+/**
+ * How a write is to be made; usable only without mistakes.
+ *
+ * @param basedOn version that the writer has seen, from the query or from If-Match
+ * @param force whether any version fits
+ * @param dryRun whether only to tell what would change
+ * @param changedBy name from the header Chivetally-Operator
+ * @param writeId id from the header Idempotency-Key, or a new one
+ */
+record WriteParameters(
+        OptionalLong basedOn, boolean force, boolean dryRun, String changedBy, String writeId, Mistakes mistakes) {
+    private static final String OPERATOR = "Chivetally-Operator";
+    private static final String WRITE_ID = "Idempotency-Key";
+    private static final String NOBODY = "unnamed";
+    private static final Pattern NAME = Pattern.compile("[^\\p{Cntrl}]{1,100}");
+    private static final Pattern ID = Pattern.compile("[A-Za-z0-9_-]{8,100}");
+
+    /** Reads the parameters of a change of one resource, which must say what it is based on. */
+    static WriteParameters ofOne(HttpRequest request) {
+        QueryParameters query = new QueryParameters(request);
+        OptionalLong basedOn = query.version("basedOn");
+        boolean force = query.flag("force");
+        if (basedOn.isEmpty()) {
+            basedOn = ifMatch(request, query);
+        }
+        if (basedOn.isEmpty() && !force) {
+            query.mistake("basedOn", "is missing: the version that was seen, 0 to create, or force=true for any");
+        }
+        return of(request, query, basedOn, force);
+    }
+
+    /** Reads the parameters of a change of several resources. */
+    static WriteParameters ofSeveral(HttpRequest request) {
+        return of(request, new QueryParameters(request), OptionalLong.empty(), false);
+    }
+
+    private static WriteParameters of(
+            HttpRequest request, QueryParameters query, OptionalLong basedOn, boolean force) {
+        boolean dryRun = query.flag("dryRun");
+        String changedBy = header(request, OPERATOR).orElse(NOBODY);
+        if (!NAME.matcher(changedBy).matches()) {
+            query.mistake(OPERATOR, "a name has 1 to 100 characters and no control characters");
+        }
+        String id = header(request, WRITE_ID).orElseGet(() -> UUID.randomUUID().toString());
+        if (!ID.matcher(id).matches()) {
+            query.mistake(WRITE_ID, "an id has 8 to 100 characters of A-Z, a-z, 0-9, hyphen and underscore");
+        }
+        return new WriteParameters(basedOn, force, dryRun, changedBy, id, query.finish());
+    }
+
+    private static OptionalLong ifMatch(HttpRequest request, QueryParameters query) {
+        Optional<String> tag = header(request, "If-Match");
+        if (tag.isEmpty()) {
+            return OptionalLong.empty();
+        }
+        OptionalLong version = QueryParameters.versionOf(tag.get().replace("\"", ""));
+        if (version.isEmpty()) {
+            query.mistake("If-Match", "\"" + tag.get() + "\" is not a version");
+        }
+        return version;
+    }
+
+    private static Optional<String> header(HttpRequest request, String name) {
+        return request.getHeader(name).map(HttpHeader::value);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/resource/http/package-info.java
@@ -0,0 +1,2 @@
+/** Resources over HTTP with JSON, for operators and their tools. */
+package org.chivetally.resource.http;
