--- a/library/src/main/java/org/chivetally/resource/ResourceActor.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceActor.java
@@ -272,14 +272,14 @@
     }
 
     private boolean adopt(ResourceTable table, String source) {
-        // Older over newer would take an accepted change back, for instance when a slow process offers its state.
-        if (table.version() <= view.table().version()) {
+        ResourceTable newer = view.table().newerOf(table);
+        if (newer == view.table()) {
             return false;
         }
         LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("snapshot-adopted").with("version", table.version()).with("source", source));
-        replace(table, view.endReadNanos(), true);
+        replace(newer, view.endReadNanos(), true);
         return true;
     }
 
--- a/library/src/main/java/org/chivetally/resource/ResourceTable.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceTable.java
@@ -166,6 +166,15 @@
         return new ResourceTable(fold.state(), fold.changes(), fold.earliestWatch(), fold.unreadableFormat());
     }
 
+    /**
+     * Returns another table if it is newer, and this one otherwise.
+     *
+     * <p>A snapshot of a slow process, or an old one found in the log, would take accepted changes back.
+     */
+    ResourceTable newerOf(ResourceTable other) {
+        return other.version() > version() ? other : this;
+    }
+
     /** One change as kept for watches. */
     record TableChange(WatchEvent.Type type, Resource resource) {
         long version() {
