--- a/standins/src/test/java/org/chivetally/standins/MinionTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionTest.java
@@ -29,13 +29,15 @@
     void answersAfterTheWorkAndRecordsTheStart() {
         clock.set(10);
         CompletionStage<MinionAnswer> answer = run("a", 300, false);
-        MatcherAssert.assertThat(minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running")));
+        MatcherAssert.assertThat(
+                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running", "t")));
         passMillis(299);
         MatcherAssert.assertThat(now(answer), Matchers.nullValue());
         clock.set(20);
         passMillis(1);
         MatcherAssert.assertThat(now(answer), Matchers.is(DONE));
-        MatcherAssert.assertThat(minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, 20L, "done")));
+        MatcherAssert.assertThat(
+                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, 20L, "done", "t")));
     }
 
     @Test
@@ -115,7 +117,7 @@
 
     private CompletionStage<MinionAnswer> run(String attempt, long workMillis, boolean fail) {
         return minion.run(
-                new MinionTask("j", 3, attempt, new MinionTask.Work(workMillis, StringNode.valueOf("yes"), fail)));
+                new MinionTask("j", 3, attempt, new MinionTask.Work(workMillis, StringNode.valueOf("yes"), fail, "t")));
     }
 
     private static MinionFaults faults(
