--- a/library/src/test/java/org/chivetally/ModuleBordersTest.java
+++ b/library/src/test/java/org/chivetally/ModuleBordersTest.java
@@ -50,6 +50,15 @@
             .dependOnClassesThat()
             .resideInAnyPackage("org.chivetally.coordination..", "org.chivetally.entry..", "org.chivetally.agent..");
 
+    @ArchTest
+    static final ArchRule THE_AGENT_KNOWS_NO_ENTRY = noClasses()
+            .that()
+            .resideInAPackage("org.chivetally.agent..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAnyPackage(
+                    "org.chivetally.entry..", "org.chivetally.coordination..", "org.chivetally.placement..");
+
     @ArchTest
     static final ArchRule THE_ENTRY_KNOWS_NO_AGENT = noClasses()
             .that()
