--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -22,7 +22,9 @@
 import org.apache.pekko.stream.Materializer;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.LogClaims;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.coordination.Dispatcher;
 import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.entry.http.EntryRoutes;
 import org.chivetally.entry.http.JobRoutes;
@@ -71,6 +73,30 @@
         this.binding = binding;
     }
 
+    /** Starts an entry of which nothing is declared and to which nothing is added. */
+    public static CompletionStage<EntryServer> start(
+            ActorSystem<?> system,
+            EntrySettings settings,
+            PlatformLog log,
+            FrameTransport transport,
+            MeterRegistry meters,
+            NanoClock clock) {
+        return start(system, settings, log, transport, meters, clock, EntryExtension.none());
+    }
+
+    /** Starts an entry with its claims in the log. */
+    public static CompletionStage<EntryServer> start(
+            ActorSystem<?> system,
+            EntrySettings settings,
+            PlatformLog log,
+            FrameTransport transport,
+            MeterRegistry meters,
+            NanoClock clock,
+            EntryExtension extension) {
+        Decisions decisions = new LoggedDecisions(system, settings, log, clock, meters);
+        return start(system, settings, log, transport, meters, clock, extension, decisions);
+    }
+
     /**
      * Starts an entry.
      *
@@ -92,8 +118,7 @@
         return transport.listen(frames.host(), frames.port(), listener).thenCompose(bound -> {
             EntryActors.Parts parts =
                     actorParts(settings, log, transport, meters, clock, extension, decisions, bound.getPort());
-            Started started = new Started(
-                    system, parts, new EntryActors(system, parts), bound, new AtomicBoolean());
+            Started started = new Started(system, parts, new EntryActors(system, parts), bound, new AtomicBoolean());
             listener.open(inbound(started));
             return bindHttp(started);
         });
@@ -126,10 +151,11 @@
         }
         logger.atInfo().log(
                 "%s",
-                EventLine.of("entry-draining").with("process", settings.processId()).with("reason", reason));
+                EventLine.of("entry-draining")
+                        .with("process", settings.processId())
+                        .with("reason", reason));
         waits.within(settings.limits().drainNotice(), new CompletableFuture<>())
-                .thenCompose(noticed ->
-                        waits.within(settings.limits().drainLimit(), actors.drain()))
+                .thenCompose(noticed -> waits.within(settings.limits().drainLimit(), actors.drain()))
                 .thenCompose(idle -> binding.terminate(TERMINATION_LIMIT))
                 .thenCompose(terminated -> waits.within(LEAVE_LIMIT, claims.depart()))
                 .thenCompose(departed -> waits.within(LEAVE_LIMIT, actors.leave()))
@@ -258,7 +284,8 @@
     }
 
     // A held request sends and receives nothing until its answer. The server's usual time limits would close its
-    // connection after 20 to 60 seconds and the caller would take a running job for lost; they are set above the longest
+    // connection after 20 to 60 seconds and the caller would take a running job for lost; they are set above the
+    // longest
     // wait.
     private static ServerSettings serverSettings(Started started) {
         ServerSettings usual = ServerSettings.create(started.system().classicSystem());
@@ -269,7 +296,8 @@
     }
 
     private static List<String> missing(Started started) {
-        List<String> reasons = new ArrayList<>(started.actorParts().extension().missing().get());
+        List<String> reasons =
+                new ArrayList<>(started.actorParts().extension().missing().get());
         if (started.draining().get()) {
             reasons.add("stopping");
         }
@@ -294,6 +322,20 @@
         DispatchCore core(Coordinator self);
     }
 
+    private record LoggedDecisions(
+            ActorSystem<?> system, EntrySettings settings, PlatformLog log, NanoClock clock, MeterRegistry meters)
+            implements Decisions {
+        @Override
+        public Claims claims(Coordinator self) {
+            return LogClaims.start(system, log, settings.claims(), self, clock, meters);
+        }
+
+        @Override
+        public DispatchCore core(Coordinator self) {
+            return new Dispatcher(settings.dispatch(), new SecureRandom().nextLong())::handle;
+        }
+    }
+
     private record Started(
             ActorSystem<?> system,
             EntryActors.Parts actorParts,
--- a/library/src/main/java/org/chivetally/entry/EntrySettings.java
+++ b/library/src/main/java/org/chivetally/entry/EntrySettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import org.chivetally.claim.ClaimSettings;
+import org.chivetally.coordination.DispatchSettings;
 import org.chivetally.entry.link.Address;
 import org.chivetally.entry.link.HeartbeatSettings;
 
@@ -24,6 +25,7 @@
         Address advertised,
         List<Address> seeds,
         ClaimSettings claims,
+        DispatchSettings dispatch,
         HeartbeatSettings heartbeats,
         EntryLimits limits) {
     /** Refuses missing parts. */
@@ -34,6 +36,7 @@
         Objects.requireNonNull(frames, "frames");
         Objects.requireNonNull(advertised, "advertised");
         Objects.requireNonNull(claims, "claims");
+        Objects.requireNonNull(dispatch, "dispatch");
         Objects.requireNonNull(heartbeats, "heartbeats");
         Objects.requireNonNull(limits, "limits");
         seeds = List.copyOf(seeds);
--- a/library/src/main/java/org/chivetally/entry/link/LinkSet.java
+++ b/library/src/main/java/org/chivetally/entry/link/LinkSet.java
@@ -78,18 +78,21 @@
         return Optional.ofNullable(links.get(processId)).map(Link::usableHello);
     }
 
-    /** Sends a frame with a new request id; false when the process can't be reached now. */
+    /** Sends a frame, with a new request id when it has none; false when the process can't be reached now. */
     public boolean send(String processId, Frame frame) {
         Link link = links.get(processId);
         FrameConnection connection = link == null ? null : connections.get(link.usableDial());
         if (connection == null) {
             return false;
         }
-        connection.send(
-                frame.toBuilder().setRequestId(wiring.requestIds().getAsLong()).build());
+        connection.send(frame.getRequestId() == 0 ? numbered(frame) : frame);
         return true;
     }
 
+    private Frame numbered(Frame frame) {
+        return frame.toBuilder().setRequestId(wiring.requestIds().getAsLong()).build();
+    }
+
     /** Passes on what the transport reported. */
     public void signal(LinkSignal signal, long now) {
         String processId = owners.get(signal.dial());
@@ -178,8 +181,7 @@
 
     private void dial(String processId, Link link, long dial) {
         owners.put(dial, processId);
-        wiring.dialer()
-                .dial(link.address().host(), link.address().port(), new SignalListener(dial, wiring.signals()));
+        wiring.dialer().dial(link.address().host(), link.address().port(), new SignalListener(dial, wiring.signals()));
     }
 
     private void hangUp(long dial) {
@@ -204,8 +206,7 @@
     private void sendOn(long dial, Frame.Builder frame) {
         FrameConnection connection = connections.get(dial);
         if (connection != null) {
-            connection.send(
-                    frame.setRequestId(wiring.requestIds().getAsLong()).build());
+            connection.send(frame.setRequestId(wiring.requestIds().getAsLong()).build());
         }
     }
 
