--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -46,7 +46,7 @@
 
 /** One running entry: its HTTP server, its frames' listener and its actors. */
 public final class EntryServer {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TERMINATION_LIMIT = Duration.ofSeconds(10);
     private static final Duration LEAVE_LIMIT = Duration.ofSeconds(3);
     private static final int IDLE_MINUTES = 11;
@@ -149,7 +149,7 @@
         if (!draining.compareAndSet(false, true)) {
             return drained;
         }
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("entry-draining")
                         .with("process", settings.processId())
@@ -165,10 +165,10 @@
 
     private void stop(Throwable failure) {
         if (failure != null) {
-            logger.atWarning().withCause(failure).log("%s", EventLine.of("entry-drain-failed"));
+            LOGGER.atWarning().withCause(failure).log("%s", EventLine.of("entry-drain-failed"));
         }
         actors.stop();
-        logger.atInfo().log("%s", EventLine.of("entry-stopped").with("process", settings.processId()));
+        LOGGER.atInfo().log("%s", EventLine.of("entry-stopped").with("process", settings.processId()));
         drained.complete(null);
     }
 
@@ -257,7 +257,7 @@
     }
 
     private static EntryServer started(Started started, ServerBinding binding) {
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("entry-started")
                         .with("process", started.actorParts().self().processId())
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -35,7 +35,7 @@
 
 /** Feeds the decisions with events of agents, jobs and time, and carries their effects out. */
 public final class DispatchActor extends AbstractBehavior<DispatchCommand> implements LinkObserver {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
     private static final int TICKS_PER_REPORT = 100;
 
@@ -197,7 +197,7 @@
         switch (effect) {
             case DispatchEffect.SendFrame send -> send(send.agent(), send.frame());
             case DispatchEffect.JobFinished finished -> parts.finished().accept(finished.job(), finished.outcome());
-            case DispatchEffect.WriteLine write -> logger.atInfo().log("%s", write.line());
+            case DispatchEffect.WriteLine write -> LOGGER.atInfo().log("%s", write.line());
             case DispatchEffect.CountWaste waste -> count(waste.kind());
         }
     }
--- a/library/src/main/java/org/chivetally/entry/http/EntryRoutes.java
+++ b/library/src/main/java/org/chivetally/entry/http/EntryRoutes.java
@@ -12,7 +12,7 @@
 
 /** Joins routes into one that answers every request, with a problem document where nothing else answers. */
 public final class EntryRoutes extends AllDirectives {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int BAD_REQUEST = 400;
 
@@ -39,7 +39,7 @@
     private ExceptionHandler exceptions() {
         return ExceptionHandler.newBuilder()
                 .matchAny(failure -> {
-                    logger.atSevere().withCause(failure).log("%s", EventLine.of("request-failed"));
+                    LOGGER.atSevere().withCause(failure).log("%s", EventLine.of("request-failed"));
                     return complete(Responses.internal("the request failed inside the entry"));
                 })
                 .build();
--- a/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
+++ b/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
@@ -36,7 +36,7 @@
     /** Header that carries the idempotency key, both ways. */
     public static final String KEY_HEADER = "Idempotency-Key";
 
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final String JOB_HEADER = "Chivetally-Job";
     private static final long BODY_TIMEOUT_MILLIS = 30_000;
     private static final Duration AFTER_DEADLINE = Duration.ofSeconds(5);
@@ -105,7 +105,7 @@
             String rule = "longer than " + parts.maximumBodyBytes() + " bytes";
             return Responses.mistakes(TOO_LARGE, List.of(new InputMistake("", rule)));
         }
-        logger.atSevere().withCause(cause).log("%s", EventLine.of("request-failed"));
+        LOGGER.atSevere().withCause(cause).log("%s", EventLine.of("request-failed"));
         return Responses.internal("the request failed inside the entry");
     }
 
--- a/library/src/main/java/org/chivetally/entry/link/Link.java
+++ b/library/src/main/java/org/chivetally/entry/link/Link.java
@@ -78,7 +78,7 @@
         switch (state) {
             case WAITING -> dialWhenDue(now, effects);
             case DIALLING, GREETING -> giveUpWhenOverdue(now, effects);
-            case USABLE -> watch(now, effects);
+            default -> watch(now, effects);
         }
         closeRetired(now, effects);
         return effects;
--- a/library/src/main/java/org/chivetally/entry/link/LinkSet.java
+++ b/library/src/main/java/org/chivetally/entry/link/LinkSet.java
@@ -24,7 +24,7 @@
  * <p>The transport's threads only hand signals to the owner, which passes them to {@link #signal}.
  */
 public final class LinkSet {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Wiring wiring;
     private final HeartbeatSettings settings;
@@ -51,7 +51,7 @@
             drop(processId, "moved");
         }
         links.put(processId, new Link(processId, address, settings, () -> ++lastDial, wiring.jitter(), now));
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s", EventLine.of("link-kept").with("process", processId).with("address", address));
     }
 
@@ -163,7 +163,7 @@
     }
 
     private void found(Link link, Hello hello) {
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("link-up")
                         .with("process", hello.getProcessId())
@@ -173,7 +173,7 @@
     }
 
     private void lost(Hello hello, String reason) {
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("link-down").with("process", hello.getProcessId()).with("reason", reason));
         observer.down(hello, reason);
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -22,7 +22,7 @@
 
 /** Reads the stream {@code members}, publishes the view, and announces this process there. */
 public final class MemberActor extends AbstractBehavior<MemberActor.Command> {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int RECORDS_PER_READ = 1_000;
     private static final Duration LONGEST_READ = Duration.ofSeconds(5);
     private static final Duration READ_RETRY = Duration.ofMillis(500);
@@ -72,7 +72,7 @@
             case ReadOutcome.Records records -> foldAll(records);
             case ReadOutcome.Expired expired -> nextOffset = expired.earliestOffset();
             case ReadOutcome.Unavailable unavailable -> {
-                logger.atWarning().log("%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
+                LOGGER.atWarning().log("%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
                 reachable = false;
                 timers.startSingleTimer(new ReadAgain(), READ_RETRY);
                 return this;
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -39,7 +39,7 @@
 
 /** Asks other entries for the outcomes of jobs that they coordinate. */
 public final class PeerActor extends AbstractBehavior<PeerCommand> implements LinkObserver {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
     private static final long ASK_AGAIN_NANOS = Duration.ofMillis(500).toNanos();
 
@@ -203,7 +203,7 @@
         try {
             return OutcomeDocument.read(answer.getOutcome());
         } catch (IllegalArgumentException malformed) {
-            logger.atWarning().withCause(malformed).log(
+            LOGGER.atWarning().withCause(malformed).log(
                     "%s", EventLine.of("peer-answer-malformed").with("job", answer.getJobId()));
             return new JobOutcome.Failure(
                     ErrorCode.INTERNAL, Certainty.UNKNOWN, "another entry's answer can't be read", List.of(), 0);
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -36,7 +36,7 @@
 
 /** Claims submissions, hands them to the dispatcher, and finds the outcomes of jobs that other entries coordinate. */
 public final class SubmissionActor extends AbstractBehavior<SubmissionCommand> {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final Duration TAKEOVER_RETRY = Duration.ofMillis(500);
     private static final Duration REPLACED_WAIT = Duration.ofSeconds(60);
@@ -171,7 +171,7 @@
             finish(record, early.get());
         } else {
             parts.dispatch().tell(new DispatchEvent.JobClaimed(record.job(), claim.generation()));
-            logger.atInfo().log("%s", line("job-claimed", record));
+            LOGGER.atInfo().log("%s", line("job-claimed", record));
         }
         replyAll(record, new SubmissionReply.Accepted(record.job(), record.done()));
     }
@@ -179,7 +179,7 @@
     private void onLost(JobRecord record, Claim claim) {
         Submission submission = record.submission();
         withdraw(record);
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 line("job-attached", record)
                         .with("to", claim.job())
@@ -285,7 +285,7 @@
         switch (record.phase()) {
             case CLAIMING -> onEndedEarly(record, finished.outcome());
             case RUNNING -> finish(record, finished.outcome());
-            case FINAL -> logger.atWarning().log("%s", line("job-finished-twice", record));
+            default -> LOGGER.atWarning().log("%s", line("job-finished-twice", record));
         }
     }
 
@@ -306,7 +306,7 @@
         record.claim().ifPresent(claim -> endClaim(claim, outcome));
         ledger.finish(record, outcome, now);
         parts.finished().accept(outcome, now - record.submittedNanos());
-        logger.atInfo().log("%s", finalLine(record, outcome, now));
+        LOGGER.atInfo().log("%s", finalLine(record, outcome, now));
         endDrainWhenIdle();
     }
 
@@ -372,7 +372,7 @@
             }
             case ClaimDecision.KeyReused reused -> endRemote(remote, Failures.keyReused());
             case ClaimDecision.LogUnavailable unavailable ->
-                logger.atWarning().log(
+                LOGGER.atWarning().log(
                         "%s",
                         EventLine.of("takeover-failed")
                                 .with("job", decided.job())
@@ -394,7 +394,7 @@
                 submission,
                 parts.policies().service(submission.specification().service()));
         parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
-        logger.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
+        LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
 
     private void onClaimRefreshed(Claim claim) {
@@ -418,7 +418,7 @@
             return;
         }
         JobRecord record = found.get();
-        logger.atWarning().log(
+        LOGGER.atWarning().log(
                 "%s",
                 line("job-replaced", record).with("by", claim.coordinator().processId()));
         long until = parts.clock().nanos() + REPLACED_WAIT.toNanos();
