--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -22,7 +22,9 @@
 import org.apache.pekko.stream.Materializer;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.LogClaims;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.coordination.Dispatcher;
 import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.entry.http.EntryRoutes;
 import org.chivetally.entry.http.JobRoutes;
@@ -44,7 +46,7 @@
 
 /** One running entry: its HTTP server, its frames' listener and its actors. */
 public final class EntryServer {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TERMINATION_LIMIT = Duration.ofSeconds(10);
     private static final Duration LEAVE_LIMIT = Duration.ofSeconds(3);
     private static final int IDLE_MINUTES = 11;
@@ -71,6 +73,30 @@
         this.binding = binding;
     }
 
+    /** Starts an entry of which nothing is declared and to which nothing is added. */
+    public static CompletionStage<EntryServer> start(
+            ActorSystem<?> system,
+            EntrySettings settings,
+            PlatformLog log,
+            FrameTransport transport,
+            MeterRegistry meters,
+            NanoClock clock) {
+        return start(system, settings, log, transport, meters, clock, EntryExtension.none());
+    }
+
+    /** Starts an entry with its claims in the log. */
+    public static CompletionStage<EntryServer> start(
+            ActorSystem<?> system,
+            EntrySettings settings,
+            PlatformLog log,
+            FrameTransport transport,
+            MeterRegistry meters,
+            NanoClock clock,
+            EntryExtension extension) {
+        Decisions decisions = new LoggedDecisions(system, settings, log, clock, meters);
+        return start(system, settings, log, transport, meters, clock, extension, decisions);
+    }
+
     /**
      * Starts an entry.
      *
@@ -123,7 +149,7 @@
         if (!draining.compareAndSet(false, true)) {
             return drained;
         }
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("entry-draining")
                         .with("process", settings.processId())
@@ -139,10 +165,10 @@
 
     private void stop(Throwable failure) {
         if (failure != null) {
-            logger.atWarning().withCause(failure).log("%s", EventLine.of("entry-drain-failed"));
+            LOGGER.atWarning().withCause(failure).log("%s", EventLine.of("entry-drain-failed"));
         }
         actors.stop();
-        logger.atInfo().log("%s", EventLine.of("entry-stopped").with("process", settings.processId()));
+        LOGGER.atInfo().log("%s", EventLine.of("entry-stopped").with("process", settings.processId()));
         drained.complete(null);
     }
 
@@ -231,7 +257,7 @@
     }
 
     private static EntryServer started(Started started, ServerBinding binding) {
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("entry-started")
                         .with("process", started.actorParts().self().processId())
@@ -296,6 +322,20 @@
         DispatchCore core(Coordinator self);
     }
 
+    private record LoggedDecisions(
+            ActorSystem<?> system, EntrySettings settings, PlatformLog log, NanoClock clock, MeterRegistry meters)
+            implements Decisions {
+        @Override
+        public Claims claims(Coordinator self) {
+            return LogClaims.start(system, log, settings.claims(), self, clock, meters);
+        }
+
+        @Override
+        public DispatchCore core(Coordinator self) {
+            return new Dispatcher(settings.dispatch(), new SecureRandom().nextLong())::handle;
+        }
+    }
+
     private record Started(
             ActorSystem<?> system,
             EntryActors.Parts actorParts,
--- a/library/src/main/java/org/chivetally/entry/link/LinkSet.java
+++ b/library/src/main/java/org/chivetally/entry/link/LinkSet.java
@@ -24,7 +24,7 @@
  * <p>The transport's threads only hand signals to the owner, which passes them to {@link #signal}.
  */
 public final class LinkSet {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Wiring wiring;
     private final HeartbeatSettings settings;
@@ -51,7 +51,7 @@
             drop(processId, "moved");
         }
         links.put(processId, new Link(processId, address, settings, () -> ++lastDial, wiring.jitter(), now));
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s", EventLine.of("link-kept").with("process", processId).with("address", address));
     }
 
@@ -78,18 +78,21 @@
         return Optional.ofNullable(links.get(processId)).map(Link::usableHello);
     }
 
-    /** Sends a frame with a new request id; false when the process can't be reached now. */
+    /** Sends a frame, with a new request id when it has none; false when the process can't be reached now. */
     public boolean send(String processId, Frame frame) {
         Link link = links.get(processId);
         FrameConnection connection = link == null ? null : connections.get(link.usableDial());
         if (connection == null) {
             return false;
         }
-        connection.send(
-                frame.toBuilder().setRequestId(wiring.requestIds().getAsLong()).build());
+        connection.send(frame.getRequestId() == 0 ? numbered(frame) : frame);
         return true;
     }
 
+    private Frame numbered(Frame frame) {
+        return frame.toBuilder().setRequestId(wiring.requestIds().getAsLong()).build();
+    }
+
     /** Passes on what the transport reported. */
     public void signal(LinkSignal signal, long now) {
         String processId = owners.get(signal.dial());
@@ -160,7 +163,7 @@
     }
 
     private void found(Link link, Hello hello) {
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("link-up")
                         .with("process", hello.getProcessId())
@@ -170,7 +173,7 @@
     }
 
     private void lost(Hello hello, String reason) {
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 EventLine.of("link-down").with("process", hello.getProcessId()).with("reason", reason));
         observer.down(hello, reason);
