--- a/command/src/main/java/org/chivetally/command/ExitCodes.java
+++ b/command/src/main/java/org/chivetally/command/ExitCodes.java
@@ -30,7 +30,7 @@
     /** Returns the exit code that tells of an error code. */
     public static int of(ErrorCode code) {
         return switch (code) {
-            case NOT_FOUND, CANCELLED, TASK_FAILED, DEADLINE_EXCEEDED -> FAILED;
+            case NOT_FOUND, CANCELLED, TASK_FAILED, DEADLINE_EXCEEDED, ANSWER_EXPIRED -> FAILED;
             case INVALID_INPUT, NEVER_FITS -> INVALID_INPUT;
             case VERSION_CONFLICT, KEY_REUSED, VERSION_TOO_OLD -> CONFLICT;
             case OVERLOADED, LOG_UNAVAILABLE, NOT_READY -> UNAVAILABLE;
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/AgentDaemon.java
@@ -0,0 +1,107 @@
+package org.chivetally.daemon;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.agent.AgentLimits;
+import org.chivetally.agent.AgentServer;
+import org.chivetally.agent.AgentSettings;
+import org.chivetally.agent.MemberAnnouncer;
+import org.chivetally.agent.MinionCapacity;
+import org.chivetally.agent.MinionStateSource;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.settings.AgentDaemonSettings;
+import org.chivetally.settings.MinionSettings;
+import org.chivetally.settings.ProcessSettings;
+import org.chivetally.time.NanoClock;
+import org.chivetally.transport.FrameTransport;
+
+/** One agent with all its parts. */
+public final class AgentDaemon {
+    private final AgentServer server;
+    private final MemberAnnouncer announcer;
+    private final FrameTransport transport;
+
+    private AgentDaemon(AgentServer server, MemberAnnouncer announcer, FrameTransport transport) {
+        this.server = server;
+        this.announcer = announcer;
+        this.transport = transport;
+    }
+
+    /** Starts an agent; completes once it listens, or exceptionally when its address can't be bound. */
+    public static CompletionStage<AgentDaemon> start(
+            ActorSystem<?> system, AgentDaemonSettings settings, PlatformLog log, NanoClock clock) {
+        MeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        FrameTransport transport = new FrameTransport(meters);
+        return AgentServer.start(system, agent(settings), transport, meters, clock)
+                .thenApply(server -> started(system, settings, log, server, transport));
+    }
+
+    /** Returns where entries are served. */
+    public InetSocketAddress frameAddress() {
+        return server.address();
+    }
+
+    /** Takes no new task, lets running ones finish, and leaves; completes once the agent has stopped. */
+    public CompletionStage<Void> drain(String reason) {
+        return announcer
+                .leave()
+                .thenCombine(server.drain(reason), (left, drained) -> left)
+                .thenRun(transport::close);
+    }
+
+    private static AgentDaemon started(
+            ActorSystem<?> system,
+            AgentDaemonSettings settings,
+            PlatformLog log,
+            AgentServer server,
+            FrameTransport transport) {
+        SeedIntroduction seeds = new SeedIntroduction(
+                log, transport, settings.process().seeds(), server.member());
+        MemberAnnouncer announcer =
+                new MemberAnnouncer(system, seeds, server.member(), MemberAnnouncer.DEFAULT_INTERVAL);
+        return new AgentDaemon(server, announcer, transport);
+    }
+
+    private static AgentSettings agent(AgentDaemonSettings settings) {
+        ProcessSettings process = settings.process();
+        MinionSettings minion = settings.minion();
+        MinionCapacity capacity = new MinionCapacity(
+                minion.slots(),
+                minion.connections(),
+                minion.processorMillis(),
+                minion.memoryBytes(),
+                minion.accelerators());
+        return new AgentSettings(
+                process.name(),
+                process.failureDomain(),
+                process.frames().host(),
+                process.frames().port(),
+                process.advertised().host(),
+                process.advertised().port(),
+                minion.service(),
+                minion.backend(),
+                capacity,
+                minion.url(),
+                new MinionStateSource.Native(),
+                limits(settings));
+    }
+
+    private static AgentLimits limits(AgentDaemonSettings settings) {
+        AgentLimits usual = AgentLimits.forSlots(settings.minion().slots());
+        return new AgentLimits(
+                settings.queue(),
+                settings.ticketAge(),
+                settings.retention(),
+                usual.resultBytes(),
+                usual.answerBytes(),
+                usual.failuresUntilUnhealthy(),
+                usual.statePoll(),
+                usual.drainLinger(),
+                usual.peerSilence(),
+                usual.logDecisions());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/DaemonSystem.java
@@ -0,0 +1,47 @@
+package org.chivetally.daemon;
+
+import com.typesafe.config.Config;
+import com.typesafe.config.ConfigFactory;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+
+/** Actor systems of the daemons. */
+public final class DaemonSystem {
+    private static final String SETTINGS = """
+            pekko {
+              loggers = ["org.apache.pekko.event.slf4j.Slf4jLogger"]
+              logging-filter = "org.apache.pekko.event.slf4j.Slf4jLoggingFilter"
+              loglevel = WARNING
+              stdout-loglevel = WARNING
+              log-dead-letters = off
+              log-dead-letters-during-shutdown = off
+              library-extensions = []
+              # Timers of 20 ms and less decide when tasks start; the usual tick of 10 ms would double them.
+              scheduler.tick-duration = 1ms
+              # The daemons stop in the order of their own drain; a second hook would cut requests meanwhile.
+              jvm-shutdown-hooks = off
+              coordinated-shutdown.run-by-jvm-shutdown-hook = off
+              coordinated-shutdown.exit-jvm = off
+              actor.default-dispatcher.fork-join-executor {
+                parallelism-min = 2
+                parallelism-max = 8
+              }
+              http.server.server-header = "chivetally"
+              http.server.transparent-head-requests = on
+              http.client.user-agent-header = "chivetally"
+              http.host-connection-pool.max-open-requests = 1024
+            }
+            """;
+
+    private DaemonSystem() {}
+
+    /** Starts an actor system with the daemons' settings; it has no guardian of its own. */
+    public static ActorSystem<Void> start(String name) {
+        return ActorSystem.create(Behaviors.empty(), name, settings());
+    }
+
+    /** Returns Pekko's settings for daemons, over those of the class path. */
+    public static Config settings() {
+        return ConfigFactory.parseString(SETTINGS).withFallback(ConfigFactory.load());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/EntryMapping.java
@@ -0,0 +1,107 @@
+package org.chivetally.daemon;
+
+import java.time.Duration;
+import org.chivetally.claim.ClaimSettings;
+import org.chivetally.claim.GroupCommitSettings;
+import org.chivetally.claim.SnapshotSettings;
+import org.chivetally.claim.TailSettings;
+import org.chivetally.coordination.DispatchSettings;
+import org.chivetally.entry.EntryLimits;
+import org.chivetally.entry.EntrySettings;
+import org.chivetally.entry.link.Address;
+import org.chivetally.entry.link.HeartbeatSettings;
+import org.chivetally.resource.ResourceSettings;
+import org.chivetally.settings.ClaimTimes;
+import org.chivetally.settings.EntryDaemonSettings;
+import org.chivetally.settings.HostPort;
+import org.chivetally.settings.ProcessSettings;
+
+/** Maps an entry's settings file to the settings of its parts. */
+final class EntryMapping {
+    private static final int RENEWALS_IN_LEASE = 3;
+    private static final int SNAPSHOTS_IN_RETENTION = 4;
+
+    private EntryMapping() {}
+
+    static EntrySettings entry(EntryDaemonSettings settings) {
+        ProcessSettings process = settings.process();
+        return new EntrySettings(
+                process.name(),
+                process.failureDomain(),
+                address(settings.http()),
+                address(process.frames()),
+                address(process.advertised()),
+                process.seeds().stream().map(EntryMapping::address).toList(),
+                claims(settings.claims()),
+                HeartbeatSettings.standard(),
+                limits(process.drainTimeout()));
+    }
+
+    static DispatchSettings dispatch(EntryDaemonSettings settings) {
+        DispatchSettings usual = DispatchSettings.defaults(settings.process().failureDomain());
+        return new DispatchSettings(
+                usual.failureDomain(),
+                usual.decisionLines(),
+                usual.policy(),
+                fencing(usual.fencing(), settings.claims()),
+                usual.queues(),
+                usual.retries(),
+                usual.speculation(),
+                usual.quarantine());
+    }
+
+    static ResourceSettings resources(EntryDaemonSettings settings) {
+        Duration retention = settings.claims().logRetention();
+        return ResourceSettings.defaults(settings.process().name())
+                .withSnapshotEvery(retention.dividedBy(SNAPSHOTS_IN_RETENTION));
+    }
+
+    // Agents and entries must agree on these: an entry that counts on an agent's memory for longer than it lasts would
+    // take "not known here" for "never started", and start work twice.
+    private static DispatchSettings.Fencing fencing(DispatchSettings.Fencing usual, ClaimTimes claims) {
+        return new DispatchSettings.Fencing(
+                claims.ticketAge(),
+                claims.ticketAge().multipliedBy(2).dividedBy(3),
+                usual.clockMargin(),
+                usual.inquiryRepeat(),
+                usual.takeoverPatience(),
+                claims.agentRetention(),
+                usual.goneRetention());
+    }
+
+    private static ClaimSettings claims(ClaimTimes times) {
+        GroupCommitSettings usual = GroupCommitSettings.defaults();
+        GroupCommitSettings commit = new GroupCommitSettings(
+                times.appendsPerSecond(),
+                usual.burst(),
+                usual.maximumQueued(),
+                usual.maximumBatch(),
+                usual.settleTime(),
+                usual.retryInterval());
+        return new ClaimSettings(
+                times.window(),
+                times.logRetention(),
+                times.lease(),
+                times.lease().dividedBy(RENEWALS_IN_LEASE),
+                times.ticketAge(),
+                times.claimTimeout(),
+                commit,
+                TailSettings.defaults(),
+                SnapshotSettings.every(times.logRetention().dividedBy(SNAPSHOTS_IN_RETENTION)));
+    }
+
+    private static EntryLimits limits(Duration drainTimeout) {
+        EntryLimits usual = EntryLimits.standard();
+        return new EntryLimits(
+                usual.maximumBodyBytes(),
+                usual.maximumOpenSubmissions(),
+                usual.maximumConnections(),
+                usual.maximumKeptBytes(),
+                usual.drainNotice(),
+                drainTimeout);
+    }
+
+    private static Address address(HostPort place) {
+        return new Address(place.host(), place.port());
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/SeedIntroduction.java
@@ -0,0 +1,82 @@
+package org.chivetally.daemon;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import org.chivetally.agent.Member;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.NewRecord;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.log.ReadOutcome;
+import org.chivetally.settings.HostPort;
+import org.chivetally.transport.FrameConnection;
+import org.chivetally.transport.FrameListener;
+import org.chivetally.transport.FrameTransport;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+
+/**
+ * A log for an agent's announcements that introduces the agent to the seed entries whenever an append fails.
+ *
+ * <p>Safeguard: an agent that starts while the log is down can't announce itself, and no entry would ever dial it. The
+ * seeds pass it into their views as if they had read it; entries that are no seeds learn of it once the log is back.
+ */
+final class SeedIntroduction implements PlatformLog {
+    private final PlatformLog log;
+    private final FrameTransport transport;
+    private final List<HostPort> seeds;
+    private final Hello hello;
+
+    SeedIntroduction(PlatformLog log, FrameTransport transport, List<HostPort> seeds, Member agent) {
+        this.log = log;
+        this.transport = transport;
+        this.seeds = seeds;
+        this.hello = Hello.newBuilder()
+                .setProcessId(agent.processId())
+                .setIncarnation(agent.incarnation())
+                .setRole(agent.role())
+                .setFailureDomain(agent.failureDomain())
+                .setListenHost(agent.host())
+                .setListenPort(agent.port())
+                .setService(agent.service())
+                .setBackend(agent.backend())
+                .setCapacity(agent.capacity().toWire())
+                .build();
+    }
+
+    @Override
+    public CompletionStage<AppendOutcome> append(String stream, List<NewRecord> records) {
+        return log.append(stream, records).thenApply(this::introducedIfNotWritten);
+    }
+
+    @Override
+    public CompletionStage<ReadOutcome> read(String stream, long from, int limit, Duration wait) {
+        return log.read(stream, from, limit, wait);
+    }
+
+    private AppendOutcome introducedIfNotWritten(AppendOutcome outcome) {
+        if (!(outcome instanceof AppendOutcome.Appended)) {
+            seeds.forEach(seed -> transport.dial(seed.host(), seed.port(), new Introducing()));
+        }
+        return outcome;
+    }
+
+    private final class Introducing implements FrameListener {
+        @Override
+        public void connected(FrameConnection connection) {
+            connection.send(Frame.newBuilder().setHello(hello).build());
+        }
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            if (frame.hasHello()) {
+                connection.close();
+            }
+        }
+
+        @Override
+        public void disconnected(FrameConnection connection, String reason) {
+            // The next failed announcement tries again.
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/TeamChanges.java
@@ -0,0 +1,40 @@
+package org.chivetally.daemon;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.chivetally.job.ServicePolicies;
+import org.chivetally.job.TeamPolicy;
+import org.chivetally.resource.Resource;
+import org.chivetally.resource.ResourceKind;
+import org.chivetally.resource.ResourceTable;
+
+/** Tells of teams whose limits changed, also those that are declared no more; called from one thread at a time. */
+final class TeamChanges implements Consumer<ResourceTable> {
+    private final ServicePolicies policies;
+    private final Consumer<TeamPolicy> changed;
+    private final Map<String, TeamPolicy> told = new HashMap<>();
+
+    TeamChanges(ServicePolicies policies, Consumer<TeamPolicy> changed) {
+        this.policies = policies;
+        this.changed = changed;
+    }
+
+    @Override
+    public void accept(ResourceTable table) {
+        Set<String> names = new HashSet<>(told.keySet());
+        for (Resource team : table.list(ResourceKind.TEAM, Map.of())) {
+            names.add(team.key().name());
+        }
+        names.forEach(this::tell);
+    }
+
+    private void tell(String name) {
+        TeamPolicy policy = policies.team(name);
+        if (!policy.equals(told.put(name, policy))) {
+            changed.accept(policy);
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/settings/ClaimTimes.java
+++ b/library/src/main/java/org/chivetally/settings/ClaimTimes.java
@@ -10,6 +10,7 @@
  * @param logRetention how long the log keeps records at least
  * @param lease how long a coordinator may start tasks after its last renewal
  * @param ticketAge oldest start permit that an agent accepts
+ * @param agentRetention how long agents keep results; the same as their limits.retention
  * @param claimTimeout how long a submission waits for the log before it is refused as not run
  * @param appendsPerSecond this entry's share of the log's append budget
  */
@@ -18,6 +19,7 @@
         Duration logRetention,
         Duration lease,
         Duration ticketAge,
+        Duration agentRetention,
         Duration claimTimeout,
         int appendsPerSecond) {
     /** Refuses missing parts. */
@@ -26,6 +28,7 @@
         Objects.requireNonNull(logRetention, "logRetention");
         Objects.requireNonNull(lease, "lease");
         Objects.requireNonNull(ticketAge, "ticketAge");
+        Objects.requireNonNull(agentRetention, "agentRetention");
         Objects.requireNonNull(claimTimeout, "claimTimeout");
     }
 }
--- a/library/src/main/java/org/chivetally/settings/EntryDaemonSettings.java
+++ b/library/src/main/java/org/chivetally/settings/EntryDaemonSettings.java
@@ -13,6 +13,7 @@
  */
 public record EntryDaemonSettings(ProcessSettings process, HostPort http, ClaimTimes claims) {
     private static final Duration DAY = Duration.ofDays(1);
+    private static final Duration HOUR = Duration.ofHours(1);
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final Duration MINUTE = Duration.ofMinutes(1);
     private static final Duration DEFAULT_WINDOW = Duration.ofMinutes(10);
@@ -20,6 +21,7 @@
     private static final Duration SHORTEST_CLAIM = Duration.ofMillis(100);
     private static final Duration DEFAULT_LOG_RETENTION = Duration.ofMinutes(30);
     private static final Duration DEFAULT_LEASE = Duration.ofSeconds(6);
+    private static final Duration DEFAULT_AGENT_RETENTION = Duration.ofMinutes(5);
     private static final Duration DEFAULT_CLAIM_TIMEOUT = Duration.ofSeconds(2);
     private static final Duration DEFAULT_TICKET_AGE = Duration.ofSeconds(3);
     private static final int DEFAULT_APPENDS = 30;
@@ -46,6 +48,7 @@
                 section.duration("logRetention", MINUTE, MONTH, DEFAULT_LOG_RETENTION),
                 section.duration("lease", SECOND, MINUTE, DEFAULT_LEASE),
                 section.duration("ticketAge", SECOND, MINUTE, DEFAULT_TICKET_AGE),
+                section.duration("agentRetention", SECOND, HOUR, DEFAULT_AGENT_RETENTION),
                 section.duration("claimTimeout", SHORTEST_CLAIM, MINUTE, DEFAULT_CLAIM_TIMEOUT),
                 (int) section.whole("appendsPerSecond", 1, MAXIMUM_APPENDS, DEFAULT_APPENDS));
         Duration needed = claims.window().plus(claims.lease()).plus(claims.claimTimeout());
