--- a/library/src/main/java/org/chivetally/resource/WatchHub.java
+++ b/library/src/main/java/org/chivetally/resource/WatchHub.java
@@ -32,6 +32,8 @@
         private long told;
 
         /**
+         * Creates a watch that has been told nothing new yet.
+         *
          * @param told version up to which the client knows everything
          * @param ended where the last event is put
          */
--- a/library/src/test/java/org/chivetally/document/DocumentTest.java
+++ b/library/src/test/java/org/chivetally/document/DocumentTest.java
@@ -98,7 +98,8 @@
                         "mistakes.yaml:2:1: name: the key stands twice, first at mistakes.yaml:1:1",
                         "mistakes.yaml:1:1: team: is missing",
                         "mistakes.yaml:3:8: queue: \"0\" is not a whole number from 1 to 10",
-                        "mistakes.yaml:4:7: wait: \"5 parsecs\" is not a duration from 1ms to 5s, as a whole number with"
+                        "mistakes.yaml:4:7: wait: \"5 parsecs\" is not a duration from 1ms to 5s, as a whole"
+                                + " number with"
                                 + " us, ms, s, m or h",
                         "mistakes.yaml:5:7: size: \"3MB\" is not a size from 0B to 1MiB, as a whole number with B, KiB,"
                                 + " MiB, GiB or TiB",
--- a/standins/src/main/java/org/chivetally/standins/MinionStart.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStart.java
@@ -1,7 +1,5 @@
 package org.chivetally.standins;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-
 /**
  * One start in a minion's own record, by which duplicate starts are judged.
  *
