--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/AgentCommand.java
@@ -0,0 +1,35 @@
+package org.chivetally.command;
+
+import java.util.concurrent.Callable;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.command.daemon.DaemonRun;
+import org.chivetally.daemon.AgentDaemon;
+import org.chivetally.settings.AgentDaemonSettings;
+import org.chivetally.settings.SettingsFile;
+import org.chivetally.time.NanoClock;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Runs an agent. */
+@Command(
+        name = "agent",
+        description = {
+            "Run an agent beside one minion: runs tasks on it for the entries.",
+            "SIGTERM stops it gracefully: no request in progress is cut."
+        })
+final class AgentCommand implements Callable<Integer> {
+    private static final String SIGNAL = "signal";
+
+    @Mixin
+    private DaemonOptions options;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        AgentDaemonSettings settings = SettingsFile.readAgent(options.settings());
+        DaemonRun run = DaemonRun.begin(settings.process());
+        ActorSystem<Void> system = run.system();
+        AgentDaemon daemon = DaemonRun.await(AgentDaemon.start(system, settings, run.log(), NanoClock.system()));
+        run.untilSignal(() -> daemon.drain(SIGNAL));
+        return ExitCodes.OK;
+    }
+}
--- a/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
@@ -32,6 +32,9 @@
             ExitCodes.INTERNAL + ":a fault in chivetally itself"
         },
         subcommands = {
+            EntryCommand.class,
+            AgentCommand.class,
+            StandaloneCommand.class,
             ApplyCommand.class,
             DiffCommand.class,
             GetCommand.class,
@@ -44,7 +47,8 @@
             ExplainCommand.class,
             ConfigurationCommand.class,
             StandInCommand.class,
-            LayoutCommand.class
+            LayoutCommand.class,
+            LoadCommand.class
         })
 public final class ChivetallyCommand implements Runnable {
     @Spec
@@ -70,6 +74,7 @@
         throw new ParameterException(command.commandLine(), "Name a subcommand.");
     }
 
+    // A daemon that can't start leaves threads of Pekko and Netty behind; main's exit ends the process all the same.
     private static int report(Exception failure, CommandLine failed) {
         PrintWriter error = failed.getErr();
         if (failure instanceof ChivetallyException known) {
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/DaemonOptions.java
@@ -0,0 +1,18 @@
+package org.chivetally.command;
+
+import java.nio.file.Path;
+import picocli.CommandLine.Option;
+
+/** What each daemon is told on the command line. */
+final class DaemonOptions {
+    @Option(
+            names = "--settings",
+            required = true,
+            paramLabel = "FILE",
+            description = "Settings as YAML; examples/settings shows all keys. All mistakes are reported at once.")
+    private Path settings;
+
+    Path settings() {
+        return settings;
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/Demonstration.java
@@ -0,0 +1,101 @@
+package org.chivetally.command;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.UUID;
+import org.chivetally.command.client.EntryClient;
+import org.chivetally.command.client.EntryReply;
+import org.chivetally.command.client.EntryRequest;
+import org.chivetally.command.deployment.DeploymentPlan;
+import org.chivetally.command.deployment.RunningDeployment;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.databind.node.ObjectNode;
+
+/** Submits a job twice with one key, and shows that the second submission starts nothing. */
+final class Demonstration {
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(60);
+    private static final Duration READINESS_PAUSE = Duration.ofMillis(50);
+
+    private final Console console;
+    private final RunningDeployment running;
+    private final DeploymentPlan plan;
+
+    Demonstration(Console console, RunningDeployment running, DeploymentPlan plan) {
+        this.console = console;
+        this.running = running;
+        this.plan = plan;
+    }
+
+    /** Returns the exit code. */
+    int run(Path file) {
+        JsonNode job = addressed(DocumentFile.readOne(file));
+        String key = "demo-" + UUID.randomUUID();
+        List<URI> entries = running.entries();
+        entries.forEach(Demonstration::awaitReadiness);
+        long before = starts();
+        console.line("submitting " + file + " with key " + key + " to " + entries.getFirst());
+        EntryReply first = submit(entries.getFirst(), job, key);
+        if (!first.succeeded()) {
+            return console.failed(first);
+        }
+        console.lines(AnswerTable.lines(first.document()));
+        long after = starts();
+        console.line("the whole answer: " + first.document().path("answers").size() + " tasks; the minions recorded "
+                + (after - before) + " starts");
+        return submitAgain(entries.getLast(), job, key, first, after);
+    }
+
+    private int submitAgain(URI entry, JsonNode job, String key, EntryReply first, long startsBefore) {
+        console.line("submitting it again with the same key to " + entry);
+        EntryReply second = submit(entry, job, key);
+        if (!second.succeeded()) {
+            return console.failed(second);
+        }
+        boolean same = first.document().equals(second.document());
+        long started = starts() - startsBefore;
+        console.line((same ? "the same answer" : "ANOTHER ANSWER") + "; the minions recorded " + started
+                + " new starts");
+        return same && started == 0 ? ExitCodes.OK : ExitCodes.FAILED;
+    }
+
+    // The example names one deployment's service and team; the other deployment runs it for its own.
+    private JsonNode addressed(JsonNode job) {
+        ObjectNode copy = job.deepCopy().asObject();
+        return copy.put("service", plan.service()).put("team", plan.team());
+    }
+
+    private EntryReply submit(URI entry, JsonNode job, String key) {
+        try (EntryClient client = new EntryClient(entry, LONGEST_WAIT.plus(LONGEST_WAIT))) {
+            return client.send(SubmitCommand.request(job, key, LONGEST_WAIT));
+        }
+    }
+
+    private long starts() {
+        long count = 0;
+        for (URI minion : running.minions()) {
+            try (EntryClient client = new EntryClient(minion, LONGEST_WAIT)) {
+                count += client.send(EntryRequest.get("/starts")).body().lines().count();
+            }
+        }
+        return count;
+    }
+
+    private static void awaitReadiness(URI entry) {
+        long deadline = System.nanoTime() + LONGEST_WAIT.toNanos();
+        try (EntryClient client = new EntryClient(entry, LONGEST_WAIT)) {
+            while (!client.send(EntryRequest.get("/readyz")).succeeded()) {
+                if (System.nanoTime() > deadline) {
+                    throw new ChivetallyException(ErrorCode.NOT_READY, entry + " does not become ready");
+                }
+                Thread.sleep(READINESS_PAUSE);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new ChivetallyException(ErrorCode.NOT_READY, "interrupted", interrupted);
+        }
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/EntryCommand.java
@@ -0,0 +1,35 @@
+package org.chivetally.command;
+
+import java.util.concurrent.Callable;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.command.daemon.DaemonRun;
+import org.chivetally.daemon.EntryDaemon;
+import org.chivetally.settings.EntryDaemonSettings;
+import org.chivetally.settings.SettingsFile;
+import org.chivetally.time.NanoClock;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Runs an entry. */
+@Command(
+        name = "entry",
+        description = {
+            "Run an entry: takes jobs of callers, coordinates them, and serves resources to operators.",
+            "SIGTERM stops it gracefully: no request in progress is cut."
+        })
+final class EntryCommand implements Callable<Integer> {
+    private static final String SIGNAL = "signal";
+
+    @Mixin
+    private DaemonOptions options;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        EntryDaemonSettings settings = SettingsFile.readEntry(options.settings());
+        DaemonRun run = DaemonRun.begin(settings.process());
+        ActorSystem<Void> system = run.system();
+        EntryDaemon daemon = DaemonRun.await(EntryDaemon.start(system, settings, run.log(), NanoClock.system()));
+        run.untilSignal(() -> daemon.drain(SIGNAL));
+        return ExitCodes.OK;
+    }
+}
--- a/command/src/main/java/org/chivetally/command/JobsCommand.java
+++ b/command/src/main/java/org/chivetally/command/JobsCommand.java
@@ -65,9 +65,9 @@
     }
 
     private static List<String> table(JsonNode document) {
-        Table table = new Table("JOB", "SERVICE", "TEAM", "TASKS", "STATE");
-        if (document.has("items")) {
-            document.path("items").forEach(one -> addRow(table, one));
+        Table table = new Table("JOB", "STATE", "SERVICE", "TEAM", "TASKS", "COORDINATOR");
+        if (document.has("jobs")) {
+            document.path("jobs").forEach(one -> addRow(table, one));
         } else {
             addRow(table, document);
         }
@@ -76,10 +76,11 @@
 
     private static void addRow(Table table, JsonNode job) {
         table.row(
-                job.path("name").asString(""),
+                job.path("job").asString(""),
+                job.path("state").asString(""),
                 job.path("service").asString(""),
                 job.path("team").asString(""),
                 job.path("tasks").asString(""),
-                job.path("state").asString(""));
+                job.path("coordinator").asString(""));
     }
 }
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/LoadCommand.java
@@ -0,0 +1,88 @@
+package org.chivetally.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.load.LoadPlan;
+import org.chivetally.load.LoadPlanReader;
+import org.chivetally.load.LoadReport;
+import org.chivetally.load.LoadRun;
+import org.chivetally.load.ReportJson;
+import org.chivetally.load.ReportTable;
+import org.chivetally.load.Targets;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Offers load to a deployment and judges what came of it. */
+@Command(
+        name = "load",
+        description = {
+            "Offer load to entries by a schedule that does not slow down with them, and judge what came of it.",
+            "Exit code 1 when a goal of the plan is missed."
+        })
+final class LoadCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec command;
+
+    @Option(
+            names = "--targets",
+            paramLabel = "FILE",
+            description = "Addresses in place of the plan's own, such as targets.yaml of scripts/processes.sh.")
+    private Path targets;
+
+    @Option(
+            names = "--faults-folder",
+            paramLabel = "FOLDER",
+            description = "Folder shared with the script that carries out faults of processes.")
+    private Path faultsFolder;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "Write the report as JSON to this file as well.")
+    private Path json;
+
+    @Parameters(paramLabel = "PLAN", description = "What to offer, as YAML; see examples/load-smoke.yaml.")
+    private Path plan;
+
+    @Override
+    public Integer call() throws InterruptedException {
+        Optional<Targets> others = Optional.ofNullable(targets).map(LoadCommand::readTargets);
+        LoadPlanReader.Reading<LoadPlan> reading =
+                LoadPlanReader.read(plan.toString(), DocumentFile.text(plan), others);
+        reading.mistakes().requireNone();
+        PrintStream progress = System.err;
+        try (LoadRun run = new LoadRun(reading.content().orElseThrow(), progress, Optional.ofNullable(faultsFolder))) {
+            LoadReport report = run.run();
+            Console console = Console.of(command);
+            console.line(ReportTable.of(report));
+            writeJson(ReportJson.of(report));
+            return report.good() ? ExitCodes.OK : ExitCodes.FAILED;
+        }
+    }
+
+    private static Targets readTargets(Path file) {
+        LoadPlanReader.Reading<Targets> reading =
+                LoadPlanReader.readTargets(file.toString(), DocumentFile.text(file));
+        reading.mistakes().requireNone();
+        return reading.content().orElseThrow();
+    }
+
+    private void writeJson(String report) {
+        if (json == null) {
+            Console.of(command).line(report);
+            return;
+        }
+        try {
+            Files.writeString(json, report);
+        } catch (IOException unwritable) {
+            throw new ChivetallyException(
+                    ErrorCode.INVALID_INPUT, json + " can't be written: " + unwritable, unwritable);
+        }
+    }
+}
--- a/command/src/main/java/org/chivetally/command/SubmitCommand.java
+++ b/command/src/main/java/org/chivetally/command/SubmitCommand.java
@@ -15,6 +15,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import tools.jackson.databind.JsonNode;
 
 /** Submits a job. */
 @Command(
@@ -53,7 +54,7 @@
     public Integer call() {
         Console console = Console.of(command);
         String usedKey = key == null ? UUID.randomUUID().toString() : key;
-        EntryRequest request = request(usedKey);
+        EntryRequest request = request(DocumentFile.readOne(file), usedKey, wait);
         console.note("key: " + usedKey);
         try (EntryClient client = connection.client(wait)) {
             EntryReply reply = client.send(request);
@@ -66,14 +67,18 @@
         }
     }
 
-    private EntryRequest request(String usedKey) {
-        String body = DocumentFile.readOne(file).toString();
+    /** Returns the request that submits a job. */
+    static EntryRequest request(JsonNode job, String key, Duration wait) {
         String path = ResourcePath.jobs() + "?wait=" + wait.toSeconds();
-        return EntryRequest.post(path, body).with(KEY_HEADER, usedKey);
+        return EntryRequest.post(path, job.toString()).with(KEY_HEADER, key);
     }
 
     private int show(Console console, EntryReply reply) {
-        if (output.isTable()) {
+        if (output.isTable() && !reply.document().has("answers")) {
+            console.line("job " + reply.document().path("job").asString("") + " is "
+                    + reply.document().path("state").asString("") + "; ask for its answer with: chivetally jobs --answer "
+                    + reply.document().path("job").asString(""));
+        } else if (output.isTable()) {
             console.lines(AnswerTable.lines(reply.document()));
         } else {
             console.document(reply.document(), output.format());
--- a/command/src/main/java/org/chivetally/command/client/Problem.java
+++ b/command/src/main/java/org/chivetally/command/client/Problem.java
@@ -24,7 +24,7 @@
         String detail = document.path("detail").asString("HTTP " + reply.status() + " " + reply.body());
         return new Problem(
                 code,
-                document.path("outcome").asString(document.path("certainty").asString("")),
+                document.path("certainty").asString(""),
                 detail);
     }
 
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -56,10 +56,10 @@
     /** Writes all files. */
     public void write() {
         for (int entry = 0; entry < entries(); entry++) {
-            write(entryName(entry) + ".yaml", entrySettings(entry));
+            write(ProcessNames.entry(entry) + ".yaml", entrySettings(entry));
         }
         for (int agent = 0; agent < plan.minions(); agent++) {
-            write(agentName(agent) + ".yaml", agentSettings(agent));
+            write(ProcessNames.agent(agent) + ".yaml", agentSettings(agent));
         }
         write(PROCESSES_FILE, processes());
         write(TARGETS_FILE, targets());
@@ -72,10 +72,10 @@
             lines.add("minions\t" + minionCommand(0, plan.minions()));
         } else {
             IntStream.range(0, plan.minions())
-                    .forEach(minion -> lines.add(minionName(minion) + "\t" + minionCommand(minion, 1)));
+                    .forEach(minion -> lines.add(ProcessNames.minion(minion) + "\t" + minionCommand(minion, 1)));
         }
-        IntStream.range(0, entries()).forEach(entry -> lines.add(daemonLine("entry", entryName(entry))));
-        IntStream.range(0, plan.minions()).forEach(agent -> lines.add(daemonLine("agent", agentName(agent))));
+        IntStream.range(0, entries()).forEach(entry -> lines.add(daemonLine("entry", ProcessNames.entry(entry))));
+        IntStream.range(0, plan.minions()).forEach(agent -> lines.add(daemonLine("agent", ProcessNames.agent(agent))));
         return String.join("\n", lines) + "\n";
     }
 
@@ -94,7 +94,7 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                shared(entryName(entry), entry, framesPort(entry)), HOST, httpPort(entry), plan.appendsPerSecond());
+                shared(ProcessNames.entry(entry), entry, framesPort(entry)), HOST, httpPort(entry), plan.appendsPerSecond());
     }
 
     private String agentSettings(int agent) {
@@ -110,8 +110,8 @@
                   memory: %s
                   accelerators: %d
                 """.formatted(
-                        shared(agentName(agent), agent, firstPort + AGENTS_OFFSET + agent),
-                        minionName(agent),
+                        shared(ProcessNames.agent(agent), agent, firstPort + AGENTS_OFFSET + agent),
+                        ProcessNames.minion(agent),
                         plan.service(),
                         HOST,
                         minionPort(agent),
@@ -138,10 +138,10 @@
 
     private String targets() {
         StringBuilder text = new StringBuilder("targets:\n  entries:\n");
-        IntStream.range(0, entries()).forEach(entry -> text.append(target(entryName(entry), httpPort(entry))));
+        IntStream.range(0, entries()).forEach(entry -> text.append(target(ProcessNames.entry(entry), httpPort(entry))));
         text.append("  minions:\n");
         IntStream.range(0, plan.minions())
-                .forEach(minion -> text.append(target(minionName(minion), minionPort(minion))));
+                .forEach(minion -> text.append(target(ProcessNames.minion(minion), minionPort(minion))));
         return text.append("  logs:\n").append(target("log", firstPort)).toString();
     }
 
@@ -165,18 +165,6 @@
         return firstPort + AGENTS_OFFSET + plan.minions() + minion;
     }
 
-    private static String entryName(int entry) {
-        return "entry-" + (entry + 1);
-    }
-
-    private static String agentName(int agent) {
-        return "agent-" + (agent + 1);
-    }
-
-    private static String minionName(int minion) {
-        return "minion-" + (minion + 1);
-    }
-
     private void write(String name, String text) {
         try {
             Files.writeString(folder.resolve(name), text);
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/deployment/InProcessSettings.java
@@ -0,0 +1,76 @@
+package org.chivetally.command.deployment;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import org.chivetally.settings.AgentDaemonSettings;
+import org.chivetally.settings.ClaimTimes;
+import org.chivetally.settings.EntryDaemonSettings;
+import org.chivetally.settings.HostPort;
+import org.chivetally.settings.LogAccessSettings;
+import org.chivetally.settings.LogLevel;
+import org.chivetally.settings.MinionSettings;
+import org.chivetally.settings.ProcessSettings;
+
+/** Settings of the daemons of a deployment in one process; each frames' listener takes a free port of loopback. */
+final class InProcessSettings {
+    static final String HOST = "127.0.0.1";
+
+    private static final HostPort ANY_PORT = new HostPort(HOST, 0);
+    private static final Duration LOG_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration DRAIN_TIMEOUT = Duration.ofMinutes(2);
+    private static final Duration TICKET_AGE = Duration.ofSeconds(3);
+    private static final Duration RETENTION = Duration.ofMinutes(5);
+    private static final int QUEUE_PER_SLOT = 2;
+
+    private final DeploymentPlan plan;
+
+    InProcessSettings(DeploymentPlan plan) {
+        this.plan = plan;
+    }
+
+    EntryDaemonSettings entry(int position, URI log) {
+        ClaimTimes claims = new ClaimTimes(
+                Duration.ofMinutes(10),
+                Duration.ofMinutes(30),
+                Duration.ofSeconds(6),
+                TICKET_AGE,
+                RETENTION,
+                Duration.ofSeconds(2),
+                plan.appendsPerSecond());
+        return new EntryDaemonSettings(
+                process(ProcessNames.entry(position), position, log, List.of()),
+                new HostPort(HOST, plan.httpPorts().get(position)),
+                claims);
+    }
+
+    AgentDaemonSettings agent(int position, URI log, URI minion, List<HostPort> seeds) {
+        MinionSettings beside = new MinionSettings(
+                ProcessNames.minion(position),
+                plan.service(),
+                minion,
+                plan.slots(),
+                plan.connections(),
+                plan.worker().processorMillis(),
+                plan.worker().memoryBytes(),
+                plan.worker().accelerators());
+        return new AgentDaemonSettings(
+                process(ProcessNames.agent(position), position, log, seeds),
+                beside,
+                QUEUE_PER_SLOT * plan.slots(),
+                TICKET_AGE,
+                RETENTION);
+    }
+
+    private ProcessSettings process(String name, int position, URI log, List<HostPort> seeds) {
+        return new ProcessSettings(
+                name,
+                plan.failureDomain(position),
+                ANY_PORT,
+                ANY_PORT,
+                new LogAccessSettings(log, LOG_TIMEOUT),
+                seeds,
+                DRAIN_TIMEOUT,
+                LogLevel.WARNING);
+    }
+}
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/deployment/ProcessNames.java
@@ -0,0 +1,18 @@
+package org.chivetally.command.deployment;
+
+/** Names of a deployment's processes, by their position counted from zero. */
+final class ProcessNames {
+    private ProcessNames() {}
+
+    static String entry(int position) {
+        return "entry-" + (position + 1);
+    }
+
+    static String agent(int position) {
+        return "agent-" + (position + 1);
+    }
+
+    static String minion(int position) {
+        return "minion-" + (position + 1);
+    }
+}
--- a/library/src/main/java/org/chivetally/daemon/EntryMapping.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryMapping.java
@@ -90,7 +90,9 @@
                 SnapshotSettings.every(times.logRetention().dividedBy(SNAPSHOTS_IN_RETENTION)));
     }
 
+    // The jobs' part of the drain leaves time for what follows it: answers on their way, the lease's end, the leave.
     private static EntryLimits limits(Duration drainTimeout) {
+        Duration afterJobs = drainTimeout.dividedBy(4);
         EntryLimits usual = EntryLimits.standard();
         return new EntryLimits(
                 usual.maximumBodyBytes(),
@@ -98,7 +100,7 @@
                 usual.maximumConnections(),
                 usual.maximumKeptBytes(),
                 usual.drainNotice(),
-                drainTimeout);
+                drainTimeout.minus(afterJobs));
     }
 
     private static Address address(HostPort place) {
--- a/library/src/main/java/org/chivetally/settings/SettingsSections.java
+++ b/library/src/main/java/org/chivetally/settings/SettingsSections.java
@@ -11,7 +11,7 @@
     private static final Duration MILLISECOND = Duration.ofMillis(1);
     private static final Duration HOUR = Duration.ofHours(1);
     private static final Duration MINUTE = Duration.ofMinutes(1);
-    private static final Duration DEFAULT_DRAIN = Duration.ofSeconds(30);
+    private static final Duration DEFAULT_DRAIN = Duration.ofMinutes(2);
     private static final Duration DEFAULT_LOG_TIMEOUT = Duration.ofSeconds(2);
     private static final Set<String> SCHEMES = Set.of("http", "https");
     private static final URI NO_URL = URI.create("http://0.0.0.0");
