--- a/command/src/main/java/org/chivetally/command/Demonstration.java
+++ b/command/src/main/java/org/chivetally/command/Demonstration.java
@@ -57,8 +57,8 @@
         }
         boolean same = first.document().equals(second.document());
         long started = starts() - startsBefore;
-        console.line((same ? "the same answer" : "ANOTHER ANSWER") + "; the minions recorded " + started
-                + " new starts");
+        console.line(
+                (same ? "the same answer" : "ANOTHER ANSWER") + "; the minions recorded " + started + " new starts");
         return same && started == 0 ? ExitCodes.OK : ExitCodes.FAILED;
     }
 
--- a/command/src/main/java/org/chivetally/command/LoadCommand.java
+++ b/command/src/main/java/org/chivetally/command/LoadCommand.java
@@ -67,8 +67,7 @@
     }
 
     private static Targets readTargets(Path file) {
-        LoadPlanReader.Reading<Targets> reading =
-                LoadPlanReader.readTargets(file.toString(), DocumentFile.text(file));
+        LoadPlanReader.Reading<Targets> reading = LoadPlanReader.readTargets(file.toString(), DocumentFile.text(file));
         reading.mistakes().requireNone();
         return reading.content().orElseThrow();
     }
--- a/command/src/main/java/org/chivetally/command/StandaloneCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandaloneCommand.java
@@ -53,8 +53,8 @@
         DeploymentPlan plan = freePorts ? declared.withFreePorts() : declared;
         RunningDeployment running = RunningDeployment.start(plan);
         Console console = Console.of(command);
-        console.line("deployment " + plan.name() + ": " + plan.minions() + " minions of " + plan.slots()
-                + " slots in " + plan.failureDomains().size() + " failure domains");
+        console.line("deployment " + plan.name() + ": " + plan.minions() + " minions of " + plan.slots() + " slots in "
+                + plan.failureDomains().size() + " failure domains");
         console.lines(addresses(running).lines());
         if (demo || submitted != null) {
             return demonstrate(console, running, plan);
--- a/command/src/main/java/org/chivetally/command/SubmitCommand.java
+++ b/command/src/main/java/org/chivetally/command/SubmitCommand.java
@@ -76,7 +76,8 @@
     private int show(Console console, EntryReply reply) {
         if (output.isTable() && !reply.document().has("answers")) {
             console.line("job " + reply.document().path("job").asString("") + " is "
-                    + reply.document().path("state").asString("") + "; ask for its answer with: chivetally jobs --answer "
+                    + reply.document().path("state").asString("")
+                    + "; ask for its answer with: chivetally jobs --answer "
                     + reply.document().path("job").asString(""));
         } else if (output.isTable()) {
             console.lines(AnswerTable.lines(reply.document()));
--- a/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
+++ b/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
@@ -22,8 +22,8 @@
     public static DaemonRun begin(ProcessSettings process) {
         LogSetup.install(process.logLevel().level());
         ActorSystem<Void> system = DaemonSystem.start(process.name());
-        PlatformLog log = new HttpPlatformLog(
-                system, process.log().url(), process.log().requestTimeout());
+        PlatformLog log =
+                new HttpPlatformLog(system, process.log().url(), process.log().requestTimeout());
         return new DaemonRun(process, system, log);
     }
 
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -94,7 +94,10 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                shared(ProcessNames.entry(entry), entry, framesPort(entry)), HOST, httpPort(entry), plan.appendsPerSecond());
+                        shared(ProcessNames.entry(entry), entry, framesPort(entry)),
+                        HOST,
+                        httpPort(entry),
+                        plan.appendsPerSecond());
     }
 
     private String agentSettings(int agent) {
--- a/command/src/main/java/org/chivetally/command/deployment/RunningDeployment.java
+++ b/command/src/main/java/org/chivetally/command/deployment/RunningDeployment.java
@@ -100,7 +100,8 @@
 
     private void startAgent(int position) {
         List<HostPort> seeds = entries.stream()
-                .map(entry -> new HostPort(InProcessSettings.HOST, entry.frameAddress().getPort()))
+                .map(entry -> new HostPort(
+                        InProcessSettings.HOST, entry.frameAddress().getPort()))
                 .toList();
         URI minion = address(standIns.get(1 + position).localAddress());
         agents.add(join(AgentDaemon.start(system, settings.agent(position, log(), minion, seeds), log, clock)));
--- a/library/src/main/java/org/chivetally/agent/AgentActor.java
+++ b/library/src/main/java/org/chivetally/agent/AgentActor.java
@@ -58,7 +58,8 @@
         Hello hello = settings.hello(parts.incarnation(), bound.getPort());
         this.state = new AgentState(settings, hello, new SecureRandom().nextLong(), clock.nanos());
         timers.startSingleTimer(new Tick(), IDLE_TICK);
-        timers.startTimerWithFixedDelay(new ReadState(), Duration.ZERO, settings.limits().statePoll());
+        timers.startTimerWithFixedDelay(
+                new ReadState(), Duration.ZERO, settings.limits().statePoll());
     }
 
     /** Returns the behavior of an agent; it begins its work once it knows its bound address. */
@@ -169,17 +170,18 @@
                     apply(new AgentEvent.HeartbeatRequested(peer.id, requestId));
                 }
             }
-            case CANCEL -> apply(
-                    new AgentEvent.CancelRequested(peer.id, frame.getCancel().getJobIdsList()));
+            case CANCEL ->
+                apply(new AgentEvent.CancelRequested(peer.id, frame.getCancel().getJobIdsList()));
             case INQUIRY -> apply(new AgentEvent.InquiryRequested(peer.id, requestId, frame.getInquiry()));
             case HELLO -> identify(peer, frame.getHello());
-            case LEAVING -> LOGGER.atFine().log(
-                    "%s", EventLine.of("agent-peer-leaving").with("peer", connection.peer()));
-            default -> LOGGER.atWarning().log(
-                    "%s",
-                    EventLine.of("agent-stray-frame")
-                            .with("peer", connection.peer())
-                            .with("body", frame.getBodyCase()));
+            case LEAVING ->
+                LOGGER.atFine().log("%s", EventLine.of("agent-peer-leaving").with("peer", connection.peer()));
+            default ->
+                LOGGER.atWarning().log(
+                        "%s",
+                        EventLine.of("agent-stray-frame")
+                                .with("peer", connection.peer())
+                                .with("body", frame.getBodyCase()));
         }
     }
 
--- a/library/src/main/java/org/chivetally/agent/AgentServer.java
+++ b/library/src/main/java/org/chivetally/agent/AgentServer.java
@@ -47,8 +47,8 @@
             MeterRegistry registry,
             NanoClock clock) {
         String incarnation = UUID.randomUUID().toString();
-        MinionClient minion =
-                new MinionClient(system, settings.minionBase(), settings.limits().answerBytes(), clock);
+        MinionClient minion = new MinionClient(
+                system, settings.minionBase(), settings.limits().answerBytes(), clock);
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         AgentActor.Parts parts =
                 new AgentActor.Parts(settings, incarnation, minion, new AgentMeters(registry), clock, stopped);
--- a/library/src/main/java/org/chivetally/agent/AgentState.java
+++ b/library/src/main/java/org/chivetally/agent/AgentState.java
@@ -26,8 +26,8 @@
 /**
  * The decisions of an agent: which starts are admitted, when they run, and who is told of their end.
  *
- * <p>Pure and not thread-safe: it takes events with the time, and returns effects. An admitted start ends in exactly one
- * result or refusal. Times are readings of one monotonic clock, in nanoseconds.
+ * <p>Pure and not thread-safe: it takes events with the time, and returns effects. An admitted start ends in exactly
+ * one result or refusal. Times are readings of one monotonic clock, in nanoseconds.
  */
 public final class AgentState {
     /** Error of a result whose attempt was ended by its lease. */
@@ -123,14 +123,15 @@
     }
 
     private void identify(AgentEvent.PeerIdentified identified) {
-        peers.identified(
-                identified.peer(), new Peers.ProcessKey(identified.processId(), identified.incarnation()));
+        peers.identified(identified.peer(), new Peers.ProcessKey(identified.processId(), identified.incarnation()));
     }
 
     private void answerHeartbeat(AgentEvent.HeartbeatRequested request) {
         Heartbeat answer =
                 Heartbeat.newBuilder().setAnswer(true).setReport(report()).build();
-        send(request.peer(), Frame.newBuilder().setRequestId(request.requestId()).setHeartbeat(answer));
+        send(
+                request.peer(),
+                Frame.newBuilder().setRequestId(request.requestId()).setHeartbeat(answer));
     }
 
     private void start(AgentEvent.StartRequested request) {
@@ -224,7 +225,8 @@
             return RefusalReason.REFUSAL_REASON_TOO_LARGE;
         }
         boolean mustWait = freeSlots() == 0;
-        boolean mayWait = start.getQueueMillis() != 0 && waiting.size() < settings.limits().queueBound();
+        boolean mayWait = start.getQueueMillis() != 0
+                && waiting.size() < settings.limits().queueBound();
         if (mustWait && !mayWait) {
             return RefusalReason.REFUSAL_REASON_FULL;
         }
@@ -233,8 +235,8 @@
 
     private void admit(AgentEvent.StartRequested request) {
         Start start = request.start();
-        Attempt attempt = new Attempt(
-                start, request.peer(), peers.process(request.peer()), request.requestId(), timesOf(start));
+        Attempt attempt =
+                new Attempt(start, request.peer(), peers.process(request.peer()), request.requestId(), timesOf(start));
         attempts.add(attempt);
         if (settings.limits().logDecisions()) {
             writeLine(startLine("agent-start", start));
@@ -258,8 +260,7 @@
 
     private void run(Attempt attempt) {
         running.put(attempt.id, attempt);
-        effects.add(new AgentEffect.RunOnMinion(
-                attempt.id, attempt.jobId, attempt.taskIndex, attempt.begin(now)));
+        effects.add(new AgentEffect.RunOnMinion(attempt.id, attempt.jobId, attempt.taskIndex, attempt.begin(now)));
     }
 
     private void minionAnswered(AgentEvent.MinionAnswered answered) {
@@ -343,8 +344,9 @@
 
     /** Answers with every task; results that don't fit are said to run, and follow in frames of their own. */
     private void answerInquiry(AgentEvent.InquiryRequested request, List<Attempt> known) {
-        InquiryAnswer.Builder answer =
-                InquiryAnswer.newBuilder().setJobId(request.inquiry().getJobId()).setReport(report());
+        InquiryAnswer.Builder answer = InquiryAnswer.newBuilder()
+                .setJobId(request.inquiry().getJobId())
+                .setReport(report());
         List<Attempt> following = new ArrayList<>();
         int bytes = 0;
         for (Attempt attempt : known) {
@@ -365,7 +367,9 @@
                     .with("generation", request.inquiry().getGeneration())
                     .with("known", known.size()));
         }
-        send(request.peer(), Frame.newBuilder().setRequestId(request.requestId()).setInquiryAnswer(answer));
+        send(
+                request.peer(),
+                Frame.newBuilder().setRequestId(request.requestId()).setInquiryAnswer(answer));
         for (Attempt attempt : following) {
             if (attempt.ended()) {
                 sendResult(request.peer(), 0, attempt.id, attempt);
@@ -449,7 +453,8 @@
         }
         toldUnhealthy = unhealthy;
         toldDraining = leaving;
-        writeLine(EventLine.of("agent-availability").with("unhealthy", unhealthy).with("draining", leaving));
+        writeLine(
+                EventLine.of("agent-availability").with("unhealthy", unhealthy).with("draining", leaving));
         for (PeerId peer : peers.all()) {
             Heartbeat news =
                     Heartbeat.newBuilder().setAnswer(true).setReport(report()).build();
--- a/library/src/main/java/org/chivetally/agent/MemberRecord.java
+++ b/library/src/main/java/org/chivetally/agent/MemberRecord.java
@@ -39,9 +39,8 @@
         ObjectNode json = JsonMapper.shared().createObjectNode();
         switch (this) {
             case Announced announced -> write(announced.member(), json);
-            case Left left -> json.put("type", "leave")
-                    .put("processId", left.processId())
-                    .put("incarnation", left.incarnation());
+            case Left left ->
+                json.put("type", "leave").put("processId", left.processId()).put("incarnation", left.incarnation());
         }
         return JsonMapper.shared().writeValueAsBytes(json);
     }
--- a/library/src/main/java/org/chivetally/daemon/AgentDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/AgentDaemon.java
@@ -59,8 +59,8 @@
             PlatformLog log,
             AgentServer server,
             FrameTransport transport) {
-        SeedIntroduction seeds = new SeedIntroduction(
-                log, transport, settings.process().seeds(), server.member());
+        SeedIntroduction seeds =
+                new SeedIntroduction(log, transport, settings.process().seeds(), server.member());
         MemberAnnouncer announcer =
                 new MemberAnnouncer(system, seeds, server.member(), MemberAnnouncer.DEFAULT_INTERVAL);
         return new AgentDaemon(server, announcer, transport);
--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -44,8 +44,7 @@
         EntrySettings entry = EntryMapping.entry(settings);
         PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         FrameTransport transport = new FrameTransport(meters);
-        ResourceService resources =
-                ResourceService.start(system, log, EntryMapping.resources(settings), clock);
+        ResourceService resources = ResourceService.start(system, log, EntryMapping.resources(settings), clock);
         Parts parts = new Parts(system, settings, entry, log, meters, clock);
         return EntryServer.start(
                         system, entry, log, transport, meters, clock, extension(settings, resources, clock), parts)
@@ -75,8 +74,7 @@
         return new EntryDaemon(server, resources, transport);
     }
 
-    private static EntryExtension extension(
-            EntryDaemonSettings settings, ResourceService resources, NanoClock clock) {
+    private static EntryExtension extension(EntryDaemonSettings settings, ResourceService resources, NanoClock clock) {
         EntryExtension none = EntryExtension.none();
         ResourceRoutes routes = new ResourceRoutes(
                 resources,
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -119,8 +119,7 @@
     }
 
     private <T> ActorRef<T> spawn(String name, Behavior<T> behavior) {
-        return system.systemActorOf(
-                behavior, name + "-" + parts.member().incarnation(), Props.empty());
+        return system.systemActorOf(behavior, name + "-" + parts.member().incarnation(), Props.empty());
     }
 
     private SubmissionActor.Parts submissionParts() {
@@ -140,11 +139,10 @@
     }
 
     private void measure(JobOutcome outcome, long nanos) {
-        String state =
-                switch (outcome) {
-                    case JobOutcome.Complete complete -> "complete";
-                    case JobOutcome.Failure failure -> failure.code().text();
-                };
+        String state = switch (outcome) {
+            case JobOutcome.Complete complete -> "complete";
+            case JobOutcome.Failure failure -> failure.code().text();
+        };
         parts.meters().timer("chivetally.job.time", "state", state).record(Duration.ofNanos(nanos));
     }
 
--- a/library/src/main/java/org/chivetally/entry/EntryLimits.java
+++ b/library/src/main/java/org/chivetally/entry/EntryLimits.java
@@ -34,7 +34,6 @@
 
     /** Returns the limits in use where nobody chose others. */
     public static EntryLimits standard() {
-        return new EntryLimits(
-                4L << 20, 10_000, 20_000, 256L << 20, Duration.ofSeconds(1), Duration.ofSeconds(120));
+        return new EntryLimits(4L << 20, 10_000, 20_000, 256L << 20, Duration.ofSeconds(1), Duration.ofSeconds(120));
     }
 }
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -92,8 +92,7 @@
         return transport.listen(frames.host(), frames.port(), listener).thenCompose(bound -> {
             EntryActors.Parts parts =
                     actorParts(settings, log, transport, meters, clock, extension, decisions, bound.getPort());
-            Started started = new Started(
-                    system, parts, new EntryActors(system, parts), bound, new AtomicBoolean());
+            Started started = new Started(system, parts, new EntryActors(system, parts), bound, new AtomicBoolean());
             listener.open(inbound(started));
             return bindHttp(started);
         });
@@ -126,10 +125,11 @@
         }
         logger.atInfo().log(
                 "%s",
-                EventLine.of("entry-draining").with("process", settings.processId()).with("reason", reason));
+                EventLine.of("entry-draining")
+                        .with("process", settings.processId())
+                        .with("reason", reason));
         waits.within(settings.limits().drainNotice(), new CompletableFuture<>())
-                .thenCompose(noticed ->
-                        waits.within(settings.limits().drainLimit(), actors.drain()))
+                .thenCompose(noticed -> waits.within(settings.limits().drainLimit(), actors.drain()))
                 .thenCompose(idle -> binding.terminate(TERMINATION_LIMIT))
                 .thenCompose(terminated -> waits.within(LEAVE_LIMIT, claims.depart()))
                 .thenCompose(departed -> waits.within(LEAVE_LIMIT, actors.leave()))
@@ -258,7 +258,8 @@
     }
 
     // A held request sends and receives nothing until its answer. The server's usual time limits would close its
-    // connection after 20 to 60 seconds and the caller would take a running job for lost; they are set above the longest
+    // connection after 20 to 60 seconds and the caller would take a running job for lost; they are set above the
+    // longest
     // wait.
     private static ServerSettings serverSettings(Started started) {
         ServerSettings usual = ServerSettings.create(started.system().classicSystem());
@@ -269,7 +270,8 @@
     }
 
     private static List<String> missing(Started started) {
-        List<String> reasons = new ArrayList<>(started.actorParts().extension().missing().get());
+        List<String> reasons =
+                new ArrayList<>(started.actorParts().extension().missing().get());
         if (started.draining().get()) {
             reasons.add("stopping");
         }
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -91,7 +91,8 @@
     }
 
     // A process that was paused for longer than its lease resumes in the middle of its work and would send starts that
-    // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on ticks;
+    // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on
+    // ticks;
     // what slips through between look and send is refused by its ticket.
     private void noticeLease() {
         boolean held = parts.holdsLease().getAsBoolean();
@@ -119,7 +120,8 @@
         }
     }
 
-    // An agent that leaves is taken out of the view while its last attempts still run. Its usable connection is kept for
+    // An agent that leaves is taken out of the view while its last attempts still run. Its usable connection is kept
+    // for
     // their results until the agent itself closes it.
     private void dropIfUnwanted(String processId) {
         if (viewed.contains(processId) || links.usable(processId).isPresent()) {
--- a/library/src/main/java/org/chivetally/entry/http/EntryRoutes.java
+++ b/library/src/main/java/org/chivetally/entry/http/EntryRoutes.java
@@ -25,8 +25,10 @@
 
     private RejectionHandler rejections() {
         return RejectionHandler.newBuilder()
-                .handleAll(MethodRejection.class, rejected -> complete(Responses.mistakes(
-                        METHOD_NOT_ALLOWED, List.of(new InputMistake("method", "is not allowed here")))))
+                .handleAll(
+                        MethodRejection.class,
+                        rejected -> complete(Responses.mistakes(
+                                METHOD_NOT_ALLOWED, List.of(new InputMistake("method", "is not allowed here")))))
                 .handleNotFound(extractUnmatchedPath(path -> complete(Responses.notFound("nothing at " + path))))
                 .build()
                 .withFallback(RejectionHandler.defaultHandler()
--- a/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
+++ b/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
@@ -57,17 +57,25 @@
     /** Returns the route of everything under {@code /v1/jobs} and of single requests. */
     public Route route() {
         return concat(
-                path(PathMatchers.segment("v1").slash("jobs"), () -> concat(post(() -> serve(this::submit)), get(() -> serve(this::list)))),
+                path(
+                        PathMatchers.segment("v1").slash("jobs"),
+                        () -> concat(post(() -> serve(this::submit)), get(() -> serve(this::list)))),
                 path(
                         PathMatchers.segment("v1").slash("jobs").slash(PathMatchers.segment()),
                         name -> concat(
                                 get(() -> serve(request -> status(name))),
                                 delete(() -> serve(request -> cancel(name, request))))),
                 path(
-                        PathMatchers.segment("v1").slash("jobs").slash(PathMatchers.segment()).slash("answer"),
+                        PathMatchers.segment("v1")
+                                .slash("jobs")
+                                .slash(PathMatchers.segment())
+                                .slash("answer"),
                         name -> get(() -> serve(request -> answer(name, request)))),
                 path(
-                        PathMatchers.segment("v1").slash("services").slash(PathMatchers.segment()).slash("run"),
+                        PathMatchers.segment("v1")
+                                .slash("services")
+                                .slash(PathMatchers.segment())
+                                .slash("run"),
                         service -> post(() -> serve(request -> run(service, request)))));
     }
 
@@ -175,12 +183,11 @@
     }
 
     private HttpResponse single(JobId job, Optional<JobOutcome> outcome) {
-        HttpResponse response =
-                switch (outcome.orElseGet(() -> Failures.coordinatorSilent(parts.processId()))) {
-                    case JobOutcome.Complete complete ->
-                        Responses.json(Responses.OK, complete.answers().getFirst());
-                    case JobOutcome.Failure failure -> Responses.outcome(job, failure);
-                };
+        HttpResponse response = switch (outcome.orElseGet(() -> Failures.coordinatorSilent(parts.processId()))) {
+            case JobOutcome.Complete complete ->
+                Responses.json(Responses.OK, complete.answers().getFirst());
+            case JobOutcome.Failure failure -> Responses.outcome(job, failure);
+        };
         return response.addHeader(RawHeader.create(JOB_HEADER, job.text()));
     }
 
@@ -199,8 +206,7 @@
         Duration wait = WaitPreference.of(request).orElse(Duration.ZERO);
         return parts.jobs()
                 .outcome(new JobId(name), wait)
-                .thenApplyAsync(
-                        found -> found.map(JobRoutes::answerOf).orElseGet(() -> noJob(name)), parts.executor());
+                .thenApplyAsync(found -> found.map(JobRoutes::answerOf).orElseGet(() -> noJob(name)), parts.executor());
     }
 
     private static HttpResponse answerOf(JobStatus status) {
@@ -241,7 +247,8 @@
         }
     }
 
-    // Every held submission keeps its content and its answer in memory. Without a bound, a burst ends the process by lack
+    // Every held submission keeps its content and its answer in memory. Without a bound, a burst ends the process by
+    // lack
     // of memory and every caller is left without an outcome.
     private CompletionStage<HttpResponse> counted(
             HttpRequest request, Function<String, CompletionStage<HttpResponse>> handler) {
@@ -258,9 +265,8 @@
     }
 
     private HttpResponse tooMany(HttpRequest request) {
-        JobOutcome.Certainty certainty = header(request, KEY_HEADER).isPresent()
-                ? JobOutcome.Certainty.UNKNOWN
-                : JobOutcome.Certainty.NOT_RUN;
+        JobOutcome.Certainty certainty =
+                header(request, KEY_HEADER).isPresent() ? JobOutcome.Certainty.UNKNOWN : JobOutcome.Certainty.NOT_RUN;
         String detail = "too many requests are held by this entry; this one started nothing";
         return Responses.failure(Failures.overloaded(certainty, detail));
     }
--- a/library/src/main/java/org/chivetally/entry/http/SubmissionReader.java
+++ b/library/src/main/java/org/chivetally/entry/http/SubmissionReader.java
@@ -61,7 +61,8 @@
     }
 
     /** Reads a job of one task whose payload is the whole body. */
-    Result readSingle(String service, String body, Optional<String> team, Optional<String> wanted, Optional<String> key) {
+    Result readSingle(
+            String service, String body, Optional<String> team, Optional<String> wanted, Optional<String> key) {
         names.put("service", service);
         requireName("service");
         team.ifPresent(name -> names.put("team", name));
@@ -88,15 +89,14 @@
         String team = names.getOrDefault("team", DEFAULT_TEAM);
         Resources usual = policies.service(service).resources();
         List<TaskSpecification> specified = tasks.stream()
-                .map(task -> new TaskSpecification(
-                        task.payload(), task.resources().orElse(usual)))
+                .map(task ->
+                        new TaskSpecification(task.payload(), task.resources().orElse(usual)))
                 .toList();
         Duration until = deadline.orElseGet(() -> policies.service(service).defaultDeadline());
         JobSpecification specification = new JobSpecification(service, team, until, specified);
         SubmissionKey submissionKey = new SubmissionKey(team, key.orElseGet(newKey));
         String digest = ContentDigest.of(service, team, tasks);
-        return new Result(
-                Optional.of(new Submission(submissionKey, key.isEmpty(), digest, specification)), mistakes);
+        return new Result(Optional.of(new Submission(submissionKey, key.isEmpty(), digest, specification)), mistakes);
     }
 
     private void readDocument(JsonParser parser, String body) {
--- a/library/src/main/java/org/chivetally/entry/link/Link.java
+++ b/library/src/main/java/org/chivetally/entry/link/Link.java
@@ -188,14 +188,16 @@
 
     private void watch(long now, List<LinkEffect> effects) {
         long quietSince = busy ? Math.max(lastReceived, busySince) : lastReceived;
-        long silentAfter =
-                busy ? settings.silentAfter().toNanos() : settings.idleSilentAfter().toNanos();
+        long silentAfter = busy
+                ? settings.silentAfter().toNanos()
+                : settings.idleSilentAfter().toNanos();
         if (now - quietSince >= silentAfter) {
             retire(now, effects);
             return;
         }
-        long interval =
-                busy ? settings.busyInterval().toNanos() : settings.idleInterval().toNanos();
+        long interval = busy
+                ? settings.busyInterval().toNanos()
+                : settings.idleInterval().toNanos();
         if (now - Math.max(lastReceived, lastBeat) >= interval) {
             lastBeat = now;
             effects.add(new LinkEffect.Beat(dial));
--- a/library/src/main/java/org/chivetally/entry/link/LinkSet.java
+++ b/library/src/main/java/org/chivetally/entry/link/LinkSet.java
@@ -178,8 +178,7 @@
 
     private void dial(String processId, Link link, long dial) {
         owners.put(dial, processId);
-        wiring.dialer()
-                .dial(link.address().host(), link.address().port(), new SignalListener(dial, wiring.signals()));
+        wiring.dialer().dial(link.address().host(), link.address().port(), new SignalListener(dial, wiring.signals()));
     }
 
     private void hangUp(long dial) {
@@ -204,8 +203,7 @@
     private void sendOn(long dial, Frame.Builder frame) {
         FrameConnection connection = connections.get(dial);
         if (connection != null) {
-            connection.send(
-                    frame.setRequestId(wiring.requestIds().getAsLong()).build());
+            connection.send(frame.setRequestId(wiring.requestIds().getAsLong()).build());
         }
     }
 
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -50,8 +50,7 @@
 
     /** Creates the behavior. */
     public static Behavior<Command> create(Parts parts) {
-        return Behaviors.setup(
-                context -> Behaviors.withTimers(timers -> new MemberActor(context, timers, parts)));
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> new MemberActor(context, timers, parts)));
     }
 
     @Override
@@ -73,8 +72,7 @@
             case ReadOutcome.Records records -> foldAll(records);
             case ReadOutcome.Expired expired -> nextOffset = expired.earliestOffset();
             case ReadOutcome.Unavailable unavailable -> {
-                logger.atWarning().log(
-                        "%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
+                logger.atWarning().log("%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
                 reachable = false;
                 timers.startSingleTimer(new ReadAgain(), READ_RETRY);
                 return this;
@@ -105,7 +103,8 @@
     }
 
     private Behavior<Command> onIntroduced(Introduced introduced) {
-        publishIf(table.fold(new MemberRecord.Announce(introduced.member()), parts.clock().nanos()));
+        publishIf(table.fold(
+                new MemberRecord.Announce(introduced.member()), parts.clock().nanos()));
         return this;
     }
 
@@ -121,7 +120,8 @@
         return this;
     }
 
-    // While the log is down nobody reads an announcement, and a process that starts then would stay unknown. It says so to
+    // While the log is down nobody reads an announcement, and a process that starts then would stay unknown. It says so
+    // to
     // the processes of its settings instead.
     private Behavior<Command> announce() {
         if (!reachable) {
@@ -130,13 +130,16 @@
         NewRecord record = record(new MemberRecord.Announce(parts.self()));
         getContext()
                 .pipeToSelf(
-                        parts.log().append(MemberRecords.STREAM, List.of(record)), (outcome, failure) -> new AnnounceDone());
+                        parts.log().append(MemberRecords.STREAM, List.of(record)),
+                        (outcome, failure) -> new AnnounceDone());
         return this;
     }
 
     private Behavior<Command> onLeave(Leave leave) {
-        NewRecord record = record(new MemberRecord.Leave(parts.self().processId(), parts.self().incarnation()));
-        parts.log().append(MemberRecords.STREAM, List.of(record))
+        NewRecord record = record(
+                new MemberRecord.Leave(parts.self().processId(), parts.self().incarnation()));
+        parts.log()
+                .append(MemberRecords.STREAM, List.of(record))
                 .whenComplete((outcome, failure) -> leave.done().complete(null));
         return Behaviors.stopped();
     }
--- a/library/src/main/java/org/chivetally/entry/member/MemberRecords.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberRecords.java
@@ -27,9 +27,7 @@
         switch (record) {
             case MemberRecord.Announce announce -> writeMember(document, announce.member());
             case MemberRecord.Leave leave ->
-                document.put("type", LEAVE)
-                        .put("processId", leave.processId())
-                        .put("incarnation", leave.incarnation());
+                document.put("type", LEAVE).put("processId", leave.processId()).put("incarnation", leave.incarnation());
         }
         return MAPPER.writeValueAsBytes(document);
     }
--- a/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
+++ b/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
@@ -74,9 +74,8 @@
     }
 
     private void attach(FrameConnection connection, long requestId, Attach attach) {
-        Optional<JobId> job = Optional.of(attach.getJobId())
-                .filter(text -> !text.isEmpty())
-                .map(JobId::new);
+        Optional<JobId> job =
+                Optional.of(attach.getJobId()).filter(text -> !text.isEmpty()).map(JobId::new);
         parts.submissions()
                 .accept(new SubmissionCommand.Attach(
                         job,
@@ -88,7 +87,9 @@
         JobAnswer.Builder body = JobAnswer.newBuilder()
                 .setJobId(answer.job().map(JobId::text).orElse(""))
                 .setKnown(answer.known())
-                .setOutcome(answer.outcome().map(outcome -> fitting(answer, outcome)).orElse(""));
+                .setOutcome(answer.outcome()
+                        .map(outcome -> fitting(answer, outcome))
+                        .orElse(""));
         connection.send(
                 Frame.newBuilder().setRequestId(requestId).setJobAnswer(body).build());
     }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -106,7 +106,8 @@
         links.send(cancel.coordinator().processId(), frame);
     }
 
-    // The view may name a newer address of the process than an old claim does, so the claim's is only used when the view
+    // The view may name a newer address of the process than an old claim does, so the claim's is only used when the
+    // view
     // names none.
     private void keep(Coordinator coordinator) {
         if (links.processes().contains(coordinator.processId())) {
@@ -185,8 +186,7 @@
     }
 
     private void onAnswer(JobAnswer answer) {
-        Question question =
-                answer.getJobId().isEmpty() ? null : questions.get(new JobId(answer.getJobId()));
+        Question question = answer.getJobId().isEmpty() ? null : questions.get(new JobId(answer.getJobId()));
         if (question == null) {
             return;
         }
--- a/library/src/main/java/org/chivetally/entry/submission/ActorJobs.java
+++ b/library/src/main/java/org/chivetally/entry/submission/ActorJobs.java
@@ -63,7 +63,8 @@
 
     private CompletionStage<Optional<Awaited>> find(JobId job, Duration wait, boolean cancel) {
         CompletableFuture<Optional<Awaited>> reply = new CompletableFuture<>();
-        actor.tell(new SubmissionCommand.Await(job, clock.nanos() + wait.plus(MARGIN).toNanos(), cancel, reply));
+        actor.tell(new SubmissionCommand.Await(
+                job, clock.nanos() + wait.plus(MARGIN).toNanos(), cancel, reply));
         return reply;
     }
 
@@ -73,7 +74,7 @@
         }
         JobStatus status = found.get().status();
         CompletionStage<JobOutcome> outcome = found.get().outcome();
-        return waits.within(wait, outcome).thenApply(arrived -> Optional.of(arrived.map(status::ended)
-                .orElse(status)));
+        return waits.within(wait, outcome)
+                .thenApply(arrived -> Optional.of(arrived.map(status::ended).orElse(status)));
     }
 }
--- a/library/src/main/java/org/chivetally/entry/submission/JobLedger.java
+++ b/library/src/main/java/org/chivetally/entry/submission/JobLedger.java
@@ -33,7 +33,10 @@
         this.maximumBytes = maximumBytes;
     }
 
-    /** Adds an open job, in place of an ended one of the same id; it becomes the one of its key unless that has an open one already. */
+    /**
+     * Adds an open job, in place of an ended one of the same id; it becomes the one of its key unless that has an open
+     * one already.
+     */
     void add(JobRecord record) {
         JobRecord before = records.remove(record.job());
         if (before != null && endedAt.remove(record.job()) != null) {
@@ -91,8 +94,7 @@
     List<JobRecord> recent(Optional<String> team, int limit) {
         List<JobRecord> all = new ArrayList<>(records.values());
         return all.reversed().stream()
-                .filter(record ->
-                        team.isEmpty() || record.key().team().equals(team.get()))
+                .filter(record -> team.isEmpty() || record.key().team().equals(team.get()))
                 .limit(limit)
                 .toList();
     }
--- a/library/src/main/java/org/chivetally/entry/submission/Jobs.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Jobs.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.chivetally.job.JobId;
-import org.chivetally.job.JobOutcome;
 
 /** Jobs of all entries, seen from this one. Stages never complete exceptionally. */
 public interface Jobs {
--- a/library/src/main/java/org/chivetally/entry/submission/OutcomeDocument.java
+++ b/library/src/main/java/org/chivetally/entry/submission/OutcomeDocument.java
@@ -24,7 +24,8 @@
     public static String write(JobId job, JobOutcome outcome) {
         return switch (outcome) {
             case JobOutcome.Complete complete -> writeComplete(job, complete);
-            case JobOutcome.Failure failure -> problem(failure).put("job", job.text()).toString();
+            case JobOutcome.Failure failure ->
+                problem(failure).put("job", job.text()).toString();
         };
     }
 
--- a/library/src/main/java/org/chivetally/entry/submission/RawJson.java
+++ b/library/src/main/java/org/chivetally/entry/submission/RawJson.java
@@ -10,8 +10,9 @@
 
 /** Cuts JSON values out of a text without changing a character, so that payloads and answers pass as they are. */
 public final class RawJson {
-    private static final JsonFactory FACTORY =
-            JsonFactory.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .build();
 
     private RawJson() {}
 
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -211,8 +211,8 @@
     }
 
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
-        long until = parts.clock().nanos()
-                + submission.specification().deadline().toNanos();
+        long until =
+                parts.clock().nanos() + submission.specification().deadline().toNanos();
         RemoteJob remote = remote(claim);
         remote.offer(submission);
         return new SubmissionReply.Accepted(claim.job(), remote.await(until));
@@ -289,7 +289,8 @@
         }
     }
 
-    // The claim of a slow log may come long after the deadline. Callers are told in time that the deadline passed; as the
+    // The claim of a slow log may come long after the deadline. Callers are told in time that the deadline passed; as
+    // the
     // log has not said yet whether an earlier submission of the key runs, "not run" is only certain of a new key.
     private static void onEndedEarly(JobRecord record, JobOutcome outcome) {
         record.endedEarly(outcome);
@@ -309,7 +310,8 @@
         endDrainWhenIdle();
     }
 
-    // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole dedupe
+    // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole
+    // dedupe
     // window, also when there is room again. Nothing of it was started and nothing will be, so its key is set free.
     private void endClaim(Claim claim, JobOutcome outcome) {
         if (isPassingRefusal(outcome)) {
@@ -387,7 +389,10 @@
         ledger.add(record);
         record.claimed(claim);
         record.done().thenAccept(remote::complete);
-        dispatch(claim.job(), submission, parts.policies().service(submission.specification().service()));
+        dispatch(
+                claim.job(),
+                submission,
+                parts.policies().service(submission.specification().service()));
         parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
         logger.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
@@ -401,8 +406,10 @@
         ask(claim);
     }
 
-    // Another entry took the job over while this one's lease had lapsed; results that still come here may be of attempts
-    // that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all callers of a key
+    // Another entry took the job over while this one's lease had lapsed; results that still come here may be of
+    // attempts
+    // that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all callers of a
+    // key
     // get the same.
     private void onReplaced(Claim claim) {
         Optional<JobRecord> found =
@@ -431,13 +438,12 @@
         }
         JobRecord record = found.get();
         record.done()
-                .thenAccept(outcome ->
-                        attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome))));
+                .thenAccept(
+                        outcome -> attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome))));
     }
 
     private boolean cancelHere(JobId job) {
-        Optional<JobRecord> open =
-                ledger.find(job).filter(record -> record.phase() != JobStatus.Phase.FINAL);
+        Optional<JobRecord> open = ledger.find(job).filter(record -> record.phase() != JobStatus.Phase.FINAL);
         open.ifPresent(record -> parts.dispatch().tell(new DispatchEvent.JobCancelled(job)));
         return open.isPresent();
     }
@@ -448,9 +454,7 @@
             awaitOwn(await, own.get());
             return;
         }
-        parts.claims()
-                .find(await.job())
-                .thenAccept(claim -> tell(new SubmissionCommand.AwaitedFound(await, claim)));
+        parts.claims().find(await.job()).thenAccept(claim -> tell(new SubmissionCommand.AwaitedFound(await, claim)));
     }
 
     private void awaitOwn(SubmissionCommand.Await await, JobRecord record) {
@@ -526,8 +530,8 @@
         if (ticks % TICKS_PER_REFRESH == 0) {
             parts.claims()
                     .find(remote.job())
-                    .thenAccept(claim -> claim.map(SubmissionCommand.ClaimRefreshed::new)
-                            .ifPresent(this::tell));
+                    .thenAccept(claim ->
+                            claim.map(SubmissionCommand.ClaimRefreshed::new).ifPresent(this::tell));
         }
     }
 
--- a/library/src/main/java/org/chivetally/resource/ApplyPlan.java
+++ b/library/src/main/java/org/chivetally/resource/ApplyPlan.java
@@ -52,8 +52,8 @@
     /**
      * Finds the steps.
      *
-     * @param basedOn versions that the writer has seen; where there is none, the table's version is taken, so that another
-     *     write in between is a conflict
+     * @param basedOn versions that the writer has seen; where there is none, the table's version is taken, so that
+     *     another write in between is a conflict
      * @param prune labels of the resources that are deleted unless declared; empty deletes none
      */
     public static ApplyPlan of(
--- a/library/src/main/java/org/chivetally/resource/ConfigurationDistribution.java
+++ b/library/src/main/java/org/chivetally/resource/ConfigurationDistribution.java
@@ -7,10 +7,11 @@
 /**
  * Decides which entry pushes the configuration to which agent.
  *
- * <p>All entries learn a new version from the log at about the same time; if each pushed it to each agent, an agent would
- * get it as often as there are entries. Rendezvous hashing gives each agent an order of the entries that all compute alike
- * from the same view: the first pushes at once, the next one only if the agent still lags after a delay, and so on. A
- * wrong view costs a repeated push or a delay, never a missed one, since every connected entry comes to its turn.
+ * <p>All entries learn a new version from the log at about the same time; if each pushed it to each agent, an agent
+ * would get it as often as there are entries. Rendezvous hashing gives each agent an order of the entries that all
+ * compute alike from the same view: the first pushes at once, the next one only if the agent still lags after a delay,
+ * and so on. A wrong view costs a repeated push or a delay, never a missed one, since every connected entry comes to
+ * its turn.
  */
 public final class ConfigurationDistribution {
     private static final long HASH_BASIS = 0xcbf29ce484222325L;
@@ -70,7 +71,9 @@
         return Decision.PULL;
     }
 
-    /** Returns the place of an entry in an agent's order, from 0; an entry that is not in the view counts as if it were. */
+    /**
+     * Returns the place of an entry in an agent's order, from 0; an entry that is not in the view counts as if it were.
+     */
     public static int rank(String entry, Collection<String> entries, String agent) {
         long own = weight(entry, agent);
         int rank = 0;
--- a/library/src/main/java/org/chivetally/resource/DeclaredPolicies.java
+++ b/library/src/main/java/org/chivetally/resource/DeclaredPolicies.java
@@ -14,8 +14,9 @@
 /**
  * Typed specs of one table; immutable.
  *
- * <p>A spec that this process can't read (written by a newer one) leaves the last value that it could read in force, and
- * is logged once: falling back to what holds for undeclared services would change behaviour that nobody asked to change.
+ * <p>A spec that this process can't read (written by a newer one) leaves the last value that it could read in force,
+ * and is logged once: falling back to what holds for undeclared services would change behaviour that nobody asked to
+ * change.
  */
 public final class DeclaredPolicies implements ServicePolicies {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -71,8 +72,7 @@
         if (!ResourceKey.isName(name)) {
             return Optional.empty();
         }
-        return Optional.ofNullable(typed.get(new ResourceKey(kind, name)))
-                .map(found -> type.cast(found.value()));
+        return Optional.ofNullable(typed.get(new ResourceKey(kind, name))).map(found -> type.cast(found.value()));
     }
 
     private static Optional<Typed> read(Resource resource, Typed before) {
--- a/library/src/main/java/org/chivetally/resource/ReceivedConfiguration.java
+++ b/library/src/main/java/org/chivetally/resource/ReceivedConfiguration.java
@@ -36,7 +36,9 @@
             case SnapshotCodec.Decoded.Refused refused -> {
                 LOGGER.atWarning().log(
                         "%s",
-                        EventLine.of("snapshot-refused").with("version", version).with("reason", refused.reason()));
+                        EventLine.of("snapshot-refused")
+                                .with("version", version)
+                                .with("reason", refused.reason()));
                 return false;
             }
             case SnapshotCodec.Decoded.Whole whole -> {
--- a/library/src/main/java/org/chivetally/resource/ResourceActor.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceActor.java
@@ -30,8 +30,8 @@
 /**
  * Tails the log's two streams into a table, and carries out writes, watches and snapshots.
  *
- * <p>On start, and whenever its next record has expired, it reads the snapshots first and then the writes after the newest
- * one. The table only ever goes forward: a snapshot counts only when its version is greater.
+ * <p>On start, and whenever its next record has expired, it reads the snapshots first and then the writes after the
+ * newest one. The table only ever goes forward: a snapshot counts only when its version is greater.
  */
 final class ResourceActor extends AbstractBehavior<ResourceCommand> {
     /** Stream of the log that holds snapshots. */
@@ -145,7 +145,8 @@
     private void readWrites() {
         CompletionStage<ReadOutcome> read =
                 log.read(WriteRecord.STREAM, view.table().version(), READ_LIMIT, settings.readWait());
-        getContext().pipeToSelf(read, (outcome, failure) -> new ResourceCommand.WritesRead(orFailure(outcome, failure)));
+        getContext()
+                .pipeToSelf(read, (outcome, failure) -> new ResourceCommand.WritesRead(orFailure(outcome, failure)));
     }
 
     private void readSnapshots() {
@@ -195,14 +196,14 @@
         }
     }
 
-    // A log that ends before what was read, or answers with other records than asked for, has lost or mixed up its stream.
+    // A log that ends before what was read, or answers with other records than asked for, has lost or mixed up its
+    // stream.
     // Folding them would give a state that no other process has, so the state at hand is served until the log is right.
     private static boolean isOutOfPlace(ReadOutcome.Records records, ResourceTable table) {
         if (records.endOffset() < table.version()) {
             return true;
         }
-        return !records.records().isEmpty()
-                && records.records().getFirst().offset() > table.version();
+        return !records.records().isEmpty() && records.records().getFirst().offset() > table.version();
     }
 
     private void onWritesExpired(long earliest) {
@@ -278,7 +279,9 @@
         }
         LOGGER.atInfo().log(
                 "%s",
-                EventLine.of("snapshot-adopted").with("version", table.version()).with("source", source));
+                EventLine.of("snapshot-adopted")
+                        .with("version", table.version())
+                        .with("source", source));
         replace(newer, view.endReadNanos(), true);
         return true;
     }
@@ -297,8 +300,10 @@
         bridgeGap();
     }
 
-    // All records between this table and the log's earliest have expired and no snapshot covers them, so nobody can know
-    // them any more. Folding on regardless would give each process another state, according to where it stood. The first
+    // All records between this table and the log's earliest have expired and no snapshot covers them, so nobody can
+    // know
+    // them any more. Folding on regardless would give each process another state, according to where it stood. The
+    // first
     // one to give up looking therefore writes its state as a snapshot at the earliest record, and all, itself included,
     // take the first such snapshot that the log has.
     private void bridgeGap() {
@@ -308,8 +313,7 @@
                         .with("from", view.table().version())
                         .with("to", earliestWrite));
         gapSince = clock.nanos();
-        ResourceTable bridged =
-                ResourceTable.of(view.table().state().at(earliestWrite));
+        ResourceTable bridged = ResourceTable.of(view.table().state().at(earliestWrite));
         appendSnapshot(bridged);
         later(settings.retryDelay(), new ResourceCommand.ReadSnapshots());
     }
@@ -345,7 +349,8 @@
         String id = submit.record().id();
         boolean isNew = !writes.isOpen(id) && view.table().outcome(id).isEmpty();
         if (isNew && writes.count() >= settings.maximumWrites()) {
-            submit.answer().complete(new WriteOutcome.NotWritten(id, ErrorCode.OVERLOADED, "too many writes are open here"));
+            submit.answer()
+                    .complete(new WriteOutcome.NotWritten(id, ErrorCode.OVERLOADED, "too many writes are open here"));
             return;
         }
         callers.computeIfAbsent(id, ignored -> new ArrayList<>()).add(submit.answer());
@@ -490,14 +495,12 @@
     private static void logSnapshot(AppendOutcome outcome) {
         switch (outcome) {
             case AppendOutcome.Appended appended ->
-                LOGGER.atInfo().log(
-                        "%s", EventLine.of("snapshot-written").with("offset", appended.firstOffset()));
+                LOGGER.atInfo().log("%s", EventLine.of("snapshot-written").with("offset", appended.firstOffset()));
             case AppendOutcome.Refused refused ->
                 LOGGER.atWarning().log(
                         "%s", EventLine.of("snapshot-not-written").with("reason", refused.reason()));
             case AppendOutcome.Unknown unknown ->
-                LOGGER.atWarning().log(
-                        "%s", EventLine.of("snapshot-in-doubt").with("reason", unknown.reason()));
+                LOGGER.atWarning().log("%s", EventLine.of("snapshot-in-doubt").with("reason", unknown.reason()));
         }
     }
 }
--- a/library/src/main/java/org/chivetally/resource/SnapshotSchedule.java
+++ b/library/src/main/java/org/chivetally/resource/SnapshotSchedule.java
@@ -5,8 +5,8 @@
 /**
  * Decides when this process writes a snapshot into the log.
  *
- * <p>Any process that has read the log's end may. Each looks first whether another wrote one lately; two that look at the
- * same time write two, which does no harm. A snapshot is replaced by age as well as by records after it, since it
+ * <p>Any process that has read the log's end may. Each looks first whether another wrote one lately; two that look at
+ * the same time write two, which does no harm. A snapshot is replaced by age as well as by records after it, since it
  * expires like any record: a configuration that nobody changes would otherwise be gone after the log's keeping time.
  */
 final class SnapshotSchedule {
@@ -23,8 +23,8 @@
     /**
      * Takes note of a whole snapshot in the log.
      *
-     * @param age estimate from its wall-clock time; a wrong clock leads to a snapshot too many or to one later by at most
-     *     {@code every}
+     * @param age estimate from its wall-clock time; a wrong clock leads to a snapshot too many or to one later by at
+     *     most {@code every}
      */
     void seen(long version, Duration age, long now) {
         long writtenAt = now - Math.clamp(age.toNanos(), 0, every);
--- a/library/src/main/java/org/chivetally/resource/WatchHub.java
+++ b/library/src/main/java/org/chivetally/resource/WatchHub.java
@@ -12,9 +12,9 @@
 /**
  * Hands changes on to the watches of this process; used by one actor only.
  *
- * <p>Each watch has a bounded queue of references to shared events. One that does not keep up is ended when its queue is
- * full: an unbounded queue would fill the memory, and waiting for it would hold all others up. It can begin again from
- * the last version it saw, so nothing is lost.
+ * <p>Each watch has a bounded queue of references to shared events. One that does not keep up is ended when its queue
+ * is full: an unbounded queue would fill the memory, and waiting for it would hold all others up. It can begin again
+ * from the last version it saw, so nothing is lost.
  */
 final class WatchHub {
     private final int maximum;
@@ -58,7 +58,9 @@
                 return true;
             }
             if (result == QueueOfferResult.dropped()) {
-                end(ErrorCode.OVERLOADED, "the watch is too slow; watch again from the last version seen, or list again");
+                end(
+                        ErrorCode.OVERLOADED,
+                        "the watch is too slow; watch again from the last version seen, or list again");
             }
             return false;
         }
@@ -81,7 +83,8 @@
             return true;
         }
 
-        // A bookmark may be left out: the next one, or any change, says as much. So a full queue does not end the watch.
+        // A bookmark may be left out: the next one, or any change, says as much. So a full queue does not end the
+        // watch.
         private boolean bookmark(ResourceTable table) {
             if (table.version() >= told) {
                 queue.offer(new WatchEvent.Bookmark(table.version()));
--- a/library/src/main/java/org/chivetally/resource/WriteTracker.java
+++ b/library/src/main/java/org/chivetally/resource/WriteTracker.java
@@ -12,10 +12,10 @@
 /**
  * Brings each write of this process to an end: done, not done, or in doubt after the longest wait.
  *
- * <p>A lost answer says nothing about the write. Sending it again at once could make it stand twice, and calling it failed
- * could be false. So the log is read forward for its id first; only when the end was read some time after the loss is the
- * same record sent again. Should the first copy still arrive, the fold drops the second by its id, so that the write
- * takes effect once. Times are readings of one monotonic clock in nanoseconds.
+ * <p>A lost answer says nothing about the write. Sending it again at once could make it stand twice, and calling it
+ * failed could be false. So the log is read forward for its id first; only when the end was read some time after the
+ * loss is the same record sent again. Should the first copy still arrive, the fold drops the second by its id, so that
+ * the write takes effect once. Times are readings of one monotonic clock in nanoseconds.
  */
 final class WriteTracker {
     private final long timeout;
--- a/library/src/main/java/org/chivetally/resource/http/ResourceJson.java
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceJson.java
@@ -60,13 +60,14 @@
     static ObjectNode of(ResourceStatus status) {
         ObjectNode node = object().put("state", status.state().text());
         status.age().ifPresent(age -> node.put("ageMillis", age.toMillis()));
-        status.report().ifPresent(report -> node.put("agent", report.agent())
-                .put("failureDomain", report.failureDomain())
-                .put("freeSlots", report.freeSlots())
-                .put("queued", report.queued())
-                .put("running", report.running())
-                .put("draining", report.draining())
-                .put("unhealthy", report.unhealthy()));
+        status.report()
+                .ifPresent(report -> node.put("agent", report.agent())
+                        .put("failureDomain", report.failureDomain())
+                        .put("freeSlots", report.freeSlots())
+                        .put("queued", report.queued())
+                        .put("running", report.running())
+                        .put("draining", report.draining())
+                        .put("unhealthy", report.unhealthy()));
         return node;
     }
 
@@ -79,11 +80,11 @@
                 yield node;
             }
             case WatchEvent.Bookmark bookmark ->
-                object().put("type", "bookmark").put("version", bookmark.version()).put("resumeFrom", bookmark.version());
+                object().put("type", "bookmark")
+                        .put("version", bookmark.version())
+                        .put("resumeFrom", bookmark.version());
             case WatchEvent.Ended ended ->
-                object().put("type", "error")
-                        .put("code", ended.code().text())
-                        .put("detail", ended.detail());
+                object().put("type", "error").put("code", ended.code().text()).put("detail", ended.detail());
         };
     }
 
--- a/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
@@ -117,7 +117,8 @@
 
     private Route one(ResourceKind kind, String name) {
         if (!ResourceKey.isName(name)) {
-            return complete(ProblemDocument.of(ErrorCode.INVALID_INPUT, ResourceKey.NAME_RULE).response());
+            return complete(ProblemDocument.of(ErrorCode.INVALID_INPUT, ResourceKey.NAME_RULE)
+                    .response());
         }
         ResourceKey key = new ResourceKey(kind, name);
         return concat(
@@ -173,7 +174,8 @@
 
     private ResourceStatus statusOf(Resource resource) {
         if (resource.key().kind() == ResourceKind.BACKEND_SERVER) {
-            return ResourceStatus.ofBackendServer(status.lastReport(resource.key().name()), clock.nanos());
+            return ResourceStatus.ofBackendServer(
+                    status.lastReport(resource.key().name()), clock.nanos());
         }
         return ResourceStatus.ofDeclaration(resources.age());
     }
@@ -187,8 +189,8 @@
             return now(ProblemDocument.of(mistakes).response());
         }
         DeclaredResource resource = declared.resources().getFirst();
-        Change change = new Change(
-                key, parameters.basedOn().orElse(0), parameters.force(), Optional.of(resource.content()));
+        Change change =
+                new Change(key, parameters.basedOn().orElse(0), parameters.force(), Optional.of(resource.content()));
         return carryOut(List.of(change), parameters);
     }
 
@@ -289,22 +291,21 @@
     }
 
     private static HttpResponse response(WriteOutcome outcome, Function<Long, HttpResponse> applied) {
-        HttpResponse response =
-                switch (outcome) {
-                    case WriteOutcome.Applied done -> applied.apply(done.version());
-                    case WriteOutcome.Conflicting conflicting ->
-                        ProblemDocument.of(conflicting.conflicts())
-                                .with("writeId", outcome.id())
-                                .response();
-                    case WriteOutcome.NotWritten not ->
-                        ProblemDocument.of(not.code(), "nothing was written: " + not.reason())
-                                .with("writeId", outcome.id())
-                                .response();
-                    case WriteOutcome.InDoubt doubt ->
-                        ProblemDocument.of(ErrorCode.LOG_UNAVAILABLE, doubtText(doubt))
-                                .with("writeId", outcome.id())
-                                .response();
-                };
+        HttpResponse response = switch (outcome) {
+            case WriteOutcome.Applied done -> applied.apply(done.version());
+            case WriteOutcome.Conflicting conflicting ->
+                ProblemDocument.of(conflicting.conflicts())
+                        .with("writeId", outcome.id())
+                        .response();
+            case WriteOutcome.NotWritten not ->
+                ProblemDocument.of(not.code(), "nothing was written: " + not.reason())
+                        .with("writeId", outcome.id())
+                        .response();
+            case WriteOutcome.InDoubt doubt ->
+                ProblemDocument.of(ErrorCode.LOG_UNAVAILABLE, doubtText(doubt))
+                        .with("writeId", outcome.id())
+                        .response();
+        };
         return response.addHeader(RawHeader.create("Chivetally-Write-Id", outcome.id()));
     }
 
@@ -337,7 +338,8 @@
 
     private Route ownStatus() {
         ObjectNode node = ResourceJson.object().put("process", processId);
-        node.put("version", resources.version()).put("ageMillis", resources.age().toMillis());
+        node.put("version", resources.version())
+                .put("ageMillis", resources.age().toMillis());
         node.put("usable", resources.isUsable());
         node.put("earliestWatch", resources.table().earliestWatch());
         resources.table().unreadableFormat().ifPresent(format -> node.put("unreadableFormat", format));
--- a/library/src/main/java/org/chivetally/resource/http/WriteParameters.java
+++ b/library/src/main/java/org/chivetally/resource/http/WriteParameters.java
@@ -44,8 +44,7 @@
         return of(request, new QueryParameters(request), OptionalLong.empty(), false);
     }
 
-    private static WriteParameters of(
-            HttpRequest request, QueryParameters query, OptionalLong basedOn, boolean force) {
+    private static WriteParameters of(HttpRequest request, QueryParameters query, OptionalLong basedOn, boolean force) {
         boolean dryRun = query.flag("dryRun");
         String changedBy = header(request, OPERATOR).orElse(NOBODY);
         if (!NAME.matcher(changedBy).matches()) {
--- a/library/src/test/java/org/chivetally/agent/AgentServerTest.java
+++ b/library/src/test/java/org/chivetally/agent/AgentServerTest.java
@@ -5,7 +5,6 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.net.URI;
-import java.time.Duration;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.chivetally.time.NanoClock;
 import org.chivetally.transport.FrameConnection;
--- a/library/src/test/java/org/chivetally/resource/ResourceDocumentsTest.java
+++ b/library/src/test/java/org/chivetally/resource/ResourceDocumentsTest.java
@@ -51,8 +51,9 @@
     @ParameterizedTest
     @ValueSource(strings = {"service", "team", "routing"})
     void fillsDefaultsThatReadAsThemselves(String kind) {
-        DeclaredResource resource =
-                ResourceDocuments.readFile("f", "kind: " + kind + "\nname: a\n").resources().getFirst();
+        DeclaredResource resource = ResourceDocuments.readFile("f", "kind: " + kind + "\nname: a\n")
+                .resources()
+                .getFirst();
         assertThat(canonicalAgain(resource), is(resource.content().spec()));
     }
 
@@ -99,9 +100,15 @@
     @Test
     void refusesABodyThatNamesAnotherResource() {
         ResourceKey key = new ResourceKey(ResourceKind.TEAM, "a");
-        assertThat(ResourceDocuments.readBody("body", key, "{\"name\":\"b\"}").mistakes().text(),
+        assertThat(
+                ResourceDocuments.readBody("body", key, "{\"name\":\"b\"}")
+                        .mistakes()
+                        .text(),
                 is("body:1:9: name: the address says a"));
-        assertThat(ResourceDocuments.readBody("body", key, "{\"kind\":\"teams\",\"name\":\"a\"}").mistakes().list(),
+        assertThat(
+                ResourceDocuments.readBody("body", key, "{\"kind\":\"teams\",\"name\":\"a\"}")
+                        .mistakes()
+                        .list(),
                 empty());
     }
 
@@ -123,21 +130,71 @@
     @Provide
     Arbitrary<String> texts() {
         Arbitrary<String> lines = Arbitraries.of(
-                "kind: service", "kind: team", "kind: routing", "kind: backend-server", "kind: []", "name: a", "name: ",
-                "name: A", "labels: {a: b}", "labels: [a]", "spec:", "spec: 1", "  attempts: 3", "  state:",
-                "    type: http-json", "  deadline: 1h", "  weight: x", "---", "  - a", "\t", "...", "? a");
+                "kind: service",
+                "kind: team",
+                "kind: routing",
+                "kind: backend-server",
+                "kind: []",
+                "name: a",
+                "name: ",
+                "name: A",
+                "labels: {a: b}",
+                "labels: [a]",
+                "spec:",
+                "spec: 1",
+                "  attempts: 3",
+                "  state:",
+                "    type: http-json",
+                "  deadline: 1h",
+                "  weight: x",
+                "---",
+                "  - a",
+                "\t",
+                "...",
+                "? a");
         return lines.list().ofMaxSize(20).map(list -> String.join("\n", list));
     }
 
     @Provide
     Arbitrary<String> specs() {
         Arbitrary<String> keys = Arbitraries.of(
-                "idempotent", "claims", "attempts", "attemptLease", "deadline", "speculate", "resources", "service",
-                "draining", "state", "placement", "overcommit", "silentAfter", "weight", "maximumRunning", "type", "x");
+                "idempotent",
+                "claims",
+                "attempts",
+                "attemptLease",
+                "deadline",
+                "speculate",
+                "resources",
+                "service",
+                "draining",
+                "state",
+                "placement",
+                "overcommit",
+                "silentAfter",
+                "weight",
+                "maximumRunning",
+                "type",
+                "x");
         Arbitrary<String> values = Arbitraries.of(
-                "true", "false", "memory", "1", "-1", "0.5", "1e99", "99999999999999999999", "1s", "0us", "999999999999h",
-                "1TiB", "null", "''", "[1]", "{type: http-json}", "{type: response-headers, load: {at: X, scale: 0}}",
-                "{type: prometheus-text, path: /m, draining: {at: a, when: [1], unless: [2]}}", "two-choices");
+                "true",
+                "false",
+                "memory",
+                "1",
+                "-1",
+                "0.5",
+                "1e99",
+                "99999999999999999999",
+                "1s",
+                "0us",
+                "999999999999h",
+                "1TiB",
+                "null",
+                "''",
+                "[1]",
+                "{type: http-json}",
+                "{type: response-headers, load: {at: X, scale: 0}}",
+                "{type: prometheus-text, path: /m, draining: {at: a, when: [1], unless: [2]}}",
+                "two-choices");
         Arbitrary<String> entries = Combinators.combine(keys, values).as((key, value) -> key + ": " + value);
         return entries.list().ofMaxSize(8).map(list -> String.join(", ", list));
     }
--- a/library/src/test/java/org/chivetally/resource/ResourceTableTest.java
+++ b/library/src/test/java/org/chivetally/resource/ResourceTableTest.java
@@ -53,10 +53,10 @@
     void namesTheDeletionToALateWriter() {
         ResourceTable table = ResourceTable.empty()
                 .fold(List.of(
-                        record(0, "a", put("t", 0, 1)), record(1, "b", delete("t", 1)), record(2, "c", put("t", 1, 2))));
-        assertThat(
-                table.outcome("c").orElseThrow().conflicts(),
-                contains(new Conflict(team("t"), 1, 2, true, "by-b")));
+                        record(0, "a", put("t", 0, 1)),
+                        record(1, "b", delete("t", 1)),
+                        record(2, "c", put("t", 1, 2))));
+        assertThat(table.outcome("c").orElseThrow().conflicts(), contains(new Conflict(team("t"), 1, 2, true, "by-b")));
     }
 
     @Test
@@ -86,7 +86,8 @@
     void resumesAWatchBetweenTwoChangesOfOneWrite() {
         ResourceTable table = ResourceTable.empty()
                 .fold(List.of(record(0, "a", put("x", 0, 1)), record(1, "b", put("x", 1, 2), put("y", 0, 1))));
-        List<WatchEvent.Changed> events = table.changesAfter(0, Optional.empty()).orElseThrow();
+        List<WatchEvent.Changed> events =
+                table.changesAfter(0, Optional.empty()).orElseThrow();
         assertThat(events.stream().map(WatchEvent.Changed::resumeFrom).toList(), contains(1L, 1L, 2L));
         assertThat(
                 events.stream().map(WatchEvent.Changed::type).toList(),
@@ -142,7 +143,8 @@
         for (int reader = 0; reader < 4; reader++) {
             ResourceTable table = readInPieces(records, snapshots, random);
             assertThat(table.state(), equalTo(whole.state()));
-            assertThat(new ArrayList<>(table.state().outcomes().keySet()),
+            assertThat(
+                    new ArrayList<>(table.state().outcomes().keySet()),
                     equalTo(new ArrayList<>(whole.state().outcomes().keySet())));
         }
     }
@@ -170,7 +172,8 @@
             toldUpTo = table.version();
         }
         for (int position = 1; position < told.size(); position++) {
-            assertThat(told.get(position - 1).resource().version(),
+            assertThat(
+                    told.get(position - 1).resource().version(),
                     lessThanOrEqualTo(told.get(position).resource().version()));
         }
         return table;
@@ -178,12 +181,17 @@
 
     @Provide
     Arbitrary<List<Draft>> drafts() {
-        Arbitrary<List<Integer>> keys = Arbitraries.integers().between(0, 2).list().uniqueElements().ofMinSize(1).ofMaxSize(3);
-        Arbitrary<List<Integer>> bases = Arbitraries.frequency(
-                        Tuple.of(6, 0), Tuple.of(1, 1), Tuple.of(1, 2))
+        Arbitrary<List<Integer>> keys = Arbitraries.integers()
+                .between(0, 2)
+                .list()
+                .uniqueElements()
+                .ofMinSize(1)
+                .ofMaxSize(3);
+        Arbitrary<List<Integer>> bases = Arbitraries.frequency(Tuple.of(6, 0), Tuple.of(1, 1), Tuple.of(1, 2))
                 .list()
                 .ofSize(3);
-        return Combinators.combine(Arbitraries.integers().between(0, 12), keys, bases, Arbitraries.of(false, false, true))
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 12), keys, bases, Arbitraries.of(false, false, true))
                 .as(Draft::new)
                 .list()
                 .ofMaxSize(20);
@@ -195,12 +203,11 @@
             String name = "t" + draft.keys().get(position);
             Resource current = model.get(team(name));
             long newest = current == null ? 0 : current.version();
-            long basedOn =
-                    switch (draft.bases().get(position)) {
-                        case 0 -> newest;
-                        case 1 -> newest + 1;
-                        default -> 0;
-                    };
+            long basedOn = switch (draft.bases().get(position)) {
+                case 0 -> newest;
+                case 1 -> newest + 1;
+                default -> 0;
+            };
             Change change = draft.deletes() && basedOn > 0 ? delete(name, basedOn) : put(name, basedOn, draft.id());
             changes[position] = draft.id() == 12 ? change.forced() : change;
         }
@@ -210,22 +217,24 @@
     private static void applyToModel(LogRecord log, Map<ResourceKey, Resource> model) {
         WriteRecord record = ((WriteRecordCodec.Decoded.Readable) WriteRecordCodec.decode(log.payload())).record();
         for (Change change : record.changes()) {
-            long newest = model.containsKey(change.key()) ? model.get(change.key()).version() : 0;
+            long newest =
+                    model.containsKey(change.key()) ? model.get(change.key()).version() : 0;
             if (!change.force() && change.basedOn() != newest) {
                 return;
             }
         }
         for (Change change : record.changes()) {
             model.remove(change.key());
-            change.content().ifPresent(content -> model.put(
-                    change.key(),
-                    new Resource(
+            change.content()
+                    .ifPresent(content -> model.put(
                             change.key(),
-                            content.labels(),
-                            content.spec(),
-                            log.offset() + 1,
-                            record.changedBy(),
-                            record.at())));
+                            new Resource(
+                                    change.key(),
+                                    content.labels(),
+                                    content.spec(),
+                                    log.offset() + 1,
+                                    record.changedBy(),
+                                    record.at())));
         }
     }
 
