--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -106,7 +106,7 @@
 
         @Override
         public DispatchCore core(Coordinator self) {
-            DispatchSettings dispatch = EntryMapping.dispatch(settings);
+            DispatchSettings dispatch = entry.dispatch();
             return new Dispatcher(dispatch, ThreadLocalRandom.current().nextLong())::handle;
         }
     }
--- a/library/src/main/java/org/chivetally/daemon/EntryMapping.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryMapping.java
@@ -33,6 +33,7 @@
                 address(process.advertised()),
                 process.seeds().stream().map(EntryMapping::address).toList(),
                 claims(settings.claims()),
+                dispatch(settings),
                 HeartbeatSettings.standard(),
                 limits(process.drainTimeout()));
     }
