--- a/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
@@ -94,7 +94,8 @@
     @Test
     void aConnectionClosedWithoutAnswerIsFree() throws IOException {
         server.put("/faults", "{\"silent\":true}");
-        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), server.uri().getPort())) {
+        try (Socket caller =
+                new Socket(InetAddress.getLoopbackAddress(), server.uri().getPort())) {
             caller.getOutputStream().write(RAW_TASK.getBytes(StandardCharsets.US_ASCII));
             awaitStarts(Matchers.containsString("silent"));
         }
