--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -88,9 +88,7 @@
 
     @Override
     public Receive<ClaimsCommand> createReceive() {
-        return newReceiveBuilder()
-                .onMessage(ClaimsCommand.class, this::receive)
-                .build();
+        return newReceiveBuilder().onMessage(ClaimsCommand.class, this::receive).build();
     }
 
     private Behavior<ClaimsCommand> receive(ClaimsCommand command) {
@@ -157,7 +155,8 @@
         if (readOpen && nanos - readSentNanos > readLimit.toNanos()) {
             readFailed("no answer in time", nanos);
         }
-        if (appendOpen && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
+        if (appendOpen
+                && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
             appendAnswered(appendNumber, new AppendOutcome.Unknown("no answer in time"), nanos);
         }
         claimant.tick(nanos);
@@ -215,10 +214,12 @@
         appendNumber = batch.number();
         appendSentNanos = clock.nanos();
         meters.appending(batch.records().size());
-        log.append(LogClaims.STREAM, encode(batch)).whenComplete((outcome, failure) -> getContext()
-                .getSelf()
-                .tell(new ClaimsCommand.AppendAnswered(
-                        batch.number(), failure == null ? outcome : new AppendOutcome.Unknown(failure.toString()))));
+        log.append(LogClaims.STREAM, encode(batch))
+                .whenComplete((outcome, failure) -> getContext()
+                        .getSelf()
+                        .tell(new ClaimsCommand.AppendAnswered(
+                                batch.number(),
+                                failure == null ? outcome : new AppendOutcome.Unknown(failure.toString()))));
     }
 
     private List<NewRecord> encode(GroupCommit.Batch batch) {
--- a/library/src/main/java/org/chivetally/coordination/RetryBudget.java
+++ b/library/src/main/java/org/chivetally/coordination/RetryBudget.java
@@ -5,18 +5,21 @@
  * multiply the load just when there is least room for it.
  */
 final class RetryBudget {
-    private static final double LARGEST_BALANCE = 100;
+    /** Shares are counted in thousandths: sums of fractions would miss the whole they add up to. */
+    private static final int ONE = 1_000;
+
+    private static final int LARGEST_BALANCE = 100 * ONE;
     private static final double NANOS_PER_SECOND = 1e9;
 
-    private final double share;
+    private final long share;
     private final double perSecond;
-    private double earned;
+    private long earned;
     private double granted;
     private long grantedAt;
     private boolean begun;
 
     RetryBudget(double share, double perSecond) {
-        this.share = share;
+        this.share = Math.round(share * ONE);
         this.perSecond = perSecond;
         this.granted = perSecond;
     }
@@ -28,8 +31,8 @@
     /** Takes one retry out of the budget if there is one. */
     boolean take(long now) {
         grant(now);
-        if (earned >= 1) {
-            earned--;
+        if (earned >= ONE) {
+            earned -= ONE;
             return true;
         }
         if (granted >= 1) {
--- a/library/src/main/java/org/chivetally/document/Section.java
+++ b/library/src/main/java/org/chivetally/document/Section.java
@@ -160,9 +160,7 @@
 
     /** Returns the constant whose name must be given in lower case with hyphens; the first constant otherwise. */
     public <E extends Enum<E>> E requiredChoice(String key, Class<E> type) {
-        return required(key)
-                .flatMap(text -> constant(key, text, type))
-                .orElseGet(() -> type.getEnumConstants()[0]);
+        return required(key).flatMap(text -> constant(key, text, type)).orElseGet(() -> type.getEnumConstants()[0]);
     }
 
     /** Returns how a constant is written in documents: lower case with hyphens. */
@@ -306,8 +304,7 @@
     }
 
     private Optional<Long> wholeWithin(String key, String text, long minimum, long maximum) {
-        Optional<Long> number =
-                WHOLE.matcher(text).matches() ? Optional.of(Long.parseLong(text)) : Optional.empty();
+        Optional<Long> number = WHOLE.matcher(text).matches() ? Optional.of(Long.parseLong(text)) : Optional.empty();
         String wanted = "a whole number from " + minimum + " to " + maximum;
         return within(key, text, number, minimum, maximum, wanted);
     }
--- a/library/src/main/java/org/chivetally/document/Units.java
+++ b/library/src/main/java/org/chivetally/document/Units.java
@@ -10,8 +10,8 @@
 public final class Units {
     private static final Pattern DURATION = Pattern.compile("(\\d{1,12})(us|ms|s|m|h)");
     private static final Pattern BYTES = Pattern.compile("(\\d{1,12})(B|KiB|MiB|GiB|TiB)?");
-    private static final Map<String, Long> NANOSECONDS = Map.of(
-            "us", 1_000L, "ms", 1_000_000L, "s", 1_000_000_000L, "m", 60_000_000_000L, "h", 3_600_000_000_000L);
+    private static final Map<String, Long> NANOSECONDS =
+            Map.of("us", 1_000L, "ms", 1_000_000L, "s", 1_000_000_000L, "m", 60_000_000_000L, "h", 3_600_000_000_000L);
     private static final Map<String, Long> BYTE_FACTORS =
             Map.of("B", 1L, "KiB", 1L << 10, "MiB", 1L << 20, "GiB", 1L << 30, "TiB", 1L << 40);
 
--- a/library/src/main/java/org/chivetally/resource/Change.java
+++ b/library/src/main/java/org/chivetally/resource/Change.java
@@ -10,7 +10,8 @@
 /**
  * One wanted change of a resource.
  *
- * @param basedOn version that the writer has seen; it must still be the newest. 0 means that the resource must not exist
+ * @param basedOn version that the writer has seen; it must still be the newest. 0 means that the resource must not
+ *     exist
  * @param force whether the change fits whatever the version is; {@code basedOn} is then not looked at
  * @param content what the resource is to be; empty deletes it
  */
--- a/library/src/main/java/org/chivetally/resource/Resource.java
+++ b/library/src/main/java/org/chivetally/resource/Resource.java
@@ -1,10 +1,10 @@
 package org.chivetally.resource;
 
-import java.util.Objects;
-import java.util.TreeMap;
 import java.util.Collections;
 import java.util.Map;
+import java.util.Objects;
 import java.util.SortedMap;
+import java.util.TreeMap;
 
 /**
  * One resource as the log has it; its status is kept apart, see {@link ResourceStatus}.
--- a/library/src/main/java/org/chivetally/resource/ResourceDocuments.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceDocuments.java
@@ -110,8 +110,7 @@
             section.mistake("spec", "longer than " + MAXIMUM_SPEC_LENGTH + " characters");
             return Optional.empty();
         }
-        return canonical.map(
-                json -> new DeclaredResource(key, Change.Content.of(labels, json), section.place()));
+        return canonical.map(json -> new DeclaredResource(key, Change.Content.of(labels, json), section.place()));
     }
 
     private static Map<String, String> readLabels(Section section) {
@@ -119,7 +118,8 @@
         for (String label : section.keys()) {
             String value = section.text(label, "");
             if (!LABEL.matcher(label).matches()) {
-                section.mistake(label, "a label has 1 to 63 characters of A-Z, a-z, 0-9, hyphen, dot, slash, underscore");
+                section.mistake(
+                        label, "a label has 1 to 63 characters of A-Z, a-z, 0-9, hyphen, dot, slash, underscore");
             }
             if (!LABEL_VALUE.matcher(value).matches()) {
                 section.mistake(label, "a label's value has at most 63 characters and no control characters");
--- a/library/src/main/java/org/chivetally/resource/ResourceTable.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceTable.java
@@ -15,7 +15,8 @@
  * All resources at one version: a pure fold of the stream {@link WriteRecord#STREAM}, the same for all readers.
  *
  * <p>Its version is the number of records folded, which is the offset of the next record. A write takes effect when all
- * its changes fit, and otherwise not at all; the version of a changed resource is the write's offset plus one. Immutable.
+ * its changes fit, and otherwise not at all; the version of a changed resource is the write's offset plus one.
+ * Immutable.
  *
  * <p>A repeated record (an append whose answer was lost was sent again) is dropped by its id. Ids are remembered for
  * {@link #REMEMBERED_RECORDS} records, counted by offsets so that all readers forget alike. That is enough because a
@@ -139,7 +140,8 @@
         }
         List<TableChange> wanted = new ArrayList<>();
         for (TableChange change : changes) {
-            boolean isOfKind = kind.isEmpty() || kind.get() == change.resource().key().kind();
+            boolean isOfKind =
+                    kind.isEmpty() || kind.get() == change.resource().key().kind();
             if (change.version() > from && isOfKind) {
                 wanted.add(change);
             }
@@ -180,7 +182,8 @@
         long resumeFrom = from;
         for (int position = 0; position < wanted.size(); position++) {
             TableChange change = wanted.get(position);
-            boolean isLast = position + 1 == wanted.size() || wanted.get(position + 1).version() > change.version();
+            boolean isLast =
+                    position + 1 == wanted.size() || wanted.get(position + 1).version() > change.version();
             if (isLast) {
                 resumeFrom = change.version();
             }
--- a/library/src/main/java/org/chivetally/resource/RoutingSchema.java
+++ b/library/src/main/java/org/chivetally/resource/RoutingSchema.java
@@ -27,7 +27,8 @@
                 spec.decimal("quarantineShare", 0, 1, defaults.quarantineShare()),
                 spec.text("preferredFailureDomain", defaults.preferredFailureDomain()));
         if (policy.silentAfter().compareTo(policy.heartbeatActive().multipliedBy(2)) < 0) {
-            spec.mistake("silentAfter", "must be at least twice heartbeatActive, or one lost heartbeat counts as silence");
+            spec.mistake(
+                    "silentAfter", "must be at least twice heartbeatActive, or one lost heartbeat counts as silence");
         }
         return spec.isSound() ? Optional.of(policy) : Optional.empty();
     }
--- a/library/src/main/java/org/chivetally/resource/ServiceSchema.java
+++ b/library/src/main/java/org/chivetally/resource/ServiceSchema.java
@@ -32,8 +32,8 @@
         if (!spec.isSound()) {
             return Optional.empty();
         }
-        return Optional.of(new ServicePolicy(
-                name, idempotent, claims, (int) attempts, lease, deadline, speculate, resources));
+        return Optional.of(
+                new ServicePolicy(name, idempotent, claims, (int) attempts, lease, deadline, speculate, resources));
     }
 
     @Override
--- a/library/src/main/java/org/chivetally/resource/SnapshotCodec.java
+++ b/library/src/main/java/org/chivetally/resource/SnapshotCodec.java
@@ -174,9 +174,8 @@
         }
         TreeMap<ResourceKey, Tombstone> tombstones = new TreeMap<>();
         for (JsonNode node : root.required("tombstones").values()) {
-            Tombstone tombstone = new Tombstone(
-                    node.required("version").longValue(),
-                    WriteRecordCodec.textOf(node, "changedBy"));
+            Tombstone tombstone =
+                    new Tombstone(node.required("version").longValue(), WriteRecordCodec.textOf(node, "changedBy"));
             tombstones.put(WriteRecordCodec.keyOf(node), tombstone);
         }
         LinkedHashMap<String, RecordOutcome> outcomes = new LinkedHashMap<>();
--- a/library/src/main/java/org/chivetally/resource/WriteRecordCodec.java
+++ b/library/src/main/java/org/chivetally/resource/WriteRecordCodec.java
@@ -109,11 +109,7 @@
         for (JsonNode change : root.required("changes").values()) {
             changes.add(changeOf(change));
         }
-        return new WriteRecord(
-                textOf(root, "id"),
-                changes,
-                textOf(root, "changedBy"),
-                textOf(root, "at"));
+        return new WriteRecord(textOf(root, "id"), changes, textOf(root, "changedBy"), textOf(root, "at"));
     }
 
     private static Change changeOf(JsonNode node) {
--- a/library/src/main/java/org/chivetally/settings/SettingsSections.java
+++ b/library/src/main/java/org/chivetally/settings/SettingsSections.java
@@ -3,7 +3,6 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.time.Duration;
-import java.util.List;
 import java.util.Set;
 import org.chivetally.document.Section;
 
--- a/library/src/main/java/org/chivetally/transport/FrameChannelHandler.java
+++ b/library/src/main/java/org/chivetally/transport/FrameChannelHandler.java
@@ -77,11 +77,15 @@
             meters.closedAsMalformed();
             LOGGER.atWarning().log(
                     "%s",
-                    EventLine.of("frame-malformed").with("peer", connection.peer()).with("cause", cause));
+                    EventLine.of("frame-malformed")
+                            .with("peer", connection.peer())
+                            .with("cause", cause));
         } else if (cause instanceof IOException) {
             LOGGER.atFine().log(
                     "%s",
-                    EventLine.of("connection-lost").with("peer", connection.peer()).with("cause", cause));
+                    EventLine.of("connection-lost")
+                            .with("peer", connection.peer())
+                            .with("cause", cause));
         } else {
             LOGGER.atSevere().withCause(cause).log(
                     "%s", EventLine.of("listener-failed").with("peer", connection.peer()));
--- a/library/src/test/java/org/chivetally/claim/ScriptedLog.java
+++ b/library/src/test/java/org/chivetally/claim/ScriptedLog.java
@@ -65,7 +65,8 @@
                 return CompletableFuture.completedFuture(new ReadOutcome.Unavailable("down"));
             }
             ReadOutcome now = shared.read(stream, from, limit);
-            boolean empty = now instanceof ReadOutcome.Records found && found.records().isEmpty();
+            boolean empty =
+                    now instanceof ReadOutcome.Records found && found.records().isEmpty();
             if (!empty || wait.isZero()) {
                 return CompletableFuture.completedFuture(now);
             }
@@ -156,8 +157,7 @@
 
     record HeldAppend(String stream, List<NewRecord> records, CompletableFuture<AppendOutcome> answer) {}
 
-    private record Poll(
-            ScriptedLog view, String stream, long from, int limit, CompletableFuture<ReadOutcome> answer) {}
+    private record Poll(ScriptedLog view, String stream, long from, int limit, CompletableFuture<ReadOutcome> answer) {}
 
     private static final class Shared {
         private final Map<String, List<LogRecord>> streams = new HashMap<>();
@@ -189,8 +189,7 @@
             return new ReadOutcome.Records(records.subList(start, end), records.size());
         }
 
-        private void answer(
-                Predicate<Poll> which, Function<Poll, ReadOutcome> outcome) {
+        private void answer(Predicate<Poll> which, Function<Poll, ReadOutcome> outcome) {
             List<Poll> answered = polls.stream().filter(which).toList();
             polls.removeAll(answered);
             answered.forEach(poll -> poll.answer().complete(outcome.apply(poll)));
--- a/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
@@ -41,6 +41,7 @@
     final Map<JobId, JobOutcome> outcomes = new HashMap<>();
     final List<WasteKind> wastes = new ArrayList<>();
     final List<String> lines = new ArrayList<>();
+    private final Map<AgentId, Integer> slots = new HashMap<>();
     private final Map<AgentId, Long> sequences = new HashMap<>();
     private long now = 1_000_000_000_000L;
 
@@ -110,6 +111,7 @@
     }
 
     AgentId connect(AgentId agent, int slots, UnaryOperator<Capacity.Builder> capacity) {
+        this.slots.put(agent, slots);
         Hello hello = Hello.newBuilder()
                 .setProcessId(agent.processId())
                 .setIncarnation(agent.incarnation())
@@ -149,7 +151,7 @@
                                 .setStatus(status)
                                 .setBody(body)
                                 .setRunMicros(100_000)
-                                .setReport(report(agent, 8))));
+                                .setReport(report(agent, slots.get(agent)))));
     }
 
     void done(Start start) {
@@ -176,7 +178,7 @@
                         .setInquiryAnswer(InquiryAnswer.newBuilder()
                                 .setJobId(question.getJobId())
                                 .addAllTasks(List.of(states))
-                                .setReport(report(inquiry.agent(), 8))));
+                                .setReport(report(inquiry.agent(), slots.get(inquiry.agent())))));
     }
 
     static TaskState state(String attemptId, int task, TaskStatus status, String body) {
@@ -188,6 +190,31 @@
                 .build();
     }
 
+    void unreachable(AgentId agent) {
+        handle(new DispatchEvent.AgentUnreachable(agent));
+    }
+
+    Start start(int number) {
+        return starts.get(number);
+    }
+
+    AgentId agentOf(Start start) {
+        return startedAt.get(start.getAttemptId());
+    }
+
+    DispatchEffect.SendFrame lastInquiry() {
+        return inquiries.getLast();
+    }
+
+    /** Has the service's run times learned from tasks that took 100 ms each. */
+    void learnRunTimes(int tasks) {
+        for (int number = 0; number < tasks; number++) {
+            run("learn" + number, 1, once());
+            done(starts.getLast());
+        }
+        starts.clear();
+    }
+
     JobOutcome.Failure failure(JobId job) {
         return (JobOutcome.Failure) outcomes.get(job);
     }
--- /dev/null
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
@@ -0,0 +1,117 @@
+package org.chivetally.coordination;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import java.time.Duration;
+import java.util.List;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
+import org.chivetally.job.ServicePolicy;
+import org.chivetally.wire.v1.TaskStatus;
+import org.junit.jupiter.api.Test;
+
+/** Jobs that another coordinator began and left. */
+class DispatcherTakeoverTest {
+    private final DispatcherDriver driver = new DispatcherDriver();
+    private final AgentId first = driver.connect("a", 8);
+    private final AgentId second = driver.connect("b", 8);
+
+    private JobId takeOver(int tasks, ServicePolicy policy) {
+        JobId job = driver.submit("job", DispatcherDriver.tasks(tasks, Duration.ofMinutes(1)), policy);
+        driver.claim(job, 2);
+        return job;
+    }
+
+    @Test
+    void usesWhatIsDoneAwaitsWhatRunsAndStartsTheRest() {
+        JobId job = takeOver(3, DispatcherDriver.once());
+        assertThat(driver.inquiries, hasSize(2));
+        driver.answer(
+                driver.inquiries.get(0),
+                DispatcherDriver.state("job/0/1/1", 0, TaskStatus.TASK_STATUS_DONE, "zero"),
+                DispatcherDriver.state("job/1/1/1", 1, TaskStatus.TASK_STATUS_RUNNING, ""));
+        assertThat("the other agent may run it", driver.starts, empty());
+        driver.answer(driver.inquiries.get(1));
+        assertThat(driver.starts, hasSize(1));
+        assertThat(driver.start(0).getAttemptId(), equalTo("job/2/2/1"));
+        assertThat(driver.start(0).getGeneration(), equalTo(2));
+
+        driver.done(driver.start(0));
+        driver.startedAt.put("job/1/1/1", driver.inquiries.get(0).agent());
+        driver.done(driver.start(0).toBuilder()
+                .setAttemptId("job/1/1/1")
+                .setTaskIndex(1)
+                .build());
+        assertThat(driver.outcomes.get(job), equalTo(new JobOutcome.Complete(List.of("zero", "answer 1", "answer 2"))));
+    }
+
+    @Test
+    void unansweredAgentMakesWorkThatRunsOnceUnknown() {
+        // One agent does not answer. A task nobody else knows may run there, or may have; starting it could run it
+        // twice. After some patience the caller hears which tasks these are.
+        driver.unreachable(second);
+        JobId job = takeOver(2, DispatcherDriver.once());
+        driver.answer(
+                driver.lastInquiry(), DispatcherDriver.state("job/0/1/1", 0, TaskStatus.TASK_STATUS_DONE, "zero"));
+        driver.advance(Duration.ofSeconds(3));
+        assertThat(driver.failure(job).code(), equalTo(ErrorCode.OUTCOME_UNKNOWN));
+        assertThat(driver.failure(job).unknownTasks(), contains(1));
+        assertThat(driver.starts, empty());
+    }
+
+    @Test
+    void agentThatReconnectsIsAskedThen() {
+        driver.unreachable(second);
+        takeOver(1, DispatcherDriver.once());
+        driver.answer(driver.lastInquiry());
+        driver.connect(second, 8, capacity -> capacity);
+        assertThat(driver.inquiries, hasSize(2));
+        driver.answer(driver.lastInquiry());
+        assertThat(driver.starts, hasSize(1));
+    }
+
+    @Test
+    void idempotentTaskStartsOnceNoEarlierAttemptCanRun() {
+        driver.unreachable(second);
+        takeOver(1, DispatcherDriver.repeatable());
+        driver.answer(driver.lastInquiry());
+        driver.advance(Duration.ofMillis(8_000));
+        driver.heartbeat(first, 8);
+        assertThat(driver.starts, empty());
+        driver.advance(Duration.ofMillis(200));
+        driver.heartbeat(first, 8);
+        assertThat(driver.starts, hasSize(1));
+    }
+
+    @Test
+    void agentLatelyGoneCountsAsOneThatMayHaveRunIt() {
+        driver.handle(new DispatchEvent.AgentGone(second));
+        JobId job = takeOver(1, DispatcherDriver.once());
+        driver.answer(driver.lastInquiry());
+        assertThat(driver.failure(job).code(), equalTo(ErrorCode.OUTCOME_UNKNOWN));
+    }
+
+    @Test
+    void agentNeverConnectedCountsAsOneThatMayHaveRunIt() {
+        driver.unreachable(new AgentId("c", "1"));
+        JobId job = takeOver(1, DispatcherDriver.once());
+        driver.inquiries.forEach(inquiry -> driver.answer(inquiry));
+        assertThat(driver.starts, empty());
+        driver.advance(Duration.ofSeconds(3));
+        assertThat(driver.failure(job).code(), equalTo(ErrorCode.OUTCOME_UNKNOWN));
+    }
+
+    @Test
+    void taskThatFailedEarlierFailsTheJobIfItRunsOnce() {
+        JobId job = takeOver(1, DispatcherDriver.once());
+        driver.answer(
+                driver.inquiries.get(0), DispatcherDriver.state("job/0/1/1", 0, TaskStatus.TASK_STATUS_FAILED, ""));
+        assertThat(driver.failure(job).code(), equalTo(ErrorCode.TASK_FAILED));
+        assertThat(driver.failure(job).certainty(), equalTo(JobOutcome.Certainty.FAILED));
+    }
+}
--- a/library/src/test/java/org/chivetally/coordination/FaultWorld.java
+++ b/library/src/test/java/org/chivetally/coordination/FaultWorld.java
@@ -126,13 +126,14 @@
         }
         Submission before = lapsed.get(pick % lapsed.size());
         int successor = 1 - before.coordinator;
-        boolean served = submissions.stream().anyMatch(one -> one.job.equals(before.job) && one.coordinator == successor);
+        boolean served =
+                submissions.stream().anyMatch(one -> one.job.equals(before.job) && one.coordinator == successor);
         if (!lease[successor] || served) {
             return;
         }
         before.takenOver = true;
-        Submission submission = new Submission(
-                before.job, successor, before.generation + 1, before.tasks, before.idempotent);
+        Submission submission =
+                new Submission(before.job, successor, before.generation + 1, before.tasks, before.idempotent);
         submission.claimed = true;
         submissions.add(submission);
         submitTo(submission, deadlineMillis);
@@ -263,8 +264,7 @@
 
     private ModelAgent newIncarnation(int position) {
         incarnations++;
-        return new ModelAgent(
-                new AgentId("agent" + position, "" + incarnations), SLOTS, incarnations * 7_000_000_000L);
+        return new ModelAgent(new AgentId("agent" + position, "" + incarnations), SLOTS, incarnations * 7_000_000_000L);
     }
 
     private void connect(int coordinator, int position) {
--- a/library/src/test/java/org/chivetally/coordination/ModelAgent.java
+++ b/library/src/test/java/org/chivetally/coordination/ModelAgent.java
@@ -86,12 +86,14 @@
         switch (frame.getBodyCase()) {
             case START -> replies.addAll(start(coordinator, frame.getStart(), now));
             case INQUIRY -> replies.add(inquire(coordinator, frame, now));
-            case CANCEL -> replies.addAll(cancel(coordinator, Set.copyOf(frame.getCancel().getJobIdsList()), now));
+            case CANCEL ->
+                replies.addAll(cancel(coordinator, Set.copyOf(frame.getCancel().getJobIdsList()), now));
             case HEARTBEAT ->
                 replies.add(new Reply(
                         coordinator,
                         Frame.newBuilder()
-                                .setHeartbeat(Heartbeat.newBuilder().setAnswer(true).setReport(report(now)))
+                                .setHeartbeat(
+                                        Heartbeat.newBuilder().setAnswer(true).setReport(report(now)))
                                 .build()));
             default -> throw new AssertionError("unexpected frame " + frame);
         }
--- a/library/src/test/java/org/chivetally/document/DocumentTest.java
+++ b/library/src/test/java/org/chivetally/document/DocumentTest.java
@@ -148,8 +148,8 @@
 
     @Test
     void readsJsonAsItsWritersGiveIt() {
-        String json = "{\n\t\"a\":\"\\u00e6\\ud83c\\udf32\\/\",\"b\":{\"c\":-1.5e3,\"d\":[]},\t\"e\":\"" + "x".repeat(2000)
-                + "\"}";
+        String json = "{\n\t\"a\":\"\\u00e6\\ud83c\\udf32\\/\",\"b\":{\"c\":-1.5e3,\"d\":[]},\t\"e\":\""
+                + "x".repeat(2000) + "\"}";
         Document document = Document.parse("body", json);
         assertThat(document.root().text("a", ""), is("\u00e6\ud83c\udf32/"));
         assertThat(document.root().section("b").toJson(), is("{\"c\":-1.5e3,\"d\":[]}"));
@@ -174,9 +174,41 @@
     @Provide
     Arbitrary<String> texts() {
         Arbitrary<String> pieces = Arbitraries.of(
-                "a", "b: ", "c:\n", "d: ", "\n", "\n  ", "\n - ", ": ", "[", "]", "{", "}", ",", "\"", "'", "&x ", "*x",
-                "!!int ", "|", ">-", "\t", "---\n", "...", "%YAML 1.2\n", "? ", "#", "\\u00", "\\U00110000", "1e9",
-                "null", "\0", "\ufeff", "\ud800", "@", "`");
+                "a",
+                "b: ",
+                "c:\n",
+                "d: ",
+                "\n",
+                "\n  ",
+                "\n - ",
+                ": ",
+                "[",
+                "]",
+                "{",
+                "}",
+                ",",
+                "\"",
+                "'",
+                "&x ",
+                "*x",
+                "!!int ",
+                "|",
+                ">-",
+                "\t",
+                "---\n",
+                "...",
+                "%YAML 1.2\n",
+                "? ",
+                "#",
+                "\\u00",
+                "\\U00110000",
+                "1e9",
+                "null",
+                "\0",
+                "\ufeff",
+                "\ud800",
+                "@",
+                "`");
         Arbitrary<String> structured = pieces.list().ofMaxSize(40).map(list -> String.join("", list));
         Arbitrary<String> bytes = Arbitraries.bytes()
                 .array(byte[].class)
--- a/library/src/test/java/org/chivetally/settings/SettingsTest.java
+++ b/library/src/test/java/org/chivetally/settings/SettingsTest.java
@@ -25,13 +25,14 @@
     @ParameterizedTest
     @ValueSource(strings = {"entry", "agent"})
     void reportsEveryMistakeOfAFileAtOnce(String daemon) throws IOException {
-        Function<Section, ?> reader =
-                daemon.equals("entry") ? EntryDaemonSettings::read : AgentDaemonSettings::read;
+        Function<Section, ?> reader = daemon.equals("entry") ? EntryDaemonSettings::read : AgentDaemonSettings::read;
         String text = resource(daemon + "-malformed.yaml");
         ChivetallyException refusal = Assertions.assertThrows(
                 ChivetallyException.class, () -> SettingsFile.read(daemon + ".yaml", text, reader));
         assertThat(refusal.code(), is(ErrorCode.INVALID_INPUT));
-        assertThat(refusal.getMessage(), is(resource(daemon + "-malformed.expected").stripTrailing()));
+        assertThat(
+                refusal.getMessage(),
+                is(resource(daemon + "-malformed.expected").stripTrailing()));
     }
 
     @Test
@@ -40,8 +41,7 @@
         assertThat(settings.process().name(), is("entry-1"));
         assertThat(settings.http(), is(new HostPort("127.0.0.1", 8080)));
         assertThat(
-                settings.process().seeds(),
-                contains(new HostPort("127.0.0.1", 9081), new HostPort("127.0.0.1", 9082)));
+                settings.process().seeds(), contains(new HostPort("127.0.0.1", 9081), new HostPort("127.0.0.1", 9082)));
         assertThat(settings.process().log().url(), is(URI.create("http://127.0.0.1:8600")));
         assertThat(settings.claims().window(), is(Duration.ofMinutes(10)));
     }
--- a/library/src/test/java/org/chivetally/transport/FrameTransportTest.java
+++ b/library/src/test/java/org/chivetally/transport/FrameTransportTest.java
@@ -87,9 +87,9 @@
     }
 
     /**
-     * What the caller sees: garbage costs the sender its connection, and nobody else anything.
-     * A stray program connects and writes bytes whose length prefix fits but whose content is no frame.
-     * The connection closes, with the cause logged; the next connection works.
+     * What the caller sees: garbage costs the sender its connection, and nobody else anything. A stray program connects
+     * and writes bytes whose length prefix fits but whose content is no frame. The connection closes, with the cause
+     * logged; the next connection works.
      */
     @Test
     void closesAConnectionThatSendsGarbage() throws Exception {
@@ -103,9 +103,9 @@
     }
 
     /**
-     * What the caller sees: a length prefix of over 4 MiB closes the connection at once.
-     * A broken peer announces a frame of 2 GiB; waiting for it would fill this process's memory.
-     * The prefix alone is enough to refuse, before any content is buffered.
+     * What the caller sees: a length prefix of over 4 MiB closes the connection at once. A broken peer announces a
+     * frame of 2 GiB; waiting for it would fill this process's memory. The prefix alone is enough to refuse, before any
+     * content is buffered.
      */
     @Test
     void closesAConnectionThatAnnouncesAnOversizeFrame() throws Exception {
@@ -127,9 +127,9 @@
     }
 
     /**
-     * What the caller sees: a peer that stops reading loses its connection, and memory stays bounded.
-     * The peer opens a connection and reads nothing while this side sends megabytes to it.
-     * The kernel's buffers fill, then ours up to 8 MiB; then the connection is closed and the rest dropped.
+     * What the caller sees: a peer that stops reading loses its connection, and memory stays bounded. The peer opens a
+     * connection and reads nothing while this side sends megabytes to it. The kernel's buffers fill, then ours up to 8
+     * MiB; then the connection is closed and the rest dropped.
      */
     @Test
     void closesAConnectionWhosePeerDoesNotRead() throws Exception {
