--- a/library/src/test/java/org/chivetally/coordination/DispatcherFaultsTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherFaultsTest.java
@@ -57,6 +57,30 @@
         check(world);
     }
 
+    @Property(tries = 3000)
+    void keepsPromisesWhileConnectionsGoSilent(@ForAll("silences") List<Step> schedule, @ForAll long seed) {
+        FaultWorld world = new FaultWorld(seed);
+        schedule.forEach(step -> take(world, step));
+        settle(world);
+        check(world);
+    }
+
+    /** Work that must run once, and frames held up in connections that were given up. */
+    @Provide
+    Arbitrary<List<Step>> silences() {
+        Arbitrary<Kind> kinds = Arbitraries.frequency(
+                Tuple.of(2, Kind.SUBMIT),
+                Tuple.of(3, Kind.CLAIM),
+                Tuple.of(3, Kind.ADVANCE),
+                Tuple.of(6, Kind.DELIVER_ALL),
+                Tuple.of(2, Kind.DELIVER_ONE),
+                Tuple.of(4, Kind.DELIVER_OLD),
+                Tuple.of(2, Kind.FINISH_WELL),
+                Tuple.of(4, Kind.SILENCE),
+                Tuple.of(4, Kind.RECONNECT));
+        return steps(kinds);
+    }
+
     @Provide
     Arbitrary<List<Step>> schedules() {
         Arbitrary<Kind> kinds = Arbitraries.frequency(
@@ -78,6 +102,10 @@
                 Tuple.of(4, Kind.SILENCE),
                 Tuple.of(4, Kind.RECONNECT),
                 Tuple.of(1, Kind.CRASH));
+        return steps(kinds);
+    }
+
+    private static Arbitrary<List<Step>> steps(Arbitrary<Kind> kinds) {
         return Combinators.combine(kinds, Arbitraries.integers().between(0, 4_000))
                 .as(Step::new)
                 .list()
--- a/library/src/test/java/org/chivetally/coordination/DispatcherTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTest.java
@@ -7,9 +7,12 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.everyItem;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
@@ -428,6 +431,31 @@
         assertThat(driver.wastes, contains(WasteKind.LATE));
     }
 
+    @Test
+    void minionThatFailsEverythingAtOnceCostsFewRetries() {
+        // One of 11 minions fails each task at once, so it always has free slots and draws ever more tasks. Callers see
+        // no failed job: tasks are tried again elsewhere, and after two seconds hardly any go there at all.
+        List<AgentId> agents = new ArrayList<>();
+        for (int number = 0; number < 11; number++) {
+            agents.add(driver.connect("agent" + number, 8));
+        }
+        int handled = 0;
+        int failuresAfterTwoSeconds = 0;
+        for (int step = 0; step < 2_000; step++) {
+            driver.run("job" + step, 1, DispatcherDriver.repeatable());
+            while (handled < driver.starts.size() - 20) {
+                Start start = driver.start(handled++);
+                boolean bad = driver.agentOf(start).equals(agents.getFirst());
+                failuresAfterTwoSeconds += bad && step > 400 ? 1 : 0;
+                driver.result(start, bad ? TaskStatus.TASK_STATUS_FAILED : TaskStatus.TASK_STATUS_DONE, "x");
+            }
+            driver.advance(Duration.ofMillis(5));
+        }
+        assertThat(failuresAfterTwoSeconds, lessThan(1_600 / 100));
+        assertThat(driver.outcomes.values(), everyItem(instanceOf(JobOutcome.Complete.class)));
+        assertThat(driver.lines, hasItem(containsString("event=quarantine service=routing agent=agent0@1")));
+    }
+
     @Test
     void writesEachPlacementWithItsInputs() {
         driver.connect("a", 8);
--- /dev/null
+++ b/library/src/test/java/org/chivetally/placement/PlacementPolicyTest.java
@@ -0,0 +1,211 @@
+package org.chivetally.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.chivetally.coordination.AgentId;
+import org.chivetally.job.Resources;
+import org.chivetally.wire.v1.Capacity;
+import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.Report;
+import org.junit.jupiter.api.Test;
+
+class PlacementPolicyTest {
+    private static final String SERVICE = "routing";
+    private static final int SLOTS = 8;
+    private static final long FRESH = 2_000_000_000L;
+    private static final PlacementPolicy CREDITS = new PlacementPolicy.SlotCredits(0);
+
+    private final Fleet fleet = new Fleet(0, 0);
+    private final List<AgentView> agents = new ArrayList<>();
+    private long sequence;
+
+    private AgentView agent(String domain, int running) {
+        Hello hello = Hello.newBuilder()
+                .setService(SERVICE)
+                .setFailureDomain(domain)
+                .setCapacity(Capacity.newBuilder().setSlots(SLOTS))
+                .setReport(report(running))
+                .build();
+        AgentView agent = fleet.connected(new AgentId("agent" + agents.size(), "1"), hello, 0);
+        agents.add(agent);
+        return agent;
+    }
+
+    private Report report(int running) {
+        return Report.newBuilder()
+                .setSequence(++sequence)
+                .setRunning(running)
+                .setFreeSlots(SLOTS - running)
+                .build();
+    }
+
+    private PlacementChoice choose(PlacementPolicy policy, long seed, long now) {
+        Placer placer = new Placer(policy, "north", FRESH, new SplittableRandom(seed));
+        return placer.choose(fleet.of(SERVICE), Resources.NONE, Set.of(), now);
+    }
+
+    private int[] spread(PlacementPolicy policy, int choices) {
+        int[] counts = new int[agents.size()];
+        for (int seed = 0; seed < choices; seed++) {
+            counts[agents.indexOf(choose(policy, seed, 0).agent().orElseThrow())]++;
+        }
+        return counts;
+    }
+
+    @Test
+    void creditsHoldBackWhileAllSlotsAreTaken() {
+        agent("north", SLOTS);
+        assertThat(CREDITS.hasCandidates(fleet.of(SERVICE)), equalTo(false));
+        assertThat(choose(CREDITS, 1, 0).agent(), equalTo(Optional.empty()));
+        assertThat(new PlacementPolicy.PowerOfTwoChoices().hasCandidates(fleet.of(SERVICE)), equalTo(true));
+    }
+
+    @Test
+    void creditsCountPlacesInTheAgentsQueue() {
+        Fleet generous = new Fleet(2, 0);
+        AgentView view = generous.connected(
+                new AgentId("a", "1"),
+                Hello.newBuilder()
+                        .setService(SERVICE)
+                        .setCapacity(Capacity.newBuilder().setSlots(SLOTS))
+                        .setReport(report(SLOTS))
+                        .build(),
+                0);
+        assertThat(view.estimatedFree(2), equalTo(2));
+        assertThat(new PlacementPolicy.SlotCredits(2).hasCandidates(generous.of(SERVICE)), equalTo(true));
+    }
+
+    @Test
+    void creditsTakeTheLessLoadedOfTwo() {
+        agent("north", 6);
+        agent("north", 1);
+        int[] counts = spread(CREDITS, 400);
+        assertThat("only when drawn twice", counts[0], lessThan(40));
+    }
+
+    @Test
+    void nearerFailureDomainBreaksTies() {
+        agent("south", 3);
+        agent("north", 3);
+        int[] counts = spread(CREDITS, 400);
+        assertThat("only when drawn twice", counts[0], lessThan(40));
+    }
+
+    @Test
+    void ownAttemptsCountBesideOthers() {
+        AgentView view = agent("north", 5);
+        fleet.started(view, Resources.NONE);
+        fleet.started(view, Resources.NONE);
+        assertThat(view.others(), equalTo(5));
+        assertThat(view.estimatedFree(0), equalTo(1));
+        fleet.reported(view, report(7), 0);
+        assertThat("own ones are in the report", view.others(), equalTo(5));
+        fleet.ended(view, Resources.NONE);
+        assertThat(view.estimatedFree(0), equalTo(2));
+    }
+
+    @Test
+    void reportsOutOfOrderAreIgnored() {
+        AgentView view = agent("north", 0);
+        Report earlier = report(7);
+        Report later = report(1);
+        fleet.reported(view, later, 5);
+        fleet.reported(view, earlier, 6);
+        assertThat(view.others(), equalTo(1));
+        assertThat(view.ticketReceivedAt(), equalTo(5L));
+    }
+
+    @Test
+    void uniformRandomSpreadsWhateverTheLoad() {
+        agent("north", 0);
+        agent("south", SLOTS);
+        int[] counts = spread(new PlacementPolicy.UniformRandom(), 1_000);
+        assertThat((double) counts[0], closeTo(500, 80));
+    }
+
+    @Test
+    void leastLoadedFindsTheOneAmongMany() {
+        for (int number = 0; number < 100; number++) {
+            agent("north", 4);
+        }
+        AgentView least = agent("south", 2);
+        assertThat(choose(new PlacementPolicy.LeastLoaded(), 3, 0).agent(), equalTo(Optional.of(least)));
+    }
+
+    @Test
+    void joinIdleQueuePrefersIdleAgents() {
+        for (int number = 0; number < 20; number++) {
+            agent("north", 1);
+        }
+        AgentView idle = agent("north", 0);
+        PlacementPolicy policy = new PlacementPolicy.JoinIdleQueue();
+        assertThat(choose(policy, 3, 0).agent(), equalTo(Optional.of(idle)));
+        fleet.started(idle, Resources.NONE);
+        assertThat("any other when none is idle", choose(policy, 3, 0).agent().isPresent(), equalTo(true));
+    }
+
+    @Test
+    void staleTicketsAreReportedForRefresh() {
+        AgentView view = agent("north", 0);
+        PlacementChoice choice = choose(CREDITS, 1, FRESH + 1);
+        assertThat(choice.agent(), equalTo(Optional.empty()));
+        assertThat(choice.staleTickets(), contains(view));
+        fleet.refreshSent(view, FRESH + 1);
+        assertThat("one heartbeat is under way", choose(CREDITS, 1, FRESH + 2).staleTickets(), empty());
+    }
+
+    @Test
+    void oneFreshAgentAmongManyStaleIsFound() {
+        for (int number = 0; number < 40; number++) {
+            agent("north", 0);
+        }
+        AgentView fresh = agents.get(17);
+        fleet.reported(fresh, report(0), FRESH);
+        PlacementChoice choice = choose(CREDITS, 1, FRESH + 1);
+        assertThat(choice.agent(), equalTo(Optional.of(fresh)));
+    }
+
+    @Test
+    void avoidedAgentIsUsedOnlyWhenThereIsNoOther() {
+        AgentView only = agent("north", 0);
+        Placer placer = new Placer(CREDITS, "north", FRESH, new SplittableRandom(1));
+        Set<AgentId> avoid = Set.of(only.id());
+        assertThat(placer.choose(fleet.of(SERVICE), Resources.NONE, avoid, 0).agent(), equalTo(Optional.of(only)));
+        agent("north", SLOTS);
+        assertThat(
+                "waits for the other",
+                placer.choose(fleet.of(SERVICE), Resources.NONE, avoid, 0).agent(),
+                equalTo(Optional.empty()));
+    }
+
+    @Test
+    void unusableAgentsAreNoCandidates() {
+        AgentView view = agent("north", 0);
+        fleet.unreachable(view.id());
+        assertThat(view.state(), equalTo(AgentState.UNREACHABLE));
+        assertThat(fleet.of(SERVICE).hasAccepting(), equalTo(false));
+        fleet.gone(view.id(), 0);
+        assertThat(view.state(), equalTo(AgentState.GONE));
+        assertThat(fleet.of(SERVICE).members(), empty());
+        assertThat("may still have run something", fleet.possibleHolders(SERVICE, 0), hasSize(1));
+    }
+
+    @Test
+    void sameSeedRepeatsTheChoices() {
+        for (int number = 0; number < 50; number++) {
+            agent("north", number % 5);
+        }
+        assertThat(spread(CREDITS, 50), equalTo(spread(CREDITS, 50)));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/placement/QuarantineTest.java
@@ -0,0 +1,142 @@
+package org.chivetally.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chivetally.coordination.AgentId;
+import org.chivetally.placement.QuarantineVerdict.Kind;
+import org.chivetally.wire.v1.Capacity;
+import org.chivetally.wire.v1.Hello;
+import org.junit.jupiter.api.Test;
+
+class QuarantineTest {
+    private static final int AGENTS = 11;
+    private static final long SECOND = 1_000_000_000L;
+
+    private final Fleet fleet = new Fleet(0, 0);
+    private final List<AgentView> agents = new ArrayList<>();
+    private final Quarantine quarantine;
+    private long now;
+
+    QuarantineTest() {
+        for (int number = 0; number < AGENTS; number++) {
+            Hello hello = Hello.newBuilder()
+                    .setService("routing")
+                    .setCapacity(Capacity.newBuilder().setSlots(8))
+                    .build();
+            agents.add(fleet.connected(new AgentId("agent" + number, "1"), hello, 0));
+        }
+        quarantine = new Quarantine(QuarantineSettings.defaults(), fleet.of("routing"));
+    }
+
+    /** Lets the given agents fail and the others succeed, in turns; returns what was decided. */
+    private List<QuarantineVerdict> rounds(int rounds, List<AgentView> bad) {
+        List<QuarantineVerdict> verdicts = new ArrayList<>();
+        for (int round = 0; round < rounds; round++) {
+            now += SECOND / 100;
+            for (AgentView agent : agents) {
+                Optional<QuarantineVerdict> verdict =
+                        bad.contains(agent) ? quarantine.failed(agent, now) : quarantine.succeeded(agent, false, now);
+                verdict.ifPresent(verdicts::add);
+            }
+        }
+        return verdicts;
+    }
+
+    @Test
+    void withholdsWorkFromAMinionThatFailsManyTasks() {
+        List<QuarantineVerdict> verdicts = rounds(20, agents.subList(3, 4));
+        assertThat(verdicts, hasSize(1));
+        assertThat(verdicts.getFirst().agent(), equalTo(agents.get(3)));
+        assertThat(verdicts.getFirst().kind(), equalTo(Kind.WITHHELD));
+        assertThat(verdicts.getFirst().allowed(), equalTo(0));
+        assertThat(verdicts.getFirst().probeAfterNanos(), equalTo(SECOND));
+    }
+
+    @Test
+    void noticesAMinionThatFailsMostTasks() {
+        List<QuarantineVerdict> verdicts = new ArrayList<>();
+        for (int round = 0; round < 60; round++) {
+            rounds(1, round % 5 == 0 ? List.of() : agents.subList(0, 1));
+            verdicts.addAll(quarantine.probe(agents.get(0), now).stream().toList());
+        }
+        assertThat(verdicts.isEmpty(), equalTo(false));
+    }
+
+    @Test
+    void leavesAMinionAloneThatFailsNowAndThen() {
+        for (int round = 0; round < 200; round++) {
+            assertThat(rounds(1, round % 5 == 0 ? agents.subList(0, 1) : List.of()), empty());
+        }
+    }
+
+    @Test
+    void blamesTheServiceWhenAllMinionsFail() {
+        // Every minion of the service fails, say because of a bad release. Withholding some of them would send their
+        // share of the load to others that fail as well, and leave the service short once it is mended.
+        assertThat(rounds(50, agents), empty());
+    }
+
+    @Test
+    void blamesTheTaskWhenItFailsOnSeveralMinions() {
+        AgentView agent = agents.get(0);
+        rounds(10, List.of());
+        for (int task = 0; task < 50; task++) {
+            assertThat(quarantine.failed(agent, now), equalTo(Optional.empty()));
+            quarantine.pardon(agent, now);
+        }
+        assertThat(quarantine.failureRate(agent) < 0.1, equalTo(true));
+    }
+
+    @Test
+    void withholdsNoMoreThanTheShare() {
+        List<QuarantineVerdict> verdicts = new ArrayList<>();
+        QuarantineSettings tolerant = new QuarantineSettings(
+                0.3,
+                5,
+                0.6,
+                1.0,
+                QuarantineSettings.defaults().firstProbe(),
+                QuarantineSettings.defaults().longestProbe());
+        Quarantine capped = new Quarantine(tolerant, fleet.of("routing"));
+        for (int round = 0; round < 20; round++) {
+            for (AgentView agent : agents) {
+                capped.failed(agent, now).ifPresent(verdicts::add);
+            }
+        }
+        assertThat("0.3 of 11", verdicts, hasSize(3));
+    }
+
+    @Test
+    void releasesSlowlyByDoubling() {
+        AgentView agent = agents.get(0);
+        rounds(20, List.of(agent));
+        List<Integer> allowed = new ArrayList<>();
+        quarantine.probe(agent, now).ifPresent(verdict -> allowed.add(verdict.allowed()));
+        List<Kind> kinds = new ArrayList<>();
+        for (int task = 0; task < 7; task++) {
+            quarantine.succeeded(agent, false, now).ifPresent(verdict -> {
+                allowed.add(verdict.allowed());
+                kinds.add(verdict.kind());
+            });
+        }
+        assertThat(allowed, contains(1, 2, 4, Integer.MAX_VALUE));
+        assertThat(kinds, contains(Kind.RELEASING, Kind.RELEASING, Kind.RELEASED));
+    }
+
+    @Test
+    void failedProbeDoublesTheWait() {
+        AgentView agent = agents.get(0);
+        rounds(20, List.of(agent));
+        quarantine.probe(agent, now);
+        QuarantineVerdict verdict = quarantine.failed(agent, now).orElseThrow();
+        assertThat(verdict.kind(), equalTo(Kind.WITHHELD));
+        assertThat(verdict.probeAfterNanos(), equalTo(2 * SECOND));
+    }
+}
