--- a/command/src/main/java/org/chivetally/command/ApplyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ApplyCommand.java
@@ -52,8 +52,9 @@
             return console.failed(reply);
         }
         JsonNode written = reply.document();
-        console.line(written.path("kind").asString("") + " " + written.path("name").asString("") + " version "
-                + written.path("version").asString("") + (dryRun ? " (dry run)" : ""));
+        console.line(
+                written.path("kind").asString("") + " " + written.path("name").asString("") + " version "
+                        + written.path("version").asString("") + (dryRun ? " (dry run)" : ""));
         return ExitCodes.OK;
     }
 }
--- a/command/src/main/java/org/chivetally/command/Console.java
+++ b/command/src/main/java/org/chivetally/command/Console.java
@@ -12,8 +12,7 @@
 /** Standard output and standard error of one command. */
 record Console(PrintWriter out, PrintWriter error) {
     static Console of(CommandSpec command) {
-        return new Console(
-                command.commandLine().getOut(), command.commandLine().getErr());
+        return new Console(command.commandLine().getOut(), command.commandLine().getErr());
     }
 
     void line(String text) {
--- a/command/src/main/java/org/chivetally/command/DeleteCommand.java
+++ b/command/src/main/java/org/chivetally/command/DeleteCommand.java
@@ -3,7 +3,6 @@
 import java.util.concurrent.Callable;
 import org.chivetally.command.client.EntryClient;
 import org.chivetally.command.client.EntryReply;
-import org.chivetally.command.client.EntryRequest;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
--- a/command/src/main/java/org/chivetally/command/DiffCommand.java
+++ b/command/src/main/java/org/chivetally/command/DiffCommand.java
@@ -50,7 +50,9 @@
 
     private static int compare(ResourceWriter writer, Console console, JsonNode document) {
         EntryReply reply = writer.read(document);
-        boolean absent = reply.problem().filter(problem -> problem.code() == ErrorCode.NOT_FOUND).isPresent();
+        boolean absent = reply.problem()
+                .filter(problem -> problem.code() == ErrorCode.NOT_FOUND)
+                .isPresent();
         if (!reply.succeeded() && !absent) {
             return console.failed(reply);
         }
--- a/command/src/main/java/org/chivetally/command/StandInCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -61,7 +61,10 @@
         @Option(names = "--host", defaultValue = "127.0.0.1", description = "Host to listen on; 127.0.0.1 by default.")
         private String host;
 
-        @Option(names = "--port", defaultValue = "0", description = "Port to listen on; 0, the default, takes a free one.")
+        @Option(
+                names = "--port",
+                defaultValue = "0",
+                description = "Port to listen on; 0, the default, takes a free one.")
         private int port;
     }
 
@@ -108,8 +111,7 @@
         public Integer call() throws InterruptedException {
             LogSetup.install(Level.INFO);
             ActorSystem<Void> system = StandInSystem.start("log");
-            LogStandInSettings settings =
-                    new LogStandInSettings(appendLatency, appendsPerSecond, keptRecords, keptFor);
+            LogStandInSettings settings = new LogStandInSettings(appendLatency, appendsPerSecond, keptRecords, keptFor);
             ServerBinding binding = LogStandIn.start(system, listen.host, listen.port, settings)
                     .toCompletableFuture()
                     .join();
@@ -128,7 +130,10 @@
         @Mixin
         private ListenOptions listen;
 
-        @Option(names = "--count", defaultValue = "1", description = "Number of minions, at ports that follow; 1 by default.")
+        @Option(
+                names = "--count",
+                defaultValue = "1",
+                description = "Number of minions, at ports that follow; 1 by default.")
         private int count;
 
         @Option(
--- a/command/src/main/java/org/chivetally/command/client/EntryClient.java
+++ b/command/src/main/java/org/chivetally/command/client/EntryClient.java
@@ -76,7 +76,9 @@
 
     private <T> HttpResponse<T> exchange(EntryRequest request, Duration limit, HttpResponse.BodyHandler<T> handler) {
         HttpRequest.Builder builder = HttpRequest.newBuilder(entry.resolve(request.pathAndQuery()))
-                .method(request.method(), request.body().map(BodyPublishers::ofString).orElse(BodyPublishers.noBody()));
+                .method(
+                        request.method(),
+                        request.body().map(BodyPublishers::ofString).orElse(BodyPublishers.noBody()));
         request.headers().forEach(builder::header);
         if (limit != null) {
             builder.timeout(limit);
--- a/command/src/main/java/org/chivetally/command/client/EntryReply.java
+++ b/command/src/main/java/org/chivetally/command/client/EntryReply.java
@@ -1,8 +1,8 @@
 package org.chivetally.command.client;
 
 import java.util.Optional;
-import org.chivetally.errors.ErrorCode;
 import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
 import tools.jackson.core.JacksonException;
 import tools.jackson.databind.JsonNode;
 import tools.jackson.databind.json.JsonMapper;
--- a/command/src/main/java/org/chivetally/command/client/Problem.java
+++ b/command/src/main/java/org/chivetally/command/client/Problem.java
@@ -22,7 +22,10 @@
         JsonNode document = parsed(reply.body());
         ErrorCode code = codeOf(document.path("code").asString("")).orElseGet(() -> codeOf(reply.status()));
         String detail = document.path("detail").asString("HTTP " + reply.status() + " " + reply.body());
-        return new Problem(code, document.path("outcome").asString(document.path("certainty").asString("")), detail);
+        return new Problem(
+                code,
+                document.path("outcome").asString(document.path("certainty").asString("")),
+                detail);
     }
 
     /** Tells whether work may have started without a known outcome. */
--- a/command/src/main/java/org/chivetally/command/daemon/KeyValueFormatter.java
+++ b/command/src/main/java/org/chivetally/command/daemon/KeyValueFormatter.java
@@ -9,8 +9,9 @@
 
 /** Writes each record as one line of key=value pairs: time, level, logger, then the message. */
 public final class KeyValueFormatter extends Formatter {
-    private static final DateTimeFormatter TIME =
-            DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSSSSS'Z'", Locale.ROOT).withZone(ZoneOffset.UTC);
+    private static final DateTimeFormatter TIME = DateTimeFormatter.ofPattern(
+                    "yyyy-MM-dd'T'HH:mm:ss.SSSSSS'Z'", Locale.ROOT)
+            .withZone(ZoneOffset.UTC);
     private static final String EVENT_START = "event=";
 
     @Override
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -93,12 +93,8 @@
                 %s
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
-                """
-                .formatted(
-                        shared(entryName(entry), entry, framesPort(entry)),
-                        HOST,
-                        httpPort(entry),
-                        plan.appendsPerSecond());
+                """.formatted(
+                shared(entryName(entry), entry, framesPort(entry)), HOST, httpPort(entry), plan.appendsPerSecond());
     }
 
     private String agentSettings(int agent) {
@@ -113,8 +109,7 @@
                   processors: %d
                   memory: %s
                   accelerators: %d
-                """
-                .formatted(
+                """.formatted(
                         shared(agentName(agent), agent, firstPort + AGENTS_OFFSET + agent),
                         minionName(agent),
                         plan.service(),
@@ -132,8 +127,7 @@
                 process: {name: %s, failureDomain: %s}
                 frames: {host: %s, port: %d}
                 log: {url: "http://%s:%d"}
-                seeds: [%s]"""
-                .formatted(name, plan.failureDomain(position), HOST, framesPort, HOST, firstPort, seeds());
+                seeds: [%s]""".formatted(name, plan.failureDomain(position), HOST, framesPort, HOST, firstPort, seeds());
     }
 
     private String seeds() {
--- a/command/src/test/java/org/chivetally/command/CommandTest.java
+++ b/command/src/test/java/org/chivetally/command/CommandTest.java
@@ -64,8 +64,8 @@
     }
 
     /**
-     * The operator sees exit code 5 and the key to submit again with. The far end accepts the connection and the request,
-     * then closes without an answer: the job may have been accepted before that.
+     * The operator sees exit code 5 and the key to submit again with. The far end accepts the connection and the
+     * request, then closes without an answer: the job may have been accepted before that.
      */
     @Test
     void aLostAnswerToASubmissionIsUnknown() throws Exception {
