--- a/library/src/main/java/org/chivetally/claim/ClaimTable.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -33,8 +33,8 @@
         table.nextOffset = image.nextOffset();
         table.streamMillis = image.streamMillis();
         image.writers().forEach(writer -> table.writers.put(writer.name(), writer));
-        for (TableImage.Held held : image.held()) {
-            table.put(table.pack(held.claim(), image.streamMillis() + held.millisLeft()));
+        for (HeldClaim held : image.held()) {
+            table.put(held.withCoordinator(table.shared(held.coordinator()), held.generation()));
         }
         return table;
     }
@@ -43,12 +43,7 @@
     TableImage image() {
         List<TableImage.Writer> sortedWriters = new ArrayList<>(writers.values());
         sortedWriters.sort(Comparator.comparing(TableImage.Writer::name));
-        List<TableImage.Held> held = new ArrayList<>(byKey.size());
-        for (HeldClaim claim : byKey.values()) {
-            if (isInForce(claim)) {
-                held.add(new TableImage.Held(claim.claim(), claim.endMillis() - streamMillis));
-            }
-        }
+        List<HeldClaim> held = byKey.values().stream().filter(this::isInForce).toList();
         return new TableImage(nextOffset, streamMillis, sortedWriters, held);
     }
 
@@ -138,7 +133,7 @@
                 Claim.FIRST_GENERATION,
                 false);
         remove(byKey.get(claimed.key()));
-        put(pack(claim, streamMillis + claimed.window().toMillis()));
+        put(HeldClaim.of(claim, shared(claim.coordinator()), streamMillis + claimed.window().toMillis()));
         return new Folded.Won(claim);
     }
 
@@ -213,10 +208,6 @@
         }
     }
 
-    private HeldClaim pack(Claim claim, long endMillis) {
-        return HeldClaim.of(claim, shared(claim.coordinator()), endMillis);
-    }
-
     private Coordinator shared(Coordinator coordinator) {
         Coordinator known = coordinators.putIfAbsent(coordinator, coordinator);
         return known == null ? coordinator : known;
--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -180,7 +180,7 @@
             return;
         }
         table = ClaimTable.of(image);
-        image.held().forEach(held -> leases.needed(held.claim().coordinator(), nanos));
+        image.held().forEach(held -> leases.needed(held.coordinator(), nanos));
         streamTime.reached(table.streamMillis(), nanos);
         settle(nanos);
     }
@@ -248,6 +248,11 @@
         return table.nextOffset();
     }
 
+    /** Returns the stream's time in milliseconds. */
+    long streamMillis() {
+        return table.streamMillis();
+    }
+
     /** Tells whether the log was read to its end at least once. */
     boolean caughtUp() {
         return caughtUp;
--- a/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
@@ -41,6 +41,15 @@
     /** An append was answered. */
     record AppendAnswered(long number, AppendOutcome outcome) implements ClaimsCommand {}
 
+    /** The newest snapshot was looked for. */
+    record SnapshotLoaded(long number, SnapshotLoad load) implements ClaimsCommand {}
+
+    /** The end of the snapshot stream was looked at; nothing when the log can't be reached. */
+    record SnapshotTailRead(Optional<SnapshotTail> tail) implements ClaimsCommand {}
+
+    /** A snapshot of this process is written, or given up on. */
+    record SnapshotDone(long covers, long streamMillis, boolean whole) implements ClaimsCommand {}
+
     /** Time passed. */
     record Tick() implements ClaimsCommand {}
 
--- a/library/src/main/java/org/chivetally/claim/HeldClaim.java
+++ b/library/src/main/java/org/chivetally/claim/HeldClaim.java
@@ -56,7 +56,8 @@
         return HexFormat.fromHexDigitsToLong(digest, number * DIGITS, (number + 1) * DIGITS);
     }
 
-    private String bodyDigest() {
+    /** Returns the digest as text. */
+    String bodyDigest() {
         HexFormat format = HexFormat.of();
         return format.toHexDigits(digest1)
                 + format.toHexDigits(digest2)
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/SnapshotAssembler.java
@@ -0,0 +1,71 @@
+package org.chivetally.claim;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import org.chivetally.log.LogRecord;
+
+/**
+ * Finds the newest whole snapshot among chunks.
+ *
+ * <p>Chunks of several writers may lie between each other, stand twice, be damaged or be missing: a snapshot counts only
+ * when all its parts are there and valid, so that a half-written one can't hide claims.
+ */
+final class SnapshotAssembler {
+    private final Map<String, Parts> snapshots = new HashMap<>();
+
+    /** Takes a record of the snapshot stream in. */
+    void add(LogRecord logRecord) {
+        SnapshotChunk.decode(logRecord.payload()).ifPresent(this::add);
+    }
+
+    /** Returns the newest whole snapshot's content. */
+    Optional<TableImage> newest() {
+        List<Parts> whole = new ArrayList<>(
+                snapshots.values().stream().filter(Parts::isWhole).toList());
+        whole.sort(Comparator.comparingLong((Parts parts) -> parts.header.covers()).reversed());
+        for (Parts parts : whole) {
+            Optional<TableImage> image = SnapshotCodec.decode(parts.header, Arrays.asList(parts.bodies));
+            if (image.isPresent()) {
+                return image;
+            }
+        }
+        return Optional.empty();
+    }
+
+    private void add(SnapshotChunk chunk) {
+        SnapshotHeader header = chunk.header();
+        Parts parts = snapshots.computeIfAbsent(header.snapshot(), ignored -> new Parts(header));
+        parts.add(chunk);
+    }
+
+    /** The parts of one snapshot. */
+    private static final class Parts {
+        private final SnapshotHeader header;
+        private final byte[][] bodies;
+
+        private Parts(SnapshotHeader header) {
+            this.header = header;
+            this.bodies = new byte[header.parts()][];
+        }
+
+        private void add(SnapshotChunk chunk) {
+            SnapshotHeader other = chunk.header();
+            boolean same = other.parts() == header.parts()
+                    && other.covers() == header.covers()
+                    && other.streamMillis() == header.streamMillis();
+            if (same) {
+                bodies[other.part()] = chunk.body();
+            }
+        }
+
+        private boolean isWhole() {
+            return Arrays.stream(bodies).allMatch(Objects::nonNull);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/SnapshotReader.java
@@ -0,0 +1,113 @@
+package org.chivetally.claim;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.log.ReadOutcome;
+
+/** Reads the snapshot stream from its end backwards, as far as is needed for one whole snapshot. */
+final class SnapshotReader {
+    private static final int RECORDS_OF_A_READ = 16;
+    private static final long FIRST_STRETCH = 32;
+    private static final int GROWTH = 4;
+
+    private final PlatformLog log;
+    private final Executor executor;
+
+    /** Creates a reader; chunks are put together on the executor. */
+    SnapshotReader(PlatformLog log, Executor executor) {
+        this.log = log;
+        this.executor = executor;
+    }
+
+    /** Returns the newest whole, valid snapshot. */
+    CompletionStage<SnapshotLoad> load() {
+        return bounds().thenCompose(bounds -> switch (bounds) {
+            case Bounds.Known known -> load(known, FIRST_STRETCH);
+            case Bounds.Unknown unknown -> completed(new SnapshotLoad.Unavailable(unknown.reason()));
+        });
+    }
+
+    /** Returns the end of the stream, or nothing when the log can't be reached. */
+    CompletionStage<Optional<SnapshotTail>> tail() {
+        return bounds().thenCompose(bounds -> switch (bounds) {
+            case Bounds.Known known -> tail(known);
+            case Bounds.Unknown ignored -> completed(Optional.empty());
+        });
+    }
+
+    private CompletionStage<Optional<SnapshotTail>> tail(Bounds.Known bounds) {
+        if (bounds.end() == bounds.earliest()) {
+            return completed(Optional.of(new SnapshotTail(bounds.end(), Optional.empty())));
+        }
+        return log.read(LogClaims.SNAPSHOT_STREAM, bounds.end() - 1, 1, Duration.ZERO)
+                .thenApply(outcome -> switch (outcome) {
+                    case ReadOutcome.Records found -> Optional.of(new SnapshotTail(bounds.end(), lastHeader(found)));
+                    case ReadOutcome.Expired ignored -> Optional.of(new SnapshotTail(bounds.end(), Optional.empty()));
+                    case ReadOutcome.Unavailable ignored -> Optional.empty();
+                });
+    }
+
+    private static Optional<SnapshotHeader> lastHeader(ReadOutcome.Records found) {
+        if (found.records().isEmpty()) {
+            return Optional.empty();
+        }
+        return SnapshotChunk.decode(found.records().getLast().payload()).map(SnapshotChunk::header);
+    }
+
+    private CompletionStage<SnapshotLoad> load(Bounds.Known bounds, long stretch) {
+        long from = Math.max(bounds.earliest(), bounds.end() - stretch);
+        return collect(from, bounds.end(), new SnapshotAssembler()).thenCompose(load -> {
+            boolean goesOn = load instanceof SnapshotLoad.None && from > bounds.earliest();
+            return goesOn ? load(bounds, stretch * GROWTH) : completed(load);
+        });
+    }
+
+    private CompletionStage<SnapshotLoad> collect(long from, long end, SnapshotAssembler assembler) {
+        if (from >= end) {
+            return completed(assembler.newest().<SnapshotLoad>map(SnapshotLoad.Found::new).orElseGet(
+                    SnapshotLoad.None::new));
+        }
+        return log.read(LogClaims.SNAPSHOT_STREAM, from, RECORDS_OF_A_READ, Duration.ZERO)
+                .thenComposeAsync(
+                        outcome -> switch (outcome) {
+                            case ReadOutcome.Records found -> {
+                                found.records().forEach(assembler::add);
+                                long next = found.records().isEmpty() ? end : from + found.records().size();
+                                yield collect(next, end, assembler);
+                            }
+                            case ReadOutcome.Expired expired -> collect(expired.earliestOffset(), end, assembler);
+                            case ReadOutcome.Unavailable unavailable ->
+                                completed(new SnapshotLoad.Unavailable(unavailable.reason()));
+                        },
+                        executor);
+    }
+
+    private CompletionStage<Bounds> bounds() {
+        return bounds(0);
+    }
+
+    private CompletionStage<Bounds> bounds(long from) {
+        return log.read(LogClaims.SNAPSHOT_STREAM, from, 1, Duration.ZERO).thenCompose(outcome -> switch (outcome) {
+            case ReadOutcome.Records found -> completed(new Bounds.Known(from, found.endOffset()));
+            case ReadOutcome.Expired expired -> bounds(expired.earliestOffset());
+            case ReadOutcome.Unavailable unavailable -> completed(new Bounds.Unknown(unavailable.reason()));
+        });
+    }
+
+    private static <T> CompletionStage<T> completed(T value) {
+        return CompletableFuture.completedFuture(value);
+    }
+
+    /** Where the stream begins and ends. */
+    private sealed interface Bounds {
+        /** The oldest kept offset, and the one that the next record will get. */
+        record Known(long earliest, long end) implements Bounds {}
+
+        /** The log can't be reached. */
+        record Unknown(String reason) implements Bounds {}
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/SnapshotWriter.java
@@ -0,0 +1,142 @@
+package org.chivetally.claim;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.apache.pekko.actor.typed.javadsl.Receive;
+import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.NewRecord;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.logging.EventLine;
+
+/** Appends one snapshot, chunk by chunk with pauses, and stops. A chunk in doubt is repeated; readers drop repeats. */
+final class SnapshotWriter extends AbstractBehavior<SnapshotWriter.Command> {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final int MOST_FAILURES = 20;
+
+    private final TimerScheduler<Command> timers;
+    private final PlatformLog log;
+    private final ClaimSettings settings;
+    private final TableImage image;
+    private final Consumer<Boolean> whenDone;
+    private List<NewRecord> chunks = List.of();
+    private int part;
+    private int failures;
+    private int attempt;
+
+    private SnapshotWriter(
+            ActorContext<Command> context,
+            TimerScheduler<Command> timers,
+            PlatformLog log,
+            ClaimSettings settings,
+            TableImage image,
+            Consumer<Boolean> whenDone) {
+        super(context);
+        this.timers = timers;
+        this.log = log;
+        this.settings = settings;
+        this.image = image;
+        this.whenDone = whenDone;
+    }
+
+    /**
+     * Returns the behaviour.
+     *
+     * @param executor makes the chunks, which takes long for a large table
+     * @param whenDone told whether the whole snapshot was written
+     */
+    static Behavior<Command> create(
+            PlatformLog log,
+            ClaimSettings settings,
+            TableImage image,
+            String writer,
+            Executor executor,
+            Consumer<Boolean> whenDone) {
+        return Behaviors.setup(context -> Behaviors.withTimers(timers -> {
+            int chunkBytes = settings.snapshots().chunkBytes();
+            CompletableFuture<List<NewRecord>> chunks =
+                    CompletableFuture.supplyAsync(() -> SnapshotCodec.encode(image, writer, chunkBytes), executor);
+            context.pipeToSelf(chunks, (encoded, failure) -> new Encoded(failure == null ? encoded : List.of()));
+            return new SnapshotWriter(context, timers, log, settings, image, whenDone);
+        }));
+    }
+
+    @Override
+    public Receive<Command> createReceive() {
+        return newReceiveBuilder().onMessage(Command.class, this::receive).build();
+    }
+
+    private Behavior<Command> receive(Command command) {
+        return switch (command) {
+            case Encoded encoded -> begin(encoded.chunks());
+            case Send ignored -> send();
+            case Answered answered -> answered.attempt() == attempt ? answered(answered.outcome()) : this;
+        };
+    }
+
+    private Behavior<Command> begin(List<NewRecord> encoded) {
+        chunks = encoded;
+        return chunks.isEmpty() ? end(false) : send();
+    }
+
+    private Behavior<Command> send() {
+        attempt++;
+        int current = attempt;
+        Answered late = new Answered(current, new AppendOutcome.Unknown("no answer in time"));
+        timers.startSingleTimer(late, settings.tail().answerTimeout());
+        getContext()
+                .pipeToSelf(
+                        log.append(LogClaims.SNAPSHOT_STREAM, List.of(chunks.get(part))),
+                        (outcome, failure) -> new Answered(
+                                current, failure == null ? outcome : new AppendOutcome.Unknown(failure.toString())));
+        return this;
+    }
+
+    private Behavior<Command> answered(AppendOutcome outcome) {
+        attempt++;
+        timers.cancelAll();
+        if (!(outcome instanceof AppendOutcome.Appended)) {
+            failures++;
+            return failures > MOST_FAILURES ? end(false) : sendAfter(settings.tail().retryInterval());
+        }
+        failures = 0;
+        part++;
+        return part == chunks.size() ? end(true) : sendAfter(settings.snapshots().chunkInterval());
+    }
+
+    private Behavior<Command> sendAfter(Duration pause) {
+        timers.startSingleTimer(new Send(), pause);
+        return this;
+    }
+
+    private Behavior<Command> end(boolean whole) {
+        logger.atInfo().log(
+                "%s",
+                EventLine.of(whole ? "claim-snapshot-written" : "claim-snapshot-given-up")
+                        .with("covers", image.nextOffset())
+                        .with("claims", image.held().size())
+                        .with("parts", chunks.size()));
+        whenDone.accept(whole);
+        return Behaviors.stopped();
+    }
+
+    /** Messages of the writer. */
+    sealed interface Command {}
+
+    /** The chunks are made; none when that failed. */
+    record Encoded(List<NewRecord> chunks) implements Command {}
+
+    /** Append the next chunk. */
+    record Send() implements Command {}
+
+    /** An append was answered, or not in time. */
+    record Answered(int attempt, AppendOutcome outcome) implements Command {}
+}
--- a/library/src/main/java/org/chivetally/claim/TableImage.java
+++ b/library/src/main/java/org/chivetally/claim/TableImage.java
@@ -8,10 +8,10 @@
  *
  * @param nextOffset offset of the first record that is not in it
  * @param streamMillis the stream's time at that offset
- * @param writers how far each writer has got
+ * @param writers how far each writer has got, by name
  * @param held the claims in force, oldest first
  */
-record TableImage(long nextOffset, long streamMillis, List<Writer> writers, List<Held> held) {
+record TableImage(long nextOffset, long streamMillis, List<Writer> writers, List<HeldClaim> held) {
     TableImage {
         writers = List.copyOf(writers);
         held = List.copyOf(held);
@@ -28,15 +28,4 @@
             Objects.requireNonNull(name, "name");
         }
     }
-
-    /**
-     * A claim in force.
-     *
-     * @param millisLeft what is left of its window at the stream's time of the image
-     */
-    record Held(Claim claim, long millisLeft) {
-        Held {
-            Objects.requireNonNull(claim, "claim");
-        }
-    }
 }
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -1,24 +1,36 @@
 package org.chivetally.claim;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
 import org.chivetally.job.JobId;
+import org.chivetally.job.ServicePolicy.ClaimMode;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.LogRecord;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 class LogClaimsTest {
-    private static final SubmissionKey KEY = new SubmissionKey("team", "key");
-    private static final String BODY = "ab".repeat(32);
-    private static final String OTHER_BODY = "cd".repeat(32);
+    private static final SubmissionKey KEY = ClaimSamples.KEY;
+    private static final String BODY = ClaimSamples.BODY;
+    private static final Duration STEP = Duration.ofMillis(50);
+    private static final Duration NOTICED = Duration.ofMillis(500);
+    private static final ClaimSettings SETTINGS = ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1));
+    private static final Duration LAPSE = SETTINGS.lease().plus(SETTINGS.longestTicketAge());
 
     private final ActorTestKit kit = ActorTestKit.create(ManualTime.config());
     private final ManualTime time = ManualTime.get(kit.system());
@@ -34,32 +46,374 @@
     @Test
     void claimOfFreeKeyIsWonAndLaterOnesAttach() {
         LogClaims claims = start("a", log);
-        ClaimDecision first = join(claims.claim(KEY, BODY, new JobId("job-1")));
-        Claim claim = new Claim(KEY, BODY, new JobId("job-1"), self("a"), 1, false);
-        assertThat(first, is(new ClaimDecision.Won(claim)));
-        assertThat(join(claims.claim(KEY, BODY, new JobId("job-2"))), is(new ClaimDecision.Attached(claim)));
-        assertThat(join(claims.claim(KEY, OTHER_BODY, new JobId("job-3"))), is(new ClaimDecision.KeyReused(claim)));
+        Claim claim = ClaimSamples.claim("job-1", "a", 1);
+        assertThat(claim(claims, "job-1"), is(new ClaimDecision.Won(claim)));
+        assertThat(claim(claims, "job-2"), is(new ClaimDecision.Attached(claim)));
+        ClaimDecision reused = join(claims.claim(KEY, ClaimSamples.OTHER_BODY, new JobId("job-3")));
+        assertThat(reused, is(new ClaimDecision.KeyReused(claim)));
+    }
+
+    /*
+     * Two callers submit one key at two entries at once, and each gets a decision: one wins, one attaches.
+     * Both entries append before either reads the other's record; the log's order decides, the same for both.
+     */
+    @Test
+    void twoEntriesRaceOnOneKey() {
+        ScriptedLog viewOfB = log.view();
+        LogClaims a = start("a", log);
+        LogClaims b = start("b", viewOfB);
+        log.holdAppends(true);
+        viewOfB.holdAppends(true);
+        CompletionStage<ClaimDecision> first = a.claim(KEY, BODY, new JobId("job-a"));
+        CompletionStage<ClaimDecision> second = b.claim(KEY, BODY, new JobId("job-b"));
+        settle();
+        viewOfB.land(viewOfB.heldAppends().getFirst());
+        log.land(log.heldAppends().getFirst());
+        Claim winner = ClaimSamples.claim("job-b", "b", 1);
+        assertThat(join(second), is(new ClaimDecision.Won(winner)));
+        assertThat(join(first), is(new ClaimDecision.Attached(winner)));
+    }
+
+    /*
+     * The caller's job is accepted as usual though the log's answer to the append was lost after the write.
+     * The entry reads its own record back, so the answer isn't needed, and nothing is appended a second time.
+     */
+    @Test
+    void answerLostAfterTheWrite() {
+        LogClaims claims = start("a", log);
+        int before = log.appends();
+        log.loseAnswers(1);
+        assertThat(claim(claims, "job-1"), is(new ClaimDecision.Won(ClaimSamples.claim("job-1", "a", 1))));
+        pass(Duration.ofSeconds(1));
+        assertThat(log.appends(), is(before + 1));
+    }
+
+    /*
+     * The caller's job is accepted once, though its claim stands three times in the log.
+     * The append is not answered and doesn't land; it is sent again with the same record ids and lands; then the first
+     * sending lands late, twice. All readers drop records whose ids they have folded.
+     */
+    @Test
+    void retriedAppendLandsLateAndTwice() {
+        LogClaims a = start("a", log);
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> decision = a.claim(KEY, BODY, new JobId("job-1"));
+        settle();
+        ScriptedLog.HeldAppend original = log.heldAppends().getFirst();
+        original.answer().complete(new AppendOutcome.Unknown("lost"));
+        log.holdAppends(false);
+        pass(SETTINGS.commit().settleTime().plus(STEP));
+        Claim claim = ClaimSamples.claim("job-1", "a", 1);
+        assertThat(join(decision), is(new ClaimDecision.Won(claim)));
+        log.land(original);
+        log.land(original);
+        assertThat(recordsOf(original.records().getFirst().id()), hasSize(3));
+        LogClaims b = start("b", log.view());
+        assertThat(join(b.find(KEY)), is(Optional.of(claim)));
+        assertThat(claim(b, "job-2"), is(new ClaimDecision.Attached(claim)));
+    }
+
+    /*
+     * While the log is down callers hear "not run" at once instead of waiting; when it is back they are served again.
+     * No time passes between the claim and its refusal, as the failed read is known already.
+     */
+    @Test
+    void claimsAreRefusedAtOnceWhileTheLogIsDown() {
+        LogClaims claims = start("a", log);
+        log.down(true);
+        settle();
+        assertThat(claim(claims, "job-1"), instanceOf(ClaimDecision.LogUnavailable.class));
+        assertThat(join(claims.find(KEY)), is(Optional.empty()));
+        log.down(false);
+        pass(NOTICED);
+        assertThat(claim(claims, "job-2"), is(new ClaimDecision.Won(ClaimSamples.claim("job-2", "a", 1))));
+    }
+
+    /*
+     * An entry that was paused past its lease starts nothing, even before any of its timers has run.
+     * The clock jumps while the process stands still; the lease is a reading of the clock, so it is over at once, the
+     * listener hears of it with the first tick, and a renewal regains it.
+     */
+    @Test
+    void leaseIsLostWhenPausedPastIt() {
+        List<Boolean> changes = Collections.synchronizedList(new ArrayList<>());
+        LogClaims claims = start("a", log);
+        claims.onLeaseChange(changes::add);
+        assertThat(claims.holdsLease(), is(true));
+        clock.advance(SETTINGS.lease());
+        assertThat(claims.holdsLease(), is(false));
+        pass(NOTICED);
+        assertThat(changes, contains(true, false, true));
+        assertThat(claims.holdsLease(), is(true));
+    }
+
+    /*
+     * A job's coordinator dies and the caller resubmits at two other entries: exactly one goes on with the job.
+     * Before the lease has lapsed both attach to the dead one. Afterwards both append a takeover to generation 2; the
+     * first in the log's order wins, the other attaches to it.
+     */
+    @Test
+    void twoEntriesRaceToTakeOver() {
+        LogClaims dead = start("a", log.view());
+        LogClaims b = start("b", log);
+        LogClaims c = start("c", log.view());
+        claim(dead, "job-1");
+        Claim claim = ClaimSamples.claim("job-1", "a", 1);
+        dead.stop();
+        pass(Duration.ofSeconds(1));
+        assertThat(join(b.takeOver(claim)), is(new ClaimDecision.Attached(claim)));
+        pass(LAPSE.plus(SETTINGS.renewalInterval()));
+        assertThat(b.hasLapsed(claim.coordinator()), is(true));
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> early = b.takeOver(claim);
+        settle();
+        Claim winner = ClaimSamples.claim("job-1", "c", 2);
+        assertThat(join(c.takeOver(claim)), is(new ClaimDecision.Won(winner)));
+        log.land(log.heldAppends().getFirst());
+        assertThat(join(early), is(new ClaimDecision.Attached(winner)));
+    }
+
+    /*
+     * An entry was cut off, lost its lease, and its job was taken over: when it is back it hears who has the job now.
+     * Its agents refuse its starts by generation anyway; hearing of it lets it drop the job.
+     */
+    @Test
+    void replacedCoordinatorIsTold() {
+        List<Claim> replaced = Collections.synchronizedList(new ArrayList<>());
+        ScriptedLog viewOfA = log.view();
+        LogClaims a = start("a", viewOfA);
+        LogClaims b = start("b", log);
+        a.onReplaced(replaced::add);
+        claim(a, "job-1");
+        viewOfA.down(true);
+        pass(LAPSE.plus(SETTINGS.renewalInterval()));
+        join(b.takeOver(ClaimSamples.claim("job-1", "a", 1)));
+        assertThat(a.holdsLease(), is(false));
+        assertThat(replaced, is(empty()));
+        viewOfA.down(false);
+        pass(NOTICED);
+        assertThat(replaced, contains(ClaimSamples.claim("job-1", "b", 2)));
+    }
+
+    /*
+     * The caller hears "not run"; the claim lands in the log afterwards, as the winner; a resubmission is served.
+     * The entry gave the claim up after its time, will never act on it, and so withdraws it as soon as it reads it.
+     * Without that the key would belong, for the whole window, to a live process that doesn't know the job.
+     */
+    @Test
+    void givenUpClaimThatTurnsUpIsReleased() {
+        LogClaims a = start("a", log);
+        LogClaims b = start("b", log.view());
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> decision = a.claim(KEY, BODY, new JobId("job-1"));
+        pass(SETTINGS.claimTimeout().plus(STEP));
+        assertThat(join(decision), instanceOf(ClaimDecision.LogUnavailable.class));
+        log.holdAppends(false);
+        log.land(log.heldAppends().getFirst());
+        settle();
+        assertThat(join(a.find(KEY)), is(Optional.empty()));
+        assertThat(join(b.find(KEY)), is(Optional.empty()));
+        assertThat(claim(b, "job-2"), is(new ClaimDecision.Won(ClaimSamples.claim("job-2", "b", 1))));
+    }
+
+    /*
+     * As above, but the caller resubmits at the same entry before the withdrawal stands in the log.
+     * The new claim isn't attached to the withdrawn one, which nobody works on; it follows the withdrawal and wins.
+     */
+    @Test
+    void resubmissionWaitsForTheRelease() {
+        LogClaims a = start("a", log);
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> givenUp = a.claim(KEY, BODY, new JobId("job-1"));
+        pass(SETTINGS.claimTimeout().minus(STEP));
+        CompletionStage<ClaimDecision> second = a.claim(KEY, BODY, new JobId("job-2"));
+        pass(STEP.plus(STEP));
+        assertThat(join(givenUp), instanceOf(ClaimDecision.LogUnavailable.class));
+        log.holdAppends(false);
+        log.land(log.heldAppends().getFirst());
+        pass(NOTICED);
+        assertThat(join(second), is(new ClaimDecision.Won(ClaimSamples.claim("job-2", "a", 1))));
+    }
+
+    /*
+     * The caller hears "not run", and no record of the claim ever counts, though the append lands minutes later.
+     * A later record of the same process stands before it by then, and a record that comes after a later one of its
+     * writer is void for every reader.
+     */
+    @Test
+    void givenUpClaimThatLandsAfterLaterRecordsIsVoid() {
+        LogClaims a = start("a", log);
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> decision = a.claim(KEY, BODY, new JobId("job-1"));
+        pass(SETTINGS.claimTimeout().plus(STEP));
+        assertThat(join(decision), instanceOf(ClaimDecision.LogUnavailable.class));
+        log.holdAppends(false);
+        pass(Duration.ofMinutes(1));
+        log.land(log.heldAppends().getFirst());
+        settle();
+        assertThat(join(a.find(KEY)), is(Optional.empty()));
+        assertThat(join(start("b", log.view()).find(KEY)), is(Optional.empty()));
+    }
+
+    /*
+     * A takeover is given up and turns up as the winner: the key is not freed, as the first coordinator may have started
+     * tasks. The claim stays, of nobody, so that the next resubmission can take it over at once and inquire first.
+     */
+    @Test
+    void givenUpTakeoverThatTurnsUpIsLeftToNobody() {
+        LogClaims dead = start("a", log.view());
+        LogClaims b = start("b", log);
+        LogClaims c = start("c", log.view());
+        claim(dead, "job-1");
+        dead.stop();
+        pass(LAPSE.plus(SETTINGS.renewalInterval()));
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> takeOver = b.takeOver(ClaimSamples.claim("job-1", "a", 1));
+        pass(SETTINGS.claimTimeout().plus(STEP));
+        assertThat(join(takeOver), instanceOf(ClaimDecision.LogUnavailable.class));
+        log.holdAppends(false);
+        log.land(log.heldAppends().getFirst());
+        settle();
+        Claim abandoned = join(c.find(KEY)).orElseThrow();
+        assertThat(abandoned, is(new Claim(KEY, BODY, new JobId("job-1"), Coordinator.NOBODY, 2, false)));
+        assertThat(c.hasLapsed(abandoned.coordinator()), is(true));
+        assertThat(join(c.takeOver(abandoned)), is(new ClaimDecision.Won(ClaimSamples.claim("job-1", "c", 3))));
+    }
+
+    /*
+     * After a departure other entries may take jobs over without waiting for the lease, once no start of the departed
+     * one can be accepted any more.
+     */
+    @Test
+    void departedCoordinatorLapsesAfterTheTicketAge() {
+        LogClaims a = start("a", log.view());
+        LogClaims b = start("b", log);
+        join(a.depart());
+        assertThat(a.holdsLease(), is(false));
+        assertThat(claim(a, "job-1"), instanceOf(ClaimDecision.LogUnavailable.class));
+        pass(SETTINGS.longestTicketAge());
+        assertThat(b.hasLapsed(ClaimSamples.process("a")), is(false));
+        pass(STEP.plus(STEP));
+        assertThat(b.hasLapsed(ClaimSamples.process("a")), is(true));
+    }
+
+    /*
+     * With claims in memory, callers are served while the log is down; afterwards the claim stands in the log, so that
+     * other entries attach to it.
+     */
+    @Test
+    void claimInMemoryIsAppendedLate() {
+        ScriptedLog viewOfA = log.view();
+        LogClaims a = start("a", viewOfA);
+        LogClaims b = start("b", log);
+        viewOfA.down(true);
+        settle();
+        Claim claim = ClaimSamples.claim("job-1", "a", 1);
+        assertThat(claimInMemory(a, "job-1"), is(new ClaimDecision.Won(claim)));
+        assertThat(claimInMemory(a, "job-2"), is(new ClaimDecision.Attached(claim)));
+        viewOfA.down(false);
+        pass(SETTINGS.renewalInterval().plus(NOTICED));
+        assertThat(claim(b, "job-3"), is(new ClaimDecision.Attached(claim)));
+    }
+
+    /*
+     * Two entries claimed one key, one of them in memory during its outage: both jobs go on, as the service allows, and
+     * from then on all resubmissions attach to the one that came first in the log.
+     */
+    @Test
+    void claimInMemoryLosesToAnEarlierOneInTheLog() {
+        ScriptedLog viewOfA = log.view();
+        LogClaims a = start("a", viewOfA);
+        LogClaims b = start("b", log);
+        viewOfA.down(true);
+        settle();
+        assertThat(claimInMemory(a, "job-a"), is(new ClaimDecision.Won(ClaimSamples.claim("job-a", "a", 1))));
+        Claim first = ClaimSamples.claim("job-b", "b", 1);
+        assertThat(claim(b, "job-b"), is(new ClaimDecision.Won(first)));
+        viewOfA.down(false);
+        pass(SETTINGS.renewalInterval().plus(NOTICED));
+        assertThat(claimInMemory(a, "job-c"), is(new ClaimDecision.Attached(first)));
+    }
+
+    /*
+     * The records of claims have expired in the log, yet a fresh entry attaches resubmissions to them.
+     * A snapshot was written before; the fresh entry reads it and then the stream from where it ends.
+     */
+    @Test
+    void freshProcessReadsSnapshotWhenRecordsExpired() {
+        LogClaims a = start("a", log);
+        claim(a, "job-1");
+        CompletionStage<LogRecord> written = log.nextRecord(LogClaims.SNAPSHOT_STREAM);
+        pass(SETTINGS.snapshots().interval(), Duration.ofSeconds(1));
+        join(written);
+        log.expire(LogClaims.STREAM, log.records(LogClaims.STREAM).size());
+        LogClaims b = start("b", log.view());
+        settleUntilCaughtUp(b);
+        assertThat(join(b.find(KEY)), is(Optional.of(ClaimSamples.claim("job-1", "a", 1))));
+    }
+
+    /*
+     * An entry was cut off for so long that the records it has to read next have expired: it goes on from a snapshot, and
+     * knows claims that were made meanwhile. With only an older snapshot it keeps what it has.
+     */
+    @Test
+    void processCutOffForLongGoesOnFromSnapshot() {
+        ScriptedLog viewOfA = log.view();
+        LogClaims a = start("a", viewOfA);
+        LogClaims b = start("b", log);
+        claim(a, "job-1");
+        viewOfA.down(true);
+        Claim missed = new Claim(
+                ClaimSamples.OTHER_KEY, BODY, new JobId("job-2"), ClaimSamples.process("b"), 1, false);
+        join(b.claim(missed.key(), BODY, missed.job()));
+        CompletionStage<LogRecord> written = log.nextRecord(LogClaims.SNAPSHOT_STREAM);
+        pass(SETTINGS.snapshots().interval(), Duration.ofSeconds(1));
+        join(written);
+        log.expire(LogClaims.STREAM, log.records(LogClaims.STREAM).size());
+        viewOfA.down(false);
+        CompletionStage<LogRecord> renewed = log.nextRecord(LogClaims.STREAM);
+        pass(NOTICED);
+        join(renewed);
+        while (join(a.find(missed.key())).isEmpty()) {
+            settle();
+        }
+        assertThat(join(a.find(missed.key())), is(Optional.of(missed)));
+        assertThat(join(a.find(KEY)), is(Optional.of(ClaimSamples.claim("job-1", "a", 1))));
     }
 
     private LogClaims start(String process, ScriptedLog view) {
-        ClaimSettings settings = ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1));
-        LogClaims claims =
-                LogClaims.start(kit.system(), view, settings, self(process), clock, new SimpleMeterRegistry());
+        Coordinator self = ClaimSamples.process(process);
+        LogClaims claims = LogClaims.start(kit.system(), view, SETTINGS, self, clock, new SimpleMeterRegistry());
         started.add(claims);
+        settleUntilCaughtUp(claims);
         pass(Duration.ofMillis(100));
         return claims;
     }
 
-    private static Coordinator self(String process) {
-        return new Coordinator(process, process + "-1", "10.0.0.1", 7000);
+    private ClaimDecision claim(LogClaims claims, String job) {
+        return join(claims.claim(KEY, BODY, new JobId(job)));
+    }
+
+    private ClaimDecision claimInMemory(LogClaims claims, String job) {
+        return join(claims.claim(KEY, BODY, new JobId(job), ClaimMode.MEMORY));
+    }
+
+    private List<LogRecord> recordsOf(String id) {
+        return log.records(LogClaims.STREAM).stream()
+                .filter(logRecord -> logRecord.id().equals(id))
+                .toList();
     }
 
-    /** Lets time pass in small steps, and all processes work after each. */
     private void pass(Duration duration) {
-        Duration step = Duration.ofMillis(50);
+        pass(duration, STEP);
+    }
+
+    /** Lets time pass in steps; after each the log answers reads that it held back, and all processes work. */
+    private void pass(Duration duration, Duration step) {
         for (Duration passed = Duration.ZERO; passed.compareTo(duration) < 0; passed = passed.plus(step)) {
             clock.advance(step);
             time.timePasses(step);
+            log.answerPolls();
             settle();
         }
     }
@@ -71,6 +425,13 @@
         }
     }
 
+    /** Snapshots are read on another thread, whose work no message tells the end of. */
+    private void settleUntilCaughtUp(LogClaims claims) {
+        while (!claims.caughtUp()) {
+            pass(Duration.ofMillis(10), Duration.ofMillis(10));
+        }
+    }
+
     private static <T> T join(CompletionStage<T> stage) {
         return stage.toCompletableFuture().orTimeout(10, TimeUnit.SECONDS).join();
     }
--- a/library/src/test/java/org/chivetally/claim/ScriptedLog.java
+++ b/library/src/test/java/org/chivetally/claim/ScriptedLog.java
@@ -17,6 +17,8 @@
 
 /** A log in memory whose faults a test switches on and off; all views of one share the streams. */
 final class ScriptedLog implements PlatformLog {
+    private static final Duration LONGEST_POLL = Duration.ofHours(1);
+
     private final Shared shared;
     private final List<HeldAppend> heldAppends = new ArrayList<>();
     private boolean down;
@@ -69,7 +71,7 @@
             if (!empty || wait.isZero()) {
                 return CompletableFuture.completedFuture(now);
             }
-            Poll poll = new Poll(this, stream, from, limit, new CompletableFuture<>());
+            Poll poll = new Poll(this, stream, from, limit, wait, new CompletableFuture<>());
             shared.polls.add(poll);
             return poll.answer();
         }
@@ -120,10 +122,19 @@
         }
     }
 
+    /** Returns the next record that is written to a stream. */
+    CompletionStage<LogRecord> nextRecord(String stream) {
+        synchronized (shared) {
+            int from = shared.records(stream).size();
+            return read(stream, from, 1, Duration.ofDays(1))
+                    .thenApply(outcome -> ((ReadOutcome.Records) outcome).records().getFirst());
+        }
+    }
+
     /** Answers the reads that the log holds back: nothing new. */
     void answerPolls() {
         synchronized (shared) {
-            shared.answer(poll -> true, poll -> shared.read(poll.stream(), poll.from(), poll.limit()));
+            shared.answer(poll -> poll.longest().compareTo(LONGEST_POLL) < 0, poll -> shared.read(poll.stream(), poll.from(), poll.limit()));
         }
     }
 
@@ -157,7 +168,12 @@
     record HeldAppend(String stream, List<NewRecord> records, CompletableFuture<AppendOutcome> answer) {}
 
     private record Poll(
-            ScriptedLog view, String stream, long from, int limit, CompletableFuture<ReadOutcome> answer) {}
+            ScriptedLog view,
+            String stream,
+            long from,
+            int limit,
+            Duration longest,
+            CompletableFuture<ReadOutcome> answer) {}
 
     private static final class Shared {
         private final Map<String, List<LogRecord>> streams = new HashMap<>();
