--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -57,12 +57,7 @@
      *
      * @param clock read only by claims that are made in memory
      */
-    Claimant(
-            ClaimSettings settings,
-            Coordinator self,
-            LeaseTable leases,
-            OwnLease lease,
-            NanoClock clock) {
+    Claimant(ClaimSettings settings, Coordinator self, LeaseTable leases, OwnLease lease, NanoClock clock) {
         long nanos = clock.nanos();
         this.settings = settings;
         this.self = self;
@@ -111,8 +106,7 @@
             decide(reply, unavailable(obstacle.get()), 0);
             return;
         }
-        ClaimRecord.TakenOver taken =
-                new ClaimRecord.TakenOver(claim.key(), claim.job(), self, claim.generation() + 1);
+        ClaimRecord.TakenOver taken = new ClaimRecord.TakenOver(claim.key(), claim.job(), self, claim.generation() + 1);
         offer(new WaitingClaim(taken, ClaimMode.LOG, reply, nanos));
     }
 
@@ -372,9 +366,7 @@
 
     private void noticeEnd(long endOffset) {
         if (!caughtUp) {
-            write(EventLine.of("claims-caught-up")
-                    .with("offset", endOffset)
-                    .with("claims", table.size()));
+            write(EventLine.of("claims-caught-up").with("offset", endOffset).with("claims", table.size()));
         }
         caughtUp = true;
     }
@@ -421,8 +413,7 @@
 
     private Optional<Claim> ownClaimOf(ClaimRecord content) {
         return switch (content) {
-            case ClaimRecord.Claimed claimed ->
-                ownClaim(claimed.key(), claimed.job(), Claim.FIRST_GENERATION);
+            case ClaimRecord.Claimed claimed -> ownClaim(claimed.key(), claimed.job(), Claim.FIRST_GENERATION);
             case ClaimRecord.TakenOver taken -> ownClaim(taken.key(), taken.job(), taken.generation());
             default -> Optional.empty();
         };
@@ -456,8 +447,8 @@
             decide(claim.reply(), new ClaimDecision.Won(own.get()), nanos - claim.startedNanos());
             return;
         }
-        ClaimDecision decision = inForce
-                .map(other -> decideAgainst(other, claim.bodyDigest().orElse(other.bodyDigest())))
+        ClaimDecision decision = inForce.map(
+                        other -> decideAgainst(other, claim.bodyDigest().orElse(other.bodyDigest())))
                 .orElseGet(() -> unavailable("the claim is no longer in force"));
         decide(claim.reply(), decision, nanos - claim.startedNanos());
     }
@@ -512,7 +503,8 @@
     }
 
     private void renew(long nanos) {
-        boolean due = !renewalQueued || nanos - renewalNanos >= settings.renewalInterval().toNanos();
+        boolean due = !renewalQueued
+                || nanos - renewalNanos >= settings.renewalInterval().toNanos();
         if (departing || !due) {
             return;
         }
--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -110,9 +110,7 @@
 
     @Override
     public Receive<ClaimsCommand> createReceive() {
-        return newReceiveBuilder()
-                .onMessage(ClaimsCommand.class, this::receive)
-                .build();
+        return newReceiveBuilder().onMessage(ClaimsCommand.class, this::receive).build();
     }
 
     private Behavior<ClaimsCommand> receive(ClaimsCommand command) {
@@ -182,7 +180,8 @@
         if (readOpen && nanos - readSentNanos > readLimit.toNanos()) {
             readFailed("no answer in time", nanos);
         }
-        if (appendOpen && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
+        if (appendOpen
+                && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
             appendAnswered(appendNumber, new AppendOutcome.Unknown("no answer in time"), nanos);
         }
         if (loading && nanos - loadSentNanos > LOAD_LIMIT.toNanos()) {
@@ -198,7 +197,9 @@
         loadNumber++;
         loadSentNanos = nanos;
         long number = loadNumber;
-        snapshots.load().whenComplete((load, failure) -> me.tell(new ClaimsCommand.SnapshotLoaded(
+        snapshots
+                .load()
+                .whenComplete((load, failure) -> me.tell(new ClaimsCommand.SnapshotLoaded(
                         number, failure == null ? load : new SnapshotLoad.Unavailable(failure.toString()))));
     }
 
@@ -239,19 +240,27 @@
             return;
         }
         snapshotBusy = true;
-        snapshots.tail().whenComplete((tail, failure) -> me.tell(new ClaimsCommand.SnapshotTailRead(failure == null ? tail : Optional.empty())));
+        snapshots
+                .tail()
+                .whenComplete((tail, failure) ->
+                        me.tell(new ClaimsCommand.SnapshotTailRead(failure == null ? tail : Optional.empty())));
     }
 
     private void snapshotTailRead(Optional<SnapshotTail> tail, long nanos) {
-        boolean write = tail.isPresent()
-                && schedule.shallWrite(tail.get(), claimant.nextOffset(), claimant.streamMillis());
+        boolean write =
+                tail.isPresent() && schedule.shallWrite(tail.get(), claimant.nextOffset(), claimant.streamMillis());
         if (!write) {
             pauseSnapshots(nanos);
             return;
         }
         TableImage image = claimant.image();
         Behavior<SnapshotWriter.Command> behavior = SnapshotWriter.create(
-                log, settings, image, writer, executor, whole -> me.tell(new ClaimsCommand.SnapshotDone(image.nextOffset(), image.streamMillis(), whole)));
+                log,
+                settings,
+                image,
+                writer,
+                executor,
+                whole -> me.tell(new ClaimsCommand.SnapshotDone(image.nextOffset(), image.streamMillis(), whole)));
         getContext().spawnAnonymous(behavior);
     }
 
@@ -264,7 +273,8 @@
 
     private void pauseSnapshots(long nanos) {
         snapshotBusy = false;
-        snapshotNotBeforeNanos = nanos + settings.snapshots().interval().dividedBy(LOOKS_IN_INTERVAL).toNanos();
+        snapshotNotBeforeNanos = nanos
+                + settings.snapshots().interval().dividedBy(LOOKS_IN_INTERVAL).toNanos();
     }
 
     private void readOn() {
@@ -283,7 +293,7 @@
         Duration wait = claimant.caughtUp() ? settings.tail().pollWait() : Duration.ZERO;
         log.read(LogClaims.STREAM, claimant.nextOffset(), settings.tail().readLimit(), wait)
                 .whenComplete((outcome, failure) -> me.tell(new ClaimsCommand.ReadAnswered(
-                                number, failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString()))));
+                        number, failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString()))));
     }
 
     private void readAnswered(ClaimsCommand.ReadAnswered answered, long nanos) {
@@ -324,7 +334,8 @@
         appendNumber = batch.number();
         appendSentNanos = clock.nanos();
         meters.appending(batch.records().size());
-        log.append(LogClaims.STREAM, encode(batch)).whenComplete((outcome, failure) -> me.tell(new ClaimsCommand.AppendAnswered(
+        log.append(LogClaims.STREAM, encode(batch))
+                .whenComplete((outcome, failure) -> me.tell(new ClaimsCommand.AppendAnswered(
                         batch.number(), failure == null ? outcome : new AppendOutcome.Unknown(failure.toString()))));
     }
 
