--- a/library/src/main/java/org/chivetally/resource/ResourceService.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceService.java
@@ -12,10 +12,10 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.Cancellable;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Props;
@@ -34,16 +34,19 @@
  * also while the log is down; {@link #age()} tells how old they may be.
  */
 public final class ResourceService implements ServicePolicies {
+    private final ActorSystem<?> system;
     private final ResourceSettings settings;
     private final NanoClock clock;
     private final AtomicReference<ResourceView> view;
     private final ActorRef<ResourceCommand> actor;
 
     private ResourceService(
+            ActorSystem<?> system,
             ResourceSettings settings,
             NanoClock clock,
             AtomicReference<ResourceView> view,
             ActorRef<ResourceCommand> actor) {
+        this.system = system;
         this.settings = settings;
         this.clock = clock;
         this.view = view;
@@ -60,7 +63,7 @@
                 ResourceActor.create(log, settings, clock, view::set),
                 "resources-" + settings.processId(),
                 Props.empty());
-        return new ResourceService(settings, clock, view, actor);
+        return new ResourceService(system, settings, clock, view, actor);
     }
 
     /** Returns the newest table of this process. */
@@ -134,11 +137,14 @@
         CompletableFuture<WriteOutcome> answer = new CompletableFuture<>();
         actor.tell(new ResourceCommand.Submit(record, answer));
         // Without a limit of its own a caller would wait for ever if the actor were stopped before it took the message.
-        Duration limit = settings.writeTimeout().multipliedBy(2);
-        return answer.completeOnTimeout(
-                new WriteOutcome.InDoubt(id, "the process gave no answer"),
-                limit.toMillis(),
-                TimeUnit.MILLISECONDS);
+        WriteOutcome none = new WriteOutcome.InDoubt(id, "the process gave no answer");
+        Cancellable limit = system.scheduler()
+                .scheduleOnce(
+                        settings.writeTimeout().multipliedBy(2),
+                        () -> answer.complete(none),
+                        system.executionContext());
+        answer.whenComplete((outcome, failure) -> limit.cancel());
+        return answer;
     }
 
     /** Returns what is known of a write. */
