--- a/library/src/test/java/org/chivetally/document/DocumentTest.java
+++ b/library/src/test/java/org/chivetally/document/DocumentTest.java
@@ -98,7 +98,8 @@
                         "mistakes.yaml:2:1: name: the key stands twice, first at mistakes.yaml:1:1",
                         "mistakes.yaml:1:1: team: is missing",
                         "mistakes.yaml:3:8: queue: \"0\" is not a whole number from 1 to 10",
-                        "mistakes.yaml:4:7: wait: \"5 parsecs\" is not a duration from 1ms to 5s, as a whole number with"
+                        "mistakes.yaml:4:7: wait: \"5 parsecs\" is not a duration from 1ms to 5s, as a whole"
+                                + " number with"
                                 + " us, ms, s, m or h",
                         "mistakes.yaml:5:7: size: \"3MB\" is not a size from 0B to 1MiB, as a whole number with B, KiB,"
                                 + " MiB, GiB or TiB",
@@ -148,8 +149,8 @@
 
     @Test
     void readsJsonAsItsWritersGiveIt() {
-        String json = "{\n\t\"a\":\"\\u00e6\\ud83c\\udf32\\/\",\"b\":{\"c\":-1.5e3,\"d\":[]},\t\"e\":\"" + "x".repeat(2000)
-                + "\"}";
+        String json = "{\n\t\"a\":\"\\u00e6\\ud83c\\udf32\\/\",\"b\":{\"c\":-1.5e3,\"d\":[]},\t\"e\":\""
+                + "x".repeat(2000) + "\"}";
         Document document = Document.parse("body", json);
         assertThat(document.root().text("a", ""), is("\u00e6\ud83c\udf32/"));
         assertThat(document.root().section("b").toJson(), is("{\"c\":-1.5e3,\"d\":[]}"));
@@ -174,9 +175,41 @@
     @Provide
     Arbitrary<String> texts() {
         Arbitrary<String> pieces = Arbitraries.of(
-                "a", "b: ", "c:\n", "d: ", "\n", "\n  ", "\n - ", ": ", "[", "]", "{", "}", ",", "\"", "'", "&x ", "*x",
-                "!!int ", "|", ">-", "\t", "---\n", "...", "%YAML 1.2\n", "? ", "#", "\\u00", "\\U00110000", "1e9",
-                "null", "\0", "\ufeff", "\ud800", "@", "`");
+                "a",
+                "b: ",
+                "c:\n",
+                "d: ",
+                "\n",
+                "\n  ",
+                "\n - ",
+                ": ",
+                "[",
+                "]",
+                "{",
+                "}",
+                ",",
+                "\"",
+                "'",
+                "&x ",
+                "*x",
+                "!!int ",
+                "|",
+                ">-",
+                "\t",
+                "---\n",
+                "...",
+                "%YAML 1.2\n",
+                "? ",
+                "#",
+                "\\u00",
+                "\\U00110000",
+                "1e9",
+                "null",
+                "\0",
+                "\ufeff",
+                "\ud800",
+                "@",
+                "`");
         Arbitrary<String> structured = pieces.list().ofMaxSize(40).map(list -> String.join("", list));
         Arbitrary<String> bytes = Arbitraries.bytes()
                 .array(byte[].class)
--- a/library/src/test/java/org/chivetally/resource/ResourceServiceTest.java
+++ b/library/src/test/java/org/chivetally/resource/ResourceServiceTest.java
@@ -76,7 +76,9 @@
         // what became of it; it must not send it again.
         log.script(ScriptedLog.Appends.LOSE_ANSWER);
         ResourceService service = start("one");
-        assertThat(get(service.write("write-a", List.of(put("t", 0, 1)), "ann")), is(new WriteOutcome.Applied("write-a", 1)));
+        assertThat(
+                get(service.write("write-a", List.of(put("t", 0, 1)), "ann")),
+                is(new WriteOutcome.Applied("write-a", 1)));
         assertThat(log.appendCalls(), is(1));
     }
 
@@ -87,7 +89,8 @@
         // would take the state back to an older one.
         ResourceService service = start("one");
         log.script(ScriptedLog.Appends.HOLD);
-        CompletionStage<WriteOutcome> written = service.write("write-a", List.of(put("t", 0, 1).forced()), "ann");
+        CompletionStage<WriteOutcome> written =
+                service.write("write-a", List.of(put("t", 0, 1).forced()), "ann");
         until(() -> log.appendCalls() == 1);
         log.script(ScriptedLog.Appends.WORK);
         assertThat(get(written), is(new WriteOutcome.Applied("write-a", 1)));
@@ -105,7 +108,8 @@
         ResourceService service = start("one");
         log.script(ScriptedLog.Appends.LOSE_ANSWER);
         log.readable(false);
-        assertThat(get(service.write("write-a", List.of(put("t", 0, 1)), "ann")), instanceOf(WriteOutcome.InDoubt.class));
+        assertThat(
+                get(service.write("write-a", List.of(put("t", 0, 1)), "ann")), instanceOf(WriteOutcome.InDoubt.class));
         assertThat(get(service.writeStatus("write-a")), instanceOf(WriteStatus.NotSeen.class));
         log.readable(true);
         until(() -> service.version() == 1);
@@ -121,7 +125,8 @@
         int calls = log.appendCalls();
         assertThat(calls, greaterThan(1));
         log.script(ScriptedLog.Appends.LOSE_REQUEST);
-        assertThat(get(service.write("write-b", List.of(put("t", 0, 1)), "ann")), instanceOf(WriteOutcome.InDoubt.class));
+        assertThat(
+                get(service.write("write-b", List.of(put("t", 0, 1)), "ann")), instanceOf(WriteOutcome.InDoubt.class));
         // Sent again only now and then: each time after the log's end was read once more.
         assertThat(log.appendCalls() - calls, lessThan(12));
     }
@@ -136,7 +141,8 @@
 
     @Test
     void startsFromASnapshotAfterTheRecordsExpired() {
-        // Two writes, then a snapshot is due; all records before it expire. A process that starts now has the newest state,
+        // Two writes, then a snapshot is due; all records before it expire. A process that starts now has the newest
+        // state,
         // and the older snapshot and the half one that stand in the log as well do not take it back.
         ResourceService service = start("one");
         get(service.write("write-a", List.of(put("t", 0, 1)), "ann"));
@@ -159,7 +165,8 @@
     @Test
     void agreesOnOneStateWhenRecordsExpiredThatNoSnapshotCovers() {
         // One process read a write, then the log was out of reach for it until the next records had expired, and no
-        // snapshot was ever written. It waits, then writes its own state as a snapshot that goes on at the earliest record.
+        // snapshot was ever written. It waits, then writes its own state as a snapshot that goes on at the earliest
+        // record.
         // A process that starts with nothing must end in the same state, though it sees the same hole.
         ResourceService old = start("one");
         get(old.write("write-a", List.of(put("kept", 0, 1)), "ann"));
@@ -177,7 +184,8 @@
 
     @Test
     void servesFromAPeersStateWhenItStartsInAnOutage() {
-        // The log is down when a process starts. A peer's snapshot is taken, an older one after it is not; when the log is
+        // The log is down when a process starts. A peer's snapshot is taken, an older one after it is not; when the log
+        // is
         // back it reads on from there.
         ResourceService peer = start("peer");
         get(peer.write("write-a", List.of(put("t", 0, 1)), "ann"));
@@ -212,7 +220,10 @@
         assertThat(agent.service("reports").maximumAttempts(), is(6));
         assertThat(agent.version(), is(3L));
         assertThat(agent.team("t").weight(), is(1));
-        assertThat("an entry folds nothing onto an excerpt", get(service.offerSnapshot(newer.version(), newer.content())), is(false));
+        assertThat(
+                "an entry folds nothing onto an excerpt",
+                get(service.offerSnapshot(newer.version(), newer.content())),
+                is(false));
     }
 
     @Test
@@ -235,7 +246,8 @@
 
     @Test
     void endsASlowWatchAndNoOther() {
-        // One client stops reading its watch. Its queue fills up; it is ended with an error as the last event, which tells
+        // One client stops reading its watch. Its queue fills up; it is ended with an error as the last event, which
+        // tells
         // it where to go on, while writes and another watch go on as before.
         ResourceService service = start("one");
         SinkQueueWithCancel<WatchEvent> slow = watch(service, OptionalLong.of(0));
@@ -264,8 +276,7 @@
     }
 
     private ResourceService start(String name) {
-        ResourceService service =
-                ResourceService.start(kit.system(), log, ResourceSettings.defaults(name), nanos::get);
+        ResourceService service = ResourceService.start(kit.system(), log, ResourceSettings.defaults(name), nanos::get);
         services.add(service);
         return service;
     }
--- a/library/src/test/java/org/chivetally/resource/ScriptedLog.java
+++ b/library/src/test/java/org/chivetally/resource/ScriptedLog.java
@@ -127,7 +127,8 @@
 
     private boolean answerNow(Waiting read) {
         ReadOutcome outcome = outcome(read);
-        boolean atEnd = outcome instanceof ReadOutcome.Records found && found.records().isEmpty();
+        boolean atEnd =
+                outcome instanceof ReadOutcome.Records found && found.records().isEmpty();
         return !atEnd && read.answer().complete(outcome);
     }
 
--- a/library/src/test/java/org/chivetally/resource/http/ResourceRoutesTest.java
+++ b/library/src/test/java/org/chivetally/resource/http/ResourceRoutesTest.java
@@ -60,7 +60,8 @@
                 .bind(Directives.concat(
                         routes.route(),
                         Directives.path(
-                                PathMatchers.segment("v1").slash("jobs"), () -> Directives.complete(StatusCodes.ACCEPTED))))
+                                PathMatchers.segment("v1").slash("jobs"),
+                                () -> Directives.complete(StatusCodes.ACCEPTED))))
                 .toCompletableFuture()
                 .join();
         root = URI.create("http://127.0.0.1:" + binding.localAddress().getPort() + "/v1/");
@@ -78,13 +79,23 @@
         assertThat(created.statusCode(), is(201));
         HttpResponse<String> read = send("GET", "teams/a", "");
         JsonNode resource = MAPPER.readTree(read.body());
-        assertThat(resource.at("/spec").toString(), is("{\"maximumRunning\":100000,\"maximumQueued\":100000,\"weight\":2}"));
+        assertThat(
+                resource.at("/spec").toString(),
+                is("{\"maximumRunning\":100000,\"maximumQueued\":100000,\"weight\":2}"));
         assertThat(resource.at("/changedBy").stringValue(), is("ann"));
         assertThat(resource.at("/status/state").stringValue(), is("in-force"));
         assertThat(read.headers().firstValue("ETag"), is(Optional.of("\"1\"")));
         assertThat(send("PUT", "teams/a?basedOn=1", TEAM.replace("2", "3")).statusCode(), is(200));
-        assertThat(MAPPER.readTree(send("GET", "teams?label=owner=us", "").body()).at("/items/0/spec/weight").intValue(), is(3));
-        assertThat(MAPPER.readTree(send("GET", "teams?label=owner=them", "").body()).at("/items").size(), is(0));
+        assertThat(
+                MAPPER.readTree(send("GET", "teams?label=owner=us", "").body())
+                        .at("/items/0/spec/weight")
+                        .intValue(),
+                is(3));
+        assertThat(
+                MAPPER.readTree(send("GET", "teams?label=owner=them", "").body())
+                        .at("/items")
+                        .size(),
+                is(0));
         assertThat(send("DELETE", "teams/a?basedOn=2", "").statusCode(), is(200));
         assertThat(send("GET", "teams/a", "").statusCode(), is(404));
     }
@@ -118,7 +129,8 @@
 
     @Test
     void appliesAFolderAsOneChangeAndPrunes() throws Exception {
-        String two = "{\"resources\":[" + named("a", 1) + "," + named("b", 1) + "],\"prune\":{\"labels\":{\"owner\":\"us\"}}}";
+        String two = "{\"resources\":[" + named("a", 1) + "," + named("b", 1)
+                + "],\"prune\":{\"labels\":{\"owner\":\"us\"}}}";
         assertThat(actions(send("POST", "apply?dryRun=true", two)), is("added added "));
         assertThat(send("GET", "teams/a", "").statusCode(), is(404));
         assertThat(actions(send("POST", "apply", two)), is("added added "));
@@ -126,17 +138,20 @@
         String one = two.replace(named("a", 1) + ",", "").replace(named("b", 1), named("b", 5));
         assertThat(actions(send("POST", "apply", one)), is("changed deleted "));
         assertThat(send("GET", "teams/a", "").statusCode(), is(404));
-        String stale = "{\"resources\":[" + named("c", 1) + "," + named("b", 6).replace("{\"kind", "{\"basedOn\":1,\"kind") + "]}";
+        String stale = "{\"resources\":[" + named("c", 1) + ","
+                + named("b", 6).replace("{\"kind", "{\"basedOn\":1,\"kind") + "]}";
         assertThat(send("POST", "apply", stale).statusCode(), is(409));
         assertThat(send("GET", "teams/c", "").statusCode(), is(404));
-        HttpResponse<String> empty = send("POST", "apply", "{\"resources\":[],\"prune\":{\"labels\":{\"owner\":\"us\"}}}");
+        HttpResponse<String> empty =
+                send("POST", "apply", "{\"resources\":[],\"prune\":{\"labels\":{\"owner\":\"us\"}}}");
         assertThat(empty.statusCode(), is(400));
     }
 
     @Test
     void watchesAsLinesFromAVersion() throws Exception {
         send("PUT", "teams/a?basedOn=0", TEAM);
-        HttpRequest request = HttpRequest.newBuilder(root.resolve("teams?watch=true&from=0")).build();
+        HttpRequest request =
+                HttpRequest.newBuilder(root.resolve("teams?watch=true&from=0")).build();
         HttpResponse<InputStream> watch = client.send(request, HttpResponse.BodyHandlers.ofInputStream());
         try (BufferedReader lines = new BufferedReader(new InputStreamReader(watch.body()))) {
             assertThat(MAPPER.readTree(lines.readLine()).at("/type").stringValue(), is("added"));
@@ -155,11 +170,13 @@
         // report is shown with its age; after that the status says unknown rather than the last thing heard.
         send("PUT", "backendservers/m1?basedOn=0", "{\"spec\":{\"service\":\"reports\"}}");
         nanos.set(2 * SECOND);
-        JsonNode fresh = MAPPER.readTree(send("GET", "backendservers/m1", "").body()).at("/status");
+        JsonNode fresh =
+                MAPPER.readTree(send("GET", "backendservers/m1", "").body()).at("/status");
         assertThat(fresh.at("/state").stringValue(), is("draining"));
         assertThat(fresh.at("/ageMillis").longValue(), is(2_000L));
         nanos.set(6 * SECOND);
-        JsonNode silent = MAPPER.readTree(send("GET", "backendservers/m1", "").body()).at("/status");
+        JsonNode silent =
+                MAPPER.readTree(send("GET", "backendservers/m1", "").body()).at("/status");
         assertThat(silent.toString(), is("{\"state\":\"unknown\",\"ageMillis\":6000}"));
         JsonNode own = MAPPER.readTree(send("GET", "configuration/status", "").body());
         assertThat(own.at("/version").longValue(), is(1L));
@@ -173,7 +190,8 @@
         assertThat(send("GET", "teams?watch=true&from=x", "").statusCode(), is(400));
     }
 
-    private HttpResponse<String> send(String method, String path, String body) throws IOException, InterruptedException {
+    private HttpResponse<String> send(String method, String path, String body)
+            throws IOException, InterruptedException {
         HttpRequest request = HttpRequest.newBuilder(root.resolve(path))
                 .header("Chivetally-Operator", "ann")
                 .method(method, HttpRequest.BodyPublishers.ofString(body))
@@ -182,7 +200,8 @@
     }
 
     private static String named(String name, int weight) {
-        return "{\"kind\":\"team\",\"name\":\"" + name + "\",\"labels\":{\"owner\":\"us\"},\"spec\":{\"weight\":" + weight + "}}";
+        return "{\"kind\":\"team\",\"name\":\"" + name + "\",\"labels\":{\"owner\":\"us\"},\"spec\":{\"weight\":"
+                + weight + "}}";
     }
 
     private static String actions(HttpResponse<String> response) {
