--- a/library/src/main/java/org/chivetally/resource/ResourceService.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceService.java
@@ -30,8 +30,8 @@
 /**
  * The resources as one entry has them: reads, writes, watches and snapshots.
  *
- * <p>All methods are safe from any thread and none blocks; stages never complete exceptionally. Reads answer from memory,
- * also while the log is down; {@link #age()} tells how old they may be.
+ * <p>All methods are safe from any thread and none blocks; stages never complete exceptionally. Reads answer from
+ * memory, also while the log is down; {@link #age()} tells how old they may be.
  */
 public final class ResourceService implements ServicePolicies {
     private final ActorSystem<?> system;
@@ -56,8 +56,7 @@
     /** Starts reading the log; one service for each actor system. */
     public static ResourceService start(
             ActorSystem<?> system, PlatformLog log, ResourceSettings settings, NanoClock clock) {
-        ResourceView first =
-                new ResourceView(ResourceTable.empty(), DeclaredPolicies.none(), clock.nanos(), false);
+        ResourceView first = new ResourceView(ResourceTable.empty(), DeclaredPolicies.none(), clock.nanos(), false);
         AtomicReference<ResourceView> view = new AtomicReference<>(first);
         ActorRef<ResourceCommand> actor = system.systemActorOf(
                 ResourceActor.create(log, settings, clock, view::set),
@@ -112,8 +111,7 @@
     }
 
     /** Creates a resource, or replaces the given version of it; see {@link Change#put}. */
-    public CompletionStage<WriteOutcome> put(
-            ResourceKey key, long basedOn, Change.Content content, String changedBy) {
+    public CompletionStage<WriteOutcome> put(ResourceKey key, long basedOn, Change.Content content, String changedBy) {
         return write(List.of(Change.put(key, basedOn, content)), changedBy);
     }
 
@@ -128,8 +126,8 @@
     }
 
     /**
-     * Makes changes under an id of the caller's; a second write of the same id takes effect no second time and is answered
-     * like the first.
+     * Makes changes under an id of the caller's; a second write of the same id takes effect no second time and is
+     * answered like the first.
      */
     public CompletionStage<WriteOutcome> write(String id, List<Change> changes, String changedBy) {
         String at = Instant.now().truncatedTo(ChronoUnit.MILLIS).toString();
@@ -169,7 +167,8 @@
                     "changes after version " + told + " are not kept, those after " + table.earliestWatch()
                             + " are; list again and watch from the list's version");
         }
-        return new WatchAnswer.Started(Source.lazySource(() -> newWatch(kind, told)).mapMaterializedValue(ignored -> NotUsed.getInstance()));
+        return new WatchAnswer.Started(
+                Source.lazySource(() -> newWatch(kind, told)).mapMaterializedValue(ignored -> NotUsed.getInstance()));
     }
 
     private Source<WatchEvent, NotUsed> newWatch(Optional<ResourceKind> kind, long told) {
