--- a/library/src/main/java/org/chivetally/resource/ResourceService.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceService.java
@@ -53,15 +53,13 @@
         this.actor = actor;
     }
 
-    /** Starts reading the log; one service for each actor system. */
+    /** Starts reading the log. */
     public static ResourceService start(
             ActorSystem<?> system, PlatformLog log, ResourceSettings settings, NanoClock clock) {
         ResourceView first = new ResourceView(ResourceTable.empty(), DeclaredPolicies.none(), clock.nanos(), false);
         AtomicReference<ResourceView> view = new AtomicReference<>(first);
         ActorRef<ResourceCommand> actor = system.systemActorOf(
-                ResourceActor.create(log, settings, clock, view::set),
-                "resources-" + settings.processId(),
-                Props.empty());
+                ResourceActor.create(log, settings, clock, view::set), "resources-" + UUID.randomUUID(), Props.empty());
         return new ResourceService(system, settings, clock, view, actor);
     }
 
--- a/library/src/main/java/org/chivetally/resource/RoutingSchema.java
+++ b/library/src/main/java/org/chivetally/resource/RoutingSchema.java
@@ -11,7 +11,7 @@
 public final class RoutingSchema implements ResourceSchema<RoutingPolicy> {
     private static final Duration SHORTEST = Duration.ofMillis(20);
     private static final Duration LONGEST = Duration.ofMinutes(1);
-    private static final double MOST_OVERCOMMIT = 4;
+    private static final int MOST_OVERCOMMIT = 64;
 
     @Override
     public Optional<RoutingPolicy> read(String name, Section spec) {
@@ -19,13 +19,16 @@
         RoutingPolicy policy = new RoutingPolicy(
                 name,
                 spec.choice("placement", RoutingPolicy.Placement.class, defaults.placement()),
-                spec.decimal("overcommit", 1, MOST_OVERCOMMIT, defaults.overcommit()),
+                (int) spec.whole("overcommit", 0, MOST_OVERCOMMIT, defaults.overcommit()),
                 spec.decimal("retryBudgetShare", 0, 1, defaults.retryBudgetShare()),
                 spec.duration("heartbeatActive", SHORTEST, LONGEST, defaults.heartbeatActive()),
                 spec.duration("heartbeatIdle", SHORTEST, LONGEST, defaults.heartbeatIdle()),
                 spec.duration("silentAfter", SHORTEST, LONGEST, defaults.silentAfter()),
                 spec.decimal("quarantineShare", 0, 1, defaults.quarantineShare()),
                 spec.text("preferredFailureDomain", defaults.preferredFailureDomain()));
+        if (policy.overcommit() > 0 && policy.placement() != RoutingPolicy.Placement.SLOT_CREDITS) {
+            spec.mistake("overcommit", "has a meaning with placement slot-credits only");
+        }
         if (policy.silentAfter().compareTo(policy.heartbeatActive().multipliedBy(2)) < 0) {
             spec.mistake(
                     "silentAfter", "must be at least twice heartbeatActive, or one lost heartbeat counts as silence");
