--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
@@ -17,6 +18,7 @@
 import org.apache.pekko.actor.typed.Props;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.SubmissionKey;
 import org.chivetally.coordination.AgentId;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.dispatch.DispatchActor;
@@ -52,10 +54,14 @@
     private final CompletableFuture<ActorRef<PeerCommand>> peers = new CompletableFuture<>();
     private final CompletableFuture<ActorRef<MemberActor.Command>> members = new CompletableFuture<>();
     private final ActorRef<SubmissionCommand> submissions;
+    private final ActorRef<ActorGuard.Command> guard;
+    private final CompletableFuture<Void> failure = new CompletableFuture<>();
 
     EntryActors(ActorSystem<?> system, Parts parts) {
         this.system = system;
         this.parts = parts;
+        this.guard = system.systemActorOf(
+                ActorGuard.create(failure), "guard-" + parts.member().incarnation(), Props.empty());
         this.submissions = spawn("submissions", SubmissionActor.create(submissionParts()));
         this.dispatch.complete(spawn("dispatch", DispatchActor.create(dispatchParts())));
         this.peers.complete(spawn("peers", PeerActor.create(peerParts())));
@@ -97,12 +103,18 @@
 
     /** Says in the log that this process stops. */
     CompletableFuture<Void> leave() {
+        guard.tell(new ActorGuard.Stop());
         CompletableFuture<Void> left = new CompletableFuture<>();
         tellMembers(new MemberActor.Leave(left));
         return left;
     }
 
-    /** Ends the actors and with them their connections. */
+    /** Returns a stage that completes exceptionally when an actor ends by a broken invariant, and never otherwise. */
+    CompletionStage<Void> failure() {
+        return failure;
+    }
+
+    /** Ends the actors that {@link #leave} has not, and with them their connections. */
     void stop() {
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Stop()));
         peers.thenAccept(actor -> actor.tell(new PeerCommand.Stop()));
@@ -119,7 +131,9 @@
     }
 
     private <T> ActorRef<T> spawn(String name, Behavior<T> behavior) {
-        return system.systemActorOf(behavior, name + "-" + parts.member().incarnation(), Props.empty());
+        ActorRef<T> actor = system.systemActorOf(behavior, name + "-" + parts.member().incarnation(), Props.empty());
+        guard.tell(new ActorGuard.Watch(actor));
+        return actor;
     }
 
     private SubmissionActor.Parts submissionParts() {
@@ -177,6 +191,8 @@
                 parts.settings().heartbeats(),
                 (job, outcome) -> submissions.tell(new SubmissionCommand.PeerAnswered(job, outcome)),
                 this::introduced,
+                parts.requestIds()::incrementAndGet,
+                membersRead::get,
                 parts.clock());
     }
 
@@ -196,6 +212,13 @@
             tellPeers(new PeerCommand.Forget(job));
         }
 
+        @Override
+        public CompletionStage<Boolean> nobodyHas(SubmissionKey key) {
+            CompletableFuture<Boolean> answer = new CompletableFuture<>();
+            tellPeers(new PeerCommand.AskKey(key, answer));
+            return answer;
+        }
+
         @Override
         public void cancel(Coordinator coordinator, JobId job) {
             tellPeers(new PeerCommand.CancelJob(coordinator, job));
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -71,6 +71,10 @@
         this.draining = started.draining();
         this.waits = new Waits(system);
         this.binding = binding;
+        actors.failure().exceptionally(failure -> {
+            fail(failure);
+            return null;
+        });
     }
 
     /** Starts an entry of which nothing is declared and to which nothing is added. */
@@ -163,6 +167,21 @@
         return drained;
     }
 
+    /** Completes when the entry has stopped, exceptionally when a broken invariant ended it. */
+    public CompletionStage<Void> whenStopped() {
+        return drained.minimalCompletionStage();
+    }
+
+    private void fail(Throwable failure) {
+        LOGGER.atSevere().withCause(failure).log(
+                "%s", EventLine.of("entry-failed").with("process", settings.processId()));
+        draining.set(true);
+        actors.leave();
+        actors.stop();
+        binding.terminate(TERMINATION_LIMIT);
+        drained.completeExceptionally(failure);
+    }
+
     private void stop(Throwable failure) {
         if (failure != null) {
             LOGGER.atWarning().withCause(failure).log("%s", EventLine.of("entry-drain-failed"));
--- a/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
+++ b/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -74,30 +73,40 @@
     }
 
     private void attach(FrameConnection connection, long requestId, Attach attach) {
-        Optional<JobId> job =
-                Optional.of(attach.getJobId()).filter(text -> !text.isEmpty()).map(JobId::new);
+        if (attach.getJobId().isEmpty()) {
+            parts.submissions()
+                    .accept(new SubmissionCommand.AskKey(
+                            KeyQuestions.key(attach), known -> answerKey(connection, requestId, known)));
+            return;
+        }
         parts.submissions()
                 .accept(new SubmissionCommand.Attach(
-                        job,
-                        attach.getKey(),
+                        new JobId(attach.getJobId()),
                         answer -> parts.executor().execute(() -> answer(connection, requestId, answer))));
     }
 
+    private static void answerKey(FrameConnection connection, long requestId, boolean known) {
+        send(connection, requestId, JobAnswer.newBuilder().setKnown(known));
+    }
+
     private static void answer(FrameConnection connection, long requestId, AttachAnswer answer) {
         JobAnswer.Builder body = JobAnswer.newBuilder()
-                .setJobId(answer.job().map(JobId::text).orElse(""))
-                .setKnown(answer.known())
+                .setJobId(answer.job().text())
+                .setKnown(answer.outcome().isPresent())
                 .setOutcome(answer.outcome()
-                        .map(outcome -> fitting(answer, outcome))
+                        .map(outcome -> fitting(answer.job(), outcome))
                         .orElse(""));
+        send(connection, requestId, body);
+    }
+
+    private static void send(FrameConnection connection, long requestId, JobAnswer.Builder body) {
         connection.send(
                 Frame.newBuilder().setRequestId(requestId).setJobAnswer(body).build());
     }
 
     // A frame over the transport's limit would close the connection, and the asking entry would dial and ask again for
     // ever. It is told instead that the answer has to be fetched from this entry.
-    private static String fitting(AttachAnswer answer, JobOutcome outcome) {
-        JobId job = answer.job().orElseThrow();
+    private static String fitting(JobId job, JobOutcome outcome) {
         String document = OutcomeDocument.write(job, outcome);
         if (document.getBytes(StandardCharsets.UTF_8).length <= LONGEST_OUTCOME) {
             return document;
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -2,14 +2,17 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.PostStop;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -46,6 +49,7 @@
     private final Parts parts;
     private final LinkSet links;
     private final Map<JobId, Question> questions = new HashMap<>();
+    private final KeyQuestions keyQuestions = new KeyQuestions();
     private Set<String> viewed = Set.of();
 
     private PeerActor(ActorContext<PeerCommand> context, Parts parts) {
@@ -82,6 +86,7 @@
         switch (command) {
             case PeerCommand.Ask ask -> onAsk(ask);
             case PeerCommand.Forget forget -> questions.remove(forget.job());
+            case PeerCommand.AskKey ask -> onAskKey(ask);
             case PeerCommand.CancelJob cancel -> onCancel(cancel);
             case PeerCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
@@ -98,6 +103,25 @@
         send(question);
     }
 
+    private void onAskKey(PeerCommand.AskKey ask) {
+        boolean allReachable = viewed.stream().allMatch(entry -> links.usable(entry).isPresent());
+        if (!parts.membersRead().getAsBoolean() || !allReachable) {
+            ask.nobodyHas().complete(false);
+            return;
+        }
+        if (viewed.isEmpty()) {
+            ask.nobodyHas().complete(true);
+            return;
+        }
+        List<Long> requests = new ArrayList<>();
+        for (String entry : viewed) {
+            long request = parts.requestIds().getAsLong();
+            requests.add(request);
+            links.send(entry, KeyQuestions.frame(request, ask.key()));
+        }
+        keyQuestions.open(requests, ask.nobodyHas(), parts.clock().nanos());
+    }
+
     private void onCancel(PeerCommand.CancelJob cancel) {
         keep(cancel.coordinator());
         Frame frame = Frame.newBuilder()
@@ -141,6 +165,7 @@
     private void onTick() {
         long now = parts.clock().nanos();
         links.tick(now, this::awaits);
+        keyQuestions.expire(now);
         for (Question question : questions.values()) {
             if (question.dueAgain && now - question.askAt >= 0) {
                 send(question);
@@ -180,8 +205,12 @@
 
     @Override
     public void received(Hello sender, Frame frame) {
-        if (frame.hasJobAnswer()) {
-            onAnswer(frame.getJobAnswer());
+        if (!frame.hasJobAnswer()) {
+            return;
+        }
+        JobAnswer answer = frame.getJobAnswer();
+        if (!keyQuestions.answered(frame.getRequestId(), answer.getKnown())) {
+            onAnswer(answer);
         }
     }
 
@@ -231,6 +260,8 @@
      * @param wiring makes the links' wiring for the actor's signals
      * @param answered takes outcomes
      * @param introduced takes introductions of processes found at another's address
+     * @param requestIds request ids of this process, never repeated
+     * @param membersRead whether the members are known as the log has them
      */
     public record Parts(
             String self,
@@ -238,5 +269,7 @@
             HeartbeatSettings heartbeats,
             BiConsumer<JobId, JobOutcome> answered,
             Consumer<Hello> introduced,
+            LongSupplier requestIds,
+            BooleanSupplier membersRead,
             NanoClock clock) {}
 }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -1,6 +1,8 @@
 package org.chivetally.entry.peer;
 
+import java.util.concurrent.CompletableFuture;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.SubmissionKey;
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.member.MemberView;
 import org.chivetally.job.JobId;
@@ -13,6 +15,9 @@
     /** The answer is no longer wanted. */
     record Forget(JobId job) implements PeerCommand {}
 
+    /** Ask all other entries whether they have a job of a key. */
+    record AskKey(SubmissionKey key, CompletableFuture<Boolean> nobodyHas) implements PeerCommand {}
+
     /** Ask a coordinator to cancel its job. */
     record CancelJob(Coordinator coordinator, JobId job) implements PeerCommand {}
 
--- a/library/src/main/java/org/chivetally/entry/submission/Peers.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Peers.java
@@ -1,6 +1,8 @@
 package org.chivetally.entry.submission;
 
+import java.util.concurrent.CompletionStage;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.SubmissionKey;
 import org.chivetally.job.JobId;
 
 /** The way to other entries; safe from any thread. Answers come back to {@link SubmissionActor}. */
@@ -11,6 +13,13 @@
     /** Ends asking for a job. */
     void forget(JobId job);
 
+    /**
+     * Asks all other entries whether they have a job of a key; completes within a second.
+     *
+     * @return true when all other entries answered and none has one
+     */
+    CompletionStage<Boolean> nobodyHas(SubmissionKey key);
+
     /** Asks a coordinator to cancel its job; lost when it can't be reached now. */
     void cancel(Coordinator coordinator, JobId job);
 }
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -84,6 +84,7 @@
             case SubmissionCommand.JobFinished finished -> onJobFinished(finished);
             case SubmissionCommand.PeerAnswered answered -> onPeerAnswered(answered);
             case SubmissionCommand.Attach attach -> onAttach(attach);
+            case SubmissionCommand.AskKey ask -> onAskKey(ask);
             case SubmissionCommand.CancelForPeer cancel -> cancelHere(cancel.job());
             case SubmissionCommand.Await await -> onAwait(await);
             case SubmissionCommand.ListJobs list -> list.reply().complete(statuses(list.team(), list.limit()));
@@ -254,12 +255,17 @@
     }
 
     // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could send
-    // the same offer again under a new key. The claims read so far tell; an earlier submission that they show is joined
-    // instead of refused.
+    // the same offer again under a new key. An earlier submission that the claims read so far show is joined instead of
+    // refused. One whose claim was written after the last read is known to the entry that wrote it, so all are asked; if
+    // one does not answer, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
         if (claim.isEmpty()) {
-            found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.NOT_RUN)));
+            parts.peers()
+                    .nobodyHas(found.submission().key())
+                    .thenAccept(certain -> found.reply()
+                            .complete(new SubmissionReply.Refused(
+                                    found.refusal().with(certain ? Certainty.NOT_RUN : Certainty.UNKNOWN))));
             return;
         }
         if (!claim.get().bodyDigest().equals(found.submission().digest())) {
@@ -427,19 +433,21 @@
     }
 
     private void onAttach(SubmissionCommand.Attach attach) {
-        if (attach.job().isEmpty()) {
-            attach.reply().accept(new AttachAnswer(Optional.empty(), false, Optional.empty()));
-            return;
-        }
-        Optional<JobRecord> found = ledger.find(attach.job().get());
+        Optional<JobRecord> found = ledger.find(attach.job());
         if (found.isEmpty()) {
-            attach.reply().accept(new AttachAnswer(attach.job(), false, Optional.empty()));
+            attach.reply().accept(new AttachAnswer(attach.job(), Optional.empty()));
             return;
         }
-        JobRecord record = found.get();
-        record.done()
-                .thenAccept(
-                        outcome -> attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome))));
+        found.get()
+                .done()
+                .thenAccept(outcome -> attach.reply().accept(new AttachAnswer(attach.job(), Optional.of(outcome))));
+    }
+
+    private void onAskKey(SubmissionCommand.AskKey ask) {
+        boolean known = ledger.find(ask.key())
+                .filter(record -> record.outcome().filter(SubmissionActor::isPassingRefusal).isEmpty())
+                .isPresent();
+        ask.reply().accept(known);
     }
 
     private boolean cancelHere(JobId job) {
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
@@ -7,6 +7,7 @@
 import java.util.function.Consumer;
 import org.chivetally.claim.Claim;
 import org.chivetally.claim.ClaimDecision;
+import org.chivetally.claim.SubmissionKey;
 import org.chivetally.job.JobId;
 import org.chivetally.job.JobOutcome;
 
@@ -21,8 +22,11 @@
     /** Another entry answered about its job. */
     record PeerAnswered(JobId job, JobOutcome outcome) implements SubmissionCommand {}
 
-    /** Another entry asks for a job's outcome; without a job, whether the key is known here. */
-    record Attach(Optional<JobId> job, String key, Consumer<AttachAnswer> reply) implements SubmissionCommand {}
+    /** Another entry asks for a job's outcome. */
+    record Attach(JobId job, Consumer<AttachAnswer> reply) implements SubmissionCommand {}
+
+    /** Another entry asks whether this one has a job of a key. */
+    record AskKey(SubmissionKey key, Consumer<Boolean> reply) implements SubmissionCommand {}
 
     /** Another entry asks to cancel a job. */
     record CancelForPeer(JobId job) implements SubmissionCommand {}
@@ -67,8 +71,8 @@
     /** What is known of an awaited job. */
     record Awaited(JobStatus status, CompletionStage<JobOutcome> outcome, boolean local) {}
 
-    /** An answer for another entry; the outcome is empty for a question about a key. */
-    record AttachAnswer(Optional<JobId> job, boolean known, Optional<JobOutcome> outcome) {}
+    /** An answer for another entry; the outcome is empty when this one does not know the job. */
+    record AttachAnswer(JobId job, Optional<JobOutcome> outcome) {}
 
     /** A failure whose certainty is still to be found out. */
     @FunctionalInterface
