--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -131,7 +131,8 @@
     }
 
     private <T> ActorRef<T> spawn(String name, Behavior<T> behavior) {
-        ActorRef<T> actor = system.systemActorOf(behavior, name + "-" + parts.member().incarnation(), Props.empty());
+        ActorRef<T> actor =
+                system.systemActorOf(behavior, name + "-" + parts.member().incarnation(), Props.empty());
         guard.tell(new ActorGuard.Watch(actor));
         return actor;
     }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -104,7 +104,8 @@
     }
 
     private void onAskKey(PeerCommand.AskKey ask) {
-        boolean allReachable = viewed.stream().allMatch(entry -> links.usable(entry).isPresent());
+        boolean allReachable =
+                viewed.stream().allMatch(entry -> links.usable(entry).isPresent());
         if (!parts.membersRead().getAsBoolean() || !allReachable) {
             ask.nobodyHas().complete(false);
             return;
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -256,7 +256,8 @@
 
     // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could send
     // the same offer again under a new key. An earlier submission that the claims read so far show is joined instead of
-    // refused. One whose claim was written after the last read is known to the entry that wrote it, so all are asked; if
+    // refused. One whose claim was written after the last read is known to the entry that wrote it, so all are asked;
+    // if
     // one does not answer, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
@@ -445,7 +446,9 @@
 
     private void onAskKey(SubmissionCommand.AskKey ask) {
         boolean known = ledger.find(ask.key())
-                .filter(record -> record.outcome().filter(SubmissionActor::isPassingRefusal).isEmpty())
+                .filter(record -> record.outcome()
+                        .filter(SubmissionActor::isPassingRefusal)
+                        .isEmpty())
                 .isPresent();
         ask.reply().accept(known);
     }
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -49,8 +49,7 @@
     }
 
     EntryServer start(String processId) {
-        return join(EntryServer.start(
-                kit.system(), settings(processId), log, transport, meters, NanoClock.system()));
+        return join(EntryServer.start(kit.system(), settings(processId), log, transport, meters, NanoClock.system()));
     }
 
     EntryServer start(String processId, EntryServer.Decisions decisions) {
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -22,7 +22,8 @@
 import tools.jackson.databind.JsonNode;
 
 class EntryServerTest {
-    private static final String SMALL = "{\"service\":\"routing\",\"tasks\":[{\"payload\":{\"n\": 1.10}},{\"payload\":2}]}";
+    private static final String SMALL =
+            "{\"service\":\"routing\",\"tasks\":[{\"payload\":{\"n\": 1.10}},{\"payload\":2}]}";
     private static final String HELD = "{\"service\":\"held\",\"team\":\"rangers\",\"tasks\":[{\"payload\":1}]}";
 
     private final EntryFixture fixture = new EntryFixture();
@@ -74,7 +75,8 @@
         StringBuilder places = new StringBuilder();
         EntryFixture.json(response)
                 .path("mistakes")
-                .forEach(mistake -> places.append(mistake.path("place").asString("")).append(' '));
+                .forEach(mistake ->
+                        places.append(mistake.path("place").asString("")).append(' '));
         assertThat(
                 places.toString(),
                 is("service deadlineMillis priority tasks[1].processors tasks[1].memoryBytes tasks[1].payload "));
@@ -98,7 +100,8 @@
     @Test
     void refusesAKeyWithOtherContentButNotWithAnotherLayoutOrDeadline() {
         String first = fixture.submit(entry, "a", SMALL).body();
-        String same = "{\"tasks\":[{\"payload\":{\"n\":1.10}},{\"payload\":2}],\"deadlineMillis\":9,\"service\":\"routing\"}";
+        String same =
+                "{\"tasks\":[{\"payload\":{\"n\":1.10}},{\"payload\":2}],\"deadlineMillis\":9,\"service\":\"routing\"}";
         assertThat(fixture.submit(entry, "a", same).body(), is(first));
         HttpResponse<String> other = fixture.submit(entry, "a", SMALL.replace("2", "3"));
         assertThat(other.statusCode(), is(422));
@@ -144,7 +147,8 @@
     void listsNewestFirstWithinTheLimit() {
         String first = name(fixture.submit(entry, "a", SMALL));
         String second = name(fixture.submit(entry, "b", SMALL));
-        JsonNode jobs = EntryFixture.json(fixture.get(entry, "/v1/jobs?limit=1")).path("jobs");
+        JsonNode jobs =
+                EntryFixture.json(fixture.get(entry, "/v1/jobs?limit=1")).path("jobs");
         assertThat(jobs.size(), is(1));
         assertThat(jobs.path(0).path("job").asString(""), is(second));
         assertThat(first.compareTo(second) < 0, is(true));
@@ -166,7 +170,8 @@
         assertThat(fixture.get(entry, "/metrics").body(), containsString("chivetally_submissions_open"));
     }
 
-    // The log is down when a submission with a key of its own arrives. Its claim is given up, the dispatcher is told to drop
+    // The log is down when a submission with a key of its own arrives. Its claim is given up, the dispatcher is told to
+    // drop
     // the job, and the caller is told that nothing was run, as nobody else can have used the key.
     @Test
     void refusesAsNotRunWhileTheLogIsDown() {
@@ -196,14 +201,17 @@
         assertThat(first.join().statusCode(), is(200));
     }
 
-    // An entry is stopped while a caller waits for its job. Readiness fails at once and a new submission is refused as not
+    // An entry is stopped while a caller waits for its job. Readiness fails at once and a new submission is refused as
+    // not
     // run, but the caller that waits gets its whole answer before the server closes its connection.
     @Test
     void stopsWithoutCuttingARequest() {
         CompletableFuture<HttpResponse<String>> waiting = fixture.submitting(entry, "a", HELD);
         awaitEvents(core, DispatchEvent.JobClaimed.class);
         CompletableFuture<Void> stopped = entry.drain("test").toCompletableFuture();
-        assertThat(EntryFixture.json(fixture.get(entry, "/readyz")).path("detail").asString(""), containsString("stopping"));
+        assertThat(
+                EntryFixture.json(fixture.get(entry, "/readyz")).path("detail").asString(""),
+                containsString("stopping"));
         HttpResponse<String> refused = fixture.post(entry, "/v1/jobs?wait=60", SMALL);
         while (refused.statusCode() == 200) {
             refused = fixture.post(entry, "/v1/jobs?wait=60", SMALL);
@@ -217,7 +225,8 @@
         assertThat(entry.whenStopped().toCompletableFuture().isCompletedExceptionally(), is(false));
     }
 
-    // The dispatcher breaks an invariant. The entry stops as a whole, so that the balancer and the other entries notice,
+    // The dispatcher breaks an invariant. The entry stops as a whole, so that the balancer and the other entries
+    // notice,
     // in place of taking submissions that nobody decides about.
     @Test
     void stopsWhenABrokenInvariantEndsAnActor() {
@@ -251,8 +260,7 @@
         return new MemoryClaims(self, Duration.ofMinutes(10), NanoClock.system());
     }
 
-    private record Scripted(Function<Coordinator, Claims> make, DispatchCore core)
-            implements EntryServer.Decisions {
+    private record Scripted(Function<Coordinator, Claims> make, DispatchCore core) implements EntryServer.Decisions {
         @Override
         public Claims claims(Coordinator self) {
             return make.apply(self);
