--- a/command/src/main/java/org/chivetally/command/LoadCommand.java
+++ b/command/src/main/java/org/chivetally/command/LoadCommand.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.nio.file.Files;
+import java.nio.file.OpenOption;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.Optional;
 import java.util.concurrent.Callable;
 import org.chivetally.errors.ChivetallyException;
@@ -47,6 +49,17 @@
     @Option(names = "--json", paramLabel = "FILE", description = "Write the report as JSON to this file as well.")
     private Path json;
 
+    @Option(
+            names = "--markdown",
+            paramLabel = "FILE",
+            description = "Add the run as a row to the Markdown table in this file, which is made if there is none.")
+    private Path markdown;
+
+    @Option(
+            names = "--print-process-faults",
+            description = "Print the plan's steps for processes instead of running it: milliseconds, step, name.")
+    private boolean printProcessFaults;
+
     @Parameters(paramLabel = "PLAN", description = "What to offer, as YAML; see examples/load-smoke.yaml.")
     private Path plan;
 
@@ -56,12 +69,22 @@
         LoadPlanReader.Reading<LoadPlan> reading =
                 LoadPlanReader.read(plan.toString(), DocumentFile.text(plan), others);
         reading.mistakes().requireNone();
+        LoadPlan content = reading.content().orElseThrow();
+        if (printProcessFaults) {
+            content.faults().processSteps().forEach(Console.of(command)::line);
+            return ExitCodes.OK;
+        }
+        return run(content);
+    }
+
+    private int run(LoadPlan content) throws InterruptedException {
         PrintStream progress = System.err;
-        try (LoadRun run = new LoadRun(reading.content().orElseThrow(), progress, Optional.ofNullable(faultsFolder))) {
+        try (LoadRun run = new LoadRun(content, progress, Optional.ofNullable(faultsFolder))) {
             LoadReport report = run.run();
             Console console = Console.of(command);
             console.line(ReportTable.of(report));
             writeJson(ReportJson.of(report));
+            addMarkdown(report);
             return report.good() ? ExitCodes.OK : ExitCodes.FAILED;
         }
     }
@@ -77,11 +100,27 @@
             Console.of(command).line(report);
             return;
         }
+        write(json, report);
+    }
+
+    private void addMarkdown(LoadReport report) {
+        if (markdown == null) {
+            return;
+        }
+        String heading = Files.exists(markdown) ? "" : ReportTable.markdownHeading();
+        write(
+                markdown,
+                heading + ReportTable.markdownRow(report),
+                StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
+    }
+
+    private static void write(Path file, String text, OpenOption... options) {
         try {
-            Files.writeString(json, report);
+            Files.writeString(file, text, options);
         } catch (IOException unwritable) {
             throw new ChivetallyException(
-                    ErrorCode.INVALID_INPUT, json + " can't be written: " + unwritable, unwritable);
+                    ErrorCode.INVALID_INPUT, file + " can't be written: " + unwritable, unwritable);
         }
     }
 }
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -4,6 +4,7 @@
 #   scripts/processes.sh start FOLDER [--deployment NAME] [--first-port PORT] [--minions-in-one]
 #   scripts/processes.sh start-one FOLDER NAME
 #   scripts/processes.sh stop-one FOLDER NAME [SIGNAL]
+#   scripts/processes.sh signal-one FOLDER NAME SIGNAL
 #   scripts/processes.sh stop FOLDER
 #
 # FOLDER is made anew and holds settings, logs (NAME.log), process ids (NAME.pid) and addresses (targets.yaml).
@@ -117,7 +118,7 @@
     entry_urls "$folder"
 }
 
-(($# >= 2)) || fail "usage: processes.sh start|start-one|stop-one|stop FOLDER ..."
+(($# >= 2)) || fail "usage: processes.sh start|start-one|signal-one|stop-one|stop FOLDER ..."
 action=$1
 mkdir -p "$2"
 folder=$(cd "$2" && pwd)
@@ -125,6 +126,7 @@
 case "$action" in
     start) start_all "$folder" "$@" ;;
     start-one) start_one "$folder" "$@" ;;
+    signal-one) signal_one "$folder" "$@" ;;
     stop-one) stop_one "$folder" "$@" ;;
     stop) stop_all "$folder" ;;
     *) fail "unknown action $action" ;;
