--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -35,7 +35,7 @@
 
 /** Feeds the decisions with events of agents, jobs and time, and carries their effects out. */
 public final class DispatchActor extends AbstractBehavior<DispatchCommand> implements LinkObserver {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
     private static final int TICKS_PER_REPORT = 100;
 
@@ -91,7 +91,8 @@
     }
 
     // A process that was paused for longer than its lease resumes in the middle of its work and would send starts that
-    // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on ticks;
+    // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on
+    // ticks;
     // what slips through between look and send is refused by its ticket.
     private void noticeLease() {
         boolean held = parts.holdsLease().getAsBoolean();
@@ -119,7 +120,8 @@
         }
     }
 
-    // An agent that leaves is taken out of the view while its last attempts still run. Its usable connection is kept for
+    // An agent that leaves is taken out of the view while its last attempts still run. Its usable connection is kept
+    // for
     // their results until the agent itself closes it.
     private void dropIfUnwanted(String processId) {
         if (viewed.contains(processId) || links.usable(processId).isPresent()) {
@@ -195,7 +197,7 @@
         switch (effect) {
             case DispatchEffect.SendFrame send -> send(send.agent(), send.frame());
             case DispatchEffect.JobFinished finished -> parts.finished().accept(finished.job(), finished.outcome());
-            case DispatchEffect.WriteLine write -> logger.atInfo().log("%s", write.line());
+            case DispatchEffect.WriteLine write -> LOGGER.atInfo().log("%s", write.line());
             case DispatchEffect.CountWaste waste -> count(waste.kind());
         }
     }
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -36,7 +36,7 @@
 
 /** Claims submissions, hands them to the dispatcher, and finds the outcomes of jobs that other entries coordinate. */
 public final class SubmissionActor extends AbstractBehavior<SubmissionCommand> {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
     private static final Duration TAKEOVER_RETRY = Duration.ofMillis(500);
     private static final Duration REPLACED_WAIT = Duration.ofSeconds(60);
@@ -171,7 +171,7 @@
             finish(record, early.get());
         } else {
             parts.dispatch().tell(new DispatchEvent.JobClaimed(record.job(), claim.generation()));
-            logger.atInfo().log("%s", line("job-claimed", record));
+            LOGGER.atInfo().log("%s", line("job-claimed", record));
         }
         replyAll(record, new SubmissionReply.Accepted(record.job(), record.done()));
     }
@@ -179,7 +179,7 @@
     private void onLost(JobRecord record, Claim claim) {
         Submission submission = record.submission();
         withdraw(record);
-        logger.atInfo().log(
+        LOGGER.atInfo().log(
                 "%s",
                 line("job-attached", record)
                         .with("to", claim.job())
@@ -211,8 +211,8 @@
     }
 
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
-        long until = parts.clock().nanos()
-                + submission.specification().deadline().toNanos();
+        long until =
+                parts.clock().nanos() + submission.specification().deadline().toNanos();
         RemoteJob remote = remote(claim);
         remote.offer(submission);
         return new SubmissionReply.Accepted(claim.job(), remote.await(until));
@@ -285,11 +285,12 @@
         switch (record.phase()) {
             case CLAIMING -> onEndedEarly(record, finished.outcome());
             case RUNNING -> finish(record, finished.outcome());
-            case FINAL -> logger.atWarning().log("%s", line("job-finished-twice", record));
+            default -> LOGGER.atWarning().log("%s", line("job-finished-twice", record));
         }
     }
 
-    // The claim of a slow log may come long after the deadline. Callers are told in time that the deadline passed; as the
+    // The claim of a slow log may come long after the deadline. Callers are told in time that the deadline passed; as
+    // the
     // log has not said yet whether an earlier submission of the key runs, "not run" is only certain of a new key.
     private static void onEndedEarly(JobRecord record, JobOutcome outcome) {
         record.endedEarly(outcome);
@@ -305,11 +306,12 @@
         record.claim().ifPresent(claim -> endClaim(claim, outcome));
         ledger.finish(record, outcome, now);
         parts.finished().accept(outcome, now - record.submittedNanos());
-        logger.atInfo().log("%s", finalLine(record, outcome, now));
+        LOGGER.atInfo().log("%s", finalLine(record, outcome, now));
         endDrainWhenIdle();
     }
 
-    // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole dedupe
+    // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole
+    // dedupe
     // window, also when there is room again. Nothing of it was started and nothing will be, so its key is set free.
     private void endClaim(Claim claim, JobOutcome outcome) {
         if (isPassingRefusal(outcome)) {
@@ -370,7 +372,7 @@
             }
             case ClaimDecision.KeyReused reused -> endRemote(remote, Failures.keyReused());
             case ClaimDecision.LogUnavailable unavailable ->
-                logger.atWarning().log(
+                LOGGER.atWarning().log(
                         "%s",
                         EventLine.of("takeover-failed")
                                 .with("job", decided.job())
@@ -387,9 +389,12 @@
         ledger.add(record);
         record.claimed(claim);
         record.done().thenAccept(remote::complete);
-        dispatch(claim.job(), submission, parts.policies().service(submission.specification().service()));
+        dispatch(
+                claim.job(),
+                submission,
+                parts.policies().service(submission.specification().service()));
         parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
-        logger.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
+        LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
 
     private void onClaimRefreshed(Claim claim) {
@@ -401,8 +406,10 @@
         ask(claim);
     }
 
-    // Another entry took the job over while this one's lease had lapsed; results that still come here may be of attempts
-    // that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all callers of a key
+    // Another entry took the job over while this one's lease had lapsed; results that still come here may be of
+    // attempts
+    // that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all callers of a
+    // key
     // get the same.
     private void onReplaced(Claim claim) {
         Optional<JobRecord> found =
@@ -411,7 +418,7 @@
             return;
         }
         JobRecord record = found.get();
-        logger.atWarning().log(
+        LOGGER.atWarning().log(
                 "%s",
                 line("job-replaced", record).with("by", claim.coordinator().processId()));
         long until = parts.clock().nanos() + REPLACED_WAIT.toNanos();
@@ -431,13 +438,12 @@
         }
         JobRecord record = found.get();
         record.done()
-                .thenAccept(outcome ->
-                        attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome))));
+                .thenAccept(
+                        outcome -> attach.reply().accept(new AttachAnswer(attach.job(), true, Optional.of(outcome))));
     }
 
     private boolean cancelHere(JobId job) {
-        Optional<JobRecord> open =
-                ledger.find(job).filter(record -> record.phase() != JobStatus.Phase.FINAL);
+        Optional<JobRecord> open = ledger.find(job).filter(record -> record.phase() != JobStatus.Phase.FINAL);
         open.ifPresent(record -> parts.dispatch().tell(new DispatchEvent.JobCancelled(job)));
         return open.isPresent();
     }
@@ -448,9 +454,7 @@
             awaitOwn(await, own.get());
             return;
         }
-        parts.claims()
-                .find(await.job())
-                .thenAccept(claim -> tell(new SubmissionCommand.AwaitedFound(await, claim)));
+        parts.claims().find(await.job()).thenAccept(claim -> tell(new SubmissionCommand.AwaitedFound(await, claim)));
     }
 
     private void awaitOwn(SubmissionCommand.Await await, JobRecord record) {
@@ -526,8 +530,8 @@
         if (ticks % TICKS_PER_REFRESH == 0) {
             parts.claims()
                     .find(remote.job())
-                    .thenAccept(claim -> claim.map(SubmissionCommand.ClaimRefreshed::new)
-                            .ifPresent(this::tell));
+                    .thenAccept(claim ->
+                            claim.map(SubmissionCommand.ClaimRefreshed::new).ifPresent(this::tell));
         }
     }
 
