--- a/command/src/main/java/org/chivetally/command/ApplyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ApplyCommand.java
@@ -1,10 +1,10 @@
 package org.chivetally.command;
 
-import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.Callable;
 import org.chivetally.command.client.EntryClient;
 import org.chivetally.command.client.EntryReply;
+import org.chivetally.command.client.EntryRequest;
+import org.chivetally.command.output.Table;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -13,7 +13,12 @@
 import tools.jackson.databind.JsonNode;
 
 /** Creates or changes resources from files. */
-@Command(name = "apply", description = "Create or change resources from files.")
+@Command(
+        name = "apply",
+        description = {
+            "Create or change resources from files; all of them are accepted or none is.",
+            "diff shows beforehand what would change."
+        })
 final class ApplyCommand implements Callable<Integer> {
     @Spec
     private CommandSpec command;
@@ -21,12 +26,14 @@
     @Mixin
     private EntryOptions connection;
 
-    @Option(
-            names = {"-f", "--file"},
-            required = true,
-            paramLabel = "PATH",
-            description = "File of YAML or JSON documents, or a folder of such files; may be repeated.")
-    private List<Path> files;
+    @Mixin
+    private OutputOptions output;
+
+    @Mixin
+    private OperatorOptions operator;
+
+    @Mixin
+    private ApplyOptions wanted;
 
     @Option(names = "--dry-run", description = "Have the entry check everything, and change nothing.")
     private boolean dryRun;
@@ -34,27 +41,28 @@
     @Override
     public Integer call() {
         Console console = Console.of(command);
-        List<JsonNode> documents =
-                files.stream().flatMap(file -> DocumentFile.read(file).stream()).toList();
-        int worst = ExitCodes.OK;
+        EntryRequest request =
+                EntryRequest.post(ResourcePath.apply(dryRun), wanted.request().toString());
         try (EntryClient client = connection.client()) {
-            ResourceWriter writer = new ResourceWriter(client);
-            for (JsonNode document : documents) {
-                worst = Math.max(worst, apply(writer, console, document));
+            EntryReply reply = client.send(operator.signed(request));
+            if (!reply.succeeded()) {
+                return console.failed(reply);
             }
+            show(console, reply.document());
+            return ExitCodes.OK;
         }
-        return worst;
     }
 
-    private int apply(ResourceWriter writer, Console console, JsonNode document) {
-        EntryReply reply = writer.write(document, dryRun);
-        if (!reply.succeeded()) {
-            return console.failed(reply);
+    private void show(Console console, JsonNode document) {
+        if (!output.isTable()) {
+            console.document(document, output.format());
+            return;
+        }
+        Table table = new Table("RESOURCE", "ACTION");
+        for (JsonNode result : document.path("results")) {
+            table.row(ResourceTable.nameOf(result), result.path("action").asString(""));
         }
-        JsonNode written = reply.document();
-        console.line(
-                written.path("kind").asString("") + " " + written.path("name").asString("") + " version "
-                        + written.path("version").asString("") + (dryRun ? " (dry run)" : ""));
-        return ExitCodes.OK;
+        console.lines(table.lines());
+        console.line("version " + document.path("version").asString("") + (dryRun ? ", nothing changed (dry run)" : ""));
     }
 }
--- a/command/src/main/java/org/chivetally/command/ConfigurationCommand.java
+++ b/command/src/main/java/org/chivetally/command/ConfigurationCommand.java
@@ -56,12 +56,20 @@
         }
 
         private static Table table(JsonNode document) {
-            Table table = new Table("PROCESS", "ROLE", "VERSION");
+            Table table = new Table("PROCESS", "ROLE", "VERSION", "STATE", "AGE MS");
+            table.row(
+                    document.path("process").asString(""),
+                    "entry",
+                    document.path("version").asString(""),
+                    document.path("usable").asBoolean(false) ? "asked" : "unusable",
+                    document.path("ageMillis").asString(""));
             for (JsonNode process : document.path("processes")) {
                 table.row(
                         process.path("process").asString(""),
                         process.path("role").asString(""),
-                        process.path("version").asString(""));
+                        process.path("version").asString(""),
+                        process.path("state").asString(""),
+                        process.path("ageMillis").asString(""));
             }
             return table;
         }
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/DeclaredFiles.java
@@ -0,0 +1,53 @@
+package org.chivetally.command;
+
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivetally.resource.DeclaredResource;
+import org.chivetally.resource.ResourceDocuments;
+import tools.jackson.databind.json.JsonMapper;
+import tools.jackson.databind.node.ArrayNode;
+import tools.jackson.databind.node.ObjectNode;
+
+/** Resources declared in files, checked here already so that mistakes are told with file, line and column. */
+record DeclaredFiles(List<DeclaredResource> resources) {
+    private static final JsonMapper MAPPER = JsonMapper.shared();
+
+    /** Reads files, and the YAML and JSON files of folders; throws with all mistakes when there are some. */
+    static DeclaredFiles read(List<Path> paths) {
+        Map<String, String> texts = new LinkedHashMap<>();
+        for (Path path : paths) {
+            DocumentFile.filesAt(path).forEach(file -> texts.put(file.toString(), DocumentFile.text(file)));
+        }
+        ResourceDocuments.Declared declared = ResourceDocuments.readFiles(texts);
+        declared.mistakes().requireNone();
+        return new DeclaredFiles(declared.resources());
+    }
+
+    /**
+     * Returns the body of a request that applies them as one.
+     *
+     * @param basedOn versions that the operator has seen, by {@code KIND/NAME}
+     * @param prune labels of resources that are deleted unless declared; empty deletes none
+     */
+    ObjectNode request(Map<String, Long> basedOn, Map<String, String> prune) {
+        ObjectNode request = MAPPER.createObjectNode();
+        ArrayNode list = request.putArray("resources");
+        for (DeclaredResource resource : resources) {
+            ObjectNode node = list.addObject();
+            node.put("kind", resource.key().kind().singular());
+            node.put("name", resource.key().name());
+            resource.content().labels().forEach(node.putObject("labels")::put);
+            node.set("spec", MAPPER.readTree(resource.content().spec()));
+            Long seen = basedOn.get(resource.key().toString());
+            if (seen != null) {
+                node.put("basedOn", seen);
+            }
+        }
+        if (!prune.isEmpty()) {
+            prune.forEach(request.putObject("prune").putObject("labels")::put);
+        }
+        return request;
+    }
+}
--- a/command/src/main/java/org/chivetally/command/DeleteCommand.java
+++ b/command/src/main/java/org/chivetally/command/DeleteCommand.java
@@ -3,6 +3,8 @@
 import java.util.concurrent.Callable;
 import org.chivetally.command.client.EntryClient;
 import org.chivetally.command.client.EntryReply;
+import org.chivetally.command.client.EntryRequest;
+import org.chivetally.resource.ResourceKind;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -19,14 +21,21 @@
     @Mixin
     private EntryOptions connection;
 
+    @Mixin
+    private OperatorOptions operator;
+
     @Option(
-            names = "--version-read",
+            names = "--based-on",
             paramLabel = "VERSION",
-            description = "Delete only if this is still the newest version; the version in force by default.")
-    private Long version;
+            description = "Delete only if this is still the newest version; the one read just before by default.")
+    private Long basedOn;
 
-    @Parameters(index = "0", paramLabel = "KIND", description = "Kind of resource, such as services.")
-    private String kind;
+    @Parameters(
+            index = "0",
+            paramLabel = "KIND",
+            converter = KindConverter.class,
+            description = "Kind of resource, such as services.")
+    private ResourceKind kind;
 
     @Parameters(index = "1", paramLabel = "NAME", description = "Name of the resource.")
     private String name;
@@ -34,13 +43,19 @@
     @Override
     public Integer call() {
         Console console = Console.of(command);
+        String path = ResourcePath.resource(kind, name);
         try (EntryClient client = connection.client()) {
-            ResourceWriter writer = new ResourceWriter(client);
-            EntryReply reply = writer.delete(kind, name, version);
+            EntryReply read = client.send(EntryRequest.get(path));
+            if (!read.succeeded()) {
+                return console.failed(read);
+            }
+            String version = basedOn == null ? read.document().path("version").asString("") : basedOn.toString();
+            EntryReply reply = client.send(operator.signed(EntryRequest.delete(path + "?basedOn=" + version)));
             if (!reply.succeeded()) {
                 return console.failed(reply);
             }
-            console.line(kind + " " + name + " is deleted");
+            console.line(kind.singular() + "/" + name + " is deleted in version "
+                    + reply.document().path("version").asString(""));
             return ExitCodes.OK;
         }
     }
--- a/command/src/main/java/org/chivetally/command/DescribeCommand.java
+++ b/command/src/main/java/org/chivetally/command/DescribeCommand.java
@@ -5,6 +5,7 @@
 import org.chivetally.command.client.EntryReply;
 import org.chivetally.command.client.EntryRequest;
 import org.chivetally.command.output.OutputFormat;
+import org.chivetally.resource.ResourceKind;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -23,8 +24,12 @@
     @Mixin
     private OutputOptions output;
 
-    @Parameters(index = "0", paramLabel = "KIND", description = "Kind of resource, such as services.")
-    private String kind;
+    @Parameters(
+            index = "0",
+            paramLabel = "KIND",
+            converter = KindConverter.class,
+            description = "Kind of resource, such as services.")
+    private ResourceKind kind;
 
     @Parameters(index = "1", paramLabel = "NAME", description = "Name of the resource.")
     private String name;
--- a/command/src/main/java/org/chivetally/command/DocumentFile.java
+++ b/command/src/main/java/org/chivetally/command/DocumentFile.java
@@ -28,14 +28,6 @@
         }
     }
 
-    /** Returns the documents of a file, or of all YAML and JSON files of a folder in the order of their names. */
-    static List<JsonNode> read(Path path) {
-        if (!Files.isDirectory(path)) {
-            return documents(path);
-        }
-        return filesOf(path).stream().flatMap(file -> documents(file).stream()).toList();
-    }
-
     /** Returns the one document of a file. */
     static JsonNode readOne(Path file) {
         List<JsonNode> documents = documents(file);
@@ -46,6 +38,11 @@
         return documents.getFirst();
     }
 
+    /** Returns a file itself, or the YAML and JSON files of a folder in the order of their names. */
+    static List<Path> filesAt(Path path) {
+        return Files.isDirectory(path) ? filesOf(path) : List.of(path);
+    }
+
     private static List<Path> filesOf(Path folder) {
         try (Stream<Path> files = Files.list(folder)) {
             return files.filter(DocumentFile::isDocument).sorted().toList();
--- a/command/src/main/java/org/chivetally/command/GetCommand.java
+++ b/command/src/main/java/org/chivetally/command/GetCommand.java
@@ -1,13 +1,17 @@
 package org.chivetally.command;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 import org.chivetally.command.client.EntryClient;
 import org.chivetally.command.client.EntryReply;
 import org.chivetally.command.client.EntryRequest;
+import org.chivetally.resource.ResourceKind;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
@@ -23,12 +27,22 @@
     @Mixin
     private OutputOptions output;
 
-    @Parameters(index = "0", paramLabel = "KIND", description = "Kind of resource, such as services.")
-    private String kind;
+    @Parameters(
+            index = "0",
+            paramLabel = "KIND",
+            converter = KindConverter.class,
+            description = "Kind of resource, such as services.")
+    private ResourceKind kind;
 
     @Parameters(index = "1", arity = "0..1", paramLabel = "NAME", description = "Name of one resource.")
     private Optional<String> name;
 
+    @Option(
+            names = {"-l", "--label"},
+            paramLabel = "LABEL=VALUE",
+            description = "Only resources with this label; may be repeated, then all must fit.")
+    private List<String> labels = List.of();
+
     @Override
     public Integer call() {
         Console console = Console.of(command);
@@ -47,6 +61,11 @@
     }
 
     private String path() {
-        return name.map(one -> ResourcePath.resource(kind, one)).orElseGet(() -> ResourcePath.kind(kind));
+        if (name.isPresent()) {
+            return ResourcePath.resource(kind, name.get());
+        }
+        return ResourcePath.kind(kind) + labels.stream()
+                .map(label -> "label=" + ResourcePath.encoded(label))
+                .collect(Collectors.joining("&", "?", ""));
     }
 }
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/KindConverter.java
@@ -0,0 +1,20 @@
+package org.chivetally.command;
+
+import java.util.Arrays;
+import java.util.stream.Collectors;
+import org.chivetally.resource.ResourceKind;
+import picocli.CommandLine.ITypeConverter;
+import picocli.CommandLine.TypeConversionException;
+
+/** Reads kinds of resources in the singular or plural. */
+final class KindConverter implements ITypeConverter<ResourceKind> {
+    @Override
+    public ResourceKind convert(String text) {
+        return ResourceKind.of(text).orElseThrow(() -> new TypeConversionException(
+                "'" + text + "' is no kind of resource; there are " + kinds()));
+    }
+
+    private static String kinds() {
+        return Arrays.stream(ResourceKind.values()).map(ResourceKind::plural).collect(Collectors.joining(", "));
+    }
+}
--- a/command/src/main/java/org/chivetally/command/ResourcePath.java
+++ b/command/src/main/java/org/chivetally/command/ResourcePath.java
@@ -2,6 +2,7 @@
 
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import org.chivetally.resource.ResourceKind;
 
 /** Paths of an entry's HTTP interface. */
 final class ResourcePath {
@@ -10,11 +11,15 @@
 
     private ResourcePath() {}
 
-    static String kind(String kind) {
-        return ROOT + encoded(kind);
+    static String apply(boolean dryRun) {
+        return ROOT + "apply" + (dryRun ? "?dryRun=true" : "");
     }
 
-    static String resource(String kind, String name) {
+    static String kind(ResourceKind kind) {
+        return ROOT + kind.plural();
+    }
+
+    static String resource(ResourceKind kind, String name) {
         return kind(kind) + "/" + encoded(name);
     }
 
--- a/command/src/main/java/org/chivetally/command/ResourceTable.java
+++ b/command/src/main/java/org/chivetally/command/ResourceTable.java
@@ -14,7 +14,7 @@
 
     /** Returns the lines for a list of resources, or for one. */
     static List<String> lines(JsonNode document) {
-        Table table = new Table("KIND", "NAME", "VERSION", "SPECIFICATION", "STATUS");
+        Table table = new Table("RESOURCE", "VERSION", "STATUS", "CHANGED BY", "SPEC");
         if (document.has("items")) {
             document.path("items").forEach(resource -> addRow(table, resource));
         } else {
@@ -23,17 +23,23 @@
         return table.lines();
     }
 
+    /** Returns kind and name of a resource's document. */
+    static String nameOf(JsonNode resource) {
+        return resource.path("kind").asString("") + "/" + resource.path("name").asString("");
+    }
+
     private static void addRow(Table table, JsonNode resource) {
         table.row(
-                resource.path("kind").asString(""),
-                resource.path("name").asString(""),
+                nameOf(resource),
                 resource.path("version").asString(""),
-                shortForm(resource.path("spec")),
-                shortForm(resource.path("status")));
+                resource.path("status").path("state").asString(""),
+                resource.path("changedBy").asString(""),
+                shortForm(resource.path("spec")));
     }
 
     private static String shortForm(JsonNode section) {
-        String text = section.properties().stream().map(ResourceTable::pair).collect(Collectors.joining(" "));
+        String text =
+                section.properties().stream().map(ResourceTable::pair).collect(Collectors.joining(" "));
         return text.length() <= LONGEST_CELL ? text : text.substring(0, LONGEST_CELL) + "...";
     }
 
--- a/command/src/main/java/org/chivetally/command/StandInCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -11,11 +11,11 @@
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.chivetally.command.daemon.GracefulStop;
 import org.chivetally.command.daemon.LogSetup;
+import org.chivetally.daemon.DaemonSystem;
 import org.chivetally.standins.LogStandIn;
 import org.chivetally.standins.LogStandInSettings;
 import org.chivetally.standins.MinionStandIn;
 import org.chivetally.standins.MinionStandInSettings;
-import org.chivetally.standins.StandInSystem;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -110,7 +110,7 @@
         @Override
         public Integer call() throws InterruptedException {
             LogSetup.install(Level.INFO);
-            ActorSystem<Void> system = StandInSystem.start("log");
+            ActorSystem<Void> system = DaemonSystem.start("log");
             LogStandInSettings settings = new LogStandInSettings(appendLatency, appendsPerSecond, keptRecords, keptFor);
             ServerBinding binding = LogStandIn.start(system, listen.host, listen.port, settings)
                     .toCompletableFuture()
@@ -152,7 +152,7 @@
         @Override
         public Integer call() throws InterruptedException {
             LogSetup.install(Level.INFO);
-            ActorSystem<Void> system = StandInSystem.start("minion");
+            ActorSystem<Void> system = DaemonSystem.start("minion");
             List<ServerBinding> bindings = new ArrayList<>();
             for (int position = 0; position < count; position++) {
                 bindings.add(start(system, position));
--- a/command/src/main/java/org/chivetally/command/WatchCommand.java
+++ b/command/src/main/java/org/chivetally/command/WatchCommand.java
@@ -4,15 +4,23 @@
 import org.chivetally.command.client.EntryClient;
 import org.chivetally.command.client.EntryReply;
 import org.chivetally.command.client.EntryRequest;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.resource.ResourceKind;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
+import tools.jackson.databind.JsonNode;
 
 /** Follows the changes of one kind of resource. */
-@Command(name = "watch", description = "Follow the changes of one kind of resource until interrupted.")
+@Command(
+        name = "watch",
+        description = {
+            "Follow the changes of one kind of resource until interrupted.",
+            "Where the changes wanted are no longer kept, the resources are listed and watched from there."
+        })
 final class WatchCommand implements Callable<Integer> {
     @Spec
     private CommandSpec command;
@@ -20,27 +28,62 @@
     @Mixin
     private EntryOptions connection;
 
-    @Option(names = "--from", paramLabel = "VERSION", description = "First version to show; the newest by default.")
+    @Mixin
+    private OutputOptions output;
+
+    @Option(
+            names = "--from",
+            paramLabel = "VERSION",
+            description = "Show all changes after this version; by default those from now on.")
     private Long from;
 
     @Option(names = "--count", paramLabel = "NUMBER", description = "End after this many changes.")
     private Long count;
 
-    @Parameters(paramLabel = "KIND", description = "Kind of resource, such as services.")
-    private String kind;
+    @Parameters(
+            paramLabel = "KIND",
+            converter = KindConverter.class,
+            description = "Kind of resource, such as services.")
+    private ResourceKind kind;
 
     @Override
     public Integer call() {
         Console console = Console.of(command);
+        WatchOutput shown = new WatchOutput(console, output.format(), count, from);
         try (EntryClient client = connection.client()) {
-            String query = "?watch=true" + (from == null ? "" : "&version=" + from);
-            long[] shown = {0};
-            EntryReply reply = client.stream(EntryRequest.get(ResourcePath.kind(kind) + query), line -> {
-                console.line(line);
-                shown[0]++;
-                return count == null || shown[0] < count;
-            });
-            return reply.succeeded() ? ExitCodes.OK : console.failed(reply);
+            while (true) {
+                EntryReply reply = client.stream(EntryRequest.get(path(shown)), shown::line);
+                if (shown.complete()) {
+                    return ExitCodes.OK;
+                }
+                if (isTooOld(reply)) {
+                    reply = list(client, shown);
+                }
+                if (!reply.succeeded()) {
+                    return console.failed(reply);
+                }
+            }
+        }
+    }
+
+    private String path(WatchOutput shown) {
+        String watch = ResourcePath.kind(kind) + "?watch=true";
+        return shown.resumeFrom().map(version -> watch + "&from=" + version).orElse(watch);
+    }
+
+    private static boolean isTooOld(EntryReply reply) {
+        return reply.problem()
+                .filter(problem -> problem.code() == ErrorCode.VERSION_TOO_OLD)
+                .isPresent();
+    }
+
+    private EntryReply list(EntryClient client, WatchOutput shown) {
+        EntryReply reply = client.send(EntryRequest.get(ResourcePath.kind(kind)));
+        if (reply.succeeded()) {
+            JsonNode document = reply.document();
+            document.path("items").forEach(shown::listed);
+            shown.resumeAt(document.path("version").asLong(0));
         }
+        return reply;
     }
 }
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/WatchOutput.java
@@ -0,0 +1,73 @@
+package org.chivetally.command;
+
+import java.util.Optional;
+import org.chivetally.command.output.OutputFormat;
+import tools.jackson.databind.JsonNode;
+import tools.jackson.databind.json.JsonMapper;
+
+/** Shows the events of a watch and remembers where to resume it. */
+final class WatchOutput {
+    private static final String BOOKMARK = "bookmark";
+    private static final String ERROR = "error";
+
+    private final Console console;
+    private final OutputFormat format;
+    private final Long most;
+    private Optional<Long> resumeFrom;
+    private long shown;
+
+    WatchOutput(Console console, OutputFormat format, Long most, Long from) {
+        this.console = console;
+        this.format = format;
+        this.most = most;
+        this.resumeFrom = Optional.ofNullable(from);
+    }
+
+    /** Shows one event; returns false to end the watch. */
+    boolean line(String text) {
+        JsonNode event = JsonMapper.shared().readTree(text);
+        String type = event.path("type").asString("");
+        if (event.has("resumeFrom")) {
+            resumeAt(event.path("resumeFrom").asLong(0));
+        }
+        if (type.equals(ERROR)) {
+            console.note("the watch ended: " + event.path("detail").asString("") + "; it is resumed");
+            return false;
+        }
+        if (!type.equals(BOOKMARK)) {
+            show(type, event, event.path("resource"));
+        }
+        return !complete();
+    }
+
+    /** Shows a resource that was listed because its changes are no longer kept. */
+    void listed(JsonNode resource) {
+        show("listed", resource, resource);
+    }
+
+    void resumeAt(long version) {
+        resumeFrom = Optional.of(version);
+    }
+
+    Optional<Long> resumeFrom() {
+        return resumeFrom;
+    }
+
+    boolean complete() {
+        return most != null && shown >= most;
+    }
+
+    private void show(String type, JsonNode whole, JsonNode resource) {
+        shown++;
+        switch (format) {
+            case TABLE -> console.line(type + " " + ResourceTable.nameOf(resource) + " version "
+                    + resource.path("version").asString("") + " by "
+                    + resource.path("changedBy").asString(""));
+            case JSON -> console.line(whole.toString());
+            case YAML -> {
+                console.line("---");
+                console.document(whole, format);
+            }
+        }
+    }
+}
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -126,11 +126,12 @@
     }
 
     private String shared(String name, int position, int framesPort) {
+        String failureDomain = plan.failureDomain(position);
         return """
                 process: {name: %s, failureDomain: %s}
                 frames: {host: %s, port: %d}
                 log: {url: "http://%s:%d"}
-                seeds: [%s]""".formatted(name, plan.failureDomain(position), HOST, framesPort, HOST, firstPort, seeds());
+                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, HOST, firstPort, seeds());
     }
 
     private String seeds() {
--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -6,17 +6,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ThreadLocalRandom;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.chivetally.claim.Claims;
-import org.chivetally.claim.Coordinator;
-import org.chivetally.claim.LogClaims;
-import org.chivetally.coordination.DispatchSettings;
-import org.chivetally.coordination.Dispatcher;
 import org.chivetally.entry.EntryExtension;
 import org.chivetally.entry.EntryServer;
 import org.chivetally.entry.EntrySettings;
-import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.log.PlatformLog;
 import org.chivetally.resource.ResourceService;
 import org.chivetally.resource.http.ResourceRoutes;
@@ -45,9 +38,8 @@
         PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         FrameTransport transport = new FrameTransport(meters);
         ResourceService resources = ResourceService.start(system, log, EntryMapping.resources(settings), clock);
-        Parts parts = new Parts(system, settings, entry, log, meters, clock);
-        return EntryServer.start(
-                        system, entry, log, transport, meters, clock, extension(settings, resources, clock), parts)
+        EntryExtension extension = extension(settings, resources, clock);
+        return EntryServer.start(system, entry, log, transport, meters, clock, extension)
                 .thenApply(server -> started(server, resources, transport));
     }
 
@@ -89,25 +81,4 @@
                 () -> resources.isUsable() ? List.of() : List.of(RESOURCES_MISSING),
                 resources::version);
     }
-
-    /** Makes the deciding parts of one incarnation. */
-    private record Parts(
-            ActorSystem<?> system,
-            EntryDaemonSettings settings,
-            EntrySettings entry,
-            PlatformLog log,
-            PrometheusMeterRegistry meters,
-            NanoClock clock)
-            implements EntryServer.Decisions {
-        @Override
-        public Claims claims(Coordinator self) {
-            return LogClaims.start(system, log, entry.claims(), self, clock, meters);
-        }
-
-        @Override
-        public DispatchCore core(Coordinator self) {
-            DispatchSettings dispatch = EntryMapping.dispatch(settings);
-            return new Dispatcher(dispatch, ThreadLocalRandom.current().nextLong())::handle;
-        }
-    }
 }
--- a/library/src/main/java/org/chivetally/daemon/EntryMapping.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryMapping.java
@@ -33,11 +33,12 @@
                 address(process.advertised()),
                 process.seeds().stream().map(EntryMapping::address).toList(),
                 claims(settings.claims()),
+                dispatch(settings),
                 HeartbeatSettings.standard(),
                 limits(process.drainTimeout()));
     }
 
-    static DispatchSettings dispatch(EntryDaemonSettings settings) {
+    private static DispatchSettings dispatch(EntryDaemonSettings settings) {
         DispatchSettings usual = DispatchSettings.defaults(settings.process().failureDomain());
         return new DispatchSettings(
                 usual.failureDomain(),
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -72,7 +72,7 @@
             case ReadOutcome.Records records -> foldAll(records);
             case ReadOutcome.Expired expired -> nextOffset = expired.earliestOffset();
             case ReadOutcome.Unavailable unavailable -> {
-                logger.atWarning().log("%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
+                LOGGER.atWarning().log("%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
                 reachable = false;
                 timers.startSingleTimer(new ReadAgain(), READ_RETRY);
                 return this;
--- a/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
@@ -25,6 +25,7 @@
 import org.chivetally.document.Mistakes;
 import org.chivetally.document.Section;
 import org.chivetally.errors.ErrorCode;
+import org.chivetally.job.JobOutcome;
 import org.chivetally.resource.ApplyPlan;
 import org.chivetally.resource.Change;
 import org.chivetally.resource.Conflict;
@@ -303,6 +304,7 @@
                         .response();
             case WriteOutcome.InDoubt doubt ->
                 ProblemDocument.of(ErrorCode.LOG_UNAVAILABLE, doubtText(doubt))
+                                .with("certainty", JobOutcome.Certainty.UNKNOWN.text())
                         .with("writeId", outcome.id())
                         .response();
         };
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -14,7 +14,7 @@
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 readonly root
 readonly READY_SECONDS=60
-readonly STOP_SECONDS=40
+readonly STOP_SECONDS=130
 readonly DEFAULT_OPTIONS="-Xmx96m -Xss512k -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -XX:ReservedCodeCacheSize=48m"
 
 fail() {
