--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -128,7 +128,7 @@
                 process: {name: %s, failureDomain: %s}
                 frames: {host: %s, port: %d}
                 log: {url: "http://%s:%d"}
-                seeds: [%s]""".formatted(name, plan.failureDomain(position), HOST, framesPort, HOST, firstPort, seeds());
+                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, HOST, firstPort, seeds());
     }
 
     private String seeds() {
