Policies compared in model time over the product's own decisions

Coordinators' Dispatcher and agents' AgentState exchange frames through an event queue; tables and plots of ratio and waste against load, several seeds.

--- a/load/src/main/java/org/chivetally/load/Counters.java
+++ b/load/src/main/java/org/chivetally/load/Counters.java
@@ -22,10 +22,10 @@
     private static final Pattern SAMPLE = Pattern.compile("^(\\w+)(?:\\{(.*)\\})? (\\S+)$", Pattern.MULTILINE);
     private static final Pattern KIND = Pattern.compile("\\b(?:kind|body)=\"([^\"]*)\"");
 
-    /** Copies the maps. */
+    /** Copies the maps without kinds that never came up. */
     public Counters {
-        frames = new TreeMap<>(frames);
-        wasted = new TreeMap<>(wasted);
+        frames = occurring(frames);
+        wasted = occurring(wasted);
     }
 
     /** Reads the counters from a page in Prometheus' text format. */
@@ -69,6 +69,12 @@
         return wasted.values().stream().mapToLong(Long::longValue).sum();
     }
 
+    private static Map<String, Long> occurring(Map<String, Long> counts) {
+        Map<String, Long> occurring = new TreeMap<>(counts);
+        occurring.values().removeIf(count -> count == 0);
+        return occurring;
+    }
+
     private static String kind(String labels) {
         Matcher matcher = KIND.matcher(labels == null ? "" : labels);
         return matcher.find() ? matcher.group(1) : "";
--- a/load/src/main/java/org/chivetally/load/LoadRun.java
+++ b/load/src/main/java/org/chivetally/load/LoadRun.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
@@ -36,6 +37,9 @@
     private static final Duration LONGEST_UNREADY = Duration.ofSeconds(60);
     private static final Duration ANSWER_MARGIN = Duration.ofSeconds(6);
 
+    private static final int WARMING_REQUESTS = 300;
+    private static final int SUCCESS = 200;
+
     private final LoadPlan plan;
     private final PrintStream progress;
     private final Optional<Path> faultsFolder;
@@ -80,6 +84,7 @@
     public LoadReport run() throws InterruptedException {
         Schedule schedule = Schedule.of(plan);
         awaitReadiness();
+        warmUp(schedule);
         counters.read(true);
         RunClock clock = new RunClock(NanoClock.system(), BEGIN_DELAY.toNanos());
         writeBegin(clock);
@@ -115,6 +120,20 @@
         }
     }
 
+    /**
+     * Uses the load tool's own code before the run begins. Its first requests would otherwise be late while that code
+     * is loaded and compiled, and the delay would count as the system's.
+     */
+    private void warmUp(Schedule schedule) throws InterruptedException {
+        for (ScheduledJob job : schedule.jobs()
+                .subList(0, Math.min(WARMING_REQUESTS, schedule.jobs().size()))) {
+            String body = JobInterface.submission(
+                    job, tokens, plan.workload().deadline().toMillis());
+            JobInterface.reply(SUCCESS, body);
+            balancer.isReady(balancer.choose(Set.of()));
+        }
+    }
+
     private void writeBegin(RunClock clock) {
         if (faultsFolder.isEmpty()) {
             return;
--- a/load/src/main/java/org/chivetally/load/Summary.java
+++ b/load/src/main/java/org/chivetally/load/Summary.java
@@ -172,7 +172,7 @@
     private double sendingLag() {
         Histogram micros = new Histogram(HIGHEST_MICROS, 3);
         for (CallerRecord request : requests) {
-            if (request.attempt() == 0) {
+            if (request.attempt() == 0 && plan.measures(request.dueNanos())) {
                 long lag = (request.sentNanos() - request.dueNanos()) / 1_000;
                 micros.recordValue(Math.clamp(lag, 0, HIGHEST_MICROS));
             }
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/experiment/ModelWorld.java
@@ -0,0 +1,299 @@
+package org.chivetally.load.experiment;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivetally.agent.AgentEffect;
+import org.chivetally.agent.AgentEvent;
+import org.chivetally.agent.AgentLimits;
+import org.chivetally.agent.AgentSettings;
+import org.chivetally.agent.AgentState;
+import org.chivetally.agent.MinionAnswer;
+import org.chivetally.agent.MinionCapacity;
+import org.chivetally.agent.MinionState;
+import org.chivetally.agent.MinionStateSource;
+import org.chivetally.agent.PeerId;
+import org.chivetally.coordination.AgentId;
+import org.chivetally.coordination.DispatchEffect;
+import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.coordination.DispatchSettings;
+import org.chivetally.coordination.Dispatcher;
+import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
+import org.chivetally.job.JobSpecification;
+import org.chivetally.job.Resources;
+import org.chivetally.job.ServicePolicy;
+import org.chivetally.job.TaskSpecification;
+import org.chivetally.load.ScheduledJob;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+
+/**
+ * The product's own decisions, coordinators' and agents', in model time, with frames delayed between them and task
+ * times known beforehand. No sockets, threads or links; the periodic heartbeats of links are therefore not counted.
+ */
+final class ModelWorld {
+    private static final String SERVICE = "service";
+    private static final String INCARNATION = "1";
+    private static final Duration TICK = Duration.ofMillis(20);
+    private static final Duration STATE_READING = Duration.ofSeconds(1);
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final String PAYLOAD = "{\"workMillis\":300}";
+
+    private final ModelShape shape;
+    private final Duration deadline;
+    private final EventQueue queue = new EventQueue();
+    private final List<Dispatcher> coordinators = new ArrayList<>();
+    private final List<AgentState> agents = new ArrayList<>();
+    private final Map<JobId, ScheduledJob> open = new HashMap<>();
+    private final Map<JobId, Long> submittedAt = new HashMap<>();
+    private final Counts counts = new Counts();
+    private final FinishListener listener;
+
+    ModelWorld(ModelShape shape, DispatchSettings settings, Duration deadline, long seed, FinishListener listener) {
+        this.shape = shape;
+        this.deadline = deadline;
+        this.listener = listener;
+        for (int coordinator = 0; coordinator < shape.coordinators(); coordinator++) {
+            DispatchSettings own = in(shape.failureDomain(coordinator), settings);
+            coordinators.add(new Dispatcher(own, seed * shape.coordinators() + coordinator));
+        }
+        for (int agent = 0; agent < shape.agents(); agent++) {
+            agents.add(agent(agent));
+        }
+        connect();
+    }
+
+    /** Submits jobs at their instants, in turn to the coordinators, and plays until all are done. */
+    Counts play(List<ScheduledJob> jobs) {
+        for (ScheduledJob job : jobs) {
+            int coordinator = job.index() % coordinators.size();
+            queue.after(STATE_READING.toNanos() + job.instantNanos(), () -> submit(coordinator, job));
+        }
+        int last = jobs.size();
+        while (counts.finished < last && queue.step()) {
+            // Each step may add others.
+        }
+        return counts;
+    }
+
+    private static DispatchSettings in(String failureDomain, DispatchSettings settings) {
+        return new DispatchSettings(
+                failureDomain,
+                false,
+                settings.policy(),
+                settings.fencing(),
+                settings.queues(),
+                settings.retries(),
+                settings.speculation(),
+                settings.quarantine());
+    }
+
+    private AgentState agent(int agent) {
+        MinionCapacity capacity = new MinionCapacity(shape.slots(), 8 * shape.slots(), 0, 0, 0);
+        AgentLimits usual = AgentLimits.forSlots(shape.slots());
+        AgentLimits silent = new AgentLimits(
+                usual.queueBound(),
+                usual.longestTicketAge(),
+                usual.resultRetention(),
+                usual.resultBytes(),
+                usual.answerBytes(),
+                usual.failuresUntilUnhealthy(),
+                usual.statePoll(),
+                usual.drainLinger(),
+                usual.peerSilence(),
+                false);
+        AgentSettings settings = new AgentSettings(
+                agentId(agent).processId(),
+                shape.failureDomain(agent),
+                "localhost",
+                0,
+                "localhost",
+                1,
+                SERVICE,
+                "minion-" + agent,
+                capacity,
+                URI.create("http://localhost:1"),
+                new MinionStateSource.Native(),
+                silent);
+        Hello hello = Hello.newBuilder()
+                .setProcessId(settings.processId())
+                .setIncarnation(INCARNATION)
+                .setFailureDomain(settings.failureDomain())
+                .setRole("agent")
+                .setService(SERVICE)
+                .setCapacity(capacity.toWire())
+                .build();
+        return new AgentState(settings, hello, agent, queue.now());
+    }
+
+    private void connect() {
+        for (int agent = 0; agent < agents.size(); agent++) {
+            readMinion(agent);
+            for (int coordinator = 0; coordinator < coordinators.size(); coordinator++) {
+                PeerId peer = new PeerId(coordinator);
+                apply(agent, new AgentEvent.PeerConnected(peer));
+                apply(agent, new AgentEvent.PeerIdentified(peer, "entry-" + coordinator, INCARNATION));
+            }
+            tickAgent(agent);
+        }
+        for (int coordinator = 0; coordinator < coordinators.size(); coordinator++) {
+            handle(coordinator, new DispatchEvent.EntriesChanged(coordinators.size()));
+            handle(coordinator, new DispatchEvent.LeaseChanged(true));
+            tickCoordinator(coordinator);
+        }
+    }
+
+    private void readMinion(int agent) {
+        int running = agents.get(agent).runningTasks();
+        int free = Math.max(0, shape.slots() - running);
+        apply(agent, new AgentEvent.MinionReported(new MinionState.Reported(true, false, free, running)));
+        queue.after(STATE_READING.toNanos(), () -> readMinion(agent));
+    }
+
+    private void tickAgent(int agent) {
+        AgentState state = agents.get(agent);
+        if (state.runningTasks() + state.waitingTasks() > 0) {
+            apply(agent, new AgentEvent.Ticked());
+        }
+        queue.after(TICK.toNanos(), () -> tickAgent(agent));
+    }
+
+    private void tickCoordinator(int coordinator) {
+        if (coordinators.get(coordinator).waits()) {
+            handle(coordinator, new DispatchEvent.Ticked());
+        }
+        queue.after(TICK.toNanos(), () -> tickCoordinator(coordinator));
+    }
+
+    private void submit(int coordinator, ScheduledJob job) {
+        JobId id = new JobId("job-" + job.index());
+        TaskSpecification task = new TaskSpecification(PAYLOAD, Resources.NONE);
+        List<TaskSpecification> tasks =
+                job.taskMillis().stream().map(millis -> task).toList();
+        JobSpecification specification = new JobSpecification(SERVICE, job.team(), deadline, tasks);
+        open.put(id, job);
+        submittedAt.put(id, queue.now());
+        counts.tasks += tasks.size();
+        handle(coordinator, new DispatchEvent.JobSubmitted(id, specification, ServicePolicy.undeclared(SERVICE)));
+        queue.after(shape.claim().toNanos(), () -> handle(coordinator, new DispatchEvent.JobClaimed(id, 1)));
+    }
+
+    private void handle(int coordinator, DispatchEvent event) {
+        for (DispatchEffect effect : coordinators.get(coordinator).handle(event, queue.now())) {
+            switch (effect) {
+                case DispatchEffect.SendFrame send -> send(coordinator, send);
+                case DispatchEffect.JobFinished finished -> finished(finished);
+                case DispatchEffect.CountWaste waste -> counts.wasted++;
+                case DispatchEffect.WriteLine line -> {
+                    // Decision lines are off.
+                }
+            }
+        }
+    }
+
+    private void send(int coordinator, DispatchEffect.SendFrame send) {
+        int agent = Integer.parseInt(send.agent().processId().substring("agent-".length()));
+        counts.frames++;
+        queue.after(shape.delayNanos(coordinator, agent), () -> deliver(coordinator, agent, send.frame()));
+    }
+
+    private void deliver(int coordinator, int agent, Frame frame) {
+        PeerId peer = new PeerId(coordinator);
+        long request = frame.getRequestId();
+        switch (frame.getBodyCase()) {
+            case START -> apply(agent, new AgentEvent.StartRequested(peer, request, frame.getStart()));
+            case HEARTBEAT -> apply(agent, new AgentEvent.HeartbeatRequested(peer, request));
+            case CANCEL ->
+                apply(
+                        agent,
+                        new AgentEvent.CancelRequested(peer, frame.getCancel().getJobIdsList()));
+            case INQUIRY -> apply(agent, new AgentEvent.InquiryRequested(peer, request, frame.getInquiry()));
+            default -> throw new IllegalStateException("a coordinator sent " + frame.getBodyCase());
+        }
+    }
+
+    private void apply(int agent, AgentEvent event) {
+        for (AgentEffect effect : agents.get(agent).apply(event, queue.now())) {
+            switch (effect) {
+                case AgentEffect.SendTo send -> answer(agent, send);
+                case AgentEffect.RunOnMinion run -> run(agent, run);
+                case AgentEffect.WriteLine line -> {
+                    // Decision lines are off.
+                }
+                case AgentEffect.CountWaste waste -> counts.wasted++;
+                case AgentEffect.AbandonRun abandon -> throw new IllegalStateException("a model attempt was abandoned");
+                case AgentEffect.StopReady ready -> throw new IllegalStateException("a model agent stopped");
+            }
+        }
+    }
+
+    private void run(int agent, AgentEffect.RunOnMinion run) {
+        ScheduledJob job = open.get(new JobId(run.jobId()));
+        if (job == null) {
+            throw new IllegalStateException("a start of a job that is over: " + run.jobId());
+        }
+        counts.starts++;
+        long nanos = job.taskMillis().get(run.taskIndex()) * NANOS_PER_MILLI;
+        MinionAnswer answer = new MinionAnswer.Success("{}");
+        queue.after(nanos, () -> apply(agent, new AgentEvent.MinionAnswered(run.attemptId(), answer)));
+    }
+
+    private void answer(int agent, AgentEffect.SendTo send) {
+        int coordinator = (int) send.peer().number();
+        Frame frame = send.frame();
+        DispatchEvent event = frame.hasHello()
+                ? new DispatchEvent.AgentConnected(agentId(agent), frame.getHello())
+                : new DispatchEvent.FrameReceived(agentId(agent), frame);
+        counts.frames += frame.hasHello() ? 0 : 1;
+        queue.after(shape.delayNanos(coordinator, agent), () -> handle(coordinator, event));
+    }
+
+    private void finished(DispatchEffect.JobFinished finished) {
+        ScheduledJob job = open.remove(finished.job());
+        long submitted = submittedAt.remove(finished.job());
+        counts.finished++;
+        counts.failed += finished.outcome() instanceof JobOutcome.Complete ? 0 : 1;
+        listener.finished(job, queue.now() - submitted, finished.outcome());
+    }
+
+    private static AgentId agentId(int agent) {
+        return new AgentId("agent-" + agent, INCARNATION);
+    }
+
+    /** Told of each job's end. */
+    @FunctionalInterface
+    interface FinishListener {
+        /** The job ended this many nanoseconds after its submission. */
+        void finished(ScheduledJob job, long responseNanos, JobOutcome outcome);
+    }
+
+    /** What happened in a model run. */
+    static final class Counts {
+        private int finished;
+        private int failed;
+        private long tasks;
+        private long starts;
+        private long frames;
+        private long wasted;
+
+        int failed() {
+            return failed;
+        }
+
+        double messagesPerTask() {
+            return (double) frames / starts;
+        }
+
+        double wastedPerTask() {
+            return (double) wasted / starts;
+        }
+
+        double startsPerTask() {
+            return (double) starts / tasks;
+        }
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/experiment/PolicyExperiment.java
@@ -0,0 +1,275 @@
+package org.chivetally.load.experiment;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.chivetally.coordination.DispatchSettings;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.load.FaultSchedule;
+import org.chivetally.load.LoadPlan;
+import org.chivetally.load.ResponseRatio;
+import org.chivetally.load.Schedule;
+import org.chivetally.load.SingleQueue;
+import org.chivetally.load.Workload;
+import org.chivetally.logging.EventLine;
+import org.chivetally.placement.PlacementPolicy;
+
+/** Plays the same schedules under each placement policy and compares response ratios and waste. */
+public final class PolicyExperiment {
+    private static final String SINGLE_QUEUE = "single-queue";
+
+    private final LoadPlan base;
+    private final Settings settings;
+    private final PrintStream progress;
+
+    /**
+     * Prepares an experiment.
+     *
+     * @param base plan whose mixture of jobs is offered, at other loads and seeds
+     */
+    public PolicyExperiment(LoadPlan base, Settings settings, PrintStream progress) {
+        this.base = base;
+        this.settings = settings;
+        this.progress = progress;
+    }
+
+    /** Runs all combinations and writes {@code policies.md} and the plots to a folder. */
+    public void run(Path folder) {
+        List<Result> results = new ArrayList<>();
+        for (int coordinators : settings.coordinators()) {
+            for (double load : settings.loads()) {
+                results.addAll(atLoad(coordinators, load));
+            }
+        }
+        write(folder, results);
+    }
+
+    private List<Result> atLoad(int coordinators, double load) {
+        List<Result> results = new ArrayList<>();
+        for (PlacementPolicy policy : settings.policies()) {
+            Measurements measurements = new Measurements();
+            for (long seed : settings.seeds()) {
+                play(coordinators, load, policy, seed, measurements);
+            }
+            results.add(new Result(coordinators, load, title(policy), measurements));
+            progress.println(EventLine.of("policy-measured")
+                    .with("policy", title(policy))
+                    .with("coordinators", coordinators)
+                    .with("load", load)
+                    .with("p99", measurements.spread(Measure.P99).median()));
+        }
+        Measurements floor = new Measurements();
+        for (long seed : settings.seeds()) {
+            LoadPlan plan = plan(load, seed);
+            floor.add(SingleQueue.play(plan, Schedule.of(plan)));
+        }
+        results.add(new Result(coordinators, load, SINGLE_QUEUE, floor));
+        return results;
+    }
+
+    private void play(int coordinators, double load, PlacementPolicy policy, long seed, Measurements measurements) {
+        LoadPlan plan = plan(load, seed);
+        ModelShape shape = ModelShape.jylland(coordinators);
+        DispatchSettings usual = DispatchSettings.defaults(shape.failureDomain(0));
+        DispatchSettings chosen = new DispatchSettings(
+                usual.failureDomain(),
+                false,
+                policy,
+                usual.fencing(),
+                usual.queues(),
+                usual.retries(),
+                usual.speculation(),
+                usual.quarantine());
+        ResponseRatio ratio = new ResponseRatio();
+        ModelWorld world = new ModelWorld(shape, chosen, plan.workload().deadline(), seed, (job, nanos, outcome) -> {
+            if (plan.measures(job.instantNanos())) {
+                ratio.add(nanos, job.idealNanos(shape.allSlots()));
+            }
+        });
+        ModelWorld.Counts counts = world.play(Schedule.of(plan).jobs());
+        measurements.add(ratio);
+        measurements.add(Measure.WASTED, counts.wastedPerTask());
+        measurements.add(Measure.MESSAGES, counts.messagesPerTask());
+        measurements.add(Measure.FAILED, counts.failed());
+    }
+
+    private LoadPlan plan(double load, long seed) {
+        Workload workload = base.workload();
+        Workload offered = new Workload(
+                ModelShape.jylland(1).allSlots(),
+                new Workload.OfferedLoad.SlotShare(load),
+                List.of(),
+                workload.services(),
+                workload.teams(),
+                workload.jobSizes(),
+                workload.taskTimes(),
+                Workload.Resubmissions.NONE,
+                Workload.Cancellations.NONE,
+                Workload.Retries.NONE,
+                workload.deadline());
+        return new LoadPlan(
+                base.name(),
+                seed,
+                settings.duration(),
+                settings.duration().dividedBy(10),
+                base.targets(),
+                offered,
+                FaultSchedule.NONE,
+                Map.of());
+    }
+
+    private void write(Path folder, List<Result> results) {
+        MarkdownTable table = new MarkdownTable(
+                "coordinators",
+                "load",
+                "policy",
+                "ratio p50",
+                "ratio p99",
+                "p99 lowest to highest",
+                "wasted a task",
+                "messages a task",
+                "failed jobs");
+        for (Result result : results) {
+            table.row(cells(result));
+        }
+        try {
+            Files.createDirectories(folder);
+            Files.writeString(folder.resolve("policies.md"), table.toString());
+        } catch (IOException unwritable) {
+            throw new ChivetallyException(ErrorCode.INVALID_INPUT, folder + " can't be written", unwritable);
+        }
+        for (int coordinators : settings.coordinators()) {
+            plot(folder, results, coordinators, Measure.P99, "response time / ideal, p99", true);
+            plot(folder, results, coordinators, Measure.P50, "response time / ideal, p50", true);
+            plot(folder, results, coordinators, Measure.WASTED, "wasted messages a task", false);
+        }
+    }
+
+    private static String[] cells(Result result) {
+        Spread p99 = result.measurements().spread(Measure.P99);
+        return new String[] {
+            Integer.toString(result.coordinators()),
+            String.format(Locale.ROOT, "%.2f", result.load()),
+            result.policy(),
+            number(result, Measure.P50, 3),
+            number(result, Measure.P99, 3),
+            String.format(Locale.ROOT, "%.3f to %.3f", p99.lowest(), p99.highest()),
+            number(result, Measure.WASTED, 4),
+            number(result, Measure.MESSAGES, 3),
+            number(result, Measure.FAILED, 0)
+        };
+    }
+
+    private static String number(Result result, Measure measure, int decimals) {
+        if (!result.measurements().has(measure)) {
+            return "-";
+        }
+        double median = result.measurements().spread(measure).median();
+        return String.format(Locale.ROOT, "%." + decimals + "f", median);
+    }
+
+    private void plot(
+            Path folder, List<Result> results, int coordinators, Measure measure, String label, boolean logarithmic) {
+        List<String> names = results.stream().map(Result::policy).distinct().toList();
+        List<Plots.Series> series = new ArrayList<>();
+        for (String name : names) {
+            List<Plots.Point> points = new ArrayList<>();
+            for (Result result : results) {
+                boolean wanted =
+                        result.coordinators() == coordinators && result.policy().equals(name);
+                if (wanted && result.measurements().has(measure)) {
+                    points.add(
+                            new Plots.Point(result.load(), result.measurements().spread(measure)));
+                }
+            }
+            if (!points.isEmpty()) {
+                series.add(new Plots.Series(name, points));
+            }
+        }
+        String file = "policies-" + measure.name().toLowerCase(Locale.ROOT) + "-" + coordinators + ".png";
+        String title = coordinators == 1 ? "one coordinator" : coordinators + " coordinators";
+        Plots.write(folder.resolve(file), new Plots.Axes(title, "offered share of slots", label, logarithmic), series);
+    }
+
+    private static String title(PlacementPolicy policy) {
+        if (policy instanceof PlacementPolicy.SlotCredits credits && credits.overcommit() > 0) {
+            return policy.title() + "+" + credits.overcommit();
+        }
+        return policy.title();
+    }
+
+    /**
+     * What is compared.
+     *
+     * @param duration model time over which jobs are submitted; the first tenth doesn't count
+     */
+    public record Settings(
+            List<PlacementPolicy> policies,
+            List<Integer> coordinators,
+            List<Double> loads,
+            List<Long> seeds,
+            Duration duration) {
+        /** Copies the lists. */
+        public Settings {
+            policies = List.copyOf(policies);
+            coordinators = List.copyOf(coordinators);
+            loads = List.copyOf(loads);
+            seeds = List.copyOf(seeds);
+        }
+
+        /** Returns all policies at 30% to 95% with one and three coordinators, five seeds each. */
+        public static Settings all() {
+            return new Settings(
+                    List.of(
+                            new PlacementPolicy.UniformRandom(),
+                            new PlacementPolicy.PowerOfTwoChoices(),
+                            new PlacementPolicy.JoinIdleQueue(),
+                            new PlacementPolicy.LeastLoaded(),
+                            new PlacementPolicy.SlotCredits(0),
+                            new PlacementPolicy.SlotCredits(1)),
+                    List.of(1, 3),
+                    List.of(0.3, 0.5, 0.7, 0.8, 0.85, 0.9, 0.95),
+                    List.of(1L, 2L, 3L, 4L, 5L),
+                    Duration.ofSeconds(120));
+        }
+    }
+
+    private enum Measure {
+        P50,
+        P99,
+        WASTED,
+        MESSAGES,
+        FAILED
+    }
+
+    private record Result(int coordinators, double load, String policy, Measurements measurements) {}
+
+    private static final class Measurements {
+        private final Map<Measure, List<Double>> values = new EnumMap<>(Measure.class);
+
+        void add(ResponseRatio ratio) {
+            add(Measure.P50, ratio.percentile(50));
+            add(Measure.P99, ratio.percentile(99));
+        }
+
+        void add(Measure measure, double value) {
+            values.computeIfAbsent(measure, key -> new ArrayList<>()).add(value);
+        }
+
+        boolean has(Measure measure) {
+            return values.containsKey(measure);
+        }
+
+        Spread spread(Measure measure) {
+            return Spread.of(values.get(measure));
+        }
+    }
+}
