--- a/library/src/main/java/org/chivetally/entry/submission/Waits.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Waits.java
@@ -16,7 +16,9 @@
         this.system = system;
     }
 
-    /** Returns a stage with the value when it comes within a time, and else empty; a value of null gives empty as well. */
+    /**
+     * Returns a stage with the value when it comes within a time, and else empty; a value of null gives empty as well.
+     */
     public <T> CompletionStage<Optional<T>> within(Duration wait, CompletionStage<T> value) {
         CompletableFuture<Optional<T>> first = new CompletableFuture<>();
         value.thenAccept(arrived -> first.complete(Optional.ofNullable(arrived)));
--- a/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
@@ -304,7 +304,7 @@
                         .response();
             case WriteOutcome.InDoubt doubt ->
                 ProblemDocument.of(ErrorCode.LOG_UNAVAILABLE, doubtText(doubt))
-                                .with("certainty", JobOutcome.Certainty.UNKNOWN.text())
+                        .with("certainty", JobOutcome.Certainty.UNKNOWN.text())
                         .with("writeId", outcome.id())
                         .response();
         };
--- a/library/src/test/java/org/chivetally/entry/submission/WaitsTest.java
+++ b/library/src/test/java/org/chivetally/entry/submission/WaitsTest.java
@@ -23,8 +23,8 @@
     }
 
     /**
-     * An operator stops an idle entry and it stops at once. Its drain completes without a value, as stages of Void do; a
-     * wait that took null for "nothing came" would last to its limit, and with it the stop.
+     * An operator stops an idle entry and it stops at once. Its drain completes without a value, as stages of Void do;
+     * a wait that took null for "nothing came" would last to its limit, and with it the stop.
      */
     @Test
     void aStageWithoutAValueEndsTheWait() {
