--- a/library/src/main/java/org/chivetally/agent/AgentLimits.java
+++ b/library/src/main/java/org/chivetally/agent/AgentLimits.java
@@ -60,7 +60,7 @@
                 Duration.ofMinutes(5),
                 DEFAULT_RESULT_BYTES,
                 DEFAULT_ANSWER_BYTES,
-                2,
+                3,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(2),
                 Duration.ofSeconds(30),
--- /dev/null
+++ b/library/src/test/java/org/chivetally/agent/MemberAnnouncerTest.java
@@ -0,0 +1,142 @@
+package org.chivetally.agent;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
+import org.chivetally.log.AppendOutcome;
+import org.chivetally.log.NewRecord;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.log.ReadOutcome;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class MemberAnnouncerTest {
+    private static final Duration INTERVAL = Duration.ofSeconds(30);
+    private static final AppendOutcome WRITTEN = new AppendOutcome.Appended(1);
+    private static final AppendOutcome LOST = new AppendOutcome.Unknown("no answer");
+    private static final Member MEMBER =
+            Member.of(AgentFixture.settings(AgentFixture.LIMITS), "incarnation-1", 4_000);
+
+    private final ActorTestKit kit = ActorTestKit.create(ManualTime.config());
+    private final ManualTime time = ManualTime.get(kit.system());
+    private final HeldLog log = new HeldLog();
+    private final MemberAnnouncer announcer = new MemberAnnouncer(kit.system(), log, MEMBER, INTERVAL);
+
+    @AfterEach
+    void shutDown() {
+        kit.shutdownTestKit();
+    }
+
+    @Test
+    void announcesOnStartAndEveryInterval() throws InterruptedException {
+        Held first = log.next();
+        assertThat(first.content(), is(Optional.of(new MemberRecord.Announced(MEMBER))));
+        first.answer(WRITTEN);
+        Held second = advanceUntilNext(INTERVAL);
+        assertThat(second.content(), is(first.content()));
+        assertThat(second.record().id(), is(not(first.record().id())));
+    }
+
+    /**
+     * What operators see: one announcement, although the log lost its answers.
+     * An append takes effect and its answer is lost; the announcer tries again after half a second, then one second.
+     * Each try carries the same record id, by which readers drop the repeats.
+     */
+    @Test
+    void repeatsALostAppendUnderTheSameId() throws InterruptedException {
+        Held first = log.next();
+        first.answer(LOST);
+        Held second = advanceUntilNext(Duration.ofMillis(500));
+        second.answer(new AppendOutcome.Refused("log is down"));
+        Held third = advanceUntilNext(Duration.ofSeconds(1));
+        assertThat(List.of(second.record().id(), third.record().id()), is(List.of(
+                first.record().id(), first.record().id())));
+    }
+
+    @Test
+    void appendsTheLeaveAfterTheAnnounceInFlight() throws InterruptedException {
+        Held announce = log.next();
+        CompletionStage<Void> left = announcer.leave();
+        assertThat(log.waiting, empty());
+        announce.answer(WRITTEN);
+        Held leave = log.next();
+        assertThat(leave.content(), is(Optional.of(new MemberRecord.Left("agent-1", "incarnation-1"))));
+        leave.answer(WRITTEN);
+        left.toCompletableFuture().join();
+    }
+
+    @Test
+    void givesTheLeaveUpWhenTheLogStaysDown() throws InterruptedException {
+        log.next();
+        CompletableFuture<Void> left = announcer.leave().toCompletableFuture();
+        while (!left.isDone()) {
+            time.timePasses(Duration.ofSeconds(1));
+            Thread.onSpinWait();
+        }
+        left.join();
+    }
+
+    @Test
+    void membersSurviveTheirJson() {
+        Member entry = Member.entry("entry-1", "2", "10.0.0.1", 7_000, "south");
+        MemberRecord announced = new MemberRecord.Announced(entry);
+        assertThat(MemberRecord.fromJson(announced.toJson()), is(Optional.of(announced)));
+        byte[] unknown = "{\"type\":\"later\"}".getBytes(StandardCharsets.UTF_8);
+        assertThat(MemberRecord.fromJson(unknown), is(Optional.empty()));
+        assertThat(MemberRecord.fromJson(new byte[] {1, 2}), is(Optional.empty()));
+    }
+
+    /** The answer reaches the announcer on another thread, so the timer may be set after the first advance. */
+    private Held advanceUntilNext(Duration step) throws InterruptedException {
+        Held next = null;
+        while (next == null) {
+            time.timePasses(step);
+            next = log.waiting.poll(50, TimeUnit.MILLISECONDS);
+        }
+        return next;
+    }
+
+    /** A log whose answers the test gives. */
+    private static final class HeldLog implements PlatformLog {
+        private final BlockingQueue<Held> waiting = new LinkedBlockingQueue<>();
+
+        @Override
+        public CompletionStage<AppendOutcome> append(String stream, List<NewRecord> records) {
+            Held held = new Held(stream, records.getFirst(), new CompletableFuture<>());
+            waiting.add(held);
+            return held.outcome();
+        }
+
+        @Override
+        public CompletionStage<ReadOutcome> read(String stream, long from, int limit, Duration wait) {
+            throw new UnsupportedOperationException("announcers don't read");
+        }
+
+        Held next() throws InterruptedException {
+            return waiting.take();
+        }
+    }
+
+    private record Held(String stream, NewRecord record, CompletableFuture<AppendOutcome> outcome) {
+        Optional<MemberRecord> content() {
+            return MemberRecord.fromJson(record.payload());
+        }
+
+        void answer(AppendOutcome given) {
+            outcome.complete(given);
+        }
+    }
+}
