--- a/library/src/main/java/org/chivetally/agent/AgentState.java
+++ b/library/src/main/java/org/chivetally/agent/AgentState.java
@@ -26,8 +26,8 @@
 /**
  * The decisions of an agent: which starts are admitted, when they run, and who is told of their end.
  *
- * <p>Pure and not thread-safe: it takes events with the time, and returns effects. An admitted start ends in exactly one
- * result or refusal. Times are readings of one monotonic clock, in nanoseconds.
+ * <p>Pure and not thread-safe: it takes events with the time, and returns effects. An admitted start ends in exactly
+ * one result or refusal. Times are readings of one monotonic clock, in nanoseconds.
  */
 public final class AgentState {
     /** Error of a result whose attempt was ended by its lease. */
--- a/library/src/main/java/org/chivetally/agent/Fences.java
+++ b/library/src/main/java/org/chivetally/agent/Fences.java
@@ -9,8 +9,8 @@
  *
  * <p>Two faults end here. A coordinator that was taken over from may still send starts: its generation is under the
  * job's floor. And a start may overtake nothing but its own silent connection: it arrives after an inquiry of the same
- * generation answered "not known here", so the coordinator may have started the task elsewhere. Its ticket is older than
- * the inquiry, so it is refused as well. An inquiry's answer is thereby final for every start sent before it.
+ * generation answered "not known here", so the coordinator may have started the task elsewhere. Its ticket is older
+ * than the inquiry, so it is refused as well. An inquiry's answer is thereby final for every start sent before it.
  */
 final class Fences {
     private static final Fence NONE = new Fence(0, 0, 0);
--- a/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
+++ b/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
@@ -21,7 +21,8 @@
  * Announces a process on the log's stream of members: on start, then regularly, and its leave at the end.
  *
  * <p>The log keeps records for a limited time only, so a process that stays is announced again and again. At most one
- * append is in flight. A failed one is repeated under the same record id, so that a lost answer leaves no second record.
+ * append is in flight. A failed one is repeated under the same record id, so that a lost answer leaves no second
+ * record.
  */
 public final class MemberAnnouncer {
     /** Time between announcements when nothing fails. */
--- a/library/src/main/java/org/chivetally/agent/MinionClient.java
+++ b/library/src/main/java/org/chivetally/agent/MinionClient.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.ConnectHttp;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.OutgoingConnection;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
--- a/library/src/main/java/org/chivetally/agent/MinionConnection.java
+++ b/library/src/main/java/org/chivetally/agent/MinionConnection.java
@@ -85,7 +85,8 @@
     }
 
     private void end(Throwable failure) {
-        // Set before the look at the awaited answer; a sender does it the other way round, so one of them sees the other.
+        // Set before the look at the awaited answer; a sender does it the other way round, so one of them sees the
+        // other.
         ended = true;
         awaited.completeExceptionally(lost(failure));
     }
--- a/library/src/main/java/org/chivetally/agent/MinionView.java
+++ b/library/src/main/java/org/chivetally/agent/MinionView.java
@@ -29,8 +29,8 @@
     /**
      * Notes that a run may go on in the minion without an open request of the agent.
      *
-     * <p>A broken-off request frees the agent's slot while the minion may still work on it; a new task would then be one
-     * too many. The slot is held until the next report shows it free.
+     * <p>A broken-off request frees the agent's slot while the minion may still work on it; a new task would then be
+     * one too many. The slot is held until the next report shows it free.
      */
     void addStrayRun() {
         strayRuns++;
--- a/library/src/main/java/org/chivetally/agent/RecentRefusals.java
+++ b/library/src/main/java/org/chivetally/agent/RecentRefusals.java
@@ -9,7 +9,8 @@
  * Attempts refused lately.
  *
  * <p>A refusal says that the attempt never will start here; a second copy of the same start must not break that when a
- * slot became free in between. Remembering it for longer than the longest ticket age is enough: later copies carry a stale ticket.
+ * slot became free in between. Remembering it for longer than the longest ticket age is enough: later copies carry a
+ * stale ticket.
  */
 final class RecentRefusals {
     private final Map<String, Refused> refused = new LinkedHashMap<>();
--- a/library/src/main/java/org/chivetally/agent/Tickets.java
+++ b/library/src/main/java/org/chivetally/agent/Tickets.java
@@ -5,10 +5,10 @@
 /**
  * Start permits by this process's own clock.
  *
- * <p>A start may be stuck in a silent connection for minutes, or be sent by a coordinator that was paused past its lease;
- * run then, it would be a second start. Each ticket holds the time of its issue, so such a start is refused by its age,
- * without trusting any other clock. A random offset for each incarnation keeps tickets of an earlier process from ever
- * being valid.
+ * <p>A start may be stuck in a silent connection for minutes, or be sent by a coordinator that was paused past its
+ * lease; run then, it would be a second start. Each ticket holds the time of its issue, so such a start is refused by
+ * its age, without trusting any other clock. A random offset for each incarnation keeps tickets of an earlier process
+ * from ever being valid.
  *
  * <p>A ticket is offset + (milliseconds since start &lt;&lt; 20) + a sequence number, so tickets are in order of issue
  * also within a millisecond.
--- a/library/src/main/java/org/chivetally/transport/FrameTransport.java
+++ b/library/src/main/java/org/chivetally/transport/FrameTransport.java
@@ -115,9 +115,7 @@
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
-                InetSocketAddress remote = (InetSocketAddress) channel.remoteAddress();
-                String peer = remote.getHostString() + ":" + remote.getPort();
-                install(channel, new NettyFrameConnection(peer, meters), listener);
+                install(channel, new NettyFrameConnection(nameOf(channel), meters), listener);
             }
         };
     }
@@ -136,6 +134,14 @@
         channel.pipeline().addLast(new FrameChannelHandler(connection, listener, meters));
     }
 
+    private static String nameOf(Channel channel) {
+        // No address is left when the peer reset the connection right after it was accepted.
+        if (channel.remoteAddress() instanceof InetSocketAddress remote) {
+            return remote.getHostString() + ":" + remote.getPort();
+        }
+        return "unknown";
+    }
+
     private static WriteBufferWaterMark waterMark() {
         return new WriteBufferWaterMark(MAXIMUM_WAITING_BYTES / 2, MAXIMUM_WAITING_BYTES);
     }
--- a/library/src/test/java/org/chivetally/agent/MemberAnnouncerTest.java
+++ b/library/src/test/java/org/chivetally/agent/MemberAnnouncerTest.java
@@ -22,7 +22,9 @@
 import org.chivetally.log.ReadOutcome;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
+@Timeout(60)
 class MemberAnnouncerTest {
     private static final Duration INTERVAL = Duration.ofSeconds(30);
     private static final AppendOutcome WRITTEN = new AppendOutcome.Appended(1);
