--- a/library/src/test/java/org/chivetally/agent/AgentFixture.java
+++ b/library/src/test/java/org/chivetally/agent/AgentFixture.java
@@ -128,10 +128,8 @@
     }
 
     void inquire(PeerId peer, String jobId, int generation) {
-        Inquiry inquiry = Inquiry.newBuilder()
-                .setJobId(jobId)
-                .setGeneration(generation)
-                .build();
+        Inquiry inquiry =
+                Inquiry.newBuilder().setJobId(jobId).setGeneration(generation).build();
         apply(new AgentEvent.InquiryRequested(peer, 88, inquiry));
     }
 
@@ -202,7 +200,8 @@
     List<String> refusals() {
         return frames.stream()
                 .filter(Frame::hasRefusal)
-                .map(frame -> frame.getRefusal().getAttemptId() + " " + shortName(frame.getRefusal().getReason()))
+                .map(frame -> frame.getRefusal().getAttemptId() + " "
+                        + shortName(frame.getRefusal().getReason()))
                 .toList();
     }
 
@@ -218,7 +217,12 @@
 
     /** Returns the tasks of the newest answer to an inquiry as "attempt STATUS text". */
     List<String> lastInquiryAnswer() {
-        return frames.stream().filter(Frame::hasInquiryAnswer).toList().getLast().getInquiryAnswer().getTasksList()
+        return frames.stream()
+                .filter(Frame::hasInquiryAnswer)
+                .toList()
+                .getLast()
+                .getInquiryAnswer()
+                .getTasksList()
                 .stream()
                 .map(task -> task.getAttemptId() + " " + shortName(task.getStatus()) + " " + task.getBody()
                         + task.getError())
--- a/library/src/test/java/org/chivetally/agent/AgentServerTest.java
+++ b/library/src/test/java/org/chivetally/agent/AgentServerTest.java
@@ -76,9 +76,9 @@
     }
 
     /**
-     * What the caller sees: "unknown" for a task whose minion died under it, "not run" for the next one.
-     * The minion takes a task and its process dies, which closes the connection without an answer.
-     * The next task finds nobody listening: nothing was sent, so the refusal that says "not run" is true.
+     * What the caller sees: "unknown" for a task whose minion died under it, "not run" for the next one. The minion
+     * takes a task and its process dies, which closes the connection without an answer. The next task finds nobody
+     * listening: nothing was sent, so the refusal that says "not run" is true.
      */
     @Test
     void tellsALostTaskFromOneThatWasNeverSent() throws InterruptedException {
@@ -94,8 +94,8 @@
     }
 
     /**
-     * What the caller sees: "unknown" at the end of the lease, while the minion hangs.
-     * The agent closes the connection below the request, so the minion can notice, and its late answer goes nowhere.
+     * What the caller sees: "unknown" at the end of the lease, while the minion hangs. The agent closes the connection
+     * below the request, so the minion can notice, and its late answer goes nowhere.
      */
     @Test
     void breaksOffTheRequestAtTheLeaseEnd() throws InterruptedException {
@@ -113,9 +113,9 @@
     }
 
     /**
-     * What the caller sees: a planned stop of an agent cuts no request in progress.
-     * The agent is told to drain while a task runs: its peers hear of it and new starts are refused.
-     * The running task ends and its result arrives, and only then the connection closes and the drain completes.
+     * What the caller sees: a planned stop of an agent cuts no request in progress. The agent is told to drain while a
+     * task runs: its peers hear of it and new starts are refused. The running task ends and its result arrives, and
+     * only then the connection closes and the drain completes.
      */
     @Test
     void drainsWithoutCuttingARequest() throws InterruptedException {
@@ -161,9 +161,7 @@
     }
 
     private static Frame heartbeat() {
-        return Frame.newBuilder()
-                .setHeartbeat(Heartbeat.getDefaultInstance())
-                .build();
+        return Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
     }
 
     private long ticketOfHealthyAgent() throws InterruptedException {
--- a/library/src/test/java/org/chivetally/agent/AgentStatePropertyTest.java
+++ b/library/src/test/java/org/chivetally/agent/AgentStatePropertyTest.java
@@ -33,8 +33,7 @@
             new MinionAnswer.NotSent("refused"));
 
     @Property(tries = 3_000)
-    void keepsItsPromisesUnderAnyEvents(
-            @ForAll("schedules") List<Step> schedule, @ForAll boolean drainAtEnd) {
+    void keepsItsPromisesUnderAnyEvents(@ForAll("schedules") List<Step> schedule, @ForAll boolean drainAtEnd) {
         World world = new World();
         for (Step step : schedule) {
             world.take(step);
@@ -54,8 +53,8 @@
                         Arbitraries.integers().between(0, ANSWERS.size() - 1))
                 .as(Step.Answer::new);
         Arbitrary<Step> inquiries = Combinators.combine(small, generations).as(Step.Inquire::new);
-        Arbitrary<Step> reports =
-                Combinators.combine(mostly, mostly.map(wanted -> !wanted), small).as(Step.Tell::new);
+        Arbitrary<Step> reports = Combinators.combine(mostly, mostly.map(wanted -> !wanted), small)
+                .as(Step.Tell::new);
         Arbitrary<Step> passes = Arbitraries.of(1, 100, 1_000, 3_500).map(Step.Pass::new);
         Arbitrary<Step> cancels = small.map(Step.Cancel::new);
         return Arbitraries.frequencyOf(
@@ -107,12 +106,11 @@
                 case Step.Ask ask -> ask(ask);
                 case Step.Repeat repeat -> repeat(repeat.which());
                 case Step.Answer answer -> answer(answer.which(), ANSWERS.get(answer.answer()));
-                case Step.Inquire inquire -> observe("", () -> agent.inquire(
-                        peer, "j" + inquire.job(), inquire.generation()));
-                case Step.Cancel cancel -> observe("", () -> agent.apply(
-                        new AgentEvent.CancelRequested(peer, List.of("j" + cancel.job()))));
-                case Step.Tell tell -> observe("", () -> agent.report(
-                        tell.healthy(), tell.draining(), tell.running()));
+                case Step.Inquire inquire ->
+                    observe("", () -> agent.inquire(peer, "j" + inquire.job(), inquire.generation()));
+                case Step.Cancel cancel ->
+                    observe("", () -> agent.apply(new AgentEvent.CancelRequested(peer, List.of("j" + cancel.job()))));
+                case Step.Tell tell -> observe("", () -> agent.report(tell.healthy(), tell.draining(), tell.running()));
                 case Step.Pass pass -> observe("", () -> agent.pass(Duration.ofMillis(pass.millis())));
                 case Step.Reconnect reconnect -> reconnect();
             }
@@ -174,11 +172,13 @@
             int framesBefore = agent.frames().size();
             int abandonedBefore = agent.abandoned().size();
             happening.run();
-            running.removeAll(agent.abandoned().subList(abandonedBefore, agent.abandoned().size()));
+            running.removeAll(
+                    agent.abandoned().subList(abandonedBefore, agent.abandoned().size()));
             for (String attempt : agent.runs().subList(runsBefore, agent.runs().size())) {
                 checkRun(attempt);
             }
-            for (Frame frame : agent.frames().subList(framesBefore, agent.frames().size())) {
+            for (Frame frame :
+                    agent.frames().subList(framesBefore, agent.frames().size())) {
                 checkAnswer(frame, askedAttempt);
             }
         }
--- a/library/src/test/java/org/chivetally/agent/AgentStateTest.java
+++ b/library/src/test/java/org/chivetally/agent/AgentStateTest.java
@@ -76,9 +76,9 @@
     }
 
     /**
-     * What the caller sees: a task refused as expired never runs late, also when the agent's process was paused.
-     * The process stops with a task waiting and resumes minutes later. The minion's answer is the first event, before
-     * any tick, and frees a slot; the waiting task's time is looked at once more before it would start.
+     * What the caller sees: a task refused as expired never runs late, also when the agent's process was paused. The
+     * process stops with a task waiting and resumes minutes later. The minion's answer is the first event, before any
+     * tick, and frees a slot; the waiting task's time is looked at once more before it would start.
      */
     @Test
     void aPausedAgentStartsNothingThatExpiredMeanwhile() {
@@ -99,9 +99,9 @@
     }
 
     /**
-     * What the caller sees: its task starts once, although the start is delivered minutes late.
-     * A start is stuck in a silent connection; the coordinator has the task run elsewhere.
-     * The connection delivers the start in the end. Its ticket is older than three seconds by the agent's own clock.
+     * What the caller sees: its task starts once, although the start is delivered minutes late. A start is stuck in a
+     * silent connection; the coordinator has the task run elsewhere. The connection delivers the start in the end. Its
+     * ticket is older than three seconds by the agent's own clock.
      */
     @Test
     void refusesAStartThatWasDelayedForMinutes() {
@@ -130,17 +130,17 @@
         agent.ask(agent.start("b", "j", 1).setTicket(0));
         AgentState earlier = new AgentState(
                 AgentFixture.settings(AgentFixture.LIMITS), Hello.getDefaultInstance(), 0x1234_0000_0000_0000L, 0);
-        AgentEffect.SendTo hello =
-                (AgentEffect.SendTo) earlier.apply(new AgentEvent.PeerConnected(PEER), 0).getFirst();
+        AgentEffect.SendTo hello = (AgentEffect.SendTo)
+                earlier.apply(new AgentEvent.PeerConnected(PEER), 0).getFirst();
         long foreign = hello.frame().getHello().getReport().getTicket();
         agent.ask(agent.start("c", "j", 2).setTicket(foreign));
         assertThat(agent.refusals(), contains("a STALE_TICKET", "b STALE_TICKET", "c STALE_TICKET"));
     }
 
     /**
-     * What the caller sees: the job's tasks run once, though its first coordinator wakes from a pause.
-     * Another entry takes the job over and inquires with generation 2; what waits here for the first is refused.
-     * The paused one resumes and sends starts of generation 1, with fresh tickets: all refused, by the job's floor.
+     * What the caller sees: the job's tasks run once, though its first coordinator wakes from a pause. Another entry
+     * takes the job over and inquires with generation 2; what waits here for the first is refused. The paused one
+     * resumes and sends starts of generation 1, with fresh tickets: all refused, by the job's floor.
      */
     @Test
     void refusesACoordinatorThatWasTakenOverFrom() {
@@ -160,10 +160,10 @@
     }
 
     /**
-     * What the caller sees: one start of its task, although a connection delivered a frame a second late.
-     * The coordinator's connection goes silent with a start in it; over a new one it asks about the job.
-     * The agent answers "not known", so the coordinator starts the task elsewhere. Then the old frame arrives, with a
-     * ticket of under three seconds and the right generation; it was issued before the inquiry, and is refused.
+     * What the caller sees: one start of its task, although a connection delivered a frame a second late. The
+     * coordinator's connection goes silent with a start in it; over a new one it asks about the job. The agent answers
+     * "not known", so the coordinator starts the task elsewhere. Then the old frame arrives, with a ticket of under
+     * three seconds and the right generation; it was issued before the inquiry, and is refused.
      */
     @Test
     void refusesAStartThatWasSentBeforeAnInquiry() {
@@ -204,9 +204,9 @@
     }
 
     /**
-     * What the caller sees: its offer is sent once, although two coordinators ask for it.
-     * The second one's attempt has an id of its own, so only the job and the task tell that it is the same work.
-     * While the first runs the second is refused; afterwards it gets the kept result of the first.
+     * What the caller sees: its offer is sent once, although two coordinators ask for it. The second one's attempt has
+     * an id of its own, so only the job and the task tell that it is the same work. While the first runs the second is
+     * refused; afterwards it gets the kept result of the first.
      */
     @Test
     void startsATaskOnceThatIsNotIdempotent() {
@@ -229,8 +229,7 @@
         agent.ask(agent.start("d", "j", 0).setIdempotent(true));
         assertThat(agent.runs(), contains("a", "c"));
         assertThat(agent.refusals(), contains("b ALREADY_STARTED"));
-        assertThat(
-                agent.results(), contains("a UNKNOWN connection lost", "c DONE \"of c\"", "d DONE \"of c\""));
+        assertThat(agent.results(), contains("a UNKNOWN connection lost", "c DONE \"of c\"", "d DONE \"of c\""));
     }
 
     @Test
@@ -267,9 +266,9 @@
     }
 
     /**
-     * What the caller sees: a clear "unknown" when its attempt took longer than the lease, not silence.
-     * The minion hangs; at the lease's end the agent breaks the request off and reports the attempt as unknown.
-     * The minion may still work on it, so its slot is not given to the next task before the minion reports it free.
+     * What the caller sees: a clear "unknown" when its attempt took longer than the lease, not silence. The minion
+     * hangs; at the lease's end the agent breaks the request off and reports the attempt as unknown. The minion may
+     * still work on it, so its slot is not given to the next task before the minion reports it free.
      */
     @Test
     void endsAnAttemptAtItsLease() {
@@ -303,9 +302,9 @@
     }
 
     /**
-     * What the caller sees: a planned stop cuts no request.
-     * Peers hear of the leave first, then waiting tasks are refused as not run, and new ones too.
-     * Running tasks finish. The stop waits a little longer, so that a result lost on the way can be asked for.
+     * What the caller sees: a planned stop cuts no request. Peers hear of the leave first, then waiting tasks are
+     * refused as not run, and new ones too. Running tasks finish. The stop waits a little longer, so that a result lost
+     * on the way can be asked for.
      */
     @Test
     void drainsWithoutCuttingARequest() {
@@ -429,9 +428,9 @@
     }
 
     /**
-     * What the caller sees: a takeover collects every result, however large they are together.
-     * One frame can't hold them all; an answer cut short would make the missing tasks look as if they never started.
-     * So tasks whose results don't fit are said to run, and each result follows in a frame of its own.
+     * What the caller sees: a takeover collects every result, however large they are together. One frame can't hold
+     * them all; an answer cut short would make the missing tasks look as if they never started. So tasks whose results
+     * don't fit are said to run, and each result follows in a frame of its own.
      */
     @Test
     void anInquiryAnswerStaysUnderTheLongestFrame() {
@@ -448,8 +447,11 @@
                 .map(task -> task.getStatus())
                 .toList();
         assertThat(listed.size(), is(10));
-        assertThat(listed.subList(0, 3), contains(IntStream.range(0, 3).mapToObj(n -> TaskStatus.TASK_STATUS_DONE)
-                .toArray()));
+        assertThat(
+                listed.subList(0, 3),
+                contains(IntStream.range(0, 3)
+                        .mapToObj(n -> TaskStatus.TASK_STATUS_DONE)
+                        .toArray()));
         assertThat(listed.subList(3, 10).stream().distinct().toList(), contains(TaskStatus.TASK_STATUS_RUNNING));
         assertThat(large.results().subList(10, 17).getFirst(), is("a3 DONE " + body));
         for (Frame frame : sent) {
--- a/library/src/test/java/org/chivetally/agent/MemberAnnouncerTest.java
+++ b/library/src/test/java/org/chivetally/agent/MemberAnnouncerTest.java
@@ -29,8 +29,7 @@
     private static final Duration INTERVAL = Duration.ofSeconds(30);
     private static final AppendOutcome WRITTEN = new AppendOutcome.Appended(1);
     private static final AppendOutcome LOST = new AppendOutcome.Unknown("no answer");
-    private static final Member MEMBER =
-            Member.of(AgentFixture.settings(AgentFixture.LIMITS), "incarnation-1", 4_000);
+    private static final Member MEMBER = Member.of(AgentFixture.settings(AgentFixture.LIMITS), "incarnation-1", 4_000);
 
     private final ActorTestKit kit = ActorTestKit.create(ManualTime.config());
     private final ManualTime time = ManualTime.get(kit.system());
@@ -53,9 +52,9 @@
     }
 
     /**
-     * What operators see: one announcement, although the log lost its answers.
-     * An append takes effect and its answer is lost; the announcer tries again after half a second, then one second.
-     * Each try carries the same record id, by which readers drop the repeats.
+     * What operators see: one announcement, although the log lost its answers. An append takes effect and its answer is
+     * lost; the announcer tries again after half a second, then one second. Each try carries the same record id, by
+     * which readers drop the repeats.
      */
     @Test
     void repeatsALostAppendUnderTheSameId() throws InterruptedException {
@@ -64,8 +63,9 @@
         Held second = advanceUntilNext(Duration.ofMillis(500));
         second.answer(new AppendOutcome.Refused("log is down"));
         Held third = advanceUntilNext(Duration.ofSeconds(1));
-        assertThat(List.of(second.record().id(), third.record().id()), is(List.of(
-                first.record().id(), first.record().id())));
+        assertThat(
+                List.of(second.record().id(), third.record().id()),
+                is(List.of(first.record().id(), first.record().id())));
     }
 
     @Test
