Claims: notice the log's return at once, claim anew after a release

Cause: LogClaimsTest showed a claim refused up to a poll after the log was back, and one refused whose key a release had freed in the same read. Change: reads after a failure don't wait; a lost claim whose key is free again is sent anew within its time.

--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -253,6 +253,11 @@
         return table.streamMillis();
     }
 
+    /** Tells whether there is nothing to hurry for: the log may hold a read back until there is a record. */
+    boolean mayWait() {
+        return caughtUp && !readFailing;
+    }
+
     /** Tells whether the log was read to its end at least once. */
     boolean caughtUp() {
         return caughtUp;
@@ -278,10 +283,15 @@
 
     private Optional<ClaimDecision> decideFromKnown(ClaimRecord.Claimed claimed) {
         return find(claimed.key())
-                .filter(inForce -> !releasing.contains(inForce.job()))
+                .filter(this::isStaying)
                 .map(inForce -> decideAgainst(inForce, claimed.bodyDigest()));
     }
 
+    /** Tells whether a claim is not one that this process gave up and is about to release. */
+    private boolean isStaying(Claim claim) {
+        return !releasing.contains(claim.job());
+    }
+
     private static ClaimDecision decideAgainst(Claim inForce, String bodyDigest) {
         return inForce.bodyDigest().equals(bodyDigest)
                 ? new ClaimDecision.Attached(inForce)
@@ -444,8 +454,8 @@
 
     private void settleOne(WaitingClaim claim, long nanos) {
         Optional<Claim> inForce = table.find(claim.key());
-        if (inForce.isPresent() && releasing.contains(inForce.get().job())) {
-            // Lost to a claim of this process that was given up: after its release the next one wins.
+        if (claim.isFirst() && inForce.filter(this::isStaying).isEmpty()) {
+            // Lost to a claim that was given up, and is released by now or soon: after that the next one wins.
             claim.sendAgain();
             commit.add(claim.content());
             return;
--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -52,6 +52,7 @@
     private boolean leaseHeld;
     private boolean readOpen;
     private long readNumber;
+    private boolean readMayWait;
     private long readSentNanos;
     private long readNotBeforeNanos;
     private boolean snapshotWanted = true;
@@ -280,7 +281,8 @@
         readNumber++;
         readSentNanos = nanos;
         long number = readNumber;
-        Duration wait = claimant.caughtUp() ? settings.tail().pollWait() : Duration.ZERO;
+        readMayWait = claimant.mayWait();
+        Duration wait = readMayWait ? settings.tail().pollWait() : Duration.ZERO;
         log.read(LogClaims.STREAM, claimant.nextOffset(), settings.tail().readLimit(), wait)
                 .whenComplete((outcome, failure) -> me.tell(new ClaimsCommand.ReadAnswered(
                                 number, failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString()))));
@@ -303,7 +305,7 @@
 
     private void recordsRead(ReadOutcome.Records found, long nanos) {
         claimant.read(found.records(), found.endOffset(), readSentNanos, nanos);
-        if (found.records().isEmpty()) {
+        if (found.records().isEmpty() && (readMayWait || !claimant.mayWait())) {
             // A log that doesn't hold empty reads back would otherwise be asked without a pause.
             readNotBeforeNanos = readSentNanos + EMPTY_READ_PAUSE.toNanos();
         }
--- a/library/src/main/java/org/chivetally/claim/WaitingClaim.java
+++ b/library/src/main/java/org/chivetally/claim/WaitingClaim.java
@@ -25,6 +25,11 @@
         return content;
     }
 
+    /** Tells whether this is the claim of a submission, not a takeover. */
+    boolean isFirst() {
+        return content instanceof ClaimRecord.Claimed;
+    }
+
     /** Returns the claim that may be made in memory instead, if its service allows that. */
     Optional<ClaimRecord.Claimed> memoryContent() {
         boolean allowed = mode == ClaimMode.MEMORY;
