--- /dev/null
+++ b/library/src/test/java/org/chivetally/claim/ClaimRecordCodecTest.java
@@ -0,0 +1,81 @@
+package org.chivetally.claim;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.chivetally.job.JobId;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ClaimRecordCodecTest {
+    private static final Instant WRITTEN = Instant.parse("2026-03-01T08:00:00Z");
+    private static final List<ClaimRecord> RECORDS = List.of(
+            ClaimSamples.claimed(new SubmissionKey("team \"x\"", "clé\n1"), ClaimSamples.BODY, "job-1", "a"),
+            ClaimSamples.takenOver("job-1", "b", 2),
+            new ClaimRecord.Renewed(ClaimSamples.process("a"), Duration.ofSeconds(6)),
+            new ClaimRecord.Departed(ClaimSamples.process("a")),
+            new ClaimRecord.Finished(ClaimSamples.KEY, new JobId("job-1")),
+            ClaimSamples.released("job-1", "b", 2));
+
+    /** The file holds what is in the logs of running installations: it may grow, but no line may change. */
+    @Test
+    void recordsAreWrittenAsRecorded() throws IOException {
+        List<String> lines = RECORDS.stream()
+                .map(content -> ClaimRecordCodec.encode(new ClaimEntry(content, 1234), WRITTEN))
+                .map(payload -> new String(payload, StandardCharsets.UTF_8))
+                .toList();
+        assertThat(lines, is(recordedLines()));
+    }
+
+    @Test
+    void recordsAreReadAsWritten() throws IOException {
+        List<DecodedEntry> decoded = recordedLines().stream()
+                .map(line -> ClaimRecordCodec.decode(line.getBytes(StandardCharsets.UTF_8)))
+                .toList();
+        List<DecodedEntry> expected = RECORDS.stream()
+                .<DecodedEntry>map(content -> new DecodedEntry.Known(new ClaimEntry(content, 1234)))
+                .toList();
+        assertThat(decoded, is(expected));
+    }
+
+    @Test
+    void unknownFieldsArePassedOver() {
+        String line = "{\"format\":1,\"type\":\"finished\",\"new\":{\"a\":[1]},\"team\":\"t\",\"key\":\"k\",\"job\":\"j\"}";
+        ClaimRecord content = new ClaimRecord.Finished(new SubmissionKey("t", "k"), new JobId("j"));
+        DecodedEntry decoded = ClaimRecordCodec.decode(line.getBytes(StandardCharsets.UTF_8));
+        assertThat(decoded, is(new DecodedEntry.Known(new ClaimEntry(content, 0))));
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "not json",
+                "[1]",
+                "{\"format\":1}",
+                "{\"format\":2,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\"}",
+                "{\"format\":1,\"type\":\"promoted\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\"}",
+                "{\"format\":1,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\"}",
+                "{\"format\":1,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\",\"time\":-1}",
+                "{\"format\":1,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\",\"time\":\"x\"}",
+                "{\"format\":1,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\""
+            })
+    void whatCannotBeReadIsSkipped(String line) {
+        DecodedEntry decoded = ClaimRecordCodec.decode(line.getBytes(StandardCharsets.UTF_8));
+        assertThat(decoded, instanceOf(DecodedEntry.Skipped.class));
+    }
+
+    private static List<String> recordedLines() throws IOException {
+        try (InputStream stream = ClaimRecordCodecTest.class.getResourceAsStream("claim-records.jsonl")) {
+            return new String(stream.readAllBytes(), StandardCharsets.UTF_8).lines().toList();
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/claim/ClaimTableTest.java
@@ -0,0 +1,125 @@
+package org.chivetally.claim;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.chivetally.job.JobId;
+import org.junit.jupiter.api.Test;
+
+class ClaimTableTest {
+    private static final long END = ClaimSamples.WINDOW.toMillis();
+
+    private final ClaimTable table = new ClaimTable();
+    private long sequence;
+
+    @Test
+    void firstClaimOfKeyWins() {
+        assertThat(fold(claimed("job-1", "a")), is(new Folded.Won(ClaimSamples.claim("job-1", "a", 1))));
+        assertThat(fold(claimed("job-2", "b")), is(new Folded.Unchanged()));
+        assertThat(inForce(), is(Optional.of(ClaimSamples.claim("job-1", "a", 1))));
+        assertThat(table.find(new JobId("job-1")), is(inForce()));
+        assertThat(table.find(new JobId("job-2")), is(Optional.empty()));
+    }
+
+    @Test
+    void keysOfTeamsAreApart() {
+        fold(claimed("job-1", "a"));
+        SubmissionKey sameKey = new SubmissionKey("other team", ClaimSamples.KEY.key());
+        Folded folded = fold(ClaimSamples.claimed(sameKey, ClaimSamples.OTHER_BODY, "job-2", "b"));
+        assertThat(folded, instanceOf(Folded.Won.class));
+    }
+
+    @Test
+    void onlyTakeoverByTheNextGenerationWins() {
+        fold(claimed("job-1", "a"));
+        assertThat(fold(ClaimSamples.takenOver("job-1", "b", 3)), is(new Folded.Unchanged()));
+        assertThat(fold(ClaimSamples.takenOver("job-2", "b", 2)), is(new Folded.Unchanged()));
+        Claim second = ClaimSamples.claim("job-1", "b", 2);
+        assertThat(
+                fold(ClaimSamples.takenOver("job-1", "b", 2)),
+                is(new Folded.TakenOver(second, ClaimSamples.process("a"))));
+        assertThat(fold(ClaimSamples.takenOver("job-1", "c", 2)), is(new Folded.Unchanged()));
+        assertThat(inForce(), is(Optional.of(second)));
+    }
+
+    @Test
+    void releaseFreesOnlyTheClaimItNames() {
+        fold(claimed("job-1", "a"));
+        assertThat(fold(ClaimSamples.released("job-1", "b", 1)), is(new Folded.Unchanged()));
+        assertThat(fold(ClaimSamples.released("job-2", "a", 1)), is(new Folded.Unchanged()));
+        fold(ClaimSamples.takenOver("job-1", "b", 2));
+        assertThat(fold(ClaimSamples.released("job-1", "a", 1)), is(new Folded.Unchanged()));
+        assertThat(inForce(), is(Optional.of(ClaimSamples.claim("job-1", "b", 2))));
+    }
+
+    /*
+     * A claim was released, and its key is free; then the append that carried the claim lands a second time.
+     * The repeat must not claim the key again: its process gave it up, and nobody would work on the job.
+     */
+    @Test
+    void repeatOfReleasedClaimIsDropped() {
+        RecordId id = ClaimSamples.id("a", 7);
+        table.fold(0, id, new ClaimEntry(claimed("job-1", "a"), 0));
+        table.fold(1, ClaimSamples.id("a", 8), new ClaimEntry(ClaimSamples.released("job-1", "a", 1), 0));
+        assertThat(inForce(), is(Optional.empty()));
+        assertThat(table.fold(2, id, new ClaimEntry(claimed("job-1", "a"), 0)), is(new Folded.Unchanged()));
+        assertThat(inForce(), is(Optional.empty()));
+    }
+
+    @Test
+    void keyIsFreeWhenItsWindowHasPassedInTheStreamsTime() {
+        fold(claimed("job-1", "a"), 1_000);
+        assertThat(fold(claimed("job-2", "b"), 1_000 + END - 1), is(new Folded.Unchanged()));
+        Folded folded = fold(claimed("job-3", "b"), 1_000 + END);
+        assertThat(folded, is(new Folded.Won(ClaimSamples.claim("job-3", "b", 1))));
+        assertThat(table.find(new JobId("job-1")), is(Optional.empty()));
+        assertThat(table.size(), is(1));
+    }
+
+    @Test
+    void streamsTimeNeverGoesBack() {
+        fold(claimed("job-1", "a"), END);
+        fold(ClaimSamples.takenOver("job-1", "b", 2), 1);
+        assertThat(table.streamMillis(), is(END));
+        fold(ClaimSamples.takenOver("job-1", "c", 3), 2 * END - 1);
+        assertThat(inForce(), is(Optional.of(ClaimSamples.claim("job-1", "c", 3))));
+    }
+
+    @Test
+    void finishedJobStaysClaimed() {
+        fold(claimed("job-1", "a"));
+        fold(new ClaimRecord.Finished(ClaimSamples.KEY, new JobId("job-2")));
+        assertThat(inForce().orElseThrow().finished(), is(false));
+        fold(new ClaimRecord.Finished(ClaimSamples.KEY, new JobId("job-1")));
+        assertThat(inForce().orElseThrow().finished(), is(true));
+        assertThat(fold(claimed("job-3", "b")), is(new Folded.Unchanged()));
+    }
+
+    @Test
+    void recordsThatWereFoldedAreNotFoldedAgain() {
+        fold(claimed("job-1", "a"));
+        Folded again = table.fold(0, ClaimSamples.id("a", 99), new ClaimEntry(claimed("job-9", "a"), END));
+        assertThat(again, is(new Folded.Unchanged()));
+        assertThat(table.nextOffset(), is(1L));
+        assertThat(table.streamMillis(), is(0L));
+    }
+
+    private static ClaimRecord claimed(String job, String process) {
+        return ClaimSamples.claimed(ClaimSamples.KEY, ClaimSamples.BODY, job, process);
+    }
+
+    private Optional<Claim> inForce() {
+        return table.find(ClaimSamples.KEY);
+    }
+
+    private Folded fold(ClaimRecord content) {
+        return fold(content, 0);
+    }
+
+    private Folded fold(ClaimRecord content, long streamMillis) {
+        sequence++;
+        return table.fold(table.nextOffset(), ClaimSamples.id("writer", sequence), new ClaimEntry(content, streamMillis));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/claim/MemoryClaimsTest.java
@@ -0,0 +1,58 @@
+package org.chivetally.claim;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.chivetally.job.JobId;
+import org.junit.jupiter.api.Test;
+
+class MemoryClaimsTest {
+    private final ManualClock clock = new ManualClock();
+    private final MemoryClaims claims = new MemoryClaims(ClaimSamples.process("a"), ClaimSamples.WINDOW, clock);
+    private final Claim first = ClaimSamples.claim("job-1", "a", 1);
+
+    @Test
+    void followsTheRulesOfTheLog() {
+        assertThat(claim(ClaimSamples.BODY, "job-1"), is(new ClaimDecision.Won(first)));
+        assertThat(claim(ClaimSamples.BODY, "job-2"), is(new ClaimDecision.Attached(first)));
+        assertThat(claim(ClaimSamples.OTHER_BODY, "job-3"), is(new ClaimDecision.KeyReused(first)));
+        assertThat(join(claims.find(new JobId("job-1"))), is(Optional.of(first)));
+        assertThat(join(claims.find(new JobId("job-2"))), is(Optional.empty()));
+    }
+
+    @Test
+    void keyIsFreeAfterItsWindow() {
+        claim(ClaimSamples.BODY, "job-1");
+        clock.advance(ClaimSamples.WINDOW.minusNanos(1));
+        assertThat(claim(ClaimSamples.BODY, "job-2"), instanceOf(ClaimDecision.Attached.class));
+        clock.advance(ClaimSamples.WINDOW);
+        assertThat(join(claims.find(ClaimSamples.KEY)), is(Optional.empty()));
+        assertThat(claim(ClaimSamples.BODY, "job-2"), instanceOf(ClaimDecision.Won.class));
+    }
+
+    @Test
+    void onlyTheClaimInForceIsTakenOver() {
+        claim(ClaimSamples.BODY, "job-1");
+        Claim second = ClaimSamples.claim("job-1", "a", 2);
+        assertThat(join(claims.takeOver(first)), is(new ClaimDecision.Won(second)));
+        assertThat(join(claims.takeOver(first)), is(new ClaimDecision.Attached(second)));
+    }
+
+    @Test
+    void departedProcessClaimsNothing() {
+        join(claims.depart());
+        assertThat(claims.holdsLease(), is(false));
+        assertThat(claim(ClaimSamples.BODY, "job-1"), instanceOf(ClaimDecision.LogUnavailable.class));
+    }
+
+    private ClaimDecision claim(String body, String job) {
+        return join(claims.claim(ClaimSamples.KEY, body, new JobId(job)));
+    }
+
+    private static <T> T join(CompletionStage<T> stage) {
+        return stage.toCompletableFuture().join();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/claim/StreamTimeTest.java
@@ -0,0 +1,62 @@
+package org.chivetally.claim;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class StreamTimeTest {
+    private static final int PROCESSES = 3;
+    private static final long LONGEST_DELAY = 2_000;
+
+    @Test
+    void estimateGrowsWithTheClockFromTheHighestKnownTime() {
+        StreamTime time = new StreamTime(nanos(0));
+        time.reached(500, nanos(100));
+        time.reached(400, nanos(100));
+        assertThat(time.estimate(nanos(150)), is(550L));
+    }
+
+    /**
+     * A key never comes free before its window, though processes lag: between two records the stream's time grows by no
+     * more than what really passed, the delay of an append and the pause between two records. Each process writes at
+     * random times and reads what is there; its records land after a random delay.
+     */
+    @Property
+    void streamsTimeNeverRunsAhead(
+            @ForAll @Size(max = 60) List<@IntRange(max = 100_000) Integer> choices) {
+        List<StreamTime> processes = new ArrayList<>();
+        for (int process = 0; process < PROCESSES; process++) {
+            processes.add(new StreamTime(nanos(0)));
+        }
+        List<long[]> stream = new ArrayList<>();
+        long now = 0;
+        long streamMillis = 0;
+        for (int choice : choices) {
+            StreamTime writer = processes.get(choice % PROCESSES);
+            long composed = writer.estimate(nanos(now));
+            now += choice % LONGEST_DELAY;
+            streamMillis = Math.max(streamMillis, composed);
+            stream.add(new long[] {now, streamMillis});
+            processes.get(choice / PROCESSES % PROCESSES).reached(streamMillis, nanos(now));
+        }
+        for (long[] earlier : stream) {
+            for (long[] later : stream.subList(stream.indexOf(earlier), stream.size())) {
+                long real = later[0] - earlier[0];
+                assertThat(real + LONGEST_DELAY, greaterThanOrEqualTo(later[1] - earlier[1]));
+            }
+        }
+    }
+
+    private static long nanos(long millis) {
+        return Duration.ofMillis(millis).toNanos();
+    }
+}
