Claims: smaller classes; equal takeovers of one entry share their record

Cause: Claimant and ClaimsActor had grown large; two callers that ask one entry for the same takeover left the first without a decision. Change: LateClaims, LogHealth, LeaseKeeper, ClaimLines and SnapshotDuty taken out; a second caller follows the first and attaches when that one wins.

--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -24,33 +24,23 @@
  */
 final class Claimant {
     private static final String NOT_RUN = "not run: ";
-    private static final int FAILURES_OF_AN_OUTAGE = 2;
-    private static final int MAXIMUM_LATE = 100_000;
 
     private final ClaimSettings settings;
     private final Coordinator self;
     private final String writer;
     private final LeaseTable leases;
-    private final OwnLease lease;
+    private final LeaseKeeper lease;
     private final GroupCommit commit;
     private final StreamTime streamTime;
-    private final MemoryClaims memory;
+    private final LateClaims late;
+    private final LogHealth health = new LogHealth();
     private final Map<ClaimRecord, WaitingClaim> waiting = new LinkedHashMap<>();
     private final Map<ClaimRecord, Long> abandoned = new LinkedHashMap<>();
-    private final Map<ClaimRecord.Claimed, Long> late = new LinkedHashMap<>();
     private final Set<JobId> releasing = new HashSet<>();
     private List<ClaimEffect> effects = new ArrayList<>();
     private ClaimTable table = new ClaimTable();
     private boolean caughtUp;
-    private boolean readFailing;
-    private int appendFailures;
     private long readSequence;
-    private boolean leaseHeld;
-    private boolean renewalQueued;
-    private long renewalNanos;
-    private boolean departing;
-    private boolean departureConfirmed;
-    private long departureNanos;
 
     /**
      * Creates the claims of a process that has read nothing yet.
@@ -68,26 +58,26 @@
         this.self = self;
         this.writer = RecordId.writerOf(self);
         this.leases = leases;
-        this.lease = lease;
+        this.lease = new LeaseKeeper(settings, self, lease);
         this.commit = new GroupCommit(settings.commit(), nanos);
         this.streamTime = new StreamTime(nanos);
-        this.memory = new MemoryClaims(self, settings.window(), clock);
+        this.late = new LateClaims(self, settings.window(), clock);
     }
 
     /** Claims a key; the reply comes as an effect, now or later. */
     void claim(ClaimRecord.Claimed claimed, ClaimMode mode, CompletableFuture<ClaimDecision> reply, long nanos) {
         Optional<ClaimDecision> known = decideFromKnown(claimed);
         if (known.isPresent()) {
-            decide(reply, known.get(), 0);
+            decide(claimed.key(), reply, known.get());
             return;
         }
-        if (mode == ClaimMode.MEMORY && isLogDown()) {
-            decide(reply, claimInMemory(claimed), 0);
+        if (mode == ClaimMode.MEMORY && health.isDown()) {
+            decide(claimed.key(), reply, claimInMemory(claimed));
             return;
         }
         Optional<String> obstacle = mode == ClaimMode.MEMORY ? departure() : obstacle();
         if (obstacle.isPresent()) {
-            decide(reply, unavailable(obstacle.get()), 0);
+            decide(claimed.key(), reply, unavailable(obstacle.get()));
             return;
         }
         offer(new WaitingClaim(claimed, mode, reply, nanos));
@@ -97,18 +87,18 @@
     void takeOver(Claim current, CompletableFuture<ClaimDecision> reply, long nanos) {
         Optional<Claim> inForce = table.find(current.key());
         if (inForce.isEmpty()) {
-            decide(reply, unavailable("the claim is no longer in force"), 0);
+            decide(current.key(), reply, unavailable("the claim is no longer in force"));
             return;
         }
         Claim claim = inForce.get();
         boolean same = claim.job().equals(current.job()) && claim.generation() == current.generation();
         if (!same || claim.coordinator().equals(self) || !leases.hasLapsed(claim.coordinator(), nanos)) {
-            decide(reply, new ClaimDecision.Attached(claim), 0);
+            decide(current.key(), reply, new ClaimDecision.Attached(claim));
             return;
         }
         Optional<String> obstacle = obstacle();
         if (obstacle.isPresent()) {
-            decide(reply, unavailable(obstacle.get()), 0);
+            decide(current.key(), reply, unavailable(obstacle.get()));
             return;
         }
         ClaimRecord.TakenOver taken =
@@ -123,11 +113,9 @@
 
     /** Gives the lease up: this process starts nothing from now on, and others may take its jobs over at once. */
     void depart(long nanos) {
-        if (departing) {
+        if (lease.isDeparting()) {
             return;
         }
-        departureNanos = nanos;
-        lease.end();
         giveUpAll(nanos);
         commit.addUrgent(new ClaimRecord.Departed(self));
         noticeLease(nanos);
@@ -140,7 +128,7 @@
      * @param sentNanos reading of the clock before the read was sent
      */
     void read(List<LogRecord> records, long endOffset, long sentNanos, long nanos) {
-        readFailing = false;
+        health.readSucceeded();
         for (LogRecord logRecord : records) {
             fold(logRecord, nanos);
         }
@@ -154,10 +142,9 @@
 
     /** Learns that a read failed. */
     void readFailed(String reason) {
-        if (!readFailing) {
+        if (health.readFailed()) {
             write(EventLine.of("claims-log-unreadable").with("reason", reason));
         }
-        readFailing = true;
     }
 
     /** Learns the outcome of an append. */
@@ -165,13 +152,8 @@
         if (!commit.answered(number, outcome, nanos)) {
             return;
         }
-        switch (outcome) {
-            case AppendOutcome.Appended ignored -> appendFailures = 0;
-            case AppendOutcome.Refused refused ->
-                noticeAppendFailure(FAILURES_OF_AN_OUTAGE, "refused", refused.reason());
-            // One lost answer may be just that: the records are looked for before claims are refused.
-            case AppendOutcome.Unknown unknown -> noticeAppendFailure(1, "unknown", unknown.reason());
-        }
+        health.appended(outcome);
+        ClaimLines.of(outcome).ifPresent(this::write);
     }
 
     /** Replaces the table by a snapshot's, unless the table is further. */
@@ -193,7 +175,7 @@
 
     /** Refuses whatever waits, as this process stops. */
     void giveUpAll(long nanos) {
-        departing = true;
+        lease.depart(nanos);
         List.copyOf(waiting.values()).forEach(claim -> giveUp(claim, nanos));
         waiting.clear();
     }
@@ -203,8 +185,7 @@
         giveUpOld(nanos);
         renew(nanos);
         noticeLease(nanos);
-        boolean overdue = nanos - departureNanos >= settings.claimTimeout().toNanos();
-        if (departing && overdue) {
+        if (lease.isDepartureOverdue(nanos)) {
             confirmDeparture();
         }
     }
@@ -225,12 +206,12 @@
 
     /** Returns the claim in force for a key. */
     Optional<Claim> find(SubmissionKey key) {
-        return table.find(key).or(() -> memory.lookUp(key));
+        return table.find(key).or(() -> late.find(key));
     }
 
     /** Returns the claim in force for a job. */
     Optional<Claim> find(JobId job) {
-        return table.find(job).or(() -> memory.lookUp(job));
+        return table.find(job).or(() -> late.find(job));
     }
 
     /** Returns the table's content, for a snapshot. */
@@ -255,7 +236,7 @@
 
     /** Tells whether there is nothing to hurry for: the log may hold a read back until there is a record. */
     boolean mayWait() {
-        return caughtUp && !readFailing;
+        return caughtUp && health.isReadable();
     }
 
     /** Tells whether the log was read to its end at least once. */
@@ -263,19 +244,15 @@
         return caughtUp;
     }
 
-    private boolean isLogDown() {
-        return readFailing || appendFailures >= FAILURES_OF_AN_OUTAGE;
-    }
-
     private Optional<String> departure() {
-        return departing ? Optional.of("this process departs") : Optional.empty();
+        return lease.isDeparting() ? Optional.of("this process departs") : Optional.empty();
     }
 
     private Optional<String> obstacle() {
-        if (departing) {
+        if (lease.isDeparting()) {
             return departure();
         }
-        if (isLogDown()) {
+        if (health.isDown()) {
             return Optional.of("the log can't be reached");
         }
         return caughtUp ? Optional.empty() : Optional.of("the log is not read to its end yet");
@@ -299,25 +276,26 @@
     }
 
     private void offer(WaitingClaim claim) {
+        WaitingClaim same = waiting.get(claim.content());
+        if (same != null) {
+            same.follow(claim.reply());
+            return;
+        }
         if (commit.offer(claim.content())) {
             waiting.put(claim.content(), claim);
             return;
         }
-        decide(claim.reply(), unavailable("too many claims wait for the log"), 0);
+        decide(claim.key(), claim.reply(), unavailable("too many claims wait for the log"));
     }
 
     private ClaimDecision claimInMemory(ClaimRecord.Claimed claimed) {
-        if (departing) {
+        if (lease.isDeparting()) {
             return unavailable("this process departs");
         }
-        if (late.size() >= MAXIMUM_LATE) {
-            return unavailable("too many claims in memory wait for the log");
-        }
-        ClaimDecision decision = memory.decide(claimed.key(), claimed.bodyDigest(), claimed.job());
+        ClaimDecision decision = late.decide(claimed);
         if (decision instanceof ClaimDecision.Won) {
-            late.put(claimed, 0L);
             commit.addLazy(claimed);
-            write(line("claim-in-memory", claimed.key(), claimed.job()));
+            write(ClaimLines.of("claim-in-memory", claimed.key(), claimed.job()));
         }
         return decision;
     }
@@ -361,16 +339,14 @@
         }
         releasing.remove(claim.job());
         effects.add(new ClaimEffect.TellReplaced(claim));
-        write(line("claim-replaced", claim.key(), claim.job())
+        write(ClaimLines.of("claim-replaced", claim.key(), claim.job())
                 .with("by", claim.coordinator().processId())
                 .with("generation", claim.generation()));
     }
 
     private void applyRenewed(Folded.Renewed renewed, long nanos) {
         leases.renewed(renewed.coordinator(), renewed.lease(), nanos);
-        if (renewed.coordinator().equals(self)) {
-            lease.readBack(renewed.sequence());
-        }
+        lease.read(renewed);
     }
 
     private void applyDeparted(Folded.Departed departed, long nanos) {
@@ -389,22 +365,18 @@
         caughtUp = true;
     }
 
-    private void noticeAppendFailure(int weight, String kind, String reason) {
-        appendFailures += weight;
-        write(EventLine.of("claims-append-failed").with("outcome", kind).with("reason", reason));
-    }
-
     /** Decides what waits for records of this process that have been read, or can't count any more. */
     private void settle(long nanos) {
         long sequence = table.sequenceOf(writer);
         if (sequence > readSequence) {
             readSequence = sequence;
-            appendFailures = 0;
+            health.appendSucceeded();
         }
         commit.readBack(sequence, nanos);
         settleAbandoned(sequence);
         settleWaiting(sequence, nanos);
-        settleLate(sequence);
+        late.takeLanded(sequence).forEach(this::landLate);
+        releasing.removeIf(job -> table.find(job).isEmpty());
         noticeLease(nanos);
     }
 
@@ -425,7 +397,7 @@
         ownClaimOf(content).ifPresent(claim -> {
             releasing.add(claim.job());
             commit.add(new ClaimRecord.Released(claim.key(), claim.job(), self, claim.generation()));
-            write(line("claim-released", claim.key(), claim.job()).with("generation", claim.generation()));
+            write(ClaimLines.of("claim-released", claim.key(), claim.job()).with("generation", claim.generation()));
         });
     }
 
@@ -463,33 +435,19 @@
         waiting.remove(claim.content());
         Optional<Claim> own = ownClaimOf(claim.content());
         if (own.isPresent()) {
-            decide(claim.reply(), new ClaimDecision.Won(own.get()), nanos - claim.startedNanos());
+            decide(claim, new ClaimDecision.Won(own.get()), nanos);
             return;
         }
         ClaimDecision decision = inForce
                 .map(other -> decideAgainst(other, claim.bodyDigest().orElse(other.bodyDigest())))
                 .orElseGet(() -> unavailable("the claim is no longer in force"));
-        decide(claim.reply(), decision, nanos - claim.startedNanos());
-    }
-
-    private void settleLate(long sequence) {
-        Iterator<Map.Entry<ClaimRecord.Claimed, Long>> entries = late.entrySet().iterator();
-        while (entries.hasNext()) {
-            Map.Entry<ClaimRecord.Claimed, Long> entry = entries.next();
-            long sent = entry.getValue();
-            if (sent == 0 || sent > sequence) {
-                return;
-            }
-            entries.remove();
-            landLate(entry.getKey());
-        }
+        decide(claim, decision, nanos);
     }
 
     private void landLate(ClaimRecord.Claimed claimed) {
-        memory.forget(claimed.job());
         Optional<Claim> inForce = table.find(claimed.key());
         if (inForce.isPresent() && !inForce.get().job().equals(claimed.job())) {
-            write(line("memory-claim-lost", claimed.key(), claimed.job())
+            write(ClaimLines.of("memory-claim-lost", claimed.key(), claimed.job())
                     .with("goesOn", true)
                     .with("inForce", inForce.get().job())
                     .with("by", inForce.get().coordinator().processId()));
@@ -518,19 +476,15 @@
         if (claim.wasSent() && !goesOn) {
             abandoned.put(claim.content(), claim.sequence());
         }
-        decide(claim.reply(), decision, nanos - claim.startedNanos());
+        decide(claim, decision, nanos);
     }
 
     private void renew(long nanos) {
-        boolean due = !renewalQueued || nanos - renewalNanos >= settings.renewalInterval().toNanos();
-        if (departing || !due) {
-            return;
-        }
-        ClaimRecord.Renewed renewed = new ClaimRecord.Renewed(self, settings.lease());
-        commit.withdraw(renewed);
-        commit.addUrgent(renewed);
-        renewalQueued = true;
-        renewalNanos = nanos;
+        lease.takeRenewal(nanos).ifPresent(renewed -> {
+            // One that waits or is in doubt counts from its first sending; the new one lasts longer.
+            commit.withdraw(renewed);
+            commit.addUrgent(renewed);
+        });
     }
 
     private void noteSending(GroupCommit.Outgoing outgoing, long nanos) {
@@ -539,7 +493,7 @@
             lease.sending(outgoing.sequence(), nanos);
         }
         if (content instanceof ClaimRecord.Claimed claimed) {
-            late.replace(claimed, 0L, outgoing.sequence());
+            late.sentAs(claimed, outgoing.sequence());
         }
         WaitingClaim claim = waiting.get(content);
         if (claim != null) {
@@ -548,51 +502,36 @@
     }
 
     private void noticeLease(long nanos) {
-        boolean held = lease.isHeldAt(nanos);
-        if (held == leaseHeld) {
-            return;
-        }
-        leaseHeld = held;
-        effects.add(new ClaimEffect.TellLease(held));
-        write(EventLine.of(held ? "lease-gained" : "lease-lost")
-                .with("process", self.processId())
-                .with("incarnation", self.incarnation()));
+        lease.takeChange(nanos).ifPresent(held -> {
+            effects.add(new ClaimEffect.TellLease(held));
+            write(EventLine.of(held ? "lease-gained" : "lease-lost")
+                    .with("process", self.processId())
+                    .with("incarnation", self.incarnation()));
+        });
     }
 
     private void confirmDeparture() {
-        if (!departureConfirmed) {
-            departureConfirmed = true;
+        if (lease.confirmDeparture()) {
             effects.add(new ClaimEffect.ConfirmDeparture());
         }
     }
 
-    private void decide(CompletableFuture<ClaimDecision> reply, ClaimDecision decision, long waitedNanos) {
-        effects.add(new ClaimEffect.Decide(reply, decision, waitedNanos));
-        if (decision instanceof ClaimDecision.Won won) {
-            write(describe("claim-won", won.claim()));
-        }
-        if (decision instanceof ClaimDecision.Attached attached) {
-            write(describe("claim-attached", attached.claim()));
-        }
-        if (decision instanceof ClaimDecision.KeyReused reused) {
-            write(describe("claim-key-reused", reused.claim()));
-        }
-        if (decision instanceof ClaimDecision.LogUnavailable unavailable) {
-            write(EventLine.of("claim-refused").with("reason", unavailable.reason()));
-        }
+    private void decide(WaitingClaim claim, ClaimDecision decision, long nanos) {
+        long waitedNanos = nanos - claim.startedNanos();
+        decide(claim.key(), claim.reply(), decision, waitedNanos);
+        ClaimDecision followed =
+                decision instanceof ClaimDecision.Won won ? new ClaimDecision.Attached(won.claim()) : decision;
+        claim.followers().forEach(reply -> decide(claim.key(), reply, followed, waitedNanos));
     }
 
-    private static EventLine describe(String event, Claim claim) {
-        return line(event, claim.key(), claim.job())
-                .with("coordinator", claim.coordinator().processId())
-                .with("generation", claim.generation());
+    private void decide(SubmissionKey key, CompletableFuture<ClaimDecision> reply, ClaimDecision decision) {
+        decide(key, reply, decision, 0);
     }
 
-    private static EventLine line(String event, SubmissionKey key, JobId job) {
-        return EventLine.of(event)
-                .with("team", key.team())
-                .with("key", key.key())
-                .with("job", job);
+    private void decide(
+            SubmissionKey key, CompletableFuture<ClaimDecision> reply, ClaimDecision decision, long waitedNanos) {
+        effects.add(new ClaimEffect.Decide(reply, decision, waitedNanos));
+        write(ClaimLines.of(key, decision));
     }
 
     private static ClaimDecision unavailable(String reason) {
--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -5,14 +5,11 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
-import org.apache.pekko.actor.typed.DispatcherSelector;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
 import org.apache.pekko.actor.typed.javadsl.ActorContext;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
@@ -29,8 +26,6 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final Duration TICK = Duration.ofMillis(10);
     private static final Duration EMPTY_READ_PAUSE = Duration.ofMillis(20);
-    private static final Duration LOAD_LIMIT = Duration.ofSeconds(60);
-    private static final int LOOKS_IN_INTERVAL = 8;
 
     private final ActorRef<ClaimsCommand> me;
     private final TimerScheduler<ClaimsCommand> timers;
@@ -41,9 +36,7 @@
     private final NanoClock clock;
     private final ClaimMeters meters;
     private final AtomicBoolean caughtUp;
-    private final Executor executor;
-    private final SnapshotReader snapshots;
-    private final SnapshotSchedule schedule;
+    private final SnapshotDuty snapshots;
     private final List<Consumer<Boolean>> leaseListeners = new ArrayList<>();
     private final List<Consumer<Claim>> replacedListeners = new ArrayList<>();
     private final List<CompletableFuture<Void>> departures = new ArrayList<>();
@@ -56,12 +49,7 @@
     private long readSentNanos;
     private long readNotBeforeNanos;
     private boolean snapshotWanted = true;
-    private boolean loading;
-    private long loadNumber;
-    private long loadSentNanos;
     private long earliestOffset;
-    private boolean snapshotBusy;
-    private long snapshotNotBeforeNanos;
     private boolean appendOpen;
     private long appendNumber;
     private long appendSentNanos;
@@ -86,11 +74,8 @@
         this.clock = clock;
         this.meters = meters;
         this.caughtUp = caughtUp;
-        this.executor = context.getSystem().dispatchers().lookup(DispatcherSelector.blocking());
-        this.snapshots = new SnapshotReader(log, executor);
-        this.schedule = new SnapshotSchedule(settings.snapshots(), self.processId());
         this.readNotBeforeNanos = clock.nanos();
-        this.snapshotNotBeforeNanos = readNotBeforeNanos;
+        this.snapshots = new SnapshotDuty(context, log, settings, self, readNotBeforeNanos);
     }
 
     /** Returns the behaviour; the first tick sets it going. */
@@ -141,8 +126,8 @@
             case ClaimsCommand.ReadAnswered answered -> readAnswered(answered, nanos);
             case ClaimsCommand.AppendAnswered answered -> appendAnswered(answered.number(), answered.outcome(), nanos);
             case ClaimsCommand.SnapshotLoaded loaded -> snapshotLoaded(loaded, nanos);
-            case ClaimsCommand.SnapshotTailRead read -> snapshotTailRead(read.tail(), nanos);
-            case ClaimsCommand.SnapshotDone done -> snapshotDone(done, nanos);
+            case ClaimsCommand.SnapshotTailRead read -> snapshots.write(read.tail(), claimant, nanos);
+            case ClaimsCommand.SnapshotDone done -> snapshots.done(done, nanos);
             case ClaimsCommand.Tick ignored -> tick(nanos);
             case ClaimsCommand.Stop ignored -> stop(nanos);
         }
@@ -186,30 +171,20 @@
         if (appendOpen && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
             appendAnswered(appendNumber, new AppendOutcome.Unknown("no answer in time"), nanos);
         }
-        if (loading && nanos - loadSentNanos > LOAD_LIMIT.toNanos()) {
+        if (snapshots.isLoadOverdue(nanos)) {
             loadLater("no answer in time", nanos);
         }
         claimant.tick(nanos);
-        snapshotIfDue(nanos);
-    }
-
-    /** Reads the newest snapshot; the stream is not read before that. */
-    private void load(long nanos) {
-        loading = true;
-        loadNumber++;
-        loadSentNanos = nanos;
-        long number = loadNumber;
-        snapshots.load().whenComplete((load, failure) -> me.tell(new ClaimsCommand.SnapshotLoaded(
-                        number, failure == null ? load : new SnapshotLoad.Unavailable(failure.toString()))));
+        snapshots.tick(claimant, nanos);
     }
 
     private void snapshotLoaded(ClaimsCommand.SnapshotLoaded loaded, long nanos) {
-        if (!loading || loaded.number() != loadNumber) {
+        if (!snapshots.endLoading(loaded.number())) {
             return;
         }
         switch (loaded.load()) {
             case SnapshotLoad.Found found -> {
-                schedule.covered(found.image().nextOffset(), found.image().streamMillis());
+                snapshots.covered(found.image().nextOffset(), found.image().streamMillis());
                 claimant.restore(found.image(), nanos);
                 endLoading();
             }
@@ -219,7 +194,6 @@
     }
 
     private void endLoading() {
-        loading = false;
         snapshotWanted = false;
         if (claimant.nextOffset() < earliestOffset) {
             claimant.skipTo(earliestOffset);
@@ -227,54 +201,17 @@
     }
 
     private void loadLater(String reason, long nanos) {
-        loading = false;
+        snapshots.cancelLoading();
         readFailed(reason, nanos);
     }
 
-    private void snapshotIfDue(long nanos) {
-        boolean mayWrite = claimant.caughtUp() && !snapshotWanted && !snapshotBusy;
-        if (!mayWrite || nanos - snapshotNotBeforeNanos < 0) {
-            return;
-        }
-        if (!schedule.isDue(claimant.nextOffset(), claimant.streamMillis())) {
-            return;
-        }
-        snapshotBusy = true;
-        snapshots.tail().whenComplete((tail, failure) -> me.tell(new ClaimsCommand.SnapshotTailRead(failure == null ? tail : Optional.empty())));
-    }
-
-    private void snapshotTailRead(Optional<SnapshotTail> tail, long nanos) {
-        boolean write = tail.isPresent()
-                && schedule.shallWrite(tail.get(), claimant.nextOffset(), claimant.streamMillis());
-        if (!write) {
-            pauseSnapshots(nanos);
-            return;
-        }
-        TableImage image = claimant.image();
-        Behavior<SnapshotWriter.Command> behavior = SnapshotWriter.create(
-                log, settings, image, writer, executor, whole -> me.tell(new ClaimsCommand.SnapshotDone(image.nextOffset(), image.streamMillis(), whole)));
-        getContext().spawnAnonymous(behavior);
-    }
-
-    private void snapshotDone(ClaimsCommand.SnapshotDone done, long nanos) {
-        if (done.whole()) {
-            schedule.covered(done.covers(), done.streamMillis());
-        }
-        pauseSnapshots(nanos);
-    }
-
-    private void pauseSnapshots(long nanos) {
-        snapshotBusy = false;
-        snapshotNotBeforeNanos = nanos + settings.snapshots().interval().dividedBy(LOOKS_IN_INTERVAL).toNanos();
-    }
-
     private void readOn() {
         long nanos = clock.nanos();
-        if (readOpen || loading || nanos - readNotBeforeNanos < 0) {
+        if (readOpen || snapshots.isLoading() || nanos - readNotBeforeNanos < 0) {
             return;
         }
         if (snapshotWanted) {
-            load(nanos);
+            snapshots.load(nanos);
             return;
         }
         readOpen = true;
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/LeaseKeeper.java
@@ -0,0 +1,80 @@
+package org.chivetally.claim;
+
+import java.util.Optional;
+
+/** Decides when this process renews its lease, and notices when it is gained, lost or given up. */
+final class LeaseKeeper {
+    private final ClaimSettings settings;
+    private final Coordinator self;
+    private final OwnLease lease;
+    private boolean held;
+    private boolean renewedOnce;
+    private long renewedNanos;
+    private boolean departing;
+    private boolean departureConfirmed;
+    private long departedNanos;
+
+    /** Creates the keeper of a lease. */
+    LeaseKeeper(ClaimSettings settings, Coordinator self, OwnLease lease) {
+        this.settings = settings;
+        this.self = self;
+        this.lease = lease;
+    }
+
+    /** Returns a renewal if one is due; it counts as queued then. */
+    Optional<ClaimRecord.Renewed> takeRenewal(long nanos) {
+        boolean due = !renewedOnce || nanos - renewedNanos >= settings.renewalInterval().toNanos();
+        if (departing || !due) {
+            return Optional.empty();
+        }
+        renewedOnce = true;
+        renewedNanos = nanos;
+        return Optional.of(new ClaimRecord.Renewed(self, settings.lease()));
+    }
+
+    /** Notes that a renewal is about to be sent for the first time. */
+    void sending(long sequence, long nanos) {
+        lease.sending(sequence, nanos);
+    }
+
+    /** Learns of a renewal that was read. */
+    void read(Folded.Renewed renewed) {
+        if (renewed.coordinator().equals(self)) {
+            lease.readBack(renewed.sequence());
+        }
+    }
+
+    /** Returns whether the lease is held now, if that has changed since the last call. */
+    Optional<Boolean> takeChange(long nanos) {
+        boolean now = lease.isHeldAt(nanos);
+        if (now == held) {
+            return Optional.empty();
+        }
+        held = now;
+        return Optional.of(now);
+    }
+
+    /** Gives the lease up for good. */
+    void depart(long nanos) {
+        departing = true;
+        departedNanos = nanos;
+        lease.end();
+    }
+
+    /** Tells whether the lease was given up. */
+    boolean isDeparting() {
+        return departing;
+    }
+
+    /** Learns that the departure stands in the log; returns whether that is news. */
+    boolean confirmDeparture() {
+        boolean isNew = departing && !departureConfirmed;
+        departureConfirmed = departureConfirmed || departing;
+        return isNew;
+    }
+
+    /** Tells whether the log had its time to take the departure. */
+    boolean isDepartureOverdue(long nanos) {
+        return departing && nanos - departedNanos >= settings.claimTimeout().toNanos();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/claim/SnapshotDuty.java
@@ -0,0 +1,136 @@
+package org.chivetally.claim;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import org.apache.pekko.actor.typed.Behavior;
+import org.apache.pekko.actor.typed.DispatcherSelector;
+import org.apache.pekko.actor.typed.javadsl.ActorContext;
+import org.chivetally.log.PlatformLog;
+
+/** What an actor of claims does about snapshots: reads the newest one when it has to, and writes one when it is due. */
+final class SnapshotDuty {
+    private static final Duration LOAD_LIMIT = Duration.ofSeconds(60);
+    private static final int LOOKS_IN_INTERVAL = 8;
+
+    private final ActorContext<ClaimsCommand> context;
+    private final PlatformLog log;
+    private final ClaimSettings settings;
+    private final String writer;
+    private final Executor executor;
+    private final SnapshotReader reader;
+    private final SnapshotSchedule schedule;
+    private boolean loading;
+    private long loadNumber;
+    private long loadSentNanos;
+    private boolean busy;
+    private long notBeforeNanos;
+
+    /** Creates the duty of a process; chunks are made and read on the blocking dispatcher. */
+    SnapshotDuty(
+            ActorContext<ClaimsCommand> context,
+            PlatformLog log,
+            ClaimSettings settings,
+            Coordinator self,
+            long nanos) {
+        this.context = context;
+        this.log = log;
+        this.settings = settings;
+        this.writer = RecordId.writerOf(self);
+        this.executor = context.getSystem().dispatchers().lookup(DispatcherSelector.blocking());
+        this.reader = new SnapshotReader(log, executor);
+        this.schedule = new SnapshotSchedule(settings.snapshots(), self.processId());
+        this.notBeforeNanos = nanos;
+    }
+
+    /** Looks for the newest snapshot; the actor gets {@link ClaimsCommand.SnapshotLoaded}. */
+    void load(long nanos) {
+        loading = true;
+        loadNumber++;
+        loadSentNanos = nanos;
+        long number = loadNumber;
+        CompletionStage<SnapshotLoad> load = reader.load();
+        context.pipeToSelf(
+                load,
+                (found, failure) -> new ClaimsCommand.SnapshotLoaded(
+                        number, failure == null ? found : new SnapshotLoad.Unavailable(failure.toString())));
+    }
+
+    /** Tells whether a snapshot is looked for. */
+    boolean isLoading() {
+        return loading;
+    }
+
+    /** Tells whether the search takes longer than it may. */
+    boolean isLoadOverdue(long nanos) {
+        return loading && nanos - loadSentNanos > LOAD_LIMIT.toNanos();
+    }
+
+    /** Ends a search; the answer to an earlier one is passed over. */
+    boolean endLoading(long number) {
+        if (!loading || number != loadNumber) {
+            return false;
+        }
+        cancelLoading();
+        return true;
+    }
+
+    /** Stops waiting for a search. */
+    void cancelLoading() {
+        loading = false;
+    }
+
+    /** Learns of a whole snapshot. */
+    void covered(long offset, long streamMillis) {
+        schedule.covered(offset, streamMillis);
+    }
+
+    /** Looks at the snapshot stream when one is due; the actor gets {@link ClaimsCommand.SnapshotTailRead}. */
+    void tick(Claimant claimant, long nanos) {
+        if (busy || loading || !claimant.caughtUp() || nanos - notBeforeNanos < 0) {
+            return;
+        }
+        if (!schedule.isDue(claimant.nextOffset(), claimant.streamMillis())) {
+            return;
+        }
+        busy = true;
+        context.pipeToSelf(
+                reader.tail(),
+                (tail, failure) -> new ClaimsCommand.SnapshotTailRead(failure == null ? tail : Optional.empty()));
+    }
+
+    /** Writes a snapshot unless another process does; the actor gets {@link ClaimsCommand.SnapshotDone}. */
+    void write(Optional<SnapshotTail> tail, Claimant claimant, long nanos) {
+        boolean write = tail.isPresent()
+                && schedule.shallWrite(tail.get(), claimant.nextOffset(), claimant.streamMillis());
+        if (!write) {
+            pause(nanos);
+            return;
+        }
+        TableImage image = claimant.image();
+        Behavior<SnapshotWriter.Command> behavior = SnapshotWriter.create(
+                log,
+                settings,
+                image,
+                writer,
+                executor,
+                whole -> context.getSelf()
+                        .tell(new ClaimsCommand.SnapshotDone(image.nextOffset(), image.streamMillis(), whole)));
+        context.spawnAnonymous(behavior);
+    }
+
+    /** Learns that the writer ended. */
+    void done(ClaimsCommand.SnapshotDone done, long nanos) {
+        if (done.whole()) {
+            schedule.covered(done.covers(), done.streamMillis());
+        }
+        pause(nanos);
+    }
+
+    private void pause(long nanos) {
+        busy = false;
+        Duration pause = settings.snapshots().interval().dividedBy(LOOKS_IN_INTERVAL);
+        notBeforeNanos = nanos + pause.toNanos();
+    }
+}
--- a/library/src/main/java/org/chivetally/claim/WaitingClaim.java
+++ b/library/src/main/java/org/chivetally/claim/WaitingClaim.java
@@ -1,5 +1,7 @@
 package org.chivetally.claim;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.chivetally.job.ServicePolicy.ClaimMode;
@@ -10,6 +12,7 @@
     private final ClaimMode mode;
     private final CompletableFuture<ClaimDecision> reply;
     private final long startedNanos;
+    private final List<CompletableFuture<ClaimDecision>> followers = new ArrayList<>();
     private long sequence;
 
     /** Creates one that is not sent yet; {@code startedNanos} is the reading of the clock when the caller asked. */
@@ -41,6 +44,16 @@
         return reply;
     }
 
+    /** Lets another caller, who asked for the very same, wait for the decision; at most one of them may win. */
+    void follow(CompletableFuture<ClaimDecision> other) {
+        followers.add(other);
+    }
+
+    /** Returns the callers besides the first one. */
+    List<CompletableFuture<ClaimDecision>> followers() {
+        return followers;
+    }
+
     /** Returns the reading of the clock when the caller asked. */
     long startedNanos() {
         return startedNanos;
