--- a/library/src/main/java/org/chivetally/claim/ClaimTable.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -109,8 +109,8 @@
     /**
      * Tells whether a record is the first of its id.
      *
-     * <p>An append whose answer was lost is repeated, and the first may land late: the record stands twice. Folded twice
-     * it could claim a key again that was released in between, and nobody would work on it.
+     * <p>An append whose answer was lost is repeated, and the first may land late: the record stands twice. Folded
+     * twice it could claim a key again that was released in between, and nobody would work on it.
      */
     private boolean isFirst(RecordId id) {
         TableImage.Writer known = writers.get(id.writer());
@@ -133,7 +133,10 @@
                 Claim.FIRST_GENERATION,
                 false);
         remove(byKey.get(claimed.key()));
-        put(HeldClaim.of(claim, shared(claim.coordinator()), streamMillis + claimed.window().toMillis()));
+        put(HeldClaim.of(
+                claim,
+                shared(claim.coordinator()),
+                streamMillis + claimed.window().toMillis()));
         return new Folded.Won(claim);
     }
 
--- a/library/src/main/java/org/chivetally/claim/GroupCommit.java
+++ b/library/src/main/java/org/chivetally/claim/GroupCommit.java
@@ -135,10 +135,7 @@
     }
 
     private boolean hasWork() {
-        return !unsettled.isEmpty()
-                || !urgent.isEmpty()
-                || !normal.isEmpty()
-                || lazy.size() >= settings.maximumBatch();
+        return !unsettled.isEmpty() || !urgent.isEmpty() || !normal.isEmpty() || lazy.size() >= settings.maximumBatch();
     }
 
     private void dropUnsettled(Set<ClaimRecord> contents) {
--- a/library/src/main/java/org/chivetally/claim/LogClaims.java
+++ b/library/src/main/java/org/chivetally/claim/LogClaims.java
@@ -19,8 +19,8 @@
 /**
  * Claims that the platform's log decides.
  *
- * <p>An actor follows the stream {@value #STREAM} and appends this process's records to it. Safe from any thread; stages
- * complete on the actor's thread, so what hangs on them must not block.
+ * <p>An actor follows the stream {@value #STREAM} and appends this process's records to it. Safe from any thread;
+ * stages complete on the actor's thread, so what hangs on them must not block.
  */
 public final class LogClaims implements Claims {
     /** The stream of claims. */
@@ -86,8 +86,7 @@
 
     @Override
     public CompletionStage<ClaimDecision> claim(SubmissionKey key, String bodyDigest, JobId job, ClaimMode mode) {
-        ClaimRecord.Claimed claimed =
-                new ClaimRecord.Claimed(key, bodyDigest, job, self, settings.writtenWindow());
+        ClaimRecord.Claimed claimed = new ClaimRecord.Claimed(key, bodyDigest, job, self, settings.writtenWindow());
         CompletableFuture<ClaimDecision> reply = new CompletableFuture<>();
         actor.tell(new ClaimsCommand.MakeClaim(claimed, mode, reply));
         return reply;
--- a/library/src/main/java/org/chivetally/claim/MemoryClaims.java
+++ b/library/src/main/java/org/chivetally/claim/MemoryClaims.java
@@ -46,8 +46,8 @@
                     : new ClaimDecision.Attached(held.claim());
             return CompletableFuture.completedFuture(decision);
         }
-        Claim successor = new Claim(
-                current.key(), current.bodyDigest(), current.job(), self, current.generation() + 1, false);
+        Claim successor =
+                new Claim(current.key(), current.bodyDigest(), current.job(), self, current.generation() + 1, false);
         byKey.put(current.key(), new Held(successor, held.endNanos()));
         return CompletableFuture.completedFuture(new ClaimDecision.Won(successor));
     }
@@ -69,8 +69,8 @@
             return;
         }
         Claim known = held.claim();
-        Claim marked = new Claim(
-                known.key(), known.bodyDigest(), known.job(), known.coordinator(), known.generation(), true);
+        Claim marked =
+                new Claim(known.key(), known.bodyDigest(), known.job(), known.coordinator(), known.generation(), true);
         byKey.put(claim.key(), new Held(marked, held.endNanos()));
     }
 
--- a/library/src/main/java/org/chivetally/claim/SnapshotAssembler.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotAssembler.java
@@ -13,8 +13,8 @@
 /**
  * Finds the newest whole snapshot among chunks.
  *
- * <p>Chunks of several writers may lie between each other, stand twice, be damaged or be missing: a snapshot counts only
- * when all its parts are there and valid, so that a half-written one can't hide claims.
+ * <p>Chunks of several writers may lie between each other, stand twice, be damaged or be missing: a snapshot counts
+ * only when all its parts are there and valid, so that a half-written one can't hide claims.
  */
 final class SnapshotAssembler {
     private final Map<String, Parts> snapshots = new HashMap<>();
@@ -28,7 +28,8 @@
     Optional<TableImage> newest() {
         List<Parts> whole = new ArrayList<>(
                 snapshots.values().stream().filter(Parts::isWhole).toList());
-        whole.sort(Comparator.comparingLong((Parts parts) -> parts.header.covers()).reversed());
+        whole.sort(
+                Comparator.comparingLong((Parts parts) -> parts.header.covers()).reversed());
         for (Parts parts : whole) {
             Optional<TableImage> image = SnapshotCodec.decode(parts.header, Arrays.asList(parts.bodies));
             if (image.isPresent()) {
--- a/library/src/main/java/org/chivetally/claim/SnapshotChunk.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotChunk.java
@@ -14,7 +14,8 @@
 import tools.jackson.core.json.JsonFactory;
 
 /**
- * One record of the snapshot stream: a line with the checksum of the rest, a line with the header as JSON, and the rows.
+ * One record of the snapshot stream: a line with the checksum of the rest, a line with the header as JSON, and the
+ * rows.
  *
  * @param body rows of the snapshot, each a JSON array on a line of its own
  */
--- a/library/src/main/java/org/chivetally/claim/SnapshotReader.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotReader.java
@@ -68,15 +68,19 @@
 
     private CompletionStage<SnapshotLoad> collect(long from, long end, SnapshotAssembler assembler) {
         if (from >= end) {
-            return completed(assembler.newest().<SnapshotLoad>map(SnapshotLoad.Found::new).orElseGet(
-                    SnapshotLoad.None::new));
+            return completed(assembler
+                    .newest()
+                    .<SnapshotLoad>map(SnapshotLoad.Found::new)
+                    .orElseGet(SnapshotLoad.None::new));
         }
         return log.read(LogClaims.SNAPSHOT_STREAM, from, RECORDS_OF_A_READ, Duration.ZERO)
                 .thenComposeAsync(
                         outcome -> switch (outcome) {
                             case ReadOutcome.Records found -> {
                                 found.records().forEach(assembler::add);
-                                long next = found.records().isEmpty() ? end : from + found.records().size();
+                                long next = found.records().isEmpty()
+                                        ? end
+                                        : from + found.records().size();
                                 yield collect(next, end, assembler);
                             }
                             case ReadOutcome.Expired expired -> collect(expired.earliestOffset(), end, assembler);
--- a/library/src/main/java/org/chivetally/claim/SnapshotWriter.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotWriter.java
@@ -105,11 +105,15 @@
         timers.cancelAll();
         if (!(outcome instanceof AppendOutcome.Appended)) {
             failures++;
-            return failures > MOST_FAILURES ? end(false) : sendAfter(settings.tail().retryInterval());
+            return failures > MOST_FAILURES
+                    ? end(false)
+                    : sendAfter(settings.tail().retryInterval());
         }
         failures = 0;
         part++;
-        return part == chunks.size() ? end(true) : sendAfter(settings.snapshots().chunkInterval());
+        return part == chunks.size()
+                ? end(true)
+                : sendAfter(settings.snapshots().chunkInterval());
     }
 
     private Behavior<Command> sendAfter(Duration pause) {
--- a/library/src/main/java/org/chivetally/claim/StreamTime.java
+++ b/library/src/main/java/org/chivetally/claim/StreamTime.java
@@ -10,8 +10,8 @@
  * already let it be claimed anew; it would pass over the new claim, forget the key later, and let a third claim start
  * the same tasks again within the second one's window. With the time in the stream all readers agree.
  *
- * <p>An estimate never runs ahead: it is a time that the stream was known to have reached, plus what has passed since on
- * the monotonic clock. While nobody writes, the stream's time stands still, and keys stay taken a little longer.
+ * <p>An estimate never runs ahead: it is a time that the stream was known to have reached, plus what has passed since
+ * on the monotonic clock. While nobody writes, the stream's time stands still, and keys stay taken a little longer.
  */
 final class StreamTime {
     private long baseMillis;
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -368,8 +368,7 @@
         LogClaims b = start("b", log);
         claim(a, "job-1");
         viewOfA.down(true);
-        Claim missed = new Claim(
-                ClaimSamples.OTHER_KEY, BODY, new JobId("job-2"), ClaimSamples.process("b"), 1, false);
+        Claim missed = new Claim(ClaimSamples.OTHER_KEY, BODY, new JobId("job-2"), ClaimSamples.process("b"), 1, false);
         join(b.claim(missed.key(), BODY, missed.job()));
         CompletionStage<LogRecord> written = log.nextRecord(LogClaims.SNAPSHOT_STREAM);
         pass(SNAPSHOT_INTERVAL);
--- a/library/src/test/java/org/chivetally/claim/ScriptedLog.java
+++ b/library/src/test/java/org/chivetally/claim/ScriptedLog.java
@@ -67,7 +67,8 @@
                 return CompletableFuture.completedFuture(new ReadOutcome.Unavailable("down"));
             }
             ReadOutcome now = shared.read(stream, from, limit);
-            boolean empty = now instanceof ReadOutcome.Records found && found.records().isEmpty();
+            boolean empty =
+                    now instanceof ReadOutcome.Records found && found.records().isEmpty();
             if (!empty || wait.isZero()) {
                 return CompletableFuture.completedFuture(now);
             }
@@ -127,14 +128,17 @@
         synchronized (shared) {
             int from = shared.records(stream).size();
             return read(stream, from, 1, Duration.ofDays(1))
-                    .thenApply(outcome -> ((ReadOutcome.Records) outcome).records().getFirst());
+                    .thenApply(
+                            outcome -> ((ReadOutcome.Records) outcome).records().getFirst());
         }
     }
 
     /** Answers the reads that the log holds back: nothing new. */
     void answerPolls() {
         synchronized (shared) {
-            shared.answer(poll -> poll.longest().compareTo(LONGEST_POLL) < 0, poll -> shared.read(poll.stream(), poll.from(), poll.limit()));
+            shared.answer(
+                    poll -> poll.longest().compareTo(LONGEST_POLL) < 0,
+                    poll -> shared.read(poll.stream(), poll.from(), poll.limit()));
         }
     }
 
@@ -205,8 +209,7 @@
             return new ReadOutcome.Records(records.subList(start, end), records.size());
         }
 
-        private void answer(
-                Predicate<Poll> which, Function<Poll, ReadOutcome> outcome) {
+        private void answer(Predicate<Poll> which, Function<Poll, ReadOutcome> outcome) {
             List<Poll> answered = polls.stream().filter(which).toList();
             polls.removeAll(answered);
             answered.forEach(poll -> poll.answer().complete(outcome.apply(poll)));
