--- a/library/src/test/java/org/chivetally/resource/ResourceServiceTest.java
+++ b/library/src/test/java/org/chivetally/resource/ResourceServiceTest.java
@@ -220,10 +220,11 @@
         assertThat(agent.service("reports").maximumAttempts(), is(6));
         assertThat(agent.version(), is(3L));
         assertThat(agent.team("t").weight(), is(1));
-        assertThat(
-                "an entry folds nothing onto an excerpt",
-                get(service.offerSnapshot(newer.version(), newer.content())),
-                is(false));
+        // An entry that took the excerpt of an agent for the whole would serve without the teams.
+        log.readable(false);
+        ResourceService late = start("late");
+        assertThat(get(late.offerSnapshot(newer.version(), newer.content())), is(false));
+        assertThat(get(late.offerSnapshot(3, service.snapshot(0).orElseThrow())), is(true));
     }
 
     @Test
