--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.typed.ActorSystem;
 import org.chivetally.claim.ClaimSettings;
 import org.chivetally.coordination.DispatchSettings;
 import org.chivetally.entry.link.Address;
@@ -25,6 +26,8 @@
 /** Entries on the loopback address over a log in memory, and a client for them. */
 final class EntryFixture implements AutoCloseable {
     static final String LOOPBACK = "127.0.0.1";
+    private static final ClaimSettings USUAL_CLAIMS =
+            ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1));
 
     final ActorTestKit kit = ActorTestKit.create();
     final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -33,7 +36,7 @@
             new InMemoryPlatformLog(kit.system(), NanoClock.system(), InMemoryLogSettings.immediate());
     private final HttpClient client = HttpClient.newHttpClient();
 
-    static EntrySettings settings(String processId) {
+    private static EntrySettings settings(String processId, ClaimSettings claims) {
         Address loopback = new Address(LOOPBACK, 0);
         return new EntrySettings(
                 processId,
@@ -42,21 +45,25 @@
                 loopback,
                 loopback,
                 List.of(),
-                ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1)),
+                claims,
                 DispatchSettings.defaults("north"),
                 HeartbeatSettings.standard(),
                 new EntryLimits(1 << 20, 3, 100, 1 << 20, Duration.ZERO, Duration.ofSeconds(30)));
     }
 
     EntryServer start(String processId) {
+        return start(processId, USUAL_CLAIMS, kit.system(), transport);
+    }
+
+    EntryServer start(String processId, ClaimSettings claims, ActorSystem<?> system, FrameTransport frames) {
         return join(EntryServer.start(
-                kit.system(), settings(processId), log, transport, meters, NanoClock.system()));
+                system, settings(processId, claims), log, frames, meters, NanoClock.system()));
     }
 
     EntryServer start(String processId, EntryServer.Decisions decisions) {
         return join(EntryServer.start(
                 kit.system(),
-                settings(processId),
+                settings(processId, USUAL_CLAIMS),
                 log,
                 transport,
                 meters,
--- a/library/src/test/java/org/chivetally/entry/WholePathTest.java
+++ b/library/src/test/java/org/chivetally/entry/WholePathTest.java
@@ -1,21 +1,15 @@
 package org.chivetally.entry;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.aMapWithSize;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.everyItem;
-import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
-import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
-import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
@@ -26,57 +20,28 @@
 import org.chivetally.agent.MinionCapacity;
 import org.chivetally.agent.MinionStateSource;
 import org.chivetally.claim.ClaimSettings;
-import org.chivetally.coordination.DispatchSettings;
-import org.chivetally.entry.link.Address;
-import org.chivetally.entry.link.HeartbeatSettings;
-import org.chivetally.log.InMemoryLogSettings;
-import org.chivetally.log.InMemoryPlatformLog;
 import org.chivetally.time.NanoClock;
 import org.chivetally.transport.FrameTransport;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+/** Entries, one agent and one minion, with only the log in memory. */
 class WholePathTest {
-    private static final String LOOPBACK = "127.0.0.1";
     private static final int SLOTS = 8;
+    private static final ClaimSettings SHORT_LEASE = shortLease();
 
-    private final ActorTestKit kit = ActorTestKit.create();
-    private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
-    private final FrameTransport transport = new FrameTransport(meters);
-    private final InMemoryPlatformLog log =
-            new InMemoryPlatformLog(kit.system(), NanoClock.system(), InMemoryLogSettings.immediate());
-    private final EchoMinion minion = new EchoMinion(kit.system());
-    private final HttpClient client = HttpClient.newHttpClient();
+    private final EntryFixture fixture = new EntryFixture();
+    private final EchoMinion minion = new EchoMinion(fixture.kit.system());
 
-    @AfterEach
-    void close() {
-        client.close();
-        transport.close();
-        kit.shutdownTestKit();
-    }
-
-    @Test
-    void aJobOf250TasksGetsItsWholeAnswerAndItsKeyNoSecondStart() throws Exception {
-        startAgent();
-        EntryServer entry = startEntry("entry-1");
-        String body = job(250);
-        HttpResponse<String> first = submit(entry, "same-key", body);
-        String expected = IntStream.range(0, 250)
-                .mapToObj(task -> "{\"n\":" + task + "}")
-                .collect(Collectors.joining(",", "\"answers\":[", "]"));
-        assertThat(first.body(), containsString(expected));
-        assertThat(submit(entry, "same-key", body).body(), is(first.body()));
-        assertThat(minion.starts().values(), hasSize(250));
-        assertThat(minion.starts().values(), everyItem(is(1)));
-    }
-
-    private void startAgent() {
+    @BeforeEach
+    void startAgent() {
         AgentSettings settings = new AgentSettings(
                 "agent-1",
                 "north",
-                LOOPBACK,
+                EntryFixture.LOOPBACK,
                 0,
-                LOOPBACK,
+                EntryFixture.LOOPBACK,
                 0,
                 "routing",
                 "minion-1",
@@ -84,28 +49,80 @@
                 minion.base(),
                 new MinionStateSource.Native(),
                 AgentLimits.forSlots(SLOTS));
-        AgentServer agent = join(AgentServer.start(kit.system(), settings, transport, meters, NanoClock.system()));
-        new MemberAnnouncer(kit.system(), log, agent.member(), MemberAnnouncer.DEFAULT_INTERVAL);
+        AgentServer agent = EntryFixture.join(AgentServer.start(
+                fixture.kit.system(), settings, fixture.transport, fixture.meters, NanoClock.system()));
+        new MemberAnnouncer(fixture.kit.system(), fixture.log, agent.member(), MemberAnnouncer.DEFAULT_INTERVAL);
     }
 
-    private EntryServer startEntry(String processId) throws Exception {
-        Address loopback = new Address(LOOPBACK, 0);
-        EntrySettings settings = new EntrySettings(
-                processId,
-                "north",
-                loopback,
-                loopback,
-                loopback,
-                List.of(),
-                ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1)),
-                DispatchSettings.defaults("north"),
-                HeartbeatSettings.standard(),
-                EntryLimits.standard());
-        EntryServer entry = join(EntryServer.start(kit.system(), settings, log, transport, meters, NanoClock.system()));
-        while (get(entry, "/readyz").statusCode() != 200) {
+    @AfterEach
+    void close() {
+        fixture.close();
+    }
+
+    @Test
+    void aJobOf250TasksGetsItsWholeAnswerAndItsKeyNoSecondStart() {
+        EntryServer entry = fixture.start("entry-1");
+        fixture.awaitReady(entry);
+        HttpResponse<String> first = fixture.submit(entry, "same-key", job(250));
+        assertThat(first.body(), containsString(answers(250)));
+        assertThat(fixture.submit(entry, "same-key", job(250)).body(), is(first.body()));
+        assertEachStartedOnce(250);
+    }
+
+    // A handset submits a job at one entry, takes it for lost and submits it again at another while the first runs it.
+    // The second entry finds the claim of the first, asks it for the outcome, and both callers get the same whole answer.
+    @Test
+    void aKeySubmittedAtTwoEntriesRunsOnceAndBothCallersGetItsAnswer() {
+        EntryServer first = fixture.start("entry-1");
+        EntryServer second = fixture.start("entry-2");
+        fixture.awaitReady(first);
+        fixture.awaitReady(second);
+        CompletableFuture<Void> hold = minion.hold();
+        CompletableFuture<HttpResponse<String>> caller = fixture.submitting(first, "k", job(4));
+        awaitStarts(4);
+        CompletableFuture<HttpResponse<String>> again = fixture.submitting(second, "k", job(4));
+        hold.complete(null);
+        assertThat(caller.join().body(), containsString(answers(4)));
+        assertThat(again.join().body(), is(caller.join().body()));
+        assertEachStartedOnce(4);
+        String name = EntryFixture.json(caller.join()).path("job").asString("");
+        assertThat(
+                fixture.get(second, "/v1/jobs/" + name + "/answer?wait=60").body(),
+                is(caller.join().body()));
+    }
+
+    // The entry that coordinates a job dies while its tasks run, and the caller submits the job again at another entry.
+    // That one waits until the dead entry's lease has lapsed, takes the claim over and asks the agent: the tasks that ran
+    // meanwhile are used, none is started again, and the caller gets the whole answer.
+    @Test
+    void aJobOfADeadEntryIsTakenOverWithoutASecondStart() {
+        ActorTestKit doomed = ActorTestKit.create("doomed");
+        FrameTransport doomedTransport = new FrameTransport(new SimpleMeterRegistry());
+        EntryServer first = fixture.start("entry-1", SHORT_LEASE, doomed.system(), doomedTransport);
+        EntryServer second =
+                fixture.start("entry-2", SHORT_LEASE, fixture.kit.system(), fixture.transport);
+        fixture.awaitReady(first);
+        fixture.awaitReady(second);
+        CompletableFuture<Void> hold = minion.hold();
+        CompletableFuture<HttpResponse<String>> lost = fixture.submitting(first, "k", job(4));
+        awaitStarts(4);
+        doomedTransport.close();
+        doomed.shutdownTestKit();
+        hold.complete(null);
+        assertThat(fixture.submit(second, "k", job(4)).body(), containsString(answers(4)));
+        assertEachStartedOnce(4);
+        lost.cancel(true);
+    }
+
+    private void awaitStarts(int count) {
+        while (minion.starts().size() < count) {
             Thread.onSpinWait();
         }
-        return entry;
+    }
+
+    private void assertEachStartedOnce(int tasks) {
+        assertThat(minion.starts(), aMapWithSize(tasks));
+        assertThat(minion.starts().values(), everyItem(is(1)));
     }
 
     private static String job(int tasks) {
@@ -114,25 +131,23 @@
                 .collect(Collectors.joining(",", "{\"service\":\"routing\",\"team\":\"rangers\",\"tasks\":[", "]}"));
     }
 
-    private HttpResponse<String> submit(EntryServer entry, String key, String body)
-            throws IOException, InterruptedException {
-        HttpRequest request = HttpRequest.newBuilder(uri(entry, "/v1/jobs?wait=60"))
-                .header("Idempotency-Key", key)
-                .POST(HttpRequest.BodyPublishers.ofString(body))
-                .build();
-        return client.send(request, HttpResponse.BodyHandlers.ofString());
-    }
-
-    private HttpResponse<String> get(EntryServer entry, String path) throws IOException, InterruptedException {
-        return client.send(HttpRequest.newBuilder(uri(entry, path)).build(), HttpResponse.BodyHandlers.ofString());
-    }
-
-    private static URI uri(EntryServer entry, String path) {
-        return URI.create("http://" + LOOPBACK + ":" + entry.httpAddress().getPort() + path);
+    private static String answers(int tasks) {
+        return IntStream.range(0, tasks)
+                .mapToObj(task -> "{\"n\":" + task + "}")
+                .collect(Collectors.joining(",", "\"answers\":[", "]"));
     }
 
-    private static <T> T join(CompletionStage<T> stage) {
-        CompletableFuture<T> future = stage.toCompletableFuture();
-        return future.join();
+    private static ClaimSettings shortLease() {
+        ClaimSettings usual = ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1));
+        return new ClaimSettings(
+                usual.window(),
+                usual.logRetention(),
+                Duration.ofMillis(1_500),
+                Duration.ofMillis(300),
+                Duration.ofMillis(500),
+                usual.claimTimeout(),
+                usual.commit(),
+                usual.tail(),
+                usual.snapshots());
     }
 }
