--- a/library/src/main/java/org/chivetally/daemon/EntryMapping.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryMapping.java
@@ -38,7 +38,7 @@
                 limits(process.drainTimeout()));
     }
 
-    static DispatchSettings dispatch(EntryDaemonSettings settings) {
+    private static DispatchSettings dispatch(EntryDaemonSettings settings) {
         DispatchSettings usual = DispatchSettings.defaults(settings.process().failureDomain());
         return new DispatchSettings(
                 usual.failureDomain(),
