--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -25,8 +26,12 @@
 import org.chivetally.entry.dispatch.DispatchCommand;
 import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.entry.link.Dialer;
+import org.chivetally.entry.link.LinkObserver;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.link.ObservedProcess;
+import org.chivetally.entry.link.ObservedProcesses;
+import org.chivetally.entry.link.Observers;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberActor;
 import org.chivetally.entry.member.MemberRecords;
@@ -41,12 +46,15 @@
 import org.chivetally.job.JobOutcome;
 import org.chivetally.log.PlatformLog;
 import org.chivetally.time.NanoClock;
+import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.Hello;
 
 /** The actors of one entry and the ways between them. */
 final class EntryActors {
     private final ActorSystem<?> system;
     private final Parts parts;
+    private final Observers observers = new Observers();
+    private final ObservedProcesses observed;
     private final Set<AgentId> usableAgents = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean membersRead = new AtomicBoolean();
     // Actors that tell each other are made one after the other; the ways to later ones are open once those are made.
@@ -60,6 +68,8 @@
     EntryActors(ActorSystem<?> system, Parts parts) {
         this.system = system;
         this.parts = parts;
+        this.observed = new ObservedProcesses(parts.clock());
+        observers.add(observed);
         this.guard = system.systemActorOf(
                 ActorGuard.create(failure), "guard-" + parts.member().incarnation(), Props.empty());
         this.submissions = spawn("submissions", SubmissionActor.create(submissionParts()));
@@ -81,6 +91,22 @@
         return usableAgents;
     }
 
+    /** Returns what was last heard of each linked process. */
+    List<ObservedProcess> observed() {
+        return observed.all();
+    }
+
+    /** Tells an observer of all links from now on. */
+    void observe(LinkObserver observer) {
+        observers.add(observer);
+    }
+
+    /** Sends a frame to a linked agent or entry; lost when it can't be reached now. */
+    void send(String processId, Frame frame) {
+        dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Send(processId, frame)));
+        peers.thenAccept(actor -> actor.tell(new PeerCommand.Send(processId, frame)));
+    }
+
     /** Hands an event to the dispatcher. */
     void tell(DispatchEvent event) {
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Event(event)));
@@ -181,6 +207,7 @@
                 this::introduced,
                 connected -> tellMembers(new MemberActor.Connected(connected)),
                 usableAgents,
+                observers,
                 parts.meters(),
                 parts.clock());
     }
@@ -192,6 +219,7 @@
                 parts.settings().heartbeats(),
                 (job, outcome) -> submissions.tell(new SubmissionCommand.PeerAnswered(job, outcome)),
                 this::introduced,
+                observers,
                 parts.requestIds()::incrementAndGet,
                 membersRead::get,
                 parts.clock());
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -9,6 +9,7 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -23,13 +24,17 @@
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.LogClaims;
+import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.coordination.DispatchSnapshot;
 import org.chivetally.coordination.Dispatcher;
 import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.entry.http.EntryRoutes;
 import org.chivetally.entry.http.JobRoutes;
 import org.chivetally.entry.http.OperationRoutes;
 import org.chivetally.entry.link.Address;
+import org.chivetally.entry.link.LinkObserver;
+import org.chivetally.entry.link.ObservedProcess;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberCapacity;
 import org.chivetally.entry.peer.InboundFrames;
@@ -41,6 +46,7 @@
 import org.chivetally.logging.EventLine;
 import org.chivetally.time.NanoClock;
 import org.chivetally.transport.FrameTransport;
+import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.Hello;
 import scala.concurrent.duration.FiniteDuration;
 
@@ -138,6 +144,21 @@
         return frameAddress;
     }
 
+    /** Returns what this entry last heard of each agent and other entry that it is linked with. */
+    public List<ObservedProcess> processes() {
+        return actors.observed();
+    }
+
+    /** Tells an observer of all links to agents and entries, on their threads; it must not block. */
+    public void observe(LinkObserver observer) {
+        actors.observe(observer);
+    }
+
+    /** Sends a frame to a linked agent or entry; lost when it can't be reached now. */
+    public void send(String processId, Frame frame) {
+        actors.send(processId, frame);
+    }
+
     /** Passes on that a team's limits changed. */
     public void teamChanged(TeamPolicy team) {
         actors.tell(new DispatchEvent.TeamChanged(team));
@@ -351,7 +372,19 @@
 
         @Override
         public DispatchCore core(Coordinator self) {
-            return new Dispatcher(settings.dispatch(), new SecureRandom().nextLong())::handle;
+            return new DispatcherCore(new Dispatcher(settings.dispatch(), new SecureRandom().nextLong()));
+        }
+    }
+
+    private record DispatcherCore(Dispatcher dispatcher) implements DispatchCore {
+        @Override
+        public List<DispatchEffect> handle(DispatchEvent event, long nowNanos) {
+            return dispatcher.handle(event, nowNanos);
+        }
+
+        @Override
+        public Optional<DispatchSnapshot> snapshot() {
+            return Optional.of(dispatcher.snapshot());
         }
     }
 
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -41,6 +40,7 @@
 
     private final Parts parts;
     private final LinkSet links;
+    private final DispatchMeters meters;
     private final AttemptsInFlight attempts = new AttemptsInFlight();
     private final Map<String, AgentId> agents = new HashMap<>();
     private Set<String> viewed = Set.of();
@@ -51,6 +51,7 @@
     private DispatchActor(ActorContext<DispatchCommand> context, Parts parts) {
         super(context);
         this.parts = parts;
+        this.meters = new DispatchMeters(parts.meters());
         Consumer<LinkSignal> signals = signal -> context.getSelf().tell(new DispatchCommand.Signal(signal));
         this.links = new LinkSet(parts.wiring().apply(signals), parts.heartbeats(), this);
     }
@@ -84,6 +85,7 @@
             case DispatchCommand.Event event -> decide(event.event());
             case DispatchCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
+            case DispatchCommand.Send send -> links.send(send.processId(), send.frame());
             case DispatchCommand.View view -> onView(view.view());
             case DispatchCommand.Tick tick -> onTick();
             case DispatchCommand.Stop stop -> throw new IllegalStateException("handled before");
@@ -143,6 +145,7 @@
         decide(new DispatchEvent.Ticked());
         if (ticks % TICKS_PER_REPORT == 0) {
             reportConnected();
+            parts.core().snapshot().ifPresent(meters::show);
         }
     }
 
@@ -165,6 +168,7 @@
             decide(new DispatchEvent.AgentGone(before));
         }
         parts.usable().add(agent);
+        parts.observer().up(hello);
         decide(new DispatchEvent.AgentConnected(agent, hello));
     }
 
@@ -172,6 +176,7 @@
     public void down(Hello hello, String reason) {
         AgentId agent = idOf(hello);
         parts.usable().remove(agent);
+        parts.observer().down(hello, reason);
         decide(new DispatchEvent.AgentUnreachable(agent));
         dropIfUnwanted(hello.getProcessId());
     }
@@ -184,6 +189,7 @@
     @Override
     public void received(Hello sender, Frame frame) {
         attempts.received(sender.getProcessId(), frame);
+        parts.observer().received(sender, frame);
         decide(new DispatchEvent.FrameReceived(idOf(sender), frame));
     }
 
@@ -198,7 +204,7 @@
             case DispatchEffect.SendFrame send -> send(send.agent(), send.frame());
             case DispatchEffect.JobFinished finished -> parts.finished().accept(finished.job(), finished.outcome());
             case DispatchEffect.WriteLine write -> LOGGER.atInfo().log("%s", write.line());
-            case DispatchEffect.CountWaste waste -> count(waste.kind());
+            case DispatchEffect.CountWaste waste -> meters.wasted(waste.kind());
         }
     }
 
@@ -209,12 +215,6 @@
         }
     }
 
-    private void count(DispatchEffect.WasteKind kind) {
-        parts.meters()
-                .counter("chivetally.wasted.messages", "kind", kind.name().toLowerCase(Locale.ROOT))
-                .increment();
-    }
-
     private static AgentId idOf(Hello hello) {
         return new AgentId(hello.getProcessId(), hello.getIncarnation());
     }
@@ -228,6 +228,7 @@
      * @param introduced takes introductions of processes found at another's address
      * @param connected takes the processes that can be reached, every two seconds
      * @param usable filled with the agents that can be reached; read by other threads
+     * @param observer told of the links as well; must not block
      */
     public record Parts(
             DispatchCore core,
@@ -238,6 +239,7 @@
             Consumer<Hello> introduced,
             Consumer<Set<String>> connected,
             Set<AgentId> usable,
+            LinkObserver observer,
             MeterRegistry meters,
             NanoClock clock) {}
 }
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -3,6 +3,7 @@
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.member.MemberView;
+import org.chivetally.wire.v1.Frame;
 
 /** Messages of {@link DispatchActor}. */
 public sealed interface DispatchCommand {
@@ -15,6 +16,9 @@
     /** The members changed. */
     record View(MemberView view) implements DispatchCommand {}
 
+    /** Send a frame to an agent; lost when it can't be reached now. */
+    record Send(String processId, Frame frame) implements DispatchCommand {}
+
     /** Ends the actor. */
     record Stop() implements DispatchCommand {}
 
--- a/library/src/main/java/org/chivetally/entry/http/Responses.java
+++ b/library/src/main/java/org/chivetally/entry/http/Responses.java
@@ -111,14 +111,22 @@
         return switch (status.phase()) {
             case CLAIMING -> "claiming";
             case RUNNING -> "running";
-            case FINAL ->
-                switch (status.outcome().orElse(null)) {
-                    case JobOutcome.Complete complete -> "complete";
-                    case JobOutcome.Failure failure when failure.code() == ErrorCode.CANCELLED -> "cancelled";
-                    case JobOutcome.Failure failure when failure.code() == ErrorCode.ANSWER_EXPIRED -> "expired";
-                    case JobOutcome.Failure failure -> "failed";
-                    case null -> "final";
-                };
+            case FINAL -> status.outcome().map(Responses::finalState).orElse("final");
+        };
+    }
+
+    private static String finalState(JobOutcome outcome) {
+        return switch (outcome) {
+            case JobOutcome.Complete complete -> "complete";
+            case JobOutcome.Failure failure -> failedState(failure.code());
+        };
+    }
+
+    private static String failedState(ErrorCode code) {
+        return switch (code) {
+            case CANCELLED -> "cancelled";
+            case ANSWER_EXPIRED -> "expired";
+            default -> "failed";
         };
     }
 
--- a/library/src/main/java/org/chivetally/entry/link/LinkSet.java
+++ b/library/src/main/java/org/chivetally/entry/link/LinkSet.java
@@ -152,7 +152,7 @@
             case LinkEffect.Dial dial -> dial(processId, link, dial.dial());
             case LinkEffect.Greet greet ->
                 sendOn(greet.dial(), Frame.newBuilder().setHello(wiring.hello().get()));
-            case LinkEffect.Beat beat -> sendOn(beat.dial(), Frame.newBuilder().setHeartbeat(Heartbeat.newBuilder()));
+            case LinkEffect.Beat beat -> sendOn(beat.dial(), Frame.newBuilder().setHeartbeat(heartbeat()));
             case LinkEffect.AnswerBeat answer -> answer(answer);
             case LinkEffect.Hangup hangup -> hangUp(hangup.dial());
             case LinkEffect.Up up -> found(link, up.hello());
@@ -199,10 +199,15 @@
         }
         connection.send(Frame.newBuilder()
                 .setRequestId(answer.requestId())
-                .setHeartbeat(Heartbeat.newBuilder().setAnswer(true))
+                .setHeartbeat(heartbeat().setAnswer(true))
                 .build());
     }
 
+    private Heartbeat.Builder heartbeat() {
+        return Heartbeat.newBuilder()
+                .setConfigurationVersion(wiring.hello().get().getConfigurationVersion());
+    }
+
     private void sendOn(long dial, Frame.Builder frame) {
         FrameConnection connection = connections.get(dial);
         if (connection != null) {
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/link/ObservedProcesses.java
@@ -0,0 +1,81 @@
+package org.chivetally.entry.link;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.chivetally.time.NanoClock;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.Report;
+
+/** Keeps what was last heard of each linked process, for operators. Safe from any thread. */
+public final class ObservedProcesses implements LinkObserver {
+    private static final long KEPT_NANOS = Duration.ofMinutes(10).toNanos();
+
+    private final NanoClock clock;
+    private final Map<String, ObservedProcess> processes = new ConcurrentHashMap<>();
+
+    /** Creates a book without entries. */
+    public ObservedProcesses(NanoClock clock) {
+        this.clock = clock;
+    }
+
+    /** Returns all processes that can be reached or were heard of in the last ten minutes. */
+    public List<ObservedProcess> all() {
+        long now = clock.nanos();
+        processes.values().removeIf(last -> !last.reachable() && now - last.observedNanos() > KEPT_NANOS);
+        return List.copyOf(processes.values());
+    }
+
+    @Override
+    public void up(Hello hello) {
+        processes.put(
+                hello.getProcessId(),
+                new ObservedProcess(hello, hello.getReport(), hello.getConfigurationVersion(), clock.nanos(), true));
+    }
+
+    @Override
+    public void down(Hello hello, String reason) {
+        processes.computeIfPresent(
+                hello.getProcessId(),
+                (name, last) -> new ObservedProcess(
+                        last.hello(), last.report(), last.configurationVersion(), last.observedNanos(), false));
+    }
+
+    @Override
+    public void stranger(Hello hello) {
+        // Nothing is known of a process before it is linked.
+    }
+
+    @Override
+    public void received(Hello sender, Frame frame) {
+        processes.computeIfPresent(sender.getProcessId(), (name, last) -> newer(last, sender, frame));
+    }
+
+    private ObservedProcess newer(ObservedProcess last, Hello sender, Frame frame) {
+        if (!last.hello().getIncarnation().equals(sender.getIncarnation())) {
+            return last;
+        }
+        Report report = reportOf(frame)
+                .filter(arrived -> arrived.getSequence() >= last.report().getSequence())
+                .orElse(last.report());
+        long version =
+                frame.hasHeartbeat() ? frame.getHeartbeat().getConfigurationVersion() : last.configurationVersion();
+        return new ObservedProcess(last.hello(), report, version, clock.nanos(), last.reachable());
+    }
+
+    private static Optional<Report> reportOf(Frame frame) {
+        return switch (frame.getBodyCase()) {
+            case HEARTBEAT ->
+                Optional.of(frame.getHeartbeat())
+                        .filter(beat -> beat.hasReport())
+                        .map(beat -> beat.getReport());
+            case RESULT -> Optional.of(frame.getResult().getReport());
+            case REFUSAL -> Optional.of(frame.getRefusal().getReport());
+            case INQUIRY_ANSWER -> Optional.of(frame.getInquiryAnswer().getReport());
+            default -> Optional.empty();
+        };
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/link/Observers.java
@@ -0,0 +1,51 @@
+package org.chivetally.entry.link;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.chivetally.logging.EventLine;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+
+/** Tells several observers; one that fails is logged and does not keep the others or the links from their work. */
+public final class Observers implements LinkObserver {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final List<LinkObserver> all = new CopyOnWriteArrayList<>();
+
+    /** Adds an observer; it is called on the links' threads and must not block. */
+    public void add(LinkObserver observer) {
+        all.add(observer);
+    }
+
+    @Override
+    public void up(Hello hello) {
+        tell(observer -> observer.up(hello));
+    }
+
+    @Override
+    public void down(Hello hello, String reason) {
+        tell(observer -> observer.down(hello, reason));
+    }
+
+    @Override
+    public void stranger(Hello hello) {
+        tell(observer -> observer.stranger(hello));
+    }
+
+    @Override
+    public void received(Hello sender, Frame frame) {
+        tell(observer -> observer.received(sender, frame));
+    }
+
+    private void tell(Consumer<LinkObserver> call) {
+        for (LinkObserver observer : all) {
+            try {
+                call.accept(observer);
+            } catch (RuntimeException failure) {
+                LOGGER.atWarning().withCause(failure).log("%s", EventLine.of("observer-failed"));
+            }
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
+++ b/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
@@ -62,13 +62,15 @@
         parts.others().disconnected(connection, reason);
     }
 
-    private static void beat(FrameConnection connection, Frame frame) {
+    private void beat(FrameConnection connection, Frame frame) {
         if (frame.getHeartbeat().getAnswer()) {
             return;
         }
         connection.send(Frame.newBuilder()
                 .setRequestId(frame.getRequestId())
-                .setHeartbeat(Heartbeat.newBuilder().setAnswer(true))
+                .setHeartbeat(Heartbeat.newBuilder()
+                        .setAnswer(true)
+                        .setConfigurationVersion(parts.hello().get().getConfigurationVersion()))
                 .build());
     }
 
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -90,6 +90,7 @@
             case PeerCommand.CancelJob cancel -> onCancel(cancel);
             case PeerCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
+            case PeerCommand.Send send -> links.send(send.processId(), send.frame());
             case PeerCommand.View view -> onView(view.view());
             case PeerCommand.Tick tick -> onTick();
             case PeerCommand.Stop stop -> throw new IllegalStateException("handled before");
@@ -189,6 +190,7 @@
 
     @Override
     public void up(Hello hello) {
+        parts.observer().up(hello);
         questions.values().stream()
                 .filter(question -> question.coordinator.processId().equals(hello.getProcessId()))
                 .forEach(this::send);
@@ -197,6 +199,7 @@
     @Override
     public void down(Hello hello, String reason) {
         // Questions are asked again on the next connection.
+        parts.observer().down(hello, reason);
     }
 
     @Override
@@ -206,6 +209,7 @@
 
     @Override
     public void received(Hello sender, Frame frame) {
+        parts.observer().received(sender, frame);
         if (!frame.hasJobAnswer()) {
             return;
         }
@@ -261,6 +265,7 @@
      * @param wiring makes the links' wiring for the actor's signals
      * @param answered takes outcomes
      * @param introduced takes introductions of processes found at another's address
+     * @param observer told of the links as well; must not block
      * @param requestIds request ids of this process, never repeated
      * @param membersRead whether the members are known as the log has them
      */
@@ -270,6 +275,7 @@
             HeartbeatSettings heartbeats,
             BiConsumer<JobId, JobOutcome> answered,
             Consumer<Hello> introduced,
+            LinkObserver observer,
             LongSupplier requestIds,
             BooleanSupplier membersRead,
             NanoClock clock) {}
--- a/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -6,6 +6,7 @@
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.member.MemberView;
 import org.chivetally.job.JobId;
+import org.chivetally.wire.v1.Frame;
 
 /** Messages of {@link PeerActor}. */
 public sealed interface PeerCommand {
@@ -27,6 +28,9 @@
     /** The members changed. */
     record View(MemberView view) implements PeerCommand {}
 
+    /** Send a frame to an entry; lost when it can't be reached now. */
+    record Send(String processId, Frame frame) implements PeerCommand {}
+
     /** Ends the actor. */
     record Stop() implements PeerCommand {}
 
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -56,8 +56,7 @@
     }
 
     EntryServer start(String processId, ClaimSettings claims, ActorSystem<?> system, FrameTransport frames) {
-        return join(EntryServer.start(
-                system, settings(processId, claims), log, frames, meters, NanoClock.system()));
+        return join(EntryServer.start(system, settings(processId, claims), log, frames, meters, NanoClock.system()));
     }
 
     EntryServer start(String processId, EntryServer.Decisions decisions) {
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -9,11 +9,13 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.MemoryClaims;
+import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.time.NanoClock;
@@ -230,8 +232,11 @@
     // in place of taking submissions that nobody decides about.
     @Test
     void stopsWhenABrokenInvariantEndsAnActor() {
-        DispatchCore broken = (event, now) -> {
-            throw new IllegalStateException("broken on purpose");
+        DispatchCore broken = new DispatchCore() {
+            @Override
+            public List<DispatchEffect> handle(DispatchEvent event, long nowNanos) {
+                throw new IllegalStateException("broken on purpose");
+            }
         };
         EntryServer failing = fixture.start("entry-2", new Scripted(EntryServerTest::memory, broken));
         CompletableFuture<Void> stopped = failing.whenStopped().toCompletableFuture();
--- a/library/src/test/java/org/chivetally/entry/WholePathTest.java
+++ b/library/src/test/java/org/chivetally/entry/WholePathTest.java
@@ -70,7 +70,8 @@
     }
 
     // A handset submits a job at one entry, takes it for lost and submits it again at another while the first runs it.
-    // The second entry finds the claim of the first, asks it for the outcome, and both callers get the same whole answer.
+    // The second entry finds the claim of the first, asks it for the outcome, and both callers get the same whole
+    // answer.
     @Test
     void aKeySubmittedAtTwoEntriesRunsOnceAndBothCallersGetItsAnswer() {
         EntryServer first = fixture.start("entry-1");
@@ -92,15 +93,15 @@
     }
 
     // The entry that coordinates a job dies while its tasks run, and the caller submits the job again at another entry.
-    // That one waits until the dead entry's lease has lapsed, takes the claim over and asks the agent: the tasks that ran
+    // That one waits until the dead entry's lease has lapsed, takes the claim over and asks the agent: the tasks that
+    // ran
     // meanwhile are used, none is started again, and the caller gets the whole answer.
     @Test
     void aJobOfADeadEntryIsTakenOverWithoutASecondStart() {
         ActorTestKit doomed = ActorTestKit.create("doomed");
         FrameTransport doomedTransport = new FrameTransport(new SimpleMeterRegistry());
         EntryServer first = fixture.start("entry-1", SHORT_LEASE, doomed.system(), doomedTransport);
-        EntryServer second =
-                fixture.start("entry-2", SHORT_LEASE, fixture.kit.system(), fixture.transport);
+        EntryServer second = fixture.start("entry-2", SHORT_LEASE, fixture.kit.system(), fixture.transport);
         fixture.awaitReady(first);
         fixture.awaitReady(second);
         CompletableFuture<Void> hold = minion.hold();
--- /dev/null
+++ b/library/src/test/java/org/chivetally/entry/dispatch/AttemptsInFlightTest.java
@@ -0,0 +1,79 @@
+package org.chivetally.entry.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Inquiry;
+import org.chivetally.wire.v1.InquiryAnswer;
+import org.chivetally.wire.v1.Refusal;
+import org.chivetally.wire.v1.Result;
+import org.chivetally.wire.v1.Start;
+import org.chivetally.wire.v1.TaskState;
+import org.chivetally.wire.v1.TaskStatus;
+import org.junit.jupiter.api.Test;
+
+class AttemptsInFlightTest {
+    private final AttemptsInFlight attempts = new AttemptsInFlight();
+
+    @Test
+    void anAgentOwesAnAnswerUntilEachAttemptHasOne() {
+        start("a");
+        start("b");
+        attempts.received(
+                "agent",
+                Frame.newBuilder()
+                        .setResult(Result.newBuilder().setAttemptId("a"))
+                        .build());
+        assertThat(attempts.awaits("agent"), is(true));
+        attempts.received(
+                "agent",
+                Frame.newBuilder()
+                        .setRefusal(Refusal.newBuilder().setAttemptId("b"))
+                        .build());
+        assertThat(attempts.awaits("agent"), is(false));
+    }
+
+    @Test
+    void anInquirySettlesWhatIsNotRunningAnyMore() {
+        start("a");
+        start("b");
+        attempts.sent(
+                "agent",
+                Frame.newBuilder()
+                        .setInquiry(Inquiry.newBuilder().setJobId("j"))
+                        .build(),
+                0);
+        InquiryAnswer.Builder answer = InquiryAnswer.newBuilder()
+                .setJobId("j")
+                .addTasks(state("a", TaskStatus.TASK_STATUS_DONE))
+                .addTasks(state("b", TaskStatus.TASK_STATUS_RUNNING));
+        attempts.received("agent", Frame.newBuilder().setInquiryAnswer(answer).build());
+        assertThat(attempts.awaits("agent"), is(true));
+        attempts.received(
+                "agent",
+                Frame.newBuilder()
+                        .setResult(Result.newBuilder().setAttemptId("b"))
+                        .build());
+        assertThat(attempts.awaits("agent"), is(false));
+    }
+
+    @Test
+    void anAnswerThatNeverComesStopsCountingAfterTheLease() {
+        start("a");
+        attempts.expire(Duration.ofSeconds(10).toNanos());
+        assertThat(attempts.awaits("agent"), is(true));
+        attempts.expire(Duration.ofSeconds(11).toNanos());
+        assertThat(attempts.awaits("agent"), is(false));
+    }
+
+    private void start(String attempt) {
+        Start.Builder start = Start.newBuilder().setAttemptId(attempt).setLeaseMillis(1_000);
+        attempts.sent("agent", Frame.newBuilder().setStart(start).build(), 0);
+    }
+
+    private static TaskState state(String attempt, TaskStatus status) {
+        return TaskState.newBuilder().setAttemptId(attempt).setStatus(status).build();
+    }
+}
