--- a/command/src/main/java/org/chivetally/command/CancelCommand.java
+++ b/command/src/main/java/org/chivetally/command/CancelCommand.java
@@ -12,8 +12,15 @@
 import picocli.CommandLine.Spec;
 
 /** Cancels jobs. */
-@Command(name = "cancel", description = "Cancel jobs: tasks that wait are dropped, tasks that run finish.")
+@Command(
+        name = "cancel",
+        description = {
+            "Cancel jobs: tasks that wait are dropped, tasks that run finish.",
+            "Exit code 3 for a job that was complete before."
+        })
 final class CancelCommand implements Callable<Integer> {
+    private static final String COMPLETE = "complete";
+
     @Spec
     private CommandSpec command;
 
@@ -40,7 +47,8 @@
         if (!reply.succeeded()) {
             return console.failed(reply);
         }
-        console.line("job " + job + " is cancelled");
-        return ExitCodes.OK;
+        String state = reply.document().path("state").asString("");
+        console.line("job " + job + " is " + state);
+        return state.equals(COMPLETE) ? ExitCodes.CONFLICT : ExitCodes.OK;
     }
 }
--- a/command/src/main/java/org/chivetally/command/StandaloneCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandaloneCommand.java
@@ -34,7 +34,7 @@
     @Mixin
     private DeploymentOptions deployment;
 
-    @Option(names = "--free-ports", description = "Listen on free ports in place of those of the deployment.")
+    @Option(names = "--free-ports", description = "Listen on free ports in place of those of the deployment; with --demo and --submit always.")
     private boolean freePorts;
 
     @Option(names = "--submit", paramLabel = "FILE", description = "Submit this job once everything is up, then end.")
@@ -50,13 +50,14 @@
     public Integer call() throws InterruptedException {
         LogSetup.install(verbose ? Level.INFO : Level.WARNING);
         DeploymentPlan declared = DeploymentCatalogue.read(deployment.name());
-        DeploymentPlan plan = freePorts ? declared.withFreePorts() : declared;
+        boolean ends = demo || submitted != null;
+        DeploymentPlan plan = freePorts || ends ? declared.withFreePorts() : declared;
         RunningDeployment running = RunningDeployment.start(plan);
         Console console = Console.of(command);
         console.line("deployment " + plan.name() + ": " + plan.minions() + " minions of " + plan.slots() + " slots in "
                 + plan.failureDomains().size() + " failure domains");
         console.lines(addresses(running).lines());
-        if (demo || submitted != null) {
+        if (ends) {
             return demonstrate(console, running, plan);
         }
         console.line("submit a job: bin/chivetally submit examples/job-small.yaml --entry "
--- a/command/src/main/java/org/chivetally/command/deployment/InProcessSettings.java
+++ b/command/src/main/java/org/chivetally/command/deployment/InProcessSettings.java
@@ -39,12 +39,12 @@
                 Duration.ofSeconds(2),
                 plan.appendsPerSecond());
         return new EntryDaemonSettings(
-                process(ProcessNames.entry(position), position, log, List.of()),
-                new HostPort(HOST, plan.httpPorts().get(position)),
+                process(ProcessNames.entry(position), position, ANY_PORT, log, List.of()),
+                ANY_PORT,
                 claims);
     }
 
-    AgentDaemonSettings agent(int position, URI log, URI minion, List<HostPort> seeds) {
+    AgentDaemonSettings agent(int position, URI log, URI minion, HostPort advertised, List<HostPort> seeds) {
         MinionSettings beside = new MinionSettings(
                 ProcessNames.minion(position),
                 plan.service(),
@@ -55,19 +55,20 @@
                 plan.worker().memoryBytes(),
                 plan.worker().accelerators());
         return new AgentDaemonSettings(
-                process(ProcessNames.agent(position), position, log, seeds),
+                process(ProcessNames.agent(position), position, advertised, log, seeds),
                 beside,
                 QUEUE_PER_SLOT * plan.slots(),
                 TICKET_AGE,
                 RETENTION);
     }
 
-    private ProcessSettings process(String name, int position, URI log, List<HostPort> seeds) {
+    private ProcessSettings process(
+            String name, int position, HostPort advertised, URI log, List<HostPort> seeds) {
         return new ProcessSettings(
                 name,
                 plan.failureDomain(position),
                 ANY_PORT,
-                ANY_PORT,
+                advertised,
                 new LogAccessSettings(log, LOG_TIMEOUT),
                 seeds,
                 DRAIN_TIMEOUT,
--- a/command/src/main/java/org/chivetally/command/deployment/RunningDeployment.java
+++ b/command/src/main/java/org/chivetally/command/deployment/RunningDeployment.java
@@ -1,27 +1,36 @@
 package org.chivetally.command.deployment;
 
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.IntStream;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.chivetally.daemon.AgentDaemon;
 import org.chivetally.daemon.DaemonSystem;
 import org.chivetally.daemon.EntryDaemon;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
 import org.chivetally.log.InMemoryPlatformLog;
 import org.chivetally.settings.HostPort;
 import org.chivetally.standins.LogStandIn;
 import org.chivetally.standins.LogStandInSettings;
 import org.chivetally.standins.MinionStandIn;
 import org.chivetally.standins.MinionStandInSettings;
+import org.chivetally.standins.TcpRelay;
 import org.chivetally.time.NanoClock;
 
-/** A whole deployment in this process: log stand-in, minions, entries and agents, on loopback. */
+/**
+ * A whole deployment in this process: log stand-in, minions, entries and agents, on loopback.
+ *
+ * <p>Relays add the distances of the plan. That between failure domains is on every connection of an entry to an agent,
+ * also where both are in one failure domain; the log is used without distance.
+ */
 public final class RunningDeployment {
     private static final Duration LONGEST_TERMINATION = Duration.ofSeconds(5);
     private static final String STOPPING = "standalone stops";
@@ -33,41 +42,44 @@
     private final DeploymentPlan plan;
     private final InProcessSettings settings;
     private final List<ServerBinding> standIns = new ArrayList<>();
-    private final List<EntryDaemon> entries = new ArrayList<>();
-    private final List<AgentDaemon> agents = new ArrayList<>();
+    private final List<TcpRelay> entryRelays = new ArrayList<>();
+    private final List<TcpRelay> agentRelays = new ArrayList<>();
+    private final List<EntryDaemon> entries = new CopyOnWriteArrayList<>();
+    private final List<AgentDaemon> agents = new CopyOnWriteArrayList<>();
 
     private RunningDeployment(DeploymentPlan plan) {
         this.plan = plan;
         this.settings = new InProcessSettings(plan);
     }
 
-    /** Starts everything and returns once all of it listens; throws when a port is taken. */
+    /** Starts everything and returns once all of it listens; throws {@link ErrorCode#NOT_READY} when a port is taken. */
     public static RunningDeployment start(DeploymentPlan plan) {
         RunningDeployment deployment = new RunningDeployment(plan);
         try {
             deployment.startAll();
             return deployment;
-        } catch (RuntimeException failure) {
-            deployment.system.terminate();
-            throw failure;
+        } catch (IllegalStateException | CompletionException failure) {
+            deployment.close();
+            throw new ChivetallyException(
+                    ErrorCode.NOT_READY, "the deployment can't start: " + innermost(failure).getMessage(), failure);
         }
     }
 
-    /** Returns the addresses of the entries. */
+    /** Returns the addresses of the entries, at the clients' distance. */
     public List<URI> entries() {
-        return entries.stream().map(entry -> address(entry.httpAddress())).toList();
+        return entryRelays.stream().map(relay -> address(relay.port())).toList();
     }
 
     /** Returns the addresses of the minions. */
     public List<URI> minions() {
         return standIns.subList(1, standIns.size()).stream()
-                .map(minion -> address(minion.localAddress()))
+                .map(minion -> address(minion.localAddress().getPort()))
                 .toList();
     }
 
     /** Returns the address at which faults of the log can be set. */
     public URI log() {
-        return address(standIns.getFirst().localAddress());
+        return address(standIns.getFirst().localAddress().getPort());
     }
 
     /** Stops without cutting a request: entries, then agents, then stand-ins; completes once all have stopped. */
@@ -78,7 +90,13 @@
                 .thenCompose(drained -> all(standIns.stream()
                         .map(standIn -> standIn.terminate(LONGEST_TERMINATION))
                         .toList()))
-                .thenRun(system::terminate);
+                .thenRun(this::close);
+    }
+
+    private void close() {
+        entryRelays.forEach(TcpRelay::close);
+        agentRelays.forEach(TcpRelay::close);
+        system.terminate();
     }
 
     private void startAll() {
@@ -95,20 +113,37 @@
     }
 
     private void startEntry(int position) {
+        entryRelays.add(TcpRelay.start(
+                plan.httpPorts().get(position),
+                () -> entries.get(position).httpAddress(),
+                plan.delayToClients()));
         entries.add(join(EntryDaemon.start(system, settings.entry(position, log()), log, clock)));
     }
 
+    // Entries learn an agent's address from what it announces; that is its relay's, which stands between all of them.
     private void startAgent(int position) {
+        TcpRelay relay = TcpRelay.start(
+                0, () -> agents.get(position).frameAddress(), plan.delayBetweenFailureDomains());
+        agentRelays.add(relay);
+        HostPort advertised = new HostPort(InProcessSettings.HOST, relay.port());
         List<HostPort> seeds = entries.stream()
-                .map(entry -> new HostPort(
-                        InProcessSettings.HOST, entry.frameAddress().getPort()))
+                .map(entry -> new HostPort(InProcessSettings.HOST, entry.frameAddress().getPort()))
                 .toList();
-        URI minion = address(standIns.get(1 + position).localAddress());
-        agents.add(join(AgentDaemon.start(system, settings.agent(position, log(), minion, seeds), log, clock)));
+        URI minion = minions().get(position);
+        agents.add(join(AgentDaemon.start(
+                system, settings.agent(position, log(), minion, advertised, seeds), log, clock)));
     }
 
-    private static URI address(InetSocketAddress listener) {
-        return URI.create("http://" + InProcessSettings.HOST + ":" + listener.getPort());
+    private static URI address(int port) {
+        return URI.create("http://" + InProcessSettings.HOST + ":" + port);
+    }
+
+    private static Throwable innermost(Throwable failure) {
+        Throwable cause = failure;
+        while (cause instanceof CompletionException && cause.getCause() != null) {
+            cause = cause.getCause();
+        }
+        return cause;
     }
 
     private static <T> T join(CompletionStage<T> stage) {
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/DecisionMemory.java
@@ -0,0 +1,65 @@
+package org.chivetally.daemon;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.chivetally.coordination.DispatchEffect;
+import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.entry.dispatch.DispatchCore;
+
+/**
+ * Remembers the lines of the latest decisions by their job, for operators who ask why; safe from any thread.
+ *
+ * <p>At most {@link #MAXIMUM_LINES} lines are kept; the job without a decision for longest is forgotten first.
+ */
+final class DecisionMemory {
+    /** Most lines kept over all jobs. */
+    static final int MAXIMUM_LINES = 20_000;
+
+    private static final Pattern JOB = Pattern.compile("(?:^| )job=(\\S+)");
+    private static final int INITIAL_JOBS = 64;
+    private static final float USUAL_LOAD_FACTOR = 0.75f;
+
+    private final Map<String, List<String>> linesByJob =
+            new LinkedHashMap<>(INITIAL_JOBS, USUAL_LOAD_FACTOR, true);
+    private int kept;
+
+    /** Returns the same decisions, whose lines are remembered. */
+    DispatchCore remembering(DispatchCore core) {
+        return (event, nowNanos) -> remembered(core, event, nowNanos);
+    }
+
+    /** Returns the lines about a job in their order; empty when none is remembered. */
+    synchronized List<String> of(String job) {
+        return List.copyOf(linesByJob.getOrDefault(job, List.of()));
+    }
+
+    private List<DispatchEffect> remembered(DispatchCore core, DispatchEvent event, long nowNanos) {
+        List<DispatchEffect> effects = core.handle(event, nowNanos);
+        for (DispatchEffect effect : effects) {
+            if (effect instanceof DispatchEffect.WriteLine line) {
+                add(line.line().toString());
+            }
+        }
+        return effects;
+    }
+
+    private void add(String line) {
+        Matcher job = JOB.matcher(line);
+        if (job.find()) {
+            add(job.group(1), line);
+        }
+    }
+
+    private synchronized void add(String job, String line) {
+        linesByJob.computeIfAbsent(job, unused -> new ArrayList<>()).add(line);
+        kept++;
+        while (kept > MAXIMUM_LINES) {
+            String oldest = linesByJob.keySet().iterator().next();
+            kept -= linesByJob.remove(oldest).size();
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -3,13 +3,19 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.claim.Claims;
+import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.LogClaims;
+import org.chivetally.coordination.Dispatcher;
 import org.chivetally.entry.EntryExtension;
 import org.chivetally.entry.EntryServer;
 import org.chivetally.entry.EntrySettings;
+import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.log.PlatformLog;
 import org.chivetally.resource.ResourceService;
 import org.chivetally.resource.http.ResourceRoutes;
@@ -38,8 +44,10 @@
         PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         FrameTransport transport = new FrameTransport(meters);
         ResourceService resources = ResourceService.start(system, log, EntryMapping.resources(settings), clock);
-        EntryExtension extension = extension(settings, resources, clock);
-        return EntryServer.start(system, entry, log, transport, meters, clock, extension)
+        DecisionMemory memory = new DecisionMemory();
+        EntryExtension extension = extension(settings, resources, memory, clock);
+        Parts parts = new Parts(system, entry, log, meters, clock, memory);
+        return EntryServer.start(system, entry, log, transport, meters, clock, extension, parts)
                 .thenApply(server -> started(server, resources, transport));
     }
 
@@ -66,7 +74,8 @@
         return new EntryDaemon(server, resources, transport);
     }
 
-    private static EntryExtension extension(EntryDaemonSettings settings, ResourceService resources, NanoClock clock) {
+    private static EntryExtension extension(
+            EntryDaemonSettings settings, ResourceService resources, DecisionMemory memory, NanoClock clock) {
         EntryExtension none = EntryExtension.none();
         ResourceRoutes routes = new ResourceRoutes(
                 resources,
@@ -76,9 +85,30 @@
                 clock);
         return new EntryExtension(
                 resources,
-                List.of(routes.route()),
+                List.of(routes.route(), new DecisionRoutes(memory).route()),
                 none.frames(),
                 () -> resources.isUsable() ? List.of() : List.of(RESOURCES_MISSING),
                 resources::version);
     }
+
+    /** Makes the deciding parts of one incarnation. */
+    private record Parts(
+            ActorSystem<?> system,
+            EntrySettings entry,
+            PlatformLog log,
+            PrometheusMeterRegistry meters,
+            NanoClock clock,
+            DecisionMemory memory)
+            implements EntryServer.Decisions {
+        @Override
+        public Claims claims(Coordinator self) {
+            return LogClaims.start(system, log, entry.claims(), self, clock, meters);
+        }
+
+        @Override
+        public DispatchCore core(Coordinator self) {
+            Dispatcher dispatcher = new Dispatcher(entry.dispatch(), new SecureRandom().nextLong());
+            return memory.remembering(dispatcher::handle);
+        }
+    }
 }
--- a/standins/src/main/java/org/chivetally/standins/RelayDirection.java
+++ b/standins/src/main/java/org/chivetally/standins/RelayDirection.java
@@ -5,9 +5,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.concurrent.EventExecutor;
 import java.util.ArrayDeque;
 import java.util.Queue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.LongSupplier;
 
@@ -17,15 +17,22 @@
  */
 final class RelayDirection extends ChannelInboundHandlerAdapter {
     private final Channel sink;
-    private final LongSupplier delayMillis;
+    private final LongSupplier delayNanos;
+    private final Timer timer;
     private final LongAdder forwardedBytes;
     private final LongAdder withheldBytes;
     private final Queue<Piece> underWay = new ArrayDeque<>();
     private boolean silent;
 
-    RelayDirection(Channel sink, LongSupplier delayMillis, LongAdder forwardedBytes, LongAdder withheldBytes) {
+    RelayDirection(
+            Channel sink,
+            LongSupplier delayNanos,
+            Timer timer,
+            LongAdder forwardedBytes,
+            LongAdder withheldBytes) {
         this.sink = sink;
-        this.delayMillis = delayMillis;
+        this.delayNanos = delayNanos;
+        this.timer = timer;
         this.forwardedBytes = forwardedBytes;
         this.withheldBytes = withheldBytes;
     }
@@ -63,13 +70,13 @@
             withhold(piece);
             return;
         }
-        long delay = delayMillis.getAsLong();
+        long delay = delayNanos.getAsLong();
         underWay.add(piece);
         if (delay == 0 && underWay.size() == 1) {
             forwardOldest();
             return;
         }
-        context.executor().schedule(this::forwardOldest, delay, TimeUnit.MILLISECONDS);
+        timer.runAfter(delay, context.executor(), this::forwardOldest);
     }
 
     /** Each timer forwards the oldest piece, not its own: a delay made shorter must not let bytes overtake others. */
@@ -91,6 +98,13 @@
         }
     }
 
+    /** Runs steps later. */
+    @FunctionalInterface
+    interface Timer {
+        /** Runs a step on an event loop after a time in nanoseconds. */
+        void runAfter(long nanos, EventExecutor eventLoop, Runnable step);
+    }
+
     /** What is forwarded. */
     private sealed interface Piece {
         /** Some bytes. */
--- a/standins/src/main/java/org/chivetally/standins/TcpRelay.java
+++ b/standins/src/main/java/org/chivetally/standins/TcpRelay.java
@@ -15,15 +15,20 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.EventExecutor;
 import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Supplier;
 import org.chivetally.logging.EventLine;
 import org.chivetally.standins.RelayFaults.NewConnections;
 import org.chivetally.standins.RelayFaults.Silence;
@@ -39,7 +44,10 @@
     private static final int THREADS = 2;
     private static final long STOP_SECONDS = 5;
 
-    private final InetSocketAddress target;
+    private final Supplier<InetSocketAddress> target;
+    private final long distanceNanos;
+    private final ScheduledExecutorService timer =
+            Executors.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("relay-timer").daemon().factory());
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
@@ -50,8 +58,9 @@
     private volatile RelayFaults faults = RelayFaults.NONE;
     private Channel listener;
 
-    private TcpRelay(InetSocketAddress target) {
+    private TcpRelay(Supplier<InetSocketAddress> target, Duration distance) {
         this.target = target;
+        this.distanceNanos = distance.toNanos();
     }
 
     /**
@@ -62,7 +71,19 @@
      * @param targetPort port that each connection is forwarded to
      */
     public static TcpRelay start(int listenPort, String targetHost, int targetPort) {
-        TcpRelay relay = new TcpRelay(new InetSocketAddress(targetHost, targetPort));
+        InetSocketAddress target = new InetSocketAddress(targetHost, targetPort);
+        return start(listenPort, () -> target, Duration.ZERO);
+    }
+
+    /**
+     * Starts a relay over some distance; throws when the port can't be bound.
+     *
+     * @param listenPort port on the loopback address; 0 takes a free one
+     * @param target asked at each connection where it is forwarded to, so that the target may listen later
+     * @param distance how long each byte is under way in each direction, besides the faults' delay
+     */
+    public static TcpRelay start(int listenPort, Supplier<InetSocketAddress> target, Duration distance) {
+        TcpRelay relay = new TcpRelay(target, distance);
         relay.listen(listenPort);
         return relay;
     }
@@ -103,6 +124,7 @@
         listener.close().awaitUninterruptibly();
         channels.close().awaitUninterruptibly();
         group.shutdownGracefully(0, STOP_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+        timer.shutdownNow();
     }
 
     private void listen(int port) {
@@ -146,7 +168,7 @@
                 .option(ChannelOption.AUTO_READ, false)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .handler(new ChannelInboundHandlerAdapter());
-        ChannelFuture dialled = bootstrap.connect(target);
+        ChannelFuture dialled = bootstrap.connect(target.get());
         dialled.addListener(done -> {
             if (done.isSuccess()) {
                 join(client, dialled.channel());
@@ -164,8 +186,10 @@
             server.close();
             return;
         }
-        RelayDirection toTarget = new RelayDirection(server, () -> faults.delayMillis(), bytesToTarget, bytesWithheld);
-        RelayDirection toClient = new RelayDirection(client, () -> faults.delayMillis(), bytesToClient, bytesWithheld);
+        RelayDirection toTarget =
+                new RelayDirection(server, this::delayNanos, this::runAfter, bytesToTarget, bytesWithheld);
+        RelayDirection toClient =
+                new RelayDirection(client, this::delayNanos, this::runAfter, bytesToClient, bytesWithheld);
         Link link = new Link(client, server, toTarget, toClient);
         links.add(link);
         client.closeFuture().addListener(closed -> forgetIfClosed(link));
@@ -176,6 +200,15 @@
         server.config().setAutoRead(true);
     }
 
+    private long delayNanos() {
+        return distanceNanos + TimeUnit.MILLISECONDS.toNanos(faults.delayMillis());
+    }
+
+    // An event loop's own timers fire at whole milliseconds only, which would make a distance of 0.5 ms twice as long.
+    private void runAfter(long nanos, EventExecutor eventLoop, Runnable step) {
+        timer.schedule(() -> eventLoop.execute(step), nanos, TimeUnit.NANOSECONDS);
+    }
+
     private void forgetIfClosed(Link link) {
         if (link.isClosed()) {
             links.remove(link);
--- a/standins/src/test/java/org/chivetally/standins/RelayDirectionTest.java
+++ b/standins/src/test/java/org/chivetally/standins/RelayDirectionTest.java
@@ -23,7 +23,12 @@
     private final LongAdder forwarded = new LongAdder();
     private final LongAdder withheld = new LongAdder();
     private final EmbeddedChannel sink = new EmbeddedChannel();
-    private final RelayDirection direction = new RelayDirection(sink, delayMillis::get, forwarded, withheld);
+    private final RelayDirection direction = new RelayDirection(
+            sink,
+            () -> TimeUnit.MILLISECONDS.toNanos(delayMillis.get()),
+            (nanos, eventLoop, step) -> eventLoop.schedule(step, nanos, TimeUnit.NANOSECONDS),
+            forwarded,
+            withheld);
     private final EmbeddedChannel source = new EmbeddedChannel(direction);
 
     @Test
