Relays as separate processes, tests of the whole path and of every command

Cause: the deployment's distances and faults of connections were missing between separate processes; the whole path had no test.

--- a/command/src/main/java/org/chivetally/command/Demonstration.java
+++ b/command/src/main/java/org/chivetally/command/Demonstration.java
@@ -36,14 +36,14 @@
         String key = "demo-" + UUID.randomUUID();
         List<URI> entries = running.entries();
         entries.forEach(Demonstration::awaitReadiness);
-        long before = starts();
+        long before = starts(running);
         console.line("submitting " + file + " with key " + key + " to " + entries.getFirst());
         EntryReply first = submit(entries.getFirst(), job, key);
         if (!first.succeeded()) {
             return console.failed(first);
         }
         console.lines(AnswerTable.lines(first.document()));
-        long after = starts();
+        long after = starts(running);
         console.line("the whole answer: " + first.document().path("answers").size() + " tasks; the minions recorded "
                 + (after - before) + " starts");
         return submitAgain(entries.getLast(), job, key, first, after);
@@ -56,7 +56,7 @@
             return console.failed(second);
         }
         boolean same = first.document().equals(second.document());
-        long started = starts() - startsBefore;
+        long started = starts(running) - startsBefore;
         console.line(
                 (same ? "the same answer" : "ANOTHER ANSWER") + "; the minions recorded " + started + " new starts");
         return same && started == 0 ? ExitCodes.OK : ExitCodes.FAILED;
@@ -74,7 +74,8 @@
         }
     }
 
-    private long starts() {
+    /** Returns how many starts the minions recorded themselves. */
+    static long starts(RunningDeployment running) {
         long count = 0;
         for (URI minion : running.minions()) {
             try (EntryClient client = new EntryClient(minion, LONGEST_WAIT)) {
@@ -84,7 +85,8 @@
         return count;
     }
 
-    private static void awaitReadiness(URI entry) {
+    /** Waits until an entry takes jobs; throws when it does not within a minute. */
+    static void awaitReadiness(URI entry) {
         long deadline = System.nanoTime() + LONGEST_WAIT.toNanos();
         try (EntryClient client = new EntryClient(entry, LONGEST_WAIT)) {
             while (!client.send(EntryRequest.get("/readyz")).succeeded()) {
--- a/command/src/main/java/org/chivetally/command/LayoutCommand.java
+++ b/command/src/main/java/org/chivetally/command/LayoutCommand.java
@@ -30,17 +30,18 @@
     @Option(names = "--minions-in-one", description = "Run all minions in one process, to save memory.")
     private boolean minionsInOneProcess;
 
+    @Option(
+            names = "--relays",
+            description = "Put a relay before each entry and agent, for the deployment's distances and for faults.")
+    private boolean relays;
+
     @Parameters(paramLabel = "FOLDER", description = "Existing folder to write to.")
     private Path folder;
 
     @Override
     public Integer call() {
-        new DeploymentFiles(
-                        DeploymentCatalogue.read(deployment.name()),
-                        folder.toAbsolutePath(),
-                        firstPort,
-                        minionsInOneProcess)
-                .write();
+        DeploymentFiles.Options options = new DeploymentFiles.Options(firstPort, minionsInOneProcess, relays);
+        new DeploymentFiles(DeploymentCatalogue.read(deployment.name()), folder.toAbsolutePath(), options).write();
         return ExitCodes.OK;
     }
 }
--- a/command/src/main/java/org/chivetally/command/StandInCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -26,8 +26,9 @@
 /** Runs small programs in the place of the platform's log, of minions and of the network between processes. */
 @Command(
         name = "stand-in",
-        description = "Run a small program in the place of the platform's log or of minions, with settable faults.",
-        subcommands = {StandInCommand.LogCommand.class, StandInCommand.MinionCommand.class})
+        description =
+                "Run a small program in the place of the platform's log, of minions or of the network, with settable faults.",
+        subcommands = {StandInCommand.LogCommand.class, StandInCommand.MinionCommand.class, RelayCommand.class})
 final class StandInCommand implements Runnable {
     private static final Duration LONGEST_STOP = Duration.ofSeconds(30);
 
@@ -36,7 +37,7 @@
 
     @Override
     public void run() {
-        throw new ParameterException(command.commandLine(), "Name a subcommand: log or minion.");
+        throw new ParameterException(command.commandLine(), "Name a subcommand: log, minion or relay.");
     }
 
     private static void runUntilSignal(ActorSystem<Void> system, List<ServerBinding> bindings)
--- a/command/src/main/java/org/chivetally/command/StandaloneCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandaloneCommand.java
@@ -34,7 +34,9 @@
     @Mixin
     private DeploymentOptions deployment;
 
-    @Option(names = "--free-ports", description = "Listen on free ports in place of those of the deployment; with --demo and --submit always.")
+    @Option(
+            names = "--free-ports",
+            description = "Listen on free ports in place of those of the deployment; with --demo and --submit always.")
     private boolean freePorts;
 
     @Option(names = "--submit", paramLabel = "FILE", description = "Submit this job once everything is up, then end.")
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -10,13 +10,9 @@
 import org.chivetally.document.Units;
 import org.chivetally.errors.ChivetallyException;
 import org.chivetally.errors.ErrorCode;
+import org.chivetally.settings.HostPort;
 
-/**
- * Settings files of a deployment whose processes run separately on one machine.
- *
- * <p>All listen on loopback at ports that follow from a first one: the log there, then ten each for entries' HTTP and
- * frames, then the agents' frames, then the minions.
- */
+/** Settings files of a deployment whose processes run separately on one machine, all on loopback. */
 public final class DeploymentFiles {
     /** File with one line for each process to start: its name, a tab, and the words of its command. */
     public static final String PROCESSES_FILE = "processes";
@@ -24,42 +20,48 @@
     /** File with the addresses of all processes, as a load plan takes them. */
     public static final String TARGETS_FILE = "targets.yaml";
 
+    private static final String RELAYS_FILE = "relays.yaml";
     private static final String HOST = "127.0.0.1";
-    private static final int ENTRIES_MAXIMUM = 10;
-    private static final int HTTP_OFFSET = 10;
-    private static final int FRAMES_OFFSET = 20;
-    private static final int AGENTS_OFFSET = 30;
     private static final int MILLIS = 1000;
 
     private final DeploymentPlan plan;
     private final Path folder;
-    private final int firstPort;
-    private final boolean minionsInOneProcess;
+    private final PortPlan ports;
+    private final Options options;
 
     /**
      * Prepares the files.
      *
      * @param folder existing folder to write to
-     * @param firstPort first of the ports used
-     * @param minionsInOneProcess whether one process runs all minions, to save memory
      */
-    public DeploymentFiles(DeploymentPlan plan, Path folder, int firstPort, boolean minionsInOneProcess) {
-        if (plan.httpPorts().size() > ENTRIES_MAXIMUM) {
-            throw new ChivetallyException(ErrorCode.INVALID_INPUT, "at most " + ENTRIES_MAXIMUM + " entries fit");
+    public DeploymentFiles(DeploymentPlan plan, Path folder, Options options) {
+        if (plan.httpPorts().size() > PortPlan.MOST_ENTRIES) {
+            throw new ChivetallyException(
+                    ErrorCode.INVALID_INPUT, "there is room for " + PortPlan.MOST_ENTRIES + " entries at most");
         }
         this.plan = plan;
         this.folder = folder;
-        this.firstPort = firstPort;
-        this.minionsInOneProcess = minionsInOneProcess;
+        this.ports = new PortPlan(options.firstPort(), plan.minions());
+        this.options = options;
     }
 
+    /**
+     * Choices of the layout.
+     *
+     * @param firstPort first of the ports used
+     * @param minionsInOneProcess whether one process runs all minions, to save memory
+     * @param relays whether a relay stands before each entry and agent
+     */
+    public record Options(int firstPort, boolean minionsInOneProcess, boolean relays) {}
+
     /** Writes all files. */
     public void write() {
-        for (int entry = 0; entry < entries(); entry++) {
-            write(ProcessNames.entry(entry) + ".yaml", entrySettings(entry));
-        }
-        for (int agent = 0; agent < plan.minions(); agent++) {
-            write(ProcessNames.agent(agent) + ".yaml", agentSettings(agent));
+        entries().forEach(entry -> write(ProcessNames.entry(entry) + ".yaml", entrySettings(entry)));
+        agents().forEach(agent -> write(ProcessNames.agent(agent) + ".yaml", agentSettings(agent)));
+        if (options.relays()) {
+            write(
+                    RELAYS_FILE,
+                    "relays:\n" + relays().stream().map(RelayPlan::item).collect(Collectors.joining()));
         }
         write(PROCESSES_FILE, processes());
         write(TARGETS_FILE, targets());
@@ -67,21 +69,23 @@
 
     private String processes() {
         List<String> lines = new ArrayList<>();
-        lines.add("log\tstand-in log --port " + firstPort);
-        if (minionsInOneProcess) {
+        lines.add("log\tstand-in log --port " + ports.log());
+        if (options.minionsInOneProcess()) {
             lines.add("minions\t" + minionCommand(0, plan.minions()));
         } else {
-            IntStream.range(0, plan.minions())
-                    .forEach(minion -> lines.add(ProcessNames.minion(minion) + "\t" + minionCommand(minion, 1)));
+            agents().forEach(minion -> lines.add(ProcessNames.minion(minion) + "\t" + minionCommand(minion, 1)));
+        }
+        if (options.relays()) {
+            lines.add("relays\tstand-in relay --settings " + folder.resolve(RELAYS_FILE));
         }
-        IntStream.range(0, entries()).forEach(entry -> lines.add(daemonLine("entry", ProcessNames.entry(entry))));
-        IntStream.range(0, plan.minions()).forEach(agent -> lines.add(daemonLine("agent", ProcessNames.agent(agent))));
+        entries().forEach(entry -> lines.add(daemonLine("entry", ProcessNames.entry(entry))));
+        agents().forEach(agent -> lines.add(daemonLine("agent", ProcessNames.agent(agent))));
         return String.join("\n", lines) + "\n";
     }
 
     private String minionCommand(int first, int count) {
         return "stand-in minion --port %d --first %d --count %d --slots %d --connections %d"
-                .formatted(minionPort(first), first + 1, count, plan.slots(), plan.connections());
+                .formatted(ports.minion(first), first + 1, count, plan.slots(), plan.connections());
     }
 
     private String daemonLine(String command, String name) {
@@ -94,10 +98,14 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                shared(entryName(entry), entry, framesPort(entry)), HOST, httpPort(entry), plan.appendsPerSecond());
+                        shared(ProcessNames.entry(entry), entry, ports.frames(entry), ports.frames(entry)),
+                        HOST,
+                        ports.http(entry),
+                        plan.appendsPerSecond());
     }
 
     private String agentSettings(int agent) {
+        int advertised = options.relays() ? ports.agentRelay(agent) : ports.agent(agent);
         return """
                 %s
                 minion:
@@ -110,11 +118,11 @@
                   memory: %s
                   accelerators: %d
                 """.formatted(
-                        shared(agentName(agent), agent, firstPort + AGENTS_OFFSET + agent),
-                        minionName(agent),
+                        shared(ProcessNames.agent(agent), agent, ports.agent(agent), advertised),
+                        ProcessNames.minion(agent),
                         plan.service(),
                         HOST,
-                        minionPort(agent),
+                        ports.minion(agent),
                         plan.slots(),
                         plan.connections(),
                         plan.worker().processorMillis() / MILLIS,
@@ -122,48 +130,68 @@
                         plan.worker().accelerators());
     }
 
-    private String shared(String name, int position, int framesPort) {
+    private String shared(String name, int position, int framesPort, int advertisedPort) {
         String failureDomain = plan.failureDomain(position);
         return """
                 process: {name: %s, failureDomain: %s}
-                frames: {host: %s, port: %d}
+                frames: {host: %s, port: %d, advertisedPort: %d}
                 log: {url: "http://%s:%d"}
-                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, HOST, firstPort, seeds());
+                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, advertisedPort, HOST, ports.log(), seeds());
     }
 
     private String seeds() {
-        return IntStream.range(0, entries())
-                .mapToObj(entry -> "{host: %s, port: %d}".formatted(HOST, framesPort(entry)))
+        return entries()
+                .mapToObj(entry -> "{host: %s, port: %d}".formatted(HOST, ports.frames(entry)))
                 .collect(Collectors.joining(", "));
     }
 
+    private List<RelayPlan> relays() {
+        List<RelayPlan> relays = new ArrayList<>();
+        entries()
+                .forEach(entry -> relays.add(new RelayPlan(
+                        relayName(ProcessNames.entry(entry)),
+                        ports.entryRelay(entry),
+                        new HostPort(HOST, ports.http(entry)),
+                        plan.delayToClients(),
+                        ports.entryRelayControl(entry))));
+        agents().forEach(agent -> relays.add(new RelayPlan(
+                relayName(ProcessNames.agent(agent)),
+                ports.agentRelay(agent),
+                new HostPort(HOST, ports.agent(agent)),
+                plan.delayBetweenFailureDomains(),
+                ports.agentRelayControl(agent))));
+        return relays;
+    }
+
     private String targets() {
         StringBuilder text = new StringBuilder("targets:\n  entries:\n");
-        IntStream.range(0, entries()).forEach(entry -> text.append(target(ProcessNames.entry(entry), httpPort(entry))));
+        entries()
+                .forEach(entry -> text.append(target(
+                        ProcessNames.entry(entry), options.relays() ? ports.entryRelay(entry) : ports.http(entry))));
         text.append("  minions:\n");
-        IntStream.range(0, plan.minions())
-                .forEach(minion -> text.append(target(ProcessNames.minion(minion), minionPort(minion))));
-        return text.append("  logs:\n").append(target("log", firstPort)).toString();
+        agents().forEach(minion -> text.append(target(ProcessNames.minion(minion), ports.minion(minion))));
+        text.append("  logs:\n").append(target("log", ports.log()));
+        if (options.relays()) {
+            text.append("  relays:\n");
+            relays().forEach(relay -> text.append(target(relay.name(), relay.control())));
+        }
+        return text.toString();
     }
 
     private static String target(String name, int port) {
         return "    - {name: %s, url: \"http://%s:%d\"}\n".formatted(name, HOST, port);
     }
 
-    private int entries() {
-        return plan.httpPorts().size();
-    }
-
-    private int httpPort(int entry) {
-        return firstPort + HTTP_OFFSET + entry;
+    private static String relayName(String process) {
+        return "relay-" + process;
     }
 
-    private int framesPort(int entry) {
-        return firstPort + FRAMES_OFFSET + entry;
+    private IntStream entries() {
+        return IntStream.range(0, plan.httpPorts().size());
     }
 
-    private int minionPort(int minion) {
-        return firstPort + AGENTS_OFFSET + plan.minions() + minion;
+    private IntStream agents() {
+        return IntStream.range(0, plan.minions());
     }
 
     private void write(String name, String text) {
--- a/command/src/main/java/org/chivetally/command/deployment/InProcessSettings.java
+++ b/command/src/main/java/org/chivetally/command/deployment/InProcessSettings.java
@@ -39,9 +39,7 @@
                 Duration.ofSeconds(2),
                 plan.appendsPerSecond());
         return new EntryDaemonSettings(
-                process(ProcessNames.entry(position), position, ANY_PORT, log, List.of()),
-                ANY_PORT,
-                claims);
+                process(ProcessNames.entry(position), position, ANY_PORT, log, List.of()), ANY_PORT, claims);
     }
 
     AgentDaemonSettings agent(int position, URI log, URI minion, HostPort advertised, List<HostPort> seeds) {
@@ -62,8 +60,7 @@
                 RETENTION);
     }
 
-    private ProcessSettings process(
-            String name, int position, HostPort advertised, URI log, List<HostPort> seeds) {
+    private ProcessSettings process(String name, int position, HostPort advertised, URI log, List<HostPort> seeds) {
         return new ProcessSettings(
                 name,
                 plan.failureDomain(position),
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/deployment/RelayPlan.java
@@ -0,0 +1,56 @@
+package org.chivetally.command.deployment;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import org.chivetally.document.Section;
+import org.chivetally.settings.HostPort;
+
+/**
+ * One relay between two processes.
+ *
+ * @param name name in lists of targets
+ * @param listen port on the loopback address that takes connections
+ * @param target where they are forwarded to
+ * @param distance how long each byte is under way in each direction
+ * @param control port on the loopback address at which faults are set
+ */
+public record RelayPlan(String name, int listen, HostPort target, Duration distance, int control) {
+    private static final Duration LONGEST_DISTANCE = Duration.ofSeconds(1);
+
+    /** Refuses missing parts. */
+    public RelayPlan {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(distance, "distance");
+    }
+
+    /** Reads the relays of a document; its mistakes tell whether they may be used. */
+    public static List<RelayPlan> readAll(Section root) {
+        List<Section> sections = root.sections("relays");
+        if (sections.isEmpty()) {
+            root.mistake("relays", "at least one is needed");
+        }
+        return sections.stream().map(RelayPlan::read).toList();
+    }
+
+    /** Returns the relay as an item of the list that {@link #readAll} reads. */
+    String item() {
+        return "  - {name: %s, listen: %d, target: {host: %s, port: %d}, distance: %dus, control: %d}\n"
+                .formatted(name, listen, target.host(), target.port(), distance.toNanos() / 1000, control);
+    }
+
+    private static RelayPlan read(Section item) {
+        Section target = item.section("target");
+        return new RelayPlan(
+                item.requiredText("name"),
+                port(item, "listen"),
+                new HostPort(target.requiredText("host"), port(target, "port")),
+                item.duration("distance", Duration.ZERO, LONGEST_DISTANCE, Duration.ZERO),
+                port(item, "control"));
+    }
+
+    private static int port(Section section, String key) {
+        return (int) section.requiredWhole(key, 1, HostPort.MAXIMUM_PORT);
+    }
+}
--- a/command/src/main/java/org/chivetally/command/deployment/RunningDeployment.java
+++ b/command/src/main/java/org/chivetally/command/deployment/RunningDeployment.java
@@ -52,7 +52,9 @@
         this.settings = new InProcessSettings(plan);
     }
 
-    /** Starts everything and returns once all of it listens; throws {@link ErrorCode#NOT_READY} when a port is taken. */
+    /**
+     * Starts everything and returns once all of it listens; throws {@link ErrorCode#NOT_READY} when a port is taken.
+     */
     public static RunningDeployment start(DeploymentPlan plan) {
         RunningDeployment deployment = new RunningDeployment(plan);
         try {
@@ -61,7 +63,9 @@
         } catch (IllegalStateException | CompletionException failure) {
             deployment.close();
             throw new ChivetallyException(
-                    ErrorCode.NOT_READY, "the deployment can't start: " + innermost(failure).getMessage(), failure);
+                    ErrorCode.NOT_READY,
+                    "the deployment can't start: " + innermost(failure).getMessage(),
+                    failure);
         }
     }
 
@@ -114,24 +118,23 @@
 
     private void startEntry(int position) {
         entryRelays.add(TcpRelay.start(
-                plan.httpPorts().get(position),
-                () -> entries.get(position).httpAddress(),
-                plan.delayToClients()));
+                plan.httpPorts().get(position), () -> entries.get(position).httpAddress(), plan.delayToClients()));
         entries.add(join(EntryDaemon.start(system, settings.entry(position, log()), log, clock)));
     }
 
     // Entries learn an agent's address from what it announces; that is its relay's, which stands between all of them.
     private void startAgent(int position) {
-        TcpRelay relay = TcpRelay.start(
-                0, () -> agents.get(position).frameAddress(), plan.delayBetweenFailureDomains());
+        TcpRelay relay =
+                TcpRelay.start(0, () -> agents.get(position).frameAddress(), plan.delayBetweenFailureDomains());
         agentRelays.add(relay);
         HostPort advertised = new HostPort(InProcessSettings.HOST, relay.port());
         List<HostPort> seeds = entries.stream()
-                .map(entry -> new HostPort(InProcessSettings.HOST, entry.frameAddress().getPort()))
+                .map(entry -> new HostPort(
+                        InProcessSettings.HOST, entry.frameAddress().getPort()))
                 .toList();
         URI minion = minions().get(position);
-        agents.add(join(AgentDaemon.start(
-                system, settings.agent(position, log(), minion, advertised, seeds), log, clock)));
+        agents.add(join(
+                AgentDaemon.start(system, settings.agent(position, log(), minion, advertised, seeds), log, clock)));
     }
 
     private static URI address(int port) {
--- /dev/null
+++ b/command/src/test/java/org/chivetally/command/CommandRun.java
@@ -0,0 +1,18 @@
+package org.chivetally.command;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import picocli.CommandLine;
+
+/** What one run of the command line wrote and ended with. */
+record CommandRun(int code, String out, String error) {
+    static CommandRun of(String... arguments) {
+        StringWriter out = new StringWriter();
+        StringWriter error = new StringWriter();
+        CommandLine commandLine = ChivetallyCommand.commandLine();
+        commandLine.setOut(new PrintWriter(out));
+        commandLine.setErr(new PrintWriter(error));
+        int code = commandLine.execute(arguments);
+        return new CommandRun(code, out.toString(), error.toString());
+    }
+}
--- a/command/src/test/java/org/chivetally/command/CommandTest.java
+++ b/command/src/test/java/org/chivetally/command/CommandTest.java
@@ -1,28 +1,33 @@
 package org.chivetally.command;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.anyOf;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
-import java.io.PrintWriter;
-import java.io.StringWriter;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.load.LoadPlanReader;
+import org.chivetally.settings.SettingsFile;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import picocli.CommandLine;
 
 class CommandTest {
-    private final StringWriter out = new StringWriter();
-    private final StringWriter error = new StringWriter();
-
     static Stream<Arguments> everyCommand() {
         List<Arguments> found = new ArrayList<>();
         collect(ChivetallyCommand.commandLine(), List.of(), found);
@@ -32,21 +37,32 @@
     @ParameterizedTest
     @MethodSource("everyCommand")
     void everyCommandHasHelpWithExitCodes(List<String> names) {
-        assertThat(run(with(names, "--help")), is(ExitCodes.OK));
-        assertThat(out.toString(), containsString(String.join(" ", names)));
-        assertThat(out.toString(), containsString("5    the request may have taken effect"));
+        CommandRun run = run(with(names, "--help"));
+        assertThat(run.code(), is(ExitCodes.OK));
+        assertThat(run.out(), containsString("Usage: " + String.join(" ", with(List.of("chivetally"), names))));
+        assertThat(run.out(), containsString("5    the request may have taken effect"));
     }
 
     @ParameterizedTest
     @MethodSource("everyCommand")
     void everyCommandRefusesAnUnknownOption(List<String> names) {
-        assertThat(run(with(names, "--no-such-option")), is(ExitCodes.INVALID_INPUT));
-        assertThat(error.toString(), not(containsString("Exception")));
+        CommandRun run = run(with(names, "--no-such-option"));
+        assertThat(run.code(), is(ExitCodes.INVALID_INPUT));
+        // What is required and missing is told first, where there is such.
+        assertThat(run.error(), anyOf(containsString("--no-such-option"), startsWith("Missing required")));
+        assertThat(commandLine(names).isUnmatchedArgumentsAllowed(), is(false));
     }
 
     @Test
     void aNameWithoutSubcommandIsRefused() {
-        assertThat(run(List.of()), is(ExitCodes.INVALID_INPUT));
+        assertThat(run(List.of()).code(), is(ExitCodes.INVALID_INPUT));
+    }
+
+    @Test
+    void everyErrorCodeHasAnExitCodeOtherThanSuccess() {
+        for (ErrorCode code : ErrorCode.values()) {
+            assertThat(code.text(), ExitCodes.of(code), is(not(ExitCodes.OK)));
+        }
     }
 
     /**
@@ -55,12 +71,9 @@
      */
     @Test
     void anEntryThatIsNotThereIsUnavailable() throws IOException {
-        int port;
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = socket.getLocalPort();
-        }
-        assertThat(run(List.of("get", "services", "--entry", "http://127.0.0.1:" + port)), is(ExitCodes.UNAVAILABLE));
-        assertThat(error.toString(), containsString("not-ready: no entry answers"));
+        CommandRun run = CommandRun.of("get", "services", "--entry", "http://127.0.0.1:" + freePort());
+        assertThat(run.code(), is(ExitCodes.UNAVAILABLE));
+        assertThat(run.error(), containsString("not-ready: no entry answers"));
     }
 
     /**
@@ -71,22 +84,66 @@
     void aLostAnswerToASubmissionIsUnknown() throws Exception {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             Thread server = Thread.ofVirtual().start(() -> closeAfterRequest(socket));
-            List<String> arguments = List.of(
-                    "submit",
-                    "../examples/job-small.yaml",
-                    "--key",
-                    "key-1",
-                    "--entry",
-                    "http://127.0.0.1:" + socket.getLocalPort());
-            assertThat(run(arguments), is(ExitCodes.OUTCOME_UNKNOWN));
+            String entry = "http://127.0.0.1:" + socket.getLocalPort();
+            CommandRun run = CommandRun.of("submit", "../examples/job-small.yaml", "--key", "key-1", "--entry", entry);
             server.join();
+            assertThat(run.code(), is(ExitCodes.OUTCOME_UNKNOWN));
+            assertThat(run.error(), containsString("submit again with --key key-1"));
         }
-        assertThat(error.toString(), containsString("submit again with --key key-1"));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"entry --settings", "agent --settings", "submit", "load", "apply -f"})
+    void aFileThatIsNotThereIsInvalidInput(String command) {
+        CommandRun run = CommandRun.of((command + " no-such-file.yaml").split(" "));
+        assertThat(run.code(), is(ExitCodes.INVALID_INPUT));
+        assertThat(run.error(), containsString("no-such-file.yaml"));
+    }
+
+    /** An operator mistypes three keys of a settings file: the daemon does not start and names all three at once. */
+    @Test
+    void aDaemonWithMalformedSettingsNamesAllMistakes(@TempDir Path folder) throws IOException {
+        String settings = Files.readString(Path.of("../examples/settings/entry.yaml"))
+                .replace("failureDomain:", "domain:")
+                .replace("port: 8080", "port: 80800");
+        Path file = Files.writeString(folder.resolve("entry.yaml"), settings);
+        CommandRun run = CommandRun.of("entry", "--settings", file.toString());
+        assertThat(run.code(), is(ExitCodes.INVALID_INPUT));
+        assertThat(
+                run.error(),
+                allOf(
+                        containsString("process.failureDomain: is missing"),
+                        containsString("process.domain: unknown key; allowed here: failureDomain, name"),
+                        containsString("http.port: \"80800\" is not a whole number from 0 to 65535")));
+    }
+
+    /** The layout of a deployment writes settings that the daemons accept. */
     @Test
-    void aFileThatIsNotThereIsInvalidInput() {
-        assertThat(run(List.of("submit", "no-such-file.yaml")), is(ExitCodes.INVALID_INPUT));
+    void theLayoutOfADeploymentIsAccepted(@TempDir Path folder) {
+        CommandRun run = CommandRun.of(
+                "layout", folder.toString(), "--deployment", "../examples/deployments/tasmania.yaml", "--relays");
+        assertThat(run.error(), run.code(), is(ExitCodes.OK));
+        assertThat(
+                SettingsFile.readEntry(folder.resolve("entry-3.yaml")).process().name(), is("entry-3"));
+        assertThat(
+                SettingsFile.readAgent(folder.resolve("agent-11.yaml")).minion().backend(), is("minion-11"));
+        String targets = DocumentFile.text(folder.resolve("targets.yaml"));
+        assertThat(
+                LoadPlanReader.readTargets("targets.yaml", targets).mistakes().text(), is(""));
+    }
+
+    private static CommandLine commandLine(List<String> names) {
+        CommandLine found = ChivetallyCommand.commandLine();
+        for (String name : names) {
+            found = found.getSubcommands().get(name);
+        }
+        return found;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
     }
 
     private static void closeAfterRequest(ServerSocket server) {
@@ -97,11 +154,8 @@
         }
     }
 
-    private int run(List<String> arguments) {
-        CommandLine commandLine = ChivetallyCommand.commandLine();
-        commandLine.setOut(new PrintWriter(out));
-        commandLine.setErr(new PrintWriter(error));
-        return commandLine.execute(arguments.toArray(String[]::new));
+    private static CommandRun run(List<String> arguments) {
+        return CommandRun.of(arguments.toArray(String[]::new));
     }
 
     private static void collect(CommandLine commandLine, List<String> names, List<Arguments> found) {
@@ -109,6 +163,12 @@
         commandLine.getSubcommands().forEach((name, child) -> collect(child, with(names, name), found));
     }
 
+    private static List<String> with(List<String> names, List<String> more) {
+        List<String> longer = new ArrayList<>(names);
+        longer.addAll(more);
+        return List.copyOf(longer);
+    }
+
     private static List<String> with(List<String> names, String last) {
         List<String> longer = new ArrayList<>(names);
         longer.add(last);
--- a/library/src/main/java/org/chivetally/daemon/DecisionMemory.java
+++ b/library/src/main/java/org/chivetally/daemon/DecisionMemory.java
@@ -23,8 +23,7 @@
     private static final int INITIAL_JOBS = 64;
     private static final float USUAL_LOAD_FACTOR = 0.75f;
 
-    private final Map<String, List<String>> linesByJob =
-            new LinkedHashMap<>(INITIAL_JOBS, USUAL_LOAD_FACTOR, true);
+    private final Map<String, List<String>> linesByJob = new LinkedHashMap<>(INITIAL_JOBS, USUAL_LOAD_FACTOR, true);
     private int kept;
 
     /** Returns the same decisions, whose lines are remembered. */
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs a whole deployment as separate processes on this machine: log stand-in, minions, entries, agents.
 #
-#   scripts/processes.sh start FOLDER [--deployment NAME] [--first-port PORT] [--minions-in-one]
+#   scripts/processes.sh start FOLDER [--deployment NAME] [--first-port PORT] [--minions-in-one] [--relays]
 #   scripts/processes.sh start-one FOLDER NAME
 #   scripts/processes.sh stop-one FOLDER NAME [SIGNAL]
 #   scripts/processes.sh signal-one FOLDER NAME SIGNAL
@@ -81,7 +81,7 @@
 # Entries first, which drain while agents and minions still answer; the log last.
 stop_all() {
     local folder=$1 kind name
-    for kind in entry agent minion log; do
+    for kind in entry agent minion relay log; do
         for name in $(names "$folder" | grep "^$kind" || true); do
             signal_one "$folder" "$name" TERM
         done
--- a/standins/src/main/java/org/chivetally/standins/RelayDirection.java
+++ b/standins/src/main/java/org/chivetally/standins/RelayDirection.java
@@ -25,11 +25,7 @@
     private boolean silent;
 
     RelayDirection(
-            Channel sink,
-            LongSupplier delayNanos,
-            Timer timer,
-            LongAdder forwardedBytes,
-            LongAdder withheldBytes) {
+            Channel sink, LongSupplier delayNanos, Timer timer, LongAdder forwardedBytes, LongAdder withheldBytes) {
         this.sink = sink;
         this.delayNanos = delayNanos;
         this.timer = timer;
--- a/standins/src/main/java/org/chivetally/standins/TcpRelay.java
+++ b/standins/src/main/java/org/chivetally/standins/TcpRelay.java
@@ -46,8 +46,8 @@
 
     private final Supplier<InetSocketAddress> target;
     private final long distanceNanos;
-    private final ScheduledExecutorService timer =
-            Executors.newSingleThreadScheduledExecutor(Thread.ofPlatform().name("relay-timer").daemon().factory());
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor(
+            Thread.ofPlatform().name("relay-timer").daemon().factory());
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private final Set<Link> links = ConcurrentHashMap.newKeySet();
