--- a/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
@@ -48,7 +48,8 @@
             ConfigurationCommand.class,
             StandInCommand.class,
             LayoutCommand.class,
-            LoadCommand.class
+            LoadCommand.class,
+            ExperimentCommand.class
         })
 public final class ChivetallyCommand implements Runnable {
     @Spec
--- /dev/null
+++ b/command/src/main/java/org/chivetally/command/ExperimentCommand.java
@@ -0,0 +1,77 @@
+package org.chivetally.command;
+
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import org.chivetally.document.Section;
+import org.chivetally.load.LoadPlan;
+import org.chivetally.load.LoadPlanReader;
+import org.chivetally.load.experiment.PolicyExperiment;
+import org.chivetally.load.experiment.SlopeExperiment;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** Runs an experiment within this process. */
+@Command(
+        name = "experiment",
+        description = {
+            "Run an experiment within this process and write its tables and plots to a folder.",
+            "policies: placement policies side by side, in model time.",
+            "coordinators: the policy in use with one to nine coordinators, in model time.",
+            "slopes: how costs grow with agents, tasks, teams, claims, resources and members."
+        })
+final class ExperimentCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec command;
+
+    @Option(
+            names = "--plan",
+            paramLabel = "FILE",
+            description = "Load plan whose mixture of jobs is offered to policies; examples/load-jylland-50.yaml fits.")
+    private Path plan;
+
+    @Option(names = "--folder", paramLabel = "FOLDER", required = true, description = "Folder to write to.")
+    private Path folder;
+
+    @Parameters(paramLabel = "EXPERIMENT", description = "${COMPLETION-CANDIDATES}")
+    private Experiment experiment;
+
+    @Override
+    public Integer call() {
+        PrintStream progress = System.err;
+        switch (experiment) {
+            case POLICIES -> new PolicyExperiment(plan(), PolicyExperiment.Settings.all(), progress).run(folder);
+            case COORDINATORS ->
+                new PolicyExperiment(plan(), PolicyExperiment.Settings.byCoordinators(), progress).run(folder);
+            case SLOPES -> new SlopeExperiment(SlopeExperiment.Settings.all(), progress).run(folder);
+        }
+        Console.of(command).line("written to " + folder);
+        return ExitCodes.OK;
+    }
+
+    private LoadPlan plan() {
+        if (plan == null) {
+            throw new ParameterException(command.commandLine(), "--plan is missing");
+        }
+        LoadPlanReader.Reading<LoadPlan> reading =
+                LoadPlanReader.read(plan.toString(), DocumentFile.text(plan), Optional.empty());
+        reading.mistakes().requireNone();
+        return reading.content().orElseThrow();
+    }
+
+    private enum Experiment {
+        POLICIES,
+        COORDINATORS,
+        SLOPES;
+
+        @Override
+        public String toString() {
+            return Section.written(this);
+        }
+    }
+}
--- a/command/src/main/java/org/chivetally/command/LoadCommand.java
+++ b/command/src/main/java/org/chivetally/command/LoadCommand.java
@@ -16,6 +16,7 @@
 import org.chivetally.load.LoadRun;
 import org.chivetally.load.ReportJson;
 import org.chivetally.load.ReportTable;
+import org.chivetally.load.RunFolders;
 import org.chivetally.load.Targets;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -46,6 +47,12 @@
             description = "Folder shared with the script that carries out faults of processes.")
     private Path faultsFolder;
 
+    @Option(
+            names = "--processes",
+            paramLabel = "FOLDER",
+            description = "Folder of scripts/processes.sh; processor time and memory are then reported by role.")
+    private Path processes;
+
     @Option(names = "--json", paramLabel = "FILE", description = "Write the report as JSON to this file as well.")
     private Path json;
 
@@ -79,7 +86,7 @@
 
     private int run(LoadPlan content) throws InterruptedException {
         PrintStream progress = System.err;
-        try (LoadRun run = new LoadRun(content, progress, Optional.ofNullable(faultsFolder))) {
+        try (LoadRun run = new LoadRun(content, progress, folders())) {
             LoadReport report = run.run();
             Console console = Console.of(command);
             console.line(ReportTable.of(report));
@@ -89,6 +96,10 @@
         }
     }
 
+    private RunFolders folders() {
+        return new RunFolders(Optional.ofNullable(faultsFolder), Optional.ofNullable(processes));
+    }
+
     private static Targets readTargets(Path file) {
         LoadPlanReader.Reading<Targets> reading = LoadPlanReader.readTargets(file.toString(), DocumentFile.text(file));
         reading.mistakes().requireNone();
--- a/load/src/main/java/org/chivetally/load/LoadReport.java
+++ b/load/src/main/java/org/chivetally/load/LoadReport.java
@@ -14,6 +14,8 @@
  * @param figures figures that could be measured
  * @param counters what the entries' counters grew by
  * @param faults faults injected, by target and kind
+ * @param starts starts recorded by minions
+ * @param roles processor time and memory by role, where a folder with process ids was given
  * @param unreadMinions minions whose record couldn't be read at the end
  * @param verdict broken promises
  */
@@ -25,6 +27,8 @@
         Map<Figure, Double> figures,
         Counters counters,
         Map<String, Integer> faults,
+        int starts,
+        Map<String, RoleCost> roles,
         List<String> unreadMinions,
         Verdict verdict) {
     /** Copies the collections. */
@@ -32,6 +36,7 @@
         outcomes = new TreeMap<>(outcomes);
         figures = new TreeMap<>(figures);
         faults = new TreeMap<>(faults);
+        roles = new TreeMap<>(roles);
         unreadMinions = List.copyOf(unreadMinions);
     }
 
--- a/load/src/main/java/org/chivetally/load/LoadRun.java
+++ b/load/src/main/java/org/chivetally/load/LoadRun.java
@@ -42,7 +42,7 @@
 
     private final LoadPlan plan;
     private final PrintStream progress;
-    private final Optional<Path> faultsFolder;
+    private final RunFolders folders;
     private final Tokens tokens;
     private final HttpClient client;
     private final Caller caller;
@@ -58,12 +58,12 @@
      *
      * @param plan what to do
      * @param progress takes a line every second, and one for each fault
-     * @param faultsFolder folder shared with the script that carries out process faults; empty without such a script
+     * @param folders folders shared with scripts
      */
-    public LoadRun(LoadPlan plan, PrintStream progress, Optional<Path> faultsFolder) {
+    public LoadRun(LoadPlan plan, PrintStream progress, RunFolders folders) {
         this.plan = plan;
         this.progress = progress;
-        this.faultsFolder = faultsFolder;
+        this.folders = folders;
         this.tokens = new Tokens("r" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX));
         this.client = HttpClient.newBuilder()
                 .version(HttpClient.Version.HTTP_1_1)
@@ -86,6 +86,7 @@
         awaitReadiness();
         warmUp(schedule);
         counters.read(true);
+        Optional<ProcessCosts> costs = folders.processes().map(ProcessCosts::begin);
         RunClock clock = new RunClock(NanoClock.system(), BEGIN_DELAY.toNanos());
         writeBegin(clock);
         Submitter submitter = new Submitter(plan, tokens, caller, balancer, timer, clock);
@@ -95,10 +96,11 @@
         every(PROGRESS_INTERVAL, watcher, () -> watch(submitter, clock));
         await(end, clock);
         injector.clear(plan.faults());
+        Map<String, RoleCost> roles = costs.map(ProcessCosts::end).orElse(Map.of());
         watcher.shutdown();
         watcher.awaitTermination(1, TimeUnit.MINUTES);
         counters.read(false);
-        return report(schedule, submitter.records(), clock);
+        return report(schedule, submitter.records(), clock, roles);
     }
 
     @Override
@@ -135,13 +137,14 @@
     }
 
     private void writeBegin(RunClock clock) {
-        if (faultsFolder.isEmpty()) {
+        if (folders.faults().isEmpty()) {
             return;
         }
+        Path folder = folders.faults().get();
         try {
-            Files.createDirectories(faultsFolder.get());
-            Files.deleteIfExists(faultsFolder.get().resolve(DONE_FILE));
-            Files.writeString(faultsFolder.get().resolve(BEGIN_FILE), clock.beginEpochMillis() + "\n");
+            Files.createDirectories(folder);
+            Files.deleteIfExists(folder.resolve(DONE_FILE));
+            Files.writeString(folder.resolve(BEGIN_FILE), clock.beginEpochMillis() + "\n");
         } catch (IOException unusable) {
             throw new ChivetallyException(ErrorCode.INVALID_INPUT, "faults folder: " + unusable, unusable);
         }
@@ -172,7 +175,8 @@
                 .with("wasted", counters.growth().wastedCount()));
     }
 
-    private LoadReport report(Schedule schedule, List<CallerRecord> callers, RunClock clock) {
+    private LoadReport report(
+            Schedule schedule, List<CallerRecord> callers, RunClock clock, Map<String, RoleCost> roles) {
         List<String> unread = starts.readAll();
         Judge judge = new Judge(tokens, callers, starts.records());
         ProcessFaultLog processFaults = processFaults();
@@ -188,12 +192,14 @@
                 summary.figures(schedule, judge, verdict, counters.growth()),
                 counters.growth(),
                 faults,
+                judge.startCount(),
+                roles,
                 unread,
                 verdict);
     }
 
     private ProcessFaultLog processFaults() {
-        Optional<Path> file = faultsFolder.map(folder -> folder.resolve(DONE_FILE));
+        Optional<Path> file = folders.faults().map(folder -> folder.resolve(DONE_FILE));
         if (file.isEmpty() || !Files.exists(file.get())) {
             return ProcessFaultLog.parse(new ArrayList<>());
         }
--- a/load/src/main/java/org/chivetally/load/ReportJson.java
+++ b/load/src/main/java/org/chivetally/load/ReportJson.java
@@ -32,6 +32,14 @@
         root.put("frameBytes", report.counters().bytes());
         numbers(root.putObject("wasted"), report.counters().wasted());
         numbers(root.putObject("faults"), report.faults());
+        root.put("starts", report.starts());
+        ObjectNode roles = root.putObject("roles");
+        report.roles().forEach((role, cost) -> {
+            ObjectNode node = roles.putObject(role);
+            node.put("processes", cost.processes());
+            node.put("processorMicrosPerStart", cost.microsEach(report.starts()));
+            node.put("mebibytesEach", cost.mebibytesEach());
+        });
         verdict(root.putObject("violations"), report.verdict());
         texts(root, "minionsWithoutRecord", report.unreadMinions());
         return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(root);
--- a/load/src/main/java/org/chivetally/load/ReportTable.java
+++ b/load/src/main/java/org/chivetally/load/ReportTable.java
@@ -34,6 +34,7 @@
         }
         report.counters().frames().forEach((kind, count) -> row(text, "  frames " + kind, count, ""));
         report.counters().wasted().forEach((kind, count) -> row(text, "  wasted " + kind, count, ""));
+        report.roles().forEach((role, cost) -> roleRow(text, report, role, cost));
         row(text, "faults injected", report.faultCount(), "");
         report.faults().forEach((fault, count) -> row(text, "  " + fault, count, ""));
         Verdict verdict = report.verdict();
@@ -82,6 +83,17 @@
         row(text, figure.text(), shown, limit == null ? "" : goal(report, figure, limit));
     }
 
+    private static void roleRow(StringBuilder text, LoadReport report, String role, RoleCost cost) {
+        String micros = String.format(Locale.ROOT, "%.1f us/start", cost.microsEach(report.starts()));
+        String remark = String.format(
+                Locale.ROOT,
+                "%d processes, each %.1f%% of a core and %.0f MiB resident",
+                cost.processes(),
+                100 * cost.coreShare(report.plan().duration()),
+                cost.mebibytesEach());
+        row(text, "  processor " + role, micros, remark);
+    }
+
     private static String goal(LoadReport report, Figure figure, double limit) {
         String result = report.misses(figure) ? "missed" : "met";
         return "goal " + figure.sign() + " " + number(figure, limit) + " " + result;
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/RunFolders.java
@@ -0,0 +1,22 @@
+package org.chivetally.load;
+
+import java.nio.file.Path;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Folders that a run shares with scripts.
+ *
+ * @param faults folder shared with the script that carries out faults of processes
+ * @param processes folder with the ids of the processes, whose processor time and memory are then measured
+ */
+public record RunFolders(Optional<Path> faults, Optional<Path> processes) {
+    /** A run without scripts. */
+    public static final RunFolders NONE = new RunFolders(Optional.empty(), Optional.empty());
+
+    /** Refuses missing parts. */
+    public RunFolders {
+        Objects.requireNonNull(faults, "faults");
+        Objects.requireNonNull(processes, "processes");
+    }
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/experiment/ClaimCost.java
@@ -0,0 +1,132 @@
+package org.chivetally.load.experiment;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.claim.ClaimDecision;
+import org.chivetally.claim.ClaimSettings;
+import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.GroupCommitSettings;
+import org.chivetally.claim.LogClaims;
+import org.chivetally.claim.SubmissionKey;
+import org.chivetally.claim.TailSettings;
+import org.chivetally.job.JobId;
+import org.chivetally.log.InMemoryLogSettings;
+import org.chivetally.log.InMemoryPlatformLog;
+import org.chivetally.log.PlatformLog;
+import org.chivetally.log.ReadOutcome;
+import org.chivetally.time.NanoClock;
+
+/** Cost of the claims table: memory of a claim, and time until a fresh process has read the stream. */
+final class ClaimCost {
+    private static final String DIGEST = "0123456789abcdef".repeat(4);
+    private static final int TOGETHER = 5_000;
+    private static final double UNLIMITED = 1e6;
+    private static final Duration WINDOW = Duration.ofHours(1);
+    private static final int SAMPLE = 1_000;
+
+    private final ActorSystem<?> system;
+    private final ClaimSettings settings;
+    private int processes;
+
+    ClaimCost(ActorSystem<?> system) {
+        this.system = system;
+        ClaimSettings usual = ClaimSettings.defaults(WINDOW, WINDOW.multipliedBy(4));
+        GroupCommitSettings commit = new GroupCommitSettings(
+                UNLIMITED,
+                usual.commit().burst(),
+                TOGETHER * 2,
+                usual.commit().maximumBatch(),
+                usual.commit().settleTime(),
+                usual.commit().retryInterval());
+        this.settings = new ClaimSettings(
+                usual.window(),
+                usual.logRetention(),
+                usual.lease(),
+                usual.renewalInterval(),
+                usual.longestTicketAge(),
+                Duration.ofSeconds(60),
+                commit,
+                TailSettings.defaults(),
+                usual.snapshots());
+    }
+
+    /** Writes a number of claims and reads them back in a fresh process. */
+    Cost measure(int claims) throws Exception {
+        InMemoryPlatformLog log = new InMemoryPlatformLog(system, NanoClock.system(), InMemoryLogSettings.immediate());
+        LogClaims writer = start(log);
+        awaitCaughtUp(writer);
+        long writeBegin = System.nanoTime();
+        write(writer, claims);
+        double writeSeconds = (System.nanoTime() - writeBegin) / 1e9;
+        double recordBytes = recordBytes(log);
+        writer.depart().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        writer.stop();
+        TimeUnit.MILLISECONDS.sleep(200);
+        long heapBefore = Heap.usedBytes();
+        long readBegin = System.nanoTime();
+        LogClaims reader = start(log);
+        awaitCaughtUp(reader);
+        double readSeconds = (System.nanoTime() - readBegin) / 1e9;
+        long heapAfter = Heap.usedBytes();
+        reader.stop();
+        return new Cost(
+                claims, (double) (heapAfter - heapBefore) / claims, readSeconds, claims / writeSeconds, recordBytes);
+    }
+
+    private LogClaims start(PlatformLog log) {
+        processes++;
+        Coordinator self = new Coordinator("entry-" + processes, "incarnation-" + processes, "127.0.0.1", 1);
+        return LogClaims.start(system, log, settings, self, NanoClock.system(), new SimpleMeterRegistry());
+    }
+
+    private static void awaitCaughtUp(LogClaims claims) throws InterruptedException {
+        while (!claims.caughtUp() || !claims.holdsLease()) {
+            TimeUnit.MICROSECONDS.sleep(200);
+        }
+    }
+
+    private static void write(LogClaims writer, int claims) throws Exception {
+        for (int first = 0; first < claims; first += TOGETHER) {
+            List<CompletableFuture<ClaimDecision>> open = new ArrayList<>();
+            for (int claim = first; claim < Math.min(claims, first + TOGETHER); claim++) {
+                SubmissionKey key = new SubmissionKey("team-" + claim % 180, "submission-key-" + claim);
+                JobId job = new JobId("job-entry-1-incarnation-" + claim);
+                open.add(writer.claim(key, DIGEST, job).toCompletableFuture());
+            }
+            for (CompletableFuture<ClaimDecision> decision : open) {
+                if (!(decision.get(60, TimeUnit.SECONDS) instanceof ClaimDecision.Won)) {
+                    throw new IllegalStateException("a claim was not won: " + decision.get());
+                }
+            }
+        }
+    }
+
+    private static double recordBytes(PlatformLog log) throws Exception {
+        ReadOutcome outcome = log.read(LogClaims.STREAM, 0, SAMPLE, Duration.ZERO)
+                .toCompletableFuture()
+                .get(10, TimeUnit.SECONDS);
+        if (!(outcome instanceof ReadOutcome.Records records)) {
+            throw new IllegalStateException("the log can't be read: " + outcome);
+        }
+        return records.records().stream()
+                .mapToInt(record -> record.payload().length)
+                .average()
+                .orElse(0);
+    }
+
+    /**
+     * What was measured.
+     *
+     * @param claims claims in the table
+     * @param heapBytes heap bytes of each
+     * @param recoverySeconds time from the start of a fresh process until it has read all and holds its lease
+     * @param claimsPerSecond claims decided a second by one process while writing, without a budget of appends
+     * @param recordBytes mean bytes of a record in the log
+     */
+    record Cost(int claims, double heapBytes, double recoverySeconds, double claimsPerSecond, double recordBytes) {}
+}
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/experiment/ConfigurationCost.java
@@ -0,0 +1,152 @@
+package org.chivetally.load.experiment;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.chivetally.entry.link.Address;
+import org.chivetally.entry.member.Member;
+import org.chivetally.entry.member.MemberCapacity;
+import org.chivetally.entry.member.MemberRecord;
+import org.chivetally.entry.member.MemberRecords;
+import org.chivetally.entry.member.MemberTable;
+import org.chivetally.log.InMemoryLogSettings;
+import org.chivetally.log.InMemoryPlatformLog;
+import org.chivetally.log.LogRecord;
+import org.chivetally.log.ReadOutcome;
+import org.chivetally.resource.Change;
+import org.chivetally.resource.ResourceKey;
+import org.chivetally.resource.ResourceKind;
+import org.chivetally.resource.ResourceService;
+import org.chivetally.resource.ResourceSettings;
+import org.chivetally.resource.ResourceTable;
+import org.chivetally.resource.WriteOutcome;
+import org.chivetally.resource.WriteRecord;
+import org.chivetally.time.NanoClock;
+
+/** Cost of folding one record of configuration, or of members, into a table of a given size. */
+final class ConfigurationCost {
+    private static final int FOLDS = 200;
+    /** Tables filled alike, so that one table's size stands out from the noise of the heap. */
+    private static final int COPIES = 50;
+
+    private static final String SPEC = "{\"maximumRunning\":500,\"maximumQueued\":5000,\"weight\":%d}";
+
+    private ConfigurationCost() {}
+
+    /** Measures folds of single writes into a table with so many resources. */
+    static Cost resources(ActorSystem<?> system, int resources, int repeats) throws Exception {
+        InMemoryPlatformLog log = new InMemoryPlatformLog(system, NanoClock.system(), InMemoryLogSettings.immediate());
+        ResourceService service =
+                ResourceService.start(system, log, ResourceSettings.defaults("entry-1"), NanoClock.system());
+        write(service, 0, resources);
+        for (int change = 0; change < FOLDS; change++) {
+            write(service, change, change + 1);
+        }
+        service.stop();
+        List<LogRecord> records = records(log);
+        List<LogRecord> first = records.subList(0, records.size() - FOLDS);
+        List<LogRecord> changes = records.subList(records.size() - FOLDS, records.size());
+        long heapBefore = Heap.usedBytes();
+        ResourceTable table = ResourceTable.empty().fold(first);
+        double heapBytes = (double) (Heap.usedBytes() - heapBefore) / resources;
+        List<Double> micros = new ArrayList<>();
+        for (int repeat = 0; repeat <= repeats; repeat++) {
+            double each = fold(table, changes);
+            if (repeat > 0) {
+                micros.add(each);
+            }
+        }
+        return new Cost(resources, Spread.of(micros), heapBytes);
+    }
+
+    /** Measures folds of announcements into a table with so many members. */
+    static Cost members(int members, int repeats) {
+        List<byte[]> announcements = new ArrayList<>();
+        for (int member = 0; member < members; member++) {
+            announcements.add(MemberRecords.write(new MemberRecord.Announce(member(member))));
+        }
+        List<MemberTable> tables = new ArrayList<>();
+        long heapBefore = Heap.usedBytes();
+        for (int copy = 0; copy < COPIES; copy++) {
+            MemberTable filled = new MemberTable();
+            fold(filled, announcements);
+            tables.add(filled);
+        }
+        double heapBytes = (double) (Heap.usedBytes() - heapBefore) / members / COPIES;
+        MemberTable table = tables.getFirst();
+        List<Double> micros = new ArrayList<>();
+        for (int repeat = 0; repeat <= repeats; repeat++) {
+            double each = fold(table, announcements);
+            if (repeat > 0) {
+                micros.add(each);
+            }
+        }
+        return new Cost(members, Spread.of(micros), heapBytes);
+    }
+
+    private static double fold(ResourceTable table, List<LogRecord> changes) {
+        ProcessorTime processor = new ProcessorTime();
+        ResourceTable current = table;
+        processor.start();
+        for (LogRecord change : changes) {
+            current = current.fold(List.of(change));
+        }
+        processor.stop();
+        return processor.microsEach(changes.size());
+    }
+
+    private static double fold(MemberTable table, List<byte[]> announcements) {
+        ProcessorTime processor = new ProcessorTime();
+        processor.start();
+        for (byte[] announcement : announcements) {
+            table.fold(MemberRecords.read(announcement).orElseThrow(), 1);
+        }
+        processor.stop();
+        return processor.microsEach(announcements.size());
+    }
+
+    /** Writes the teams of a range of numbers in as few writes as allowed. */
+    private static void write(ResourceService service, int from, int until) throws Exception {
+        for (int first = from; first < until; first += WriteRecord.MAXIMUM_CHANGES) {
+            List<Change> changes = new ArrayList<>();
+            for (int team = first; team < Math.min(until, first + WriteRecord.MAXIMUM_CHANGES); team++) {
+                ResourceKey key = new ResourceKey(ResourceKind.TEAM, "team-" + team);
+                Change.Content content = Change.Content.of(Map.of("region", "north"), SPEC.formatted(1 + team % 900));
+                changes.add(Change.put(key, 0, content).forced());
+            }
+            WriteOutcome outcome =
+                    service.write(changes, "experiment").toCompletableFuture().get(30, TimeUnit.SECONDS);
+            if (!(outcome instanceof WriteOutcome.Applied)) {
+                throw new IllegalStateException("a write did not take effect: " + outcome);
+            }
+        }
+    }
+
+    private static List<LogRecord> records(InMemoryPlatformLog log) throws Exception {
+        ReadOutcome outcome = log.read(WriteRecord.STREAM, 0, Integer.MAX_VALUE, Duration.ZERO)
+                .toCompletableFuture()
+                .get(30, TimeUnit.SECONDS);
+        if (outcome instanceof ReadOutcome.Records records) {
+            return records.records();
+        }
+        throw new IllegalStateException("the log can't be read: " + outcome);
+    }
+
+    private static Member member(int number) {
+        return new Member(
+                "agent-" + number,
+                "incarnation-" + number,
+                Member.AGENT,
+                new Address("10.0.0.1", 1 + number),
+                "domain-" + number % 7,
+                "service-" + number % 20,
+                "minion-" + number,
+                new MemberCapacity(8, 64, 64_000, 1L << 37, 2));
+    }
+
+    /** Entries of the table, processor time of a fold in microseconds, and heap bytes of an entry. */
+    record Cost(int size, Spread micros, double heapBytes) {}
+}
--- a/load/src/main/java/org/chivetally/load/experiment/PolicyExperiment.java
+++ b/load/src/main/java/org/chivetally/load/experiment/PolicyExperiment.java
@@ -225,6 +225,16 @@
             seeds = List.copyOf(seeds);
         }
 
+        /** Returns the policy in use at 50% and 85% with one to nine coordinators. */
+        public static Settings byCoordinators() {
+            return new Settings(
+                    List.of(new PlacementPolicy.SlotCredits(0)),
+                    List.of(1, 2, 3, 6, 9),
+                    List.of(0.5, 0.85),
+                    List.of(1L, 2L, 3L, 4L, 5L),
+                    Duration.ofSeconds(120));
+        }
+
         /** Returns all policies at 30% to 95% with one and three coordinators, five seeds each. */
         public static Settings all() {
             return new Settings(
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/experiment/SlopeExperiment.java
@@ -0,0 +1,217 @@
+package org.chivetally.load.experiment;
+
+import com.typesafe.config.ConfigFactory;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.logging.EventLine;
+
+/**
+ * Measures how costs grow with agents, tasks of a job, teams, claims, resources and members; writes a page and plots.
+ */
+public final class SlopeExperiment {
+    private static final int USUAL_AGENTS = 100;
+    private static final int USUAL_TASKS = 25;
+
+    private final Settings settings;
+    private final PrintStream progress;
+    private final StringBuilder page = new StringBuilder();
+
+    /** Prepares an experiment; a progress line is printed for each point. */
+    public SlopeExperiment(Settings settings, PrintStream progress) {
+        this.settings = settings;
+        this.progress = progress;
+    }
+
+    /** Measures everything and writes {@code slopes.md} and the plots to a folder. */
+    public void run(Path folder) {
+        warmUp();
+        startSlope(folder, "agents", settings.agents(), size -> new StartCost.Scenario(size, USUAL_TASKS, 1));
+        startSlope(folder, "tasks of a job", settings.tasks(), size -> new StartCost.Scenario(USUAL_AGENTS, size, 1));
+        startSlope(folder, "teams", settings.teams(), size -> new StartCost.Scenario(USUAL_AGENTS, USUAL_TASKS, size));
+        ActorSystem<Void> system = ActorSystem.create(
+                Behaviors.empty(),
+                "slopes",
+                ConfigFactory.parseString("pekko.loglevel = ERROR").withFallback(ConfigFactory.load()));
+        try {
+            claimSlope(folder, system);
+            foldSlope(folder, "resources", settings.resources(), size -> {
+                try {
+                    return ConfigurationCost.resources(system, size, settings.repeats());
+                } catch (Exception failure) {
+                    throw broken(failure);
+                }
+            });
+        } finally {
+            system.terminate();
+        }
+        foldSlope(folder, "members", settings.members(), size -> ConfigurationCost.members(size, settings.repeats()));
+        try {
+            Files.createDirectories(folder);
+            Files.writeString(folder.resolve("slopes.md"), page);
+        } catch (IOException unwritable) {
+            throw new ChivetallyException(ErrorCode.INVALID_INPUT, folder + " can't be written", unwritable);
+        }
+    }
+
+    /** Has the code of all scenarios compiled, so that the first ones measured don't look dearer than the others. */
+    private void warmUp() {
+        for (int tasks : settings.tasks()) {
+            new StartCost(new StartCost.Scenario(USUAL_AGENTS, tasks, 1)).measure(1);
+        }
+        ConfigurationCost.members(settings.members().getLast(), settings.repeats());
+    }
+
+    private void startSlope(Path folder, String what, List<Integer> sizes, ScenarioOfSize scenarios) {
+        MarkdownTable table = new MarkdownTable(what, "us a start", "lowest to highest", "bytes a start");
+        List<LineFit.Point> fitted = new ArrayList<>();
+        List<Plots.Point> plotted = new ArrayList<>();
+        for (int size : sizes) {
+            StartCost.Cost cost = new StartCost(scenarios.of(size)).measure(settings.repeats());
+            fitted.add(new LineFit.Point(size, cost.micros().median()));
+            plotted.add(new Plots.Point(size, cost.micros()));
+            table.row(
+                    Integer.toString(size),
+                    number(cost.micros().median(), 2),
+                    range(cost.micros(), 2),
+                    number(cost.bytes(), 0));
+            report("start", what, size, cost.micros().median());
+        }
+        section("Start at a coordinator by " + what, table, fitted, "us");
+        plot(folder, "start-by-" + what, what, "us a start", plotted);
+    }
+
+    private void claimSlope(Path folder, ActorSystem<?> system) {
+        MarkdownTable table = new MarkdownTable(
+                "claims", "heap bytes a claim", "recovery s", "claims decided a second", "log bytes a record");
+        List<LineFit.Point> recoveries = new ArrayList<>();
+        List<Plots.Point> heap = new ArrayList<>();
+        List<Plots.Point> recovery = new ArrayList<>();
+        ClaimCost experiment = new ClaimCost(system);
+        try {
+            experiment.measure(settings.claims().getFirst());
+            for (int claims : settings.claims()) {
+                List<ClaimCost.Cost> costs = new ArrayList<>();
+                for (int repeat = 0; repeat < settings.repeats(); repeat++) {
+                    costs.add(experiment.measure(claims));
+                }
+                Spread bytes =
+                        Spread.of(costs.stream().map(ClaimCost.Cost::heapBytes).toList());
+                Spread seconds = Spread.of(
+                        costs.stream().map(ClaimCost.Cost::recoverySeconds).toList());
+                Spread rate = Spread.of(
+                        costs.stream().map(ClaimCost.Cost::claimsPerSecond).toList());
+                recoveries.add(new LineFit.Point(claims, seconds.median()));
+                heap.add(new Plots.Point(claims, bytes));
+                recovery.add(new Plots.Point(claims, seconds));
+                table.row(
+                        Integer.toString(claims),
+                        number(bytes.median(), 0) + " (" + range(bytes, 0) + ")",
+                        number(seconds.median(), 3) + " (" + range(seconds, 3) + ")",
+                        number(rate.median(), 0) + " (" + range(rate, 0) + ")",
+                        number(costs.getFirst().recordBytes(), 0));
+                report("claim", "claims", claims, bytes.median());
+            }
+        } catch (Exception failure) {
+            throw broken(failure);
+        }
+        section("Claims in the window", table, recoveries, "s of recovery");
+        plot(folder, "claim-heap", "claims in the table", "heap bytes a claim", heap);
+        plot(folder, "claim-recovery", "claims in the stream", "recovery of a fresh process, s", recovery);
+    }
+
+    private void foldSlope(Path folder, String what, List<Integer> sizes, FoldOfSize folds) {
+        MarkdownTable table = new MarkdownTable(what, "us a fold", "lowest to highest", "heap bytes of one");
+        List<LineFit.Point> fitted = new ArrayList<>();
+        List<Plots.Point> plotted = new ArrayList<>();
+        for (int size : sizes) {
+            ConfigurationCost.Cost cost = folds.of(size);
+            fitted.add(new LineFit.Point(size, cost.micros().median()));
+            plotted.add(new Plots.Point(size, cost.micros()));
+            table.row(
+                    Integer.toString(size),
+                    number(cost.micros().median(), 2),
+                    range(cost.micros(), 2),
+                    number(cost.heapBytes(), 0));
+            report("fold", what, size, cost.micros().median());
+        }
+        section("Fold of one record by " + what, table, fitted, "us");
+        plot(folder, "fold-by-" + what, what, "us a fold", plotted);
+    }
+
+    private void section(String title, MarkdownTable table, List<LineFit.Point> points, String unit) {
+        LineFit fit = LineFit.through(points);
+        page.append("### ").append(title).append("\n\n").append(table).append('\n');
+        page.append(String.format(
+                Locale.ROOT,
+                "Least squares: %.4g %s + %.4g for each; standard deviation of the points from the line %.2g.%n%n",
+                fit.intercept(),
+                unit,
+                fit.slope(),
+                fit.residual()));
+    }
+
+    private static void plot(Path folder, String name, String x, String y, List<Plots.Point> points) {
+        Path file = folder.resolve("slope-" + name.replace(' ', '-') + ".png");
+        Plots.write(
+                file, new Plots.Axes(name, x, y, false), List.of(new Plots.Series("median, lowest, highest", points)));
+    }
+
+    private void report(String cost, String what, int size, double value) {
+        progress.println(EventLine.of("slope-measured")
+                .with("cost", cost)
+                .with("by", what)
+                .with("size", size)
+                .with("value", number(value, 3)));
+    }
+
+    private static String number(double value, int decimals) {
+        return String.format(Locale.ROOT, "%." + decimals + "f", value);
+    }
+
+    private static String range(Spread spread, int decimals) {
+        return number(spread.lowest(), decimals) + " to " + number(spread.highest(), decimals);
+    }
+
+    private static ChivetallyException broken(Exception failure) {
+        return new ChivetallyException(ErrorCode.INTERNAL, "the experiment broke: " + failure, failure);
+    }
+
+    /** Sizes at which costs are measured, and how often each. */
+    public record Settings(
+            List<Integer> agents,
+            List<Integer> tasks,
+            List<Integer> teams,
+            List<Integer> claims,
+            List<Integer> resources,
+            List<Integer> members,
+            int repeats) {
+        /** Returns the sizes of the capacity page. */
+        public static Settings all() {
+            return new Settings(
+                    List.of(11, 50, 100, 250, 650),
+                    List.of(1, 5, 25, 100, 250),
+                    List.of(1, 20, 60, 180),
+                    List.of(20_000, 50_000, 100_000, 200_000),
+                    List.of(100, 500, 1_000, 2_000, 4_000),
+                    List.of(50, 100, 250, 650, 1_300),
+                    5);
+        }
+    }
+
+    private interface ScenarioOfSize {
+        StartCost.Scenario of(int size);
+    }
+
+    private interface FoldOfSize {
+        ConfigurationCost.Cost of(int size);
+    }
+}
--- a/load/src/test/java/org/chivetally/load/LoadRunTest.java
+++ b/load/src/test/java/org/chivetally/load/LoadRunTest.java
@@ -11,7 +11,6 @@
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class LoadRunTest {
@@ -40,7 +39,7 @@
 
     private static LoadReport run(FakeEntry entry) throws InterruptedException {
         List<URI> address = List.of(entry.address());
-        try (LoadRun run = new LoadRun(LoadPlans.small(3, DURATION, address, address), NOWHERE, Optional.empty())) {
+        try (LoadRun run = new LoadRun(LoadPlans.small(3, DURATION, address, address), NOWHERE, RunFolders.NONE)) {
             return run.run();
         }
     }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -83,7 +83,8 @@
 mkdir -p "$folder/faults"
 rm -f "$folder/faults/begin" "$folder/faults/done"
 
-"$root/bin/chivetally" load --targets "$folder/targets.yaml" --faults-folder "$folder/faults" "$plan" &
+"$root/bin/chivetally" load --targets "$folder/targets.yaml" --faults-folder "$folder/faults" \
+    --json "$folder/report.json" "$plan" &
 load=$!
 await_begin
 begin=$(<"$folder/faults/begin")
