--- a/command/src/main/java/org/chivetally/command/ApplyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ApplyCommand.java
@@ -63,7 +63,6 @@
             table.row(ResourceTable.nameOf(result), result.path("action").asString(""));
         }
         console.lines(table.lines());
-        console.line(
-                "version " + document.path("version").asString("") + (dryRun ? ", nothing changed (dry run)" : ""));
+        console.line("version " + document.path("version").asString("") + (dryRun ? ", nothing changed (dry run)" : ""));
     }
 }
--- a/command/src/main/java/org/chivetally/command/GetCommand.java
+++ b/command/src/main/java/org/chivetally/command/GetCommand.java
@@ -64,9 +64,8 @@
         if (name.isPresent()) {
             return ResourcePath.resource(kind, name.get());
         }
-        return ResourcePath.kind(kind)
-                + labels.stream()
-                        .map(label -> "label=" + ResourcePath.encoded(label))
-                        .collect(Collectors.joining("&", "?", ""));
+        return ResourcePath.kind(kind) + labels.stream()
+                .map(label -> "label=" + ResourcePath.encoded(label))
+                .collect(Collectors.joining("&", "?", ""));
     }
 }
--- a/command/src/main/java/org/chivetally/command/KindConverter.java
+++ b/command/src/main/java/org/chivetally/command/KindConverter.java
@@ -10,9 +10,8 @@
 final class KindConverter implements ITypeConverter<ResourceKind> {
     @Override
     public ResourceKind convert(String text) {
-        return ResourceKind.of(text)
-                .orElseThrow(() ->
-                        new TypeConversionException("'" + text + "' is no kind of resource; there are " + kinds()));
+        return ResourceKind.of(text).orElseThrow(() -> new TypeConversionException(
+                "'" + text + "' is no kind of resource; there are " + kinds()));
     }
 
     private static String kinds() {
--- a/command/src/main/java/org/chivetally/command/ResourceTable.java
+++ b/command/src/main/java/org/chivetally/command/ResourceTable.java
@@ -38,7 +38,8 @@
     }
 
     private static String shortForm(JsonNode section) {
-        String text = section.properties().stream().map(ResourceTable::pair).collect(Collectors.joining(" "));
+        String text =
+                section.properties().stream().map(ResourceTable::pair).collect(Collectors.joining(" "));
         return text.length() <= LONGEST_CELL ? text : text.substring(0, LONGEST_CELL) + "...";
     }
 
--- a/command/src/main/java/org/chivetally/command/WatchOutput.java
+++ b/command/src/main/java/org/chivetally/command/WatchOutput.java
@@ -60,10 +60,9 @@
     private void show(String type, JsonNode whole, JsonNode resource) {
         shown++;
         switch (format) {
-            case TABLE ->
-                console.line(type + " " + ResourceTable.nameOf(resource) + " version "
-                        + resource.path("version").asString("") + " by "
-                        + resource.path("changedBy").asString(""));
+            case TABLE -> console.line(type + " " + ResourceTable.nameOf(resource) + " version "
+                    + resource.path("version").asString("") + " by "
+                    + resource.path("changedBy").asString(""));
             case JSON -> console.line(whole.toString());
             case YAML -> {
                 console.line("---");
