--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -94,10 +94,7 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                        shared(ProcessNames.entry(entry), entry, framesPort(entry)),
-                        HOST,
-                        httpPort(entry),
-                        plan.appendsPerSecond());
+                shared(entryName(entry), entry, framesPort(entry)), HOST, httpPort(entry), plan.appendsPerSecond());
     }
 
     private String agentSettings(int agent) {
@@ -113,8 +110,8 @@
                   memory: %s
                   accelerators: %d
                 """.formatted(
-                        shared(ProcessNames.agent(agent), agent, firstPort + AGENTS_OFFSET + agent),
-                        ProcessNames.minion(agent),
+                        shared(agentName(agent), agent, firstPort + AGENTS_OFFSET + agent),
+                        minionName(agent),
                         plan.service(),
                         HOST,
                         minionPort(agent),
