--- a/load/src/main/java/org/chivetally/load/Submitter.java
+++ b/load/src/main/java/org/chivetally/load/Submitter.java
@@ -157,7 +157,7 @@
         }
 
         private static boolean mayComeBack(Reply.Problem problem) {
-            return problem.certainty() == Certainty.NOT_RUN && problem.retryAfterMillis() > 0;
+            return problem.certainty() != Certainty.FAILED && problem.retryAfterMillis() > 0;
         }
 
         private void comeBack(CallerRecord ended, Duration delay, Set<String> avoided) {
