--- a/load/src/main/java/org/chivetally/load/Judge.java
+++ b/load/src/main/java/org/chivetally/load/Judge.java
@@ -14,20 +14,26 @@
 /**
  * Compares what callers were told with what minions recorded.
  *
- * <p>The minions' clocks are compared with each other only for idempotent tasks; minions of one machine share the
- * monotonic clock, so their readings can be compared there.
+ * <p>Clocks of several processes are compared only for second starts of idempotent tasks and for contradicted refusals;
+ * processes of one machine share the monotonic clock, so this holds there.
  */
 public final class Judge {
     private static final String FAILED = "failed";
     private static final String DONE = "done";
 
     private final Tokens tokens;
+    private final long beginNanos;
     private final Map<Integer, List<CallerRecord>> requests = new TreeMap<>();
     private final Map<String, List<StartRecord>> starts = new HashMap<>();
 
-    /** Sorts the records of one run; those of other runs are left out. */
-    public Judge(Tokens tokens, List<CallerRecord> callers, List<StartRecord> records) {
+    /**
+     * Sorts the records of one run; those of other runs are left out.
+     *
+     * @param beginNanos reading of the machine's monotonic clock from which the callers' times count
+     */
+    public Judge(Tokens tokens, List<CallerRecord> callers, List<StartRecord> records, long beginNanos) {
         this.tokens = tokens;
+        this.beginNanos = beginNanos;
         for (CallerRecord caller : callers) {
             requests.computeIfAbsent(caller.job().index(), index -> new ArrayList<>())
                     .add(caller);
@@ -42,7 +48,11 @@
 
     /** Finds every broken promise, given the times at which entries were stopping gracefully. */
     public Verdict judge(List<GracefulStop> stops) {
-        return new Verdict(duplicateStarts(), partialAnswers(), falseRefusals(), cutRequests(stops), unrecorded());
+        List<String> falseRefusals = falseRefusals();
+        List<String> contradicted = contradictedRefusals();
+        contradicted.removeAll(falseRefusals);
+        return new Verdict(
+                duplicateStarts(), partialAnswers(), falseRefusals, cutRequests(stops), contradicted, unrecorded());
     }
 
     /** Returns the number of starts recorded for this run. */
@@ -136,6 +146,30 @@
         return refused;
     }
 
+    private List<String> contradictedRefusals() {
+        Map<Integer, Long> firstStarts = new HashMap<>();
+        for (Map.Entry<String, List<StartRecord>> entry : starts.entrySet()) {
+            int job = tokens.parse(entry.getKey()).orElseThrow().job();
+            for (StartRecord start : entry.getValue()) {
+                firstStarts.merge(job, start.startedNanos() - beginNanos, Math::min);
+            }
+        }
+        List<String> contradicted = new ArrayList<>();
+        for (Map.Entry<Integer, List<CallerRecord>> entry : requests.entrySet()) {
+            Long first = firstStarts.get(entry.getKey());
+            if (first != null && entry.getValue().stream().anyMatch(record -> refusedAfter(record, first))) {
+                contradicted.add(tokens.key(entry.getKey()));
+            }
+        }
+        return contradicted;
+    }
+
+    private static boolean refusedAfter(CallerRecord record, long startNanos) {
+        return record.reply() instanceof Reply.Problem problem
+                && problem.certainty() == Certainty.NOT_RUN
+                && record.endedNanos() > startNanos;
+    }
+
     private static boolean toldNotRun(CallerRecord record) {
         return switch (record.reply()) {
             case Reply.Problem problem -> problem.certainty() == Certainty.NOT_RUN;
--- a/load/src/main/java/org/chivetally/load/LoadReport.java
+++ b/load/src/main/java/org/chivetally/load/LoadReport.java
@@ -17,6 +17,7 @@
  * @param starts starts recorded by minions
  * @param roles processor time and memory by role, where a folder with process ids was given
  * @param unreadMinions minions whose record couldn't be read at the end
+ * @param unanswered keys of submissions that got neither an answer nor a clear failure soon after their deadline
  * @param verdict broken promises
  */
 public record LoadReport(
@@ -30,6 +31,7 @@
         int starts,
         Map<String, RoleCost> roles,
         List<String> unreadMinions,
+        List<String> unanswered,
         Verdict verdict) {
     /** Copies the collections. */
     public LoadReport {
@@ -38,6 +40,7 @@
         faults = new TreeMap<>(faults);
         roles = new TreeMap<>(roles);
         unreadMinions = List.copyOf(unreadMinions);
+        unanswered = List.copyOf(unanswered);
     }
 
     /** Returns the number of faults injected. */
--- a/load/src/main/java/org/chivetally/load/LoadRun.java
+++ b/load/src/main/java/org/chivetally/load/LoadRun.java
@@ -178,7 +178,7 @@
     private LoadReport report(
             Schedule schedule, List<CallerRecord> callers, RunClock clock, Map<String, RoleCost> roles) {
         List<String> unread = starts.readAll();
-        Judge judge = new Judge(tokens, callers, starts.records());
+        Judge judge = new Judge(tokens, callers, starts.records(), clock.beginNanos());
         ProcessFaultLog processFaults = processFaults();
         Verdict verdict = judge.judge(processFaults.stops(clock));
         Summary summary = new Summary(plan, callers);
@@ -195,6 +195,7 @@
                 judge.startCount(),
                 roles,
                 unread,
+                summary.unanswered().stream().map(tokens::key).toList(),
                 verdict);
     }
 
--- a/load/src/main/java/org/chivetally/load/ReportJson.java
+++ b/load/src/main/java/org/chivetally/load/ReportJson.java
@@ -41,6 +41,7 @@
             node.put("mebibytesEach", cost.mebibytesEach());
         });
         verdict(root.putObject("violations"), report.verdict());
+        texts(root, "unanswered", report.unanswered());
         texts(root, "minionsWithoutRecord", report.unreadMinions());
         return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(root);
     }
@@ -50,6 +51,7 @@
         texts(node, "partialAnswers", verdict.partialAnswers());
         texts(node, "falseRefusals", verdict.falseRefusals());
         texts(node, "cutRequests", verdict.cutRequests());
+        texts(node, "contradictedRefusals", verdict.contradictedRefusals());
         texts(node, "answersWithoutStart", verdict.unrecordedAnswers());
     }
 
--- a/load/src/main/java/org/chivetally/load/ReportTable.java
+++ b/load/src/main/java/org/chivetally/load/ReportTable.java
@@ -42,6 +42,9 @@
         violations(text, "partial answer", verdict.partialAnswers());
         violations(text, "false refusal", verdict.falseRefusals());
         violations(text, "cut request", verdict.cutRequests());
+        violations(text, "unanswered", report.unanswered());
+        row(text, "contradicted refusals", verdict.contradictedRefusals().size(), "");
+        violations(text, "contradicted", verdict.contradictedRefusals());
         row(text, "answers without a start", verdict.unrecordedAnswers().size(), "");
         row(text, "minions without a record", report.unreadMinions().size(), String.join(" ", report.unreadMinions()));
         return text.toString();
--- a/load/src/main/java/org/chivetally/load/RunClock.java
+++ b/load/src/main/java/org/chivetally/load/RunClock.java
@@ -21,6 +21,11 @@
         return clock.nanos() - beginNanos;
     }
 
+    /** Returns the clock's reading at the beginning. */
+    long beginNanos() {
+        return beginNanos;
+    }
+
     /** Returns the wall-clock time of the beginning, in milliseconds since 1970. */
     long beginEpochMillis() {
         return beginEpochMillis;
--- a/load/src/main/java/org/chivetally/load/Summary.java
+++ b/load/src/main/java/org/chivetally/load/Summary.java
@@ -60,7 +60,7 @@
         phases(figures);
         figures.put(Figure.FAILED_SHARE, failedShare());
         figures.put(Figure.SENDING_LAG_MILLIS_P99, sendingLag());
-        figures.put(Figure.UNANSWERED_JOBS, (double) unanswered());
+        figures.put(Figure.UNANSWERED_JOBS, (double) unanswered().size());
         refusals().ifPresent(millis -> figures.put(Figure.REFUSAL_MILLIS_P99, millis));
         starts(figures, judge, counters);
         figures.put(Figure.DUPLICATE_STARTS, (double) verdict.duplicateStarts().size());
@@ -180,11 +180,13 @@
         return micros.getValueAtPercentile(99) / 1e3;
     }
 
-    private long unanswered() {
+    /** Returns the submissions that got neither an answer nor a clear failure soon after their deadline. */
+    List<Integer> unanswered() {
         long deadline = plan.workload().deadline().toNanos();
         return outcomes.stream()
                 .filter(outcome -> !answered(outcome) || outcome.responseNanos() > deadline + ANSWER_MARGIN_NANOS)
-                .count();
+                .map(outcome -> outcome.job().index())
+                .toList();
     }
 
     private static boolean answered(CallerRecord outcome) {
--- a/load/src/main/java/org/chivetally/load/Verdict.java
+++ b/load/src/main/java/org/chivetally/load/Verdict.java
@@ -9,6 +9,8 @@
  * @param partialAnswers keys of submissions told complete whose answers are not exactly the ones asked for
  * @param falseRefusals keys of submissions told not-run of which a task had started
  * @param cutRequests keys of requests whose connection closed unanswered while their entry stopped gracefully
+ * @param contradictedRefusals keys of submissions of which one request was told not-run after a task had started for
+ *     another request of the same key; where all requests were told not-run it is a false refusal
  * @param unrecordedAnswers tokens that stand in a complete answer without a recorded start; a minion's record was lost,
  *     or the answer was made up
  */
@@ -17,6 +19,7 @@
         List<String> partialAnswers,
         List<String> falseRefusals,
         List<String> cutRequests,
+        List<String> contradictedRefusals,
         List<String> unrecordedAnswers) {
     /** Copies the lists. */
     public Verdict {
@@ -24,6 +27,7 @@
         partialAnswers = List.copyOf(partialAnswers);
         falseRefusals = List.copyOf(falseRefusals);
         cutRequests = List.copyOf(cutRequests);
+        contradictedRefusals = List.copyOf(contradictedRefusals);
         unrecordedAnswers = List.copyOf(unrecordedAnswers);
     }
 
--- a/load/src/main/java/org/chivetally/load/Workload.java
+++ b/load/src/main/java/org/chivetally/load/Workload.java
@@ -181,7 +181,7 @@
 
     /**
      * Further requests of a caller, under the same key, after a request that ended without an outcome: unreachable,
-     * closed, or refused as not run with a time to come back.
+     * closed, or answered with a problem that names a time to come back.
      *
      * @param most most further requests of one submission
      * @param delay time from the end of one request to the next; a longer one that the entry asks for goes first
--- a/load/src/test/java/org/chivetally/load/JudgeTest.java
+++ b/load/src/test/java/org/chivetally/load/JudgeTest.java
@@ -35,14 +35,14 @@
         List<StartRecord> starts = StartWatch.lines(resource("starts.jsonl")).stream()
                 .flatMap(line -> StartWatch.start("minion-1", line).stream())
                 .toList();
-        judge = new Judge(new Tokens("r1"), callers, starts);
+        judge = new Judge(new Tokens("r1"), callers, starts, 0);
         verdict = judge.judge(List.of(STOP));
     }
 
     @Test
     void startsOfOtherRunsAreLeftOut() {
-        assertThat(judge.startCount(), is(14));
-        assertThat(judge.startedTasks(), is(10));
+        assertThat(judge.startCount(), is(15));
+        assertThat(judge.startedTasks(), is(11));
     }
 
     /**
@@ -68,6 +68,12 @@
         assertThat(verdict.falseRefusals(), contains("r1/4"));
     }
 
+    /** Submission 12 was told not-run at one entry after another had already started its task. */
+    @Test
+    void refusalIsContradictedByAStartForAnotherRequest() {
+        assertThat(verdict.contradictedRefusals(), contains("r1/12"));
+    }
+
     @Test
     void connectionsClosedDuringAGracefulStopAreCut() {
         assertThat(verdict.cutRequests(), contains("r1/8"));
