--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -94,7 +94,10 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                shared(entryName(entry), entry, framesPort(entry)), HOST, httpPort(entry), plan.appendsPerSecond());
+                        shared(ProcessNames.entry(entry), entry, framesPort(entry)),
+                        HOST,
+                        httpPort(entry),
+                        plan.appendsPerSecond());
     }
 
     private String agentSettings(int agent) {
@@ -110,8 +113,8 @@
                   memory: %s
                   accelerators: %d
                 """.formatted(
-                        shared(agentName(agent), agent, firstPort + AGENTS_OFFSET + agent),
-                        minionName(agent),
+                        shared(ProcessNames.agent(agent), agent, firstPort + AGENTS_OFFSET + agent),
+                        ProcessNames.minion(agent),
                         plan.service(),
                         HOST,
                         minionPort(agent),
