--- a/load/src/main/java/org/chivetally/load/ReportJson.java
+++ b/load/src/main/java/org/chivetally/load/ReportJson.java
@@ -37,6 +37,7 @@
         report.roles().forEach((role, cost) -> {
             ObjectNode node = roles.putObject(role);
             node.put("processes", cost.processes());
+            node.put("processorSeconds", cost.processor().toMillis() / 1e3);
             node.put("processorMicrosPerStart", cost.microsEach(report.starts()));
             node.put("mebibytesEach", cost.mebibytesEach());
         });
