Takeover back and forth, backlog of small jobs, made-up names

Cause: a job taken back by the coordinator that had it first ignored its own kept attempt and could start the task again; a small job was refused for a backlog of large ones that it goes before; services and teams with made-up names stayed in memory. Change: kept attempts are adopted, estimates follow the order of the queue, unused services are forgotten.

--- a/library/src/main/java/org/chivetally/coordination/Admission.java
+++ b/library/src/main/java/org/chivetally/coordination/Admission.java
@@ -22,7 +22,7 @@
     }
 
     void submitted(DispatchEvent.JobSubmitted event) {
-        if (context.jobs.containsKey(event.job()) || context.finished.contains(event.job())) {
+        if (context.jobs.containsKey(event.job())) {
             return;
         }
         ServiceProgress service = context.service(event.specification().service());
@@ -32,6 +32,7 @@
         context.teams.jobAccepted(team);
         if (refusedAtOnce(job)) {
             context.teams.jobEnded(team);
+            context.forgetIfUnused(service);
             return;
         }
         context.jobs.put(job.id, job);
--- a/library/src/main/java/org/chivetally/coordination/AttemptEnds.java
+++ b/library/src/main/java/org/chivetally/coordination/AttemptEnds.java
@@ -116,7 +116,7 @@
     /** The attempt may have started and its outcome can't be known. */
     void lost(Attempt attempt, String reason) {
         TaskProgress task = attempt.task;
-        if (!attempt.agent.gone()) {
+        if (attempt.agent.reachable()) {
             blame(attempt);
         }
         context.attempts.remove(attempt);
--- a/library/src/main/java/org/chivetally/coordination/DispatchContext.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchContext.java
@@ -76,6 +76,16 @@
         return !leaseHeld || leaseHeldSince - job.submittedAt > 0;
     }
 
+    /** Names of services come from callers; without this, made-up ones would fill the memory. */
+    void forgetIfUnused(ServiceProgress service) {
+        boolean unused = service.waiting == 0 && service.running == 0 && service.runTimes.count() == 0;
+        if (unused && service.fleet.members().isEmpty()) {
+            services.remove(service.name, service);
+            touched.remove(service);
+            fleet.forget(service.name);
+        }
+    }
+
     /** Marks a service whose waiting tasks may find an agent now. */
     void touch(ServiceProgress service) {
         touched.add(service);
--- a/library/src/main/java/org/chivetally/coordination/Dispatcher.java
+++ b/library/src/main/java/org/chivetally/coordination/Dispatcher.java
@@ -61,6 +61,9 @@
     public DispatchSnapshot snapshot() {
         Map<String, DispatchSnapshot.Counts> services = new HashMap<>();
         for (ServiceProgress service : context.services()) {
+            if (service.name.isEmpty()) {
+                continue;
+            }
             services.put(service.name, new DispatchSnapshot.Counts(service.waiting, service.running));
         }
         Map<String, DispatchSnapshot.Counts> teams = new HashMap<>();
--- a/library/src/main/java/org/chivetally/coordination/JobEnds.java
+++ b/library/src/main/java/org/chivetally/coordination/JobEnds.java
@@ -70,6 +70,7 @@
         }
         context.countWaiting(job, -waiting);
         context.teams.jobEnded(job.team);
+        context.forgetIfUnused(job.service);
     }
 
     private void releaseTask(TaskProgress task) {
--- a/library/src/main/java/org/chivetally/coordination/Takeovers.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeovers.java
@@ -118,9 +118,14 @@
         if (task.job.takeover == null || task.stage == TaskProgress.Stage.DONE) {
             return;
         }
-        if (context.attempts.find(attemptId) != null) {
+        Attempt known = context.attempts.find(attemptId);
+        if (known != null && known.task == task) {
             return;
         }
+        if (known != null) {
+            // This coordinator had the job before, and kept the attempt only for its place at the agent.
+            context.attempts.remove(known);
+        }
         Attempt attempt = new Attempt(attemptId, task, agent, context.now, context.now, true);
         attempt.inDoubt = true;
         context.attempts.add(attempt);
--- a/library/src/main/java/org/chivetally/coordination/WaitingQueue.java
+++ b/library/src/main/java/org/chivetally/coordination/WaitingQueue.java
@@ -40,7 +40,7 @@
     /** Returns the tasks that go before {@code tasks} more of a team, those included, if all teams keep waiting. */
     long ahead(TeamAccount team, int tasks) {
         Lane lane = lanes.get(team.name);
-        int own = tasks + (lane == null ? 0 : lane.size);
+        int own = tasks + (lane == null ? 0 : lane.sizeBefore(tasks <= smallJobTasks));
         int weights = activeWeight + (lane == null ? team.policy.weight() : 0);
         return Math.min((long) size + tasks, (long) own * weights / team.policy.weight());
     }
@@ -49,7 +49,7 @@
         Lane lane = laneOf(task.job);
         task.job.queued.addLast(task);
         lane.band(task.job).add(task.job);
-        count(lane, 1);
+        count(lane, task.job, 1);
     }
 
     /** Puts a task before all others of its team. */
@@ -57,7 +57,7 @@
         Lane lane = laneOf(task.job);
         task.job.queued.addFirst(task);
         lane.band(task.job).addFirst(task.job);
-        count(lane, 1);
+        count(lane, task.job, 1);
     }
 
     /** Puts a polled task back as if it had not been polled. */
@@ -96,7 +96,7 @@
     void remove(TaskProgress task) {
         if (task.job.queued.remove(task)) {
             Lane lane = lanes.get(task.job.team.name);
-            count(lane, -1);
+            count(lane, task.job, -1);
             dropIfEmpty(lane, task.job);
         }
     }
@@ -107,7 +107,7 @@
             return;
         }
         Lane lane = lanes.get(job.team.name);
-        count(lane, -job.queued.size());
+        count(lane, job, -job.queued.size());
         job.queued.clear();
         dropIfEmpty(lane, job);
     }
@@ -132,10 +132,11 @@
         return lane;
     }
 
-    private void count(Lane lane, int change) {
+    private void count(Lane lane, JobProgress job, int change) {
         boolean wasActive = lane.size > 0;
         size += change;
         lane.size += change;
+        lane.smallSize += job.tasks.size() <= smallJobTasks ? change : 0;
         boolean isActive = lane.size > 0;
         if (isActive != wasActive) {
             lane.weight = isActive ? lane.team.policy.weight() : lane.weight;
@@ -146,7 +147,7 @@
     private TaskProgress take(Lane lane) {
         JobProgress job = lane.nextJob();
         TaskProgress task = job.queued.pollFirst();
-        count(lane, -1);
+        count(lane, job, -1);
         dropIfEmpty(lane, job);
         return task;
     }
@@ -179,6 +180,7 @@
         private final SequencedSet<JobProgress> small = new LinkedHashSet<>();
         private final SequencedSet<JobProgress> large = new LinkedHashSet<>();
         private int size;
+        private int smallSize;
         private int weight;
         private int deficit;
         private int smallTurns;
@@ -193,6 +195,12 @@
             return job.tasks.size() <= queue.smallJobTasks ? small : large;
         }
 
+        /** Returns the tasks that go before those of a new job. */
+        private int sizeBefore(boolean smallJob) {
+            int withLarge = smallSize + smallSize / SMALL_JOB_TURNS;
+            return smallJob ? Math.min(size, withLarge) : size;
+        }
+
         private JobProgress nextJob() {
             if (large.isEmpty()) {
                 return small.getFirst();
--- a/library/src/main/java/org/chivetally/placement/Fleet.java
+++ b/library/src/main/java/org/chivetally/placement/Fleet.java
@@ -51,6 +51,14 @@
         return services.computeIfAbsent(service, name -> new ServiceFleet(name, overcommit));
     }
 
+    /** Forgets a service that has no agents. */
+    public void forget(String service) {
+        ServiceFleet known = services.get(service);
+        if (known != null && known.members().isEmpty()) {
+            services.remove(service);
+        }
+    }
+
     /** Returns every agent that may have run tasks of a service: living, lately gone, and not yet introduced ones. */
     public List<AgentView> possibleHolders(String service, long now) {
         forgetDeparted(now);
--- a/library/src/test/java/org/chivetally/coordination/DispatcherDoubtsTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherDoubtsTest.java
@@ -140,7 +140,8 @@
         // only after both have passed is no attempt left that a second one would run beside.
         startThenLoseConnection(DispatcherDriver.repeatable());
         AgentId other = driver.connect("b", 1);
-        driver.advance(Duration.ofMillis(8_000));
+        driver.advance(Duration.ofMillis(7_900));
+        driver.advance(Duration.ofMillis(100));
         driver.heartbeat(other, 1);
         assertThat(driver.starts, hasSize(1));
         driver.advance(Duration.ofMillis(200));
--- a/library/src/test/java/org/chivetally/coordination/DispatcherFaultsTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherFaultsTest.java
@@ -134,6 +134,7 @@
             case SILENCE -> world.silence(number, number % 3 == 0);
             case RECONNECT -> world.reconnect(number);
             case CRASH -> world.crash(number);
+            default -> throw new AssertionError(step);
         }
     }
 
--- a/library/src/test/java/org/chivetally/coordination/DispatcherTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTest.java
@@ -382,12 +382,25 @@
     void refusesEarlyWhatCanNotBeDoneInTime() {
         driver.connect("a", 1);
         driver.learnRunTimes(60);
-        driver.run("backlog", 100, DispatcherDriver.once());
+        for (int number = 0; number < 100; number++) {
+            driver.run("backlog" + number, 1, DispatcherDriver.once());
+        }
         JobId job = driver.submit("late", DispatcherDriver.tasks(1, Duration.ofSeconds(2)), DispatcherDriver.once());
         assertFailure(job, ErrorCode.OVERLOADED, Certainty.NOT_RUN);
         assertThat(driver.failure(job).retryAfterMillis(), greaterThan(5_000L));
     }
 
+    @Test
+    void smallJobIsNotRefusedForALargeBacklogItGoesBefore() {
+        driver.connect("a", 1);
+        driver.learnRunTimes(60);
+        driver.run("backlog", 100, DispatcherDriver.once());
+        JobId job = driver.run("small", 1, DispatcherDriver.once(), Duration.ofSeconds(2));
+        driver.done(driver.start(0));
+        driver.done(driver.start(1));
+        assertThat(driver.outcomes.get(job), instanceOf(JobOutcome.Complete.class));
+    }
+
     @Test
     void startsNothingOfAJobWithoutTimeForOneTask() {
         driver.connect("a", 1);
--- a/library/src/test/java/org/chivetally/coordination/FaultWorld.java
+++ b/library/src/test/java/org/chivetally/coordination/FaultWorld.java
@@ -126,8 +126,8 @@
         }
         Submission before = lapsed.get(pick % lapsed.size());
         int successor = 1 - before.coordinator;
-        boolean served =
-                submissions.stream().anyMatch(one -> one.job.equals(before.job) && one.coordinator == successor);
+        boolean served = submissions.stream()
+                .anyMatch(one -> one.open() && one.job.equals(before.job) && one.coordinator == successor);
         if (!lease[successor] || served) {
             return;
         }
@@ -345,11 +345,13 @@
     }
 
     private void noteOutcome(int coordinator, DispatchEffect.JobFinished finished) {
+        Submission served = null;
         for (Submission submission : submissions) {
             if (submission.coordinator == coordinator && submission.job.equals(finished.job())) {
-                submission.outcomes.add(finished.outcome());
+                served = submission;
             }
         }
+        served.outcomes.add(finished.outcome());
     }
 
     /** Starts of each task, over all agents and incarnations. */
