--- a/command/src/main/java/org/chivetally/command/StandInCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -11,11 +11,11 @@
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.chivetally.command.daemon.GracefulStop;
 import org.chivetally.command.daemon.LogSetup;
+import org.chivetally.daemon.DaemonSystem;
 import org.chivetally.standins.LogStandIn;
 import org.chivetally.standins.LogStandInSettings;
 import org.chivetally.standins.MinionStandIn;
 import org.chivetally.standins.MinionStandInSettings;
-import org.chivetally.standins.StandInSystem;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Model.CommandSpec;
@@ -61,7 +61,10 @@
         @Option(names = "--host", defaultValue = "127.0.0.1", description = "Host to listen on; 127.0.0.1 by default.")
         private String host;
 
-        @Option(names = "--port", defaultValue = "0", description = "Port to listen on; 0, the default, takes a free one.")
+        @Option(
+                names = "--port",
+                defaultValue = "0",
+                description = "Port to listen on; 0, the default, takes a free one.")
         private int port;
     }
 
@@ -107,9 +110,8 @@
         @Override
         public Integer call() throws InterruptedException {
             LogSetup.install(Level.INFO);
-            ActorSystem<Void> system = StandInSystem.start("log");
-            LogStandInSettings settings =
-                    new LogStandInSettings(appendLatency, appendsPerSecond, keptRecords, keptFor);
+            ActorSystem<Void> system = DaemonSystem.start("log");
+            LogStandInSettings settings = new LogStandInSettings(appendLatency, appendsPerSecond, keptRecords, keptFor);
             ServerBinding binding = LogStandIn.start(system, listen.host, listen.port, settings)
                     .toCompletableFuture()
                     .join();
@@ -128,7 +130,10 @@
         @Mixin
         private ListenOptions listen;
 
-        @Option(names = "--count", defaultValue = "1", description = "Number of minions, at ports that follow; 1 by default.")
+        @Option(
+                names = "--count",
+                defaultValue = "1",
+                description = "Number of minions, at ports that follow; 1 by default.")
         private int count;
 
         @Option(
@@ -147,7 +152,7 @@
         @Override
         public Integer call() throws InterruptedException {
             LogSetup.install(Level.INFO);
-            ActorSystem<Void> system = StandInSystem.start("minion");
+            ActorSystem<Void> system = DaemonSystem.start("minion");
             List<ServerBinding> bindings = new ArrayList<>();
             for (int position = 0; position < count; position++) {
                 bindings.add(start(system, position));
--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -174,7 +174,7 @@
             return;
         }
         table = ClaimTable.of(image);
-        image.held().forEach(held -> leases.needed(held.claim().coordinator(), nanos));
+        image.held().forEach(held -> leases.needed(held.coordinator(), nanos));
         streamTime.reached(table.streamMillis(), nanos);
         settle(nanos);
     }
@@ -242,6 +242,11 @@
         return table.nextOffset();
     }
 
+    /** Returns the stream's time in milliseconds. */
+    long streamMillis() {
+        return table.streamMillis();
+    }
+
     /** Tells whether the log was read to its end at least once. */
     boolean caughtUp() {
         return caughtUp;
@@ -397,13 +402,21 @@
         }
     }
 
+    /** Gives a claim of this process up, of which nothing was started. */
+    void release(Claim claim) {
+        memory.forget(claim.job());
+        ownClaim(claim.key(), claim.job(), claim.generation()).ifPresent(this::releaseOwn);
+    }
+
     /** Frees what a given-up record won; see {@link ClaimRecord.Released} for why that is safe. */
     private void release(ClaimRecord content) {
-        ownClaimOf(content).ifPresent(claim -> {
-            releasing.add(claim.job());
-            commit.add(new ClaimRecord.Released(claim.key(), claim.job(), self, claim.generation()));
-            write(line("claim-released", claim.key(), claim.job()).with("generation", claim.generation()));
-        });
+        ownClaimOf(content).ifPresent(this::releaseOwn);
+    }
+
+    private void releaseOwn(Claim claim) {
+        releasing.add(claim.job());
+        commit.add(new ClaimRecord.Released(claim.key(), claim.job(), self, claim.generation()));
+        write(line("claim-released", claim.key(), claim.job()).with("generation", claim.generation()));
     }
 
     private Optional<Claim> ownClaimOf(ClaimRecord content) {
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -0,0 +1,35 @@
+package org.chivetally.entry.peer;
+
+import java.util.concurrent.CompletableFuture;
+import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.SubmissionKey;
+import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.MemberView;
+import org.chivetally.job.JobId;
+
+/** Messages of {@link PeerActor}. */
+public sealed interface PeerCommand {
+    /** Ask a coordinator for its job's outcome until it answers or the question is forgotten. */
+    record Ask(Coordinator coordinator, JobId job, String key) implements PeerCommand {}
+
+    /** The answer is no longer wanted. */
+    record Forget(JobId job) implements PeerCommand {}
+
+    /** Ask all other entries whether they have a job of a key. */
+    record AskKey(SubmissionKey key, CompletableFuture<Boolean> nobodyHas) implements PeerCommand {}
+
+    /** Ask a coordinator to cancel its job. */
+    record CancelJob(Coordinator coordinator, JobId job) implements PeerCommand {}
+
+    /** The transport reports about a connection to an entry. */
+    record Signal(LinkSignal signal) implements PeerCommand {}
+
+    /** The members changed. */
+    record View(MemberView view) implements PeerCommand {}
+
+    /** Ends the actor. */
+    record Stop() implements PeerCommand {}
+
+    /** Time passed. */
+    record Tick() implements PeerCommand {}
+}
--- a/load/src/main/java/org/chivetally/load/LoadRun.java
+++ b/load/src/main/java/org/chivetally/load/LoadRun.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Executors;
@@ -30,12 +31,15 @@
     /** File in the faults folder to which the script that carries out process faults adds what it did. */
     public static final String DONE_FILE = "done";
 
-    private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(2);
+    private static final Duration PROGRESS_INTERVAL = Duration.ofSeconds(1);
     private static final Duration READINESS_INTERVAL = Duration.ofMillis(200);
     private static final Duration BEGIN_DELAY = Duration.ofMillis(500);
     private static final Duration LONGEST_UNREADY = Duration.ofSeconds(60);
     private static final Duration ANSWER_MARGIN = Duration.ofSeconds(6);
 
+    private static final int WARMING_REQUESTS = 300;
+    private static final int SUCCESS = 200;
+
     private final LoadPlan plan;
     private final PrintStream progress;
     private final Optional<Path> faultsFolder;
@@ -53,7 +57,7 @@
      * Prepares a run.
      *
      * @param plan what to do
-     * @param progress takes a line every two seconds, and one for each fault
+     * @param progress takes a line every second, and one for each fault
      * @param faultsFolder folder shared with the script that carries out process faults; empty without such a script
      */
     public LoadRun(LoadPlan plan, PrintStream progress, Optional<Path> faultsFolder) {
@@ -80,6 +84,7 @@
     public LoadReport run() throws InterruptedException {
         Schedule schedule = Schedule.of(plan);
         awaitReadiness();
+        warmUp(schedule);
         counters.read(true);
         RunClock clock = new RunClock(NanoClock.system(), BEGIN_DELAY.toNanos());
         writeBegin(clock);
@@ -115,6 +120,20 @@
         }
     }
 
+    /**
+     * Uses the load tool's own code before the run begins. Its first requests would otherwise be late while that code
+     * is loaded and compiled, and the delay would count as the system's.
+     */
+    private void warmUp(Schedule schedule) throws InterruptedException {
+        for (ScheduledJob job : schedule.jobs()
+                .subList(0, Math.min(WARMING_REQUESTS, schedule.jobs().size()))) {
+            String body = JobInterface.submission(
+                    job, tokens, plan.workload().deadline().toMillis());
+            JobInterface.reply(SUCCESS, body);
+            balancer.isReady(balancer.choose(Set.of()));
+        }
+    }
+
     private void writeBegin(RunClock clock) {
         if (faultsFolder.isEmpty()) {
             return;
@@ -143,7 +162,7 @@
 
     private void watch(Submitter submitter, RunClock clock) {
         counters.read(false);
-        starts.read();
+        starts.readNew();
         progress.println(EventLine.of("load-progress")
                 .with("seconds", TimeUnit.NANOSECONDS.toSeconds(clock.nanos()))
                 .with("answered", submitter.answered())
@@ -154,7 +173,7 @@
     }
 
     private LoadReport report(Schedule schedule, List<CallerRecord> callers, RunClock clock) {
-        List<String> unread = starts.read();
+        List<String> unread = starts.readAll();
         Judge judge = new Judge(tokens, callers, starts.records());
         ProcessFaultLog processFaults = processFaults();
         Verdict verdict = judge.judge(processFaults.stops(clock));
