Time limits that end spinning tests, plain metrics text

Cause: a test that spins ignores an interrupt, so a missing safeguard hung the run instead of failing it. Change: time limits in a thread of their own.

--- a/library/src/test/java/org/chivetally/log/InMemoryPlatformLogTest.java
+++ b/library/src/test/java/org/chivetally/log/InMemoryPlatformLogTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-@Timeout(60)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class InMemoryPlatformLogTest {
     private static final String STREAM = "claims";
     private static final Duration WAIT = Duration.ofSeconds(1);
--- a/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
@@ -155,7 +155,7 @@
     }
 
     private CompletionStage<HttpResponse> metricsText() {
-        return unlessAtFault(StandInHttp.text(StatusCodes.OK, metrics.text()));
+        return unlessAtFault(HttpResponse.create().withEntity(metrics.text()));
     }
 
     private CompletionStage<HttpResponse> drain() {
--- a/standins/src/test/java/org/chivetally/log/HttpPlatformLogTest.java
+++ b/standins/src/test/java/org/chivetally/log/HttpPlatformLogTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-@Timeout(60)
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class HttpPlatformLogTest {
     private static final Duration PATIENT = Duration.ofSeconds(10);
     private static final Duration IMPATIENT = Duration.ofMillis(200);
--- a/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
@@ -19,7 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /** The HTTP side; MinionTest covers slots, faults and the record of starts with paused time. */
-@Timeout(30)
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class MinionStandInTest {
     private static final String RAW_TASK = "POST /tasks HTTP/1.1\r\nHost: minion\r\nContent-Length: 2\r\n"
             + "Content-Type: application/json\r\nChivetally-Job: j\r\nChivetally-Task: 1\r\n"
--- a/standins/src/test/java/org/chivetally/standins/TcpRelayTest.java
+++ b/standins/src/test/java/org/chivetally/standins/TcpRelayTest.java
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-@Timeout(30)
+@Timeout(value = 30, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class TcpRelayTest {
     private static final int END = -1;
 
