--- a/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
@@ -1,6 +1,5 @@
 package org.chivetally.coordination;
 
-import org.chivetally.claim.Claim;
 import org.chivetally.job.JobId;
 import org.chivetally.job.JobSpecification;
 import org.chivetally.job.ServicePolicy;
@@ -10,7 +9,9 @@
 
 /** What a coordinator learns. */
 public sealed interface DispatchEvent {
-    /** A job was submitted here; its tasks are queued, and slots chosen, but nothing starts before {@link JobClaimed}. */
+    /**
+     * A job was submitted here; its tasks are queued, and slots chosen, but nothing starts before {@link JobClaimed}.
+     */
     record JobSubmitted(JobId job, JobSpecification specification, ServicePolicy service) implements DispatchEvent {}
 
     /** The claim of a submitted job was read back as won; generation 1 may start, a later one inquires first. */
--- a/library/src/main/java/org/chivetally/log/HttpPlatformLog.java
+++ b/library/src/main/java/org/chivetally/log/HttpPlatformLog.java
@@ -63,15 +63,14 @@
     public CompletionStage<AppendOutcome> append(String stream, List<NewRecord> records) {
         HttpRequest request = HttpRequest.POST(recordsOf(stream))
                 .withEntity(ContentTypes.APPLICATION_JSON, LogCodec.encode(new LogCodec.Append(records)));
-        return exchange(
-                request, appendPool, timeout, HttpPlatformLog::appendOutcome, HttpPlatformLog::failedAppend);
+        return exchange(request, appendPool, timeout, HttpPlatformLog::appendOutcome, HttpPlatformLog::failedAppend);
     }
 
     @Override
     public CompletionStage<ReadOutcome> read(String stream, long from, int limit, Duration wait) {
         Duration shortened = wait.compareTo(LONGEST_WAIT) > 0 ? LONGEST_WAIT : wait;
-        HttpRequest request = HttpRequest.GET("%s?from=%d&limit=%d&waitMillis=%d"
-                .formatted(recordsOf(stream), from, limit, shortened.toMillis()));
+        HttpRequest request = HttpRequest.GET(
+                "%s?from=%d&limit=%d&waitMillis=%d".formatted(recordsOf(stream), from, limit, shortened.toMillis()));
         return exchange(
                 request,
                 readPool,
@@ -94,10 +93,15 @@
                         longest,
                         () -> outcome.complete(onFailure.apply(new AnswerTimeout(longest))),
                         system.executionContext());
-        http.singleRequest(request, http.defaultClientHttpsContext(), pool, system.classicSystem().log())
+        http.singleRequest(
+                        request,
+                        http.defaultClientHttpsContext(),
+                        pool,
+                        system.classicSystem().log())
                 .thenCompose(response -> response.entity()
                         .toStrict(longest.toMillis(), LARGEST_ANSWER_BYTES, system)
-                        .thenApply(body -> onAnswer.apply(response, body.getData().toArrayUnsafe())))
+                        .thenApply(
+                                body -> onAnswer.apply(response, body.getData().toArrayUnsafe())))
                 .whenComplete((answer, failure) -> {
                     timer.cancel();
                     outcome.complete(failure == null ? answer : onFailure.apply(failure));
@@ -135,7 +139,8 @@
         if (response.status().equals(StatusCodes.GONE)) {
             return LogCodec.decode(body, ReadOutcome.Expired.class);
         }
-        return new ReadOutcome.Unavailable("the log answered " + response.status().intValue());
+        return new ReadOutcome.Unavailable(
+                "the log answered " + response.status().intValue());
     }
 
     private static AppendOutcome failedAppend(Throwable failure) {
--- a/library/src/main/java/org/chivetally/log/InMemoryPlatformLog.java
+++ b/library/src/main/java/org/chivetally/log/InMemoryPlatformLog.java
@@ -124,9 +124,7 @@
 
     private boolean losesAnswer() {
         LogFaults before = faults.getAndUpdate(current ->
-                current.loseNextAnswers() == 0
-                        ? current
-                        : current.withLoseNextAnswers(current.loseNextAnswers() - 1));
+                current.loseNextAnswers() == 0 ? current : current.withLoseNextAnswers(current.loseNextAnswers() - 1));
         if (before.loseNextAnswers() > 0) {
             return true;
         }
--- a/library/src/test/java/org/chivetally/log/InMemoryPlatformLogTest.java
+++ b/library/src/test/java/org/chivetally/log/InMemoryPlatformLogTest.java
@@ -95,8 +95,7 @@
     // of it stands in the stream afterwards; the waiting read fails at once instead of at the end of its wait.
     @Test
     void whileDownItWritesNothingAndFailsReads() {
-        InMemoryPlatformLog log =
-                log(new InMemoryLogSettings(10, Duration.ofHours(1), Duration.ofMillis(4), 0, 0));
+        InMemoryPlatformLog log = log(new InMemoryLogSettings(10, Duration.ofHours(1), Duration.ofMillis(4), 0, 0));
         CompletionStage<ReadOutcome> waiting = log.read(STREAM, 0, 10, WAIT);
         CompletionStage<AppendOutcome> underWay = log.append(STREAM, records("a"));
         log.setFaults(LogFaults.NONE.withDown(true));
@@ -137,8 +136,7 @@
 
     @Test
     void appendsBeyondTheCeilingQueue() {
-        InMemoryPlatformLog log =
-                log(new InMemoryLogSettings(10, Duration.ofHours(1), Duration.ofMillis(4), 500, 0));
+        InMemoryPlatformLog log = log(new InMemoryLogSettings(10, Duration.ofHours(1), Duration.ofMillis(4), 500, 0));
         List<CompletionStage<AppendOutcome>> appends = new ArrayList<>();
         for (int count = 0; count < 3; count++) {
             appends.add(log.append(STREAM, records("a")));
@@ -163,7 +161,8 @@
         Thread reader = Thread.ofPlatform().start(() -> readUpTo(log, 4000, seen));
         writers.forEach(Thread::start);
         reader.join();
-        MatcherAssert.assertThat(seen, Matchers.is(LongStream.range(0, 4000).boxed().toList()));
+        MatcherAssert.assertThat(
+                seen, Matchers.is(LongStream.range(0, 4000).boxed().toList()));
     }
 
     private static void appendMany(InMemoryPlatformLog log, int writer) {
--- a/standins/src/main/java/org/chivetally/standins/FaultsRoute.java
+++ b/standins/src/main/java/org/chivetally/standins/FaultsRoute.java
@@ -14,8 +14,8 @@
 
     static <T> Route of(Class<T> type, Supplier<T> current, Consumer<T> replace) {
         Route get = Directives.get(() -> Directives.complete(StandInHttp.json(StatusCodes.OK, current.get())));
-        Route put = Directives.put(() -> Directives.entity(
-                Unmarshaller.entityToByteArray(), body -> set(type, body, current, replace)));
+        Route put = Directives.put(
+                () -> Directives.entity(Unmarshaller.entityToByteArray(), body -> set(type, body, current, replace)));
         return Directives.path("faults", () -> Directives.concat(get, put));
     }
 
--- a/standins/src/main/java/org/chivetally/standins/LogStandIn.java
+++ b/standins/src/main/java/org/chivetally/standins/LogStandIn.java
@@ -49,21 +49,16 @@
 
     private Route routes() {
         Route records = Directives.path(
-                PathMatchers.segment("streams")
-                        .slash(PathMatchers.segment())
-                        .slash(PathMatchers.segment("records")),
+                PathMatchers.segment("streams").slash(PathMatchers.segment()).slash(PathMatchers.segment("records")),
                 stream -> Directives.concat(appendRoute(stream), readRoute(stream)));
         Route statistics = Directives.path(
                 "statistics",
-                () -> Directives.get(
-                        () -> Directives.complete(StandInHttp.json(StatusCodes.OK, log.statistics()))));
-        return Directives.concat(
-                records, FaultsRoute.of(LogFaults.class, log::faults, log::setFaults), statistics);
+                () -> Directives.get(() -> Directives.complete(StandInHttp.json(StatusCodes.OK, log.statistics()))));
+        return Directives.concat(records, FaultsRoute.of(LogFaults.class, log::faults, log::setFaults), statistics);
     }
 
     private Route appendRoute(String stream) {
-        return Directives.post(
-                () -> Directives.entity(Unmarshaller.entityToByteArray(), body -> append(stream, body)));
+        return Directives.post(() -> Directives.entity(Unmarshaller.entityToByteArray(), body -> append(stream, body)));
     }
 
     private Route append(String stream, byte[] body) {
@@ -79,8 +74,7 @@
 
     private static HttpResponse appendResponse(AppendOutcome outcome) {
         return switch (outcome) {
-            case AppendOutcome.Appended appended ->
-                StandInHttp.json(StatusCodes.OK, LogCodec.encode(appended));
+            case AppendOutcome.Appended appended -> StandInHttp.json(StatusCodes.OK, LogCodec.encode(appended));
             case AppendOutcome.Refused refused -> refusal(503, refused.reason());
             // What a gateway says that gave up on the log: nothing about the write.
             case AppendOutcome.Unknown unknown -> StandInHttp.text(StatusCodes.GATEWAY_TIMEOUT, unknown.reason());
@@ -110,8 +104,7 @@
                     StatusCodes.BAD_REQUEST, "from and waitMillis can't be negative, limit is at least 1"));
         }
         Duration wait = Duration.ofMillis(Math.min(waitMillis, HttpPlatformLog.LONGEST_WAIT.toMillis()));
-        return Directives.completeWithFuture(
-                log.read(stream, from, limit, wait).thenApply(LogStandIn::readResponse));
+        return Directives.completeWithFuture(log.read(stream, from, limit, wait).thenApply(LogStandIn::readResponse));
     }
 
     private static HttpResponse readResponse(ReadOutcome outcome) {
--- a/standins/src/main/java/org/chivetally/standins/LogStandInSettings.java
+++ b/standins/src/main/java/org/chivetally/standins/LogStandInSettings.java
@@ -11,8 +11,7 @@
  * @param keptRecords most records kept per stream
  * @param keptFor longest time a record is kept
  */
-public record LogStandInSettings(
-        Duration appendLatency, int appendsPerSecond, int keptRecords, Duration keptFor) {
+public record LogStandInSettings(Duration appendLatency, int appendsPerSecond, int keptRecords, Duration keptFor) {
     /** Latency of a synced write. */
     public static final Duration DEFAULT_APPEND_LATENCY = Duration.ofMillis(4);
 
--- a/standins/src/main/java/org/chivetally/standins/Minion.java
+++ b/standins/src/main/java/org/chivetally/standins/Minion.java
@@ -90,7 +90,9 @@
         faults = next;
         LOG.atInfo().log(
                 "%s",
-                EventLine.of("minion-faults-set").with("minion", settings.name()).with("faults", next));
+                EventLine.of("minion-faults-set")
+                        .with("minion", settings.name())
+                        .with("faults", next));
     }
 
     synchronized void drain() {
@@ -102,8 +104,7 @@
     }
 
     private int recordStart(MinionTask task) {
-        starts.add(new MinionStart(
-                task.job(), task.index(), task.attempt(), clock.nanos(), null, MinionStart.RUNNING));
+        starts.add(new MinionStart(task.job(), task.index(), task.attempt(), clock.nanos(), null, MinionStart.RUNNING));
         return starts.size() - 1;
     }
 
--- a/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
@@ -81,7 +81,8 @@
 
     private Flow<HttpRequest, HttpResponse, NotUsed> requestsOfConnection(ActorSystem<?> system) {
         TaskConnections.Connection connection = connections.opened();
-        Function<HttpRequest, CompletionStage<HttpResponse>> handler = routes(connection).function(system);
+        Function<HttpRequest, CompletionStage<HttpResponse>> handler =
+                routes(connection).function(system);
         // A task that is never answered would keep its connection counted after the caller closed it, and later callers
         // would meet a false limit. So the requests are watched, not the answers: they end when the caller closes.
         return Flow.of(HttpRequest.class)
@@ -138,12 +139,11 @@
     }
 
     private HttpResponse response(MinionAnswer answer) {
-        HttpResponse response =
-                switch (answer) {
-                    case MinionAnswer.Done done -> StandInHttp.json(StatusCodes.OK, done);
-                    case MinionAnswer.Failed failed -> StandInHttp.json(StatusCodes.INTERNAL_SERVER_ERROR, failed);
-                    case MinionAnswer.Refused refused -> StandInHttp.json(StatusCodes.SERVICE_UNAVAILABLE, refused);
-                };
+        HttpResponse response = switch (answer) {
+            case MinionAnswer.Done done -> StandInHttp.json(StatusCodes.OK, done);
+            case MinionAnswer.Failed failed -> StandInHttp.json(StatusCodes.INTERNAL_SERVER_ERROR, failed);
+            case MinionAnswer.Refused refused -> StandInHttp.json(StatusCodes.SERVICE_UNAVAILABLE, refused);
+        };
         MinionState state = minion.state();
         return response.addHeader(RawHeader.create(FREE_SLOTS_HEADER, Integer.toString(state.freeSlots())))
                 .addHeader(RawHeader.create(DRAINING_HEADER, Boolean.toString(state.draining())))
--- a/standins/src/main/java/org/chivetally/standins/MinionStart.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStart.java
@@ -10,8 +10,7 @@
  * @param endedNanos reading at the end; null while the task runs
  * @param outcome {@code running}, {@code done}, {@code failed}, or {@code silent} when it ended without an answer
  */
-public record MinionStart(
-        String job, int task, String attempt, long startedNanos, Long endedNanos, String outcome) {
+public record MinionStart(String job, int task, String attempt, long startedNanos, Long endedNanos, String outcome) {
     static final String RUNNING = "running";
     static final String DONE = "done";
     static final String FAILED = "failed";
--- a/standins/src/main/java/org/chivetally/standins/RelayStandIn.java
+++ b/standins/src/main/java/org/chivetally/standins/RelayStandIn.java
@@ -22,10 +22,9 @@
     public static CompletionStage<ServerBinding> start(ActorSystem<?> system, String host, int port, TcpRelay relay) {
         Route statistics = Directives.path(
                 "statistics",
-                () -> Directives.get(
-                        () -> Directives.complete(StandInHttp.json(StatusCodes.OK, relay.statistics()))));
-        Route routes = Directives.concat(
-                FaultsRoute.of(RelayFaults.class, relay::faults, relay::setFaults), statistics);
+                () -> Directives.get(() -> Directives.complete(StandInHttp.json(StatusCodes.OK, relay.statistics()))));
+        Route routes =
+                Directives.concat(FaultsRoute.of(RelayFaults.class, relay::faults, relay::setFaults), statistics);
         return StandInHttp.bind(system, host, port, routes.function(system));
     }
 }
--- a/standins/src/main/java/org/chivetally/standins/RelayStatistics.java
+++ b/standins/src/main/java/org/chivetally/standins/RelayStatistics.java
@@ -9,5 +9,4 @@
  * @param bytesToClient bytes forwarded to the connecting side
  * @param bytesWithheld bytes read and never forwarded, because their direction was silent
  */
-public record RelayStatistics(
-        long accepted, int open, long bytesToTarget, long bytesToClient, long bytesWithheld) {}
+public record RelayStatistics(long accepted, int open, long bytesToTarget, long bytesToClient, long bytesWithheld) {}
--- a/standins/src/main/java/org/chivetally/standins/StandInHttp.java
+++ b/standins/src/main/java/org/chivetally/standins/StandInHttp.java
@@ -31,7 +31,10 @@
     private StandInHttp() {}
 
     static CompletionStage<ServerBinding> bind(
-            ActorSystem<?> system, String host, int port, Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
+            ActorSystem<?> system,
+            String host,
+            int port,
+            Function<HttpRequest, CompletionStage<HttpResponse>> handler) {
         return server(system, host, port).bind(handler);
     }
 
--- a/standins/src/main/java/org/chivetally/standins/TcpRelay.java
+++ b/standins/src/main/java/org/chivetally/standins/TcpRelay.java
@@ -81,8 +81,7 @@
     public synchronized void setFaults(RelayFaults next) {
         faults = next;
         LOG.atInfo().log(
-                "%s",
-                EventLine.of("relay-faults-set").with("port", port()).with("faults", next));
+                "%s", EventLine.of("relay-faults-set").with("port", port()).with("faults", next));
         List<? extends Future<?>> applied = links.stream()
                 .map(link -> link.client().eventLoop().submit(() -> link.apply(next)))
                 .toList();
@@ -165,10 +164,8 @@
             server.close();
             return;
         }
-        RelayDirection toTarget =
-                new RelayDirection(server, () -> faults.delayMillis(), bytesToTarget, bytesWithheld);
-        RelayDirection toClient =
-                new RelayDirection(client, () -> faults.delayMillis(), bytesToClient, bytesWithheld);
+        RelayDirection toTarget = new RelayDirection(server, () -> faults.delayMillis(), bytesToTarget, bytesWithheld);
+        RelayDirection toClient = new RelayDirection(client, () -> faults.delayMillis(), bytesToClient, bytesWithheld);
         Link link = new Link(client, server, toTarget, toClient);
         links.add(link);
         client.closeFuture().addListener(closed -> forgetIfClosed(link));
--- a/standins/src/test/java/org/chivetally/log/HttpPlatformLogTest.java
+++ b/standins/src/test/java/org/chivetally/log/HttpPlatformLogTest.java
@@ -39,8 +39,7 @@
 
     @BeforeEach
     void start() {
-        server = new HttpTester(
-                kit.system(), HttpTester.await(LogStandIn.start(kit.system(), "127.0.0.1", 0, behind)));
+        server = new HttpTester(kit.system(), HttpTester.await(LogStandIn.start(kit.system(), "127.0.0.1", 0, behind)));
         log = new HttpPlatformLog(kit.system(), server.uri(), PATIENT);
     }
 
--- a/standins/src/test/java/org/chivetally/standins/HttpTester.java
+++ b/standins/src/test/java/org/chivetally/standins/HttpTester.java
@@ -57,7 +57,9 @@
 
     /** Waits for a stage; a test that waits too long fails. */
     public static <T> T await(CompletionStage<T> stage) {
-        return stage.toCompletableFuture().orTimeout(GIVE_UP_SECONDS, TimeUnit.SECONDS).join();
+        return stage.toCompletableFuture()
+                .orTimeout(GIVE_UP_SECONDS, TimeUnit.SECONDS)
+                .join();
     }
 
     /** Status and body of an answer. */
--- a/standins/src/test/java/org/chivetally/standins/LogStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/LogStandInTest.java
@@ -29,7 +29,8 @@
 
     @Test
     void appendsAndReads() {
-        MatcherAssert.assertThat(append("{\"records\":[{\"id\":\"a\",\"payload\":\"AAE=\"}]}"), answered(200, "{\"firstOffset\":0}"));
+        MatcherAssert.assertThat(
+                append("{\"records\":[{\"id\":\"a\",\"payload\":\"AAE=\"}]}"), answered(200, "{\"firstOffset\":0}"));
         MatcherAssert.assertThat(
                 server.get("/streams/claims/records?from=0&limit=5&waitMillis=0"),
                 answered(200, "{\"records\":[{\"offset\":0,\"id\":\"a\",\"payload\":\"AAE=\"}],\"endOffset\":1}"));
@@ -62,7 +63,8 @@
         MatcherAssert.assertThat(
                 append("{\"records\":[]}"), answered(503, "{\"written\":false,\"reason\":\"the log is down\"}"));
         MatcherAssert.assertThat(server.put("/faults", "{\"dwon\":true}").status(), Matchers.is(400));
-        MatcherAssert.assertThat(server.put("/faults", "{\"lostAnswerShare\":2}").status(), Matchers.is(400));
+        MatcherAssert.assertThat(
+                server.put("/faults", "{\"lostAnswerShare\":2}").status(), Matchers.is(400));
         MatcherAssert.assertThat(server.get("/faults"), Matchers.is(set));
     }
 
--- a/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
@@ -53,9 +53,8 @@
         MatcherAssert.assertThat(
                 server.get("/starts").body().lines().toList(),
                 Matchers.contains(
-                        Matchers.matchesPattern(
-                                "\\{\"job\":\"j\",\"task\":7,\"attempt\":\"a\",\"startedNanos\":-?\\d+,"
-                                        + "\"endedNanos\":-?\\d+,\"outcome\":\"done\"}"),
+                        Matchers.matchesPattern("\\{\"job\":\"j\",\"task\":7,\"attempt\":\"a\",\"startedNanos\":-?\\d+,"
+                                + "\"endedNanos\":-?\\d+,\"outcome\":\"done\"}"),
                         Matchers.endsWith("\"outcome\":\"failed\"}")));
         MatcherAssert.assertThat(
                 server.get("/state"),
@@ -83,8 +82,7 @@
     void aTaskOverOneConnectionTooManyIsRefused() {
         server.send(task("{\"workMillis\":%d}".formatted(VERY_LONG_MILLIS)));
         awaitState(Matchers.containsString("\"running\":1"));
-        MatcherAssert.assertThat(
-                run(task("{}")), answered(503, "{\"reason\":\"too many connections carry tasks\"}"));
+        MatcherAssert.assertThat(run(task("{}")), answered(503, "{\"reason\":\"too many connections carry tasks\"}"));
         MatcherAssert.assertThat(server.get("/state").body(), Matchers.containsString("\"overruns\":1"));
     }
 
@@ -93,7 +91,8 @@
     @Test
     void aConnectionClosedWithoutAnswerIsFree() throws IOException {
         server.put("/faults", "{\"silent\":true}");
-        try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), server.uri().getPort())) {
+        try (Socket caller =
+                new Socket(InetAddress.getLoopbackAddress(), server.uri().getPort())) {
             caller.getOutputStream().write(RAW_TASK.getBytes(StandardCharsets.US_ASCII));
             awaitStarts(Matchers.containsString("silent"));
         }
--- a/standins/src/test/java/org/chivetally/standins/MinionTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionTest.java
@@ -29,8 +29,7 @@
     void answersAfterTheWorkAndRecordsTheStart() {
         clock.set(10);
         CompletionStage<MinionAnswer> answer = run("a", 300, false);
-        MatcherAssert.assertThat(
-                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running")));
+        MatcherAssert.assertThat(minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running")));
         passMillis(299);
         MatcherAssert.assertThat(now(answer), Matchers.nullValue());
         clock.set(20);
@@ -132,7 +131,13 @@
     }
 
     private static MinionFaults faults(
-            boolean failEvery, double failShare, double share, double factor, boolean silent, boolean down, Integer left) {
+            boolean failEvery,
+            double failShare,
+            double share,
+            double factor,
+            boolean silent,
+            boolean down,
+            Integer left) {
         return new MinionFaults(failEvery, failShare, share, factor, 0, silent, down, false, left);
     }
 
--- a/standins/src/test/java/org/chivetally/standins/RelayStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/RelayStandInTest.java
@@ -31,10 +31,9 @@
                         200,
                         "{\"delayMillis\":5,\"silence\":\"BOTH\",\"cut\":false,\"newConnections\":\"FORWARDED\"}")));
         MatcherAssert.assertThat(
-                relay.faults(),
-                Matchers.is(new RelayFaults(5, Silence.BOTH, false, NewConnections.FORWARDED)));
-        MatcherAssert.assertThat(control.put("/faults", "{\"silence\":\"SOME\"}").status(), Matchers.is(400));
+                relay.faults(), Matchers.is(new RelayFaults(5, Silence.BOTH, false, NewConnections.FORWARDED)));
         MatcherAssert.assertThat(
-                control.get("/statistics").body(), Matchers.startsWith("{\"accepted\":0,\"open\":0,"));
+                control.put("/faults", "{\"silence\":\"SOME\"}").status(), Matchers.is(400));
+        MatcherAssert.assertThat(control.get("/statistics").body(), Matchers.startsWith("{\"accepted\":0,\"open\":0,"));
     }
 }
