--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -98,9 +98,9 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                        shared(ProcessNames.entry(entry), entry, framesPort(entry)),
+                        shared(ProcessNames.entry(entry), entry, ports.frames(entry), ports.frames(entry)),
                         HOST,
-                        httpPort(entry),
+                        ports.http(entry),
                         plan.appendsPerSecond());
     }
 
@@ -118,7 +118,7 @@
                   memory: %s
                   accelerators: %d
                 """.formatted(
-                        shared(ProcessNames.agent(agent), agent, firstPort + AGENTS_OFFSET + agent),
+                        shared(ProcessNames.agent(agent), agent, ports.agent(agent), advertised),
                         ProcessNames.minion(agent),
                         plan.service(),
                         HOST,
@@ -131,12 +131,14 @@
     }
 
     private String shared(String name, int position, int framesPort, int advertisedPort) {
-        String failureDomain = plan.failureDomain(position);
+        String domain = plan.failureDomain(position);
+        int logPort = ports.log();
+        String seedList = seeds();
         return """
                 process: {name: %s, failureDomain: %s}
                 frames: {host: %s, port: %d, advertisedPort: %d}
                 log: {url: "http://%s:%d"}
-                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, advertisedPort, HOST, ports.log(), seeds());
+                seeds: [%s]""".formatted(name, domain, HOST, framesPort, advertisedPort, HOST, logPort, seedList);
     }
 
     private String seeds() {
