Heartbeats: 500 ms while answers are awaited, 5 s idle

Cause: of 3.27 messages a task at half load, 1.27 were heartbeats: a link with fewer than four results a second sent one every 250 ms, an idle one every 2 s. Ruled out: refusals (0.003 a task).

--- a/library/src/main/java/org/chivetally/entry/link/HeartbeatSettings.java
+++ b/library/src/main/java/org/chivetally/entry/link/HeartbeatSettings.java
@@ -41,10 +41,10 @@
     /** Returns the times of the design note. */
     public static HeartbeatSettings standard() {
         return new HeartbeatSettings(
-                Duration.ofMillis(250),
-                Duration.ofSeconds(2),
+                Duration.ofMillis(500),
+                Duration.ofSeconds(5),
                 Duration.ofSeconds(1),
-                Duration.ofSeconds(6),
+                Duration.ofSeconds(12),
                 Duration.ofSeconds(30),
                 Duration.ofSeconds(2),
                 Duration.ofMillis(100),
