Script waits for every agent at every entry, and refuses foreign processes at its ports

Cause: a start beside another deployment found its ports taken, and the other one's entries answered in its place.

--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -261,6 +261,10 @@
     private static CompletionStage<EntryServer> bindHttp(Started started) {
         EntrySettings settings = started.actorParts().settings();
         JobRoutes jobs = jobRoutes(started);
+        Gauge.builder("chivetally.agents.usable", started.actors().usableAgents()::size)
+                .description("agents with an open connection that is not silent")
+                .tag("process", settings.processId())
+                .register(started.actorParts().meters());
         Gauge.builder("chivetally.submissions.open", jobs::openSubmissions)
                 .tag("process", settings.processId())
                 .register(started.actorParts().meters());
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -48,7 +48,7 @@
     [[ -r "$folder/$name.pid" ]] || return 0
     id=$(<"$folder/$name.pid")
     # The id may have gone to a stranger since; without this check stop would end the stranger.
-    if tr '\0' '\n' <"/proc/$id/cmdline" 2>/dev/null | grep -qxF -- "-Dchivetally.process=$folder/$name"; then
+    if tr '\0' '\n' 2>/dev/null <"/proc/$id/cmdline" | grep -qxF -- "-Dchivetally.process=$folder/$name"; then
         echo "$id"
     fi
 }
@@ -95,14 +95,33 @@
     sed -n '/^  entries:/,/^  minions:/s/.*url: "\(.*\)".*/\1/p' "$1/targets.yaml"
 }
 
+# Fails when a process has ended by itself, as one does whose port is taken: another deployment may answer there.
+require_running() {
+    local folder=$1 name
+    for name in $(names "$folder"); do
+        kill -0 "$(<"$folder/$name.pid")" 2>/dev/null || fail "$name ended at its start; see $folder/$name.log"
+    done
+}
+
+# An entry is ready for load once it has a connection to every agent.
+is_ready() {
+    local url=$1 agents=$2 usable
+    curl --silent --fail --max-time 2 --output /dev/null "$url/readyz" || return 1
+    usable=$(curl --silent --max-time 2 "$url/metrics" | sed -n 's/^chivetally_agents_usable{.*} \([0-9]*\).*/\1/p')
+    ((${usable:-0} >= agents))
+}
+
 await_ready() {
-    local folder=$1 url deadline=$((SECONDS + READY_SECONDS))
+    local folder=$1 url agents deadline=$((SECONDS + READY_SECONDS))
+    agents=$(names "$folder" | grep -c '^agent')
     for url in $(entry_urls "$folder"); do
-        until curl --silent --fail --max-time 2 --output /dev/null "$url/readyz"; do
+        until is_ready "$url" "$agents"; do
+            require_running "$folder"
             ((SECONDS < deadline)) || fail "$url is not ready after $READY_SECONDS s; see $folder/*.log"
             sleep 0.2
         done
     done
+    require_running "$folder"
 }
 
 start_all() {
@@ -114,7 +133,9 @@
     for name in $(names "$folder"); do
         start_one "$folder" "$name"
     done
+    trap 'stop_all "$folder"' EXIT
     await_ready "$folder"
+    trap - EXIT
     entry_urls "$folder"
 }
 
