--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -98,9 +98,9 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                        shared(ProcessNames.entry(entry), entry, ports.frames(entry), ports.frames(entry)),
+                        shared(ProcessNames.entry(entry), entry, framesPort(entry)),
                         HOST,
-                        ports.http(entry),
+                        httpPort(entry),
                         plan.appendsPerSecond());
     }
 
@@ -118,7 +118,7 @@
                   memory: %s
                   accelerators: %d
                 """.formatted(
-                        shared(ProcessNames.agent(agent), agent, ports.agent(agent), advertised),
+                        shared(ProcessNames.agent(agent), agent, firstPort + AGENTS_OFFSET + agent),
                         ProcessNames.minion(agent),
                         plan.service(),
                         HOST,
--- a/load/src/main/java/org/chivetally/load/ReportJson.java
+++ b/load/src/main/java/org/chivetally/load/ReportJson.java
@@ -32,7 +32,17 @@
         root.put("frameBytes", report.counters().bytes());
         numbers(root.putObject("wasted"), report.counters().wasted());
         numbers(root.putObject("faults"), report.faults());
+        root.put("starts", report.starts());
+        ObjectNode roles = root.putObject("roles");
+        report.roles().forEach((role, cost) -> {
+            ObjectNode node = roles.putObject(role);
+            node.put("processes", cost.processes());
+            node.put("processorSeconds", cost.processor().toMillis() / 1e3);
+            node.put("processorMicrosPerStart", cost.microsEach(report.starts()));
+            node.put("mebibytesEach", cost.mebibytesEach());
+        });
         verdict(root.putObject("violations"), report.verdict());
+        texts(root, "unanswered", report.unanswered());
         texts(root, "minionsWithoutRecord", report.unreadMinions());
         return MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(root);
     }
@@ -42,6 +52,7 @@
         texts(node, "partialAnswers", verdict.partialAnswers());
         texts(node, "falseRefusals", verdict.falseRefusals());
         texts(node, "cutRequests", verdict.cutRequests());
+        texts(node, "contradictedRefusals", verdict.contradictedRefusals());
         texts(node, "answersWithoutStart", verdict.unrecordedAnswers());
     }
 
