Status of backend servers and versions of processes from what an entry observes; a failed invariant ends the daemon

Cause: get and config status showed nothing of other processes; a daemon whose invariant broke would have waited for a signal.

--- a/command/src/main/java/org/chivetally/command/AgentCommand.java
+++ b/command/src/main/java/org/chivetally/command/AgentCommand.java
@@ -29,7 +29,7 @@
         DaemonRun run = DaemonRun.begin(settings.process());
         ActorSystem<Void> system = run.system();
         AgentDaemon daemon = DaemonRun.await(AgentDaemon.start(system, settings, run.log(), NanoClock.system()));
-        run.untilSignal(() -> daemon.drain(SIGNAL));
-        return ExitCodes.OK;
+        run.untilSignal(daemon.whenStopped(), () -> daemon.drain(SIGNAL));
+        return ExitCodes.INTERNAL;
     }
 }
--- a/command/src/main/java/org/chivetally/command/EntryCommand.java
+++ b/command/src/main/java/org/chivetally/command/EntryCommand.java
@@ -29,7 +29,7 @@
         DaemonRun run = DaemonRun.begin(settings.process());
         ActorSystem<Void> system = run.system();
         EntryDaemon daemon = DaemonRun.await(EntryDaemon.start(system, settings, run.log(), NanoClock.system()));
-        run.untilSignal(() -> daemon.drain(SIGNAL));
-        return ExitCodes.OK;
+        run.untilSignal(daemon.whenStopped(), () -> daemon.drain(SIGNAL));
+        return ExitCodes.INTERNAL;
     }
 }
--- a/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
+++ b/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
@@ -40,8 +40,13 @@
         }
     }
 
-    /** Waits for a signal, drains within the settings' limit, and ends the process; never returns. */
-    public void untilSignal(Supplier<CompletionStage<Void>> drain) throws InterruptedException {
-        new GracefulStop(process.drainTimeout(), drain).awaitSignal();
+    /**
+     * Waits for a signal, drains within the settings' limit, and ends the process.
+     *
+     * @param whenStopped fails when a broken invariant ended the daemon; only then this returns
+     */
+    public void untilSignal(CompletionStage<Void> whenStopped, Supplier<CompletionStage<Void>> drain)
+            throws InterruptedException {
+        new GracefulStop(process.drainTimeout(), drain).awaitSignal(whenStopped);
     }
 }
--- a/command/src/main/java/org/chivetally/command/daemon/GracefulStop.java
+++ b/command/src/main/java/org/chivetally/command/daemon/GracefulStop.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -34,8 +35,24 @@
 
     /** Registers the stop with the process and waits for a signal; never returns, as the process ends in the stop. */
     public void awaitSignal() throws InterruptedException {
-        Runtime.getRuntime().addShutdownHook(new Thread(this::run, "graceful-stop"));
-        new CountDownLatch(1).await();
+        awaitSignal(new CompletableFuture<Void>());
+    }
+
+    /**
+     * Registers the stop with the process and waits for a signal; the process then ends in the stop. Returns only when
+     * the given stage fails first: then there is nothing left to drain.
+     */
+    public void awaitSignal(CompletionStage<Void> whenStopped) throws InterruptedException {
+        Thread hook = new Thread(this::run, "graceful-stop");
+        Runtime.getRuntime().addShutdownHook(hook);
+        CountDownLatch failed = new CountDownLatch(1);
+        whenStopped.whenComplete((stopped, failure) -> {
+            if (failure != null) {
+                failed.countDown();
+            }
+        });
+        failed.await();
+        Runtime.getRuntime().removeShutdownHook(hook);
     }
 
     // A signal ends the JVM as soon as its hooks return; the hook therefore waits for the drain, or requests in
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -98,9 +98,9 @@
                 http: {host: %s, port: %d}
                 claims: {appendsPerSecond: %d}
                 """.formatted(
-                        shared(ProcessNames.entry(entry), entry, framesPort(entry)),
+                        shared(ProcessNames.entry(entry), entry, ports.frames(entry), ports.frames(entry)),
                         HOST,
-                        httpPort(entry),
+                        ports.http(entry),
                         plan.appendsPerSecond());
     }
 
@@ -118,7 +118,7 @@
                   memory: %s
                   accelerators: %d
                 """.formatted(
-                        shared(ProcessNames.agent(agent), agent, firstPort + AGENTS_OFFSET + agent),
+                        shared(ProcessNames.agent(agent), agent, ports.agent(agent), advertised),
                         ProcessNames.minion(agent),
                         plan.service(),
                         HOST,
--- a/library/src/main/java/org/chivetally/daemon/AgentDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/AgentDaemon.java
@@ -45,6 +45,11 @@
         return server.address();
     }
 
+    /** Completes when the agent has stopped, exceptionally when a broken invariant ended it. */
+    public CompletionStage<Void> whenStopped() {
+        return server.whenStopped();
+    }
+
     /** Takes no new task, lets running ones finish, and leaves; completes once the agent has stopped. */
     public CompletionStage<Void> drain(String reason) {
         return announcer
--- a/library/src/main/java/org/chivetally/daemon/DecisionMemory.java
+++ b/library/src/main/java/org/chivetally/daemon/DecisionMemory.java
@@ -4,10 +4,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.coordination.DispatchSnapshot;
 import org.chivetally.entry.dispatch.DispatchCore;
 
 /**
@@ -28,7 +30,7 @@
 
     /** Returns the same decisions, whose lines are remembered. */
     DispatchCore remembering(DispatchCore core) {
-        return (event, nowNanos) -> remembered(core, event, nowNanos);
+        return new Remembered(core);
     }
 
     /** Returns the lines about a job in their order; empty when none is remembered. */
@@ -36,16 +38,6 @@
         return List.copyOf(linesByJob.getOrDefault(job, List.of()));
     }
 
-    private List<DispatchEffect> remembered(DispatchCore core, DispatchEvent event, long nowNanos) {
-        List<DispatchEffect> effects = core.handle(event, nowNanos);
-        for (DispatchEffect effect : effects) {
-            if (effect instanceof DispatchEffect.WriteLine line) {
-                add(line.line().toString());
-            }
-        }
-        return effects;
-    }
-
     private void add(String line) {
         Matcher job = JOB.matcher(line);
         if (job.find()) {
@@ -61,4 +53,28 @@
             kept -= linesByJob.remove(oldest).size();
         }
     }
+
+    private final class Remembered implements DispatchCore {
+        private final DispatchCore core;
+
+        Remembered(DispatchCore core) {
+            this.core = core;
+        }
+
+        @Override
+        public List<DispatchEffect> handle(DispatchEvent event, long nowNanos) {
+            List<DispatchEffect> effects = core.handle(event, nowNanos);
+            for (DispatchEffect effect : effects) {
+                if (effect instanceof DispatchEffect.WriteLine line) {
+                    add(line.line().toString());
+                }
+            }
+            return effects;
+        }
+
+        @Override
+        public Optional<DispatchSnapshot> snapshot() {
+            return core.snapshot();
+        }
+    }
 }
--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -3,15 +3,11 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
-import java.security.SecureRandom;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
-import org.chivetally.claim.LogClaims;
-import org.chivetally.coordination.Dispatcher;
 import org.chivetally.entry.EntryExtension;
 import org.chivetally.entry.EntryServer;
 import org.chivetally.entry.EntrySettings;
@@ -45,10 +41,15 @@
         FrameTransport transport = new FrameTransport(meters);
         ResourceService resources = ResourceService.start(system, log, EntryMapping.resources(settings), clock);
         DecisionMemory memory = new DecisionMemory();
-        EntryExtension extension = extension(settings, resources, memory, clock);
-        Parts parts = new Parts(system, entry, log, meters, clock, memory);
-        return EntryServer.start(system, entry, log, transport, meters, clock, extension, parts)
-                .thenApply(server -> started(server, resources, transport));
+        ObservedState observed = new ObservedState();
+        EntryExtension extension = extension(settings, resources, memory, observed, clock);
+        EntryServer.Decisions decisions =
+                new Remembering(EntryServer.loggedDecisions(system, entry, log, clock, meters), memory);
+        return EntryServer.start(system, entry, log, transport, meters, clock, extension, decisions)
+                .thenApply(server -> {
+                    observed.observe(server::processes);
+                    return started(server, resources, transport);
+                });
     }
 
     /** Returns where callers and operators are served. */
@@ -61,6 +62,11 @@
         return server.frameAddress();
     }
 
+    /** Completes when the entry has stopped, exceptionally when a broken invariant ended it. */
+    public CompletionStage<Void> whenStopped() {
+        return server.whenStopped();
+    }
+
     /** Stops without cutting a request in progress; completes once the entry has stopped. */
     public CompletionStage<Void> drain(String reason) {
         return server.drain(reason).thenRun(() -> {
@@ -75,14 +81,14 @@
     }
 
     private static EntryExtension extension(
-            EntryDaemonSettings settings, ResourceService resources, DecisionMemory memory, NanoClock clock) {
+            EntryDaemonSettings settings,
+            ResourceService resources,
+            DecisionMemory memory,
+            ObservedState observed,
+            NanoClock clock) {
         EntryExtension none = EntryExtension.none();
         ResourceRoutes routes = new ResourceRoutes(
-                resources,
-                backendServer -> Optional.empty(),
-                List::of,
-                settings.process().name(),
-                clock);
+                resources, observed, observed, settings.process().name(), clock);
         return new EntryExtension(
                 resources,
                 List.of(routes.route(), new DecisionRoutes(memory).route()),
@@ -91,24 +97,17 @@
                 resources::version);
     }
 
-    /** Makes the deciding parts of one incarnation. */
-    private record Parts(
-            ActorSystem<?> system,
-            EntrySettings entry,
-            PlatformLog log,
-            PrometheusMeterRegistry meters,
-            NanoClock clock,
-            DecisionMemory memory)
+    /** Decisions whose lines are remembered. */
+    private record Remembering(EntryServer.Decisions decisions, DecisionMemory memory)
             implements EntryServer.Decisions {
         @Override
         public Claims claims(Coordinator self) {
-            return LogClaims.start(system, log, entry.claims(), self, clock, meters);
+            return decisions.claims(self);
         }
 
         @Override
         public DispatchCore core(Coordinator self) {
-            Dispatcher dispatcher = new Dispatcher(entry.dispatch(), new SecureRandom().nextLong());
-            return memory.remembering(dispatcher::handle);
+            return memory.remembering(decisions.core(self));
         }
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/ObservedState.java
@@ -0,0 +1,55 @@
+package org.chivetally.daemon;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.chivetally.entry.link.ObservedProcess;
+import org.chivetally.resource.BackendServerReport;
+import org.chivetally.resource.ProcessVersions;
+import org.chivetally.resource.StatusSource;
+import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.Report;
+
+/** Status of backend servers and versions of processes, from what an entry last heard of each process. */
+final class ObservedState implements StatusSource, ProcessVersions {
+    private final AtomicReference<Supplier<List<ObservedProcess>>> processes = new AtomicReference<>(List::of);
+
+    /** Takes the entry's observations from now on; nothing is known before. */
+    void observe(Supplier<List<ObservedProcess>> source) {
+        processes.set(source);
+    }
+
+    @Override
+    public Optional<BackendServerReport> lastReport(String backendServer) {
+        return processes.get().get().stream()
+                .filter(process -> process.hello().getBackend().equals(backendServer))
+                .findFirst()
+                .map(ObservedState::report);
+    }
+
+    @Override
+    public List<ProcessVersion> lastReports() {
+        return processes.get().get().stream().map(ObservedState::version).toList();
+    }
+
+    private static BackendServerReport report(ObservedProcess process) {
+        Hello hello = process.hello();
+        Report report = process.report();
+        return new BackendServerReport(
+                process.observedNanos(),
+                hello.getProcessId(),
+                hello.getFailureDomain(),
+                report.getFreeSlots(),
+                report.getQueued(),
+                report.getRunning(),
+                report.getDraining(),
+                report.getMinionUnhealthy());
+    }
+
+    private static ProcessVersion version(ObservedProcess process) {
+        Hello hello = process.hello();
+        return new ProcessVersion(
+                hello.getProcessId(), hello.getRole(), process.configurationVersion(), process.observedNanos());
+    }
+}
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -103,10 +103,16 @@
             MeterRegistry meters,
             NanoClock clock,
             EntryExtension extension) {
-        Decisions decisions = new LoggedDecisions(system, settings, log, clock, meters);
+        Decisions decisions = loggedDecisions(system, settings, log, clock, meters);
         return start(system, settings, log, transport, meters, clock, extension, decisions);
     }
 
+    /** Returns the usual parts that decide: claims in the log, and the dispatcher of the settings. */
+    public static Decisions loggedDecisions(
+            ActorSystem<?> system, EntrySettings settings, PlatformLog log, NanoClock clock, MeterRegistry meters) {
+        return new LoggedDecisions(system, settings, log, clock, meters);
+    }
+
     /**
      * Starts an entry.
      *
