--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -4,6 +4,7 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.chivetally.claim.Claims;
@@ -13,6 +14,7 @@
 import org.chivetally.entry.EntrySettings;
 import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.log.PlatformLog;
+import org.chivetally.resource.ResourceKind;
 import org.chivetally.resource.ResourceService;
 import org.chivetally.resource.http.ResourceRoutes;
 import org.chivetally.settings.EntryDaemonSettings;
@@ -76,7 +78,8 @@
     }
 
     private static EntryDaemon started(EntryServer server, ResourceService resources, FrameTransport transport) {
-        resources.onChange(new TeamChanges(resources, server::teamChanged));
+        TeamChanges teams = new TeamChanges(resources, server::teamChanged);
+        resources.onChange(table -> teams.accept(table.list(ResourceKind.TEAM, Map.of())));
         return new EntryDaemon(server, resources, transport);
     }
 
--- a/library/src/main/java/org/chivetally/daemon/TeamChanges.java
+++ b/library/src/main/java/org/chivetally/daemon/TeamChanges.java
@@ -2,17 +2,16 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.chivetally.job.ServicePolicies;
 import org.chivetally.job.TeamPolicy;
 import org.chivetally.resource.Resource;
-import org.chivetally.resource.ResourceKind;
-import org.chivetally.resource.ResourceTable;
 
 /** Tells of teams whose limits changed, also those that are declared no more; called from one thread at a time. */
-final class TeamChanges implements Consumer<ResourceTable> {
+final class TeamChanges implements Consumer<List<Resource>> {
     private final ServicePolicies policies;
     private final Consumer<TeamPolicy> changed;
     private final Map<String, TeamPolicy> told = new HashMap<>();
@@ -23,9 +22,9 @@
     }
 
     @Override
-    public void accept(ResourceTable table) {
+    public void accept(List<Resource> teams) {
         Set<String> names = new HashSet<>(told.keySet());
-        for (Resource team : table.list(ResourceKind.TEAM, Map.of())) {
+        for (Resource team : teams) {
             names.add(team.key().name());
         }
         names.forEach(this::tell);
