--- a/command/src/main/java/org/chivetally/command/StandInCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -26,8 +26,8 @@
 /** Runs small programs in the place of the platform's log, of minions and of the network between processes. */
 @Command(
         name = "stand-in",
-        description =
-                "Run a small program in the place of the platform's log, of minions or of the network, with settable faults.",
+        description = "Run a small program in the place of the platform's log, of minions or of the network,"
+                + " with settable faults.",
         subcommands = {StandInCommand.LogCommand.class, StandInCommand.MinionCommand.class, RelayCommand.class})
 final class StandInCommand implements Runnable {
     private static final Duration LONGEST_STOP = Duration.ofSeconds(30);
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -132,11 +132,12 @@
 
     private String shared(String name, int position, int framesPort, int advertisedPort) {
         String failureDomain = plan.failureDomain(position);
+        String seedList = seeds();
         return """
                 process: {name: %s, failureDomain: %s}
                 frames: {host: %s, port: %d, advertisedPort: %d}
                 log: {url: "http://%s:%d"}
-                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, advertisedPort, HOST, ports.log(), seeds());
+                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, advertisedPort, HOST, ports.log(), seedList);
     }
 
     private String seeds() {
--- a/library/src/test/java/org/chivetally/claim/GroupCommitTest.java
+++ b/library/src/test/java/org/chivetally/claim/GroupCommitTest.java
@@ -80,7 +80,8 @@
 
     /*
      * The caller's claim is decided once though the answer to its append was lost.
-     * Nothing is sent while the log is read for the records; when they don't turn up, the same records go out again with
+     * Nothing is sent while the log is read for the records; when they don't turn up, the same records go out
+     * again with
      * the same counts, before newer ones, so that readers can tell repeats by a single number.
      */
     @Test
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -261,7 +261,8 @@
     }
 
     /*
-     * A takeover is given up and turns up as the winner: the key is not freed, as the first coordinator may have started
+     * A takeover is given up and turns up as the winner: the key is not freed, as the first coordinator may
+     * have started
      * tasks. The claim stays, of nobody, so that the next resubmission can take it over at once and inquire first.
      */
     @Test
@@ -358,7 +359,8 @@
     }
 
     /*
-     * An entry was cut off for so long that the records it has to read next have expired: it goes on from a snapshot, and
+     * An entry was cut off for so long that the records it has to read next have expired: it goes on from a
+     * snapshot, and
      * knows claims that were made meanwhile. With only an older snapshot it keeps what it has.
      */
     @Test
--- a/standins/src/main/java/org/chivetally/standins/Minion.java
+++ b/standins/src/main/java/org/chivetally/standins/Minion.java
@@ -104,7 +104,14 @@
     }
 
     private int recordStart(MinionTask task) {
-        starts.add(new MinionStart(task.job(), task.index(), task.attempt(), clock.nanos(), null, MinionStart.RUNNING));
+        starts.add(new MinionStart(
+                task.job(),
+                task.index(),
+                task.attempt(),
+                clock.nanos(),
+                null,
+                MinionStart.RUNNING,
+                task.work().token()));
         return starts.size() - 1;
     }
 
--- a/standins/src/main/java/org/chivetally/standins/MinionStart.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStart.java
@@ -13,7 +13,14 @@
  * @param outcome {@code running}, {@code done}, {@code failed}, or {@code silent} when it ended without an answer
  * @param token token of the task's payload, by which a caller tells its submissions apart; null without one
  */
-public record MinionStart(String job, int task, String attempt, long startedNanos, Long endedNanos, String outcome) {
+public record MinionStart(
+        String job,
+        int task,
+        String attempt,
+        long startedNanos,
+        Long endedNanos,
+        String outcome,
+        @JsonInclude(JsonInclude.Include.NON_NULL) String token) {
     static final String RUNNING = "running";
     static final String DONE = "done";
     static final String FAILED = "failed";
--- a/standins/src/main/java/org/chivetally/standins/TcpRelay.java
+++ b/standins/src/main/java/org/chivetally/standins/TcpRelay.java
@@ -186,8 +186,10 @@
             server.close();
             return;
         }
-        RelayDirection toTarget = new RelayDirection(server, () -> faults.delayMillis(), bytesToTarget, bytesWithheld);
-        RelayDirection toClient = new RelayDirection(client, () -> faults.delayMillis(), bytesToClient, bytesWithheld);
+        RelayDirection toTarget =
+                new RelayDirection(server, this::delayNanos, this::runAfter, bytesToTarget, bytesWithheld);
+        RelayDirection toClient =
+                new RelayDirection(client, this::delayNanos, this::runAfter, bytesToClient, bytesWithheld);
         Link link = new Link(client, server, toTarget, toClient);
         links.add(link);
         client.closeFuture().addListener(closed -> forgetIfClosed(link));
--- a/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
@@ -55,7 +55,10 @@
                 Matchers.contains(
                         Matchers.matchesPattern("\\{\"job\":\"j\",\"task\":7,\"attempt\":\"a\",\"startedNanos\":-?\\d+,"
                                 + "\"endedNanos\":-?\\d+,\"outcome\":\"done\"}"),
-                        Matchers.endsWith("\"outcome\":\"failed\"}")));
+                        Matchers.endsWith("\"outcome\":\"failed\",\"token\":\"r/1/7\"}")));
+        MatcherAssert.assertThat(
+                server.get("/starts?from=1").body().lines().toList(),
+                Matchers.contains(Matchers.containsString("\"outcome\":\"failed\"")));
         MatcherAssert.assertThat(
                 server.get("/state"),
                 answered(
--- a/standins/src/test/java/org/chivetally/standins/MinionTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionTest.java
@@ -29,7 +29,8 @@
     void answersAfterTheWorkAndRecordsTheStart() {
         clock.set(10);
         CompletionStage<MinionAnswer> answer = run("a", 300, false);
-        MatcherAssert.assertThat(minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running")));
+        MatcherAssert.assertThat(
+                minion.starts(), Matchers.contains(new MinionStart("j", 3, "a", 10, null, "running", "t")));
         passMillis(299);
         MatcherAssert.assertThat(now(answer), Matchers.nullValue());
         clock.set(20);
