--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -131,13 +131,14 @@
     }
 
     private String shared(String name, int position, int framesPort, int advertisedPort) {
-        String failureDomain = plan.failureDomain(position);
+        String domain = plan.failureDomain(position);
+        int logPort = ports.log();
         String seedList = seeds();
         return """
                 process: {name: %s, failureDomain: %s}
                 frames: {host: %s, port: %d, advertisedPort: %d}
                 log: {url: "http://%s:%d"}
-                seeds: [%s]""".formatted(name, failureDomain, HOST, framesPort, advertisedPort, HOST, ports.log(), seedList);
+                seeds: [%s]""".formatted(name, domain, HOST, framesPort, advertisedPort, HOST, logPort, seedList);
     }
 
     private String seeds() {
