--- a/command/src/main/java/org/chivetally/command/LayoutCommand.java
+++ b/command/src/main/java/org/chivetally/command/LayoutCommand.java
@@ -24,7 +24,9 @@
             names = "--first-port",
             paramLabel = "PORT",
             defaultValue = "18600",
-            description = "First of the ports used; 18600 by default.")
+            description =
+                    "First of the ports used; 18600 by default. Ports that the system gives to outgoing connections,"
+                            + " usually those from 32768, may be taken at any time.")
     private int firstPort;
 
     @Option(names = "--minions-in-one", description = "Run all minions in one process, to save memory.")
--- a/command/src/main/java/org/chivetally/command/StandInCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -9,6 +9,7 @@
 import java.util.logging.Level;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.ServerBinding;
+import org.chivetally.command.daemon.DaemonRun;
 import org.chivetally.command.daemon.GracefulStop;
 import org.chivetally.command.daemon.LogSetup;
 import org.chivetally.daemon.DaemonSystem;
@@ -113,9 +114,7 @@
             LogSetup.install(Level.INFO);
             ActorSystem<Void> system = DaemonSystem.start("log");
             LogStandInSettings settings = new LogStandInSettings(appendLatency, appendsPerSecond, keptRecords, keptFor);
-            ServerBinding binding = LogStandIn.start(system, listen.host, listen.port, settings)
-                    .toCompletableFuture()
-                    .join();
+            ServerBinding binding = DaemonRun.await(LogStandIn.start(system, listen.host, listen.port, settings));
             Console.of(command).line("log " + addressOf(binding));
             runUntilSignal(system, List.of(binding));
             return ExitCodes.OK;
@@ -165,10 +164,8 @@
         private ServerBinding start(ActorSystem<Void> system, int position) {
             String name = "minion-" + (first + position);
             int port = listen.port == 0 ? 0 : listen.port + position;
-            ServerBinding binding = MinionStandIn.start(
-                            system, listen.host, port, new MinionStandInSettings(name, slots, connections))
-                    .toCompletableFuture()
-                    .join();
+            ServerBinding binding = DaemonRun.await(MinionStandIn.start(
+                    system, listen.host, port, new MinionStandInSettings(name, slots, connections)));
             Console.of(command).line(name + " " + addressOf(binding));
             return binding;
         }
--- a/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
+++ b/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
@@ -36,7 +36,7 @@
             if (cause instanceof ChivetallyException known) {
                 throw known;
             }
-            throw new ChivetallyException(ErrorCode.INTERNAL, "the process can't start: " + cause, cause);
+            throw new ChivetallyException(ErrorCode.INTERNAL, "the process can't start: " + cause.getMessage(), cause);
         }
     }
 
