--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -47,12 +47,7 @@
      *
      * @param clock read only by claims that are made in memory
      */
-    Claimant(
-            ClaimSettings settings,
-            Coordinator self,
-            LeaseTable leases,
-            OwnLease lease,
-            NanoClock clock) {
+    Claimant(ClaimSettings settings, Coordinator self, LeaseTable leases, OwnLease lease, NanoClock clock) {
         long nanos = clock.nanos();
         this.settings = settings;
         this.self = self;
@@ -101,8 +96,7 @@
             decide(current.key(), reply, unavailable(obstacle.get()));
             return;
         }
-        ClaimRecord.TakenOver taken =
-                new ClaimRecord.TakenOver(claim.key(), claim.job(), self, claim.generation() + 1);
+        ClaimRecord.TakenOver taken = new ClaimRecord.TakenOver(claim.key(), claim.job(), self, claim.generation() + 1);
         offer(new WaitingClaim(taken, ClaimMode.LOG, reply, nanos));
     }
 
@@ -259,9 +253,7 @@
     }
 
     private Optional<ClaimDecision> decideFromKnown(ClaimRecord.Claimed claimed) {
-        return find(claimed.key())
-                .filter(this::isStaying)
-                .map(inForce -> decideAgainst(inForce, claimed.bodyDigest()));
+        return find(claimed.key()).filter(this::isStaying).map(inForce -> decideAgainst(inForce, claimed.bodyDigest()));
     }
 
     /** Tells whether a claim is not one that this process gave up and is about to release. */
@@ -358,9 +350,7 @@
 
     private void noticeEnd(long endOffset) {
         if (!caughtUp) {
-            write(EventLine.of("claims-caught-up")
-                    .with("offset", endOffset)
-                    .with("claims", table.size()));
+            write(EventLine.of("claims-caught-up").with("offset", endOffset).with("claims", table.size()));
         }
         caughtUp = true;
     }
@@ -392,8 +382,9 @@
         }
     }
 
-    /** Gives a claim of this process up, of which nothing was started; one that only its memory holds stays. */
+    /** Gives a claim of this process up, of which nothing was started. */
     void release(Claim claim) {
+        late.release(claim.job());
         ownClaim(claim.key(), claim.job(), claim.generation()).ifPresent(this::releaseOwn);
     }
 
@@ -410,8 +401,7 @@
 
     private Optional<Claim> ownClaimOf(ClaimRecord content) {
         return switch (content) {
-            case ClaimRecord.Claimed claimed ->
-                ownClaim(claimed.key(), claimed.job(), Claim.FIRST_GENERATION);
+            case ClaimRecord.Claimed claimed -> ownClaim(claimed.key(), claimed.job(), Claim.FIRST_GENERATION);
             case ClaimRecord.TakenOver taken -> ownClaim(taken.key(), taken.job(), taken.generation());
             default -> Optional.empty();
         };
@@ -445,13 +435,17 @@
             decide(claim, new ClaimDecision.Won(own.get()), nanos);
             return;
         }
-        ClaimDecision decision = inForce
-                .map(other -> decideAgainst(other, claim.bodyDigest().orElse(other.bodyDigest())))
+        ClaimDecision decision = inForce.map(
+                        other -> decideAgainst(other, claim.bodyDigest().orElse(other.bodyDigest())))
                 .orElseGet(() -> unavailable("the claim is no longer in force"));
         decide(claim, decision, nanos);
     }
 
     private void landLate(ClaimRecord.Claimed claimed) {
+        if (late.takeReleased(claimed.job())) {
+            release(claimed);
+            return;
+        }
         Optional<Claim> inForce = table.find(claimed.key());
         if (inForce.isPresent() && !inForce.get().job().equals(claimed.job())) {
             write(ClaimLines.of("memory-claim-lost", claimed.key(), claimed.job())
--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -96,9 +96,7 @@
 
     @Override
     public Receive<ClaimsCommand> createReceive() {
-        return newReceiveBuilder()
-                .onMessage(ClaimsCommand.class, this::receive)
-                .build();
+        return newReceiveBuilder().onMessage(ClaimsCommand.class, this::receive).build();
     }
 
     private Behavior<ClaimsCommand> receive(ClaimsCommand command) {
@@ -169,7 +167,8 @@
         if (readOpen && nanos - readSentNanos > readLimit.toNanos()) {
             readFailed("no answer in time", nanos);
         }
-        if (appendOpen && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
+        if (appendOpen
+                && nanos - appendSentNanos > settings.tail().answerTimeout().toNanos()) {
             appendAnswered(appendNumber, new AppendOutcome.Unknown("no answer in time"), nanos);
         }
         if (snapshots.isLoadOverdue(nanos)) {
@@ -223,7 +222,7 @@
         Duration wait = readMayWait ? settings.tail().pollWait() : Duration.ZERO;
         log.read(LogClaims.STREAM, claimant.nextOffset(), settings.tail().readLimit(), wait)
                 .whenComplete((outcome, failure) -> me.tell(new ClaimsCommand.ReadAnswered(
-                                number, failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString()))));
+                        number, failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString()))));
     }
 
     private void readAnswered(ClaimsCommand.ReadAnswered answered, long nanos) {
@@ -264,7 +263,8 @@
         appendNumber = batch.number();
         appendSentNanos = clock.nanos();
         meters.appending(batch.records().size());
-        log.append(LogClaims.STREAM, encode(batch)).whenComplete((outcome, failure) -> me.tell(new ClaimsCommand.AppendAnswered(
+        log.append(LogClaims.STREAM, encode(batch))
+                .whenComplete((outcome, failure) -> me.tell(new ClaimsCommand.AppendAnswered(
                         batch.number(), failure == null ? outcome : new AppendOutcome.Unknown(failure.toString()))));
     }
 
--- a/library/src/main/java/org/chivetally/claim/LateClaims.java
+++ b/library/src/main/java/org/chivetally/claim/LateClaims.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.chivetally.job.JobId;
 import org.chivetally.time.NanoClock;
 
@@ -17,6 +19,7 @@
 
     private final MemoryClaims memory;
     private final Map<ClaimRecord.Claimed, Long> sequences = new LinkedHashMap<>();
+    private final Set<JobId> released = new HashSet<>();
 
     /** Creates an empty set; claims count for the window, by the clock. */
     LateClaims(Coordinator self, Duration window, NanoClock clock) {
@@ -35,6 +38,19 @@
         return decision;
     }
 
+    /** Frees the key of a claim at once; its record, which may be under way, is to be given up once it is read. */
+    void release(JobId job) {
+        if (memory.lookUp(job).isPresent()) {
+            memory.forget(job);
+            released.add(job);
+        }
+    }
+
+    /** Tells whether a claim that has landed was given up before, and forgets that. */
+    boolean takeReleased(JobId job) {
+        return released.remove(job);
+    }
+
     /** Notes the count with which a claim is first sent. */
     void sentAs(ClaimRecord.Claimed claimed, long sequence) {
         sequences.replace(claimed, UNSENT, sequence);
--- a/library/src/main/java/org/chivetally/claim/LeaseKeeper.java
+++ b/library/src/main/java/org/chivetally/claim/LeaseKeeper.java
@@ -23,7 +23,8 @@
 
     /** Returns a renewal if one is due; it counts as queued then. */
     Optional<ClaimRecord.Renewed> takeRenewal(long nanos) {
-        boolean due = !renewedOnce || nanos - renewedNanos >= settings.renewalInterval().toNanos();
+        boolean due = !renewedOnce
+                || nanos - renewedNanos >= settings.renewalInterval().toNanos();
         if (departing || !due) {
             return Optional.empty();
         }
--- a/library/src/main/java/org/chivetally/claim/SnapshotDuty.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotDuty.java
@@ -102,8 +102,8 @@
 
     /** Writes a snapshot unless another process does; the actor gets {@link ClaimsCommand.SnapshotDone}. */
     void write(Optional<SnapshotTail> tail, Claimant claimant, long nanos) {
-        boolean write = tail.isPresent()
-                && schedule.shallWrite(tail.get(), claimant.nextOffset(), claimant.streamMillis());
+        boolean write =
+                tail.isPresent() && schedule.shallWrite(tail.get(), claimant.nextOffset(), claimant.streamMillis());
         if (!write) {
             pause(nanos);
             return;
--- a/library/src/test/java/org/chivetally/claim/ClaimRecordCodecTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimRecordCodecTest.java
@@ -48,7 +48,8 @@
 
     @Test
     void unknownFieldsArePassedOver() {
-        String line = "{\"format\":1,\"type\":\"finished\",\"new\":{\"a\":[1]},\"team\":\"t\",\"key\":\"k\",\"job\":\"j\"}";
+        String line =
+                "{\"format\":1,\"type\":\"finished\",\"new\":{\"a\":[1]},\"team\":\"t\",\"key\":\"k\",\"job\":\"j\"}";
         ClaimRecord content = new ClaimRecord.Finished(new SubmissionKey("t", "k"), new JobId("j"));
         DecodedEntry decoded = ClaimRecordCodec.decode(line.getBytes(StandardCharsets.UTF_8));
         assertThat(decoded, is(new DecodedEntry.Known(new ClaimEntry(content, 0))));
@@ -75,7 +76,9 @@
 
     private static List<String> recordedLines() throws IOException {
         try (InputStream stream = ClaimRecordCodecTest.class.getResourceAsStream("claim-records.jsonl")) {
-            return new String(stream.readAllBytes(), StandardCharsets.UTF_8).lines().toList();
+            return new String(stream.readAllBytes(), StandardCharsets.UTF_8)
+                    .lines()
+                    .toList();
         }
     }
 }
--- a/library/src/test/java/org/chivetally/claim/ClaimTablePropertiesTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimTablePropertiesTest.java
@@ -60,8 +60,7 @@
                 wonMillis.put(key, table.streamMillis());
             }
             if (folded instanceof Folded.TakenOver taken) {
-                int before = generations.put(
-                        taken.claim().key(), taken.claim().generation());
+                int before = generations.put(taken.claim().key(), taken.claim().generation());
                 assertThat(taken.claim().generation(), is(before + 1));
             }
             if (folded instanceof Folded.Released released && released.claim().generation() == 1) {
@@ -113,8 +112,7 @@
         JobId job = new JobId("job-" + step.number());
         Coordinator process = ClaimSamples.process("p" + step.process());
         return switch (step.kind()) {
-            case 0, 1, 2 ->
-                new ClaimRecord.Claimed(key, ClaimSamples.BODY, job, process, ClaimSamples.WINDOW);
+            case 0, 1, 2 -> new ClaimRecord.Claimed(key, ClaimSamples.BODY, job, process, ClaimSamples.WINDOW);
             case 3, 4 -> new ClaimRecord.TakenOver(key, job, process, step.generation() + 1);
             case 5, 6 -> new ClaimRecord.Released(key, job, process, step.generation());
             case 7 -> new ClaimRecord.Finished(key, job);
--- a/library/src/test/java/org/chivetally/claim/ClaimTableTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimTableTest.java
@@ -120,6 +120,7 @@
 
     private Folded fold(ClaimRecord content, long streamMillis) {
         sequence++;
-        return table.fold(table.nextOffset(), ClaimSamples.id("writer", sequence), new ClaimEntry(content, streamMillis));
+        return table.fold(
+                table.nextOffset(), ClaimSamples.id("writer", sequence), new ClaimEntry(content, streamMillis));
     }
 }
--- a/library/src/test/java/org/chivetally/claim/ClaimantPropertiesTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimantPropertiesTest.java
@@ -87,8 +87,7 @@
 
     private static final class World {
         private static final int PROCESSES = 3;
-        private static final ClaimSettings SETTINGS =
-                ClaimSettings.defaults(Duration.ofHours(5), Duration.ofHours(6));
+        private static final ClaimSettings SETTINGS = ClaimSettings.defaults(Duration.ofHours(5), Duration.ofHours(6));
 
         private final ManualClock clock = new ManualClock();
         private final List<Process> processes = new ArrayList<>();
@@ -177,8 +176,7 @@
                 return;
             }
             flight.landed = true;
-            flight.records.forEach(
-                    record -> stream.add(new LogRecord(stream.size(), record.id(), record.payload())));
+            flight.records.forEach(record -> stream.add(new LogRecord(stream.size(), record.id(), record.payload())));
         }
 
         private void answer(Flight flight, int number) {
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -340,6 +340,41 @@
         assertThat(claimInMemory(a, "job-c"), is(new ClaimDecision.Attached(first)));
     }
 
+    /*
+     * A caller was refused as not run for lack of room and submits again, here or elsewhere, when there is room.
+     * The refusing entry has given its claim up in the log, so the key is free for all; before that it is not.
+     */
+    @Test
+    void releasedClaimFreesItsKeyForAll() {
+        LogClaims a = start("a", log);
+        LogClaims b = start("b", log.view());
+        claim(a, "job-1");
+        Claim released = ClaimSamples.claim("job-1", "a", 1);
+        assertThat(claim(b, "job-2"), is(new ClaimDecision.Attached(released)));
+        a.release(released);
+        pass(NOTICED);
+        assertThat(claim(b, "job-3"), is(new ClaimDecision.Won(ClaimSamples.claim("job-3", "b", 1))));
+    }
+
+    /*
+     * The same while the log is down, for a service that is claimed in memory: the key is free at once at this entry, and
+     * the record of the first claim, which is still to be written, doesn't take the key again when the log is back.
+     */
+    @Test
+    void releasedClaimInMemoryFreesItsKeyNowAndLater() {
+        ScriptedLog viewOfA = log.view();
+        LogClaims a = start("a", viewOfA);
+        LogClaims b = start("b", log);
+        viewOfA.down(true);
+        settle();
+        claimInMemory(a, "job-1");
+        a.release(ClaimSamples.claim("job-1", "a", 1));
+        assertThat(join(a.find(KEY)), is(Optional.empty()));
+        viewOfA.down(false);
+        pass(SETTINGS.renewalInterval().plus(NOTICED).plus(NOTICED));
+        assertThat(claim(b, "job-2"), is(new ClaimDecision.Won(ClaimSamples.claim("job-2", "b", 1))));
+    }
+
     /*
      * The records of claims have expired in the log, yet a fresh entry attaches resubmissions to them.
      * A snapshot was written before; the fresh entry reads it and then the stream from where it ends.
--- a/library/src/test/java/org/chivetally/claim/StreamTimeTest.java
+++ b/library/src/test/java/org/chivetally/claim/StreamTimeTest.java
@@ -31,8 +31,7 @@
      * random times and reads what is there; its records land after a random delay.
      */
     @Property
-    void streamsTimeNeverRunsAhead(
-            @ForAll @Size(max = 60) List<@IntRange(max = 100_000) Integer> choices) {
+    void streamsTimeNeverRunsAhead(@ForAll @Size(max = 60) List<@IntRange(max = 100_000) Integer> choices) {
         List<StreamTime> processes = new ArrayList<>();
         for (int process = 0; process < PROCESSES; process++) {
             processes.add(new StreamTime(nanos(0)));
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -12,8 +12,10 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.chivetally.claim.ClaimSettings;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.LogClaims;
 import org.chivetally.claim.MemoryClaims;
 import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
@@ -121,6 +123,26 @@
         assertThat(fixture.submit(entry, "a", SMALL).statusCode(), is(200));
     }
 
+    // An entry without room refuses a job as not run, and its caller comes back through the balancer at another entry.
+    // The first one gave its claim up in the log, so the second claims the key anew and runs the job.
+    @Test
+    void aKeyRefusedAtOneEntryRunsAtAnother() {
+        ScriptedCore first = new ScriptedCore();
+        first.fill(true);
+        EntryServer full = fixture.start("entry-2", new Scripted(this::logged, first));
+        EntryServer free = fixture.start("entry-3", new Scripted(this::logged, new ScriptedCore()));
+        awaitClaims(full);
+        awaitClaims(free);
+        HttpResponse<String> response = fixture.submit(full, "a", SMALL);
+        assertThat(response.statusCode(), is(429));
+        while (response.statusCode() != 200) {
+            assertThat(certainty(response), is("not-run"));
+            response = fixture.submit(free, "a", SMALL);
+        }
+        assertThat(response.body(), containsString("\"answers\":[{\"n\": 1.10},2]"));
+        assertThat(first.events(DispatchEvent.JobClaimed.class), hasSize(0));
+    }
+
     @Test
     void twoSubmissionsOfAKeyAtOnceAreOneJob() {
         CompletableFuture<HttpResponse<String>> first = fixture.submitting(entry, "a", HELD);
@@ -255,12 +277,23 @@
         return EntryFixture.json(response).path("certainty").asString("");
     }
 
+    private void awaitClaims(EntryServer of) {
+        while (fixture.get(of, "/readyz").body().contains("claims are not read")) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static void awaitEvents(ScriptedCore of, Class<? extends DispatchEvent> type) {
         while (of.events(type).isEmpty()) {
             Thread.onSpinWait();
         }
     }
 
+    private Claims logged(Coordinator self) {
+        ClaimSettings settings = ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1));
+        return LogClaims.start(fixture.kit.system(), fixture.log, settings, self, NanoClock.system(), fixture.meters);
+    }
+
     private static MemoryClaims memory(Coordinator self) {
         return new MemoryClaims(self, Duration.ofMinutes(10), NanoClock.system());
     }
