Entry: decisions hear of every announced and ended agent; no takeover of jobs that agents may have forgotten

Cause: an entry that took a job over knew only the agents that it had reached itself, and agents that had forgotten a job's tasks; either would make it start tasks a second time. Change: announced and ended incarnations are told to the decisions, members are read to their end before a takeover, old jobs that must run once are not taken over.

--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -22,6 +22,7 @@
 import org.chivetally.claim.SubmissionKey;
 import org.chivetally.coordination.AgentId;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.coordination.DispatchSettings;
 import org.chivetally.entry.dispatch.DispatchActor;
 import org.chivetally.entry.dispatch.DispatchCommand;
 import org.chivetally.entry.dispatch.DispatchCore;
@@ -51,6 +52,9 @@
 
 /** The actors of one entry and the ways between them. */
 final class EntryActors {
+    /** Most by which the wall clocks of two entries may differ. */
+    private static final Duration CLOCK_DIFFERENCE = Duration.ofSeconds(30);
+
     private final ActorSystem<?> system;
     private final Parts parts;
     private final Observers observers = new Observers();
@@ -151,6 +155,12 @@
         members.thenAccept(actor -> actor.tell(command));
     }
 
+    private CompletionStage<Boolean> catchUpMembers() {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        tellMembers(new MemberActor.CatchUp(done));
+        return done;
+    }
+
     private void publish(MemberView view) {
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.View(view)));
         peers.thenAccept(actor -> actor.tell(new PeerCommand.View(view)));
@@ -165,7 +175,9 @@
 
     private SubmissionActor.Parts submissionParts() {
         SubmissionSettings settings = new SubmissionSettings(
-                parts.settings().claims().window(), parts.settings().limits().maximumKeptBytes());
+                parts.settings().claims().window(),
+                longestTakeoverAge(),
+                parts.settings().limits().maximumKeptBytes());
         return new SubmissionActor.Parts(
                 parts.self(),
                 settings,
@@ -173,6 +185,7 @@
                 this::tell,
                 new ActorPeers(),
                 parts.extension().policies(),
+                this::catchUpMembers,
                 parts.jobIds(),
                 parts.clock(),
                 parts.time(),
@@ -187,6 +200,14 @@
         parts.meters().timer("chivetally.job.time", "state", state).record(Duration.ofNanos(nanos));
     }
 
+    private Duration longestTakeoverAge() {
+        DispatchSettings.Fencing fencing = parts.settings().dispatch().fencing();
+        Duration remembered = fencing.agentRetention().compareTo(fencing.goneRetention()) < 0
+                ? fencing.agentRetention()
+                : fencing.goneRetention();
+        return remembered.minus(CLOCK_DIFFERENCE);
+    }
+
     private MemberActor.Parts memberParts() {
         return new MemberActor.Parts(
                 parts.log(),
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -325,8 +325,7 @@
 
     // A held request sends and receives nothing until its answer. The server's usual time limits would close its
     // connection after 20 to 60 seconds and the caller would take a running job for lost; they are set above the
-    // longest
-    // wait.
+    // longest wait.
     private static ServerSettings serverSettings(Started started) {
         ServerSettings usual = ServerSettings.create(started.system().classicSystem());
         FiniteDuration longest = FiniteDuration.apply(IDLE_MINUTES, "minutes");
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -43,6 +43,7 @@
     private final DispatchMeters meters;
     private final AttemptsInFlight attempts = new AttemptsInFlight();
     private final Map<String, AgentId> agents = new HashMap<>();
+    private final Set<AgentId> buried = new HashSet<>();
     private Set<String> viewed = Set.of();
     private int entries;
     private boolean leaseHeld;
@@ -94,8 +95,7 @@
 
     // A process that was paused for longer than its lease resumes in the middle of its work and would send starts that
     // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on
-    // ticks;
-    // what slips through between look and send is refused by its ticket.
+    // ticks; what slips through between look and send is refused by its ticket.
     private void noticeLease() {
         boolean held = parts.holdsLease().getAsBoolean();
         if (held != leaseHeld) {
@@ -110,11 +110,13 @@
         for (Member agent : view.agents()) {
             named.add(agent.processId());
             links.keep(agent.processId(), agent.address(), now);
+            noticeAnnounced(new AgentId(agent.processId(), agent.incarnation()));
         }
         viewed = Set.copyOf(named);
         for (String processId : links.processes()) {
             dropIfUnwanted(processId);
         }
+        view.endedAgents().forEach(ended -> noticeEnded(new AgentId(ended.processId(), ended.incarnation())));
         int count = Math.max(1, view.entries().size());
         if (count != entries) {
             entries = count;
@@ -123,16 +125,36 @@
     }
 
     // An agent that leaves is taken out of the view while its last attempts still run. Its usable connection is kept
-    // for
-    // their results until the agent itself closes it.
+    // for their results until the agent itself closes it.
     private void dropIfUnwanted(String processId) {
         if (viewed.contains(processId) || links.usable(processId).isPresent()) {
             return;
         }
         links.drop(processId, "not a member");
         attempts.forget(processId);
-        AgentId gone = agents.remove(processId);
-        if (gone != null) {
+        bury(agents.remove(processId));
+    }
+
+    // A job that is taken over may have tasks at agents that this entry never reached. If the decisions did not know
+    // of them, all known agents would answer, and a task that ran at an unknown one would be started a second time. So
+    // they are told of each announced agent before it is reached, and of each one that ended.
+    private void noticeAnnounced(AgentId announced) {
+        boolean settled = announced.equals(agents.get(announced.processId())) || buried.contains(announced);
+        if (settled || links.usable(announced.processId()).isPresent()) {
+            return;
+        }
+        bury(agents.put(announced.processId(), announced));
+        decide(new DispatchEvent.AgentUnreachable(announced));
+    }
+
+    private void noticeEnded(AgentId ended) {
+        if (!ended.equals(agents.get(ended.processId()))) {
+            bury(ended);
+        }
+    }
+
+    private void bury(AgentId gone) {
+        if (gone != null && buried.add(gone)) {
             decide(new DispatchEvent.AgentGone(gone));
         }
     }
@@ -165,8 +187,10 @@
         AgentId before = agents.put(hello.getProcessId(), agent);
         if (before != null && !before.equals(agent)) {
             attempts.forget(hello.getProcessId());
-            decide(new DispatchEvent.AgentGone(before));
+            bury(before);
         }
+        buried.remove(agent);
+        parts.introduced().accept(hello);
         parts.usable().add(agent);
         parts.observer().up(hello);
         decide(new DispatchEvent.AgentConnected(agent, hello));
@@ -225,7 +249,7 @@
      * @param wiring makes the links' wiring for the actor's signals
      * @param holdsLease whether this process may start tasks; asked before each event
      * @param finished takes final outcomes
-     * @param introduced takes introductions of processes found at another's address
+     * @param introduced takes introductions of agents, and of processes found at another's address
      * @param connected takes the processes that can be reached, every two seconds
      * @param usable filled with the agents that can be reached; read by other threads
      * @param observer told of the links as well; must not block
--- a/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
+++ b/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
@@ -248,8 +248,7 @@
     }
 
     // Every held submission keeps its content and its answer in memory. Without a bound, a burst ends the process by
-    // lack
-    // of memory and every caller is left without an outcome.
+    // lack of memory and every caller is left without an outcome.
     private CompletionStage<HttpResponse> counted(
             HttpRequest request, Function<String, CompletionStage<HttpResponse>> handler) {
         if (open.incrementAndGet() > parts.maximumOpen()) {
--- a/library/src/main/java/org/chivetally/entry/link/Link.java
+++ b/library/src/main/java/org/chivetally/entry/link/Link.java
@@ -204,8 +204,8 @@
         }
     }
 
-    // Something between the two ends may have lost track of the connection: frames go nowhere, and no error ever comes.
-    // A new connection is not affected, and the old one may still bring answers, so it is kept for a while.
+    // Something between the two ends may have lost track of the connection: frames go nowhere, and no error ever
+    // comes. A new connection is not affected, and the old one may still bring answers, so it is kept for a while.
     private void retire(long now, List<LinkEffect> effects) {
         retired.put(dial, new Retired(hello, now + settings.lateAnswers().toNanos()));
         state = State.WAITING;
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -58,11 +58,12 @@
         return newReceiveBuilder()
                 .onMessage(ReadDone.class, this::onRead)
                 .onMessage(ReadAgain.class, again -> read())
+                .onMessage(CatchUp.class, this::onCatchUp)
+                .onMessage(CatchUpDone.class, this::onCatchUpDone)
                 .onMessage(Introduced.class, this::onIntroduced)
                 .onMessage(Connected.class, this::onConnected)
                 .onMessage(Expire.class, expire -> onExpire())
                 .onMessage(Announce.class, announce -> announce())
-                .onMessage(AnnounceDone.class, done -> this)
                 .onMessage(Leave.class, this::onLeave)
                 .build();
     }
@@ -85,6 +86,9 @@
         reachable = true;
         boolean changed = false;
         for (LogRecord record : records.records()) {
+            if (record.offset() < nextOffset) {
+                continue;
+            }
             changed |= fold(record);
             nextOffset = record.offset() + 1;
         }
@@ -102,9 +106,35 @@
                 .orElse(false);
     }
 
+    private Behavior<Command> onCatchUp(CatchUp catchUp) {
+        getContext()
+                .pipeToSelf(
+                        parts.log().read(MemberRecords.STREAM, nextOffset, RECORDS_PER_READ, Duration.ZERO),
+                        (outcome, failure) -> new CatchUpDone(
+                                failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString()), catchUp));
+        return this;
+    }
+
+    private Behavior<Command> onCatchUpDone(CatchUpDone done) {
+        if (!(done.outcome() instanceof ReadOutcome.Records records)) {
+            done.catchUp().done().complete(false);
+            return this;
+        }
+        foldAll(records);
+        if (nextOffset < records.endOffset()) {
+            return onCatchUp(done.catchUp());
+        }
+        done.catchUp().done().complete(true);
+        return this;
+    }
+
     private Behavior<Command> onIntroduced(Introduced introduced) {
-        publishIf(table.fold(
-                new MemberRecord.Announce(introduced.member()), parts.clock().nanos()));
+        MemberRecord announce = new MemberRecord.Announce(introduced.member());
+        boolean changed = table.fold(announce, parts.clock().nanos());
+        if (changed && introduced.member().isAgent()) {
+            append(announce);
+        }
+        publishIf(changed);
         return this;
     }
 
@@ -120,21 +150,23 @@
         return this;
     }
 
-    // While the log is down nobody reads an announcement, and a process that starts then would stay unknown. It says so
-    // to
-    // the processes of its settings instead.
+    // While the log is down nobody reads an announcement, and a process that starts then would stay unknown. It says
+    // so to the processes of its settings instead.
     private Behavior<Command> announce() {
         if (!reachable) {
             parts.introduce().run();
         }
-        NewRecord record = record(new MemberRecord.Announce(parts.self()));
-        getContext()
-                .pipeToSelf(
-                        parts.log().append(MemberRecords.STREAM, List.of(record)),
-                        (outcome, failure) -> new AnnounceDone());
+        append(new MemberRecord.Announce(parts.self()));
         return this;
     }
 
+    // An agent that the log does not know yet was introduced here and will get work. An entry that takes such a job
+    // over has to ask all agents that may have run its tasks, and knows of them by the log, so the agent is announced
+    // at once and not only by its own next attempt.
+    private void append(MemberRecord content) {
+        parts.log().append(MemberRecords.STREAM, List.of(record(content)));
+    }
+
     private Behavior<Command> onLeave(Leave leave) {
         NewRecord record = record(
                 new MemberRecord.Leave(parts.self().processId(), parts.self().incarnation()));
@@ -155,7 +187,7 @@
 
     private void publishIf(boolean changed) {
         if (changed) {
-            parts.publish().accept(new MemberView(table.members()));
+            parts.publish().accept(new MemberView(table.members(), table.endedAgents()));
         }
     }
 
@@ -175,12 +207,15 @@
     /** Says in the log that this process stops, and ends the actor. */
     public record Leave(CompletableFuture<Void> done) implements Command {}
 
+    /** Reads the stream to its present end; true once all that it holds was published. */
+    public record CatchUp(CompletableFuture<Boolean> done) implements Command {}
+
+    private record CatchUpDone(ReadOutcome outcome, CatchUp catchUp) implements Command {}
+
     private record ReadDone(ReadOutcome outcome) implements Command {}
 
     private record ReadAgain() implements Command {}
 
-    private record AnnounceDone() implements Command {}
-
     private record Announce() implements Command {}
 
     private record Expire() implements Command {}
--- a/library/src/main/java/org/chivetally/entry/member/MemberTable.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberTable.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,7 +16,8 @@
  */
 public final class MemberTable {
     private final Map<String, Heard> members = new HashMap<>();
-    private final Map<String, Set<String>> ended = new HashMap<>();
+    private final Set<Incarnation> ended = new LinkedHashSet<>();
+    private final Set<Incarnation> endedAgents = new LinkedHashSet<>();
 
     /** Folds one record; true when the members changed. */
     public boolean fold(MemberRecord record, long now) {
@@ -36,6 +37,11 @@
         return members.values().removeIf(heard -> heard.at() - heardBefore < 0);
     }
 
+    /** Returns the incarnations of agents that have ended, as far as the records tell. */
+    public Set<Incarnation> endedAgents() {
+        return Set.copyOf(endedAgents);
+    }
+
     /** Returns all members in the order of their process ids. */
     public List<Member> members() {
         List<Member> all = new ArrayList<>();
@@ -48,7 +54,7 @@
     // its own end. Agents would be dialled at old addresses and counted as gone, in turns. Incarnations are never
     // reused, so one that has ended stays ended.
     private boolean announced(Member member, long now) {
-        if (ended.getOrDefault(member.processId(), Set.of()).contains(member.incarnation())) {
+        if (ended.contains(incarnationOf(member))) {
             return false;
         }
         Heard before = members.put(member.processId(), new Heard(member, now));
@@ -56,23 +62,31 @@
             return true;
         }
         if (!before.member().incarnation().equals(member.incarnation())) {
-            end(before.member().processId(), before.member().incarnation());
+            end(incarnationOf(before.member()), before.member().isAgent());
         }
         return !before.member().equals(member);
     }
 
     private boolean left(MemberRecord.Leave leave) {
-        end(leave.processId(), leave.incarnation());
+        Incarnation gone = new Incarnation(leave.processId(), leave.incarnation());
         Heard present = members.get(leave.processId());
-        if (present == null || !present.member().incarnation().equals(leave.incarnation())) {
-            return false;
+        boolean listed = present != null && incarnationOf(present.member()).equals(gone);
+        boolean changed = end(gone, present == null || present.member().isAgent());
+        if (listed) {
+            members.remove(leave.processId());
+        }
+        return listed || changed;
+    }
+
+    private boolean end(Incarnation incarnation, boolean agent) {
+        if (agent) {
+            endedAgents.add(incarnation);
         }
-        members.remove(leave.processId());
-        return true;
+        return ended.add(incarnation) && agent;
     }
 
-    private void end(String processId, String incarnation) {
-        ended.computeIfAbsent(processId, name -> new HashSet<>()).add(incarnation);
+    private static Incarnation incarnationOf(Member member) {
+        return new Incarnation(member.processId(), member.incarnation());
     }
 
     private record Heard(Member member, long at) {}
--- a/library/src/main/java/org/chivetally/entry/member/MemberView.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberView.java
@@ -1,12 +1,19 @@
 package org.chivetally.entry.member;
 
 import java.util.List;
+import java.util.Set;
 
-/** All members at one moment, in the order of their process ids. */
-public record MemberView(List<Member> members) {
-    /** Copies the list. */
+/**
+ * All members at one moment.
+ *
+ * @param members in the order of their process ids
+ * @param endedAgents incarnations of agents that have ended
+ */
+public record MemberView(List<Member> members, Set<Incarnation> endedAgents) {
+    /** Copies list and set. */
     public MemberView {
         members = List.copyOf(members);
+        endedAgents = Set.copyOf(endedAgents);
     }
 
     /** Returns the agents only. */
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -133,8 +133,7 @@
     }
 
     // The view may name a newer address of the process than an old claim does, so the claim's is only used when the
-    // view
-    // names none.
+    // view names none.
     private void keep(Coordinator coordinator) {
         if (links.processes().contains(coordinator.processId())) {
             return;
--- a/library/src/main/java/org/chivetally/entry/submission/Failures.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Failures.java
@@ -45,6 +45,20 @@
         return new Failure(ErrorCode.OUTCOME_UNKNOWN, Certainty.UNKNOWN, detail, List.of(), RETRY_MILLIS);
     }
 
+    /** The coordinator of the job has ended, and nobody submitted the job here, so that it can't be taken over. */
+    public static Failure coordinatorGone(String coordinator) {
+        String detail = "entry " + coordinator + ", which coordinated the job, has ended;"
+                + " submit the job again under the same key to get its outcome without a second run";
+        return new Failure(ErrorCode.OUTCOME_UNKNOWN, Certainty.UNKNOWN, detail, List.of(), 0);
+    }
+
+    /** The coordinator of the job has ended, and what agents ran of it may be forgotten. */
+    public static Failure tooOldToTakeOver(String coordinator) {
+        String detail = "entry " + coordinator + ", which coordinated the job, has ended, and the job is so old that its"
+                + " tasks' outcomes are no longer kept";
+        return new Failure(ErrorCode.OUTCOME_UNKNOWN, Certainty.UNKNOWN, detail, List.of(), 0);
+    }
+
     /** The job was answered, and its answer was dropped since. */
     public static Failure answerDropped() {
         String detail = "the job was answered before; its answer is no longer kept";
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -254,11 +254,10 @@
                 .thenAccept(claim -> tell(new SubmissionCommand.RefusedFound(submission, claim, refusal, reply)));
     }
 
-    // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could send
-    // the same offer again under a new key. An earlier submission that the claims read so far show is joined instead of
-    // refused. One whose claim was written after the last read is known to the entry that wrote it, so all are asked;
-    // if
-    // one does not answer, nothing is certain.
+    // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could
+    // send the same offer again under a new key. An earlier submission that the claims read so far show is joined
+    // instead of refused. One whose claim was written after the last read is known to the entry that wrote it, so all
+    // are asked; if one does not answer, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
         if (claim.isEmpty()) {
@@ -297,8 +296,7 @@
     }
 
     // The claim of a slow log may come long after the deadline. Callers are told in time that the deadline passed; as
-    // the
-    // log has not said yet whether an earlier submission of the key runs, "not run" is only certain of a new key.
+    // the log has not said yet whether an earlier submission of the key runs, "not run" is only certain of a new key.
     private static void onEndedEarly(JobRecord record, JobOutcome outcome) {
         record.endedEarly(outcome);
         if (!(outcome instanceof JobOutcome.Failure failure) || failure.code() != ErrorCode.DEADLINE_EXCEEDED) {
@@ -318,8 +316,8 @@
     }
 
     // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole
-    // dedupe
-    // window, also when there is room again. Nothing of it was started and nothing will be, so its key is set free.
+    // dedupe window, also when there is room again. Nothing of it was started and nothing will be, so its key is set
+    // free.
     private void endClaim(Claim claim, JobOutcome outcome) {
         if (isPassingRefusal(outcome)) {
             parts.claims().release(claim);
@@ -359,12 +357,20 @@
         endDrainWhenIdle();
     }
 
+    // Agents that ran tasks for the lapsed coordinator were announced before it lapsed. Whoever goes on must know all
+    // of them, or would start again what one of them has run, so the members are read to their end first.
     private void takeOver(RemoteJob remote) {
-        parts.claims()
-                .takeOver(remote.claim())
+        Claim claim = remote.claim();
+        parts.membersCaughtUp()
+                .get()
+                .thenCompose(caughtUp -> caughtUp ? parts.claims().takeOver(claim) : membersUnknown())
                 .thenAccept(decision -> tell(new SubmissionCommand.TakeoverDecided(remote.job(), decision)));
     }
 
+    private static CompletionStage<ClaimDecision> membersUnknown() {
+        return CompletableFuture.completedStage(new ClaimDecision.LogUnavailable("the members can't be read"));
+    }
+
     private void onTakeoverDecided(SubmissionCommand.TakeoverDecided decided) {
         RemoteJob remote = remotes.get(decided.job());
         if (remote == null) {
@@ -414,10 +420,8 @@
     }
 
     // Another entry took the job over while this one's lease had lapsed; results that still come here may be of
-    // attempts
-    // that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all callers of a
-    // key
-    // get the same.
+    // attempts that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all
+    // callers of a key get the same.
     private void onReplaced(Claim claim) {
         Optional<JobRecord> found =
                 ledger.find(claim.job()).filter(record -> record.phase() == JobStatus.Phase.RUNNING);
@@ -534,7 +538,16 @@
             return;
         }
         Coordinator coordinator = remote.claim().coordinator();
-        if (parts.claims().hasLapsed(coordinator) && remote.beginTakeover(now)) {
+        boolean lapsed = parts.claims().hasLapsed(coordinator);
+        if (lapsed && remote.submission().isEmpty()) {
+            endRemote(remote, Failures.coordinatorGone(coordinator.processId()));
+            return;
+        }
+        if (lapsed && isForgotten(remote)) {
+            endRemote(remote, Failures.tooOldToTakeOver(coordinator.processId()));
+            return;
+        }
+        if (lapsed && remote.beginTakeover(now)) {
             takeOver(remote);
             return;
         }
@@ -546,6 +559,18 @@
         }
     }
 
+    // Agents keep what they ran for a time only. After it, "not known here" would be taken for "never started" and
+    // every task of an old job would run again. The age is told by the job's id, which holds the wall-clock time of
+    // its making.
+    private boolean isForgotten(RemoteJob remote) {
+        Submission submission = remote.submission().orElseThrow();
+        boolean idempotent = parts.policies()
+                .service(submission.specification().service())
+                .idempotent();
+        long oldest = parts.time().millis() - parts.settings().longestTakeoverAge().toMillis();
+        return !idempotent && JobIds.madeAt(remote.job()).orElse(Long.MIN_VALUE) <= oldest;
+    }
+
     private void onDrain(SubmissionCommand.Drain drain) {
         stopping = true;
         draining.add(drain.drained());
@@ -591,6 +616,7 @@
      * What the actor works with.
      *
      * @param self this entry's incarnation
+     * @param membersCaughtUp reads the members to their end and tells the dispatcher; false when that failed
      * @param finished told of each outcome with the nanoseconds since the submission
      */
     public record Parts(
@@ -600,6 +626,7 @@
             Dispatch dispatch,
             Peers peers,
             ServicePolicies policies,
+            Supplier<CompletionStage<Boolean>> membersCaughtUp,
             Supplier<JobId> jobIds,
             NanoClock clock,
             InstantSource time,
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -357,8 +357,8 @@
     }
 
     /*
-     * The same while the log is down, for a service that is claimed in memory: the key is free at once at this entry, and
-     * the record of the first claim, which is still to be written, doesn't take the key again when the log is back.
+     * The same while the log is down, for a service that is claimed in memory: the key is free at once at this entry,
+     * and the record of the first claim, which is still to be written, takes no key when the log is back.
      */
     @Test
     void releasedClaimInMemoryFreesItsKeyNowAndLater() {
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -1,6 +1,7 @@
 package org.chivetally.entry;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -9,7 +10,9 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.chivetally.claim.ClaimSettings;
@@ -20,6 +23,8 @@
 import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.dispatch.DispatchCore;
+import org.chivetally.entry.submission.JobIds;
+import org.chivetally.job.JobId;
 import org.chivetally.time.NanoClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -194,9 +199,8 @@
         assertThat(fixture.get(entry, "/metrics").body(), containsString("chivetally_submissions_open"));
     }
 
-    // The log is down when a submission with a key of its own arrives. Its claim is given up, the dispatcher is told to
-    // drop
-    // the job, and the caller is told that nothing was run, as nobody else can have used the key.
+    // The log is down when a submission with a key of its own arrives. Its claim is given up, the dispatcher is told
+    // to drop the job, and the caller is told that nothing was run, as nobody else can have used the key.
     @Test
     void refusesAsNotRunWhileTheLogIsDown() {
         ScriptedCore idle = new ScriptedCore();
@@ -210,8 +214,8 @@
     }
 
     // A job runs at one entry when the log goes down, and its caller submits it again at another that has not read the
-    // claim. "Not run" would be false; as the first entry knows the key, the second says that the outcome is unknown. A
-    // key that no entry knows is refused as not run.
+    // claim. "Not run" would be false; as the first entry knows the key, the second says that the outcome is unknown.
+    // A key that no entry knows is refused as not run.
     @Test
     void saysNotRunOnlyOfKeysThatNoOtherEntryKnows() {
         CompletableFuture<HttpResponse<String>> first = fixture.submitting(entry, "a", HELD);
@@ -225,9 +229,32 @@
         assertThat(first.join().statusCode(), is(200));
     }
 
+    // The coordinator of a job has lapsed. Its caller submits the job again here, and gets the outcome of the takeover.
+    @Test
+    void takesOverAJobOfALapsedCoordinator() {
+        JobId young = new JobIds(InstantSource.system(), new SplittableRandom(1)).get();
+        ScriptedCore taking = new ScriptedCore();
+        EntryServer next = fixture.start("entry-2", new Scripted(self -> new LapsedClaim(self, young), taking));
+        assertThat(name(fixture.submit(next, "a", SMALL)), is(young.text()));
+        assertThat(taking.events(DispatchEvent.JobClaimed.class), contains(new DispatchEvent.JobClaimed(young, 2)));
+    }
+
+    // The same for a job so old that agents may have forgotten what they ran of it. They would answer that they know
+    // nothing of its tasks, and all would run again; the caller is told that the outcome is unknown instead.
+    @Test
+    void doesNotTakeOverAJobThatAgentsMayHaveForgotten() {
+        InstantSource before = InstantSource.offset(InstantSource.system(), Duration.ofMinutes(-10));
+        JobId old = new JobIds(before, new SplittableRandom(1)).get();
+        ScriptedCore taking = new ScriptedCore();
+        EntryServer next = fixture.start("entry-2", new Scripted(self -> new LapsedClaim(self, old), taking));
+        HttpResponse<String> response = fixture.submit(next, "a", SMALL);
+        assertThat(response.statusCode(), is(502));
+        assertThat(certainty(response), is("unknown"));
+        assertThat(taking.events(DispatchEvent.JobClaimed.class), hasSize(0));
+    }
+
     // An entry is stopped while a caller waits for its job. Readiness fails at once and a new submission is refused as
-    // not
-    // run, but the caller that waits gets its whole answer before the server closes its connection.
+    // not run, but the caller that waits gets its whole answer before the server closes its connection.
     @Test
     void stopsWithoutCuttingARequest() {
         CompletableFuture<HttpResponse<String>> waiting = fixture.submitting(entry, "a", HELD);
@@ -250,8 +277,7 @@
     }
 
     // The dispatcher breaks an invariant. The entry stops as a whole, so that the balancer and the other entries
-    // notice,
-    // in place of taking submissions that nobody decides about.
+    // notice, in place of taking submissions that nobody decides about.
     @Test
     void stopsWhenABrokenInvariantEndsAnActor() {
         DispatchCore broken = new DispatchCore() {
--- a/library/src/test/java/org/chivetally/entry/NoLog.java
+++ b/library/src/test/java/org/chivetally/entry/NoLog.java
@@ -11,7 +11,7 @@
 import org.chivetally.job.JobId;
 
 /** Claims of a process that can't reach the log. */
-final class NoLog implements Claims {
+class NoLog implements Claims {
     @Override
     public CompletionStage<ClaimDecision> claim(SubmissionKey key, String bodyDigest, JobId job) {
         return CompletableFuture.completedStage(new ClaimDecision.LogUnavailable("the log is down"));
--- a/library/src/test/java/org/chivetally/entry/WholePathTest.java
+++ b/library/src/test/java/org/chivetally/entry/WholePathTest.java
@@ -92,10 +92,9 @@
                 is(caller.join().body()));
     }
 
-    // The entry that coordinates a job dies while its tasks run, and the caller submits the job again at another entry.
-    // That one waits until the dead entry's lease has lapsed, takes the claim over and asks the agent: the tasks that
-    // ran
-    // meanwhile are used, none is started again, and the caller gets the whole answer.
+    // The entry that coordinates a job dies while its tasks run, and the caller submits the job again at another
+    // entry. That one waits until the dead entry's lease has lapsed, takes the claim over and asks the agent: the
+    // tasks that ran meanwhile are used, none is started again, and the caller gets the whole answer.
     @Test
     void aJobOfADeadEntryIsTakenOverWithoutASecondStart() {
         ActorTestKit doomed = ActorTestKit.create("doomed");
--- /dev/null
+++ b/library/src/test/java/org/chivetally/entry/dispatch/DispatchActorTest.java
@@ -0,0 +1,174 @@
+package org.chivetally.entry.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
+import org.chivetally.coordination.AgentId;
+import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.entry.link.Address;
+import org.chivetally.entry.link.HeartbeatSettings;
+import org.chivetally.entry.link.LinkSet;
+import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.link.Observers;
+import org.chivetally.entry.member.Incarnation;
+import org.chivetally.entry.member.Member;
+import org.chivetally.entry.member.MemberCapacity;
+import org.chivetally.entry.member.MemberView;
+import org.chivetally.transport.FrameConnection;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class DispatchActorTest {
+    private static final AgentId FIRST = new AgentId("agent-1", "1");
+    private static final AgentId SECOND = new AgentId("agent-1", "2");
+
+    private final List<DispatchEvent> events = new ArrayList<>();
+    private boolean leaseHeld = true;
+    private BehaviorTestKit<DispatchCommand> actor;
+
+    @BeforeEach
+    void start() {
+        DispatchCore core = (event, now) -> {
+            events.add(event);
+            return List.of();
+        };
+        actor = BehaviorTestKit.create(DispatchActor.create(new DispatchActor.Parts(
+                core,
+                this::wiring,
+                HeartbeatSettings.standard(),
+                () -> leaseHeld,
+                (job, outcome) -> {},
+                introduced -> {},
+                connected -> {},
+                ConcurrentHashMap.newKeySet(),
+                new Observers(),
+                new SimpleMeterRegistry(),
+                () -> 0)));
+        tick();
+        events.clear();
+    }
+
+    // An agent ran tasks for an entry that died, and this entry has not reached the agent yet when it takes the job over.
+    // The decisions must count it among those to be asked, so they are told of it when it is announced.
+    @Test
+    void tellsOfAnnouncedAgentsBeforeTheyAreReached() {
+        view(List.of(member("1")), Set.of());
+        assertThat(events, hasItem(new DispatchEvent.AgentUnreachable(FIRST)));
+        view(List.of(member("1")), Set.of());
+        assertThat(events.stream().filter(new DispatchEvent.AgentUnreachable(FIRST)::equals).count(), is(1L));
+    }
+
+    // An agent was replaced while this entry did not run yet, and all that its first run did for others is lost with it.
+    // The decisions are told that the first run has ended, so that they do not take its tasks for never started.
+    @Test
+    void tellsOfAgentsThatEndedBeforeTheyWereReached() {
+        view(List.of(member("2")), Set.of(new Incarnation("agent-1", "1")));
+        assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
+        assertThat(events, hasItem(new DispatchEvent.AgentUnreachable(SECOND)));
+    }
+
+    @Test
+    void aConnectedAgentIsGoneOnceANewRunAnswersInItsPlace() {
+        view(List.of(member("1")), Set.of());
+        connect(1, "1");
+        assertThat(events, hasItem(new DispatchEvent.AgentConnected(FIRST, hello("1"))));
+        actor.run(new DispatchCommand.Signal(new LinkSignal.Closed(1, "reset")));
+        assertThat(events, hasItem(new DispatchEvent.AgentUnreachable(FIRST)));
+        assertThat(events, not(hasItem(new DispatchEvent.AgentGone(FIRST))));
+        actor.run(new DispatchCommand.View(new MemberView(List.of(member("2")), Set.of())));
+        assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
+    }
+
+    // An agent says that it leaves while it still runs tasks. Its connection is kept for their results, and it counts as
+    // gone only when it closes the connection itself.
+    @Test
+    void anAgentThatLeavesIsGoneWhenItsConnectionCloses() {
+        view(List.of(member("1")), Set.of());
+        connect(1, "1");
+        view(List.of(), Set.of(new Incarnation("agent-1", "1")));
+        assertThat(events, not(hasItem(new DispatchEvent.AgentGone(FIRST))));
+        actor.run(new DispatchCommand.Signal(new LinkSignal.Closed(1, "done")));
+        assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
+    }
+
+    // The process is paused past its lease and resumes with frames waiting. The decisions hear of the lost lease before
+    // anything else, so that no frame makes them start a task.
+    @Test
+    void theLostLeaseIsToldBeforeAnythingElse() {
+        leaseHeld = false;
+        actor.run(new DispatchCommand.Event(new DispatchEvent.EntriesChanged(2)));
+        assertThat(
+                events, contains(new DispatchEvent.LeaseChanged(false), new DispatchEvent.EntriesChanged(2)));
+    }
+
+    private void view(List<Member> members, Set<Incarnation> ended) {
+        actor.run(new DispatchCommand.View(new MemberView(members, ended)));
+        tick();
+    }
+
+    private void tick() {
+        actor.run(new DispatchCommand.Tick());
+    }
+
+    private void connect(long dial, String incarnation) {
+        actor.run(new DispatchCommand.Signal(new LinkSignal.Opened(dial, new Unheard())));
+        Frame frame = Frame.newBuilder().setHello(hello(incarnation)).build();
+        actor.run(new DispatchCommand.Signal(new LinkSignal.Received(dial, frame)));
+    }
+
+    private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
+        AtomicLong requests = new AtomicLong();
+        return new LinkSet.Wiring(
+                (host, port, listener) -> {},
+                Hello::getDefaultInstance,
+                requests::incrementAndGet,
+                new SplittableRandom(1),
+                signals);
+    }
+
+    private static Hello hello(String incarnation) {
+        return Hello.newBuilder()
+                .setProcessId("agent-1")
+                .setIncarnation(incarnation)
+                .build();
+    }
+
+    private static Member member(String incarnation) {
+        return new Member(
+                "agent-1",
+                incarnation,
+                Member.AGENT,
+                new Address("10.0.0.1", 7000),
+                "north",
+                "routing",
+                "minion-1",
+                MemberCapacity.NONE);
+    }
+
+    private record Unheard() implements FrameConnection {
+        @Override
+        public void send(Frame frame) {}
+
+        @Override
+        public void close() {}
+
+        @Override
+        public String peer() {
+            return "10.0.0.1:7000";
+        }
+    }
+}
--- a/library/src/test/java/org/chivetally/entry/link/LinkTest.java
+++ b/library/src/test/java/org/chivetally/entry/link/LinkTest.java
@@ -70,9 +70,8 @@
     }
 
     // A device between the ends loses track of the connection while tasks run: nothing arrives, and no error comes.
-    // After
-    // a second the connection is given up for new requests and another one dialled; the old one still brings its late
-    // answers for 30 seconds and is closed then.
+    // After a second the connection is given up for new requests and another one dialled; the old one still brings its
+    // late answers for 30 seconds and is closed then.
     @Test
     void aSilentConnectionIsReplacedAndStillBringsLateAnswers() {
         open();
@@ -89,8 +88,7 @@
     }
 
     // An idle connection was quiet for nearly two seconds, as it may be, when a task is started on it. Its silence
-    // counts
-    // from the start on, so it is not given up before the agent had a second to answer.
+    // counts from the start on, so it is not given up before the agent had a second to answer.
     @Test
     void silenceCountsFromWhenAnAnswerIsFirstAwaited() {
         open();
@@ -99,8 +97,7 @@
     }
 
     // The process is paused for ten seconds while tasks run. On resuming, all connections look silent, but their
-    // answers
-    // wait unread in the sockets: none is given up for it.
+    // answers wait unread in the sockets: none is given up for it.
     @Test
     void anOwnPauseIsNotTakenForSilence() {
         open();
--- a/library/src/test/java/org/chivetally/entry/member/MemberTableTest.java
+++ b/library/src/test/java/org/chivetally/entry/member/MemberTableTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.chivetally.entry.link.Address;
@@ -33,6 +34,14 @@
         assertThat(table.members(), is(empty()));
     }
 
+    @Test
+    void tellsWhichRunsOfAgentsHaveEnded() {
+        announce("a", "1", 0);
+        announce("a", "2", 1);
+        leave("b", "1");
+        assertThat(table.endedAgents(), is(Set.of(new Incarnation("a", "1"), new Incarnation("b", "1"))));
+    }
+
     // An announcement is delayed in the log for so long that it comes after its process has ended and been replaced.
     // Entries would dial the old address and count the new process as gone; the ended incarnation stays ended.
     @Test
--- a/library/src/test/java/org/chivetally/entry/submission/JobLedgerTest.java
+++ b/library/src/test/java/org/chivetally/entry/submission/JobLedgerTest.java
@@ -34,8 +34,8 @@
         assertThat(ledger.find(record.key()), is(Optional.empty()));
     }
 
-    // More answers are kept than the bound allows. The oldest is dropped, and whoever asks for it is told that it is no
-    // longer kept, instead of getting nothing or a part.
+    // More answers are kept than the bound allows. The oldest is dropped, and whoever asks for it is told that it is
+    // no longer kept, instead of getting nothing or a part.
     @Test
     void dropsTheOldestAnswersOverTheBoundAndSaysSo() {
         JobRecord first = add("j1", "k1");
