--- a/standins/src/main/java/org/chivetally/standins/Minion.java
+++ b/standins/src/main/java/org/chivetally/standins/Minion.java
@@ -104,14 +104,7 @@
     }
 
     private int recordStart(MinionTask task) {
-        starts.add(new MinionStart(
-                task.job(),
-                task.index(),
-                task.attempt(),
-                clock.nanos(),
-                null,
-                MinionStart.RUNNING,
-                task.work().token()));
+        starts.add(new MinionStart(task.job(), task.index(), task.attempt(), clock.nanos(), null, MinionStart.RUNNING));
         return starts.size() - 1;
     }
 
