--- a/library/src/main/java/org/chivetally/entry/submission/Failures.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Failures.java
@@ -54,8 +54,9 @@
 
     /** The coordinator of the job has ended, and what agents ran of it may be forgotten. */
     public static Failure tooOldToTakeOver(String coordinator) {
-        String detail = "entry " + coordinator + ", which coordinated the job, has ended, and the job is so old that its"
-                + " tasks' outcomes are no longer kept";
+        String detail =
+                "entry " + coordinator + ", which coordinated the job, has ended, and the job is so old that its"
+                        + " tasks' outcomes are no longer kept";
         return new Failure(ErrorCode.OUTCOME_UNKNOWN, Certainty.UNKNOWN, detail, List.of(), 0);
     }
 
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -38,18 +38,15 @@
 public final class SubmissionActor extends AbstractBehavior<SubmissionCommand> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
-    private static final Duration TAKEOVER_RETRY = Duration.ofMillis(500);
     private static final Duration REPLACED_WAIT = Duration.ofSeconds(60);
-    private static final int TICKS_PER_REFRESH = 10;
 
     private final ActorRef<SubmissionCommand> self;
     private final Parts parts;
     private final JobLedger ledger;
-    private final Map<JobId, RemoteJob> remotes = new HashMap<>();
+    private final RemoteJobs remotes;
     private final Map<String, TeamPolicy> teams = new HashMap<>();
     private final List<CompletableFuture<Void>> draining = new ArrayList<>();
     private boolean stopping;
-    private long ticks;
 
     private SubmissionActor(ActorContext<SubmissionCommand> context, Parts parts) {
         super(context);
@@ -57,6 +54,7 @@
         this.parts = parts;
         this.ledger = new JobLedger(
                 parts.settings().dedupeWindow().toNanos(), parts.settings().maximumKeptBytes());
+        this.remotes = new RemoteJobs(parts, this::tell, this::runTakenOver);
     }
 
     /** Creates the behavior. */
@@ -73,6 +71,7 @@
                 .onMessage(SubmissionCommand.Stop.class, stop -> Behaviors.stopped())
                 .onMessage(SubmissionCommand.class, command -> {
                     handle(command);
+                    endDrainWhenIdle();
                     return this;
                 })
                 .build();
@@ -82,7 +81,7 @@
         switch (command) {
             case SubmissionCommand.Submit submit -> onSubmit(submit);
             case SubmissionCommand.JobFinished finished -> onJobFinished(finished);
-            case SubmissionCommand.PeerAnswered answered -> onPeerAnswered(answered);
+            case SubmissionCommand.PeerAnswered answered -> remotes.answered(answered);
             case SubmissionCommand.Attach attach -> onAttach(attach);
             case SubmissionCommand.AskKey ask -> onAskKey(ask);
             case SubmissionCommand.CancelForPeer cancel -> cancelHere(cancel.job());
@@ -90,8 +89,8 @@
             case SubmissionCommand.ListJobs list -> list.reply().complete(statuses(list.team(), list.limit()));
             case SubmissionCommand.Drain drain -> onDrain(drain);
             case SubmissionCommand.ClaimDecided decided -> onClaimDecided(decided);
-            case SubmissionCommand.TakeoverDecided decided -> onTakeoverDecided(decided);
-            case SubmissionCommand.ClaimRefreshed refreshed -> onClaimRefreshed(refreshed.claim());
+            case SubmissionCommand.TakeoverDecided decided -> remotes.takeoverDecided(decided);
+            case SubmissionCommand.ClaimRefreshed refreshed -> remotes.refreshed(refreshed.claim());
             case SubmissionCommand.Replaced replaced -> onReplaced(replaced.claim());
             case SubmissionCommand.AwaitedFound found -> onAwaitedFound(found);
             case SubmissionCommand.RefusedFound found -> onRefusedFound(found);
@@ -214,22 +213,7 @@
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
         long until =
                 parts.clock().nanos() + submission.specification().deadline().toNanos();
-        RemoteJob remote = remote(claim);
-        remote.offer(submission);
-        return new SubmissionReply.Accepted(claim.job(), remote.await(until));
-    }
-
-    private RemoteJob remote(Claim claim) {
-        return remotes.computeIfAbsent(claim.job(), job -> {
-            ask(claim);
-            return new RemoteJob(claim, parts.clock().nanos());
-        });
-    }
-
-    private void ask(Claim claim) {
-        if (!isSelf(claim.coordinator())) {
-            parts.peers().ask(claim.coordinator(), claim.job(), claim.key().key());
-        }
+        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, until));
     }
 
     private void onLogUnavailable(JobRecord record, String reason) {
@@ -312,7 +296,6 @@
         ledger.finish(record, outcome, now);
         parts.finished().accept(outcome, now - record.submittedNanos());
         LOGGER.atInfo().log("%s", finalLine(record, outcome, now));
-        endDrainWhenIdle();
     }
 
     // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole
@@ -335,68 +318,14 @@
     private void withdraw(JobRecord record) {
         parts.dispatch().tell(new DispatchEvent.JobWithdrawn(record.job()));
         ledger.withdraw(record);
-        endDrainWhenIdle();
     }
 
     private static void replyAll(JobRecord record, SubmissionReply reply) {
         record.takeAccepting().forEach(caller -> caller.complete(reply));
     }
 
-    private void onPeerAnswered(SubmissionCommand.PeerAnswered answered) {
-        RemoteJob remote = remotes.get(answered.job());
-        if (remote == null || remote.takingOver()) {
-            return;
-        }
-        endRemote(remote, answered.outcome());
-    }
-
-    private void endRemote(RemoteJob remote, JobOutcome outcome) {
-        remotes.remove(remote.job());
-        parts.peers().forget(remote.job());
-        remote.complete(outcome);
-        endDrainWhenIdle();
-    }
-
-    // Agents that ran tasks for the lapsed coordinator were announced before it lapsed. Whoever goes on must know all
-    // of them, or would start again what one of them has run, so the members are read to their end first.
-    private void takeOver(RemoteJob remote) {
-        Claim claim = remote.claim();
-        parts.membersCaughtUp()
-                .get()
-                .thenCompose(caughtUp -> caughtUp ? parts.claims().takeOver(claim) : membersUnknown())
-                .thenAccept(decision -> tell(new SubmissionCommand.TakeoverDecided(remote.job(), decision)));
-    }
-
-    private static CompletionStage<ClaimDecision> membersUnknown() {
-        return CompletableFuture.completedStage(new ClaimDecision.LogUnavailable("the members can't be read"));
-    }
-
-    private void onTakeoverDecided(SubmissionCommand.TakeoverDecided decided) {
-        RemoteJob remote = remotes.get(decided.job());
-        if (remote == null) {
-            return;
-        }
-        remote.endTakeover(parts.clock().nanos() + TAKEOVER_RETRY.toNanos());
-        switch (decided.decision()) {
-            case ClaimDecision.Won won -> runTakenOver(remote, won.claim());
-            case ClaimDecision.Attached attached -> {
-                remote.changed(attached.claim());
-                ask(attached.claim());
-            }
-            case ClaimDecision.KeyReused reused -> endRemote(remote, Failures.keyReused());
-            case ClaimDecision.LogUnavailable unavailable ->
-                LOGGER.atWarning().log(
-                        "%s",
-                        EventLine.of("takeover-failed")
-                                .with("job", decided.job())
-                                .with("reason", unavailable.reason()));
-        }
-    }
-
     private void runTakenOver(RemoteJob remote, Claim claim) {
         Submission submission = remote.submission().orElseThrow();
-        remotes.remove(remote.job());
-        parts.peers().forget(remote.job());
         JobRecord record = new JobRecord(
                 claim.job(), submission, parts.time().instant(), parts.clock().nanos());
         ledger.add(record);
@@ -410,15 +339,6 @@
         LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
 
-    private void onClaimRefreshed(Claim claim) {
-        RemoteJob remote = remotes.get(claim.job());
-        if (remote == null || !remote.changed(claim)) {
-            return;
-        }
-        parts.peers().forget(claim.job());
-        ask(claim);
-    }
-
     // Another entry took the job over while this one's lease had lapsed; results that still come here may be of
     // attempts that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all
     // callers of a key get the same.
@@ -433,7 +353,7 @@
                 "%s",
                 line("job-replaced", record).with("by", claim.coordinator().processId()));
         long until = parts.clock().nanos() + REPLACED_WAIT.toNanos();
-        remote(claim).await(until).thenAccept(record::finish);
+        remotes.await(claim, until).thenAccept(record::finish);
         withdraw(record);
     }
 
@@ -498,7 +418,7 @@
         if (await.cancel()) {
             parts.peers().cancel(claim.coordinator(), claim.job());
         }
-        return new Awaited(remoteStatus(claim), remote(claim).await(await.until()), false);
+        return new Awaited(remoteStatus(claim), remotes.await(claim, await.until()), false);
     }
 
     private static JobStatus remoteStatus(Claim claim) {
@@ -522,59 +442,13 @@
 
     private void onTick() {
         long now = parts.clock().nanos();
-        ticks++;
         ledger.expire(now);
-        for (RemoteJob remote : List.copyOf(remotes.values())) {
-            tend(remote, now);
-        }
-        endDrainWhenIdle();
-    }
-
-    private void tend(RemoteJob remote, long now) {
-        remote.expire(now);
-        if (!remote.awaited() && !remote.takingOver()) {
-            remotes.remove(remote.job());
-            parts.peers().forget(remote.job());
-            return;
-        }
-        Coordinator coordinator = remote.claim().coordinator();
-        boolean lapsed = parts.claims().hasLapsed(coordinator);
-        if (lapsed && remote.submission().isEmpty()) {
-            endRemote(remote, Failures.coordinatorGone(coordinator.processId()));
-            return;
-        }
-        if (lapsed && isForgotten(remote)) {
-            endRemote(remote, Failures.tooOldToTakeOver(coordinator.processId()));
-            return;
-        }
-        if (lapsed && remote.beginTakeover(now)) {
-            takeOver(remote);
-            return;
-        }
-        if (ticks % TICKS_PER_REFRESH == 0) {
-            parts.claims()
-                    .find(remote.job())
-                    .thenAccept(claim ->
-                            claim.map(SubmissionCommand.ClaimRefreshed::new).ifPresent(this::tell));
-        }
-    }
-
-    // Agents keep what they ran for a time only. After it, "not known here" would be taken for "never started" and
-    // every task of an old job would run again. The age is told by the job's id, which holds the wall-clock time of
-    // its making.
-    private boolean isForgotten(RemoteJob remote) {
-        Submission submission = remote.submission().orElseThrow();
-        boolean idempotent = parts.policies()
-                .service(submission.specification().service())
-                .idempotent();
-        long oldest = parts.time().millis() - parts.settings().longestTakeoverAge().toMillis();
-        return !idempotent && JobIds.madeAt(remote.job()).orElse(Long.MIN_VALUE) <= oldest;
+        remotes.tick(now);
     }
 
     private void onDrain(SubmissionCommand.Drain drain) {
         stopping = true;
         draining.add(drain.drained());
-        endDrainWhenIdle();
     }
 
     private void endDrainWhenIdle() {
@@ -586,8 +460,7 @@
     }
 
     private boolean isSelf(Coordinator coordinator) {
-        return coordinator.processId().equals(parts.self().processId())
-                && coordinator.incarnation().equals(parts.self().incarnation());
+        return RemoteJobs.isSame(coordinator, parts.self());
     }
 
     private void tell(SubmissionCommand command) {
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -229,7 +229,8 @@
         assertThat(first.join().statusCode(), is(200));
     }
 
-    // The coordinator of a job has lapsed. Its caller submits the job again here, and gets the outcome of the takeover.
+    // The coordinator of a job has lapsed. Its caller submits the job again here, and gets the outcome of the
+    // takeover.
     @Test
     void takesOverAJobOfALapsedCoordinator() {
         JobId young = new JobIds(InstantSource.system(), new SplittableRandom(1)).get();
--- a/library/src/test/java/org/chivetally/entry/dispatch/DispatchActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/dispatch/DispatchActorTest.java
@@ -62,18 +62,22 @@
         events.clear();
     }
 
-    // An agent ran tasks for an entry that died, and this entry has not reached the agent yet when it takes the job over.
-    // The decisions must count it among those to be asked, so they are told of it when it is announced.
+    // An agent ran tasks for an entry that died, and this entry has not reached the agent yet when it takes the job
+    // over. The decisions must count it among those to be asked, so they are told of it when it is announced.
     @Test
     void tellsOfAnnouncedAgentsBeforeTheyAreReached() {
         view(List.of(member("1")), Set.of());
         assertThat(events, hasItem(new DispatchEvent.AgentUnreachable(FIRST)));
         view(List.of(member("1")), Set.of());
-        assertThat(events.stream().filter(new DispatchEvent.AgentUnreachable(FIRST)::equals).count(), is(1L));
+        assertThat(
+                events.stream()
+                        .filter(new DispatchEvent.AgentUnreachable(FIRST)::equals)
+                        .count(),
+                is(1L));
     }
 
-    // An agent was replaced while this entry did not run yet, and all that its first run did for others is lost with it.
-    // The decisions are told that the first run has ended, so that they do not take its tasks for never started.
+    // An agent was replaced while this entry did not run yet, and all that its first run did for others is lost with
+    // it. The decisions are told that the first run has ended, so that they do not take its tasks for never started.
     @Test
     void tellsOfAgentsThatEndedBeforeTheyWereReached() {
         view(List.of(member("2")), Set.of(new Incarnation("agent-1", "1")));
@@ -93,8 +97,8 @@
         assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
     }
 
-    // An agent says that it leaves while it still runs tasks. Its connection is kept for their results, and it counts as
-    // gone only when it closes the connection itself.
+    // An agent says that it leaves while it still runs tasks. Its connection is kept for their results, and it counts
+    // as gone only when it closes the connection itself.
     @Test
     void anAgentThatLeavesIsGoneWhenItsConnectionCloses() {
         view(List.of(member("1")), Set.of());
@@ -105,14 +109,13 @@
         assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
     }
 
-    // The process is paused past its lease and resumes with frames waiting. The decisions hear of the lost lease before
-    // anything else, so that no frame makes them start a task.
+    // The process is paused past its lease and resumes with frames waiting. The decisions hear of the lost lease
+    // before anything else, so that no frame makes them start a task.
     @Test
     void theLostLeaseIsToldBeforeAnythingElse() {
         leaseHeld = false;
         actor.run(new DispatchCommand.Event(new DispatchEvent.EntriesChanged(2)));
-        assertThat(
-                events, contains(new DispatchEvent.LeaseChanged(false), new DispatchEvent.EntriesChanged(2)));
+        assertThat(events, contains(new DispatchEvent.LeaseChanged(false), new DispatchEvent.EntriesChanged(2)));
     }
 
     private void view(List<Member> members, Set<Incarnation> ended) {
