--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -382,8 +382,9 @@
         }
     }
 
-    /** Gives a claim of this process up, of which nothing was started; one that only its memory holds stays. */
+    /** Gives a claim of this process up, of which nothing was started. */
     void release(Claim claim) {
+        late.release(claim.job());
         ownClaim(claim.key(), claim.job(), claim.generation()).ifPresent(this::releaseOwn);
     }
 
@@ -441,6 +442,10 @@
     }
 
     private void landLate(ClaimRecord.Claimed claimed) {
+        if (late.takeReleased(claimed.job())) {
+            release(claimed);
+            return;
+        }
         Optional<Claim> inForce = table.find(claimed.key());
         if (inForce.isPresent() && !inForce.get().job().equals(claimed.job())) {
             write(ClaimLines.of("memory-claim-lost", claimed.key(), claimed.job())
