--- a/command/src/main/java/org/chivetally/command/ExperimentCommand.java
+++ b/command/src/main/java/org/chivetally/command/ExperimentCommand.java
@@ -4,6 +4,8 @@
 import java.nio.file.Path;
 import java.util.Optional;
 import java.util.concurrent.Callable;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.chivetally.document.Section;
 import org.chivetally.load.LoadPlan;
 import org.chivetally.load.LoadPlanReader;
@@ -26,6 +28,9 @@
             "slopes: how costs grow with agents, tasks, teams, claims, resources and members."
         })
 final class ExperimentCommand implements Callable<Integer> {
+    /** Lines of the product's own decisions would fill the screen and count as their cost. */
+    private static final Logger PRODUCT_LINES = Logger.getLogger("org.chivetally");
+
     @Spec
     private CommandSpec command;
 
@@ -44,6 +49,7 @@
     @Override
     public Integer call() {
         PrintStream progress = System.err;
+        PRODUCT_LINES.setLevel(Level.WARNING);
         switch (experiment) {
             case POLICIES -> new PolicyExperiment(plan(), PolicyExperiment.Settings.all(), progress).run(folder);
             case COORDINATORS ->
--- a/load/src/main/java/org/chivetally/load/experiment/ConfigurationCost.java
+++ b/load/src/main/java/org/chivetally/load/experiment/ConfigurationCost.java
@@ -49,9 +49,13 @@
         List<LogRecord> records = records(log);
         List<LogRecord> first = records.subList(0, records.size() - FOLDS);
         List<LogRecord> changes = records.subList(records.size() - FOLDS, records.size());
+        List<ResourceTable> tables = new ArrayList<>();
         long heapBefore = Heap.usedBytes();
-        ResourceTable table = ResourceTable.empty().fold(first);
-        double heapBytes = (double) (Heap.usedBytes() - heapBefore) / resources;
+        for (int copy = 0; copy < COPIES; copy++) {
+            tables.add(ResourceTable.empty().fold(first));
+        }
+        double heapBytes = (double) (Heap.usedBytes() - heapBefore) / resources / COPIES;
+        ResourceTable table = tables.getFirst();
         List<Double> micros = new ArrayList<>();
         for (int repeat = 0; repeat <= repeats; repeat++) {
             double each = fold(table, changes);
