--- a/load/src/main/java/org/chivetally/load/experiment/Plots.java
+++ b/load/src/main/java/org/chivetally/load/experiment/Plots.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.text.DecimalFormat;
 import java.util.List;
 import org.chivetally.errors.ChivetallyException;
 import org.chivetally.errors.ErrorCode;
@@ -13,7 +14,7 @@
 import org.jfree.chart.JFreeChart;
 import org.jfree.chart.axis.LogAxis;
 import org.jfree.chart.axis.NumberAxis;
-import org.jfree.chart.axis.NumberTickUnitSource;
+import org.jfree.chart.axis.NumberTickUnit;
 import org.jfree.chart.plot.PlotOrientation;
 import org.jfree.chart.plot.XYPlot;
 import org.jfree.chart.renderer.xy.XYErrorRenderer;
@@ -25,6 +26,15 @@
     private static final int WIDTH = 900;
     private static final int HEIGHT = 560;
     private static final float STROKE = 1.6f;
+    /** Told apart on white, also by most people who see few colours. */
+    private static final List<Color> COLOURS = List.of(
+            new Color(0xD55E00),
+            new Color(0x0072B2),
+            new Color(0x009E73),
+            new Color(0xCC79A7),
+            new Color(0x000000),
+            new Color(0x56B4E9),
+            new Color(0x999999));
 
     static {
         System.setProperty("java.awt.headless", "true");
@@ -64,6 +74,7 @@
         renderer.setDefaultLinesVisible(true);
         for (int line = 0; line < lines; line++) {
             renderer.setSeriesStroke(line, new BasicStroke(STROKE));
+            renderer.setSeriesPaint(line, COLOURS.get(line % COLOURS.size()));
         }
         plot.setRenderer(renderer);
         plot.setBackgroundPaint(Color.WHITE);
@@ -71,7 +82,9 @@
         plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
         if (axes.logarithmic()) {
             LogAxis range = new LogAxis(axes.yLabel());
-            range.setStandardTickUnits(new NumberTickUnitSource());
+            range.setBase(2);
+            range.setTickUnit(new NumberTickUnit(1));
+            range.setNumberFormatOverride(new DecimalFormat("0.##"));
             plot.setRangeAxis(range);
         } else {
             ((NumberAxis) plot.getRangeAxis()).setAutoRangeIncludesZero(true);
