--- /dev/null
+++ b/command/src/test/java/org/chivetally/command/PagesTest.java
@@ -0,0 +1,99 @@
+package org.chivetally.command;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItems;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The pages name what the sources have, and no file that is not there. */
+class PagesTest {
+    private static final Path ROOT = Path.of("..");
+    private static final List<String> MODULES = List.of("library", "command", "load", "standins");
+    // The first argument of EventLine.of and of the helpers that pass it on; both branches of a conditional.
+    private static final Pattern EVENT =
+            Pattern.compile("(?<![\\w.])(?:(?:EventLine|ClaimLines)\\.of|of|ofTask|line|startLine|attemptLine)\\(\\s*"
+                    + "(?:\\w+ \\? \"([a-z][a-z-]*)\" : )?\"([a-z][a-z-]*)\"");
+    private static final Pattern METRIC = Pattern.compile(
+            "(?:builder|counters?|timer|gauge|summary)\\(\\s*(?:\\w+,\\s*)?\"((?:chivetally|minion)\\.[a-z.]+)\"");
+    private static final Pattern SETTING = Pattern.compile("(?m)^[ -]*(\\w+): +[^#\\s]");
+    private static final Pattern FILE = Pattern.compile("(?<![\\w/.-])((?:examples|scripts|docs|bin)/[\\w./-]*\\w)");
+
+    @Test
+    void everyLogEventIsOnThePage() throws IOException {
+        Set<String> events = inSources(EVENT);
+        assertThat(events, hasItems("placement", "claim-won", "job-final", "lease-gained", "lease-lost", "drain-ended"));
+        assertThat(notOnThePage(events, "`"), empty());
+    }
+
+    @Test
+    void everyMetricIsOnThePage() throws IOException {
+        Set<String> metrics = inSources(METRIC);
+        assertThat(metrics, hasItems("chivetally.job.time", "chivetally.transport.frames", "minion.starts"));
+        assertThat(notOnThePage(metrics, "`"), empty());
+    }
+
+    @Test
+    void everySettingIsOnThePage() throws IOException {
+        for (String daemon : List.of("entry", "agent")) {
+            Set<String> keys = in(SETTING, ROOT.resolve("examples/settings/" + daemon + ".yaml"));
+            assertThat(keys, hasItems("name", "ticketAge", "logLevel"));
+            assertThat(notOnThePage(keys, "[`.]"), empty());
+        }
+    }
+
+    @Test
+    void everyFileThatAPageNamesIsThere() throws IOException {
+        Set<String> files = in(FILE, ROOT.resolve("README.md"));
+        files.addAll(below(ROOT.resolve("docs"), 1, FILE));
+        assertThat(files, hasItems("bin/chivetally", "examples/job-small.yaml", "docs/ARCHITECTURE.md"));
+        files.removeIf(file -> Files.exists(ROOT.resolve(file)));
+        assertThat(files, empty());
+    }
+
+    private static Set<String> notOnThePage(Set<String> names, String before) throws IOException {
+        String page = Files.readString(ROOT.resolve("docs/OPERATIONS.md"));
+        names.removeIf(name ->
+                Pattern.compile(before + Pattern.quote(name) + "`").matcher(page).find());
+        return names;
+    }
+
+    private static Set<String> inSources(Pattern pattern) throws IOException {
+        Set<String> names = new TreeSet<>();
+        for (String module : MODULES) {
+            names.addAll(below(ROOT.resolve(module + "/src/main/java"), Integer.MAX_VALUE, pattern));
+        }
+        return names;
+    }
+
+    private static Set<String> below(Path folder, int depth, Pattern pattern) throws IOException {
+        Set<String> names = new TreeSet<>();
+        try (Stream<Path> files = Files.walk(folder, depth)) {
+            for (Path file : files.filter(Files::isRegularFile).toList()) {
+                names.addAll(in(pattern, file));
+            }
+        }
+        return names;
+    }
+
+    private static Set<String> in(Pattern pattern, Path file) throws IOException {
+        Set<String> names = new TreeSet<>();
+        for (MatchResult match : pattern.matcher(Files.readString(file)).results().toList()) {
+            for (int group = 1; group <= match.groupCount(); group++) {
+                if (match.group(group) != null) {
+                    names.add(match.group(group));
+                }
+            }
+        }
+        return names;
+    }
+}
