Takeovers lose to a renewal that their sender had not read

Cause: a takeover record could land after a renewal of the coordinator in force and still win by its generation alone; LogClaimsTest.takeoverThatLandsAfterAnUnreadRenewalLoses showed 'Won ... generation=2' where the holder of the lease had renewed it before. Change: the record (format 2) names the offset of the last renewal that its sender had read, and the fold refuses it when a later renewal of that coordinator stands before it. Takeovers of format 1 are read as before, by generation alone.

--- a/library/src/main/java/org/chivetally/claim/ClaimRecord.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimRecord.java
@@ -34,10 +34,23 @@
     /**
      * Another process wants to coordinate a job whose coordinator's lease has lapsed.
      *
+     * <p>It may land long after it was sent, and its coordinator-to-be may not have read the newest renewal. Won then,
+     * it would take a job from a process that holds its lease. It therefore names the last renewal that its sender had
+     * read, and loses to every later one that stands before it.
+     *
      * @param generation one more than that of the claim in force
+     * @param lastRenewal offset of the last renewal by the coordinator in force that the sender had read;
+     *     {@link #NO_RENEWAL} when there was none, {@link #UNNAMED} in records of the first format
      */
-    record TakenOver(SubmissionKey key, JobId job, Coordinator coordinator, int generation) implements ClaimRecord {
-        /** Refuses missing parts and generations that no takeover has. */
+    record TakenOver(SubmissionKey key, JobId job, Coordinator coordinator, int generation, long lastRenewal)
+            implements ClaimRecord {
+        /** Stands for no renewal at all. */
+        public static final long NO_RENEWAL = -1;
+
+        /** Stands in records that name none, and that are judged by their generation alone, as they always were. */
+        public static final long UNNAMED = Long.MAX_VALUE;
+
+        /** Refuses missing parts, generations that no takeover has, and offsets that no record has. */
         public TakenOver {
             Objects.requireNonNull(key, "key");
             Objects.requireNonNull(job, "job");
@@ -45,6 +58,14 @@
             if (generation < 2) {
                 throw new IllegalArgumentException("takeovers begin at generation 2");
             }
+            if (lastRenewal < NO_RENEWAL) {
+                throw new IllegalArgumentException("offsets begin at 0");
+            }
+        }
+
+        /** Tells whether the record names a renewal, or that there was none. */
+        boolean namesRenewal() {
+            return lastRenewal != UNNAMED;
         }
     }
 
--- a/library/src/main/java/org/chivetally/claim/ClaimRecordCodec.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimRecordCodec.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Objects;
 import org.chivetally.job.JobId;
 import tools.jackson.core.JacksonException;
 import tools.jackson.core.JsonGenerator;
@@ -14,11 +15,15 @@
 
 /** Writes records of the claims stream as flat JSON objects, and reads them. */
 final class ClaimRecordCodec {
-    /** Format version of the records that this class writes, and the only one that it reads. */
+    /** Format version of all records but those of {@link #NAMING_FORMAT}. */
     static final int FORMAT = 1;
 
+    /** Format version of takeovers that name the last renewal read; they had the first version before. */
+    static final int NAMING_FORMAT = 2;
+
     private static final JsonFactory JSON = new JsonFactory();
     private static final int USUAL_SIZE = 400;
+    private static final String TAKEOVER = "takeover";
 
     private ClaimRecordCodec() {}
 
@@ -31,7 +36,7 @@
         ByteArrayOutputStream bytes = new ByteArrayOutputStream(USUAL_SIZE);
         try (JsonGenerator json = JSON.createGenerator(ObjectWriteContext.empty(), bytes)) {
             json.writeStartObject();
-            json.writeNumberProperty("format", FORMAT);
+            json.writeNumberProperty("format", formatOf(entry.content()));
             json.writeStringProperty("type", typeOf(entry.content()));
             json.writeNumberProperty("time", entry.streamMillis());
             json.writeStringProperty("written", written.toString());
@@ -50,10 +55,15 @@
         }
     }
 
+    private static int formatOf(ClaimRecord content) {
+        boolean naming = content instanceof ClaimRecord.TakenOver taken && taken.namesRenewal();
+        return naming ? NAMING_FORMAT : FORMAT;
+    }
+
     private static String typeOf(ClaimRecord content) {
         return switch (content) {
             case ClaimRecord.Claimed ignored -> "claim";
-            case ClaimRecord.TakenOver ignored -> "takeover";
+            case ClaimRecord.TakenOver ignored -> TAKEOVER;
             case ClaimRecord.Renewed ignored -> "renewal";
             case ClaimRecord.Departed ignored -> "departed";
             case ClaimRecord.Finished ignored -> "finished";
@@ -72,6 +82,9 @@
             case ClaimRecord.TakenOver taken -> {
                 writeJob(json, taken.key(), taken.job());
                 json.writeNumberProperty("generation", taken.generation());
+                if (taken.namesRenewal()) {
+                    json.writeNumberProperty("lastRenewal", taken.lastRenewal());
+                }
                 writeCoordinator(json, taken.coordinator());
             }
             case ClaimRecord.Renewed renewed -> {
@@ -117,12 +130,13 @@
     }
 
     private static DecodedEntry decodeFields(Fields fields) {
-        if (fields.format != FORMAT) {
-            return new DecodedEntry.Skipped("format " + fields.format);
-        }
         if (fields.type == null) {
             return new DecodedEntry.Skipped("no type");
         }
+        boolean naming = fields.type.equals(TAKEOVER) && fields.format == NAMING_FORMAT;
+        if (fields.format != FORMAT && !naming) {
+            return new DecodedEntry.Skipped("format " + fields.format);
+        }
         return switch (fields.type) {
             case "claim" ->
                 fields.known(new ClaimRecord.Claimed(
@@ -131,9 +145,13 @@
                         fields.jobId(),
                         fields.coordinator(),
                         Duration.ofMillis(fields.window)));
-            case "takeover" ->
+            case TAKEOVER ->
                 fields.known(new ClaimRecord.TakenOver(
-                        fields.submissionKey(), fields.jobId(), fields.coordinator(), fields.generation));
+                        fields.submissionKey(),
+                        fields.jobId(),
+                        fields.coordinator(),
+                        fields.generation,
+                        naming ? fields.lastRenewal() : ClaimRecord.TakenOver.UNNAMED));
             case "renewal" ->
                 fields.known(new ClaimRecord.Renewed(fields.coordinator(), Duration.ofMillis(fields.lease)));
             case "departed" -> fields.known(new ClaimRecord.Departed(fields.coordinator()));
@@ -157,6 +175,7 @@
         private long window;
         private long lease;
         private int generation;
+        private Long lastRenewal;
         private String process;
         private String incarnation;
         private String host;
@@ -174,6 +193,7 @@
                 case "window" -> window = json.getLongValue();
                 case "lease" -> lease = json.getLongValue();
                 case "generation" -> generation = json.getIntValue();
+                case "lastRenewal" -> lastRenewal = json.getLongValue();
                 case "process" -> process = json.getString();
                 case "incarnation" -> incarnation = json.getString();
                 case "host" -> host = json.getString();
@@ -186,6 +206,10 @@
             return new SubmissionKey(team, key);
         }
 
+        private long lastRenewal() {
+            return Objects.requireNonNull(lastRenewal, "lastRenewal");
+        }
+
         private JobId jobId() {
             return new JobId(job);
         }
--- a/library/src/main/java/org/chivetally/claim/ClaimTable.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -57,7 +57,7 @@
             return new Folded.Unchanged();
         }
         streamMillis = Math.max(streamMillis, entry.streamMillis());
-        writers.put(id.writer(), new TableImage.Writer(id.writer(), id.sequence(), streamMillis));
+        noteWriter(id, offset, entry.content());
         forgetEnded();
         return switch (entry.content()) {
             case ClaimRecord.Claimed claimed -> foldClaimed(claimed);
@@ -101,6 +101,14 @@
         return known == null ? 0 : known.sequence();
     }
 
+    /**
+     * Returns the offset of a coordinator's newest renewal that was taken in, {@link ClaimRecord.TakenOver#NO_RENEWAL}
+     * when there is none.
+     */
+    long lastRenewalOf(Coordinator coordinator) {
+        return lastRenewalOf(RecordId.writerOf(coordinator));
+    }
+
     /** Returns how many claims stand in the table. */
     int size() {
         return byKey.size();
@@ -121,6 +129,16 @@
         return id.sequence() > known.sequence();
     }
 
+    private void noteWriter(RecordId id, long offset, ClaimRecord content) {
+        long renewal = content instanceof ClaimRecord.Renewed ? offset : lastRenewalOf(id.writer());
+        writers.put(id.writer(), new TableImage.Writer(id.writer(), id.sequence(), streamMillis, renewal));
+    }
+
+    private long lastRenewalOf(String writer) {
+        TableImage.Writer known = writers.get(writer);
+        return known == null ? ClaimRecord.TakenOver.NO_RENEWAL : known.lastRenewal();
+    }
+
     private Folded foldClaimed(ClaimRecord.Claimed claimed) {
         if (inForce(claimed.key()) != null) {
             return new Folded.Unchanged();
@@ -145,6 +163,9 @@
         if (held == null || !held.job().equals(taken.job()) || held.generation() + 1 != taken.generation()) {
             return new Folded.Unchanged();
         }
+        if (lastRenewalOf(held.coordinator()) > taken.lastRenewal()) {
+            return new Folded.Unchanged();
+        }
         HeldClaim successor = held.withCoordinator(shared(taken.coordinator()), taken.generation());
         put(successor);
         return new Folded.TakenOver(successor.claim(), held.coordinator());
--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -96,7 +96,9 @@
             decide(current.key(), reply, unavailable(obstacle.get()));
             return;
         }
-        ClaimRecord.TakenOver taken = new ClaimRecord.TakenOver(claim.key(), claim.job(), self, claim.generation() + 1);
+        long lastRenewal = table.lastRenewalOf(claim.coordinator());
+        ClaimRecord.TakenOver taken =
+                new ClaimRecord.TakenOver(claim.key(), claim.job(), self, claim.generation() + 1, lastRenewal);
         offer(new WaitingClaim(taken, ClaimMode.LOG, reply, nanos));
     }
 
--- a/library/src/main/java/org/chivetally/claim/SnapshotAssembler.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotAssembler.java
@@ -8,6 +8,8 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
 import org.chivetally.log.LogRecord;
 
 /**
@@ -18,10 +20,20 @@
  */
 final class SnapshotAssembler {
     private final Map<String, Parts> snapshots = new HashMap<>();
+    private final Set<Integer> otherFormats = new TreeSet<>();
 
     /** Takes a record of the snapshot stream in. */
     void add(LogRecord logRecord) {
-        SnapshotChunk.decode(logRecord.payload()).ifPresent(this::add);
+        switch (SnapshotChunk.decode(logRecord.payload())) {
+            case DecodedChunk.Known known -> add(known.chunk());
+            case DecodedChunk.OtherFormat other -> otherFormats.add(other.format());
+            case DecodedChunk.Damaged ignored -> {}
+        }
+    }
+
+    /** Returns the format versions of the chunks that were refused for them. */
+    Set<Integer> otherFormats() {
+        return otherFormats;
     }
 
     /** Returns the newest whole snapshot's content. */
--- a/library/src/main/java/org/chivetally/claim/SnapshotChunk.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotChunk.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.HexFormat;
-import java.util.Optional;
 import java.util.zip.CRC32C;
 import tools.jackson.core.JacksonException;
 import tools.jackson.core.JsonGenerator;
@@ -20,8 +19,14 @@
  * @param body rows of the snapshot, each a JSON array on a line of its own
  */
 record SnapshotChunk(SnapshotHeader header, byte[] body) {
-    /** Format version of the chunks that this class writes, and the only one that it reads. */
-    static final int FORMAT = 1;
+    /**
+     * Format version of the chunks that this class writes, and the only one that it reads.
+     *
+     * <p>Chunks of version 1 say nothing of renewals. A reader that began with one would let takeovers win that all
+     * others refuse, so it reads the claims stream from its first kept record instead, which holds every claim in
+     * force.
+     */
+    static final int FORMAT = 2;
 
     private static final JsonFactory JSON = new JsonFactory();
     private static final int CHECKSUM_DIGITS = 8;
@@ -50,20 +55,20 @@
         return whole.toByteArray();
     }
 
-    /** Reads a chunk; a damaged one, or one of another format version, is none. */
-    static Optional<SnapshotChunk> decode(byte[] payload) {
+    /** Reads a chunk; whatever can't be used is a value. */
+    static DecodedChunk decode(byte[] payload) {
         int start = CHECKSUM_DIGITS + 1;
         int headerEnd = indexOfNewLine(payload, start);
         if (headerEnd < 0) {
-            return Optional.empty();
+            return new DecodedChunk.Damaged();
         }
         String stated = new String(payload, 0, CHECKSUM_DIGITS, StandardCharsets.US_ASCII);
         if (!stated.equals(checksum(payload, start))) {
-            return Optional.empty();
+            return new DecodedChunk.Damaged();
         }
         byte[] body = new byte[payload.length - headerEnd - 1];
         System.arraycopy(payload, headerEnd + 1, body, 0, body.length);
-        return decodeHeader(payload, start, headerEnd - start).map(header -> new SnapshotChunk(header, body));
+        return decode(payload, start, headerEnd - start, body);
     }
 
     private static String checksum(byte[] bytes, int start) {
@@ -81,15 +86,15 @@
         return -1;
     }
 
-    private static Optional<SnapshotHeader> decodeHeader(byte[] bytes, int start, int length) {
+    private static DecodedChunk decode(byte[] bytes, int start, int length, byte[] body) {
         try (JsonParser json = JSON.createParser(ObjectReadContext.empty(), bytes, start, length)) {
-            return decodeHeader(json);
+            return decode(json, body);
         } catch (JacksonException | IllegalArgumentException | NullPointerException exception) {
-            return Optional.empty();
+            return new DecodedChunk.Damaged();
         }
     }
 
-    private static Optional<SnapshotHeader> decodeHeader(JsonParser json) {
+    private static DecodedChunk decode(JsonParser json, byte[] body) {
         int format = 0;
         String snapshot = null;
         int part = 0;
@@ -110,8 +115,9 @@
                 default -> json.skipChildren();
             }
         }
-        return format == FORMAT
-                ? Optional.of(new SnapshotHeader(snapshot, part, parts, covers, time))
-                : Optional.empty();
+        if (format != FORMAT) {
+            return new DecodedChunk.OtherFormat(format);
+        }
+        return new DecodedChunk.Known(new SnapshotChunk(new SnapshotHeader(snapshot, part, parts, covers, time), body));
     }
 }
--- a/library/src/main/java/org/chivetally/claim/SnapshotCodec.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotCodec.java
@@ -113,6 +113,7 @@
             json.writeString(writer.name());
             json.writeNumber(writer.sequence());
             json.writeNumber(writer.lastMillis());
+            json.writeNumber(writer.lastRenewal());
         }
 
         private static void writeCoordinator(JsonGenerator json, Coordinator coordinator) {
@@ -157,7 +158,7 @@
 
         private void readRow(JsonParser json) {
             switch (text(json)) {
-                case WRITER -> writers.add(new TableImage.Writer(text(json), number(json), number(json)));
+                case WRITER -> writers.add(readWriter(json));
                 case COORDINATOR ->
                     coordinators.add(new Coordinator(text(json), text(json), text(json), (int) number(json)));
                 case CLAIM -> held.add(readClaim(json));
@@ -168,6 +169,10 @@
             }
         }
 
+        private static TableImage.Writer readWriter(JsonParser json) {
+            return new TableImage.Writer(text(json), number(json), number(json), number(json));
+        }
+
         private HeldClaim readClaim(JsonParser json) {
             SubmissionKey key = new SubmissionKey(text(json), text(json));
             String digest = text(json);
--- a/library/src/main/java/org/chivetally/claim/SnapshotReader.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotReader.java
@@ -1,5 +1,6 @@
 package org.chivetally.claim;
 
+import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -7,9 +8,11 @@
 import java.util.concurrent.Executor;
 import org.chivetally.log.PlatformLog;
 import org.chivetally.log.ReadOutcome;
+import org.chivetally.logging.EventLine;
 
 /** Reads the snapshot stream from its end backwards, as far as is needed for one whole snapshot. */
 final class SnapshotReader {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int RECORDS_OF_A_READ = 16;
     private static final long FIRST_STRETCH = 32;
     private static final int GROWTH = 4;
@@ -55,7 +58,9 @@
         if (found.records().isEmpty()) {
             return Optional.empty();
         }
-        return SnapshotChunk.decode(found.records().getLast().payload()).map(SnapshotChunk::header);
+        return SnapshotChunk.decode(found.records().getLast().payload()) instanceof DecodedChunk.Known known
+                ? Optional.of(known.chunk().header())
+                : Optional.empty();
     }
 
     private CompletionStage<SnapshotLoad> load(Bounds.Known bounds, long stretch) {
@@ -68,6 +73,7 @@
 
     private CompletionStage<SnapshotLoad> collect(long from, long end, SnapshotAssembler assembler) {
         if (from >= end) {
+            tellRefused(assembler);
             return completed(assembler
                     .newest()
                     .<SnapshotLoad>map(SnapshotLoad.Found::new)
@@ -90,6 +96,16 @@
                         executor);
     }
 
+    private static void tellRefused(SnapshotAssembler assembler) {
+        if (!assembler.otherFormats().isEmpty()) {
+            logger.atWarning().log(
+                    "%s",
+                    EventLine.of("claim-snapshot-refused")
+                            .with("formats", assembler.otherFormats())
+                            .with("readable", SnapshotChunk.FORMAT));
+        }
+    }
+
     private CompletionStage<Bounds> bounds() {
         return bounds(0);
     }
--- a/library/src/main/java/org/chivetally/claim/TableImage.java
+++ b/library/src/main/java/org/chivetally/claim/TableImage.java
@@ -22,8 +22,9 @@
      *
      * @param sequence count of its newest record
      * @param lastMillis the stream's time when that record was folded
+     * @param lastRenewal offset of its newest renewal, {@link ClaimRecord.TakenOver#NO_RENEWAL} when there is none
      */
-    record Writer(String name, long sequence, long lastMillis) {
+    record Writer(String name, long sequence, long lastMillis, long lastRenewal) {
         Writer {
             Objects.requireNonNull(name, "name");
         }
--- a/library/src/test/java/org/chivetally/claim/ClaimRecordCodecTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimRecordCodecTest.java
@@ -19,11 +19,13 @@
     private static final Instant WRITTEN = Instant.parse("2026-03-01T08:00:00Z");
     private static final List<ClaimRecord> RECORDS = List.of(
             ClaimSamples.claimed(new SubmissionKey("team \"x\"", "clé\n1"), ClaimSamples.BODY, "job-1", "a"),
-            ClaimSamples.takenOver("job-1", "b", 2),
+            ClaimSamples.takenOver("job-1", "b", 2, ClaimRecord.TakenOver.UNNAMED),
             new ClaimRecord.Renewed(ClaimSamples.process("a"), Duration.ofSeconds(6)),
             new ClaimRecord.Departed(ClaimSamples.process("a")),
             new ClaimRecord.Finished(ClaimSamples.KEY, new JobId("job-1")),
-            ClaimSamples.released("job-1", "b", 2));
+            ClaimSamples.released("job-1", "b", 2),
+            ClaimSamples.takenOver("job-1", "b", 2, 17),
+            ClaimSamples.takenOver("job-1", "b", 2));
 
     /** The file holds what is in the logs of running installations: it may grow, but no line may change. */
     @Test
@@ -63,6 +65,8 @@
                 "[1]",
                 "{\"format\":1}",
                 "{\"format\":2,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\"}",
+                "{\"format\":2,\"type\":\"takeover\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\",\"generation\":2,"
+                        + "\"process\":\"b\",\"incarnation\":\"b-1\",\"host\":\"h\",\"port\":1}",
                 "{\"format\":1,\"type\":\"promoted\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\"}",
                 "{\"format\":1,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\"}",
                 "{\"format\":1,\"type\":\"finished\",\"team\":\"t\",\"key\":\"k\",\"job\":\"j\",\"time\":-1}",
--- a/library/src/test/java/org/chivetally/claim/ClaimSamples.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimSamples.java
@@ -24,7 +24,11 @@
     }
 
     static ClaimRecord.TakenOver takenOver(String job, String process, int generation) {
-        return new ClaimRecord.TakenOver(KEY, new JobId(job), process(process), generation);
+        return takenOver(job, process, generation, ClaimRecord.TakenOver.NO_RENEWAL);
+    }
+
+    static ClaimRecord.TakenOver takenOver(String job, String process, int generation, long lastRenewal) {
+        return new ClaimRecord.TakenOver(KEY, new JobId(job), process(process), generation, lastRenewal);
     }
 
     static ClaimRecord.Released released(String job, String process, int generation) {
--- a/library/src/test/java/org/chivetally/claim/ClaimTablePropertiesTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimTablePropertiesTest.java
@@ -113,13 +113,17 @@
         Coordinator process = ClaimSamples.process("p" + step.process());
         return switch (step.kind()) {
             case 0, 1, 2 -> new ClaimRecord.Claimed(key, ClaimSamples.BODY, job, process, ClaimSamples.WINDOW);
-            case 3, 4 -> new ClaimRecord.TakenOver(key, job, process, step.generation() + 1);
+            case 3, 4 -> new ClaimRecord.TakenOver(key, job, process, step.generation() + 1, lastRenewalOf(step));
             case 5, 6 -> new ClaimRecord.Released(key, job, process, step.generation());
             case 7 -> new ClaimRecord.Finished(key, job);
             default -> new ClaimRecord.Renewed(process, ClaimSamples.WINDOW);
         };
     }
 
+    private static long lastRenewalOf(Step step) {
+        return step.passed() % 2 == 0 ? ClaimRecord.TakenOver.UNNAMED : step.passed() % 50 - 1;
+    }
+
     private static void fold(ClaimTable table, List<Written> stream, int from, int to) {
         stream.subList(from, to).forEach(written -> written.fold(table));
     }
--- a/library/src/test/java/org/chivetally/claim/ClaimTableTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimTableTest.java
@@ -44,6 +44,32 @@
         assertThat(inForce(), is(Optional.of(second)));
     }
 
+    /*
+     * A process renewed its lease, and another one sent a takeover before it had read that: the job stays where it is.
+     * A takeover that names this renewal, or that follows a renewal of a process that has no part in the claim, wins.
+     */
+    @Test
+    void takeoverLosesToARenewalThatItDoesNotName() {
+        fold(claimed("job-1", "a"));
+        long first = table.nextOffset();
+        renew("a", 100);
+        long second = table.nextOffset();
+        renew("a", 101);
+        renew("c", 100);
+        assertThat(fold(ClaimSamples.takenOver("job-1", "b", 2)), is(new Folded.Unchanged()));
+        assertThat(fold(ClaimSamples.takenOver("job-1", "b", 2, first)), is(new Folded.Unchanged()));
+        assertThat(table.lastRenewalOf(ClaimSamples.process("a")), is(second));
+        assertThat(fold(ClaimSamples.takenOver("job-1", "b", 2, second)), instanceOf(Folded.TakenOver.class));
+    }
+
+    @Test
+    void takeoverOfTheFirstFormatIsJudgedByItsGenerationAlone() {
+        fold(claimed("job-1", "a"));
+        renew("a", 100);
+        ClaimRecord takenOver = ClaimSamples.takenOver("job-1", "b", 2, ClaimRecord.TakenOver.UNNAMED);
+        assertThat(fold(takenOver), instanceOf(Folded.TakenOver.class));
+    }
+
     @Test
     void releaseFreesOnlyTheClaimItNames() {
         fold(claimed("job-1", "a"));
@@ -114,6 +140,11 @@
         return table.find(ClaimSamples.KEY);
     }
 
+    private void renew(String process, long count) {
+        ClaimRecord renewed = new ClaimRecord.Renewed(ClaimSamples.process(process), ClaimSamples.WINDOW);
+        table.fold(table.nextOffset(), ClaimSamples.id(process, count), new ClaimEntry(renewed, 0));
+    }
+
     private Folded fold(ClaimRecord content) {
         return fold(content, 0);
     }
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -197,6 +197,35 @@
         assertThat(replaced, contains(ClaimSamples.claim("job-1", "b", 2)));
     }
 
+    /*
+     * An entry was cut off for longer than its lease, renews it and goes on with its job; its callers get their answer.
+     * Before that another entry had counted the lease as lapsed and sent a takeover, which lands only after the renewal.
+     * Were it to win, a process that holds its lease, and says "not run" of what it did not start, would have lost the
+     * job. All readers refuse it, as it names an earlier renewal as the last one that its sender had read.
+     */
+    @Test
+    void takeoverThatLandsAfterAnUnreadRenewalLoses() {
+        List<Claim> replaced = Collections.synchronizedList(new ArrayList<>());
+        ScriptedLog viewOfA = log.view();
+        LogClaims a = start("a", viewOfA);
+        LogClaims b = start("b", log);
+        a.onReplaced(replaced::add);
+        claim(a, "job-1");
+        Claim claim = ClaimSamples.claim("job-1", "a", 1);
+        viewOfA.down(true);
+        pass(LAPSE.plus(SETTINGS.renewalInterval()));
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> takeOver = b.takeOver(claim);
+        settle();
+        viewOfA.down(false);
+        pass(NOTICED);
+        assertThat(a.holdsLease(), is(true));
+        log.land(log.heldAppends().getLast());
+        assertThat(join(takeOver), is(new ClaimDecision.Attached(claim)));
+        assertThat(join(a.find(KEY)), is(Optional.of(claim)));
+        assertThat(replaced, is(empty()));
+    }
+
     /*
      * The caller hears "not run"; the claim lands in the log afterwards, as the winner; a resubmission is served.
      * The entry gave the claim up after its time, will never act on it, and so withdraws it as soon as it reads it.
--- a/library/src/test/java/org/chivetally/claim/SnapshotReaderTest.java
+++ b/library/src/test/java/org/chivetally/claim/SnapshotReaderTest.java
@@ -1,11 +1,14 @@
 package org.chivetally.claim;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.io.IOException;
+import java.io.InputStream;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.chivetally.log.NewRecord;
@@ -60,6 +63,22 @@
         assertThat(load(), is(new SnapshotLoad.Found(table(300).image())));
     }
 
+    /*
+     * A process of the version before wrote the newest snapshot. It says nothing of renewals, and a reader that began
+     * with it would judge takeovers otherwise than all others; it is refused, and the stream itself is read instead.
+     */
+    @Test
+    void snapshotOfTheFirstFormatIsRefused() throws IOException {
+        write(chunks(table(300), "a"));
+        try (InputStream first = SnapshotReaderTest.class.getResourceAsStream("claim-snapshot-format-1.txt")) {
+            write(List.of(new NewRecord("old", first.readAllBytes())));
+        }
+        assertThat(load(), is(new SnapshotLoad.Found(table(300).image())));
+        SnapshotAssembler assembler = new SnapshotAssembler();
+        log.records(STREAM).forEach(assembler::add);
+        assertThat(assembler.otherFormats(), contains(1));
+    }
+
     /*
      * Two processes write snapshots at once, and some of their chunks land twice: a fresh process reads the newer one.
      * Chunks name their snapshot and part, so that those of the two can't be taken for each other's.
