--- a/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
+++ b/command/src/main/java/org/chivetally/command/daemon/DaemonRun.java
@@ -36,12 +36,17 @@
             if (cause instanceof ChivetallyException known) {
                 throw known;
             }
-            throw new ChivetallyException(ErrorCode.INTERNAL, "the process can't start: " + cause, cause);
+            throw new ChivetallyException(ErrorCode.INTERNAL, "the process can't start: " + cause.getMessage(), cause);
         }
     }
 
-    /** Waits for a signal, drains within the settings' limit, and ends the process; never returns. */
-    public void untilSignal(Supplier<CompletionStage<Void>> drain) throws InterruptedException {
-        new GracefulStop(process.drainTimeout(), drain).awaitSignal();
+    /**
+     * Waits for a signal, drains within the settings' limit, and ends the process.
+     *
+     * @param whenStopped fails when a broken invariant ended the daemon; only then this returns
+     */
+    public void untilSignal(CompletionStage<Void> whenStopped, Supplier<CompletionStage<Void>> drain)
+            throws InterruptedException {
+        new GracefulStop(process.drainTimeout(), drain).awaitSignal(whenStopped);
     }
 }
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -1,6 +1,7 @@
 package org.chivetally.entry;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
@@ -9,15 +10,21 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.time.InstantSource;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.chivetally.claim.ClaimSettings;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.claim.LogClaims;
 import org.chivetally.claim.MemoryClaims;
 import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.dispatch.DispatchCore;
+import org.chivetally.entry.submission.JobIds;
+import org.chivetally.job.JobId;
 import org.chivetally.time.NanoClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -121,6 +128,26 @@
         assertThat(fixture.submit(entry, "a", SMALL).statusCode(), is(200));
     }
 
+    // An entry without room refuses a job as not run, and its caller comes back through the balancer at another entry.
+    // The first one gave its claim up in the log, so the second claims the key anew and runs the job.
+    @Test
+    void aKeyRefusedAtOneEntryRunsAtAnother() {
+        ScriptedCore first = new ScriptedCore();
+        first.fill(true);
+        EntryServer full = fixture.start("entry-2", new Scripted(this::logged, first));
+        EntryServer free = fixture.start("entry-3", new Scripted(this::logged, new ScriptedCore()));
+        awaitClaims(full);
+        awaitClaims(free);
+        HttpResponse<String> response = fixture.submit(full, "a", SMALL);
+        assertThat(response.statusCode(), is(429));
+        while (response.statusCode() != 200) {
+            assertThat(certainty(response), is("not-run"));
+            response = fixture.submit(free, "a", SMALL);
+        }
+        assertThat(response.body(), containsString("\"answers\":[{\"n\": 1.10},2]"));
+        assertThat(first.events(DispatchEvent.JobClaimed.class), hasSize(0));
+    }
+
     @Test
     void twoSubmissionsOfAKeyAtOnceAreOneJob() {
         CompletableFuture<HttpResponse<String>> first = fixture.submitting(entry, "a", HELD);
@@ -172,9 +199,8 @@
         assertThat(fixture.get(entry, "/metrics").body(), containsString("chivetally_submissions_open"));
     }
 
-    // The log is down when a submission with a key of its own arrives. Its claim is given up, the dispatcher is told to
-    // drop
-    // the job, and the caller is told that nothing was run, as nobody else can have used the key.
+    // The log is down when a submission with a key of its own arrives. Its claim is given up, the dispatcher is told
+    // to drop the job, and the caller is told that nothing was run, as nobody else can have used the key.
     @Test
     void refusesAsNotRunWhileTheLogIsDown() {
         ScriptedCore idle = new ScriptedCore();
@@ -188,8 +214,8 @@
     }
 
     // A job runs at one entry when the log goes down, and its caller submits it again at another that has not read the
-    // claim. "Not run" would be false; as the first entry knows the key, the second says that the outcome is unknown. A
-    // key that no entry knows is refused as not run.
+    // claim. "Not run" would be false; as the first entry knows the key, the second says that the outcome is unknown.
+    // A key that no entry knows is refused as not run.
     @Test
     void saysNotRunOnlyOfKeysThatNoOtherEntryKnows() {
         CompletableFuture<HttpResponse<String>> first = fixture.submitting(entry, "a", HELD);
@@ -203,9 +229,33 @@
         assertThat(first.join().statusCode(), is(200));
     }
 
+    // The coordinator of a job has lapsed. Its caller submits the job again here, and gets the outcome of the
+    // takeover.
+    @Test
+    void takesOverAJobOfALapsedCoordinator() {
+        JobId young = new JobIds(InstantSource.system(), new SplittableRandom(1)).get();
+        ScriptedCore taking = new ScriptedCore();
+        EntryServer next = fixture.start("entry-2", new Scripted(self -> new LapsedClaim(self, young), taking));
+        assertThat(name(fixture.submit(next, "a", SMALL)), is(young.text()));
+        assertThat(taking.events(DispatchEvent.JobClaimed.class), contains(new DispatchEvent.JobClaimed(young, 2)));
+    }
+
+    // The same for a job so old that agents may have forgotten what they ran of it. They would answer that they know
+    // nothing of its tasks, and all would run again; the caller is told that the outcome is unknown instead.
+    @Test
+    void doesNotTakeOverAJobThatAgentsMayHaveForgotten() {
+        InstantSource before = InstantSource.offset(InstantSource.system(), Duration.ofMinutes(-10));
+        JobId old = new JobIds(before, new SplittableRandom(1)).get();
+        ScriptedCore taking = new ScriptedCore();
+        EntryServer next = fixture.start("entry-2", new Scripted(self -> new LapsedClaim(self, old), taking));
+        HttpResponse<String> response = fixture.submit(next, "a", SMALL);
+        assertThat(response.statusCode(), is(502));
+        assertThat(certainty(response), is("unknown"));
+        assertThat(taking.events(DispatchEvent.JobClaimed.class), hasSize(0));
+    }
+
     // An entry is stopped while a caller waits for its job. Readiness fails at once and a new submission is refused as
-    // not
-    // run, but the caller that waits gets its whole answer before the server closes its connection.
+    // not run, but the caller that waits gets its whole answer before the server closes its connection.
     @Test
     void stopsWithoutCuttingARequest() {
         CompletableFuture<HttpResponse<String>> waiting = fixture.submitting(entry, "a", HELD);
@@ -228,8 +278,7 @@
     }
 
     // The dispatcher breaks an invariant. The entry stops as a whole, so that the balancer and the other entries
-    // notice,
-    // in place of taking submissions that nobody decides about.
+    // notice, in place of taking submissions that nobody decides about.
     @Test
     void stopsWhenABrokenInvariantEndsAnActor() {
         DispatchCore broken = new DispatchCore() {
@@ -255,12 +304,23 @@
         return EntryFixture.json(response).path("certainty").asString("");
     }
 
+    private void awaitClaims(EntryServer of) {
+        while (fixture.get(of, "/readyz").body().contains("claims are not read")) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static void awaitEvents(ScriptedCore of, Class<? extends DispatchEvent> type) {
         while (of.events(type).isEmpty()) {
             Thread.onSpinWait();
         }
     }
 
+    private Claims logged(Coordinator self) {
+        ClaimSettings settings = ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1));
+        return LogClaims.start(fixture.kit.system(), fixture.log, settings, self, NanoClock.system(), fixture.meters);
+    }
+
     private static MemoryClaims memory(Coordinator self) {
         return new MemoryClaims(self, Duration.ofMinutes(10), NanoClock.system());
     }
