A regained lease counts only after the jobs that were lost in between; JobTakenOver reaches the dispatcher

Cause: the dispatcher's shell looked the lease up, so a renewal that the claims had just read counted before the message about a job taken over meanwhile: DispatchActorTest.theRegainedLeaseIsToldAfterTheJobsThatWereLost showed LeaseChanged(held=true) ahead of the waiting messages. JobTakenOver was never sent at all (the shell withdrew the job by way of another actor). Callers of a lost job waited up to 60 s whatever the job's deadline: EntryServerTest.callersOfAJobThatWasTakenOverHearOfTheDeadlineInTime ended after 61 s without "unknown". Change: Claims.onLeaseExtended tells the lease's end in the order of the log, after onReplaced; the shell counts the lease as held only as far as it was told, and looks up its loss as before. The entry sends JobTakenOver with the same order and attaches the waiting callers to the new coordinator until the job's deadline, then "unknown".

--- a/library/src/main/java/org/chivetally/claim/ClaimEffect.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimEffect.java
@@ -12,6 +12,9 @@
     /** Tell whoever listens that the lease was gained or lost. */
     record TellLease(boolean held) implements ClaimEffect {}
 
+    /** Tell whoever listens until when, by the clock, the lease is held. */
+    record TellLeaseExtended(long untilNanos) implements ClaimEffect {}
+
     /** Tell whoever listens that another process coordinates a job of this one now. */
     record TellReplaced(Claim successor) implements ClaimEffect {}
 
--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -351,7 +351,7 @@
 
     private void applyRenewed(Folded.Renewed renewed, long nanos) {
         leases.renewed(renewed.coordinator(), renewed.lease(), nanos);
-        lease.read(renewed);
+        lease.read(renewed).ifPresent(end -> effects.add(new ClaimEffect.TellLeaseExtended(end)));
     }
 
     private void applyDeparted(Folded.Departed departed, long nanos) {
--- a/library/src/main/java/org/chivetally/claim/Claims.java
+++ b/library/src/main/java/org/chivetally/claim/Claims.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.chivetally.job.JobId;
 import org.chivetally.job.ServicePolicy;
 
@@ -57,6 +58,17 @@
     /** Calls back, from a thread of the claims, whenever this process gains or loses its lease. */
     default void onLeaseChange(Consumer<Boolean> listener) {}
 
-    /** Calls back, from a thread of the claims, when another process took a job of this one over. */
+    /**
+     * Calls back, from a thread of the claims, when another process took a job of this one over.
+     *
+     * <p>Calls of this and of {@link #onLeaseExtended} come in the order of the log: a job that was taken over before
+     * the lease was renewed is told of before the renewal.
+     */
     default void onReplaced(Consumer<Claim> listener) {}
+
+    /**
+     * Calls back, from a thread of the claims, with the reading of the clock in nanoseconds until which the lease is
+     * held, at once if it is held and then whenever it is renewed. {@link #holdsLease} may turn false earlier.
+     */
+    default void onLeaseExtended(LongConsumer listener) {}
 }
--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -40,6 +41,8 @@
     private final List<Consumer<Boolean>> leaseListeners = new ArrayList<>();
     private final List<Consumer<Claim>> replacedListeners = new ArrayList<>();
     private final List<CompletableFuture<Void>> departures = new ArrayList<>();
+    private final List<LongConsumer> extendedListeners = new ArrayList<>();
+    private Long leaseEndNanos;
     private boolean departed;
     private boolean stopped;
     private boolean leaseHeld;
@@ -121,6 +124,7 @@
             case ClaimsCommand.Release release -> claimant.release(release.claim());
             case ClaimsCommand.Depart depart -> depart(depart.reply(), nanos);
             case ClaimsCommand.ListenToLease listen -> listenToLease(listen.listener());
+            case ClaimsCommand.ListenToLeaseExtended listen -> listenToLeaseExtended(listen.listener());
             case ClaimsCommand.ListenToReplaced listen -> replacedListeners.add(listen.listener());
             case ClaimsCommand.ReadAnswered answered -> readAnswered(answered, nanos);
             case ClaimsCommand.AppendAnswered answered -> appendAnswered(answered.number(), answered.outcome(), nanos);
@@ -162,6 +166,13 @@
         }
     }
 
+    private void listenToLeaseExtended(LongConsumer listener) {
+        extendedListeners.add(listener);
+        if (leaseEndNanos != null) {
+            listener.accept(leaseEndNanos);
+        }
+    }
+
     private void tick(long nanos) {
         Duration readLimit = settings.tail().pollWait().plus(settings.tail().answerTimeout());
         if (readOpen && nanos - readSentNanos > readLimit.toNanos()) {
@@ -300,6 +311,10 @@
                 leaseHeld = tell.held();
                 leaseListeners.forEach(listener -> listener.accept(tell.held()));
             }
+            case ClaimEffect.TellLeaseExtended tell -> {
+                leaseEndNanos = tell.untilNanos();
+                extendedListeners.forEach(listener -> listener.accept(tell.untilNanos()));
+            }
             case ClaimEffect.TellReplaced tell ->
                 replacedListeners.forEach(listener -> listener.accept(tell.successor()));
             case ClaimEffect.ConfirmDeparture ignored -> {
--- a/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.chivetally.job.JobId;
 import org.chivetally.job.ServicePolicy.ClaimMode;
 import org.chivetally.log.AppendOutcome;
@@ -35,6 +36,9 @@
     /** Tell this listener of changes of the lease. */
     record ListenToLease(Consumer<Boolean> listener) implements ClaimsCommand {}
 
+    /** Tell this listener until when the lease is held. */
+    record ListenToLeaseExtended(LongConsumer listener) implements ClaimsCommand {}
+
     /** Tell this listener of jobs that others took over. */
     record ListenToReplaced(Consumer<Claim> listener) implements ClaimsCommand {}
 
--- a/library/src/main/java/org/chivetally/claim/LeaseKeeper.java
+++ b/library/src/main/java/org/chivetally/claim/LeaseKeeper.java
@@ -38,11 +38,9 @@
         lease.sending(sequence, nanos);
     }
 
-    /** Learns of a renewal that was read. */
-    void read(Folded.Renewed renewed) {
-        if (renewed.coordinator().equals(self)) {
-            lease.readBack(renewed.sequence());
-        }
+    /** Learns of a renewal that was read; returns the end of this process's lease if it is later now. */
+    Optional<Long> read(Folded.Renewed renewed) {
+        return renewed.coordinator().equals(self) ? lease.readBack(renewed.sequence()) : Optional.empty();
     }
 
     /** Returns whether the lease is held now, if that has changed since the last call. */
--- a/library/src/main/java/org/chivetally/claim/LogClaims.java
+++ b/library/src/main/java/org/chivetally/claim/LogClaims.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import org.apache.pekko.actor.typed.ActorRef;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Props;
@@ -156,6 +157,11 @@
         actor.tell(new ClaimsCommand.ListenToReplaced(listener));
     }
 
+    @Override
+    public void onLeaseExtended(LongConsumer listener) {
+        actor.tell(new ClaimsCommand.ListenToLeaseExtended(listener));
+    }
+
     /** Ends the work on the log; what waits is refused as not run, and the lease is given up without a record. */
     public void stop() {
         lease.end();
--- a/library/src/main/java/org/chivetally/claim/MemoryClaims.java
+++ b/library/src/main/java/org/chivetally/claim/MemoryClaims.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongConsumer;
 import org.chivetally.job.JobId;
 import org.chivetally.time.NanoClock;
 
@@ -18,6 +19,8 @@
  * <p>For tests, and for services that go on in memory while the log is down. Safe from any thread.
  */
 public final class MemoryClaims implements Claims {
+    private static final long FOR_EVER_NANOS = Long.MAX_VALUE / 2;
+
     private final Coordinator self;
     private final long windowNanos;
     private final NanoClock clock;
@@ -84,6 +87,11 @@
         return !departed;
     }
 
+    @Override
+    public void onLeaseExtended(LongConsumer listener) {
+        listener.accept(clock.nanos() + FOR_EVER_NANOS);
+    }
+
     @Override
     public boolean hasLapsed(Coordinator coordinator) {
         return coordinator.equals(Coordinator.NOBODY);
--- a/library/src/main/java/org/chivetally/claim/OwnLease.java
+++ b/library/src/main/java/org/chivetally/claim/OwnLease.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /**
@@ -26,13 +27,15 @@
         sentNanos.putIfAbsent(sequence, nanos);
     }
 
-    /** Holds the lease by a renewal that was read back. */
-    void readBack(long sequence) {
+    /** Holds the lease by a renewal that was read back; returns its end if that is later now. */
+    Optional<Long> readBack(long sequence) {
         Long sent = sentNanos.get(sequence);
         sentNanos.keySet().removeIf(earlier -> earlier <= sequence);
-        if (sent != null && (endNanos == null || sent + lengthNanos - endNanos > 0)) {
-            endNanos = sent + lengthNanos;
+        if (sent == null || endNanos != null && sent + lengthNanos - endNanos <= 0) {
+            return Optional.empty();
         }
+        endNanos = sent + lengthNanos;
+        return Optional.of(endNanos);
     }
 
     /** Gives the lease up for good. */
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -17,6 +17,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.Props;
+import org.chivetally.claim.Claim;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.SubmissionKey;
@@ -80,7 +81,10 @@
         this.dispatch.complete(spawn("dispatch", DispatchActor.create(dispatchParts())));
         this.peers.complete(spawn("peers", PeerActor.create(peerParts())));
         this.members.complete(spawn("members", MemberActor.create(memberParts())));
-        parts.claims().onReplaced(claim -> submissions.tell(new SubmissionCommand.Replaced(claim)));
+        parts.claims().onReplaced(this::replaced);
+        parts.claims()
+                .onLeaseExtended(
+                        until -> dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.LeaseExtended(until))));
     }
 
     ActorRef<SubmissionCommand> submissions() {
@@ -151,6 +155,13 @@
         submissions.tell(new SubmissionCommand.Stop());
     }
 
+    // Whoever waits for the job is attached to its new coordinator first; the dispatcher's own outcome, that the job is
+    // lost here, then finds nobody to tell.
+    private void replaced(Claim successor) {
+        submissions.tell(new SubmissionCommand.Replaced(successor));
+        tell(new DispatchEvent.JobTakenOver(successor.job()));
+    }
+
     private void tellMembers(MemberActor.Command command) {
         members.thenAccept(actor -> actor.tell(command));
     }
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -47,6 +47,9 @@
     private Set<String> viewed = Set.of();
     private int entries;
     private boolean leaseHeld;
+    /** Reading of the clock until which the lease was told to be held; null before the first. */
+    private Long leaseEndNanos;
+
     private long ticks;
 
     private DispatchActor(ActorContext<DispatchCommand> context, Parts parts) {
@@ -88,6 +91,7 @@
                 links.signal(signal.signal(), parts.clock().nanos());
             case DispatchCommand.Send send -> links.send(send.processId(), send.frame());
             case DispatchCommand.View view -> onView(view.view());
+            case DispatchCommand.LeaseExtended extended -> onLeaseExtended(extended.untilNanos());
             case DispatchCommand.Tick tick -> onTick();
             case DispatchCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
@@ -97,13 +101,27 @@
     // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on
     // ticks; what slips through between look and send is refused by its ticket.
     private void noticeLease() {
-        boolean held = parts.holdsLease().getAsBoolean();
+        boolean held = isToldHeld() && parts.holdsLease().getAsBoolean();
         if (held != leaseHeld) {
             leaseHeld = held;
             decide(new DispatchEvent.LeaseChanged(held));
         }
     }
 
+    // The lease is lost by the clock, but regained only by a message: jobs that others took over while it had lapsed
+    // are
+    // told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
+    // message
+    // waits here would start tasks of a job that another entry has started already.
+    private boolean isToldHeld() {
+        return leaseEndNanos != null && leaseEndNanos - parts.clock().nanos() > 0;
+    }
+
+    private void onLeaseExtended(long untilNanos) {
+        leaseEndNanos = untilNanos;
+        noticeLease();
+    }
+
     private void onView(MemberView view) {
         long now = parts.clock().nanos();
         Set<String> named = new HashSet<>();
@@ -247,7 +265,8 @@
      * What the actor works with.
      *
      * @param wiring makes the links' wiring for the actor's signals
-     * @param holdsLease whether this process may start tasks; asked before each event
+     * @param holdsLease whether this process may start tasks; asked before each event, and only believed as far as
+     *     {@link DispatchCommand.LeaseExtended} goes
      * @param finished takes final outcomes
      * @param introduced takes introductions of agents, and of processes found at another's address
      * @param connected takes the processes that can be reached, every two seconds
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -19,6 +19,12 @@
     /** Send a frame to an agent; lost when it can't be reached now. */
     record Send(String processId, Frame frame) implements DispatchCommand {}
 
+    /**
+     * The lease is held until this reading of the clock, in nanoseconds. Jobs that others took over before the log says
+     * so are told of before, as events.
+     */
+    record LeaseExtended(long untilNanos) implements DispatchCommand {}
+
     /** Ends the actor. */
     record Stop() implements DispatchCommand {}
 
--- a/library/src/main/java/org/chivetally/entry/submission/JobRecord.java
+++ b/library/src/main/java/org/chivetally/entry/submission/JobRecord.java
@@ -22,6 +22,7 @@
     private final int tasks;
     private final Instant submittedAt;
     private final long submittedNanos;
+    private final long deadlineNanos;
     private final List<CompletableFuture<SubmissionReply>> accepting = new ArrayList<>();
     private JobStatus.Phase phase = JobStatus.Phase.CLAIMING;
     private CompletableFuture<JobOutcome> done = new CompletableFuture<>();
@@ -38,6 +39,8 @@
         this.submission = submission;
         this.submittedAt = submittedAt;
         this.submittedNanos = submittedNanos;
+        this.deadlineNanos =
+                submittedNanos + submission.specification().deadline().toNanos();
     }
 
     JobId job() {
@@ -61,6 +64,11 @@
         return submittedNanos;
     }
 
+    /** Returns the reading of the clock by which its caller is to know the outcome. */
+    long deadlineNanos() {
+        return deadlineNanos;
+    }
+
     JobStatus.Phase phase() {
         return phase;
     }
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -38,7 +38,6 @@
 public final class SubmissionActor extends AbstractBehavior<SubmissionCommand> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
-    private static final Duration REPLACED_WAIT = Duration.ofSeconds(60);
 
     private final ActorRef<SubmissionCommand> self;
     private final Parts parts;
@@ -341,7 +340,7 @@
 
     // Another entry took the job over while this one's lease had lapsed; results that still come here may be of
     // attempts that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all
-    // callers of a key get the same.
+    // callers of a key get the same, or hear at the deadline that the outcome is unknown.
     private void onReplaced(Claim claim) {
         Optional<JobRecord> found =
                 ledger.find(claim.job()).filter(record -> record.phase() == JobStatus.Phase.RUNNING);
@@ -352,8 +351,7 @@
         LOGGER.atWarning().log(
                 "%s",
                 line("job-replaced", record).with("by", claim.coordinator().processId()));
-        long until = parts.clock().nanos() + REPLACED_WAIT.toNanos();
-        remotes.await(claim, until).thenAccept(record::finish);
+        remotes.await(claim, record.deadlineNanos()).thenAccept(record::finish);
         withdraw(record);
     }
 
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -178,24 +178,27 @@
 
     /*
      * An entry was cut off, lost its lease, and its job was taken over: when it is back it hears who has the job now.
-     * Its agents refuse its starts by generation anyway; hearing of it lets it drop the job.
+     * Its agents refuse its starts by generation anyway; hearing of it lets it drop the job. It hears of that before it
+     * hears that it holds its lease again, so that it starts nothing of the job in between.
      */
     @Test
     void replacedCoordinatorIsTold() {
-        List<Claim> replaced = Collections.synchronizedList(new ArrayList<>());
+        List<Object> told = Collections.synchronizedList(new ArrayList<>());
         ScriptedLog viewOfA = log.view();
         LogClaims a = start("a", viewOfA);
         LogClaims b = start("b", log);
-        a.onReplaced(replaced::add);
         claim(a, "job-1");
         viewOfA.down(true);
         pass(LAPSE.plus(SETTINGS.renewalInterval()));
         join(b.takeOver(ClaimSamples.claim("job-1", "a", 1)));
         assertThat(a.holdsLease(), is(false));
-        assertThat(replaced, is(empty()));
+        a.onReplaced(told::add);
+        a.onLeaseExtended(until -> told.add(until > clock.nanos()));
+        settle();
+        assertThat(told, contains(false));
         viewOfA.down(false);
         pass(NOTICED);
-        assertThat(replaced, contains(ClaimSamples.claim("job-1", "b", 2)));
+        assertThat(told, contains(false, ClaimSamples.claim("job-1", "b", 2), true));
     }
 
     /*
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -37,6 +37,8 @@
 
     private final EntryFixture fixture = new EntryFixture();
     private final ScriptedCore core = new ScriptedCore();
+    private final ScriptedCore pausedCore = new ScriptedCore();
+    private final ScriptedCore successorCore = new ScriptedCore();
     private final EntryServer entry = fixture.start("entry-1", new Scripted(EntryServerTest::memory, core));
 
     @AfterEach
@@ -240,6 +242,41 @@
         assertThat(taking.events(DispatchEvent.JobClaimed.class), contains(new DispatchEvent.JobClaimed(young, 2)));
     }
 
+    // An entry was paused past its lease, and its job was taken over by another one. Its dispatcher is told that the
+    // job
+    // is lost, and the caller that still waits there gets what the other entry answers, like the one that submitted the
+    // job again.
+    @Test
+    void callersOfAJobThatWasTakenOverGetTheOtherEntrysAnswer() {
+        LostClaim lost = new LostClaim();
+        EntryServer paused = fixture.start("entry-2", new Scripted(lost::of, pausedCore));
+        CompletableFuture<HttpResponse<String>> first = fixture.submitting(paused, "a", HELD);
+        CompletableFuture<HttpResponse<String>> second = fixture.submitting(successorOf(lost), "a", HELD);
+        awaitClaimed(successorCore);
+        lost.replace();
+        while (pausedCore.events(DispatchEvent.JobTakenOver.class).isEmpty()) {
+            Thread.onSpinWait();
+        }
+        successorCore.releaseHeld();
+        assertThat(second.join().body(), containsString("\"answers\":[1]"));
+        assertThat(first.join().body(), is(second.join().body()));
+    }
+
+    // As above, but the other entry has no answer by the job's deadline: the caller hears in time that the outcome is
+    // unknown, and never "not run".
+    @Test
+    void callersOfAJobThatWasTakenOverHearOfTheDeadlineInTime() {
+        LostClaim lost = new LostClaim();
+        EntryServer paused = fixture.start("entry-2", new Scripted(lost::of, pausedCore));
+        String body = HELD.replace("\"team\"", "\"deadlineMillis\":2000,\"team\"");
+        CompletableFuture<HttpResponse<String>> first = fixture.submitting(paused, "a", body);
+        CompletableFuture<HttpResponse<String>> second = fixture.submitting(successorOf(lost), "a", HELD);
+        awaitClaimed(successorCore);
+        lost.replace();
+        assertThat(certainty(first.join()), is("unknown"));
+        assertThat(second.isDone(), is(false));
+    }
+
     // The same for a job so old that agents may have forgotten what they ran of it. They would answer that they know
     // nothing of its tasks, and all would run again; the caller is told that the outcome is unknown instead.
     @Test
@@ -304,6 +341,19 @@
         return EntryFixture.json(response).path("certainty").asString("");
     }
 
+    private EntryServer successorOf(LostClaim lost) {
+        awaitClaimed(pausedCore);
+        JobId job = pausedCore.events(DispatchEvent.JobClaimed.class).getFirst().job();
+        return fixture.start(
+                "entry-3", new Scripted(self -> new LapsedClaim(lost.successor(self), job), successorCore));
+    }
+
+    private static void awaitClaimed(ScriptedCore core) {
+        while (core.events(DispatchEvent.JobClaimed.class).isEmpty()) {
+            Thread.onSpinWait();
+        }
+    }
+
     private void awaitClaims(EntryServer of) {
         while (fixture.get(of, "/readyz").body().contains("claims are not read")) {
             Thread.onSpinWait();
--- a/library/src/test/java/org/chivetally/entry/dispatch/DispatchActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/dispatch/DispatchActorTest.java
@@ -26,6 +26,7 @@
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberCapacity;
 import org.chivetally.entry.member.MemberView;
+import org.chivetally.job.JobId;
 import org.chivetally.transport.FrameConnection;
 import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.Hello;
@@ -36,8 +37,11 @@
     private static final AgentId FIRST = new AgentId("agent-1", "1");
     private static final AgentId SECOND = new AgentId("agent-1", "2");
 
+    private static final long LEASE_END = 1_000;
+
     private final List<DispatchEvent> events = new ArrayList<>();
     private boolean leaseHeld = true;
+    private long now;
     private BehaviorTestKit<DispatchCommand> actor;
 
     @BeforeEach
@@ -57,7 +61,8 @@
                 ConcurrentHashMap.newKeySet(),
                 new Observers(),
                 new SimpleMeterRegistry(),
-                () -> 0)));
+                () -> now)));
+        actor.run(new DispatchCommand.LeaseExtended(LEASE_END));
         tick();
         events.clear();
     }
@@ -118,6 +123,25 @@
         assertThat(events, contains(new DispatchEvent.LeaseChanged(false), new DispatchEvent.EntriesChanged(2)));
     }
 
+    // The lease lapsed, another entry took a job over, and the lease was renewed; the claims have read all that while
+    // older messages still wait here. Were the lease looked up, the first of them would start tasks of the lost job.
+    // It counts as held from the message on that follows the one about the job.
+    @Test
+    void theRegainedLeaseIsToldAfterTheJobsThatWereLost() {
+        DispatchEvent takenOver = new DispatchEvent.JobTakenOver(new JobId("job"));
+        now = LEASE_END;
+        actor.run(new DispatchCommand.Event(new DispatchEvent.EntriesChanged(2)));
+        actor.run(new DispatchCommand.Event(takenOver));
+        actor.run(new DispatchCommand.LeaseExtended(2 * LEASE_END));
+        assertThat(
+                events,
+                contains(
+                        new DispatchEvent.LeaseChanged(false),
+                        new DispatchEvent.EntriesChanged(2),
+                        takenOver,
+                        new DispatchEvent.LeaseChanged(true)));
+    }
+
     private void view(List<Member> members, Set<Incarnation> ended) {
         actor.run(new DispatchCommand.View(new MemberView(members, ended)));
         tick();
