--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.time.Duration;
@@ -177,24 +178,56 @@
 
     /*
      * An entry was cut off, lost its lease, and its job was taken over: when it is back it hears who has the job now.
-     * Its agents refuse its starts by generation anyway; hearing of it lets it drop the job.
+     * Its agents refuse its starts by generation anyway; hearing of it lets it drop the job. It hears of that before it
+     * hears that it holds its lease again, so that it starts nothing of the job in between.
      */
     @Test
     void replacedCoordinatorIsTold() {
-        List<Claim> replaced = Collections.synchronizedList(new ArrayList<>());
+        List<Object> told = Collections.synchronizedList(new ArrayList<>());
         ScriptedLog viewOfA = log.view();
         LogClaims a = start("a", viewOfA);
         LogClaims b = start("b", log);
-        a.onReplaced(replaced::add);
         claim(a, "job-1");
         viewOfA.down(true);
         pass(LAPSE.plus(SETTINGS.renewalInterval()));
         join(b.takeOver(ClaimSamples.claim("job-1", "a", 1)));
         assertThat(a.holdsLease(), is(false));
-        assertThat(replaced, is(empty()));
+        a.onReplaced(told::add);
+        a.onLeaseExtended(until -> told.add(until > clock.nanos()));
+        settle();
+        assertThat(told, contains(false));
+        viewOfA.down(false);
+        pass(NOTICED);
+        assertThat(told, contains(false, ClaimSamples.claim("job-1", "b", 2), true));
+    }
+
+    /*
+     * An entry was cut off for longer than its lease, renews it and goes on with its job; its callers get their answer.
+     * Before that another entry had counted the lease as lapsed and sent a takeover, which lands only after the renewal.
+     * Were it to win, a process that holds its lease, and says "not run" of what it did not start, would have lost the
+     * job. All readers refuse it, as it names an earlier renewal as the last one that its sender had read.
+     */
+    @Test
+    void takeoverThatLandsAfterAnUnreadRenewalLoses() {
+        List<Claim> replaced = Collections.synchronizedList(new ArrayList<>());
+        ScriptedLog viewOfA = log.view();
+        LogClaims a = start("a", viewOfA);
+        LogClaims b = start("b", log);
+        a.onReplaced(replaced::add);
+        claim(a, "job-1");
+        Claim claim = ClaimSamples.claim("job-1", "a", 1);
+        viewOfA.down(true);
+        pass(LAPSE.plus(SETTINGS.renewalInterval()));
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> takeOver = b.takeOver(claim);
+        settle();
         viewOfA.down(false);
         pass(NOTICED);
-        assertThat(replaced, contains(ClaimSamples.claim("job-1", "b", 2)));
+        assertThat(a.holdsLease(), is(true));
+        log.land(log.heldAppends().getLast());
+        assertThat(join(takeOver), is(new ClaimDecision.Attached(claim)));
+        assertThat(join(a.find(KEY)), is(Optional.of(claim)));
+        assertThat(replaced, is(empty()));
     }
 
     /*
@@ -286,6 +319,33 @@
         assertThat(join(c.takeOver(abandoned)), is(new ClaimDecision.Won(ClaimSamples.claim("job-1", "c", 3))));
     }
 
+    /*
+     * A takeover is given up, asked for again, and then both stand in the log. The first wins, and its sender gives it up
+     * as soon as it reads it; told that the second had won, it would go on with a job that it leaves to nobody, beside
+     * the next process that takes it over.
+     */
+    @Test
+    void takeoverAskedForAgainDoesNotWinWhatIsGivenUp() {
+        LogClaims dead = start("a", log.view());
+        LogClaims b = start("b", log);
+        claim(dead, "job-1");
+        dead.stop();
+        pass(LAPSE.plus(SETTINGS.renewalInterval()));
+        Claim claim = ClaimSamples.claim("job-1", "a", 1);
+        log.holdAppends(true);
+        CompletionStage<ClaimDecision> first = b.takeOver(claim);
+        pass(SETTINGS.claimTimeout().plus(STEP));
+        assertThat(join(first), instanceOf(ClaimDecision.LogUnavailable.class));
+        CompletionStage<ClaimDecision> second = b.takeOver(claim);
+        settle();
+        log.heldAppends().getLast().answer().complete(new AppendOutcome.Unknown("lost"));
+        pass(SETTINGS.commit().settleTime().plus(STEP));
+        log.holdAppends(false);
+        log.heldAppends().forEach(log::land);
+        pass(RECOVERED);
+        assertThat(join(second), not(instanceOf(ClaimDecision.Won.class)));
+    }
+
     /*
      * After a departure other entries may take jobs over without waiting for the lease, once no start of the departed
      * one can be accepted any more.
