--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -37,6 +37,10 @@
     private final HttpClient client = HttpClient.newHttpClient();
 
     private static EntrySettings settings(String processId, ClaimSettings claims) {
+        return settings(processId, claims, DispatchSettings.defaults("north"));
+    }
+
+    static EntrySettings settings(String processId, ClaimSettings claims, DispatchSettings dispatch) {
         Address loopback = new Address(LOOPBACK, 0);
         return new EntrySettings(
                 processId,
@@ -46,7 +50,7 @@
                 loopback,
                 List.of(),
                 claims,
-                DispatchSettings.defaults("north"),
+                dispatch,
                 HeartbeatSettings.standard(),
                 new EntryLimits(1 << 20, 3, 100, 1 << 20, Duration.ZERO, Duration.ofSeconds(30)));
     }
--- a/library/src/test/java/org/chivetally/entry/WholePathTest.java
+++ b/library/src/test/java/org/chivetally/entry/WholePathTest.java
@@ -125,13 +125,13 @@
         assertThat(minion.starts().values(), everyItem(is(1)));
     }
 
-    private static String job(int tasks) {
+    static String job(int tasks) {
         return IntStream.range(0, tasks)
                 .mapToObj(task -> "{\"payload\":{\"n\":" + task + "}}")
                 .collect(Collectors.joining(",", "{\"service\":\"routing\",\"team\":\"rangers\",\"tasks\":[", "]}"));
     }
 
-    private static String answers(int tasks) {
+    static String answers(int tasks) {
         return IntStream.range(0, tasks)
                 .mapToObj(task -> "{\"n\":" + task + "}")
                 .collect(Collectors.joining(",", "\"answers\":[", "]"));
