--- a/command/src/main/java/org/chivetally/command/LoadCommand.java
+++ b/command/src/main/java/org/chivetally/command/LoadCommand.java
@@ -62,6 +62,15 @@
             description = "Add the run as a row to the Markdown table in this file, which is made if there is none.")
     private Path markdown;
 
+    @Option(
+            names = "--requests",
+            paramLabel = "FILE",
+            description = "Write every request with its outcome to this file, one JSON object a line.")
+    private Path requests;
+
+    @Option(names = "--seed", paramLabel = "NUMBER", description = "Seed of the schedule in place of the plan's own.")
+    private Long seed;
+
     @Option(
             names = "--print-process-faults",
             description = "Print the plan's steps for processes instead of running it: milliseconds, step, name.")
@@ -76,7 +85,8 @@
         LoadPlanReader.Reading<LoadPlan> reading =
                 LoadPlanReader.read(plan.toString(), DocumentFile.text(plan), others);
         reading.mistakes().requireNone();
-        LoadPlan content = reading.content().orElseThrow();
+        LoadPlan written = reading.content().orElseThrow();
+        LoadPlan content = seed == null ? written : written.withSeed(seed);
         if (printProcessFaults) {
             content.faults().processSteps().forEach(Console.of(command)::line);
             return ExitCodes.OK;
@@ -97,7 +107,8 @@
     }
 
     private RunFolders folders() {
-        return new RunFolders(Optional.ofNullable(faultsFolder), Optional.ofNullable(processes));
+        return new RunFolders(
+                Optional.ofNullable(faultsFolder), Optional.ofNullable(processes), Optional.ofNullable(requests));
     }
 
     private static Targets readTargets(Path file) {
--- a/load/src/main/java/org/chivetally/load/Caller.java
+++ b/load/src/main/java/org/chivetally/load/Caller.java
@@ -31,11 +31,12 @@
         return send(submission(address, key, body, deadline));
     }
 
-    /** Submits a job without waiting; completes with its name, or with an empty text. Never exceptionally. */
-    CompletableFuture<String> announce(Target entry, String key, String body, Duration deadline) {
+    /** Submits a job without waiting; never completes exceptionally. */
+    CompletableFuture<Announced> announce(Target entry, String key, String body, Duration deadline) {
         HttpRequest request = submission(entry.at("/v1/jobs"), key, body, deadline);
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
-                .handle((response, failure) -> failure == null ? JobInterface.jobName(response.body()) : "");
+                .handle((response, failure) -> new Announced(
+                        failure == null ? JobInterface.jobName(response.body()) : "", reply(response, failure)));
     }
 
     /** Waits for the outcome of a job by its name. */
@@ -88,6 +89,14 @@
         };
     }
 
+    /**
+     * How a submission without waiting ended.
+     *
+     * @param job name of the job, or an empty text
+     * @param reply how the request ended if there is no name
+     */
+    record Announced(String job, Reply reply) {}
+
     private static long waitSeconds(Duration deadline) {
         return deadline.plusMillis(999).toSeconds();
     }
--- a/load/src/main/java/org/chivetally/load/Fault.java
+++ b/load/src/main/java/org/chivetally/load/Fault.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import org.chivetally.document.Section;
 
 /** A fault that is brought about at a time during a run, and its end. */
 public sealed interface Fault {
@@ -14,6 +15,9 @@
     /** Returns the name of the process or stand-in. */
     String target();
 
+    /** Returns what is done and to whom, as it stands in reports. */
+    String name();
+
     /**
      * Settings put at a stand-in, and its earlier state put back afterwards.
      *
@@ -25,6 +29,27 @@
             Objects.requireNonNull(target, "target");
             Objects.requireNonNull(settings, "settings");
         }
+
+        @Override
+        public String name() {
+            return target + " " + settings;
+        }
+    }
+
+    /**
+     * A minion told to leave. It stays in that state until its process is stopped, so the end is that of the time in
+     * which nothing new may start there.
+     */
+    record MinionDrain(Duration at, Duration lasting, String target) implements Fault {
+        /** Refuses missing parts. */
+        public MinionDrain {
+            Objects.requireNonNull(target, "target");
+        }
+
+        @Override
+        public String name() {
+            return target + " drain";
+        }
     }
 
     /** Something done to a process. The load tool starts no process, so a script beside it carries these out. */
@@ -34,6 +59,11 @@
             Objects.requireNonNull(target, "target");
             Objects.requireNonNull(action, "action");
         }
+
+        @Override
+        public String name() {
+            return Section.written(action) + " " + target;
+        }
     }
 
     /** What is done to a process. */
--- a/load/src/main/java/org/chivetally/load/FaultSchedule.java
+++ b/load/src/main/java/org/chivetally/load/FaultSchedule.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import org.chivetally.document.Section;
+import org.chivetally.load.Fault.MinionDrain;
 import org.chivetally.load.Fault.ProcessFault;
 import org.chivetally.load.Fault.StandInFault;
 
@@ -29,6 +30,14 @@
                 .toList();
     }
 
+    /** Returns the minions that are told to leave. */
+    public List<MinionDrain> minionDrains() {
+        return faults.stream()
+                .filter(MinionDrain.class::isInstance)
+                .map(MinionDrain.class::cast)
+                .toList();
+    }
+
     /** Returns the faults of processes. */
     public List<ProcessFault> processFaults() {
         return faults.stream()
--- a/load/src/main/java/org/chivetally/load/Figure.java
+++ b/load/src/main/java/org/chivetally/load/Figure.java
@@ -48,7 +48,13 @@
     FALSE_REFUSALS(Better.LOWER, 0),
     /** Requests whose connection closed unanswered while their entry stopped gracefully. */
     CUT_REQUESTS(Better.LOWER, 0),
-    /** Submissions that got neither an answer nor a clear failure soon after their deadline. */
+    /** Tasks that started at a minion longer than the grace after it began to leave. */
+    STARTS_AFTER_LEAVING(Better.LOWER, 0),
+    /** Submissions of which one request got the whole answer and another was told that the job had failed. */
+    CONFLICTING_OUTCOMES(Better.LOWER, 0),
+    /**
+     * Submissions that got, or a repeat of which got, neither an answer nor a clear failure soon after the deadline.
+     */
     UNANSWERED_JOBS(Better.LOWER, 0);
 
     private final Better better;
--- a/load/src/main/java/org/chivetally/load/Judge.java
+++ b/load/src/main/java/org/chivetally/load/Judge.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import org.chivetally.job.JobOutcome.Certainty;
 
@@ -46,13 +44,20 @@
         }
     }
 
-    /** Finds every broken promise, given the times at which entries were stopping gracefully. */
-    public Verdict judge(List<GracefulStop> stops) {
+    /** Finds every broken promise, given the times at which entries were stopping and minions leaving. */
+    public Verdict judge(List<GracefulStop> stops, List<LeavingMinion> leaving) {
         List<String> falseRefusals = falseRefusals();
         List<String> contradicted = contradictedRefusals();
         contradicted.removeAll(falseRefusals);
         return new Verdict(
-                duplicateStarts(), partialAnswers(), falseRefusals, cutRequests(stops), contradicted, unrecorded());
+                duplicateStarts(),
+                partialAnswers(),
+                falseRefusals,
+                cutRequests(stops),
+                startsAfterLeaving(leaving),
+                conflictingOutcomes(),
+                contradicted,
+                unrecorded());
     }
 
     /** Returns the number of starts recorded for this run. */
@@ -131,22 +136,29 @@
     }
 
     /**
-     * A refusal is false when every request of the submission was told not-run and yet a task started. Where a request
-     * of the same key ended otherwise, or without an answer, its start may be the one recorded.
+     * A refusal is false when every request of the submission was told not-run and yet a task started, and when one
+     * that was sent after a start was told so. Where a request of the same key ended otherwise, or without an answer,
+     * while the refused one was under way, its start may be the one recorded.
      */
     private List<String> falseRefusals() {
-        Set<Integer> startedJobs = startedJobs();
+        Map<Integer, Long> firstStarts = firstStarts();
         List<String> refused = new ArrayList<>();
         for (Map.Entry<Integer, List<CallerRecord>> entry : requests.entrySet()) {
-            if (startedJobs.contains(entry.getKey())
-                    && entry.getValue().stream().allMatch(Judge::toldNotRun)) {
+            Long first = firstStarts.get(entry.getKey());
+            if (first != null && isFalselyRefused(entry.getValue(), first)) {
                 refused.add(tokens.key(entry.getKey()));
             }
         }
         return refused;
     }
 
-    private List<String> contradictedRefusals() {
+    private static boolean isFalselyRefused(List<CallerRecord> records, long firstStart) {
+        return records.stream().allMatch(Judge::toldNotRun)
+                || records.stream().anyMatch(record -> isNotRun(record.reply()) && record.sentNanos() > firstStart);
+    }
+
+    /** Returns when the first task of each job started, from the beginning of the run. */
+    private Map<Integer, Long> firstStarts() {
         Map<Integer, Long> firstStarts = new HashMap<>();
         for (Map.Entry<String, List<StartRecord>> entry : starts.entrySet()) {
             int job = tokens.parse(entry.getKey()).orElseThrow().job();
@@ -154,6 +166,11 @@
                 firstStarts.merge(job, start.startedNanos() - beginNanos, Math::min);
             }
         }
+        return firstStarts;
+    }
+
+    private List<String> contradictedRefusals() {
+        Map<Integer, Long> firstStarts = firstStarts();
         List<String> contradicted = new ArrayList<>();
         for (Map.Entry<Integer, List<CallerRecord>> entry : requests.entrySet()) {
             Long first = firstStarts.get(entry.getKey());
@@ -165,25 +182,43 @@
     }
 
     private static boolean refusedAfter(CallerRecord record, long startNanos) {
-        return record.reply() instanceof Reply.Problem problem
-                && problem.certainty() == Certainty.NOT_RUN
-                && record.endedNanos() > startNanos;
+        return isNotRun(record.reply()) && record.endedNanos() > startNanos;
+    }
+
+    private static boolean isNotRun(Reply reply) {
+        return reply instanceof Reply.Problem problem && problem.certainty() == Certainty.NOT_RUN;
     }
 
     private static boolean toldNotRun(CallerRecord record) {
-        return switch (record.reply()) {
-            case Reply.Problem problem -> problem.certainty() == Certainty.NOT_RUN;
-            case Reply.Unreachable unreachable -> true;
-            default -> false;
-        };
+        return isNotRun(record.reply()) || record.reply() instanceof Reply.Unreachable;
     }
 
-    private Set<Integer> startedJobs() {
-        Set<Integer> jobs = new HashSet<>();
-        for (String token : starts.keySet()) {
-            tokens.parse(token).ifPresent(name -> jobs.add(name.job()));
+    private List<String> startsAfterLeaving(List<LeavingMinion> leaving) {
+        List<String> late = new ArrayList<>();
+        for (Map.Entry<String, List<StartRecord>> entry : new TreeMap<>(starts).entrySet()) {
+            for (StartRecord start : entry.getValue()) {
+                long nanos = start.startedNanos() - beginNanos;
+                if (leaving.stream().anyMatch(minion -> minion.forbids(start.minion(), nanos))) {
+                    late.add(entry.getKey());
+                }
+            }
+        }
+        return late;
+    }
+
+    /** Both are final, and all callers of one key get the same outcome. */
+    private List<String> conflictingOutcomes() {
+        List<String> conflicting = new ArrayList<>();
+        for (Map.Entry<Integer, List<CallerRecord>> entry : requests.entrySet()) {
+            boolean complete = entry.getValue().stream().anyMatch(record -> record.reply() instanceof Reply.Complete);
+            boolean failed = entry.getValue().stream()
+                    .anyMatch(record ->
+                            record.reply() instanceof Reply.Problem problem && problem.certainty() == Certainty.FAILED);
+            if (complete && failed) {
+                conflicting.add(tokens.key(entry.getKey()));
+            }
         }
-        return jobs;
+        return conflicting;
     }
 
     private List<String> cutRequests(List<GracefulStop> stops) {
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/LeavingMinion.java
@@ -0,0 +1,26 @@
+package org.chivetally.load;
+
+import java.time.Duration;
+import java.util.Objects;
+
+/**
+ * A span of time in which a minion was leaving.
+ *
+ * @param minion name of the minion
+ * @param fromNanos when it had taken the request to leave, from the beginning of the run
+ * @param untilNanos when its process was to be stopped, from the beginning of the run
+ */
+public record LeavingMinion(String minion, long fromNanos, long untilNanos) {
+    /** Time within which every coordinator must know that a minion leaves. */
+    public static final Duration GRACE = Duration.ofSeconds(3);
+
+    /** Refuses a missing name. */
+    public LeavingMinion {
+        Objects.requireNonNull(minion, "minion");
+    }
+
+    /** Tells whether something started at the minion, at a time from the beginning of the run, that must not have. */
+    public boolean forbids(String startedAt, long startNanos) {
+        return minion.equals(startedAt) && startNanos > fromNanos + GRACE.toNanos() && startNanos < untilNanos;
+    }
+}
--- a/load/src/main/java/org/chivetally/load/LoadPlan.java
+++ b/load/src/main/java/org/chivetally/load/LoadPlan.java
@@ -38,6 +38,11 @@
         }
     }
 
+    /** Returns the same plan with another schedule. */
+    public LoadPlan withSeed(long other) {
+        return new LoadPlan(name, other, duration, warmUp, targets, workload, faults, goals);
+    }
+
     /** Tells whether an instant, in nanoseconds from the beginning of the run, counts for figures. */
     public boolean measures(long nanos) {
         return nanos >= warmUp.toNanos() && nanos < duration.toNanos();
--- a/load/src/main/java/org/chivetally/load/LoadPlanReader.java
+++ b/load/src/main/java/org/chivetally/load/LoadPlanReader.java
@@ -23,6 +23,7 @@
     private static final double HIGHEST_RATE = 1e6;
     private static final int MOST_SLOTS = 1_000_000;
     private static final int MOST_RETRIES = 1_000;
+    private static final int MOST_COPIES = 10;
 
     private final Document document;
     private final Section root;
@@ -166,6 +167,7 @@
     private static Workload.Resubmissions resubmissions(Section section) {
         return new Workload.Resubmissions(
                 section.decimal("share", 0, 1, 0),
+                (int) section.whole("copies", 1, MOST_COPIES, 1),
                 list(section, "delays", item -> item.requiredDuration("after", Duration.ZERO, LONGEST)));
     }
 
@@ -187,8 +189,14 @@
         Duration lasting = item.duration("lasting", Duration.ZERO, LONGEST, Duration.ZERO);
         String target = item.requiredText("target");
         boolean standIn = item.has("settings");
-        if (standIn == item.has("action")) {
-            item.mistake("action", "a fault needs either settings (of a stand-in) or an action (on a process)");
+        boolean drains = item.flag("drain", false);
+        if ((standIn ? 1 : 0) + (drains ? 1 : 0) + (item.has("action") ? 1 : 0) != 1) {
+            item.mistake(
+                    "action",
+                    "a fault needs either settings (of a stand-in), drain: true, or an action (on a process)");
+        }
+        if (drains) {
+            return new Fault.MinionDrain(at, lasting, target);
         }
         if (standIn) {
             return new Fault.StandInFault(
--- a/load/src/main/java/org/chivetally/load/LoadRun.java
+++ b/load/src/main/java/org/chivetally/load/LoadRun.java
@@ -179,8 +179,9 @@
             Schedule schedule, List<CallerRecord> callers, RunClock clock, Map<String, RoleCost> roles) {
         List<String> unread = starts.readAll();
         Judge judge = new Judge(tokens, callers, starts.records(), clock.beginNanos());
+        writeRequests(callers);
         ProcessFaultLog processFaults = processFaults();
-        Verdict verdict = judge.judge(processFaults.stops(clock));
+        Verdict verdict = judge.judge(processFaults.stops(clock), injector.leaving());
         Summary summary = new Summary(plan, callers);
         Map<String, Integer> faults = new HashMap<>(injector.injected());
         faults.putAll(processFaults.counts());
@@ -192,6 +193,7 @@
                 summary.figures(schedule, judge, verdict, counters.growth()),
                 counters.growth(),
                 faults,
+                missedFaults(faults),
                 judge.startCount(),
                 roles,
                 unread,
@@ -199,6 +201,29 @@
                 verdict);
     }
 
+    private List<String> missedFaults(Map<String, Integer> injected) {
+        Map<String, Integer> left = new HashMap<>(injected);
+        List<String> missed = new ArrayList<>();
+        for (Fault fault : plan.faults().faults()) {
+            int count = left.merge(fault.name(), -1, Integer::sum);
+            if (count < 0) {
+                missed.add(fault.name());
+            }
+        }
+        return missed;
+    }
+
+    private void writeRequests(List<CallerRecord> callers) {
+        if (folders.requests().isEmpty()) {
+            return;
+        }
+        try {
+            Files.writeString(folders.requests().get(), RequestLines.of(callers, tokens));
+        } catch (IOException unwritable) {
+            throw new ChivetallyException(ErrorCode.INVALID_INPUT, "file of requests: " + unwritable, unwritable);
+        }
+    }
+
     private ProcessFaultLog processFaults() {
         Optional<Path> file = folders.faults().map(folder -> folder.resolve(DONE_FILE));
         if (file.isEmpty() || !Files.exists(file.get())) {
--- a/load/src/main/java/org/chivetally/load/ReportJson.java
+++ b/load/src/main/java/org/chivetally/load/ReportJson.java
@@ -32,6 +32,7 @@
         root.put("frameBytes", report.counters().bytes());
         numbers(root.putObject("wasted"), report.counters().wasted());
         numbers(root.putObject("faults"), report.faults());
+        texts(root, "faultsMissed", report.missedFaults());
         root.put("starts", report.starts());
         ObjectNode roles = root.putObject("roles");
         report.roles().forEach((role, cost) -> {
@@ -52,6 +53,8 @@
         texts(node, "partialAnswers", verdict.partialAnswers());
         texts(node, "falseRefusals", verdict.falseRefusals());
         texts(node, "cutRequests", verdict.cutRequests());
+        texts(node, "startsAfterLeaving", verdict.startsAfterLeaving());
+        texts(node, "conflictingOutcomes", verdict.conflictingOutcomes());
         texts(node, "contradictedRefusals", verdict.contradictedRefusals());
         texts(node, "answersWithoutStart", verdict.unrecordedAnswers());
     }
--- a/load/src/main/java/org/chivetally/load/ReportTable.java
+++ b/load/src/main/java/org/chivetally/load/ReportTable.java
@@ -5,7 +5,7 @@
 
 /** Writes reports for people: a table of one run, and Markdown rows for pages that list runs. */
 public final class ReportTable {
-    private static final String ROW = "%-30s %14s  %s%n";
+    private static final String ROW = "%-40s %14s  %s%n";
     private static final int NAMED_VIOLATIONS = 5;
     private static final List<Figure> MARKDOWN_FIGURES = List.of(
             Figure.RESPONSE_P50,
@@ -36,12 +36,15 @@
         report.counters().wasted().forEach((kind, count) -> row(text, "  wasted " + kind, count, ""));
         report.roles().forEach((role, cost) -> roleRow(text, report, role, cost));
         row(text, "faults injected", report.faultCount(), "");
-        report.faults().forEach((fault, count) -> row(text, "  " + fault, count, ""));
+        report.faultKinds().forEach((kind, count) -> row(text, "  " + kind, count, ""));
+        row(text, "faults not injected", report.missedFaults().size(), String.join(", ", report.missedFaults()));
         Verdict verdict = report.verdict();
         violations(text, "duplicate start", verdict.duplicateStarts());
         violations(text, "partial answer", verdict.partialAnswers());
         violations(text, "false refusal", verdict.falseRefusals());
         violations(text, "cut request", verdict.cutRequests());
+        violations(text, "start after leaving", verdict.startsAfterLeaving());
+        violations(text, "conflicting outcome", verdict.conflictingOutcomes());
         violations(text, "unanswered", report.unanswered());
         row(text, "contradicted refusals", verdict.contradictedRefusals().size(), "");
         violations(text, "contradicted", verdict.contradictedRefusals());
--- /dev/null
+++ b/load/src/main/java/org/chivetally/load/RequestLines.java
@@ -0,0 +1,47 @@
+package org.chivetally.load;
+
+import java.util.List;
+import tools.jackson.databind.json.JsonMapper;
+import tools.jackson.databind.node.ObjectNode;
+
+/** Writes every request of a run as one JSON object a line, so that what a caller saw can be followed in logs. */
+public final class RequestLines {
+    private static final JsonMapper MAPPER = JsonMapper.shared();
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private RequestLines() {}
+
+    /** Returns the lines, in the order given; times are in milliseconds from the beginning of the run. */
+    public static String of(List<CallerRecord> requests, Tokens tokens) {
+        StringBuilder lines = new StringBuilder();
+        for (CallerRecord request : requests) {
+            lines.append(MAPPER.writeValueAsString(line(request, tokens))).append('\n');
+        }
+        return lines.toString();
+    }
+
+    private static ObjectNode line(CallerRecord request, Tokens tokens) {
+        ObjectNode line = MAPPER.createObjectNode();
+        line.put("key", tokens.key(request.job().index()));
+        line.put("repeat", request.repeat());
+        line.put("attempt", request.attempt());
+        line.put("entry", request.entry());
+        line.put("tasks", request.job().taskMillis().size());
+        line.put("due", request.dueNanos() / NANOS_PER_MILLI);
+        line.put("sent", request.sentNanos() / NANOS_PER_MILLI);
+        line.put("ended", request.endedNanos() / NANOS_PER_MILLI);
+        line.put("reply", text(request.reply()));
+        return line;
+    }
+
+    private static String text(Reply reply) {
+        return switch (reply) {
+            case Reply.Complete complete -> "complete " + complete.job();
+            case Reply.Problem problem -> problem.certainty().text() + " " + problem.code() + " " + problem.detail();
+            case Reply.Malformed malformed -> "malformed " + malformed.status() + " " + malformed.body();
+            case Reply.Unreachable unreachable -> "unreachable " + unreachable.reason();
+            case Reply.Closed closed -> "closed " + closed.reason();
+            case Reply.TimedOut late -> "no answer";
+        };
+    }
+}
--- a/load/src/main/java/org/chivetally/load/Schedule.java
+++ b/load/src/main/java/org/chivetally/load/Schedule.java
@@ -74,17 +74,21 @@
         for (int task = 0; task < tasks; task++) {
             taskMillis.add(choose(workload.taskTimes(), random).millisAt(random.nextDouble()));
         }
-        OptionalLong resubmit = resubmission(nanos, workload.resubmissions(), random);
+        List<Long> resubmits = resubmissions(nanos, workload.resubmissions(), random);
         OptionalLong cancel = cancellation(nanos, workload.cancellations(), random);
-        return new ScheduledJob(index, nanos, service, team, taskMillis, resubmit, cancel);
+        return new ScheduledJob(index, nanos, service, team, taskMillis, resubmits, cancel);
     }
 
-    private static OptionalLong resubmission(long nanos, Workload.Resubmissions plan, RandomGenerator random) {
+    private static List<Long> resubmissions(long nanos, Workload.Resubmissions plan, RandomGenerator random) {
         if (random.nextDouble() >= plan.share() || plan.delays().isEmpty()) {
-            return OptionalLong.empty();
+            return List.of();
+        }
+        List<Long> instants = new ArrayList<>(plan.copies());
+        for (int copy = 0; copy < plan.copies(); copy++) {
+            Duration delay = plan.delays().get(random.nextInt(plan.delays().size()));
+            instants.add(nanos + delay.toNanos());
         }
-        Duration delay = plan.delays().get(random.nextInt(plan.delays().size()));
-        return OptionalLong.of(nanos + delay.toNanos());
+        return instants;
     }
 
     private static OptionalLong cancellation(long nanos, Workload.Cancellations plan, RandomGenerator random) {
--- a/load/src/main/java/org/chivetally/load/ScheduledJob.java
+++ b/load/src/main/java/org/chivetally/load/ScheduledJob.java
@@ -11,7 +11,7 @@
  * @param service service and what it allows
  * @param team submitting team
  * @param taskMillis time of each task
- * @param resubmitNanos when the same key is submitted again, from the beginning of the run
+ * @param resubmitNanos when the same key is submitted again, each to another entry, from the beginning of the run
  * @param cancelNanos when the caller cancels it, from the beginning of the run
  */
 public record ScheduledJob(
@@ -20,13 +20,14 @@
         Workload.ServiceShare service,
         String team,
         List<Integer> taskMillis,
-        OptionalLong resubmitNanos,
+        List<Long> resubmitNanos,
         OptionalLong cancelNanos) {
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
-    /** Copies the list. */
+    /** Copies the lists. */
     public ScheduledJob {
         taskMillis = List.copyOf(taskMillis);
+        resubmitNanos = List.copyOf(resubmitNanos);
     }
 
     /** Returns the work of all tasks together in nanoseconds. */
--- a/load/src/main/java/org/chivetally/load/Submitter.java
+++ b/load/src/main/java/org/chivetally/load/Submitter.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -18,6 +17,8 @@
 
 /** Plays the callers of a schedule: submits, repeats, cancels and comes back, and keeps a record of every request. */
 final class Submitter {
+    private static final long SHORTEST_NANOS = 1_000_000;
+
     private final LoadPlan plan;
     private final Tokens tokens;
     private final Caller caller;
@@ -47,10 +48,10 @@
     CompletableFuture<Void> schedule(List<ScheduledJob> jobs) {
         Set<CompletableFuture<Void>> ends = new HashSet<>();
         for (ScheduledJob job : jobs) {
-            ends.add(scheduleRequest(job, 0, job.instantNanos()));
-            OptionalLong repeat = job.resubmitNanos();
-            if (repeat.isPresent()) {
-                ends.add(scheduleRequest(job, 1, repeat.getAsLong()));
+            Set<String> used = ConcurrentHashMap.newKeySet();
+            ends.add(scheduleRequest(job, 0, job.instantNanos(), used));
+            for (int copy = 0; copy < job.resubmitNanos().size(); copy++) {
+                ends.add(scheduleRequest(job, copy + 1, job.resubmitNanos().get(copy), used));
             }
         }
         return CompletableFuture.allOf(ends.toArray(CompletableFuture[]::new));
@@ -78,9 +79,9 @@
         return completed.get();
     }
 
-    private CompletableFuture<Void> scheduleRequest(ScheduledJob job, int repeat, long dueNanos) {
-        Chain chain = new Chain(job, repeat, dueNanos);
-        timer.schedule(() -> chain.send(0, Set.of()), dueNanos - clock.nanos(), TimeUnit.NANOSECONDS);
+    private CompletableFuture<Void> scheduleRequest(ScheduledJob job, int repeat, long dueNanos, Set<String> used) {
+        Chain chain = new Chain(job, repeat, dueNanos, used);
+        timer.schedule(() -> chain.send(0, Set.copyOf(used)), dueNanos - clock.nanos(), TimeUnit.NANOSECONDS);
         return chain.end;
     }
 
@@ -90,17 +91,23 @@
         private final int repeat;
         private final long dueNanos;
         private final String key;
+        private final Set<String> used;
         private final CompletableFuture<Void> end = new CompletableFuture<>();
 
-        Chain(ScheduledJob job, int repeat, long dueNanos) {
+        /** Creates a chain; {@code used} takes the entries that requests of the same key first went to. */
+        Chain(ScheduledJob job, int repeat, long dueNanos, Set<String> used) {
             this.job = job;
             this.repeat = repeat;
             this.dueNanos = dueNanos;
             this.key = tokens.key(job.index());
+            this.used = used;
         }
 
         void send(int attempt, Set<String> avoided) {
             Target entry = balancer.choose(avoided);
+            if (attempt == 0) {
+                used.add(entry.name());
+            }
             CallerRecord open = record(attempt, entry, clock.nanos(), Long.MAX_VALUE, new Reply.TimedOut());
             openRequests.add(open);
             request(entry).thenAccept(reply -> {
@@ -115,16 +122,17 @@
             if (repeat == 0 && job.cancelNanos().isPresent()) {
                 return requestAndCancel(entry, job.cancelNanos().getAsLong());
             }
-            return caller.submit(entry, key, body(), deadline());
+            return caller.submit(entry, key, body(), left());
         }
 
         private CompletableFuture<Reply> requestAndCancel(Target entry, long cancelNanos) {
-            return caller.announce(entry, key, body(), deadline()).thenCompose(name -> {
-                if (name.isEmpty()) {
-                    return caller.submit(entry, key, body(), deadline());
+            return caller.announce(entry, key, body(), left()).thenCompose(announced -> {
+                if (announced.job().isEmpty()) {
+                    return CompletableFuture.completedFuture(announced.reply());
                 }
+                String name = announced.job();
                 timer.schedule(() -> caller.cancel(entry, name), cancelNanos - clock.nanos(), TimeUnit.NANOSECONDS);
-                return caller.answer(entry, name, deadline());
+                return caller.answer(entry, name, left());
             });
         }
 
@@ -176,7 +184,13 @@
         }
 
         private String body() {
-            return JobInterface.submission(job, tokens, deadline().toMillis());
+            return JobInterface.submission(job, tokens, left().toMillis());
+        }
+
+        /** Returns what is left of the caller's own deadline: one who comes back doesn't wait for longer. */
+        private Duration left() {
+            long nanos = dueNanos + deadline().toNanos() - clock.nanos();
+            return Duration.ofNanos(Math.max(nanos, SHORTEST_NANOS));
         }
 
         private Duration deadline() {
--- a/load/src/main/java/org/chivetally/load/Summary.java
+++ b/load/src/main/java/org/chivetally/load/Summary.java
@@ -30,7 +30,8 @@
     Summary(LoadPlan plan, List<CallerRecord> requests) {
         this.plan = plan;
         this.requests = requests;
-        this.outcomes = lastRequests(requests);
+        this.outcomes = lastRequests(
+                requests.stream().filter(request -> request.repeat() == 0).toList());
         this.slots = plan.workload().slots();
     }
 
@@ -67,19 +68,32 @@
         figures.put(Figure.PARTIAL_ANSWERS, (double) verdict.partialAnswers().size());
         figures.put(Figure.FALSE_REFUSALS, (double) verdict.falseRefusals().size());
         figures.put(Figure.CUT_REQUESTS, (double) verdict.cutRequests().size());
+        figures.put(Figure.STARTS_AFTER_LEAVING, (double)
+                verdict.startsAfterLeaving().size());
+        figures.put(Figure.CONFLICTING_OUTCOMES, (double)
+                verdict.conflictingOutcomes().size());
         return figures;
     }
 
     private static List<CallerRecord> lastRequests(List<CallerRecord> requests) {
         Map<Integer, CallerRecord> last = new TreeMap<>();
         for (CallerRecord request : requests) {
-            if (request.repeat() == 0) {
-                last.merge(request.job().index(), request, Summary::later);
-            }
+            last.merge(request.job().index(), request, Summary::later);
         }
         return new ArrayList<>(last.values());
     }
 
+    private static List<CallerRecord> lastRequestsOfRepeats(List<CallerRecord> requests) {
+        Map<Integer, List<CallerRecord>> byRepeat = new TreeMap<>();
+        for (CallerRecord request : requests) {
+            byRepeat.computeIfAbsent(request.repeat(), repeat -> new ArrayList<>())
+                    .add(request);
+        }
+        List<CallerRecord> last = new ArrayList<>();
+        byRepeat.values().forEach(ofRepeat -> last.addAll(lastRequests(ofRepeat)));
+        return last;
+    }
+
     private static CallerRecord later(CallerRecord first, CallerRecord second) {
         return first.attempt() >= second.attempt() ? first : second;
     }
@@ -180,12 +194,15 @@
         return micros.getValueAtPercentile(99) / 1e3;
     }
 
-    /** Returns the submissions that got neither an answer nor a clear failure soon after their deadline. */
+    /**
+     * Returns the submissions that got, or a repeat of which got, no answer or clear failure soon after the deadline.
+     */
     List<Integer> unanswered() {
         long deadline = plan.workload().deadline().toNanos();
-        return outcomes.stream()
+        return lastRequestsOfRepeats(requests).stream()
                 .filter(outcome -> !answered(outcome) || outcome.responseNanos() > deadline + ANSWER_MARGIN_NANOS)
                 .map(outcome -> outcome.job().index())
+                .distinct()
                 .toList();
     }
 
--- a/load/src/main/java/org/chivetally/load/Workload.java
+++ b/load/src/main/java/org/chivetally/load/Workload.java
@@ -150,11 +150,12 @@
      * Repeats of submissions under the same key, each to another entry.
      *
      * @param share share of the jobs that are repeated
+     * @param copies repeats of each such job
      * @param delays a repeat follows the first submission after one of these
      */
-    public record Resubmissions(double share, List<Duration> delays) {
+    public record Resubmissions(double share, int copies, List<Duration> delays) {
         /** No repeats. */
-        public static final Resubmissions NONE = new Resubmissions(0, List.of());
+        public static final Resubmissions NONE = new Resubmissions(0, 1, List.of());
 
         /** Copies the list. */
         public Resubmissions {
--- a/load/src/test/java/org/chivetally/load/JudgeTest.java
+++ b/load/src/test/java/org/chivetally/load/JudgeTest.java
@@ -19,6 +19,9 @@
 
 class JudgeTest {
     private static final Duration LEASE = Duration.ofNanos(8000);
+    /** What starts at 300 or later is within the grace; beyond it lies what starts after 3 s and 300 ns. */
+    private static final LeavingMinion LEAVING = new LeavingMinion("minion-1", 300, 4_000_000_000L);
+
     private static final GracefulStop STOP = new GracefulStop("entry-1", 100, 200);
 
     private Judge judge;
@@ -36,13 +39,13 @@
                 .flatMap(line -> StartWatch.start("minion-1", line).stream())
                 .toList();
         judge = new Judge(new Tokens("r1"), callers, starts, 0);
-        verdict = judge.judge(List.of(STOP));
+        verdict = judge.judge(List.of(STOP), List.of(LEAVING));
     }
 
     @Test
     void startsOfOtherRunsAreLeftOut() {
-        assertThat(judge.startCount(), is(15));
-        assertThat(judge.startedTasks(), is(11));
+        assertThat(judge.startCount(), is(18));
+        assertThat(judge.startedTasks(), is(14));
     }
 
     /**
@@ -60,12 +63,12 @@
     }
 
     /**
-     * Submission 4 was told not-run while its task runs. Of 5 a repeat was told unknown, so its start may belong to
-     * that; of 11 nothing started.
+     * Submission 4 was told not-run while its task runs; a repeat of 13 was sent and told not-run after its task had
+     * started. Of 5 a repeat was told unknown, so its start may belong to that; of 11 nothing started.
      */
     @Test
     void refusalIsFalseWhereATaskStarted() {
-        assertThat(verdict.falseRefusals(), contains("r1/4"));
+        assertThat(verdict.falseRefusals(), contains("r1/4", "r1/13"));
     }
 
     /** Submission 12 was told not-run at one entry after another had already started its task. */
@@ -74,6 +77,18 @@
         assertThat(verdict.contradictedRefusals(), contains("r1/12"));
     }
 
+    /** The minion began to leave at 300 ns; what started before 3 s had passed since may go on. */
+    @Test
+    void startAtAMinionThatHasLeftIsFound() {
+        assertThat(verdict.startsAfterLeaving(), contains("r1/14/0"));
+    }
+
+    /** Two callers of submission 15 were told a whole answer and a failure of the work: one of them is wrong. */
+    @Test
+    void answerAndFailureOfOneKeyConflict() {
+        assertThat(verdict.conflictingOutcomes(), contains("r1/15"));
+    }
+
     @Test
     void connectionsClosedDuringAGracefulStopAreCut() {
         assertThat(verdict.cutRequests(), contains("r1/8"));
@@ -92,11 +107,12 @@
                 new Workload.ServiceShare(parts[2], idempotent, LEASE, 1),
                 "team",
                 Collections.nCopies(Integer.parseInt(parts[1]), 100),
-                OptionalLong.empty(),
+                List.of(),
                 OptionalLong.empty());
-        long ended = Long.parseLong(parts[5]);
-        Reply reply = reply(Arrays.asList(parts).subList(6, parts.length));
-        return new CallerRecord(job, Integer.parseInt(parts[3]), 0, parts[4], 0, 0, ended, reply);
+        long sent = Long.parseLong(parts[5]);
+        long ended = Long.parseLong(parts[6]);
+        Reply reply = reply(Arrays.asList(parts).subList(7, parts.length));
+        return new CallerRecord(job, Integer.parseInt(parts[3]), 0, parts[4], 0, sent, ended, reply);
     }
 
     private static Reply reply(List<String> words) {
@@ -104,6 +120,7 @@
             case "complete" -> new Reply.Complete("job", words.subList(1, words.size()));
             case "closed" -> new Reply.Closed("closed");
             case "not-run" -> new Reply.Problem(503, "log-unavailable", Certainty.NOT_RUN, "", 0);
+            case "failed" -> new Reply.Problem(502, "task-failed", Certainty.FAILED, "", 0);
             default -> new Reply.Problem(502, "outcome-unknown", Certainty.UNKNOWN, "", 0);
         };
     }
--- a/load/src/test/java/org/chivetally/load/ScheduleTest.java
+++ b/load/src/test/java/org/chivetally/load/ScheduleTest.java
@@ -33,7 +33,7 @@
         Schedule schedule = schedule(7);
         double jobs = schedule.jobs().size();
         long repeated = schedule.jobs().stream()
-                .filter(job -> job.resubmitNanos().isPresent())
+                .filter(job -> !job.resubmitNanos().isEmpty())
                 .count();
         long cancelled = schedule.jobs().stream()
                 .filter(job -> job.cancelNanos().isPresent())
