--- a/command/src/main/java/org/chivetally/command/StandInCommand.java
+++ b/command/src/main/java/org/chivetally/command/StandInCommand.java
@@ -1,8 +1,10 @@
 package org.chivetally.command;
 
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -146,6 +148,12 @@
         @Option(names = "--slots", defaultValue = "8", description = "Most tasks at once; 8 by default.")
         private int slots;
 
+        @Option(
+                names = "--record",
+                paramLabel = "FOLDER",
+                description = "Folder that keeps each minion's record of starts beyond its process, as NAME.starts.")
+        private Path record;
+
         @Option(names = "--connections", defaultValue = "64", description = "Most connections at once; 64 by default.")
         private int connections;
 
@@ -163,9 +171,10 @@
 
         private ServerBinding start(ActorSystem<Void> system, int position) {
             String name = "minion-" + (first + position);
+            Optional<Path> file = Optional.ofNullable(record).map(folder -> folder.resolve(name + ".starts"));
             int port = listen.port == 0 ? 0 : listen.port + position;
             ServerBinding binding = DaemonRun.await(MinionStandIn.start(
-                    system, listen.host, port, new MinionStandInSettings(name, slots, connections)));
+                    system, listen.host, port, new MinionStandInSettings(name, slots, connections, file)));
             Console.of(command).line(name + " " + addressOf(binding));
             return binding;
         }
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -84,8 +84,8 @@
     }
 
     private String minionCommand(int first, int count) {
-        return "stand-in minion --port %d --first %d --count %d --slots %d --connections %d"
-                .formatted(ports.minion(first), first + 1, count, plan.slots(), plan.connections());
+        return "stand-in minion --port %d --first %d --count %d --slots %d --connections %d --record %s"
+                .formatted(ports.minion(first), first + 1, count, plan.slots(), plan.connections(), folder);
     }
 
     private String daemonLine(String command, String name) {
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -1,9 +1,13 @@
 #!/usr/bin/env bash
-# Runs a load plan with faults against a deployment of separate processes, and prints the load tool's report.
+# Starts a deployment of separate processes, runs a load plan with faults against it, and prints what came of it.
 #
-#   scripts/faults.sh PLAN [FOLDER] [LAYOUT OPTION...]
+#   scripts/faults.sh [--plan PLAN] [--seed NUMBER] [--folder FOLDER] [LAYOUT OPTION...]
+#
+# PLAN is examples/load-faults.yaml by default, FOLDER a new one under the temporary folder; it takes settings, logs,
+# requests and the report. LAYOUT OPTIONs go to `chivetally layout`; without any it is --deployment jylland --relays.
+# The end is non-zero when a promise was broken, a goal was missed or a planned fault did not come. Only processes that
+# were started here are stopped. docs/operations/faults.md describes the table and the plan.
 #
-# FOLDER takes settings, logs and reports of the run; without one a new folder under the temporary folder is made.
 # The load tool starts and signals no process: this script carries out the plan's actions on processes beside it, at times
 # counted from the beginning that the tool writes to FOLDER/faults/begin, and notes them in FOLDER/faults/done.
 set -euo pipefail
@@ -53,38 +57,78 @@
     note ended "$2"
 }
 
+# Starts a process again once its earlier one has ended; two at one port would leave neither.
+start() {
+    while [[ -n "${2:-}" ]] && kill -0 "$2" 2>/dev/null; do
+        sleep 0.05
+    done
+    note start "$1"
+    processes start-one "$1"
+}
+
+# Each step is a job of its own: a process that takes long to end must not delay the faults of others.
 carry_out() {
     local what=$1 name=$2
-    note "$what" "$name"
+    case "$what" in
+        pause | resume | kill | terminate) note "$what" "$name" ;;
+        start) ;;
+        *) fail "unknown action $what" ;;
+    esac
     case "$what" in
         pause) processes signal-one "$name" STOP ;;
         resume) processes signal-one "$name" CONT ;;
         kill) stop KILL "$name" & stops[$name]=$! ;;
         terminate) stop TERM "$name" & stops[$name]=$! ;;
-        start)
-            wait "${stops[$name]:-}" || true
-            processes start-one "$name"
-            ;;
-        *) fail "unknown action $what" ;;
+        start) start "$name" "${stops[$name]:-}" & starts+=($!) ;;
     esac
 }
 
-(($# >= 1)) || fail "usage: faults.sh PLAN [FOLDER] [LAYOUT OPTION...]"
-plan=$1
-folder=${2:-$(mktemp -d)/run}
-shift $(($# >= 2 ? 2 : 1))
+# A paused process takes no SIGTERM, and one that is being started would come after the others were stopped.
+clean_up() {
+    local name
+    if [[ -n "$load" ]]; then
+        kill "$load" 2>/dev/null || true
+    fi
+    wait || true
+    if [[ -r "$folder/processes" ]]; then
+        for name in $(cut -f 1 "$folder/processes"); do
+            processes signal-one "$name" CONT
+        done
+        processes stop
+    fi
+}
+
+plan=$root/examples/load-faults.yaml
+folder=
+load=
+seed=()
+while (($# > 0)); do
+    case "$1" in
+        --plan) plan=$2 ;;
+        --seed) seed=(--seed "$2") ;;
+        --folder) folder=$2 ;;
+        *) break ;;
+    esac
+    shift 2
+done
+layout=("$@")
+if ((${#layout[@]} == 0)); then
+    layout=(--deployment jylland --relays)
+fi
+folder=${folder:-$(mktemp -d)/run}
 mkdir -p "$folder"
 folder=$(cd "$folder" && pwd)
 declare -A stops=()
+declare -a starts=()
 
 steps=$("$root/bin/chivetally" load --print-process-faults "$plan")
-trap '"$root/scripts/processes.sh" stop "$folder"' EXIT
-processes start "$@"
+trap clean_up EXIT
+processes start "${layout[@]}"
 mkdir -p "$folder/faults"
 rm -f "$folder/faults/begin" "$folder/faults/done"
 
 "$root/bin/chivetally" load --targets "$folder/targets.yaml" --faults-folder "$folder/faults" \
-    --json "$folder/report.json" "$plan" &
+    --json "$folder/report.json" --requests "$folder/requests.jsonl" "${seed[@]}" "$plan" &
 load=$!
 await_begin
 begin=$(<"$folder/faults/begin")
@@ -96,5 +140,6 @@
 
 result=0
 wait "$load" || result=$?
-echo "settings, logs and the notes of what was done are in $folder"
+load=
+echo "settings, logs, requests and the notes of what was done are in $folder"
 exit "$result"
--- a/standins/src/main/java/org/chivetally/standins/Minion.java
+++ b/standins/src/main/java/org/chivetally/standins/Minion.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -21,7 +22,8 @@
     private final NanoClock clock;
     private final MinionStandInSettings settings;
     private final Random random;
-    private final List<MinionStart> starts = new ArrayList<>();
+    private final Optional<StartFile> file;
+    private final List<MinionStart> starts;
     private MinionFaults faults = MinionFaults.NONE;
     private int running;
     private long overruns;
@@ -31,6 +33,8 @@
         this.system = system;
         this.clock = clock;
         this.settings = settings;
+        this.file = settings.record().map(StartFile::new);
+        this.starts = file.map(StartFile::read).orElseGet(ArrayList::new);
         this.random = new Random(settings.name().hashCode());
     }
 
@@ -112,7 +116,13 @@
                 null,
                 MinionStart.RUNNING,
                 task.work().token()));
-        return starts.size() - 1;
+        int position = starts.size() - 1;
+        write(position);
+        return position;
+    }
+
+    private void write(int position) {
+        file.ifPresent(record -> record.write(position, starts.get(position)));
     }
 
     private Plan plan(MinionTask task) {
@@ -134,6 +144,7 @@
         synchronized (this) {
             running--;
             starts.set(start, starts.get(start).ended(clock.nanos(), plan.outcome()));
+            write(start);
         }
         if (plan.silent()) {
             return;
--- a/standins/src/main/java/org/chivetally/standins/MinionStart.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStart.java
@@ -10,7 +10,8 @@
  * @param attempt id of the attempt
  * @param startedNanos reading of the machine's monotonic clock at the start
  * @param endedNanos reading at the end; null while the task runs
- * @param outcome {@code running}, {@code done}, {@code failed}, or {@code silent} when it ended without an answer
+ * @param outcome {@code running}, {@code done}, {@code failed}, or {@code silent} when it ended without an answer, or
+ *     {@code lost} when the minion's process ended before the task
  * @param token token of the task's payload, by which a caller tells its submissions apart; null without one
  */
 public record MinionStart(
@@ -25,6 +26,11 @@
     static final String DONE = "done";
     static final String FAILED = "failed";
     static final String SILENT = "silent";
+    static final String LOST = "lost";
+
+    MinionStart lost() {
+        return new MinionStart(job, task, attempt, startedNanos, null, LOST, token);
+    }
 
     MinionStart ended(long nanos, String how) {
         return new MinionStart(job, task, attempt, startedNanos, nanos, how, token);
--- a/standins/src/test/java/org/chivetally/standins/MinionTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionTest.java
@@ -1,6 +1,8 @@
 package org.chivetally.standins;
 
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
@@ -9,6 +11,7 @@
 import org.hamcrest.Matchers;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import tools.jackson.databind.node.StringNode;
 
 class MinionTest {
@@ -48,6 +51,24 @@
         MatcherAssert.assertThat(minion.starts().getFirst().outcome(), Matchers.is("failed"));
     }
 
+    // A minion is killed while a task runs and starts again at the same file. Without the file the next process would
+    // know of no start, and a second start of the task would look like the first.
+    @Test
+    void theRecordOutlivesTheProcess(@TempDir Path folder) {
+        MinionStandInSettings settings = new MinionStandInSettings("m", 2, 4, Optional.of(folder.resolve("m.starts")));
+        Minion killed = new Minion(kit.system(), clock::get, settings);
+        killed.run(task("a", 5, false));
+        killed.run(task("b", 100, false));
+        passMillis(5);
+        Minion next = new Minion(kit.system(), clock::get, settings);
+        next.run(task("c", 5, false));
+        MatcherAssert.assertThat(
+                next.starts().stream()
+                        .map(start -> start.attempt() + " " + start.outcome())
+                        .toList(),
+                Matchers.contains("a done", "b lost", "c running"));
+    }
+
     // A caller starts one task more than there are slots: it is refused, counted as an overrun, and not recorded as
     // started. Once a task has ended its slot takes the next.
     @Test
@@ -128,8 +149,11 @@
     }
 
     private CompletionStage<MinionAnswer> run(String attempt, long workMillis, boolean fail) {
-        return minion.run(
-                new MinionTask("j", 3, attempt, new MinionTask.Work(workMillis, StringNode.valueOf("yes"), fail, "t")));
+        return minion.run(task(attempt, workMillis, fail));
+    }
+
+    private static MinionTask task(String attempt, long workMillis, boolean fail) {
+        return new MinionTask("j", 3, attempt, new MinionTask.Work(workMillis, StringNode.valueOf("yes"), fail, "t"));
     }
 
     private static MinionFaults faults(
