Entries without the claims deny no key: not-run in an outage told after a restart was false

Ruled out: the balancer and the clocks (the refused requests were sent 1 to 10 s after the answer), a lost connection (all links were up). Change: an entry that has not read the claims to their end neither denies a key nor takes denials for certain, and one that has looks the key up in them. Red before, green after: EntryServerTest.saysNotRunOnlyOfKeysThatNoOtherEntryHasRead, .saysNotRunOfNoKeyBeforeTheClaimsAreRead.

--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -244,6 +244,11 @@
     // are asked; if one does not answer, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
+        // An entry that has not read the log yet knows of no earlier submission, so that it can't exclude one either.
+        if (claim.isEmpty() && !parts.claims().caughtUp()) {
+            found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
+            return;
+        }
         if (claim.isEmpty()) {
             parts.peers()
                     .nobodyHas(found.submission().key())
@@ -368,13 +373,23 @@
                 .thenAccept(outcome -> attach.reply().accept(new AttachAnswer(attach.job(), Optional.of(outcome))));
     }
 
+    // The asking entry says "not run" when no entry knows the key. The one that had its job may have been killed since
+    // and started again without memory, so the claims read here count too, and without them nothing is denied.
     private void onAskKey(SubmissionCommand.AskKey ask) {
-        boolean known = ledger.find(ask.key())
-                .filter(record -> record.outcome()
-                        .filter(SubmissionActor::isPassingRefusal)
-                        .isEmpty())
+        Optional<JobRecord> own = ledger.find(ask.key());
+        boolean refused = own.flatMap(JobRecord::outcome)
+                .filter(SubmissionActor::isPassingRefusal)
                 .isPresent();
-        ask.reply().accept(known);
+        if (!parts.claims().caughtUp() || own.isPresent() && !refused) {
+            ask.reply().accept(true);
+            return;
+        }
+        parts.claims()
+                .find(ask.key())
+                .thenAccept(claim -> ask.reply()
+                        .accept(claim.filter(other -> own.isEmpty()
+                                        || !other.job().equals(own.get().job()))
+                                .isPresent()));
     }
 
     private boolean cancelHere(JobId job) {
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -221,14 +222,39 @@
         CompletableFuture<HttpResponse<String>> first = fixture.submitting(entry, "a", HELD);
         awaitEvents(core, DispatchEvent.JobClaimed.class);
         EntryServer cut = fixture.start("entry-2", new Scripted(self -> new NoLog(), new ScriptedCore()));
-        while (!certainty(fixture.submit(cut, "b", HELD)).equals("not-run")) {
-            Thread.onSpinWait();
-        }
+        awaitNotRun(cut);
         assertThat(certainty(fixture.submit(cut, "a", HELD)), is("unknown"));
         core.releaseHeld();
         assertThat(first.join().statusCode(), is(200));
     }
 
+    // A job ran at an entry that was killed, and its caller submits it again in an outage of the log, at an entry that
+    // has not read the claim. Another one has, but had no part in the job. "Not run" would be false.
+    @Test
+    void saysNotRunOnlyOfKeysThatNoOtherEntryHasRead() {
+        fixture.start("entry-2", new Scripted(self -> new ReadClaims(Set.of("a")), new ScriptedCore()));
+        EntryServer cut = fixture.start("entry-3", new Scripted(self -> new NoLog(), new ScriptedCore()));
+        awaitNotRun(cut);
+        assertThat(certainty(fixture.submit(cut, "a", HELD)), is("unknown"));
+    }
+
+    // All that knew a job were killed and started again, in an outage of the log. They know of no key, because they
+    // have
+    // read nothing; neither may say "not run", nor may one that asks them.
+    @Test
+    void saysNotRunOfNoKeyBeforeTheClaimsAreRead() {
+        ReadClaims asked = new ReadClaims(Set.of());
+        ReadClaims asking = new ReadClaims(Set.of());
+        fixture.start("entry-2", new Scripted(self -> asked, new ScriptedCore()));
+        EntryServer cut = fixture.start("entry-3", new Scripted(self -> asking, new ScriptedCore()));
+        awaitNotRun(cut);
+        asked.caughtUp(false);
+        assertThat(certainty(fixture.submit(cut, "c", HELD)), is("unknown"));
+        asked.caughtUp(true);
+        asking.caughtUp(false);
+        assertThat(certainty(fixture.submit(cut, "c", HELD)), is("unknown"));
+    }
+
     // The coordinator of a job has lapsed. Its caller submits the job again here, and gets the outcome of the
     // takeover.
     @Test
@@ -310,6 +336,13 @@
         }
     }
 
+    /** Returns once an entry without a log has asked all others about a key. */
+    private void awaitNotRun(EntryServer cut) {
+        while (!certainty(fixture.submit(cut, "b", HELD)).equals("not-run")) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static void awaitEvents(ScriptedCore of, Class<? extends DispatchEvent> type) {
         while (of.events(type).isEmpty()) {
             Thread.onSpinWait();
