--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -203,7 +203,8 @@
 
     /*
      * An entry was cut off for longer than its lease, renews it and goes on with its job; its callers get their answer.
-     * Before that another entry had counted the lease as lapsed and sent a takeover, which lands only after the renewal.
+     * Before that another entry had counted the lease as lapsed and sent a takeover, which lands only after
+     * the renewal.
      * Were it to win, a process that holds its lease, and says "not run" of what it did not start, would have lost the
      * job. All readers refuse it, as it names an earlier renewal as the last one that its sender had read.
      */
@@ -320,7 +321,8 @@
     }
 
     /*
-     * A takeover is given up, asked for again, and then both stand in the log. The first wins, and its sender gives it up
+     * A takeover is given up, asked for again, and then both stand in the log. The first wins, and its sender
+     * gives it up
      * as soon as it reads it; told that the second had won, it would go on with a job that it leaves to nobody, beside
      * the next process that takes it over.
      */
