Takeovers wait until all possible holders are named; members' records name dead incarnations

New events AgentNamed, HoldersNamed, AgentPresumedGone and AgentHeldDown; a job taken over is no longer refused for full queues, which said 'not run' of tasks that may have run.

--- a/library/src/main/java/org/chivetally/coordination/Admission.java
+++ b/library/src/main/java/org/chivetally/coordination/Admission.java
@@ -30,7 +30,10 @@
         JobProgress job =
                 new JobProgress(event.job(), event.specification(), event.service(), service, team, context.now);
         context.teams.jobAccepted(team);
-        if (refusedAtOnce(job)) {
+        // Tasks of a job taken over may have run: a refusal would have to say "unknown" of work that this coordinator can
+        // still finish, and "not run" would be false.
+        boolean takenOver = event.generation() > 1;
+        if (!takenOver && refusedAtOnce(job)) {
             context.teams.jobEnded(team);
             return;
         }
@@ -46,7 +49,7 @@
         }
         job.generation = event.generation();
         if (job.generation > 1) {
-            takeovers.begin(job);
+            takeovers.begin(job, event.holdersNamed());
             return;
         }
         for (TaskProgress task : job.tasks) {
--- a/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
@@ -11,11 +11,32 @@
 public sealed interface DispatchEvent {
     /**
      * A job was submitted here; its tasks are queued, and slots chosen, but nothing starts before {@link JobClaimed}.
+     *
+     * @param generation the claim's if it is known already, as it is of a job taken over; else 1
      */
-    record JobSubmitted(JobId job, JobSpecification specification, ServicePolicy service) implements DispatchEvent {}
+    record JobSubmitted(JobId job, JobSpecification specification, ServicePolicy service, int generation)
+            implements DispatchEvent {
+        /** Creates the event of a job that no other coordinator had. */
+        public JobSubmitted(JobId job, JobSpecification specification, ServicePolicy service) {
+            this(job, specification, service, 1);
+        }
+    }
 
-    /** The claim of a submitted job was read back as won; generation 1 may start, a later one inquires first. */
-    record JobClaimed(JobId job, int generation) implements DispatchEvent {}
+    /**
+     * The claim of a submitted job was read back as won; generation 1 may start, a later one inquires first.
+     *
+     * @param holdersNamed whether all agents that may hold the job's tasks were named before; if not,
+     *     {@link HoldersNamed} follows
+     */
+    record JobClaimed(JobId job, int generation, boolean holdersNamed) implements DispatchEvent {
+        /** Creates the event of a job whose possible holders are named. */
+        public JobClaimed(JobId job, int generation) {
+            this(job, generation, true);
+        }
+    }
+
+    /** Every agent that may hold tasks of a job taken over was named by an event before this one. */
+    record HoldersNamed(JobId job) implements DispatchEvent {}
 
     /** The claim was lost or given up: the job is dropped without an outcome, as nothing of it started here. */
     record JobWithdrawn(JobId job) implements DispatchEvent {}
@@ -35,7 +56,24 @@
     /** No connection to the agent can be used now: silent or closed. Attempts in flight there are in doubt. */
     record AgentUnreachable(AgentId agent) implements DispatchEvent {}
 
-    /** The agent's process is gone beyond doubt (a newer incarnation announced itself, or the view dropped it). */
+    /**
+     * The members' records name an incarnation, of which nothing else may be known here: no connection to it was open
+     * yet, or it ended before this process started. It may hold tasks of jobs that are taken over.
+     *
+     * @param service service that its minion runs
+     */
+    record AgentNamed(AgentId agent, String service) implements DispatchEvent {}
+
+    /**
+     * Entries of two failure domains hear nothing of the agent. Enough to try idempotent tasks elsewhere; no proof, so
+     * that all others stay in doubt.
+     */
+    record AgentPresumedGone(AgentId agent) implements DispatchEvent {}
+
+    /** Whether the agent, whose connections failed again and again, is given one task at a time only. */
+    record AgentHeldDown(AgentId agent, boolean held) implements DispatchEvent {}
+
+    /** The incarnation has ended beyond doubt: a newer one of the process runs, or it left and closed its connections. */
     record AgentGone(AgentId agent) implements DispatchEvent {}
 
     /** A frame of an agent arrived. */
--- a/library/src/main/java/org/chivetally/coordination/Dispatcher.java
+++ b/library/src/main/java/org/chivetally/coordination/Dispatcher.java
@@ -95,10 +95,16 @@
             case DispatchEvent.JobClaimed claimed -> admission.claimed(claimed);
             case DispatchEvent.JobWithdrawn withdrawn -> admission.withdrawn(withdrawn);
             case DispatchEvent.JobTakenOver takenOver -> takenOver(takenOver);
+            case DispatchEvent.HoldersNamed named -> holdersNamed(named);
             case DispatchEvent.JobCancelled cancelled -> admission.cancelled(cancelled);
             case DispatchEvent.AgentConnected connected -> connected(connected);
             case DispatchEvent.AgentUnreachable unreachable ->
                 doubts.unreachable(context.fleet.unreachable(unreachable.agent()));
+            case DispatchEvent.AgentNamed named ->
+                takeovers.named(context.fleet.named(named.agent(), named.service()));
+            case DispatchEvent.AgentPresumedGone presumed ->
+                context.fleet.find(presumed.agent()).ifPresent(doubts::presumedGone);
+            case DispatchEvent.AgentHeldDown changed -> heldDown(changed);
             case DispatchEvent.AgentGone gone -> gone(gone);
             case DispatchEvent.FrameReceived received -> received(received);
             case DispatchEvent.TeamChanged changed -> context.resumeLanes(context.teams.change(changed.team()));
@@ -133,6 +139,20 @@
         takeovers.connected(agent);
     }
 
+    private void heldDown(DispatchEvent.AgentHeldDown event) {
+        context.fleet.find(event.agent()).ifPresent(agent -> {
+            context.fleet.holdDown(agent, event.held());
+            context.touch(context.service(agent.service()));
+        });
+    }
+
+    private void holdersNamed(DispatchEvent.HoldersNamed event) {
+        JobProgress job = context.jobs.get(event.job());
+        if (job != null) {
+            takeovers.holdersNamed(job);
+        }
+    }
+
     private void gone(DispatchEvent.AgentGone event) {
         AgentView agent = context.fleet.gone(event.agent(), context.now);
         context.service(agent.service()).quarantine.forget(agent);
--- a/library/src/main/java/org/chivetally/coordination/Doubts.java
+++ b/library/src/main/java/org/chivetally/coordination/Doubts.java
@@ -77,6 +77,18 @@
         }
     }
 
+    /** Nobody reaches the agent: idempotent tasks may be tried elsewhere, which a return of the agent does not harm. */
+    void presumedGone(AgentView agent) {
+        if (agent.reachable()) {
+            return;
+        }
+        for (Attempt attempt : context.attempts.at(agent)) {
+            if (!attempt.orphaned && attempt.job().policy.idempotent()) {
+                ends.lost(attempt, "the agent is presumed gone");
+            }
+        }
+    }
+
     /**
      * The attempt's lease is over at the agent, whenever its start got there. An idempotent task may be tried
      * elsewhere; the outcome of any other has to be asked for.
--- a/library/src/main/java/org/chivetally/coordination/Takeover.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeover.java
@@ -15,5 +15,8 @@
     /** Whether an agent that may have run tasks of the job died without an answer. */
     boolean holderLost;
 
+    /** Whether all agents that may hold tasks of the job are known. */
+    boolean holdersNamed;
+
     AlarmQueue.Entry limit;
 }
--- a/library/src/main/java/org/chivetally/coordination/Takeovers.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeovers.java
@@ -30,25 +30,62 @@
         this.ticketEnd = context.settings.fencing().ticketEndNanos();
     }
 
-    void begin(JobProgress job) {
+    void begin(JobProgress job, boolean holdersNamed) {
         Takeover takeover = new Takeover();
+        takeover.holdersNamed = holdersNamed;
         job.takeover = takeover;
         job.touched = true;
         context.takingOver.add(job);
         for (TaskProgress task : job.tasks) {
             task.lostAttempt = true;
         }
+        includeHolders(job);
+        takeover.limit = context.alarms.set(context.now + patience(job), new Alarm.TakeoverLimit(job));
+        context.log.takeover(job, "begin", takeover.unanswered.size(), job.open);
+        concludeIfComplete(job);
+    }
+
+    /**
+     * All agents that may hold tasks of the job are known now.
+     *
+     * <p>The members' records are read behind the claims'. Were the takeover concluded by the agents known at its
+     * beginning, one that announced itself, ran a task and died in between would not be asked or counted, and the task
+     * would start again. An incarnation that could get tasks stands in the records before its first one, so records
+     * read to their end after the takeover was won name all of them.
+     */
+    void holdersNamed(JobProgress job) {
+        Takeover takeover = job.takeover;
+        if (takeover == null || takeover.holdersNamed) {
+            return;
+        }
+        takeover.holdersNamed = true;
+        includeHolders(job);
+        concludeIfComplete(job);
+    }
+
+    private void includeHolders(JobProgress job) {
+        Takeover takeover = job.takeover;
         for (AgentView agent : context.fleet.possibleHolders(job.service.name, context.now)) {
+            if (takeover.answered.contains(agent)) {
+                continue;
+            }
             if (agent.gone()) {
                 takeover.holderLost = true;
-            } else {
-                takeover.unanswered.add(agent);
+            } else if (takeover.unanswered.add(agent)) {
+                inquiries.ask(job, agent, "takeover");
+            }
+        }
+    }
+
+    /** The members' records name an agent that may know jobs as well. */
+    void named(AgentView agent) {
+        for (JobProgress job : List.copyOf(context.takingOver)) {
+            Takeover takeover = job.takeover;
+            boolean mayHold = agent.service().equals(job.service.name) && !agent.gone();
+            if (mayHold && !takeover.answered.contains(agent) && takeover.unanswered.add(agent)) {
                 inquiries.ask(job, agent, "takeover");
             }
         }
-        takeover.limit = context.alarms.set(context.now + patience(job), new Alarm.TakeoverLimit(job));
-        context.log.takeover(job, "begin", takeover.unanswered.size(), job.open);
-        concludeIfComplete(job);
     }
 
     /** An agent of which nothing was heard before may know the job as well. */
@@ -147,7 +184,9 @@
 
     private void concludeIfComplete(JobProgress job) {
         Takeover takeover = job.takeover;
-        boolean allAnswered = takeover.unanswered.isEmpty() && (takeover.holderLost || !takeover.answered.isEmpty());
+        boolean allAnswered = takeover.holdersNamed
+                && takeover.unanswered.isEmpty()
+                && (takeover.holderLost || !takeover.answered.isEmpty());
         if (allAnswered || held(job).isEmpty()) {
             conclude(job);
         }
@@ -160,7 +199,10 @@
         job.takeover = null;
         List<TaskProgress> missing = held(job);
         context.log.takeover(job, "end", takeover.unanswered.size(), missing.size());
-        boolean certain = takeover.unanswered.isEmpty() && !takeover.holderLost && !takeover.answered.isEmpty();
+        boolean certain = takeover.holdersNamed
+                && takeover.unanswered.isEmpty()
+                && !takeover.holderLost
+                && !takeover.answered.isEmpty();
         if (!certain && !job.policy.idempotent() && !missing.isEmpty()) {
             jobEnds.fail(
                     job, ErrorCode.OUTCOME_UNKNOWN, "tasks may have started at agents that can't be asked any more");
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -122,7 +122,7 @@
         ledger.add(record);
         ServicePolicy service =
                 parts.policies().service(submission.specification().service());
-        dispatch(record.job(), submission, service);
+        dispatch(record.job(), submission, service, Claim.FIRST_GENERATION);
         parts.claims()
                 .claim(submission.key(), submission.digest(), record.job(), service.claimMode())
                 .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
@@ -136,9 +136,9 @@
         reply.complete(new SubmissionReply.Accepted(record.job(), record.done()));
     }
 
-    private void dispatch(JobId job, Submission submission, ServicePolicy service) {
+    private void dispatch(JobId job, Submission submission, ServicePolicy service, int generation) {
         announceTeam(submission.specification().team());
-        parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service));
+        parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service, generation));
     }
 
     private void announceTeam(String name) {
@@ -399,7 +399,8 @@
         dispatch(
                 claim.job(),
                 submission,
-                parts.policies().service(submission.specification().service()));
+                parts.policies().service(submission.specification().service()),
+                claim.generation());
         parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
         LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
--- a/library/src/main/java/org/chivetally/placement/AgentView.java
+++ b/library/src/main/java/org/chivetally/placement/AgentView.java
@@ -37,6 +37,7 @@
     private long memoryBytesInFlight;
     private int acceleratorsInFlight;
     private int allowed = UNLIMITED;
+    private boolean heldDown;
 
     AgentView(AgentId id) {
         this.id = Objects.requireNonNull(id, "id");
@@ -47,7 +48,7 @@
         return id;
     }
 
-    /** Returns the service its minion runs; empty while no Hello of it was seen. */
+    /** Returns the service its minion runs; empty while neither a Hello of it nor the members' records named it. */
     public String service() {
         return service;
     }
@@ -107,9 +108,9 @@
         return refreshPending && now - refreshSentAt < REFRESH_PATIENCE_NANOS;
     }
 
-    /** Returns the most attempts in flight that quarantine allows. */
+    /** Returns the most attempts in flight that quarantine and hold-down allow. */
     public int allowed() {
-        return allowed;
+        return heldDown ? Math.min(1, allowed) : allowed;
     }
 
     /** Tells whether a ticket arrived within the last {@code freshness} nanoseconds. */
@@ -131,7 +132,7 @@
         if (minionDown) {
             return AgentState.MINION_DOWN;
         }
-        return allowed <= 0 ? AgentState.QUARANTINED : AgentState.USABLE;
+        return allowed() <= 0 ? AgentState.QUARANTINED : AgentState.USABLE;
     }
 
     /** Returns the slots thought to be free, with some of the agent's queue counted as slots; never negative. */
@@ -140,7 +141,7 @@
             return 0;
         }
         int bySlots = slots + overcommit - inFlight - others;
-        return Math.max(0, Math.min(bySlots, allowed - inFlight));
+        return Math.max(0, Math.min(bySlots, allowed() - inFlight));
     }
 
     /** Returns the share of slots thought to be taken; above 1 when tasks queue. */
@@ -150,7 +151,7 @@
 
     /** Tells whether the agent takes new work and quarantine allows one attempt more. */
     boolean acceptsMore() {
-        return state() == AgentState.USABLE && inFlight < allowed;
+        return state() == AgentState.USABLE && inFlight < allowed();
     }
 
     /** Tells whether a task fits beside this coordinator's own attempts there. */
@@ -169,6 +170,14 @@
         introduced = true;
     }
 
+    void name(String knownService) {
+        service = knownService;
+    }
+
+    void holdDown(boolean held) {
+        heldDown = held;
+    }
+
     void connect() {
         gone = false;
         reachable = true;
--- a/library/src/main/java/org/chivetally/placement/Fleet.java
+++ b/library/src/main/java/org/chivetally/placement/Fleet.java
@@ -55,16 +55,37 @@
     public List<AgentView> possibleHolders(String service, long now) {
         forgetDeparted(now);
         List<AgentView> holders = new ArrayList<>(of(service).members());
-        holders.addAll(unintroduced);
+        for (AgentView agent : unintroduced) {
+            if (mayServe(agent, service)) {
+                holders.add(agent);
+            }
+        }
         for (Departed one : departed) {
-            if (one.agent.gone()
-                    && (!one.agent.introduced() || one.agent.service().equals(service))) {
+            if (one.agent.gone() && mayServe(one.agent, service)) {
                 holders.add(one.agent);
             }
         }
         return holders;
     }
 
+    private static boolean mayServe(AgentView agent, String service) {
+        return agent.service().isEmpty() || agent.service().equals(service);
+    }
+
+    /** Notes an incarnation that may hold tasks of a service, though nothing else is known of it. */
+    public AgentView named(AgentId id, String service) {
+        AgentView agent = agents.get(id);
+        if (agent == null) {
+            agent = new AgentView(id);
+            agents.put(id, agent);
+            unintroduced.add(agent);
+        }
+        if (!agent.introduced()) {
+            agent.name(service);
+        }
+        return agent;
+    }
+
     /** Takes in a Hello on a new connection; an incarnation that was thought gone counts as living again. */
     public AgentView connected(AgentId id, Hello hello, long now) {
         AgentView agent = agents.computeIfAbsent(id, AgentView::new);
@@ -130,6 +151,12 @@
         update(agent);
     }
 
+    /** Gives the agent one attempt at a time only, or as many as it takes again. */
+    public void holdDown(AgentView agent, boolean held) {
+        agent.holdDown(held);
+        update(agent);
+    }
+
     /** Counts an attempt as in flight there. */
     public void started(AgentView agent, Resources need) {
         agent.start(need);
--- a/library/src/test/java/org/chivetally/coordination/DispatcherDoubtsTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherDoubtsTest.java
@@ -199,4 +199,42 @@
         assertThat(outcome(), equalTo(new JobOutcome.Complete(List.of("first"))));
         assertThat(driver.starts, hasSize(1));
     }
+
+    @Test
+    void idempotentTaskOfAnAgentPresumedGoneIsTriedElsewhereAtOnce() {
+        // An agent's machine dies under a task. Entries of two failure domains hear nothing of it. Without the
+        // presumption the caller would wait for the attempt's whole lease before the task is tried elsewhere.
+        AgentId other = driver.connect("b", 0);
+        startThenLoseConnection(DispatcherDriver.repeatable());
+        driver.handle(new DispatchEvent.AgentPresumedGone(agent));
+        driver.advance(Duration.ofMillis(20));
+        driver.heartbeat(other, 1);
+        assertThat(driver.starts, hasSize(1));
+        driver.connect(other, 1, capacity -> capacity);
+        assertThat(driver.starts, hasSize(2));
+    }
+
+    @Test
+    void taskThatRunsOnceIsKeptInDoubtAtAnAgentPresumedGone() {
+        // The agent was only cut off, and returns with the result. Had the presumption counted as proof, the caller
+        // would have been told "unknown" of work that was done.
+        Start start = startThenLoseConnection(DispatcherDriver.once());
+        driver.handle(new DispatchEvent.AgentPresumedGone(agent));
+        assertThat(outcome(), equalTo(null));
+        driver.connect(agent, 1, capacity -> capacity);
+        driver.answer(
+                driver.lastInquiry(),
+                DispatcherDriver.state(start.getAttemptId(), 0, TaskStatus.TASK_STATUS_DONE, "kept"));
+        assertThat(outcome(), equalTo(new JobOutcome.Complete(List.of("kept"))));
+    }
+
+    @Test
+    void agentHeldDownGetsOneTaskAtATime() {
+        agent = driver.connect("a", 8);
+        driver.handle(new DispatchEvent.AgentHeldDown(agent, true));
+        driver.run("job", 3, DispatcherDriver.once());
+        assertThat(driver.starts, hasSize(1));
+        driver.handle(new DispatchEvent.AgentHeldDown(agent, false));
+        assertThat(driver.starts, hasSize(3));
+    }
 }
--- a/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
@@ -17,6 +17,8 @@
 
 /** Jobs that another coordinator began and left. */
 class DispatcherTakeoverTest {
+    private static final Duration HOURS = Duration.ofHours(10);
+
     private final DispatcherDriver driver = new DispatcherDriver();
     private final AgentId first = driver.connect("a", 8);
     private final AgentId second = driver.connect("b", 8);
@@ -114,4 +116,72 @@
         assertThat(driver.failure(job).code(), equalTo(ErrorCode.TASK_FAILED));
         assertThat(driver.failure(job).certainty(), equalTo(JobOutcome.Certainty.FAILED));
     }
+
+    @Test
+    void newIncarnationSaysNothingAboutWhatItsPredecessorRan() {
+        // An agent ran the task and was replaced before this coordinator ever connected to it; only the members'
+        // records name the dead incarnation. The new one answers that it knows no task, which is true of itself alone.
+        // Taken for "never started", the task would start a second time.
+        AgentId dead = new AgentId("c", "1");
+        driver.handle(new DispatchEvent.AgentNamed(dead, DispatcherDriver.SERVICE));
+        driver.handle(new DispatchEvent.AgentGone(dead));
+        driver.connect(new AgentId("c", "2"), 8, capacity -> capacity);
+        JobId job = takeOver(1, DispatcherDriver.once());
+        List.copyOf(driver.inquiries).forEach(inquiry -> driver.answer(inquiry));
+        assertThat(driver.starts, empty());
+        assertThat(driver.failure(job).code(), equalTo(ErrorCode.OUTCOME_UNKNOWN));
+    }
+
+    @Test
+    void agentOfAnotherServiceHeldNothingOfTheJob() {
+        AgentId other = new AgentId("c", "1");
+        driver.handle(new DispatchEvent.AgentNamed(other, "another service"));
+        driver.handle(new DispatchEvent.AgentNamed(new AgentId("d", "1"), "another service"));
+        driver.handle(new DispatchEvent.AgentGone(other));
+        takeOver(1, DispatcherDriver.once());
+        List.copyOf(driver.inquiries).forEach(inquiry -> driver.answer(inquiry));
+        assertThat(driver.starts, hasSize(1));
+    }
+
+    @Test
+    void nothingIsConcludedBeforeAllPossibleHoldersAreNamed() {
+        // The members' records are read behind the claims'. All agents known so far answer that they know no task; then
+        // the records name one more, which ran it and is gone. Concluding before would have started the task again.
+        JobId job = driver.submit("job", DispatcherDriver.tasks(1, Duration.ofMinutes(1)), DispatcherDriver.once());
+        driver.handle(new DispatchEvent.JobClaimed(job, 2, false));
+        List.copyOf(driver.inquiries).forEach(inquiry -> driver.answer(inquiry));
+        assertThat(driver.starts, empty());
+        AgentId late = new AgentId("c", "1");
+        driver.handle(new DispatchEvent.AgentNamed(late, DispatcherDriver.SERVICE));
+        driver.handle(new DispatchEvent.AgentGone(late));
+        driver.handle(new DispatchEvent.HoldersNamed(job));
+        assertThat(driver.starts, empty());
+        assertThat(driver.failure(job).code(), equalTo(ErrorCode.OUTCOME_UNKNOWN));
+    }
+
+    @Test
+    void onceAllAreNamedAndAnsweredTheTaskStarts() {
+        JobId job = driver.submit("job", DispatcherDriver.tasks(1, Duration.ofMinutes(1)), DispatcherDriver.once());
+        driver.handle(new DispatchEvent.JobClaimed(job, 2, false));
+        List.copyOf(driver.inquiries).forEach(inquiry -> driver.answer(inquiry));
+        driver.handle(new DispatchEvent.HoldersNamed(job));
+        assertThat(driver.starts, hasSize(1));
+    }
+
+    @Test
+    void takenOverJobIsNotRefusedForFullQueues() {
+        // A job that another coordinator began is taken over by an entry whose queue is full. Refused like a new one,
+        // its caller would hear "not run" although its tasks may have run, and would send the same offer again.
+        for (int filler = 0; filler < 200; filler++) {
+            driver.submit("filler" + filler, DispatcherDriver.tasks(250, HOURS), DispatcherDriver.once());
+        }
+        JobId job = new JobId("job");
+        driver.handle(new DispatchEvent.JobSubmitted(
+                job, DispatcherDriver.tasks(1, Duration.ofMinutes(1)), DispatcherDriver.once(), 2));
+        assertThat(driver.outcomes.keySet(), empty());
+        driver.claim(job, 2);
+        driver.answer(
+                driver.lastInquiry(), DispatcherDriver.state("job/0/1/1", 0, TaskStatus.TASK_STATUS_DONE, "zero"));
+        assertThat(driver.outcomes.get(job), equalTo(new JobOutcome.Complete(List.of("zero"))));
+    }
 }
