--- a/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
@@ -73,7 +73,9 @@
     /** Whether the agent, whose connections failed again and again, is given one task at a time only. */
     record AgentHeldDown(AgentId agent, boolean held) implements DispatchEvent {}
 
-    /** The incarnation has ended beyond doubt: a newer one of the process runs, or it left and closed its connections. */
+    /**
+     * The incarnation has ended beyond doubt: a newer one of the process runs, or it left and closed its connections.
+     */
     record AgentGone(AgentId agent) implements DispatchEvent {}
 
     /** A frame of an agent arrived. */
--- a/library/src/main/java/org/chivetally/coordination/Dispatcher.java
+++ b/library/src/main/java/org/chivetally/coordination/Dispatcher.java
@@ -100,8 +100,7 @@
             case DispatchEvent.AgentConnected connected -> connected(connected);
             case DispatchEvent.AgentUnreachable unreachable ->
                 doubts.unreachable(context.fleet.unreachable(unreachable.agent()));
-            case DispatchEvent.AgentNamed named ->
-                takeovers.named(context.fleet.named(named.agent(), named.service()));
+            case DispatchEvent.AgentNamed named -> takeovers.named(context.fleet.named(named.agent(), named.service()));
             case DispatchEvent.AgentPresumedGone presumed ->
                 context.fleet.find(presumed.agent()).ifPresent(doubts::presumedGone);
             case DispatchEvent.AgentHeldDown changed -> heldDown(changed);
--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -4,12 +4,12 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.chivetally.entry.EntryExtension;
 import org.chivetally.entry.EntryServer;
 import org.chivetally.entry.EntrySettings;
+import org.chivetally.entry.ProcessReports;
 import org.chivetally.log.PlatformLog;
 import org.chivetally.resource.ResourceService;
 import org.chivetally.resource.http.ResourceRoutes;
@@ -67,18 +67,14 @@
     }
 
     private static EntryExtension extension(EntryDaemonSettings settings, ResourceService resources, NanoClock clock) {
-        EntryExtension none = EntryExtension.none();
-        ResourceRoutes routes = new ResourceRoutes(
-                resources,
-                backendServer -> Optional.empty(),
-                List::of,
-                settings.process().name(),
-                clock);
+        ProcessReports reports = new ProcessReports();
+        String process = settings.process().name();
+        ResourceRoutes routes = new ResourceRoutes(resources, reports, reports, process, clock);
         return new EntryExtension(
                 resources,
                 List.of(routes.route()),
-                none.frames(),
                 () -> resources.isUsable() ? List.of() : List.of(RESOURCES_MISSING),
-                resources::version);
+                new SharedConfiguration(resources),
+                reports);
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/daemon/SharedConfiguration.java
@@ -0,0 +1,35 @@
+package org.chivetally.daemon;
+
+import java.util.Optional;
+import org.chivetally.entry.ConfigurationExchange;
+import org.chivetally.resource.ConfigurationSnapshot;
+import org.chivetally.resource.ResourceService;
+
+/** The resources of an entry as other processes get them. */
+final class SharedConfiguration implements ConfigurationExchange {
+    private final ResourceService resources;
+
+    SharedConfiguration(ResourceService resources) {
+        this.resources = resources;
+    }
+
+    @Override
+    public long version() {
+        return resources.version();
+    }
+
+    @Override
+    public ConfigurationSnapshot forAgent(String service, String backend) {
+        return resources.agentSnapshot(service, backend);
+    }
+
+    @Override
+    public Optional<ConfigurationSnapshot> forEntry(long haveVersion) {
+        return resources.wholeSnapshot(haveVersion);
+    }
+
+    @Override
+    public void offer(long version, byte[] snapshot) {
+        resources.offerSnapshot(version, snapshot);
+    }
+}
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +17,7 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.Props;
+import org.chivetally.claim.Claim;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.SubmissionKey;
@@ -29,8 +31,12 @@
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberActor;
+import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.MemberList;
 import org.chivetally.entry.member.MemberRecords;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MembershipEffect;
+import org.chivetally.entry.member.MembershipEvent;
+import org.chivetally.entry.member.MembershipSettings;
 import org.chivetally.entry.peer.PeerActor;
 import org.chivetally.entry.peer.PeerCommand;
 import org.chivetally.entry.submission.Peers;
@@ -45,10 +51,13 @@
 
 /** The actors of one entry and the ways between them. */
 final class EntryActors {
+    private static final Duration ANNOUNCE_INTERVAL = Duration.ofMinutes(10);
+
     private final ActorSystem<?> system;
     private final Parts parts;
     private final Set<AgentId> usableAgents = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean membersRead = new AtomicBoolean();
+    private final AtomicBoolean logReachable = new AtomicBoolean(true);
     // Actors that tell each other are made one after the other; the ways to later ones are open once those are made.
     private final CompletableFuture<ActorRef<DispatchCommand>> dispatch = new CompletableFuture<>();
     private final CompletableFuture<ActorRef<PeerCommand>> peers = new CompletableFuture<>();
@@ -77,20 +86,63 @@
         return membersRead.get();
     }
 
+    /** Tells whether the last read of the members' records succeeded. */
+    boolean logReachable() {
+        return logReachable.get();
+    }
+
     Set<AgentId> usableAgents() {
         return usableAgents;
     }
 
     /** Hands an event to the dispatcher. */
     void tell(DispatchEvent event) {
+        if (event instanceof DispatchEvent.JobClaimed claimed && claimed.generation() > Claim.FIRST_GENERATION) {
+            tellTakenOver(claimed);
+            return;
+        }
+        decide(event);
+    }
+
+    // The members' records are read behind the claims'; an agent that held tasks of the job and is gone may stand in
+    // records not read yet.
+    private void tellTakenOver(DispatchEvent.JobClaimed claimed) {
+        decide(new DispatchEvent.JobClaimed(claimed.job(), claimed.generation(), false));
+        CompletableFuture<Void> read = new CompletableFuture<>();
+        read.thenRun(() -> decide(new DispatchEvent.HoldersNamed(claimed.job())));
+        tellMembers(new MemberActor.AwaitEnd(read));
+    }
+
+    private void decide(DispatchEvent event) {
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Event(event)));
     }
 
+    /** Asks a member for a sign of life over this entry's connection to it, and tells whether it came. */
+    void probe(MemberId member, Consumer<Boolean> alive) {
+        if (member.processId().equals(parts.member().processId())) {
+            alive.accept(member.incarnation().equals(parts.member().incarnation()));
+            return;
+        }
+        // One of the two has connections to agents, the other to entries.
+        dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Probe(member, found -> {
+            if (found) {
+                alive.accept(true);
+                return;
+            }
+            peers.thenAccept(other -> other.tell(new PeerCommand.Probe(member, alive)));
+        })));
+    }
+
+    /** Gives the members known here. */
+    void membersTo(Consumer<List<Member>> reply) {
+        tellMembers(new MemberActor.MembersOf(reply));
+    }
+
     /** Notes a process that introduced itself. */
     void introduced(Hello hello) {
         boolean self = hello.getProcessId().equals(parts.member().processId());
         if (!self) {
-            MemberRecords.ofHello(hello).ifPresent(member -> tellMembers(new MemberActor.Introduced(member)));
+            MemberRecords.ofHello(hello).ifPresent(member -> learn(new MembershipEvent.Introduced(member)));
         }
     }
 
@@ -125,7 +177,19 @@
         members.thenAccept(actor -> actor.tell(command));
     }
 
-    private void publish(MemberView view) {
+    private void learn(MembershipEvent event) {
+        tellMembers(new MemberActor.Event(event));
+    }
+
+    private void carryOut(MembershipEffect effect) {
+        switch (effect) {
+            case MembershipEffect.Ask ask ->
+                peers.thenAccept(actor -> actor.tell(new PeerCommand.AskSuspicion(ask.entry(), ask.suspect())));
+            default -> dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Membership(effect)));
+        }
+    }
+
+    private void publish(MemberList view) {
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.View(view)));
         peers.thenAccept(actor -> actor.tell(new PeerCommand.View(view)));
     }
@@ -166,20 +230,28 @@
                 parts.log(),
                 parts.clock(),
                 parts.member(),
+                MembershipSettings.standard(parts.settings().claims().window()),
+                ANNOUNCE_INTERVAL,
                 this::publish,
+                this::carryOut,
                 () -> membersRead.set(true),
-                new Introduction(parts, this::introduced)::dialSeeds);
+                logReachable::set,
+                new Introduction(system, parts, this::introduced)::dialSeeds);
     }
 
     private DispatchActor.Parts dispatchParts() {
         return new DispatchActor.Parts(
+                parts.self().processId(),
                 parts.core(),
                 this::wiring,
                 parts.settings().heartbeats(),
                 parts.claims()::holdsLease,
                 (job, outcome) -> submissions.tell(new SubmissionCommand.JobFinished(job, outcome)),
                 this::introduced,
-                connected -> tellMembers(new MemberActor.Connected(connected)),
+                this::learn,
+                service -> parts.extension().policies().service(service).idempotent(),
+                parts.extension().configuration(),
+                parts.extension().reports(),
                 usableAgents,
                 parts.meters(),
                 parts.clock());
@@ -193,13 +265,21 @@
                 (job, outcome) -> submissions.tell(new SubmissionCommand.PeerAnswered(job, outcome)),
                 this::introduced,
                 parts.requestIds()::incrementAndGet,
+                this::learn,
+                parts.extension().configuration(),
+                parts.extension().reports(),
                 membersRead::get,
                 parts.clock());
     }
 
     private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
         return new LinkSet.Wiring(
-                parts.dialer(), parts.hello(), parts.requestIds()::incrementAndGet, new SplittableRandom(), signals);
+                parts.dialer(),
+                parts.hello(),
+                parts.requestIds()::incrementAndGet,
+                parts.extension().configuration()::version,
+                new SplittableRandom(),
+                signals);
     }
 
     private final class ActorPeers implements Peers {
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -239,7 +239,7 @@
                 .setIncarnation(member.incarnation())
                 .setFailureDomain(member.failureDomain())
                 .setRole(Member.ENTRY)
-                .setConfigurationVersion(extension.configurationVersion().get())
+                .setConfigurationVersion(extension.configuration().version())
                 .setListenHost(member.address().host())
                 .setListenPort(member.address().port())
                 .build();
@@ -253,8 +253,9 @@
                 parts.requestIds()::incrementAndGet,
                 actors::introduced,
                 command -> actors.submissions().tell(command),
-                actors.usableAgents()::contains,
-                parts.extension().frames(),
+                actors::probe,
+                actors::membersTo,
+                parts.extension().configuration(),
                 started.system().executionContext()));
     }
 
@@ -320,10 +321,14 @@
         if (started.draining().get()) {
             reasons.add("stopping");
         }
-        if (!started.actorParts().claims().caughtUp()) {
+        // While the log is down nothing can be read to its end. An entry that got configuration and members from its
+        // peers
+        // serves reads and what may be claimed in memory, and refuses all else as not run.
+        boolean outage = !started.actors().logReachable();
+        if (!outage && !started.actorParts().claims().caughtUp()) {
             reasons.add("claims are not read to their end yet");
         }
-        if (!started.actors().membersRead()) {
+        if (!outage && !started.actors().membersRead()) {
             reasons.add("members are not read to their end yet");
         }
         if (started.actors().usableAgents().isEmpty()) {
--- a/library/src/main/java/org/chivetally/entry/dispatch/AttemptsInFlight.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/AttemptsInFlight.java
@@ -12,6 +12,9 @@
 /**
  * Which agents owe an answer, so that their connections are watched closely.
  *
+ * <p>A heartbeat that the dispatcher wants before a start is one such answer: an idle connection that is dead is
+ * noticed when it is to be used, and not only at its next regular heartbeat.
+ *
  * <p>Decides about heartbeats only; what an attempt's outcome is, is decided by the dispatcher. An answer that never
  * comes stops counting some time after the attempt's lease.
  */
@@ -19,7 +22,9 @@
     private static final long MARGIN_NANOS = Duration.ofSeconds(10).toNanos();
     private static final long INQUIRY_NANOS = Duration.ofSeconds(5).toNanos();
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long HEARTBEAT_NANOS = Duration.ofSeconds(2).toNanos();
     private static final String INQUIRY = "inquiry/";
+    private static final String HEARTBEAT = "heartbeat";
 
     private final Map<String, Map<String, Long>> awaited = new HashMap<>();
 
@@ -30,6 +35,9 @@
             long longest = (start.getLeaseMillis() + start.getQueueMillis()) * NANOS_PER_MILLI;
             await(processId, start.getAttemptId(), now + longest + MARGIN_NANOS);
         }
+        if (frame.hasHeartbeat()) {
+            await(processId, HEARTBEAT, now + HEARTBEAT_NANOS);
+        }
         if (frame.hasInquiry()) {
             await(processId, INQUIRY + frame.getInquiry().getJobId(), now + INQUIRY_NANOS);
         }
@@ -44,6 +52,7 @@
         switch (frame.getBodyCase()) {
             case RESULT -> open.remove(frame.getResult().getAttemptId());
             case REFUSAL -> open.remove(frame.getRefusal().getAttemptId());
+            case HEARTBEAT -> open.remove(HEARTBEAT);
             case INQUIRY_ANSWER -> answered(open, frame.getInquiryAnswer());
             default -> {
                 return;
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -12,6 +13,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.PostStop;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -21,29 +24,44 @@
 import org.chivetally.coordination.AgentId;
 import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.entry.ConfigurationExchange;
+import org.chivetally.entry.ProcessReports;
 import org.chivetally.entry.link.HeartbeatSettings;
+import org.chivetally.entry.link.IdlePace;
 import org.chivetally.entry.link.LinkObserver;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.member.Member;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.MemberList;
+import org.chivetally.entry.member.MemberRecords;
+import org.chivetally.entry.member.MembershipEffect;
+import org.chivetally.entry.member.MembershipEvent;
+import org.chivetally.entry.member.Probes;
 import org.chivetally.job.JobId;
 import org.chivetally.job.JobOutcome;
+import org.chivetally.membership.RendezvousOrder;
 import org.chivetally.time.NanoClock;
 import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Heartbeat;
 import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.Report;
+import org.chivetally.wire.v1.SuspicionAnswer;
 
 /** Feeds the decisions with events of agents, jobs and time, and carries their effects out. */
 public final class DispatchActor extends AbstractBehavior<DispatchCommand> implements LinkObserver {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(20);
     private static final int TICKS_PER_REPORT = 100;
+    private static final int TICKS_PER_LOOK = 5;
 
     private final Parts parts;
     private final LinkSet links;
     private final AttemptsInFlight attempts = new AttemptsInFlight();
     private final Map<String, AgentId> agents = new HashMap<>();
-    private Set<String> viewed = Set.of();
+    private final AgentRoster roster;
+    private final ConfigurationPushes pushes;
+    private final Probes probes = new Probes();
     private int entries;
     private boolean leaseHeld;
     private long ticks;
@@ -53,6 +71,8 @@
         this.parts = parts;
         Consumer<LinkSignal> signals = signal -> context.getSelf().tell(new DispatchCommand.Signal(signal));
         this.links = new LinkSet(parts.wiring().apply(signals), parts.heartbeats(), this);
+        this.roster = new AgentRoster(parts.idempotent(), attempts::awaits);
+        this.pushes = new ConfigurationPushes(parts.self(), parts.configuration());
     }
 
     /** Creates the behavior. */
@@ -85,6 +105,8 @@
             case DispatchCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
             case DispatchCommand.View view -> onView(view.view());
+            case DispatchCommand.Probe probe -> onProbe(probe);
+            case DispatchCommand.Membership membership -> onMembership(membership.effect());
             case DispatchCommand.Tick tick -> onTick();
             case DispatchCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
@@ -102,45 +124,93 @@
         }
     }
 
-    private void onView(MemberView view) {
+    private void onView(MemberList view) {
         long now = parts.clock().nanos();
-        Set<String> named = new HashSet<>();
+        decideAll(roster.list(view, now));
         for (Member agent : view.agents()) {
-            named.add(agent.processId());
             links.keep(agent.processId(), agent.address(), now);
         }
-        viewed = Set.copyOf(named);
-        for (String processId : links.processes()) {
-            dropIfUnwanted(processId);
-        }
-        int count = Math.max(1, view.entries().size());
+        dropUnwanted();
+        List<String> names = view.entries().stream().map(Member::processId).toList();
+        pushes.entries(names);
+        pace(view, names);
+        parts.reports().retain(view.members().stream().map(Member::processId).collect(Collectors.toSet()));
+        int count = Math.max(1, names.size());
         if (count != entries) {
             entries = count;
             decide(new DispatchEvent.EntriesChanged(count));
         }
     }
 
-    // An agent that leaves is taken out of the view while its last attempts still run. Its usable connection is kept
-    // for
-    // their results until the agent itself closes it.
-    private void dropIfUnwanted(String processId) {
-        if (viewed.contains(processId) || links.usable(processId).isPresent()) {
+    private void pace(MemberList view, List<String> entryNames) {
+        int count = view.agents().size();
+        Duration shortest = parts.heartbeats().idleInterval();
+        for (Member agent : view.agents()) {
+            boolean own = RendezvousOrder.rank(parts.self(), entryNames, agent.processId()) == 0;
+            links.pace(agent.processId(), IdlePace.interval(own, count, entryNames.size(), shortest));
+        }
+        parts.reports().paced(IdlePace.interval(false, count, entryNames.size(), shortest));
+    }
+
+    private void dropUnwanted() {
+        for (String processId : links.processes()) {
+            boolean usable = links.usable(processId).isPresent();
+            if (!usable && !roster.isWanted(processId)) {
+                links.drop(processId, "not a member");
+                attempts.forget(processId);
+                agents.remove(processId);
+            }
+        }
+    }
+
+    private void onProbe(DispatchCommand.Probe probe) {
+        MemberId id = probe.agent();
+        boolean connected = new AgentId(id.processId(), id.incarnation()).equals(agents.get(id.processId()));
+        boolean asked = connected
+                && links.send(
+                        id.processId(),
+                        Frame.newBuilder()
+                                .setHeartbeat(Heartbeat.getDefaultInstance())
+                                .build());
+        if (!asked) {
+            probe.alive().accept(false);
             return;
         }
-        links.drop(processId, "not a member");
-        attempts.forget(processId);
-        AgentId gone = agents.remove(processId);
-        if (gone != null) {
-            decide(new DispatchEvent.AgentGone(gone));
+        probes.begin(id, probe.alive(), parts.clock().nanos());
+    }
+
+    private void onMembership(MembershipEffect effect) {
+        switch (effect) {
+            case MembershipEffect.TellGone tell -> tellGone(tell.member());
+            case MembershipEffect.HoldDown hold ->
+                decide(new DispatchEvent.AgentHeldDown(
+                        new AgentId(hold.agent().processId(), hold.agent().incarnation()), hold.held()));
+            default -> throw new IllegalStateException("not for agents: " + effect);
         }
     }
 
+    private void tellGone(Member member) {
+        SuspicionAnswer declared = SuspicionAnswer.newBuilder()
+                .setProcessId(member.processId())
+                .setIncarnation(member.incarnation())
+                .build();
+        links.send(
+                member.processId(),
+                Frame.newBuilder().setSuspicionAnswer(declared).build());
+    }
+
     private void onTick() {
         long now = parts.clock().nanos();
         ticks++;
         attempts.expire(now);
+        probes.expire(now);
         links.tick(now, attempts::awaits);
         decide(new DispatchEvent.Ticked());
+        if (ticks % TICKS_PER_LOOK == 0) {
+            decideAll(roster.settle(now));
+            dropUnwanted();
+            pushes.due(now).forEach(links::send);
+        }
         if (ticks % TICKS_PER_REPORT == 0) {
             reportConnected();
         }
@@ -153,27 +223,31 @@
                 connected.add(processId);
             }
         }
-        parts.connected().accept(connected);
+        parts.members().accept(new MembershipEvent.Connected(connected));
     }
 
     @Override
     public void up(Hello hello) {
-        AgentId agent = idOf(hello);
+        long now = parts.clock().nanos();
+        AgentId agent = AgentRoster.idOf(hello);
         AgentId before = agents.put(hello.getProcessId(), agent);
         if (before != null && !before.equals(agent)) {
             attempts.forget(hello.getProcessId());
-            decide(new DispatchEvent.AgentGone(before));
         }
         parts.usable().add(agent);
-        decide(new DispatchEvent.AgentConnected(agent, hello));
+        noteReport(hello, hello.getReport(), hello.getConfigurationVersion());
+        pushes.connected(hello, now);
+        decideAll(roster.up(hello, now));
+        MemberRecords.ofHello(hello).ifPresent(member -> parts.members().accept(new MembershipEvent.Reached(member)));
     }
 
     @Override
     public void down(Hello hello, String reason) {
-        AgentId agent = idOf(hello);
+        AgentId agent = AgentRoster.idOf(hello);
         parts.usable().remove(agent);
-        decide(new DispatchEvent.AgentUnreachable(agent));
-        dropIfUnwanted(hello.getProcessId());
+        pushes.disconnected(hello.getProcessId());
+        decideAll(roster.down(agent, parts.clock().nanos()));
+        parts.members().accept(new MembershipEvent.Lost(new MemberId(agent.processId(), agent.incarnation())));
     }
 
     @Override
@@ -183,8 +257,25 @@
 
     @Override
     public void received(Hello sender, Frame frame) {
+        AgentId agent = AgentRoster.idOf(sender);
         attempts.received(sender.getProcessId(), frame);
-        decide(new DispatchEvent.FrameReceived(idOf(sender), frame));
+        probes.received(new MemberId(agent.processId(), agent.incarnation()));
+        if (frame.hasHeartbeat()) {
+            Heartbeat heartbeat = frame.getHeartbeat();
+            noteReport(sender, heartbeat.getReport(), heartbeat.getConfigurationVersion());
+            pushes.reported(sender.getProcessId(), heartbeat.getConfigurationVersion());
+        }
+        decide(new DispatchEvent.FrameReceived(agent, frame));
+    }
+
+    private void noteReport(Hello sender, Report report, long version) {
+        long now = parts.clock().nanos();
+        parts.reports().reported(sender.getProcessId(), sender.getRole(), version, now);
+        parts.reports().reported(sender, report, now);
+    }
+
+    private void decideAll(List<DispatchEvent> events) {
+        events.forEach(this::decide);
     }
 
     private void decide(DispatchEvent event) {
@@ -215,28 +306,32 @@
                 .increment();
     }
 
-    private static AgentId idOf(Hello hello) {
-        return new AgentId(hello.getProcessId(), hello.getIncarnation());
-    }
-
     /**
      * What the actor works with.
      *
+     * @param self process id of this entry
      * @param wiring makes the links' wiring for the actor's signals
      * @param holdsLease whether this process may start tasks; asked before each event
      * @param finished takes final outcomes
      * @param introduced takes introductions of processes found at another's address
-     * @param connected takes the processes that can be reached, every two seconds
+     * @param members takes what connections say of members
+     * @param idempotent tells whether a service's tasks may run twice
+     * @param configuration what agents are to have
+     * @param reports takes what agents say of themselves
      * @param usable filled with the agents that can be reached; read by other threads
      */
     public record Parts(
+            String self,
             DispatchCore core,
             Function<Consumer<LinkSignal>, LinkSet.Wiring> wiring,
             HeartbeatSettings heartbeats,
             BooleanSupplier holdsLease,
             BiConsumer<JobId, JobOutcome> finished,
             Consumer<Hello> introduced,
-            Consumer<Set<String>> connected,
+            Consumer<MembershipEvent> members,
+            Predicate<String> idempotent,
+            ConfigurationExchange configuration,
+            ProcessReports reports,
             Set<AgentId> usable,
             MeterRegistry meters,
             NanoClock clock) {}
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -1,8 +1,11 @@
 package org.chivetally.entry.dispatch;
 
+import java.util.function.Consumer;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.link.LinkSignal;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.MemberList;
+import org.chivetally.entry.member.MembershipEffect;
 
 /** Messages of {@link DispatchActor}. */
 public sealed interface DispatchCommand {
@@ -13,7 +16,13 @@
     record Signal(LinkSignal signal) implements DispatchCommand {}
 
     /** The members changed. */
-    record View(MemberView view) implements DispatchCommand {}
+    record View(MemberList view) implements DispatchCommand {}
+
+    /** Another entry asks whether an agent can be reached. */
+    record Probe(MemberId agent, Consumer<Boolean> alive) implements DispatchCommand {}
+
+    /** The view of members wants something done at an agent. */
+    record Membership(MembershipEffect effect) implements DispatchCommand {}
 
     /** Ends the actor. */
     record Stop() implements DispatchCommand {}
--- a/library/src/main/java/org/chivetally/entry/link/Link.java
+++ b/library/src/main/java/org/chivetally/entry/link/Link.java
@@ -36,6 +36,7 @@
     private boolean busy;
     private long busySince;
     private long lastTick;
+    private long idleInterval;
 
     Link(
             String processId,
@@ -51,6 +52,12 @@
         this.jitter = jitter;
         this.dialAt = now;
         this.lastTick = now;
+        this.idleInterval = settings.idleInterval().toNanos();
+    }
+
+    /** Sets the time between heartbeats while nothing is awaited. */
+    void pace(long intervalNanos) {
+        idleInterval = intervalNanos;
     }
 
     Address address() {
@@ -190,14 +197,14 @@
         long quietSince = busy ? Math.max(lastReceived, busySince) : lastReceived;
         long silentAfter = busy
                 ? settings.silentAfter().toNanos()
-                : settings.idleSilentAfter().toNanos();
+                : settings.idleSilentAfter().toNanos()
+                        + idleInterval
+                        - settings.idleInterval().toNanos();
         if (now - quietSince >= silentAfter) {
             retire(now, effects);
             return;
         }
-        long interval = busy
-                ? settings.busyInterval().toNanos()
-                : settings.idleInterval().toNanos();
+        long interval = busy ? settings.busyInterval().toNanos() : idleInterval;
         if (now - Math.max(lastReceived, lastBeat) >= interval) {
             lastBeat = now;
             effects.add(new LinkEffect.Beat(dial));
--- a/library/src/main/java/org/chivetally/entry/link/LinkSet.java
+++ b/library/src/main/java/org/chivetally/entry/link/LinkSet.java
@@ -1,6 +1,7 @@
 package org.chivetally.entry.link;
 
 import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -55,6 +56,14 @@
                 "%s", EventLine.of("link-kept").with("process", processId).with("address", address));
     }
 
+    /** Sets the time between heartbeats on an idle link. */
+    public void pace(String processId, Duration interval) {
+        Link link = links.get(processId);
+        if (link != null) {
+            link.pace(interval.toNanos());
+        }
+    }
+
     /** Closes the link to a process; the observer hears of it when the link was usable. */
     public void drop(String processId, String reason) {
         Link link = links.remove(processId);
@@ -152,7 +161,7 @@
             case LinkEffect.Dial dial -> dial(processId, link, dial.dial());
             case LinkEffect.Greet greet ->
                 sendOn(greet.dial(), Frame.newBuilder().setHello(wiring.hello().get()));
-            case LinkEffect.Beat beat -> sendOn(beat.dial(), Frame.newBuilder().setHeartbeat(Heartbeat.newBuilder()));
+            case LinkEffect.Beat beat -> sendOn(beat.dial(), Frame.newBuilder().setHeartbeat(heartbeat(false)));
             case LinkEffect.AnswerBeat answer -> answer(answer);
             case LinkEffect.Hangup hangup -> hangUp(hangup.dial());
             case LinkEffect.Up up -> found(link, up.hello());
@@ -199,10 +208,16 @@
         }
         connection.send(Frame.newBuilder()
                 .setRequestId(answer.requestId())
-                .setHeartbeat(Heartbeat.newBuilder().setAnswer(true))
+                .setHeartbeat(heartbeat(true))
                 .build());
     }
 
+    private Heartbeat.Builder heartbeat(boolean answer) {
+        return Heartbeat.newBuilder()
+                .setAnswer(answer)
+                .setConfigurationVersion(wiring.configurationVersion().getAsLong());
+    }
+
     private void sendOn(long dial, Frame.Builder frame) {
         FrameConnection connection = connections.get(dial);
         if (connection != null) {
@@ -216,6 +231,7 @@
      * @param dialer opens connections
      * @param hello introduction of this process
      * @param requestIds request ids of this process, never repeated
+     * @param configurationVersion version in force here, told with each heartbeat
      * @param jitter spreads dials after a failure
      * @param signals takes signals on the transport's threads to the owner
      */
@@ -223,6 +239,7 @@
             Dialer dialer,
             Supplier<Hello> hello,
             LongSupplier requestIds,
+            LongSupplier configurationVersion,
             RandomGenerator jitter,
             Consumer<LinkSignal> signals) {}
 
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/member/Incarnation.java
@@ -0,0 +1,43 @@
+package org.chivetally.entry.member;
+
+/** What one entry knows of one incarnation. Owned by a {@link MembershipView}. */
+final class Incarnation {
+    Member member;
+    MemberState state = MemberState.JOINING;
+    /** Whether it stands in the log, and not only introduced itself. */
+    boolean announced;
+    /** Whether a connection of this entry to it can be used. */
+    boolean reached;
+    /** Whether it was declared gone before; that happens once to an incarnation. */
+    boolean declaredGone;
+    /** When it came into its state. */
+    long since;
+    /** When it was last connected or announced. */
+    long heardAt;
+    /** Why it is not in the view; null while it is. */
+    EndedMember.Reason ended;
+
+    Suspicion suspicion;
+
+    Incarnation(Member member, boolean announced, long now) {
+        this.member = member;
+        this.announced = announced;
+        this.since = now;
+        this.heardAt = now;
+    }
+
+    MemberId id() {
+        return member.id();
+    }
+
+    void enter(MemberState next, long now) {
+        state = next;
+        since = now;
+        suspicion = next == MemberState.SUSPECT ? new Suspicion(now) : null;
+    }
+
+    void end(EndedMember.Reason reason, long now) {
+        enter(reason == EndedMember.Reason.PRESUMED_GONE ? MemberState.GONE : MemberState.ENDED, now);
+        ended = reason;
+    }
+}
--- a/library/src/main/java/org/chivetally/entry/member/Member.java
+++ b/library/src/main/java/org/chivetally/entry/member/Member.java
@@ -41,6 +41,11 @@
         }
     }
 
+    /** Returns the incarnation. */
+    public MemberId id() {
+        return new MemberId(processId, incarnation);
+    }
+
     /** Tells whether this is an agent. */
     public boolean isAgent() {
         return AGENT.equals(role);
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -2,10 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -13,6 +14,7 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.apache.pekko.actor.typed.javadsl.TimerScheduler;
+import org.chivetally.log.AppendOutcome;
 import org.chivetally.log.LogRecord;
 import org.chivetally.log.NewRecord;
 import org.chivetally.log.PlatformLog;
@@ -20,19 +22,19 @@
 import org.chivetally.logging.EventLine;
 import org.chivetally.time.NanoClock;
 
-/** Reads the stream {@code members}, publishes the view, and announces this process there. */
+/** Shell of {@link MembershipView}: reads and writes the stream {@code members}, and passes on what the view wants. */
 public final class MemberActor extends AbstractBehavior<MemberActor.Command> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final int RECORDS_PER_READ = 1_000;
     private static final Duration LONGEST_READ = Duration.ofSeconds(5);
-    private static final Duration READ_RETRY = Duration.ofMillis(500);
-    private static final Duration ANNOUNCE_INTERVAL = Duration.ofSeconds(30);
-    private static final Duration EXPIRY_INTERVAL = Duration.ofSeconds(1);
-    private static final Duration KEPT_UNHEARD = Duration.ofSeconds(120);
+    private static final Duration RETRY = Duration.ofMillis(500);
+    private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
+    private static final Duration INTRODUCE_INTERVAL = Duration.ofSeconds(5);
 
     private final TimerScheduler<Command> timers;
     private final Parts parts;
-    private final MemberTable table = new MemberTable();
+    private final MembershipView view;
+    private final List<CompletableFuture<Void>> awaitingEnd = new ArrayList<>();
     private long nextOffset;
     private boolean atEnd;
     private boolean reachable;
@@ -41,9 +43,13 @@
         super(context);
         this.timers = timers;
         this.parts = parts;
-        table.fold(new MemberRecord.Announce(parts.self()), parts.clock().nanos());
-        timers.startTimerWithFixedDelay(new Expire(), EXPIRY_INTERVAL);
-        timers.startTimerWithFixedDelay(new Announce(), ANNOUNCE_INTERVAL);
+        this.view =
+                new MembershipView(parts.self(), parts.settings(), parts.clock().nanos());
+        timers.startTimerWithFixedDelay(new Tick(), TICK_INTERVAL);
+        timers.startTimerWithFixedDelay(new Introduce(), INTRODUCE_INTERVAL);
+        timers.startTimerWithFixedDelay(new Announce(), parts.announceInterval());
+        parts.publish().accept(view.list());
+        parts.introduce().run();
         announce();
         read();
     }
@@ -56,121 +62,186 @@
     @Override
     public Receive<Command> createReceive() {
         return newReceiveBuilder()
-                .onMessage(ReadDone.class, this::onRead)
-                .onMessage(ReadAgain.class, again -> read())
-                .onMessage(Introduced.class, this::onIntroduced)
-                .onMessage(Connected.class, this::onConnected)
-                .onMessage(Expire.class, expire -> onExpire())
-                .onMessage(Announce.class, announce -> announce())
-                .onMessage(AnnounceDone.class, done -> this)
                 .onMessage(Leave.class, this::onLeave)
+                .onMessage(Command.class, command -> {
+                    handle(command);
+                    return this;
+                })
                 .build();
     }
 
-    private Behavior<Command> onRead(ReadDone done) {
-        switch (done.outcome()) {
+    private void handle(Command command) {
+        switch (command) {
+            case Event event -> apply(event.event());
+            case ReadDone done -> onRead(done.outcome());
+            case ReadAgain again -> read();
+            case EndRead read -> onEndRead(read.outcome());
+            case ReadEndAgain again -> readEnd();
+            case AwaitEnd await -> onAwaitEnd(await.read());
+            case MembersOf asked -> asked.reply().accept(view.list().members());
+            case Announce announce -> announce();
+            case Introduce introduce -> introduceUnlessReachable();
+            case Tick tick -> apply(new MembershipEvent.Ticked());
+            case Written written -> onWritten(written);
+            case Leave leave -> throw new IllegalStateException("handled before");
+        }
+    }
+
+    private void onRead(ReadOutcome outcome) {
+        switch (outcome) {
             case ReadOutcome.Records records -> foldAll(records);
-            case ReadOutcome.Expired expired -> nextOffset = expired.earliestOffset();
+            case ReadOutcome.Expired expired -> nextOffset = Math.max(nextOffset, expired.earliestOffset());
             case ReadOutcome.Unavailable unavailable -> {
-                LOGGER.atWarning().log("%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
-                reachable = false;
-                timers.startSingleTimer(new ReadAgain(), READ_RETRY);
-                return this;
+                LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                        "%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
+                setReachable(false);
+                timers.startSingleTimer(new ReadAgain(), RETRY);
+                return;
             }
         }
-        return read();
+        read();
     }
 
     private void foldAll(ReadOutcome.Records records) {
-        reachable = true;
-        boolean changed = false;
+        setReachable(true);
         for (LogRecord record : records.records()) {
-            changed |= fold(record);
-            nextOffset = record.offset() + 1;
+            // Two reads may be under way; the later answer repeats records of the earlier one.
+            if (record.offset() >= nextOffset) {
+                nextOffset = record.offset() + 1;
+                MemberRecords.read(record.payload()).ifPresent(known -> apply(new MembershipEvent.Recorded(known)));
+            }
         }
         if (!atEnd && nextOffset >= records.endOffset()) {
             atEnd = true;
             parts.caughtUp().run();
-            changed = true;
+            parts.publish().accept(view.list());
         }
-        publishIf(changed);
     }
 
-    private boolean fold(LogRecord record) {
-        return MemberRecords.read(record.payload())
-                .map(known -> table.fold(known, parts.clock().nanos()))
-                .orElse(false);
+    private void setReachable(boolean isReachable) {
+        reachable = isReachable;
+        parts.logReachable().accept(isReachable);
     }
 
-    private Behavior<Command> onIntroduced(Introduced introduced) {
-        publishIf(table.fold(
-                new MemberRecord.Announce(introduced.member()), parts.clock().nanos()));
-        return this;
+    // A long read under way may have begun before what is asked for was written, so this is a read of its own.
+    private void onAwaitEnd(CompletableFuture<Void> read) {
+        awaitingEnd.add(read);
+        if (awaitingEnd.size() == 1) {
+            readEnd();
+        }
     }
 
-    private Behavior<Command> onConnected(Connected connected) {
-        long now = parts.clock().nanos();
-        connected.processIds().forEach(processId -> table.heard(processId, now));
-        return this;
+    private void readEnd() {
+        getContext()
+                .pipeToSelf(
+                        parts.log().read(MemberRecords.STREAM, nextOffset, RECORDS_PER_READ, Duration.ZERO),
+                        (outcome, failure) -> new EndRead(orUnavailable(outcome, failure)));
     }
 
-    private Behavior<Command> onExpire() {
-        table.heard(parts.self().processId(), parts.clock().nanos());
-        publishIf(table.expire(parts.clock().nanos() - KEPT_UNHEARD.toNanos()));
-        return this;
+    private void onEndRead(ReadOutcome outcome) {
+        switch (outcome) {
+            case ReadOutcome.Records records -> {
+                foldAll(records);
+                if (nextOffset < records.endOffset()) {
+                    readEnd();
+                    return;
+                }
+                List<CompletableFuture<Void>> served = List.copyOf(awaitingEnd);
+                awaitingEnd.clear();
+                served.forEach(read -> read.complete(null));
+            }
+            case ReadOutcome.Expired expired -> {
+                nextOffset = Math.max(nextOffset, expired.earliestOffset());
+                readEnd();
+            }
+            case ReadOutcome.Unavailable unavailable -> timers.startSingleTimer(new ReadEndAgain(), RETRY);
+        }
     }
 
     // While the log is down nobody reads an announcement, and a process that starts then would stay unknown. It says so
-    // to
-    // the processes of its settings instead.
-    private Behavior<Command> announce() {
+    // to the processes of its settings instead, and asks them whom they know.
+    private void introduceUnlessReachable() {
         if (!reachable) {
             parts.introduce().run();
         }
-        NewRecord record = record(new MemberRecord.Announce(parts.self()));
+    }
+
+    private void announce() {
+        write(new MemberRecord.Announce(parts.self()));
+    }
+
+    private void write(MemberRecord record) {
+        NewRecord written = new NewRecord(UUID.randomUUID().toString(), MemberRecords.write(record));
         getContext()
                 .pipeToSelf(
-                        parts.log().append(MemberRecords.STREAM, List.of(record)),
-                        (outcome, failure) -> new AnnounceDone());
-        return this;
+                        parts.log().append(MemberRecords.STREAM, List.of(written)),
+                        (outcome, failure) -> new Written(record, outcome));
+    }
+
+    private void onWritten(Written written) {
+        boolean lost = !(written.outcome() instanceof AppendOutcome.Appended);
+        if (lost) {
+            LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                    "%s", EventLine.of("member-record-not-written").with("record", written.record()));
+        }
+        boolean own = written.record() instanceof MemberRecord.Announce;
+        if (lost && own && !timers.isTimerActive(Announce.AGAIN)) {
+            timers.startSingleTimer(Announce.AGAIN, new Announce(), INTRODUCE_INTERVAL);
+        }
     }
 
     private Behavior<Command> onLeave(Leave leave) {
-        NewRecord record = record(
-                new MemberRecord.Leave(parts.self().processId(), parts.self().incarnation()));
+        MemberRecord record =
+                new MemberRecord.Leave(parts.self().processId(), parts.self().incarnation());
+        NewRecord written = new NewRecord(UUID.randomUUID().toString(), MemberRecords.write(record));
         parts.log()
-                .append(MemberRecords.STREAM, List.of(record))
+                .append(MemberRecords.STREAM, List.of(written))
                 .whenComplete((outcome, failure) -> leave.done().complete(null));
         return Behaviors.stopped();
     }
 
-    private Behavior<Command> read() {
+    private void read() {
         getContext()
                 .pipeToSelf(
                         parts.log().read(MemberRecords.STREAM, nextOffset, RECORDS_PER_READ, LONGEST_READ),
-                        (outcome, failure) -> new ReadDone(
-                                failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString())));
-        return this;
+                        (outcome, failure) -> new ReadDone(orUnavailable(outcome, failure)));
     }
 
-    private void publishIf(boolean changed) {
-        if (changed) {
-            parts.publish().accept(new MemberView(table.members()));
+    private static ReadOutcome orUnavailable(ReadOutcome outcome, Throwable failure) {
+        return failure == null ? outcome : new ReadOutcome.Unavailable(failure.toString());
+    }
+
+    private void apply(MembershipEvent event) {
+        for (MembershipEffect effect : view.handle(event, parts.clock().nanos())) {
+            carryOut(effect);
         }
     }
 
-    private static NewRecord record(MemberRecord record) {
-        return new NewRecord(UUID.randomUUID().toString(), MemberRecords.write(record));
+    private void carryOut(MembershipEffect effect) {
+        switch (effect) {
+            case MembershipEffect.Changed changed -> parts.publish().accept(view.list());
+            case MembershipEffect.Append append -> {
+                LOGGER.atInfo().log("%s", EventLine.of("member-record").with("record", append.record()));
+                write(append.record());
+            }
+            default -> {
+                LOGGER.atInfo().log("%s", EventLine.of("member").with("effect", effect));
+                parts.outward().accept(effect);
+            }
+        }
     }
 
     /** Messages of the actor. */
     public sealed interface Command {}
 
-    /** A process introduced itself over a connection. */
-    public record Introduced(Member member) implements Command {}
+    /** Something happened to a member. */
+    public record Event(MembershipEvent event) implements Command {}
 
-    /** These processes are connected now. */
-    public record Connected(Set<String> processIds) implements Command {}
+    /** Complete this once all records are read and published that stand in the stream now. */
+    public record AwaitEnd(CompletableFuture<Void> read) implements Command {}
+
+    /** Give the members to a peer that can't read them. */
+    public record MembersOf(Consumer<List<Member>> reply) implements Command {}
 
     /** Says in the log that this process stops, and ends the actor. */
     public record Leave(CompletableFuture<Void> done) implements Command {}
@@ -179,25 +250,40 @@
 
     private record ReadAgain() implements Command {}
 
-    private record AnnounceDone() implements Command {}
+    private record EndRead(ReadOutcome outcome) implements Command {}
+
+    private record ReadEndAgain() implements Command {}
+
+    private record Written(MemberRecord record, AppendOutcome outcome) implements Command {}
+
+    private record Announce() implements Command {
+        private static final String AGAIN = "announce-again";
+    }
 
-    private record Announce() implements Command {}
+    private record Introduce() implements Command {}
 
-    private record Expire() implements Command {}
+    private record Tick() implements Command {}
 
     /**
      * What the actor works with.
      *
      * @param self this process as a member
-     * @param publish takes each new view, on the actor's thread
+     * @param announceInterval time between announcements; well under what the log keeps
+     * @param publish takes each new list, on the actor's thread
+     * @param outward takes effects that concern connections, on the actor's thread
      * @param caughtUp run once, when the stream was read to its end for the first time
-     * @param introduce tells the processes of the settings of this one, while the log can't
+     * @param logReachable told after each read whether it succeeded
+     * @param introduce tells the processes of the settings of this one, and asks them whom they know
      */
     public record Parts(
             PlatformLog log,
             NanoClock clock,
             Member self,
-            Consumer<MemberView> publish,
+            MembershipSettings settings,
+            Duration announceInterval,
+            Consumer<MemberList> publish,
+            Consumer<MembershipEffect> outward,
             Runnable caughtUp,
+            Consumer<Boolean> logReachable,
             Runnable introduce) {}
 }
--- a/library/src/main/java/org/chivetally/entry/member/MemberRecord.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberRecord.java
@@ -7,4 +7,11 @@
 
     /** The process stops. */
     record Leave(String processId, String incarnation) implements MemberRecord {}
+
+    /**
+     * Entries of two failure domains don't reach the incarnation.
+     *
+     * @param declaredBy process id of the entry that writes this
+     */
+    record Gone(String processId, String incarnation, String declaredBy) implements MemberRecord {}
 }
--- a/library/src/main/java/org/chivetally/entry/member/MemberRecords.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberRecords.java
@@ -17,6 +17,7 @@
 
     private static final String ANNOUNCE = "announce";
     private static final String LEAVE = "leave";
+    private static final String GONE = "gone";
     private static final JsonMapper MAPPER = JsonMapper.shared();
 
     private MemberRecords() {}
@@ -28,6 +29,11 @@
             case MemberRecord.Announce announce -> writeMember(document, announce.member());
             case MemberRecord.Leave leave ->
                 document.put("type", LEAVE).put("processId", leave.processId()).put("incarnation", leave.incarnation());
+            case MemberRecord.Gone gone ->
+                document.put("type", GONE)
+                        .put("processId", gone.processId())
+                        .put("incarnation", gone.incarnation())
+                        .put("declaredBy", gone.declaredBy());
         }
         return MAPPER.writeValueAsBytes(document);
     }
@@ -58,6 +64,26 @@
         }
     }
 
+    /** Returns the introduction of a member, without a report. */
+    public static Hello toHello(Member member) {
+        return Hello.newBuilder()
+                .setProcessId(member.processId())
+                .setIncarnation(member.incarnation())
+                .setRole(member.role())
+                .setFailureDomain(member.failureDomain())
+                .setListenHost(member.address().host())
+                .setListenPort(member.address().port())
+                .setService(member.service())
+                .setBackend(member.backend())
+                .setCapacity(Capacity.newBuilder()
+                        .setSlots(member.capacity().slots())
+                        .setConnections(member.capacity().connections())
+                        .setProcessorMillis(member.capacity().processorMillis())
+                        .setMemoryBytes(member.capacity().memoryBytes())
+                        .setAccelerators(member.capacity().accelerators()))
+                .build();
+    }
+
     private static MemberCapacity ofWire(Capacity capacity) {
         return new MemberCapacity(
                 capacity.getSlots(),
@@ -90,6 +116,11 @@
             case ANNOUNCE -> Optional.of(new MemberRecord.Announce(readMember(document)));
             case LEAVE ->
                 Optional.of(new MemberRecord.Leave(text(document, "processId"), text(document, "incarnation")));
+            case GONE ->
+                Optional.of(new MemberRecord.Gone(
+                        required(document, "processId"),
+                        required(document, "incarnation"),
+                        text(document, "declaredBy")));
             default -> Optional.empty();
         };
     }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/entry/member/MembershipSettings.java
@@ -0,0 +1,51 @@
+package org.chivetally.entry.member;
+
+import java.time.Duration;
+
+/**
+ * Times of the view of members.
+ *
+ * @param joinPatience time without a connection after which a member that was never reached is suspected
+ * @param unheardLimit time without a connection or an announcement after which a member is presumed gone without
+ *     anyone's word; longer than the time between two announcements
+ * @param endedRetention how long ended incarnations are named; at least as long as a claim may be taken over
+ * @param firstQuestion time from a suspicion to the first question to other entries
+ * @param questionInterval time to the next question; doubles up to the limit
+ * @param questionLimit longest time between two questions
+ * @param answerPatience time in which answers to a question count
+ * @param goneAfter least time of suspicion before a member is declared gone
+ * @param turn time that each further entry waits before it declares the same member gone
+ * @param flapWindow time without a suspicion after which earlier ones are forgotten
+ * @param shortestHoldDown hold-down after the second suspicion; doubles with each further one
+ * @param longestHoldDown longest hold-down
+ */
+public record MembershipSettings(
+        Duration joinPatience,
+        Duration unheardLimit,
+        Duration endedRetention,
+        Duration firstQuestion,
+        Duration questionInterval,
+        Duration questionLimit,
+        Duration answerPatience,
+        Duration goneAfter,
+        Duration turn,
+        Duration flapWindow,
+        Duration shortestHoldDown,
+        Duration longestHoldDown) {
+    /** Returns the times of the design note for claims that are remembered for a time. */
+    public static MembershipSettings standard(Duration claimWindow) {
+        return new MembershipSettings(
+                Duration.ofSeconds(10),
+                Duration.ofMinutes(25),
+                claimWindow.multipliedBy(2),
+                Duration.ofMillis(200),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(30),
+                Duration.ofMillis(800),
+                Duration.ofSeconds(3),
+                Duration.ofMillis(500),
+                Duration.ofSeconds(60),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(30));
+    }
+}
--- a/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
+++ b/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
@@ -1,13 +1,17 @@
 package org.chivetally.entry.peer;
 
+import com.google.protobuf.ByteString;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
-import org.chivetally.coordination.AgentId;
+import org.chivetally.entry.ConfigurationExchange;
+import org.chivetally.entry.member.Member;
+import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.MemberRecords;
 import org.chivetally.entry.submission.OutcomeDocument;
 import org.chivetally.entry.submission.SubmissionCommand;
 import org.chivetally.entry.submission.SubmissionCommand.AttachAnswer;
@@ -18,10 +22,12 @@
 import org.chivetally.transport.FrameConnection;
 import org.chivetally.transport.FrameListener;
 import org.chivetally.wire.v1.Attach;
+import org.chivetally.wire.v1.ConfigurationPush;
 import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.Heartbeat;
 import org.chivetally.wire.v1.Hello;
 import org.chivetally.wire.v1.JobAnswer;
+import org.chivetally.wire.v1.MembersPush;
 import org.chivetally.wire.v1.SuspicionAnswer;
 import org.chivetally.wire.v1.SuspicionQuery;
 
@@ -53,22 +59,28 @@
             case ATTACH -> attach(connection, frame.getRequestId(), frame.getAttach());
             case CANCEL -> frame.getCancel().getJobIdsList().forEach(this::cancel);
             case SUSPICION_QUERY -> suspicion(connection, frame.getRequestId(), frame.getSuspicionQuery());
-            default -> parts.others().received(connection, frame);
+            case CONFIGURATION_PULL -> pull(connection, frame);
+            case MEMBERS_PULL -> members(connection, frame.getRequestId());
+            default -> {
+                // An answer to a question of this entry goes over its own connections.
+            }
         }
     }
 
     @Override
     public void disconnected(FrameConnection connection, String reason) {
-        parts.others().disconnected(connection, reason);
+        // Whatever is still awaited over it is asked for again over another.
     }
 
-    private static void beat(FrameConnection connection, Frame frame) {
+    private void beat(FrameConnection connection, Frame frame) {
         if (frame.getHeartbeat().getAnswer()) {
             return;
         }
         connection.send(Frame.newBuilder()
                 .setRequestId(frame.getRequestId())
-                .setHeartbeat(Heartbeat.newBuilder().setAnswer(true))
+                .setHeartbeat(Heartbeat.newBuilder()
+                        .setAnswer(true)
+                        .setConfigurationVersion(parts.configuration().version()))
                 .build());
     }
 
@@ -123,13 +135,41 @@
     }
 
     private void suspicion(FrameConnection connection, long requestId, SuspicionQuery query) {
-        boolean alive = parts.usable().test(new AgentId(query.getProcessId(), query.getIncarnation()));
-        connection.send(Frame.newBuilder()
-                .setRequestId(requestId)
-                .setSuspicionAnswer(SuspicionAnswer.newBuilder()
-                        .setProcessId(query.getProcessId())
-                        .setAlive(alive))
-                .build());
+        MemberId suspect = new MemberId(query.getProcessId(), query.getIncarnation());
+        parts.probe()
+                .accept(
+                        suspect,
+                        alive -> connection.send(Frame.newBuilder()
+                                .setRequestId(requestId)
+                                .setSuspicionAnswer(SuspicionAnswer.newBuilder()
+                                        .setProcessId(suspect.processId())
+                                        .setIncarnation(suspect.incarnation())
+                                        .setAlive(alive))
+                                .build()));
+    }
+
+    private void pull(FrameConnection connection, Frame frame) {
+        long have = frame.getConfigurationPull().getHaveVersion();
+        parts.executor()
+                .execute(() -> parts.configuration()
+                        .forEntry(have)
+                        .ifPresent(snapshot -> connection.send(Frame.newBuilder()
+                                .setRequestId(frame.getRequestId())
+                                .setConfigurationPush(ConfigurationPush.newBuilder()
+                                        .setVersion(snapshot.version())
+                                        .setSnapshot(ByteString.copyFrom(snapshot.content())))
+                                .build())));
+    }
+
+    private void members(FrameConnection connection, long requestId) {
+        parts.members().accept(known -> {
+            MembersPush.Builder push = MembersPush.newBuilder();
+            known.forEach(member -> push.addMembers(MemberRecords.toHello(member)));
+            connection.send(Frame.newBuilder()
+                    .setRequestId(requestId)
+                    .setMembersPush(push)
+                    .build());
+        });
     }
 
     /**
@@ -138,8 +178,9 @@
      * @param hello introduction of this process
      * @param introduced takes introductions of processes that dialled
      * @param submissions takes questions about jobs
-     * @param usable tells whether an agent can be reached from here now
-     * @param others told of all other frames and of closed connections
+     * @param probe asks a member for a sign of life, and tells whether it came
+     * @param members gives the members known here
+     * @param configuration what other entries may ask for
      * @param executor writes answers, which may be large
      */
     public record Parts(
@@ -147,7 +188,8 @@
             LongSupplier requestIds,
             Consumer<Hello> introduced,
             Consumer<SubmissionCommand> submissions,
-            Predicate<AgentId> usable,
-            FrameListener others,
+            BiConsumer<MemberId, Consumer<Boolean>> probe,
+            Consumer<Consumer<List<Member>>> members,
+            ConfigurationExchange configuration,
             Executor executor) {}
 }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -5,8 +5,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SequencedMap;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
@@ -20,13 +22,19 @@
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.chivetally.claim.Coordinator;
+import org.chivetally.entry.ConfigurationExchange;
+import org.chivetally.entry.ProcessReports;
 import org.chivetally.entry.link.Address;
 import org.chivetally.entry.link.HeartbeatSettings;
 import org.chivetally.entry.link.LinkObserver;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.member.Member;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.MemberList;
+import org.chivetally.entry.member.MemberRecords;
+import org.chivetally.entry.member.MembershipEvent;
+import org.chivetally.entry.member.Probes;
 import org.chivetally.entry.submission.OutcomeDocument;
 import org.chivetally.errors.ErrorCode;
 import org.chivetally.job.JobId;
@@ -37,26 +45,34 @@
 import org.chivetally.wire.v1.Attach;
 import org.chivetally.wire.v1.Cancel;
 import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Heartbeat;
 import org.chivetally.wire.v1.Hello;
 import org.chivetally.wire.v1.JobAnswer;
+import org.chivetally.wire.v1.SuspicionQuery;
 
 /** Asks other entries for the outcomes of jobs that they coordinate. */
 public final class PeerActor extends AbstractBehavior<PeerCommand> implements LinkObserver {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(50);
+    private static final int MOST_SUSPICIONS = 4_096;
     private static final long ASK_AGAIN_NANOS = Duration.ofMillis(500).toNanos();
 
     private final Parts parts;
     private final LinkSet links;
     private final Map<JobId, Question> questions = new HashMap<>();
     private final KeyQuestions keyQuestions = new KeyQuestions();
+    private final SequencedMap<Long, MemberId> suspicions = new LinkedHashMap<>();
+    private final Probes probes = new Probes();
+    private final ConfigurationPulls pulls;
     private Set<String> viewed = Set.of();
+    private boolean someEnded;
 
     private PeerActor(ActorContext<PeerCommand> context, Parts parts) {
         super(context);
         this.parts = parts;
         Consumer<LinkSignal> signals = signal -> context.getSelf().tell(new PeerCommand.Signal(signal));
         this.links = new LinkSet(parts.wiring().apply(signals), parts.heartbeats(), this);
+        this.pulls = new ConfigurationPulls(parts.configuration());
     }
 
     /** Creates the behavior. */
@@ -91,6 +107,8 @@
             case PeerCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
             case PeerCommand.View view -> onView(view.view());
+            case PeerCommand.AskSuspicion ask -> onAskSuspicion(ask);
+            case PeerCommand.Probe probe -> onProbe(probe);
             case PeerCommand.Tick tick -> onTick();
             case PeerCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
@@ -103,10 +121,13 @@
         send(question);
     }
 
+    // An entry that is not in the view any more may have claimed the key just before it ended, in a record that could
+    // not
+    // be read here yet. Nothing is certain without it, for as long as its jobs may be taken over.
     private void onAskKey(PeerCommand.AskKey ask) {
         boolean allReachable =
                 viewed.stream().allMatch(entry -> links.usable(entry).isPresent());
-        if (!parts.membersRead().getAsBoolean() || !allReachable) {
+        if (!parts.membersRead().getAsBoolean() || !allReachable || someEnded) {
             ask.nobodyHas().complete(false);
             return;
         }
@@ -142,7 +163,7 @@
         links.keep(coordinator.processId(), address, parts.clock().nanos());
     }
 
-    private void onView(MemberView view) {
+    private void onView(MemberList view) {
         Set<String> named = new HashSet<>();
         for (Member entry : view.entries()) {
             if (entry.processId().equals(parts.self())) {
@@ -152,9 +173,45 @@
             links.keep(entry.processId(), entry.address(), parts.clock().nanos());
         }
         viewed = Set.copyOf(named);
+        someEnded = view.ended().stream()
+                .anyMatch(over ->
+                        !over.member().isAgent() && !over.member().processId().equals(parts.self()));
         dropUnwanted();
     }
 
+    private void onAskSuspicion(PeerCommand.AskSuspicion ask) {
+        long request = parts.requestIds().getAsLong();
+        SuspicionQuery query = SuspicionQuery.newBuilder()
+                .setProcessId(ask.suspect().processId())
+                .setIncarnation(ask.suspect().incarnation())
+                .build();
+        Frame frame = Frame.newBuilder()
+                .setRequestId(request)
+                .setSuspicionQuery(query)
+                .build();
+        if (links.send(ask.entry().processId(), frame)) {
+            suspicions.put(request, ask.suspect());
+        }
+        if (suspicions.size() > MOST_SUSPICIONS) {
+            suspicions.pollFirstEntry();
+        }
+    }
+
+    private void onProbe(PeerCommand.Probe probe) {
+        String processId = probe.entry().processId();
+        boolean connected = links.usable(processId)
+                .map(Hello::getIncarnation)
+                .filter(probe.entry().incarnation()::equals)
+                .isPresent();
+        Frame heartbeat =
+                Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
+        if (!connected || !links.send(processId, heartbeat)) {
+            probe.alive().accept(false);
+            return;
+        }
+        probes.begin(probe.entry(), probe.alive(), parts.clock().nanos());
+    }
+
     private void dropUnwanted() {
         for (String processId : links.processes()) {
             if (!viewed.contains(processId) && !awaits(processId)) {
@@ -167,6 +224,8 @@
         long now = parts.clock().nanos();
         links.tick(now, this::awaits);
         keyQuestions.expire(now);
+        probes.expire(now);
+        pulls.due(now).forEach(links::send);
         for (Question question : questions.values()) {
             if (question.dueAgain && now - question.askAt >= 0) {
                 send(question);
@@ -189,6 +248,8 @@
 
     @Override
     public void up(Hello hello) {
+        noteVersion(hello, hello.getConfigurationVersion());
+        MemberRecords.ofHello(hello).ifPresent(member -> parts.members().accept(new MembershipEvent.Reached(member)));
         questions.values().stream()
                 .filter(question -> question.coordinator.processId().equals(hello.getProcessId()))
                 .forEach(this::send);
@@ -197,6 +258,8 @@
     @Override
     public void down(Hello hello, String reason) {
         // Questions are asked again on the next connection.
+        pulls.lost(hello.getProcessId());
+        parts.members().accept(new MembershipEvent.Lost(idOf(hello)));
     }
 
     @Override
@@ -206,15 +269,46 @@
 
     @Override
     public void received(Hello sender, Frame frame) {
-        if (!frame.hasJobAnswer()) {
-            return;
+        probes.received(idOf(sender));
+        switch (frame.getBodyCase()) {
+            case JOB_ANSWER -> onJobAnswer(frame.getRequestId(), frame.getJobAnswer());
+            case HEARTBEAT -> noteVersion(sender, frame.getHeartbeat().getConfigurationVersion());
+            case SUSPICION_ANSWER -> onSuspicionAnswer(sender, frame);
+            case CONFIGURATION_PUSH ->
+                parts.configuration()
+                        .offer(
+                                frame.getConfigurationPush().getVersion(),
+                                frame.getConfigurationPush().getSnapshot().toByteArray());
+            default -> {
+                // Nothing was asked that such a frame answers.
+            }
         }
-        JobAnswer answer = frame.getJobAnswer();
-        if (!keyQuestions.answered(frame.getRequestId(), answer.getKnown())) {
+    }
+
+    private void onJobAnswer(long request, JobAnswer answer) {
+        if (!keyQuestions.answered(request, answer.getKnown())) {
             onAnswer(answer);
         }
     }
 
+    private void onSuspicionAnswer(Hello sender, Frame frame) {
+        MemberId suspect = suspicions.remove(frame.getRequestId());
+        if (suspect != null) {
+            boolean alive = frame.getSuspicionAnswer().getAlive();
+            parts.members().accept(new MembershipEvent.Answered(suspect, idOf(sender), alive));
+        }
+    }
+
+    private void noteVersion(Hello sender, long version) {
+        long now = parts.clock().nanos();
+        parts.reports().reported(sender.getProcessId(), sender.getRole(), version, now);
+        pulls.reported(sender.getProcessId(), version);
+    }
+
+    private static MemberId idOf(Hello hello) {
+        return new MemberId(hello.getProcessId(), hello.getIncarnation());
+    }
+
     private void onAnswer(JobAnswer answer) {
         Question question = answer.getJobId().isEmpty() ? null : questions.get(new JobId(answer.getJobId()));
         if (question == null) {
@@ -262,6 +356,9 @@
      * @param answered takes outcomes
      * @param introduced takes introductions of processes found at another's address
      * @param requestIds request ids of this process, never repeated
+     * @param members takes what connections say of members
+     * @param configuration what other entries may have newer
+     * @param reports takes what entries say of themselves
      * @param membersRead whether the members are known as the log has them
      */
     public record Parts(
@@ -271,6 +368,9 @@
             BiConsumer<JobId, JobOutcome> answered,
             Consumer<Hello> introduced,
             LongSupplier requestIds,
+            Consumer<MembershipEvent> members,
+            ConfigurationExchange configuration,
+            ProcessReports reports,
             BooleanSupplier membersRead,
             NanoClock clock) {}
 }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -1,10 +1,12 @@
 package org.chivetally.entry.peer;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.SubmissionKey;
 import org.chivetally.entry.link.LinkSignal;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.MemberList;
 import org.chivetally.job.JobId;
 
 /** Messages of {@link PeerActor}. */
@@ -25,7 +27,13 @@
     record Signal(LinkSignal signal) implements PeerCommand {}
 
     /** The members changed. */
-    record View(MemberView view) implements PeerCommand {}
+    record View(MemberList view) implements PeerCommand {}
+
+    /** Ask an entry whether it reaches a member. */
+    record AskSuspicion(MemberId entry, MemberId suspect) implements PeerCommand {}
+
+    /** Another entry asks whether an entry can be reached. */
+    record Probe(MemberId entry, Consumer<Boolean> alive) implements PeerCommand {}
 
     /** Ends the actor. */
     record Stop() implements PeerCommand {}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/membership/package-info.java
@@ -0,0 +1,2 @@
+/** What entries decide alike about members without asking each other. */
+package org.chivetally.membership;
--- a/library/src/main/java/org/chivetally/resource/ConfigurationDistribution.java
+++ b/library/src/main/java/org/chivetally/resource/ConfigurationDistribution.java
@@ -1,8 +1,8 @@
 package org.chivetally.resource;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
+import org.chivetally.membership.RendezvousOrder;
 
 /**
  * Decides which entry pushes the configuration to which agent.
@@ -14,9 +14,6 @@
  * its turn.
  */
 public final class ConfigurationDistribution {
-    private static final long HASH_BASIS = 0xcbf29ce484222325L;
-    private static final long HASH_PRIME = 0x100000001b3L;
-
     private ConfigurationDistribution() {}
 
     /** What to do about one peer now. */
@@ -54,7 +51,7 @@
             // A push lost with its connection is repeated; the agent's next report would have told of it otherwise.
             return sincePush.compareTo(delay.multipliedBy(2)) >= 0 ? Decision.PUSH : Decision.WAIT;
         }
-        Duration turn = delay.multipliedBy(rank(entry, entries, agent));
+        Duration turn = delay.multipliedBy(RendezvousOrder.rank(entry, entries, agent));
         return sinceChange.compareTo(turn) >= 0 ? Decision.PUSH : Decision.WAIT;
     }
 
@@ -70,34 +67,4 @@
         }
         return Decision.PULL;
     }
-
-    /**
-     * Returns the place of an entry in an agent's order, from 0; an entry that is not in the view counts as if it were.
-     */
-    public static int rank(String entry, Collection<String> entries, String agent) {
-        long own = weight(entry, agent);
-        int rank = 0;
-        for (String other : entries) {
-            if (!other.equals(entry) && isBefore(other, weight(other, agent), entry, own)) {
-                rank++;
-            }
-        }
-        return rank;
-    }
-
-    private static boolean isBefore(String other, long otherWeight, String entry, long ownWeight) {
-        int order = Long.compareUnsigned(otherWeight, ownWeight);
-        return order > 0 || order == 0 && other.compareTo(entry) < 0;
-    }
-
-    private static long weight(String entry, String agent) {
-        long hash = HASH_BASIS;
-        for (byte part : (entry + "\n" + agent).getBytes(StandardCharsets.UTF_8)) {
-            hash = (hash ^ (part & 0xff)) * HASH_PRIME;
-        }
-        // The last characters alone hardly reach the upper bits, which decide the order; the final mix spreads them.
-        hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
-        hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
-        return hash ^ (hash >>> 33);
-    }
 }
--- a/library/src/main/java/org/chivetally/resource/ProcessVersions.java
+++ b/library/src/main/java/org/chivetally/resource/ProcessVersions.java
@@ -1,5 +1,6 @@
 package org.chivetally.resource;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 
@@ -9,6 +10,11 @@
     /** Returns the last report of each known process. */
     List<ProcessVersion> lastReports();
 
+    /** Returns the age from which a report says nothing about now. */
+    default Duration silentAfter() {
+        return ResourceStatus.SILENT_AFTER;
+    }
+
     /**
      * One process's report.
      *
--- a/library/src/main/java/org/chivetally/resource/ResourceService.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceService.java
@@ -187,11 +187,17 @@
 
     /** Returns a snapshot for a peer that has an older version than this process; empty when it has not. */
     public Optional<byte[]> snapshot(long haveVersion) {
+        return wholeSnapshot(haveVersion).map(ConfigurationSnapshot::content);
+    }
+
+    /** Returns the same with its version. */
+    public Optional<ConfigurationSnapshot> wholeSnapshot(long haveVersion) {
         ResourceTable table = table();
         if (table.version() <= haveVersion) {
             return Optional.empty();
         }
-        return Optional.of(SnapshotCodec.encode(table, System.currentTimeMillis()));
+        byte[] content = SnapshotCodec.encode(table, System.currentTimeMillis());
+        return Optional.of(new ConfigurationSnapshot(table.version(), content));
     }
 
     /** Returns a snapshot of what an agent uses: its service, its backend server, and all routing configurations. */
--- a/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
@@ -350,7 +350,7 @@
             Duration age = Duration.ofNanos(Math.max(0, clock.nanos() - report.observedNanos()));
             ObjectNode other = others.addObject().put("process", report.processId());
             other.put("role", report.role()).put("ageMillis", age.toMillis());
-            if (age.compareTo(ResourceStatus.SILENT_AFTER) > 0) {
+            if (age.compareTo(processes.silentAfter()) > 0) {
                 other.put("state", ResourceStatus.State.UNKNOWN.text());
             } else {
                 other.put("version", report.version());
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.chivetally.claim.ClaimSettings;
 import org.chivetally.coordination.DispatchSettings;
@@ -64,6 +65,16 @@
                 decisions));
     }
 
+    /** Waits for something that another thread brings about; a test's time limit ends the wait. */
+    static void until(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            if (Thread.interrupted()) {
+                throw new AssertionError("did not come about in time");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
     void awaitReady(EntryServer entry) {
         while (get(entry, "/readyz").statusCode() != 200) {
             Thread.onSpinWait();
--- a/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
@@ -35,16 +35,15 @@
 
     @Test
     void entryStartedLaterLearnsOfAgentsThatEndedBefore() {
-        // An agent ran a task and was replaced; then the coordinator died, and an entry that started after all this takes
+        // An agent ran a task and was replaced; then the coordinator died, and an entry that started after all this
+        // takes
         // the job over. The agent's new incarnation knows nothing of the task. Unless the dispatcher hears of the old
         // one, it takes that for "never started", and the task starts twice.
         append(new MemberRecord.Announce(agent("1")));
         append(new MemberRecord.Announce(agent("2")));
         start();
         AgentId old = new AgentId("agent-1", "1");
-        while (core.events(DispatchEvent.AgentGone.class).isEmpty()) {
-            Thread.onSpinWait();
-        }
+        EntryFixture.until(() -> !core.events(DispatchEvent.AgentGone.class).isEmpty());
         assertThat(core.events(DispatchEvent.AgentGone.class), contains(new DispatchEvent.AgentGone(old)));
     }
 
@@ -72,7 +71,8 @@
     private record Scripted(ScriptedCore core) implements EntryServer.Decisions {
         @Override
         public Claims claims(Coordinator self) {
-            return new MemoryClaims(self, EntryFixture.settings("entry-1").claims().window(), NanoClock.system());
+            return new MemoryClaims(
+                    self, EntryFixture.settings("entry-1").claims().window(), NanoClock.system());
         }
 
         @Override
--- /dev/null
+++ b/library/src/test/java/org/chivetally/entry/member/MembershipDriver.java
@@ -0,0 +1,101 @@
+package org.chivetally.entry.member;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.chivetally.entry.link.Address;
+
+/** Feeds a view with events at a paused time and keeps its effects. */
+final class MembershipDriver {
+    static final Duration WINDOW = Duration.ofMinutes(10);
+
+    final Member self = entry("entry-1", "north");
+    final List<MembershipEffect> effects = new ArrayList<>();
+    final MembershipView view;
+    private long now = 5_000_000_000L;
+
+    MembershipDriver() {
+        view = new MembershipView(self, MembershipSettings.standard(WINDOW), now);
+    }
+
+    static Member entry(String name, String failureDomain) {
+        return member(name, "1", Member.ENTRY, failureDomain);
+    }
+
+    static Member agent(String name, String incarnation) {
+        return member(name, incarnation, Member.AGENT, "east");
+    }
+
+    private static Member member(String name, String incarnation, String role, String failureDomain) {
+        Address address = new Address("127.0.0.1", 9);
+        return new Member(name, incarnation, role, address, failureDomain, "routing", name, MemberCapacity.NONE);
+    }
+
+    List<MembershipEffect> handle(MembershipEvent event) {
+        List<MembershipEffect> now = view.handle(event, this.now);
+        effects.addAll(now);
+        return now;
+    }
+
+    /** Lets time pass in steps of the shell's tick. */
+    void advance(Duration time) {
+        Duration step = Duration.ofMillis(100);
+        for (Duration left = time; left.isPositive(); left = left.minus(step)) {
+            now += step.toNanos();
+            handle(new MembershipEvent.Ticked());
+        }
+    }
+
+    /** Lets much time pass at once. */
+    void skip(Duration time) {
+        now += time.toNanos();
+        handle(new MembershipEvent.Ticked());
+    }
+
+    void announce(Member member) {
+        handle(new MembershipEvent.Recorded(new MemberRecord.Announce(member)));
+    }
+
+    void reach(Member member) {
+        handle(new MembershipEvent.Reached(member));
+    }
+
+    void join(Member... members) {
+        for (Member member : members) {
+            announce(member);
+            reach(member);
+        }
+    }
+
+    void lose(Member member) {
+        handle(new MembershipEvent.Lost(member.id()));
+    }
+
+    void gone(Member member) {
+        handle(new MembershipEvent.Recorded(
+                new MemberRecord.Gone(member.processId(), member.incarnation(), "entry-2")));
+    }
+
+    void leave(Member member) {
+        handle(new MembershipEvent.Recorded(new MemberRecord.Leave(member.processId(), member.incarnation())));
+    }
+
+    void connected(Member member) {
+        handle(new MembershipEvent.Connected(Set.of(member.processId())));
+    }
+
+    void answer(Member suspect, Member entry, boolean alive) {
+        handle(new MembershipEvent.Answered(suspect.id(), entry.id(), alive));
+    }
+
+    <T extends MembershipEffect> List<T> effects(Class<T> type) {
+        return effects.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    List<MemberRecord> appended() {
+        return effects(MembershipEffect.Append.class).stream()
+                .map(MembershipEffect.Append::record)
+                .toList();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/entry/member/MembershipViewTest.java
@@ -0,0 +1,238 @@
+package org.chivetally.entry.member;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class MembershipViewTest {
+    private static final Member AGENT = MembershipDriver.agent("agent-1", "1");
+    private static final Member SUCCESSOR = MembershipDriver.agent("agent-1", "2");
+    private static final Member NEIGHBOUR = MembershipDriver.entry("entry-2", "north");
+    private static final Member SOUTH = MembershipDriver.entry("entry-3", "south");
+    private static final Member EAST = MembershipDriver.entry("entry-4", "east");
+    private static final MemberRecord GONE = new MemberRecord.Gone("agent-1", "1", "entry-1");
+    private static final Duration TURNS = Duration.ofMillis(5_500);
+
+    private final MembershipDriver driver = new MembershipDriver();
+
+    private Optional<MemberState> state(Member member) {
+        return driver.view.state(member.id());
+    }
+
+    private List<Member> members() {
+        return driver.view.list().members();
+    }
+
+    private void loseAgentWith(Member... entries) {
+        driver.join(entries);
+        driver.join(AGENT);
+        driver.lose(AGENT);
+    }
+
+    @Test
+    void agentOnlyThisEntryLosesStaysInTheView() {
+        // One connection goes silent while the agent serves all others. This entry stops using it; were it declared
+        // gone,
+        // every entry would lose a healthy agent for one bad connection.
+        loseAgentWith(SOUTH, EAST);
+        assertThat(state(AGENT), is(Optional.of(MemberState.SUSPECT)));
+        driver.advance(Duration.ofMillis(300));
+        assertThat(driver.effects(MembershipEffect.Ask.class), hasSize(2));
+        driver.answer(AGENT, SOUTH, false);
+        driver.answer(AGENT, EAST, true);
+        driver.advance(Duration.ofMillis(800));
+        assertThat(driver.appended(), empty());
+        assertThat(members(), hasItem(AGENT));
+    }
+
+    @Test
+    void agentThatAnotherFailureDomainLosesTooIsDeclaredGoneOnce() {
+        loseAgentWith(SOUTH);
+        for (int second = 0; second < 20; second++) {
+            driver.answer(AGENT, SOUTH, false);
+            driver.advance(Duration.ofMillis(500));
+        }
+        assertThat(driver.appended(), contains(GONE));
+        assertThat("in the view until the record is read", members(), hasItem(AGENT));
+        driver.gone(AGENT);
+        assertThat(members(), not(hasItem(AGENT)));
+        assertThat(driver.view.list().ended(), contains(new EndedMember(AGENT, EndedMember.Reason.PRESUMED_GONE)));
+    }
+
+    @Test
+    void neighbourInTheSameFailureDomainConfirmsNothing() {
+        // A switch of one failure domain fails: all entries in it lose agents that serve the rest of the world.
+        loseAgentWith(NEIGHBOUR);
+        driver.advance(Duration.ofMillis(300));
+        driver.answer(AGENT, NEIGHBOUR, false);
+        driver.advance(Duration.ofSeconds(30));
+        assertThat(driver.effects(MembershipEffect.Ask.class), empty());
+        assertThat(driver.appended(), empty());
+    }
+
+    @Test
+    void shortSilenceInABurstRemovesNobody() {
+        // A burst keeps an agent from answering anyone for two seconds. Both entries lose it, and it is back.
+        loseAgentWith(SOUTH);
+        driver.advance(Duration.ofMillis(1_300));
+        driver.answer(AGENT, SOUTH, false);
+        driver.advance(Duration.ofMillis(700));
+        driver.reach(AGENT);
+        driver.advance(TURNS);
+        assertThat(driver.appended(), empty());
+        assertThat(state(AGENT), is(Optional.of(MemberState.ALIVE)));
+    }
+
+    @Test
+    void answerToAnEarlierQuestionConfirmsNothing() {
+        loseAgentWith(SOUTH);
+        driver.advance(Duration.ofMillis(300));
+        driver.answer(AGENT, SOUTH, false);
+        driver.advance(Duration.ofSeconds(1));
+        driver.advance(TURNS);
+        assertThat(driver.appended(), empty());
+    }
+
+    @Test
+    void pausedAgentIsAcceptedAgainOnlyOnceItAnnouncesAnew() {
+        // An agent's process is paused, declared gone, and resumes unaware. Its connection works again at once, but the
+        // others have dropped it; it is told, announces itself anew, and is a member for all again.
+        driver.join(AGENT);
+        driver.lose(AGENT);
+        driver.gone(AGENT);
+        driver.reach(AGENT);
+        assertThat(members(), not(hasItem(AGENT)));
+        assertThat(driver.effects(MembershipEffect.TellGone.class), contains(new MembershipEffect.TellGone(AGENT)));
+        driver.announce(AGENT);
+        assertThat(members(), hasItem(AGENT));
+        assertThat(state(AGENT), is(Optional.of(MemberState.ALIVE)));
+    }
+
+    @Test
+    void secondGoneOfAnIncarnationIsIgnored() {
+        driver.join(AGENT);
+        driver.lose(AGENT);
+        driver.gone(AGENT);
+        driver.announce(AGENT);
+        driver.gone(AGENT);
+        assertThat(members(), hasItem(AGENT));
+    }
+
+    @Test
+    void newIncarnationAtTheSameAddressSupersedes() {
+        driver.join(AGENT);
+        driver.announce(SUCCESSOR);
+        assertThat(members(), hasItem(SUCCESSOR));
+        assertThat(driver.view.list().ended(), contains(new EndedMember(AGENT, EndedMember.Reason.SUPERSEDED)));
+        driver.announce(AGENT);
+        assertThat("a late announcement", members(), not(hasItem(AGENT)));
+    }
+
+    @Test
+    void openConnectionKnowsBetterThanTheOrderOfRecords() {
+        driver.announce(SUCCESSOR);
+        driver.announce(AGENT);
+        driver.reach(SUCCESSOR);
+        assertThat(members(), hasItem(SUCCESSOR));
+        assertThat(driver.view.list().ended(), contains(new EndedMember(AGENT, EndedMember.Reason.SUPERSEDED)));
+    }
+
+    @Test
+    void leaveTakesOutAtOnceAndForGood() {
+        driver.join(AGENT);
+        driver.leave(AGENT);
+        assertThat(members(), not(hasItem(AGENT)));
+        driver.announce(AGENT);
+        driver.reach(AGENT);
+        assertThat(members(), not(hasItem(AGENT)));
+        driver.skip(MembershipDriver.WINDOW.multipliedBy(3));
+        driver.lose(AGENT);
+        driver.skip(MembershipDriver.WINDOW.multipliedBy(3));
+        assertThat(driver.view.list().ended(), empty());
+        driver.announce(AGENT);
+        assertThat("long after", members(), not(hasItem(AGENT)));
+    }
+
+    @Test
+    void membersThatOnlyIntroducedThemselvesCount() {
+        driver.handle(new MembershipEvent.Introduced(AGENT));
+        assertThat(members(), hasItem(AGENT));
+        assertThat(driver.view.list().unannounced(), contains(AGENT.id()));
+        driver.announce(AGENT);
+        assertThat(driver.view.list().unannounced(), empty());
+    }
+
+    @Test
+    void agentNeverReachedIsSuspectedAndAskedFor() {
+        // The records still name an agent that died before this entry started.
+        driver.join(SOUTH);
+        driver.announce(AGENT);
+        driver.advance(Duration.ofSeconds(10));
+        assertThat(state(AGENT), is(Optional.of(MemberState.SUSPECT)));
+        for (int half = 0; half < 15; half++) {
+            driver.advance(Duration.ofMillis(500));
+            driver.answer(AGENT, SOUTH, false);
+        }
+        assertThat(driver.appended(), contains(GONE));
+    }
+
+    @Test
+    void connectionsThatFlapHoldTheAgentDownForLongerEachTime() {
+        // A bad cable drops an agent's connection every few seconds. Used fully each time it is back, it would have a
+        // share of all tasks in doubt each time it drops.
+        driver.join(AGENT);
+        for (int failure = 0; failure < 3; failure++) {
+            driver.lose(AGENT);
+            driver.advance(Duration.ofMillis(100));
+            driver.reach(AGENT);
+        }
+        assertThat(
+                driver.effects(MembershipEffect.HoldDown.class),
+                contains(
+                        new MembershipEffect.HoldDown(AGENT.id(), true),
+                        new MembershipEffect.HoldDown(AGENT.id(), true)));
+        driver.effects.clear();
+        driver.advance(Duration.ofMillis(1_900));
+        assertThat(driver.effects(MembershipEffect.HoldDown.class), empty());
+        driver.advance(Duration.ofMillis(200));
+        assertThat(
+                driver.effects(MembershipEffect.HoldDown.class),
+                contains(new MembershipEffect.HoldDown(AGENT.id(), false)));
+    }
+
+    @Test
+    void entryDeclaredGoneByMistakeAnnouncesItselfAnew() {
+        driver.gone(driver.self);
+        assertThat(driver.appended(), contains(new MemberRecord.Announce(driver.self)));
+        assertThat(members(), hasItem(driver.self));
+    }
+
+    @Test
+    void memberOfWhichNothingIsHeardIsPresumedGoneInTheEnd() {
+        driver.announce(AGENT);
+        driver.skip(Duration.ofMinutes(24));
+        assertThat(members(), hasItem(AGENT));
+        driver.announce(AGENT);
+        driver.skip(Duration.ofMinutes(25));
+        assertThat(driver.view.list().ended(), contains(new EndedMember(AGENT, EndedMember.Reason.PRESUMED_GONE)));
+    }
+
+    @Test
+    void whatEndedIsNamedForAsLongAsItsJobsMayBeTakenOver() {
+        driver.announce(AGENT);
+        driver.announce(SUCCESSOR);
+        driver.skip(MembershipDriver.WINDOW.multipliedBy(2).minusMillis(1));
+        assertThat(driver.view.list().ended(), hasSize(1));
+        driver.skip(Duration.ofMillis(1));
+        assertThat(driver.view.list().ended(), empty());
+    }
+}
--- a/library/src/test/java/org/chivetally/resource/ConfigurationDistributionTest.java
+++ b/library/src/test/java/org/chivetally/resource/ConfigurationDistributionTest.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import org.chivetally.membership.RendezvousOrder;
 import org.chivetally.resource.ConfigurationDistribution.Decision;
 import org.junit.jupiter.api.Test;
 
@@ -39,7 +40,7 @@
     @Test
     void pushesAgainWhenTheAgentStillLags() {
         String first = ENTRIES.stream()
-                .filter(entry -> ConfigurationDistribution.rank(entry, ENTRIES, "agent") == 0)
+                .filter(entry -> RendezvousOrder.rank(entry, ENTRIES, "agent") == 0)
                 .findFirst()
                 .orElseThrow();
         assertThat(decide(first, 3, DELAY, DELAY), is(Decision.WAIT));
@@ -59,7 +60,7 @@
         for (int agent = 0; agent < 650; agent++) {
             List<Integer> ranks = new ArrayList<>();
             for (String entry : ENTRIES) {
-                ranks.add(ConfigurationDistribution.rank(entry, ENTRIES, "agent-" + agent));
+                ranks.add(RendezvousOrder.rank(entry, ENTRIES, "agent-" + agent));
             }
             assertThat(ranks, containsInAnyOrder(0, 1, 2));
             first[ranks.indexOf(0)]++;
--- a/wire/src/main/java/org/chivetally/wire/v1/Frame.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Frame.java
@@ -73,6 +73,8 @@
     LEAVING(14),
     SUSPICION_QUERY(15),
     SUSPICION_ANSWER(16),
+    MEMBERS_PULL(17),
+    MEMBERS_PUSH(18),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -105,6 +107,8 @@
         case 14: return LEAVING;
         case 15: return SUSPICION_QUERY;
         case 16: return SUSPICION_ANSWER;
+        case 17: return MEMBERS_PULL;
+        case 18: return MEMBERS_PUSH;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -596,6 +600,68 @@
     return org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
   }
 
+  public static final int MEMBERS_PULL_FIELD_NUMBER = 17;
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+   * @return Whether the membersPull field is set.
+   */
+  @java.lang.Override
+  public boolean hasMembersPull() {
+    return bodyCase_ == 17;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+   * @return The membersPull.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.MembersPull getMembersPull() {
+    if (bodyCase_ == 17) {
+       return (org.chivetally.wire.v1.MembersPull) body_;
+    }
+    return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.MembersPullOrBuilder getMembersPullOrBuilder() {
+    if (bodyCase_ == 17) {
+       return (org.chivetally.wire.v1.MembersPull) body_;
+    }
+    return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+  }
+
+  public static final int MEMBERS_PUSH_FIELD_NUMBER = 18;
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+   * @return Whether the membersPush field is set.
+   */
+  @java.lang.Override
+  public boolean hasMembersPush() {
+    return bodyCase_ == 18;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+   * @return The membersPush.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.MembersPush getMembersPush() {
+    if (bodyCase_ == 18) {
+       return (org.chivetally.wire.v1.MembersPush) body_;
+    }
+    return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.MembersPushOrBuilder getMembersPushOrBuilder() {
+    if (bodyCase_ == 18) {
+       return (org.chivetally.wire.v1.MembersPush) body_;
+    }
+    return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -658,6 +724,12 @@
     if (bodyCase_ == 16) {
       output.writeMessage(16, (org.chivetally.wire.v1.SuspicionAnswer) body_);
     }
+    if (bodyCase_ == 17) {
+      output.writeMessage(17, (org.chivetally.wire.v1.MembersPull) body_);
+    }
+    if (bodyCase_ == 18) {
+      output.writeMessage(18, (org.chivetally.wire.v1.MembersPush) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -726,6 +798,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(16, (org.chivetally.wire.v1.SuspicionAnswer) body_);
     }
+    if (bodyCase_ == 17) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(17, (org.chivetally.wire.v1.MembersPull) body_);
+    }
+    if (bodyCase_ == 18) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(18, (org.chivetally.wire.v1.MembersPush) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -814,6 +894,14 @@
         if (!getSuspicionAnswer()
             .equals(other.getSuspicionAnswer())) return false;
         break;
+      case 17:
+        if (!getMembersPull()
+            .equals(other.getMembersPull())) return false;
+        break;
+      case 18:
+        if (!getMembersPush()
+            .equals(other.getMembersPush())) return false;
+        break;
       case 0:
       default:
     }
@@ -892,6 +980,14 @@
         hash = (37 * hash) + SUSPICION_ANSWER_FIELD_NUMBER;
         hash = (53 * hash) + getSuspicionAnswer().hashCode();
         break;
+      case 17:
+        hash = (37 * hash) + MEMBERS_PULL_FIELD_NUMBER;
+        hash = (53 * hash) + getMembersPull().hashCode();
+        break;
+      case 18:
+        hash = (37 * hash) + MEMBERS_PUSH_FIELD_NUMBER;
+        hash = (53 * hash) + getMembersPush().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1076,6 +1172,12 @@
       if (suspicionAnswerBuilder_ != null) {
         suspicionAnswerBuilder_.clear();
       }
+      if (membersPullBuilder_ != null) {
+        membersPullBuilder_.clear();
+      }
+      if (membersPushBuilder_ != null) {
+        membersPushBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1180,6 +1282,14 @@
           suspicionAnswerBuilder_ != null) {
         result.body_ = suspicionAnswerBuilder_.build();
       }
+      if (bodyCase_ == 17 &&
+          membersPullBuilder_ != null) {
+        result.body_ = membersPullBuilder_.build();
+      }
+      if (bodyCase_ == 18 &&
+          membersPushBuilder_ != null) {
+        result.body_ = membersPushBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1258,6 +1368,14 @@
           mergeSuspicionAnswer(other.getSuspicionAnswer());
           break;
         }
+        case MEMBERS_PULL: {
+          mergeMembersPull(other.getMembersPull());
+          break;
+        }
+        case MEMBERS_PUSH: {
+          mergeMembersPush(other.getMembersPush());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1396,6 +1514,20 @@
               bodyCase_ = 16;
               break;
             } // case 130
+            case 138: {
+              input.readMessage(
+                  internalGetMembersPullFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 17;
+              break;
+            } // case 138
+            case 146: {
+              input.readMessage(
+                  internalGetMembersPushFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 18;
+              break;
+            } // case 146
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3560,6 +3692,286 @@
       return suspicionAnswerBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder> membersPullBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * @return Whether the membersPull field is set.
+     */
+    @java.lang.Override
+    public boolean hasMembersPull() {
+      return bodyCase_ == 17;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * @return The membersPull.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPull getMembersPull() {
+      if (membersPullBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          return (org.chivetally.wire.v1.MembersPull) body_;
+        }
+        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 17) {
+          return membersPullBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder setMembersPull(org.chivetally.wire.v1.MembersPull value) {
+      if (membersPullBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        membersPullBuilder_.setMessage(value);
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder setMembersPull(
+        org.chivetally.wire.v1.MembersPull.Builder builderForValue) {
+      if (membersPullBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        membersPullBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder mergeMembersPull(org.chivetally.wire.v1.MembersPull value) {
+      if (membersPullBuilder_ == null) {
+        if (bodyCase_ == 17 &&
+            body_ != org.chivetally.wire.v1.MembersPull.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.MembersPull.newBuilder((org.chivetally.wire.v1.MembersPull) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 17) {
+          membersPullBuilder_.mergeFrom(value);
+        } else {
+          membersPullBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder clearMembersPull() {
+      if (membersPullBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        membersPullBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public org.chivetally.wire.v1.MembersPull.Builder getMembersPullBuilder() {
+      return internalGetMembersPullFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPullOrBuilder getMembersPullOrBuilder() {
+      if ((bodyCase_ == 17) && (membersPullBuilder_ != null)) {
+        return membersPullBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 17) {
+          return (org.chivetally.wire.v1.MembersPull) body_;
+        }
+        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder> 
+        internalGetMembersPullFieldBuilder() {
+      if (membersPullBuilder_ == null) {
+        if (!(bodyCase_ == 17)) {
+          body_ = org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+        }
+        membersPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder>(
+                (org.chivetally.wire.v1.MembersPull) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 17;
+      onChanged();
+      return membersPullBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder> membersPushBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * @return Whether the membersPush field is set.
+     */
+    @java.lang.Override
+    public boolean hasMembersPush() {
+      return bodyCase_ == 18;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * @return The membersPush.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPush getMembersPush() {
+      if (membersPushBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          return (org.chivetally.wire.v1.MembersPush) body_;
+        }
+        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 18) {
+          return membersPushBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder setMembersPush(org.chivetally.wire.v1.MembersPush value) {
+      if (membersPushBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        membersPushBuilder_.setMessage(value);
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder setMembersPush(
+        org.chivetally.wire.v1.MembersPush.Builder builderForValue) {
+      if (membersPushBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        membersPushBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder mergeMembersPush(org.chivetally.wire.v1.MembersPush value) {
+      if (membersPushBuilder_ == null) {
+        if (bodyCase_ == 18 &&
+            body_ != org.chivetally.wire.v1.MembersPush.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.MembersPush.newBuilder((org.chivetally.wire.v1.MembersPush) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 18) {
+          membersPushBuilder_.mergeFrom(value);
+        } else {
+          membersPushBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder clearMembersPush() {
+      if (membersPushBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        membersPushBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public org.chivetally.wire.v1.MembersPush.Builder getMembersPushBuilder() {
+      return internalGetMembersPushFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPushOrBuilder getMembersPushOrBuilder() {
+      if ((bodyCase_ == 18) && (membersPushBuilder_ != null)) {
+        return membersPushBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 18) {
+          return (org.chivetally.wire.v1.MembersPush) body_;
+        }
+        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder> 
+        internalGetMembersPushFieldBuilder() {
+      if (membersPushBuilder_ == null) {
+        if (!(bodyCase_ == 18)) {
+          body_ = org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+        }
+        membersPushBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder>(
+                (org.chivetally.wire.v1.MembersPush) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 18;
+      onChanged();
+      return membersPushBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.Frame)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/FrameOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/FrameOrBuilder.java
@@ -241,5 +241,35 @@
    */
   org.chivetally.wire.v1.SuspicionAnswerOrBuilder getSuspicionAnswerOrBuilder();
 
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+   * @return Whether the membersPull field is set.
+   */
+  boolean hasMembersPull();
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+   * @return The membersPull.
+   */
+  org.chivetally.wire.v1.MembersPull getMembersPull();
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+   */
+  org.chivetally.wire.v1.MembersPullOrBuilder getMembersPullOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+   * @return Whether the membersPush field is set.
+   */
+  boolean hasMembersPush();
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+   * @return The membersPush.
+   */
+  org.chivetally.wire.v1.MembersPush getMembersPush();
+  /**
+   * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+   */
+  org.chivetally.wire.v1.MembersPushOrBuilder getMembersPushOrBuilder();
+
   org.chivetally.wire.v1.Frame.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/SuspicionAnswer.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/SuspicionAnswer.java
@@ -6,6 +6,11 @@
 package org.chivetally.wire.v1;
 
 /**
+ * <pre>
+ * Answer to a SuspicionQuery. Sent to the process itself with alive = false, it says that the process was declared gone
+ * and has to announce itself anew.
+ * </pre>
+ *
  * Protobuf type {@code org.chivetally.wire.v1.SuspicionAnswer}
  */
 @com.google.protobuf.Generated
@@ -29,6 +34,7 @@
   }
   private SuspicionAnswer() {
     processId_ = "";
+    incarnation_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -99,6 +105,45 @@
     return alive_;
   }
 
+  public static final int INCARNATION_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object incarnation_ = "";
+  /**
+   * <code>string incarnation = 3;</code>
+   * @return The incarnation.
+   */
+  @java.lang.Override
+  public java.lang.String getIncarnation() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      incarnation_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string incarnation = 3;</code>
+   * @return The bytes for incarnation.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getIncarnationBytes() {
+    java.lang.Object ref = incarnation_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      incarnation_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -119,6 +164,9 @@
     if (alive_ != false) {
       output.writeBool(2, alive_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, incarnation_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -130,6 +178,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(2, alive_);
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(incarnation_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, incarnation_);
+    }
     return size;
   }
   @java.lang.Override
@@ -158,6 +209,8 @@
         .equals(other.getProcessId())) return false;
     if (getAlive()
         != other.getAlive()) return false;
+    if (!getIncarnation()
+        .equals(other.getIncarnation())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -174,6 +227,8 @@
     hash = (37 * hash) + ALIVE_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getAlive());
+    hash = (37 * hash) + INCARNATION_FIELD_NUMBER;
+    hash = (53 * hash) + getIncarnation().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -272,6 +327,11 @@
     return builder;
   }
   /**
+   * <pre>
+   * Answer to a SuspicionQuery. Sent to the process itself with alive = false, it says that the process was declared gone
+   * and has to announce itself anew.
+   * </pre>
+   *
    * Protobuf type {@code org.chivetally.wire.v1.SuspicionAnswer}
    */
   public static final class Builder extends
@@ -307,6 +367,7 @@
       bitField0_ = 0;
       processId_ = "";
       alive_ = false;
+      incarnation_ = "";
       return this;
     }
 
@@ -346,6 +407,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.alive_ = alive_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.incarnation_ = incarnation_;
+      }
     }
 
     @java.lang.Override
@@ -368,6 +432,11 @@
       if (other.getAlive() != false) {
         setAlive(other.getAlive());
       }
+      if (!other.getIncarnation().isEmpty()) {
+        incarnation_ = other.incarnation_;
+        bitField0_ |= 0x00000004;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -402,6 +471,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              incarnation_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -523,6 +597,78 @@
       return this;
     }
 
+    private java.lang.Object incarnation_ = "";
+    /**
+     * <code>string incarnation = 3;</code>
+     * @return The incarnation.
+     */
+    public java.lang.String getIncarnation() {
+      java.lang.Object ref = incarnation_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        incarnation_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 3;</code>
+     * @return The bytes for incarnation.
+     */
+    public com.google.protobuf.ByteString
+        getIncarnationBytes() {
+      java.lang.Object ref = incarnation_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        incarnation_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string incarnation = 3;</code>
+     * @param value The incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnation(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      incarnation_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIncarnation() {
+      incarnation_ = getDefaultInstance().getIncarnation();
+      bitField0_ = (bitField0_ & ~0x00000004);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string incarnation = 3;</code>
+     * @param value The bytes for incarnation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIncarnationBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      incarnation_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.SuspicionAnswer)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/SuspicionAnswerOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/SuspicionAnswerOrBuilder.java
@@ -27,4 +27,16 @@
    * @return The alive.
    */
   boolean getAlive();
+
+  /**
+   * <code>string incarnation = 3;</code>
+   * @return The incarnation.
+   */
+  java.lang.String getIncarnation();
+  /**
+   * <code>string incarnation = 3;</code>
+   * @return The bytes for incarnation.
+   */
+  com.google.protobuf.ByteString
+      getIncarnationBytes();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/SuspicionQuery.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/SuspicionQuery.java
@@ -6,6 +6,10 @@
 package org.chivetally.wire.v1;
 
 /**
+ * <pre>
+ * Entry to entry: can you reach this incarnation? The asked one probes it before it answers.
+ * </pre>
+ *
  * Protobuf type {@code org.chivetally.wire.v1.SuspicionQuery}
  */
 @com.google.protobuf.Generated
@@ -299,6 +303,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Entry to entry: can you reach this incarnation? The asked one probes it before it answers.
+   * </pre>
+   *
    * Protobuf type {@code org.chivetally.wire.v1.SuspicionQuery}
    */
   public static final class Builder extends
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -121,6 +121,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_SuspicionAnswer_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_MembersPull_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_MembersPull_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_MembersPush_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_MembersPush_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -130,7 +140,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.chivetally.wire.v1\"\201\007\n" +
+      "\n\nwire.proto\022\026org.chivetally.wire.v1\"\373\007\n" +
       "\005Frame\022\022\n\nrequest_id\030\001 \001(\004\022.\n\005hello\030\002 \001(" +
       "\0132\035.org.chivetally.wire.v1.HelloH\000\0226\n\the" +
       "artbeat\030\003 \001(\0132!.org.chivetally.wire.v1.H" +
@@ -153,70 +163,76 @@
       "icion_query\030\017 \001(\0132&.org.chivetally.wire." +
       "v1.SuspicionQueryH\000\022C\n\020suspicion_answer\030" +
       "\020 \001(\0132\'.org.chivetally.wire.v1.Suspicion" +
-      "AnswerH\000B\006\n\004body\"\245\002\n\005Hello\022\022\n\nprocess_id" +
-      "\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\026\n\016failure_d" +
-      "omain\030\003 \001(\t\022\014\n\004role\030\004 \001(\t\022.\n\006report\030\005 \001(" +
-      "\0132\036.org.chivetally.wire.v1.Report\022\035\n\025con" +
-      "figuration_version\030\006 \001(\004\022\023\n\013listen_host\030" +
-      "\007 \001(\t\022\023\n\013listen_port\030\010 \001(\r\022\017\n\007service\030\t " +
-      "\001(\t\022\017\n\007backend\030\n \001(\t\0222\n\010capacity\030\013 \001(\0132 " +
-      ".org.chivetally.wire.v1.Capacity\"t\n\010Capa" +
-      "city\022\r\n\005slots\030\001 \001(\r\022\023\n\013connections\030\002 \001(\r" +
-      "\022\030\n\020processor_millis\030\003 \001(\004\022\024\n\014memory_byt" +
-      "es\030\004 \001(\004\022\024\n\014accelerators\030\005 \001(\r\"\213\001\n\006Repor" +
-      "t\022\016\n\006ticket\030\001 \001(\004\022\022\n\nfree_slots\030\002 \001(\r\022\016\n" +
-      "\006queued\030\003 \001(\r\022\017\n\007running\030\004 \001(\r\022\020\n\010draini" +
-      "ng\030\005 \001(\010\022\030\n\020minion_unhealthy\030\006 \001(\010\022\020\n\010se" +
-      "quence\030\007 \001(\004\"j\n\tHeartbeat\022\016\n\006answer\030\001 \001(" +
-      "\010\022.\n\006report\030\002 \001(\0132\036.org.chivetally.wire." +
-      "v1.Report\022\035\n\025configuration_version\030\003 \001(\004" +
-      "\"\231\002\n\005Start\022\022\n\nattempt_id\030\001 \001(\t\022\016\n\006job_id" +
-      "\030\002 \001(\t\022\022\n\ntask_index\030\003 \001(\r\022\022\n\ngeneration" +
-      "\030\004 \001(\r\022\016\n\006ticket\030\005 \001(\004\022\017\n\007service\030\006 \001(\t\022" +
-      "\017\n\007payload\030\007 \001(\t\022\024\n\014lease_millis\030\010 \001(\004\022\024" +
-      "\n\014queue_millis\030\t \001(\004\022\022\n\nidempotent\030\n \001(\010" +
-      "\022\014\n\004team\030\013 \001(\t\022\030\n\020processor_millis\030\014 \001(\004" +
-      "\022\024\n\014memory_bytes\030\r \001(\004\022\024\n\014accelerators\030\016" +
-      " \001(\r\"\307\001\n\006Result\022\022\n\nattempt_id\030\001 \001(\t\0222\n\006s" +
-      "tatus\030\002 \001(\0162\".org.chivetally.wire.v1.Tas" +
-      "kStatus\022\014\n\004body\030\003 \001(\t\022\r\n\005error\030\004 \001(\t\022\022\n\n" +
-      "run_micros\030\005 \001(\004\022\024\n\014queue_micros\030\006 \001(\004\022." +
-      "\n\006report\030\007 \001(\0132\036.org.chivetally.wire.v1." +
-      "Report\"\204\001\n\007Refusal\022\022\n\nattempt_id\030\001 \001(\t\0225" +
-      "\n\006reason\030\002 \001(\0162%.org.chivetally.wire.v1." +
-      "RefusalReason\022.\n\006report\030\003 \001(\0132\036.org.chiv" +
-      "etally.wire.v1.Report\"\031\n\006Cancel\022\017\n\007job_i" +
-      "ds\030\001 \003(\t\"-\n\007Inquiry\022\016\n\006job_id\030\001 \001(\t\022\022\n\ng" +
-      "eneration\030\002 \001(\r\"\201\001\n\rInquiryAnswer\022\016\n\006job" +
-      "_id\030\001 \001(\t\0220\n\005tasks\030\002 \003(\0132!.org.chivetall" +
-      "y.wire.v1.TaskState\022.\n\006report\030\003 \001(\0132\036.or" +
-      "g.chivetally.wire.v1.Report\"\204\001\n\tTaskStat" +
-      "e\022\022\n\ntask_index\030\001 \001(\r\022\022\n\nattempt_id\030\002 \001(" +
-      "\t\0222\n\006status\030\003 \001(\0162\".org.chivetally.wire." +
-      "v1.TaskStatus\022\014\n\004body\030\004 \001(\t\022\r\n\005error\030\005 \001" +
-      "(\t\"%\n\006Attach\022\016\n\006job_id\030\001 \001(\t\022\013\n\003key\030\002 \001(" +
-      "\t\";\n\tJobAnswer\022\016\n\006job_id\030\001 \001(\t\022\r\n\005known\030" +
-      "\002 \001(\010\022\017\n\007outcome\030\003 \001(\t\")\n\021ConfigurationP" +
-      "ull\022\024\n\014have_version\030\001 \001(\004\"6\n\021Configurati" +
-      "onPush\022\017\n\007version\030\001 \001(\004\022\020\n\010snapshot\030\002 \001(" +
-      "\014\"\031\n\007Leaving\022\016\n\006reason\030\001 \001(\t\"9\n\016Suspicio" +
-      "nQuery\022\022\n\nprocess_id\030\001 \001(\t\022\023\n\013incarnatio" +
-      "n\030\002 \001(\t\"4\n\017SuspicionAnswer\022\022\n\nprocess_id" +
-      "\030\001 \001(\t\022\r\n\005alive\030\002 \001(\010*\242\001\n\nTaskStatus\022\033\n\027" +
-      "TASK_STATUS_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS" +
-      "_DONE\020\001\022\026\n\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_" +
-      "STATUS_NOT_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020" +
-      "\004\022\027\n\023TASK_STATUS_RUNNING\020\005*\347\002\n\rRefusalRe" +
-      "ason\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023" +
-      "REFUSAL_REASON_FULL\020\001\022\033\n\027REFUSAL_REASON_" +
-      "DRAINING\020\002\022\037\n\033REFUSAL_REASON_STALE_TICKE" +
-      "T\020\003\022!\n\035REFUSAL_REASON_OLD_GENERATION\020\004\022 " +
-      "\n\034REFUSAL_REASON_WRONG_SERVICE\020\005\022\034\n\030REFU" +
-      "SAL_REASON_CANCELLED\020\006\022\032\n\026REFUSAL_REASON" +
-      "_EXPIRED\020\007\022\"\n\036REFUSAL_REASON_ALREADY_STA" +
-      "RTED\020\010\022\036\n\032REFUSAL_REASON_MINION_DOWN\020\t\022\034" +
-      "\n\030REFUSAL_REASON_TOO_LARGE\020\nB\032\n\026org.chiv" +
-      "etally.wire.v1P\001b\006proto3"
+      "AnswerH\000\022;\n\014members_pull\030\021 \001(\0132#.org.chi" +
+      "vetally.wire.v1.MembersPullH\000\022;\n\014members" +
+      "_push\030\022 \001(\0132#.org.chivetally.wire.v1.Mem" +
+      "bersPushH\000B\006\n\004body\"\245\002\n\005Hello\022\022\n\nprocess_" +
+      "id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\026\n\016failure" +
+      "_domain\030\003 \001(\t\022\014\n\004role\030\004 \001(\t\022.\n\006report\030\005 " +
+      "\001(\0132\036.org.chivetally.wire.v1.Report\022\035\n\025c" +
+      "onfiguration_version\030\006 \001(\004\022\023\n\013listen_hos" +
+      "t\030\007 \001(\t\022\023\n\013listen_port\030\010 \001(\r\022\017\n\007service\030" +
+      "\t \001(\t\022\017\n\007backend\030\n \001(\t\0222\n\010capacity\030\013 \001(\013" +
+      "2 .org.chivetally.wire.v1.Capacity\"t\n\010Ca" +
+      "pacity\022\r\n\005slots\030\001 \001(\r\022\023\n\013connections\030\002 \001" +
+      "(\r\022\030\n\020processor_millis\030\003 \001(\004\022\024\n\014memory_b" +
+      "ytes\030\004 \001(\004\022\024\n\014accelerators\030\005 \001(\r\"\213\001\n\006Rep" +
+      "ort\022\016\n\006ticket\030\001 \001(\004\022\022\n\nfree_slots\030\002 \001(\r\022" +
+      "\016\n\006queued\030\003 \001(\r\022\017\n\007running\030\004 \001(\r\022\020\n\010drai" +
+      "ning\030\005 \001(\010\022\030\n\020minion_unhealthy\030\006 \001(\010\022\020\n\010" +
+      "sequence\030\007 \001(\004\"j\n\tHeartbeat\022\016\n\006answer\030\001 " +
+      "\001(\010\022.\n\006report\030\002 \001(\0132\036.org.chivetally.wir" +
+      "e.v1.Report\022\035\n\025configuration_version\030\003 \001" +
+      "(\004\"\231\002\n\005Start\022\022\n\nattempt_id\030\001 \001(\t\022\016\n\006job_" +
+      "id\030\002 \001(\t\022\022\n\ntask_index\030\003 \001(\r\022\022\n\ngenerati" +
+      "on\030\004 \001(\r\022\016\n\006ticket\030\005 \001(\004\022\017\n\007service\030\006 \001(" +
+      "\t\022\017\n\007payload\030\007 \001(\t\022\024\n\014lease_millis\030\010 \001(\004" +
+      "\022\024\n\014queue_millis\030\t \001(\004\022\022\n\nidempotent\030\n \001" +
+      "(\010\022\014\n\004team\030\013 \001(\t\022\030\n\020processor_millis\030\014 \001" +
+      "(\004\022\024\n\014memory_bytes\030\r \001(\004\022\024\n\014accelerators" +
+      "\030\016 \001(\r\"\307\001\n\006Result\022\022\n\nattempt_id\030\001 \001(\t\0222\n" +
+      "\006status\030\002 \001(\0162\".org.chivetally.wire.v1.T" +
+      "askStatus\022\014\n\004body\030\003 \001(\t\022\r\n\005error\030\004 \001(\t\022\022" +
+      "\n\nrun_micros\030\005 \001(\004\022\024\n\014queue_micros\030\006 \001(\004" +
+      "\022.\n\006report\030\007 \001(\0132\036.org.chivetally.wire.v" +
+      "1.Report\"\204\001\n\007Refusal\022\022\n\nattempt_id\030\001 \001(\t" +
+      "\0225\n\006reason\030\002 \001(\0162%.org.chivetally.wire.v" +
+      "1.RefusalReason\022.\n\006report\030\003 \001(\0132\036.org.ch" +
+      "ivetally.wire.v1.Report\"\031\n\006Cancel\022\017\n\007job" +
+      "_ids\030\001 \003(\t\"-\n\007Inquiry\022\016\n\006job_id\030\001 \001(\t\022\022\n" +
+      "\ngeneration\030\002 \001(\r\"\201\001\n\rInquiryAnswer\022\016\n\006j" +
+      "ob_id\030\001 \001(\t\0220\n\005tasks\030\002 \003(\0132!.org.chiveta" +
+      "lly.wire.v1.TaskState\022.\n\006report\030\003 \001(\0132\036." +
+      "org.chivetally.wire.v1.Report\"\204\001\n\tTaskSt" +
+      "ate\022\022\n\ntask_index\030\001 \001(\r\022\022\n\nattempt_id\030\002 " +
+      "\001(\t\0222\n\006status\030\003 \001(\0162\".org.chivetally.wir" +
+      "e.v1.TaskStatus\022\014\n\004body\030\004 \001(\t\022\r\n\005error\030\005" +
+      " \001(\t\"%\n\006Attach\022\016\n\006job_id\030\001 \001(\t\022\013\n\003key\030\002 " +
+      "\001(\t\";\n\tJobAnswer\022\016\n\006job_id\030\001 \001(\t\022\r\n\005know" +
+      "n\030\002 \001(\010\022\017\n\007outcome\030\003 \001(\t\")\n\021Configuratio" +
+      "nPull\022\024\n\014have_version\030\001 \001(\004\"6\n\021Configura" +
+      "tionPush\022\017\n\007version\030\001 \001(\004\022\020\n\010snapshot\030\002 " +
+      "\001(\014\"\031\n\007Leaving\022\016\n\006reason\030\001 \001(\t\"9\n\016Suspic" +
+      "ionQuery\022\022\n\nprocess_id\030\001 \001(\t\022\023\n\013incarnat" +
+      "ion\030\002 \001(\t\"I\n\017SuspicionAnswer\022\022\n\nprocess_" +
+      "id\030\001 \001(\t\022\r\n\005alive\030\002 \001(\010\022\023\n\013incarnation\030\003" +
+      " \001(\t\"\r\n\013MembersPull\"=\n\013MembersPush\022.\n\007me" +
+      "mbers\030\001 \003(\0132\035.org.chivetally.wire.v1.Hel" +
+      "lo*\242\001\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECI" +
+      "FIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TASK_STA" +
+      "TUS_FAILED\020\002\022\027\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n" +
+      "\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_STATUS_RU" +
+      "NNING\020\005*\347\002\n\rRefusalReason\022\036\n\032REFUSAL_REA" +
+      "SON_UNSPECIFIED\020\000\022\027\n\023REFUSAL_REASON_FULL" +
+      "\020\001\022\033\n\027REFUSAL_REASON_DRAINING\020\002\022\037\n\033REFUS" +
+      "AL_REASON_STALE_TICKET\020\003\022!\n\035REFUSAL_REAS" +
+      "ON_OLD_GENERATION\020\004\022 \n\034REFUSAL_REASON_WR" +
+      "ONG_SERVICE\020\005\022\034\n\030REFUSAL_REASON_CANCELLE" +
+      "D\020\006\022\032\n\026REFUSAL_REASON_EXPIRED\020\007\022\"\n\036REFUS" +
+      "AL_REASON_ALREADY_STARTED\020\010\022\036\n\032REFUSAL_R" +
+      "EASON_MINION_DOWN\020\t\022\034\n\030REFUSAL_REASON_TO" +
+      "O_LARGE\020\nB\032\n\026org.chivetally.wire.v1P\001b\006p" +
+      "roto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -227,7 +243,7 @@
     internal_static_org_chivetally_wire_v1_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_Frame_descriptor,
-        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "Start", "Result", "Refusal", "Cancel", "Inquiry", "InquiryAnswer", "Attach", "JobAnswer", "ConfigurationPull", "ConfigurationPush", "Leaving", "SuspicionQuery", "SuspicionAnswer", "Body", });
+        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "Start", "Result", "Refusal", "Cancel", "Inquiry", "InquiryAnswer", "Attach", "JobAnswer", "ConfigurationPull", "ConfigurationPush", "Leaving", "SuspicionQuery", "SuspicionAnswer", "MembersPull", "MembersPush", "Body", });
     internal_static_org_chivetally_wire_v1_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_chivetally_wire_v1_Hello_fieldAccessorTable = new
@@ -335,7 +351,19 @@
     internal_static_org_chivetally_wire_v1_SuspicionAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_SuspicionAnswer_descriptor,
-        new java.lang.String[] { "ProcessId", "Alive", });
+        new java.lang.String[] { "ProcessId", "Alive", "Incarnation", });
+    internal_static_org_chivetally_wire_v1_MembersPull_descriptor =
+      getDescriptor().getMessageType(19);
+    internal_static_org_chivetally_wire_v1_MembersPull_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_MembersPull_descriptor,
+        new java.lang.String[] { });
+    internal_static_org_chivetally_wire_v1_MembersPush_descriptor =
+      getDescriptor().getMessageType(20);
+    internal_static_org_chivetally_wire_v1_MembersPush_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_MembersPush_descriptor,
+        new java.lang.String[] { "Members", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
