--- a/library/src/main/java/org/chivetally/agent/AgentActor.java
+++ b/library/src/main/java/org/chivetally/agent/AgentActor.java
@@ -21,14 +21,18 @@
 import org.chivetally.logging.EventLine;
 import org.chivetally.time.NanoClock;
 import org.chivetally.transport.FrameConnection;
+import org.chivetally.wire.v1.ConfigurationPush;
 import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.Hello;
+import org.chivetally.wire.v1.SuspicionAnswer;
 
 /** Shell around {@link AgentState}: connections, the minion, and time. */
 final class AgentActor extends AbstractBehavior<AgentActor.Command> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration BUSY_TICK = Duration.ofMillis(20);
     private static final Duration IDLE_TICK = Duration.ofMillis(250);
+    private static final Duration LONELY = Duration.ofSeconds(2);
+    private static final Duration LONELY_LIMIT = Duration.ofSeconds(30);
     private static final int LONGEST_STASH = 1_000;
 
     private final AgentSettings settings;
@@ -36,6 +40,8 @@
     private final AgentMeters meters;
     private final MinionClient minion;
     private final CompletableFuture<Void> stopped;
+    private final String incarnation;
+    private final AgentSurroundings surroundings;
     private final TimerScheduler<Command> timers;
     private final AgentState state;
     private final Map<FrameConnection, Peer> peers = new IdentityHashMap<>();
@@ -43,6 +49,8 @@
     private final Map<String, MinionExchange> runs = new HashMap<>();
     private MinionExchange stateReading;
     private long peersSeen;
+    private long aloneSince;
+    private Duration lonelyWait = LONELY;
     private boolean tickIsBusy;
     private boolean stopReady;
 
@@ -54,6 +62,9 @@
         this.meters = parts.meters();
         this.minion = parts.minion();
         this.stopped = parts.stopped();
+        this.incarnation = parts.incarnation();
+        this.surroundings = parts.surroundings();
+        this.aloneSince = clock.nanos();
         this.timers = timers;
         Hello hello = settings.hello(parts.incarnation(), bound.getPort());
         this.state = new AgentState(settings, hello, new SecureRandom().nextLong(), clock.nanos());
@@ -174,6 +185,8 @@
                 apply(new AgentEvent.CancelRequested(peer.id, frame.getCancel().getJobIdsList()));
             case INQUIRY -> apply(new AgentEvent.InquiryRequested(peer.id, requestId, frame.getInquiry()));
             case HELLO -> identify(peer, frame.getHello());
+            case CONFIGURATION_PUSH -> configure(frame.getConfigurationPush());
+            case SUSPICION_ANSWER -> toldGone(frame.getSuspicionAnswer());
             case LEAVING ->
                 LOGGER.atFine().log("%s", EventLine.of("agent-peer-leaving").with("peer", connection.peer()));
             default ->
@@ -185,6 +198,23 @@
         }
     }
 
+    private void configure(ConfigurationPush push) {
+        AgentConfiguration configuration =
+                surroundings.offer(push.getVersion(), push.getSnapshot().toByteArray());
+        apply(new AgentEvent.Configured(configuration));
+    }
+
+    // A process that was paused or cut off resumes unaware that the entries have dropped it, and would wait for work
+    // that
+    // nobody sends. The first entry that reaches it says so.
+    private void toldGone(SuspicionAnswer declared) {
+        boolean self = declared.getProcessId().equals(settings.processId())
+                && declared.getIncarnation().equals(incarnation);
+        if (self && !declared.getAlive()) {
+            surroundings.announceAnew("declared gone");
+        }
+    }
+
     private void identify(Peer peer, Hello hello) {
         peer.identified = true;
         apply(new AgentEvent.PeerIdentified(peer.id, hello.getProcessId(), hello.getIncarnation()));
@@ -199,6 +229,7 @@
 
     private void tick() {
         closeSilentPeers();
+        noticeLoneliness();
         apply(new AgentEvent.Ticked());
         tickIsBusy = isBusy();
         timers.startSingleTimer(new Tick(), tickIsBusy ? BUSY_TICK : IDLE_TICK);
@@ -210,7 +241,7 @@
 
     private void closeSilentPeers() {
         // A process that died without a word leaves its connection open for hours; entries send something every two
-        // seconds, so a longer silence means that nobody is there.
+        // minutes at the largest size, so a longer silence means that nobody is there.
         long longest = settings.limits().peerSilence().toNanos();
         long now = clock.nanos();
         for (Map.Entry<FrameConnection, Peer> entry : List.copyOf(peers.entrySet())) {
@@ -221,6 +252,23 @@
         }
     }
 
+    // Entries that all started anew, or dropped this agent, learn of it from its announcements only; the next regular
+    // one
+    // may be minutes away.
+    private void noticeLoneliness() {
+        long now = clock.nanos();
+        if (!peers.isEmpty()) {
+            aloneSince = now;
+            lonelyWait = LONELY;
+            return;
+        }
+        if (now - aloneSince >= lonelyWait.toNanos()) {
+            aloneSince = now;
+            lonelyWait = lonelyWait.compareTo(LONELY_LIMIT) < 0 ? lonelyWait.multipliedBy(2) : lonelyWait;
+            surroundings.announceAnew("no entry is connected");
+        }
+    }
+
     private void readState() {
         if (stateReading != null) {
             stateReading.cancel();
@@ -311,6 +359,7 @@
             MinionClient minion,
             AgentMeters meters,
             NanoClock clock,
+            AgentSurroundings surroundings,
             CompletableFuture<Void> stopped) {}
 
     /** Messages of the shell. */
--- a/library/src/main/java/org/chivetally/agent/AgentEvent.java
+++ b/library/src/main/java/org/chivetally/agent/AgentEvent.java
@@ -38,6 +38,9 @@
     /** The minion's state was read. */
     record MinionReported(MinionState state) implements AgentEvent {}
 
+    /** Another configuration is in force. */
+    record Configured(AgentConfiguration configuration) implements AgentEvent {}
+
     /** The process is to stop. */
     record DrainRequested(String reason) implements AgentEvent {}
 
--- a/library/src/main/java/org/chivetally/agent/AgentLimits.java
+++ b/library/src/main/java/org/chivetally/agent/AgentLimits.java
@@ -63,7 +63,7 @@
                 3,
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(2),
-                Duration.ofSeconds(30),
+                Duration.ofMinutes(6),
                 true);
     }
 }
--- a/library/src/main/java/org/chivetally/agent/AgentServer.java
+++ b/library/src/main/java/org/chivetally/agent/AgentServer.java
@@ -46,12 +46,23 @@
             FrameTransport transport,
             MeterRegistry registry,
             NanoClock clock) {
+        return start(system, settings, transport, registry, clock, AgentSurroundings.none());
+    }
+
+    /** Starts an agent within the other parts of its process. */
+    public static CompletionStage<AgentServer> start(
+            ActorSystem<?> system,
+            AgentSettings settings,
+            FrameTransport transport,
+            MeterRegistry registry,
+            NanoClock clock,
+            AgentSurroundings surroundings) {
         String incarnation = UUID.randomUUID().toString();
         MinionClient minion = new MinionClient(
                 system, settings.minionBase(), settings.limits().answerBytes(), clock);
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        AgentActor.Parts parts =
-                new AgentActor.Parts(settings, incarnation, minion, new AgentMeters(registry), clock, stopped);
+        AgentActor.Parts parts = new AgentActor.Parts(
+                settings, incarnation, minion, new AgentMeters(registry), clock, surroundings, stopped);
         ActorRef<AgentActor.Command> actor =
                 system.systemActorOf(AgentActor.create(parts), "agent-" + incarnation, Props.empty());
         return transport
--- a/library/src/main/java/org/chivetally/agent/AgentState.java
+++ b/library/src/main/java/org/chivetally/agent/AgentState.java
@@ -55,6 +55,7 @@
     private List<AgentEffect> effects = List.of();
     private long now;
     private long reports;
+    private AgentConfiguration configuration = AgentConfiguration.NONE;
     private boolean draining;
     private boolean stopped;
     private boolean toldUnhealthy = true;
@@ -92,6 +93,7 @@
             case AgentEvent.PeerConnected connected -> greet(connected.peer());
             case AgentEvent.PeerIdentified identified -> identify(identified);
             case AgentEvent.PeerDisconnected disconnected -> peers.disconnected(disconnected.peer());
+            case AgentEvent.Configured configured -> configure(configured.configuration());
             case AgentEvent.DrainRequested request -> drain(request.reason());
             case AgentEvent.Ticked ticked -> tick();
         }
@@ -116,7 +118,11 @@
 
     private void greet(PeerId peer) {
         peers.connected(peer);
-        send(peer, Frame.newBuilder().setHello(self.toBuilder().setReport(report())));
+        Hello hello = self.toBuilder()
+                .setReport(report())
+                .setConfigurationVersion(configuration.version())
+                .build();
+        send(peer, Frame.newBuilder().setHello(hello));
         if (draining) {
             send(peer, leaving("draining"));
         }
@@ -127,11 +133,28 @@
     }
 
     private void answerHeartbeat(AgentEvent.HeartbeatRequested request) {
-        Heartbeat answer =
-                Heartbeat.newBuilder().setAnswer(true).setReport(report()).build();
         send(
                 request.peer(),
-                Frame.newBuilder().setRequestId(request.requestId()).setHeartbeat(answer));
+                Frame.newBuilder().setRequestId(request.requestId()).setHeartbeat(heartbeat()));
+    }
+
+    private Heartbeat heartbeat() {
+        return Heartbeat.newBuilder()
+                .setAnswer(true)
+                .setReport(report())
+                .setConfigurationVersion(configuration.version())
+                .build();
+    }
+
+    // All entries are told: each of those that were not would push the same configuration again in its turn.
+    private void configure(AgentConfiguration next) {
+        if (next.version() <= configuration.version()) {
+            return;
+        }
+        configuration = next;
+        for (PeerId peer : peers.all()) {
+            send(peer, Frame.newBuilder().setHeartbeat(heartbeat()));
+        }
     }
 
     private void start(AgentEvent.StartRequested request) {
@@ -215,7 +238,7 @@
         if (!start.getService().equals(settings.service())) {
             return RefusalReason.REFUSAL_REASON_WRONG_SERVICE;
         }
-        if (draining || minion.draining()) {
+        if (isLeaving()) {
             return RefusalReason.REFUSAL_REASON_DRAINING;
         }
         if (!minion.healthy()) {
@@ -417,7 +440,7 @@
 
     /** Brings the queue and what peers were told in line with the state after an event. */
     private void settle() {
-        if (draining || minion.draining()) {
+        if (isLeaving()) {
             refuseWaiting(attempt -> true, RefusalReason.REFUSAL_REASON_DRAINING);
         } else if (!minion.healthy()) {
             refuseWaiting(attempt -> true, RefusalReason.REFUSAL_REASON_MINION_DOWN);
@@ -447,7 +470,7 @@
 
     private void tellPeersOfChange() {
         boolean unhealthy = !minion.healthy();
-        boolean leaving = draining || minion.draining();
+        boolean leaving = isLeaving();
         if (unhealthy == toldUnhealthy && leaving == toldDraining) {
             return;
         }
@@ -456,14 +479,16 @@
         writeLine(
                 EventLine.of("agent-availability").with("unhealthy", unhealthy).with("draining", leaving));
         for (PeerId peer : peers.all()) {
-            Heartbeat news =
-                    Heartbeat.newBuilder().setAnswer(true).setReport(report()).build();
-            send(peer, Frame.newBuilder().setHeartbeat(news));
+            send(peer, Frame.newBuilder().setHeartbeat(heartbeat()));
         }
     }
 
     private boolean accepts() {
-        return minion.healthy() && !minion.draining() && !draining;
+        return minion.healthy() && !isLeaving();
+    }
+
+    private boolean isLeaving() {
+        return draining || minion.draining() || configuration.draining();
     }
 
     private int freeSlots() {
@@ -538,7 +563,7 @@
                 .setFreeSlots(accepts() ? freeSlots() : 0)
                 .setQueued(waiting.size())
                 .setRunning(running.size())
-                .setDraining(draining || minion.draining())
+                .setDraining(isLeaving())
                 .setMinionUnhealthy(!minion.healthy())
                 .setSequence(reports)
                 .build();
--- a/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
+++ b/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
@@ -25,8 +25,11 @@
  * record.
  */
 public final class MemberAnnouncer {
-    /** Time between announcements when nothing fails. */
-    public static final Duration DEFAULT_INTERVAL = Duration.ofSeconds(30);
+    /**
+     * Time between announcements when nothing fails; under half of what the log keeps. All entries read each, so a
+     * shorter one would be most of their control cost at 650 agents.
+     */
+    public static final Duration DEFAULT_INTERVAL = Duration.ofMinutes(10);
 
     private final ActorRef<Command> actor;
 
@@ -39,6 +42,11 @@
                 Props.empty());
     }
 
+    /** Announces the process now; does nothing while an announcement is under way. */
+    public void announceNow() {
+        actor.tell(new AnnounceNow());
+    }
+
     /** Stops announcing and appends the leave; completes when that is written, or after five seconds. */
     public CompletionStage<Void> leave() {
         CompletableFuture<Void> left = new CompletableFuture<>();
@@ -52,12 +60,15 @@
 
     private record Appended(AppendOutcome outcome) implements Command {}
 
+    private record AnnounceNow() implements Command {}
+
     private record Leave(CompletableFuture<Void> left) implements Command {}
 
     private record GiveUp() implements Command {}
 
     private static final class Announcing extends AbstractBehavior<Command> {
         private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
+        private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(30);
         private static final Duration LEAVE_LIMIT = Duration.ofSeconds(5);
 
         private final TimerScheduler<Command> timers;
@@ -94,6 +105,7 @@
         private Behavior<Command> handle(Command command) {
             return switch (command) {
                 case Append due -> append();
+                case AnnounceNow now -> inFlight || left != null ? this : append();
                 case Appended appended -> appended(appended.outcome());
                 case Leave leave -> leave(leave.left());
                 case GiveUp giveUp -> stop();
@@ -101,6 +113,7 @@
         }
 
         private Behavior<Command> append() {
+            timers.cancel(new Append());
             inFlight = true;
             log.append(MemberRecord.STREAM, List.of(record))
                     .thenAccept(outcome -> getContext().getSelf().tell(new Appended(outcome)));
@@ -155,7 +168,7 @@
         private Behavior<Command> appendAfterBackoff() {
             timers.startSingleTimer(new Append(), backoff);
             Duration doubled = backoff.multipliedBy(2);
-            backoff = doubled.compareTo(interval) < 0 ? doubled : interval;
+            backoff = doubled.compareTo(LONGEST_BACKOFF) < 0 ? doubled : LONGEST_BACKOFF;
             return this;
         }
 
--- a/library/src/main/java/org/chivetally/daemon/AgentDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/AgentDaemon.java
@@ -36,8 +36,9 @@
             ActorSystem<?> system, AgentDaemonSettings settings, PlatformLog log, NanoClock clock) {
         MeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         FrameTransport transport = new FrameTransport(meters);
-        return AgentServer.start(system, agent(settings), transport, meters, clock)
-                .thenApply(server -> started(system, settings, log, server, transport));
+        AgentParts parts = new AgentParts(settings.minion().backend(), clock);
+        return AgentServer.start(system, agent(settings), transport, meters, clock, parts)
+                .thenApply(server -> started(system, settings, log, server, transport, parts));
     }
 
     /** Returns where entries are served. */
@@ -58,11 +59,13 @@
             AgentDaemonSettings settings,
             PlatformLog log,
             AgentServer server,
-            FrameTransport transport) {
+            FrameTransport transport,
+            AgentParts parts) {
         SeedIntroduction seeds =
                 new SeedIntroduction(log, transport, settings.process().seeds(), server.member());
         MemberAnnouncer announcer =
                 new MemberAnnouncer(system, seeds, server.member(), MemberAnnouncer.DEFAULT_INTERVAL);
+        parts.announceBy(announcer);
         return new AgentDaemon(server, announcer, transport);
     }
 
--- a/library/src/main/java/org/chivetally/daemon/EntryMapping.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryMapping.java
@@ -19,6 +19,7 @@
 /** Maps an entry's settings file to the settings of its parts. */
 final class EntryMapping {
     private static final int RENEWALS_IN_LEASE = 3;
+    private static final int WINDOWS_GONE = 2;
     private static final int SNAPSHOTS_IN_RETENTION = 4;
 
     private EntryMapping() {}
@@ -58,7 +59,9 @@
     }
 
     // Agents and entries must agree on these: an entry that counts on an agent's memory for longer than it lasts would
-    // take "not known here" for "never started", and start work twice.
+    // take "not known here" for "never started", and start work twice. For the same reason an agent that ended counts
+    // for
+    // as long as a job that it may have held can be taken over.
     private static DispatchSettings.Fencing fencing(DispatchSettings.Fencing usual, ClaimTimes claims) {
         return new DispatchSettings.Fencing(
                 claims.ticketAge(),
@@ -67,7 +70,7 @@
                 usual.inquiryRepeat(),
                 usual.takeoverPatience(),
                 claims.agentRetention(),
-                usual.goneRetention());
+                claims.window().multipliedBy(WINDOWS_GONE));
     }
 
     private static ClaimSettings claims(ClaimTimes times) {
--- a/library/src/main/java/org/chivetally/placement/AgentView.java
+++ b/library/src/main/java/org/chivetally/placement/AgentView.java
@@ -23,6 +23,7 @@
     private boolean introduced;
     private boolean reachable;
     private boolean draining;
+    private boolean leaving;
     private boolean minionDown;
     private boolean gone;
     private long ticket;
@@ -126,7 +127,7 @@
         if (!reachable) {
             return AgentState.UNREACHABLE;
         }
-        if (draining) {
+        if (draining || leaving) {
             return AgentState.DRAINING;
         }
         if (minionDown) {
@@ -195,7 +196,7 @@
     }
 
     void drain() {
-        draining = true;
+        leaving = true;
     }
 
     void refreshSent(long now) {
@@ -220,7 +221,7 @@
         sequence = report.getSequence();
         ticket = report.getTicket();
         ticketReceivedAt = now;
-        draining |= report.getDraining();
+        draining = report.getDraining();
         minionDown = report.getMinionUnhealthy();
         int taken = Math.max(slots - report.getFreeSlots(), report.getRunning()) + report.getQueued();
         others = Math.max(0, taken - inFlight);
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -35,16 +35,20 @@
     private final HttpClient client = HttpClient.newHttpClient();
 
     static EntrySettings settings(String processId) {
+        return settings(processId, "north", List.of());
+    }
+
+    static EntrySettings settings(String processId, String failureDomain, List<Address> seeds) {
         Address loopback = new Address(LOOPBACK, 0);
         return new EntrySettings(
                 processId,
-                "north",
+                failureDomain,
                 loopback,
                 loopback,
                 loopback,
-                List.of(),
+                seeds,
                 ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1)),
-                DispatchSettings.defaults("north"),
+                DispatchSettings.defaults(failureDomain),
                 HeartbeatSettings.standard(),
                 new EntryLimits(1 << 20, 3, 100, 1 << 20, Duration.ZERO, Duration.ofSeconds(30)));
     }
@@ -53,6 +57,10 @@
         return join(EntryServer.start(kit.system(), settings(processId), log, transport, meters, NanoClock.system()));
     }
 
+    EntryServer start(EntrySettings settings, EntryExtension extension) {
+        return join(EntryServer.start(kit.system(), settings, log, transport, meters, NanoClock.system(), extension));
+    }
+
     EntryServer start(String processId, EntryServer.Decisions decisions) {
         return join(EntryServer.start(
                 kit.system(),
