--- a/library/src/main/java/org/chivetally/coordination/Admission.java
+++ b/library/src/main/java/org/chivetally/coordination/Admission.java
@@ -22,7 +22,7 @@
     }
 
     void submitted(DispatchEvent.JobSubmitted event) {
-        if (context.jobs.containsKey(event.job()) || context.finished.contains(event.job())) {
+        if (context.jobs.containsKey(event.job())) {
             return;
         }
         ServiceProgress service = context.service(event.specification().service());
@@ -36,6 +36,7 @@
         boolean takenOver = event.generation() > 1;
         if (!takenOver && refusedAtOnce(job)) {
             context.teams.jobEnded(team);
+            context.forgetIfUnused(service);
             return;
         }
         context.jobs.put(job.id, job);
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -27,8 +27,12 @@
 import org.chivetally.entry.dispatch.DispatchCommand;
 import org.chivetally.entry.dispatch.DispatchCore;
 import org.chivetally.entry.link.Dialer;
+import org.chivetally.entry.link.LinkObserver;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.link.ObservedProcess;
+import org.chivetally.entry.link.ObservedProcesses;
+import org.chivetally.entry.link.Observers;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberActor;
 import org.chivetally.entry.member.MemberId;
@@ -47,6 +51,7 @@
 import org.chivetally.job.JobOutcome;
 import org.chivetally.log.PlatformLog;
 import org.chivetally.time.NanoClock;
+import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.Hello;
 
 /** The actors of one entry and the ways between them. */
@@ -55,6 +60,8 @@
 
     private final ActorSystem<?> system;
     private final Parts parts;
+    private final Observers observers = new Observers();
+    private final ObservedProcesses observed;
     private final Set<AgentId> usableAgents = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean membersRead = new AtomicBoolean();
     private final AtomicBoolean logReachable = new AtomicBoolean(true);
@@ -69,6 +76,8 @@
     EntryActors(ActorSystem<?> system, Parts parts) {
         this.system = system;
         this.parts = parts;
+        this.observed = new ObservedProcesses(parts.clock());
+        observers.add(observed);
         this.guard = system.systemActorOf(
                 ActorGuard.create(failure), "guard-" + parts.member().incarnation(), Props.empty());
         this.submissions = spawn("submissions", SubmissionActor.create(submissionParts()));
@@ -95,6 +104,22 @@
         return usableAgents;
     }
 
+    /** Returns what was last heard of each linked process. */
+    List<ObservedProcess> observed() {
+        return observed.all();
+    }
+
+    /** Tells an observer of all links from now on. */
+    void observe(LinkObserver observer) {
+        observers.add(observer);
+    }
+
+    /** Sends a frame to a linked agent or entry; lost when it can't be reached now. */
+    void send(String processId, Frame frame) {
+        dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Send(processId, frame)));
+        peers.thenAccept(actor -> actor.tell(new PeerCommand.Send(processId, frame)));
+    }
+
     /** Hands an event to the dispatcher. */
     void tell(DispatchEvent event) {
         if (event instanceof DispatchEvent.JobClaimed claimed && claimed.generation() > Claim.FIRST_GENERATION) {
@@ -251,8 +276,8 @@
                 this::learn,
                 service -> parts.extension().policies().service(service).idempotent(),
                 parts.extension().configuration(),
-                parts.extension().reports(),
                 usableAgents,
+                observers,
                 parts.meters(),
                 parts.clock());
     }
@@ -264,10 +289,10 @@
                 parts.settings().heartbeats(),
                 (job, outcome) -> submissions.tell(new SubmissionCommand.PeerAnswered(job, outcome)),
                 this::introduced,
+                observers,
                 parts.requestIds()::incrementAndGet,
                 this::learn,
                 parts.extension().configuration(),
-                parts.extension().reports(),
                 membersRead::get,
                 parts.clock());
     }
--- a/library/src/main/java/org/chivetally/entry/EntryExtension.java
+++ b/library/src/main/java/org/chivetally/entry/EntryExtension.java
@@ -14,26 +14,22 @@
  * @param routes routes that are served beside the entry's own, such as those of resources
  * @param missing what of these parts keeps the entry from being ready; empty when nothing does
  * @param configuration the configuration as other processes get it from this one
- * @param reports takes what other processes say of themselves
  */
 public record EntryExtension(
         ServicePolicies policies,
         List<Route> routes,
         Supplier<List<String>> missing,
-        ConfigurationExchange configuration,
-        ProcessReports reports) {
+        ConfigurationExchange configuration) {
     /** Refuses missing parts. */
     public EntryExtension {
         Objects.requireNonNull(policies, "policies");
         Objects.requireNonNull(missing, "missing");
         Objects.requireNonNull(configuration, "configuration");
-        Objects.requireNonNull(reports, "reports");
         routes = List.copyOf(routes);
     }
 
     /** Returns an extension that adds nothing. */
     public static EntryExtension none() {
-        return new EntryExtension(
-                new UndeclaredPolicies(), List.of(), List::of, ConfigurationExchange.none(), new ProcessReports());
+        return new EntryExtension(new UndeclaredPolicies(), List.of(), List::of, ConfigurationExchange.none());
     }
 }
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
@@ -14,7 +13,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.PostStop;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -25,7 +23,6 @@
 import org.chivetally.coordination.DispatchEffect;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.ConfigurationExchange;
-import org.chivetally.entry.ProcessReports;
 import org.chivetally.entry.link.HeartbeatSettings;
 import org.chivetally.entry.link.IdlePace;
 import org.chivetally.entry.link.LinkObserver;
@@ -45,7 +42,6 @@
 import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.Heartbeat;
 import org.chivetally.wire.v1.Hello;
-import org.chivetally.wire.v1.Report;
 import org.chivetally.wire.v1.SuspicionAnswer;
 
 /** Feeds the decisions with events of agents, jobs and time, and carries their effects out. */
@@ -57,6 +53,7 @@
 
     private final Parts parts;
     private final LinkSet links;
+    private final DispatchMeters meters;
     private final AttemptsInFlight attempts = new AttemptsInFlight();
     private final Map<String, AgentId> agents = new HashMap<>();
     private final AgentRoster roster;
@@ -69,6 +66,7 @@
     private DispatchActor(ActorContext<DispatchCommand> context, Parts parts) {
         super(context);
         this.parts = parts;
+        this.meters = new DispatchMeters(parts.meters());
         Consumer<LinkSignal> signals = signal -> context.getSelf().tell(new DispatchCommand.Signal(signal));
         this.links = new LinkSet(parts.wiring().apply(signals), parts.heartbeats(), this);
         this.roster = new AgentRoster(parts.idempotent(), attempts::awaits);
@@ -104,6 +102,7 @@
             case DispatchCommand.Event event -> decide(event.event());
             case DispatchCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
+            case DispatchCommand.Send send -> links.send(send.processId(), send.frame());
             case DispatchCommand.View view -> onView(view.view());
             case DispatchCommand.Probe probe -> onProbe(probe);
             case DispatchCommand.Membership membership -> onMembership(membership.effect());
@@ -134,7 +133,6 @@
         List<String> names = view.entries().stream().map(Member::processId).toList();
         pushes.entries(names);
         pace(view, names);
-        parts.reports().retain(view.members().stream().map(Member::processId).collect(Collectors.toSet()));
         int count = Math.max(1, names.size());
         if (count != entries) {
             entries = count;
@@ -149,7 +147,6 @@
             boolean own = RendezvousOrder.rank(parts.self(), entryNames, agent.processId()) == 0;
             links.pace(agent.processId(), IdlePace.interval(own, count, entryNames.size(), shortest));
         }
-        parts.reports().paced(IdlePace.interval(false, count, entryNames.size(), shortest));
     }
 
     private void dropUnwanted() {
@@ -213,6 +210,7 @@
         }
         if (ticks % TICKS_PER_REPORT == 0) {
             reportConnected();
+            parts.core().snapshot().ifPresent(meters::show);
         }
     }
 
@@ -235,7 +233,7 @@
             attempts.forget(hello.getProcessId());
         }
         parts.usable().add(agent);
-        noteReport(hello, hello.getReport(), hello.getConfigurationVersion());
+        parts.observer().up(hello);
         pushes.connected(hello, now);
         decideAll(roster.up(hello, now));
         MemberRecords.ofHello(hello).ifPresent(member -> parts.members().accept(new MembershipEvent.Reached(member)));
@@ -245,6 +243,7 @@
     public void down(Hello hello, String reason) {
         AgentId agent = AgentRoster.idOf(hello);
         parts.usable().remove(agent);
+        parts.observer().down(hello, reason);
         pushes.disconnected(hello.getProcessId());
         decideAll(roster.down(agent, parts.clock().nanos()));
         parts.members().accept(new MembershipEvent.Lost(new MemberId(agent.processId(), agent.incarnation())));
@@ -259,21 +258,14 @@
     public void received(Hello sender, Frame frame) {
         AgentId agent = AgentRoster.idOf(sender);
         attempts.received(sender.getProcessId(), frame);
+        parts.observer().received(sender, frame);
         probes.received(new MemberId(agent.processId(), agent.incarnation()));
         if (frame.hasHeartbeat()) {
-            Heartbeat heartbeat = frame.getHeartbeat();
-            noteReport(sender, heartbeat.getReport(), heartbeat.getConfigurationVersion());
-            pushes.reported(sender.getProcessId(), heartbeat.getConfigurationVersion());
+            pushes.reported(sender.getProcessId(), frame.getHeartbeat().getConfigurationVersion());
         }
         decide(new DispatchEvent.FrameReceived(agent, frame));
     }
 
-    private void noteReport(Hello sender, Report report, long version) {
-        long now = parts.clock().nanos();
-        parts.reports().reported(sender.getProcessId(), sender.getRole(), version, now);
-        parts.reports().reported(sender, report, now);
-    }
-
     private void decideAll(List<DispatchEvent> events) {
         events.forEach(this::decide);
     }
@@ -289,7 +281,7 @@
             case DispatchEffect.SendFrame send -> send(send.agent(), send.frame());
             case DispatchEffect.JobFinished finished -> parts.finished().accept(finished.job(), finished.outcome());
             case DispatchEffect.WriteLine write -> LOGGER.atInfo().log("%s", write.line());
-            case DispatchEffect.CountWaste waste -> count(waste.kind());
+            case DispatchEffect.CountWaste waste -> meters.wasted(waste.kind());
         }
     }
 
@@ -300,12 +292,6 @@
         }
     }
 
-    private void count(DispatchEffect.WasteKind kind) {
-        parts.meters()
-                .counter("chivetally.wasted.messages", "kind", kind.name().toLowerCase(Locale.ROOT))
-                .increment();
-    }
-
     /**
      * What the actor works with.
      *
@@ -317,8 +303,8 @@
      * @param members takes what connections say of members
      * @param idempotent tells whether a service's tasks may run twice
      * @param configuration what agents are to have
-     * @param reports takes what agents say of themselves
      * @param usable filled with the agents that can be reached; read by other threads
+     * @param observer told of the links as well; must not block
      */
     public record Parts(
             String self,
@@ -331,8 +317,8 @@
             Consumer<MembershipEvent> members,
             Predicate<String> idempotent,
             ConfigurationExchange configuration,
-            ProcessReports reports,
             Set<AgentId> usable,
+            LinkObserver observer,
             MeterRegistry meters,
             NanoClock clock) {}
 }
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -6,6 +6,7 @@
 import org.chivetally.entry.member.MemberId;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.entry.member.MembershipEffect;
+import org.chivetally.wire.v1.Frame;
 
 /** Messages of {@link DispatchActor}. */
 public sealed interface DispatchCommand {
@@ -24,6 +25,9 @@
     /** The view of members wants something done at an agent. */
     record Membership(MembershipEffect effect) implements DispatchCommand {}
 
+    /** Send a frame to an agent; lost when it can't be reached now. */
+    record Send(String processId, Frame frame) implements DispatchCommand {}
+
     /** Ends the actor. */
     record Stop() implements DispatchCommand {}
 
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -36,6 +36,7 @@
     private final MembershipView view;
     private final List<CompletableFuture<Void>> awaitingEnd = new ArrayList<>();
     private long nextOffset;
+    private boolean changed;
     private boolean atEnd;
     private boolean reachable;
 
@@ -212,14 +213,26 @@
     }
 
     private void apply(MembershipEvent event) {
+        take(event);
+        publishIfChanged();
+    }
+
+    private void take(MembershipEvent event) {
         for (MembershipEffect effect : view.handle(event, parts.clock().nanos())) {
             carryOut(effect);
         }
     }
 
+    private void publishIfChanged() {
+        if (changed) {
+            changed = false;
+            parts.publish().accept(view.list());
+        }
+    }
+
     private void carryOut(MembershipEffect effect) {
         switch (effect) {
-            case MembershipEffect.Changed changed -> parts.publish().accept(view.list());
+            case MembershipEffect.Changed another -> changed = true;
             case MembershipEffect.Append append -> {
                 LOGGER.atInfo().log("%s", EventLine.of("member-record").with("record", append.record()));
                 write(append.record());
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -23,7 +23,6 @@
 import org.apache.pekko.actor.typed.javadsl.Receive;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.entry.ConfigurationExchange;
-import org.chivetally.entry.ProcessReports;
 import org.chivetally.entry.link.Address;
 import org.chivetally.entry.link.HeartbeatSettings;
 import org.chivetally.entry.link.LinkObserver;
@@ -106,6 +105,7 @@
             case PeerCommand.CancelJob cancel -> onCancel(cancel);
             case PeerCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
+            case PeerCommand.Send send -> links.send(send.processId(), send.frame());
             case PeerCommand.View view -> onView(view.view());
             case PeerCommand.AskSuspicion ask -> onAskSuspicion(ask);
             case PeerCommand.Probe probe -> onProbe(probe);
@@ -248,7 +248,8 @@
 
     @Override
     public void up(Hello hello) {
-        noteVersion(hello, hello.getConfigurationVersion());
+        parts.observer().up(hello);
+        pulls.reported(hello.getProcessId(), hello.getConfigurationVersion());
         MemberRecords.ofHello(hello).ifPresent(member -> parts.members().accept(new MembershipEvent.Reached(member)));
         questions.values().stream()
                 .filter(question -> question.coordinator.processId().equals(hello.getProcessId()))
@@ -258,6 +259,7 @@
     @Override
     public void down(Hello hello, String reason) {
         // Questions are asked again on the next connection.
+        parts.observer().down(hello, reason);
         pulls.lost(hello.getProcessId());
         parts.members().accept(new MembershipEvent.Lost(idOf(hello)));
     }
@@ -269,10 +271,12 @@
 
     @Override
     public void received(Hello sender, Frame frame) {
+        parts.observer().received(sender, frame);
         probes.received(idOf(sender));
         switch (frame.getBodyCase()) {
             case JOB_ANSWER -> onJobAnswer(frame.getRequestId(), frame.getJobAnswer());
-            case HEARTBEAT -> noteVersion(sender, frame.getHeartbeat().getConfigurationVersion());
+            case HEARTBEAT ->
+                pulls.reported(sender.getProcessId(), frame.getHeartbeat().getConfigurationVersion());
             case SUSPICION_ANSWER -> onSuspicionAnswer(sender, frame);
             case CONFIGURATION_PUSH ->
                 parts.configuration()
@@ -299,12 +303,6 @@
         }
     }
 
-    private void noteVersion(Hello sender, long version) {
-        long now = parts.clock().nanos();
-        parts.reports().reported(sender.getProcessId(), sender.getRole(), version, now);
-        pulls.reported(sender.getProcessId(), version);
-    }
-
     private static MemberId idOf(Hello hello) {
         return new MemberId(hello.getProcessId(), hello.getIncarnation());
     }
@@ -355,10 +353,10 @@
      * @param wiring makes the links' wiring for the actor's signals
      * @param answered takes outcomes
      * @param introduced takes introductions of processes found at another's address
+     * @param observer told of the links as well; must not block
      * @param requestIds request ids of this process, never repeated
      * @param members takes what connections say of members
      * @param configuration what other entries may have newer
-     * @param reports takes what entries say of themselves
      * @param membersRead whether the members are known as the log has them
      */
     public record Parts(
@@ -367,10 +365,10 @@
             HeartbeatSettings heartbeats,
             BiConsumer<JobId, JobOutcome> answered,
             Consumer<Hello> introduced,
+            LinkObserver observer,
             LongSupplier requestIds,
             Consumer<MembershipEvent> members,
             ConfigurationExchange configuration,
-            ProcessReports reports,
             BooleanSupplier membersRead,
             NanoClock clock) {}
 }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -8,6 +8,7 @@
 import org.chivetally.entry.member.MemberId;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.job.JobId;
+import org.chivetally.wire.v1.Frame;
 
 /** Messages of {@link PeerActor}. */
 public sealed interface PeerCommand {
@@ -35,6 +36,9 @@
     /** Another entry asks whether an entry can be reached. */
     record Probe(MemberId entry, Consumer<Boolean> alive) implements PeerCommand {}
 
+    /** Send a frame to an entry; lost when it can't be reached now. */
+    record Send(String processId, Frame frame) implements PeerCommand {}
+
     /** Ends the actor. */
     record Stop() implements PeerCommand {}
 
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.actor.typed.ActorSystem;
 import org.chivetally.claim.ClaimSettings;
 import org.chivetally.coordination.DispatchSettings;
 import org.chivetally.entry.link.Address;
@@ -26,6 +27,8 @@
 /** Entries on the loopback address over a log in memory, and a client for them. */
 final class EntryFixture implements AutoCloseable {
     static final String LOOPBACK = "127.0.0.1";
+    private static final ClaimSettings USUAL_CLAIMS =
+            ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1));
 
     final ActorTestKit kit = ActorTestKit.create();
     final PrometheusMeterRegistry meters = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -35,10 +38,15 @@
     private final HttpClient client = HttpClient.newHttpClient();
 
     static EntrySettings settings(String processId) {
-        return settings(processId, "north", List.of());
+        return settings(processId, "north", List.of(), USUAL_CLAIMS);
     }
 
     static EntrySettings settings(String processId, String failureDomain, List<Address> seeds) {
+        return settings(processId, failureDomain, seeds, USUAL_CLAIMS);
+    }
+
+    private static EntrySettings settings(
+            String processId, String failureDomain, List<Address> seeds, ClaimSettings claims) {
         Address loopback = new Address(LOOPBACK, 0);
         return new EntrySettings(
                 processId,
@@ -47,14 +55,19 @@
                 loopback,
                 loopback,
                 seeds,
-                ClaimSettings.defaults(Duration.ofMinutes(10), Duration.ofHours(1)),
+                claims,
                 DispatchSettings.defaults(failureDomain),
                 HeartbeatSettings.standard(),
                 new EntryLimits(1 << 20, 3, 100, 1 << 20, Duration.ZERO, Duration.ofSeconds(30)));
     }
 
     EntryServer start(String processId) {
-        return join(EntryServer.start(kit.system(), settings(processId), log, transport, meters, NanoClock.system()));
+        return start(processId, USUAL_CLAIMS, kit.system(), transport);
+    }
+
+    EntryServer start(String processId, ClaimSettings claims, ActorSystem<?> system, FrameTransport frames) {
+        return join(EntryServer.start(
+                system, settings(processId, "north", List.of(), claims), log, frames, meters, NanoClock.system()));
     }
 
     EntryServer start(EntrySettings settings, EntryExtension extension) {
--- a/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
@@ -119,17 +119,15 @@
     @Test
     void configurationIsBroughtToAgentsAndTheirVersionIsShown() {
         StubConfiguration configuration = new StubConfiguration(7);
-        ProcessReports reports = new ProcessReports();
-        EntryExtension extension =
-                new EntryExtension(new UndeclaredPolicies(), List.of(), List::of, configuration, reports);
+        EntryExtension extension = new EntryExtension(new UndeclaredPolicies(), List.of(), List::of, configuration);
         StubSurroundings surroundings = new StubSurroundings();
         Agent agent = new Agent("agent-1", surroundings);
         agent.announce();
-        fixture.start(EntryFixture.settings("entry-1"), extension);
-        EntryFixture.until(() -> reports.lastReports().stream().anyMatch(report -> report.version() == 7));
+        EntryServer entry = fixture.start(EntryFixture.settings("entry-1"), extension);
+        EntryFixture.until(() -> entry.processes().stream().anyMatch(process -> process.configurationVersion() == 7));
         assertThat(surroundings.offered, contains(7L));
         configuration.version = 9;
-        EntryFixture.until(() -> reports.lastReports().stream().anyMatch(report -> report.version() == 9));
+        EntryFixture.until(() -> entry.processes().stream().anyMatch(process -> process.configurationVersion() == 9));
         assertThat(surroundings.offered, contains(7L, 9L));
     }
 
@@ -140,14 +138,13 @@
         // until the log is back; its settings name an entry that knows both.
         Agent agent = new Agent("agent-1", AgentSurroundings.none());
         agent.announce();
-        EntryExtension ahead = new EntryExtension(
-                new UndeclaredPolicies(), List.of(), List::of, new StubConfiguration(7), new ProcessReports());
+        EntryExtension ahead =
+                new EntryExtension(new UndeclaredPolicies(), List.of(), List::of, new StubConfiguration(7));
         EntryServer seed = fixture.start(EntryFixture.settings("entry-1"), ahead);
         fixture.awaitReady(seed);
         fixture.log.setFaults(LogFaults.NONE.withDown(true));
         StubConfiguration behind = new StubConfiguration(0);
-        EntryExtension extension =
-                new EntryExtension(new RepeatablePolicies(), List.of(), List::of, behind, new ProcessReports());
+        EntryExtension extension = new EntryExtension(new RepeatablePolicies(), List.of(), List::of, behind);
         Address seedAddress =
                 new Address(EntryFixture.LOOPBACK, seed.frameAddress().getPort());
         EntryServer late = fixture.start(EntryFixture.settings("entry-2", "south", List.of(seedAddress)), extension);
--- a/library/src/test/java/org/chivetally/entry/member/MembershipViewTest.java
+++ b/library/src/test/java/org/chivetally/entry/member/MembershipViewTest.java
@@ -137,6 +137,24 @@
         assertThat("a late announcement", members(), not(hasItem(AGENT)));
     }
 
+    @Test
+    void leaveOfAPredecessorDoesNotTakeOutItsSuccessor() {
+        driver.announce(AGENT);
+        driver.announce(SUCCESSOR);
+        driver.leave(AGENT);
+        assertThat(members(), hasItem(SUCCESSOR));
+        driver.leave(SUCCESSOR);
+        assertThat(members(), contains(driver.self));
+    }
+
+    @Test
+    void repeatedAnnouncementChangesNothing() {
+        driver.announce(AGENT);
+        driver.effects.clear();
+        driver.announce(AGENT);
+        assertThat(driver.effects, empty());
+    }
+
     @Test
     void openConnectionKnowsBetterThanTheOrderOfRecords() {
         driver.announce(SUCCESSOR);
--- a/load/src/main/java/org/chivetally/load/LoadReport.java
+++ b/load/src/main/java/org/chivetally/load/LoadReport.java
@@ -14,7 +14,10 @@
  * @param figures figures that could be measured
  * @param counters what the entries' counters grew by
  * @param faults faults injected, by target and kind
+ * @param starts starts recorded by minions
+ * @param roles processor time and memory by role, where a folder with process ids was given
  * @param unreadMinions minions whose record couldn't be read at the end
+ * @param unanswered keys of submissions that got neither an answer nor a clear failure soon after their deadline
  * @param verdict broken promises
  */
 public record LoadReport(
@@ -25,14 +28,19 @@
         Map<Figure, Double> figures,
         Counters counters,
         Map<String, Integer> faults,
+        int starts,
+        Map<String, RoleCost> roles,
         List<String> unreadMinions,
+        List<String> unanswered,
         Verdict verdict) {
     /** Copies the collections. */
     public LoadReport {
         outcomes = new TreeMap<>(outcomes);
         figures = new TreeMap<>(figures);
         faults = new TreeMap<>(faults);
+        roles = new TreeMap<>(roles);
         unreadMinions = List.copyOf(unreadMinions);
+        unanswered = List.copyOf(unanswered);
     }
 
     /** Returns the number of faults injected. */
