--- a/library/src/main/java/org/chivetally/agent/AgentState.java
+++ b/library/src/main/java/org/chivetally/agent/AgentState.java
@@ -151,9 +151,10 @@
         if (next.version() <= configuration.version()) {
             return;
         }
+        boolean wasLeaving = isLeaving();
         configuration = next;
-        for (PeerId peer : peers.all()) {
-            send(peer, Frame.newBuilder().setHeartbeat(heartbeat()));
+        if (wasLeaving == isLeaving()) {
+            tellPeers();
         }
     }
 
@@ -478,6 +479,10 @@
         toldDraining = leaving;
         writeLine(
                 EventLine.of("agent-availability").with("unhealthy", unhealthy).with("draining", leaving));
+        tellPeers();
+    }
+
+    private void tellPeers() {
         for (PeerId peer : peers.all()) {
             send(peer, Frame.newBuilder().setHeartbeat(heartbeat()));
         }
--- a/library/src/test/java/org/chivetally/agent/AgentStateTest.java
+++ b/library/src/test/java/org/chivetally/agent/AgentStateTest.java
@@ -12,6 +12,7 @@
 import java.util.stream.IntStream;
 import org.chivetally.transport.FrameTransport;
 import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Heartbeat;
 import org.chivetally.wire.v1.Hello;
 import org.chivetally.wire.v1.Report;
 import org.chivetally.wire.v1.Start;
@@ -458,4 +459,26 @@
             assertThat(frame.getSerializedSize(), lessThan(FrameTransport.MAXIMUM_FRAME_BYTES));
         }
     }
+
+    /**
+     * What operators see: a backend server that they declare as draining gets nothing new within moments, its running
+     * tasks finish, and it gets work again once the declaration is taken back. Each connected entry hears of the
+     * version at once; one that did not would push it again.
+     */
+    @Test
+    void aDeclaredDrainHoldsUntilItIsTakenBack() {
+        agent.startAll("a");
+        agent.apply(new AgentEvent.Configured(new AgentConfiguration(3, true)));
+        Heartbeat told = agent.lastFrame().getHeartbeat();
+        assertThat(told.getConfigurationVersion(), is(3L));
+        assertThat(told.getReport().getDraining(), is(true));
+        agent.startAll("b");
+        assertThat(agent.refusals(), contains("b DRAINING"));
+        agent.succeed("a");
+        assertThat(agent.results(), contains("a DONE \"of a\""));
+        agent.apply(new AgentEvent.Configured(new AgentConfiguration(2, true)));
+        agent.apply(new AgentEvent.Configured(new AgentConfiguration(4, false)));
+        agent.startAll("c");
+        assertThat(agent.runs(), contains("a", "c"));
+    }
 }
--- a/library/src/test/java/org/chivetally/coordination/DispatcherTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTest.java
@@ -30,6 +30,7 @@
 import org.chivetally.job.TaskSpecification;
 import org.chivetally.job.TeamPolicy;
 import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Heartbeat;
 import org.chivetally.wire.v1.Leaving;
 import org.chivetally.wire.v1.RefusalReason;
 import org.chivetally.wire.v1.Start;
@@ -283,6 +284,20 @@
         assertThat(driver.starts, empty());
     }
 
+    @Test
+    void agentWhoseDrainIsTakenBackGetsWorkAgain() {
+        AgentId agent = driver.connect("a", 8);
+        driver.receive(
+                agent,
+                Frame.newBuilder()
+                        .setHeartbeat(Heartbeat.newBuilder()
+                                .setReport(driver.report(agent, 0).toBuilder().setDraining(true))));
+        driver.run("job", 1, DispatcherDriver.once());
+        assertThat(driver.starts, empty());
+        driver.heartbeat(agent, 8);
+        assertThat(driver.starts, hasSize(1));
+    }
+
     @Test
     void withoutTheLeaseNothingStarts() {
         // A coordinator paused past its lease goes on when it is resumed. Another may have taken its jobs over by then.
--- a/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
@@ -116,6 +116,25 @@
         assertThat(core.events(DispatchEvent.AgentGone.class), empty());
     }
 
+    @Test
+    void agentDeclaredGoneByMistakeIsToldAndAnnouncesItselfAnew() {
+        // An agent's process was paused; two entries agreed that it is gone, and it has resumed. This entry reaches it,
+        // tells
+        // it, and the new announcement brings it back for all; without, it would wait for work that nobody sends.
+        StubSurroundings surroundings = new StubSurroundings();
+        Agent agent = new Agent("agent-1", surroundings);
+        surroundings.announcer = agent.announce();
+        start();
+        EntryFixture.until(
+                () -> !core.events(DispatchEvent.AgentConnected.class).isEmpty());
+        append(new MemberRecord.Gone("agent-1", agent.server.incarnation(), "entry-2"));
+        EntryFixture.until(() -> records(MemberRecord.Announce.class).stream()
+                        .filter(record -> record.member().processId().equals("agent-1"))
+                        .count()
+                == 2);
+        assertThat(core.events(DispatchEvent.AgentGone.class), empty());
+    }
+
     @Test
     void configurationIsBroughtToAgentsAndTheirVersionIsShown() {
         StubConfiguration configuration = new StubConfiguration(7);
@@ -227,8 +246,9 @@
                     fixture.kit.system(), settings, transport, fixture.meters, NanoClock.system(), surroundings));
         }
 
-        private void announce() {
-            new MemberAnnouncer(fixture.kit.system(), fixture.log, server.member(), MemberAnnouncer.DEFAULT_INTERVAL);
+        private MemberAnnouncer announce() {
+            return new MemberAnnouncer(
+                    fixture.kit.system(), fixture.log, server.member(), MemberAnnouncer.DEFAULT_INTERVAL);
         }
 
         private void introduceTo(EntryServer entry) {
@@ -294,6 +314,7 @@
 
     private static final class StubSurroundings implements AgentSurroundings {
         private final List<Long> offered = new CopyOnWriteArrayList<>();
+        private volatile MemberAnnouncer announcer;
 
         @Override
         public AgentConfiguration offer(long version, byte[] snapshot) {
@@ -302,7 +323,9 @@
         }
 
         @Override
-        public void announceAnew(String reason) {}
+        public void announceAnew(String reason) {
+            announcer.announceNow();
+        }
     }
 
     /** Declares all services as idempotent, claimed in memory while the log is down. */
