--- a/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
@@ -23,20 +23,10 @@
     }
 
     /**
-     * The claim of a submitted job was read back as won; generation 1 may start, a later one inquires first.
-     *
-     * @param holdersNamed whether all agents that may hold the job's tasks were named before; if not,
-     *     {@link HoldersNamed} follows
+     * The claim of a submitted job was read back as won; generation 1 may start, a later one inquires first. Every
+     * agent that may hold tasks of a job taken over was named by an event before this one.
      */
-    record JobClaimed(JobId job, int generation, boolean holdersNamed) implements DispatchEvent {
-        /** Creates the event of a job whose possible holders are named. */
-        public JobClaimed(JobId job, int generation) {
-            this(job, generation, true);
-        }
-    }
-
-    /** Every agent that may hold tasks of a job taken over was named by an event before this one. */
-    record HoldersNamed(JobId job) implements DispatchEvent {}
+    record JobClaimed(JobId job, int generation) implements DispatchEvent {}
 
     /** The claim was lost or given up: the job is dropped without an outcome, as nothing of it started here. */
     record JobWithdrawn(JobId job) implements DispatchEvent {}
--- a/library/src/main/java/org/chivetally/coordination/Dispatcher.java
+++ b/library/src/main/java/org/chivetally/coordination/Dispatcher.java
@@ -98,7 +98,6 @@
             case DispatchEvent.JobClaimed claimed -> admission.claimed(claimed);
             case DispatchEvent.JobWithdrawn withdrawn -> admission.withdrawn(withdrawn);
             case DispatchEvent.JobTakenOver takenOver -> takenOver(takenOver);
-            case DispatchEvent.HoldersNamed named -> holdersNamed(named);
             case DispatchEvent.JobCancelled cancelled -> admission.cancelled(cancelled);
             case DispatchEvent.AgentConnected connected -> connected(connected);
             case DispatchEvent.AgentUnreachable unreachable ->
@@ -148,13 +147,6 @@
         });
     }
 
-    private void holdersNamed(DispatchEvent.HoldersNamed event) {
-        JobProgress job = context.jobs.get(event.job());
-        if (job != null) {
-            takeovers.holdersNamed(job);
-        }
-    }
-
     private void gone(DispatchEvent.AgentGone event) {
         AgentView agent = context.fleet.gone(event.agent(), context.now);
         context.service(agent.service()).quarantine.forget(agent);
--- a/library/src/main/java/org/chivetally/coordination/Takeovers.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeovers.java
@@ -30,51 +30,25 @@
         this.ticketEnd = context.settings.fencing().ticketEndNanos();
     }
 
-    void begin(JobProgress job, boolean holdersNamed) {
+    void begin(JobProgress job) {
         Takeover takeover = new Takeover();
-        takeover.holdersNamed = holdersNamed;
         job.takeover = takeover;
         job.touched = true;
         context.takingOver.add(job);
         for (TaskProgress task : job.tasks) {
             task.lostAttempt = true;
         }
-        includeHolders(job);
-        takeover.limit = context.alarms.set(context.now + patience(job), new Alarm.TakeoverLimit(job));
-        context.log.takeover(job, "begin", takeover.unanswered.size(), job.open);
-        concludeIfComplete(job);
-    }
-
-    /**
-     * All agents that may hold tasks of the job are known now.
-     *
-     * <p>The members' records are read behind the claims'. Were the takeover concluded by the agents known at its
-     * beginning, one that announced itself, ran a task and died in between would not be asked or counted, and the task
-     * would start again. An incarnation that could get tasks stands in the records before its first one, so records
-     * read to their end after the takeover was won name all of them.
-     */
-    void holdersNamed(JobProgress job) {
-        Takeover takeover = job.takeover;
-        if (takeover == null || takeover.holdersNamed) {
-            return;
-        }
-        takeover.holdersNamed = true;
-        includeHolders(job);
-        concludeIfComplete(job);
-    }
-
-    private void includeHolders(JobProgress job) {
-        Takeover takeover = job.takeover;
         for (AgentView agent : context.fleet.possibleHolders(job.service.name, context.now)) {
-            if (takeover.answered.contains(agent)) {
-                continue;
-            }
             if (agent.gone()) {
                 takeover.holderLost = true;
-            } else if (takeover.unanswered.add(agent)) {
+            } else {
+                takeover.unanswered.add(agent);
                 inquiries.ask(job, agent, "takeover");
             }
         }
+        takeover.limit = context.alarms.set(context.now + patience(job), new Alarm.TakeoverLimit(job));
+        context.log.takeover(job, "begin", takeover.unanswered.size(), job.open);
+        concludeIfComplete(job);
     }
 
     /** The members' records name an agent that may know jobs as well. */
@@ -189,9 +163,7 @@
 
     private void concludeIfComplete(JobProgress job) {
         Takeover takeover = job.takeover;
-        boolean allAnswered = takeover.holdersNamed
-                && takeover.unanswered.isEmpty()
-                && (takeover.holderLost || !takeover.answered.isEmpty());
+        boolean allAnswered = takeover.unanswered.isEmpty() && (takeover.holderLost || !takeover.answered.isEmpty());
         if (allAnswered || held(job).isEmpty()) {
             conclude(job);
         }
@@ -204,10 +176,7 @@
         job.takeover = null;
         List<TaskProgress> missing = held(job);
         context.log.takeover(job, "end", takeover.unanswered.size(), missing.size());
-        boolean certain = takeover.holdersNamed
-                && takeover.unanswered.isEmpty()
-                && !takeover.holderLost
-                && !takeover.answered.isEmpty();
+        boolean certain = takeover.unanswered.isEmpty() && !takeover.holderLost && !takeover.answered.isEmpty();
         if (!certain && !job.policy.idempotent() && !missing.isEmpty()) {
             jobEnds.fail(
                     job, ErrorCode.OUTCOME_UNKNOWN, "tasks may have started at agents that can't be asked any more");
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -17,12 +17,12 @@
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.Props;
-import org.chivetally.claim.Claim;
 import org.chivetally.claim.Claims;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.SubmissionKey;
 import org.chivetally.coordination.AgentId;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.coordination.DispatchSettings;
 import org.chivetally.entry.dispatch.DispatchActor;
 import org.chivetally.entry.dispatch.DispatchCommand;
 import org.chivetally.entry.dispatch.DispatchCore;
@@ -33,9 +33,9 @@
 import org.chivetally.entry.link.ObservedProcess;
 import org.chivetally.entry.link.ObservedProcesses;
 import org.chivetally.entry.link.Observers;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberActor;
-import org.chivetally.entry.member.MemberId;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.entry.member.MemberRecords;
 import org.chivetally.entry.member.MembershipEffect;
@@ -57,6 +57,8 @@
 /** The actors of one entry and the ways between them. */
 final class EntryActors {
     private static final Duration ANNOUNCE_INTERVAL = Duration.ofMinutes(10);
+    /** Most by which the wall clocks of two entries may differ. */
+    private static final Duration CLOCK_DIFFERENCE = Duration.ofSeconds(30);
 
     private final ActorSystem<?> system;
     private final Parts parts;
@@ -122,28 +124,11 @@
 
     /** Hands an event to the dispatcher. */
     void tell(DispatchEvent event) {
-        if (event instanceof DispatchEvent.JobClaimed claimed && claimed.generation() > Claim.FIRST_GENERATION) {
-            tellTakenOver(claimed);
-            return;
-        }
-        decide(event);
-    }
-
-    // The members' records are read behind the claims'; an agent that held tasks of the job and is gone may stand in
-    // records not read yet.
-    private void tellTakenOver(DispatchEvent.JobClaimed claimed) {
-        decide(new DispatchEvent.JobClaimed(claimed.job(), claimed.generation(), false));
-        CompletableFuture<Void> read = new CompletableFuture<>();
-        read.thenRun(() -> decide(new DispatchEvent.HoldersNamed(claimed.job())));
-        tellMembers(new MemberActor.AwaitEnd(read));
-    }
-
-    private void decide(DispatchEvent event) {
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Event(event)));
     }
 
     /** Asks a member for a sign of life over this entry's connection to it, and tells whether it came. */
-    void probe(MemberId member, Consumer<Boolean> alive) {
+    void probe(Incarnation member, Consumer<Boolean> alive) {
         if (member.processId().equals(parts.member().processId())) {
             alive.accept(member.incarnation().equals(parts.member().incarnation()));
             return;
@@ -202,6 +187,12 @@
         members.thenAccept(actor -> actor.tell(command));
     }
 
+    private CompletionStage<Boolean> catchUpMembers() {
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        tellMembers(new MemberActor.CatchUp(done));
+        return done;
+    }
+
     private void learn(MembershipEvent event) {
         tellMembers(new MemberActor.Event(event));
     }
@@ -228,7 +219,9 @@
 
     private SubmissionActor.Parts submissionParts() {
         SubmissionSettings settings = new SubmissionSettings(
-                parts.settings().claims().window(), parts.settings().limits().maximumKeptBytes());
+                parts.settings().claims().window(),
+                longestTakeoverAge(),
+                parts.settings().limits().maximumKeptBytes());
         return new SubmissionActor.Parts(
                 parts.self(),
                 settings,
@@ -236,6 +229,7 @@
                 this::tell,
                 new ActorPeers(),
                 parts.extension().policies(),
+                this::catchUpMembers,
                 parts.jobIds(),
                 parts.clock(),
                 parts.time(),
@@ -250,6 +244,14 @@
         parts.meters().timer("chivetally.job.time", "state", state).record(Duration.ofNanos(nanos));
     }
 
+    private Duration longestTakeoverAge() {
+        DispatchSettings.Fencing fencing = parts.settings().dispatch().fencing();
+        Duration remembered = fencing.agentRetention().compareTo(fencing.goneRetention()) < 0
+                ? fencing.agentRetention()
+                : fencing.goneRetention();
+        return remembered.minus(CLOCK_DIFFERENCE);
+    }
+
     private MemberActor.Parts memberParts() {
         return new MemberActor.Parts(
                 parts.log(),
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -103,10 +103,16 @@
             MeterRegistry meters,
             NanoClock clock,
             EntryExtension extension) {
-        Decisions decisions = new LoggedDecisions(system, settings, log, clock, meters);
+        Decisions decisions = loggedDecisions(system, settings, log, clock, meters);
         return start(system, settings, log, transport, meters, clock, extension, decisions);
     }
 
+    /** Returns the usual parts that decide: claims in the log, and the dispatcher of the settings. */
+    public static Decisions loggedDecisions(
+            ActorSystem<?> system, EntrySettings settings, PlatformLog log, NanoClock clock, MeterRegistry meters) {
+        return new LoggedDecisions(system, settings, log, clock, meters);
+    }
+
     /**
      * Starts an entry.
      *
@@ -283,6 +289,10 @@
     private static CompletionStage<EntryServer> bindHttp(Started started) {
         EntrySettings settings = started.actorParts().settings();
         JobRoutes jobs = jobRoutes(started);
+        Gauge.builder("chivetally.agents.usable", started.actors().usableAgents()::size)
+                .description("agents with an open connection that is not silent")
+                .tag("process", settings.processId())
+                .register(started.actorParts().meters());
         Gauge.builder("chivetally.submissions.open", jobs::openSubmissions)
                 .tag("process", settings.processId())
                 .register(started.actorParts().meters());
@@ -326,8 +336,7 @@
 
     // A held request sends and receives nothing until its answer. The server's usual time limits would close its
     // connection after 20 to 60 seconds and the caller would take a running job for lost; they are set above the
-    // longest
-    // wait.
+    // longest wait.
     private static ServerSettings serverSettings(Started started) {
         ServerSettings usual = ServerSettings.create(started.system().classicSystem());
         FiniteDuration longest = FiniteDuration.apply(IDLE_MINUTES, "minutes");
--- a/library/src/main/java/org/chivetally/entry/dispatch/AgentRoster.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/AgentRoster.java
@@ -13,8 +13,8 @@
 import org.chivetally.coordination.AgentId;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.member.EndedMember;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.Member;
-import org.chivetally.entry.member.MemberId;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.wire.v1.Hello;
 
@@ -51,11 +51,11 @@
         Set<AgentId> listed = new HashSet<>();
         for (Member agent : list.agents()) {
             boolean announced = !list.unannounced().contains(agent.id());
-            listed.add(name(agent, announced, null));
+            listed.add(name(agent.id(), agent.service(), announced, null));
         }
         for (EndedMember over : list.ended()) {
-            if (over.member().isAgent()) {
-                listed.add(name(over.member(), true, over.reason()));
+            if (over.mayBeAgent()) {
+                listed.add(name(over.id(), over.service(), true, over.reason()));
             }
         }
         forgetOthers(listed);
@@ -101,13 +101,13 @@
                 .anyMatch(one -> one.getKey().processId().equals(processId) && !one.getValue().toldGone);
     }
 
-    private AgentId name(Member agent, boolean announced, EndedMember.Reason reason) {
-        AgentId id = idOf(agent.id());
+    private AgentId name(Incarnation member, String service, boolean announced, EndedMember.Reason reason) {
+        AgentId id = idOf(member);
         Named one = named.get(id);
         if (one == null) {
             one = new Named();
             named.put(id, one);
-            events.add(new DispatchEvent.AgentNamed(id, agent.service()));
+            events.add(new DispatchEvent.AgentNamed(id, service));
         }
         one.toldPresumed &= reason == EndedMember.Reason.PRESUMED_GONE;
         one.announced = announced;
@@ -189,7 +189,7 @@
         }
     }
 
-    private static AgentId idOf(MemberId id) {
+    private static AgentId idOf(Incarnation id) {
         return new AgentId(id.processId(), id.incarnation());
     }
 
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -28,8 +28,8 @@
 import org.chivetally.entry.link.LinkObserver;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.Member;
-import org.chivetally.entry.member.MemberId;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.entry.member.MemberRecords;
 import org.chivetally.entry.member.MembershipEffect;
@@ -113,8 +113,7 @@
 
     // A process that was paused for longer than its lease resumes in the middle of its work and would send starts that
     // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on
-    // ticks;
-    // what slips through between look and send is refused by its ticket.
+    // ticks; what slips through between look and send is refused by its ticket.
     private void noticeLease() {
         boolean held = parts.holdsLease().getAsBoolean();
         if (held != leaseHeld) {
@@ -161,7 +160,7 @@
     }
 
     private void onProbe(DispatchCommand.Probe probe) {
-        MemberId id = probe.agent();
+        Incarnation id = probe.agent();
         boolean connected = new AgentId(id.processId(), id.incarnation()).equals(agents.get(id.processId()));
         boolean asked = connected
                 && links.send(
@@ -246,7 +245,7 @@
         parts.observer().down(hello, reason);
         pushes.disconnected(hello.getProcessId());
         decideAll(roster.down(agent, parts.clock().nanos()));
-        parts.members().accept(new MembershipEvent.Lost(new MemberId(agent.processId(), agent.incarnation())));
+        parts.members().accept(new MembershipEvent.Lost(new Incarnation(agent.processId(), agent.incarnation())));
     }
 
     @Override
@@ -259,7 +258,7 @@
         AgentId agent = AgentRoster.idOf(sender);
         attempts.received(sender.getProcessId(), frame);
         parts.observer().received(sender, frame);
-        probes.received(new MemberId(agent.processId(), agent.incarnation()));
+        probes.received(new Incarnation(agent.processId(), agent.incarnation()));
         if (frame.hasHeartbeat()) {
             pushes.reported(sender.getProcessId(), frame.getHeartbeat().getConfigurationVersion());
         }
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -3,7 +3,7 @@
 import java.util.function.Consumer;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.link.LinkSignal;
-import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.entry.member.MembershipEffect;
 import org.chivetally.wire.v1.Frame;
@@ -20,7 +20,7 @@
     record View(MemberList view) implements DispatchCommand {}
 
     /** Another entry asks whether an agent can be reached. */
-    record Probe(MemberId agent, Consumer<Boolean> alive) implements DispatchCommand {}
+    record Probe(Incarnation agent, Consumer<Boolean> alive) implements DispatchCommand {}
 
     /** The view of members wants something done at an agent. */
     record Membership(MembershipEffect effect) implements DispatchCommand {}
--- a/library/src/main/java/org/chivetally/entry/member/Member.java
+++ b/library/src/main/java/org/chivetally/entry/member/Member.java
@@ -42,8 +42,8 @@
     }
 
     /** Returns the incarnation. */
-    public MemberId id() {
-        return new MemberId(processId, incarnation);
+    public Incarnation id() {
+        return new Incarnation(processId, incarnation);
     }
 
     /** Tells whether this is an agent. */
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -34,7 +33,6 @@
     private final TimerScheduler<Command> timers;
     private final Parts parts;
     private final MembershipView view;
-    private final List<CompletableFuture<Void>> awaitingEnd = new ArrayList<>();
     private long nextOffset;
     private boolean changed;
     private boolean atEnd;
@@ -76,9 +74,8 @@
             case Event event -> apply(event.event());
             case ReadDone done -> onRead(done.outcome());
             case ReadAgain again -> read();
-            case EndRead read -> onEndRead(read.outcome());
-            case ReadEndAgain again -> readEnd();
-            case AwaitEnd await -> onAwaitEnd(await.read());
+            case CatchUpRead read -> onCatchUpRead(read);
+            case CatchUp catchUp -> catchUp(catchUp);
             case MembersOf asked -> asked.reply().accept(view.list().members());
             case Announce announce -> announce();
             case Introduce introduce -> introduceUnlessReachable();
@@ -125,38 +122,24 @@
     }
 
     // A long read under way may have begun before what is asked for was written, so this is a read of its own.
-    private void onAwaitEnd(CompletableFuture<Void> read) {
-        awaitingEnd.add(read);
-        if (awaitingEnd.size() == 1) {
-            readEnd();
-        }
-    }
-
-    private void readEnd() {
+    private void catchUp(CatchUp catchUp) {
         getContext()
                 .pipeToSelf(
                         parts.log().read(MemberRecords.STREAM, nextOffset, RECORDS_PER_READ, Duration.ZERO),
-                        (outcome, failure) -> new EndRead(orUnavailable(outcome, failure)));
+                        (outcome, failure) -> new CatchUpRead(catchUp, orUnavailable(outcome, failure)));
     }
 
-    private void onEndRead(ReadOutcome outcome) {
-        switch (outcome) {
-            case ReadOutcome.Records records -> {
-                foldAll(records);
-                if (nextOffset < records.endOffset()) {
-                    readEnd();
-                    return;
-                }
-                List<CompletableFuture<Void>> served = List.copyOf(awaitingEnd);
-                awaitingEnd.clear();
-                served.forEach(read -> read.complete(null));
-            }
-            case ReadOutcome.Expired expired -> {
-                nextOffset = Math.max(nextOffset, expired.earliestOffset());
-                readEnd();
-            }
-            case ReadOutcome.Unavailable unavailable -> timers.startSingleTimer(new ReadEndAgain(), RETRY);
+    private void onCatchUpRead(CatchUpRead read) {
+        if (!(read.outcome() instanceof ReadOutcome.Records records)) {
+            read.catchUp().done().complete(false);
+            return;
         }
+        foldAll(records);
+        if (nextOffset < records.endOffset()) {
+            catchUp(read.catchUp());
+            return;
+        }
+        read.catchUp().done().complete(true);
     }
 
     // While the log is down nobody reads an announcement, and a process that starts then would stay unknown. It says so
@@ -250,8 +233,8 @@
     /** Something happened to a member. */
     public record Event(MembershipEvent event) implements Command {}
 
-    /** Complete this once all records are read and published that stand in the stream now. */
-    public record AwaitEnd(CompletableFuture<Void> read) implements Command {}
+    /** Reads the stream to its present end; true once all that it holds was published. */
+    public record CatchUp(CompletableFuture<Boolean> done) implements Command {}
 
     /** Give the members to a peer that can't read them. */
     public record MembersOf(Consumer<List<Member>> reply) implements Command {}
@@ -263,9 +246,7 @@
 
     private record ReadAgain() implements Command {}
 
-    private record EndRead(ReadOutcome outcome) implements Command {}
-
-    private record ReadEndAgain() implements Command {}
+    private record CatchUpRead(CatchUp catchUp, ReadOutcome outcome) implements Command {}
 
     private record Written(MemberRecord record, AppendOutcome outcome) implements Command {}
 
--- a/library/src/main/java/org/chivetally/entry/member/MemberList.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberList.java
@@ -10,7 +10,7 @@
  * @param unannounced those of them that only introduced themselves, and do not stand in the log
  * @param ended incarnations that were members lately
  */
-public record MemberList(List<Member> members, Set<MemberId> unannounced, List<EndedMember> ended) {
+public record MemberList(List<Member> members, Set<Incarnation> unannounced, List<EndedMember> ended) {
     /** Copies the collections. */
     public MemberList {
         members = List.copyOf(members);
--- a/library/src/main/java/org/chivetally/entry/member/MembershipEffect.java
+++ b/library/src/main/java/org/chivetally/entry/member/MembershipEffect.java
@@ -6,7 +6,7 @@
     record Changed() implements MembershipEffect {}
 
     /** Ask an entry whether it reaches a suspected member. */
-    record Ask(MemberId entry, MemberId suspect) implements MembershipEffect {}
+    record Ask(Incarnation entry, Incarnation suspect) implements MembershipEffect {}
 
     /** Append this record to the stream {@code members}. */
     record Append(MemberRecord record) implements MembershipEffect {}
@@ -15,5 +15,5 @@
     record TellGone(Member member) implements MembershipEffect {}
 
     /** Give an agent one task at a time only, or as many as it takes again. */
-    record HoldDown(MemberId agent, boolean held) implements MembershipEffect {}
+    record HoldDown(Incarnation agent, boolean held) implements MembershipEffect {}
 }
--- a/library/src/main/java/org/chivetally/entry/member/MembershipEvent.java
+++ b/library/src/main/java/org/chivetally/entry/member/MembershipEvent.java
@@ -14,13 +14,13 @@
     record Reached(Member member) implements MembershipEvent {}
 
     /** No connection of this entry to the incarnation can be used from now on. */
-    record Lost(MemberId member) implements MembershipEvent {}
+    record Lost(Incarnation member) implements MembershipEvent {}
 
     /** These processes are connected to this entry now. */
     record Connected(Set<String> processIds) implements MembershipEvent {}
 
     /** Another entry says whether it reaches a member. */
-    record Answered(MemberId suspect, MemberId entry, boolean alive) implements MembershipEvent {}
+    record Answered(Incarnation suspect, Incarnation entry, boolean alive) implements MembershipEvent {}
 
     /** Time passed. */
     record Ticked() implements MembershipEvent {}
--- a/library/src/main/java/org/chivetally/entry/member/MembershipSettings.java
+++ b/library/src/main/java/org/chivetally/entry/member/MembershipSettings.java
@@ -15,6 +15,7 @@
  * @param answerPatience time in which answers to a question count
  * @param goneAfter least time of suspicion before a member is declared gone
  * @param turn time that each further entry waits before it declares the same member gone
+ * @param announceForAfter time after which an agent that only introduced itself is announced by this entry
  * @param flapWindow time without a suspicion after which earlier ones are forgotten
  * @param shortestHoldDown hold-down after the second suspicion; doubles with each further one
  * @param longestHoldDown longest hold-down
@@ -29,6 +30,7 @@
         Duration answerPatience,
         Duration goneAfter,
         Duration turn,
+        Duration announceForAfter,
         Duration flapWindow,
         Duration shortestHoldDown,
         Duration longestHoldDown) {
@@ -44,6 +46,7 @@
                 Duration.ofMillis(800),
                 Duration.ofSeconds(3),
                 Duration.ofMillis(500),
+                Duration.ofSeconds(2),
                 Duration.ofSeconds(60),
                 Duration.ofSeconds(1),
                 Duration.ofSeconds(30));
--- a/library/src/main/java/org/chivetally/entry/member/MembershipView.java
+++ b/library/src/main/java/org/chivetally/entry/member/MembershipView.java
@@ -28,10 +28,13 @@
 
     private final Member self;
     private final MembershipSettings settings;
-    private final Map<String, Incarnation> present = new HashMap<>();
-    private final Map<MemberId, Incarnation> ended = new LinkedHashMap<>();
+    private final Map<String, KnownMember> present = new HashMap<>();
+    private final Map<Incarnation, KnownMember> ended = new LinkedHashMap<>();
     /** Incarnations that are over and not named any more; never to be members again. */
-    private final Set<MemberId> closed = new HashSet<>();
+    private final Set<Incarnation> closed = new HashSet<>();
+
+    /** Incarnations of which the records told nothing but that they left, and when that was read. */
+    private final Map<Incarnation, Long> leftUnseen = new LinkedHashMap<>();
 
     private final Map<String, Flaps> flaps = new HashMap<>();
     private List<MembershipEffect> effects = new ArrayList<>();
@@ -42,7 +45,7 @@
     public MembershipView(Member self, MembershipSettings settings, long now) {
         this.self = self;
         this.settings = settings;
-        Incarnation own = new Incarnation(self, true, now);
+        KnownMember own = new KnownMember(self, true, now);
         own.enter(MemberState.ALIVE, now);
         present.put(self.processId(), own);
     }
@@ -70,8 +73,8 @@
     /** Returns all members and those that ended lately. */
     public MemberList list() {
         List<Member> members = new ArrayList<>();
-        Set<MemberId> unannounced = new HashSet<>();
-        for (Incarnation one : present.values()) {
+        Set<Incarnation> unannounced = new HashSet<>();
+        for (KnownMember one : present.values()) {
             members.add(one.member);
             if (!one.announced) {
                 unannounced.add(one.id());
@@ -79,20 +82,21 @@
         }
         members.sort(Comparator.comparing(Member::processId));
         List<EndedMember> over = new ArrayList<>();
-        ended.values().forEach(one -> over.add(new EndedMember(one.member, one.ended)));
+        ended.values().forEach(one -> over.add(EndedMember.of(one.member, one.ended)));
+        leftUnseen.keySet().forEach(id -> over.add(new EndedMember(id, "", "", EndedMember.Reason.LEFT)));
         return new MemberList(members, unannounced, over);
     }
 
     /** Returns the state of an incarnation; empty when it is not known. */
-    public Optional<MemberState> state(MemberId id) {
+    public Optional<MemberState> state(Incarnation id) {
         return Optional.ofNullable(find(id)).map(one -> one.state);
     }
 
     private void record(MemberRecord record) {
         switch (record) {
             case MemberRecord.Announce announce -> announce(announce.member(), true);
-            case MemberRecord.Leave leave -> leave(new MemberId(leave.processId(), leave.incarnation()));
-            case MemberRecord.Gone gone -> gone(new MemberId(gone.processId(), gone.incarnation()));
+            case MemberRecord.Leave leave -> leave(new Incarnation(leave.processId(), leave.incarnation()));
+            case MemberRecord.Gone gone -> gone(new Incarnation(gone.processId(), gone.incarnation()));
         }
     }
 
@@ -103,7 +107,7 @@
         if (closed.contains(member.id())) {
             return;
         }
-        Incarnation known = find(member.id());
+        KnownMember known = find(member.id());
         if (known != null && known.ended != null) {
             comeBack(known, inLog);
             return;
@@ -112,10 +116,10 @@
             update(known, member, inLog);
             return;
         }
-        enter(new Incarnation(member, inLog, now));
+        enter(new KnownMember(member, inLog, now));
     }
 
-    private void comeBack(Incarnation known, boolean inLog) {
+    private void comeBack(KnownMember known, boolean inLog) {
         if (known.ended != EndedMember.Reason.PRESUMED_GONE) {
             return;
         }
@@ -127,38 +131,38 @@
         enter(known);
     }
 
-    private void update(Incarnation known, Member member, boolean inLog) {
+    private void update(KnownMember known, Member member, boolean inLog) {
         changed |= !known.member.equals(member) || inLog && !known.announced;
         known.member = member;
         known.announced |= inLog;
         known.heardAt = now;
     }
 
-    private void enter(Incarnation entering) {
+    private void enter(KnownMember entering) {
         String processId = entering.member.processId();
         if (processId.equals(self.processId()) && !entering.id().equals(self.id())) {
             // An earlier run of this very process.
             end(entering, EndedMember.Reason.SUPERSEDED);
             return;
         }
-        Incarnation before = present.put(processId, entering);
+        KnownMember before = present.put(processId, entering);
         if (before != null) {
             end(before, EndedMember.Reason.SUPERSEDED);
         }
         changed = true;
     }
 
-    private void end(Incarnation ending, EndedMember.Reason reason) {
+    private void end(KnownMember ending, EndedMember.Reason reason) {
         present.remove(ending.member.processId(), ending);
         ending.end(reason, now);
         ended.put(ending.id(), ending);
         changed = true;
     }
 
-    private void leave(MemberId id) {
-        Incarnation known = find(id);
+    private void leave(Incarnation id) {
+        KnownMember known = find(id);
         if (known == null) {
-            closed.add(id);
+            leaveUnseen(id);
             return;
         }
         if (id.equals(self.id()) || known.ended == EndedMember.Reason.LEFT) {
@@ -168,10 +172,17 @@
         end(known, EndedMember.Reason.LEFT);
     }
 
+    private void leaveUnseen(Incarnation id) {
+        if (closed.add(id)) {
+            leftUnseen.put(id, now);
+            changed = true;
+        }
+    }
+
     // Several entries may write the record, and a lost answer may write it twice. Counted once per incarnation, a late
     // one can't take a member out again that has announced itself since.
-    private void gone(MemberId id) {
-        Incarnation known = find(id);
+    private void gone(Incarnation id) {
+        KnownMember known = find(id);
         if (known == null || known.ended != null || known.declaredGone) {
             return;
         }
@@ -190,9 +201,9 @@
         if (member.processId().equals(self.processId()) || closed.contains(member.id())) {
             return;
         }
-        Incarnation known = find(member.id());
+        KnownMember known = find(member.id());
         if (known == null) {
-            known = new Incarnation(member, false, now);
+            known = new KnownMember(member, false, now);
             enter(known);
         }
         known.reached = true;
@@ -204,7 +215,7 @@
         }
     }
 
-    private void reachEnded(Incarnation known) {
+    private void reachEnded(KnownMember known) {
         switch (known.ended) {
             case LEFT -> {
                 // It finishes what it has.
@@ -220,7 +231,7 @@
         }
     }
 
-    private void alive(Incarnation known) {
+    private void alive(KnownMember known) {
         known.enter(MemberState.ALIVE, now);
         Flaps history = flaps.get(known.member.processId());
         if (known.member.isAgent() && history != null && history.cameBack(settings, now)) {
@@ -228,8 +239,8 @@
         }
     }
 
-    private void lose(MemberId id) {
-        Incarnation known = find(id);
+    private void lose(Incarnation id) {
+        KnownMember known = find(id);
         if (known == null || !known.reached) {
             return;
         }
@@ -243,7 +254,7 @@
 
     private void hear(Set<String> processIds) {
         for (String processId : processIds) {
-            Incarnation one = present.get(processId);
+            KnownMember one = present.get(processId);
             if (one != null) {
                 one.heardAt = now;
             }
@@ -251,8 +262,8 @@
     }
 
     private void answer(MembershipEvent.Answered answered) {
-        Incarnation suspect = find(answered.suspect());
-        Incarnation entry = find(answered.entry());
+        KnownMember suspect = find(answered.suspect());
+        KnownMember entry = find(answered.entry());
         if (suspect == null || suspect.suspicion == null || entry == null) {
             return;
         }
@@ -262,23 +273,24 @@
 
     private void tick() {
         present.get(self.processId()).heardAt = now;
-        for (Incarnation one : List.copyOf(present.values())) {
+        for (KnownMember one : List.copyOf(present.values())) {
             tend(one);
         }
         flaps.forEach(this::release);
         flaps.values().removeIf(history -> history.isOver(settings, now));
         long retention = settings.endedRetention().toNanos();
+        changed |= leftUnseen.values().removeIf(at -> now - at >= retention);
         changed |= ended.values().removeIf(one -> !one.reached && now - one.since >= retention && forget(one));
     }
 
-    private boolean forget(Incarnation one) {
+    private boolean forget(KnownMember one) {
         if (one.ended != EndedMember.Reason.PRESUMED_GONE) {
             closed.add(one.id());
         }
         return true;
     }
 
-    private void tend(Incarnation one) {
+    private void tend(KnownMember one) {
         boolean waited = now - one.since >= settings.joinPatience().toNanos();
         if (one.state == MemberState.JOINING && waited) {
             one.enter(MemberState.SUSPECT, now);
@@ -286,13 +298,26 @@
         if (one.suspicion != null) {
             question(one);
         }
+        if (!one.announced && one.member.isAgent()) {
+            announceFor(one);
+        }
         boolean unheard = now - one.heardAt >= settings.unheardLimit().toNanos();
         if (unheard && !one.reached && !one.id().equals(self.id())) {
             end(one, EndedMember.Reason.PRESUMED_GONE);
         }
     }
 
-    private void question(Incarnation suspect) {
+    // An entry that takes a job over has to ask all agents that may have run its tasks, and knows of them by the log.
+    // An
+    // agent that the log does not know yet is therefore announced from here as well as by its own next attempt.
+    private void announceFor(KnownMember agent) {
+        if (now - agent.announceAt >= settings.announceForAfter().toNanos()) {
+            agent.announceAt = now;
+            effects.add(new MembershipEffect.Append(new MemberRecord.Announce(agent.member)));
+        }
+    }
+
+    private void question(KnownMember suspect) {
         long turn = settings.turn().toNanos() * rank(suspect);
         boolean settled = suspect.suspicion.isSettled(settings, turn, now);
         if (settled && !suspect.declaredGone && suspect.suspicion.declare(settings, now)) {
@@ -305,9 +330,9 @@
         }
     }
 
-    private int rank(Incarnation suspect) {
+    private int rank(KnownMember suspect) {
         List<String> entries = new ArrayList<>();
-        for (Incarnation one : present.values()) {
+        for (KnownMember one : present.values()) {
             if (!one.member.isAgent() && one.state == MemberState.ALIVE) {
                 entries.add(one.member.processId());
             }
@@ -316,11 +341,11 @@
     }
 
     /** Returns the entries to ask: one of each other failure domain, of three at most. */
-    private List<Incarnation> witnesses(Incarnation suspect) {
-        Map<String, Incarnation> byDomain = new LinkedHashMap<>();
-        List<Incarnation> entries = new ArrayList<>(present.values());
+    private List<KnownMember> witnesses(KnownMember suspect) {
+        Map<String, KnownMember> byDomain = new LinkedHashMap<>();
+        List<KnownMember> entries = new ArrayList<>(present.values());
         entries.sort(Comparator.comparing(one -> one.member.processId()));
-        for (Incarnation entry : entries) {
+        for (KnownMember entry : entries) {
             String domain = entry.member.failureDomain();
             boolean usable = !entry.member.isAgent() && entry.reached && entry != suspect;
             if (usable && !domain.equals(self.failureDomain()) && byDomain.size() < MOST_ASKED) {
@@ -334,14 +359,14 @@
         if (!history.release(now)) {
             return;
         }
-        Incarnation one = present.get(processId);
+        KnownMember one = present.get(processId);
         if (one != null) {
             effects.add(new MembershipEffect.HoldDown(one.id(), false));
         }
     }
 
-    private Incarnation find(MemberId id) {
-        Incarnation one = present.get(id.processId());
+    private KnownMember find(Incarnation id) {
+        KnownMember one = present.get(id.processId());
         return one != null && one.id().equals(id) ? one : ended.get(id);
     }
 }
--- a/library/src/main/java/org/chivetally/entry/member/Probes.java
+++ b/library/src/main/java/org/chivetally/entry/member/Probes.java
@@ -14,12 +14,12 @@
     private final List<Probe> open = new ArrayList<>();
 
     /** Notes that a member was asked; the reply is true if anything comes from it in time. */
-    public void begin(MemberId member, Consumer<Boolean> alive, long now) {
+    public void begin(Incarnation member, Consumer<Boolean> alive, long now) {
         open.add(new Probe(member, alive, now + PATIENCE_NANOS));
     }
 
     /** Notes that a frame of a member arrived. */
-    public void received(MemberId member) {
+    public void received(Incarnation member) {
         if (open.isEmpty()) {
             return;
         }
@@ -42,5 +42,5 @@
         }
     }
 
-    private record Probe(MemberId member, Consumer<Boolean> alive, long until) {}
+    private record Probe(Incarnation member, Consumer<Boolean> alive, long until) {}
 }
--- a/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
+++ b/library/src/main/java/org/chivetally/entry/peer/InboundFrames.java
@@ -9,8 +9,8 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.chivetally.entry.ConfigurationExchange;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.Member;
-import org.chivetally.entry.member.MemberId;
 import org.chivetally.entry.member.MemberRecords;
 import org.chivetally.entry.submission.OutcomeDocument;
 import org.chivetally.entry.submission.SubmissionCommand;
@@ -135,7 +135,7 @@
     }
 
     private void suspicion(FrameConnection connection, long requestId, SuspicionQuery query) {
-        MemberId suspect = new MemberId(query.getProcessId(), query.getIncarnation());
+        Incarnation suspect = new Incarnation(query.getProcessId(), query.getIncarnation());
         parts.probe()
                 .accept(
                         suspect,
@@ -188,7 +188,7 @@
             LongSupplier requestIds,
             Consumer<Hello> introduced,
             Consumer<SubmissionCommand> submissions,
-            BiConsumer<MemberId, Consumer<Boolean>> probe,
+            BiConsumer<Incarnation, Consumer<Boolean>> probe,
             Consumer<Consumer<List<Member>>> members,
             ConfigurationExchange configuration,
             Executor executor) {}
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -28,8 +28,8 @@
 import org.chivetally.entry.link.LinkObserver;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.Member;
-import org.chivetally.entry.member.MemberId;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.entry.member.MemberRecords;
 import org.chivetally.entry.member.MembershipEvent;
@@ -60,7 +60,7 @@
     private final LinkSet links;
     private final Map<JobId, Question> questions = new HashMap<>();
     private final KeyQuestions keyQuestions = new KeyQuestions();
-    private final SequencedMap<Long, MemberId> suspicions = new LinkedHashMap<>();
+    private final SequencedMap<Long, Incarnation> suspicions = new LinkedHashMap<>();
     private final Probes probes = new Probes();
     private final ConfigurationPulls pulls;
     private Set<String> viewed = Set.of();
@@ -153,8 +153,7 @@
     }
 
     // The view may name a newer address of the process than an old claim does, so the claim's is only used when the
-    // view
-    // names none.
+    // view names none.
     private void keep(Coordinator coordinator) {
         if (links.processes().contains(coordinator.processId())) {
             return;
@@ -174,8 +173,7 @@
         }
         viewed = Set.copyOf(named);
         someEnded = view.ended().stream()
-                .anyMatch(over ->
-                        !over.member().isAgent() && !over.member().processId().equals(parts.self()));
+                .anyMatch(over -> over.mayBeEntry() && !over.id().processId().equals(parts.self()));
         dropUnwanted();
     }
 
@@ -296,15 +294,15 @@
     }
 
     private void onSuspicionAnswer(Hello sender, Frame frame) {
-        MemberId suspect = suspicions.remove(frame.getRequestId());
+        Incarnation suspect = suspicions.remove(frame.getRequestId());
         if (suspect != null) {
             boolean alive = frame.getSuspicionAnswer().getAlive();
             parts.members().accept(new MembershipEvent.Answered(suspect, idOf(sender), alive));
         }
     }
 
-    private static MemberId idOf(Hello hello) {
-        return new MemberId(hello.getProcessId(), hello.getIncarnation());
+    private static Incarnation idOf(Hello hello) {
+        return new Incarnation(hello.getProcessId(), hello.getIncarnation());
     }
 
     private void onAnswer(JobAnswer answer) {
--- a/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -5,7 +5,7 @@
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.SubmissionKey;
 import org.chivetally.entry.link.LinkSignal;
-import org.chivetally.entry.member.MemberId;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.MemberList;
 import org.chivetally.job.JobId;
 import org.chivetally.wire.v1.Frame;
@@ -31,10 +31,10 @@
     record View(MemberList view) implements PeerCommand {}
 
     /** Ask an entry whether it reaches a member. */
-    record AskSuspicion(MemberId entry, MemberId suspect) implements PeerCommand {}
+    record AskSuspicion(Incarnation entry, Incarnation suspect) implements PeerCommand {}
 
     /** Another entry asks whether an entry can be reached. */
-    record Probe(MemberId entry, Consumer<Boolean> alive) implements PeerCommand {}
+    record Probe(Incarnation entry, Consumer<Boolean> alive) implements PeerCommand {}
 
     /** Send a frame to an entry; lost when it can't be reached now. */
     record Send(String processId, Frame frame) implements PeerCommand {}
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -38,18 +38,15 @@
 public final class SubmissionActor extends AbstractBehavior<SubmissionCommand> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
-    private static final Duration TAKEOVER_RETRY = Duration.ofMillis(500);
     private static final Duration REPLACED_WAIT = Duration.ofSeconds(60);
-    private static final int TICKS_PER_REFRESH = 10;
 
     private final ActorRef<SubmissionCommand> self;
     private final Parts parts;
     private final JobLedger ledger;
-    private final Map<JobId, RemoteJob> remotes = new HashMap<>();
+    private final RemoteJobs remotes;
     private final Map<String, TeamPolicy> teams = new HashMap<>();
     private final List<CompletableFuture<Void>> draining = new ArrayList<>();
     private boolean stopping;
-    private long ticks;
 
     private SubmissionActor(ActorContext<SubmissionCommand> context, Parts parts) {
         super(context);
@@ -57,6 +54,7 @@
         this.parts = parts;
         this.ledger = new JobLedger(
                 parts.settings().dedupeWindow().toNanos(), parts.settings().maximumKeptBytes());
+        this.remotes = new RemoteJobs(parts, this::tell, this::runTakenOver);
     }
 
     /** Creates the behavior. */
@@ -73,6 +71,7 @@
                 .onMessage(SubmissionCommand.Stop.class, stop -> Behaviors.stopped())
                 .onMessage(SubmissionCommand.class, command -> {
                     handle(command);
+                    endDrainWhenIdle();
                     return this;
                 })
                 .build();
@@ -82,7 +81,7 @@
         switch (command) {
             case SubmissionCommand.Submit submit -> onSubmit(submit);
             case SubmissionCommand.JobFinished finished -> onJobFinished(finished);
-            case SubmissionCommand.PeerAnswered answered -> onPeerAnswered(answered);
+            case SubmissionCommand.PeerAnswered answered -> remotes.answered(answered);
             case SubmissionCommand.Attach attach -> onAttach(attach);
             case SubmissionCommand.AskKey ask -> onAskKey(ask);
             case SubmissionCommand.CancelForPeer cancel -> cancelHere(cancel.job());
@@ -90,8 +89,8 @@
             case SubmissionCommand.ListJobs list -> list.reply().complete(statuses(list.team(), list.limit()));
             case SubmissionCommand.Drain drain -> onDrain(drain);
             case SubmissionCommand.ClaimDecided decided -> onClaimDecided(decided);
-            case SubmissionCommand.TakeoverDecided decided -> onTakeoverDecided(decided);
-            case SubmissionCommand.ClaimRefreshed refreshed -> onClaimRefreshed(refreshed.claim());
+            case SubmissionCommand.TakeoverDecided decided -> remotes.takeoverDecided(decided);
+            case SubmissionCommand.ClaimRefreshed refreshed -> remotes.refreshed(refreshed.claim());
             case SubmissionCommand.Replaced replaced -> onReplaced(replaced.claim());
             case SubmissionCommand.AwaitedFound found -> onAwaitedFound(found);
             case SubmissionCommand.RefusedFound found -> onRefusedFound(found);
@@ -214,22 +213,7 @@
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
         long until =
                 parts.clock().nanos() + submission.specification().deadline().toNanos();
-        RemoteJob remote = remote(claim);
-        remote.offer(submission);
-        return new SubmissionReply.Accepted(claim.job(), remote.await(until));
-    }
-
-    private RemoteJob remote(Claim claim) {
-        return remotes.computeIfAbsent(claim.job(), job -> {
-            ask(claim);
-            return new RemoteJob(claim, parts.clock().nanos());
-        });
-    }
-
-    private void ask(Claim claim) {
-        if (!isSelf(claim.coordinator())) {
-            parts.peers().ask(claim.coordinator(), claim.job(), claim.key().key());
-        }
+        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, until));
     }
 
     private void onLogUnavailable(JobRecord record, String reason) {
@@ -254,11 +238,10 @@
                 .thenAccept(claim -> tell(new SubmissionCommand.RefusedFound(submission, claim, refusal, reply)));
     }
 
-    // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could send
-    // the same offer again under a new key. An earlier submission that the claims read so far show is joined instead of
-    // refused. One whose claim was written after the last read is known to the entry that wrote it, so all are asked;
-    // if
-    // one does not answer, nothing is certain.
+    // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could
+    // send the same offer again under a new key. An earlier submission that the claims read so far show is joined
+    // instead of refused. One whose claim was written after the last read is known to the entry that wrote it, so all
+    // are asked; if one does not answer, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
         if (claim.isEmpty()) {
@@ -297,8 +280,7 @@
     }
 
     // The claim of a slow log may come long after the deadline. Callers are told in time that the deadline passed; as
-    // the
-    // log has not said yet whether an earlier submission of the key runs, "not run" is only certain of a new key.
+    // the log has not said yet whether an earlier submission of the key runs, "not run" is only certain of a new key.
     private static void onEndedEarly(JobRecord record, JobOutcome outcome) {
         record.endedEarly(outcome);
         if (!(outcome instanceof JobOutcome.Failure failure) || failure.code() != ErrorCode.DEADLINE_EXCEEDED) {
@@ -314,12 +296,11 @@
         ledger.finish(record, outcome, now);
         parts.finished().accept(outcome, now - record.submittedNanos());
         LOGGER.atInfo().log("%s", finalLine(record, outcome, now));
-        endDrainWhenIdle();
     }
 
     // A job that was refused as not run would keep its key, and its caller would get the same refusal for the whole
-    // dedupe
-    // window, also when there is room again. Nothing of it was started and nothing will be, so its key is set free.
+    // dedupe window, also when there is room again. Nothing of it was started and nothing will be, so its key is set
+    // free.
     private void endClaim(Claim claim, JobOutcome outcome) {
         if (isPassingRefusal(outcome)) {
             parts.claims().release(claim);
@@ -337,60 +318,14 @@
     private void withdraw(JobRecord record) {
         parts.dispatch().tell(new DispatchEvent.JobWithdrawn(record.job()));
         ledger.withdraw(record);
-        endDrainWhenIdle();
     }
 
     private static void replyAll(JobRecord record, SubmissionReply reply) {
         record.takeAccepting().forEach(caller -> caller.complete(reply));
     }
 
-    private void onPeerAnswered(SubmissionCommand.PeerAnswered answered) {
-        RemoteJob remote = remotes.get(answered.job());
-        if (remote == null || remote.takingOver()) {
-            return;
-        }
-        endRemote(remote, answered.outcome());
-    }
-
-    private void endRemote(RemoteJob remote, JobOutcome outcome) {
-        remotes.remove(remote.job());
-        parts.peers().forget(remote.job());
-        remote.complete(outcome);
-        endDrainWhenIdle();
-    }
-
-    private void takeOver(RemoteJob remote) {
-        parts.claims()
-                .takeOver(remote.claim())
-                .thenAccept(decision -> tell(new SubmissionCommand.TakeoverDecided(remote.job(), decision)));
-    }
-
-    private void onTakeoverDecided(SubmissionCommand.TakeoverDecided decided) {
-        RemoteJob remote = remotes.get(decided.job());
-        if (remote == null) {
-            return;
-        }
-        remote.endTakeover(parts.clock().nanos() + TAKEOVER_RETRY.toNanos());
-        switch (decided.decision()) {
-            case ClaimDecision.Won won -> runTakenOver(remote, won.claim());
-            case ClaimDecision.Attached attached -> {
-                remote.changed(attached.claim());
-                ask(attached.claim());
-            }
-            case ClaimDecision.KeyReused reused -> endRemote(remote, Failures.keyReused());
-            case ClaimDecision.LogUnavailable unavailable ->
-                LOGGER.atWarning().log(
-                        "%s",
-                        EventLine.of("takeover-failed")
-                                .with("job", decided.job())
-                                .with("reason", unavailable.reason()));
-        }
-    }
-
     private void runTakenOver(RemoteJob remote, Claim claim) {
         Submission submission = remote.submission().orElseThrow();
-        remotes.remove(remote.job());
-        parts.peers().forget(remote.job());
         JobRecord record = new JobRecord(
                 claim.job(), submission, parts.time().instant(), parts.clock().nanos());
         ledger.add(record);
@@ -405,20 +340,9 @@
         LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
 
-    private void onClaimRefreshed(Claim claim) {
-        RemoteJob remote = remotes.get(claim.job());
-        if (remote == null || !remote.changed(claim)) {
-            return;
-        }
-        parts.peers().forget(claim.job());
-        ask(claim);
-    }
-
     // Another entry took the job over while this one's lease had lapsed; results that still come here may be of
-    // attempts
-    // that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all callers of a
-    // key
-    // get the same.
+    // attempts that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all
+    // callers of a key get the same.
     private void onReplaced(Claim claim) {
         Optional<JobRecord> found =
                 ledger.find(claim.job()).filter(record -> record.phase() == JobStatus.Phase.RUNNING);
@@ -430,7 +354,7 @@
                 "%s",
                 line("job-replaced", record).with("by", claim.coordinator().processId()));
         long until = parts.clock().nanos() + REPLACED_WAIT.toNanos();
-        remote(claim).await(until).thenAccept(record::finish);
+        remotes.await(claim, until).thenAccept(record::finish);
         withdraw(record);
     }
 
@@ -495,7 +419,7 @@
         if (await.cancel()) {
             parts.peers().cancel(claim.coordinator(), claim.job());
         }
-        return new Awaited(remoteStatus(claim), remote(claim).await(await.until()), false);
+        return new Awaited(remoteStatus(claim), remotes.await(claim, await.until()), false);
     }
 
     private static JobStatus remoteStatus(Claim claim) {
@@ -519,38 +443,13 @@
 
     private void onTick() {
         long now = parts.clock().nanos();
-        ticks++;
         ledger.expire(now);
-        for (RemoteJob remote : List.copyOf(remotes.values())) {
-            tend(remote, now);
-        }
-        endDrainWhenIdle();
-    }
-
-    private void tend(RemoteJob remote, long now) {
-        remote.expire(now);
-        if (!remote.awaited() && !remote.takingOver()) {
-            remotes.remove(remote.job());
-            parts.peers().forget(remote.job());
-            return;
-        }
-        Coordinator coordinator = remote.claim().coordinator();
-        if (parts.claims().hasLapsed(coordinator) && remote.beginTakeover(now)) {
-            takeOver(remote);
-            return;
-        }
-        if (ticks % TICKS_PER_REFRESH == 0) {
-            parts.claims()
-                    .find(remote.job())
-                    .thenAccept(claim ->
-                            claim.map(SubmissionCommand.ClaimRefreshed::new).ifPresent(this::tell));
-        }
+        remotes.tick(now);
     }
 
     private void onDrain(SubmissionCommand.Drain drain) {
         stopping = true;
         draining.add(drain.drained());
-        endDrainWhenIdle();
     }
 
     private void endDrainWhenIdle() {
@@ -562,8 +461,7 @@
     }
 
     private boolean isSelf(Coordinator coordinator) {
-        return coordinator.processId().equals(parts.self().processId())
-                && coordinator.incarnation().equals(parts.self().incarnation());
+        return RemoteJobs.isSame(coordinator, parts.self());
     }
 
     private void tell(SubmissionCommand command) {
@@ -592,6 +490,7 @@
      * What the actor works with.
      *
      * @param self this entry's incarnation
+     * @param membersCaughtUp reads the members to their end and tells the dispatcher; false when that failed
      * @param finished told of each outcome with the nanoseconds since the submission
      */
     public record Parts(
@@ -601,6 +500,7 @@
             Dispatch dispatch,
             Peers peers,
             ServicePolicies policies,
+            Supplier<CompletionStage<Boolean>> membersCaughtUp,
             Supplier<JobId> jobIds,
             NanoClock clock,
             InstantSource time,
--- a/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
@@ -176,7 +176,7 @@
     private ResourceStatus statusOf(Resource resource) {
         if (resource.key().kind() == ResourceKind.BACKEND_SERVER) {
             return ResourceStatus.ofBackendServer(
-                    status.lastReport(resource.key().name()), clock.nanos());
+                    status.lastReport(resource.key().name()), clock.nanos(), processes.silentAfter());
         }
         return ResourceStatus.ofDeclaration(resources.age());
     }
