--- a/library/src/main/java/org/chivetally/coordination/Takeovers.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeovers.java
@@ -51,6 +51,17 @@
         concludeIfComplete(job);
     }
 
+    /** The members' records name an agent that may know jobs as well. */
+    void named(AgentView agent) {
+        for (JobProgress job : List.copyOf(context.takingOver)) {
+            Takeover takeover = job.takeover;
+            boolean mayHold = agent.service().equals(job.service.name) && !agent.gone();
+            if (mayHold && !takeover.answered.contains(agent) && takeover.unanswered.add(agent)) {
+                inquiries.ask(job, agent, "takeover");
+            }
+        }
+    }
+
     /** An agent of which nothing was heard before may know the job as well. */
     void connected(AgentView agent) {
         for (JobProgress job : List.copyOf(context.takingOver)) {
--- a/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryDaemon.java
@@ -89,15 +89,13 @@
             DecisionMemory memory,
             ObservedState observed,
             NanoClock clock) {
-        EntryExtension none = EntryExtension.none();
         ResourceRoutes routes = new ResourceRoutes(
                 resources, observed, observed, settings.process().name(), clock);
         return new EntryExtension(
                 resources,
                 List.of(routes.route(), new DecisionRoutes(memory).route()),
-                none.frames(),
                 () -> resources.isUsable() ? List.of() : List.of(RESOURCES_MISSING),
-                resources::version);
+                new SharedConfiguration(resources));
     }
 
     /** Decisions whose lines are remembered. */
--- a/library/src/main/java/org/chivetally/resource/ResourceStatus.java
+++ b/library/src/main/java/org/chivetally/resource/ResourceStatus.java
@@ -41,14 +41,18 @@
         }
     }
 
-    /** Returns the status of a backend server from its agent's last report. */
-    public static ResourceStatus ofBackendServer(Optional<BackendServerReport> report, long now) {
+    /**
+     * Returns the status of a backend server from its agent's last report.
+     *
+     * @param silentAfter age from which the report says nothing about now
+     */
+    public static ResourceStatus ofBackendServer(Optional<BackendServerReport> report, long now, Duration silentAfter) {
         if (report.isEmpty()) {
             return new ResourceStatus(State.UNKNOWN, Optional.empty(), Optional.empty());
         }
         Duration age = Duration.ofNanos(Math.max(0, now - report.get().observedNanos()));
         // A server that died a minute ago would look free by its last good report; its age alone is easily overlooked.
-        if (age.compareTo(SILENT_AFTER) > 0) {
+        if (age.compareTo(silentAfter) > 0) {
             return new ResourceStatus(State.UNKNOWN, Optional.of(age), Optional.empty());
         }
         return new ResourceStatus(stateOf(report.get()), Optional.of(age), report);
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.chivetally.claim.ClaimSettings;
@@ -36,19 +37,37 @@
             new InMemoryPlatformLog(kit.system(), NanoClock.system(), InMemoryLogSettings.immediate());
     private final HttpClient client = HttpClient.newHttpClient();
 
-    private static EntrySettings settings(String processId, ClaimSettings claims) {
-        return settings(processId, claims, DispatchSettings.defaults("north"));
+    static EntrySettings settings(String processId) {
+        return settings(processId, "north", List.of(), USUAL_CLAIMS);
+    }
+
+    static EntrySettings settings(String processId, String failureDomain, List<Address> seeds) {
+        return settings(processId, failureDomain, seeds, USUAL_CLAIMS);
     }
 
     static EntrySettings settings(String processId, ClaimSettings claims, DispatchSettings dispatch) {
+        return settings(processId, "north", List.of(), claims, dispatch);
+    }
+
+    private static EntrySettings settings(
+            String processId, String failureDomain, List<Address> seeds, ClaimSettings claims) {
+        return settings(processId, failureDomain, seeds, claims, DispatchSettings.defaults(failureDomain));
+    }
+
+    private static EntrySettings settings(
+            String processId,
+            String failureDomain,
+            List<Address> seeds,
+            ClaimSettings claims,
+            DispatchSettings dispatch) {
         Address loopback = new Address(LOOPBACK, 0);
         return new EntrySettings(
                 processId,
-                "north",
+                failureDomain,
                 loopback,
                 loopback,
                 loopback,
-                List.of(),
+                seeds,
                 claims,
                 dispatch,
                 HeartbeatSettings.standard(),
@@ -60,13 +79,18 @@
     }
 
     EntryServer start(String processId, ClaimSettings claims, ActorSystem<?> system, FrameTransport frames) {
-        return join(EntryServer.start(system, settings(processId, claims), log, frames, meters, NanoClock.system()));
+        return join(EntryServer.start(
+                system, settings(processId, "north", List.of(), claims), log, frames, meters, NanoClock.system()));
+    }
+
+    EntryServer start(EntrySettings settings, EntryExtension extension) {
+        return join(EntryServer.start(kit.system(), settings, log, transport, meters, NanoClock.system(), extension));
     }
 
     EntryServer start(String processId, EntryServer.Decisions decisions) {
         return join(EntryServer.start(
                 kit.system(),
-                settings(processId, USUAL_CLAIMS),
+                settings(processId),
                 log,
                 transport,
                 meters,
@@ -75,6 +99,16 @@
                 decisions));
     }
 
+    /** Waits for something that another thread brings about; a test's time limit ends the wait. */
+    static void until(BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            if (Thread.interrupted()) {
+                throw new AssertionError("did not come about in time");
+            }
+            Thread.onSpinWait();
+        }
+    }
+
     void awaitReady(EntryServer entry) {
         while (get(entry, "/readyz").statusCode() != 200) {
             Thread.onSpinWait();
