--- a/library/src/main/java/org/chivetally/coordination/Dispatcher.java
+++ b/library/src/main/java/org/chivetally/coordination/Dispatcher.java
@@ -102,6 +102,10 @@
             case DispatchEvent.AgentConnected connected -> connected(connected);
             case DispatchEvent.AgentUnreachable unreachable ->
                 doubts.unreachable(context.fleet.unreachable(unreachable.agent()));
+            case DispatchEvent.AgentNamed named -> takeovers.named(context.fleet.named(named.agent(), named.service()));
+            case DispatchEvent.AgentPresumedGone presumed ->
+                context.fleet.find(presumed.agent()).ifPresent(doubts::presumedGone);
+            case DispatchEvent.AgentHeldDown changed -> heldDown(changed);
             case DispatchEvent.AgentGone gone -> gone(gone);
             case DispatchEvent.FrameReceived received -> received(received);
             case DispatchEvent.TeamChanged changed -> context.resumeLanes(context.teams.change(changed.team()));
@@ -136,6 +140,13 @@
         takeovers.connected(agent);
     }
 
+    private void heldDown(DispatchEvent.AgentHeldDown event) {
+        context.fleet.find(event.agent()).ifPresent(agent -> {
+            context.fleet.holdDown(agent, event.held());
+            context.touch(context.service(agent.service()));
+        });
+    }
+
     private void gone(DispatchEvent.AgentGone event) {
         AgentView agent = context.fleet.gone(event.agent(), context.now);
         context.service(agent.service()).quarantine.forget(agent);
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -34,10 +34,14 @@
 import org.chivetally.entry.link.ObservedProcess;
 import org.chivetally.entry.link.ObservedProcesses;
 import org.chivetally.entry.link.Observers;
+import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberActor;
+import org.chivetally.entry.member.MemberList;
 import org.chivetally.entry.member.MemberRecords;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MembershipEffect;
+import org.chivetally.entry.member.MembershipEvent;
+import org.chivetally.entry.member.MembershipSettings;
 import org.chivetally.entry.peer.PeerActor;
 import org.chivetally.entry.peer.PeerCommand;
 import org.chivetally.entry.submission.Peers;
@@ -53,6 +57,7 @@
 
 /** The actors of one entry and the ways between them. */
 final class EntryActors {
+    private static final Duration ANNOUNCE_INTERVAL = Duration.ofMinutes(10);
     /** Most by which the wall clocks of two entries may differ. */
     private static final Duration CLOCK_DIFFERENCE = Duration.ofSeconds(30);
 
@@ -62,6 +67,7 @@
     private final ObservedProcesses observed;
     private final Set<AgentId> usableAgents = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean membersRead = new AtomicBoolean();
+    private final AtomicBoolean logReachable = new AtomicBoolean(true);
     // Actors that tell each other are made one after the other; the ways to later ones are open once those are made.
     private final CompletableFuture<ActorRef<DispatchCommand>> dispatch = new CompletableFuture<>();
     private final CompletableFuture<ActorRef<PeerCommand>> peers = new CompletableFuture<>();
@@ -95,6 +101,11 @@
         return membersRead.get();
     }
 
+    /** Tells whether the last read of the members' records succeeded. */
+    boolean logReachable() {
+        return logReachable.get();
+    }
+
     Set<AgentId> usableAgents() {
         return usableAgents;
     }
@@ -120,11 +131,32 @@
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Event(event)));
     }
 
+    /** Asks a member for a sign of life over this entry's connection to it, and tells whether it came. */
+    void probe(Incarnation member, Consumer<Boolean> alive) {
+        if (member.processId().equals(parts.member().processId())) {
+            alive.accept(member.incarnation().equals(parts.member().incarnation()));
+            return;
+        }
+        // One of the two has connections to agents, the other to entries.
+        dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Probe(member, found -> {
+            if (found) {
+                alive.accept(true);
+                return;
+            }
+            peers.thenAccept(other -> other.tell(new PeerCommand.Probe(member, alive)));
+        })));
+    }
+
+    /** Gives the members known here. */
+    void membersTo(Consumer<List<Member>> reply) {
+        tellMembers(new MemberActor.MembersOf(reply));
+    }
+
     /** Notes a process that introduced itself. */
     void introduced(Hello hello) {
         boolean self = hello.getProcessId().equals(parts.member().processId());
         if (!self) {
-            MemberRecords.ofHello(hello).ifPresent(member -> tellMembers(new MemberActor.Introduced(member)));
+            MemberRecords.ofHello(hello).ifPresent(member -> learn(new MembershipEvent.Introduced(member)));
         }
     }
 
@@ -172,7 +204,19 @@
         return done;
     }
 
-    private void publish(MemberView view) {
+    private void learn(MembershipEvent event) {
+        tellMembers(new MemberActor.Event(event));
+    }
+
+    private void carryOut(MembershipEffect effect) {
+        switch (effect) {
+            case MembershipEffect.Ask ask ->
+                peers.thenAccept(actor -> actor.tell(new PeerCommand.AskSuspicion(ask.entry(), ask.suspect())));
+            default -> dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Membership(effect)));
+        }
+    }
+
+    private void publish(MemberList view) {
         dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.View(view)));
         peers.thenAccept(actor -> actor.tell(new PeerCommand.View(view)));
     }
@@ -224,20 +268,27 @@
                 parts.log(),
                 parts.clock(),
                 parts.member(),
+                MembershipSettings.standard(parts.settings().claims().window()),
+                ANNOUNCE_INTERVAL,
                 this::publish,
+                this::carryOut,
                 () -> membersRead.set(true),
-                new Introduction(parts, this::introduced)::dialSeeds);
+                logReachable::set,
+                new Introduction(system, parts, this::introduced)::dialSeeds);
     }
 
     private DispatchActor.Parts dispatchParts() {
         return new DispatchActor.Parts(
+                parts.self().processId(),
                 parts.core(),
                 this::wiring,
                 parts.settings().heartbeats(),
                 parts.claims()::holdsLease,
                 (job, outcome) -> submissions.tell(new SubmissionCommand.JobFinished(job, outcome)),
                 this::introduced,
-                connected -> tellMembers(new MemberActor.Connected(connected)),
+                this::learn,
+                service -> parts.extension().policies().service(service).idempotent(),
+                parts.extension().configuration(),
                 usableAgents,
                 observers,
                 parts.meters(),
@@ -253,13 +304,20 @@
                 this::introduced,
                 observers,
                 parts.requestIds()::incrementAndGet,
+                this::learn,
+                parts.extension().configuration(),
                 membersRead::get,
                 parts.clock());
     }
 
     private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
         return new LinkSet.Wiring(
-                parts.dialer(), parts.hello(), parts.requestIds()::incrementAndGet, new SplittableRandom(), signals);
+                parts.dialer(),
+                parts.hello(),
+                parts.requestIds()::incrementAndGet,
+                parts.extension().configuration()::version,
+                new SplittableRandom(),
+                signals);
     }
 
     private final class ActorPeers implements Peers {
--- a/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
+++ b/library/src/main/java/org/chivetally/resource/http/ResourceRoutes.java
@@ -193,7 +193,7 @@
     private ResourceStatus statusOf(Resource resource) {
         if (resource.key().kind() == ResourceKind.BACKEND_SERVER) {
             return ResourceStatus.ofBackendServer(
-                    status.lastReport(resource.key().name()), clock.nanos());
+                    status.lastReport(resource.key().name()), clock.nanos(), processes.silentAfter());
         }
         return ResourceStatus.ofDeclaration(resources.age());
     }
@@ -365,7 +365,7 @@
             Duration age = Duration.ofNanos(Math.max(0, clock.nanos() - report.observedNanos()));
             ObjectNode other = others.addObject().put("process", report.processId());
             other.put("role", report.role()).put("ageMillis", age.toMillis());
-            if (age.compareTo(ResourceStatus.SILENT_AFTER) > 0) {
+            if (age.compareTo(processes.silentAfter()) > 0) {
                 other.put("state", ResourceStatus.State.UNKNOWN.text());
             } else {
                 other.put("version", report.version());
--- /dev/null
+++ b/library/src/test/java/org/chivetally/entry/member/MembershipPropertyTest.java
@@ -0,0 +1,160 @@
+package org.chivetally.entry.member;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+
+/** What holds for any interleaving of records, connections, answers and time. */
+class MembershipPropertyTest {
+    private static final Member SOUTH = MembershipDriver.entry("entry-3", "south");
+    private static final Member NEIGHBOUR = MembershipDriver.entry("entry-2", "north");
+
+    @Property(tries = 2_000)
+    void membersAreRemovedOnlyForAReasonAndNeverForgotten(@ForAll("histories") List<Step> history) {
+        MembershipDriver driver = new MembershipDriver();
+        MembershipDriver twin = new MembershipDriver();
+        Model model = new Model();
+        driver.join(SOUTH, NEIGHBOUR);
+        twin.join(SOUTH, NEIGHBOUR);
+        for (Step step : history) {
+            driver.effects.clear();
+            step.carryOut(driver);
+            step.carryOut(twin);
+            model.take(step);
+            model.check(driver);
+        }
+        assertThat("the same events give the same view", twin.view.list(), equalTo(driver.view.list()));
+    }
+
+    @Provide
+    Arbitrary<List<Step>> histories() {
+        Arbitrary<Member> agents = Combinators.combine(
+                        Arbitraries.of("agent-1", "agent-2"), Arbitraries.of("1", "2", "3"))
+                .as(MembershipDriver::agent);
+        Arbitrary<Step> steps =
+                Combinators.combine(Arbitraries.of(Kind.class), agents).as(Step::new);
+        return steps.list().ofMinSize(1).ofMaxSize(60);
+    }
+
+    private enum Kind {
+        ANNOUNCE,
+        INTRODUCE,
+        LEAVE,
+        GONE,
+        REACH,
+        LOSE,
+        CONFIRM,
+        REFUTE,
+        NEIGHBOUR_CONFIRMS,
+        A_MOMENT,
+        SOME_SECONDS
+    }
+
+    private record Step(Kind kind, Member agent) {
+        void carryOut(MembershipDriver driver) {
+            switch (kind) {
+                case ANNOUNCE -> driver.announce(agent);
+                case INTRODUCE -> driver.handle(new MembershipEvent.Introduced(agent));
+                case LEAVE -> driver.leave(agent);
+                case GONE -> driver.gone(agent);
+                case REACH -> driver.reach(agent);
+                case LOSE -> driver.lose(agent);
+                case CONFIRM -> driver.answer(agent, SOUTH, false);
+                case REFUTE -> driver.answer(agent, SOUTH, true);
+                case NEIGHBOUR_CONFIRMS -> driver.answer(agent, NEIGHBOUR, false);
+                case A_MOMENT -> driver.advance(Duration.ofMillis(900));
+                case SOME_SECONDS -> driver.advance(Duration.ofSeconds(4));
+            }
+        }
+    }
+
+    /** What the view must not do, kept apart from how it does it. */
+    private static final class Model {
+        private final Set<Incarnation> named = new HashSet<>();
+        private final Set<Incarnation> left = new HashSet<>();
+        private final Set<Incarnation> reached = new HashSet<>();
+        private final Map<Incarnation, Boolean> lastAnswer = new HashMap<>();
+        private final Set<Incarnation> goneBefore = new HashSet<>();
+        private Set<Incarnation> lastMembers = Set.of();
+        private final Set<Incarnation> mustAnnounce = new HashSet<>();
+
+        void take(Step step) {
+            Incarnation id = step.agent.id();
+            switch (step.kind) {
+                case ANNOUNCE, INTRODUCE -> {
+                    mustAnnounce.remove(id);
+                    if (!left.contains(id)) {
+                        named.add(id);
+                    }
+                }
+                case LEAVE -> left.add(id);
+                case GONE -> {
+                    if (lastMembers.contains(id)) {
+                        goneBefore.add(id);
+                    }
+                }
+                case REACH -> {
+                    reached.add(id);
+                    lastAnswer.remove(id);
+                }
+                case LOSE -> reached.remove(id);
+                case CONFIRM -> lastAnswer.put(id, false);
+                case REFUTE -> lastAnswer.put(id, true);
+                default -> {
+                    // Says nothing of one member.
+                }
+            }
+        }
+
+        void check(MembershipDriver driver) {
+            MemberList list = driver.view.list();
+            Set<Incarnation> members = ids(list.members());
+            Set<Incarnation> ended = list.ended().stream().map(EndedMember::id).collect(Collectors.toSet());
+            for (Incarnation id : named) {
+                assertThat("named: " + id, members.contains(id) || ended.contains(id), is(true));
+            }
+            left.forEach(id -> assertThat("left", members, not(hasItem(id))));
+            mustAnnounce.forEach(id -> assertThat("to announce itself anew", members, not(hasItem(id))));
+            for (MemberRecord record : driver.appended()) {
+                if (record instanceof MemberRecord.Gone gone) {
+                    checkDeclared(gone, members);
+                }
+            }
+            lastMembers = members;
+            for (EndedMember over : list.ended()) {
+                boolean presumed = over.reason() == EndedMember.Reason.PRESUMED_GONE;
+                if (presumed) {
+                    mustAnnounce.add(over.id());
+                }
+            }
+        }
+
+        private void checkDeclared(MemberRecord.Gone gone, Set<Incarnation> members) {
+            Incarnation id = new Incarnation(gone.processId(), gone.incarnation());
+            assertThat("a member", members, hasItem(id));
+            assertThat("not reached", reached, not(hasItem(id)));
+            assertThat("confirmed by another failure domain", lastAnswer.get(id), is(false));
+            assertThat("declared gone once", goneBefore, not(hasItem(id)));
+        }
+
+        private static Set<Incarnation> ids(List<Member> members) {
+            return members.stream().map(Member::id).collect(Collectors.toSet());
+        }
+    }
+}
--- a/load/src/main/java/org/chivetally/load/experiment/ConfigurationCost.java
+++ b/load/src/main/java/org/chivetally/load/experiment/ConfigurationCost.java
@@ -11,7 +11,9 @@
 import org.chivetally.entry.member.MemberCapacity;
 import org.chivetally.entry.member.MemberRecord;
 import org.chivetally.entry.member.MemberRecords;
-import org.chivetally.entry.member.MemberTable;
+import org.chivetally.entry.member.MembershipEvent;
+import org.chivetally.entry.member.MembershipSettings;
+import org.chivetally.entry.member.MembershipView;
 import org.chivetally.log.InMemoryLogSettings;
 import org.chivetally.log.InMemoryPlatformLog;
 import org.chivetally.log.LogRecord;
@@ -72,15 +74,16 @@
         for (int member = 0; member < members; member++) {
             announcements.add(MemberRecords.write(new MemberRecord.Announce(member(member))));
         }
-        List<MemberTable> tables = new ArrayList<>();
+        List<MembershipView> tables = new ArrayList<>();
         long heapBefore = Heap.usedBytes();
         for (int copy = 0; copy < COPIES; copy++) {
-            MemberTable filled = new MemberTable();
+            MembershipView filled =
+                    new MembershipView(member(members), MembershipSettings.standard(Duration.ofMinutes(10)), 0);
             fold(filled, announcements);
             tables.add(filled);
         }
         double heapBytes = (double) (Heap.usedBytes() - heapBefore) / members / COPIES;
-        MemberTable table = tables.getFirst();
+        MembershipView table = tables.getFirst();
         List<Double> micros = new ArrayList<>();
         for (int repeat = 0; repeat <= repeats; repeat++) {
             double each = fold(table, announcements);
@@ -102,11 +105,12 @@
         return processor.microsEach(changes.size());
     }
 
-    private static double fold(MemberTable table, List<byte[]> announcements) {
+    private static double fold(MembershipView table, List<byte[]> announcements) {
         ProcessorTime processor = new ProcessorTime();
         processor.start();
         for (byte[] announcement : announcements) {
-            table.fold(MemberRecords.read(announcement).orElseThrow(), 1);
+            MemberRecord record = MemberRecords.read(announcement).orElseThrow();
+            table.handle(new MembershipEvent.Recorded(record), 1);
         }
         processor.stop();
         return processor.microsEach(announcements.size());
