--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -12,6 +12,7 @@
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -37,6 +38,8 @@
 
     private final EntryFixture fixture = new EntryFixture();
     private final ScriptedCore core = new ScriptedCore();
+    private final ScriptedCore pausedCore = new ScriptedCore();
+    private final ScriptedCore successorCore = new ScriptedCore();
     private final EntryServer entry = fixture.start("entry-1", new Scripted(EntryServerTest::memory, core));
 
     @AfterEach
@@ -221,14 +224,39 @@
         CompletableFuture<HttpResponse<String>> first = fixture.submitting(entry, "a", HELD);
         awaitEvents(core, DispatchEvent.JobClaimed.class);
         EntryServer cut = fixture.start("entry-2", new Scripted(self -> new NoLog(), new ScriptedCore()));
-        while (!certainty(fixture.submit(cut, "b", HELD)).equals("not-run")) {
-            Thread.onSpinWait();
-        }
+        awaitNotRun(cut);
         assertThat(certainty(fixture.submit(cut, "a", HELD)), is("unknown"));
         core.releaseHeld();
         assertThat(first.join().statusCode(), is(200));
     }
 
+    // A job ran at an entry that was killed, and its caller submits it again in an outage of the log, at an entry that
+    // has not read the claim. Another one has, but had no part in the job. "Not run" would be false.
+    @Test
+    void saysNotRunOnlyOfKeysThatNoOtherEntryHasRead() {
+        fixture.start("entry-2", new Scripted(self -> new ReadClaims(Set.of("a")), new ScriptedCore()));
+        EntryServer cut = fixture.start("entry-3", new Scripted(self -> new NoLog(), new ScriptedCore()));
+        awaitNotRun(cut);
+        assertThat(certainty(fixture.submit(cut, "a", HELD)), is("unknown"));
+    }
+
+    // All that knew a job were killed and started again, in an outage of the log. They know of no key, because they
+    // have
+    // read nothing; neither may say "not run", nor may one that asks them.
+    @Test
+    void saysNotRunOfNoKeyBeforeTheClaimsAreRead() {
+        ReadClaims asked = new ReadClaims(Set.of());
+        ReadClaims asking = new ReadClaims(Set.of());
+        fixture.start("entry-2", new Scripted(self -> asked, new ScriptedCore()));
+        EntryServer cut = fixture.start("entry-3", new Scripted(self -> asking, new ScriptedCore()));
+        awaitNotRun(cut);
+        asked.caughtUp(false);
+        assertThat(certainty(fixture.submit(cut, "c", HELD)), is("unknown"));
+        asked.caughtUp(true);
+        asking.caughtUp(false);
+        assertThat(certainty(fixture.submit(cut, "c", HELD)), is("unknown"));
+    }
+
     // The coordinator of a job has lapsed. Its caller submits the job again here, and gets the outcome of the
     // takeover.
     @Test
@@ -240,6 +268,41 @@
         assertThat(taking.events(DispatchEvent.JobClaimed.class), contains(new DispatchEvent.JobClaimed(young, 2)));
     }
 
+    // An entry was paused past its lease, and its job was taken over by another one. Its dispatcher is told that the
+    // job
+    // is lost, and the caller that still waits there gets what the other entry answers, like the one that submitted the
+    // job again.
+    @Test
+    void callersOfAJobThatWasTakenOverGetTheOtherEntrysAnswer() {
+        LostClaim lost = new LostClaim();
+        EntryServer paused = fixture.start("entry-2", new Scripted(lost::of, pausedCore));
+        CompletableFuture<HttpResponse<String>> first = fixture.submitting(paused, "a", HELD);
+        CompletableFuture<HttpResponse<String>> second = fixture.submitting(successorOf(lost), "a", HELD);
+        awaitClaimed(successorCore);
+        lost.replace();
+        while (pausedCore.events(DispatchEvent.JobTakenOver.class).isEmpty()) {
+            Thread.onSpinWait();
+        }
+        successorCore.releaseHeld();
+        assertThat(second.join().body(), containsString("\"answers\":[1]"));
+        assertThat(first.join().body(), is(second.join().body()));
+    }
+
+    // As above, but the other entry has no answer by the job's deadline: the caller hears in time that the outcome is
+    // unknown, and never "not run".
+    @Test
+    void callersOfAJobThatWasTakenOverHearOfTheDeadlineInTime() {
+        LostClaim lost = new LostClaim();
+        EntryServer paused = fixture.start("entry-2", new Scripted(lost::of, pausedCore));
+        String body = HELD.replace("\"team\"", "\"deadlineMillis\":2000,\"team\"");
+        CompletableFuture<HttpResponse<String>> first = fixture.submitting(paused, "a", body);
+        CompletableFuture<HttpResponse<String>> second = fixture.submitting(successorOf(lost), "a", HELD);
+        awaitClaimed(successorCore);
+        lost.replace();
+        assertThat(certainty(first.join()), is("unknown"));
+        assertThat(second.isDone(), is(false));
+    }
+
     // The same for a job so old that agents may have forgotten what they ran of it. They would answer that they know
     // nothing of its tasks, and all would run again; the caller is told that the outcome is unknown instead.
     @Test
@@ -304,12 +367,32 @@
         return EntryFixture.json(response).path("certainty").asString("");
     }
 
+    private EntryServer successorOf(LostClaim lost) {
+        awaitClaimed(pausedCore);
+        JobId job = pausedCore.events(DispatchEvent.JobClaimed.class).getFirst().job();
+        return fixture.start(
+                "entry-3", new Scripted(self -> new LapsedClaim(lost.successor(self), job), successorCore));
+    }
+
+    private static void awaitClaimed(ScriptedCore core) {
+        while (core.events(DispatchEvent.JobClaimed.class).isEmpty()) {
+            Thread.onSpinWait();
+        }
+    }
+
     private void awaitClaims(EntryServer of) {
         while (fixture.get(of, "/readyz").body().contains("claims are not read")) {
             Thread.onSpinWait();
         }
     }
 
+    /** Returns once an entry without a log has asked all others about a key. */
+    private void awaitNotRun(EntryServer cut) {
+        while (!certainty(fixture.submit(cut, "b", HELD)).equals("not-run")) {
+            Thread.onSpinWait();
+        }
+    }
+
     private static void awaitEvents(ScriptedCore of, Class<? extends DispatchEvent> type) {
         while (of.events(type).isEmpty()) {
             Thread.onSpinWait();
