--- a/command/src/main/java/org/chivetally/command/DocumentFile.java
+++ b/command/src/main/java/org/chivetally/command/DocumentFile.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Stream;
+import org.chivetally.document.Utf8;
 import org.chivetally.errors.ChivetallyException;
 import org.chivetally.errors.ErrorCode;
 import tools.jackson.core.JacksonException;
@@ -21,11 +22,7 @@
 
     /** Returns the text of a file. */
     static String text(Path file) {
-        try {
-            return Files.readString(file);
-        } catch (IOException unreadable) {
-            throw new ChivetallyException(ErrorCode.INVALID_INPUT, file + " can't be read: " + unreadable, unreadable);
-        }
+        return Utf8.read(file);
     }
 
     /** Returns the one document of a file. */
--- a/command/src/test/java/org/chivetally/command/CommandTest.java
+++ b/command/src/test/java/org/chivetally/command/CommandTest.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -100,6 +101,16 @@
         assertThat(run.error(), containsString("no-such-file.yaml"));
     }
 
+    /** An operator's editor saved a file in another encoding: the place is told, and no entry is asked. */
+    @Test
+    void aFileInAnotherEncodingIsRefusedWithThePlace(@TempDir Path folder) throws IOException {
+        Path file = folder.resolve("team.yaml");
+        Files.write(file, "kind: team\nname: ranger\u00e6".getBytes(StandardCharsets.ISO_8859_1));
+        CommandRun run = CommandRun.of("apply", "-f", folder.toString());
+        assertThat(run.code(), is(ExitCodes.INVALID_INPUT));
+        assertThat(run.error(), containsString("team.yaml:2:13: is not UTF-8"));
+    }
+
     /** An operator mistypes three keys of a settings file: the daemon does not start and names all three at once. */
     @Test
     void aDaemonWithMalformedSettingsNamesAllMistakes(@TempDir Path folder) throws IOException {
--- a/library/src/main/java/org/chivetally/document/Utf8.java
+++ b/library/src/main/java/org/chivetally/document/Utf8.java
@@ -1,9 +1,14 @@
 package org.chivetally.document;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.CharBuffer;
 import java.nio.charset.CharsetDecoder;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
 
 /** Texts that come as bytes from outside. */
 public final class Utf8 {
@@ -43,6 +48,22 @@
         return new Decoded.Text(text);
     }
 
+    /** Returns the text of a file; throws {@link ErrorCode#INVALID_INPUT} with the place where it is none. */
+    public static String read(Path file) {
+        byte[] bytes;
+        try {
+            bytes = Files.readAllBytes(file);
+        } catch (IOException unreadable) {
+            throw new ChivetallyException(ErrorCode.INVALID_INPUT, file + " can't be read: " + unreadable, unreadable);
+        }
+        return switch (decode(bytes)) {
+            case Decoded.Text whole -> whole.text();
+            case Decoded.Malformed(int line, int column) ->
+                throw new ChivetallyException(
+                        ErrorCode.INVALID_INPUT, file + ":" + line + ":" + column + ": " + Decoded.Malformed.MESSAGE);
+        };
+    }
+
     private static Decoded placeAfter(String before) {
         int line = (int) before.chars().filter(character -> character == '\n').count() + 1;
         return new Decoded.Malformed(line, before.length() - before.lastIndexOf('\n'));
--- a/library/src/main/java/org/chivetally/settings/SettingsFile.java
+++ b/library/src/main/java/org/chivetally/settings/SettingsFile.java
@@ -1,12 +1,10 @@
 package org.chivetally.settings;
 
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.function.Function;
 import org.chivetally.document.Document;
 import org.chivetally.document.Section;
-import org.chivetally.errors.ChivetallyException;
+import org.chivetally.document.Utf8;
 import org.chivetally.errors.ErrorCode;
 
 /** Reads settings files. */
@@ -15,12 +13,12 @@
 
     /** Reads an entry's settings, or throws {@link ErrorCode#INVALID_INPUT} with every mistake in the file. */
     public static EntryDaemonSettings readEntry(Path file) {
-        return read(file.toString(), text(file), EntryDaemonSettings::read);
+        return read(file.toString(), Utf8.read(file), EntryDaemonSettings::read);
     }
 
     /** Reads an agent's settings, or throws {@link ErrorCode#INVALID_INPUT} with every mistake in the file. */
     public static AgentDaemonSettings readAgent(Path file) {
-        return read(file.toString(), text(file), AgentDaemonSettings::read);
+        return read(file.toString(), Utf8.read(file), AgentDaemonSettings::read);
     }
 
     /**
@@ -34,12 +32,4 @@
         document.finish().requireNone();
         return settings;
     }
-
-    private static String text(Path file) {
-        try {
-            return Files.readString(file);
-        } catch (IOException unreadable) {
-            throw new ChivetallyException(ErrorCode.INVALID_INPUT, file + " can't be read: " + unreadable, unreadable);
-        }
-    }
 }
