Callers with less time than the job hear at their own deadline; a job unknown here is not 'not run'

Key 781 was told not-run of a job name that its entry no longer knew, while the key's next job ran. Refusals with certainty unknown said 'not run: the log can't be reached'. Change: callers that join wait within their own deadline (unknown, deadline-exceeded); 404 of a job says unknown and when to come back; the claims' reasons leave the certainty to the problem document.

--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -23,8 +23,6 @@
  * takes the effects and the next append.
  */
 final class Claimant {
-    private static final String NOT_RUN = "not run: ";
-
     private final ClaimSettings settings;
     private final Coordinator self;
     private final String writer;
@@ -536,7 +534,7 @@
     }
 
     private static ClaimDecision unavailable(String reason) {
-        return new ClaimDecision.LogUnavailable(NOT_RUN + reason);
+        return new ClaimDecision.LogUnavailable(reason);
     }
 
     private void write(EventLine line) {
--- a/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
+++ b/library/src/main/java/org/chivetally/entry/http/JobRoutes.java
@@ -275,7 +275,7 @@
     }
 
     private static HttpResponse noJob(String name) {
-        return Responses.notFound("no job " + name + " is known in the dedupe window");
+        return Responses.failure(Failures.noJob(name));
     }
 
     private static Optional<String> header(HttpRequest request, String name) {
--- a/library/src/main/java/org/chivetally/entry/submission/Failures.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Failures.java
@@ -32,6 +32,20 @@
         return new Failure(ErrorCode.DEADLINE_EXCEEDED, certainty, detail, List.of(), RETRY_MILLIS);
     }
 
+    /** The deadline of a caller passed who waits for a job that an earlier submission of its key began. */
+    public static Failure stillRunning() {
+        String detail = "the deadline passed before the job was done that an earlier submission of the key began;"
+                + " the same key asks again without a second run";
+        return new Failure(ErrorCode.DEADLINE_EXCEEDED, Certainty.UNKNOWN, detail, List.of(), RETRY_MILLIS);
+    }
+
+    /** Nothing is known of a job here; it may have been one of this entry's earlier process, or not be read yet. */
+    public static Failure noJob(String job) {
+        String detail = "no job " + job + " is known here in the dedupe window;"
+                + " submit it again under its key to get its outcome without a second run";
+        return new Failure(ErrorCode.NOT_FOUND, Certainty.UNKNOWN, detail, List.of(), RETRY_MILLIS);
+    }
+
     /** The key was used with other content; this content was not run. */
     public static Failure keyReused() {
         String detail = "the idempotency key belongs to a submission with other content";
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -44,6 +44,7 @@
     private final Parts parts;
     private final JobLedger ledger;
     private final RemoteJobs remotes;
+    private final AttachedCallers attached = new AttachedCallers();
     private final Map<String, TeamPolicy> teams = new HashMap<>();
     private final List<CompletableFuture<Void>> draining = new ArrayList<>();
     private boolean stopping;
@@ -109,7 +110,7 @@
                 .filter(present -> present.phase() != JobStatus.Phase.FINAL)
                 .filter(present -> present.digest().equals(submission.digest()));
         if (open.isPresent()) {
-            join(open.get(), submit.reply());
+            join(open.get(), submission, submit.reply());
             return;
         }
         JobRecord record = new JobRecord(
@@ -127,12 +128,17 @@
                 .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
     }
 
-    private static void join(JobRecord record, CompletableFuture<SubmissionReply> reply) {
+    private void join(JobRecord record, Submission submission, CompletableFuture<SubmissionReply> reply) {
+        long until = deadlineOf(submission);
         if (record.phase() == JobStatus.Phase.CLAIMING) {
-            record.addAccepting(reply);
+            record.addAccepting(attached.reply(reply, until));
             return;
         }
-        reply.complete(new SubmissionReply.Accepted(record.job(), record.done()));
+        reply.complete(new SubmissionReply.Accepted(record.job(), attached.outcome(record.done(), until)));
+    }
+
+    private long deadlineOf(Submission submission) {
+        return parts.clock().nanos() + submission.specification().deadline().toNanos();
     }
 
     private void dispatch(JobId job, Submission submission, ServicePolicy service) {
@@ -207,13 +213,11 @@
             return new SubmissionReply.Refused(Failures.nothingKept());
         }
         JobRecord record = own.get();
-        return new SubmissionReply.Accepted(record.job(), record.done());
+        return new SubmissionReply.Accepted(record.job(), attached.outcome(record.done(), deadlineOf(submission)));
     }
 
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
-        long until =
-                parts.clock().nanos() + submission.specification().deadline().toNanos();
-        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, until));
+        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, deadlineOf(submission)));
     }
 
     private void onLogUnavailable(JobRecord record, String reason) {
@@ -459,6 +463,7 @@
         long now = parts.clock().nanos();
         ledger.expire(now);
         remotes.tick(now);
+        attached.expire(now);
     }
 
     private void onDrain(SubmissionCommand.Drain drain) {
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -228,6 +228,31 @@
         assertThat(first.join().statusCode(), is(200));
     }
 
+    // A caller asks for an answer by the job's name at an entry that was started again, or gets the name of a job that
+    // was
+    // given up for lack of room. Nothing is known here, which says nothing about what ran.
+    @Test
+    void saysUnknownOfAJobThatIsNotKnownHere() {
+        HttpResponse<String> response = fixture.get(entry, "/v1/jobs/none/answer");
+        assertThat(response.statusCode(), is(404));
+        assertThat(certainty(response), is("unknown"));
+        assertThat(response.headers().firstValue("Retry-After").isPresent(), is(true));
+    }
+
+    // A job has the deadline of its first submission. A second one with little time is told at its own deadline, while
+    // the first waits on.
+    @Test
+    void tellsACallerWhoseDeadlinePassesBeforeThatOfTheJob() {
+        CompletableFuture<HttpResponse<String>> first = fixture.submitting(entry, "a", HELD);
+        awaitEvents(core, DispatchEvent.JobClaimed.class);
+        HttpResponse<String> second =
+                fixture.submit(entry, "a", HELD.replace("{\"service", "{\"deadlineMillis\":1,\"service"));
+        assertThat(EntryFixture.json(second).path("code").asString(""), is("deadline-exceeded"));
+        assertThat(certainty(second), is("unknown"));
+        core.releaseHeld();
+        assertThat(first.join().statusCode(), is(200));
+    }
+
     // A job ran at an entry that was killed, and its caller submits it again in an outage of the log, at an entry that
     // has not read the claim. Another one has, but had no part in the job. "Not run" would be false.
     @Test
