Fault run: callers meet a stopped entry without a relay before it; the balancer prefers any ready entry

Two cut requests of the trial were of the set-up: the relay took a connection that the entry's port had already refused, and the balancer sent a repeat to an entry that was stopping because the ready ones had had the key before.

--- a/command/src/main/java/org/chivetally/command/LayoutCommand.java
+++ b/command/src/main/java/org/chivetally/command/LayoutCommand.java
@@ -37,12 +37,20 @@
             description = "Put a relay before each entry and agent, for the deployment's distances and for faults.")
     private boolean relays;
 
+    @Option(
+            names = "--agent-relays",
+            description =
+                    "Put a relay before each agent only, so that callers meet a stopped entry as they would without"
+                            + " one: a relay takes their connection before it finds out.")
+    private boolean agentRelays;
+
     @Parameters(paramLabel = "FOLDER", description = "Existing folder to write to.")
     private Path folder;
 
     @Override
     public Integer call() {
-        DeploymentFiles.Options options = new DeploymentFiles.Options(firstPort, minionsInOneProcess, relays);
+        DeploymentFiles.Options options =
+                new DeploymentFiles.Options(firstPort, minionsInOneProcess, relays || agentRelays, relays);
         new DeploymentFiles(DeploymentCatalogue.read(deployment.name()), folder.toAbsolutePath(), options).write();
         return ExitCodes.OK;
     }
--- a/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
+++ b/command/src/main/java/org/chivetally/command/deployment/DeploymentFiles.java
@@ -50,9 +50,10 @@
      *
      * @param firstPort first of the ports used
      * @param minionsInOneProcess whether one process runs all minions, to save memory
-     * @param relays whether a relay stands before each entry and agent
+     * @param relays whether a relay stands before each agent
+     * @param entryRelays whether a relay stands before each entry, for its callers
      */
-    public record Options(int firstPort, boolean minionsInOneProcess, boolean relays) {}
+    public record Options(int firstPort, boolean minionsInOneProcess, boolean relays, boolean entryRelays) {}
 
     /** Writes all files. */
     public void write() {
@@ -149,13 +150,13 @@
 
     private List<RelayPlan> relays() {
         List<RelayPlan> relays = new ArrayList<>();
-        entries()
-                .forEach(entry -> relays.add(new RelayPlan(
-                        relayName(ProcessNames.entry(entry)),
-                        ports.entryRelay(entry),
-                        new HostPort(HOST, ports.http(entry)),
-                        plan.delayToClients(),
-                        ports.entryRelayControl(entry))));
+        IntStream beforeEntries = options.entryRelays() ? entries() : IntStream.empty();
+        beforeEntries.forEach(entry -> relays.add(new RelayPlan(
+                relayName(ProcessNames.entry(entry)),
+                ports.entryRelay(entry),
+                new HostPort(HOST, ports.http(entry)),
+                plan.delayToClients(),
+                ports.entryRelayControl(entry))));
         agents().forEach(agent -> relays.add(new RelayPlan(
                 relayName(ProcessNames.agent(agent)),
                 ports.agentRelay(agent),
@@ -169,7 +170,8 @@
         StringBuilder text = new StringBuilder("targets:\n  entries:\n");
         entries()
                 .forEach(entry -> text.append(target(
-                        ProcessNames.entry(entry), options.relays() ? ports.entryRelay(entry) : ports.http(entry))));
+                        ProcessNames.entry(entry),
+                        options.entryRelays() ? ports.entryRelay(entry) : ports.http(entry))));
         text.append("  minions:\n");
         agents().forEach(minion -> text.append(target(ProcessNames.minion(minion), ports.minion(minion))));
         text.append("  logs:\n").append(target("log", ports.log()));
--- a/load/src/main/java/org/chivetally/load/Balancer.java
+++ b/load/src/main/java/org/chivetally/load/Balancer.java
@@ -5,6 +5,8 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -31,21 +33,25 @@
         this.entries = entries;
     }
 
-    /** Returns the next ready entry other than the given ones, any other entry if none is ready, or simply the next. */
+    /**
+     * Returns the next ready entry other than the given ones, another ready one if there is none, and if none is ready
+     * the next one other than those given, or simply the next.
+     */
     Target choose(Set<String> avoided) {
         int first = turn.getAndIncrement();
-        Target other = null;
-        for (int step = 0; step < entries.size(); step++) {
-            Target entry = entries.get(Math.floorMod(first + step, entries.size()));
-            if (avoided.contains(entry.name())) {
-                continue;
+        List<Target> inTurn = new ArrayList<>(entries);
+        Collections.rotate(inTurn, -Math.floorMod(first, entries.size()));
+        Target best = inTurn.getFirst();
+        for (Target entry : inTurn) {
+            if (rank(entry, avoided) > rank(best, avoided)) {
+                best = entry;
             }
-            if (!unready.contains(entry.name())) {
-                return entry;
-            }
-            other = other == null ? entry : other;
         }
-        return other == null ? entries.get(Math.floorMod(first, entries.size())) : other;
+        return best;
+    }
+
+    private int rank(Target entry, Set<String> avoided) {
+        return (unready.contains(entry.name()) ? 0 : 2) + (avoided.contains(entry.name()) ? 0 : 1);
     }
 
     /** Notes that an entry can't be reached, until it is next found ready. */
--- /dev/null
+++ b/load/src/test/java/org/chivetally/load/BalancerTest.java
@@ -0,0 +1,45 @@
+package org.chivetally.load;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.util.List;
+import java.util.Set;
+import org.chivetally.load.Targets.Target;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class BalancerTest {
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<Target> entries = List.of(entry("1"), entry("2"), entry("3"));
+    private final Balancer balancer = new Balancer(client, entries);
+
+    @AfterEach
+    void close() {
+        client.close();
+    }
+
+    @Test
+    void entriesComeInTurn() {
+        for (int turn = 0; turn < 6; turn++) {
+            assertThat(balancer.choose(Set.of()), is(entries.get(turn % 3)));
+        }
+    }
+
+    /** A repeat is to go to another entry than the first request, but no balancer sends to one that is stopping. */
+    @Test
+    void readyEntryGoesBeforeAnotherOne() {
+        balancer.markUnready(entries.get(2));
+        for (int turn = 0; turn < 6; turn++) {
+            assertThat(balancer.choose(Set.of("1", "2")), is(not(entries.get(2))));
+            assertThat(balancer.choose(Set.of("1")), is(entries.get(1)));
+        }
+    }
+
+    private static Target entry(String name) {
+        return new Target(name, URI.create("http://127.0.0.1:1"));
+    }
+}
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -4,7 +4,7 @@
 #   scripts/faults.sh [--plan PLAN] [--seed NUMBER] [--folder FOLDER] [LAYOUT OPTION...]
 #
 # PLAN is examples/load-faults.yaml by default, FOLDER a new one under the temporary folder; it takes settings, logs,
-# requests and the report. LAYOUT OPTIONs go to `chivetally layout`; without any it is --deployment jylland --relays.
+# requests and the report. LAYOUT OPTIONs go to `chivetally layout`; without any it is --deployment jylland --agent-relays.
 # The end is non-zero when a promise was broken, a goal was missed or a planned fault did not come. Only processes that
 # were started here are stopped. docs/operations/faults.md describes the table and the plan.
 #
@@ -113,7 +113,7 @@
 done
 layout=("$@")
 if ((${#layout[@]} == 0)); then
-    layout=(--deployment jylland --relays)
+    layout=(--deployment jylland --agent-relays)
 fi
 folder=${folder:-$(mktemp -d)/run}
 mkdir -p "$folder"
