"Not run" of a caller's key only from an entry that knows how far it has read the claims

Change: Claims.readToEndAt; the refusing entry says "unknown" unless it has read the claims once and no entry has left since; an asked entry answers from its claims as well.

--- a/library/src/main/java/org/chivetally/claim/Claims.java
+++ b/library/src/main/java/org/chivetally/claim/Claims.java
@@ -1,6 +1,7 @@
 package org.chivetally.claim;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -52,6 +53,14 @@
     /** Tells whether this process has read the log to its end at least once. Safe from any thread. */
     boolean caughtUp();
 
+    /**
+     * Returns a reading of the clock in nanoseconds: whatever stood in the log then has been read. Empty before the log
+     * was first read to its end. Safe from any thread.
+     */
+    default OptionalLong readToEndAt() {
+        return OptionalLong.empty();
+    }
+
     /** Ends this process's lease in the log; completes when that is written or given up on. */
     CompletionStage<Void> depart();
 
--- a/library/src/main/java/org/chivetally/claim/LeaseTable.java
+++ b/library/src/main/java/org/chivetally/claim/LeaseTable.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
@@ -53,6 +54,12 @@
         }
     }
 
+    /** Returns the reading of the clock up to which everything in the log was read; empty before the first. */
+    OptionalLong readToEndAt() {
+        Long end = endNanos;
+        return end == null ? OptionalLong.empty() : OptionalLong.of(end);
+    }
+
     /** Tells whether a coordinator's lease has lapsed beyond doubt. */
     boolean hasLapsed(Coordinator coordinator, long nanos) {
         if (coordinator.equals(Coordinator.NOBODY)) {
--- a/library/src/main/java/org/chivetally/claim/LogClaims.java
+++ b/library/src/main/java/org/chivetally/claim/LogClaims.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -139,6 +140,11 @@
         return caughtUp.get();
     }
 
+    @Override
+    public OptionalLong readToEndAt() {
+        return leases.readToEndAt();
+    }
+
     @Override
     public CompletionStage<Void> depart() {
         lease.end();
--- a/library/src/main/java/org/chivetally/claim/MemoryClaims.java
+++ b/library/src/main/java/org/chivetally/claim/MemoryClaims.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongConsumer;
@@ -102,6 +103,11 @@
         return true;
     }
 
+    @Override
+    public OptionalLong readToEndAt() {
+        return OptionalLong.of(clock.nanos());
+    }
+
     @Override
     public synchronized CompletionStage<Void> depart() {
         departed = true;
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -274,9 +274,9 @@
         }
 
         @Override
-        public CompletionStage<Boolean> nobodyHas(SubmissionKey key) {
+        public CompletionStage<Boolean> nobodyHas(SubmissionKey key, long sinceNanos) {
             CompletableFuture<Boolean> answer = new CompletableFuture<>();
-            tellPeers(new PeerCommand.AskKey(key, answer));
+            tellPeers(new PeerCommand.AskKey(key, sinceNanos, answer));
             return answer;
         }
 
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -51,6 +51,8 @@
     private final Map<JobId, Question> questions = new HashMap<>();
     private final KeyQuestions keyQuestions = new KeyQuestions();
     private Set<String> viewed = Set.of();
+    /** Reading of the clock when an entry was last seen to be no member any more; null when that never happened. */
+    private Long departureNanos;
 
     private PeerActor(ActorContext<PeerCommand> context, Parts parts) {
         super(context);
@@ -107,7 +109,7 @@
     private void onAskKey(PeerCommand.AskKey ask) {
         boolean allReachable =
                 viewed.stream().allMatch(entry -> links.usable(entry).isPresent());
-        if (!parts.membersRead().getAsBoolean() || !allReachable) {
+        if (!parts.membersRead().getAsBoolean() || !allReachable || hasOneLeftSince(ask.sinceNanos())) {
             ask.nobodyHas().complete(false);
             return;
         }
@@ -124,6 +126,13 @@
         keyQuestions.open(requests, ask.nobodyHas(), parts.clock().nanos());
     }
 
+    // An entry that left may have claimed the key after this one last read the claims, and run its job. Nobody else
+    // need
+    // know of that, so that the answers of those who stayed prove nothing.
+    private boolean hasOneLeftSince(long sinceNanos) {
+        return departureNanos != null && departureNanos - sinceNanos >= 0;
+    }
+
     private void onCancel(PeerCommand.CancelJob cancel) {
         keep(cancel.coordinator());
         Frame frame = Frame.newBuilder()
@@ -151,6 +160,9 @@
             named.add(entry.processId());
             links.keep(entry.processId(), entry.address(), parts.clock().nanos());
         }
+        if (!named.containsAll(viewed)) {
+            departureNanos = parts.clock().nanos();
+        }
         viewed = Set.copyOf(named);
         dropUnwanted();
     }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerCommand.java
@@ -16,8 +16,8 @@
     /** The answer is no longer wanted. */
     record Forget(JobId job) implements PeerCommand {}
 
-    /** Ask all other entries whether they have a job of a key. */
-    record AskKey(SubmissionKey key, CompletableFuture<Boolean> nobodyHas) implements PeerCommand {}
+    /** Ask all other entries whether they have a job of a key, which this one would know if it was claimed before. */
+    record AskKey(SubmissionKey key, long sinceNanos, CompletableFuture<Boolean> nobodyHas) implements PeerCommand {}
 
     /** Ask a coordinator to cancel its job. */
     record CancelJob(Coordinator coordinator, JobId job) implements PeerCommand {}
--- a/library/src/main/java/org/chivetally/entry/submission/Peers.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Peers.java
@@ -16,9 +16,10 @@
     /**
      * Asks all other entries whether they have a job of a key; completes within a second.
      *
-     * @return true when all other entries answered and none has one
+     * @param sinceNanos reading of the clock from which on this entry may have missed claims
+     * @return true when all other entries answered and none has one, and no entry has left since then
      */
-    CompletionStage<Boolean> nobodyHas(SubmissionKey key);
+    CompletionStage<Boolean> nobodyHas(SubmissionKey key, long sinceNanos);
 
     /** Asks a coordinator to cancel its job; lost when it can't be reached now. */
     void cancel(Coordinator coordinator, JobId job);
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -232,20 +233,27 @@
             reply.complete(new SubmissionReply.Refused(refusal.with(Certainty.NOT_RUN)));
             return;
         }
+        // Asked for first, so that the claims found are at least as new as that.
+        OptionalLong readToEndAt = parts.claims().readToEndAt();
         parts.claims()
                 .find(submission.key())
-                .thenAccept(claim -> tell(new SubmissionCommand.RefusedFound(submission, claim, refusal, reply)));
+                .thenAccept(claim ->
+                        tell(new SubmissionCommand.RefusedFound(submission, claim, readToEndAt, refusal, reply)));
     }
 
     // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could
     // send the same offer again under a new key. An earlier submission that the claims read so far show is joined
     // instead of refused. One whose claim was written after the last read is known to the entry that wrote it, so all
-    // are asked; if one does not answer, nothing is certain.
+    // are asked; if one does not answer, or has left since that read, or nothing was ever read, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
+        if (claim.isEmpty() && found.readToEndAt().isEmpty()) {
+            found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
+            return;
+        }
         if (claim.isEmpty()) {
             parts.peers()
-                    .nobodyHas(found.submission().key())
+                    .nobodyHas(found.submission().key(), found.readToEndAt().getAsLong())
                     .thenAccept(certain -> found.reply()
                             .complete(new SubmissionReply.Refused(
                                     found.refusal().with(certain ? Certainty.NOT_RUN : Certainty.UNKNOWN))));
@@ -366,13 +374,19 @@
                 .thenAccept(outcome -> attach.reply().accept(new AttachAnswer(attach.job(), Optional.of(outcome))));
     }
 
+    // The ledger drops jobs for lack of room, and jobs of entries that have left were never in it; the claims read here
+    // know of both. An entry that has not read them can't vouch for a key.
     private void onAskKey(SubmissionCommand.AskKey ask) {
-        boolean known = ledger.find(ask.key())
+        boolean here = ledger.find(ask.key())
                 .filter(record -> record.outcome()
                         .filter(SubmissionActor::isPassingRefusal)
                         .isEmpty())
                 .isPresent();
-        ask.reply().accept(known);
+        if (here || !parts.claims().caughtUp()) {
+            ask.reply().accept(true);
+            return;
+        }
+        parts.claims().find(ask.key()).thenAccept(claim -> ask.reply().accept(claim.isPresent()));
     }
 
     private boolean cancelHere(JobId job) {
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
@@ -57,9 +58,17 @@
     /** The claim of a job that a caller awaits was looked up. */
     record AwaitedFound(Await await, Optional<Claim> claim) implements SubmissionCommand {}
 
-    /** The claim of a refused submission's key was looked up. */
+    /**
+     * The claim of a refused submission's key was looked up.
+     *
+     * @param readToEndAt reading of the clock up to which the log had been read at least
+     */
     record RefusedFound(
-            Submission submission, Optional<Claim> claim, Refusal refusal, CompletableFuture<SubmissionReply> reply)
+            Submission submission,
+            Optional<Claim> claim,
+            OptionalLong readToEndAt,
+            Refusal refusal,
+            CompletableFuture<SubmissionReply> reply)
             implements SubmissionCommand {}
 
     /** Ends the actor. */
--- a/library/src/test/java/org/chivetally/entry/NoLog.java
+++ b/library/src/test/java/org/chivetally/entry/NoLog.java
@@ -1,6 +1,7 @@
 package org.chivetally.entry;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.chivetally.claim.Claim;
@@ -12,6 +13,8 @@
 
 /** Claims of a process that can't reach the log. */
 class NoLog implements Claims {
+    private final long readAt = System.nanoTime();
+
     @Override
     public CompletionStage<ClaimDecision> claim(SubmissionKey key, String bodyDigest, JobId job) {
         return CompletableFuture.completedStage(new ClaimDecision.LogUnavailable("the log is down"));
@@ -50,6 +53,11 @@
         return true;
     }
 
+    @Override
+    public OptionalLong readToEndAt() {
+        return OptionalLong.of(readAt);
+    }
+
     @Override
     public CompletionStage<Void> depart() {
         return CompletableFuture.completedStage(null);
--- /dev/null
+++ b/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
@@ -0,0 +1,78 @@
+package org.chivetally.entry.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
+import org.chivetally.claim.SubmissionKey;
+import org.chivetally.entry.link.Address;
+import org.chivetally.entry.link.HeartbeatSettings;
+import org.chivetally.entry.link.LinkSet;
+import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.link.Observers;
+import org.chivetally.entry.member.Member;
+import org.chivetally.entry.member.MemberCapacity;
+import org.chivetally.entry.member.MemberView;
+import org.chivetally.wire.v1.Hello;
+import org.junit.jupiter.api.Test;
+
+class PeerActorTest {
+    private static final SubmissionKey KEY = new SubmissionKey("team", "key");
+    private static final long DEPARTURE = 100;
+
+    private long now;
+    private final BehaviorTestKit<PeerCommand> actor = BehaviorTestKit.create(PeerActor.create(new PeerActor.Parts(
+            "entry-1",
+            this::wiring,
+            HeartbeatSettings.standard(),
+            (job, outcome) -> {},
+            introduced -> {},
+            new Observers(),
+            new AtomicLong()::incrementAndGet,
+            () -> true,
+            () -> now)));
+
+    // The log's claims can't be read any more; then another entry claims a key, runs its job and leaves. It can't be
+    // asked, and nobody else knows the key, which is no proof that nothing ran. Only claims that were read after it
+    // left
+    // would have shown it.
+    @Test
+    void nothingIsCertainOfAKeyIfAnEntryLeftSinceTheClaimsWereRead() {
+        assertThat(nobodyHas(DEPARTURE - 1), is(true));
+        view(List.of(member()));
+        now = DEPARTURE;
+        view(List.of());
+        assertThat(nobodyHas(DEPARTURE - 1), is(false));
+        assertThat(nobodyHas(DEPARTURE + 1), is(true));
+    }
+
+    private boolean nobodyHas(long sinceNanos) {
+        CompletableFuture<Boolean> nobody = new CompletableFuture<>();
+        actor.run(new PeerCommand.AskKey(KEY, sinceNanos, nobody));
+        return nobody.join();
+    }
+
+    private void view(List<Member> members) {
+        actor.run(new PeerCommand.View(new MemberView(members, Set.of())));
+    }
+
+    private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
+        return new LinkSet.Wiring(
+                (host, port, listener) -> {},
+                Hello::getDefaultInstance,
+                new AtomicLong()::incrementAndGet,
+                new SplittableRandom(1),
+                signals);
+    }
+
+    private static Member member() {
+        return new Member(
+                "entry-2", "1", Member.ENTRY, new Address("10.0.0.2", 7000), "north", "", "", MemberCapacity.NONE);
+    }
+}
