--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -247,7 +247,8 @@
     // are asked; if one does not answer, or has left since that read, or nothing was ever read, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
-        if (claim.isEmpty() && found.readToEndAt().isEmpty()) {
+        // An entry that has not read the log yet knows of no earlier submission, so that it can't exclude one either.
+        if (claim.isEmpty() && (!parts.claims().caughtUp() || found.readToEndAt().isEmpty())) {
             found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
             return;
         }
@@ -374,19 +375,24 @@
                 .thenAccept(outcome -> attach.reply().accept(new AttachAnswer(attach.job(), Optional.of(outcome))));
     }
 
-    // The ledger drops jobs for lack of room, and jobs of entries that have left were never in it; the claims read here
-    // know of both. An entry that has not read them can't vouch for a key.
+    // The asking entry says "not run" when no entry knows the key. The one that had its job may have left, or have been
+    // killed and started again without memory, and the ledger drops jobs for lack of room; so the claims read here count
+    // too, and without them nothing is denied.
     private void onAskKey(SubmissionCommand.AskKey ask) {
-        boolean here = ledger.find(ask.key())
-                .filter(record -> record.outcome()
-                        .filter(SubmissionActor::isPassingRefusal)
-                        .isEmpty())
+        Optional<JobRecord> own = ledger.find(ask.key());
+        boolean refused = own.flatMap(JobRecord::outcome)
+                .filter(SubmissionActor::isPassingRefusal)
                 .isPresent();
-        if (here || !parts.claims().caughtUp()) {
+        if (!parts.claims().caughtUp() || own.isPresent() && !refused) {
             ask.reply().accept(true);
             return;
         }
-        parts.claims().find(ask.key()).thenAccept(claim -> ask.reply().accept(claim.isPresent()));
+        parts.claims()
+                .find(ask.key())
+                .thenAccept(claim -> ask.reply()
+                        .accept(claim.filter(other -> own.isEmpty()
+                                        || !other.job().equals(own.get().job()))
+                                .isPresent()));
     }
 
     private boolean cancelHere(JobId job) {
