--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -248,7 +248,8 @@
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
         // An entry that has not read the log yet knows of no earlier submission, so that it can't exclude one either.
-        if (claim.isEmpty() && (!parts.claims().caughtUp() || found.readToEndAt().isEmpty())) {
+        if (claim.isEmpty()
+                && (!parts.claims().caughtUp() || found.readToEndAt().isEmpty())) {
             found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
             return;
         }
@@ -376,7 +377,8 @@
     }
 
     // The asking entry says "not run" when no entry knows the key. The one that had its job may have left, or have been
-    // killed and started again without memory, and the ledger drops jobs for lack of room; so the claims read here count
+    // killed and started again without memory, and the ledger drops jobs for lack of room; so the claims read here
+    // count
     // too, and without them nothing is denied.
     private void onAskKey(SubmissionCommand.AskKey ask) {
         Optional<JobRecord> own = ledger.find(ask.key());
