--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -236,25 +237,29 @@
             reply.complete(new SubmissionReply.Refused(refusal.with(Certainty.NOT_RUN)));
             return;
         }
+        // Asked for first, so that the claims found are at least as new as that.
+        OptionalLong readToEndAt = parts.claims().readToEndAt();
         parts.claims()
                 .find(submission.key())
-                .thenAccept(claim -> tell(new SubmissionCommand.RefusedFound(submission, claim, refusal, reply)));
+                .thenAccept(claim ->
+                        tell(new SubmissionCommand.RefusedFound(submission, claim, readToEndAt, refusal, reply)));
     }
 
     // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could
     // send the same offer again under a new key. An earlier submission that the claims read so far show is joined
     // instead of refused. One whose claim was written after the last read is known to the entry that wrote it, so all
-    // are asked; if one does not answer, nothing is certain.
+    // are asked; if one does not answer, or has left since that read, or nothing was ever read, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
         // An entry that has not read the log yet knows of no earlier submission, so that it can't exclude one either.
-        if (claim.isEmpty() && !parts.claims().caughtUp()) {
+        if (claim.isEmpty()
+                && (!parts.claims().caughtUp() || found.readToEndAt().isEmpty())) {
             found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
             return;
         }
         if (claim.isEmpty()) {
             parts.peers()
-                    .nobodyHas(found.submission().key())
+                    .nobodyHas(found.submission().key(), found.readToEndAt().getAsLong())
                     .thenAccept(certain -> found.reply()
                             .complete(new SubmissionReply.Refused(
                                     found.refusal().with(certain ? Certainty.NOT_RUN : Certainty.UNKNOWN))));
@@ -376,8 +381,10 @@
                 .thenAccept(outcome -> attach.reply().accept(new AttachAnswer(attach.job(), Optional.of(outcome))));
     }
 
-    // The asking entry says "not run" when no entry knows the key. The one that had its job may have been killed since
-    // and started again without memory, so the claims read here count too, and without them nothing is denied.
+    // The asking entry says "not run" when no entry knows the key. The one that had its job may have left, or have been
+    // killed and started again without memory, and the ledger drops jobs for lack of room; so the claims read here
+    // count
+    // too, and without them nothing is denied.
     private void onAskKey(SubmissionCommand.AskKey ask) {
         Optional<JobRecord> own = ledger.find(ask.key());
         boolean refused = own.flatMap(JobRecord::outcome)
