--- a/command/src/main/java/org/chivetally/command/ExperimentCommand.java
+++ b/command/src/main/java/org/chivetally/command/ExperimentCommand.java
@@ -9,6 +9,7 @@
 import org.chivetally.document.Section;
 import org.chivetally.load.LoadPlan;
 import org.chivetally.load.LoadPlanReader;
+import org.chivetally.load.experiment.ControlCostExperiment;
 import org.chivetally.load.experiment.PolicyExperiment;
 import org.chivetally.load.experiment.SlopeExperiment;
 import picocli.CommandLine.Command;
@@ -25,6 +26,7 @@
             "Run an experiment within this process and write its tables and plots to a folder.",
             "policies: placement policies side by side, in model time.",
             "coordinators: the policy in use with one to nine coordinators, in model time.",
+            "control: frames and bytes a second that entries and agents exchange for control.",
             "slopes: how costs grow with agents, tasks, teams, claims, resources and members."
         })
 final class ExperimentCommand implements Callable<Integer> {
@@ -54,6 +56,7 @@
             case POLICIES -> new PolicyExperiment(plan(), PolicyExperiment.Settings.all(), progress).run(folder);
             case COORDINATORS ->
                 new PolicyExperiment(plan(), PolicyExperiment.Settings.byCoordinators(), progress).run(folder);
+            case CONTROL -> new ControlCostExperiment(ControlCostExperiment.Settings.all(), progress).run(folder);
             case SLOPES -> new SlopeExperiment(SlopeExperiment.Settings.all(), progress).run(folder);
         }
         Console.of(command).line("written to " + folder);
@@ -73,6 +76,7 @@
     private enum Experiment {
         POLICIES,
         COORDINATORS,
+        CONTROL,
         SLOPES;
 
         @Override
--- a/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
+++ b/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
@@ -42,7 +42,7 @@
                 Props.empty());
     }
 
-    /** Announces the process now; does nothing while an announcement is under way. */
+    /** Announces the process now, or once more when the announcement under way is written. */
     public void announceNow() {
         actor.tell(new AnnounceNow());
     }
@@ -68,7 +68,9 @@
 
     private static final class Announcing extends AbstractBehavior<Command> {
         private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
-        private static final Duration LONGEST_BACKOFF = Duration.ofSeconds(30);
+        /** In an outage each failed try introduces the process to all seeds, so the tries get rare. */
+        private static final int BACKOFFS_IN_INTERVAL = 4;
+
         private static final Duration LEAVE_LIMIT = Duration.ofSeconds(5);
 
         private final TimerScheduler<Command> timers;
@@ -79,6 +81,7 @@
         private Duration backoff = FIRST_BACKOFF;
         private long records;
         private boolean inFlight;
+        private boolean again;
         private boolean leaveSent;
         private CompletableFuture<Void> left;
 
@@ -105,7 +108,7 @@
         private Behavior<Command> handle(Command command) {
             return switch (command) {
                 case Append due -> append();
-                case AnnounceNow now -> inFlight || left != null ? this : append();
+                case AnnounceNow now -> announceNow();
                 case Appended appended -> appended(appended.outcome());
                 case Leave leave -> leave(leave.left());
                 case GiveUp giveUp -> stop();
@@ -120,6 +123,12 @@
             return this;
         }
 
+        // The announcement under way may come to stand before the record that makes another one necessary.
+        private Behavior<Command> announceNow() {
+            again = inFlight;
+            return inFlight || left != null ? this : append();
+        }
+
         private Behavior<Command> leave(CompletableFuture<Void> whenLeft) {
             if (left != null) {
                 left.thenAccept(whenLeft::complete);
@@ -149,6 +158,10 @@
             }
             backoff = FIRST_BACKOFF;
             record = nextRecord(new MemberRecord.Announced(member));
+            if (again) {
+                again = false;
+                return append();
+            }
             timers.startSingleTimer(new Append(), interval);
             return this;
         }
@@ -168,7 +181,8 @@
         private Behavior<Command> appendAfterBackoff() {
             timers.startSingleTimer(new Append(), backoff);
             Duration doubled = backoff.multipliedBy(2);
-            backoff = doubled.compareTo(LONGEST_BACKOFF) < 0 ? doubled : LONGEST_BACKOFF;
+            Duration longest = interval.dividedBy(BACKOFFS_IN_INTERVAL);
+            backoff = doubled.compareTo(longest) < 0 ? doubled : longest;
             return this;
         }
 
--- a/library/src/main/java/org/chivetally/daemon/SharedConfiguration.java
+++ b/library/src/main/java/org/chivetally/daemon/SharedConfiguration.java
@@ -1,7 +1,7 @@
 package org.chivetally.daemon;
 
 import java.util.Optional;
-import org.chivetally.entry.ConfigurationExchange;
+import org.chivetally.resource.ConfigurationExchange;
 import org.chivetally.resource.ConfigurationSnapshot;
 import org.chivetally.resource.ResourceService;
 
--- a/library/src/main/java/org/chivetally/entry/EntryExtension.java
+++ b/library/src/main/java/org/chivetally/entry/EntryExtension.java
@@ -6,6 +6,7 @@
 import org.apache.pekko.http.javadsl.server.Route;
 import org.chivetally.entry.submission.UndeclaredPolicies;
 import org.chivetally.job.ServicePolicies;
+import org.chivetally.resource.ConfigurationExchange;
 
 /**
  * What other parts of the program add to an entry.
--- a/library/src/main/java/org/chivetally/entry/member/MemberActor.java
+++ b/library/src/main/java/org/chivetally/entry/member/MemberActor.java
@@ -36,6 +36,7 @@
     private long nextOffset;
     private boolean changed;
     private boolean atEnd;
+    private boolean current;
     private boolean reachable;
 
     private MemberActor(ActorContext<Command> context, TimerScheduler<Command> timers, Parts parts) {
@@ -92,6 +93,7 @@
             case ReadOutcome.Unavailable unavailable -> {
                 LOGGER.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
                         "%s", EventLine.of("members-read-failed").with("reason", unavailable.reason()));
+                current = false;
                 setReachable(false);
                 timers.startSingleTimer(new ReadAgain(), RETRY);
                 return;
@@ -106,13 +108,14 @@
             // Two reads may be under way; the later answer repeats records of the earlier one.
             if (record.offset() >= nextOffset) {
                 nextOffset = record.offset() + 1;
-                MemberRecords.read(record.payload()).ifPresent(known -> apply(new MembershipEvent.Recorded(known)));
+                MemberRecords.read(record.payload()).ifPresent(known -> take(new MembershipEvent.Recorded(known)));
             }
         }
-        if (!atEnd && nextOffset >= records.endOffset()) {
+        publishIfChanged();
+        current = nextOffset >= records.endOffset();
+        if (!atEnd && current) {
             atEnd = true;
             parts.caughtUp().run();
-            parts.publish().accept(view.list());
         }
     }
 
@@ -216,6 +219,10 @@
     private void carryOut(MembershipEffect effect) {
         switch (effect) {
             case MembershipEffect.Changed another -> changed = true;
+            case MembershipEffect.Append append when !current -> {
+                // Most of what could be written stands in records not read yet; in an outage nothing can be written at
+                // all. What is still wanted after the next read comes again.
+            }
             case MembershipEffect.Append append -> {
                 LOGGER.atInfo().log("%s", EventLine.of("member-record").with("record", append.record()));
                 write(append.record());
--- a/library/src/main/java/org/chivetally/entry/peer/ConfigurationPulls.java
+++ b/library/src/main/java/org/chivetally/entry/peer/ConfigurationPulls.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
-import org.chivetally.entry.ConfigurationExchange;
 import org.chivetally.resource.ConfigurationDistribution;
+import org.chivetally.resource.ConfigurationExchange;
 import org.chivetally.wire.v1.ConfigurationPull;
 import org.chivetally.wire.v1.Frame;
 
--- a/library/src/main/java/org/chivetally/entry/ConfigurationExchange.java
+++ b/library/src/main/java/org/chivetally/resource/ConfigurationExchange.java
@@ -1,7 +1,6 @@
-package org.chivetally.entry;
+package org.chivetally.resource;
 
 import java.util.Optional;
-import org.chivetally.resource.ConfigurationSnapshot;
 
 /** The configuration of this entry as other processes get it. Safe from any thread, and never blocking. */
 public interface ConfigurationExchange {
--- a/library/src/main/java/org/chivetally/entry/NoConfiguration.java
+++ b/library/src/main/java/org/chivetally/resource/NoConfiguration.java
@@ -1,7 +1,6 @@
-package org.chivetally.entry;
+package org.chivetally.resource;
 
 import java.util.Optional;
-import org.chivetally.resource.ConfigurationSnapshot;
 
 /** The configuration of a process of which nothing is declared. */
 final class NoConfiguration implements ConfigurationExchange {
--- a/library/src/test/java/org/chivetally/agent/MemberAnnouncerTest.java
+++ b/library/src/test/java/org/chivetally/agent/MemberAnnouncerTest.java
@@ -80,6 +80,22 @@
         left.toCompletableFuture().join();
     }
 
+    /**
+     * What operators see: an agent that was declared gone is back. It hears of that while its regular announcement is
+     * under way, which may come to stand before the record that declared it gone; so it announces itself once more.
+     */
+    @Test
+    void announcesOnceMoreWhenAskedToDuringAnAppend() throws InterruptedException {
+        Held first = log.next();
+        announcer.announceNow();
+        first.answer(WRITTEN);
+        Held second = log.next();
+        assertThat(second.record().id(), is(not(first.record().id())));
+        second.answer(WRITTEN);
+        announcer.announceNow();
+        assertThat(log.next().content(), is(first.content()));
+    }
+
     @Test
     void givesTheLeaveUpWhenTheLogStaysDown() throws InterruptedException {
         log.next();
--- a/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
@@ -40,6 +40,7 @@
 import org.chivetally.log.LogFaults;
 import org.chivetally.log.NewRecord;
 import org.chivetally.log.ReadOutcome;
+import org.chivetally.resource.ConfigurationExchange;
 import org.chivetally.resource.ConfigurationSnapshot;
 import org.chivetally.time.NanoClock;
 import org.chivetally.transport.FrameConnection;
--- /dev/null
+++ b/library/src/test/java/org/chivetally/entry/dispatch/ConfigurationPushesTest.java
@@ -0,0 +1,96 @@
+package org.chivetally.entry.dispatch;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chivetally.resource.ConfigurationExchange;
+import org.chivetally.resource.ConfigurationSnapshot;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Hello;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationPushesTest {
+    private static final List<String> ENTRIES = List.of("entry-1", "entry-2", "entry-3");
+
+    private long version = 7;
+    private long now;
+    private final List<ConfigurationPushes> entries = new ArrayList<>();
+
+    ConfigurationPushesTest() {
+        for (String entry : ENTRIES) {
+            ConfigurationPushes pushes = new ConfigurationPushes(entry, new Versioned());
+            pushes.entries(ENTRIES);
+            pushes.connected(Hello.newBuilder().setProcessId("agent").build(), now);
+            entries.add(pushes);
+        }
+    }
+
+    @Test
+    void oneEntryPushesEachVersionWhenTheAgentTellsAll() {
+        assertThat(dueWithin(Duration.ZERO), hasSize(1));
+        tellAll();
+        assertThat(dueWithin(Duration.ofSeconds(5)), is(empty()));
+        version = 8;
+        assertThat(dueWithin(Duration.ZERO), hasSize(1));
+        tellAll();
+        assertThat(dueWithin(Duration.ofSeconds(5)), is(empty()));
+    }
+
+    @Test
+    void othersTakeTheirTurnWhenTheFirstOnesPushIsLost() {
+        // The first entry's connection goes silent with the push in it. The agent would stay behind until that is
+        // noticed;
+        // the next entry pushes half a second later.
+        assertThat(dueWithin(Duration.ZERO), hasSize(1));
+        assertThat(dueWithin(Duration.ofMillis(600)), hasSize(1));
+        assertThat(dueWithin(Duration.ofMillis(100)), is(empty()));
+    }
+
+    @Test
+    void anAgentThatIsAheadGetsNothing() {
+        entries.forEach(entry -> entry.reported("agent", 9));
+        assertThat(dueWithin(Duration.ofSeconds(5)), is(empty()));
+    }
+
+    private void tellAll() {
+        entries.forEach(entry -> entry.reported("agent", version));
+    }
+
+    private List<Frame> dueWithin(Duration time) {
+        List<Frame> due = new ArrayList<>();
+        long end = now + time.toNanos();
+        do {
+            entries.forEach(entry -> due.addAll(entry.due(now).values()));
+            now += Duration.ofMillis(100).toNanos();
+        } while (now - end <= 0);
+        return due;
+    }
+
+    private final class Versioned implements ConfigurationExchange {
+        @Override
+        public long version() {
+            return version;
+        }
+
+        @Override
+        public ConfigurationSnapshot forAgent(String service, String backend) {
+            return new ConfigurationSnapshot(version, new byte[0]);
+        }
+
+        @Override
+        public Optional<ConfigurationSnapshot> forEntry(long haveVersion) {
+            return Optional.empty();
+        }
+
+        @Override
+        public void offer(long offered, byte[] snapshot) {
+            throw new IllegalStateException("nobody offers");
+        }
+    }
+}
