--- a/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
@@ -4,7 +4,6 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
@@ -18,7 +17,8 @@
 import org.chivetally.entry.link.Observers;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberCapacity;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MemberList;
+import org.chivetally.resource.ConfigurationExchange;
 import org.chivetally.wire.v1.Hello;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +35,8 @@
             introduced -> {},
             new Observers(),
             new AtomicLong()::incrementAndGet,
+            event -> {},
+            ConfigurationExchange.none(),
             () -> true,
             () -> now)));
 
@@ -59,7 +61,7 @@
     }
 
     private void view(List<Member> members) {
-        actor.run(new PeerCommand.View(new MemberView(members, Set.of())));
+        actor.run(new PeerCommand.View(new MemberList(members)));
     }
 
     private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
@@ -67,6 +69,7 @@
                 (host, port, listener) -> {},
                 Hello::getDefaultInstance,
                 new AtomicLong()::incrementAndGet,
+                () -> 0,
                 new SplittableRandom(1),
                 signals);
     }
