--- a/library/src/main/java/org/chivetally/entry/member/Member.java
+++ b/library/src/main/java/org/chivetally/entry/member/Member.java
@@ -41,6 +41,11 @@
         }
     }
 
+    /** Returns the incarnation. */
+    public Incarnation id() {
+        return new Incarnation(processId, incarnation);
+    }
+
     /** Tells whether this is an agent. */
     public boolean isAgent() {
         return AGENT.equals(role);
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -121,7 +121,7 @@
         ledger.add(record);
         ServicePolicy service =
                 parts.policies().service(submission.specification().service());
-        dispatch(record.job(), submission, service);
+        dispatch(record.job(), submission, service, Claim.FIRST_GENERATION);
         parts.claims()
                 .claim(submission.key(), submission.digest(), record.job(), service.claimMode())
                 .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
@@ -135,9 +135,9 @@
         reply.complete(new SubmissionReply.Accepted(record.job(), record.done()));
     }
 
-    private void dispatch(JobId job, Submission submission, ServicePolicy service) {
+    private void dispatch(JobId job, Submission submission, ServicePolicy service, int generation) {
         announceTeam(submission.specification().team());
-        parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service));
+        parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service, generation));
     }
 
     private void announceTeam(String name) {
@@ -248,7 +248,8 @@
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
         // An entry that has not read the log yet knows of no earlier submission, so that it can't exclude one either.
-        if (claim.isEmpty() && (!parts.claims().caughtUp() || found.readToEndAt().isEmpty())) {
+        if (claim.isEmpty()
+                && (!parts.claims().caughtUp() || found.readToEndAt().isEmpty())) {
             found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
             return;
         }
@@ -342,7 +343,8 @@
         dispatch(
                 claim.job(),
                 submission,
-                parts.policies().service(submission.specification().service()));
+                parts.policies().service(submission.specification().service()),
+                claim.generation());
         parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
         LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
@@ -376,7 +378,8 @@
     }
 
     // The asking entry says "not run" when no entry knows the key. The one that had its job may have left, or have been
-    // killed and started again without memory, and the ledger drops jobs for lack of room; so the claims read here count
+    // killed and started again without memory, and the ledger drops jobs for lack of room; so the claims read here
+    // count
     // too, and without them nothing is denied.
     private void onAskKey(SubmissionCommand.AskKey ask) {
         Optional<JobRecord> own = ledger.find(ask.key());
--- a/library/src/test/java/org/chivetally/entry/dispatch/DispatchActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/dispatch/DispatchActorTest.java
@@ -17,15 +17,16 @@
 import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
 import org.chivetally.coordination.AgentId;
 import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.entry.ConfigurationExchange;
 import org.chivetally.entry.link.Address;
 import org.chivetally.entry.link.HeartbeatSettings;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.link.Observers;
-import org.chivetally.entry.member.Incarnation;
+import org.chivetally.entry.member.EndedMember;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberCapacity;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MemberList;
 import org.chivetally.job.JobId;
 import org.chivetally.transport.FrameConnection;
 import org.chivetally.wire.v1.Frame;
@@ -51,13 +52,16 @@
             return List.of();
         };
         actor = BehaviorTestKit.create(DispatchActor.create(new DispatchActor.Parts(
+                "entry-1",
                 core,
                 this::wiring,
                 HeartbeatSettings.standard(),
                 () -> leaseHeld,
                 (job, outcome) -> {},
                 introduced -> {},
-                connected -> {},
+                event -> {},
+                service -> false,
+                ConfigurationExchange.none(),
                 ConcurrentHashMap.newKeySet(),
                 new Observers(),
                 new SimpleMeterRegistry(),
@@ -71,12 +75,12 @@
     // over. The decisions must count it among those to be asked, so they are told of it when it is announced.
     @Test
     void tellsOfAnnouncedAgentsBeforeTheyAreReached() {
-        view(List.of(member("1")), Set.of());
-        assertThat(events, hasItem(new DispatchEvent.AgentUnreachable(FIRST)));
-        view(List.of(member("1")), Set.of());
+        view(List.of(member("1")), List.of());
+        assertThat(events, hasItem(new DispatchEvent.AgentNamed(FIRST, "routing")));
+        view(List.of(member("1")), List.of());
         assertThat(
                 events.stream()
-                        .filter(new DispatchEvent.AgentUnreachable(FIRST)::equals)
+                        .filter(new DispatchEvent.AgentNamed(FIRST, "routing")::equals)
                         .count(),
                 is(1L));
     }
@@ -85,20 +89,21 @@
     // it. The decisions are told that the first run has ended, so that they do not take its tasks for never started.
     @Test
     void tellsOfAgentsThatEndedBeforeTheyWereReached() {
-        view(List.of(member("2")), Set.of(new Incarnation("agent-1", "1")));
+        view(List.of(member("2")), ended(EndedMember.Reason.SUPERSEDED));
+        assertThat(events, hasItem(new DispatchEvent.AgentNamed(FIRST, "routing")));
         assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
-        assertThat(events, hasItem(new DispatchEvent.AgentUnreachable(SECOND)));
+        assertThat(events, hasItem(new DispatchEvent.AgentNamed(SECOND, "routing")));
     }
 
     @Test
     void aConnectedAgentIsGoneOnceANewRunAnswersInItsPlace() {
-        view(List.of(member("1")), Set.of());
+        view(List.of(member("1")), List.of());
         connect(1, "1");
         assertThat(events, hasItem(new DispatchEvent.AgentConnected(FIRST, hello("1"))));
         actor.run(new DispatchCommand.Signal(new LinkSignal.Closed(1, "reset")));
         assertThat(events, hasItem(new DispatchEvent.AgentUnreachable(FIRST)));
         assertThat(events, not(hasItem(new DispatchEvent.AgentGone(FIRST))));
-        actor.run(new DispatchCommand.View(new MemberView(List.of(member("2")), Set.of())));
+        view(List.of(member("2")), ended(EndedMember.Reason.SUPERSEDED));
         assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
     }
 
@@ -106,9 +111,9 @@
     // as gone only when it closes the connection itself.
     @Test
     void anAgentThatLeavesIsGoneWhenItsConnectionCloses() {
-        view(List.of(member("1")), Set.of());
+        view(List.of(member("1")), List.of());
         connect(1, "1");
-        view(List.of(), Set.of(new Incarnation("agent-1", "1")));
+        view(List.of(), ended(EndedMember.Reason.LEFT));
         assertThat(events, not(hasItem(new DispatchEvent.AgentGone(FIRST))));
         actor.run(new DispatchCommand.Signal(new LinkSignal.Closed(1, "done")));
         assertThat(events, hasItem(new DispatchEvent.AgentGone(FIRST)));
@@ -142,8 +147,12 @@
                         new DispatchEvent.LeaseChanged(true)));
     }
 
-    private void view(List<Member> members, Set<Incarnation> ended) {
-        actor.run(new DispatchCommand.View(new MemberView(members, ended)));
+    private static List<EndedMember> ended(EndedMember.Reason reason) {
+        return List.of(EndedMember.of(member("1"), reason));
+    }
+
+    private void view(List<Member> members, List<EndedMember> ended) {
+        actor.run(new DispatchCommand.View(new MemberList(members, Set.of(), ended)));
         tick();
     }
 
@@ -163,6 +172,7 @@
                 (host, port, listener) -> {},
                 Hello::getDefaultInstance,
                 requests::incrementAndGet,
+                () -> 0,
                 new SplittableRandom(1),
                 signals);
     }
--- a/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
@@ -11,14 +11,16 @@
 import java.util.function.Consumer;
 import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
 import org.chivetally.claim.SubmissionKey;
+import org.chivetally.entry.ConfigurationExchange;
 import org.chivetally.entry.link.Address;
 import org.chivetally.entry.link.HeartbeatSettings;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.link.Observers;
+import org.chivetally.entry.member.EndedMember;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberCapacity;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.MemberList;
 import org.chivetally.wire.v1.Hello;
 import org.junit.jupiter.api.Test;
 
@@ -35,6 +37,8 @@
             introduced -> {},
             new Observers(),
             new AtomicLong()::incrementAndGet,
+            event -> {},
+            ConfigurationExchange.none(),
             () -> true,
             () -> now)));
 
@@ -45,9 +49,19 @@
     @Test
     void nothingIsCertainOfAKeyIfAnEntryLeftSinceTheClaimsWereRead() {
         assertThat(nobodyHas(DEPARTURE - 1), is(true));
-        view(List.of(member()));
+        view(List.of(member()), List.of());
         now = DEPARTURE;
-        view(List.of());
+        view(List.of(), List.of());
+        assertThat(nobodyHas(DEPARTURE - 1), is(false));
+        assertThat(nobodyHas(DEPARTURE + 1), is(true));
+    }
+
+    // As above, but the entry came and left between two reads of the members, so that it was never in the view.
+    @Test
+    void anEntryThatCameAndLeftUnseenCountsAsWell() {
+        view(List.of(), List.of());
+        now = DEPARTURE;
+        view(List.of(), List.of(EndedMember.of(member(), EndedMember.Reason.LEFT)));
         assertThat(nobodyHas(DEPARTURE - 1), is(false));
         assertThat(nobodyHas(DEPARTURE + 1), is(true));
     }
@@ -58,8 +72,8 @@
         return nobody.join();
     }
 
-    private void view(List<Member> members) {
-        actor.run(new PeerCommand.View(new MemberView(members, Set.of())));
+    private void view(List<Member> members, List<EndedMember> ended) {
+        actor.run(new PeerCommand.View(new MemberList(members, Set.of(), ended)));
     }
 
     private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
@@ -67,6 +81,7 @@
                 (host, port, listener) -> {},
                 Hello::getDefaultInstance,
                 new AtomicLong()::incrementAndGet,
+                () -> 0,
                 new SplittableRandom(1),
                 signals);
     }
