--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -37,6 +37,10 @@
             new InMemoryPlatformLog(kit.system(), NanoClock.system(), InMemoryLogSettings.immediate());
     private final HttpClient client = HttpClient.newHttpClient();
 
+    static EntrySettings settings(String processId, ClaimSettings claims, DispatchSettings dispatch) {
+        return settings(processId, "north", List.of(), claims, dispatch);
+    }
+
     static EntrySettings settings(String processId) {
         return settings(processId, "north", List.of(), USUAL_CLAIMS);
     }
@@ -45,10 +49,6 @@
         return settings(processId, failureDomain, seeds, USUAL_CLAIMS);
     }
 
-    static EntrySettings settings(String processId, ClaimSettings claims, DispatchSettings dispatch) {
-        return settings(processId, "north", List.of(), claims, dispatch);
-    }
-
     private static EntrySettings settings(
             String processId, String failureDomain, List<Address> seeds, ClaimSettings claims) {
         return settings(processId, failureDomain, seeds, claims, DispatchSettings.defaults(failureDomain));
