A report that was counted before a start does not free the slot of an abandoned run

Change: only runs begun before the report was asked for count as the agent's own. The stand-in minion now says with the header Chivetally-Not-Run that a refused task did not run, as the agent understands it. Callers of the load tool that cancel end with a request under the key, which names their deadline; the question for an answer by a job's name names none. Red before, green after: AgentStateTest.aRunBegunAfterTheReportDoesNotHideAnAbandonedOne.

--- a/library/src/main/java/org/chivetally/agent/AgentActor.java
+++ b/library/src/main/java/org/chivetally/agent/AgentActor.java
@@ -97,7 +97,7 @@
             case Drain drain -> apply(new AgentEvent.DrainRequested(drain.reason()));
             case Tick tick -> tick();
             case ReadState read -> readState();
-            case StateRead read -> stateRead(read.answer());
+            case StateRead read -> stateRead(read);
             case Bound bound -> throw new IllegalStateException("bound twice");
         }
         meters.load(state.runningTasks(), state.waitingTasks());
@@ -226,13 +226,14 @@
             stateReading.cancel();
             return;
         }
+        long asked = clock.nanos();
         stateReading = minion.get(statePath());
-        stateReading.answer().thenAccept(answer -> getContext().getSelf().tell(new StateRead(answer)));
+        stateReading.answer().thenAccept(answer -> getContext().getSelf().tell(new StateRead(answer, asked)));
     }
 
-    private void stateRead(MinionAnswer answer) {
+    private void stateRead(StateRead read) {
         stateReading = null;
-        apply(new AgentEvent.MinionReported(stateOf(answer)));
+        apply(new AgentEvent.MinionReported(stateOf(read.answer()), read.askedNanos()));
     }
 
     private String statePath() {
@@ -328,7 +329,7 @@
 
     record ReadState() implements Command {}
 
-    record StateRead(MinionAnswer answer) implements Command {}
+    record StateRead(MinionAnswer answer, long askedNanos) implements Command {}
 
     record Drain(String reason) implements Command {}
 
--- a/library/src/main/java/org/chivetally/agent/AgentEvent.java
+++ b/library/src/main/java/org/chivetally/agent/AgentEvent.java
@@ -35,8 +35,8 @@
     /** A request to the minion ended. */
     record MinionAnswered(String attemptId, MinionAnswer answer) implements AgentEvent {}
 
-    /** The minion's state was read. */
-    record MinionReported(MinionState state) implements AgentEvent {}
+    /** The minion's state was read, by a request sent at a reading of the clock. */
+    record MinionReported(MinionState state, long askedNanos) implements AgentEvent {}
 
     /** The process is to stop. */
     record DrainRequested(String reason) implements AgentEvent {}
--- a/library/src/main/java/org/chivetally/agent/AgentState.java
+++ b/library/src/main/java/org/chivetally/agent/AgentState.java
@@ -88,7 +88,8 @@
             case AgentEvent.HeartbeatRequested request -> answerHeartbeat(request);
             case AgentEvent.CancelRequested request -> cancel(request);
             case AgentEvent.InquiryRequested request -> inquire(request);
-            case AgentEvent.MinionReported reported -> minion.observe(reported.state(), running.size());
+            case AgentEvent.MinionReported reported ->
+                minion.observe(reported.state(), runsSince(reported.askedNanos()));
             case AgentEvent.PeerConnected connected -> greet(connected.peer());
             case AgentEvent.PeerIdentified identified -> identify(identified);
             case AgentEvent.PeerDisconnected disconnected -> peers.disconnected(disconnected.peer());
@@ -342,6 +343,15 @@
                 RefusalReason.REFUSAL_REASON_OLD_GENERATION);
     }
 
+    /** Returns how many runs go on now that had begun at a time: those that a report asked for then must count. */
+    private int runsSince(long nanos) {
+        int runs = 0;
+        for (Attempt attempt : running.values()) {
+            runs += attempt.begunBy(nanos) ? 1 : 0;
+        }
+        return runs;
+    }
+
     /** Answers with every task; results that don't fit are said to run, and follow in frames of their own. */
     private void answerInquiry(AgentEvent.InquiryRequested request, List<Attempt> known) {
         InquiryAnswer.Builder answer = InquiryAnswer.newBuilder()
--- a/library/src/main/java/org/chivetally/agent/Attempt.java
+++ b/library/src/main/java/org/chivetally/agent/Attempt.java
@@ -105,6 +105,11 @@
         return handedOut;
     }
 
+    /** Tells whether the run had begun at a time. */
+    boolean begunBy(long nanos) {
+        return nanos - startedNanos >= 0;
+    }
+
     void end(TaskStatus newStatus, String newBody, String newError, long nowNanos) {
         status = newStatus;
         body = newBody;
--- a/library/src/main/java/org/chivetally/agent/MinionView.java
+++ b/library/src/main/java/org/chivetally/agent/MinionView.java
@@ -47,6 +47,15 @@
         }
     }
 
+    /**
+     * Takes in a report.
+     *
+     * <p>A run that began after the minion had counted, and is taken for one that it counted, would hide a stray run:
+     * the slot would be given away while the minion still works in it. Only runs from before the question are counted
+     * as own; the stray runs may then seem more than they are until the next report, never fewer.
+     *
+     * @param ownRuns runs of the agent that had begun before the report was asked for and still go on
+     */
     void observe(MinionState state, int ownRuns) {
         switch (state) {
             case MinionState.Reported reported -> accept(reported, ownRuns);
--- a/library/src/test/java/org/chivetally/agent/AgentFixture.java
+++ b/library/src/test/java/org/chivetally/agent/AgentFixture.java
@@ -36,7 +36,7 @@
     AgentFixture(AgentLimits limits) {
         state = new AgentState(settings(limits), Hello.getDefaultInstance(), TICKET_OFFSET, now);
         join(PEER, "entry-1");
-        apply(new AgentEvent.MinionReported(HEALTHY));
+        apply(new AgentEvent.MinionReported(HEALTHY, now));
     }
 
     static AgentLimits limits(long resultBytes) {
@@ -142,7 +142,18 @@
     }
 
     void report(boolean healthy, boolean draining, int running) {
-        apply(new AgentEvent.MinionReported(new MinionState.Reported(healthy, draining, 2 - running, running)));
+        reportAsOf(now, healthy, draining, running);
+    }
+
+    /** The same in answer to a question sent at an earlier reading of the clock. */
+    void reportAsOf(long askedNanos, boolean healthy, boolean draining, int running) {
+        MinionState state = new MinionState.Reported(healthy, draining, 2 - running, running);
+        apply(new AgentEvent.MinionReported(state, askedNanos));
+    }
+
+    /** Returns the reading of the clock. */
+    long now() {
+        return now;
     }
 
     List<AgentEffect> apply(AgentEvent event) {
--- a/library/src/test/java/org/chivetally/agent/AgentStateTest.java
+++ b/library/src/test/java/org/chivetally/agent/AgentStateTest.java
@@ -287,6 +287,24 @@
         assertThat(agent.runs(), contains("a", "b", "e"));
     }
 
+    /**
+     * What the caller sees: a task that fails because all slots are taken. The minion still works on an attempt whose
+     * lease is over. It counts its runs, then the agent starts another task, and only then the report arrives. Its one
+     * run is the abandoned one, not the new one, so no slot may be given away by it.
+     */
+    @Test
+    void aRunBegunAfterTheReportDoesNotHideAnAbandonedOne() {
+        agent.ask(agent.start("a", "j", 0).setLeaseMillis(1_000));
+        agent.pass(Duration.ofMillis(1_000));
+        long asked = agent.now();
+        agent.pause(Duration.ofMillis(1));
+        agent.startAll("b", "c");
+        agent.reportAsOf(asked, true, false, 1);
+        assertThat(agent.runs(), contains("a", "b"));
+        agent.report(true, false, 1);
+        assertThat(agent.runs(), contains("a", "b", "c"));
+    }
+
     @Test
     void cancelDropsWaitingTasksOfTheSameProcessOnly() {
         agent.join(SECOND_PEER, "entry-2");
@@ -350,7 +368,7 @@
     void refusesWhileTheMinionIsDown() {
         agent.startAll("a", "b", "c");
         agent.answer("a", new MinionAnswer.NotSent("connection refused"));
-        agent.apply(new AgentEvent.MinionReported(new MinionState.Unreachable("connection refused")));
+        agent.apply(new AgentEvent.MinionReported(new MinionState.Unreachable("connection refused"), agent.now()));
         agent.startAll("d");
         assertThat(agent.refusals(), contains("a MINION_DOWN", "d MINION_DOWN"));
         assertThat(agent.lastFrame().getRefusal().getReport().getMinionUnhealthy(), is(true));
--- a/load/src/main/java/org/chivetally/load/Caller.java
+++ b/load/src/main/java/org/chivetally/load/Caller.java
@@ -39,7 +39,7 @@
                         failure == null ? JobInterface.jobName(response.body()) : "", reply(response, failure)));
     }
 
-    /** Waits for the outcome of a job by its name. */
+    /** Waits for the outcome of a job by its name; a time that is over asks without a wait. */
     CompletableFuture<Reply> answer(Target entry, String job, Duration deadline) {
         URI address = entry.at("/v1/jobs/" + job + "/answer?wait=" + waitSeconds(deadline));
         return send(
@@ -98,10 +98,10 @@
     record Announced(String job, Reply reply) {}
 
     private static long waitSeconds(Duration deadline) {
-        return deadline.plusMillis(999).toSeconds();
+        return Math.max(0, deadline.plusMillis(999).toSeconds());
     }
 
     private static Duration limit(Duration deadline) {
-        return deadline.plus(ANSWER_MARGIN);
+        return deadline.isNegative() ? ANSWER_MARGIN : deadline.plus(ANSWER_MARGIN);
     }
 }
--- a/load/src/main/java/org/chivetally/load/Submitter.java
+++ b/load/src/main/java/org/chivetally/load/Submitter.java
@@ -18,6 +18,7 @@
 /** Plays the callers of a schedule: submits, repeats, cancels and comes back, and keeps a record of every request. */
 final class Submitter {
     private static final long SHORTEST_NANOS = 1_000_000;
+    private static final Duration LAST_REQUEST = Duration.ofSeconds(2);
 
     private final LoadPlan plan;
     private final Tokens tokens;
@@ -132,7 +133,12 @@
                 }
                 String name = announced.job();
                 timer.schedule(() -> caller.cancel(entry, name), cancelNanos - clock.nanos(), TimeUnit.NANOSECONDS);
-                return caller.answer(entry, name, left());
+                return caller.answer(entry, name, left().minus(LAST_REQUEST)).thenCompose(reply -> {
+                    // The question for an answer names no deadline; the last request under the key does.
+                    return reply instanceof Reply.TimedOut
+                            ? caller.submit(entry, key, body(), left())
+                            : CompletableFuture.completedFuture(reply);
+                });
             });
         }
 
--- a/load/src/main/java/org/chivetally/load/experiment/ModelWorld.java
+++ b/load/src/main/java/org/chivetally/load/experiment/ModelWorld.java
@@ -150,7 +150,7 @@
     private void readMinion(int agent) {
         int running = agents.get(agent).runningTasks();
         int free = Math.max(0, shape.slots() - running);
-        apply(agent, new AgentEvent.MinionReported(new MinionState.Reported(true, false, free, running)));
+        apply(agent, new AgentEvent.MinionReported(new MinionState.Reported(true, false, free, running), queue.now()));
         queue.after(STATE_READING.toNanos(), () -> readMinion(agent));
     }
 
--- a/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
+++ b/standins/src/main/java/org/chivetally/standins/MinionStandIn.java
@@ -48,6 +48,9 @@
     /** Answer header that says whether the minion is healthy. */
     public static final String HEALTHY_HEADER = "Minion-Healthy";
 
+    /** Answer header of a task that did not start and never will. */
+    public static final String NOT_RUN_HEADER = "Chivetally-Not-Run";
+
     private static final String TOO_MANY_CONNECTIONS = "too many connections carry tasks";
     private static final int LINES_PER_CHUNK = 1000;
     /** Payloads may hold more than the stand-in reads. */
@@ -149,7 +152,9 @@
         HttpResponse response = switch (answer) {
             case MinionAnswer.Done done -> StandInHttp.json(StatusCodes.OK, done);
             case MinionAnswer.Failed failed -> StandInHttp.json(StatusCodes.INTERNAL_SERVER_ERROR, failed);
-            case MinionAnswer.Refused refused -> StandInHttp.json(StatusCodes.SERVICE_UNAVAILABLE, refused);
+            case MinionAnswer.Refused refused ->
+                StandInHttp.json(StatusCodes.SERVICE_UNAVAILABLE, refused)
+                        .addHeader(RawHeader.create(NOT_RUN_HEADER, "true"));
         };
         MinionState state = minion.state();
         return response.addHeader(RawHeader.create(FREE_SLOTS_HEADER, Integer.toString(state.freeSlots())))
--- a/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
+++ b/standins/src/test/java/org/chivetally/standins/MinionStandInTest.java
@@ -7,8 +7,11 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
+import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
 import org.hamcrest.Matcher;
 import org.hamcrest.MatcherAssert;
@@ -89,6 +92,19 @@
         MatcherAssert.assertThat(server.get("/state").body(), Matchers.containsString("\"overruns\":1"));
     }
 
+    // A refused task says so, so that the agent may let it run elsewhere although it isn't idempotent.
+    @Test
+    void aRefusedTaskSaysThatItDidNotRun() {
+        server.put("/faults", "{\"slotsLeft\":0}");
+        HttpResponse refused = HttpTester.await(Http.get(kit.system()).singleRequest(task("{}")));
+        MatcherAssert.assertThat(
+                refused.getHeader(MinionStandIn.NOT_RUN_HEADER)
+                        .map(HttpHeader::value)
+                        .orElse(""),
+                Matchers.is("true"));
+        refused.discardEntityBytes(kit.system());
+    }
+
     // A caller gives up on a silent minion and closes its connection. The minion's only task connection is free again
     // although the task was never answered, so the next caller's task runs.
     @Test
