--- a/library/src/main/java/org/chivetally/daemon/ObservedState.java
+++ b/library/src/main/java/org/chivetally/daemon/ObservedState.java
@@ -1,10 +1,15 @@
 package org.chivetally.daemon;
 
+import java.time.Duration;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
+import org.chivetally.entry.link.HeartbeatSettings;
+import org.chivetally.entry.link.IdlePace;
 import org.chivetally.entry.link.ObservedProcess;
+import org.chivetally.entry.member.Member;
 import org.chivetally.resource.BackendServerReport;
 import org.chivetally.resource.ProcessVersions;
 import org.chivetally.resource.StatusSource;
@@ -13,6 +18,8 @@
 
 /** Status of backend servers and versions of processes, from what an entry last heard of each process. */
 final class ObservedState implements StatusSource, ProcessVersions {
+    private static final int MISSED_HEARTBEATS = 3;
+
     private final AtomicReference<Supplier<List<ObservedProcess>>> processes = new AtomicReference<>(List::of);
 
     /** Takes the entry's observations from now on; nothing is known before. */
@@ -23,14 +30,29 @@
     @Override
     public Optional<BackendServerReport> lastReport(String backendServer) {
         return processes.get().get().stream()
-                .filter(process -> process.hello().getBackend().equals(backendServer))
+                .filter(process ->
+                        process.reachable() && process.hello().getBackend().equals(backendServer))
                 .findFirst()
                 .map(ObservedState::report);
     }
 
     @Override
     public List<ProcessVersion> lastReports() {
-        return processes.get().get().stream().map(ObservedState::version).toList();
+        return processes.get().get().stream()
+                .map(ObservedState::version)
+                .sorted(Comparator.comparing(ProcessVersion::processId))
+                .toList();
+    }
+
+    @Override
+    public Duration silentAfter() {
+        List<ObservedProcess> all = processes.get().get();
+        int agents = (int) all.stream()
+                .filter(process -> process.hello().getRole().equals(Member.AGENT))
+                .count();
+        int entries = all.size() - agents + 1;
+        Duration shortest = HeartbeatSettings.standard().idleInterval();
+        return IdlePace.interval(false, agents, entries, shortest).multipliedBy(MISSED_HEARTBEATS);
     }
 
     private static BackendServerReport report(ObservedProcess process) {
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -1,8 +1,11 @@
 package org.chivetally.entry.dispatch;
 
+import java.util.function.Consumer;
 import org.chivetally.coordination.DispatchEvent;
 import org.chivetally.entry.link.LinkSignal;
-import org.chivetally.entry.member.MemberView;
+import org.chivetally.entry.member.Incarnation;
+import org.chivetally.entry.member.MemberList;
+import org.chivetally.entry.member.MembershipEffect;
 import org.chivetally.wire.v1.Frame;
 
 /** Messages of {@link DispatchActor}. */
@@ -14,7 +17,13 @@
     record Signal(LinkSignal signal) implements DispatchCommand {}
 
     /** The members changed. */
-    record View(MemberView view) implements DispatchCommand {}
+    record View(MemberList view) implements DispatchCommand {}
+
+    /** Another entry asks whether an agent can be reached. */
+    record Probe(Incarnation agent, Consumer<Boolean> alive) implements DispatchCommand {}
+
+    /** The view of members wants something done at an agent. */
+    record Membership(MembershipEffect effect) implements DispatchCommand {}
 
     /** Send a frame to an agent; lost when it can't be reached now. */
     record Send(String processId, Frame frame) implements DispatchCommand {}
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -43,6 +43,7 @@
     private final Parts parts;
     private final JobLedger ledger;
     private final RemoteJobs remotes;
+    private final AttachedCallers attached = new AttachedCallers();
     private final Map<String, TeamPolicy> teams = new HashMap<>();
     private final List<CompletableFuture<Void>> draining = new ArrayList<>();
     private boolean stopping;
@@ -108,7 +109,7 @@
                 .filter(present -> present.phase() != JobStatus.Phase.FINAL)
                 .filter(present -> present.digest().equals(submission.digest()));
         if (open.isPresent()) {
-            join(open.get(), submit.reply());
+            join(open.get(), submission, submit.reply());
             return;
         }
         JobRecord record = new JobRecord(
@@ -120,23 +121,28 @@
         ledger.add(record);
         ServicePolicy service =
                 parts.policies().service(submission.specification().service());
-        dispatch(record.job(), submission, service);
+        dispatch(record.job(), submission, service, Claim.FIRST_GENERATION);
         parts.claims()
                 .claim(submission.key(), submission.digest(), record.job(), service.claimMode())
                 .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
     }
 
-    private static void join(JobRecord record, CompletableFuture<SubmissionReply> reply) {
+    private void join(JobRecord record, Submission submission, CompletableFuture<SubmissionReply> reply) {
+        long until = deadlineOf(submission);
         if (record.phase() == JobStatus.Phase.CLAIMING) {
-            record.addAccepting(reply);
+            record.addAccepting(attached.reply(reply, until));
             return;
         }
-        reply.complete(new SubmissionReply.Accepted(record.job(), record.done()));
+        reply.complete(new SubmissionReply.Accepted(record.job(), attached.outcome(record.done(), until)));
     }
 
-    private void dispatch(JobId job, Submission submission, ServicePolicy service) {
+    private long deadlineOf(Submission submission) {
+        return parts.clock().nanos() + submission.specification().deadline().toNanos();
+    }
+
+    private void dispatch(JobId job, Submission submission, ServicePolicy service, int generation) {
         announceTeam(submission.specification().team());
-        parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service));
+        parts.dispatch().tell(new DispatchEvent.JobSubmitted(job, submission.specification(), service, generation));
     }
 
     private void announceTeam(String name) {
@@ -206,13 +212,11 @@
             return new SubmissionReply.Refused(Failures.nothingKept());
         }
         JobRecord record = own.get();
-        return new SubmissionReply.Accepted(record.job(), record.done());
+        return new SubmissionReply.Accepted(record.job(), attached.outcome(record.done(), deadlineOf(submission)));
     }
 
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
-        long until =
-                parts.clock().nanos() + submission.specification().deadline().toNanos();
-        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, until));
+        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, deadlineOf(submission)));
     }
 
     private void onLogUnavailable(JobRecord record, String reason) {
@@ -338,7 +342,8 @@
         dispatch(
                 claim.job(),
                 submission,
-                parts.policies().service(submission.specification().service()));
+                parts.policies().service(submission.specification().service()),
+                claim.generation());
         parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
         LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
@@ -457,6 +462,7 @@
         long now = parts.clock().nanos();
         ledger.expire(now);
         remotes.tick(now);
+        attached.expire(now);
     }
 
     private void onDrain(SubmissionCommand.Drain drain) {
