--- a/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
@@ -4,13 +4,13 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
 import org.chivetally.claim.SubmissionKey;
-import org.chivetally.entry.ConfigurationExchange;
 import org.chivetally.entry.link.Address;
 import org.chivetally.entry.link.HeartbeatSettings;
 import org.chivetally.entry.link.LinkSet;
