--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -61,6 +61,9 @@
     private final Probes probes = new Probes();
     private int entries;
     private boolean leaseHeld;
+    /** Reading of the clock until which the lease was told to be held; null before the first. */
+    private Long leaseEndNanos;
+
     private long ticks;
 
     private DispatchActor(ActorContext<DispatchCommand> context, Parts parts) {
@@ -106,6 +109,7 @@
             case DispatchCommand.View view -> onView(view.view());
             case DispatchCommand.Probe probe -> onProbe(probe);
             case DispatchCommand.Membership membership -> onMembership(membership.effect());
+            case DispatchCommand.LeaseExtended extended -> onLeaseExtended(extended.untilNanos());
             case DispatchCommand.Tick tick -> onTick();
             case DispatchCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
@@ -115,13 +119,25 @@
     // another entry's takeover does not expect. The lease is therefore looked at before each message, not only on
     // ticks; what slips through between look and send is refused by its ticket.
     private void noticeLease() {
-        boolean held = parts.holdsLease().getAsBoolean();
+        boolean held = isToldHeld() && parts.holdsLease().getAsBoolean();
         if (held != leaseHeld) {
             leaseHeld = held;
             decide(new DispatchEvent.LeaseChanged(held));
         }
     }
 
+    // The lease is lost by the clock, but regained only by a message: jobs that others took over while it had lapsed
+    // are told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
+    // message waits here would start tasks of a job that another entry has started already.
+    private boolean isToldHeld() {
+        return leaseEndNanos != null && leaseEndNanos - parts.clock().nanos() > 0;
+    }
+
+    private void onLeaseExtended(long untilNanos) {
+        leaseEndNanos = untilNanos;
+        noticeLease();
+    }
+
     private void onView(MemberList view) {
         long now = parts.clock().nanos();
         decideAll(roster.list(view, now));
@@ -296,7 +312,8 @@
      *
      * @param self process id of this entry
      * @param wiring makes the links' wiring for the actor's signals
-     * @param holdsLease whether this process may start tasks; asked before each event
+     * @param holdsLease whether this process may start tasks; asked before each event, and only believed as far as
+     *     {@link DispatchCommand.LeaseExtended} goes
      * @param finished takes final outcomes
      * @param introduced takes introductions of processes found at another's address
      * @param members takes what connections say of members
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -38,7 +38,6 @@
 public final class SubmissionActor extends AbstractBehavior<SubmissionCommand> {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
     private static final Duration TICK_INTERVAL = Duration.ofMillis(100);
-    private static final Duration REPLACED_WAIT = Duration.ofSeconds(60);
 
     private final ActorRef<SubmissionCommand> self;
     private final Parts parts;
@@ -244,6 +243,11 @@
     // are asked; if one does not answer, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
+        // An entry that has not read the log yet knows of no earlier submission, so that it can't exclude one either.
+        if (claim.isEmpty() && !parts.claims().caughtUp()) {
+            found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
+            return;
+        }
         if (claim.isEmpty()) {
             parts.peers()
                     .nobodyHas(found.submission().key())
@@ -342,7 +346,7 @@
 
     // Another entry took the job over while this one's lease had lapsed; results that still come here may be of
     // attempts that the other one knows nothing of. Whoever waits here gets the other entry's outcome, so that all
-    // callers of a key get the same.
+    // callers of a key get the same, or hear at the deadline that the outcome is unknown.
     private void onReplaced(Claim claim) {
         Optional<JobRecord> found =
                 ledger.find(claim.job()).filter(record -> record.phase() == JobStatus.Phase.RUNNING);
@@ -353,8 +357,7 @@
         LOGGER.atWarning().log(
                 "%s",
                 line("job-replaced", record).with("by", claim.coordinator().processId()));
-        long until = parts.clock().nanos() + REPLACED_WAIT.toNanos();
-        remotes.await(claim, until).thenAccept(record::finish);
+        remotes.await(claim, record.deadlineNanos()).thenAccept(record::finish);
         withdraw(record);
     }
 
@@ -369,13 +372,23 @@
                 .thenAccept(outcome -> attach.reply().accept(new AttachAnswer(attach.job(), Optional.of(outcome))));
     }
 
+    // The asking entry says "not run" when no entry knows the key. The one that had its job may have been killed since
+    // and started again without memory, so the claims read here count too, and without them nothing is denied.
     private void onAskKey(SubmissionCommand.AskKey ask) {
-        boolean known = ledger.find(ask.key())
-                .filter(record -> record.outcome()
-                        .filter(SubmissionActor::isPassingRefusal)
-                        .isEmpty())
+        Optional<JobRecord> own = ledger.find(ask.key());
+        boolean refused = own.flatMap(JobRecord::outcome)
+                .filter(SubmissionActor::isPassingRefusal)
                 .isPresent();
-        ask.reply().accept(known);
+        if (!parts.claims().caughtUp() || own.isPresent() && !refused) {
+            ask.reply().accept(true);
+            return;
+        }
+        parts.claims()
+                .find(ask.key())
+                .thenAccept(claim -> ask.reply()
+                        .accept(claim.filter(other -> own.isEmpty()
+                                        || !other.job().equals(own.get().job()))
+                                .isPresent()));
     }
 
     private boolean cancelHere(JobId job) {
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -38,15 +38,27 @@
     private final HttpClient client = HttpClient.newHttpClient();
 
     static EntrySettings settings(String processId) {
-        return settings(processId, "north", List.of(), USUAL_CLAIMS);
+        return settings(processId, USUAL_CLAIMS);
     }
 
     static EntrySettings settings(String processId, String failureDomain, List<Address> seeds) {
-        return settings(processId, failureDomain, seeds, USUAL_CLAIMS);
+        return settings(processId, failureDomain, seeds, USUAL_CLAIMS, DispatchSettings.defaults(failureDomain));
+    }
+
+    private static EntrySettings settings(String processId, ClaimSettings claims) {
+        return settings(processId, claims, DispatchSettings.defaults("north"));
+    }
+
+    static EntrySettings settings(String processId, ClaimSettings claims, DispatchSettings dispatch) {
+        return settings(processId, "north", List.of(), claims, dispatch);
     }
 
     private static EntrySettings settings(
-            String processId, String failureDomain, List<Address> seeds, ClaimSettings claims) {
+            String processId,
+            String failureDomain,
+            List<Address> seeds,
+            ClaimSettings claims,
+            DispatchSettings dispatch) {
         Address loopback = new Address(LOOPBACK, 0);
         return new EntrySettings(
                 processId,
@@ -56,7 +68,7 @@
                 loopback,
                 seeds,
                 claims,
-                DispatchSettings.defaults(failureDomain),
+                dispatch,
                 HeartbeatSettings.standard(),
                 new EntryLimits(1 << 20, 3, 100, 1 << 20, Duration.ZERO, Duration.ofSeconds(30)));
     }
@@ -66,8 +78,7 @@
     }
 
     EntryServer start(String processId, ClaimSettings claims, ActorSystem<?> system, FrameTransport frames) {
-        return join(EntryServer.start(
-                system, settings(processId, "north", List.of(), claims), log, frames, meters, NanoClock.system()));
+        return join(EntryServer.start(system, settings(processId, claims), log, frames, meters, NanoClock.system()));
     }
 
     EntryServer start(EntrySettings settings, EntryExtension extension) {
