--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -107,9 +107,9 @@
                 links.signal(signal.signal(), parts.clock().nanos());
             case DispatchCommand.Send send -> links.send(send.processId(), send.frame());
             case DispatchCommand.View view -> onView(view.view());
+            case DispatchCommand.LeaseExtended extended -> onLeaseExtended(extended.untilNanos());
             case DispatchCommand.Probe probe -> onProbe(probe);
             case DispatchCommand.Membership membership -> onMembership(membership.effect());
-            case DispatchCommand.LeaseExtended extended -> onLeaseExtended(extended.untilNanos());
             case DispatchCommand.Tick tick -> onTick();
             case DispatchCommand.Stop stop -> throw new IllegalStateException("handled before");
         }
@@ -127,8 +127,10 @@
     }
 
     // The lease is lost by the clock, but regained only by a message: jobs that others took over while it had lapsed
-    // are told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
-    // message waits here would start tasks of a job that another entry has started already.
+    // are
+    // told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
+    // message
+    // waits here would start tasks of a job that another entry has started already.
     private boolean isToldHeld() {
         return leaseEndNanos != null && leaseEndNanos - parts.clock().nanos() > 0;
     }
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
@@ -43,6 +44,7 @@
     private final Parts parts;
     private final JobLedger ledger;
     private final RemoteJobs remotes;
+    private final AttachedCallers attached = new AttachedCallers();
     private final Map<String, TeamPolicy> teams = new HashMap<>();
     private final List<CompletableFuture<Void>> draining = new ArrayList<>();
     private boolean stopping;
@@ -108,7 +110,7 @@
                 .filter(present -> present.phase() != JobStatus.Phase.FINAL)
                 .filter(present -> present.digest().equals(submission.digest()));
         if (open.isPresent()) {
-            join(open.get(), submit.reply());
+            join(open.get(), submission, submit.reply());
             return;
         }
         JobRecord record = new JobRecord(
@@ -126,12 +128,17 @@
                 .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
     }
 
-    private static void join(JobRecord record, CompletableFuture<SubmissionReply> reply) {
+    private void join(JobRecord record, Submission submission, CompletableFuture<SubmissionReply> reply) {
+        long until = deadlineOf(submission);
         if (record.phase() == JobStatus.Phase.CLAIMING) {
-            record.addAccepting(reply);
+            record.addAccepting(attached.reply(reply, until));
             return;
         }
-        reply.complete(new SubmissionReply.Accepted(record.job(), record.done()));
+        reply.complete(new SubmissionReply.Accepted(record.job(), attached.outcome(record.done(), until)));
+    }
+
+    private long deadlineOf(Submission submission) {
+        return parts.clock().nanos() + submission.specification().deadline().toNanos();
     }
 
     private void dispatch(JobId job, Submission submission, ServicePolicy service, int generation) {
@@ -206,13 +213,11 @@
             return new SubmissionReply.Refused(Failures.nothingKept());
         }
         JobRecord record = own.get();
-        return new SubmissionReply.Accepted(record.job(), record.done());
+        return new SubmissionReply.Accepted(record.job(), attached.outcome(record.done(), deadlineOf(submission)));
     }
 
     private SubmissionReply attachRemote(Claim claim, Submission submission) {
-        long until =
-                parts.clock().nanos() + submission.specification().deadline().toNanos();
-        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, until));
+        return new SubmissionReply.Accepted(claim.job(), remotes.attach(claim, submission, deadlineOf(submission)));
     }
 
     private void onLogUnavailable(JobRecord record, String reason) {
@@ -232,25 +237,29 @@
             reply.complete(new SubmissionReply.Refused(refusal.with(Certainty.NOT_RUN)));
             return;
         }
+        // Asked for first, so that the claims found are at least as new as that.
+        OptionalLong readToEndAt = parts.claims().readToEndAt();
         parts.claims()
                 .find(submission.key())
-                .thenAccept(claim -> tell(new SubmissionCommand.RefusedFound(submission, claim, refusal, reply)));
+                .thenAccept(claim ->
+                        tell(new SubmissionCommand.RefusedFound(submission, claim, readToEndAt, refusal, reply)));
     }
 
     // A resubmission that is refused here may be running elsewhere: "not run" would be false, and its caller could
     // send the same offer again under a new key. An earlier submission that the claims read so far show is joined
     // instead of refused. One whose claim was written after the last read is known to the entry that wrote it, so all
-    // are asked; if one does not answer, nothing is certain.
+    // are asked; if one does not answer, or has left since that read, or nothing was ever read, nothing is certain.
     private void onRefusedFound(SubmissionCommand.RefusedFound found) {
         Optional<Claim> claim = found.claim();
         // An entry that has not read the log yet knows of no earlier submission, so that it can't exclude one either.
-        if (claim.isEmpty() && !parts.claims().caughtUp()) {
+        if (claim.isEmpty()
+                && (!parts.claims().caughtUp() || found.readToEndAt().isEmpty())) {
             found.reply().complete(new SubmissionReply.Refused(found.refusal().with(Certainty.UNKNOWN)));
             return;
         }
         if (claim.isEmpty()) {
             parts.peers()
-                    .nobodyHas(found.submission().key())
+                    .nobodyHas(found.submission().key(), found.readToEndAt().getAsLong())
                     .thenAccept(certain -> found.reply()
                             .complete(new SubmissionReply.Refused(
                                     found.refusal().with(certain ? Certainty.NOT_RUN : Certainty.UNKNOWN))));
@@ -372,8 +381,10 @@
                 .thenAccept(outcome -> attach.reply().accept(new AttachAnswer(attach.job(), Optional.of(outcome))));
     }
 
-    // The asking entry says "not run" when no entry knows the key. The one that had its job may have been killed since
-    // and started again without memory, so the claims read here count too, and without them nothing is denied.
+    // The asking entry says "not run" when no entry knows the key. The one that had its job may have left, or have been
+    // killed and started again without memory, and the ledger drops jobs for lack of room; so the claims read here
+    // count
+    // too, and without them nothing is denied.
     private void onAskKey(SubmissionCommand.AskKey ask) {
         Optional<JobRecord> own = ledger.find(ask.key());
         boolean refused = own.flatMap(JobRecord::outcome)
@@ -458,6 +469,7 @@
         long now = parts.clock().nanos();
         ledger.expire(now);
         remotes.tick(now);
+        attached.expire(now);
     }
 
     private void onDrain(SubmissionCommand.Drain drain) {
--- a/library/src/test/java/org/chivetally/entry/EntryFixture.java
+++ b/library/src/test/java/org/chivetally/entry/EntryFixture.java
@@ -38,21 +38,22 @@
     private final HttpClient client = HttpClient.newHttpClient();
 
     static EntrySettings settings(String processId) {
-        return settings(processId, USUAL_CLAIMS);
+        return settings(processId, "north", List.of(), USUAL_CLAIMS);
     }
 
     static EntrySettings settings(String processId, String failureDomain, List<Address> seeds) {
-        return settings(processId, failureDomain, seeds, USUAL_CLAIMS, DispatchSettings.defaults(failureDomain));
-    }
-
-    private static EntrySettings settings(String processId, ClaimSettings claims) {
-        return settings(processId, claims, DispatchSettings.defaults("north"));
+        return settings(processId, failureDomain, seeds, USUAL_CLAIMS);
     }
 
     static EntrySettings settings(String processId, ClaimSettings claims, DispatchSettings dispatch) {
         return settings(processId, "north", List.of(), claims, dispatch);
     }
 
+    private static EntrySettings settings(
+            String processId, String failureDomain, List<Address> seeds, ClaimSettings claims) {
+        return settings(processId, failureDomain, seeds, claims, DispatchSettings.defaults(failureDomain));
+    }
+
     private static EntrySettings settings(
             String processId,
             String failureDomain,
@@ -78,7 +79,8 @@
     }
 
     EntryServer start(String processId, ClaimSettings claims, ActorSystem<?> system, FrameTransport frames) {
-        return join(EntryServer.start(system, settings(processId, claims), log, frames, meters, NanoClock.system()));
+        return join(EntryServer.start(
+                system, settings(processId, "north", List.of(), claims), log, frames, meters, NanoClock.system()));
     }
 
     EntryServer start(EntrySettings settings, EntryExtension extension) {
