--- a/library/src/main/java/org/chivetally/entry/peer/ConfigurationPulls.java
+++ b/library/src/main/java/org/chivetally/entry/peer/ConfigurationPulls.java
@@ -16,10 +16,14 @@
  */
 final class ConfigurationPulls {
     private static final Duration LOG_TIME = Duration.ofSeconds(1);
+    private static final long CHANGE_NANOS = Duration.ofMillis(200).toNanos();
     private static final long ASK_AGAIN_NANOS = Duration.ofSeconds(2).toNanos();
 
     private final ConfigurationExchange configuration;
     private final Map<String, Long> versions = new HashMap<>();
+    private long changedTo;
+    private long askAllAt;
+    private boolean allAsked = true;
     private long askAgainAt;
     private boolean asked;
     private long behindSince;
@@ -37,6 +41,24 @@
         versions.remove(processId);
     }
 
+    /**
+     * Tells, once after each change here, that the other entries are to be asked for their versions; the next heartbeat
+     * may be seconds away, and operators would see them lag until then.
+     */
+    boolean asksAll(long now) {
+        long own = configuration.version();
+        if (own != changedTo) {
+            changedTo = own;
+            askAllAt = now + CHANGE_NANOS;
+            allAsked = false;
+        }
+        if (allAsked || now - askAllAt < 0) {
+            return false;
+        }
+        allAsked = true;
+        return true;
+    }
+
     /** Returns the question that is due, by the entry to ask. */
     Map<String, Frame> due(long now) {
         long own = configuration.version();
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -214,9 +214,7 @@
                 .map(Hello::getIncarnation)
                 .filter(probe.entry().incarnation()::equals)
                 .isPresent();
-        Frame heartbeat =
-                Frame.newBuilder().setHeartbeat(Heartbeat.getDefaultInstance()).build();
-        if (!connected || !links.send(processId, heartbeat)) {
+        if (!connected || !links.send(processId, heartbeat())) {
             probe.alive().accept(false);
             return;
         }
@@ -237,6 +235,9 @@
         keyQuestions.expire(now);
         probes.expire(now);
         pulls.due(now).forEach(links::send);
+        if (pulls.asksAll(now)) {
+            links.processes().forEach(processId -> links.send(processId, heartbeat()));
+        }
         for (Question question : questions.values()) {
             if (question.dueAgain && now - question.askAt >= 0) {
                 send(question);
@@ -257,6 +258,13 @@
                 .anyMatch(question -> question.coordinator.processId().equals(processId));
     }
 
+    private Frame heartbeat() {
+        Heartbeat heartbeat = Heartbeat.newBuilder()
+                .setConfigurationVersion(parts.configuration().version())
+                .build();
+        return Frame.newBuilder().setHeartbeat(heartbeat).build();
+    }
+
     @Override
     public void up(Hello hello) {
         parts.observer().up(hello);
