--- a/library/src/main/java/org/chivetally/agent/AgentEvent.java
+++ b/library/src/main/java/org/chivetally/agent/AgentEvent.java
@@ -38,6 +38,9 @@
     /** The minion's state was read, by a request sent at a reading of the clock. */
     record MinionReported(MinionState state, long askedNanos) implements AgentEvent {}
 
+    /** Another configuration is in force. */
+    record Configured(AgentConfiguration configuration) implements AgentEvent {}
+
     /** The process is to stop. */
     record DrainRequested(String reason) implements AgentEvent {}
 
--- a/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
+++ b/library/src/main/java/org/chivetally/agent/MemberAnnouncer.java
@@ -25,8 +25,11 @@
  * record.
  */
 public final class MemberAnnouncer {
-    /** Time between announcements when nothing fails. */
-    public static final Duration DEFAULT_INTERVAL = Duration.ofSeconds(30);
+    /**
+     * Time between announcements when nothing fails; under half of what the log keeps. All entries read each, so a
+     * shorter one would be most of their control cost at 650 agents.
+     */
+    public static final Duration DEFAULT_INTERVAL = Duration.ofMinutes(10);
 
     private final ActorRef<Command> actor;
 
@@ -39,6 +42,11 @@
                 Props.empty());
     }
 
+    /** Announces the process now, or once more when the announcement under way is written. */
+    public void announceNow() {
+        actor.tell(new AnnounceNow());
+    }
+
     /** Stops announcing and appends the leave; completes when that is written, or after five seconds. */
     public CompletionStage<Void> leave() {
         CompletableFuture<Void> left = new CompletableFuture<>();
@@ -52,12 +60,17 @@
 
     private record Appended(AppendOutcome outcome) implements Command {}
 
+    private record AnnounceNow() implements Command {}
+
     private record Leave(CompletableFuture<Void> left) implements Command {}
 
     private record GiveUp() implements Command {}
 
     private static final class Announcing extends AbstractBehavior<Command> {
         private static final Duration FIRST_BACKOFF = Duration.ofMillis(500);
+        /** In an outage each failed try introduces the process to all seeds, so the tries get rare. */
+        private static final int BACKOFFS_IN_INTERVAL = 4;
+
         private static final Duration LEAVE_LIMIT = Duration.ofSeconds(5);
 
         private final TimerScheduler<Command> timers;
@@ -68,6 +81,7 @@
         private Duration backoff = FIRST_BACKOFF;
         private long records;
         private boolean inFlight;
+        private boolean again;
         private boolean leaveSent;
         private CompletableFuture<Void> left;
 
@@ -94,6 +108,7 @@
         private Behavior<Command> handle(Command command) {
             return switch (command) {
                 case Append due -> append();
+                case AnnounceNow now -> announceNow();
                 case Appended appended -> appended(appended.outcome());
                 case Leave leave -> leave(leave.left());
                 case GiveUp giveUp -> stop();
@@ -101,12 +116,19 @@
         }
 
         private Behavior<Command> append() {
+            timers.cancel(new Append());
             inFlight = true;
             log.append(MemberRecord.STREAM, List.of(record))
                     .thenAccept(outcome -> getContext().getSelf().tell(new Appended(outcome)));
             return this;
         }
 
+        // The announcement under way may come to stand before the record that makes another one necessary.
+        private Behavior<Command> announceNow() {
+            again = inFlight;
+            return inFlight || left != null ? this : append();
+        }
+
         private Behavior<Command> leave(CompletableFuture<Void> whenLeft) {
             if (left != null) {
                 left.thenAccept(whenLeft::complete);
@@ -136,6 +158,10 @@
             }
             backoff = FIRST_BACKOFF;
             record = nextRecord(new MemberRecord.Announced(member));
+            if (again) {
+                again = false;
+                return append();
+            }
             timers.startSingleTimer(new Append(), interval);
             return this;
         }
@@ -155,7 +181,8 @@
         private Behavior<Command> appendAfterBackoff() {
             timers.startSingleTimer(new Append(), backoff);
             Duration doubled = backoff.multipliedBy(2);
-            backoff = doubled.compareTo(interval) < 0 ? doubled : interval;
+            Duration longest = interval.dividedBy(BACKOFFS_IN_INTERVAL);
+            backoff = doubled.compareTo(longest) < 0 ? doubled : longest;
             return this;
         }
 
--- a/library/src/main/java/org/chivetally/placement/AgentView.java
+++ b/library/src/main/java/org/chivetally/placement/AgentView.java
@@ -23,6 +23,7 @@
     private boolean introduced;
     private boolean reachable;
     private boolean draining;
+    private boolean leaving;
     private boolean minionDown;
     private boolean gone;
     private long ticket;
@@ -37,6 +38,7 @@
     private long memoryBytesInFlight;
     private int acceleratorsInFlight;
     private int allowed = UNLIMITED;
+    private boolean heldDown;
 
     AgentView(AgentId id) {
         this.id = Objects.requireNonNull(id, "id");
@@ -47,7 +49,7 @@
         return id;
     }
 
-    /** Returns the service its minion runs; empty while no Hello of it was seen. */
+    /** Returns the service its minion runs; empty while neither a Hello of it nor the members' records named it. */
     public String service() {
         return service;
     }
@@ -107,9 +109,9 @@
         return refreshPending && now - refreshSentAt < REFRESH_PATIENCE_NANOS;
     }
 
-    /** Returns the most attempts in flight that quarantine allows. */
+    /** Returns the most attempts in flight that quarantine and hold-down allow. */
     public int allowed() {
-        return allowed;
+        return heldDown ? Math.min(1, allowed) : allowed;
     }
 
     /** Tells whether a ticket arrived within the last {@code freshness} nanoseconds. */
@@ -125,13 +127,13 @@
         if (!reachable) {
             return AgentState.UNREACHABLE;
         }
-        if (draining) {
+        if (draining || leaving) {
             return AgentState.DRAINING;
         }
         if (minionDown) {
             return AgentState.MINION_DOWN;
         }
-        return allowed <= 0 ? AgentState.QUARANTINED : AgentState.USABLE;
+        return allowed() <= 0 ? AgentState.QUARANTINED : AgentState.USABLE;
     }
 
     /** Returns the slots thought to be free, with some of the agent's queue counted as slots; never negative. */
@@ -140,7 +142,7 @@
             return 0;
         }
         int bySlots = slots + overcommit - inFlight - others;
-        return Math.max(0, Math.min(bySlots, allowed - inFlight));
+        return Math.max(0, Math.min(bySlots, allowed() - inFlight));
     }
 
     /** Returns the share of slots thought to be taken; above 1 when tasks queue. */
@@ -150,7 +152,7 @@
 
     /** Tells whether the agent takes new work and quarantine allows one attempt more. */
     boolean acceptsMore() {
-        return state() == AgentState.USABLE && inFlight < allowed;
+        return state() == AgentState.USABLE && inFlight < allowed();
     }
 
     /** Tells whether a task fits beside this coordinator's own attempts there. */
@@ -169,6 +171,14 @@
         introduced = true;
     }
 
+    void name(String knownService) {
+        service = knownService;
+    }
+
+    void holdDown(boolean held) {
+        heldDown = held;
+    }
+
     void connect() {
         gone = false;
         reachable = true;
@@ -186,7 +196,7 @@
     }
 
     void drain() {
-        draining = true;
+        leaving = true;
     }
 
     void refreshSent(long now) {
@@ -211,7 +221,7 @@
         sequence = report.getSequence();
         ticket = report.getTicket();
         ticketReceivedAt = now;
-        draining |= report.getDraining();
+        draining = report.getDraining();
         minionDown = report.getMinionUnhealthy();
         int taken = Math.max(slots - report.getFreeSlots(), report.getRunning()) + report.getQueued();
         others = Math.max(0, taken - inFlight);
