--- a/library/src/main/java/org/chivetally/entry/peer/KeyQuestions.java
+++ b/library/src/main/java/org/chivetally/entry/peer/KeyQuestions.java
@@ -40,15 +40,20 @@
         requests.forEach(request -> byRequest.put(request, question));
     }
 
-    /** Notes an answer; false when it belongs to no question about a key. */
-    boolean answered(long request, boolean known) {
+    /**
+     * Notes an answer; false when it belongs to no question about a key.
+     *
+     * <p>A denial that is taken in late, as by an entry that was paused in between, may be false by now.
+     */
+    boolean answered(long request, boolean known, long now) {
         Question question = byRequest.remove(request);
         if (question == null) {
             return false;
         }
         question.open.remove(request);
-        if (known || question.open.isEmpty()) {
-            end(question, !known);
+        boolean late = now - question.until >= 0;
+        if (known || late || question.open.isEmpty()) {
+            end(question, !known && !late);
         }
         return true;
     }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -301,7 +301,7 @@
     }
 
     private void onJobAnswer(long request, JobAnswer answer) {
-        if (!keyQuestions.answered(request, answer.getKnown())) {
+        if (!keyQuestions.answered(request, answer.getKnown(), parts.clock().nanos())) {
             onAnswer(answer);
         }
     }
--- a/load/src/main/java/org/chivetally/load/Caller.java
+++ b/load/src/main/java/org/chivetally/load/Caller.java
@@ -1,6 +1,7 @@
 package org.chivetally.load;
 
 import java.io.IOException;
+import java.math.BigDecimal;
 import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -16,7 +17,8 @@
 /** Sends requests to entries as a caller does; every outcome is a {@link Reply}. */
 final class Caller {
     private static final Duration CANCEL_LIMIT = Duration.ofSeconds(2);
-    private static final Duration ANSWER_MARGIN = Duration.ofSeconds(5);
+    private static final Duration ANSWER_MARGIN = Duration.ofMillis(700);
+    private static final int MILLIS_DIGITS = 3;
     private static final int ACCEPTED = 202;
 
     private final HttpClient client;
@@ -25,25 +27,24 @@
         this.client = client;
     }
 
-    /** Submits a job and waits for its outcome; the stage never completes exceptionally. */
-    CompletableFuture<Reply> submit(Target entry, String key, String body, Duration deadline) {
-        URI address = entry.at("/v1/jobs?wait=" + waitSeconds(deadline));
-        return send(submission(address, key, body, deadline));
+    /** Submits a job and waits so long for its outcome; the stage never completes exceptionally. */
+    CompletableFuture<Reply> submit(Target entry, String key, String body, Duration wait) {
+        URI address = entry.at("/v1/jobs?wait=" + waitSeconds(wait));
+        return send(submission(address, key, body, wait));
     }
 
     /** Submits a job without waiting; never completes exceptionally. */
-    CompletableFuture<Announced> announce(Target entry, String key, String body, Duration deadline) {
-        HttpRequest request = submission(entry.at("/v1/jobs"), key, body, deadline);
+    CompletableFuture<Announced> announce(Target entry, String key, String body, Duration limit) {
+        HttpRequest request = submission(entry.at("/v1/jobs"), key, body, limit);
         return client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
                 .handle((response, failure) -> new Announced(
                         failure == null ? JobInterface.jobName(response.body()) : "", reply(response, failure)));
     }
 
     /** Waits for the outcome of a job by its name; a time that is over asks without a wait. */
-    CompletableFuture<Reply> answer(Target entry, String job, Duration deadline) {
-        URI address = entry.at("/v1/jobs/" + job + "/answer?wait=" + waitSeconds(deadline));
-        return send(
-                HttpRequest.newBuilder(address).timeout(limit(deadline)).GET().build());
+    CompletableFuture<Reply> answer(Target entry, String job, Duration wait) {
+        URI address = entry.at("/v1/jobs/" + job + "/answer?wait=" + waitSeconds(wait));
+        return send(HttpRequest.newBuilder(address).timeout(limit(wait)).GET().build());
     }
 
     /** Cancels a job; whether it took effect shows in the job's answer. */
@@ -55,9 +56,9 @@
         client.sendAsync(request, HttpResponse.BodyHandlers.discarding());
     }
 
-    private static HttpRequest submission(URI address, String key, String body, Duration deadline) {
+    private static HttpRequest submission(URI address, String key, String body, Duration wait) {
         return HttpRequest.newBuilder(address)
-                .timeout(limit(deadline))
+                .timeout(limit(wait))
                 .header("Content-Type", "application/json")
                 .header("Idempotency-Key", key)
                 .POST(HttpRequest.BodyPublishers.ofString(body))
@@ -73,7 +74,7 @@
             return unanswered(failure);
         }
         if (response.statusCode() == ACCEPTED) {
-            return new Reply.TimedOut();
+            return new Reply.Pending();
         }
         return JobInterface.reply(response.statusCode(), response.body());
     }
@@ -97,11 +98,11 @@
      */
     record Announced(String job, Reply reply) {}
 
-    private static long waitSeconds(Duration deadline) {
-        return Math.max(0, deadline.plusMillis(999).toSeconds());
+    private static String waitSeconds(Duration wait) {
+        return BigDecimal.valueOf(Math.max(0, wait.toMillis()), MILLIS_DIGITS).toPlainString();
     }
 
-    private static Duration limit(Duration deadline) {
-        return deadline.isNegative() ? ANSWER_MARGIN : deadline.plus(ANSWER_MARGIN);
+    private static Duration limit(Duration wait) {
+        return wait.isNegative() ? ANSWER_MARGIN : wait.plus(ANSWER_MARGIN);
     }
 }
--- a/load/src/main/java/org/chivetally/load/LoadPlanReader.java
+++ b/load/src/main/java/org/chivetally/load/LoadPlanReader.java
@@ -181,7 +181,8 @@
     private static Workload.Retries retries(Section section) {
         return new Workload.Retries(
                 (int) section.whole("most", 0, MOST_RETRIES, 0),
-                section.duration("delay", Duration.ZERO, LONGEST, Duration.ofMillis(200)));
+                section.duration("delay", Duration.ZERO, LONGEST, Duration.ofMillis(200)),
+                section.duration("patience", Duration.ZERO, LONGEST, Duration.ZERO));
     }
 
     private static Fault fault(Section item) {
--- a/load/src/main/java/org/chivetally/load/Reply.java
+++ b/load/src/main/java/org/chivetally/load/Reply.java
@@ -34,6 +34,9 @@
     /** The connection closed before an answer. */
     record Closed(String reason) implements Reply {}
 
-    /** No answer came until some time after the deadline. */
+    /** The job is under way and not final within the time that the request was held. */
+    record Pending() implements Reply {}
+
+    /** No answer came until some time after the request should have been answered. */
     record TimedOut() implements Reply {}
 }
--- a/load/src/main/java/org/chivetally/load/Submitter.java
+++ b/load/src/main/java/org/chivetally/load/Submitter.java
@@ -18,6 +18,7 @@
 /** Plays the callers of a schedule: submits, repeats, cancels and comes back, and keeps a record of every request. */
 final class Submitter {
     private static final long SHORTEST_NANOS = 1_000_000;
+    private static final Duration AFTER_DEADLINE = Duration.ofMillis(500);
     private static final Duration LAST_REQUEST = Duration.ofSeconds(2);
 
     private final LoadPlan plan;
@@ -94,6 +95,7 @@
         private final String key;
         private final Set<String> used;
         private final CompletableFuture<Void> end = new CompletableFuture<>();
+        private boolean lastAsked;
 
         /** Creates a chain; {@code used} takes the entries that requests of the same key first went to. */
         Chain(ScheduledJob job, int repeat, long dueNanos, Set<String> used) {
@@ -123,22 +125,21 @@
             if (repeat == 0 && job.cancelNanos().isPresent()) {
                 return requestAndCancel(entry, job.cancelNanos().getAsLong());
             }
-            return caller.submit(entry, key, body(), left());
+            return caller.submit(entry, key, body(), hold());
         }
 
         private CompletableFuture<Reply> requestAndCancel(Target entry, long cancelNanos) {
-            return caller.announce(entry, key, body(), left()).thenCompose(announced -> {
+            return caller.announce(entry, key, body(), hold()).thenCompose(announced -> {
                 if (announced.job().isEmpty()) {
                     return CompletableFuture.completedFuture(announced.reply());
                 }
                 String name = announced.job();
                 timer.schedule(() -> caller.cancel(entry, name), cancelNanos - clock.nanos(), TimeUnit.NANOSECONDS);
-                return caller.answer(entry, name, left().minus(LAST_REQUEST)).thenCompose(reply -> {
-                    // The question for an answer names no deadline; the last request under the key does.
-                    return reply instanceof Reply.TimedOut
-                            ? caller.submit(entry, key, body(), left())
-                            : CompletableFuture.completedFuture(reply);
-                });
+                // The question for an answer names no deadline; the last request under the key does.
+                return caller.answer(entry, name, hold().minus(LAST_REQUEST))
+                        .thenCompose(reply -> reply instanceof Reply.Pending
+                                ? caller.submit(entry, key, body(), hold())
+                                : CompletableFuture.completedFuture(reply));
             });
         }
 
@@ -166,7 +167,8 @@
                 }
                 case Reply.Problem problem -> end.complete(null);
                 case Reply.Malformed malformed -> end.complete(null);
-                case Reply.TimedOut late -> end.complete(null);
+                case Reply.Pending pending -> comeBack(ended, Duration.ZERO, Set.of());
+                case Reply.TimedOut late -> askElsewhere(ended, entry);
             }
         }
 
@@ -174,8 +176,20 @@
             return problem.certainty() != Certainty.FAILED && problem.retryAfterMillis() > 0;
         }
 
+        /** An entry is silent; a caller whose time is over asks another one once more what became of its key. */
+        private void askElsewhere(CallerRecord ended, Target silent) {
+            if (lastAsked || retries().most() == 0) {
+                end.complete(null);
+                return;
+            }
+            lastAsked = clock.nanos() - dueNanos >= deadline().toNanos();
+            balancer.markUnready(silent);
+            send(ended.attempt() + 1, Set.of(silent.name()));
+        }
+
         private void comeBack(CallerRecord ended, Duration delay, Set<String> avoided) {
-            boolean passedOn = ended.reply() instanceof Reply.Unreachable && !avoided.isEmpty();
+            boolean passedOn = ended.reply() instanceof Reply.Pending
+                    || ended.reply() instanceof Reply.Unreachable && !avoided.isEmpty();
             boolean inTime =
                     clock.nanos() + delay.toNanos() < dueNanos + deadline().toNanos();
             if (!inTime || (!passedOn && ended.attempt() >= retries().most())) {
@@ -199,6 +213,13 @@
             return Duration.ofNanos(Math.max(nanos, SHORTEST_NANOS));
         }
 
+        /** Returns how long one request is held: somewhat beyond the deadline, or as long as a caller's patience. */
+        private Duration hold() {
+            Duration patience = retries().patience();
+            Duration whole = left().plus(AFTER_DEADLINE);
+            return patience.isZero() || whole.compareTo(patience) < 0 ? whole : patience;
+        }
+
         private Duration deadline() {
             return plan.workload().deadline();
         }
--- a/load/src/main/java/org/chivetally/load/Summary.java
+++ b/load/src/main/java/org/chivetally/load/Summary.java
@@ -258,6 +258,7 @@
             case Reply.Malformed malformed -> "malformed " + malformed.status();
             case Reply.Unreachable unreachable -> "unreachable";
             case Reply.Closed closed -> "closed";
+            case Reply.Pending pending -> "pending";
             case Reply.TimedOut late -> "no answer";
         };
     }
--- a/load/src/main/java/org/chivetally/load/Workload.java
+++ b/load/src/main/java/org/chivetally/load/Workload.java
@@ -186,14 +186,16 @@
      *
      * @param most most further requests of one submission
      * @param delay time from the end of one request to the next; a longer one that the entry asks for goes first
+     * @param patience longest time that one request is held; the caller then asks again under the key, and at another
+     *     entry when this one is silent. Zero holds a request until the deadline
      */
-    public record Retries(int most, Duration delay) {
+    public record Retries(int most, Duration delay, Duration patience) {
         /** No further requests. */
-        public static final Retries NONE = new Retries(0, Duration.ZERO);
+        public static final Retries NONE = new Retries(0, Duration.ZERO, Duration.ZERO);
 
         /** Refuses negative numbers. */
         public Retries {
-            if (most < 0 || delay.isNegative()) {
+            if (most < 0 || delay.isNegative() || patience.isNegative()) {
                 throw new IllegalArgumentException("retries can't be negative");
             }
         }
