--- a/library/src/test/java/org/chivetally/claim/ClaimantPropertiesTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimantPropertiesTest.java
@@ -15,6 +15,7 @@
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
@@ -46,6 +47,20 @@
         }
     }
 
+    /** A snapshot that covers less than was read changes nothing: claims known once are never forgotten early. */
+    @Example
+    void tableNeverGoesBackwards() {
+        World world = new World();
+        TableImage older = world.processes.getFirst().claimant().image();
+        world.play(new Step(Kind.CLAIM, 0, 0));
+        world.deliverAll();
+        Claimant claimant = world.processes.getFirst().claimant();
+        TableImage newer = claimant.image();
+        claimant.restore(older, world.clock.nanos());
+        assertThat(claimant.image(), is(newer));
+        assertThat(newer.held(), hasSize(1));
+    }
+
     @Provide
     Arbitrary<List<Step>> schedules() {
         Arbitrary<Step> step = Combinators.combine(
@@ -64,6 +79,7 @@
         ANSWER,
         CLAIM,
         TAKE_OVER,
+        LEAVE_ALONE,
         DELIVER_ALL
     }
 
@@ -122,6 +138,7 @@
                 case ANSWER -> flight(step.number()).ifPresent(flight -> answer(flight, step.number()));
                 case CLAIM -> claim(process, step.number());
                 case TAKE_OVER -> takeOver(process, step.number());
+                case LEAVE_ALONE -> leaveAlone(process);
                 case DELIVER_ALL -> deliverAll();
             }
         }
@@ -148,6 +165,16 @@
             });
         }
 
+        /** All others stand still for longer than their leases. */
+        private void leaveAlone(Process process) {
+            for (int round = 0; round < 4; round++) {
+                clock.advance(Duration.ofSeconds(3));
+                send(process);
+                flights.stream().filter(flight -> flight.sender == process.claimant()).forEach(this::land);
+                read(process);
+            }
+        }
+
         private static SubmissionKey keyOf(int number) {
             return number % 2 == 0 ? ClaimSamples.KEY : ClaimSamples.OTHER_KEY;
         }
