--- a/library/src/main/java/org/chivetally/claim/ClaimTable.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -23,7 +23,8 @@
     private final Map<SubmissionKey, HeldClaim> byKey = new LinkedHashMap<>();
     private final Map<JobId, HeldClaim> byJob = new HashMap<>();
     private final Map<String, TableImage.Writer> writers = new HashMap<>();
-    private final Map<Coordinator, Coordinator> coordinators = new HashMap<>();
+    private final Interner<Coordinator> coordinators = new Interner<>();
+    private final Interner<String> teams = new Interner<>();
     private long nextOffset;
     private long streamMillis;
 
@@ -34,7 +35,7 @@
         table.streamMillis = image.streamMillis();
         image.writers().forEach(writer -> table.writers.put(writer.name(), writer));
         for (HeldClaim held : image.held()) {
-            table.put(held.withCoordinator(table.shared(held.coordinator()), held.generation()));
+            table.put(table.lean(held));
         }
         return table;
     }
@@ -133,7 +134,7 @@
                 Claim.FIRST_GENERATION,
                 false);
         remove(byKey.get(claimed.key()));
-        put(HeldClaim.of(claim, shared(claim.coordinator()), streamMillis + claimed.window().toMillis()));
+        put(lean(HeldClaim.of(claim, streamMillis + claimed.window().toMillis())));
         return new Folded.Won(claim);
     }
 
@@ -142,7 +143,7 @@
         if (held == null || !held.job().equals(taken.job()) || held.generation() + 1 != taken.generation()) {
             return new Folded.Unchanged();
         }
-        HeldClaim successor = held.withCoordinator(shared(taken.coordinator()), taken.generation());
+        HeldClaim successor = held.withCoordinator(coordinators.shared(taken.coordinator()), taken.generation());
         put(successor);
         return new Folded.TakenOver(successor.claim(), held.coordinator());
     }
@@ -187,6 +188,10 @@
         byJob.put(held.job(), held);
     }
 
+    private HeldClaim lean(HeldClaim held) {
+        return held.sharing(teams.shared(held.key().team()), coordinators.shared(held.coordinator()));
+    }
+
     private void remove(HeldClaim held) {
         if (held == null) {
             return;
@@ -207,9 +212,4 @@
             byJob.remove(held.job(), held);
         }
     }
-
-    private Coordinator shared(Coordinator coordinator) {
-        Coordinator known = coordinators.putIfAbsent(coordinator, coordinator);
-        return known == null ? coordinator : known;
-    }
 }
--- a/library/src/main/java/org/chivetally/claim/HeldClaim.java
+++ b/library/src/main/java/org/chivetally/claim/HeldClaim.java
@@ -22,7 +22,7 @@
     private static final int DIGITS = 16;
 
     /** Packs a claim. */
-    static HeldClaim of(Claim claim, Coordinator coordinator, long endMillis) {
+    static HeldClaim of(Claim claim, long endMillis) {
         return new HeldClaim(
                 claim.key(),
                 part(claim.bodyDigest(), 0),
@@ -30,7 +30,7 @@
                 part(claim.bodyDigest(), 2),
                 part(claim.bodyDigest(), 3),
                 claim.job(),
-                coordinator,
+                claim.coordinator(),
                 claim.generation(),
                 claim.finished(),
                 endMillis);
@@ -47,6 +47,13 @@
                 key, digest1, digest2, digest3, digest4, job, successor, newGeneration, finished, endMillis);
     }
 
+    /** Returns the same claim with shared instances of its parts. */
+    HeldClaim sharing(String team, Coordinator sharedCoordinator) {
+        SubmissionKey sharedKey = new SubmissionKey(team, key.key());
+        return new HeldClaim(
+                sharedKey, digest1, digest2, digest3, digest4, job, sharedCoordinator, generation, finished, endMillis);
+    }
+
     /** Returns the same claim, marked as finished. */
     HeldClaim asFinished() {
         return new HeldClaim(key, digest1, digest2, digest3, digest4, job, coordinator, generation, true, endMillis);
--- a/library/src/main/java/org/chivetally/claim/SnapshotCodec.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotCodec.java
@@ -177,7 +177,7 @@
             json.nextToken();
             boolean finished = json.getBooleanValue();
             Claim claim = new Claim(key, digest, job, coordinator, generation, finished);
-            return HeldClaim.of(claim, coordinator, streamMillis + number(json));
+            return HeldClaim.of(claim, streamMillis + number(json));
         }
 
         private static String text(JsonParser json) {
--- a/library/src/test/java/org/chivetally/claim/ScriptedLog.java
+++ b/library/src/test/java/org/chivetally/claim/ScriptedLog.java
@@ -145,14 +145,6 @@
         }
     }
 
-    /** Drops a stream's last records, as if they had never been written. */
-    void cut(String stream, int count) {
-        synchronized (shared) {
-            List<LogRecord> records = shared.records(stream);
-            records.subList(records.size() - count, records.size()).clear();
-        }
-    }
-
     List<LogRecord> records(String stream) {
         synchronized (shared) {
             return List.copyOf(shared.records(stream));
