Takeovers go by how old a job may be on this process's own clock; agents gone before a claim don't count

Cause: the dispatcher took "not listed" for "never started" whatever the job's age: DispatcherTakeoverTest showed a start of task job/1/2/1 ten minutes after its claim, and of a job of unknown age; an idempotent job's cancelled task was said not to have run (NOT_RUN instead of UNKNOWN). The entry's guard went by the wall-clock time in the job's id, allowed clocks 30 s of difference, covered non-idempotent services only, and gave up answers that agents still had. The other way, an agent that was replaced before a job was claimed made its takeover fail (agentGoneBeforeTheJobWasClaimedHeldNothingOfIt). Change: Claims.claimedAfter bounds the age by when this process last saw the stream end before the claim (ReadTimeline); empty for claims from before it started. JobClaimed carries it. Answers later than the shorter of agentRetention and goneRetention, less a hundredth, or for memory claims at any age, prove nothing; what agents list is used as ever. An agentRetention under twice ticketAge is refused with its place (claims.agentRetention), as the agent does with limits.retention. Price: a taker that started after the claim was written knows no age, so unlisted tasks of services that must run once end as unknown there.

--- a/library/src/main/java/org/chivetally/claim/ClaimTable.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.chivetally.job.JobId;
 
@@ -60,7 +61,7 @@
         noteWriter(id, offset, entry.content());
         forgetEnded();
         return switch (entry.content()) {
-            case ClaimRecord.Claimed claimed -> foldClaimed(claimed);
+            case ClaimRecord.Claimed claimed -> foldClaimed(claimed, offset);
             case ClaimRecord.TakenOver taken -> foldTakenOver(taken);
             case ClaimRecord.Renewed renewed ->
                 new Folded.Renewed(renewed.coordinator(), renewed.lease(), id.sequence());
@@ -85,6 +86,12 @@
         return Optional.ofNullable(byJob.get(job)).filter(this::isInForce).map(HeldClaim::claim);
     }
 
+    /** Returns the offset of the record that claimed a job's key; empty when no claim of the job is in force. */
+    OptionalLong offsetOf(JobId job) {
+        HeldClaim held = byJob.get(job);
+        return held == null || !isInForce(held) ? OptionalLong.empty() : OptionalLong.of(held.offset());
+    }
+
     /** Returns the offset of the first record not taken in. */
     long nextOffset() {
         return nextOffset;
@@ -139,7 +146,7 @@
         return known == null ? ClaimRecord.TakenOver.NO_RENEWAL : known.lastRenewal();
     }
 
-    private Folded foldClaimed(ClaimRecord.Claimed claimed) {
+    private Folded foldClaimed(ClaimRecord.Claimed claimed, long offset) {
         if (inForce(claimed.key()) != null) {
             return new Folded.Unchanged();
         }
@@ -154,7 +161,8 @@
         put(HeldClaim.of(
                 claim,
                 shared(claim.coordinator()),
-                streamMillis + claimed.window().toMillis()));
+                streamMillis + claimed.window().toMillis(),
+                offset));
         return new Folded.Won(claim);
     }
 
--- a/library/src/main/java/org/chivetally/claim/Claimant.java
+++ b/library/src/main/java/org/chivetally/claim/Claimant.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.chivetally.job.JobId;
@@ -32,6 +33,7 @@
     private final LeaseKeeper lease;
     private final GroupCommit commit;
     private final StreamTime streamTime;
+    private final ReadTimeline timeline = new ReadTimeline();
     private final LateClaims late;
     private final LogHealth health = new LogHealth();
     private final Map<ClaimRecord, WaitingClaim> waiting = new LinkedHashMap<>();
@@ -129,6 +131,7 @@
             fold(logRecord, nanos);
         }
         streamTime.reached(table.streamMillis(), nanos);
+        timeline.endSeen(endOffset, sentNanos);
         if (table.nextOffset() >= endOffset) {
             leases.endRead(sentNanos);
             noticeEnd(endOffset);
@@ -210,6 +213,12 @@
         return table.find(job).or(() -> late.find(job));
     }
 
+    /** Returns a reading of the clock after which a job was claimed in the log; empty when none is known. */
+    OptionalLong claimedAfter(JobId job) {
+        OptionalLong offset = table.offsetOf(job);
+        return offset.isPresent() ? timeline.writtenAfter(offset.getAsLong()) : OptionalLong.empty();
+    }
+
     /** Returns the table's content, for a snapshot. */
     TableImage image() {
         return table.image();
--- a/library/src/main/java/org/chivetally/claim/Claims.java
+++ b/library/src/main/java/org/chivetally/claim/Claims.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -34,6 +35,14 @@
     /** Returns the claim in force for a key, as far as this process has read. */
     CompletionStage<Optional<Claim>> find(SubmissionKey key);
 
+    /**
+     * Returns a reading of the clock in nanoseconds after which a job was claimed in the log, whoever claimed it. Empty
+     * when none is known, as of claims that stood in the log before this process first read it.
+     */
+    default CompletionStage<OptionalLong> claimedAfter(JobId job) {
+        return CompletableFuture.completedFuture(OptionalLong.empty());
+    }
+
     /** Records, with a later append, that a job has its final outcome. */
     void finished(Claim claim);
 
--- a/library/src/main/java/org/chivetally/claim/ClaimsActor.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsActor.java
@@ -120,6 +120,7 @@
             case ClaimsCommand.TakeOver take -> claimant.takeOver(take.current(), take.reply(), nanos);
             case ClaimsCommand.FindKey find -> find.reply().complete(claimant.find(find.key()));
             case ClaimsCommand.FindJob find -> find.reply().complete(claimant.find(find.job()));
+            case ClaimsCommand.FindClaimedAfter find -> find.reply().complete(claimant.claimedAfter(find.job()));
             case ClaimsCommand.Finish finish -> claimant.finished(finish.claim());
             case ClaimsCommand.Release release -> claimant.release(release.claim());
             case ClaimsCommand.Depart depart -> depart(depart.reply(), nanos);
--- a/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimsCommand.java
@@ -1,6 +1,7 @@
 package org.chivetally.claim;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongConsumer;
@@ -30,6 +31,9 @@
     /** Give a claim up. */
     record Release(Claim claim) implements ClaimsCommand {}
 
+    /** Tell after when a job was claimed. */
+    record FindClaimedAfter(JobId job, CompletableFuture<OptionalLong> reply) implements ClaimsCommand {}
+
     /** Give the lease up. */
     record Depart(CompletableFuture<Void> reply) implements ClaimsCommand {}
 
--- a/library/src/main/java/org/chivetally/claim/HeldClaim.java
+++ b/library/src/main/java/org/chivetally/claim/HeldClaim.java
@@ -7,6 +7,7 @@
  * A claim in the form in which a table keeps it; the digest as four numbers takes a third of the memory of its text.
  *
  * @param endMillis the stream's time at which its window ends
+ * @param offset offset of the record that claimed the key
  */
 record HeldClaim(
         SubmissionKey key,
@@ -18,11 +19,12 @@
         Coordinator coordinator,
         int generation,
         boolean finished,
-        long endMillis) {
+        long endMillis,
+        long offset) {
     private static final int DIGITS = 16;
 
     /** Packs a claim. */
-    static HeldClaim of(Claim claim, Coordinator coordinator, long endMillis) {
+    static HeldClaim of(Claim claim, Coordinator coordinator, long endMillis, long offset) {
         return new HeldClaim(
                 claim.key(),
                 part(claim.bodyDigest(), 0),
@@ -33,7 +35,8 @@
                 coordinator,
                 claim.generation(),
                 claim.finished(),
-                endMillis);
+                endMillis,
+                offset);
     }
 
     /** Returns the claim unpacked. */
@@ -44,12 +47,13 @@
     /** Returns the same claim of another coordinator. */
     HeldClaim withCoordinator(Coordinator successor, int newGeneration) {
         return new HeldClaim(
-                key, digest1, digest2, digest3, digest4, job, successor, newGeneration, finished, endMillis);
+                key, digest1, digest2, digest3, digest4, job, successor, newGeneration, finished, endMillis, offset);
     }
 
     /** Returns the same claim, marked as finished. */
     HeldClaim asFinished() {
-        return new HeldClaim(key, digest1, digest2, digest3, digest4, job, coordinator, generation, true, endMillis);
+        return new HeldClaim(
+                key, digest1, digest2, digest3, digest4, job, coordinator, generation, true, endMillis, offset);
     }
 
     private static long part(String digest, int number) {
--- a/library/src/main/java/org/chivetally/claim/LogClaims.java
+++ b/library/src/main/java/org/chivetally/claim/LogClaims.java
@@ -140,6 +140,13 @@
         return caughtUp.get();
     }
 
+    @Override
+    public CompletionStage<OptionalLong> claimedAfter(JobId job) {
+        CompletableFuture<OptionalLong> reply = new CompletableFuture<>();
+        actor.tell(new ClaimsCommand.FindClaimedAfter(job, reply));
+        return reply;
+    }
+
     @Override
     public OptionalLong readToEndAt() {
         return leases.readToEndAt();
--- a/library/src/main/java/org/chivetally/claim/SnapshotCodec.java
+++ b/library/src/main/java/org/chivetally/claim/SnapshotCodec.java
@@ -134,6 +134,7 @@
             json.writeNumber(held.generation());
             json.writeBoolean(held.finished());
             json.writeNumber(millisLeft);
+            json.writeNumber(held.offset());
         }
     }
 
@@ -182,7 +183,7 @@
             json.nextToken();
             boolean finished = json.getBooleanValue();
             Claim claim = new Claim(key, digest, job, coordinator, generation, finished);
-            return HeldClaim.of(claim, coordinator, streamMillis + number(json));
+            return HeldClaim.of(claim, coordinator, streamMillis + number(json), number(json));
         }
 
         private static String text(JsonParser json) {
--- a/library/src/main/java/org/chivetally/coordination/Admission.java
+++ b/library/src/main/java/org/chivetally/coordination/Admission.java
@@ -51,7 +51,7 @@
         }
         job.generation = event.generation();
         if (job.generation > 1) {
-            takeovers.begin(job);
+            takeovers.begin(job, event.claimedAfterNanos());
             return;
         }
         for (TaskProgress task : job.tasks) {
--- a/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
@@ -1,5 +1,6 @@
 package org.chivetally.coordination;
 
+import java.util.OptionalLong;
 import org.chivetally.job.JobId;
 import org.chivetally.job.JobSpecification;
 import org.chivetally.job.ServicePolicy;
@@ -25,8 +26,16 @@
     /**
      * The claim of a submitted job was read back as won; generation 1 may start, a later one inquires first. Every
      * agent that may hold tasks of a job taken over was named by an event before this one.
+     *
+     * @param claimedAfterNanos for a job taken over, a time of this process's clock after which its first claim was
+     *     written, and so any task of it started; empty when none is known
      */
-    record JobClaimed(JobId job, int generation) implements DispatchEvent {}
+    record JobClaimed(JobId job, int generation, OptionalLong claimedAfterNanos) implements DispatchEvent {
+        /** Creates the event of a claim of unknown age. */
+        public JobClaimed(JobId job, int generation) {
+            this(job, generation, OptionalLong.empty());
+        }
+    }
 
     /** The claim was lost or given up: the job is dropped without an outcome, as nothing of it started here. */
     record JobWithdrawn(JobId job) implements DispatchEvent {}
--- a/library/src/main/java/org/chivetally/coordination/DispatchSettings.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchSettings.java
@@ -63,11 +63,19 @@
             Duration takeoverPatience,
             Duration agentRetention,
             Duration goneRetention) {
-        /** Refuses a freshness that an agent would take for stale. */
+        private static final int MARGIN_SHARE = 100;
+
+        /**
+         * Refuses a freshness that an agent would take for stale, and a memory of agents so short that an attempt could
+         * be forgotten while its start may still arrive.
+         */
         public Fencing {
             if (ticketFreshness.compareTo(maximumTicketAge) >= 0) {
                 throw new IllegalArgumentException("ticketFreshness must be shorter than maximumTicketAge");
             }
+            if (agentRetention.compareTo(maximumTicketAge.multipliedBy(2)) < 0) {
+                throw new IllegalArgumentException("agentRetention must be at least twice maximumTicketAge");
+            }
         }
 
         /** Returns the times in use where nobody chose others. */
@@ -82,6 +90,15 @@
                     Duration.ofMinutes(10));
         }
 
+        /**
+         * Returns how long ago at most a job may have been claimed, in nanoseconds, for what agents and this process
+         * don't know of it to be proof; a hundredth is left for clocks that run at other speeds.
+         */
+        long rememberedNanos() {
+            long shorter = Math.min(agentRetention.toNanos(), goneRetention.toNanos());
+            return shorter - shorter / MARGIN_SHARE;
+        }
+
         /** Returns how long after its arrival a ticket may still let a start through, in nanoseconds. */
         long ticketEndNanos() {
             return maximumTicketAge.plus(clockMargin).toNanos();
--- a/library/src/main/java/org/chivetally/coordination/Takeover.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeover.java
@@ -1,6 +1,7 @@
 package org.chivetally.coordination;
 
 import java.util.LinkedHashSet;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.chivetally.placement.AgentView;
 
@@ -14,6 +15,14 @@
     final Set<TaskProgress> lost = new LinkedHashSet<>();
     /** Whether an agent that may have run tasks of the job died without an answer. */
     boolean holderLost;
+    /** Whether an agent answered so late that it may have forgotten tasks of the job. */
+    boolean forgotten;
+    /** A time of this process's clock before which no task of the job started; empty when none is known. */
+    final OptionalLong claimedAfter;
 
     AlarmQueue.Entry limit;
+
+    Takeover(OptionalLong claimedAfter) {
+        this.claimedAfter = claimedAfter;
+    }
 }
--- a/library/src/main/java/org/chivetally/coordination/Takeovers.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeovers.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.chivetally.errors.ErrorCode;
+import org.chivetally.job.ServicePolicy.ClaimMode;
 import org.chivetally.placement.AgentView;
 import org.chivetally.wire.v1.TaskState;
 
@@ -21,6 +23,7 @@
     private final AttemptEnds ends;
     private final JobEnds jobEnds;
     private final long ticketEnd;
+    private final long remembered;
 
     Takeovers(DispatchContext context, Inquiries inquiries, AttemptEnds ends, JobEnds jobEnds) {
         this.context = context;
@@ -28,17 +31,18 @@
         this.ends = ends;
         this.jobEnds = jobEnds;
         this.ticketEnd = context.settings.fencing().ticketEndNanos();
+        this.remembered = context.settings.fencing().rememberedNanos();
     }
 
-    void begin(JobProgress job) {
-        Takeover takeover = new Takeover();
+    void begin(JobProgress job, OptionalLong claimedAfter) {
+        Takeover takeover = new Takeover(claimedAfter);
         job.takeover = takeover;
         job.touched = true;
         context.takingOver.add(job);
         for (TaskProgress task : job.tasks) {
             task.lostAttempt = true;
         }
-        for (AgentView agent : context.fleet.possibleHolders(job.service.name, context.now)) {
+        for (AgentView agent : context.fleet.possibleHolders(job.service.name, claimedAfter, context.now)) {
             if (agent.gone()) {
                 takeover.holderLost = true;
             } else {
@@ -98,9 +102,23 @@
         }
         job.takeover.unanswered.remove(agent);
         job.takeover.answered.add(agent);
+        job.takeover.forgotten |= mayBeForgotten(job);
         concludeIfComplete(job);
     }
 
+    /**
+     * Tells whether an agent that answers now may have forgotten what it ran of a job.
+     *
+     * <p>Agents keep ended attempts for a time only. Of an older job "not known here" would be taken for "never
+     * started", and its tasks would start a second time. No task starts before the claim is written, so the claim's age
+     * bounds what may be forgotten; a claim made in memory is written after its tasks start, and bounds nothing.
+     */
+    private boolean mayBeForgotten(JobProgress job) {
+        OptionalLong claimedAfter = job.takeover.claimedAfter;
+        boolean bounded = claimedAfter.isPresent() && job.policy.claimMode() == ClaimMode.LOG;
+        return !bounded || context.now - claimedAfter.getAsLong() >= remembered;
+    }
+
     void limitReached(JobProgress job) {
         if (job.takeover != null) {
             conclude(job);
@@ -176,10 +194,15 @@
         job.takeover = null;
         List<TaskProgress> missing = held(job);
         context.log.takeover(job, "end", takeover.unanswered.size(), missing.size());
-        boolean certain = takeover.unanswered.isEmpty() && !takeover.holderLost && !takeover.answered.isEmpty();
+        boolean certain = takeover.unanswered.isEmpty()
+                && !takeover.holderLost
+                && !takeover.forgotten
+                && !takeover.answered.isEmpty();
         if (!certain && !job.policy.idempotent() && !missing.isEmpty()) {
             jobEnds.fail(
-                    job, ErrorCode.OUTCOME_UNKNOWN, "tasks may have started at agents that can't be asked any more");
+                    job,
+                    ErrorCode.OUTCOME_UNKNOWN,
+                    "tasks may have started at agents that can't be asked, or don't remember");
             return;
         }
         if (certain) {
--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -23,7 +23,6 @@
 import org.chivetally.claim.SubmissionKey;
 import org.chivetally.coordination.AgentId;
 import org.chivetally.coordination.DispatchEvent;
-import org.chivetally.coordination.DispatchSettings;
 import org.chivetally.entry.dispatch.DispatchActor;
 import org.chivetally.entry.dispatch.DispatchCommand;
 import org.chivetally.entry.dispatch.DispatchCore;
@@ -58,8 +57,6 @@
 /** The actors of one entry and the ways between them. */
 final class EntryActors {
     private static final Duration ANNOUNCE_INTERVAL = Duration.ofMinutes(10);
-    /** Most by which the wall clocks of two entries may differ. */
-    private static final Duration CLOCK_DIFFERENCE = Duration.ofSeconds(30);
 
     private final ActorSystem<?> system;
     private final Parts parts;
@@ -230,9 +227,7 @@
 
     private SubmissionActor.Parts submissionParts() {
         SubmissionSettings settings = new SubmissionSettings(
-                parts.settings().claims().window(),
-                longestTakeoverAge(),
-                parts.settings().limits().maximumKeptBytes());
+                parts.settings().claims().window(), parts.settings().limits().maximumKeptBytes());
         return new SubmissionActor.Parts(
                 parts.self(),
                 settings,
@@ -255,14 +250,6 @@
         parts.meters().timer("chivetally.job.time", "state", state).record(Duration.ofNanos(nanos));
     }
 
-    private Duration longestTakeoverAge() {
-        DispatchSettings.Fencing fencing = parts.settings().dispatch().fencing();
-        Duration remembered = fencing.agentRetention().compareTo(fencing.goneRetention()) < 0
-                ? fencing.agentRetention()
-                : fencing.goneRetention();
-        return remembered.minus(CLOCK_DIFFERENCE);
-    }
-
     private MemberActor.Parts memberParts() {
         return new MemberActor.Parts(
                 parts.log(),
--- a/library/src/main/java/org/chivetally/entry/submission/Failures.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Failures.java
@@ -52,14 +52,6 @@
         return new Failure(ErrorCode.OUTCOME_UNKNOWN, Certainty.UNKNOWN, detail, List.of(), 0);
     }
 
-    /** The coordinator of the job has ended, and what agents ran of it may be forgotten. */
-    public static Failure tooOldToTakeOver(String coordinator) {
-        String detail =
-                "entry " + coordinator + ", which coordinated the job, has ended, and the job is so old that its"
-                        + " tasks' outcomes are no longer kept";
-        return new Failure(ErrorCode.OUTCOME_UNKNOWN, Certainty.UNKNOWN, detail, List.of(), 0);
-    }
-
     /** The job was answered, and its answer was dropped since. */
     public static Failure answerDropped() {
         String detail = "the job was answered before; its answer is no longer kept";
--- a/library/src/main/java/org/chivetally/entry/submission/JobIds.java
+++ b/library/src/main/java/org/chivetally/entry/submission/JobIds.java
@@ -1,8 +1,6 @@
 package org.chivetally.entry.submission;
 
 import java.time.InstantSource;
-import java.util.Arrays;
-import java.util.OptionalLong;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.chivetally.job.JobId;
@@ -37,23 +35,6 @@
         return new JobId(text.toString());
     }
 
-    /** Returns the wall-clock time, in milliseconds, at which an id was made; empty for an id of another kind. */
-    static OptionalLong madeAt(JobId job) {
-        String text = job.text();
-        if (text.length() != TIME_LETTERS + 2 * RANDOM_LETTERS) {
-            return OptionalLong.empty();
-        }
-        long millis = 0;
-        for (int place = 0; place < TIME_LETTERS; place++) {
-            int value = Arrays.binarySearch(LETTERS, text.charAt(place));
-            if (value < 0) {
-                return OptionalLong.empty();
-            }
-            millis = millis << BITS_PER_LETTER | value;
-        }
-        return OptionalLong.of(millis);
-    }
-
     private static void append(StringBuilder text, long bits, int letters) {
         for (int letter = letters - 1; letter >= 0; letter--) {
             text.append(LETTERS[(int) (bits >>> (letter * BITS_PER_LETTER)) & (LETTERS.length - 1)]);
--- a/library/src/main/java/org/chivetally/entry/submission/RemoteJobs.java
+++ b/library/src/main/java/org/chivetally/entry/submission/RemoteJobs.java
@@ -5,9 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.chivetally.claim.Claim;
 import org.chivetally.claim.ClaimDecision;
@@ -28,7 +28,7 @@
 
     private final SubmissionActor.Parts parts;
     private final Consumer<SubmissionCommand> owner;
-    private final BiConsumer<RemoteJob, Claim> run;
+    private final Runner run;
     private final Map<JobId, RemoteJob> jobs = new HashMap<>();
     private long ticks;
 
@@ -38,7 +38,7 @@
      * @param owner takes messages to the owning actor from any thread
      * @param run takes jobs that were taken over, to be run here under the claim
      */
-    RemoteJobs(SubmissionActor.Parts parts, Consumer<SubmissionCommand> owner, BiConsumer<RemoteJob, Claim> run) {
+    RemoteJobs(SubmissionActor.Parts parts, Consumer<SubmissionCommand> owner, Runner run) {
         this.parts = parts;
         this.owner = owner;
         this.run = run;
@@ -91,7 +91,7 @@
         switch (decided.decision()) {
             case ClaimDecision.Won won -> {
                 forget(job);
-                run.accept(job, won.claim());
+                run.run(job, won.claim(), decided.claimedAfterNanos());
             }
             case ClaimDecision.Attached attached -> {
                 job.changed(attached.claim());
@@ -139,26 +139,11 @@
             end(job, Failures.coordinatorGone(lapsed.processId()));
             return;
         }
-        if (isForgotten(job, job.submission().get())) {
-            end(job, Failures.tooOldToTakeOver(lapsed.processId()));
-            return;
-        }
         if (job.beginTakeover(now)) {
             takeOver(job);
         }
     }
 
-    // Agents keep what they ran for a time only. After it, "not known here" would be taken for "never started" and
-    // every task of an old job would run again. The age is told by the job's id, which holds the wall-clock time of
-    // its making.
-    private boolean isForgotten(RemoteJob job, Submission submission) {
-        boolean idempotent =
-                parts.policies().service(submission.specification().service()).idempotent();
-        long oldest =
-                parts.time().millis() - parts.settings().longestTakeoverAge().toMillis();
-        return !idempotent && JobIds.madeAt(job.job()).orElse(Long.MIN_VALUE) <= oldest;
-    }
-
     // Agents that ran tasks for the lapsed coordinator were announced before it lapsed. Whoever goes on must know all
     // of them, or would start again what one of them has run, so the members are read to their end first.
     private void takeOver(RemoteJob job) {
@@ -166,7 +151,15 @@
         parts.membersCaughtUp()
                 .get()
                 .thenCompose(caughtUp -> caughtUp ? parts.claims().takeOver(claim) : membersUnknown())
-                .thenAccept(decision -> owner.accept(new SubmissionCommand.TakeoverDecided(claim.job(), decision)));
+                .thenCompose(decision -> withAge(claim.job(), decision))
+                .thenAccept(owner);
+    }
+
+    // How old the job is decides whether agents would still know its tasks.
+    private CompletionStage<SubmissionCommand> withAge(JobId job, ClaimDecision decision) {
+        return parts.claims()
+                .claimedAfter(job)
+                .thenApply(after -> new SubmissionCommand.TakeoverDecided(job, decision, after));
     }
 
     private static CompletionStage<ClaimDecision> membersUnknown() {
@@ -195,4 +188,15 @@
         jobs.remove(job.job());
         parts.peers().forget(job.job());
     }
+
+    /** Takes jobs that were taken over. */
+    @FunctionalInterface
+    interface Runner {
+        /**
+         * Runs a job under its claim.
+         *
+         * @param claimedAfterNanos reading of the clock after which it was first claimed, if one is known
+         */
+        void run(RemoteJob job, Claim claim, OptionalLong claimedAfterNanos);
+    }
 }
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -333,7 +333,7 @@
         record.takeAccepting().forEach(caller -> caller.complete(reply));
     }
 
-    private void runTakenOver(RemoteJob remote, Claim claim) {
+    private void runTakenOver(RemoteJob remote, Claim claim, OptionalLong claimedAfterNanos) {
         Submission submission = remote.submission().orElseThrow();
         JobRecord record = new JobRecord(
                 claim.job(), submission, parts.time().instant(), parts.clock().nanos());
@@ -345,7 +345,7 @@
                 submission,
                 parts.policies().service(submission.specification().service()),
                 claim.generation());
-        parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation()));
+        parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation(), claimedAfterNanos));
         LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
 
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionCommand.java
@@ -47,7 +47,8 @@
     record ClaimDecided(JobId job, ClaimDecision decision) implements SubmissionCommand {}
 
     /** The log decided about a takeover. */
-    record TakeoverDecided(JobId job, ClaimDecision decision) implements SubmissionCommand {}
+    record TakeoverDecided(JobId job, ClaimDecision decision, OptionalLong claimedAfterNanos)
+            implements SubmissionCommand {}
 
     /** The claim in force for an awaited job of another entry was looked up. */
     record ClaimRefreshed(Claim claim) implements SubmissionCommand {}
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionSettings.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionSettings.java
@@ -7,15 +7,12 @@
  * Limits of the jobs that one entry keeps.
  *
  * @param dedupeWindow how long final outcomes are kept; the same as the claims' window
- * @param longestTakeoverAge age from which a job that must run once is not taken over any more, as agents may have
- *     forgotten what they ran of it
  * @param maximumKeptBytes most bytes of kept outcomes; older answers are dropped over it
  */
-public record SubmissionSettings(Duration dedupeWindow, Duration longestTakeoverAge, long maximumKeptBytes) {
+public record SubmissionSettings(Duration dedupeWindow, long maximumKeptBytes) {
     /** Refuses missing or non-positive limits. */
     public SubmissionSettings {
         Objects.requireNonNull(dedupeWindow, "dedupeWindow");
-        Objects.requireNonNull(longestTakeoverAge, "longestTakeoverAge");
         if (dedupeWindow.isNegative() || maximumKeptBytes < 1) {
             throw new IllegalArgumentException("limits must be positive");
         }
--- a/library/src/main/java/org/chivetally/placement/Fleet.java
+++ b/library/src/main/java/org/chivetally/placement/Fleet.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.chivetally.coordination.AgentId;
 import org.chivetally.job.Resources;
@@ -59,8 +60,14 @@
         }
     }
 
-    /** Returns every agent that may have run tasks of a service: living, lately gone, and not yet introduced ones. */
-    public List<AgentView> possibleHolders(String service, long now) {
+    /**
+     * Returns every agent that may have run tasks of a service: living ones, not yet introduced ones, and lately gone
+     * ones.
+     *
+     * @param since time in nanoseconds before which no task in question started, so that agents gone by then ran none;
+     *     empty when none is known
+     */
+    public List<AgentView> possibleHolders(String service, OptionalLong since, long now) {
         forgetDeparted(now);
         List<AgentView> holders = new ArrayList<>(of(service).members());
         for (AgentView agent : unintroduced) {
@@ -69,7 +76,8 @@
             }
         }
         for (Departed one : departed) {
-            if (one.agent.gone() && mayServe(one.agent, service)) {
+            boolean inTime = since.isEmpty() || one.at - since.getAsLong() >= 0;
+            if (one.agent.gone() && inTime && mayServe(one.agent, service)) {
                 holders.add(one.agent);
             }
         }
--- a/library/src/main/java/org/chivetally/settings/EntryDaemonSettings.java
+++ b/library/src/main/java/org/chivetally/settings/EntryDaemonSettings.java
@@ -55,6 +55,9 @@
         if (needed.compareTo(claims.logRetention()) > 0) {
             section.mistake("logRetention", "must not be shorter than window, lease and claimTimeout together");
         }
+        if (claims.agentRetention().compareTo(claims.ticketAge().multipliedBy(2)) < 0) {
+            section.mistake("agentRetention", "must be at least twice ticketAge");
+        }
         return claims;
     }
 }
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -3,9 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -14,6 +16,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
@@ -201,6 +204,30 @@
         assertThat(told, contains(false, ClaimSamples.claim("job-1", "b", 2), true));
     }
 
+    /*
+     * A job's age is what a takeover goes by when agents say that they know nothing of it. One that another entry
+     * claimed while this one was cut off for long may be as old as the last read before that, whenever it was read; of
+     * one that an entry found when it started nothing is known.
+     */
+    @Test
+    void claimIsNeverTakenForYoungerThanItMayBe() {
+        ScriptedLog viewOfB = log.view();
+        LogClaims a = start("a", log);
+        LogClaims b = start("b", viewOfB);
+        viewOfB.down(true);
+        pass(STEP);
+        long cutOff = clock.nanos();
+        claim(a, "job-1");
+        pass(LAPSE);
+        viewOfB.down(false);
+        pass(NOTICED);
+        assertThat(join(b.find(KEY)).isPresent(), is(true));
+        JobId job = new JobId("job-1");
+        assertThat(join(b.claimedAfter(job)).orElseThrow(), lessThanOrEqualTo(cutOff));
+        assertThat(join(a.claimedAfter(job)).orElseThrow(), greaterThan(cutOff - LAPSE.toNanos()));
+        assertThat(join(start("c", log.view()).claimedAfter(job)), is(OptionalLong.empty()));
+    }
+
     /*
      * An entry was cut off for longer than its lease, renews it and goes on with its job; its callers get their answer.
      * Before that another entry had counted the lease as lapsed and sent a takeover, which lands only after
--- /dev/null
+++ b/library/src/test/java/org/chivetally/claim/ReadTimelineTest.java
@@ -0,0 +1,69 @@
+package org.chivetally.claim;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+class ReadTimelineTest {
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final ReadTimeline timeline = new ReadTimeline();
+
+    @Test
+    void recordsFromBeforeTheFirstReadMayBeOfAnyAge() {
+        assertThat(timeline.writtenAfter(0), is(OptionalLong.empty()));
+        timeline.endSeen(5, SECOND);
+        assertThat(timeline.writtenAfter(4), is(OptionalLong.empty()));
+        assertThat(timeline.writtenAfter(5), is(OptionalLong.of(SECOND)));
+    }
+
+    @Test
+    void theLastReadThatDidNotSeeTheRecordCounts() {
+        timeline.endSeen(5, SECOND);
+        timeline.endSeen(5, 9 * SECOND);
+        timeline.endSeen(7, 20 * SECOND);
+        assertThat(timeline.writtenAfter(5), is(OptionalLong.of(9 * SECOND)));
+        assertThat(timeline.writtenAfter(6), is(OptionalLong.of(9 * SECOND)));
+        assertThat(timeline.writtenAfter(7), is(OptionalLong.of(20 * SECOND)));
+    }
+
+    @Test
+    void anEndThatGoesBackIsPassedOver() {
+        timeline.endSeen(7, SECOND);
+        timeline.endSeen(5, 9 * SECOND);
+        assertThat(timeline.writtenAfter(5), is(OptionalLong.empty()));
+        assertThat(timeline.writtenAfter(7), is(OptionalLong.of(SECOND)));
+    }
+
+    /** Whatever the order of appends and reads, no record is said to be younger than it is. */
+    @Property(tries = 300)
+    void neverYounger(@ForAll @Size(max = 60) List<@IntRange(max = 2_000) Integer> millis) {
+        ReadTimeline fresh = new ReadTimeline();
+        List<Long> written = new ArrayList<>();
+        long now = 0;
+        long firstRead = Long.MAX_VALUE;
+        for (int pause : millis) {
+            now += Duration.ofMillis(pause).toNanos() + 1;
+            if (pause % 2 == 0) {
+                written.add(now);
+                continue;
+            }
+            fresh.endSeen(written.size(), now);
+            firstRead = Math.min(firstRead, now);
+        }
+        for (int offset = 0; offset < written.size(); offset++) {
+            OptionalLong after = fresh.writtenAfter(offset);
+            assertThat(after.isPresent(), is(written.get(offset) > firstRead));
+            assertThat(after.orElse(Long.MIN_VALUE) <= written.get(offset), is(true));
+        }
+    }
+}
--- a/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
@@ -8,10 +8,13 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import org.chivetally.errors.ErrorCode;
 import org.chivetally.job.JobId;
 import org.chivetally.job.JobOutcome;
 import org.chivetally.job.ServicePolicy;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.Leaving;
 import org.chivetally.wire.v1.TaskStatus;
 import org.junit.jupiter.api.Test;
 
@@ -19,10 +22,37 @@
 class DispatcherTakeoverTest {
     private static final Duration HOURS = Duration.ofHours(10);
 
+    private static final Duration REMEMBERED =
+            DispatchSettings.defaults("north").fencing().agentRetention();
+
     private final DispatcherDriver driver = new DispatcherDriver();
     private final AgentId first = driver.connect("a", 8);
     private final AgentId second = driver.connect("b", 8);
 
+    private JobId submitOld(int tasks, ServicePolicy policy) {
+        driver.advance(REMEMBERED);
+        driver.heartbeat(first, 8);
+        driver.heartbeat(second, 8);
+        return driver.submit("job", DispatcherDriver.tasks(tasks, Duration.ofMinutes(1)), policy);
+    }
+
+    private JobOutcome.Certainty certaintyOfUnlisted(long ageNanos, Duration untilLastAnswer) {
+        driver.receive(first, Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()));
+        driver.receive(second, Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()));
+        driver.inquiries.clear();
+        JobId job = driver.submit(
+                "job of " + driver.now,
+                DispatcherDriver.tasks(1, Duration.ofMinutes(1)),
+                DispatcherDriver.repeatable(Duration.ofMinutes(1)));
+        driver.claim(job, 2, OptionalLong.of(driver.now - ageNanos));
+        driver.answer(driver.inquiries.get(0));
+        driver.advance(untilLastAnswer);
+        driver.answer(driver.lastInquiry());
+        driver.handle(new DispatchEvent.JobCancelled(job));
+        driver.advance(Duration.ofSeconds(1));
+        return driver.failure(job).certainty();
+    }
+
     private JobId takeOver(int tasks, ServicePolicy policy) {
         JobId job = driver.submit("job", DispatcherDriver.tasks(tasks, Duration.ofMinutes(1)), policy);
         driver.claim(job, 2);
@@ -108,6 +138,51 @@
         assertThat(driver.failure(job).code(), equalTo(ErrorCode.OUTCOME_UNKNOWN));
     }
 
+    @Test
+    void unlistedTaskOfAJobOlderThanTheAgentsMemoryMayHaveRun() {
+        // A job's coordinator died, and the caller submits it again when the agents have forgotten what they ran. They
+        // answer that they know nothing, which is taken for "never started" of a young job only; here the task would
+        // start twice. What they still know is used as ever.
+        JobId job = submitOld(2, DispatcherDriver.once());
+        driver.claim(job, 2, OptionalLong.of(driver.now - REMEMBERED.toNanos()));
+        driver.answer(
+                driver.inquiries.get(0), DispatcherDriver.state("job/0/1/1", 0, TaskStatus.TASK_STATUS_DONE, "zero"));
+        driver.answer(driver.inquiries.get(1));
+        assertThat(driver.starts, empty());
+        assertThat(driver.failure(job).code(), equalTo(ErrorCode.OUTCOME_UNKNOWN));
+        assertThat(driver.failure(job).unknownTasks(), contains(1));
+    }
+
+    @Test
+    void unlistedTaskOfAJobOfUnknownAgeMayHaveRun() {
+        JobId job = submitOld(1, DispatcherDriver.once());
+        driver.claim(job, 2, OptionalLong.empty());
+        List.copyOf(driver.inquiries).forEach(inquiry -> driver.answer(inquiry));
+        assertThat(driver.failure(job).certainty(), equalTo(JobOutcome.Certainty.UNKNOWN));
+    }
+
+    @Test
+    void forgottenTaskIsNeverSaidNotToHaveRun() {
+        // A task that may run again is queued though it may have run before; its job is cancelled while it waits. "Not
+        // run" is true only if the agents would still know of an earlier run, all of them when they answered.
+        long justRemembered = REMEMBERED.toNanos() - Duration.ofSeconds(20).toNanos();
+        assertThat(certaintyOfUnlisted(0, Duration.ZERO), equalTo(JobOutcome.Certainty.NOT_RUN));
+        assertThat(certaintyOfUnlisted(justRemembered, Duration.ZERO), equalTo(JobOutcome.Certainty.NOT_RUN));
+        assertThat(certaintyOfUnlisted(justRemembered, Duration.ofSeconds(20)), equalTo(JobOutcome.Certainty.UNKNOWN));
+        assertThat(certaintyOfUnlisted(REMEMBERED.toNanos(), Duration.ZERO), equalTo(JobOutcome.Certainty.UNKNOWN));
+    }
+
+    @Test
+    void agentGoneBeforeTheJobWasClaimedHeldNothingOfIt() {
+        // An agent was replaced before the job was claimed. Counted as one that may have run its tasks, each
+        // replacement would make all takeovers of the next minutes fail.
+        driver.handle(new DispatchEvent.AgentGone(second));
+        driver.advance(Duration.ofSeconds(1));
+        takeOver(1, DispatcherDriver.once());
+        driver.answer(driver.lastInquiry());
+        assertThat(driver.starts, hasSize(1));
+    }
+
     @Test
     void taskThatFailedEarlierFailsTheJobIfItRunsOnce() {
         JobId job = takeOver(1, DispatcherDriver.once());
--- a/library/src/test/java/org/chivetally/entry/LapsedClaim.java
+++ b/library/src/test/java/org/chivetally/entry/LapsedClaim.java
@@ -1,5 +1,6 @@
 package org.chivetally.entry;
 
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.chivetally.claim.Claim;
@@ -14,10 +15,21 @@
 
     private final Coordinator self;
     private final JobId job;
+    private final OptionalLong claimedAfter;
 
     LapsedClaim(Coordinator self, JobId job) {
+        this(self, job, OptionalLong.empty());
+    }
+
+    LapsedClaim(Coordinator self, JobId job, OptionalLong claimedAfter) {
         this.self = self;
         this.job = job;
+        this.claimedAfter = claimedAfter;
+    }
+
+    @Override
+    public CompletionStage<OptionalLong> claimedAfter(JobId ignored) {
+        return CompletableFuture.completedStage(claimedAfter);
     }
 
     @Override
