--- a/load/src/main/java/org/chivetally/load/Caller.java
+++ b/load/src/main/java/org/chivetally/load/Caller.java
@@ -33,12 +33,9 @@
         return send(submission(address, key, body, wait));
     }
 
-    /** Submits a job without waiting; never completes exceptionally. */
-    CompletableFuture<Announced> announce(Target entry, String key, String body, Duration limit) {
-        HttpRequest request = submission(entry.at("/v1/jobs"), key, body, limit);
-        return client.sendAsync(request, HttpResponse.BodyHandlers.ofString())
-                .handle((response, failure) -> new Announced(
-                        failure == null ? JobInterface.jobName(response.body()) : "", reply(response, failure)));
+    /** Submits a job without waiting; the request may take so long. Never completes exceptionally. */
+    CompletableFuture<Reply> announce(Target entry, String key, String body, Duration limit) {
+        return send(submission(entry.at("/v1/jobs"), key, body, limit));
     }
 
     /** Waits for the outcome of a job by its name; a time that is over asks without a wait. */
@@ -74,7 +71,7 @@
             return unanswered(failure);
         }
         if (response.statusCode() == ACCEPTED) {
-            return new Reply.Pending();
+            return new Reply.Pending(JobInterface.jobName(response.body()));
         }
         return JobInterface.reply(response.statusCode(), response.body());
     }
@@ -90,14 +87,6 @@
         };
     }
 
-    /**
-     * How a submission without waiting ended.
-     *
-     * @param job name of the job, or an empty text
-     * @param reply how the request ended if there is no name
-     */
-    record Announced(String job, Reply reply) {}
-
     private static String waitSeconds(Duration wait) {
         return BigDecimal.valueOf(Math.max(0, wait.toMillis()), MILLIS_DIGITS).toPlainString();
     }
--- a/load/src/main/java/org/chivetally/load/Reply.java
+++ b/load/src/main/java/org/chivetally/load/Reply.java
@@ -34,8 +34,8 @@
     /** The connection closed before an answer. */
     record Closed(String reason) implements Reply {}
 
-    /** The job is under way and not final within the time that the request was held. */
-    record Pending() implements Reply {}
+    /** The job of this name is under way and not final within the time that the request was held. */
+    record Pending(String job) implements Reply {}
 
     /** No answer came until some time after the request should have been answered. */
     record TimedOut() implements Reply {}
--- a/load/src/main/java/org/chivetally/load/RequestLines.java
+++ b/load/src/main/java/org/chivetally/load/RequestLines.java
@@ -41,7 +41,7 @@
             case Reply.Malformed malformed -> "malformed " + malformed.status() + " " + malformed.body();
             case Reply.Unreachable unreachable -> "unreachable " + unreachable.reason();
             case Reply.Closed closed -> "closed " + closed.reason();
-            case Reply.Pending pending -> "pending";
+            case Reply.Pending pending -> "pending " + pending.job();
             case Reply.TimedOut late -> "no answer";
         };
     }
--- a/load/src/main/java/org/chivetally/load/Submitter.java
+++ b/load/src/main/java/org/chivetally/load/Submitter.java
@@ -95,6 +95,8 @@
         private final String key;
         private final Set<String> used;
         private final CompletableFuture<Void> end = new CompletableFuture<>();
+        private boolean announced;
+        private String pending = "";
         private boolean lastAsked;
 
         /** Creates a chain; {@code used} takes the entries that requests of the same key first went to. */
@@ -122,28 +124,28 @@
         }
 
         private CompletableFuture<Reply> request(Target entry) {
-            if (repeat == 0 && job.cancelNanos().isPresent()) {
-                return requestAndCancel(entry, job.cancelNanos().getAsLong());
+            if (repeat == 0 && job.cancelNanos().isPresent() && !announced) {
+                return caller.announce(entry, key, body(), hold()).thenApply(reply -> announced(reply, entry));
+            }
+            // The question for an answer names no deadline; the last request under the key does.
+            Duration question = left().minus(LAST_REQUEST);
+            if (!pending.isEmpty() && question.isPositive()) {
+                return caller.answer(entry, pending, bounded(question));
             }
             return caller.submit(entry, key, body(), hold());
         }
 
-        private CompletableFuture<Reply> requestAndCancel(Target entry, long cancelNanos) {
-            return caller.announce(entry, key, body(), hold()).thenCompose(announced -> {
-                if (announced.job().isEmpty()) {
-                    return CompletableFuture.completedFuture(announced.reply());
-                }
-                String name = announced.job();
-                timer.schedule(() -> caller.cancel(entry, name), cancelNanos - clock.nanos(), TimeUnit.NANOSECONDS);
-                // The question for an answer names no deadline; the last request under the key does.
-                return caller.answer(entry, name, hold().minus(LAST_REQUEST))
-                        .thenCompose(reply -> reply instanceof Reply.Pending
-                                ? caller.submit(entry, key, body(), hold())
-                                : CompletableFuture.completedFuture(reply));
-            });
+        private Reply announced(Reply reply, Target entry) {
+            if (reply instanceof Reply.Pending accepted) {
+                announced = true;
+                long delay = job.cancelNanos().getAsLong() - clock.nanos();
+                timer.schedule(() -> caller.cancel(entry, accepted.job()), delay, TimeUnit.NANOSECONDS);
+            }
+            return reply;
         }
 
         private void follow(CallerRecord ended, Target entry, Set<String> avoided) {
+            pending = ended.reply() instanceof Reply.Pending accepted ? accepted.job() : "";
             switch (ended.reply()) {
                 case Reply.Unreachable unreachable -> {
                     balancer.markUnready(entry);
@@ -167,7 +169,7 @@
                 }
                 case Reply.Problem problem -> end.complete(null);
                 case Reply.Malformed malformed -> end.complete(null);
-                case Reply.Pending pending -> comeBack(ended, Duration.ZERO, Set.of());
+                case Reply.Pending accepted -> comeBack(ended, Duration.ZERO, Set.of());
                 case Reply.TimedOut late -> askElsewhere(ended, entry);
             }
         }
@@ -216,8 +218,14 @@
         /** Returns how long one request is held: somewhat beyond the deadline, or as long as a caller's patience. */
         private Duration hold() {
             Duration patience = retries().patience();
-            Duration whole = left().plus(AFTER_DEADLINE);
-            return patience.isZero() || whole.compareTo(patience) < 0 ? whole : patience;
+            Duration left = left();
+            boolean last = patience.isZero() || left.compareTo(patience.plus(LAST_REQUEST)) < 0;
+            return last ? left.plus(AFTER_DEADLINE) : patience;
+        }
+
+        private Duration bounded(Duration time) {
+            Duration patience = retries().patience();
+            return patience.isZero() || time.compareTo(patience) < 0 ? time : patience;
         }
 
         private Duration deadline() {
