A finished job is not run again by whoever takes it over; only the coordinator in force finishes a job

Cause: a resubmission of a finished idempotent job, after its coordinator died and the agents forgot its answers, started the missing tasks again and could get another answer than the first: DispatcherTakeoverTest.finishedJobIsNotRunAgain showed the start of job/1/2/1. A superseded coordinator marked the job as finished with its own outcome (ClaimTableTest.onlyTheCoordinatorInForceFinishesAJob: true instead of false). Change: JobClaimed says whether the claim is marked finished; missing tasks then end the job as answer-expired, unknown. The fold passes over finished records of anyone but the coordinator in force. ClaimTableTest.finishedJobStaysClaimed writes its record as that coordinator now; it asserts the same. Measured: tests of claim, coordination and entry pass.

--- a/library/src/main/java/org/chivetally/claim/ClaimTable.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -66,7 +66,7 @@
             case ClaimRecord.Renewed renewed ->
                 new Folded.Renewed(renewed.coordinator(), renewed.lease(), id.sequence());
             case ClaimRecord.Departed departed -> new Folded.Departed(departed.coordinator());
-            case ClaimRecord.Finished finished -> foldFinished(finished);
+            case ClaimRecord.Finished finished -> foldFinished(finished, id.writer());
             case ClaimRecord.Released released -> foldReleased(released);
         };
     }
@@ -179,9 +179,13 @@
         return new Folded.TakenOver(successor.claim(), held.coordinator());
     }
 
-    private Folded foldFinished(ClaimRecord.Finished finished) {
+    /** A coordinator that lost its job has an outcome of its own for it; the job's is that of its successor. */
+    private Folded foldFinished(ClaimRecord.Finished finished, String writer) {
         HeldClaim held = inForce(finished.key());
-        if (held == null || !held.job().equals(finished.job()) || held.finished()) {
+        if (held == null
+                || !held.job().equals(finished.job())
+                || !RecordId.writerOf(held.coordinator()).equals(writer)
+                || held.finished()) {
             return new Folded.Unchanged();
         }
         HeldClaim marked = held.asFinished();
--- a/library/src/main/java/org/chivetally/coordination/Admission.java
+++ b/library/src/main/java/org/chivetally/coordination/Admission.java
@@ -50,6 +50,7 @@
             return;
         }
         job.generation = event.generation();
+        job.finishedEarlier = event.finished();
         if (job.generation > 1) {
             takeovers.begin(job, event.claimedAfterNanos());
             return;
--- a/library/src/main/java/org/chivetally/coordination/AttemptEnds.java
+++ b/library/src/main/java/org/chivetally/coordination/AttemptEnds.java
@@ -164,6 +164,9 @@
 
     private RetryDecision decide(TaskProgress task) {
         JobProgress job = task.job;
+        if (job.finishedEarlier) {
+            return RetryDecision.FINISHED_EARLIER;
+        }
         if (!job.policy.idempotent()) {
             return RetryDecision.NOT_IDEMPOTENT;
         }
--- a/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
+++ b/library/src/main/java/org/chivetally/coordination/DispatchEvent.java
@@ -29,11 +29,13 @@
      *
      * @param claimedAfterNanos for a job taken over, a time of this process's clock after which its first claim was
      *     written, and so any task of it started; empty when none is known
+     * @param finished whether an earlier coordinator said that the job has its final outcome
      */
-    record JobClaimed(JobId job, int generation, OptionalLong claimedAfterNanos) implements DispatchEvent {
-        /** Creates the event of a claim of unknown age. */
+    record JobClaimed(JobId job, int generation, OptionalLong claimedAfterNanos, boolean finished)
+            implements DispatchEvent {
+        /** Creates the event of a claim of unknown age, of a job that is not known to be finished. */
         public JobClaimed(JobId job, int generation) {
-            this(job, generation, OptionalLong.empty());
+            this(job, generation, OptionalLong.empty(), false);
         }
     }
 
--- a/library/src/main/java/org/chivetally/coordination/JobProgress.java
+++ b/library/src/main/java/org/chivetally/coordination/JobProgress.java
@@ -22,6 +22,8 @@
     final ArrayDeque<TaskProgress> queued = new ArrayDeque<>();
 
     int generation;
+    /** Whether an earlier coordinator said that the job has its final outcome, so that nothing of it may run again. */
+    boolean finishedEarlier;
     /** Tasks without an answer. */
     int open;
 
--- a/library/src/main/java/org/chivetally/coordination/RetryDecision.java
+++ b/library/src/main/java/org/chivetally/coordination/RetryDecision.java
@@ -4,6 +4,7 @@
 enum RetryDecision {
     AGAIN("again"),
     NOT_IDEMPOTENT("not-idempotent"),
+    FINISHED_EARLIER("finished-earlier"),
     ATTEMPTS_USED("attempts-used"),
     DEADLINE_NEAR("deadline-near"),
     BUDGET_USED("budget-used");
--- a/library/src/main/java/org/chivetally/coordination/Takeovers.java
+++ b/library/src/main/java/org/chivetally/coordination/Takeovers.java
@@ -198,6 +198,11 @@
                 && !takeover.holderLost
                 && !takeover.forgotten
                 && !takeover.answered.isEmpty();
+        if (job.finishedEarlier && !missing.isEmpty()) {
+            // Run again, the job could give its resubmission another answer than the first.
+            jobEnds.fail(job, ErrorCode.ANSWER_EXPIRED, "the job was finished before; not all its answers are kept");
+            return;
+        }
         if (!certain && !job.policy.idempotent() && !missing.isEmpty()) {
             jobEnds.fail(
                     job,
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -345,7 +345,9 @@
                 submission,
                 parts.policies().service(submission.specification().service()),
                 claim.generation());
-        parts.dispatch().tell(new DispatchEvent.JobClaimed(claim.job(), claim.generation(), claimedAfterNanos));
+        parts.dispatch()
+                .tell(new DispatchEvent.JobClaimed(
+                        claim.job(), claim.generation(), claimedAfterNanos, claim.finished()));
         LOGGER.atInfo().log("%s", line("job-taken-over", record).with("generation", claim.generation()));
     }
 
--- a/library/src/test/java/org/chivetally/claim/ClaimTableTest.java
+++ b/library/src/test/java/org/chivetally/claim/ClaimTableTest.java
@@ -118,11 +118,24 @@
         fold(claimed("job-1", "a"));
         fold(new ClaimRecord.Finished(ClaimSamples.KEY, new JobId("job-2")));
         assertThat(inForce().orElseThrow().finished(), is(false));
-        fold(new ClaimRecord.Finished(ClaimSamples.KEY, new JobId("job-1")));
+        finish("a");
         assertThat(inForce().orElseThrow().finished(), is(true));
         assertThat(fold(claimed("job-3", "b")), is(new Folded.Unchanged()));
     }
 
+    /*
+     * A coordinator that lost its job says that it is finished, as far as it is concerned. The job goes on elsewhere.
+     */
+    @Test
+    void onlyTheCoordinatorInForceFinishesAJob() {
+        fold(claimed("job-1", "a"));
+        fold(ClaimSamples.takenOver("job-1", "b", 2));
+        finish("a");
+        assertThat(inForce().orElseThrow().finished(), is(false));
+        finish("b");
+        assertThat(inForce().orElseThrow().finished(), is(true));
+    }
+
     @Test
     void recordsThatWereFoldedAreNotFoldedAgain() {
         fold(claimed("job-1", "a"));
@@ -140,6 +153,11 @@
         return table.find(ClaimSamples.KEY);
     }
 
+    private void finish(String process) {
+        ClaimRecord finished = new ClaimRecord.Finished(ClaimSamples.KEY, new JobId("job-1"));
+        table.fold(table.nextOffset(), ClaimSamples.id(process, 1), new ClaimEntry(finished, 0));
+    }
+
     private void renew(String process, long count) {
         ClaimRecord renewed = new ClaimRecord.Renewed(ClaimSamples.process(process), ClaimSamples.WINDOW);
         table.fold(table.nextOffset(), ClaimSamples.id(process, count), new ClaimEntry(renewed, 0));
--- a/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
@@ -112,7 +112,7 @@
     }
 
     void claim(JobId job, int generation, OptionalLong claimedAfterNanos) {
-        handle(new DispatchEvent.JobClaimed(job, generation, claimedAfterNanos));
+        handle(new DispatchEvent.JobClaimed(job, generation, claimedAfterNanos, false));
     }
 
     AgentId connect(String name, int slots) {
--- a/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
@@ -172,6 +172,21 @@
         assertThat(certaintyOfUnlisted(REMEMBERED.toNanos(), Duration.ZERO), equalTo(JobOutcome.Certainty.UNKNOWN));
     }
 
+    @Test
+    void finishedJobIsNotRunAgain() {
+        // A job was done and answered; then its coordinator died, and the agents have forgotten the answers. The caller
+        // submits the job again. Run again it would give another answer than the first; the caller hears that the
+        // outcome can't be told any more.
+        JobId job =
+                driver.submit("job", DispatcherDriver.tasks(2, Duration.ofMinutes(1)), DispatcherDriver.repeatable());
+        driver.handle(new DispatchEvent.JobClaimed(job, 2, OptionalLong.of(driver.now), true));
+        driver.answer(
+                driver.inquiries.get(0), DispatcherDriver.state("job/0/1/1", 0, TaskStatus.TASK_STATUS_DONE, "zero"));
+        driver.answer(driver.inquiries.get(1));
+        assertThat(driver.starts, empty());
+        assertThat(driver.failure(job).certainty(), equalTo(JobOutcome.Certainty.UNKNOWN));
+    }
+
     @Test
     void agentGoneBeforeTheJobWasClaimedHeldNothingOfIt() {
         // An agent was replaced before the job was claimed. Counted as one that may have run its tasks, each
--- a/library/src/test/java/org/chivetally/coordination/FaultWorld.java
+++ b/library/src/test/java/org/chivetally/coordination/FaultWorld.java
@@ -106,7 +106,7 @@
 
     private static DispatchEvent claimed(Submission submission) {
         return new DispatchEvent.JobClaimed(
-                submission.job, submission.generation, OptionalLong.of(submission.submittedAt));
+                submission.job, submission.generation, OptionalLong.of(submission.submittedAt), false);
     }
 
     void withdraw(int pick) {
--- a/library/src/test/java/org/chivetally/entry/EntryServerTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryServerTest.java
@@ -314,7 +314,8 @@
         EntryServer next = fixture.start("entry-2", new Scripted(self -> new LapsedClaim(self, job, after), taking));
         assertThat(name(fixture.submit(next, "a", SMALL)), is(job.text()));
         assertThat(
-                taking.events(DispatchEvent.JobClaimed.class), contains(new DispatchEvent.JobClaimed(job, 2, after)));
+                taking.events(DispatchEvent.JobClaimed.class),
+                contains(new DispatchEvent.JobClaimed(job, 2, after, false)));
     }
 
     // An entry is stopped while a caller waits for its job. Readiness fails at once and a new submission is refused as
