--- a/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
@@ -11,7 +11,6 @@
 import java.util.function.Consumer;
 import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
 import org.chivetally.claim.SubmissionKey;
-import org.chivetally.entry.ConfigurationExchange;
 import org.chivetally.entry.link.Address;
 import org.chivetally.entry.link.HeartbeatSettings;
 import org.chivetally.entry.link.LinkSet;
@@ -21,6 +20,7 @@
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberCapacity;
 import org.chivetally.entry.member.MemberList;
+import org.chivetally.resource.ConfigurationExchange;
 import org.chivetally.wire.v1.Hello;
 import org.junit.jupiter.api.Test;
 
--- a/scripts/configuration-check.sh
+++ b/scripts/configuration-check.sh
@@ -4,7 +4,7 @@
 #   scripts/configuration-check.sh [--changes NUMBER] [FOLDER] [LAYOUT OPTION...]
 #
 # FOLDER takes settings, logs and answers; without one a new folder under the temporary folder is made. NUMBER changes are
-# timed, 50 without the option. Prints one line a step, and ends with 1 when a step failed. Needs curl and jq.
+# timed, 50 without the option. Prints one line a step, and ends with 1 unless all passed. Needs curl and jq.
 set -euo pipefail
 export LC_ALL=C
 
@@ -469,6 +469,8 @@
         || because "without version $version after $PATIENCE_SECONDS s: ${body:-no answer}" || return 1
     [[ "$(declared_at "${entries[2]}")" == "$(declared_at "${entries[0]}")" ]] \
         || because "it has other resources than its peers" || return 1
+    request GET "$log/faults"
+    [[ "$(field .down)" == true ]] || because "the log came back in between" || return 1
     note="version $version, $((SECONDS - begun)) s after the kill"
 }
 
@@ -547,6 +549,16 @@
     note+=", ready again $((SECONDS - begun)) s after it went on"
 }
 
+# Within one start of a process every version in force is greater than the one before.
+no_process_goes_back() {
+    local steps back
+    back=$(sed -n 's/.*event=configuration-in-force version=\([0-9]*\) before=\([0-9]*\).*/\1 \2/p' \
+        "$folder"/deployment/*.log | awk '{ steps++; if ($1 <= $2) back++ } END { printf "%d %d", steps, back }')
+    read -r steps back <<<"$back"
+    ((steps > 0 && back == 0)) || because "$back of $steps steps went back" || return 1
+    note="$steps steps at all processes"
+}
+
 # --- the run ---
 
 starts() {
@@ -581,6 +593,7 @@
 step "a write whose answer was lost is told as unknown, and found applied once" lost_answer_is_told_and_resolved
 step "a status whose source is silent is unknown" silent_source_is_unknown
 step "a watch from a version too old is told so, and the command line lists again" tells_of_a_version_too_old
+step "no process goes back to an older version" no_process_goes_back
 echo "settings, logs and answers are in $folder"
 if ((failures > 0)); then
     echo "$failures step(s) failed"
