--- a/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
@@ -75,6 +75,18 @@
                 Resources.NONE);
     }
 
+    static ServicePolicy claimedInMemory() {
+        return new ServicePolicy(
+                SERVICE,
+                true,
+                ServicePolicy.ClaimMode.MEMORY,
+                3,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(60),
+                false,
+                Resources.NONE);
+    }
+
     static JobSpecification tasks(int count, Duration deadline) {
         return new JobSpecification(
                 SERVICE, "rangers", deadline, Collections.nCopies(count, new TaskSpecification("{}", Resources.NONE)));
--- a/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherTakeoverTest.java
@@ -172,6 +172,21 @@
         assertThat(certaintyOfUnlisted(REMEMBERED.toNanos(), Duration.ZERO), equalTo(JobOutcome.Certainty.UNKNOWN));
     }
 
+    @Test
+    void claimMadeInMemorySaysNothingOfWhenItsTasksStarted() {
+        // The log was down for long; the claim was made in memory, and written when the log was back. Tasks may have
+        // run
+        // and been forgotten before that.
+        ServicePolicy policy = DispatcherDriver.claimedInMemory();
+        JobId job = driver.submit("job", DispatcherDriver.tasks(1, Duration.ofMinutes(1)), policy);
+        driver.receive(first, Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()));
+        driver.receive(second, Frame.newBuilder().setLeaving(Leaving.getDefaultInstance()));
+        driver.claim(job, 2);
+        List.copyOf(driver.inquiries).forEach(inquiry -> driver.answer(inquiry));
+        driver.handle(new DispatchEvent.JobCancelled(job));
+        assertThat(driver.failure(job).certainty(), equalTo(JobOutcome.Certainty.UNKNOWN));
+    }
+
     @Test
     void finishedJobIsNotRunAgain() {
         // A job was done and answered; then its coordinator died, and the agents have forgotten the answers. The caller
--- a/library/src/test/java/org/chivetally/entry/submission/SubmissionActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/submission/SubmissionActorTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.testkit.typed.javadsl.BehaviorTestKit;
 import org.chivetally.claim.Claim;
+import org.chivetally.claim.ClaimDecision;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.SubmissionKey;
 import org.chivetally.job.JobId;
@@ -31,6 +32,8 @@
     private final UnavailableClaims claims = new UnavailableClaims();
     private final BehaviorTestKit<SubmissionCommand> actor = BehaviorTestKit.create(SubmissionActor.create(parts()));
     private boolean nobodyHas = true;
+    private boolean membersRead = true;
+    private long now;
 
     @Test
     void aKeyThatNobodyHasIsNotRun() {
@@ -62,6 +65,23 @@
         assertThat(isKnown(), is(true));
     }
 
+    // The coordinator of a job has ended, and the members can't be read. An agent that ran the job's tasks may stand in
+    // what was not read; without it all known agents would deny the tasks, and they would start again.
+    @Test
+    void nothingIsTakenOverBeforeTheMembersWereRead() {
+        claims.decision = new ClaimDecision.Attached(new Claim(KEY, DIGEST, new JobId("job"), LEFT, 1, false));
+        claims.lapsed = true;
+        membersRead = false;
+        submit();
+        actor.run(new SubmissionCommand.Tick());
+        handleAll();
+        assertThat(claims.takeovers, is(0));
+        membersRead = true;
+        now += Duration.ofSeconds(1).toNanos();
+        actor.run(new SubmissionCommand.Tick());
+        assertThat(claims.takeovers, is(1));
+    }
+
     private boolean isKnown() {
         CompletableFuture<Boolean> known = new CompletableFuture<>();
         actor.run(new SubmissionCommand.AskKey(KEY, known::complete));
@@ -74,14 +94,18 @@
         JobSpecification job = new JobSpecification("routing", "team", Duration.ofSeconds(10), List.of(task));
         CompletableFuture<SubmissionReply> reply = new CompletableFuture<>();
         actor.run(new SubmissionCommand.Submit(new Submission(KEY, false, DIGEST, job), reply));
-        while (actor.selfInbox().hasMessages()) {
-            actor.run(actor.selfInbox().receiveMessage());
-        }
+        handleAll();
         return reply.join() instanceof SubmissionReply.Refused refused
                 ? Optional.of(refused.failure().certainty())
                 : Optional.empty();
     }
 
+    private void handleAll() {
+        while (actor.selfInbox().hasMessages()) {
+            actor.run(actor.selfInbox().receiveMessage());
+        }
+    }
+
     private SubmissionActor.Parts parts() {
         return new SubmissionActor.Parts(
                 SELF,
@@ -90,9 +114,9 @@
                 event -> {},
                 new Asked(),
                 new UndeclaredPolicies(),
-                () -> CompletableFuture.completedStage(true),
+                () -> CompletableFuture.completedStage(membersRead),
                 () -> new JobId("job-" + System.nanoTime()),
-                () -> 0,
+                () -> now,
                 InstantSource.system(),
                 (outcome, nanos) -> {});
     }
--- a/library/src/test/java/org/chivetally/entry/submission/UnavailableClaims.java
+++ b/library/src/test/java/org/chivetally/entry/submission/UnavailableClaims.java
@@ -13,16 +13,20 @@
 
 /** Claims of a process that can't reach the log now, and of what it read before. */
 final class UnavailableClaims implements Claims {
+    ClaimDecision decision = new ClaimDecision.LogUnavailable("the log is down");
     Optional<Claim> read = Optional.empty();
+    boolean lapsed;
+    int takeovers;
     OptionalLong readToEndAt = OptionalLong.of(0);
 
     @Override
     public CompletionStage<ClaimDecision> claim(SubmissionKey key, String bodyDigest, JobId job) {
-        return CompletableFuture.completedStage(new ClaimDecision.LogUnavailable("the log is down"));
+        return CompletableFuture.completedStage(decision);
     }
 
     @Override
     public CompletionStage<ClaimDecision> takeOver(Claim current) {
+        takeovers++;
         return CompletableFuture.completedStage(new ClaimDecision.LogUnavailable("the log is down"));
     }
 
@@ -46,7 +50,7 @@
 
     @Override
     public boolean hasLapsed(Coordinator coordinator) {
-        return false;
+        return lapsed;
     }
 
     @Override
