--- a/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
+++ b/library/src/test/java/org/chivetally/coordination/DispatcherDriver.java
@@ -75,6 +75,18 @@
                 Resources.NONE);
     }
 
+    static ServicePolicy claimedInMemory() {
+        return new ServicePolicy(
+                SERVICE,
+                true,
+                ServicePolicy.ClaimMode.MEMORY,
+                3,
+                Duration.ofSeconds(5),
+                Duration.ofSeconds(60),
+                false,
+                Resources.NONE);
+    }
+
     static JobSpecification tasks(int count, Duration deadline) {
         return new JobSpecification(
                 SERVICE, "rangers", deadline, Collections.nCopies(count, new TaskSpecification("{}", Resources.NONE)));
@@ -112,7 +124,7 @@
     }
 
     void claim(JobId job, int generation, OptionalLong claimedAfterNanos) {
-        handle(new DispatchEvent.JobClaimed(job, generation, claimedAfterNanos));
+        handle(new DispatchEvent.JobClaimed(job, generation, claimedAfterNanos, false));
     }
 
     AgentId connect(String name, int slots) {
