--- a/scripts/configuration-check.sh
+++ b/scripts/configuration-check.sh
@@ -472,6 +472,8 @@
     request GET "$log/faults"
     [[ "$(field .down)" == true ]] || because "the log came back in between" || return 1
     note="version $version, $((SECONDS - begun)) s after the kill"
+    request GET "${entries[2]}/readyz"
+    note+="; /readyz answers $status"
 }
 
 log_comes_back() {
@@ -532,12 +534,24 @@
     done
 }
 
+# Declares the backend server of the first agent, over the version in 'seen'.
+put_minion() {
+    request PUT "${entries[0]}/v1/backendservers/minion-1?basedOn=$seen" \
+        --data-binary "{\"spec\":{\"service\":\"trail-report-routing\",\"draining\":$1}}"
+    [[ "$status" == 20? ]] || because "HTTP $status: $body" || return 1
+    seen=$(field .version)
+}
+
+declared_drain_reaches_agent() {
+    seen=0
+    put_minion true || return 1
+    await_state draining || return 1
+    put_minion false || return 1
+    await_state ready
+}
+
 silent_source_is_unknown() {
     local begun
-    request PUT "${entries[0]}/v1/backendservers/minion-1?basedOn=0" \
-        --data-binary '{"spec":{"service":"trail-report-routing"}}'
-    [[ "$status" == 201 ]] || because "HTTP $status: $body" || return 1
-    await_state ready || return 1
     stays_ready || return 1
     begun=$SECONDS
     processes signal-one agent-1 STOP
@@ -591,6 +605,7 @@
 step "an entry restarted with the log down has its peers' newest configuration" restarted_entry_has_newest
 step "with the log back all entries agree, and the refused write never happened" log_comes_back
 step "a write whose answer was lost is told as unknown, and found applied once" lost_answer_is_told_and_resolved
+step "a declared drain shows in the server's own status, and ends with its declaration" declared_drain_reaches_agent
 step "a status whose source is silent is unknown" silent_source_is_unknown
 step "a watch from a version too old is told so, and the command line lists again" tells_of_a_version_too_old
 step "no process goes back to an older version" no_process_goes_back
