--- a/library/src/main/java/org/chivetally/agent/AgentActor.java
+++ b/library/src/main/java/org/chivetally/agent/AgentActor.java
@@ -241,7 +241,7 @@
 
     private void closeSilentPeers() {
         // A process that died without a word leaves its connection open for hours; entries send something every two
-        // minutes at the largest size, so a longer silence means that nobody is there.
+        // minutes, so a longer silence means that nobody is there.
         long longest = settings.limits().peerSilence().toNanos();
         long now = clock.nanos();
         for (Map.Entry<FrameConnection, Peer> entry : List.copyOf(peers.entrySet())) {
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -59,6 +59,7 @@
     private final AgentRoster roster;
     private final ConfigurationPushes pushes;
     private final Probes probes = new Probes();
+    private Set<Incarnation> viewed = Set.of();
     private int entries;
     private boolean leaseHeld;
     /** Reading of the clock until which the lease was told to be held; null before the first. */
@@ -146,6 +147,7 @@
         for (Member agent : view.agents()) {
             links.keep(agent.processId(), agent.address(), now);
         }
+        hurryArrivals(view, now);
         dropUnwanted();
         List<String> names = view.entries().stream().map(Member::processId).toList();
         pushes.entries(names);
@@ -157,6 +159,19 @@
         }
     }
 
+    // While an agent was away its link came to be dialled every few seconds only; back, it would be left idle for as
+    // long.
+    private void hurryArrivals(MemberList view, long now) {
+        Set<Incarnation> listed = new HashSet<>();
+        for (Member agent : view.agents()) {
+            listed.add(agent.id());
+            if (!viewed.contains(agent.id())) {
+                links.hurry(agent.processId(), now);
+            }
+        }
+        viewed = listed;
+    }
+
     private void pace(MemberList view, List<String> entryNames) {
         int count = view.agents().size();
         Duration shortest = parts.heartbeats().idleInterval();
--- a/library/src/main/java/org/chivetally/entry/link/IdlePace.java
+++ b/library/src/main/java/org/chivetally/entry/link/IdlePace.java
@@ -11,10 +11,10 @@
  */
 public final class IdlePace {
     /** Heartbeats, with their answers, that an entry may spend in a second on idle agents. */
-    static final double EXCHANGES_PER_SECOND = 15;
+    static final double EXCHANGES_PER_SECOND = 10;
 
     private static final double SHARE_OF_OWN = 0.75;
-    private static final Duration LONGEST = Duration.ofSeconds(180);
+    private static final Duration LONGEST = Duration.ofSeconds(240);
 
     private IdlePace() {}
 
--- a/library/src/main/java/org/chivetally/entry/link/Link.java
+++ b/library/src/main/java/org/chivetally/entry/link/Link.java
@@ -60,6 +60,12 @@
         idleInterval = intervalNanos;
     }
 
+    /** Dials at the next tick instead of after the wait that earlier failures brought. */
+    void hurry(long now) {
+        failures = 0;
+        dialAt = now;
+    }
+
     Address address() {
         return address;
     }
--- a/library/src/main/java/org/chivetally/entry/link/LinkSet.java
+++ b/library/src/main/java/org/chivetally/entry/link/LinkSet.java
@@ -56,6 +56,14 @@
                 "%s", EventLine.of("link-kept").with("process", processId).with("address", address));
     }
 
+    /** Dials a process at once if its link waits after failures, since it is known to be there again. */
+    public void hurry(String processId, long now) {
+        Link link = links.get(processId);
+        if (link != null) {
+            link.hurry(now);
+        }
+    }
+
     /** Sets the time between heartbeats on an idle link. */
     public void pace(String processId, Duration interval) {
         Link link = links.get(processId);
--- a/library/src/test/java/org/chivetally/entry/link/LinkTest.java
+++ b/library/src/test/java/org/chivetally/entry/link/LinkTest.java
@@ -55,6 +55,26 @@
                 lessThanOrEqualTo(HeartbeatSettings.standard().busyInterval().toNanos() + TICK));
     }
 
+    @Test
+    void keepsToThePaceItIsGivenWhileIdle() {
+        open();
+        link.pace(60_000 * MILLI);
+        assertThat(untilNext(LinkEffect.Beat.class, false), is(60_000 * MILLI));
+        long silence = HeartbeatSettings.standard().idleSilentAfter().toNanos()
+                - HeartbeatSettings.standard().idleInterval().toNanos();
+        assertThat(untilNext(LinkEffect.Down.class, false), is(silence));
+    }
+
+    @Test
+    void dialsAtOnceWhenTheProcessIsKnownToBeBack() {
+        for (int failure = 0; failure < 10; failure++) {
+            untilNext(LinkEffect.Dial.class, false);
+            link.closed(dials, "refused", now);
+        }
+        link.hurry(now);
+        assertThat(link.tick(now, false), contains(new LinkEffect.Dial(11)));
+    }
+
     @Test
     void answersHeartbeatsOfTheFarEndButNotItsAnswers() {
         open();
