--- a/library/src/main/java/org/chivetally/claim/ClaimTable.java
+++ b/library/src/main/java/org/chivetally/claim/ClaimTable.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.chivetally.job.JobId;
 
@@ -23,7 +24,8 @@
     private final Map<SubmissionKey, HeldClaim> byKey = new LinkedHashMap<>();
     private final Map<JobId, HeldClaim> byJob = new HashMap<>();
     private final Map<String, TableImage.Writer> writers = new HashMap<>();
-    private final Map<Coordinator, Coordinator> coordinators = new HashMap<>();
+    private final Interner<Coordinator> coordinators = new Interner<>();
+    private final Interner<String> teams = new Interner<>();
     private long nextOffset;
     private long streamMillis;
 
@@ -34,7 +36,7 @@
         table.streamMillis = image.streamMillis();
         image.writers().forEach(writer -> table.writers.put(writer.name(), writer));
         for (HeldClaim held : image.held()) {
-            table.put(held.withCoordinator(table.shared(held.coordinator()), held.generation()));
+            table.put(table.lean(held));
         }
         return table;
     }
@@ -60,7 +62,7 @@
         noteWriter(id, offset, entry.content());
         forgetEnded();
         return switch (entry.content()) {
-            case ClaimRecord.Claimed claimed -> foldClaimed(claimed);
+            case ClaimRecord.Claimed claimed -> foldClaimed(claimed, offset);
             case ClaimRecord.TakenOver taken -> foldTakenOver(taken);
             case ClaimRecord.Renewed renewed ->
                 new Folded.Renewed(renewed.coordinator(), renewed.lease(), id.sequence());
@@ -85,6 +87,12 @@
         return Optional.ofNullable(byJob.get(job)).filter(this::isInForce).map(HeldClaim::claim);
     }
 
+    /** Returns the offset of the record that claimed a job's key; empty when no claim of the job is in force. */
+    OptionalLong offsetOf(JobId job) {
+        HeldClaim held = byJob.get(job);
+        return held == null || !isInForce(held) ? OptionalLong.empty() : OptionalLong.of(held.offset());
+    }
+
     /** Returns the offset of the first record not taken in. */
     long nextOffset() {
         return nextOffset;
@@ -139,7 +147,7 @@
         return known == null ? ClaimRecord.TakenOver.NO_RENEWAL : known.lastRenewal();
     }
 
-    private Folded foldClaimed(ClaimRecord.Claimed claimed) {
+    private Folded foldClaimed(ClaimRecord.Claimed claimed, long offset) {
         if (inForce(claimed.key()) != null) {
             return new Folded.Unchanged();
         }
@@ -151,10 +159,7 @@
                 Claim.FIRST_GENERATION,
                 false);
         remove(byKey.get(claimed.key()));
-        put(HeldClaim.of(
-                claim,
-                shared(claim.coordinator()),
-                streamMillis + claimed.window().toMillis()));
+        put(lean(HeldClaim.of(claim, streamMillis + claimed.window().toMillis(), offset)));
         return new Folded.Won(claim);
     }
 
@@ -166,7 +171,7 @@
         if (lastRenewalOf(held.coordinator()) > taken.lastRenewal()) {
             return new Folded.Unchanged();
         }
-        HeldClaim successor = held.withCoordinator(shared(taken.coordinator()), taken.generation());
+        HeldClaim successor = held.withCoordinator(coordinators.shared(taken.coordinator()), taken.generation());
         put(successor);
         return new Folded.TakenOver(successor.claim(), held.coordinator());
     }
@@ -211,6 +216,10 @@
         byJob.put(held.job(), held);
     }
 
+    private HeldClaim lean(HeldClaim held) {
+        return held.sharing(teams.shared(held.key().team()), coordinators.shared(held.coordinator()));
+    }
+
     private void remove(HeldClaim held) {
         if (held == null) {
             return;
@@ -231,9 +240,4 @@
             byJob.remove(held.job(), held);
         }
     }
-
-    private Coordinator shared(Coordinator coordinator) {
-        Coordinator known = coordinators.putIfAbsent(coordinator, coordinator);
-        return known == null ? coordinator : known;
-    }
 }
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.apache.pekko.actor.typed.Behavior;
 import org.apache.pekko.actor.typed.PostStop;
 import org.apache.pekko.actor.typed.javadsl.AbstractBehavior;
@@ -27,6 +28,7 @@
 import org.chivetally.entry.link.LinkObserver;
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
+import org.chivetally.entry.member.EndedMember;
 import org.chivetally.entry.member.Incarnation;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberList;
@@ -64,7 +66,7 @@
     private final Probes probes = new Probes();
     private final ConfigurationPulls pulls;
     private Set<String> viewed = Set.of();
-    private boolean someEnded;
+    private Set<Incarnation> ended = Set.of();
     /** Reading of the clock when an entry was last seen to be no member any more; null when that never happened. */
     private Long departureNanos;
 
@@ -129,8 +131,7 @@
     private void onAskKey(PeerCommand.AskKey ask) {
         boolean allReachable =
                 viewed.stream().allMatch(entry -> links.usable(entry).isPresent());
-        boolean oneIsOver = someEnded || hasOneLeftSince(ask.sinceNanos());
-        if (!parts.membersRead().getAsBoolean() || !allReachable || oneIsOver) {
+        if (!parts.membersRead().getAsBoolean() || !allReachable || hasOneLeftSince(ask.sinceNanos())) {
             ask.nobodyHas().complete(false);
             return;
         }
@@ -147,6 +148,14 @@
         keyQuestions.open(requests, ask.nobodyHas(), parts.clock().nanos());
     }
 
+    // Also names entries that came and ended between two reads of the members, and so were never in the view.
+    private Set<Incarnation> endedEntries(MemberList view) {
+        return view.ended().stream()
+                .filter(over -> over.mayBeEntry() && !over.id().processId().equals(parts.self()))
+                .map(EndedMember::id)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     // An entry that left may have claimed the key after this one last read the claims, and run its job. Nobody else
     // need
     // know of that, so that the answers of those who stayed prove nothing.
@@ -181,12 +190,12 @@
             named.add(entry.processId());
             links.keep(entry.processId(), entry.address(), parts.clock().nanos());
         }
-        if (!named.containsAll(viewed)) {
+        Set<Incarnation> over = endedEntries(view);
+        if (!named.containsAll(viewed) || !ended.containsAll(over)) {
             departureNanos = parts.clock().nanos();
         }
         viewed = Set.copyOf(named);
-        someEnded = view.ended().stream()
-                .anyMatch(over -> over.mayBeEntry() && !over.id().processId().equals(parts.self()));
+        ended = over;
         dropUnwanted();
     }
 
@@ -309,7 +318,7 @@
     }
 
     private void onJobAnswer(long request, JobAnswer answer) {
-        if (!keyQuestions.answered(request, answer.getKnown())) {
+        if (!keyQuestions.answered(request, answer.getKnown(), parts.clock().nanos())) {
             onAnswer(answer);
         }
     }
--- a/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
+++ b/library/src/test/java/org/chivetally/claim/LogClaimsTest.java
@@ -3,9 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -14,8 +16,10 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.apache.pekko.actor.testkit.typed.javadsl.ActorTestKit;
 import org.apache.pekko.actor.testkit.typed.javadsl.ManualTime;
 import org.chivetally.job.JobId;
@@ -169,11 +173,13 @@
         assertThat(b.hasLapsed(claim.coordinator()), is(true));
         log.holdAppends(true);
         CompletionStage<ClaimDecision> early = b.takeOver(claim);
+        CompletionStage<ClaimDecision> same = b.takeOver(claim);
         settle();
         Claim winner = ClaimSamples.claim("job-1", "c", 2);
         assertThat(join(c.takeOver(claim)), is(new ClaimDecision.Won(winner)));
         log.land(log.heldAppends().getFirst());
         assertThat(join(early), is(new ClaimDecision.Attached(winner)));
+        assertThat(join(same), is(new ClaimDecision.Attached(winner)));
     }
 
     /*
@@ -201,6 +207,30 @@
         assertThat(told, contains(false, ClaimSamples.claim("job-1", "b", 2), true));
     }
 
+    /*
+     * A job's age is what a takeover goes by when agents say that they know nothing of it. One that another entry
+     * claimed while this one was cut off for long may be as old as the last read before that, whenever it was read; of
+     * one that an entry found when it started nothing is known.
+     */
+    @Test
+    void claimIsNeverTakenForYoungerThanItMayBe() {
+        ScriptedLog viewOfB = log.view();
+        LogClaims a = start("a", log);
+        LogClaims b = start("b", viewOfB);
+        viewOfB.down(true);
+        pass(STEP);
+        long cutOff = clock.nanos();
+        claim(a, "job-1");
+        pass(LAPSE);
+        viewOfB.down(false);
+        pass(NOTICED);
+        assertThat(join(b.find(KEY)).isPresent(), is(true));
+        JobId job = new JobId("job-1");
+        assertThat(join(b.claimedAfter(job)).orElseThrow(), lessThanOrEqualTo(cutOff));
+        assertThat(join(a.claimedAfter(job)).orElseThrow(), greaterThan(cutOff - LAPSE.toNanos()));
+        assertThat(join(start("c", log.view()).claimedAfter(job)), is(OptionalLong.empty()));
+    }
+
     /*
      * An entry was cut off for longer than its lease, renews it and goes on with its job; its callers get their answer.
      * Before that another entry had counted the lease as lapsed and sent a takeover, which lands only after
@@ -234,7 +264,8 @@
     /*
      * The caller hears "not run"; the claim lands in the log afterwards, as the winner; a resubmission is served.
      * The entry gave the claim up after its time, will never act on it, and so withdraws it as soon as it reads it.
-     * Without that the key would belong, for the whole window, to a live process that doesn't know the job.
+     * Without that the key would belong, for the whole window, to a live process that doesn't know the job. The
+     * resubmission isn't attached to the withdrawn claim, but follows the withdrawal.
      */
     @Test
     void givenUpClaimThatTurnsUpIsReleased() {
@@ -248,10 +279,11 @@
         log.land(log.heldAppends().getFirst());
         settle();
         assertThat(join(b.find(KEY)), is(Optional.of(ClaimSamples.claim("job-1", "a", 1))));
+        CompletionStage<ClaimDecision> second = a.claim(KEY, BODY, new JobId("job-2"));
         pass(RECOVERED);
-        assertThat(join(a.find(KEY)), is(Optional.empty()));
-        assertThat(join(b.find(KEY)), is(Optional.empty()));
-        assertThat(claim(b, "job-2"), is(new ClaimDecision.Won(ClaimSamples.claim("job-2", "b", 1))));
+        Claim claim = ClaimSamples.claim("job-2", "a", 1);
+        assertThat(join(second), is(new ClaimDecision.Won(claim)));
+        assertThat(claim(b, "job-3"), is(new ClaimDecision.Attached(claim)));
     }
 
     /*
@@ -451,14 +483,12 @@
         join(written);
         log.expire(LogClaims.STREAM, log.records(LogClaims.STREAM).size());
         LogClaims b = start("b", log.view());
-        settleUntilCaughtUp(b);
         assertThat(join(b.find(KEY)), is(Optional.of(ClaimSamples.claim("job-1", "a", 1))));
     }
 
     /*
      * An entry was cut off for so long that the records it has to read next have expired: it goes on from a
-     * snapshot, and
-     * knows claims that were made meanwhile. With only an older snapshot it keeps what it has.
+     * snapshot, and knows claims that were made meanwhile.
      */
     @Test
     void processCutOffForLongGoesOnFromSnapshot() {
@@ -477,9 +507,7 @@
         CompletionStage<LogRecord> renewed = log.nextRecord(LogClaims.STREAM);
         pass(NOTICED);
         join(renewed);
-        while (join(a.find(missed.key())).isEmpty()) {
-            settle();
-        }
+        settleUntil(() -> join(a.find(missed.key())).isPresent());
         assertThat(join(a.find(missed.key())), is(Optional.of(missed)));
         assertThat(join(a.find(KEY)), is(Optional.of(ClaimSamples.claim("job-1", "a", 1))));
     }
@@ -488,7 +516,7 @@
         Coordinator self = ClaimSamples.process(process);
         LogClaims claims = LogClaims.start(kit.system(), view, SETTINGS, self, clock, new SimpleMeterRegistry());
         started.add(claims);
-        settleUntilCaughtUp(claims);
+        settleUntil(claims::caughtUp);
         pass(STEP);
         return claims;
     }
@@ -540,8 +568,10 @@
     }
 
     /** Snapshots are read on another thread, whose work no message tells the end of. */
-    private void settleUntilCaughtUp(LogClaims claims) {
-        while (!claims.caughtUp()) {
+    private void settleUntil(BooleanSupplier condition) {
+        long start = System.nanoTime();
+        while (!condition.getAsBoolean()) {
+            assertThat("not within 10 s", System.nanoTime() - start < TimeUnit.SECONDS.toNanos(10));
             settle();
         }
     }
--- a/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/peer/PeerActorTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
@@ -15,6 +16,7 @@
 import org.chivetally.entry.link.LinkSet;
 import org.chivetally.entry.link.LinkSignal;
 import org.chivetally.entry.link.Observers;
+import org.chivetally.entry.member.EndedMember;
 import org.chivetally.entry.member.Member;
 import org.chivetally.entry.member.MemberCapacity;
 import org.chivetally.entry.member.MemberList;
@@ -47,9 +49,19 @@
     @Test
     void nothingIsCertainOfAKeyIfAnEntryLeftSinceTheClaimsWereRead() {
         assertThat(nobodyHas(DEPARTURE - 1), is(true));
-        view(List.of(member()));
+        view(List.of(member()), List.of());
         now = DEPARTURE;
-        view(List.of());
+        view(List.of(), List.of());
+        assertThat(nobodyHas(DEPARTURE - 1), is(false));
+        assertThat(nobodyHas(DEPARTURE + 1), is(true));
+    }
+
+    // As above, but the entry came and left between two reads of the members, so that it was never in the view.
+    @Test
+    void anEntryThatCameAndLeftUnseenCountsAsWell() {
+        view(List.of(), List.of());
+        now = DEPARTURE;
+        view(List.of(), List.of(EndedMember.of(member(), EndedMember.Reason.LEFT)));
         assertThat(nobodyHas(DEPARTURE - 1), is(false));
         assertThat(nobodyHas(DEPARTURE + 1), is(true));
     }
@@ -60,8 +72,8 @@
         return nobody.join();
     }
 
-    private void view(List<Member> members) {
-        actor.run(new PeerCommand.View(new MemberList(members)));
+    private void view(List<Member> members, List<EndedMember> ended) {
+        actor.run(new PeerCommand.View(new MemberList(members, Set.of(), ended)));
     }
 
     private LinkSet.Wiring wiring(Consumer<LinkSignal> signals) {
