--- a/library/src/main/java/org/chivetally/agent/AgentActor.java
+++ b/library/src/main/java/org/chivetally/agent/AgentActor.java
@@ -205,8 +205,7 @@
     }
 
     // A process that was paused or cut off resumes unaware that the entries have dropped it, and would wait for work
-    // that
-    // nobody sends. The first entry that reaches it says so.
+    // that nobody sends. The first entry that reaches it says so.
     private void toldGone(SuspicionAnswer declared) {
         boolean self = declared.getProcessId().equals(settings.processId())
                 && declared.getIncarnation().equals(incarnation);
@@ -253,8 +252,7 @@
     }
 
     // Entries that all started anew, or dropped this agent, learn of it from its announcements only; the next regular
-    // one
-    // may be minutes away.
+    // one may be minutes away.
     private void noticeLoneliness() {
         long now = clock.nanos();
         if (!peers.isEmpty()) {
--- a/library/src/main/java/org/chivetally/coordination/Admission.java
+++ b/library/src/main/java/org/chivetally/coordination/Admission.java
@@ -31,8 +31,7 @@
                 new JobProgress(event.job(), event.specification(), event.service(), service, team, context.now);
         context.teams.jobAccepted(team);
         // Tasks of a job taken over may have run: a refusal would have to say "unknown" of work that this coordinator
-        // can
-        // still finish, and "not run" would be false.
+        // can still finish, and "not run" would be false.
         boolean takenOver = event.generation() > 1;
         if (!takenOver && refusedAtOnce(job)) {
             context.teams.jobEnded(team);
--- a/library/src/main/java/org/chivetally/daemon/EntryMapping.java
+++ b/library/src/main/java/org/chivetally/daemon/EntryMapping.java
@@ -58,10 +58,9 @@
                 .withSnapshotEvery(retention.dividedBy(SNAPSHOTS_IN_RETENTION));
     }
 
-    // Agents and entries must agree on these: an entry that counts on an agent's memory for longer than it lasts would
-    // take "not known here" for "never started", and start work twice. For the same reason an agent that ended counts
-    // for
-    // as long as a job that it may have held can be taken over.
+    // Agents and entries must agree on these: an entry that counts on an agent's memory for longer than it lasts
+    // would take "not known here" for "never started", and start work twice. For the same reason an agent that ended
+    // counts for as long as a job that it may have held can be taken over.
     private static DispatchSettings.Fencing fencing(DispatchSettings.Fencing usual, ClaimTimes claims) {
         return new DispatchSettings.Fencing(
                 claims.ticketAge(),
--- a/library/src/main/java/org/chivetally/entry/EntryServer.java
+++ b/library/src/main/java/org/chivetally/entry/EntryServer.java
@@ -352,8 +352,7 @@
             reasons.add("stopping");
         }
         // While the log is down nothing can be read to its end. An entry that got configuration and members from its
-        // peers
-        // serves reads and what may be claimed in memory, and refuses all else as not run.
+        // peers serves reads and what may be claimed in memory, and refuses all else as not run.
         boolean outage = !started.actors().logReachable();
         if (!outage && !started.actorParts().claims().caughtUp()) {
             reasons.add("claims are not read to their end yet");
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -128,10 +128,8 @@
     }
 
     // The lease is lost by the clock, but regained only by a message: jobs that others took over while it had lapsed
-    // are
-    // told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
-    // message
-    // waits here would start tasks of a job that another entry has started already.
+    // are told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
+    // message waits here would start tasks of a job that another entry has started already.
     private boolean isToldHeld() {
         return leaseEndNanos != null && leaseEndNanos - parts.clock().nanos() > 0;
     }
--- a/library/src/main/java/org/chivetally/entry/member/MembershipView.java
+++ b/library/src/main/java/org/chivetally/entry/member/MembershipView.java
@@ -308,8 +308,7 @@
     }
 
     // An entry that takes a job over has to ask all agents that may have run its tasks, and knows of them by the log.
-    // An
-    // agent that the log does not know yet is therefore announced from here as well as by its own next attempt.
+    // An agent that the log does not know yet is therefore announced from here as well as by its own next attempt.
     private void announceFor(KnownMember agent) {
         if (now - agent.announceAt >= settings.announceForAfter().toNanos()) {
             agent.announceAt = now;
--- a/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
+++ b/library/src/main/java/org/chivetally/entry/peer/PeerActor.java
@@ -126,8 +126,7 @@
     }
 
     // An entry that is not in the view any more may have claimed the key just before it ended, in a record that could
-    // not
-    // be read here yet. Nothing is certain without it, for as long as its jobs may be taken over.
+    // not be read here yet. Nothing is certain without it, for as long as its jobs may be taken over.
     private void onAskKey(PeerCommand.AskKey ask) {
         boolean allReachable =
                 viewed.stream().allMatch(entry -> links.usable(entry).isPresent());
@@ -157,8 +156,7 @@
     }
 
     // An entry that left may have claimed the key after this one last read the claims, and run its job. Nobody else
-    // need
-    // know of that, so that the answers of those who stayed prove nothing.
+    // need know of that, so that the answers of those who stayed prove nothing.
     private boolean hasOneLeftSince(long sinceNanos) {
         return departureNanos != null && departureNanos - sinceNanos >= 0;
     }
--- a/library/src/test/java/org/chivetally/daemon/EntryMappingTest.java
+++ b/library/src/test/java/org/chivetally/daemon/EntryMappingTest.java
@@ -20,9 +20,9 @@
 
     @Test
     void deadAgentsCountForAsLongAsTheirJobsMayBeTakenOver() {
-        // Keys are remembered for 20 hours. An agent runs a task and dies; an hour later its coordinator dies too, and
-        // the
-        // caller sends the job again. Had the dead agent been forgotten by then, the task would start a second time.
+        // Keys are remembered for 20 hours. An agent runs a task and dies; an hour later its coordinator dies too,
+        // and the caller sends the job again. Had the dead agent been forgotten by then, the task would start a
+        // second time.
         Document document = Document.parse("entry.yaml", SETTINGS);
         EntrySettings settings = EntryMapping.entry(EntryDaemonSettings.read(document.root()));
         assertThat(settings.dispatch().fencing().goneRetention(), greaterThanOrEqualTo(Duration.ofHours(20)));
--- a/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
+++ b/library/src/test/java/org/chivetally/entry/EntryMembershipTest.java
@@ -68,9 +68,8 @@
     @Test
     void entryStartedLaterLearnsOfAgentsThatEndedBefore() {
         // An agent ran a task and was replaced; then the coordinator died, and an entry that started after all this
-        // takes
-        // the job over. The agent's new incarnation knows nothing of the task. Unless the dispatcher hears of the old
-        // one, it takes that for "never started", and the task starts twice.
+        // takes the job over. The agent's new incarnation knows nothing of the task. Unless the dispatcher hears of
+        // the old one, it takes that for "never started", and the task starts twice.
         append(new MemberRecord.Announce(agent("1")));
         append(new MemberRecord.Announce(agent("2")));
         start();
@@ -81,11 +80,10 @@
 
     @Test
     void agentKnownByItsIntroductionOnlyGetsNothingThatMustRunOnce() {
-        // The log is down, and an agent that starts can only introduce itself. It gets a task of a job claimed earlier;
-        // then
-        // it dies, and the coordinator too. Whoever takes the job over once the log is back has no record of the agent,
-        // asks
-        // all others, and starts the task again. So it gets nothing before its record stands in the log.
+        // The log is down, and an agent that starts can only introduce itself. It gets a task of a job claimed
+        // earlier; then it dies, and the coordinator too. Whoever takes the job over once the log is back has no
+        // record of the agent, asks all others, and starts the task again. So it gets nothing before its record
+        // stands in the log.
         Agent agent = new Agent("agent-1", AgentSurroundings.none());
         EntryServer entry = start();
         agent.introduceTo(entry);
@@ -101,8 +99,7 @@
     @Test
     void agentThatTwoFailureDomainsLoseIsDeclaredGoneAndNotTakenForDead() {
         // An agent's process dies without a word. Entries of two failure domains lose it at once and stop using it.
-        // They
-        // agree, one writes a record, and all drop it; as it might be paused only, its work stays in doubt.
+        // They agree, one writes a record, and all drop it; as it might be paused only, its work stays in doubt.
         Agent agent = new Agent("agent-1", AgentSurroundings.none());
         agent.announce();
         start();
@@ -119,9 +116,9 @@
 
     @Test
     void agentDeclaredGoneByMistakeIsToldAndAnnouncesItselfAnew() {
-        // An agent's process was paused; two entries agreed that it is gone, and it has resumed. This entry reaches it,
-        // tells
-        // it, and the new announcement brings it back for all; without, it would wait for work that nobody sends.
+        // An agent's process was paused; two entries agreed that it is gone, and it has resumed. This entry reaches
+        // it, tells it, and the new announcement brings it back for all; without, it would wait for work that nobody
+        // sends.
         StubSurroundings surroundings = new StubSurroundings();
         Agent agent = new Agent("agent-1", surroundings);
         surroundings.announcer = agent.announce();
@@ -154,8 +151,7 @@
     @Test
     void entryStartedInAnOutageTakesMembersAndConfigurationFromASeed() {
         // The log is down when an entry is replaced. It can read neither members nor configuration, and would refuse
-        // all
-        // until the log is back; its settings name an entry that knows both.
+        // all until the log is back; its settings name an entry that knows both.
         Agent agent = new Agent("agent-1", AgentSurroundings.none());
         agent.announce();
         EntryExtension ahead =
--- a/library/src/test/java/org/chivetally/entry/dispatch/ConfigurationPushesTest.java
+++ b/library/src/test/java/org/chivetally/entry/dispatch/ConfigurationPushesTest.java
@@ -45,8 +45,7 @@
     @Test
     void othersTakeTheirTurnWhenTheFirstOnesPushIsLost() {
         // The first entry's connection goes silent with the push in it. The agent would stay behind until that is
-        // noticed;
-        // the next entry pushes half a second later.
+        // noticed; the next entry pushes half a second later.
         assertThat(dueWithin(Duration.ZERO), hasSize(1));
         assertThat(dueWithin(Duration.ofMillis(600)), hasSize(1));
         assertThat(dueWithin(Duration.ofMillis(100)), is(empty()));
--- a/library/src/test/java/org/chivetally/entry/member/MembershipViewTest.java
+++ b/library/src/test/java/org/chivetally/entry/member/MembershipViewTest.java
@@ -41,8 +41,7 @@
     @Test
     void agentOnlyThisEntryLosesStaysInTheView() {
         // One connection goes silent while the agent serves all others. This entry stops using it; were it declared
-        // gone,
-        // every entry would lose a healthy agent for one bad connection.
+        // gone, every entry would lose a healthy agent for one bad connection.
         loseAgentWith(SOUTH, EAST);
         assertThat(state(AGENT), is(Optional.of(MemberState.SUSPECT)));
         driver.advance(Duration.ofMillis(300));
