--- a/library/src/main/java/org/chivetally/agent/AgentActor.java
+++ b/library/src/main/java/org/chivetally/agent/AgentActor.java
@@ -205,8 +205,7 @@
     }
 
     // A process that was paused or cut off resumes unaware that the entries have dropped it, and would wait for work
-    // that
-    // nobody sends. The first entry that reaches it says so.
+    // that nobody sends. The first entry that reaches it says so.
     private void toldGone(SuspicionAnswer declared) {
         boolean self = declared.getProcessId().equals(settings.processId())
                 && declared.getIncarnation().equals(incarnation);
@@ -241,7 +240,7 @@
 
     private void closeSilentPeers() {
         // A process that died without a word leaves its connection open for hours; entries send something every two
-        // minutes at the largest size, so a longer silence means that nobody is there.
+        // minutes, so a longer silence means that nobody is there.
         long longest = settings.limits().peerSilence().toNanos();
         long now = clock.nanos();
         for (Map.Entry<FrameConnection, Peer> entry : List.copyOf(peers.entrySet())) {
@@ -253,8 +252,7 @@
     }
 
     // Entries that all started anew, or dropped this agent, learn of it from its announcements only; the next regular
-    // one
-    // may be minutes away.
+    // one may be minutes away.
     private void noticeLoneliness() {
         long now = clock.nanos();
         if (!peers.isEmpty()) {
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -59,6 +59,7 @@
     private final AgentRoster roster;
     private final ConfigurationPushes pushes;
     private final Probes probes = new Probes();
+    private Set<Incarnation> viewed = Set.of();
     private int entries;
     private boolean leaseHeld;
     /** Reading of the clock until which the lease was told to be held; null before the first. */
@@ -127,10 +128,8 @@
     }
 
     // The lease is lost by the clock, but regained only by a message: jobs that others took over while it had lapsed
-    // are
-    // told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
-    // message
-    // waits here would start tasks of a job that another entry has started already.
+    // are told of before that. Looked up, a renewal that the claims have just read would count at once, and whatever
+    // message waits here would start tasks of a job that another entry has started already.
     private boolean isToldHeld() {
         return leaseEndNanos != null && leaseEndNanos - parts.clock().nanos() > 0;
     }
@@ -146,6 +145,7 @@
         for (Member agent : view.agents()) {
             links.keep(agent.processId(), agent.address(), now);
         }
+        hurryArrivals(view, now);
         dropUnwanted();
         List<String> names = view.entries().stream().map(Member::processId).toList();
         pushes.entries(names);
@@ -157,6 +157,19 @@
         }
     }
 
+    // While an agent was away its link came to be dialled every few seconds only; back, it would be left idle for as
+    // long.
+    private void hurryArrivals(MemberList view, long now) {
+        Set<Incarnation> listed = new HashSet<>();
+        for (Member agent : view.agents()) {
+            listed.add(agent.id());
+            if (!viewed.contains(agent.id())) {
+                links.hurry(agent.processId(), now);
+            }
+        }
+        viewed = listed;
+    }
+
     private void pace(MemberList view, List<String> entryNames) {
         int count = view.agents().size();
         Duration shortest = parts.heartbeats().idleInterval();
