--- /dev/null
+++ b/library/src/main/java/org/chivetally/http/HttpCaller.java
@@ -0,0 +1,223 @@
+package org.chivetally.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.Consumer;
+import org.chivetally.settings.HostPort;
+import org.chivetally.time.Timers;
+
+/**
+ * Calls one other process over a few connections that stay open. A call that gets no answer in time costs its
+ * connection, as an answer that comes late could be taken for that of the next call.
+ */
+public final class HttpCaller {
+    private static final int LARGEST_ANSWER_BYTES = 8 << 20;
+    private static final int CONNECT_TIMEOUT_MILLIS = 500;
+
+    private final EventLoop loop;
+    private final Timers timers;
+    private final HostPort target;
+    private final int mostConnections;
+    private final Deque<Connection> idle = new ArrayDeque<>();
+    private final Deque<Pending> waiting = new ArrayDeque<>();
+    private int connections;
+
+    /**
+     * Creates a caller.
+     *
+     * @param mostConnections connections that may be open at once; further calls wait
+     */
+    public HttpCaller(EventLoop loop, Timers timers, HostPort target, int mostConnections) {
+        this.loop = loop;
+        this.timers = timers;
+        this.target = target;
+        this.mostConnections = mostConnections;
+    }
+
+    /** Makes a call; tells its result once, on the event loop. */
+    public void call(HttpCall call, Consumer<HttpResult> result) {
+        Pending pending = new Pending(call, result);
+        pending.timer = timers.after(call.timeout(), () -> expire(pending));
+        Connection connection = idle.pollLast();
+        if (connection != null) {
+            connection.send(pending);
+            return;
+        }
+        waiting.add(pending);
+        if (connections < mostConnections) {
+            connect();
+        }
+    }
+
+    private void expire(Pending pending) {
+        waiting.remove(pending);
+        if (pending.connection != null) {
+            pending.connection.channel.close();
+        }
+        pending.finish(new HttpResult.Failed("no answer in time", pending.connection != null));
+    }
+
+    private void connect() {
+        connections++;
+        Bootstrap bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .handler(new Pipeline());
+        bootstrap.connect(target.host(), target.port()).addListener((ChannelFuture attempt) -> {
+            if (!attempt.isSuccess()) {
+                connectFailed(String.valueOf(attempt.cause().getMessage()));
+            }
+        });
+    }
+
+    private void connectFailed(String reason) {
+        connections--;
+        Pending pending = waiting.poll();
+        if (pending != null) {
+            pending.finish(new HttpResult.Failed("can't connect: " + reason, false));
+        }
+    }
+
+    /** Handlers of a new connection. */
+    private final class Pipeline extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(new HttpClientCodec())
+                    .addLast(new HttpObjectAggregator(LARGEST_ANSWER_BYTES))
+                    .addLast(new Connection(channel));
+        }
+    }
+
+    /** An open connection with at most one call on it. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final Channel channel;
+        private Pending current;
+
+        private Connection(Channel channel) {
+            this.channel = channel;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            next();
+        }
+
+        private void next() {
+            Pending pending = waiting.poll();
+            if (pending == null) {
+                idle.add(this);
+            } else {
+                send(pending);
+            }
+        }
+
+        private void send(Pending pending) {
+            current = pending;
+            pending.connection = this;
+            HttpCall call = pending.call;
+            FullHttpRequest request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(call.method()),
+                    call.path(),
+                    Unpooled.wrappedBuffer(call.body()));
+            request.headers().set(HttpHeaderNames.HOST, target.toString());
+            call.headers().forEach((name, value) -> request.headers().set(name, value));
+            if (!call.contentType().isEmpty()) {
+                request.headers().set(HttpHeaderNames.CONTENT_TYPE, call.contentType());
+            }
+            if (call.body().length > 0 || !"GET".equals(call.method())) {
+                request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, call.body().length);
+            }
+            channel.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpResponse response) {
+            Pending pending = current;
+            current = null;
+            if (pending == null) {
+                context.close();
+                return;
+            }
+            pending.connection = null;
+            boolean lasts = HttpUtil.isKeepAlive(response);
+            HttpResult answer =
+                    new HttpResult.Answer(response.status().code(), ByteBufUtil.getBytes(response.content()));
+            if (lasts) {
+                next();
+            } else {
+                context.close();
+            }
+            pending.finish(answer);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections--;
+            idle.remove(this);
+            if (current != null) {
+                current.finish(new HttpResult.Failed("connection closed", true));
+                current = null;
+            }
+            if (!waiting.isEmpty() && connections < mostConnections) {
+                connect();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            if (current != null) {
+                current.finish(new HttpResult.Failed(String.valueOf(cause.getMessage()), true));
+                current = null;
+            }
+            context.close();
+        }
+    }
+
+    /** A call without a result so far. */
+    private static final class Pending {
+        private final HttpCall call;
+        private final Consumer<HttpResult> result;
+        private Timers.Timer timer;
+        private Connection connection;
+        private boolean finished;
+
+        private Pending(HttpCall call, Consumer<HttpResult> result) {
+            this.call = call;
+            this.result = result;
+        }
+
+        private void finish(HttpResult outcome) {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            timer.cancel();
+            result.accept(outcome);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/http/HttpListener.java
@@ -0,0 +1,262 @@
+package org.chivetally.http;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleState;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.logging.EventLine;
+import org.chivetally.settings.HostPort;
+
+/** Accepts HTTP requests on one address and hands them to a handler, one at a time for each connection. */
+public final class HttpListener {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final int PENDING_ACCEPTS = 1024;
+    private static final int LONGEST_LINE = 4096;
+
+    /**
+     * Requests that may wait behind one in progress on the same connection; callers of HTTP/1.1 hardly ever do that.
+     */
+    private static final int MOST_PIPELINED = 4;
+
+    private final EventLoop loop;
+    private final Limits limits;
+    private final Consumer<HttpExchange> handler;
+    private final Set<Connection> connections = new HashSet<>();
+    private boolean draining;
+
+    /**
+     * Bounds on what callers send.
+     *
+     * @param headerBytes most bytes of all headers
+     * @param bodyBytes most bytes of a body
+     * @param idleMillis time without any byte after which a connection without a request is closed
+     */
+    public record Limits(int headerBytes, int bodyBytes, int idleMillis) {}
+
+    /** Creates a listener that isn't bound yet. */
+    public HttpListener(EventLoop loop, Limits limits, Consumer<HttpExchange> handler) {
+        this.loop = loop;
+        this.limits = limits;
+        this.handler = handler;
+    }
+
+    /** Begins to listen, or throws {@link ErrorCode#INTERNAL} when the address can't be bound. */
+    public void bind(HostPort address) {
+        ChannelFuture bound = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, PENDING_ACCEPTS)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new Pipeline())
+                .bind(address.host(), address.port())
+                .awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw new ChivetallyException(ErrorCode.INTERNAL, "can't listen on " + address, bound.cause());
+        }
+    }
+
+    /** Asks callers to use other connections: every answer from now on closes its connection. */
+    public void drain() {
+        draining = true;
+    }
+
+    /** Returns the number of requests without an answer. */
+    public int openRequests() {
+        int open = 0;
+        for (Connection connection : connections) {
+            open += connection.busy ? 1 : 0;
+        }
+        return open;
+    }
+
+    /** Returns the number of open connections. */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    /** Handlers of a new connection. */
+    private final class Pipeline extends ChannelInitializer<Channel> {
+        @Override
+        protected void initChannel(Channel channel) {
+            channel.pipeline()
+                    .addLast(new IdleStateHandler(0, 0, limits.idleMillis(), TimeUnit.MILLISECONDS))
+                    .addLast(new HttpServerCodec(LONGEST_LINE, limits.headerBytes(), limits.bodyBytes()))
+                    .addLast(new HttpObjectAggregator(limits.bodyBytes(), true))
+                    .addLast(new Connection());
+        }
+    }
+
+    /** One connection of a caller. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Deque<FullHttpRequest> waiting = new ArrayDeque<>();
+        private boolean busy;
+        private Runnable callerGone = () -> {};
+
+        @Override
+        public void channelActive(ChannelHandlerContext context) {
+            connections.add(this);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            connections.remove(this);
+            waiting.forEach(FullHttpRequest::release);
+            waiting.clear();
+            if (busy) {
+                busy = false;
+                callerGone.run();
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (!busy) {
+                begin(context, request);
+            } else if (waiting.size() < MOST_PIPELINED) {
+                waiting.add(request.retain());
+            } else {
+                context.close();
+            }
+        }
+
+        private void next(ChannelHandlerContext context) {
+            FullHttpRequest request = waiting.poll();
+            if (request != null) {
+                begin(context, request);
+                request.release();
+            }
+        }
+
+        private void begin(ChannelHandlerContext context, FullHttpRequest request) {
+            busy = true;
+            callerGone = () -> {};
+            Exchange exchange = new Exchange(context, this, request);
+            if (request.decoderResult().isFailure()) {
+                exchange.keepAlive = false;
+                exchange.text(HttpResponseStatus.BAD_REQUEST.code(), "malformed request");
+                return;
+            }
+            handler.accept(exchange);
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext context, Object event) {
+            if (event instanceof IdleStateEvent idle && idle.state() == IdleState.ALL_IDLE && !busy) {
+                context.close();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            LOGGER.atInfo().log("%s", EventLine.of("caller-connection-failed").with("cause", cause));
+            context.close();
+        }
+    }
+
+    /** One request. */
+    private final class Exchange implements HttpExchange {
+        private final ChannelHandlerContext context;
+        private final Connection connection;
+        private final FullHttpRequest request;
+        private final byte[] body;
+        private boolean keepAlive;
+        private boolean answered;
+
+        private Exchange(ChannelHandlerContext context, Connection connection, FullHttpRequest request) {
+            this.context = context;
+            this.connection = connection;
+            this.request = request;
+            this.body = ByteBufUtil.getBytes(request.content());
+            this.keepAlive = HttpUtil.isKeepAlive(request);
+        }
+
+        @Override
+        public String method() {
+            return request.method().name();
+        }
+
+        @Override
+        public String path() {
+            return request.uri();
+        }
+
+        @Override
+        public Optional<String> header(String name) {
+            return Optional.ofNullable(request.headers().get(name));
+        }
+
+        @Override
+        public byte[] body() {
+            return body;
+        }
+
+        @Override
+        public void onCallerGone(Runnable action) {
+            connection.callerGone = action;
+        }
+
+        private void text(int status, String text) {
+            answer(status, Map.of(), "text/plain", text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void answer(int status, Map<String, String> headers, String contentType, byte[] content) {
+            if (answered) {
+                return;
+            }
+            answered = true;
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
+            headers.forEach((name, value) -> response.headers().set(name, value));
+            if (!contentType.isEmpty()) {
+                response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
+            }
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
+            boolean lasts = keepAlive && !draining;
+            if (!lasts) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            ChannelFuture written = context.writeAndFlush(response);
+            connection.busy = false;
+            if (lasts) {
+                connection.next(context);
+            } else {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/logging/BoundedLogHandler.java
@@ -0,0 +1,107 @@
+package org.chivetally.logging;
+
+import java.io.PrintStream;
+import java.time.Instant;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Writes log lines from a thread of its own. A reader of the output that stops reading would otherwise stop the event
+ * loop, and with it every lease; lines that don't fit into the queue are dropped and counted in a line of their own.
+ */
+public final class BoundedLogHandler extends Handler {
+    /** Lines that may wait: two seconds of an entry's lines at the highest load measured, under 2 MB. */
+    static final int MOST_LINES = 8_192;
+
+    private static final Logger ROOT = Logger.getLogger("");
+    private static final long PAUSE_MILLIS = 20;
+
+    private final BlockingQueue<String> lines = new ArrayBlockingQueue<>(MOST_LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final PrintStream out;
+
+    private BoundedLogHandler(PrintStream out) {
+        this.out = out;
+    }
+
+    /** Makes this the only way for log lines of the process. */
+    public static BoundedLogHandler install(PrintStream out, Level level) {
+        for (Handler handler : ROOT.getHandlers()) {
+            ROOT.removeHandler(handler);
+        }
+        BoundedLogHandler handler = new BoundedLogHandler(out);
+        ROOT.addHandler(handler);
+        ROOT.setLevel(level);
+        Thread writer = new Thread(handler::writeForever, "log-writer");
+        writer.setDaemon(true);
+        writer.start();
+        return handler;
+    }
+
+    @Override
+    public void publish(LogRecord entry) {
+        StringBuilder line = new StringBuilder("time=")
+                .append(Instant.ofEpochMilli(entry.getMillis()))
+                .append(" level=")
+                .append(entry.getLevel())
+                .append(' ')
+                .append(entry.getMessage());
+        for (Throwable cause = entry.getThrown(); cause != null; cause = cause.getCause()) {
+            appendCause(line, cause);
+        }
+        if (!lines.offer(line.toString())) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    private static void appendCause(StringBuilder line, Throwable cause) {
+        line.append(" cause=\"").append(cause).append('"');
+        StackTraceElement[] frames = cause.getStackTrace();
+        for (int place = 0; place < Math.min(6, frames.length); place++) {
+            line.append(" at=").append(frames[place]);
+        }
+    }
+
+    private void writeForever() {
+        try {
+            while (true) {
+                out.println(lines.take());
+                writeWaiting();
+                // One wake-up for all lines of the pause: a wake-up costs more than a line.
+                Thread.sleep(PAUSE_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void writeWaiting() {
+        StringBuilder batch = new StringBuilder();
+        String next = lines.poll();
+        while (next != null) {
+            batch.append(next).append('\n');
+            next = lines.poll();
+        }
+        long lost = dropped.getAndSet(0);
+        if (lost > 0) {
+            batch.append("event=log-lines-dropped lines=").append(lost).append('\n');
+        }
+        out.print(batch);
+        out.flush();
+    }
+
+    @Override
+    public void flush() {
+        writeWaiting();
+    }
+
+    @Override
+    public void close() {
+        flush();
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -0,0 +1,261 @@
+package org.chivetally.queue;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/** An accepted job and its tasks. Its phase is final from the moment an end is decided, before that is stored. */
+public final class Job {
+    private final JobSpecification specification;
+    /** An end after this many objectives counts as not served, by the callers' own reckoning. */
+    static final int LATE_OBJECTIVES = 3;
+
+    private final long acceptedAtNanos;
+    private final long limitNanos;
+    private final boolean kept;
+    private final List<Task> tasks = new ArrayList<>();
+    private final int[] openInStep;
+    private int open;
+    private JobPhase phase = JobPhase.QUEUED;
+    private JobPhase shown = JobPhase.QUEUED;
+    private long endedAtMillis;
+
+    /**
+     * Creates a job none of whose tasks has run.
+     *
+     * @param acceptedAtNanos when this process took the job on, by its steady clock
+     */
+    public Job(JobSpecification specification, long acceptedAtNanos) {
+        this(specification, acceptedAtNanos, acceptedAtNanos + lateLimitNanos(specification), true);
+    }
+
+    /**
+     * Creates a job that is kept in this process only.
+     *
+     * @param acceptedAtNanos when this process took the job on, by its steady clock
+     * @param limitNanos when its end is worth nothing any more, by that clock
+     */
+    public Job(JobSpecification specification, long acceptedAtNanos, long limitNanos) {
+        this(specification, acceptedAtNanos, limitNanos, false);
+    }
+
+    private Job(JobSpecification specification, long acceptedAtNanos, long limitNanos, boolean kept) {
+        this.kept = kept;
+        this.specification = specification;
+        this.acceptedAtNanos = acceptedAtNanos;
+        this.limitNanos = limitNanos;
+        this.openInStep = new int[specification.steps().size()];
+        createTasks();
+    }
+
+    private static long lateLimitNanos(JobSpecification specification) {
+        double objective = specification.terms().slackFactor() * specification.chainMillis()
+                + specification.terms().targetLatencyMillis();
+        return (long) (LATE_OBJECTIVES * objective * 1_000_000);
+    }
+
+    private void createTasks() {
+        for (int step = 0; step < openInStep.length; step++) {
+            StepSpecification shape = specification.steps().get(step);
+            openInStep[step] = shape.count();
+            Task.Status status = shape.after().isEmpty() ? Task.Status.WAITING : Task.Status.BLOCKED;
+            for (int index = 0; index < shape.count(); index++) {
+                TaskKey key = new TaskKey(specification.id(), 0, step, index);
+                tasks.add(new Task(this, key, tasks.size(), status));
+            }
+        }
+        open = tasks.size();
+    }
+
+    /** Returns what was accepted. */
+    public JobSpecification specification() {
+        return specification;
+    }
+
+    /** Returns when this process took the job on, by its steady clock. */
+    public long acceptedAtNanos() {
+        return acceptedAtNanos;
+    }
+
+    /** Tells whether the job is kept in the log, and so outlives this process. */
+    public boolean isKept() {
+        return kept;
+    }
+
+    /** Returns when the job's end is worth nothing any more, by this process's steady clock. */
+    public long limitNanos() {
+        return limitNanos;
+    }
+
+    /** Tells whether a job that starts now can't end before its limit, going by the estimates. */
+    public boolean isHopeless(long nowNanos) {
+        return nowNanos + specification.chainMillis() * 1_000_000 > limitNanos;
+    }
+
+    /** Returns all tasks, in the order of steps and indexes. */
+    public List<Task> tasks() {
+        return List.copyOf(tasks);
+    }
+
+    /** Returns the phase as decided, stored or not. */
+    public JobPhase phase() {
+        return phase;
+    }
+
+    /** Returns the phase that callers may be told: an end only after it is stored. */
+    public JobPhase shownPhase() {
+        return shown;
+    }
+
+    /** Returns when the job ended, in milliseconds since 1970; 0 while it hasn't. */
+    public long endedAtMillis() {
+        return endedAtMillis;
+    }
+
+    /** Returns the task of that name, if the job has it. */
+    public Optional<Task> task(TaskKey key) {
+        for (Task task : tasks) {
+            if (task.key().equals(key)) {
+                return Optional.of(task);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the tasks in the given status. */
+    public List<Task> tasksIn(Task.Status status) {
+        List<Task> found = new ArrayList<>();
+        for (Task task : tasks) {
+            if (task.status() == status) {
+                found.add(task);
+            }
+        }
+        return found;
+    }
+
+    /** Notes that a start was sent to a worker; returns nothing, as the run is in doubt until the worker tells. */
+    public void place(Task task, String worker, long run) {
+        task.placed(worker, run);
+        if (phase == JobPhase.QUEUED) {
+            phase = JobPhase.RUNNING;
+            shown = JobPhase.RUNNING;
+        }
+    }
+
+    /** Notes that an earlier owner may have started the task. */
+    public void doubt(Task task) {
+        task.become(Task.Status.UNCERTAIN);
+    }
+
+    /** Notes that no run of the task is in progress, so that it may be placed again. */
+    public void release(Task task) {
+        task.become(Task.Status.WAITING);
+    }
+
+    /**
+     * Notes the end of the task's newest run.
+     *
+     * @return tasks that have become ready to be placed by it
+     */
+    public List<Task> end(Task task, RunOutcome outcome, long nowMillis) {
+        if (task.status() == Task.Status.DONE) {
+            return List.of();
+        }
+        if (outcome == RunOutcome.DONE) {
+            return done(task, nowMillis);
+        }
+        if (outcome == RunOutcome.FAILED) {
+            task.failed();
+            if (!phase.isFinal() && task.failures() >= specification.terms().maximumAttempts()) {
+                finish(JobPhase.FAILED, nowMillis);
+            }
+        }
+        release(task);
+        return phase.isFinal() ? List.of() : List.of(task);
+    }
+
+    private List<Task> done(Task task, long nowMillis) {
+        task.become(Task.Status.DONE);
+        open--;
+        int step = task.key().step();
+        openInStep[step]--;
+        if (open == 0 && !phase.isFinal()) {
+            finish(JobPhase.COMPLETED, nowMillis);
+        }
+        return openInStep[step] == 0 ? unblock() : List.of();
+    }
+
+    private List<Task> unblock() {
+        List<Task> ready = new ArrayList<>();
+        for (Task task : tasks) {
+            if (task.status() == Task.Status.BLOCKED && isDone(task.step().after())) {
+                task.become(Task.Status.WAITING);
+                ready.add(task);
+            }
+        }
+        return ready;
+    }
+
+    private boolean isDone(List<Integer> steps) {
+        for (int step : steps) {
+            if (openInStep[step] > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Ends the job; its tasks in progress are to be stopped. */
+    public void finish(JobPhase end, long nowMillis) {
+        phase = end;
+        endedAtMillis = nowMillis;
+    }
+
+    /** Notes that the end is stored, so that callers may be told. */
+    public void endStored() {
+        shown = phase;
+    }
+
+    /** Returns what the log has to keep of the job's course so far. */
+    public JobProgress progress() {
+        BitSet done = new BitSet(tasks.size());
+        Map<Integer, Integer> failures = new TreeMap<>();
+        for (Task task : tasks) {
+            if (task.status() == Task.Status.DONE) {
+                done.set(task.place());
+            }
+            if (task.failures() > 0) {
+                failures.put(task.place(), task.failures());
+            }
+        }
+        return new JobProgress(phase, done, failures, endedAtMillis);
+    }
+
+    /**
+     * Takes over what the log kept. Tasks that aren't done and whose turn has come are uncertain afterwards: the owner
+     * before may have started them without a trace in the log.
+     *
+     * @param firstRun lowest number that no run of an earlier owner can have
+     */
+    public void restore(JobProgress kept, long firstRun) {
+        for (Task task : tasks) {
+            task.restore(kept.failures().getOrDefault(task.place(), 0), firstRun - 1);
+            if (kept.done().get(task.place())) {
+                done(task, kept.endedAtMillis());
+            }
+        }
+        if (kept.phase().isFinal()) {
+            finish(kept.phase(), kept.endedAtMillis());
+            shown = phase;
+            return;
+        }
+        phase = kept.phase();
+        shown = phase;
+        for (Task task : tasksIn(Task.Status.WAITING)) {
+            doubt(task);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/JobCodec.java
@@ -0,0 +1,160 @@
+package org.chivetally.queue;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
+import org.chivetally.wire.v1.StoredJob;
+import org.chivetally.wire.v1.StoredProgress;
+import org.chivetally.wire.v1.StoredStep;
+
+/** Translates jobs and their progress to the messages that the log keeps, and back. */
+public final class JobCodec {
+    private JobCodec() {}
+
+    /** Writes an accepted job. */
+    public static StoredJob encode(JobSpecification job) {
+        QueueTerms terms = job.terms();
+        StoredJob.Builder stored = StoredJob.newBuilder()
+                .setId(job.id())
+                .setQueue(terms.queue())
+                .setService(terms.service())
+                .setPayload(job.payload())
+                .setMaximumAttempts(terms.maximumAttempts())
+                .setPriority(terms.priority())
+                .setSlackFactor(terms.slackFactor())
+                .setTargetLatencyMillis(terms.targetLatencyMillis())
+                .setAcceptedAtMillis(job.acceptedAtMillis());
+        for (StepSpecification step : job.steps()) {
+            stored.addSteps(encode(step));
+        }
+        return stored.build();
+    }
+
+    private static StoredStep encode(StepSpecification step) {
+        StepTraits traits = step.traits();
+        return StoredStep.newBuilder()
+                .setCount(step.count())
+                .setRoom(encode(step.room()))
+                .setEstimatedMillis(step.estimatedMillis())
+                .addAllAfter(step.after())
+                .setCheckpointing(traits.checkpointing())
+                .setGang(traits.gang())
+                .setSameRack(traits.sameRack())
+                .setRequiredLabel(traits.requiredLabel())
+                .setPreferredRack(traits.preferredRack())
+                .setMaximumPerWorker(traits.maximumPerWorker())
+                .setDuplicatesAllowed(traits.duplicatesAllowed())
+                .setFillsUnused(traits.fillsUnused())
+                .setImage(traits.image())
+                .setTargetMillis(traits.targetMillis())
+                .build();
+    }
+
+    /** Writes a room. */
+    public static org.chivetally.wire.v1.Room encode(Room room) {
+        return org.chivetally.wire.v1.Room.newBuilder()
+                .setProcessorMillis(room.processorMillis())
+                .setMemoryMegabytes(room.memoryMegabytes())
+                .setAccelerators(room.accelerators())
+                .build();
+    }
+
+    /** Reads a room. */
+    public static Room decode(org.chivetally.wire.v1.Room room) {
+        return new Room(room.getProcessorMillis(), room.getMemoryMegabytes(), room.getAccelerators());
+    }
+
+    /** Reads an accepted job. */
+    public static JobSpecification decode(StoredJob stored) {
+        List<StepSpecification> steps = new ArrayList<>();
+        for (StoredStep step : stored.getStepsList()) {
+            steps.add(decode(step));
+        }
+        QueueTerms terms = new QueueTerms(
+                stored.getQueue(),
+                stored.getService(),
+                stored.getMaximumAttempts(),
+                stored.getPriority(),
+                stored.getSlackFactor(),
+                stored.getTargetLatencyMillis());
+        return new JobSpecification(stored.getId(), terms, stored.getPayload(), stored.getAcceptedAtMillis(), steps);
+    }
+
+    private static StepSpecification decode(StoredStep step) {
+        StepTraits traits = new StepTraits(
+                step.getCheckpointing(),
+                step.getGang(),
+                step.getSameRack(),
+                step.getRequiredLabel(),
+                step.getPreferredRack(),
+                step.getMaximumPerWorker(),
+                step.getDuplicatesAllowed(),
+                step.getFillsUnused(),
+                step.getImage(),
+                step.getTargetMillis());
+        return new StepSpecification(
+                step.getCount(), decode(step.getRoom()), step.getEstimatedMillis(), step.getAfterList(), traits);
+    }
+
+    /** Reads an accepted job out of a record of the log, or throws {@link ErrorCode#INTERNAL}. */
+    public static JobSpecification decodeJob(byte[] record) {
+        try {
+            return decode(StoredJob.parseFrom(record));
+        } catch (InvalidProtocolBufferException e) {
+            throw new ChivetallyException(ErrorCode.INTERNAL, "a job's record can't be read", e);
+        }
+    }
+
+    /** Writes the progress of a job. */
+    public static byte[] encode(JobProgress progress) {
+        return StoredProgress.newBuilder()
+                .setPhase(encode(progress.phase()))
+                .setDone(ByteString.copyFrom(progress.done().toByteArray()))
+                .putAllFailures(progress.failures())
+                .setEndedAtMillis(progress.endedAtMillis())
+                .build()
+                .toByteArray();
+    }
+
+    /** Reads the progress of a job out of a record of the log, or throws {@link ErrorCode#INTERNAL}. */
+    public static JobProgress decodeProgress(byte[] record) {
+        try {
+            StoredProgress stored = StoredProgress.parseFrom(record);
+            return new JobProgress(
+                    decode(stored.getPhase()),
+                    BitSet.valueOf(stored.getDone().toByteArray()),
+                    stored.getFailuresMap(),
+                    stored.getEndedAtMillis());
+        } catch (InvalidProtocolBufferException e) {
+            throw new ChivetallyException(ErrorCode.INTERNAL, "a job's progress can't be read", e);
+        }
+    }
+
+    /** Writes a phase. */
+    public static org.chivetally.wire.v1.JobPhase encode(JobPhase phase) {
+        return switch (phase) {
+            case QUEUED -> org.chivetally.wire.v1.JobPhase.JOB_PHASE_QUEUED;
+            case RUNNING -> org.chivetally.wire.v1.JobPhase.JOB_PHASE_RUNNING;
+            case COMPLETED -> org.chivetally.wire.v1.JobPhase.JOB_PHASE_COMPLETED;
+            case FAILED -> org.chivetally.wire.v1.JobPhase.JOB_PHASE_FAILED;
+            case CANCELLED -> org.chivetally.wire.v1.JobPhase.JOB_PHASE_CANCELLED;
+        };
+    }
+
+    /** Reads a phase, or throws {@link ErrorCode#INTERNAL} for one that no release writes. */
+    public static JobPhase decode(org.chivetally.wire.v1.JobPhase phase) {
+        return switch (phase) {
+            case JOB_PHASE_QUEUED -> JobPhase.QUEUED;
+            case JOB_PHASE_RUNNING -> JobPhase.RUNNING;
+            case JOB_PHASE_COMPLETED -> JobPhase.COMPLETED;
+            case JOB_PHASE_FAILED -> JobPhase.FAILED;
+            case JOB_PHASE_CANCELLED -> JobPhase.CANCELLED;
+            case JOB_PHASE_UNSPECIFIED, UNRECOGNIZED ->
+                throw new ChivetallyException(ErrorCode.INTERNAL, "a job's phase is not known: " + phase);
+        };
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/JobProgress.java
@@ -0,0 +1,27 @@
+package org.chivetally.queue;
+
+import java.util.BitSet;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * What has become of a job, as it is kept in the log.
+ *
+ * @param phase phase of the job
+ * @param done places of the tasks that are done
+ * @param failures failed runs by place of the task
+ * @param endedAtMillis when the job ended, in milliseconds since 1970; 0 while it hasn't
+ */
+public record JobProgress(JobPhase phase, BitSet done, Map<Integer, Integer> failures, long endedAtMillis) {
+    /** Copies the collections. */
+    public JobProgress {
+        Objects.requireNonNull(phase, "phase");
+        done = (BitSet) done.clone();
+        failures = Map.copyOf(failures);
+    }
+
+    /** Returns the progress of a job of which the log knows only that it was accepted. */
+    public static JobProgress none() {
+        return new JobProgress(JobPhase.QUEUED, new BitSet(), Map.of(), 0);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/JobSpecification.java
@@ -0,0 +1,60 @@
+package org.chivetally.queue;
+
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * An accepted job, as it is kept in the log.
+ *
+ * @param id 16 hexadecimal digits that the caller chose; the same id is the same job
+ * @param terms terms of its queue
+ * @param payload text handed to every task
+ * @param acceptedAtMillis when the job was accepted, in milliseconds since 1970
+ * @param steps its steps, at least one
+ */
+public record JobSpecification(
+        String id, QueueTerms terms, String payload, long acceptedAtMillis, List<StepSpecification> steps) {
+    /** Copies the steps and refuses a job without any. */
+    public JobSpecification {
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(terms, "terms");
+        Objects.requireNonNull(payload, "payload");
+        steps = List.copyOf(steps);
+        if (steps.isEmpty()) {
+            throw new IllegalArgumentException("job " + id + " has no steps");
+        }
+    }
+
+    /** Returns the number of tasks in all steps. */
+    public int taskCount() {
+        int count = 0;
+        for (StepSpecification step : steps) {
+            count += step.count();
+        }
+        return count;
+    }
+
+    /** Returns the estimated milliseconds of the longest chain of steps. */
+    public long chainMillis() {
+        long[] ends = new long[steps.size()];
+        long longest = 0;
+        for (int place = 0; place < steps.size(); place++) {
+            StepSpecification step = steps.get(place);
+            for (int earlier : step.after()) {
+                ends[place] = Math.max(ends[place], ends[earlier]);
+            }
+            ends[place] += step.estimatedMillis();
+            longest = Math.max(longest, ends[place]);
+        }
+        return longest;
+    }
+
+    /** Returns the processor milliseconds of all tasks, by their estimates. */
+    public long estimatedWork() {
+        long work = 0;
+        for (StepSpecification step : steps) {
+            work += step.count() * step.room().processorMillis() * step.estimatedMillis() / 1000;
+        }
+        return work;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/Task.java
@@ -0,0 +1,109 @@
+package org.chivetally.queue;
+
+import java.util.Optional;
+
+/** One task of a job: whether it waits, runs or is done. Changed only by its {@link Job}. */
+public final class Task {
+    /** Where a task stands. */
+    public enum Status {
+        /** Earlier steps aren't done. */
+        BLOCKED,
+        /** It may be placed. */
+        WAITING,
+        /** An earlier owner may have started it; where is being asked. */
+        UNCERTAIN,
+        /** A start was sent to a worker, and its end isn't known. */
+        PLACED,
+        /** Done for good. */
+        DONE
+    }
+
+    private final Job job;
+    private final TaskKey key;
+    private final int place;
+    private Status status;
+    private long lastRun;
+    private String worker = "";
+    private String failedAt = "";
+    private int failures;
+
+    Task(Job job, TaskKey key, int place, Status status) {
+        this.job = job;
+        this.key = key;
+        this.place = place;
+        this.status = status;
+    }
+
+    /** Returns the job. */
+    public Job job() {
+        return job;
+    }
+
+    /** Returns the name. */
+    public TaskKey key() {
+        return key;
+    }
+
+    /** Returns the place among all tasks of the job, in the order of steps and indexes. */
+    public int place() {
+        return place;
+    }
+
+    /** Returns where the task stands. */
+    public Status status() {
+        return status;
+    }
+
+    /** Returns the room that each run needs. */
+    public Room room() {
+        return step().room();
+    }
+
+    /** Returns the step. */
+    public StepSpecification step() {
+        return job.specification().steps().get(key.step());
+    }
+
+    /** Returns the worker of the run in progress; empty when none is. */
+    public Optional<String> worker() {
+        return worker.isEmpty() ? Optional.empty() : Optional.of(worker);
+    }
+
+    /** Returns the worker where the last failed run was, so that the next one may go elsewhere; empty for none. */
+    public Optional<String> failedAt() {
+        return failedAt.isEmpty() ? Optional.empty() : Optional.of(failedAt);
+    }
+
+    /** Returns the number of the newest run. */
+    public long lastRun() {
+        return lastRun;
+    }
+
+    /** Returns how many runs ended failed. */
+    public int failures() {
+        return failures;
+    }
+
+    void become(Status next) {
+        status = next;
+        if (next != Status.PLACED) {
+            worker = "";
+        }
+    }
+
+    void placed(String at, long run) {
+        status = Status.PLACED;
+        worker = at;
+        lastRun = Math.max(lastRun, run);
+    }
+
+    void failed() {
+        failedAt = worker;
+        failures++;
+    }
+
+    void restore(int failedRuns, long runs) {
+        failures = failedRuns;
+        lastRun = Math.max(lastRun, runs);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/TaskKey.java
@@ -0,0 +1,44 @@
+package org.chivetally.queue;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * Names one task for good.
+ *
+ * @param jobId id of the job, as its caller chose it
+ * @param occurrence which repetition of a scheduled job, from 0; 0 for a job that runs once
+ * @param step place of the step in the job, from 0
+ * @param index place of the task in its step, from 0
+ */
+public record TaskKey(String jobId, int occurrence, int step, int index) {
+    private static final int PARTS = 4;
+
+    /** Refuses a missing id and negative places. */
+    public TaskKey {
+        Objects.requireNonNull(jobId, "jobId");
+        if (occurrence < 0 || step < 0 || index < 0) {
+            throw new IllegalArgumentException("negative place in task " + jobId);
+        }
+    }
+
+    /** Reads the form that {@link #toString()} gives; empty when the text names no task. */
+    public static Optional<TaskKey> parse(String text) {
+        String[] parts = text.split("\\.", -1);
+        if (parts.length != PARTS) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(new TaskKey(
+                    parts[0], Integer.parseInt(parts[1]), Integer.parseInt(parts[2]), Integer.parseInt(parts[3])));
+        } catch (IllegalArgumentException malformed) {
+            // Not a number, or a negative one: the caller decides what a name of another kind means.
+            return Optional.empty();
+        }
+    }
+
+    @Override
+    public String toString() {
+        return jobId + '.' + occurrence + '.' + step + '.' + index;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -0,0 +1,446 @@
+package org.chivetally.queue.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.link.Dialer;
+import org.chivetally.queue.link.LinkListener;
+import org.chivetally.queue.link.LinkTable;
+import org.chivetally.queue.link.Peer;
+import org.chivetally.queue.link.PeerLink;
+import org.chivetally.queue.link.SuspensionDetector;
+import org.chivetally.time.Timers;
+import org.chivetally.transport.FrameListener;
+import org.chivetally.wire.v1.AgentBeat;
+import org.chivetally.wire.v1.EndsKept;
+import org.chivetally.wire.v1.EntryAddress;
+import org.chivetally.wire.v1.EntryBeat;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.HeldRun;
+import org.chivetally.wire.v1.OwnedPartition;
+import org.chivetally.wire.v1.RunEnds;
+import org.chivetally.wire.v1.RunInventory;
+import org.chivetally.wire.v1.RunRefused;
+import org.chivetally.wire.v1.RunStart;
+import org.chivetally.wire.v1.RunStop;
+import org.chivetally.wire.v1.WorkerReport;
+
+/**
+ * An agent among its entries: takes starts from the owners of partitions, refuses those of owners that were replaced,
+ * and tells owners what became of their runs.
+ */
+public final class AgentNode implements LinkListener, SupervisorListener {
+    /** Interval of heartbeats: seven fit into the silence after which a link is closed. */
+    static final Duration BEAT_INTERVAL = Duration.ofMillis(200);
+
+    /** Pause before a changed room is told, so that a burst of ends makes one frame. */
+    static final Duration REPORT_PAUSE = Duration.ofMillis(10);
+
+    /** Interval in which ends that nobody has stored are told again, for an owner that was not ready for them. */
+    static final Duration END_INTERVAL = Duration.ofMillis(500);
+
+    /**
+     * How old the owner's knowledge of this agent may be for its runs to be renewed. Longer than a failover, which
+     * takes about 2.5 s, so that an owner's death does not cost the work in progress.
+     */
+    public static final Duration RENEWAL = Duration.ofMillis(4_000);
+
+    /**
+     * How old an entry's knowledge of this agent may be before the runs of its unkept jobs are stopped. Their callers
+     * send a job again 1.3 s after its entry has failed them; with 50 ms for a stop, the old runs have ended by then.
+     * Three heartbeats fit into it.
+     */
+    static final Duration ENTRY_SILENCE = Duration.ofMillis(800);
+
+    /** How much longer such runs are renewed, while they are being stopped. */
+    static final Duration STOP_MARGIN = Duration.ofMillis(200);
+
+    /** How often silent entries are looked for. */
+    static final Duration SILENCE_LOOK = Duration.ofMillis(50);
+
+    /**
+     * How old the owner's knowledge of this agent may be for a start to be taken. A start that was held up longer may
+     * have been given up and sent elsewhere.
+     */
+    static final Duration START_VALIDITY = Duration.ofMillis(600);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Peer self;
+    private final Timers timers;
+    private final int partitions;
+    private final LinkTable links;
+    private final RunSupervisor supervisor;
+    private final SuspensionDetector suspension;
+    private final Map<Integer, Fence> fences = new HashMap<>();
+    private final Map<PeerLink, Long> startsSeen = new HashMap<>();
+    private final Map<RunOwner.Entry, Long> echoes = new HashMap<>();
+    private final Set<PeerLink> owedInventory = new HashSet<>();
+    private long stampFloorNanos;
+    private boolean reportArmed;
+
+    /** Creates an agent that dials nobody yet. */
+    public AgentNode(Peer self, Timers timers, Dialer dialer, MinionPort minion, int partitions) {
+        this.self = self;
+        this.timers = timers;
+        this.partitions = partitions;
+        this.links = new LinkTable(self, timers, dialer, this);
+        this.supervisor = new RunSupervisor(timers, minion, this, partitions);
+        this.suspension = new SuspensionDetector(timers);
+        this.stampFloorNanos = timers.nanos();
+        timers.every(BEAT_INTERVAL, this::beat);
+        timers.every(SILENCE_LOOK, this::stopRunsOfSilentEntries);
+        timers.every(END_INTERVAL, () -> tellOwners(supervisor.openEnds()));
+    }
+
+    /** Returns what keeps the minion's runs. */
+    public RunSupervisor supervisor() {
+        return supervisor;
+    }
+
+    /** Returns the links. */
+    public LinkTable links() {
+        return links;
+    }
+
+    /** Returns who is told about connections that others open. */
+    public FrameListener acceptor() {
+        return links.acceptor();
+    }
+
+    /** Dials an entry from now on. */
+    public void meet(Peer entry) {
+        if (!entry.agent() && !entry.process().equals(self.process())) {
+            links.dial(entry);
+        }
+    }
+
+    @Override
+    public void up(PeerLink link) {
+        startsSeen.put(link, 0L);
+        owedInventory.add(link);
+        sendInventories();
+    }
+
+    @Override
+    public void down(PeerLink link, String reason) {
+        startsSeen.remove(link);
+        owedInventory.remove(link);
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case ENTRY_BEAT -> entryBeat(link, frame.getEntryBeat());
+            case BEAT_ECHO ->
+                link.stamps(link.peerStampNanos(), frame.getBeatEcho().getEchoNanos());
+            case RUN_START -> runStart(link, frame.getRunStart());
+            case RUN_STOP -> runStop(frame.getRunStop());
+            case ENDS_KEPT -> endsKept(frame.getEndsKept());
+            default ->
+                LOGGER.atWarning().log(
+                        "%s",
+                        EventLine.of("frame-unexpected")
+                                .with("peer", link.peer().process())
+                                .with("body", frame.getBodyCase()));
+        }
+    }
+
+    private void entryBeat(PeerLink link, EntryBeat beat) {
+        link.stamps(beat.getStampNanos(), beat.getEchoNanos());
+        boolean raised = false;
+        for (OwnedPartition owned : beat.getOwnedList()) {
+            raised |= raise(owned.getPartition(), owned.getEpoch(), link);
+        }
+        if (raised) {
+            owedInventory.add(link);
+            sendInventories();
+        }
+        for (EntryAddress entry : beat.getEntriesList()) {
+            meet(new Peer(entry.getProcess(), entry.getIncarnation(), false, "", entry.getHost(), entry.getPort()));
+        }
+    }
+
+    /** Notes an owner's epoch; tells whether it is higher than any before. */
+    private boolean raise(int partition, long epoch, PeerLink owner) {
+        Fence known = fences.get(partition);
+        if (known != null && known.epoch() >= epoch) {
+            return false;
+        }
+        fences.put(partition, new Fence(epoch, owner.peer().process()));
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("owner-changed")
+                        .with("partition", partition)
+                        .with("epoch", epoch)
+                        .with("owner", owner.peer().process()));
+        return true;
+    }
+
+    private void runStart(PeerLink link, RunStart start) {
+        startsSeen.computeIfPresent(link, (same, seen) -> Math.max(seen, start.getNumber()));
+        Optional<TaskKey> task = TaskKey.parse(start.getTask());
+        if (task.isEmpty()) {
+            refuse(link, start, "no such task name");
+            return;
+        }
+        Optional<String> refusal = refusal(link, start);
+        if (refusal.isEmpty()) {
+            refusal = supervisor.start(
+                    new RunKey(task.get(), start.getRun()),
+                    ownerOf(link, start),
+                    JobCodec.decode(start.getRoom()),
+                    start.getPayload(),
+                    start.getCheckpoint());
+        }
+        if (refusal.isPresent()) {
+            refuse(link, start, refusal.get());
+            return;
+        }
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("run-start")
+                        .with("task", start.getTask())
+                        .with("run", start.getRun())
+                        .with("epoch", start.getEpoch())
+                        .with("owner", link.peer().process())
+                        .with("free_millicores", supervisor.free().processorMillis()));
+    }
+
+    private Optional<String> refusal(PeerLink link, RunStart start) {
+        lookForSuspension();
+        Fence known = fences.get(start.getPartition());
+        if (!start.getUnkept() && known != null && known.epoch() > start.getEpoch()) {
+            return Optional.of("fenced by epoch " + known.epoch());
+        }
+        long age = timers.nanos() - start.getEchoNanos();
+        if (start.getEchoNanos() < stampFloorNanos || age > START_VALIDITY.toNanos()) {
+            return Optional.of("stale by " + age / 1_000_000 + " ms");
+        }
+        if (!start.getUnkept()) {
+            raise(start.getPartition(), start.getEpoch(), link);
+        }
+        return Optional.empty();
+    }
+
+    private static RunOwner ownerOf(PeerLink link, RunStart start) {
+        return start.getUnkept() ? entryOf(link) : new RunOwner.Partition(start.getPartition());
+    }
+
+    private static RunOwner.Entry entryOf(PeerLink link) {
+        return new RunOwner.Entry(link.peer().process(), link.peer().incarnation());
+    }
+
+    private void refuse(PeerLink link, RunStart start, String reason) {
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("run-refused")
+                        .with("task", start.getTask())
+                        .with("run", start.getRun())
+                        .with("owner", link.peer().process())
+                        .with("reason", reason));
+        link.send(Frame.newBuilder()
+                .setRunRefused(RunRefused.newBuilder()
+                        .setTask(start.getTask())
+                        .setRun(start.getRun())
+                        .setReason(reason)
+                        .setReport(report(link)))
+                .build());
+    }
+
+    private void runStop(RunStop stop) {
+        Fence known = fences.get(stop.getPartition());
+        if (!stop.getUnkept() && known != null && known.epoch() > stop.getEpoch()) {
+            return;
+        }
+        TaskKey.parse(stop.getTask()).ifPresent(task -> {
+            LOGGER.atInfo().log(
+                    "%s", EventLine.of("run-stop").with("task", stop.getTask()).with("run", stop.getRun()));
+            supervisor.stop(new RunKey(task, stop.getRun()));
+        });
+    }
+
+    private void endsKept(EndsKept kept) {
+        supervisor.kept(kept.getMinion(), kept.getSequencesList());
+    }
+
+    @Override
+    public boolean mayRenew(Set<RunOwner> owners) {
+        lookForSuspension();
+        for (RunOwner owner : owners) {
+            boolean fresh = switch (owner) {
+                case RunOwner.Partition partition -> isOwnerFresh(partition.number());
+                case RunOwner.Entry entry -> isEntryFresh(entry, ENTRY_SILENCE.plus(STOP_MARGIN));
+            };
+            if (!fresh) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean isEntryFresh(RunOwner.Entry entry, Duration limit) {
+        Optional<PeerLink> link = links.link(entry.process());
+        if (link.isPresent() && link.get().peer().incarnation() == entry.incarnation()) {
+            echoes.merge(entry, link.get().echoNanos(), Math::max);
+        }
+        long heard = echoes.getOrDefault(entry, Long.MIN_VALUE);
+        return heard >= stampFloorNanos && timers.nanos() - heard <= limit.toNanos();
+    }
+
+    private void stopRunsOfSilentEntries() {
+        lookForSuspension();
+        for (RunOwner owner : supervisor.owners()) {
+            if (owner instanceof RunOwner.Entry entry && !isEntryFresh(entry, ENTRY_SILENCE)) {
+                supervisor.stopAll(entry);
+            }
+        }
+        echoes.keySet().removeIf(entry -> !supervisor.owners().contains(entry));
+    }
+
+    private boolean isOwnerFresh(int partition) {
+        Fence fence = fences.get(partition);
+        if (fence == null) {
+            return false;
+        }
+        long heard = fence.heardNanos();
+        Optional<PeerLink> link = links.link(fence.process());
+        if (link.isPresent() && link.get().echoNanos() != 0) {
+            heard = Math.max(heard, link.get().echoNanos());
+            fences.put(partition, new Fence(fence.epoch(), fence.process(), heard));
+        }
+        return heard >= stampFloorNanos && timers.nanos() - heard <= RENEWAL.toNanos();
+    }
+
+    private void lookForSuspension() {
+        long gap = suspension.look();
+        if (gap > 0) {
+            // Whatever came before the gap was meant for an agent that may have been given up since.
+            stampFloorNanos = timers.nanos();
+            LOGGER.atWarning().log("%s", EventLine.of("suspended").with("gap_ms", gap));
+        }
+    }
+
+    @Override
+    public void ended(List<EndedRun> ends) {
+        tellOwners(ends);
+    }
+
+    private void tellOwners(List<EndedRun> ends) {
+        Map<PeerLink, RunEnds.Builder> frames = new LinkedHashMap<>();
+        for (EndedRun end : ends) {
+            linkTo(end.owner())
+                    .ifPresent(link -> frames.computeIfAbsent(link, same -> RunEnds.newBuilder())
+                            .addEnds(EndCodec.encode(end)));
+        }
+        frames.forEach((link, frame) -> link.send(
+                Frame.newBuilder().setRunEnds(frame.setReport(report(link))).build()));
+    }
+
+    private Optional<PeerLink> linkTo(RunOwner owner) {
+        return switch (owner) {
+            case RunOwner.Entry entry ->
+                links.link(entry.process()).filter(link -> link.peer().incarnation() == entry.incarnation());
+            case RunOwner.Partition partition ->
+                Optional.ofNullable(fences.get(partition.number())).flatMap(fence -> links.link(fence.process()));
+        };
+    }
+
+    @Override
+    public void roomChanged() {
+        if (!reportArmed) {
+            reportArmed = true;
+            timers.after(REPORT_PAUSE, () -> {
+                reportArmed = false;
+                sendBeats();
+            });
+        }
+    }
+
+    private void beat() {
+        lookForSuspension();
+        sendInventories();
+        sendBeats();
+    }
+
+    private void sendBeats() {
+        for (PeerLink link : links.links()) {
+            link.send(Frame.newBuilder()
+                    .setAgentBeat(AgentBeat.newBuilder()
+                            .setStampNanos(timers.nanos())
+                            .setEchoNanos(link.peerStampNanos())
+                            .setReport(report(link)))
+                    .build());
+        }
+    }
+
+    private void sendInventories() {
+        if (!supervisor.isComplete()) {
+            return;
+        }
+        for (PeerLink link : owedInventory) {
+            link.send(inventory(link));
+        }
+        owedInventory.clear();
+    }
+
+    private Frame inventory(PeerLink link) {
+        RunInventory.Builder inventory =
+                RunInventory.newBuilder().setStampNanos(timers.nanos()).setReport(report(link));
+        supervisor.runs().forEach((run, owner) -> {
+            boolean unkept = owner instanceof RunOwner.Entry;
+            if (!unkept || owner.equals(entryOf(link))) {
+                inventory.addRuns(HeldRun.newBuilder()
+                        .setTask(run.task().toString())
+                        .setRun(run.run())
+                        .setUnkept(unkept));
+            }
+        });
+        for (EndedRun end : supervisor.openEnds()) {
+            inventory.addEnds(EndCodec.encode(end));
+        }
+        fences.forEach((partition, fence) -> inventory.addFenced(
+                OwnedPartition.newBuilder().setPartition(partition).setEpoch(fence.epoch())));
+        return Frame.newBuilder().setRunInventory(inventory).build();
+    }
+
+    private WorkerReport report(PeerLink link) {
+        WorkerReport.Builder report = WorkerReport.newBuilder()
+                .setFailureDomain(self.failureDomain())
+                .setAccepting(supervisor.isAccepting())
+                .setStartsSeen(startsSeen.getOrDefault(link, 0L));
+        supervisor
+                .minion()
+                .ifPresent(minion -> report.setMinion(minion.boot())
+                        .setService(minion.service())
+                        .setCapacity(JobCodec.encode(minion.capacity()))
+                        .setFree(JobCodec.encode(clamped(supervisor.free())))
+                        .addAllLabels(minion.labels()));
+        return report.build();
+    }
+
+    private static Room clamped(Room free) {
+        return new Room(
+                Math.max(0, free.processorMillis()),
+                Math.max(0, free.memoryMegabytes()),
+                Math.max(0, free.accelerators()));
+    }
+
+    /** Highest epoch seen of a partition, whose it is, and the newest stamp of ours that the owner has had. */
+    private record Fence(long epoch, String process, long heardNanos) {
+        private Fence(long epoch, String process) {
+            this(epoch, process, Long.MIN_VALUE);
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/HeldRun.java
@@ -0,0 +1,82 @@
+package org.chivetally.queue.agent;
+
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+
+/** A run whose room is taken at the minion: it runs, stops, or may still start. */
+final class HeldRun {
+    /** How far the run is. */
+    enum Stage {
+        /** The start is on its way. */
+        STARTING,
+        /** The start got no answer; it may have been carried out, or may be later. */
+        DOUBTFUL,
+        /** The minion has listed it, or has answered the start. */
+        RUNNING
+    }
+
+    private final RunKey key;
+    private final RunOwner owner;
+    private final Room room;
+    private final long leaseUntilMillis;
+    private Stage stage = Stage.STARTING;
+    private boolean stopWanted;
+    private boolean stopAnswered;
+    private long stageSinceNanos;
+
+    HeldRun(RunKey key, RunOwner owner, Room room, long leaseUntilMillis, long nowNanos) {
+        this.key = key;
+        this.owner = owner;
+        this.room = room;
+        this.leaseUntilMillis = leaseUntilMillis;
+        this.stageSinceNanos = nowNanos;
+    }
+
+    RunKey key() {
+        return key;
+    }
+
+    RunOwner owner() {
+        return owner;
+    }
+
+    Room room() {
+        return room;
+    }
+
+    /** Returns the time on the minion's clock after which the start is refused. */
+    long leaseUntilMillis() {
+        return leaseUntilMillis;
+    }
+
+    Stage stage() {
+        return stage;
+    }
+
+    long stageSinceNanos() {
+        return stageSinceNanos;
+    }
+
+    void become(Stage next, long nowNanos) {
+        stage = next;
+        stageSinceNanos = nowNanos;
+    }
+
+    boolean isStopWanted() {
+        return stopWanted;
+    }
+
+    void wantStop() {
+        stopWanted = true;
+    }
+
+    boolean isStopAnswered() {
+        return stopAnswered;
+    }
+
+    /** Notes that the minion took the stop; what it lists from now on is final. */
+    void stopAnswered(long nowNanos) {
+        stopAnswered = true;
+        stageSinceNanos = nowNanos;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/RunOwner.java
@@ -0,0 +1,26 @@
+package org.chivetally.queue.agent;
+
+import java.util.Objects;
+
+/** Whoever started a run and follows it. */
+public sealed interface RunOwner {
+    /**
+     * The owner of a partition, whichever entry that is. Its runs outlive an entry, as the next owner takes them over.
+     *
+     * @param number the partition
+     */
+    record Partition(int number) implements RunOwner {}
+
+    /**
+     * An entry at one start of it. Its runs are worth nothing without it, as nobody else knows their job.
+     *
+     * @param process name of the entry
+     * @param incarnation its start
+     */
+    record Entry(String process, long incarnation) implements RunOwner {
+        /** Refuses a missing name. */
+        public Entry {
+            Objects.requireNonNull(process, "process");
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -0,0 +1,574 @@
+package org.chivetally.queue.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Partitions;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.agent.MinionPort.ListedEnd;
+import org.chivetally.queue.agent.MinionPort.LookAnswer;
+import org.chivetally.queue.agent.MinionPort.LookOrder;
+import org.chivetally.queue.agent.MinionPort.StartAnswer;
+import org.chivetally.queue.agent.MinionPort.StartOrder;
+import org.chivetally.time.Timers;
+
+/**
+ * Keeps the runs of one minion. The only caller of that minion, so its count of the room is exact: room is taken from
+ * before a start is sent until the run's end is listed, or until it is certain that the start will not be carried out.
+ */
+public final class RunSupervisor {
+    /** Longest lease that a minion grants, by the platform's pages. */
+    static final long LEASE_MILLIS = 1_000;
+
+    /** Longest wait of one look. Two looks fit into a lease, so one lost answer does not end it. */
+    static final Duration LOOK_WAIT = Duration.ofMillis(400);
+
+    /** Pause after a look that told nothing new at once: ends wait to be stored, which takes the log about 10 ms. */
+    static final Duration LOOK_PAUSE = Duration.ofMillis(20);
+
+    /** Pause after a look without an answer, so that a minion that is down isn't called in a tight loop. */
+    static final Duration LOOK_RETRY = Duration.ofMillis(100);
+
+    /** How long a doubtful start may show up in a look before it is stopped: one look's wait is cut short by it. */
+    static final Duration DOUBT_PAUSE = Duration.ofMillis(150);
+
+    /** Age of the last answer from which looks no longer renew, so that the lease of a minion in doubt runs out. */
+    static final long UNANSWERED_NANOS = Duration.ofMillis(800).toNanos();
+
+    /** Margin on the end of a lease before its runs are called lost: the minion's own timers fire late. */
+    static final long LAPSE_MARGIN_MILLIS = 100;
+
+    /**
+     * Time from the start of this process after which a minion that has not announced itself is taken for gone, as is
+     * all that an agent before this one started there: two announcements come in it, and four leases end.
+     */
+    static final long UNANNOUNCED_NANOS = Duration.ofSeconds(4).toNanos();
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Timers timers;
+    private final MinionPort port;
+    private final SupervisorListener listener;
+    private final int partitions;
+    private final Map<TaskKey, HeldRun> held = new LinkedHashMap<>();
+    private final EndList ends = new EndList();
+    private final Set<String> pastBoots = new HashSet<>();
+    private final MinionClock clock = new MinionClock();
+    private Optional<MinionState> minion = Optional.empty();
+    private Room taken = Room.NONE;
+    private Set<RunKey> strangers = Set.of();
+    private final long startedAtNanos;
+    private boolean reconciled;
+    private boolean complete;
+    private boolean leaving;
+    private boolean lookInFlight;
+    private boolean lookArmed;
+    private boolean renewalHeld;
+    private long lookNumber;
+    private long token;
+    private long keptSent;
+    private long lastAnswerNanos;
+    private long leaseSentUntilMillis;
+
+    /**
+     * Creates a supervisor that knows of no minion yet.
+     *
+     * @param partitions partitions among which kept jobs are dealt out
+     */
+    public RunSupervisor(Timers timers, MinionPort port, SupervisorListener listener, int partitions) {
+        this.partitions = partitions;
+        this.timers = timers;
+        this.port = port;
+        this.listener = listener;
+        this.startedAtNanos = timers.nanos();
+        // Calls of an agent that was killed may still reach the minion. A higher token fences them; the time of day is
+        // higher than at any earlier start, as a restart takes longer than clocks are apart.
+        this.token = timers.epochMillis();
+    }
+
+    /** Returns the minion, once one has announced itself. */
+    public Optional<MinionState> minion() {
+        return minion;
+    }
+
+    /** Tells whether starts are taken. */
+    public boolean isAccepting() {
+        return !leaving
+                && reconciled
+                && strangers.isEmpty()
+                && minion.isPresent()
+                && !minion.get().leaving();
+    }
+
+    /**
+     * Tells whether the runs and ends here are all that the minion has. Not so at first after a restart: the agent
+     * before may have left runs behind, and an owner that takes them for gone would start their tasks again beside
+     * them.
+     */
+    public boolean isComplete() {
+        return complete || minion.isEmpty() && timers.nanos() - startedAtNanos > UNANNOUNCED_NANOS;
+    }
+
+    /** Returns the capacity less the room of everything that runs, stops or may still start. */
+    public Room free() {
+        return minion.isEmpty() ? Room.NONE : minion.get().capacity().minus(taken);
+    }
+
+    /** Returns the runs whose room is taken, with their owners. */
+    public Map<RunKey, RunOwner> runs() {
+        Map<RunKey, RunOwner> runs = new LinkedHashMap<>();
+        for (HeldRun run : held.values()) {
+            runs.put(run.key(), run.owner());
+        }
+        return runs;
+    }
+
+    /** Returns the listed ends that nobody has stored yet. */
+    public List<EndedRun> openEnds() {
+        return minion.isEmpty() ? List.of() : ends.open(minion.get().boot());
+    }
+
+    /** Tells whether nothing runs and no end waits to be stored. */
+    public boolean isIdle() {
+        return held.isEmpty() && ends.isEmpty();
+    }
+
+    /** Takes no more starts, as the process is about to end. */
+    public void leave() {
+        leaving = true;
+        listener.roomChanged();
+    }
+
+    /** Notes what the minion announced. A boot that was replaced is ignored, as its announcement was held up. */
+    public void announced(MinionState state) {
+        if (pastBoots.contains(state.boot())) {
+            LOGGER.atInfo().log("%s", EventLine.of("minion-announcement-old").with("minion", state.boot()));
+            return;
+        }
+        Optional<MinionState> before = minion;
+        boolean sameBoot = before.isPresent() && before.get().boot().equals(state.boot());
+        if (!sameBoot) {
+            before.ifPresent(old -> replaced(old, "reborn"));
+            clock.reset(state.clockMillis(), timers.nanos());
+            lastAnswerNanos = timers.nanos();
+        }
+        // A minion that has said it leaves never stays after all; a late announcement must not undo it.
+        boolean stillLeaving = sameBoot && before.get().leaving();
+        minion = Optional.of(stillLeaving ? leaving(state) : state);
+        if (!sameBoot || before.get().leaving() != minion.get().leaving()) {
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("minion-announced")
+                            .with("minion", state.boot())
+                            .with("leaving", minion.get().leaving())
+                            .with("capacity", state.capacity()));
+            listener.roomChanged();
+        }
+        look();
+    }
+
+    private static MinionState leaving(MinionState state) {
+        return new MinionState(
+                state.boot(), state.service(), state.capacity(), state.labels(), true, state.clockMillis());
+    }
+
+    /** Notes that the minion has taken its leave; whatever ran on it is gone. */
+    public void departed(String boot) {
+        if (minion.isPresent() && minion.get().boot().equals(boot)) {
+            replaced(minion.get(), "departed");
+            minion = Optional.empty();
+            listener.roomChanged();
+        }
+    }
+
+    private void replaced(MinionState old, String reason) {
+        pastBoots.add(old.boot());
+        loseAll(old.boot(), reason);
+        ends.clear();
+        keptSent = 0;
+        strangers = Set.of();
+        reconciled = false;
+        leaseSentUntilMillis = 0;
+    }
+
+    private void loseAll(String boot, String reason) {
+        List<EndedRun> lost = new ArrayList<>();
+        for (HeldRun run : held.values()) {
+            lost.add(new EndedRun(run.owner(), boot, 0, run.key(), RunOutcome.LOST, ""));
+        }
+        held.clear();
+        taken = Room.NONE;
+        if (!lost.isEmpty()) {
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("runs-lost")
+                            .with("minion", boot)
+                            .with("runs", lost.size())
+                            .with("reason", reason));
+            listener.ended(lost);
+        }
+    }
+
+    /**
+     * Starts a run.
+     *
+     * @return why it isn't started and never will be by this call; empty when it was sent to the minion
+     */
+    public Optional<String> start(RunKey run, RunOwner owner, Room room, String payload, String checkpoint) {
+        if (!isAccepting()) {
+            return Optional.of("not accepting");
+        }
+        HeldRun known = held.get(run.task());
+        if (known != null) {
+            return Optional.of("held as run " + known.key().run());
+        }
+        if (!room.fitsInto(free())) {
+            return Optional.of("no room");
+        }
+        long now = timers.nanos();
+        long until = clock.now(now) + LEASE_MILLIS;
+        HeldRun fresh = new HeldRun(run, owner, room, until, now);
+        held.put(run.task(), fresh);
+        taken = taken.plus(room);
+        leaseSentUntilMillis = Math.max(leaseSentUntilMillis, until);
+        String boot = minion.orElseThrow().boot();
+        port.start(
+                boot,
+                new StartOrder(run, payload, until, token, checkpoint),
+                answer -> startAnswered(boot, fresh, answer));
+        look();
+        return Optional.empty();
+    }
+
+    private void startAnswered(String boot, HeldRun run, StartAnswer answer) {
+        if (isNotHeld(boot, run)) {
+            return;
+        }
+        switch (answer) {
+            case StartAnswer.Started started -> {
+                clock.observe(started.clockMillis(), timers.nanos());
+                run.become(HeldRun.Stage.RUNNING, timers.nanos());
+                if (run.isStopWanted()) {
+                    sendStop(boot, run);
+                }
+                look();
+            }
+            case StartAnswer.Rejected rejected -> {
+                LOGGER.atInfo().log(
+                        "%s",
+                        EventLine.of("run-rejected")
+                                .with("run", run.key())
+                                .with("minion", boot)
+                                .with("reason", rejected.reason()));
+                if (rejected.fenced()) {
+                    raiseToken();
+                }
+                neverStarted(boot, run);
+            }
+            case StartAnswer.Unknown unknown -> {
+                LOGGER.atWarning().log(
+                        "%s",
+                        EventLine.of("run-doubtful")
+                                .with("run", run.key())
+                                .with("minion", boot)
+                                .with("reason", unknown.reason()));
+                run.become(HeldRun.Stage.DOUBTFUL, timers.nanos());
+                timers.after(DOUBT_PAUSE, () -> resolve(boot, run));
+                look();
+            }
+        }
+    }
+
+    /**
+     * Rules a doubtful start out. A stop that was answered keeps the minion from ever taking this run, so the room is
+     * free from the next look that does not list it; without that, a start carried out late would overfill the worker.
+     */
+    private void resolve(String boot, HeldRun run) {
+        if (isNotHeld(boot, run) || run.stage() != HeldRun.Stage.DOUBTFUL || run.isStopAnswered()) {
+            return;
+        }
+        sendStop(boot, run);
+    }
+
+    private boolean isNotHeld(String boot, HeldRun run) {
+        return held.get(run.key().task()) != run
+                || minion.isEmpty()
+                || !minion.get().boot().equals(boot);
+    }
+
+    private void neverStarted(String boot, HeldRun run) {
+        release(run);
+        listener.ended(List.of(new EndedRun(run.owner(), boot, 0, run.key(), RunOutcome.NEVER_STARTED, "")));
+        listener.roomChanged();
+    }
+
+    private void release(HeldRun run) {
+        held.remove(run.key().task());
+        taken = taken.minus(run.room());
+    }
+
+    private void raiseToken() {
+        // Only the agent of this machine calls the minion, so whoever had the higher token is gone.
+        token = Math.max(token + Duration.ofSeconds(10).toMillis(), timers.epochMillis());
+        LOGGER.atWarning().log("%s", EventLine.of("agent-token-raised").with("token", token));
+    }
+
+    /** Stops a run; nothing happens when it isn't held. */
+    public void stop(RunKey key) {
+        HeldRun run = held.get(key.task());
+        if (run == null || run.key().run() != key.run() || run.isStopWanted() || minion.isEmpty()) {
+            return;
+        }
+        run.wantStop();
+        sendStop(minion.get().boot(), run);
+    }
+
+    private void sendStop(String boot, HeldRun run) {
+        port.stop(boot, run.key(), token, taken -> {
+            if (isNotHeld(boot, run)) {
+                return;
+            }
+            if (taken) {
+                run.stopAnswered(timers.nanos());
+                look();
+            } else {
+                timers.after(LOOK_RETRY, () -> {
+                    if (!isNotHeld(boot, run) && !run.isStopAnswered()) {
+                        sendStop(boot, run);
+                    }
+                });
+            }
+        });
+    }
+
+    /** Notes that ends of a boot are stored, so that the minion may forget them. */
+    public void kept(String boot, List<Long> sequences) {
+        if (minion.isEmpty() || !minion.get().boot().equals(boot)) {
+            return;
+        }
+        for (long sequence : sequences) {
+            ends.keep(sequence);
+        }
+        if (ends.keptThrough() > keptSent) {
+            look();
+        }
+    }
+
+    private void look() {
+        if (lookInFlight || minion.isEmpty() || !isLookNeeded()) {
+            return;
+        }
+        long now = timers.nanos();
+        loseAfterLapse(now);
+        if (minion.isEmpty() || !isLookNeeded()) {
+            return;
+        }
+        lookInFlight = true;
+        lookNumber++;
+        long number = lookNumber;
+        String boot = minion.get().boot();
+        OptionalLong lease = renewal(now);
+        Duration wait = held.isEmpty() ? Duration.ZERO : LOOK_WAIT;
+        long kept = ends.keptThrough();
+        port.look(boot, new LookOrder(token, kept, lease, wait), answer -> {
+            lookInFlight = false;
+            if (number == lookNumber
+                    && minion.isPresent()
+                    && minion.get().boot().equals(boot)) {
+                looked(boot, answer, now, kept);
+            } else {
+                look();
+            }
+        });
+    }
+
+    private boolean isLookNeeded() {
+        return !reconciled || !strangers.isEmpty() || !held.isEmpty() || ends.keptThrough() > keptSent;
+    }
+
+    private OptionalLong renewal(long now) {
+        if (held.isEmpty() || now - lastAnswerNanos > UNANSWERED_NANOS) {
+            return OptionalLong.empty();
+        }
+        Set<RunOwner> owners = new HashSet<>();
+        for (HeldRun run : held.values()) {
+            owners.add(run.owner());
+        }
+        boolean allowed = listener.mayRenew(owners);
+        if (allowed == renewalHeld) {
+            renewalHeld = !allowed;
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of(allowed ? "lease-renewed-again" : "lease-not-renewed")
+                            .with("runs", held.size())
+                            .with("owners", owners));
+        }
+        if (!allowed) {
+            return OptionalLong.empty();
+        }
+        long until = clock.now(now) + LEASE_MILLIS;
+        leaseSentUntilMillis = Math.max(leaseSentUntilMillis, until);
+        return OptionalLong.of(until);
+    }
+
+    /**
+     * Calls the runs of a minion that doesn't answer lost, once every lease that it may have taken has ended. Until
+     * then a run may go on there, and a second one elsewhere would run beside it.
+     */
+    private void loseAfterLapse(long now) {
+        boolean silent = now - lastAnswerNanos > UNANSWERED_NANOS;
+        if (silent && !held.isEmpty() && clock.now(now) > leaseSentUntilMillis + LAPSE_MARGIN_MILLIS) {
+            loseAll(minion.orElseThrow().boot(), "silent");
+            reconciled = false;
+            listener.roomChanged();
+        }
+    }
+
+    private void looked(String boot, LookAnswer answer, long sentAtNanos, long keptWithIt) {
+        switch (answer) {
+            case LookAnswer.Lists lists -> {
+                lastAnswerNanos = timers.nanos();
+                clock.observe(lists.clockMillis(), lastAnswerNanos);
+                keptSent = Math.max(keptSent, keptWithIt);
+                boolean news = took(boot, lists, sentAtNanos);
+                boolean quick = lastAnswerNanos - sentAtNanos < LOOK_PAUSE.toNanos();
+                lookAfter(quick && !news ? LOOK_PAUSE : Duration.ZERO);
+            }
+            case LookAnswer.Refused refused -> {
+                LOGGER.atWarning().log(
+                        "%s", EventLine.of("look-refused").with("minion", boot).with("reason", refused.reason()));
+                if (refused.fenced()) {
+                    raiseToken();
+                    lookAfter(Duration.ZERO);
+                } else {
+                    departed(boot);
+                }
+            }
+            case LookAnswer.Unknown unknown -> {
+                LOGGER.atInfo().log(
+                        "%s",
+                        EventLine.of("look-unanswered").with("minion", boot).with("reason", unknown.reason()));
+                lookAfter(LOOK_RETRY);
+            }
+        }
+    }
+
+    private void lookAfter(Duration pause) {
+        if (pause.isZero()) {
+            look();
+            return;
+        }
+        if (!lookArmed) {
+            lookArmed = true;
+            timers.after(pause, () -> {
+                lookArmed = false;
+                look();
+            });
+        }
+    }
+
+    /** Takes the lists over; tells whether they held anything new. */
+    private boolean took(String boot, LookAnswer.Lists lists, long sentAtNanos) {
+        Room before = free();
+        boolean acceptingBefore = isAccepting();
+        List<EndedRun> fresh = new ArrayList<>();
+        for (ListedEnd end : lists.ends()) {
+            HeldRun run = held.get(end.run().task());
+            boolean followed = run != null && run.key().equals(end.run());
+            RunOwner owner = followed ? run.owner() : partitionOf(end.run());
+            if (!ends.add(end, owner)) {
+                continue;
+            }
+            fresh.add(new EndedRun(owner, boot, end.sequence(), end.run(), end.outcome(), end.checkpoint()));
+            if (followed) {
+                release(run);
+            }
+            if (owner instanceof RunOwner.Entry) {
+                // Nothing of such a job is stored, so the minion may forget the end as soon as it was told here.
+                ends.keep(end.sequence());
+            }
+        }
+        tookRunning(boot, lists, sentAtNanos);
+        reconciled = true;
+        if (!fresh.isEmpty()) {
+            listener.ended(fresh);
+        }
+        if (!before.equals(free()) || acceptingBefore != isAccepting()) {
+            listener.roomChanged();
+        }
+        return !fresh.isEmpty();
+    }
+
+    private void tookRunning(String boot, LookAnswer.Lists lists, long sentAtNanos) {
+        Set<RunKey> running = new HashSet<>(lists.running());
+        Set<RunKey> unknown = new HashSet<>(running);
+        for (HeldRun run : List.copyOf(held.values())) {
+            unknown.remove(run.key());
+            if (running.contains(run.key())) {
+                if (run.stage() != HeldRun.Stage.RUNNING) {
+                    run.become(HeldRun.Stage.RUNNING, timers.nanos());
+                }
+                continue;
+            }
+            if (isRuledOut(run, lists.clockMillis(), sentAtNanos)) {
+                neverStarted(boot, run);
+            } else if (run.stage() == HeldRun.Stage.RUNNING && sentAtNanos - run.stageSinceNanos() > 0) {
+                vanished(boot, run);
+            }
+        }
+        // Runs of an agent before this one: their room isn't known here, so nothing is started until their lease,
+        // which nobody renews, has ended.
+        strangers = Set.copyOf(unknown);
+        complete |= strangers.isEmpty();
+    }
+
+    private void vanished(String boot, HeldRun run) {
+        LOGGER.atWarning().log(
+                "%s", EventLine.of("run-vanished").with("run", run.key()).with("minion", boot));
+        release(run);
+        listener.ended(List.of(new EndedRun(run.owner(), boot, 0, run.key(), RunOutcome.LOST, "")));
+        listener.roomChanged();
+    }
+
+    /** Tells whether a run that a look doesn't list will never be there. */
+    private static boolean isRuledOut(HeldRun run, long clockMillis, long sentAtNanos) {
+        if (run.stage() != HeldRun.Stage.DOUBTFUL || sentAtNanos - run.stageSinceNanos() < 0) {
+            return false;
+        }
+        return run.isStopAnswered() || clockMillis > run.leaseUntilMillis() + LAPSE_MARGIN_MILLIS;
+    }
+
+    /** Returns the owner of a run that an agent before this one started: only kept jobs have owners that last. */
+    private RunOwner partitionOf(RunKey run) {
+        return new RunOwner.Partition(Partitions.of(run.task().jobId(), partitions));
+    }
+
+    /** Stops everything that an owner has here. */
+    public void stopAll(RunOwner owner) {
+        for (HeldRun run : List.copyOf(held.values())) {
+            if (run.owner().equals(owner)) {
+                stop(run.key());
+            }
+        }
+    }
+
+    /** Returns whose runs are here. */
+    public Set<RunOwner> owners() {
+        Set<RunOwner> owners = new HashSet<>();
+        for (HeldRun run : held.values()) {
+            owners.add(run.owner());
+        }
+        return owners;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/SupervisorListener.java
@@ -0,0 +1,16 @@
+package org.chivetally.queue.agent;
+
+import java.util.List;
+import java.util.Set;
+
+/** What a {@link RunSupervisor} asks of and tells to the process around it. */
+public interface SupervisorListener {
+    /** Tells whether these owners have been heard lately, so that their runs may go on. */
+    boolean mayRenew(Set<RunOwner> owners);
+
+    /** Runs have ended; their owners are to be told. */
+    void ended(List<EndedRun> ends);
+
+    /** The free room, or whether starts are taken, has changed. */
+    void roomChanged();
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -0,0 +1,429 @@
+package org.chivetally.queue.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.JobPhase;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.link.Dialer;
+import org.chivetally.queue.link.LinkListener;
+import org.chivetally.queue.link.LinkTable;
+import org.chivetally.queue.link.Peer;
+import org.chivetally.queue.link.PeerLink;
+import org.chivetally.queue.link.SuspensionDetector;
+import org.chivetally.queue.log.KeyedLog;
+import org.chivetally.queue.log.LogStream;
+import org.chivetally.queue.log.OwnershipGroup;
+import org.chivetally.time.Timers;
+import org.chivetally.transport.FrameListener;
+import org.chivetally.wire.v1.BeatEcho;
+import org.chivetally.wire.v1.EntryAddress;
+import org.chivetally.wire.v1.EntryBeat;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.OwnedPartition;
+import org.chivetally.wire.v1.QueueCount;
+
+/** An entry among its peers and agents: brings ownership, runs and callers together. */
+public final class EntryNode implements LinkListener, PartitionEvents, Ownership.Changes, JobDesk.OwnerDirectory {
+    /** Interval of heartbeats: six fit into the silence after which a link is closed. */
+    static final Duration BEAT_INTERVAL = Duration.ofMillis(250);
+
+    /** Least time between two echoes on a link. */
+    static final Duration ECHO_INTERVAL = Duration.ofMillis(100);
+
+    /** Interval in which ended jobs are looked through for those that nobody may ask for any more. */
+    static final Duration FORGET_INTERVAL = Duration.ofSeconds(5);
+
+    /** Margin on the time for which ended jobs are kept, over clocks that differ between instances. */
+    static final Duration FORGET_MARGIN = Duration.ofSeconds(10);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Peer self;
+    private final Timers timers;
+    private final KeyedLog log;
+    private final EntryOptions options;
+    private final LinkTable links;
+    private final Ownership ownership;
+    private final RunCoordinator runs;
+    private final JobDesk desk;
+    private final MemberDirectory directory;
+    private final SuspensionDetector suspension;
+    private final Map<Integer, PartitionOwner> partitions = new TreeMap<>();
+    private final Map<Integer, RemoteOwner> remoteOwners = new HashMap<>();
+    private final Map<String, Map<String, Long>> pendingElsewhere = new HashMap<>();
+    private final Map<PeerLink, Long> echoedAtNanos = new HashMap<>();
+    private boolean leaving;
+
+    /** Creates an entry that does nothing yet. */
+    public EntryNode(
+            Peer self, Timers timers, Dialer dialer, KeyedLog log, OwnershipGroup group, EntryOptions options) {
+        this.self = self;
+        this.timers = timers;
+        this.log = log;
+        this.options = options;
+        this.links = new LinkTable(self, timers, dialer, this);
+        this.ownership = new Ownership(group, timers, self.process() + "-" + self.incarnation(), this);
+        this.runs = new RunCoordinator(timers, options.partitions(), partitions, this::mayStart);
+        this.desk = new JobDesk(timers, options.partitions(), this);
+        this.directory = new MemberDirectory(log, timers, options.memberStream());
+        this.suspension = new SuspensionDetector(timers);
+    }
+
+    /** Announces the entry, follows the other processes and begins to own partitions. */
+    public void start() {
+        directory.announce(self);
+        directory.follow(this::met);
+        ownership.start();
+        timers.every(BEAT_INTERVAL, this::beat);
+        timers.every(FORGET_INTERVAL, this::forget);
+    }
+
+    /** Returns where callers are answered. */
+    public JobDesk desk() {
+        return desk;
+    }
+
+    /** Returns the jobs that only this entry knows. */
+    public UnkeptJobs unkept() {
+        return runs.unkept();
+    }
+
+    /** Returns who is told about connections that other processes open. */
+    public FrameListener acceptor() {
+        return links.acceptor();
+    }
+
+    /** Tells whether most partitions have an owner that this entry can ask. */
+    public boolean canServe() {
+        int known = 0;
+        for (int partition = 0; partition < options.partitions(); partition++) {
+            known += local(partition).isPresent() || remote(partition).isPresent() ? 1 : 0;
+        }
+        return 2 * known > options.partitions();
+    }
+
+    /** Returns the number of accepted jobs of a queue none of whose tasks has started, in all partitions. */
+    public long pending(String queue) {
+        long count = pendingHere().getOrDefault(queue, 0L);
+        for (Map<String, Long> counts : pendingElsewhere.values()) {
+            count += counts.getOrDefault(queue, 0L);
+        }
+        return count;
+    }
+
+    /** Hands the partitions over and takes no new ones; callers are answered as before. */
+    public void leave(Runnable done) {
+        leaving = true;
+        ownership.leave(() -> {
+            for (PartitionOwner owner : List.copyOf(partitions.values())) {
+                lost(owner.partition());
+            }
+            beat();
+            done.run();
+        });
+    }
+
+    /** Closes all links. */
+    public void close() {
+        links.close();
+    }
+
+    private void met(Peer peer) {
+        // One of each pair of entries dials, the later by name, so that two dials don't replace each other for ever.
+        boolean dials = !peer.agent() && peer.process().compareTo(self.process()) < 0;
+        if (dials) {
+            links.dial(peer);
+        }
+    }
+
+    private boolean mayStart() {
+        long gap = suspension.look();
+        if (gap > 0) {
+            LOGGER.atWarning().log("%s", EventLine.of("suspended").with("gap_ms", gap));
+            ownership.distrust();
+        }
+        return ownership.isTrusted();
+    }
+
+    // ---- links ----
+
+    @Override
+    public void up(PeerLink link) {
+        if (link.peer().agent()) {
+            runs.up(link);
+        } else {
+            ownership.join();
+        }
+        link.send(beatFor(link));
+    }
+
+    @Override
+    public void down(PeerLink link, String reason) {
+        echoedAtNanos.remove(link);
+        if (link.peer().agent()) {
+            runs.down(link);
+            return;
+        }
+        pendingElsewhere.remove(link.peer().process());
+        desk.linkLost(link.peer().process());
+        ownership.join();
+    }
+
+    @Override
+    public void received(PeerLink link, Frame frame) {
+        switch (frame.getBodyCase()) {
+            case ENTRY_BEAT -> entryBeat(link, frame.getEntryBeat());
+            case AGENT_BEAT -> {
+                link.stamps(
+                        frame.getAgentBeat().getStampNanos(),
+                        frame.getAgentBeat().getEchoNanos());
+                echo(link);
+                runs.report(link, frame.getAgentBeat().getReport());
+            }
+            case RUN_INVENTORY -> {
+                link.stamps(frame.getRunInventory().getStampNanos(), link.echoNanos());
+                runs.inventory(link, frame.getRunInventory());
+            }
+            case RUN_ENDS -> {
+                runs.report(link, frame.getRunEnds().getReport());
+                runs.ends(link, frame.getRunEnds().getEndsList());
+            }
+            case RUN_REFUSED -> runs.refused(link, frame.getRunRefused());
+            case JOB_SUBMISSION, JOB_QUERY, JOB_CANCELLATION -> desk.serve(link, frame);
+            case JOB_REPLY -> desk.replied(frame.getRequestId(), frame.getJobReply());
+            default ->
+                LOGGER.atWarning().log(
+                        "%s",
+                        EventLine.of("frame-unexpected")
+                                .with("peer", link.peer().process())
+                                .with("body", frame.getBodyCase()));
+        }
+    }
+
+    /**
+     * Tells an agent that it was heard. At most every tenth of a second, as agents report far more often under load;
+     * with heartbeats every 0.2 s that keeps an agent's knowledge well inside the 0.8 s after which it stops runs.
+     */
+    private void echo(PeerLink link) {
+        long now = timers.nanos();
+        if (now - echoedAtNanos.getOrDefault(link, now - ECHO_INTERVAL.toNanos()) >= ECHO_INTERVAL.toNanos()) {
+            echoedAtNanos.put(link, now);
+            link.send(Frame.newBuilder()
+                    .setBeatEcho(BeatEcho.newBuilder().setEchoNanos(link.peerStampNanos()))
+                    .build());
+        }
+    }
+
+    private void entryBeat(PeerLink link, EntryBeat beat) {
+        link.stamps(beat.getStampNanos(), beat.getEchoNanos());
+        String process = link.peer().process();
+        remoteOwners.values().removeIf(owner -> owner.process().equals(process));
+        for (OwnedPartition owned : beat.getOwnedList()) {
+            remoteOwned(process, owned);
+        }
+        Map<String, Long> counts = new HashMap<>();
+        for (QueueCount count : beat.getPendingList()) {
+            counts.put(count.getQueue(), count.getPending());
+        }
+        pendingElsewhere.put(process, counts);
+        for (EntryAddress entry : beat.getEntriesList()) {
+            met(new Peer(entry.getProcess(), entry.getIncarnation(), false, "", entry.getHost(), entry.getPort()));
+        }
+        if (beat.getLeaving()) {
+            ownership.join();
+        }
+    }
+
+    private void remoteOwned(String process, OwnedPartition owned) {
+        RemoteOwner known = remoteOwners.get(owned.getPartition());
+        if (known == null || known.epoch() <= owned.getEpoch()) {
+            remoteOwners.put(owned.getPartition(), new RemoteOwner(process, owned.getEpoch()));
+        }
+        PartitionOwner own = partitions.get(owned.getPartition());
+        if (own != null && own.epoch() < owned.getEpoch()) {
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("partition-superseded")
+                            .with("partition", own.partition())
+                            .with("epoch", own.epoch())
+                            .with("owner", process)
+                            .with("owner_epoch", owned.getEpoch()));
+            lost(own);
+        }
+    }
+
+    private void beat() {
+        mayStart();
+        int entries = 1;
+        for (PeerLink link : links.links()) {
+            entries += link.peer().agent() ? 0 : 1;
+        }
+        runs.entries(entries);
+        runs.sweep();
+        sendBeats();
+    }
+
+    private void sendBeats() {
+        for (PeerLink link : links.links()) {
+            link.send(beatFor(link));
+        }
+    }
+
+    private Frame beatFor(PeerLink link) {
+        EntryBeat.Builder beat = EntryBeat.newBuilder()
+                .setStampNanos(timers.nanos())
+                .setEchoNanos(link.peerStampNanos())
+                .setLeaving(leaving);
+        for (PartitionOwner owner : partitions.values()) {
+            if (owner.isReady()) {
+                beat.addOwned(OwnedPartition.newBuilder()
+                        .setPartition(owner.partition())
+                        .setEpoch(owner.epoch())
+                        .setReady(true));
+            }
+        }
+        if (link.peer().agent()) {
+            addEntries(beat);
+        } else {
+            pendingHere()
+                    .forEach((queue, count) -> beat.addPending(
+                            QueueCount.newBuilder().setQueue(queue).setPending(count)));
+        }
+        return Frame.newBuilder().setEntryBeat(beat).build();
+    }
+
+    private void addEntries(EntryBeat.Builder beat) {
+        beat.addEntries(address(self));
+        for (PeerLink other : links.links()) {
+            if (!other.peer().agent()) {
+                beat.addEntries(address(other.peer()));
+            }
+        }
+    }
+
+    private static EntryAddress address(Peer peer) {
+        return EntryAddress.newBuilder()
+                .setProcess(peer.process())
+                .setIncarnation(peer.incarnation())
+                .setHost(peer.host())
+                .setPort(peer.port())
+                .build();
+    }
+
+    private Map<String, Long> pendingHere() {
+        Map<String, Long> counts = new HashMap<>();
+        for (PartitionOwner owner : partitions.values()) {
+            for (Job job : owner.jobs()) {
+                if (job.phase() == JobPhase.QUEUED) {
+                    counts.merge(job.specification().terms().queue(), 1L, Long::sum);
+                }
+            }
+        }
+        return counts;
+    }
+
+    private void forget() {
+        Duration kept = options.statusRetention().plus(FORGET_MARGIN);
+        for (PartitionOwner owner : partitions.values()) {
+            if (owner.isReady()) {
+                owner.forgetEndedBefore(timers.epochMillis() - kept.toMillis());
+            }
+        }
+    }
+
+    // ---- ownership ----
+
+    @Override
+    public void gained(int partition, long generation) {
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("partition-gained").with("partition", partition).with("generation", generation));
+        PartitionOwner owner =
+                new PartitionOwner(log, timers, new LogStream(options.stream(), partition), generation, this);
+        PartitionOwner before = partitions.put(partition, owner);
+        if (before != null) {
+            runs.partitionLost(before);
+            before.close();
+        }
+        owner.open();
+    }
+
+    @Override
+    public void lost(int partition) {
+        PartitionOwner owner = partitions.get(partition);
+        if (owner != null) {
+            lost(owner);
+        }
+    }
+
+    @Override
+    public void lost(PartitionOwner owner) {
+        if (partitions.remove(owner.partition(), owner)) {
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("partition-released")
+                            .with("partition", owner.partition())
+                            .with("epoch", owner.epoch()));
+            ownership.forget(owner.partition());
+            runs.partitionLost(owner);
+            owner.close();
+        }
+    }
+
+    @Override
+    public void loaded(PartitionOwner owner) {
+        Set<String> agents = new HashSet<>(runs.linkedAgents());
+        for (Peer member : directory.members()) {
+            if (member.agent()) {
+                agents.add(member.process());
+            }
+        }
+        owner.awaitAgents(agents);
+        sendBeats();
+    }
+
+    @Override
+    public Optional<Duration> refuse(Job job) {
+        return runs.refuse(job);
+    }
+
+    @Override
+    public void ready(Collection<Task> tasks) {
+        runs.ready(List.copyOf(tasks));
+    }
+
+    @Override
+    public void ended(Job job) {
+        runs.ended(job);
+    }
+
+    // ---- owners for callers ----
+
+    @Override
+    public Optional<PartitionOwner> local(int partition) {
+        return Optional.ofNullable(partitions.get(partition)).filter(PartitionOwner::isReady);
+    }
+
+    @Override
+    public Optional<PeerLink> remote(int partition) {
+        return Optional.ofNullable(remoteOwners.get(partition)).flatMap(owner -> links.link(owner.process()));
+    }
+
+    @Override
+    public boolean mayDeny() {
+        return ownership.isConfirmed();
+    }
+
+    /** Another entry that owns a partition. */
+    private record RemoteOwner(String process, long epoch) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -0,0 +1,113 @@
+package org.chivetally.queue.entry;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.link.Peer;
+import org.chivetally.queue.log.AppendOutcome;
+import org.chivetally.queue.log.KeyedLog;
+import org.chivetally.queue.log.KeyedRecord;
+import org.chivetally.queue.log.LogStream;
+import org.chivetally.queue.log.NewestOutcome;
+import org.chivetally.queue.log.StreamTail;
+import org.chivetally.time.Timers;
+import org.chivetally.wire.v1.StoredMember;
+
+/** The processes that have announced themselves in the log, by name. Some may be gone. */
+public final class MemberDirectory {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** Longest wait of one read of announcements; a silent connection hides a new process for about as long. */
+    private static final Duration WAIT = Duration.ofMillis(2_500);
+
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(200);
+
+    private final KeyedLog log;
+    private final Timers timers;
+    private final LogStream stream;
+    private final Map<String, Peer> members = new LinkedHashMap<>();
+
+    /** Creates a directory that has read nothing yet. */
+    public MemberDirectory(KeyedLog log, Timers timers, String stream) {
+        this.log = log;
+        this.timers = timers;
+        this.stream = new LogStream(stream, 0);
+    }
+
+    /** Announces this process, and tries on until the log has taken it. */
+    public void announce(Peer self) {
+        StoredMember member = StoredMember.newBuilder()
+                .setIncarnation(self.incarnation())
+                .setAgent(self.agent())
+                .setFailureDomain(self.failureDomain())
+                .setHost(self.host())
+                .setPort(self.port())
+                .build();
+        write(new KeyedRecord(self.process(), member.toByteArray()));
+    }
+
+    /** Withdraws a process that is known to be gone for good. */
+    public void withdraw(String process) {
+        members.remove(process);
+        write(KeyedRecord.dropping(process));
+    }
+
+    private void write(KeyedRecord entry) {
+        // Written without a stamp: a repeat writes the same value once more, which changes nothing.
+        log.append(stream, Optional.empty(), List.of(entry), outcome -> {
+            if (!(outcome instanceof AppendOutcome.Appended)) {
+                timers.after(RETRY_PAUSE, () -> write(entry));
+            }
+        });
+    }
+
+    /** Follows the announcements from now on. */
+    public void follow(Consumer<Peer> listener) {
+        new StreamTail(log, timers, stream, WAIT, entry -> take(entry, listener)).start();
+    }
+
+    /** Reads the announcements once, and tries on until the log has answered. */
+    public void readOnce(Consumer<Peer> listener) {
+        log.newest(stream, "", outcome -> {
+            switch (outcome) {
+                case NewestOutcome.Page page -> page.items().forEach(entry -> take(entry, listener));
+                case NewestOutcome.Unavailable unavailable -> timers.after(RETRY_PAUSE, () -> readOnce(listener));
+            }
+        });
+    }
+
+    /** Returns the processes as last read. */
+    public Collection<Peer> members() {
+        return List.copyOf(members.values());
+    }
+
+    private void take(KeyedRecord entry, Consumer<Peer> listener) {
+        if (entry.drops()) {
+            members.remove(entry.key());
+            return;
+        }
+        try {
+            StoredMember member = StoredMember.parseFrom(entry.value());
+            Peer peer = new Peer(
+                    entry.key(),
+                    member.getIncarnation(),
+                    member.getAgent(),
+                    member.getFailureDomain(),
+                    member.getHost(),
+                    member.getPort());
+            members.put(peer.process(), peer);
+            listener.accept(peer);
+        } catch (InvalidProtocolBufferException e) {
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("member-unreadable").with("key", entry.key()).with("cause", e));
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/Ownership.java
@@ -0,0 +1,147 @@
+package org.chivetally.queue.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Set;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.log.OwnershipGroup;
+import org.chivetally.queue.log.OwnershipGroup.JoinOutcome;
+import org.chivetally.time.Timers;
+
+/**
+ * Keeps this entry in the group and learns which partitions are its own. What it learns is only a hint: safety rests on
+ * the epochs that the log and the agents check.
+ */
+final class Ownership {
+    /**
+     * How long a member counts without a call: an entry that dies is replaced after it. The platform takes 1 s or more.
+     */
+    static final Duration TIME_TO_LIVE = Duration.ofMillis(1_500);
+
+    /** Interval of calls: three fit into the time to live, so one lost answer does not cost the membership. */
+    static final Duration JOIN_INTERVAL = Duration.ofMillis(450);
+
+    /** Age of the last confirmation up to which this entry may tell callers that a job does not exist. */
+    static final Duration CONFIRMATION = Duration.ofMillis(1_200);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final OwnershipGroup group;
+    private final Timers timers;
+    private final String member;
+    private final Changes changes;
+    private Set<Integer> owned = Set.of();
+    private long generation;
+    private long confirmedAtNanos;
+    private boolean confirmed;
+    private boolean inFlight;
+    private boolean lost;
+    private boolean left;
+
+    Ownership(OwnershipGroup group, Timers timers, String member, Changes changes) {
+        this.group = group;
+        this.timers = timers;
+        this.member = member;
+        this.changes = changes;
+    }
+
+    /** Told which partitions came and went. */
+    interface Changes {
+        /** A partition is this entry's from a generation on. */
+        void gained(int partition, long generation);
+
+        /** A partition is no longer this entry's. */
+        void lost(int partition);
+    }
+
+    void start() {
+        timers.every(JOIN_INTERVAL, this::join);
+        join();
+    }
+
+    /** Asks for the partitions now, as something has probably changed. */
+    void join() {
+        if (inFlight || left) {
+            return;
+        }
+        inFlight = true;
+        long sentAt = timers.nanos();
+        group.join(member, generation, TIME_TO_LIVE, outcome -> {
+            inFlight = false;
+            if (left) {
+                return;
+            }
+            switch (outcome) {
+                case JoinOutcome.Joined joined -> joined(joined, sentAt);
+                case JoinOutcome.Unavailable unavailable -> unavailable(unavailable.reason());
+            }
+        });
+    }
+
+    private void joined(JoinOutcome.Joined joined, long sentAt) {
+        if (lost) {
+            lost = false;
+            LOGGER.atInfo().log("%s", EventLine.of("group-regained").with("generation", joined.generation()));
+        }
+        confirmed = true;
+        confirmedAtNanos = sentAt;
+        Set<Integer> before = owned;
+        boolean changed = generation != joined.generation();
+        generation = joined.generation();
+        owned = joined.partitions();
+        for (int partition : before) {
+            if (!owned.contains(partition)) {
+                changes.lost(partition);
+            }
+        }
+        for (int partition : owned) {
+            if (!before.contains(partition)) {
+                changes.gained(partition, generation);
+            }
+        }
+        if (changed) {
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("group-changed").with("generation", generation).with("partitions", owned.size()));
+            // The platform deals a partition on only when the member that loses it has called with the new generation.
+            join();
+        }
+    }
+
+    private void unavailable(String reason) {
+        if (!lost) {
+            lost = true;
+            LOGGER.atWarning().log("%s", EventLine.of("group-lost").with("reason", reason));
+        }
+    }
+
+    /** Notes that a partition turned out to be somebody else's, so that it is gained anew if it is dealt back. */
+    void forget(int partition) {
+        Set<Integer> rest = new HashSet<>(owned);
+        rest.remove(partition);
+        owned = Set.copyOf(rest);
+    }
+
+    /** Takes the last confirmation back, after the machine stood still. */
+    void distrust() {
+        confirmed = false;
+        join();
+    }
+
+    /** Tells whether the platform has confirmed the membership lately. */
+    boolean isConfirmed() {
+        return confirmed && timers.nanos() - confirmedAtNanos <= CONFIRMATION.toNanos();
+    }
+
+    /** Tells whether the platform has confirmed the membership at least once since the last doubt. */
+    boolean isTrusted() {
+        return confirmed;
+    }
+
+    /** Leaves the group for good. */
+    void leave(Runnable done) {
+        left = true;
+        group.leave(member, done);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -0,0 +1,440 @@
+package org.chivetally.queue.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.JobPhase;
+import org.chivetally.queue.JobProgress;
+import org.chivetally.queue.JobSpecification;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.log.KeyedLog;
+import org.chivetally.queue.log.KeyedRecord;
+import org.chivetally.queue.log.LogStream;
+import org.chivetally.queue.log.NewestOutcome;
+import org.chivetally.queue.log.PartitionWriter;
+import org.chivetally.time.Timers;
+
+/**
+ * The jobs of one partition, at the entry that owns it.
+ *
+ * <p>Each job has up to two keys in the log: the job as accepted, until it has ended, and its progress. An end that
+ * counts is written before the agent is told that it is kept, and before callers see its effect; so whatever a later
+ * owner finds in the log is all that was promised.
+ */
+final class PartitionOwner implements RunHome {
+    /** Prefix of the key that holds a job as accepted. */
+    static final String JOB_PREFIX = "j";
+
+    /** Prefix of the key that holds a job's progress. */
+    static final String PROGRESS_PREFIX = "p";
+
+    /** Name under which owners write; the log fences writers of the same name by their epochs. */
+    static final String WRITER = "owner";
+
+    /**
+     * Numbers that an owner may use for a task's runs. Runs aren't written to the log, so the next owner's numbers
+     * begin above all that this one can have used; a task is started a handful of times.
+     */
+    static final long RUNS_PER_EPOCH = 64;
+
+    /** When to come back after a refusal because the log takes nothing: outages last seconds. */
+    static final Duration LOG_RETRY = Duration.ofSeconds(2);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+    private static final Duration LOAD_RETRY = Duration.ofMillis(50);
+
+    private final KeyedLog log;
+    private final Timers timers;
+    private final LogStream stream;
+    private final long epoch;
+    private final PartitionEvents events;
+    private final PartitionWriter writer;
+    private final Map<String, Job> jobs = new LinkedHashMap<>();
+    private final Map<String, Ended> ended = new LinkedHashMap<>();
+    private final Map<String, List<Consumer<JobAnswer>>> accepting = new HashMap<>();
+    private final Set<String> unheardAgents = new HashSet<>();
+    private final long openedAtNanos;
+    private boolean ready;
+    private boolean closed;
+
+    PartitionOwner(KeyedLog log, Timers timers, LogStream stream, long epoch, PartitionEvents events) {
+        this.log = log;
+        this.timers = timers;
+        this.stream = stream;
+        this.epoch = epoch;
+        this.events = events;
+        this.writer = new PartitionWriter(log, timers, stream, WRITER, epoch);
+        this.openedAtNanos = timers.nanos();
+    }
+
+    /** Fences earlier owners and reads the jobs. */
+    void open() {
+        writer.open(result -> {
+            if (closed) {
+                return;
+            }
+            if (result == PartitionWriter.Result.STORED) {
+                load("", new HashMap<>());
+            } else {
+                lose("fenced at opening");
+            }
+        });
+    }
+
+    int partition() {
+        return stream.partition();
+    }
+
+    long epoch() {
+        return epoch;
+    }
+
+    boolean isReady() {
+        return ready && !closed;
+    }
+
+    Collection<Job> jobs() {
+        return List.copyOf(jobs.values());
+    }
+
+    @Override
+    public Optional<Task> task(TaskKey key) {
+        return Optional.ofNullable(jobs.get(key.jobId())).flatMap(job -> job.task(key));
+    }
+
+    @Override
+    public RunAuthority authority() {
+        return new RunAuthority(partition(), epoch, false);
+    }
+
+    /** Ends the ownership here; callers in progress are told to ask another owner. */
+    void close() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        writer.close();
+    }
+
+    private void lose(String reason) {
+        if (closed) {
+            return;
+        }
+        LOGGER.atWarning().log(
+                "%s",
+                EventLine.of("partition-lost")
+                        .with("partition", partition())
+                        .with("epoch", epoch)
+                        .with("reason", reason));
+        close();
+        events.lost(this);
+    }
+
+    private void load(String afterKey, Map<String, byte[]> records) {
+        log.newest(stream, afterKey, outcome -> {
+            if (closed) {
+                return;
+            }
+            switch (outcome) {
+                case NewestOutcome.Page page -> {
+                    for (KeyedRecord item : page.items()) {
+                        records.put(item.key(), item.value());
+                    }
+                    if (page.hasMore() && !page.items().isEmpty()) {
+                        load(page.items().getLast().key(), records);
+                    } else {
+                        restore(records);
+                    }
+                }
+                case NewestOutcome.Unavailable unavailable -> timers.after(LOAD_RETRY, () -> load(afterKey, records));
+            }
+        });
+    }
+
+    private void restore(Map<String, byte[]> records) {
+        long now = timers.nanos();
+        records.forEach((key, value) -> {
+            String id = key.substring(1);
+            if (key.startsWith(JOB_PREFIX)) {
+                restoreJob(id, value, Optional.ofNullable(records.get(PROGRESS_PREFIX + id)), now);
+            } else if (!records.containsKey(JOB_PREFIX + id)) {
+                JobProgress progress = JobCodec.decodeProgress(value);
+                ended.put(id, new Ended(progress.phase(), progress.endedAtMillis()));
+            }
+        });
+        ready = true;
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("partition-owned")
+                        .with("partition", partition())
+                        .with("epoch", epoch)
+                        .with("jobs", jobs.size())
+                        .with("ended", ended.size())
+                        .with("took_ms", (now - openedAtNanos) / 1_000_000));
+        events.loaded(this);
+    }
+
+    private void restoreJob(String id, byte[] value, Optional<byte[]> progress, long now) {
+        JobSpecification specification = JobCodec.decodeJob(value);
+        long ageMillis = Math.max(0, timers.epochMillis() - specification.acceptedAtMillis());
+        Job job = new Job(specification, now - Duration.ofMillis(ageMillis).toNanos());
+        job.restore(progress.map(JobCodec::decodeProgress).orElse(JobProgress.none()), epoch * RUNS_PER_EPOCH + 1);
+        if (job.phase().isFinal()) {
+            ended.put(id, new Ended(job.phase(), job.endedAtMillis()));
+        } else {
+            jobs.put(id, job);
+        }
+    }
+
+    /** Names the agents that may hold runs of the loaded jobs; those tasks wait until each has told or can't tell. */
+    void awaitAgents(Collection<String> agents) {
+        unheardAgents.addAll(agents);
+        releaseWhenHeard();
+    }
+
+    Set<String> unheardAgents() {
+        return Set.copyOf(unheardAgents);
+    }
+
+    long openedAtNanos() {
+        return openedAtNanos;
+    }
+
+    /** Notes that all of an agent's runs are known, or that none of them can go on. */
+    void agentHeard(String agent) {
+        if (unheardAgents.remove(agent)) {
+            releaseWhenHeard();
+        }
+    }
+
+    private void releaseWhenHeard() {
+        if (!isReady() || !unheardAgents.isEmpty()) {
+            return;
+        }
+        List<Task> released = new ArrayList<>();
+        for (Job job : jobs.values()) {
+            for (Task task : job.tasksIn(Task.Status.UNCERTAIN)) {
+                job.release(task);
+                released.add(task);
+            }
+        }
+        if (!released.isEmpty()) {
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("partition-reconciled")
+                            .with("partition", partition())
+                            .with("epoch", epoch)
+                            .with("tasks_to_start", released.size()));
+            events.ready(released);
+        }
+    }
+
+    /** Takes a job on; the same id again gets the same answer. */
+    void submit(JobSpecification specification, Consumer<JobAnswer> answer) {
+        String id = specification.id();
+        if (!isReady()) {
+            answer.accept(new JobAnswer.NotOwner());
+            return;
+        }
+        if (jobs.containsKey(id) || ended.containsKey(id)) {
+            answer.accept(new JobAnswer.Accepted());
+            return;
+        }
+        List<Consumer<JobAnswer>> others = accepting.get(id);
+        if (others != null) {
+            others.add(answer);
+            return;
+        }
+        Optional<JobAnswer.Refused> refusal = refusal(specification);
+        if (refusal.isPresent()) {
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("job-refused")
+                            .with("job", id)
+                            .with("queue", specification.terms().queue())
+                            .with("reason", refusal.get().reason())
+                            .with("retry_ms", refusal.get().retryAfter().toMillis()));
+            answer.accept(refusal.get());
+            return;
+        }
+        accepting.put(id, new ArrayList<>(List.of(answer)));
+        KeyedRecord stored =
+                new KeyedRecord(JOB_PREFIX + id, JobCodec.encode(specification).toByteArray());
+        writer.write(List.of(stored), true, result -> submitted(specification, result));
+    }
+
+    private Optional<JobAnswer.Refused> refusal(JobSpecification specification) {
+        if (writer.isStalled()) {
+            return Optional.of(new JobAnswer.Refused("log takes no writes", LOG_RETRY));
+        }
+        return events.refuse(new Job(specification, timers.nanos()))
+                .map(retry -> new JobAnswer.Refused("backlog", retry));
+    }
+
+    private void submitted(JobSpecification specification, PartitionWriter.Result result) {
+        JobAnswer answer = switch (result) {
+            case STORED -> new JobAnswer.Accepted();
+            case REFUSED -> new JobAnswer.Refused("log took no write", LOG_RETRY);
+            case FENCED -> new JobAnswer.NotOwner();
+        };
+        if (result == PartitionWriter.Result.STORED) {
+            Job job = new Job(specification, timers.nanos());
+            jobs.put(specification.id(), job);
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("job-accepted")
+                            .with("job", specification.id())
+                            .with("queue", specification.terms().queue())
+                            .with("partition", partition())
+                            .with("epoch", epoch)
+                            .with("tasks", specification.taskCount()));
+            events.ready(job.tasksIn(Task.Status.WAITING));
+        }
+        for (Consumer<JobAnswer> caller : accepting.remove(specification.id())) {
+            caller.accept(answer);
+        }
+        loseIfFenced(result);
+    }
+
+    private void loseIfFenced(PartitionWriter.Result result) {
+        if (result == PartitionWriter.Result.FENCED) {
+            lose("fenced");
+        }
+    }
+
+    /** Tells how far a job is. */
+    JobAnswer query(String id) {
+        if (!isReady()) {
+            return new JobAnswer.NotOwner();
+        }
+        Job job = jobs.get(id);
+        if (job != null) {
+            return new JobAnswer.State(job.shownPhase());
+        }
+        Ended end = ended.get(id);
+        if (end != null) {
+            return new JobAnswer.State(end.phase());
+        }
+        return accepting.containsKey(id) ? new JobAnswer.State(JobPhase.QUEUED) : new JobAnswer.UnknownJob();
+    }
+
+    /** Cancels a job; answers once that is stored. */
+    void cancel(String id, Consumer<JobAnswer> answer) {
+        if (!isReady()) {
+            answer.accept(new JobAnswer.NotOwner());
+            return;
+        }
+        List<Consumer<JobAnswer>> others = accepting.get(id);
+        if (others != null) {
+            others.add(accepted -> cancel(id, answer));
+            return;
+        }
+        Job job = jobs.get(id);
+        if (job == null) {
+            answer.accept(ended.containsKey(id) ? new JobAnswer.Cancelled() : new JobAnswer.UnknownJob());
+            return;
+        }
+        if (!job.phase().isFinal()) {
+            job.finish(JobPhase.CANCELLED, timers.epochMillis());
+            events.ended(job);
+        }
+        writeEnd(job, stored -> answer.accept(stored ? new JobAnswer.Cancelled() : new JobAnswer.NotOwner()));
+    }
+
+    @Override
+    public void ended(Task task, RunOutcome outcome, Runnable kept) {
+        Job job = task.job();
+        boolean counts = outcome == RunOutcome.DONE || outcome == RunOutcome.FAILED;
+        boolean wasFinal = job.phase().isFinal();
+        List<Task> ready = job.end(task, outcome, timers.epochMillis());
+        if (!ready.isEmpty() && !job.phase().isFinal()) {
+            events.ready(ready);
+        }
+        if (wasFinal || !counts) {
+            kept.run();
+            return;
+        }
+        if (job.phase().isFinal()) {
+            events.ended(job);
+            writeEnd(job, stored -> {
+                if (stored) {
+                    kept.run();
+                }
+            });
+            return;
+        }
+        KeyedRecord progress = progressOf(job);
+        writer.write(List.of(progress), false, result -> {
+            if (result == PartitionWriter.Result.STORED) {
+                kept.run();
+            }
+            loseIfFenced(result);
+        });
+    }
+
+    private void writeEnd(Job job, Consumer<Boolean> answer) {
+        String id = job.specification().id();
+        List<KeyedRecord> records = List.of(progressOf(job), KeyedRecord.dropping(JOB_PREFIX + id));
+        writer.write(records, false, result -> {
+            boolean stored = result == PartitionWriter.Result.STORED;
+            if (stored) {
+                endStored(job);
+            }
+            answer.accept(stored);
+            loseIfFenced(result);
+        });
+    }
+
+    private void endStored(Job job) {
+        job.endStored();
+        String id = job.specification().id();
+        if (jobs.remove(id) == null) {
+            return;
+        }
+        ended.put(id, new Ended(job.phase(), job.endedAtMillis()));
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("job-ended")
+                        .with("job", id)
+                        .with("queue", job.specification().terms().queue())
+                        .with("phase", job.phase())
+                        .with("age_ms", (timers.nanos() - job.acceptedAtNanos()) / 1_000_000));
+    }
+
+    private static KeyedRecord progressOf(Job job) {
+        return new KeyedRecord(PROGRESS_PREFIX + job.specification().id(), JobCodec.encode(job.progress()));
+    }
+
+    /** Forgets jobs that ended longer ago than their state has to be kept. */
+    void forgetEndedBefore(long millis) {
+        List<KeyedRecord> drops = new ArrayList<>();
+        ended.entrySet().removeIf(entry -> {
+            boolean old = entry.getValue().atMillis() < millis;
+            if (old) {
+                drops.add(KeyedRecord.dropping(PROGRESS_PREFIX + entry.getKey()));
+            }
+            return old;
+        });
+        if (!drops.isEmpty()) {
+            writer.write(drops, false, this::loseIfFenced);
+        }
+    }
+
+    /** How and when a job ended. */
+    private record Ended(JobPhase phase, long atMillis) {}
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -0,0 +1,483 @@
+package org.chivetally.queue.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.agent.EndCodec;
+import org.chivetally.queue.agent.EndedRun;
+import org.chivetally.queue.link.PeerLink;
+import org.chivetally.queue.placement.AdmissionPolicy;
+import org.chivetally.queue.placement.PlacementPolicy;
+import org.chivetally.queue.placement.WaitingTasks;
+import org.chivetally.queue.placement.Worker;
+import org.chivetally.time.Timers;
+import org.chivetally.wire.v1.EndsKept;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.HeldRun;
+import org.chivetally.wire.v1.OwnedPartition;
+import org.chivetally.wire.v1.RunEnd;
+import org.chivetally.wire.v1.RunInventory;
+import org.chivetally.wire.v1.RunRefused;
+import org.chivetally.wire.v1.RunStart;
+import org.chivetally.wire.v1.RunStop;
+import org.chivetally.wire.v1.WorkerReport;
+
+/** Places the tasks of the entry's partitions on workers and follows their runs, until their ends are known. */
+final class RunCoordinator implements UnkeptJobs.Admission {
+    /**
+     * Silence after which an agent's runs are given up: the agent stops renewing when the owner's knowledge of it is
+     * {@code AgentNode.RENEWAL} old, 4 s, the lease of 1 s then ends by a clock that may be 2% slow, and timers on a
+     * slowed machine fire late. Any sooner, a task could be started beside its old run.
+     */
+    static final Duration ABSENCE = Duration.ofMillis(5_700);
+
+    /**
+     * Silence after which the runs of unkept jobs are given up. The agent stops them when this entry's knowledge of it
+     * is 0.8 s old, and renews no longer than 1 s; the lease of 1 s then ends by a clock that may be 2% slow.
+     */
+    static final Duration UNKEPT_ABSENCE = Duration.ofMillis(2_200);
+
+    /** Pause of a worker that refused a start for another reason than room: one interval of heartbeats. */
+    static final Duration REFUSAL_PAUSE = Duration.ofMillis(250);
+
+    /** Waiting tasks looked at in one pass; the first that don't fit hardly ever hide one that does behind so many. */
+    static final int TASKS_PER_PASS = 64;
+
+    /** Waiting tasks without a fitting worker after which a pass ends. */
+    static final int MISSES_PER_PASS = 8;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Timers timers;
+    private final int partitionCount;
+    private final Map<Integer, PartitionOwner> partitions;
+    private final UnkeptJobs unkept;
+    private final BooleanSupplier mayStart;
+    private final Map<String, Worker> workers = new LinkedHashMap<>();
+    private final Map<String, PeerLink> links = new HashMap<>();
+    private final WaitingTasks waiting = new WaitingTasks();
+    private int entries = 1;
+    private boolean passArmed;
+
+    /**
+     * Creates a coordinator.
+     *
+     * @param partitions the entry's partitions by number, kept up by the entry
+     * @param mayStart whether the entry is sure enough of its ownership to start anything
+     */
+    RunCoordinator(
+            Timers timers, int partitionCount, Map<Integer, PartitionOwner> partitions, BooleanSupplier mayStart) {
+        this.timers = timers;
+        this.partitionCount = partitionCount;
+        this.partitions = partitions;
+        this.unkept = new UnkeptJobs(timers, this);
+        this.mayStart = mayStart;
+    }
+
+    /** Returns the jobs that only this entry knows. */
+    UnkeptJobs unkept() {
+        return unkept;
+    }
+
+    @Override
+    public Optional<Duration> refuse(Job job) {
+        String service = job.specification().terms().service();
+        long processors = 0;
+        for (Worker worker : workers.values()) {
+            boolean serves =
+                    worker.view().service().equals(service) && worker.view().accepting();
+            processors += serves ? worker.view().capacity().processorMillis() : 0;
+        }
+        long ahead = waiting.workAhead(service, job.specification().terms().priority());
+        // Each entry sees its own backlog only, and gets about its share of the workers beside the other entries.
+        return AdmissionPolicy.refuse(job, timers.nanos(), ahead, processors / Math.max(1, entries));
+    }
+
+    /** Notes how many entries place tasks on the workers. */
+    void entries(int count) {
+        entries = count;
+    }
+
+    /** Returns the names of all agents that are linked. */
+    Set<String> linkedAgents() {
+        return new HashSet<>(links.keySet());
+    }
+
+    @Override
+    public void ready(List<Task> tasks) {
+        for (Task task : tasks) {
+            waiting.add(task, timers.nanos());
+        }
+        armPass();
+    }
+
+    /** Drops what waits of a job and stops what runs. */
+    @Override
+    public void ended(Job job) {
+        for (Task task : job.tasks()) {
+            waiting.remove(task);
+            task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), homeOf(task)));
+        }
+    }
+
+    /** Forgets the tasks of a partition that another process owns now. */
+    void partitionLost(PartitionOwner partition) {
+        for (Job job : partition.jobs()) {
+            for (Task task : job.tasks()) {
+                waiting.remove(task);
+                task.worker().map(workers::get).ifPresent(worker -> worker.remove(task.key()));
+            }
+        }
+    }
+
+    private void stop(String workerName, TaskKey task, long run, Optional<RunHome> home) {
+        PeerLink link = links.get(workerName);
+        if (home.isEmpty() || link == null) {
+            // The agent is told when it is linked again: a run of an ended job in its inventory is stopped.
+            return;
+        }
+        RunHome.RunAuthority authority = home.get().authority();
+        link.send(Frame.newBuilder()
+                .setRunStop(RunStop.newBuilder()
+                        .setTask(task.toString())
+                        .setRun(run)
+                        .setPartition(authority.partition())
+                        .setEpoch(authority.epoch())
+                        .setUnkept(authority.unkept()))
+                .build());
+    }
+
+    /** Notes a link to an agent. */
+    void up(PeerLink link) {
+        String process = link.peer().process();
+        links.put(process, link);
+        worker(process).linked(link);
+    }
+
+    /** Notes that the link to an agent is gone. */
+    void down(PeerLink link) {
+        String process = link.peer().process();
+        if (links.remove(process, link)) {
+            worker(process).unlinked();
+        }
+    }
+
+    private Worker worker(String process) {
+        return workers.computeIfAbsent(process, name -> new Worker(name, timers.nanos()));
+    }
+
+    /** Notes what an agent tells about its worker. */
+    void report(PeerLink link, WorkerReport report) {
+        Worker worker = worker(link.peer().process());
+        worker.report(
+                new Worker.View(
+                        report.getMinion(),
+                        report.getService(),
+                        JobCodec.decode(report.getCapacity()),
+                        JobCodec.decode(report.getFree()),
+                        report.getAccepting(),
+                        report.getLabelsList(),
+                        report.getFailureDomain(),
+                        report.getStartsSeen()),
+                timers.nanos());
+        armPass();
+    }
+
+    /** Brings the own view in line with everything that an agent holds. */
+    void inventory(PeerLink link, RunInventory inventory) {
+        report(link, inventory.getReport());
+        Worker worker = worker(link.peer().process());
+        Set<TaskKey> listed = new HashSet<>();
+        for (HeldRun run : inventory.getRunsList()) {
+            TaskKey.parse(run.getTask()).ifPresent(task -> {
+                listed.add(task);
+                held(worker, task, run);
+            });
+        }
+        for (RunEnd end : inventory.getEndsList()) {
+            EndCodec.decode(end, partitionCount)
+                    .ifPresent(ended -> listed.add(ended.run().task()));
+        }
+        ends(link, inventory.getEndsList());
+        for (Worker.Sent start : worker.sent()) {
+            if (!listed.contains(start.task().key()) && !worker.isUnseen(start)) {
+                finished(worker, start, RunOutcome.LOST, () -> {});
+            }
+        }
+        for (OwnedPartition fenced : inventory.getFencedList()) {
+            PartitionOwner owner = partitions.get(fenced.getPartition());
+            if (owner != null && owner.isReady() && owner.epoch() == fenced.getEpoch()) {
+                owner.agentHeard(worker.process());
+            }
+        }
+    }
+
+    private Optional<PartitionOwner> ownerOf(TaskKey task) {
+        PartitionOwner owner = partitions.get(Partitions.of(task.jobId(), partitionCount));
+        return owner != null && owner.isReady() ? Optional.of(owner) : Optional.empty();
+    }
+
+    /** Returns where the job of a task is known; jobs with a time limit of their caller's are the unkept ones. */
+    private Optional<RunHome> homeOf(Task task) {
+        return task.job().isKept() ? ownerOf(task.key()).map(RunHome.class::cast) : Optional.of(unkept);
+    }
+
+    private Optional<Task> task(TaskKey key) {
+        Optional<Task> known = unkept.task(key);
+        return known.isPresent() ? known : ownerOf(key).flatMap(owner -> owner.task(key));
+    }
+
+    private void held(Worker worker, TaskKey key, HeldRun run) {
+        if (!run.getUnkept() && ownerOf(key).isEmpty()) {
+            return;
+        }
+        Optional<RunHome> home =
+                run.getUnkept() ? Optional.of(unkept) : ownerOf(key).map(RunHome.class::cast);
+        Optional<Task> known = home.flatMap(place -> place.task(key));
+        boolean wanted = known.isPresent() && !known.get().job().phase().isFinal();
+        if (wanted && known.get().status() == Task.Status.UNCERTAIN) {
+            Task task = known.get();
+            task.job().place(task, worker.process(), run.getRun());
+            worker.adopt(task, run.getRun());
+            return;
+        }
+        boolean ours = wanted
+                && worker.sent(key).map(start -> start.run() == run.getRun()).orElse(false);
+        if (!ours) {
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("run-unwanted")
+                            .with("task", key)
+                            .with("run", run.getRun())
+                            .with("worker", worker.process()));
+            stop(worker.process(), key, run.getRun(), home);
+        }
+    }
+
+    /** Notes ends of runs. */
+    void ends(PeerLink link, List<RunEnd> ends) {
+        Worker worker = worker(link.peer().process());
+        for (RunEnd encoded : ends) {
+            EndCodec.decode(encoded, partitionCount).ifPresent(end -> end(link, worker, end));
+        }
+    }
+
+    private void end(PeerLink link, Worker worker, EndedRun end) {
+        TaskKey key = end.run().task();
+        Runnable kept = () -> keep(link, end);
+        Optional<Worker.Sent> start =
+                worker.sent(key).filter(sent -> sent.run() == end.run().run());
+        if (start.isPresent()) {
+            finished(worker, start.get(), end.outcome(), kept);
+            return;
+        }
+        Optional<Task> known = task(key);
+        if (known.isEmpty()) {
+            // Of a job that has ended. An end that is another owner's to store is told to that one.
+            ownerOf(key).ifPresent(owner -> kept.run());
+            return;
+        }
+        Task task = known.get();
+        if (task.status() == Task.Status.UNCERTAIN || isLastWord(task, end)) {
+            endedUnseen(worker, task, end, kept);
+        } else {
+            // Told twice, or of a run that was given up before the task was started elsewhere.
+            kept.run();
+        }
+    }
+
+    /** Tells whether a run that this entry did not follow has done the task before another was started for it. */
+    private static boolean isLastWord(Task task, EndedRun end) {
+        return task.status() == Task.Status.WAITING && end.outcome() == RunOutcome.DONE;
+    }
+
+    private void endedUnseen(Worker worker, Task task, EndedRun end, Runnable kept) {
+        boolean counts = end.outcome() == RunOutcome.DONE || end.outcome() == RunOutcome.FAILED;
+        if (!counts) {
+            kept.run();
+            return;
+        }
+        waiting.remove(task);
+        task.job().place(task, worker.process(), end.run().run());
+        settle(worker, task, end.run().run(), end.outcome(), kept);
+    }
+
+    private void keep(PeerLink link, EndedRun end) {
+        if (end.sequence() == 0) {
+            return;
+        }
+        link.send(Frame.newBuilder()
+                .setEndsKept(EndsKept.newBuilder().setMinion(end.boot()).addSequences(end.sequence()))
+                .build());
+    }
+
+    private void finished(Worker worker, Worker.Sent start, RunOutcome outcome, Runnable kept) {
+        worker.remove(start.task().key());
+        settle(worker, start.task(), start.run(), outcome, kept);
+    }
+
+    private void settle(Worker worker, Task task, long run, RunOutcome outcome, Runnable kept) {
+        if (outcome == RunOutcome.DONE) {
+            worker.health().succeeded();
+        } else if (outcome == RunOutcome.FAILED) {
+            boolean avoided = worker.health().failed(task.key().jobId(), timers.nanos());
+            if (avoided) {
+                LOGGER.atWarning().log("%s", EventLine.of("worker-avoided").with("worker", worker.process()));
+            }
+        }
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("run-ended")
+                        .with("task", task.key())
+                        .with("run", run)
+                        .with("worker", worker.process())
+                        .with("outcome", outcome)
+                        .with("failures", task.failures()));
+        homeOf(task).ifPresent(home -> home.ended(task, outcome, kept));
+        armPass();
+    }
+
+    /** Notes that an agent did not start a run. */
+    void refused(PeerLink link, RunRefused refused) {
+        report(link, refused.getReport());
+        Worker worker = worker(link.peer().process());
+        Optional<Worker.Sent> start =
+                TaskKey.parse(refused.getTask()).flatMap(worker::sent).filter(sent -> sent.run() == refused.getRun());
+        if (start.isEmpty()) {
+            return;
+        }
+        if (!"no room".equals(refused.getReason())) {
+            worker.pause(timers.nanos() + REFUSAL_PAUSE.toNanos());
+        }
+        finished(worker, start.get(), RunOutcome.NEVER_STARTED, () -> {});
+    }
+
+    /** Gives up the runs of agents that have been silent too long, and lets tasks pass on whose turn is over. */
+    void sweep() {
+        long now = timers.nanos();
+        for (Worker worker : List.copyOf(workers.values())) {
+            if (!worker.isLinked()) {
+                giveUp(worker, now - worker.heardAtNanos());
+            }
+        }
+        for (PartitionOwner owner : partitions.values()) {
+            boolean over = now - owner.openedAtNanos() > ABSENCE.toNanos();
+            for (String agent : over ? owner.unheardAgents() : Set.<String>of()) {
+                if (!links.containsKey(agent)) {
+                    owner.agentHeard(agent);
+                }
+            }
+        }
+        unkept.refuseHopeless();
+        waiting.refresh(now);
+        armPass();
+    }
+
+    private void giveUp(Worker worker, long silentNanos) {
+        int count = 0;
+        for (Worker.Sent start : worker.sent()) {
+            Duration absence = start.task().job().isKept() ? ABSENCE : UNKEPT_ABSENCE;
+            if (silentNanos > absence.toNanos()) {
+                finished(worker, start, RunOutcome.LOST, () -> {});
+                count++;
+            }
+        }
+        if (count > 0) {
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("runs-given-up")
+                            .with("worker", worker.process())
+                            .with("runs", count)
+                            .with("silent_ms", silentNanos / 1_000_000));
+        }
+        if (silentNanos > ABSENCE.toNanos() && worker.sent().isEmpty()) {
+            workers.remove(worker.process());
+        }
+    }
+
+    private void armPass() {
+        if (!passArmed) {
+            passArmed = true;
+            timers.after(Duration.ZERO, this::pass);
+        }
+    }
+
+    private void pass() {
+        passArmed = false;
+        if (!mayStart.getAsBoolean()) {
+            return;
+        }
+        for (String service : waiting.services()) {
+            int misses = 0;
+            for (Task task : waiting.first(service, TASKS_PER_PASS)) {
+                Optional<Worker> worker = PlacementPolicy.choose(task, workers.values(), timers.nanos());
+                if (worker.isPresent()) {
+                    start(worker.get(), task);
+                } else if (++misses >= MISSES_PER_PASS) {
+                    break;
+                }
+            }
+        }
+    }
+
+    private void start(Worker worker, Task task) {
+        Optional<RunHome> home = homeOf(task);
+        PeerLink link = links.get(worker.process());
+        if (home.isEmpty() || link == null) {
+            return;
+        }
+        RunHome.RunAuthority authority = home.get().authority();
+        waiting.remove(task);
+        long run = task.lastRun() + 1;
+        Worker.Sent sent = worker.send(task, run);
+        task.job().place(task, worker.process(), run);
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of("run-placed")
+                        .with("task", task.key())
+                        .with("run", run)
+                        .with("worker", worker.process())
+                        .with("free_millicores", worker.free().processorMillis())
+                        .with("waited_ms", (timers.nanos() - task.job().acceptedAtNanos()) / 1_000_000)
+                        .with("report_age_ms", (timers.nanos() - worker.heardAtNanos()) / 1_000_000)
+                        .with("waiting", waiting.size()));
+        link.send(Frame.newBuilder()
+                .setRunStart(RunStart.newBuilder()
+                        .setNumber(sent.number())
+                        .setTask(task.key().toString())
+                        .setRun(run)
+                        .setPartition(authority.partition())
+                        .setEpoch(authority.epoch())
+                        .setUnkept(authority.unkept())
+                        .setEchoNanos(link.peerStampNanos())
+                        .setRoom(JobCodec.encode(task.room()))
+                        .setPayload(task.job().specification().payload()))
+                .build());
+    }
+
+    /** Returns the names of the workers and the processors that each has free, for metrics. */
+    List<String> openWorkers() {
+        List<String> open = new ArrayList<>();
+        for (Worker worker : workers.values()) {
+            if (worker.isOpen(timers.nanos())) {
+                open.add(worker.process());
+            }
+        }
+        return open;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/RunHome.java
@@ -0,0 +1,34 @@
+package org.chivetally.queue.entry;
+
+import java.util.Optional;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.TaskKey;
+
+/** Where the jobs of runs are known. */
+interface RunHome {
+    /** Returns a task of a job that hasn't ended. */
+    Optional<Task> task(TaskKey key);
+
+    /**
+     * Notes the end of a task's newest run.
+     *
+     * @param kept run once the minion may forget the end
+     */
+    void ended(Task task, RunOutcome outcome, Runnable kept);
+
+    /** Returns what agents check orders for these runs by. */
+    RunAuthority authority();
+
+    /**
+     * By what right runs are started and stopped.
+     *
+     * @param partition partition of the job; 0 where the job isn't kept
+     * @param epoch epoch of the partition's owner; 0 where the job isn't kept
+     * @param unkept whether only this entry knows the job
+     */
+    record RunAuthority(int partition, long epoch, boolean unkept) {
+        /** Right of the entry that alone knows a job. */
+        static final RunAuthority UNKEPT = new RunAuthority(0, 0, true);
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -0,0 +1,184 @@
+package org.chivetally.queue.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobPhase;
+import org.chivetally.queue.JobSpecification;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.TaskKey;
+import org.chivetally.time.Timers;
+
+/**
+ * Jobs that nobody asks for later: their callers wait for the end, and send them again when this entry fails them. They
+ * are kept in memory only, so neither the log nor another entry stands between a caller and its tasks.
+ */
+public final class UnkeptJobs implements RunHome {
+    /** When to come back after a job could not be started in its caller's time. */
+    static final Duration RETRY = Duration.ofSeconds(1);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Timers timers;
+    private final Admission admission;
+    private final Map<String, Open> open = new LinkedHashMap<>();
+
+    UnkeptJobs(Timers timers, Admission admission) {
+        this.timers = timers;
+        this.admission = admission;
+    }
+
+    /** What these jobs ask of and tell to the entry around them. */
+    interface Admission {
+        /** Decides whether a job is taken on; returns when to come back if it isn't. */
+        Optional<Duration> refuse(Job job);
+
+        /** Tasks may be placed. */
+        void ready(List<Task> tasks);
+
+        /** The job has ended; its tasks in progress are to be stopped and its waiting ones dropped. */
+        void ended(Job job);
+    }
+
+    /**
+     * Runs a job. The same id again, while the job runs, waits for the same end.
+     *
+     * @param deadlineNanos when the caller gives up, by the steady clock
+     * @param answer told once: the final phase, or that the job has not run, or that it wasn't done in time
+     */
+    public void submit(JobSpecification specification, long deadlineNanos, Consumer<JobAnswer> answer) {
+        String id = specification.id();
+        Open known = open.get(id);
+        if (known != null) {
+            known.callers.add(answer);
+            return;
+        }
+        Job job = new Job(specification, timers.nanos(), deadlineNanos);
+        Optional<Duration> retry = admission.refuse(job);
+        if (retry.isPresent()) {
+            log("job-refused", job, "backlog");
+            answer.accept(new JobAnswer.Refused("backlog", retry.get()));
+            return;
+        }
+        Open fresh = new Open(job, answer);
+        open.put(id, fresh);
+        Duration left = Duration.ofNanos(Math.max(0, deadlineNanos - timers.nanos()));
+        fresh.timer = timers.after(left, () -> expire(fresh));
+        log("job-accepted", job, "unkept");
+        admission.ready(job.tasksIn(Task.Status.WAITING));
+    }
+
+    /** Notes that a caller has gone; a job without callers is cancelled. */
+    public void callerLeft(String id, Consumer<JobAnswer> answer) {
+        Open known = open.get(id);
+        if (known == null || !known.callers.remove(answer) || !known.callers.isEmpty()) {
+            return;
+        }
+        known.job.finish(JobPhase.CANCELLED, timers.epochMillis());
+        close(known, "caller left");
+    }
+
+    /** Refuses jobs of which nothing has started and that can't end in their callers' time any more. */
+    void refuseHopeless() {
+        long now = timers.nanos();
+        for (Open candidate : new ArrayList<>(open.values())) {
+            Job job = candidate.job;
+            if (job.phase() == JobPhase.QUEUED && job.isHopeless(now)) {
+                job.finish(JobPhase.CANCELLED, timers.epochMillis());
+                close(candidate, "not started in time");
+                candidate.tell(new JobAnswer.Refused("not started in time", RETRY));
+            }
+        }
+    }
+
+    private void expire(Open expired) {
+        if (open.get(expired.job.specification().id()) != expired) {
+            return;
+        }
+        boolean started = expired.job.phase() != JobPhase.QUEUED;
+        expired.job.finish(JobPhase.CANCELLED, timers.epochMillis());
+        close(expired, "time limit");
+        expired.tell(
+                started
+                        ? new JobAnswer.Undecided("not done in time")
+                        : new JobAnswer.Refused("not started in time", RETRY));
+    }
+
+    private void close(Open ended, String reason) {
+        open.remove(ended.job.specification().id());
+        ended.timer.cancel();
+        log("job-ended", ended.job, reason);
+        admission.ended(ended.job);
+    }
+
+    private void log(String event, Job job, String reason) {
+        LOGGER.atInfo().log(
+                "%s",
+                EventLine.of(event)
+                        .with("job", job.specification().id())
+                        .with("queue", job.specification().terms().queue())
+                        .with("phase", job.phase())
+                        .with("reason", reason)
+                        .with("tasks", job.specification().taskCount())
+                        .with("age_ms", (timers.nanos() - job.acceptedAtNanos()) / 1_000_000)
+                        .with("left_ms", (job.limitNanos() - timers.nanos()) / 1_000_000));
+    }
+
+    @Override
+    public Optional<Task> task(TaskKey key) {
+        return Optional.ofNullable(open.get(key.jobId())).flatMap(known -> known.job.task(key));
+    }
+
+    @Override
+    public void ended(Task task, RunOutcome outcome, Runnable kept) {
+        kept.run();
+        Open known = open.get(task.key().jobId());
+        List<Task> ready = task.job().end(task, outcome, timers.epochMillis());
+        if (known == null || known.job != task.job()) {
+            return;
+        }
+        if (task.job().phase().isFinal()) {
+            close(known, "done");
+            known.tell(new JobAnswer.State(task.job().phase()));
+        } else if (!ready.isEmpty()) {
+            admission.ready(ready);
+        }
+    }
+
+    @Override
+    public RunAuthority authority() {
+        return RunAuthority.UNKEPT;
+    }
+
+    /** Returns the number of jobs that haven't ended. */
+    public int size() {
+        return open.size();
+    }
+
+    /** A job that hasn't ended, and who waits for it. */
+    private static final class Open {
+        private final Job job;
+        private final List<Consumer<JobAnswer>> callers = new ArrayList<>();
+        private Timers.Timer timer;
+
+        private Open(Job job, Consumer<JobAnswer> caller) {
+            this.job = job;
+            callers.add(caller);
+        }
+
+        private void tell(JobAnswer answer) {
+            for (Consumer<JobAnswer> caller : callers) {
+                caller.accept(answer);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/link/LinkTable.java
@@ -0,0 +1,246 @@
+package org.chivetally.queue.link;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.Timers;
+import org.chivetally.transport.FrameConnection;
+import org.chivetally.transport.FrameListener;
+import org.chivetally.wire.v1.Frame;
+
+/**
+ * The links of one process: at most one to each peer. Dials the peers that it is told to, again and again while there
+ * is no link, and closes links that have gone silent, as a connection may hang for good without an error.
+ */
+public final class LinkTable {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /**
+     * Silence after which a link is closed. Heartbeats come every 250 ms; a machine that is slowed five times over
+     * still gets one through in this time.
+     */
+    static final Duration SILENCE = Duration.ofMillis(1_500);
+
+    /** How often silence is looked for. */
+    static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
+
+    /** Pause before the first redial: a process that restarts takes about two seconds, so sooner is in vain. */
+    static final Duration FIRST_PAUSE = Duration.ofMillis(200);
+
+    /** Longest pause between redials: bounds how long a peer that is back stays unseen. */
+    static final Duration LONGEST_PAUSE = Duration.ofMillis(1_000);
+
+    private final Peer self;
+    private final Timers timers;
+    private final Dialer dialer;
+    private final LinkListener listener;
+    private final Map<String, PeerLink> links = new LinkedHashMap<>();
+    private final Map<String, Target> targets = new HashMap<>();
+    private boolean closed;
+
+    /** Creates a table that dials nobody yet. */
+    public LinkTable(Peer self, Timers timers, Dialer dialer, LinkListener listener) {
+        this.self = self;
+        this.timers = timers;
+        this.dialer = dialer;
+        this.listener = listener;
+        timers.every(CHECK_INTERVAL, this::closeSilent);
+    }
+
+    /** Returns who is told about connections that others open. */
+    public FrameListener acceptor() {
+        return new Handshake(Optional.empty());
+    }
+
+    /** Returns the open links. */
+    public Collection<PeerLink> links() {
+        return List.copyOf(links.values());
+    }
+
+    /** Returns the link to a process, if it is open. */
+    public Optional<PeerLink> link(String process) {
+        return Optional.ofNullable(links.get(process));
+    }
+
+    /** Dials a peer whenever there is no link to it. A known peer's address is replaced by a newer incarnation's. */
+    public void dial(Peer peer) {
+        Target known = targets.get(peer.process());
+        if (known != null && known.peer.incarnation() >= peer.incarnation()) {
+            return;
+        }
+        Target target = new Target(peer);
+        targets.put(peer.process(), target);
+        target.dial();
+    }
+
+    /** Dials a peer no longer. */
+    public void forget(String process) {
+        targets.remove(process);
+    }
+
+    /** Returns the peers that are dialled while there is no link to them. */
+    public List<Peer> targets() {
+        List<Peer> peers = new ArrayList<>();
+        for (Target target : targets.values()) {
+            peers.add(target.peer);
+        }
+        return peers;
+    }
+
+    /** Closes all links and dials no more. */
+    public void close() {
+        closed = true;
+        for (PeerLink link : links()) {
+            link.connection().close();
+        }
+    }
+
+    private void closeSilent() {
+        long now = timers.nanos();
+        for (PeerLink link : links()) {
+            if (now - link.heardAtNanos() > SILENCE.toNanos()) {
+                drop(link, "silent");
+            }
+        }
+    }
+
+    private void drop(PeerLink link, String reason) {
+        link.connection().close();
+        if (!links.remove(link.peer().process(), link)) {
+            return;
+        }
+        LOGGER.atWarning().log(
+                "%s",
+                EventLine.of("link-lost")
+                        .with("peer", link.peer().process())
+                        .with("incarnation", link.peer().incarnation())
+                        .with("silent_ms", (timers.nanos() - link.heardAtNanos()) / 1_000_000)
+                        .with("reason", reason));
+        listener.down(link, reason);
+        Target target = targets.get(link.peer().process());
+        if (target != null) {
+            target.redialLater();
+        }
+    }
+
+    private void introduced(FrameConnection connection, Peer peer) {
+        PeerLink known = links.get(peer.process());
+        if (known != null && known.peer().incarnation() > peer.incarnation()) {
+            connection.close();
+            return;
+        }
+        if (known != null) {
+            drop(known, "replaced");
+        }
+        PeerLink link = new PeerLink(peer, connection, timers.nanos());
+        links.put(peer.process(), link);
+        LOGGER.atInfo().log(
+                "%s", EventLine.of("link-up").with("peer", peer.process()).with("incarnation", peer.incarnation()));
+        Target target = targets.get(peer.process());
+        if (target != null) {
+            target.pause = FIRST_PAUSE;
+        }
+        listener.up(link);
+    }
+
+    /** A peer that is to be dialled. */
+    private final class Target {
+        private final Peer peer;
+        private Duration pause = FIRST_PAUSE;
+
+        private Target(Peer peer) {
+            this.peer = peer;
+        }
+
+        private void dial() {
+            if (closed || targets.get(peer.process()) != this || links.containsKey(peer.process())) {
+                return;
+            }
+            Handshake handshake = new Handshake(Optional.of(this));
+            // A connection can open and then stay silent for good, without a hello and without an error.
+            timers.after(SILENCE, handshake::abandonUnlessIntroduced);
+            dialer.dial(peer.host(), peer.port(), handshake);
+        }
+
+        private void redialLater() {
+            timers.after(pause, this::dial);
+            Duration longer = pause.multipliedBy(2);
+            pause = longer.compareTo(LONGEST_PAUSE) > 0 ? LONGEST_PAUSE : longer;
+        }
+    }
+
+    /** One connection, from its opening to its end. */
+    private final class Handshake implements FrameListener {
+        private final Optional<Target> target;
+        private FrameConnection opened;
+        private boolean introduced;
+        private boolean ended;
+
+        private Handshake(Optional<Target> target) {
+            this.target = target;
+        }
+
+        @Override
+        public void connected(FrameConnection connection) {
+            opened = connection;
+            connection.send(Frame.newBuilder().setLinkHello(self.hello()).build());
+        }
+
+        @Override
+        public void received(FrameConnection connection, Frame frame) {
+            if (frame.getBodyCase() == Frame.BodyCase.LINK_HELLO) {
+                if (!ended) {
+                    introduced = true;
+                    introduced(connection, Peer.of(frame.getLinkHello()));
+                }
+                return;
+            }
+            PeerLink current = linkOf(connection);
+            if (current != null) {
+                current.heard(timers.nanos());
+                listener.received(current, frame);
+            }
+        }
+
+        @Override
+        public void disconnected(FrameConnection connection, String reason) {
+            PeerLink current = linkOf(connection);
+            if (current != null) {
+                drop(current, reason);
+                return;
+            }
+            if (!introduced && !ended) {
+                ended = true;
+                target.ifPresent(Target::redialLater);
+            }
+        }
+
+        private void abandonUnlessIntroduced() {
+            if (introduced || ended) {
+                return;
+            }
+            ended = true;
+            if (opened != null) {
+                opened.close();
+            }
+            target.ifPresent(Target::redialLater);
+        }
+
+        /** Returns the link of a connection while it is the newest one to its peer. */
+        private PeerLink linkOf(FrameConnection connection) {
+            for (PeerLink candidate : links.values()) {
+                if (candidate.connection() == connection) {
+                    return candidate;
+                }
+            }
+            return null;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/placement/Worker.java
@@ -0,0 +1,174 @@
+package org.chivetally.queue.placement;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.TaskKey;
+
+/** A worker as one owner sees it: what its agent last told, and the owner's own starts on top. */
+public final class Worker {
+    private final String process;
+    private final Map<TaskKey, Sent> sent = new LinkedHashMap<>();
+    private final WorkerHealth health = new WorkerHealth();
+    private View view = View.NONE;
+    private Object link;
+    private Room pending = Room.NONE;
+    private long numbers;
+    private long heardAtNanos;
+    private long pausedUntilNanos;
+
+    /** Creates a worker of which nothing is known yet. */
+    public Worker(String process, long nowNanos) {
+        this.process = process;
+        this.heardAtNanos = nowNanos;
+        this.pausedUntilNanos = nowNanos;
+    }
+
+    /**
+     * What an agent tells about its worker.
+     *
+     * @param minion start of its minion; empty while there is none
+     * @param service service of the minion
+     * @param capacity room of the worker
+     * @param free capacity less all that is held
+     * @param accepting whether it takes starts
+     * @param labels kind and rack
+     * @param failureDomain failure domain
+     * @param startsSeen number of the newest start that this reflects
+     */
+    public record View(
+            String minion,
+            String service,
+            Room capacity,
+            Room free,
+            boolean accepting,
+            List<String> labels,
+            String failureDomain,
+            long startsSeen) {
+        /** Nothing known. */
+        public static final View NONE = new View("", "", Room.NONE, Room.NONE, false, List.of(), "", 0);
+
+        /** Copies the labels. */
+        public View {
+            labels = List.copyOf(labels);
+        }
+    }
+
+    /**
+     * A start that was sent.
+     *
+     * @param task the task
+     * @param run number of the run
+     * @param link the link it went out on
+     * @param number its number on that link
+     */
+    public record Sent(Task task, long run, Object link, long number) {}
+
+    /** Returns the name of the agent's process. */
+    public String process() {
+        return process;
+    }
+
+    /** Returns what the agent last told. */
+    public View view() {
+        return view;
+    }
+
+    /** Returns how its runs end. */
+    public WorkerHealth health() {
+        return health;
+    }
+
+    /** Returns when the agent was last heard, by the steady clock. */
+    public long heardAtNanos() {
+        return heardAtNanos;
+    }
+
+    /** Tells whether there is a link to the agent. */
+    public boolean isLinked() {
+        return link != null;
+    }
+
+    /** Notes a new link; starts on it are numbered from 1. */
+    public void linked(Object newLink) {
+        link = newLink;
+        numbers = 0;
+        pending = Room.NONE;
+        view = View.NONE;
+    }
+
+    /** Notes that the link is gone. */
+    public void unlinked() {
+        link = null;
+        pending = Room.NONE;
+        view = View.NONE;
+    }
+
+    /** Notes a report. */
+    public void report(View report, long nowNanos) {
+        heardAtNanos = nowNanos;
+        view = report;
+        pending = Room.NONE;
+        for (Sent start : sent.values()) {
+            if (isUnseen(start)) {
+                pending = pending.plus(start.task().room());
+            }
+        }
+    }
+
+    /** Tells whether the agent may not have had a start yet when it last reported. */
+    public boolean isUnseen(Sent start) {
+        return start.link() == link && start.number() > view.startsSeen();
+    }
+
+    /** Returns the room that is free as far as known, with the owner's starts on their way taken off. */
+    public Room free() {
+        return view.free().minus(pending);
+    }
+
+    /** Takes no starts until a moment, after the agent has refused one for a reason that takes time to go. */
+    public void pause(long untilNanos) {
+        pausedUntilNanos = untilNanos;
+    }
+
+    /** Tells whether a start may be sent now. */
+    public boolean isOpen(long nowNanos) {
+        return link != null && view.accepting() && nowNanos - pausedUntilNanos >= 0;
+    }
+
+    /** Notes that a start goes out; returns it with its number. */
+    public Sent send(Task task, long run) {
+        numbers++;
+        Sent start = new Sent(task, run, link, numbers);
+        sent.put(task.key(), start);
+        pending = pending.plus(task.room());
+        return start;
+    }
+
+    /** Notes a run that the agent holds and that somebody else sent. */
+    public void adopt(Task task, long run) {
+        sent.put(task.key(), new Sent(task, run, link, 0));
+    }
+
+    /** Returns the start of a task that is in progress here. */
+    public Optional<Sent> sent(TaskKey task) {
+        return Optional.ofNullable(sent.get(task));
+    }
+
+    /** Returns all starts in progress here. */
+    public Collection<Sent> sent() {
+        return List.copyOf(sent.values());
+    }
+
+    /** Notes that a start is no longer in progress here. */
+    public void remove(TaskKey task) {
+        Sent start = sent.remove(task);
+        if (start != null && isUnseen(start)) {
+            pending = pending.minus(start.task().room());
+        }
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/settings/QueueSettings.java
@@ -0,0 +1,115 @@
+package org.chivetally.settings;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import org.chivetally.document.Section;
+import org.chivetally.document.Utf8;
+import org.chivetally.errors.ErrorCode;
+
+/**
+ * What a process of the queue path is told.
+ *
+ * @param name name of the process, stable over restarts
+ * @param failureDomain failure domain that it runs in
+ * @param frames where it listens for other processes, and where they dial it
+ * @param metrics where its metrics are read
+ * @param log address of the platform's log
+ * @param partitions partitions of the job stream
+ * @param statusRetention how long an ended job's state is kept
+ * @param drainTimeout longest time from SIGTERM to the end of the process
+ * @param logLevel least level of log lines
+ * @param entry what only an entry is told
+ * @param agent what only an agent is told
+ */
+public record QueueSettings(
+        String name,
+        String failureDomain,
+        HostPort frames,
+        HostPort metrics,
+        HostPort log,
+        int partitions,
+        Duration statusRetention,
+        Duration drainTimeout,
+        LogLevel logLevel,
+        Optional<EntryAddresses> entry,
+        Optional<AgentAddresses> agent) {
+    private static final int MOST_PARTITIONS = 1_000;
+    private static final Duration SECOND = Duration.ofSeconds(1);
+    private static final Duration HOUR = Duration.ofHours(1);
+    private static final Duration DAY = Duration.ofDays(1);
+
+    /** Refuses missing parts. */
+    public QueueSettings {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(entry, "entry");
+        Objects.requireNonNull(agent, "agent");
+    }
+
+    /**
+     * Where an entry listens.
+     *
+     * @param callers for callers
+     * @param readiness for whoever asks whether the entry can serve
+     */
+    public record EntryAddresses(HostPort callers, HostPort readiness) {}
+
+    /**
+     * Addresses of an agent.
+     *
+     * @param announcements where the agent listens for its minion's announcements
+     * @param minion where the minion takes calls
+     */
+    public record AgentAddresses(HostPort announcements, HostPort minion) {}
+
+    /** Reads a settings file, or throws {@link ErrorCode#INVALID_INPUT} with every mistake in it and its place. */
+    public static QueueSettings read(Path file) {
+        return SettingsFile.read(file.toString(), Utf8.read(file), QueueSettings::read);
+    }
+
+    /** Reads the settings out of a document. */
+    public static QueueSettings read(Section root) {
+        Section process = root.section("process");
+        Section log = root.section("log");
+        Section frames = root.section("frames");
+        String host = frames.requiredText("host");
+        return new QueueSettings(
+                process.requiredText("name"),
+                process.requiredText("failureDomain"),
+                new HostPort(host, (int) frames.requiredWhole("port", 1, HostPort.MAXIMUM_PORT)),
+                new HostPort(host, (int) frames.requiredWhole("metricsPort", 1, HostPort.MAXIMUM_PORT)),
+                address(log, "address"),
+                (int) log.requiredWhole("partitions", 1, MOST_PARTITIONS),
+                root.requiredDuration("statusRetention", SECOND, DAY),
+                root.requiredDuration("drainTimeout", SECOND, HOUR),
+                root.choice("logLevel", LogLevel.class, LogLevel.INFO),
+                root.has("entry") ? Optional.of(entry(root.section("entry"))) : Optional.empty(),
+                root.has("agent") ? Optional.of(agent(root.section("agent"))) : Optional.empty());
+    }
+
+    private static EntryAddresses entry(Section section) {
+        return new EntryAddresses(address(section, "callers"), address(section, "readiness"));
+    }
+
+    private static AgentAddresses agent(Section section) {
+        return new AgentAddresses(address(section, "announcements"), address(section, "minion"));
+    }
+
+    private static HostPort address(Section section, String key) {
+        String text = section.requiredText(key);
+        int colon = text.lastIndexOf(':');
+        try {
+            if (colon > 0) {
+                return new HostPort(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (IllegalArgumentException malformed) {
+            // Reported below like a text without a port.
+        }
+        if (!text.isEmpty()) {
+            section.mistake(key, '"' + text + "\" is not an address such as 10.1.0.13:8161");
+        }
+        return new HostPort("0.0.0.0", 0);
+    }
+}
--- a/library/src/main/java/org/chivetally/transport/FrameTransport.java
+++ b/library/src/main/java/org/chivetally/transport/FrameTransport.java
@@ -37,6 +37,7 @@
     private static final long SHUTDOWN_SECONDS = 2;
 
     private final EventLoopGroup eventLoops;
+    private final boolean ownsEventLoops;
     private final FrameMeters meters;
 
     /** Creates a transport with the default number of threads. */
@@ -53,9 +54,21 @@
     public FrameTransport(int threads, MeterRegistry registry) {
         Objects.requireNonNull(registry, "registry");
         this.eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this.ownsEventLoops = true;
         this.meters = new FrameMeters(registry);
     }
 
+    /**
+     * Creates a transport on event loops that somebody else created and closes.
+     *
+     * @param registry receives counts of frames and bytes by direction and kind of frame
+     */
+    public FrameTransport(EventLoopGroup eventLoops, MeterRegistry registry) {
+        this.eventLoops = Objects.requireNonNull(eventLoops, "eventLoops");
+        this.ownsEventLoops = false;
+        this.meters = new FrameMeters(Objects.requireNonNull(registry, "registry"));
+    }
+
     /**
      * Accepts connections on an address; completes with the bound address, or exceptionally when it can't be bound.
      *
@@ -106,6 +119,9 @@
     /** Closes every connection and listener; waits at most a few seconds. */
     @Override
     public void close() {
+        if (!ownsEventLoops) {
+            return;
+        }
         eventLoops
                 .shutdownGracefully(0, SHUTDOWN_SECONDS, TimeUnit.SECONDS)
                 .awaitUninterruptibly(2 * SHUTDOWN_SECONDS, TimeUnit.SECONDS);
--- /dev/null
+++ b/library/src/main/java/org/chivetally/transport/LoopTimers.java
@@ -0,0 +1,49 @@
+package org.chivetally.transport;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.chivetally.logging.EventLine;
+import org.chivetally.time.Timers;
+
+/** Clocks and timers of a Netty event loop. */
+public final class LoopTimers implements Timers {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final EventLoop loop;
+
+    /** Creates timers whose actions run on the given loop. */
+    public LoopTimers(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public long nanos() {
+        return System.nanoTime();
+    }
+
+    @Override
+    public long epochMillis() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public Timer after(Duration delay, Runnable action) {
+        if (delay.isZero()) {
+            loop.execute(() -> run(action));
+            return () -> {};
+        }
+        ScheduledFuture<?> future = loop.schedule(() -> run(action), delay.toNanos(), TimeUnit.NANOSECONDS);
+        return () -> future.cancel(false);
+    }
+
+    private static void run(Runnable action) {
+        try {
+            action.run();
+        } catch (RuntimeException e) {
+            LOGGER.atSevere().withCause(e).log("%s", EventLine.of("timer-action-failed"));
+        }
+    }
+}
