--- a/wire/src/main/java/org/chivetally/wire/v1/Frame.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Frame.java
@@ -75,6 +75,20 @@
     SUSPICION_ANSWER(16),
     MEMBERS_PULL(17),
     MEMBERS_PUSH(18),
+    LINK_HELLO(19),
+    ENTRY_BEAT(20),
+    AGENT_BEAT(21),
+    RUN_INVENTORY(22),
+    RUN_START(23),
+    RUN_REFUSED(24),
+    RUN_ENDS(25),
+    ENDS_KEPT(26),
+    RUN_STOP(27),
+    JOB_SUBMISSION(28),
+    JOB_QUERY(29),
+    JOB_CANCELLATION(30),
+    JOB_REPLY(31),
+    BEAT_ECHO(32),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -109,6 +123,20 @@
         case 16: return SUSPICION_ANSWER;
         case 17: return MEMBERS_PULL;
         case 18: return MEMBERS_PUSH;
+        case 19: return LINK_HELLO;
+        case 20: return ENTRY_BEAT;
+        case 21: return AGENT_BEAT;
+        case 22: return RUN_INVENTORY;
+        case 23: return RUN_START;
+        case 24: return RUN_REFUSED;
+        case 25: return RUN_ENDS;
+        case 26: return ENDS_KEPT;
+        case 27: return RUN_STOP;
+        case 28: return JOB_SUBMISSION;
+        case 29: return JOB_QUERY;
+        case 30: return JOB_CANCELLATION;
+        case 31: return JOB_REPLY;
+        case 32: return BEAT_ECHO;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -662,6 +690,440 @@
     return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
   }
 
+  public static final int LINK_HELLO_FIELD_NUMBER = 19;
+  /**
+   * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+   * @return Whether the linkHello field is set.
+   */
+  @java.lang.Override
+  public boolean hasLinkHello() {
+    return bodyCase_ == 19;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+   * @return The linkHello.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.LinkHello getLinkHello() {
+    if (bodyCase_ == 19) {
+       return (org.chivetally.wire.v1.LinkHello) body_;
+    }
+    return org.chivetally.wire.v1.LinkHello.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.LinkHelloOrBuilder getLinkHelloOrBuilder() {
+    if (bodyCase_ == 19) {
+       return (org.chivetally.wire.v1.LinkHello) body_;
+    }
+    return org.chivetally.wire.v1.LinkHello.getDefaultInstance();
+  }
+
+  public static final int ENTRY_BEAT_FIELD_NUMBER = 20;
+  /**
+   * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+   * @return Whether the entryBeat field is set.
+   */
+  @java.lang.Override
+  public boolean hasEntryBeat() {
+    return bodyCase_ == 20;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+   * @return The entryBeat.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.EntryBeat getEntryBeat() {
+    if (bodyCase_ == 20) {
+       return (org.chivetally.wire.v1.EntryBeat) body_;
+    }
+    return org.chivetally.wire.v1.EntryBeat.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.EntryBeatOrBuilder getEntryBeatOrBuilder() {
+    if (bodyCase_ == 20) {
+       return (org.chivetally.wire.v1.EntryBeat) body_;
+    }
+    return org.chivetally.wire.v1.EntryBeat.getDefaultInstance();
+  }
+
+  public static final int AGENT_BEAT_FIELD_NUMBER = 21;
+  /**
+   * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+   * @return Whether the agentBeat field is set.
+   */
+  @java.lang.Override
+  public boolean hasAgentBeat() {
+    return bodyCase_ == 21;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+   * @return The agentBeat.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.AgentBeat getAgentBeat() {
+    if (bodyCase_ == 21) {
+       return (org.chivetally.wire.v1.AgentBeat) body_;
+    }
+    return org.chivetally.wire.v1.AgentBeat.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.AgentBeatOrBuilder getAgentBeatOrBuilder() {
+    if (bodyCase_ == 21) {
+       return (org.chivetally.wire.v1.AgentBeat) body_;
+    }
+    return org.chivetally.wire.v1.AgentBeat.getDefaultInstance();
+  }
+
+  public static final int RUN_INVENTORY_FIELD_NUMBER = 22;
+  /**
+   * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+   * @return Whether the runInventory field is set.
+   */
+  @java.lang.Override
+  public boolean hasRunInventory() {
+    return bodyCase_ == 22;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+   * @return The runInventory.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunInventory getRunInventory() {
+    if (bodyCase_ == 22) {
+       return (org.chivetally.wire.v1.RunInventory) body_;
+    }
+    return org.chivetally.wire.v1.RunInventory.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunInventoryOrBuilder getRunInventoryOrBuilder() {
+    if (bodyCase_ == 22) {
+       return (org.chivetally.wire.v1.RunInventory) body_;
+    }
+    return org.chivetally.wire.v1.RunInventory.getDefaultInstance();
+  }
+
+  public static final int RUN_START_FIELD_NUMBER = 23;
+  /**
+   * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+   * @return Whether the runStart field is set.
+   */
+  @java.lang.Override
+  public boolean hasRunStart() {
+    return bodyCase_ == 23;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+   * @return The runStart.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunStart getRunStart() {
+    if (bodyCase_ == 23) {
+       return (org.chivetally.wire.v1.RunStart) body_;
+    }
+    return org.chivetally.wire.v1.RunStart.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunStartOrBuilder getRunStartOrBuilder() {
+    if (bodyCase_ == 23) {
+       return (org.chivetally.wire.v1.RunStart) body_;
+    }
+    return org.chivetally.wire.v1.RunStart.getDefaultInstance();
+  }
+
+  public static final int RUN_REFUSED_FIELD_NUMBER = 24;
+  /**
+   * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+   * @return Whether the runRefused field is set.
+   */
+  @java.lang.Override
+  public boolean hasRunRefused() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+   * @return The runRefused.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunRefused getRunRefused() {
+    if (bodyCase_ == 24) {
+       return (org.chivetally.wire.v1.RunRefused) body_;
+    }
+    return org.chivetally.wire.v1.RunRefused.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunRefusedOrBuilder getRunRefusedOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (org.chivetally.wire.v1.RunRefused) body_;
+    }
+    return org.chivetally.wire.v1.RunRefused.getDefaultInstance();
+  }
+
+  public static final int RUN_ENDS_FIELD_NUMBER = 25;
+  /**
+   * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+   * @return Whether the runEnds field is set.
+   */
+  @java.lang.Override
+  public boolean hasRunEnds() {
+    return bodyCase_ == 25;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+   * @return The runEnds.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunEnds getRunEnds() {
+    if (bodyCase_ == 25) {
+       return (org.chivetally.wire.v1.RunEnds) body_;
+    }
+    return org.chivetally.wire.v1.RunEnds.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunEndsOrBuilder getRunEndsOrBuilder() {
+    if (bodyCase_ == 25) {
+       return (org.chivetally.wire.v1.RunEnds) body_;
+    }
+    return org.chivetally.wire.v1.RunEnds.getDefaultInstance();
+  }
+
+  public static final int ENDS_KEPT_FIELD_NUMBER = 26;
+  /**
+   * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+   * @return Whether the endsKept field is set.
+   */
+  @java.lang.Override
+  public boolean hasEndsKept() {
+    return bodyCase_ == 26;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+   * @return The endsKept.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.EndsKept getEndsKept() {
+    if (bodyCase_ == 26) {
+       return (org.chivetally.wire.v1.EndsKept) body_;
+    }
+    return org.chivetally.wire.v1.EndsKept.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.EndsKeptOrBuilder getEndsKeptOrBuilder() {
+    if (bodyCase_ == 26) {
+       return (org.chivetally.wire.v1.EndsKept) body_;
+    }
+    return org.chivetally.wire.v1.EndsKept.getDefaultInstance();
+  }
+
+  public static final int RUN_STOP_FIELD_NUMBER = 27;
+  /**
+   * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+   * @return Whether the runStop field is set.
+   */
+  @java.lang.Override
+  public boolean hasRunStop() {
+    return bodyCase_ == 27;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+   * @return The runStop.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunStop getRunStop() {
+    if (bodyCase_ == 27) {
+       return (org.chivetally.wire.v1.RunStop) body_;
+    }
+    return org.chivetally.wire.v1.RunStop.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunStopOrBuilder getRunStopOrBuilder() {
+    if (bodyCase_ == 27) {
+       return (org.chivetally.wire.v1.RunStop) body_;
+    }
+    return org.chivetally.wire.v1.RunStop.getDefaultInstance();
+  }
+
+  public static final int JOB_SUBMISSION_FIELD_NUMBER = 28;
+  /**
+   * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+   * @return Whether the jobSubmission field is set.
+   */
+  @java.lang.Override
+  public boolean hasJobSubmission() {
+    return bodyCase_ == 28;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+   * @return The jobSubmission.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobSubmission getJobSubmission() {
+    if (bodyCase_ == 28) {
+       return (org.chivetally.wire.v1.JobSubmission) body_;
+    }
+    return org.chivetally.wire.v1.JobSubmission.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobSubmissionOrBuilder getJobSubmissionOrBuilder() {
+    if (bodyCase_ == 28) {
+       return (org.chivetally.wire.v1.JobSubmission) body_;
+    }
+    return org.chivetally.wire.v1.JobSubmission.getDefaultInstance();
+  }
+
+  public static final int JOB_QUERY_FIELD_NUMBER = 29;
+  /**
+   * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+   * @return Whether the jobQuery field is set.
+   */
+  @java.lang.Override
+  public boolean hasJobQuery() {
+    return bodyCase_ == 29;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+   * @return The jobQuery.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobQuery getJobQuery() {
+    if (bodyCase_ == 29) {
+       return (org.chivetally.wire.v1.JobQuery) body_;
+    }
+    return org.chivetally.wire.v1.JobQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobQueryOrBuilder getJobQueryOrBuilder() {
+    if (bodyCase_ == 29) {
+       return (org.chivetally.wire.v1.JobQuery) body_;
+    }
+    return org.chivetally.wire.v1.JobQuery.getDefaultInstance();
+  }
+
+  public static final int JOB_CANCELLATION_FIELD_NUMBER = 30;
+  /**
+   * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+   * @return Whether the jobCancellation field is set.
+   */
+  @java.lang.Override
+  public boolean hasJobCancellation() {
+    return bodyCase_ == 30;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+   * @return The jobCancellation.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobCancellation getJobCancellation() {
+    if (bodyCase_ == 30) {
+       return (org.chivetally.wire.v1.JobCancellation) body_;
+    }
+    return org.chivetally.wire.v1.JobCancellation.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobCancellationOrBuilder getJobCancellationOrBuilder() {
+    if (bodyCase_ == 30) {
+       return (org.chivetally.wire.v1.JobCancellation) body_;
+    }
+    return org.chivetally.wire.v1.JobCancellation.getDefaultInstance();
+  }
+
+  public static final int JOB_REPLY_FIELD_NUMBER = 31;
+  /**
+   * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+   * @return Whether the jobReply field is set.
+   */
+  @java.lang.Override
+  public boolean hasJobReply() {
+    return bodyCase_ == 31;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+   * @return The jobReply.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobReply getJobReply() {
+    if (bodyCase_ == 31) {
+       return (org.chivetally.wire.v1.JobReply) body_;
+    }
+    return org.chivetally.wire.v1.JobReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.JobReplyOrBuilder getJobReplyOrBuilder() {
+    if (bodyCase_ == 31) {
+       return (org.chivetally.wire.v1.JobReply) body_;
+    }
+    return org.chivetally.wire.v1.JobReply.getDefaultInstance();
+  }
+
+  public static final int BEAT_ECHO_FIELD_NUMBER = 32;
+  /**
+   * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+   * @return Whether the beatEcho field is set.
+   */
+  @java.lang.Override
+  public boolean hasBeatEcho() {
+    return bodyCase_ == 32;
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+   * @return The beatEcho.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.BeatEcho getBeatEcho() {
+    if (bodyCase_ == 32) {
+       return (org.chivetally.wire.v1.BeatEcho) body_;
+    }
+    return org.chivetally.wire.v1.BeatEcho.getDefaultInstance();
+  }
+  /**
+   * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.BeatEchoOrBuilder getBeatEchoOrBuilder() {
+    if (bodyCase_ == 32) {
+       return (org.chivetally.wire.v1.BeatEcho) body_;
+    }
+    return org.chivetally.wire.v1.BeatEcho.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -730,6 +1192,48 @@
     if (bodyCase_ == 18) {
       output.writeMessage(18, (org.chivetally.wire.v1.MembersPush) body_);
     }
+    if (bodyCase_ == 19) {
+      output.writeMessage(19, (org.chivetally.wire.v1.LinkHello) body_);
+    }
+    if (bodyCase_ == 20) {
+      output.writeMessage(20, (org.chivetally.wire.v1.EntryBeat) body_);
+    }
+    if (bodyCase_ == 21) {
+      output.writeMessage(21, (org.chivetally.wire.v1.AgentBeat) body_);
+    }
+    if (bodyCase_ == 22) {
+      output.writeMessage(22, (org.chivetally.wire.v1.RunInventory) body_);
+    }
+    if (bodyCase_ == 23) {
+      output.writeMessage(23, (org.chivetally.wire.v1.RunStart) body_);
+    }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (org.chivetally.wire.v1.RunRefused) body_);
+    }
+    if (bodyCase_ == 25) {
+      output.writeMessage(25, (org.chivetally.wire.v1.RunEnds) body_);
+    }
+    if (bodyCase_ == 26) {
+      output.writeMessage(26, (org.chivetally.wire.v1.EndsKept) body_);
+    }
+    if (bodyCase_ == 27) {
+      output.writeMessage(27, (org.chivetally.wire.v1.RunStop) body_);
+    }
+    if (bodyCase_ == 28) {
+      output.writeMessage(28, (org.chivetally.wire.v1.JobSubmission) body_);
+    }
+    if (bodyCase_ == 29) {
+      output.writeMessage(29, (org.chivetally.wire.v1.JobQuery) body_);
+    }
+    if (bodyCase_ == 30) {
+      output.writeMessage(30, (org.chivetally.wire.v1.JobCancellation) body_);
+    }
+    if (bodyCase_ == 31) {
+      output.writeMessage(31, (org.chivetally.wire.v1.JobReply) body_);
+    }
+    if (bodyCase_ == 32) {
+      output.writeMessage(32, (org.chivetally.wire.v1.BeatEcho) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -806,6 +1310,62 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(18, (org.chivetally.wire.v1.MembersPush) body_);
     }
+    if (bodyCase_ == 19) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(19, (org.chivetally.wire.v1.LinkHello) body_);
+    }
+    if (bodyCase_ == 20) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(20, (org.chivetally.wire.v1.EntryBeat) body_);
+    }
+    if (bodyCase_ == 21) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(21, (org.chivetally.wire.v1.AgentBeat) body_);
+    }
+    if (bodyCase_ == 22) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(22, (org.chivetally.wire.v1.RunInventory) body_);
+    }
+    if (bodyCase_ == 23) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(23, (org.chivetally.wire.v1.RunStart) body_);
+    }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (org.chivetally.wire.v1.RunRefused) body_);
+    }
+    if (bodyCase_ == 25) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(25, (org.chivetally.wire.v1.RunEnds) body_);
+    }
+    if (bodyCase_ == 26) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(26, (org.chivetally.wire.v1.EndsKept) body_);
+    }
+    if (bodyCase_ == 27) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(27, (org.chivetally.wire.v1.RunStop) body_);
+    }
+    if (bodyCase_ == 28) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(28, (org.chivetally.wire.v1.JobSubmission) body_);
+    }
+    if (bodyCase_ == 29) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(29, (org.chivetally.wire.v1.JobQuery) body_);
+    }
+    if (bodyCase_ == 30) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(30, (org.chivetally.wire.v1.JobCancellation) body_);
+    }
+    if (bodyCase_ == 31) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(31, (org.chivetally.wire.v1.JobReply) body_);
+    }
+    if (bodyCase_ == 32) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(32, (org.chivetally.wire.v1.BeatEcho) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -902,10 +1462,66 @@
         if (!getMembersPush()
             .equals(other.getMembersPush())) return false;
         break;
-      case 0:
-      default:
-    }
-    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
+      case 19:
+        if (!getLinkHello()
+            .equals(other.getLinkHello())) return false;
+        break;
+      case 20:
+        if (!getEntryBeat()
+            .equals(other.getEntryBeat())) return false;
+        break;
+      case 21:
+        if (!getAgentBeat()
+            .equals(other.getAgentBeat())) return false;
+        break;
+      case 22:
+        if (!getRunInventory()
+            .equals(other.getRunInventory())) return false;
+        break;
+      case 23:
+        if (!getRunStart()
+            .equals(other.getRunStart())) return false;
+        break;
+      case 24:
+        if (!getRunRefused()
+            .equals(other.getRunRefused())) return false;
+        break;
+      case 25:
+        if (!getRunEnds()
+            .equals(other.getRunEnds())) return false;
+        break;
+      case 26:
+        if (!getEndsKept()
+            .equals(other.getEndsKept())) return false;
+        break;
+      case 27:
+        if (!getRunStop()
+            .equals(other.getRunStop())) return false;
+        break;
+      case 28:
+        if (!getJobSubmission()
+            .equals(other.getJobSubmission())) return false;
+        break;
+      case 29:
+        if (!getJobQuery()
+            .equals(other.getJobQuery())) return false;
+        break;
+      case 30:
+        if (!getJobCancellation()
+            .equals(other.getJobCancellation())) return false;
+        break;
+      case 31:
+        if (!getJobReply()
+            .equals(other.getJobReply())) return false;
+        break;
+      case 32:
+        if (!getBeatEcho()
+            .equals(other.getBeatEcho())) return false;
+        break;
+      case 0:
+      default:
+    }
+    if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
 
@@ -988,6 +1604,62 @@
         hash = (37 * hash) + MEMBERS_PUSH_FIELD_NUMBER;
         hash = (53 * hash) + getMembersPush().hashCode();
         break;
+      case 19:
+        hash = (37 * hash) + LINK_HELLO_FIELD_NUMBER;
+        hash = (53 * hash) + getLinkHello().hashCode();
+        break;
+      case 20:
+        hash = (37 * hash) + ENTRY_BEAT_FIELD_NUMBER;
+        hash = (53 * hash) + getEntryBeat().hashCode();
+        break;
+      case 21:
+        hash = (37 * hash) + AGENT_BEAT_FIELD_NUMBER;
+        hash = (53 * hash) + getAgentBeat().hashCode();
+        break;
+      case 22:
+        hash = (37 * hash) + RUN_INVENTORY_FIELD_NUMBER;
+        hash = (53 * hash) + getRunInventory().hashCode();
+        break;
+      case 23:
+        hash = (37 * hash) + RUN_START_FIELD_NUMBER;
+        hash = (53 * hash) + getRunStart().hashCode();
+        break;
+      case 24:
+        hash = (37 * hash) + RUN_REFUSED_FIELD_NUMBER;
+        hash = (53 * hash) + getRunRefused().hashCode();
+        break;
+      case 25:
+        hash = (37 * hash) + RUN_ENDS_FIELD_NUMBER;
+        hash = (53 * hash) + getRunEnds().hashCode();
+        break;
+      case 26:
+        hash = (37 * hash) + ENDS_KEPT_FIELD_NUMBER;
+        hash = (53 * hash) + getEndsKept().hashCode();
+        break;
+      case 27:
+        hash = (37 * hash) + RUN_STOP_FIELD_NUMBER;
+        hash = (53 * hash) + getRunStop().hashCode();
+        break;
+      case 28:
+        hash = (37 * hash) + JOB_SUBMISSION_FIELD_NUMBER;
+        hash = (53 * hash) + getJobSubmission().hashCode();
+        break;
+      case 29:
+        hash = (37 * hash) + JOB_QUERY_FIELD_NUMBER;
+        hash = (53 * hash) + getJobQuery().hashCode();
+        break;
+      case 30:
+        hash = (37 * hash) + JOB_CANCELLATION_FIELD_NUMBER;
+        hash = (53 * hash) + getJobCancellation().hashCode();
+        break;
+      case 31:
+        hash = (37 * hash) + JOB_REPLY_FIELD_NUMBER;
+        hash = (53 * hash) + getJobReply().hashCode();
+        break;
+      case 32:
+        hash = (37 * hash) + BEAT_ECHO_FIELD_NUMBER;
+        hash = (53 * hash) + getBeatEcho().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1178,6 +1850,48 @@
       if (membersPushBuilder_ != null) {
         membersPushBuilder_.clear();
       }
+      if (linkHelloBuilder_ != null) {
+        linkHelloBuilder_.clear();
+      }
+      if (entryBeatBuilder_ != null) {
+        entryBeatBuilder_.clear();
+      }
+      if (agentBeatBuilder_ != null) {
+        agentBeatBuilder_.clear();
+      }
+      if (runInventoryBuilder_ != null) {
+        runInventoryBuilder_.clear();
+      }
+      if (runStartBuilder_ != null) {
+        runStartBuilder_.clear();
+      }
+      if (runRefusedBuilder_ != null) {
+        runRefusedBuilder_.clear();
+      }
+      if (runEndsBuilder_ != null) {
+        runEndsBuilder_.clear();
+      }
+      if (endsKeptBuilder_ != null) {
+        endsKeptBuilder_.clear();
+      }
+      if (runStopBuilder_ != null) {
+        runStopBuilder_.clear();
+      }
+      if (jobSubmissionBuilder_ != null) {
+        jobSubmissionBuilder_.clear();
+      }
+      if (jobQueryBuilder_ != null) {
+        jobQueryBuilder_.clear();
+      }
+      if (jobCancellationBuilder_ != null) {
+        jobCancellationBuilder_.clear();
+      }
+      if (jobReplyBuilder_ != null) {
+        jobReplyBuilder_.clear();
+      }
+      if (beatEchoBuilder_ != null) {
+        beatEchoBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1290,6 +2004,62 @@
           membersPushBuilder_ != null) {
         result.body_ = membersPushBuilder_.build();
       }
+      if (bodyCase_ == 19 &&
+          linkHelloBuilder_ != null) {
+        result.body_ = linkHelloBuilder_.build();
+      }
+      if (bodyCase_ == 20 &&
+          entryBeatBuilder_ != null) {
+        result.body_ = entryBeatBuilder_.build();
+      }
+      if (bodyCase_ == 21 &&
+          agentBeatBuilder_ != null) {
+        result.body_ = agentBeatBuilder_.build();
+      }
+      if (bodyCase_ == 22 &&
+          runInventoryBuilder_ != null) {
+        result.body_ = runInventoryBuilder_.build();
+      }
+      if (bodyCase_ == 23 &&
+          runStartBuilder_ != null) {
+        result.body_ = runStartBuilder_.build();
+      }
+      if (bodyCase_ == 24 &&
+          runRefusedBuilder_ != null) {
+        result.body_ = runRefusedBuilder_.build();
+      }
+      if (bodyCase_ == 25 &&
+          runEndsBuilder_ != null) {
+        result.body_ = runEndsBuilder_.build();
+      }
+      if (bodyCase_ == 26 &&
+          endsKeptBuilder_ != null) {
+        result.body_ = endsKeptBuilder_.build();
+      }
+      if (bodyCase_ == 27 &&
+          runStopBuilder_ != null) {
+        result.body_ = runStopBuilder_.build();
+      }
+      if (bodyCase_ == 28 &&
+          jobSubmissionBuilder_ != null) {
+        result.body_ = jobSubmissionBuilder_.build();
+      }
+      if (bodyCase_ == 29 &&
+          jobQueryBuilder_ != null) {
+        result.body_ = jobQueryBuilder_.build();
+      }
+      if (bodyCase_ == 30 &&
+          jobCancellationBuilder_ != null) {
+        result.body_ = jobCancellationBuilder_.build();
+      }
+      if (bodyCase_ == 31 &&
+          jobReplyBuilder_ != null) {
+        result.body_ = jobReplyBuilder_.build();
+      }
+      if (bodyCase_ == 32 &&
+          beatEchoBuilder_ != null) {
+        result.body_ = beatEchoBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1376,6 +2146,62 @@
           mergeMembersPush(other.getMembersPush());
           break;
         }
+        case LINK_HELLO: {
+          mergeLinkHello(other.getLinkHello());
+          break;
+        }
+        case ENTRY_BEAT: {
+          mergeEntryBeat(other.getEntryBeat());
+          break;
+        }
+        case AGENT_BEAT: {
+          mergeAgentBeat(other.getAgentBeat());
+          break;
+        }
+        case RUN_INVENTORY: {
+          mergeRunInventory(other.getRunInventory());
+          break;
+        }
+        case RUN_START: {
+          mergeRunStart(other.getRunStart());
+          break;
+        }
+        case RUN_REFUSED: {
+          mergeRunRefused(other.getRunRefused());
+          break;
+        }
+        case RUN_ENDS: {
+          mergeRunEnds(other.getRunEnds());
+          break;
+        }
+        case ENDS_KEPT: {
+          mergeEndsKept(other.getEndsKept());
+          break;
+        }
+        case RUN_STOP: {
+          mergeRunStop(other.getRunStop());
+          break;
+        }
+        case JOB_SUBMISSION: {
+          mergeJobSubmission(other.getJobSubmission());
+          break;
+        }
+        case JOB_QUERY: {
+          mergeJobQuery(other.getJobQuery());
+          break;
+        }
+        case JOB_CANCELLATION: {
+          mergeJobCancellation(other.getJobCancellation());
+          break;
+        }
+        case JOB_REPLY: {
+          mergeJobReply(other.getJobReply());
+          break;
+        }
+        case BEAT_ECHO: {
+          mergeBeatEcho(other.getBeatEcho());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1528,6 +2354,104 @@
               bodyCase_ = 18;
               break;
             } // case 146
+            case 154: {
+              input.readMessage(
+                  internalGetLinkHelloFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 19;
+              break;
+            } // case 154
+            case 162: {
+              input.readMessage(
+                  internalGetEntryBeatFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 20;
+              break;
+            } // case 162
+            case 170: {
+              input.readMessage(
+                  internalGetAgentBeatFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 21;
+              break;
+            } // case 170
+            case 178: {
+              input.readMessage(
+                  internalGetRunInventoryFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 22;
+              break;
+            } // case 178
+            case 186: {
+              input.readMessage(
+                  internalGetRunStartFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 23;
+              break;
+            } // case 186
+            case 194: {
+              input.readMessage(
+                  internalGetRunRefusedFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
+            case 202: {
+              input.readMessage(
+                  internalGetRunEndsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 25;
+              break;
+            } // case 202
+            case 210: {
+              input.readMessage(
+                  internalGetEndsKeptFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 26;
+              break;
+            } // case 210
+            case 218: {
+              input.readMessage(
+                  internalGetRunStopFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 27;
+              break;
+            } // case 218
+            case 226: {
+              input.readMessage(
+                  internalGetJobSubmissionFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 28;
+              break;
+            } // case 226
+            case 234: {
+              input.readMessage(
+                  internalGetJobQueryFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 29;
+              break;
+            } // case 234
+            case 242: {
+              input.readMessage(
+                  internalGetJobCancellationFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 30;
+              break;
+            } // case 242
+            case 250: {
+              input.readMessage(
+                  internalGetJobReplyFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 31;
+              break;
+            } // case 250
+            case 258: {
+              input.readMessage(
+                  internalGetBeatEchoFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 32;
+              break;
+            } // case 258
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2293,1683 +3217,3643 @@
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Cancel, org.chivetally.wire.v1.Cancel.Builder, org.chivetally.wire.v1.CancelOrBuilder> cancelBuilder_;
+        org.chivetally.wire.v1.Cancel, org.chivetally.wire.v1.Cancel.Builder, org.chivetally.wire.v1.CancelOrBuilder> cancelBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * @return Whether the cancel field is set.
+     */
+    @java.lang.Override
+    public boolean hasCancel() {
+      return bodyCase_ == 7;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * @return The cancel.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.Cancel getCancel() {
+      if (cancelBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          return (org.chivetally.wire.v1.Cancel) body_;
+        }
+        return org.chivetally.wire.v1.Cancel.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 7) {
+          return cancelBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.Cancel.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     */
+    public Builder setCancel(org.chivetally.wire.v1.Cancel value) {
+      if (cancelBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        cancelBuilder_.setMessage(value);
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     */
+    public Builder setCancel(
+        org.chivetally.wire.v1.Cancel.Builder builderForValue) {
+      if (cancelBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        cancelBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     */
+    public Builder mergeCancel(org.chivetally.wire.v1.Cancel value) {
+      if (cancelBuilder_ == null) {
+        if (bodyCase_ == 7 &&
+            body_ != org.chivetally.wire.v1.Cancel.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.Cancel.newBuilder((org.chivetally.wire.v1.Cancel) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 7) {
+          cancelBuilder_.mergeFrom(value);
+        } else {
+          cancelBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 7;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     */
+    public Builder clearCancel() {
+      if (cancelBuilder_ == null) {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 7) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        cancelBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     */
+    public org.chivetally.wire.v1.Cancel.Builder getCancelBuilder() {
+      return internalGetCancelFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.CancelOrBuilder getCancelOrBuilder() {
+      if ((bodyCase_ == 7) && (cancelBuilder_ != null)) {
+        return cancelBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 7) {
+          return (org.chivetally.wire.v1.Cancel) body_;
+        }
+        return org.chivetally.wire.v1.Cancel.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Cancel, org.chivetally.wire.v1.Cancel.Builder, org.chivetally.wire.v1.CancelOrBuilder> 
+        internalGetCancelFieldBuilder() {
+      if (cancelBuilder_ == null) {
+        if (!(bodyCase_ == 7)) {
+          body_ = org.chivetally.wire.v1.Cancel.getDefaultInstance();
+        }
+        cancelBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.Cancel, org.chivetally.wire.v1.Cancel.Builder, org.chivetally.wire.v1.CancelOrBuilder>(
+                (org.chivetally.wire.v1.Cancel) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 7;
+      onChanged();
+      return cancelBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Inquiry, org.chivetally.wire.v1.Inquiry.Builder, org.chivetally.wire.v1.InquiryOrBuilder> inquiryBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * @return Whether the inquiry field is set.
+     */
+    @java.lang.Override
+    public boolean hasInquiry() {
+      return bodyCase_ == 8;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * @return The inquiry.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.Inquiry getInquiry() {
+      if (inquiryBuilder_ == null) {
+        if (bodyCase_ == 8) {
+          return (org.chivetally.wire.v1.Inquiry) body_;
+        }
+        return org.chivetally.wire.v1.Inquiry.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 8) {
+          return inquiryBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.Inquiry.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     */
+    public Builder setInquiry(org.chivetally.wire.v1.Inquiry value) {
+      if (inquiryBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        inquiryBuilder_.setMessage(value);
+      }
+      bodyCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     */
+    public Builder setInquiry(
+        org.chivetally.wire.v1.Inquiry.Builder builderForValue) {
+      if (inquiryBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        inquiryBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     */
+    public Builder mergeInquiry(org.chivetally.wire.v1.Inquiry value) {
+      if (inquiryBuilder_ == null) {
+        if (bodyCase_ == 8 &&
+            body_ != org.chivetally.wire.v1.Inquiry.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.Inquiry.newBuilder((org.chivetally.wire.v1.Inquiry) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 8) {
+          inquiryBuilder_.mergeFrom(value);
+        } else {
+          inquiryBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 8;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     */
+    public Builder clearInquiry() {
+      if (inquiryBuilder_ == null) {
+        if (bodyCase_ == 8) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 8) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        inquiryBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     */
+    public org.chivetally.wire.v1.Inquiry.Builder getInquiryBuilder() {
+      return internalGetInquiryFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.InquiryOrBuilder getInquiryOrBuilder() {
+      if ((bodyCase_ == 8) && (inquiryBuilder_ != null)) {
+        return inquiryBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 8) {
+          return (org.chivetally.wire.v1.Inquiry) body_;
+        }
+        return org.chivetally.wire.v1.Inquiry.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Inquiry, org.chivetally.wire.v1.Inquiry.Builder, org.chivetally.wire.v1.InquiryOrBuilder> 
+        internalGetInquiryFieldBuilder() {
+      if (inquiryBuilder_ == null) {
+        if (!(bodyCase_ == 8)) {
+          body_ = org.chivetally.wire.v1.Inquiry.getDefaultInstance();
+        }
+        inquiryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.Inquiry, org.chivetally.wire.v1.Inquiry.Builder, org.chivetally.wire.v1.InquiryOrBuilder>(
+                (org.chivetally.wire.v1.Inquiry) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 8;
+      onChanged();
+      return inquiryBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.InquiryAnswer, org.chivetally.wire.v1.InquiryAnswer.Builder, org.chivetally.wire.v1.InquiryAnswerOrBuilder> inquiryAnswerBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * @return Whether the inquiryAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasInquiryAnswer() {
+      return bodyCase_ == 9;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * @return The inquiryAnswer.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.InquiryAnswer getInquiryAnswer() {
+      if (inquiryAnswerBuilder_ == null) {
+        if (bodyCase_ == 9) {
+          return (org.chivetally.wire.v1.InquiryAnswer) body_;
+        }
+        return org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 9) {
+          return inquiryAnswerBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     */
+    public Builder setInquiryAnswer(org.chivetally.wire.v1.InquiryAnswer value) {
+      if (inquiryAnswerBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        inquiryAnswerBuilder_.setMessage(value);
+      }
+      bodyCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     */
+    public Builder setInquiryAnswer(
+        org.chivetally.wire.v1.InquiryAnswer.Builder builderForValue) {
+      if (inquiryAnswerBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        inquiryAnswerBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     */
+    public Builder mergeInquiryAnswer(org.chivetally.wire.v1.InquiryAnswer value) {
+      if (inquiryAnswerBuilder_ == null) {
+        if (bodyCase_ == 9 &&
+            body_ != org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.InquiryAnswer.newBuilder((org.chivetally.wire.v1.InquiryAnswer) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 9) {
+          inquiryAnswerBuilder_.mergeFrom(value);
+        } else {
+          inquiryAnswerBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 9;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     */
+    public Builder clearInquiryAnswer() {
+      if (inquiryAnswerBuilder_ == null) {
+        if (bodyCase_ == 9) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 9) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        inquiryAnswerBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     */
+    public org.chivetally.wire.v1.InquiryAnswer.Builder getInquiryAnswerBuilder() {
+      return internalGetInquiryAnswerFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.InquiryAnswerOrBuilder getInquiryAnswerOrBuilder() {
+      if ((bodyCase_ == 9) && (inquiryAnswerBuilder_ != null)) {
+        return inquiryAnswerBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 9) {
+          return (org.chivetally.wire.v1.InquiryAnswer) body_;
+        }
+        return org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.InquiryAnswer, org.chivetally.wire.v1.InquiryAnswer.Builder, org.chivetally.wire.v1.InquiryAnswerOrBuilder> 
+        internalGetInquiryAnswerFieldBuilder() {
+      if (inquiryAnswerBuilder_ == null) {
+        if (!(bodyCase_ == 9)) {
+          body_ = org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
+        }
+        inquiryAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.InquiryAnswer, org.chivetally.wire.v1.InquiryAnswer.Builder, org.chivetally.wire.v1.InquiryAnswerOrBuilder>(
+                (org.chivetally.wire.v1.InquiryAnswer) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 9;
+      onChanged();
+      return inquiryAnswerBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Attach, org.chivetally.wire.v1.Attach.Builder, org.chivetally.wire.v1.AttachOrBuilder> attachBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * @return Whether the attach field is set.
+     */
+    @java.lang.Override
+    public boolean hasAttach() {
+      return bodyCase_ == 10;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * @return The attach.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.Attach getAttach() {
+      if (attachBuilder_ == null) {
+        if (bodyCase_ == 10) {
+          return (org.chivetally.wire.v1.Attach) body_;
+        }
+        return org.chivetally.wire.v1.Attach.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 10) {
+          return attachBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.Attach.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     */
+    public Builder setAttach(org.chivetally.wire.v1.Attach value) {
+      if (attachBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        attachBuilder_.setMessage(value);
+      }
+      bodyCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     */
+    public Builder setAttach(
+        org.chivetally.wire.v1.Attach.Builder builderForValue) {
+      if (attachBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        attachBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     */
+    public Builder mergeAttach(org.chivetally.wire.v1.Attach value) {
+      if (attachBuilder_ == null) {
+        if (bodyCase_ == 10 &&
+            body_ != org.chivetally.wire.v1.Attach.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.Attach.newBuilder((org.chivetally.wire.v1.Attach) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 10) {
+          attachBuilder_.mergeFrom(value);
+        } else {
+          attachBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 10;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     */
+    public Builder clearAttach() {
+      if (attachBuilder_ == null) {
+        if (bodyCase_ == 10) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 10) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        attachBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     */
+    public org.chivetally.wire.v1.Attach.Builder getAttachBuilder() {
+      return internalGetAttachFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.AttachOrBuilder getAttachOrBuilder() {
+      if ((bodyCase_ == 10) && (attachBuilder_ != null)) {
+        return attachBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 10) {
+          return (org.chivetally.wire.v1.Attach) body_;
+        }
+        return org.chivetally.wire.v1.Attach.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Attach, org.chivetally.wire.v1.Attach.Builder, org.chivetally.wire.v1.AttachOrBuilder> 
+        internalGetAttachFieldBuilder() {
+      if (attachBuilder_ == null) {
+        if (!(bodyCase_ == 10)) {
+          body_ = org.chivetally.wire.v1.Attach.getDefaultInstance();
+        }
+        attachBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.Attach, org.chivetally.wire.v1.Attach.Builder, org.chivetally.wire.v1.AttachOrBuilder>(
+                (org.chivetally.wire.v1.Attach) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 10;
+      onChanged();
+      return attachBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.JobAnswer, org.chivetally.wire.v1.JobAnswer.Builder, org.chivetally.wire.v1.JobAnswerOrBuilder> jobAnswerBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * @return Whether the jobAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasJobAnswer() {
+      return bodyCase_ == 11;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * @return The jobAnswer.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.JobAnswer getJobAnswer() {
+      if (jobAnswerBuilder_ == null) {
+        if (bodyCase_ == 11) {
+          return (org.chivetally.wire.v1.JobAnswer) body_;
+        }
+        return org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 11) {
+          return jobAnswerBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     */
+    public Builder setJobAnswer(org.chivetally.wire.v1.JobAnswer value) {
+      if (jobAnswerBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        jobAnswerBuilder_.setMessage(value);
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     */
+    public Builder setJobAnswer(
+        org.chivetally.wire.v1.JobAnswer.Builder builderForValue) {
+      if (jobAnswerBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        jobAnswerBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     */
+    public Builder mergeJobAnswer(org.chivetally.wire.v1.JobAnswer value) {
+      if (jobAnswerBuilder_ == null) {
+        if (bodyCase_ == 11 &&
+            body_ != org.chivetally.wire.v1.JobAnswer.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.JobAnswer.newBuilder((org.chivetally.wire.v1.JobAnswer) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 11) {
+          jobAnswerBuilder_.mergeFrom(value);
+        } else {
+          jobAnswerBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 11;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     */
+    public Builder clearJobAnswer() {
+      if (jobAnswerBuilder_ == null) {
+        if (bodyCase_ == 11) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 11) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        jobAnswerBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     */
+    public org.chivetally.wire.v1.JobAnswer.Builder getJobAnswerBuilder() {
+      return internalGetJobAnswerFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.JobAnswerOrBuilder getJobAnswerOrBuilder() {
+      if ((bodyCase_ == 11) && (jobAnswerBuilder_ != null)) {
+        return jobAnswerBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 11) {
+          return (org.chivetally.wire.v1.JobAnswer) body_;
+        }
+        return org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.JobAnswer, org.chivetally.wire.v1.JobAnswer.Builder, org.chivetally.wire.v1.JobAnswerOrBuilder> 
+        internalGetJobAnswerFieldBuilder() {
+      if (jobAnswerBuilder_ == null) {
+        if (!(bodyCase_ == 11)) {
+          body_ = org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
+        }
+        jobAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.JobAnswer, org.chivetally.wire.v1.JobAnswer.Builder, org.chivetally.wire.v1.JobAnswerOrBuilder>(
+                (org.chivetally.wire.v1.JobAnswer) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 11;
+      onChanged();
+      return jobAnswerBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.ConfigurationPull, org.chivetally.wire.v1.ConfigurationPull.Builder, org.chivetally.wire.v1.ConfigurationPullOrBuilder> configurationPullBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * @return Whether the configurationPull field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfigurationPull() {
+      return bodyCase_ == 12;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * @return The configurationPull.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.ConfigurationPull getConfigurationPull() {
+      if (configurationPullBuilder_ == null) {
+        if (bodyCase_ == 12) {
+          return (org.chivetally.wire.v1.ConfigurationPull) body_;
+        }
+        return org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 12) {
+          return configurationPullBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     */
+    public Builder setConfigurationPull(org.chivetally.wire.v1.ConfigurationPull value) {
+      if (configurationPullBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        configurationPullBuilder_.setMessage(value);
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     */
+    public Builder setConfigurationPull(
+        org.chivetally.wire.v1.ConfigurationPull.Builder builderForValue) {
+      if (configurationPullBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        configurationPullBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     */
+    public Builder mergeConfigurationPull(org.chivetally.wire.v1.ConfigurationPull value) {
+      if (configurationPullBuilder_ == null) {
+        if (bodyCase_ == 12 &&
+            body_ != org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.ConfigurationPull.newBuilder((org.chivetally.wire.v1.ConfigurationPull) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 12) {
+          configurationPullBuilder_.mergeFrom(value);
+        } else {
+          configurationPullBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 12;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     */
+    public Builder clearConfigurationPull() {
+      if (configurationPullBuilder_ == null) {
+        if (bodyCase_ == 12) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 12) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        configurationPullBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     */
+    public org.chivetally.wire.v1.ConfigurationPull.Builder getConfigurationPullBuilder() {
+      return internalGetConfigurationPullFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.ConfigurationPullOrBuilder getConfigurationPullOrBuilder() {
+      if ((bodyCase_ == 12) && (configurationPullBuilder_ != null)) {
+        return configurationPullBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 12) {
+          return (org.chivetally.wire.v1.ConfigurationPull) body_;
+        }
+        return org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.ConfigurationPull, org.chivetally.wire.v1.ConfigurationPull.Builder, org.chivetally.wire.v1.ConfigurationPullOrBuilder> 
+        internalGetConfigurationPullFieldBuilder() {
+      if (configurationPullBuilder_ == null) {
+        if (!(bodyCase_ == 12)) {
+          body_ = org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
+        }
+        configurationPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.ConfigurationPull, org.chivetally.wire.v1.ConfigurationPull.Builder, org.chivetally.wire.v1.ConfigurationPullOrBuilder>(
+                (org.chivetally.wire.v1.ConfigurationPull) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 12;
+      onChanged();
+      return configurationPullBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.ConfigurationPush, org.chivetally.wire.v1.ConfigurationPush.Builder, org.chivetally.wire.v1.ConfigurationPushOrBuilder> configurationPushBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * @return Whether the configurationPush field is set.
+     */
+    @java.lang.Override
+    public boolean hasConfigurationPush() {
+      return bodyCase_ == 13;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * @return The configurationPush.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.ConfigurationPush getConfigurationPush() {
+      if (configurationPushBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          return (org.chivetally.wire.v1.ConfigurationPush) body_;
+        }
+        return org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 13) {
+          return configurationPushBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     */
+    public Builder setConfigurationPush(org.chivetally.wire.v1.ConfigurationPush value) {
+      if (configurationPushBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        configurationPushBuilder_.setMessage(value);
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     */
+    public Builder setConfigurationPush(
+        org.chivetally.wire.v1.ConfigurationPush.Builder builderForValue) {
+      if (configurationPushBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        configurationPushBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     */
+    public Builder mergeConfigurationPush(org.chivetally.wire.v1.ConfigurationPush value) {
+      if (configurationPushBuilder_ == null) {
+        if (bodyCase_ == 13 &&
+            body_ != org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.ConfigurationPush.newBuilder((org.chivetally.wire.v1.ConfigurationPush) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 13) {
+          configurationPushBuilder_.mergeFrom(value);
+        } else {
+          configurationPushBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 13;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     */
+    public Builder clearConfigurationPush() {
+      if (configurationPushBuilder_ == null) {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 13) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        configurationPushBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     */
+    public org.chivetally.wire.v1.ConfigurationPush.Builder getConfigurationPushBuilder() {
+      return internalGetConfigurationPushFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.ConfigurationPushOrBuilder getConfigurationPushOrBuilder() {
+      if ((bodyCase_ == 13) && (configurationPushBuilder_ != null)) {
+        return configurationPushBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 13) {
+          return (org.chivetally.wire.v1.ConfigurationPush) body_;
+        }
+        return org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.ConfigurationPush, org.chivetally.wire.v1.ConfigurationPush.Builder, org.chivetally.wire.v1.ConfigurationPushOrBuilder> 
+        internalGetConfigurationPushFieldBuilder() {
+      if (configurationPushBuilder_ == null) {
+        if (!(bodyCase_ == 13)) {
+          body_ = org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
+        }
+        configurationPushBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.ConfigurationPush, org.chivetally.wire.v1.ConfigurationPush.Builder, org.chivetally.wire.v1.ConfigurationPushOrBuilder>(
+                (org.chivetally.wire.v1.ConfigurationPush) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 13;
+      onChanged();
+      return configurationPushBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Leaving, org.chivetally.wire.v1.Leaving.Builder, org.chivetally.wire.v1.LeavingOrBuilder> leavingBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * @return Whether the leaving field is set.
+     */
+    @java.lang.Override
+    public boolean hasLeaving() {
+      return bodyCase_ == 14;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * @return The leaving.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.Leaving getLeaving() {
+      if (leavingBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          return (org.chivetally.wire.v1.Leaving) body_;
+        }
+        return org.chivetally.wire.v1.Leaving.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 14) {
+          return leavingBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.Leaving.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     */
+    public Builder setLeaving(org.chivetally.wire.v1.Leaving value) {
+      if (leavingBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(value);
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     */
+    public Builder setLeaving(
+        org.chivetally.wire.v1.Leaving.Builder builderForValue) {
+      if (leavingBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        leavingBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     */
+    public Builder mergeLeaving(org.chivetally.wire.v1.Leaving value) {
+      if (leavingBuilder_ == null) {
+        if (bodyCase_ == 14 &&
+            body_ != org.chivetally.wire.v1.Leaving.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.Leaving.newBuilder((org.chivetally.wire.v1.Leaving) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 14) {
+          leavingBuilder_.mergeFrom(value);
+        } else {
+          leavingBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 14;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     */
+    public Builder clearLeaving() {
+      if (leavingBuilder_ == null) {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 14) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        leavingBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     */
+    public org.chivetally.wire.v1.Leaving.Builder getLeavingBuilder() {
+      return internalGetLeavingFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.LeavingOrBuilder getLeavingOrBuilder() {
+      if ((bodyCase_ == 14) && (leavingBuilder_ != null)) {
+        return leavingBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 14) {
+          return (org.chivetally.wire.v1.Leaving) body_;
+        }
+        return org.chivetally.wire.v1.Leaving.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Leaving, org.chivetally.wire.v1.Leaving.Builder, org.chivetally.wire.v1.LeavingOrBuilder> 
+        internalGetLeavingFieldBuilder() {
+      if (leavingBuilder_ == null) {
+        if (!(bodyCase_ == 14)) {
+          body_ = org.chivetally.wire.v1.Leaving.getDefaultInstance();
+        }
+        leavingBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.Leaving, org.chivetally.wire.v1.Leaving.Builder, org.chivetally.wire.v1.LeavingOrBuilder>(
+                (org.chivetally.wire.v1.Leaving) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 14;
+      onChanged();
+      return leavingBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.SuspicionQuery, org.chivetally.wire.v1.SuspicionQuery.Builder, org.chivetally.wire.v1.SuspicionQueryOrBuilder> suspicionQueryBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * @return Whether the suspicionQuery field is set.
+     */
+    @java.lang.Override
+    public boolean hasSuspicionQuery() {
+      return bodyCase_ == 15;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * @return The suspicionQuery.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.SuspicionQuery getSuspicionQuery() {
+      if (suspicionQueryBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          return (org.chivetally.wire.v1.SuspicionQuery) body_;
+        }
+        return org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 15) {
+          return suspicionQueryBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     */
+    public Builder setSuspicionQuery(org.chivetally.wire.v1.SuspicionQuery value) {
+      if (suspicionQueryBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        suspicionQueryBuilder_.setMessage(value);
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     */
+    public Builder setSuspicionQuery(
+        org.chivetally.wire.v1.SuspicionQuery.Builder builderForValue) {
+      if (suspicionQueryBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        suspicionQueryBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     */
+    public Builder mergeSuspicionQuery(org.chivetally.wire.v1.SuspicionQuery value) {
+      if (suspicionQueryBuilder_ == null) {
+        if (bodyCase_ == 15 &&
+            body_ != org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.SuspicionQuery.newBuilder((org.chivetally.wire.v1.SuspicionQuery) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 15) {
+          suspicionQueryBuilder_.mergeFrom(value);
+        } else {
+          suspicionQueryBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 15;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     */
+    public Builder clearSuspicionQuery() {
+      if (suspicionQueryBuilder_ == null) {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 15) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        suspicionQueryBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     */
+    public org.chivetally.wire.v1.SuspicionQuery.Builder getSuspicionQueryBuilder() {
+      return internalGetSuspicionQueryFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.SuspicionQueryOrBuilder getSuspicionQueryOrBuilder() {
+      if ((bodyCase_ == 15) && (suspicionQueryBuilder_ != null)) {
+        return suspicionQueryBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 15) {
+          return (org.chivetally.wire.v1.SuspicionQuery) body_;
+        }
+        return org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.SuspicionQuery, org.chivetally.wire.v1.SuspicionQuery.Builder, org.chivetally.wire.v1.SuspicionQueryOrBuilder> 
+        internalGetSuspicionQueryFieldBuilder() {
+      if (suspicionQueryBuilder_ == null) {
+        if (!(bodyCase_ == 15)) {
+          body_ = org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
+        }
+        suspicionQueryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.SuspicionQuery, org.chivetally.wire.v1.SuspicionQuery.Builder, org.chivetally.wire.v1.SuspicionQueryOrBuilder>(
+                (org.chivetally.wire.v1.SuspicionQuery) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 15;
+      onChanged();
+      return suspicionQueryBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.SuspicionAnswer, org.chivetally.wire.v1.SuspicionAnswer.Builder, org.chivetally.wire.v1.SuspicionAnswerOrBuilder> suspicionAnswerBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * @return Whether the suspicionAnswer field is set.
+     */
+    @java.lang.Override
+    public boolean hasSuspicionAnswer() {
+      return bodyCase_ == 16;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * @return The suspicionAnswer.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.SuspicionAnswer getSuspicionAnswer() {
+      if (suspicionAnswerBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          return (org.chivetally.wire.v1.SuspicionAnswer) body_;
+        }
+        return org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 16) {
+          return suspicionAnswerBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     */
+    public Builder setSuspicionAnswer(org.chivetally.wire.v1.SuspicionAnswer value) {
+      if (suspicionAnswerBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        suspicionAnswerBuilder_.setMessage(value);
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     */
+    public Builder setSuspicionAnswer(
+        org.chivetally.wire.v1.SuspicionAnswer.Builder builderForValue) {
+      if (suspicionAnswerBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        suspicionAnswerBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     */
+    public Builder mergeSuspicionAnswer(org.chivetally.wire.v1.SuspicionAnswer value) {
+      if (suspicionAnswerBuilder_ == null) {
+        if (bodyCase_ == 16 &&
+            body_ != org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.SuspicionAnswer.newBuilder((org.chivetally.wire.v1.SuspicionAnswer) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 16) {
+          suspicionAnswerBuilder_.mergeFrom(value);
+        } else {
+          suspicionAnswerBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 16;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     */
+    public Builder clearSuspicionAnswer() {
+      if (suspicionAnswerBuilder_ == null) {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 16) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        suspicionAnswerBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     */
+    public org.chivetally.wire.v1.SuspicionAnswer.Builder getSuspicionAnswerBuilder() {
+      return internalGetSuspicionAnswerFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.SuspicionAnswerOrBuilder getSuspicionAnswerOrBuilder() {
+      if ((bodyCase_ == 16) && (suspicionAnswerBuilder_ != null)) {
+        return suspicionAnswerBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 16) {
+          return (org.chivetally.wire.v1.SuspicionAnswer) body_;
+        }
+        return org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.SuspicionAnswer, org.chivetally.wire.v1.SuspicionAnswer.Builder, org.chivetally.wire.v1.SuspicionAnswerOrBuilder> 
+        internalGetSuspicionAnswerFieldBuilder() {
+      if (suspicionAnswerBuilder_ == null) {
+        if (!(bodyCase_ == 16)) {
+          body_ = org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
+        }
+        suspicionAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.SuspicionAnswer, org.chivetally.wire.v1.SuspicionAnswer.Builder, org.chivetally.wire.v1.SuspicionAnswerOrBuilder>(
+                (org.chivetally.wire.v1.SuspicionAnswer) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 16;
+      onChanged();
+      return suspicionAnswerBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder> membersPullBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * @return Whether the membersPull field is set.
+     */
+    @java.lang.Override
+    public boolean hasMembersPull() {
+      return bodyCase_ == 17;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * @return The membersPull.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPull getMembersPull() {
+      if (membersPullBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          return (org.chivetally.wire.v1.MembersPull) body_;
+        }
+        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 17) {
+          return membersPullBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder setMembersPull(org.chivetally.wire.v1.MembersPull value) {
+      if (membersPullBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        membersPullBuilder_.setMessage(value);
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder setMembersPull(
+        org.chivetally.wire.v1.MembersPull.Builder builderForValue) {
+      if (membersPullBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        membersPullBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder mergeMembersPull(org.chivetally.wire.v1.MembersPull value) {
+      if (membersPullBuilder_ == null) {
+        if (bodyCase_ == 17 &&
+            body_ != org.chivetally.wire.v1.MembersPull.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.MembersPull.newBuilder((org.chivetally.wire.v1.MembersPull) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 17) {
+          membersPullBuilder_.mergeFrom(value);
+        } else {
+          membersPullBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 17;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public Builder clearMembersPull() {
+      if (membersPullBuilder_ == null) {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 17) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        membersPullBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    public org.chivetally.wire.v1.MembersPull.Builder getMembersPullBuilder() {
+      return internalGetMembersPullFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPullOrBuilder getMembersPullOrBuilder() {
+      if ((bodyCase_ == 17) && (membersPullBuilder_ != null)) {
+        return membersPullBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 17) {
+          return (org.chivetally.wire.v1.MembersPull) body_;
+        }
+        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder> 
+        internalGetMembersPullFieldBuilder() {
+      if (membersPullBuilder_ == null) {
+        if (!(bodyCase_ == 17)) {
+          body_ = org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+        }
+        membersPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder>(
+                (org.chivetally.wire.v1.MembersPull) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 17;
+      onChanged();
+      return membersPullBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder> membersPushBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * @return Whether the membersPush field is set.
+     */
+    @java.lang.Override
+    public boolean hasMembersPush() {
+      return bodyCase_ == 18;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * @return The membersPush.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPush getMembersPush() {
+      if (membersPushBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          return (org.chivetally.wire.v1.MembersPush) body_;
+        }
+        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 18) {
+          return membersPushBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder setMembersPush(org.chivetally.wire.v1.MembersPush value) {
+      if (membersPushBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        membersPushBuilder_.setMessage(value);
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder setMembersPush(
+        org.chivetally.wire.v1.MembersPush.Builder builderForValue) {
+      if (membersPushBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        membersPushBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder mergeMembersPush(org.chivetally.wire.v1.MembersPush value) {
+      if (membersPushBuilder_ == null) {
+        if (bodyCase_ == 18 &&
+            body_ != org.chivetally.wire.v1.MembersPush.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.MembersPush.newBuilder((org.chivetally.wire.v1.MembersPush) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 18) {
+          membersPushBuilder_.mergeFrom(value);
+        } else {
+          membersPushBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 18;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public Builder clearMembersPush() {
+      if (membersPushBuilder_ == null) {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 18) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        membersPushBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    public org.chivetally.wire.v1.MembersPush.Builder getMembersPushBuilder() {
+      return internalGetMembersPushFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.MembersPushOrBuilder getMembersPushOrBuilder() {
+      if ((bodyCase_ == 18) && (membersPushBuilder_ != null)) {
+        return membersPushBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 18) {
+          return (org.chivetally.wire.v1.MembersPush) body_;
+        }
+        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder> 
+        internalGetMembersPushFieldBuilder() {
+      if (membersPushBuilder_ == null) {
+        if (!(bodyCase_ == 18)) {
+          body_ = org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+        }
+        membersPushBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder>(
+                (org.chivetally.wire.v1.MembersPush) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 18;
+      onChanged();
+      return membersPushBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.LinkHello, org.chivetally.wire.v1.LinkHello.Builder, org.chivetally.wire.v1.LinkHelloOrBuilder> linkHelloBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     * @return Whether the linkHello field is set.
+     */
+    @java.lang.Override
+    public boolean hasLinkHello() {
+      return bodyCase_ == 19;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     * @return The linkHello.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.LinkHello getLinkHello() {
+      if (linkHelloBuilder_ == null) {
+        if (bodyCase_ == 19) {
+          return (org.chivetally.wire.v1.LinkHello) body_;
+        }
+        return org.chivetally.wire.v1.LinkHello.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 19) {
+          return linkHelloBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.LinkHello.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     */
+    public Builder setLinkHello(org.chivetally.wire.v1.LinkHello value) {
+      if (linkHelloBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        linkHelloBuilder_.setMessage(value);
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     */
+    public Builder setLinkHello(
+        org.chivetally.wire.v1.LinkHello.Builder builderForValue) {
+      if (linkHelloBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        linkHelloBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     */
+    public Builder mergeLinkHello(org.chivetally.wire.v1.LinkHello value) {
+      if (linkHelloBuilder_ == null) {
+        if (bodyCase_ == 19 &&
+            body_ != org.chivetally.wire.v1.LinkHello.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.LinkHello.newBuilder((org.chivetally.wire.v1.LinkHello) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 19) {
+          linkHelloBuilder_.mergeFrom(value);
+        } else {
+          linkHelloBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 19;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     */
+    public Builder clearLinkHello() {
+      if (linkHelloBuilder_ == null) {
+        if (bodyCase_ == 19) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 19) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        linkHelloBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     */
+    public org.chivetally.wire.v1.LinkHello.Builder getLinkHelloBuilder() {
+      return internalGetLinkHelloFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.LinkHelloOrBuilder getLinkHelloOrBuilder() {
+      if ((bodyCase_ == 19) && (linkHelloBuilder_ != null)) {
+        return linkHelloBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 19) {
+          return (org.chivetally.wire.v1.LinkHello) body_;
+        }
+        return org.chivetally.wire.v1.LinkHello.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.LinkHello, org.chivetally.wire.v1.LinkHello.Builder, org.chivetally.wire.v1.LinkHelloOrBuilder> 
+        internalGetLinkHelloFieldBuilder() {
+      if (linkHelloBuilder_ == null) {
+        if (!(bodyCase_ == 19)) {
+          body_ = org.chivetally.wire.v1.LinkHello.getDefaultInstance();
+        }
+        linkHelloBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.LinkHello, org.chivetally.wire.v1.LinkHello.Builder, org.chivetally.wire.v1.LinkHelloOrBuilder>(
+                (org.chivetally.wire.v1.LinkHello) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 19;
+      onChanged();
+      return linkHelloBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.EntryBeat, org.chivetally.wire.v1.EntryBeat.Builder, org.chivetally.wire.v1.EntryBeatOrBuilder> entryBeatBuilder_;
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     * @return Whether the entryBeat field is set.
+     */
+    @java.lang.Override
+    public boolean hasEntryBeat() {
+      return bodyCase_ == 20;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     * @return The entryBeat.
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.EntryBeat getEntryBeat() {
+      if (entryBeatBuilder_ == null) {
+        if (bodyCase_ == 20) {
+          return (org.chivetally.wire.v1.EntryBeat) body_;
+        }
+        return org.chivetally.wire.v1.EntryBeat.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 20) {
+          return entryBeatBuilder_.getMessage();
+        }
+        return org.chivetally.wire.v1.EntryBeat.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     */
+    public Builder setEntryBeat(org.chivetally.wire.v1.EntryBeat value) {
+      if (entryBeatBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        entryBeatBuilder_.setMessage(value);
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     */
+    public Builder setEntryBeat(
+        org.chivetally.wire.v1.EntryBeat.Builder builderForValue) {
+      if (entryBeatBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        entryBeatBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     */
+    public Builder mergeEntryBeat(org.chivetally.wire.v1.EntryBeat value) {
+      if (entryBeatBuilder_ == null) {
+        if (bodyCase_ == 20 &&
+            body_ != org.chivetally.wire.v1.EntryBeat.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.EntryBeat.newBuilder((org.chivetally.wire.v1.EntryBeat) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 20) {
+          entryBeatBuilder_.mergeFrom(value);
+        } else {
+          entryBeatBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 20;
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     */
+    public Builder clearEntryBeat() {
+      if (entryBeatBuilder_ == null) {
+        if (bodyCase_ == 20) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 20) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        entryBeatBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     */
+    public org.chivetally.wire.v1.EntryBeat.Builder getEntryBeatBuilder() {
+      return internalGetEntryBeatFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.EntryBeatOrBuilder getEntryBeatOrBuilder() {
+      if ((bodyCase_ == 20) && (entryBeatBuilder_ != null)) {
+        return entryBeatBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 20) {
+          return (org.chivetally.wire.v1.EntryBeat) body_;
+        }
+        return org.chivetally.wire.v1.EntryBeat.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.EntryBeat, org.chivetally.wire.v1.EntryBeat.Builder, org.chivetally.wire.v1.EntryBeatOrBuilder> 
+        internalGetEntryBeatFieldBuilder() {
+      if (entryBeatBuilder_ == null) {
+        if (!(bodyCase_ == 20)) {
+          body_ = org.chivetally.wire.v1.EntryBeat.getDefaultInstance();
+        }
+        entryBeatBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.EntryBeat, org.chivetally.wire.v1.EntryBeat.Builder, org.chivetally.wire.v1.EntryBeatOrBuilder>(
+                (org.chivetally.wire.v1.EntryBeat) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 20;
+      onChanged();
+      return entryBeatBuilder_;
+    }
+
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.AgentBeat, org.chivetally.wire.v1.AgentBeat.Builder, org.chivetally.wire.v1.AgentBeatOrBuilder> agentBeatBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
-     * @return Whether the cancel field is set.
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+     * @return Whether the agentBeat field is set.
      */
     @java.lang.Override
-    public boolean hasCancel() {
-      return bodyCase_ == 7;
+    public boolean hasAgentBeat() {
+      return bodyCase_ == 21;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
-     * @return The cancel.
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+     * @return The agentBeat.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.Cancel getCancel() {
-      if (cancelBuilder_ == null) {
-        if (bodyCase_ == 7) {
-          return (org.chivetally.wire.v1.Cancel) body_;
+    public org.chivetally.wire.v1.AgentBeat getAgentBeat() {
+      if (agentBeatBuilder_ == null) {
+        if (bodyCase_ == 21) {
+          return (org.chivetally.wire.v1.AgentBeat) body_;
         }
-        return org.chivetally.wire.v1.Cancel.getDefaultInstance();
+        return org.chivetally.wire.v1.AgentBeat.getDefaultInstance();
       } else {
-        if (bodyCase_ == 7) {
-          return cancelBuilder_.getMessage();
+        if (bodyCase_ == 21) {
+          return agentBeatBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.Cancel.getDefaultInstance();
+        return org.chivetally.wire.v1.AgentBeat.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
      */
-    public Builder setCancel(org.chivetally.wire.v1.Cancel value) {
-      if (cancelBuilder_ == null) {
+    public Builder setAgentBeat(org.chivetally.wire.v1.AgentBeat value) {
+      if (agentBeatBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        cancelBuilder_.setMessage(value);
+        agentBeatBuilder_.setMessage(value);
       }
-      bodyCase_ = 7;
+      bodyCase_ = 21;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
      */
-    public Builder setCancel(
-        org.chivetally.wire.v1.Cancel.Builder builderForValue) {
-      if (cancelBuilder_ == null) {
+    public Builder setAgentBeat(
+        org.chivetally.wire.v1.AgentBeat.Builder builderForValue) {
+      if (agentBeatBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        cancelBuilder_.setMessage(builderForValue.build());
+        agentBeatBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 7;
+      bodyCase_ = 21;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
      */
-    public Builder mergeCancel(org.chivetally.wire.v1.Cancel value) {
-      if (cancelBuilder_ == null) {
-        if (bodyCase_ == 7 &&
-            body_ != org.chivetally.wire.v1.Cancel.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.Cancel.newBuilder((org.chivetally.wire.v1.Cancel) body_)
+    public Builder mergeAgentBeat(org.chivetally.wire.v1.AgentBeat value) {
+      if (agentBeatBuilder_ == null) {
+        if (bodyCase_ == 21 &&
+            body_ != org.chivetally.wire.v1.AgentBeat.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.AgentBeat.newBuilder((org.chivetally.wire.v1.AgentBeat) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 7) {
-          cancelBuilder_.mergeFrom(value);
+        if (bodyCase_ == 21) {
+          agentBeatBuilder_.mergeFrom(value);
         } else {
-          cancelBuilder_.setMessage(value);
+          agentBeatBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 7;
+      bodyCase_ = 21;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
      */
-    public Builder clearCancel() {
-      if (cancelBuilder_ == null) {
-        if (bodyCase_ == 7) {
+    public Builder clearAgentBeat() {
+      if (agentBeatBuilder_ == null) {
+        if (bodyCase_ == 21) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 7) {
+        if (bodyCase_ == 21) {
           bodyCase_ = 0;
           body_ = null;
         }
-        cancelBuilder_.clear();
+        agentBeatBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
      */
-    public org.chivetally.wire.v1.Cancel.Builder getCancelBuilder() {
-      return internalGetCancelFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.AgentBeat.Builder getAgentBeatBuilder() {
+      return internalGetAgentBeatFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.CancelOrBuilder getCancelOrBuilder() {
-      if ((bodyCase_ == 7) && (cancelBuilder_ != null)) {
-        return cancelBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.AgentBeatOrBuilder getAgentBeatOrBuilder() {
+      if ((bodyCase_ == 21) && (agentBeatBuilder_ != null)) {
+        return agentBeatBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 7) {
-          return (org.chivetally.wire.v1.Cancel) body_;
+        if (bodyCase_ == 21) {
+          return (org.chivetally.wire.v1.AgentBeat) body_;
         }
-        return org.chivetally.wire.v1.Cancel.getDefaultInstance();
+        return org.chivetally.wire.v1.AgentBeat.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Cancel cancel = 7;</code>
+     * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Cancel, org.chivetally.wire.v1.Cancel.Builder, org.chivetally.wire.v1.CancelOrBuilder> 
-        internalGetCancelFieldBuilder() {
-      if (cancelBuilder_ == null) {
-        if (!(bodyCase_ == 7)) {
-          body_ = org.chivetally.wire.v1.Cancel.getDefaultInstance();
-        }
-        cancelBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.Cancel, org.chivetally.wire.v1.Cancel.Builder, org.chivetally.wire.v1.CancelOrBuilder>(
-                (org.chivetally.wire.v1.Cancel) body_,
+        org.chivetally.wire.v1.AgentBeat, org.chivetally.wire.v1.AgentBeat.Builder, org.chivetally.wire.v1.AgentBeatOrBuilder> 
+        internalGetAgentBeatFieldBuilder() {
+      if (agentBeatBuilder_ == null) {
+        if (!(bodyCase_ == 21)) {
+          body_ = org.chivetally.wire.v1.AgentBeat.getDefaultInstance();
+        }
+        agentBeatBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.AgentBeat, org.chivetally.wire.v1.AgentBeat.Builder, org.chivetally.wire.v1.AgentBeatOrBuilder>(
+                (org.chivetally.wire.v1.AgentBeat) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 7;
+      bodyCase_ = 21;
       onChanged();
-      return cancelBuilder_;
+      return agentBeatBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Inquiry, org.chivetally.wire.v1.Inquiry.Builder, org.chivetally.wire.v1.InquiryOrBuilder> inquiryBuilder_;
+        org.chivetally.wire.v1.RunInventory, org.chivetally.wire.v1.RunInventory.Builder, org.chivetally.wire.v1.RunInventoryOrBuilder> runInventoryBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
-     * @return Whether the inquiry field is set.
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+     * @return Whether the runInventory field is set.
      */
     @java.lang.Override
-    public boolean hasInquiry() {
-      return bodyCase_ == 8;
+    public boolean hasRunInventory() {
+      return bodyCase_ == 22;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
-     * @return The inquiry.
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+     * @return The runInventory.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.Inquiry getInquiry() {
-      if (inquiryBuilder_ == null) {
-        if (bodyCase_ == 8) {
-          return (org.chivetally.wire.v1.Inquiry) body_;
+    public org.chivetally.wire.v1.RunInventory getRunInventory() {
+      if (runInventoryBuilder_ == null) {
+        if (bodyCase_ == 22) {
+          return (org.chivetally.wire.v1.RunInventory) body_;
         }
-        return org.chivetally.wire.v1.Inquiry.getDefaultInstance();
+        return org.chivetally.wire.v1.RunInventory.getDefaultInstance();
       } else {
-        if (bodyCase_ == 8) {
-          return inquiryBuilder_.getMessage();
+        if (bodyCase_ == 22) {
+          return runInventoryBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.Inquiry.getDefaultInstance();
+        return org.chivetally.wire.v1.RunInventory.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
      */
-    public Builder setInquiry(org.chivetally.wire.v1.Inquiry value) {
-      if (inquiryBuilder_ == null) {
+    public Builder setRunInventory(org.chivetally.wire.v1.RunInventory value) {
+      if (runInventoryBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        inquiryBuilder_.setMessage(value);
+        runInventoryBuilder_.setMessage(value);
       }
-      bodyCase_ = 8;
+      bodyCase_ = 22;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
      */
-    public Builder setInquiry(
-        org.chivetally.wire.v1.Inquiry.Builder builderForValue) {
-      if (inquiryBuilder_ == null) {
+    public Builder setRunInventory(
+        org.chivetally.wire.v1.RunInventory.Builder builderForValue) {
+      if (runInventoryBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        inquiryBuilder_.setMessage(builderForValue.build());
+        runInventoryBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 8;
+      bodyCase_ = 22;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
      */
-    public Builder mergeInquiry(org.chivetally.wire.v1.Inquiry value) {
-      if (inquiryBuilder_ == null) {
-        if (bodyCase_ == 8 &&
-            body_ != org.chivetally.wire.v1.Inquiry.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.Inquiry.newBuilder((org.chivetally.wire.v1.Inquiry) body_)
+    public Builder mergeRunInventory(org.chivetally.wire.v1.RunInventory value) {
+      if (runInventoryBuilder_ == null) {
+        if (bodyCase_ == 22 &&
+            body_ != org.chivetally.wire.v1.RunInventory.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.RunInventory.newBuilder((org.chivetally.wire.v1.RunInventory) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 8) {
-          inquiryBuilder_.mergeFrom(value);
+        if (bodyCase_ == 22) {
+          runInventoryBuilder_.mergeFrom(value);
         } else {
-          inquiryBuilder_.setMessage(value);
+          runInventoryBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 8;
+      bodyCase_ = 22;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
      */
-    public Builder clearInquiry() {
-      if (inquiryBuilder_ == null) {
-        if (bodyCase_ == 8) {
+    public Builder clearRunInventory() {
+      if (runInventoryBuilder_ == null) {
+        if (bodyCase_ == 22) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 8) {
+        if (bodyCase_ == 22) {
           bodyCase_ = 0;
           body_ = null;
         }
-        inquiryBuilder_.clear();
+        runInventoryBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
      */
-    public org.chivetally.wire.v1.Inquiry.Builder getInquiryBuilder() {
-      return internalGetInquiryFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.RunInventory.Builder getRunInventoryBuilder() {
+      return internalGetRunInventoryFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.InquiryOrBuilder getInquiryOrBuilder() {
-      if ((bodyCase_ == 8) && (inquiryBuilder_ != null)) {
-        return inquiryBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.RunInventoryOrBuilder getRunInventoryOrBuilder() {
+      if ((bodyCase_ == 22) && (runInventoryBuilder_ != null)) {
+        return runInventoryBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 8) {
-          return (org.chivetally.wire.v1.Inquiry) body_;
+        if (bodyCase_ == 22) {
+          return (org.chivetally.wire.v1.RunInventory) body_;
         }
-        return org.chivetally.wire.v1.Inquiry.getDefaultInstance();
+        return org.chivetally.wire.v1.RunInventory.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Inquiry inquiry = 8;</code>
+     * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Inquiry, org.chivetally.wire.v1.Inquiry.Builder, org.chivetally.wire.v1.InquiryOrBuilder> 
-        internalGetInquiryFieldBuilder() {
-      if (inquiryBuilder_ == null) {
-        if (!(bodyCase_ == 8)) {
-          body_ = org.chivetally.wire.v1.Inquiry.getDefaultInstance();
-        }
-        inquiryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.Inquiry, org.chivetally.wire.v1.Inquiry.Builder, org.chivetally.wire.v1.InquiryOrBuilder>(
-                (org.chivetally.wire.v1.Inquiry) body_,
+        org.chivetally.wire.v1.RunInventory, org.chivetally.wire.v1.RunInventory.Builder, org.chivetally.wire.v1.RunInventoryOrBuilder> 
+        internalGetRunInventoryFieldBuilder() {
+      if (runInventoryBuilder_ == null) {
+        if (!(bodyCase_ == 22)) {
+          body_ = org.chivetally.wire.v1.RunInventory.getDefaultInstance();
+        }
+        runInventoryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.RunInventory, org.chivetally.wire.v1.RunInventory.Builder, org.chivetally.wire.v1.RunInventoryOrBuilder>(
+                (org.chivetally.wire.v1.RunInventory) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 8;
+      bodyCase_ = 22;
       onChanged();
-      return inquiryBuilder_;
+      return runInventoryBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.InquiryAnswer, org.chivetally.wire.v1.InquiryAnswer.Builder, org.chivetally.wire.v1.InquiryAnswerOrBuilder> inquiryAnswerBuilder_;
+        org.chivetally.wire.v1.RunStart, org.chivetally.wire.v1.RunStart.Builder, org.chivetally.wire.v1.RunStartOrBuilder> runStartBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
-     * @return Whether the inquiryAnswer field is set.
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+     * @return Whether the runStart field is set.
      */
     @java.lang.Override
-    public boolean hasInquiryAnswer() {
-      return bodyCase_ == 9;
+    public boolean hasRunStart() {
+      return bodyCase_ == 23;
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
-     * @return The inquiryAnswer.
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+     * @return The runStart.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.InquiryAnswer getInquiryAnswer() {
-      if (inquiryAnswerBuilder_ == null) {
-        if (bodyCase_ == 9) {
-          return (org.chivetally.wire.v1.InquiryAnswer) body_;
+    public org.chivetally.wire.v1.RunStart getRunStart() {
+      if (runStartBuilder_ == null) {
+        if (bodyCase_ == 23) {
+          return (org.chivetally.wire.v1.RunStart) body_;
         }
-        return org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.RunStart.getDefaultInstance();
       } else {
-        if (bodyCase_ == 9) {
-          return inquiryAnswerBuilder_.getMessage();
+        if (bodyCase_ == 23) {
+          return runStartBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.RunStart.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
      */
-    public Builder setInquiryAnswer(org.chivetally.wire.v1.InquiryAnswer value) {
-      if (inquiryAnswerBuilder_ == null) {
+    public Builder setRunStart(org.chivetally.wire.v1.RunStart value) {
+      if (runStartBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        inquiryAnswerBuilder_.setMessage(value);
+        runStartBuilder_.setMessage(value);
       }
-      bodyCase_ = 9;
+      bodyCase_ = 23;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
      */
-    public Builder setInquiryAnswer(
-        org.chivetally.wire.v1.InquiryAnswer.Builder builderForValue) {
-      if (inquiryAnswerBuilder_ == null) {
+    public Builder setRunStart(
+        org.chivetally.wire.v1.RunStart.Builder builderForValue) {
+      if (runStartBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        inquiryAnswerBuilder_.setMessage(builderForValue.build());
+        runStartBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 9;
+      bodyCase_ = 23;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
      */
-    public Builder mergeInquiryAnswer(org.chivetally.wire.v1.InquiryAnswer value) {
-      if (inquiryAnswerBuilder_ == null) {
-        if (bodyCase_ == 9 &&
-            body_ != org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.InquiryAnswer.newBuilder((org.chivetally.wire.v1.InquiryAnswer) body_)
+    public Builder mergeRunStart(org.chivetally.wire.v1.RunStart value) {
+      if (runStartBuilder_ == null) {
+        if (bodyCase_ == 23 &&
+            body_ != org.chivetally.wire.v1.RunStart.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.RunStart.newBuilder((org.chivetally.wire.v1.RunStart) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 9) {
-          inquiryAnswerBuilder_.mergeFrom(value);
+        if (bodyCase_ == 23) {
+          runStartBuilder_.mergeFrom(value);
         } else {
-          inquiryAnswerBuilder_.setMessage(value);
+          runStartBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 9;
+      bodyCase_ = 23;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
      */
-    public Builder clearInquiryAnswer() {
-      if (inquiryAnswerBuilder_ == null) {
-        if (bodyCase_ == 9) {
+    public Builder clearRunStart() {
+      if (runStartBuilder_ == null) {
+        if (bodyCase_ == 23) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 9) {
+        if (bodyCase_ == 23) {
           bodyCase_ = 0;
           body_ = null;
         }
-        inquiryAnswerBuilder_.clear();
+        runStartBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
      */
-    public org.chivetally.wire.v1.InquiryAnswer.Builder getInquiryAnswerBuilder() {
-      return internalGetInquiryAnswerFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.RunStart.Builder getRunStartBuilder() {
+      return internalGetRunStartFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.InquiryAnswerOrBuilder getInquiryAnswerOrBuilder() {
-      if ((bodyCase_ == 9) && (inquiryAnswerBuilder_ != null)) {
-        return inquiryAnswerBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.RunStartOrBuilder getRunStartOrBuilder() {
+      if ((bodyCase_ == 23) && (runStartBuilder_ != null)) {
+        return runStartBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 9) {
-          return (org.chivetally.wire.v1.InquiryAnswer) body_;
+        if (bodyCase_ == 23) {
+          return (org.chivetally.wire.v1.RunStart) body_;
         }
-        return org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.RunStart.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.InquiryAnswer inquiry_answer = 9;</code>
+     * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.InquiryAnswer, org.chivetally.wire.v1.InquiryAnswer.Builder, org.chivetally.wire.v1.InquiryAnswerOrBuilder> 
-        internalGetInquiryAnswerFieldBuilder() {
-      if (inquiryAnswerBuilder_ == null) {
-        if (!(bodyCase_ == 9)) {
-          body_ = org.chivetally.wire.v1.InquiryAnswer.getDefaultInstance();
-        }
-        inquiryAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.InquiryAnswer, org.chivetally.wire.v1.InquiryAnswer.Builder, org.chivetally.wire.v1.InquiryAnswerOrBuilder>(
-                (org.chivetally.wire.v1.InquiryAnswer) body_,
+        org.chivetally.wire.v1.RunStart, org.chivetally.wire.v1.RunStart.Builder, org.chivetally.wire.v1.RunStartOrBuilder> 
+        internalGetRunStartFieldBuilder() {
+      if (runStartBuilder_ == null) {
+        if (!(bodyCase_ == 23)) {
+          body_ = org.chivetally.wire.v1.RunStart.getDefaultInstance();
+        }
+        runStartBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.RunStart, org.chivetally.wire.v1.RunStart.Builder, org.chivetally.wire.v1.RunStartOrBuilder>(
+                (org.chivetally.wire.v1.RunStart) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 9;
+      bodyCase_ = 23;
       onChanged();
-      return inquiryAnswerBuilder_;
+      return runStartBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Attach, org.chivetally.wire.v1.Attach.Builder, org.chivetally.wire.v1.AttachOrBuilder> attachBuilder_;
+        org.chivetally.wire.v1.RunRefused, org.chivetally.wire.v1.RunRefused.Builder, org.chivetally.wire.v1.RunRefusedOrBuilder> runRefusedBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
-     * @return Whether the attach field is set.
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+     * @return Whether the runRefused field is set.
      */
     @java.lang.Override
-    public boolean hasAttach() {
-      return bodyCase_ == 10;
+    public boolean hasRunRefused() {
+      return bodyCase_ == 24;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
-     * @return The attach.
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+     * @return The runRefused.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.Attach getAttach() {
-      if (attachBuilder_ == null) {
-        if (bodyCase_ == 10) {
-          return (org.chivetally.wire.v1.Attach) body_;
+    public org.chivetally.wire.v1.RunRefused getRunRefused() {
+      if (runRefusedBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (org.chivetally.wire.v1.RunRefused) body_;
         }
-        return org.chivetally.wire.v1.Attach.getDefaultInstance();
+        return org.chivetally.wire.v1.RunRefused.getDefaultInstance();
       } else {
-        if (bodyCase_ == 10) {
-          return attachBuilder_.getMessage();
+        if (bodyCase_ == 24) {
+          return runRefusedBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.Attach.getDefaultInstance();
+        return org.chivetally.wire.v1.RunRefused.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
      */
-    public Builder setAttach(org.chivetally.wire.v1.Attach value) {
-      if (attachBuilder_ == null) {
+    public Builder setRunRefused(org.chivetally.wire.v1.RunRefused value) {
+      if (runRefusedBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        attachBuilder_.setMessage(value);
+        runRefusedBuilder_.setMessage(value);
       }
-      bodyCase_ = 10;
+      bodyCase_ = 24;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
      */
-    public Builder setAttach(
-        org.chivetally.wire.v1.Attach.Builder builderForValue) {
-      if (attachBuilder_ == null) {
+    public Builder setRunRefused(
+        org.chivetally.wire.v1.RunRefused.Builder builderForValue) {
+      if (runRefusedBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        attachBuilder_.setMessage(builderForValue.build());
+        runRefusedBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 10;
+      bodyCase_ = 24;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
      */
-    public Builder mergeAttach(org.chivetally.wire.v1.Attach value) {
-      if (attachBuilder_ == null) {
-        if (bodyCase_ == 10 &&
-            body_ != org.chivetally.wire.v1.Attach.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.Attach.newBuilder((org.chivetally.wire.v1.Attach) body_)
+    public Builder mergeRunRefused(org.chivetally.wire.v1.RunRefused value) {
+      if (runRefusedBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != org.chivetally.wire.v1.RunRefused.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.RunRefused.newBuilder((org.chivetally.wire.v1.RunRefused) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 10) {
-          attachBuilder_.mergeFrom(value);
+        if (bodyCase_ == 24) {
+          runRefusedBuilder_.mergeFrom(value);
         } else {
-          attachBuilder_.setMessage(value);
+          runRefusedBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 10;
+      bodyCase_ = 24;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
      */
-    public Builder clearAttach() {
-      if (attachBuilder_ == null) {
-        if (bodyCase_ == 10) {
+    public Builder clearRunRefused() {
+      if (runRefusedBuilder_ == null) {
+        if (bodyCase_ == 24) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 10) {
+        if (bodyCase_ == 24) {
           bodyCase_ = 0;
           body_ = null;
         }
-        attachBuilder_.clear();
+        runRefusedBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
      */
-    public org.chivetally.wire.v1.Attach.Builder getAttachBuilder() {
-      return internalGetAttachFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.RunRefused.Builder getRunRefusedBuilder() {
+      return internalGetRunRefusedFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.AttachOrBuilder getAttachOrBuilder() {
-      if ((bodyCase_ == 10) && (attachBuilder_ != null)) {
-        return attachBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.RunRefusedOrBuilder getRunRefusedOrBuilder() {
+      if ((bodyCase_ == 24) && (runRefusedBuilder_ != null)) {
+        return runRefusedBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 10) {
-          return (org.chivetally.wire.v1.Attach) body_;
+        if (bodyCase_ == 24) {
+          return (org.chivetally.wire.v1.RunRefused) body_;
         }
-        return org.chivetally.wire.v1.Attach.getDefaultInstance();
+        return org.chivetally.wire.v1.RunRefused.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Attach attach = 10;</code>
+     * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Attach, org.chivetally.wire.v1.Attach.Builder, org.chivetally.wire.v1.AttachOrBuilder> 
-        internalGetAttachFieldBuilder() {
-      if (attachBuilder_ == null) {
-        if (!(bodyCase_ == 10)) {
-          body_ = org.chivetally.wire.v1.Attach.getDefaultInstance();
-        }
-        attachBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.Attach, org.chivetally.wire.v1.Attach.Builder, org.chivetally.wire.v1.AttachOrBuilder>(
-                (org.chivetally.wire.v1.Attach) body_,
+        org.chivetally.wire.v1.RunRefused, org.chivetally.wire.v1.RunRefused.Builder, org.chivetally.wire.v1.RunRefusedOrBuilder> 
+        internalGetRunRefusedFieldBuilder() {
+      if (runRefusedBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = org.chivetally.wire.v1.RunRefused.getDefaultInstance();
+        }
+        runRefusedBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.RunRefused, org.chivetally.wire.v1.RunRefused.Builder, org.chivetally.wire.v1.RunRefusedOrBuilder>(
+                (org.chivetally.wire.v1.RunRefused) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 10;
+      bodyCase_ = 24;
       onChanged();
-      return attachBuilder_;
+      return runRefusedBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.JobAnswer, org.chivetally.wire.v1.JobAnswer.Builder, org.chivetally.wire.v1.JobAnswerOrBuilder> jobAnswerBuilder_;
+        org.chivetally.wire.v1.RunEnds, org.chivetally.wire.v1.RunEnds.Builder, org.chivetally.wire.v1.RunEndsOrBuilder> runEndsBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
-     * @return Whether the jobAnswer field is set.
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+     * @return Whether the runEnds field is set.
      */
     @java.lang.Override
-    public boolean hasJobAnswer() {
-      return bodyCase_ == 11;
+    public boolean hasRunEnds() {
+      return bodyCase_ == 25;
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
-     * @return The jobAnswer.
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+     * @return The runEnds.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.JobAnswer getJobAnswer() {
-      if (jobAnswerBuilder_ == null) {
-        if (bodyCase_ == 11) {
-          return (org.chivetally.wire.v1.JobAnswer) body_;
+    public org.chivetally.wire.v1.RunEnds getRunEnds() {
+      if (runEndsBuilder_ == null) {
+        if (bodyCase_ == 25) {
+          return (org.chivetally.wire.v1.RunEnds) body_;
         }
-        return org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.RunEnds.getDefaultInstance();
       } else {
-        if (bodyCase_ == 11) {
-          return jobAnswerBuilder_.getMessage();
+        if (bodyCase_ == 25) {
+          return runEndsBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.RunEnds.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
      */
-    public Builder setJobAnswer(org.chivetally.wire.v1.JobAnswer value) {
-      if (jobAnswerBuilder_ == null) {
+    public Builder setRunEnds(org.chivetally.wire.v1.RunEnds value) {
+      if (runEndsBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        jobAnswerBuilder_.setMessage(value);
+        runEndsBuilder_.setMessage(value);
       }
-      bodyCase_ = 11;
+      bodyCase_ = 25;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
      */
-    public Builder setJobAnswer(
-        org.chivetally.wire.v1.JobAnswer.Builder builderForValue) {
-      if (jobAnswerBuilder_ == null) {
+    public Builder setRunEnds(
+        org.chivetally.wire.v1.RunEnds.Builder builderForValue) {
+      if (runEndsBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        jobAnswerBuilder_.setMessage(builderForValue.build());
+        runEndsBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 11;
+      bodyCase_ = 25;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
      */
-    public Builder mergeJobAnswer(org.chivetally.wire.v1.JobAnswer value) {
-      if (jobAnswerBuilder_ == null) {
-        if (bodyCase_ == 11 &&
-            body_ != org.chivetally.wire.v1.JobAnswer.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.JobAnswer.newBuilder((org.chivetally.wire.v1.JobAnswer) body_)
+    public Builder mergeRunEnds(org.chivetally.wire.v1.RunEnds value) {
+      if (runEndsBuilder_ == null) {
+        if (bodyCase_ == 25 &&
+            body_ != org.chivetally.wire.v1.RunEnds.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.RunEnds.newBuilder((org.chivetally.wire.v1.RunEnds) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 11) {
-          jobAnswerBuilder_.mergeFrom(value);
+        if (bodyCase_ == 25) {
+          runEndsBuilder_.mergeFrom(value);
         } else {
-          jobAnswerBuilder_.setMessage(value);
+          runEndsBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 11;
+      bodyCase_ = 25;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
      */
-    public Builder clearJobAnswer() {
-      if (jobAnswerBuilder_ == null) {
-        if (bodyCase_ == 11) {
+    public Builder clearRunEnds() {
+      if (runEndsBuilder_ == null) {
+        if (bodyCase_ == 25) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 11) {
+        if (bodyCase_ == 25) {
           bodyCase_ = 0;
           body_ = null;
         }
-        jobAnswerBuilder_.clear();
+        runEndsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
      */
-    public org.chivetally.wire.v1.JobAnswer.Builder getJobAnswerBuilder() {
-      return internalGetJobAnswerFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.RunEnds.Builder getRunEndsBuilder() {
+      return internalGetRunEndsFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.JobAnswerOrBuilder getJobAnswerOrBuilder() {
-      if ((bodyCase_ == 11) && (jobAnswerBuilder_ != null)) {
-        return jobAnswerBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.RunEndsOrBuilder getRunEndsOrBuilder() {
+      if ((bodyCase_ == 25) && (runEndsBuilder_ != null)) {
+        return runEndsBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 11) {
-          return (org.chivetally.wire.v1.JobAnswer) body_;
+        if (bodyCase_ == 25) {
+          return (org.chivetally.wire.v1.RunEnds) body_;
         }
-        return org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.RunEnds.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.JobAnswer job_answer = 11;</code>
+     * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.JobAnswer, org.chivetally.wire.v1.JobAnswer.Builder, org.chivetally.wire.v1.JobAnswerOrBuilder> 
-        internalGetJobAnswerFieldBuilder() {
-      if (jobAnswerBuilder_ == null) {
-        if (!(bodyCase_ == 11)) {
-          body_ = org.chivetally.wire.v1.JobAnswer.getDefaultInstance();
-        }
-        jobAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.JobAnswer, org.chivetally.wire.v1.JobAnswer.Builder, org.chivetally.wire.v1.JobAnswerOrBuilder>(
-                (org.chivetally.wire.v1.JobAnswer) body_,
+        org.chivetally.wire.v1.RunEnds, org.chivetally.wire.v1.RunEnds.Builder, org.chivetally.wire.v1.RunEndsOrBuilder> 
+        internalGetRunEndsFieldBuilder() {
+      if (runEndsBuilder_ == null) {
+        if (!(bodyCase_ == 25)) {
+          body_ = org.chivetally.wire.v1.RunEnds.getDefaultInstance();
+        }
+        runEndsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.RunEnds, org.chivetally.wire.v1.RunEnds.Builder, org.chivetally.wire.v1.RunEndsOrBuilder>(
+                (org.chivetally.wire.v1.RunEnds) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 11;
+      bodyCase_ = 25;
       onChanged();
-      return jobAnswerBuilder_;
+      return runEndsBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.ConfigurationPull, org.chivetally.wire.v1.ConfigurationPull.Builder, org.chivetally.wire.v1.ConfigurationPullOrBuilder> configurationPullBuilder_;
+        org.chivetally.wire.v1.EndsKept, org.chivetally.wire.v1.EndsKept.Builder, org.chivetally.wire.v1.EndsKeptOrBuilder> endsKeptBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
-     * @return Whether the configurationPull field is set.
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+     * @return Whether the endsKept field is set.
      */
     @java.lang.Override
-    public boolean hasConfigurationPull() {
-      return bodyCase_ == 12;
+    public boolean hasEndsKept() {
+      return bodyCase_ == 26;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
-     * @return The configurationPull.
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+     * @return The endsKept.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.ConfigurationPull getConfigurationPull() {
-      if (configurationPullBuilder_ == null) {
-        if (bodyCase_ == 12) {
-          return (org.chivetally.wire.v1.ConfigurationPull) body_;
+    public org.chivetally.wire.v1.EndsKept getEndsKept() {
+      if (endsKeptBuilder_ == null) {
+        if (bodyCase_ == 26) {
+          return (org.chivetally.wire.v1.EndsKept) body_;
         }
-        return org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
+        return org.chivetally.wire.v1.EndsKept.getDefaultInstance();
       } else {
-        if (bodyCase_ == 12) {
-          return configurationPullBuilder_.getMessage();
+        if (bodyCase_ == 26) {
+          return endsKeptBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
+        return org.chivetally.wire.v1.EndsKept.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
      */
-    public Builder setConfigurationPull(org.chivetally.wire.v1.ConfigurationPull value) {
-      if (configurationPullBuilder_ == null) {
+    public Builder setEndsKept(org.chivetally.wire.v1.EndsKept value) {
+      if (endsKeptBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        configurationPullBuilder_.setMessage(value);
+        endsKeptBuilder_.setMessage(value);
       }
-      bodyCase_ = 12;
+      bodyCase_ = 26;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
      */
-    public Builder setConfigurationPull(
-        org.chivetally.wire.v1.ConfigurationPull.Builder builderForValue) {
-      if (configurationPullBuilder_ == null) {
+    public Builder setEndsKept(
+        org.chivetally.wire.v1.EndsKept.Builder builderForValue) {
+      if (endsKeptBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        configurationPullBuilder_.setMessage(builderForValue.build());
+        endsKeptBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 12;
+      bodyCase_ = 26;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
      */
-    public Builder mergeConfigurationPull(org.chivetally.wire.v1.ConfigurationPull value) {
-      if (configurationPullBuilder_ == null) {
-        if (bodyCase_ == 12 &&
-            body_ != org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.ConfigurationPull.newBuilder((org.chivetally.wire.v1.ConfigurationPull) body_)
+    public Builder mergeEndsKept(org.chivetally.wire.v1.EndsKept value) {
+      if (endsKeptBuilder_ == null) {
+        if (bodyCase_ == 26 &&
+            body_ != org.chivetally.wire.v1.EndsKept.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.EndsKept.newBuilder((org.chivetally.wire.v1.EndsKept) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 12) {
-          configurationPullBuilder_.mergeFrom(value);
+        if (bodyCase_ == 26) {
+          endsKeptBuilder_.mergeFrom(value);
         } else {
-          configurationPullBuilder_.setMessage(value);
+          endsKeptBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 12;
+      bodyCase_ = 26;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
      */
-    public Builder clearConfigurationPull() {
-      if (configurationPullBuilder_ == null) {
-        if (bodyCase_ == 12) {
+    public Builder clearEndsKept() {
+      if (endsKeptBuilder_ == null) {
+        if (bodyCase_ == 26) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 12) {
+        if (bodyCase_ == 26) {
           bodyCase_ = 0;
           body_ = null;
         }
-        configurationPullBuilder_.clear();
+        endsKeptBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
      */
-    public org.chivetally.wire.v1.ConfigurationPull.Builder getConfigurationPullBuilder() {
-      return internalGetConfigurationPullFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.EndsKept.Builder getEndsKeptBuilder() {
+      return internalGetEndsKeptFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.ConfigurationPullOrBuilder getConfigurationPullOrBuilder() {
-      if ((bodyCase_ == 12) && (configurationPullBuilder_ != null)) {
-        return configurationPullBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.EndsKeptOrBuilder getEndsKeptOrBuilder() {
+      if ((bodyCase_ == 26) && (endsKeptBuilder_ != null)) {
+        return endsKeptBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 12) {
-          return (org.chivetally.wire.v1.ConfigurationPull) body_;
+        if (bodyCase_ == 26) {
+          return (org.chivetally.wire.v1.EndsKept) body_;
         }
-        return org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
+        return org.chivetally.wire.v1.EndsKept.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPull configuration_pull = 12;</code>
+     * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.ConfigurationPull, org.chivetally.wire.v1.ConfigurationPull.Builder, org.chivetally.wire.v1.ConfigurationPullOrBuilder> 
-        internalGetConfigurationPullFieldBuilder() {
-      if (configurationPullBuilder_ == null) {
-        if (!(bodyCase_ == 12)) {
-          body_ = org.chivetally.wire.v1.ConfigurationPull.getDefaultInstance();
-        }
-        configurationPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.ConfigurationPull, org.chivetally.wire.v1.ConfigurationPull.Builder, org.chivetally.wire.v1.ConfigurationPullOrBuilder>(
-                (org.chivetally.wire.v1.ConfigurationPull) body_,
+        org.chivetally.wire.v1.EndsKept, org.chivetally.wire.v1.EndsKept.Builder, org.chivetally.wire.v1.EndsKeptOrBuilder> 
+        internalGetEndsKeptFieldBuilder() {
+      if (endsKeptBuilder_ == null) {
+        if (!(bodyCase_ == 26)) {
+          body_ = org.chivetally.wire.v1.EndsKept.getDefaultInstance();
+        }
+        endsKeptBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.EndsKept, org.chivetally.wire.v1.EndsKept.Builder, org.chivetally.wire.v1.EndsKeptOrBuilder>(
+                (org.chivetally.wire.v1.EndsKept) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 12;
+      bodyCase_ = 26;
       onChanged();
-      return configurationPullBuilder_;
+      return endsKeptBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.ConfigurationPush, org.chivetally.wire.v1.ConfigurationPush.Builder, org.chivetally.wire.v1.ConfigurationPushOrBuilder> configurationPushBuilder_;
+        org.chivetally.wire.v1.RunStop, org.chivetally.wire.v1.RunStop.Builder, org.chivetally.wire.v1.RunStopOrBuilder> runStopBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
-     * @return Whether the configurationPush field is set.
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+     * @return Whether the runStop field is set.
      */
     @java.lang.Override
-    public boolean hasConfigurationPush() {
-      return bodyCase_ == 13;
+    public boolean hasRunStop() {
+      return bodyCase_ == 27;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
-     * @return The configurationPush.
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+     * @return The runStop.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.ConfigurationPush getConfigurationPush() {
-      if (configurationPushBuilder_ == null) {
-        if (bodyCase_ == 13) {
-          return (org.chivetally.wire.v1.ConfigurationPush) body_;
+    public org.chivetally.wire.v1.RunStop getRunStop() {
+      if (runStopBuilder_ == null) {
+        if (bodyCase_ == 27) {
+          return (org.chivetally.wire.v1.RunStop) body_;
         }
-        return org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
+        return org.chivetally.wire.v1.RunStop.getDefaultInstance();
       } else {
-        if (bodyCase_ == 13) {
-          return configurationPushBuilder_.getMessage();
+        if (bodyCase_ == 27) {
+          return runStopBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
+        return org.chivetally.wire.v1.RunStop.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
      */
-    public Builder setConfigurationPush(org.chivetally.wire.v1.ConfigurationPush value) {
-      if (configurationPushBuilder_ == null) {
+    public Builder setRunStop(org.chivetally.wire.v1.RunStop value) {
+      if (runStopBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        configurationPushBuilder_.setMessage(value);
+        runStopBuilder_.setMessage(value);
       }
-      bodyCase_ = 13;
+      bodyCase_ = 27;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
      */
-    public Builder setConfigurationPush(
-        org.chivetally.wire.v1.ConfigurationPush.Builder builderForValue) {
-      if (configurationPushBuilder_ == null) {
+    public Builder setRunStop(
+        org.chivetally.wire.v1.RunStop.Builder builderForValue) {
+      if (runStopBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        configurationPushBuilder_.setMessage(builderForValue.build());
+        runStopBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 13;
+      bodyCase_ = 27;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
      */
-    public Builder mergeConfigurationPush(org.chivetally.wire.v1.ConfigurationPush value) {
-      if (configurationPushBuilder_ == null) {
-        if (bodyCase_ == 13 &&
-            body_ != org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.ConfigurationPush.newBuilder((org.chivetally.wire.v1.ConfigurationPush) body_)
+    public Builder mergeRunStop(org.chivetally.wire.v1.RunStop value) {
+      if (runStopBuilder_ == null) {
+        if (bodyCase_ == 27 &&
+            body_ != org.chivetally.wire.v1.RunStop.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.RunStop.newBuilder((org.chivetally.wire.v1.RunStop) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 13) {
-          configurationPushBuilder_.mergeFrom(value);
+        if (bodyCase_ == 27) {
+          runStopBuilder_.mergeFrom(value);
         } else {
-          configurationPushBuilder_.setMessage(value);
+          runStopBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 13;
+      bodyCase_ = 27;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
      */
-    public Builder clearConfigurationPush() {
-      if (configurationPushBuilder_ == null) {
-        if (bodyCase_ == 13) {
+    public Builder clearRunStop() {
+      if (runStopBuilder_ == null) {
+        if (bodyCase_ == 27) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 13) {
+        if (bodyCase_ == 27) {
           bodyCase_ = 0;
           body_ = null;
         }
-        configurationPushBuilder_.clear();
+        runStopBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
      */
-    public org.chivetally.wire.v1.ConfigurationPush.Builder getConfigurationPushBuilder() {
-      return internalGetConfigurationPushFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.RunStop.Builder getRunStopBuilder() {
+      return internalGetRunStopFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.ConfigurationPushOrBuilder getConfigurationPushOrBuilder() {
-      if ((bodyCase_ == 13) && (configurationPushBuilder_ != null)) {
-        return configurationPushBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.RunStopOrBuilder getRunStopOrBuilder() {
+      if ((bodyCase_ == 27) && (runStopBuilder_ != null)) {
+        return runStopBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 13) {
-          return (org.chivetally.wire.v1.ConfigurationPush) body_;
+        if (bodyCase_ == 27) {
+          return (org.chivetally.wire.v1.RunStop) body_;
         }
-        return org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
+        return org.chivetally.wire.v1.RunStop.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.ConfigurationPush configuration_push = 13;</code>
+     * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.ConfigurationPush, org.chivetally.wire.v1.ConfigurationPush.Builder, org.chivetally.wire.v1.ConfigurationPushOrBuilder> 
-        internalGetConfigurationPushFieldBuilder() {
-      if (configurationPushBuilder_ == null) {
-        if (!(bodyCase_ == 13)) {
-          body_ = org.chivetally.wire.v1.ConfigurationPush.getDefaultInstance();
-        }
-        configurationPushBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.ConfigurationPush, org.chivetally.wire.v1.ConfigurationPush.Builder, org.chivetally.wire.v1.ConfigurationPushOrBuilder>(
-                (org.chivetally.wire.v1.ConfigurationPush) body_,
+        org.chivetally.wire.v1.RunStop, org.chivetally.wire.v1.RunStop.Builder, org.chivetally.wire.v1.RunStopOrBuilder> 
+        internalGetRunStopFieldBuilder() {
+      if (runStopBuilder_ == null) {
+        if (!(bodyCase_ == 27)) {
+          body_ = org.chivetally.wire.v1.RunStop.getDefaultInstance();
+        }
+        runStopBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.RunStop, org.chivetally.wire.v1.RunStop.Builder, org.chivetally.wire.v1.RunStopOrBuilder>(
+                (org.chivetally.wire.v1.RunStop) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 13;
+      bodyCase_ = 27;
       onChanged();
-      return configurationPushBuilder_;
+      return runStopBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Leaving, org.chivetally.wire.v1.Leaving.Builder, org.chivetally.wire.v1.LeavingOrBuilder> leavingBuilder_;
+        org.chivetally.wire.v1.JobSubmission, org.chivetally.wire.v1.JobSubmission.Builder, org.chivetally.wire.v1.JobSubmissionOrBuilder> jobSubmissionBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
-     * @return Whether the leaving field is set.
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+     * @return Whether the jobSubmission field is set.
      */
     @java.lang.Override
-    public boolean hasLeaving() {
-      return bodyCase_ == 14;
+    public boolean hasJobSubmission() {
+      return bodyCase_ == 28;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
-     * @return The leaving.
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+     * @return The jobSubmission.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.Leaving getLeaving() {
-      if (leavingBuilder_ == null) {
-        if (bodyCase_ == 14) {
-          return (org.chivetally.wire.v1.Leaving) body_;
+    public org.chivetally.wire.v1.JobSubmission getJobSubmission() {
+      if (jobSubmissionBuilder_ == null) {
+        if (bodyCase_ == 28) {
+          return (org.chivetally.wire.v1.JobSubmission) body_;
         }
-        return org.chivetally.wire.v1.Leaving.getDefaultInstance();
+        return org.chivetally.wire.v1.JobSubmission.getDefaultInstance();
       } else {
-        if (bodyCase_ == 14) {
-          return leavingBuilder_.getMessage();
+        if (bodyCase_ == 28) {
+          return jobSubmissionBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.Leaving.getDefaultInstance();
+        return org.chivetally.wire.v1.JobSubmission.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
      */
-    public Builder setLeaving(org.chivetally.wire.v1.Leaving value) {
-      if (leavingBuilder_ == null) {
+    public Builder setJobSubmission(org.chivetally.wire.v1.JobSubmission value) {
+      if (jobSubmissionBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        leavingBuilder_.setMessage(value);
+        jobSubmissionBuilder_.setMessage(value);
       }
-      bodyCase_ = 14;
+      bodyCase_ = 28;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
      */
-    public Builder setLeaving(
-        org.chivetally.wire.v1.Leaving.Builder builderForValue) {
-      if (leavingBuilder_ == null) {
+    public Builder setJobSubmission(
+        org.chivetally.wire.v1.JobSubmission.Builder builderForValue) {
+      if (jobSubmissionBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        leavingBuilder_.setMessage(builderForValue.build());
+        jobSubmissionBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 14;
+      bodyCase_ = 28;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
      */
-    public Builder mergeLeaving(org.chivetally.wire.v1.Leaving value) {
-      if (leavingBuilder_ == null) {
-        if (bodyCase_ == 14 &&
-            body_ != org.chivetally.wire.v1.Leaving.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.Leaving.newBuilder((org.chivetally.wire.v1.Leaving) body_)
+    public Builder mergeJobSubmission(org.chivetally.wire.v1.JobSubmission value) {
+      if (jobSubmissionBuilder_ == null) {
+        if (bodyCase_ == 28 &&
+            body_ != org.chivetally.wire.v1.JobSubmission.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.JobSubmission.newBuilder((org.chivetally.wire.v1.JobSubmission) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 14) {
-          leavingBuilder_.mergeFrom(value);
+        if (bodyCase_ == 28) {
+          jobSubmissionBuilder_.mergeFrom(value);
         } else {
-          leavingBuilder_.setMessage(value);
+          jobSubmissionBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 14;
+      bodyCase_ = 28;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
      */
-    public Builder clearLeaving() {
-      if (leavingBuilder_ == null) {
-        if (bodyCase_ == 14) {
+    public Builder clearJobSubmission() {
+      if (jobSubmissionBuilder_ == null) {
+        if (bodyCase_ == 28) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 14) {
+        if (bodyCase_ == 28) {
           bodyCase_ = 0;
           body_ = null;
         }
-        leavingBuilder_.clear();
+        jobSubmissionBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
      */
-    public org.chivetally.wire.v1.Leaving.Builder getLeavingBuilder() {
-      return internalGetLeavingFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.JobSubmission.Builder getJobSubmissionBuilder() {
+      return internalGetJobSubmissionFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.LeavingOrBuilder getLeavingOrBuilder() {
-      if ((bodyCase_ == 14) && (leavingBuilder_ != null)) {
-        return leavingBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.JobSubmissionOrBuilder getJobSubmissionOrBuilder() {
+      if ((bodyCase_ == 28) && (jobSubmissionBuilder_ != null)) {
+        return jobSubmissionBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 14) {
-          return (org.chivetally.wire.v1.Leaving) body_;
+        if (bodyCase_ == 28) {
+          return (org.chivetally.wire.v1.JobSubmission) body_;
         }
-        return org.chivetally.wire.v1.Leaving.getDefaultInstance();
+        return org.chivetally.wire.v1.JobSubmission.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.Leaving leaving = 14;</code>
+     * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.Leaving, org.chivetally.wire.v1.Leaving.Builder, org.chivetally.wire.v1.LeavingOrBuilder> 
-        internalGetLeavingFieldBuilder() {
-      if (leavingBuilder_ == null) {
-        if (!(bodyCase_ == 14)) {
-          body_ = org.chivetally.wire.v1.Leaving.getDefaultInstance();
-        }
-        leavingBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.Leaving, org.chivetally.wire.v1.Leaving.Builder, org.chivetally.wire.v1.LeavingOrBuilder>(
-                (org.chivetally.wire.v1.Leaving) body_,
+        org.chivetally.wire.v1.JobSubmission, org.chivetally.wire.v1.JobSubmission.Builder, org.chivetally.wire.v1.JobSubmissionOrBuilder> 
+        internalGetJobSubmissionFieldBuilder() {
+      if (jobSubmissionBuilder_ == null) {
+        if (!(bodyCase_ == 28)) {
+          body_ = org.chivetally.wire.v1.JobSubmission.getDefaultInstance();
+        }
+        jobSubmissionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.JobSubmission, org.chivetally.wire.v1.JobSubmission.Builder, org.chivetally.wire.v1.JobSubmissionOrBuilder>(
+                (org.chivetally.wire.v1.JobSubmission) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 14;
+      bodyCase_ = 28;
       onChanged();
-      return leavingBuilder_;
+      return jobSubmissionBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.SuspicionQuery, org.chivetally.wire.v1.SuspicionQuery.Builder, org.chivetally.wire.v1.SuspicionQueryOrBuilder> suspicionQueryBuilder_;
+        org.chivetally.wire.v1.JobQuery, org.chivetally.wire.v1.JobQuery.Builder, org.chivetally.wire.v1.JobQueryOrBuilder> jobQueryBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
-     * @return Whether the suspicionQuery field is set.
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+     * @return Whether the jobQuery field is set.
      */
     @java.lang.Override
-    public boolean hasSuspicionQuery() {
-      return bodyCase_ == 15;
+    public boolean hasJobQuery() {
+      return bodyCase_ == 29;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
-     * @return The suspicionQuery.
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+     * @return The jobQuery.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.SuspicionQuery getSuspicionQuery() {
-      if (suspicionQueryBuilder_ == null) {
-        if (bodyCase_ == 15) {
-          return (org.chivetally.wire.v1.SuspicionQuery) body_;
+    public org.chivetally.wire.v1.JobQuery getJobQuery() {
+      if (jobQueryBuilder_ == null) {
+        if (bodyCase_ == 29) {
+          return (org.chivetally.wire.v1.JobQuery) body_;
         }
-        return org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
+        return org.chivetally.wire.v1.JobQuery.getDefaultInstance();
       } else {
-        if (bodyCase_ == 15) {
-          return suspicionQueryBuilder_.getMessage();
+        if (bodyCase_ == 29) {
+          return jobQueryBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
+        return org.chivetally.wire.v1.JobQuery.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
      */
-    public Builder setSuspicionQuery(org.chivetally.wire.v1.SuspicionQuery value) {
-      if (suspicionQueryBuilder_ == null) {
+    public Builder setJobQuery(org.chivetally.wire.v1.JobQuery value) {
+      if (jobQueryBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        suspicionQueryBuilder_.setMessage(value);
+        jobQueryBuilder_.setMessage(value);
       }
-      bodyCase_ = 15;
+      bodyCase_ = 29;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
      */
-    public Builder setSuspicionQuery(
-        org.chivetally.wire.v1.SuspicionQuery.Builder builderForValue) {
-      if (suspicionQueryBuilder_ == null) {
+    public Builder setJobQuery(
+        org.chivetally.wire.v1.JobQuery.Builder builderForValue) {
+      if (jobQueryBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        suspicionQueryBuilder_.setMessage(builderForValue.build());
+        jobQueryBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 15;
+      bodyCase_ = 29;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
      */
-    public Builder mergeSuspicionQuery(org.chivetally.wire.v1.SuspicionQuery value) {
-      if (suspicionQueryBuilder_ == null) {
-        if (bodyCase_ == 15 &&
-            body_ != org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.SuspicionQuery.newBuilder((org.chivetally.wire.v1.SuspicionQuery) body_)
+    public Builder mergeJobQuery(org.chivetally.wire.v1.JobQuery value) {
+      if (jobQueryBuilder_ == null) {
+        if (bodyCase_ == 29 &&
+            body_ != org.chivetally.wire.v1.JobQuery.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.JobQuery.newBuilder((org.chivetally.wire.v1.JobQuery) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 15) {
-          suspicionQueryBuilder_.mergeFrom(value);
+        if (bodyCase_ == 29) {
+          jobQueryBuilder_.mergeFrom(value);
         } else {
-          suspicionQueryBuilder_.setMessage(value);
+          jobQueryBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 15;
+      bodyCase_ = 29;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
      */
-    public Builder clearSuspicionQuery() {
-      if (suspicionQueryBuilder_ == null) {
-        if (bodyCase_ == 15) {
+    public Builder clearJobQuery() {
+      if (jobQueryBuilder_ == null) {
+        if (bodyCase_ == 29) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 15) {
+        if (bodyCase_ == 29) {
           bodyCase_ = 0;
           body_ = null;
         }
-        suspicionQueryBuilder_.clear();
+        jobQueryBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
      */
-    public org.chivetally.wire.v1.SuspicionQuery.Builder getSuspicionQueryBuilder() {
-      return internalGetSuspicionQueryFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.JobQuery.Builder getJobQueryBuilder() {
+      return internalGetJobQueryFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.SuspicionQueryOrBuilder getSuspicionQueryOrBuilder() {
-      if ((bodyCase_ == 15) && (suspicionQueryBuilder_ != null)) {
-        return suspicionQueryBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.JobQueryOrBuilder getJobQueryOrBuilder() {
+      if ((bodyCase_ == 29) && (jobQueryBuilder_ != null)) {
+        return jobQueryBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 15) {
-          return (org.chivetally.wire.v1.SuspicionQuery) body_;
+        if (bodyCase_ == 29) {
+          return (org.chivetally.wire.v1.JobQuery) body_;
         }
-        return org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
+        return org.chivetally.wire.v1.JobQuery.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionQuery suspicion_query = 15;</code>
+     * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.SuspicionQuery, org.chivetally.wire.v1.SuspicionQuery.Builder, org.chivetally.wire.v1.SuspicionQueryOrBuilder> 
-        internalGetSuspicionQueryFieldBuilder() {
-      if (suspicionQueryBuilder_ == null) {
-        if (!(bodyCase_ == 15)) {
-          body_ = org.chivetally.wire.v1.SuspicionQuery.getDefaultInstance();
-        }
-        suspicionQueryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.SuspicionQuery, org.chivetally.wire.v1.SuspicionQuery.Builder, org.chivetally.wire.v1.SuspicionQueryOrBuilder>(
-                (org.chivetally.wire.v1.SuspicionQuery) body_,
+        org.chivetally.wire.v1.JobQuery, org.chivetally.wire.v1.JobQuery.Builder, org.chivetally.wire.v1.JobQueryOrBuilder> 
+        internalGetJobQueryFieldBuilder() {
+      if (jobQueryBuilder_ == null) {
+        if (!(bodyCase_ == 29)) {
+          body_ = org.chivetally.wire.v1.JobQuery.getDefaultInstance();
+        }
+        jobQueryBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.JobQuery, org.chivetally.wire.v1.JobQuery.Builder, org.chivetally.wire.v1.JobQueryOrBuilder>(
+                (org.chivetally.wire.v1.JobQuery) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 15;
+      bodyCase_ = 29;
       onChanged();
-      return suspicionQueryBuilder_;
+      return jobQueryBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.SuspicionAnswer, org.chivetally.wire.v1.SuspicionAnswer.Builder, org.chivetally.wire.v1.SuspicionAnswerOrBuilder> suspicionAnswerBuilder_;
+        org.chivetally.wire.v1.JobCancellation, org.chivetally.wire.v1.JobCancellation.Builder, org.chivetally.wire.v1.JobCancellationOrBuilder> jobCancellationBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
-     * @return Whether the suspicionAnswer field is set.
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+     * @return Whether the jobCancellation field is set.
      */
     @java.lang.Override
-    public boolean hasSuspicionAnswer() {
-      return bodyCase_ == 16;
+    public boolean hasJobCancellation() {
+      return bodyCase_ == 30;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
-     * @return The suspicionAnswer.
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+     * @return The jobCancellation.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.SuspicionAnswer getSuspicionAnswer() {
-      if (suspicionAnswerBuilder_ == null) {
-        if (bodyCase_ == 16) {
-          return (org.chivetally.wire.v1.SuspicionAnswer) body_;
+    public org.chivetally.wire.v1.JobCancellation getJobCancellation() {
+      if (jobCancellationBuilder_ == null) {
+        if (bodyCase_ == 30) {
+          return (org.chivetally.wire.v1.JobCancellation) body_;
         }
-        return org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.JobCancellation.getDefaultInstance();
       } else {
-        if (bodyCase_ == 16) {
-          return suspicionAnswerBuilder_.getMessage();
+        if (bodyCase_ == 30) {
+          return jobCancellationBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.JobCancellation.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
      */
-    public Builder setSuspicionAnswer(org.chivetally.wire.v1.SuspicionAnswer value) {
-      if (suspicionAnswerBuilder_ == null) {
+    public Builder setJobCancellation(org.chivetally.wire.v1.JobCancellation value) {
+      if (jobCancellationBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        suspicionAnswerBuilder_.setMessage(value);
+        jobCancellationBuilder_.setMessage(value);
       }
-      bodyCase_ = 16;
+      bodyCase_ = 30;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
      */
-    public Builder setSuspicionAnswer(
-        org.chivetally.wire.v1.SuspicionAnswer.Builder builderForValue) {
-      if (suspicionAnswerBuilder_ == null) {
+    public Builder setJobCancellation(
+        org.chivetally.wire.v1.JobCancellation.Builder builderForValue) {
+      if (jobCancellationBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        suspicionAnswerBuilder_.setMessage(builderForValue.build());
+        jobCancellationBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 16;
+      bodyCase_ = 30;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
      */
-    public Builder mergeSuspicionAnswer(org.chivetally.wire.v1.SuspicionAnswer value) {
-      if (suspicionAnswerBuilder_ == null) {
-        if (bodyCase_ == 16 &&
-            body_ != org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.SuspicionAnswer.newBuilder((org.chivetally.wire.v1.SuspicionAnswer) body_)
+    public Builder mergeJobCancellation(org.chivetally.wire.v1.JobCancellation value) {
+      if (jobCancellationBuilder_ == null) {
+        if (bodyCase_ == 30 &&
+            body_ != org.chivetally.wire.v1.JobCancellation.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.JobCancellation.newBuilder((org.chivetally.wire.v1.JobCancellation) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 16) {
-          suspicionAnswerBuilder_.mergeFrom(value);
+        if (bodyCase_ == 30) {
+          jobCancellationBuilder_.mergeFrom(value);
         } else {
-          suspicionAnswerBuilder_.setMessage(value);
+          jobCancellationBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 16;
+      bodyCase_ = 30;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
      */
-    public Builder clearSuspicionAnswer() {
-      if (suspicionAnswerBuilder_ == null) {
-        if (bodyCase_ == 16) {
+    public Builder clearJobCancellation() {
+      if (jobCancellationBuilder_ == null) {
+        if (bodyCase_ == 30) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 16) {
+        if (bodyCase_ == 30) {
           bodyCase_ = 0;
           body_ = null;
         }
-        suspicionAnswerBuilder_.clear();
+        jobCancellationBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
      */
-    public org.chivetally.wire.v1.SuspicionAnswer.Builder getSuspicionAnswerBuilder() {
-      return internalGetSuspicionAnswerFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.JobCancellation.Builder getJobCancellationBuilder() {
+      return internalGetJobCancellationFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.SuspicionAnswerOrBuilder getSuspicionAnswerOrBuilder() {
-      if ((bodyCase_ == 16) && (suspicionAnswerBuilder_ != null)) {
-        return suspicionAnswerBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.JobCancellationOrBuilder getJobCancellationOrBuilder() {
+      if ((bodyCase_ == 30) && (jobCancellationBuilder_ != null)) {
+        return jobCancellationBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 16) {
-          return (org.chivetally.wire.v1.SuspicionAnswer) body_;
+        if (bodyCase_ == 30) {
+          return (org.chivetally.wire.v1.JobCancellation) body_;
         }
-        return org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
+        return org.chivetally.wire.v1.JobCancellation.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.SuspicionAnswer suspicion_answer = 16;</code>
+     * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.SuspicionAnswer, org.chivetally.wire.v1.SuspicionAnswer.Builder, org.chivetally.wire.v1.SuspicionAnswerOrBuilder> 
-        internalGetSuspicionAnswerFieldBuilder() {
-      if (suspicionAnswerBuilder_ == null) {
-        if (!(bodyCase_ == 16)) {
-          body_ = org.chivetally.wire.v1.SuspicionAnswer.getDefaultInstance();
-        }
-        suspicionAnswerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.SuspicionAnswer, org.chivetally.wire.v1.SuspicionAnswer.Builder, org.chivetally.wire.v1.SuspicionAnswerOrBuilder>(
-                (org.chivetally.wire.v1.SuspicionAnswer) body_,
+        org.chivetally.wire.v1.JobCancellation, org.chivetally.wire.v1.JobCancellation.Builder, org.chivetally.wire.v1.JobCancellationOrBuilder> 
+        internalGetJobCancellationFieldBuilder() {
+      if (jobCancellationBuilder_ == null) {
+        if (!(bodyCase_ == 30)) {
+          body_ = org.chivetally.wire.v1.JobCancellation.getDefaultInstance();
+        }
+        jobCancellationBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.JobCancellation, org.chivetally.wire.v1.JobCancellation.Builder, org.chivetally.wire.v1.JobCancellationOrBuilder>(
+                (org.chivetally.wire.v1.JobCancellation) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 16;
+      bodyCase_ = 30;
       onChanged();
-      return suspicionAnswerBuilder_;
+      return jobCancellationBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder> membersPullBuilder_;
+        org.chivetally.wire.v1.JobReply, org.chivetally.wire.v1.JobReply.Builder, org.chivetally.wire.v1.JobReplyOrBuilder> jobReplyBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
-     * @return Whether the membersPull field is set.
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+     * @return Whether the jobReply field is set.
      */
     @java.lang.Override
-    public boolean hasMembersPull() {
-      return bodyCase_ == 17;
+    public boolean hasJobReply() {
+      return bodyCase_ == 31;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
-     * @return The membersPull.
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+     * @return The jobReply.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.MembersPull getMembersPull() {
-      if (membersPullBuilder_ == null) {
-        if (bodyCase_ == 17) {
-          return (org.chivetally.wire.v1.MembersPull) body_;
+    public org.chivetally.wire.v1.JobReply getJobReply() {
+      if (jobReplyBuilder_ == null) {
+        if (bodyCase_ == 31) {
+          return (org.chivetally.wire.v1.JobReply) body_;
         }
-        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+        return org.chivetally.wire.v1.JobReply.getDefaultInstance();
       } else {
-        if (bodyCase_ == 17) {
-          return membersPullBuilder_.getMessage();
+        if (bodyCase_ == 31) {
+          return jobReplyBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+        return org.chivetally.wire.v1.JobReply.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
      */
-    public Builder setMembersPull(org.chivetally.wire.v1.MembersPull value) {
-      if (membersPullBuilder_ == null) {
+    public Builder setJobReply(org.chivetally.wire.v1.JobReply value) {
+      if (jobReplyBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
-        membersPullBuilder_.setMessage(value);
+        jobReplyBuilder_.setMessage(value);
       }
-      bodyCase_ = 17;
+      bodyCase_ = 31;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
      */
-    public Builder setMembersPull(
-        org.chivetally.wire.v1.MembersPull.Builder builderForValue) {
-      if (membersPullBuilder_ == null) {
+    public Builder setJobReply(
+        org.chivetally.wire.v1.JobReply.Builder builderForValue) {
+      if (jobReplyBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        membersPullBuilder_.setMessage(builderForValue.build());
+        jobReplyBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 17;
+      bodyCase_ = 31;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
      */
-    public Builder mergeMembersPull(org.chivetally.wire.v1.MembersPull value) {
-      if (membersPullBuilder_ == null) {
-        if (bodyCase_ == 17 &&
-            body_ != org.chivetally.wire.v1.MembersPull.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.MembersPull.newBuilder((org.chivetally.wire.v1.MembersPull) body_)
+    public Builder mergeJobReply(org.chivetally.wire.v1.JobReply value) {
+      if (jobReplyBuilder_ == null) {
+        if (bodyCase_ == 31 &&
+            body_ != org.chivetally.wire.v1.JobReply.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.JobReply.newBuilder((org.chivetally.wire.v1.JobReply) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 17) {
-          membersPullBuilder_.mergeFrom(value);
+        if (bodyCase_ == 31) {
+          jobReplyBuilder_.mergeFrom(value);
         } else {
-          membersPullBuilder_.setMessage(value);
+          jobReplyBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 17;
+      bodyCase_ = 31;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
      */
-    public Builder clearMembersPull() {
-      if (membersPullBuilder_ == null) {
-        if (bodyCase_ == 17) {
+    public Builder clearJobReply() {
+      if (jobReplyBuilder_ == null) {
+        if (bodyCase_ == 31) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 17) {
+        if (bodyCase_ == 31) {
           bodyCase_ = 0;
           body_ = null;
         }
-        membersPullBuilder_.clear();
+        jobReplyBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
      */
-    public org.chivetally.wire.v1.MembersPull.Builder getMembersPullBuilder() {
-      return internalGetMembersPullFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.JobReply.Builder getJobReplyBuilder() {
+      return internalGetJobReplyFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.MembersPullOrBuilder getMembersPullOrBuilder() {
-      if ((bodyCase_ == 17) && (membersPullBuilder_ != null)) {
-        return membersPullBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.JobReplyOrBuilder getJobReplyOrBuilder() {
+      if ((bodyCase_ == 31) && (jobReplyBuilder_ != null)) {
+        return jobReplyBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 17) {
-          return (org.chivetally.wire.v1.MembersPull) body_;
+        if (bodyCase_ == 31) {
+          return (org.chivetally.wire.v1.JobReply) body_;
         }
-        return org.chivetally.wire.v1.MembersPull.getDefaultInstance();
+        return org.chivetally.wire.v1.JobReply.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPull members_pull = 17;</code>
+     * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder> 
-        internalGetMembersPullFieldBuilder() {
-      if (membersPullBuilder_ == null) {
-        if (!(bodyCase_ == 17)) {
-          body_ = org.chivetally.wire.v1.MembersPull.getDefaultInstance();
-        }
-        membersPullBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.MembersPull, org.chivetally.wire.v1.MembersPull.Builder, org.chivetally.wire.v1.MembersPullOrBuilder>(
-                (org.chivetally.wire.v1.MembersPull) body_,
+        org.chivetally.wire.v1.JobReply, org.chivetally.wire.v1.JobReply.Builder, org.chivetally.wire.v1.JobReplyOrBuilder> 
+        internalGetJobReplyFieldBuilder() {
+      if (jobReplyBuilder_ == null) {
+        if (!(bodyCase_ == 31)) {
+          body_ = org.chivetally.wire.v1.JobReply.getDefaultInstance();
+        }
+        jobReplyBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.JobReply, org.chivetally.wire.v1.JobReply.Builder, org.chivetally.wire.v1.JobReplyOrBuilder>(
+                (org.chivetally.wire.v1.JobReply) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 17;
+      bodyCase_ = 31;
       onChanged();
-      return membersPullBuilder_;
+      return jobReplyBuilder_;
     }
 
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder> membersPushBuilder_;
+        org.chivetally.wire.v1.BeatEcho, org.chivetally.wire.v1.BeatEcho.Builder, org.chivetally.wire.v1.BeatEchoOrBuilder> beatEchoBuilder_;
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
-     * @return Whether the membersPush field is set.
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+     * @return Whether the beatEcho field is set.
      */
     @java.lang.Override
-    public boolean hasMembersPush() {
-      return bodyCase_ == 18;
+    public boolean hasBeatEcho() {
+      return bodyCase_ == 32;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
-     * @return The membersPush.
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+     * @return The beatEcho.
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.MembersPush getMembersPush() {
-      if (membersPushBuilder_ == null) {
-        if (bodyCase_ == 18) {
-          return (org.chivetally.wire.v1.MembersPush) body_;
+    public org.chivetally.wire.v1.BeatEcho getBeatEcho() {
+      if (beatEchoBuilder_ == null) {
+        if (bodyCase_ == 32) {
+          return (org.chivetally.wire.v1.BeatEcho) body_;
         }
-        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+        return org.chivetally.wire.v1.BeatEcho.getDefaultInstance();
       } else {
-        if (bodyCase_ == 18) {
-          return membersPushBuilder_.getMessage();
+        if (bodyCase_ == 32) {
+          return beatEchoBuilder_.getMessage();
         }
-        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+        return org.chivetally.wire.v1.BeatEcho.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
      */
-    public Builder setMembersPush(org.chivetally.wire.v1.MembersPush value) {
-      if (membersPushBuilder_ == null) {
+    public Builder setBeatEcho(org.chivetally.wire.v1.BeatEcho value) {
+      if (beatEchoBuilder_ == null) {
         java.util.Objects.requireNonNull(value);
         body_ = value;
         onChanged();
       } else {
