-        membersPushBuilder_.setMessage(value);
+        beatEchoBuilder_.setMessage(value);
       }
-      bodyCase_ = 18;
+      bodyCase_ = 32;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
      */
-    public Builder setMembersPush(
-        org.chivetally.wire.v1.MembersPush.Builder builderForValue) {
-      if (membersPushBuilder_ == null) {
+    public Builder setBeatEcho(
+        org.chivetally.wire.v1.BeatEcho.Builder builderForValue) {
+      if (beatEchoBuilder_ == null) {
         body_ = builderForValue.build();
         onChanged();
       } else {
-        membersPushBuilder_.setMessage(builderForValue.build());
+        beatEchoBuilder_.setMessage(builderForValue.build());
       }
-      bodyCase_ = 18;
+      bodyCase_ = 32;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
      */
-    public Builder mergeMembersPush(org.chivetally.wire.v1.MembersPush value) {
-      if (membersPushBuilder_ == null) {
-        if (bodyCase_ == 18 &&
-            body_ != org.chivetally.wire.v1.MembersPush.getDefaultInstance()) {
-          body_ = org.chivetally.wire.v1.MembersPush.newBuilder((org.chivetally.wire.v1.MembersPush) body_)
+    public Builder mergeBeatEcho(org.chivetally.wire.v1.BeatEcho value) {
+      if (beatEchoBuilder_ == null) {
+        if (bodyCase_ == 32 &&
+            body_ != org.chivetally.wire.v1.BeatEcho.getDefaultInstance()) {
+          body_ = org.chivetally.wire.v1.BeatEcho.newBuilder((org.chivetally.wire.v1.BeatEcho) body_)
               .mergeFrom(value).buildPartial();
         } else {
           body_ = value;
         }
         onChanged();
       } else {
-        if (bodyCase_ == 18) {
-          membersPushBuilder_.mergeFrom(value);
+        if (bodyCase_ == 32) {
+          beatEchoBuilder_.mergeFrom(value);
         } else {
-          membersPushBuilder_.setMessage(value);
+          beatEchoBuilder_.setMessage(value);
         }
       }
-      bodyCase_ = 18;
+      bodyCase_ = 32;
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
      */
-    public Builder clearMembersPush() {
-      if (membersPushBuilder_ == null) {
-        if (bodyCase_ == 18) {
+    public Builder clearBeatEcho() {
+      if (beatEchoBuilder_ == null) {
+        if (bodyCase_ == 32) {
           bodyCase_ = 0;
           body_ = null;
           onChanged();
         }
       } else {
-        if (bodyCase_ == 18) {
+        if (bodyCase_ == 32) {
           bodyCase_ = 0;
           body_ = null;
         }
-        membersPushBuilder_.clear();
+        beatEchoBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
      */
-    public org.chivetally.wire.v1.MembersPush.Builder getMembersPushBuilder() {
-      return internalGetMembersPushFieldBuilder().getBuilder();
+    public org.chivetally.wire.v1.BeatEcho.Builder getBeatEchoBuilder() {
+      return internalGetBeatEchoFieldBuilder().getBuilder();
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
      */
     @java.lang.Override
-    public org.chivetally.wire.v1.MembersPushOrBuilder getMembersPushOrBuilder() {
-      if ((bodyCase_ == 18) && (membersPushBuilder_ != null)) {
-        return membersPushBuilder_.getMessageOrBuilder();
+    public org.chivetally.wire.v1.BeatEchoOrBuilder getBeatEchoOrBuilder() {
+      if ((bodyCase_ == 32) && (beatEchoBuilder_ != null)) {
+        return beatEchoBuilder_.getMessageOrBuilder();
       } else {
-        if (bodyCase_ == 18) {
-          return (org.chivetally.wire.v1.MembersPush) body_;
+        if (bodyCase_ == 32) {
+          return (org.chivetally.wire.v1.BeatEcho) body_;
         }
-        return org.chivetally.wire.v1.MembersPush.getDefaultInstance();
+        return org.chivetally.wire.v1.BeatEcho.getDefaultInstance();
       }
     }
     /**
-     * <code>.org.chivetally.wire.v1.MembersPush members_push = 18;</code>
+     * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
      */
     private com.google.protobuf.SingleFieldBuilder<
-        org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder> 
-        internalGetMembersPushFieldBuilder() {
-      if (membersPushBuilder_ == null) {
-        if (!(bodyCase_ == 18)) {
-          body_ = org.chivetally.wire.v1.MembersPush.getDefaultInstance();
-        }
-        membersPushBuilder_ = new com.google.protobuf.SingleFieldBuilder<
-            org.chivetally.wire.v1.MembersPush, org.chivetally.wire.v1.MembersPush.Builder, org.chivetally.wire.v1.MembersPushOrBuilder>(
-                (org.chivetally.wire.v1.MembersPush) body_,
+        org.chivetally.wire.v1.BeatEcho, org.chivetally.wire.v1.BeatEcho.Builder, org.chivetally.wire.v1.BeatEchoOrBuilder> 
+        internalGetBeatEchoFieldBuilder() {
+      if (beatEchoBuilder_ == null) {
+        if (!(bodyCase_ == 32)) {
+          body_ = org.chivetally.wire.v1.BeatEcho.getDefaultInstance();
+        }
+        beatEchoBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.BeatEcho, org.chivetally.wire.v1.BeatEcho.Builder, org.chivetally.wire.v1.BeatEchoOrBuilder>(
+                (org.chivetally.wire.v1.BeatEcho) body_,
                 getParentForChildren(),
                 isClean());
         body_ = null;
       }
-      bodyCase_ = 18;
+      bodyCase_ = 32;
       onChanged();
-      return membersPushBuilder_;
+      return beatEchoBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.Frame)
--- a/wire/src/main/java/org/chivetally/wire/v1/FrameOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/FrameOrBuilder.java
@@ -271,5 +271,215 @@
    */
   org.chivetally.wire.v1.MembersPushOrBuilder getMembersPushOrBuilder();
 
+  /**
+   * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+   * @return Whether the linkHello field is set.
+   */
+  boolean hasLinkHello();
+  /**
+   * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+   * @return The linkHello.
+   */
+  org.chivetally.wire.v1.LinkHello getLinkHello();
+  /**
+   * <code>.org.chivetally.wire.v1.LinkHello link_hello = 19;</code>
+   */
+  org.chivetally.wire.v1.LinkHelloOrBuilder getLinkHelloOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+   * @return Whether the entryBeat field is set.
+   */
+  boolean hasEntryBeat();
+  /**
+   * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+   * @return The entryBeat.
+   */
+  org.chivetally.wire.v1.EntryBeat getEntryBeat();
+  /**
+   * <code>.org.chivetally.wire.v1.EntryBeat entry_beat = 20;</code>
+   */
+  org.chivetally.wire.v1.EntryBeatOrBuilder getEntryBeatOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+   * @return Whether the agentBeat field is set.
+   */
+  boolean hasAgentBeat();
+  /**
+   * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+   * @return The agentBeat.
+   */
+  org.chivetally.wire.v1.AgentBeat getAgentBeat();
+  /**
+   * <code>.org.chivetally.wire.v1.AgentBeat agent_beat = 21;</code>
+   */
+  org.chivetally.wire.v1.AgentBeatOrBuilder getAgentBeatOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+   * @return Whether the runInventory field is set.
+   */
+  boolean hasRunInventory();
+  /**
+   * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+   * @return The runInventory.
+   */
+  org.chivetally.wire.v1.RunInventory getRunInventory();
+  /**
+   * <code>.org.chivetally.wire.v1.RunInventory run_inventory = 22;</code>
+   */
+  org.chivetally.wire.v1.RunInventoryOrBuilder getRunInventoryOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+   * @return Whether the runStart field is set.
+   */
+  boolean hasRunStart();
+  /**
+   * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+   * @return The runStart.
+   */
+  org.chivetally.wire.v1.RunStart getRunStart();
+  /**
+   * <code>.org.chivetally.wire.v1.RunStart run_start = 23;</code>
+   */
+  org.chivetally.wire.v1.RunStartOrBuilder getRunStartOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+   * @return Whether the runRefused field is set.
+   */
+  boolean hasRunRefused();
+  /**
+   * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+   * @return The runRefused.
+   */
+  org.chivetally.wire.v1.RunRefused getRunRefused();
+  /**
+   * <code>.org.chivetally.wire.v1.RunRefused run_refused = 24;</code>
+   */
+  org.chivetally.wire.v1.RunRefusedOrBuilder getRunRefusedOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+   * @return Whether the runEnds field is set.
+   */
+  boolean hasRunEnds();
+  /**
+   * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+   * @return The runEnds.
+   */
+  org.chivetally.wire.v1.RunEnds getRunEnds();
+  /**
+   * <code>.org.chivetally.wire.v1.RunEnds run_ends = 25;</code>
+   */
+  org.chivetally.wire.v1.RunEndsOrBuilder getRunEndsOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+   * @return Whether the endsKept field is set.
+   */
+  boolean hasEndsKept();
+  /**
+   * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+   * @return The endsKept.
+   */
+  org.chivetally.wire.v1.EndsKept getEndsKept();
+  /**
+   * <code>.org.chivetally.wire.v1.EndsKept ends_kept = 26;</code>
+   */
+  org.chivetally.wire.v1.EndsKeptOrBuilder getEndsKeptOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+   * @return Whether the runStop field is set.
+   */
+  boolean hasRunStop();
+  /**
+   * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+   * @return The runStop.
+   */
+  org.chivetally.wire.v1.RunStop getRunStop();
+  /**
+   * <code>.org.chivetally.wire.v1.RunStop run_stop = 27;</code>
+   */
+  org.chivetally.wire.v1.RunStopOrBuilder getRunStopOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+   * @return Whether the jobSubmission field is set.
+   */
+  boolean hasJobSubmission();
+  /**
+   * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+   * @return The jobSubmission.
+   */
+  org.chivetally.wire.v1.JobSubmission getJobSubmission();
+  /**
+   * <code>.org.chivetally.wire.v1.JobSubmission job_submission = 28;</code>
+   */
+  org.chivetally.wire.v1.JobSubmissionOrBuilder getJobSubmissionOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+   * @return Whether the jobQuery field is set.
+   */
+  boolean hasJobQuery();
+  /**
+   * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+   * @return The jobQuery.
+   */
+  org.chivetally.wire.v1.JobQuery getJobQuery();
+  /**
+   * <code>.org.chivetally.wire.v1.JobQuery job_query = 29;</code>
+   */
+  org.chivetally.wire.v1.JobQueryOrBuilder getJobQueryOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+   * @return Whether the jobCancellation field is set.
+   */
+  boolean hasJobCancellation();
+  /**
+   * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+   * @return The jobCancellation.
+   */
+  org.chivetally.wire.v1.JobCancellation getJobCancellation();
+  /**
+   * <code>.org.chivetally.wire.v1.JobCancellation job_cancellation = 30;</code>
+   */
+  org.chivetally.wire.v1.JobCancellationOrBuilder getJobCancellationOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+   * @return Whether the jobReply field is set.
+   */
+  boolean hasJobReply();
+  /**
+   * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+   * @return The jobReply.
+   */
+  org.chivetally.wire.v1.JobReply getJobReply();
+  /**
+   * <code>.org.chivetally.wire.v1.JobReply job_reply = 31;</code>
+   */
+  org.chivetally.wire.v1.JobReplyOrBuilder getJobReplyOrBuilder();
+
+  /**
+   * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+   * @return Whether the beatEcho field is set.
+   */
+  boolean hasBeatEcho();
+  /**
+   * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+   * @return The beatEcho.
+   */
+  org.chivetally.wire.v1.BeatEcho getBeatEcho();
+  /**
+   * <code>.org.chivetally.wire.v1.BeatEcho beat_echo = 32;</code>
+   */
+  org.chivetally.wire.v1.BeatEchoOrBuilder getBeatEchoOrBuilder();
+
   org.chivetally.wire.v1.Frame.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -131,6 +131,136 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_MembersPush_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_LinkHello_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_LinkHello_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_Room_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_Room_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_OwnedPartition_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_OwnedPartition_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_EntryAddress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_EntryAddress_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_QueueCount_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_QueueCount_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_EntryBeat_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_EntryBeat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_WorkerReport_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_WorkerReport_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_AgentBeat_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_AgentBeat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_BeatEcho_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_BeatEcho_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_RunInventory_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_RunInventory_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_HeldRun_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_HeldRun_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_RunStart_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_RunStart_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_RunRefused_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_RunRefused_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_RunEnd_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_RunEnd_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_RunEnds_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_RunEnds_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_EndsKept_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_EndsKept_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_RunStop_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_RunStop_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_JobSubmission_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_JobSubmission_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_JobQuery_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_JobQuery_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_JobCancellation_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_JobCancellation_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_JobReply_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_JobReply_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredJob_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredJob_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredStep_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredStep_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredMember_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredMember_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -140,7 +270,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\nwire.proto\022\026org.chivetally.wire.v1\"\373\007\n" +
+      "\n\nwire.proto\022\026org.chivetally.wire.v1\"\243\016\n" +
       "\005Frame\022\022\n\nrequest_id\030\001 \001(\004\022.\n\005hello\030\002 \001(" +
       "\0132\035.org.chivetally.wire.v1.HelloH\000\0226\n\the" +
       "artbeat\030\003 \001(\0132!.org.chivetally.wire.v1.H" +
@@ -166,73 +296,191 @@
       "AnswerH\000\022;\n\014members_pull\030\021 \001(\0132#.org.chi" +
       "vetally.wire.v1.MembersPullH\000\022;\n\014members" +
       "_push\030\022 \001(\0132#.org.chivetally.wire.v1.Mem" +
-      "bersPushH\000B\006\n\004body\"\245\002\n\005Hello\022\022\n\nprocess_" +
-      "id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\026\n\016failure" +
-      "_domain\030\003 \001(\t\022\014\n\004role\030\004 \001(\t\022.\n\006report\030\005 " +
-      "\001(\0132\036.org.chivetally.wire.v1.Report\022\035\n\025c" +
-      "onfiguration_version\030\006 \001(\004\022\023\n\013listen_hos" +
-      "t\030\007 \001(\t\022\023\n\013listen_port\030\010 \001(\r\022\017\n\007service\030" +
-      "\t \001(\t\022\017\n\007backend\030\n \001(\t\0222\n\010capacity\030\013 \001(\013" +
-      "2 .org.chivetally.wire.v1.Capacity\"t\n\010Ca" +
-      "pacity\022\r\n\005slots\030\001 \001(\r\022\023\n\013connections\030\002 \001" +
-      "(\r\022\030\n\020processor_millis\030\003 \001(\004\022\024\n\014memory_b" +
-      "ytes\030\004 \001(\004\022\024\n\014accelerators\030\005 \001(\r\"\213\001\n\006Rep" +
-      "ort\022\016\n\006ticket\030\001 \001(\004\022\022\n\nfree_slots\030\002 \001(\r\022" +
-      "\016\n\006queued\030\003 \001(\r\022\017\n\007running\030\004 \001(\r\022\020\n\010drai" +
-      "ning\030\005 \001(\010\022\030\n\020minion_unhealthy\030\006 \001(\010\022\020\n\010" +
-      "sequence\030\007 \001(\004\"j\n\tHeartbeat\022\016\n\006answer\030\001 " +
-      "\001(\010\022.\n\006report\030\002 \001(\0132\036.org.chivetally.wir" +
-      "e.v1.Report\022\035\n\025configuration_version\030\003 \001" +
-      "(\004\"\231\002\n\005Start\022\022\n\nattempt_id\030\001 \001(\t\022\016\n\006job_" +
-      "id\030\002 \001(\t\022\022\n\ntask_index\030\003 \001(\r\022\022\n\ngenerati" +
-      "on\030\004 \001(\r\022\016\n\006ticket\030\005 \001(\004\022\017\n\007service\030\006 \001(" +
-      "\t\022\017\n\007payload\030\007 \001(\t\022\024\n\014lease_millis\030\010 \001(\004" +
-      "\022\024\n\014queue_millis\030\t \001(\004\022\022\n\nidempotent\030\n \001" +
-      "(\010\022\014\n\004team\030\013 \001(\t\022\030\n\020processor_millis\030\014 \001" +
-      "(\004\022\024\n\014memory_bytes\030\r \001(\004\022\024\n\014accelerators" +
-      "\030\016 \001(\r\"\307\001\n\006Result\022\022\n\nattempt_id\030\001 \001(\t\0222\n" +
-      "\006status\030\002 \001(\0162\".org.chivetally.wire.v1.T" +
-      "askStatus\022\014\n\004body\030\003 \001(\t\022\r\n\005error\030\004 \001(\t\022\022" +
-      "\n\nrun_micros\030\005 \001(\004\022\024\n\014queue_micros\030\006 \001(\004" +
-      "\022.\n\006report\030\007 \001(\0132\036.org.chivetally.wire.v" +
-      "1.Report\"\204\001\n\007Refusal\022\022\n\nattempt_id\030\001 \001(\t" +
-      "\0225\n\006reason\030\002 \001(\0162%.org.chivetally.wire.v" +
-      "1.RefusalReason\022.\n\006report\030\003 \001(\0132\036.org.ch" +
-      "ivetally.wire.v1.Report\"\031\n\006Cancel\022\017\n\007job" +
-      "_ids\030\001 \003(\t\"-\n\007Inquiry\022\016\n\006job_id\030\001 \001(\t\022\022\n" +
-      "\ngeneration\030\002 \001(\r\"\201\001\n\rInquiryAnswer\022\016\n\006j" +
-      "ob_id\030\001 \001(\t\0220\n\005tasks\030\002 \003(\0132!.org.chiveta" +
-      "lly.wire.v1.TaskState\022.\n\006report\030\003 \001(\0132\036." +
-      "org.chivetally.wire.v1.Report\"\204\001\n\tTaskSt" +
-      "ate\022\022\n\ntask_index\030\001 \001(\r\022\022\n\nattempt_id\030\002 " +
-      "\001(\t\0222\n\006status\030\003 \001(\0162\".org.chivetally.wir" +
-      "e.v1.TaskStatus\022\014\n\004body\030\004 \001(\t\022\r\n\005error\030\005" +
-      " \001(\t\"%\n\006Attach\022\016\n\006job_id\030\001 \001(\t\022\013\n\003key\030\002 " +
-      "\001(\t\";\n\tJobAnswer\022\016\n\006job_id\030\001 \001(\t\022\r\n\005know" +
-      "n\030\002 \001(\010\022\017\n\007outcome\030\003 \001(\t\")\n\021Configuratio" +
-      "nPull\022\024\n\014have_version\030\001 \001(\004\"6\n\021Configura" +
-      "tionPush\022\017\n\007version\030\001 \001(\004\022\020\n\010snapshot\030\002 " +
-      "\001(\014\"\031\n\007Leaving\022\016\n\006reason\030\001 \001(\t\"9\n\016Suspic" +
-      "ionQuery\022\022\n\nprocess_id\030\001 \001(\t\022\023\n\013incarnat" +
-      "ion\030\002 \001(\t\"I\n\017SuspicionAnswer\022\022\n\nprocess_" +
-      "id\030\001 \001(\t\022\r\n\005alive\030\002 \001(\010\022\023\n\013incarnation\030\003" +
-      " \001(\t\"\r\n\013MembersPull\"=\n\013MembersPush\022.\n\007me" +
-      "mbers\030\001 \003(\0132\035.org.chivetally.wire.v1.Hel" +
-      "lo*\242\001\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECI" +
-      "FIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TASK_STA" +
-      "TUS_FAILED\020\002\022\027\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n" +
-      "\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_STATUS_RU" +
-      "NNING\020\005*\347\002\n\rRefusalReason\022\036\n\032REFUSAL_REA" +
-      "SON_UNSPECIFIED\020\000\022\027\n\023REFUSAL_REASON_FULL" +
-      "\020\001\022\033\n\027REFUSAL_REASON_DRAINING\020\002\022\037\n\033REFUS" +
-      "AL_REASON_STALE_TICKET\020\003\022!\n\035REFUSAL_REAS" +
-      "ON_OLD_GENERATION\020\004\022 \n\034REFUSAL_REASON_WR" +
-      "ONG_SERVICE\020\005\022\034\n\030REFUSAL_REASON_CANCELLE" +
-      "D\020\006\022\032\n\026REFUSAL_REASON_EXPIRED\020\007\022\"\n\036REFUS" +
-      "AL_REASON_ALREADY_STARTED\020\010\022\036\n\032REFUSAL_R" +
-      "EASON_MINION_DOWN\020\t\022\034\n\030REFUSAL_REASON_TO" +
-      "O_LARGE\020\nB\032\n\026org.chivetally.wire.v1P\001b\006p" +
-      "roto3"
+      "bersPushH\000\0227\n\nlink_hello\030\023 \001(\0132!.org.chi" +
+      "vetally.wire.v1.LinkHelloH\000\0227\n\nentry_bea" +
+      "t\030\024 \001(\0132!.org.chivetally.wire.v1.EntryBe" +
+      "atH\000\0227\n\nagent_beat\030\025 \001(\0132!.org.chivetall" +
+      "y.wire.v1.AgentBeatH\000\022=\n\rrun_inventory\030\026" +
+      " \001(\0132$.org.chivetally.wire.v1.RunInvento" +
+      "ryH\000\0225\n\trun_start\030\027 \001(\0132 .org.chivetally" +
+      ".wire.v1.RunStartH\000\0229\n\013run_refused\030\030 \001(\013" +
+      "2\".org.chivetally.wire.v1.RunRefusedH\000\0223" +
+      "\n\010run_ends\030\031 \001(\0132\037.org.chivetally.wire.v" +
+      "1.RunEndsH\000\0225\n\tends_kept\030\032 \001(\0132 .org.chi" +
+      "vetally.wire.v1.EndsKeptH\000\0223\n\010run_stop\030\033" +
+      " \001(\0132\037.org.chivetally.wire.v1.RunStopH\000\022" +
+      "?\n\016job_submission\030\034 \001(\0132%.org.chivetally" +
+      ".wire.v1.JobSubmissionH\000\0225\n\tjob_query\030\035 " +
+      "\001(\0132 .org.chivetally.wire.v1.JobQueryH\000\022" +
+      "C\n\020job_cancellation\030\036 \001(\0132\'.org.chivetal" +
+      "ly.wire.v1.JobCancellationH\000\0225\n\tjob_repl" +
+      "y\030\037 \001(\0132 .org.chivetally.wire.v1.JobRepl" +
+      "yH\000\0225\n\tbeat_echo\030  \001(\0132 .org.chivetally." +
+      "wire.v1.BeatEchoH\000B\006\n\004body\"\245\002\n\005Hello\022\022\n\n" +
+      "process_id\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\t\022\026\n" +
+      "\016failure_domain\030\003 \001(\t\022\014\n\004role\030\004 \001(\t\022.\n\006r" +
+      "eport\030\005 \001(\0132\036.org.chivetally.wire.v1.Rep" +
+      "ort\022\035\n\025configuration_version\030\006 \001(\004\022\023\n\013li" +
+      "sten_host\030\007 \001(\t\022\023\n\013listen_port\030\010 \001(\r\022\017\n\007" +
+      "service\030\t \001(\t\022\017\n\007backend\030\n \001(\t\0222\n\010capaci" +
+      "ty\030\013 \001(\0132 .org.chivetally.wire.v1.Capaci" +
+      "ty\"t\n\010Capacity\022\r\n\005slots\030\001 \001(\r\022\023\n\013connect" +
+      "ions\030\002 \001(\r\022\030\n\020processor_millis\030\003 \001(\004\022\024\n\014" +
+      "memory_bytes\030\004 \001(\004\022\024\n\014accelerators\030\005 \001(\r" +
+      "\"\213\001\n\006Report\022\016\n\006ticket\030\001 \001(\004\022\022\n\nfree_slot" +
+      "s\030\002 \001(\r\022\016\n\006queued\030\003 \001(\r\022\017\n\007running\030\004 \001(\r" +
+      "\022\020\n\010draining\030\005 \001(\010\022\030\n\020minion_unhealthy\030\006" +
+      " \001(\010\022\020\n\010sequence\030\007 \001(\004\"j\n\tHeartbeat\022\016\n\006a" +
+      "nswer\030\001 \001(\010\022.\n\006report\030\002 \001(\0132\036.org.chivet" +
+      "ally.wire.v1.Report\022\035\n\025configuration_ver" +
+      "sion\030\003 \001(\004\"\231\002\n\005Start\022\022\n\nattempt_id\030\001 \001(\t" +
+      "\022\016\n\006job_id\030\002 \001(\t\022\022\n\ntask_index\030\003 \001(\r\022\022\n\n" +
+      "generation\030\004 \001(\r\022\016\n\006ticket\030\005 \001(\004\022\017\n\007serv" +
+      "ice\030\006 \001(\t\022\017\n\007payload\030\007 \001(\t\022\024\n\014lease_mill" +
+      "is\030\010 \001(\004\022\024\n\014queue_millis\030\t \001(\004\022\022\n\nidempo" +
+      "tent\030\n \001(\010\022\014\n\004team\030\013 \001(\t\022\030\n\020processor_mi" +
+      "llis\030\014 \001(\004\022\024\n\014memory_bytes\030\r \001(\004\022\024\n\014acce" +
+      "lerators\030\016 \001(\r\"\307\001\n\006Result\022\022\n\nattempt_id\030" +
+      "\001 \001(\t\0222\n\006status\030\002 \001(\0162\".org.chivetally.w" +
+      "ire.v1.TaskStatus\022\014\n\004body\030\003 \001(\t\022\r\n\005error" +
+      "\030\004 \001(\t\022\022\n\nrun_micros\030\005 \001(\004\022\024\n\014queue_micr" +
+      "os\030\006 \001(\004\022.\n\006report\030\007 \001(\0132\036.org.chivetall" +
+      "y.wire.v1.Report\"\204\001\n\007Refusal\022\022\n\nattempt_" +
+      "id\030\001 \001(\t\0225\n\006reason\030\002 \001(\0162%.org.chivetall" +
+      "y.wire.v1.RefusalReason\022.\n\006report\030\003 \001(\0132" +
+      "\036.org.chivetally.wire.v1.Report\"\031\n\006Cance" +
+      "l\022\017\n\007job_ids\030\001 \003(\t\"-\n\007Inquiry\022\016\n\006job_id\030" +
+      "\001 \001(\t\022\022\n\ngeneration\030\002 \001(\r\"\201\001\n\rInquiryAns" +
+      "wer\022\016\n\006job_id\030\001 \001(\t\0220\n\005tasks\030\002 \003(\0132!.org" +
+      ".chivetally.wire.v1.TaskState\022.\n\006report\030" +
+      "\003 \001(\0132\036.org.chivetally.wire.v1.Report\"\204\001" +
+      "\n\tTaskState\022\022\n\ntask_index\030\001 \001(\r\022\022\n\nattem" +
+      "pt_id\030\002 \001(\t\0222\n\006status\030\003 \001(\0162\".org.chivet" +
+      "ally.wire.v1.TaskStatus\022\014\n\004body\030\004 \001(\t\022\r\n" +
+      "\005error\030\005 \001(\t\"%\n\006Attach\022\016\n\006job_id\030\001 \001(\t\022\013" +
+      "\n\003key\030\002 \001(\t\";\n\tJobAnswer\022\016\n\006job_id\030\001 \001(\t" +
+      "\022\r\n\005known\030\002 \001(\010\022\017\n\007outcome\030\003 \001(\t\")\n\021Conf" +
+      "igurationPull\022\024\n\014have_version\030\001 \001(\004\"6\n\021C" +
+      "onfigurationPush\022\017\n\007version\030\001 \001(\004\022\020\n\010sna" +
+      "pshot\030\002 \001(\014\"\031\n\007Leaving\022\016\n\006reason\030\001 \001(\t\"9" +
+      "\n\016SuspicionQuery\022\022\n\nprocess_id\030\001 \001(\t\022\023\n\013" +
+      "incarnation\030\002 \001(\t\"I\n\017SuspicionAnswer\022\022\n\n" +
+      "process_id\030\001 \001(\t\022\r\n\005alive\030\002 \001(\010\022\023\n\013incar" +
+      "nation\030\003 \001(\t\"\r\n\013MembersPull\"=\n\013MembersPu" +
+      "sh\022.\n\007members\030\001 \003(\0132\035.org.chivetally.wir" +
+      "e.v1.Hello\"t\n\tLinkHello\022\017\n\007process\030\001 \001(\t" +
+      "\022\023\n\013incarnation\030\002 \001(\004\022\r\n\005agent\030\003 \001(\010\022\026\n\016" +
+      "failure_domain\030\004 \001(\t\022\014\n\004host\030\005 \001(\t\022\014\n\004po" +
+      "rt\030\006 \001(\r\"P\n\004Room\022\030\n\020processor_millis\030\001 \001" +
+      "(\004\022\030\n\020memory_megabytes\030\002 \001(\004\022\024\n\014accelera" +
+      "tors\030\003 \001(\004\"A\n\016OwnedPartition\022\021\n\tpartitio" +
+      "n\030\001 \001(\r\022\r\n\005epoch\030\002 \001(\004\022\r\n\005ready\030\003 \001(\010\"P\n" +
+      "\014EntryAddress\022\017\n\007process\030\001 \001(\t\022\023\n\013incarn" +
+      "ation\030\002 \001(\004\022\014\n\004host\030\003 \001(\t\022\014\n\004port\030\004 \001(\r\"" +
+      ",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007pending\030" +
+      "\002 \001(\004\"\350\001\n\tEntryBeat\022\023\n\013stamp_nanos\030\001 \001(\004" +
+      "\022\022\n\necho_nanos\030\002 \001(\004\0225\n\005owned\030\003 \003(\0132&.or" +
+      "g.chivetally.wire.v1.OwnedPartition\0223\n\007p" +
+      "ending\030\004 \003(\0132\".org.chivetally.wire.v1.Qu" +
+      "eueCount\0225\n\007entries\030\005 \003(\0132$.org.chivetal" +
+      "ly.wire.v1.EntryAddress\022\017\n\007leaving\030\006 \001(\010" +
+      "\"\333\001\n\014WorkerReport\022\016\n\006minion\030\001 \001(\t\022\017\n\007ser" +
+      "vice\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132\034.org.chive" +
+      "tally.wire.v1.Room\022*\n\004free\030\004 \001(\0132\034.org.c" +
+      "hivetally.wire.v1.Room\022\021\n\taccepting\030\005 \001(" +
+      "\010\022\016\n\006labels\030\006 \003(\t\022\026\n\016failure_domain\030\007 \001(" +
+      "\t\022\023\n\013starts_seen\030\010 \001(\004\"j\n\tAgentBeat\022\023\n\013s" +
+      "tamp_nanos\030\001 \001(\004\022\022\n\necho_nanos\030\002 \001(\004\0224\n\006" +
+      "report\030\003 \001(\0132$.org.chivetally.wire.v1.Wo" +
+      "rkerReport\"\036\n\010BeatEcho\022\022\n\necho_nanos\030\001 \001" +
+      "(\004\"\356\001\n\014RunInventory\022\023\n\013stamp_nanos\030\001 \001(\004" +
+      "\0224\n\006report\030\002 \001(\0132$.org.chivetally.wire.v" +
+      "1.WorkerReport\022-\n\004runs\030\003 \003(\0132\037.org.chive" +
+      "tally.wire.v1.HeldRun\022,\n\004ends\030\004 \003(\0132\036.or" +
+      "g.chivetally.wire.v1.RunEnd\0226\n\006fenced\030\005 " +
+      "\003(\0132&.org.chivetally.wire.v1.OwnedPartit" +
+      "ion\"4\n\007HeldRun\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(" +
+      "\004\022\016\n\006unkept\030\003 \001(\010\"\314\001\n\010RunStart\022\016\n\006number" +
+      "\030\001 \001(\004\022\014\n\004task\030\002 \001(\t\022\013\n\003run\030\003 \001(\004\022\021\n\tpar" +
+      "tition\030\004 \001(\r\022\r\n\005epoch\030\005 \001(\004\022\022\n\necho_nano" +
+      "s\030\006 \001(\004\022*\n\004room\030\007 \001(\0132\034.org.chivetally.w" +
+      "ire.v1.Room\022\017\n\007payload\030\010 \001(\t\022\022\n\ncheckpoi" +
+      "nt\030\t \001(\t\022\016\n\006unkept\030\n \001(\010\"m\n\nRunRefused\022\014" +
+      "\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\016\n\006reason\030\003 \001(" +
+      "\t\0224\n\006report\030\004 \001(\0132$.org.chivetally.wire." +
+      "v1.WorkerReport\"\216\001\n\006RunEnd\022\016\n\006minion\030\001 \001" +
+      "(\t\022\020\n\010sequence\030\002 \001(\004\022\014\n\004task\030\003 \001(\t\022\013\n\003ru" +
+      "n\030\004 \001(\004\0223\n\007outcome\030\005 \001(\0162\".org.chivetall" +
+      "y.wire.v1.RunOutcome\022\022\n\ncheckpoint\030\006 \001(\t" +
+      "\"m\n\007RunEnds\022,\n\004ends\030\001 \003(\0132\036.org.chivetal" +
+      "ly.wire.v1.RunEnd\0224\n\006report\030\002 \001(\0132$.org." +
+      "chivetally.wire.v1.WorkerReport\"-\n\010EndsK" +
+      "ept\022\016\n\006minion\030\001 \001(\t\022\021\n\tsequences\030\002 \003(\004\"V" +
+      "\n\007RunStop\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\021\n\t" +
+      "partition\030\003 \001(\r\022\r\n\005epoch\030\004 \001(\004\022\016\n\006unkept" +
+      "\030\005 \001(\010\"?\n\rJobSubmission\022.\n\003job\030\001 \001(\0132!.o" +
+      "rg.chivetally.wire.v1.StoredJob\"\032\n\010JobQu" +
+      "ery\022\016\n\006job_id\030\001 \001(\t\"!\n\017JobCancellation\022\016" +
+      "\n\006job_id\030\001 \001(\t\"\234\001\n\010JobReply\0223\n\007verdict\030\001" +
+      " \001(\0162\".org.chivetally.wire.v1.JobVerdict" +
+      "\022/\n\005phase\030\002 \001(\0162 .org.chivetally.wire.v1" +
+      ".JobPhase\022\016\n\006reason\030\003 \001(\t\022\032\n\022retry_after" +
+      "_millis\030\004 \001(\r\"\211\003\n\tStoredJob\022\n\n\002id\030\001 \001(\t\022" +
+      "\r\n\005queue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007paylo" +
+      "ad\030\004 \001(\t\022\030\n\020maximum_attempts\030\005 \001(\r\022\020\n\010pr" +
+      "iority\030\006 \001(\r\022\024\n\014slack_factor\030\007 \001(\001\022\035\n\025ta" +
+      "rget_latency_millis\030\010 \001(\r\022\032\n\022accepted_at" +
+      "_millis\030\t \001(\004\0221\n\005steps\030\n \003(\0132\".org.chive" +
+      "tally.wire.v1.StoredStep\022\023\n\013best_effort\030" +
+      "\013 \001(\010\022\024\n\014long_running\030\014 \001(\010\022\024\n\014repeat_co" +
+      "unt\030\r \001(\r\022\030\n\020first_run_millis\030\016 \001(\004\022\027\n\017i" +
+      "nterval_millis\030\017 \001(\004\022\033\n\023maximum_unavaila" +
+      "ble\030\020 \001(\r\"\314\002\n\nStoredStep\022\r\n\005count\030\001 \001(\r\022" +
+      "*\n\004room\030\002 \001(\0132\034.org.chivetally.wire.v1.R" +
+      "oom\022\030\n\020estimated_millis\030\003 \001(\r\022\r\n\005after\030\004" +
+      " \003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(" +
+      "\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016required_label\030\010" +
+      " \001(\t\022\026\n\016preferred_rack\030\t \001(\t\022\032\n\022maximum_" +
+      "per_worker\030\n \001(\r\022\032\n\022duplicates_allowed\030\013" +
+      " \001(\010\022\024\n\014fills_unused\030\014 \001(\010\022\r\n\005image\030\r \001(" +
+      "\t\022\025\n\rtarget_millis\030\016 \001(\r\"\341\001\n\016StoredProgr" +
+      "ess\022/\n\005phase\030\001 \001(\0162 .org.chivetally.wire" +
+      ".v1.JobPhase\022\014\n\004done\030\002 \001(\014\022F\n\010failures\030\003" +
+      " \003(\01324.org.chivetally.wire.v1.StoredProg" +
+      "ress.FailuresEntry\022\027\n\017ended_at_millis\030\004 " +
+      "\001(\004\032/\n\rFailuresEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005val" +
+      "ue\030\002 \001(\r:\0028\001\"f\n\014StoredMember\022\023\n\013incarnat" +
+      "ion\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016failure_doma" +
+      "in\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r*\242\001\n" +
+      "\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIED\020\000" +
+      "\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TASK_STATUS_FA" +
+      "ILED\020\002\022\027\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n\023TASK_" +
+      "STATUS_UNKNOWN\020\004\022\027\n\023TASK_STATUS_RUNNING\020" +
+      "\005*\347\002\n\rRefusalReason\022\036\n\032REFUSAL_REASON_UN" +
+      "SPECIFIED\020\000\022\027\n\023REFUSAL_REASON_FULL\020\001\022\033\n\027" +
+      "REFUSAL_REASON_DRAINING\020\002\022\037\n\033REFUSAL_REA" +
+      "SON_STALE_TICKET\020\003\022!\n\035REFUSAL_REASON_OLD" +
+      "_GENERATION\020\004\022 \n\034REFUSAL_REASON_WRONG_SE" +
+      "RVICE\020\005\022\034\n\030REFUSAL_REASON_CANCELLED\020\006\022\032\n" +
+      "\026REFUSAL_REASON_EXPIRED\020\007\022\"\n\036REFUSAL_REA" +
+      "SON_ALREADY_STARTED\020\010\022\036\n\032REFUSAL_REASON_" +
+      "MINION_DOWN\020\t\022\034\n\030REFUSAL_REASON_TOO_LARG" +
+      "E\020\n*\354\001\n\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPEC" +
+      "IFIED\020\000\022\024\n\020RUN_OUTCOME_DONE\020\001\022\026\n\022RUN_OUT" +
+      "COME_FAILED\020\002\022\027\n\023RUN_OUTCOME_STOPPED\020\003\022\026" +
+      "\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n\022RUN_OUTCOME_BR" +
+      "OKEN\020\005\022\025\n\021RUN_OUTCOME_ALONE\020\006\022\024\n\020RUN_OUT" +
+      "COME_LOST\020\007\022\035\n\031RUN_OUTCOME_NEVER_STARTED" +
+      "\020\010*\306\001\n\nJobVerdict\022\033\n\027JOB_VERDICT_UNSPECI" +
+      "FIED\020\000\022\030\n\024JOB_VERDICT_ACCEPTED\020\001\022\027\n\023JOB_" +
+      "VERDICT_REFUSED\020\002\022\033\n\027JOB_VERDICT_UNKNOWN" +
+      "_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OWNER\020\004\022\025\n\021JOB" +
+      "_VERDICT_STATE\020\005\022\031\n\025JOB_VERDICT_CANCELLE" +
+      "D\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECIFIE" +
+      "D\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n\021JOB_PHASE_R" +
+      "UNNING\020\002\022\027\n\023JOB_PHASE_COMPLETED\020\003\022\024\n\020JOB" +
+      "_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE_CANCELLED\020\005" +
+      "B\032\n\026org.chivetally.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -243,7 +491,7 @@
     internal_static_org_chivetally_wire_v1_Frame_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_Frame_descriptor,
-        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "Start", "Result", "Refusal", "Cancel", "Inquiry", "InquiryAnswer", "Attach", "JobAnswer", "ConfigurationPull", "ConfigurationPush", "Leaving", "SuspicionQuery", "SuspicionAnswer", "MembersPull", "MembersPush", "Body", });
+        new java.lang.String[] { "RequestId", "Hello", "Heartbeat", "Start", "Result", "Refusal", "Cancel", "Inquiry", "InquiryAnswer", "Attach", "JobAnswer", "ConfigurationPull", "ConfigurationPush", "Leaving", "SuspicionQuery", "SuspicionAnswer", "MembersPull", "MembersPush", "LinkHello", "EntryBeat", "AgentBeat", "RunInventory", "RunStart", "RunRefused", "RunEnds", "EndsKept", "RunStop", "JobSubmission", "JobQuery", "JobCancellation", "JobReply", "BeatEcho", "Body", });
     internal_static_org_chivetally_wire_v1_Hello_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_org_chivetally_wire_v1_Hello_fieldAccessorTable = new
@@ -364,6 +612,162 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_MembersPush_descriptor,
         new java.lang.String[] { "Members", });
+    internal_static_org_chivetally_wire_v1_LinkHello_descriptor =
+      getDescriptor().getMessageType(21);
+    internal_static_org_chivetally_wire_v1_LinkHello_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_LinkHello_descriptor,
+        new java.lang.String[] { "Process", "Incarnation", "Agent", "FailureDomain", "Host", "Port", });
+    internal_static_org_chivetally_wire_v1_Room_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_org_chivetally_wire_v1_Room_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_Room_descriptor,
+        new java.lang.String[] { "ProcessorMillis", "MemoryMegabytes", "Accelerators", });
+    internal_static_org_chivetally_wire_v1_OwnedPartition_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_org_chivetally_wire_v1_OwnedPartition_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_OwnedPartition_descriptor,
+        new java.lang.String[] { "Partition", "Epoch", "Ready", });
+    internal_static_org_chivetally_wire_v1_EntryAddress_descriptor =
+      getDescriptor().getMessageType(24);
+    internal_static_org_chivetally_wire_v1_EntryAddress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_EntryAddress_descriptor,
+        new java.lang.String[] { "Process", "Incarnation", "Host", "Port", });
+    internal_static_org_chivetally_wire_v1_QueueCount_descriptor =
+      getDescriptor().getMessageType(25);
+    internal_static_org_chivetally_wire_v1_QueueCount_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_QueueCount_descriptor,
+        new java.lang.String[] { "Queue", "Pending", });
+    internal_static_org_chivetally_wire_v1_EntryBeat_descriptor =
+      getDescriptor().getMessageType(26);
+    internal_static_org_chivetally_wire_v1_EntryBeat_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_EntryBeat_descriptor,
+        new java.lang.String[] { "StampNanos", "EchoNanos", "Owned", "Pending", "Entries", "Leaving", });
+    internal_static_org_chivetally_wire_v1_WorkerReport_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_org_chivetally_wire_v1_WorkerReport_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_WorkerReport_descriptor,
+        new java.lang.String[] { "Minion", "Service", "Capacity", "Free", "Accepting", "Labels", "FailureDomain", "StartsSeen", });
+    internal_static_org_chivetally_wire_v1_AgentBeat_descriptor =
+      getDescriptor().getMessageType(28);
+    internal_static_org_chivetally_wire_v1_AgentBeat_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_AgentBeat_descriptor,
+        new java.lang.String[] { "StampNanos", "EchoNanos", "Report", });
+    internal_static_org_chivetally_wire_v1_BeatEcho_descriptor =
+      getDescriptor().getMessageType(29);
+    internal_static_org_chivetally_wire_v1_BeatEcho_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_BeatEcho_descriptor,
+        new java.lang.String[] { "EchoNanos", });
+    internal_static_org_chivetally_wire_v1_RunInventory_descriptor =
+      getDescriptor().getMessageType(30);
+    internal_static_org_chivetally_wire_v1_RunInventory_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_RunInventory_descriptor,
+        new java.lang.String[] { "StampNanos", "Report", "Runs", "Ends", "Fenced", });
+    internal_static_org_chivetally_wire_v1_HeldRun_descriptor =
+      getDescriptor().getMessageType(31);
+    internal_static_org_chivetally_wire_v1_HeldRun_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_HeldRun_descriptor,
+        new java.lang.String[] { "Task", "Run", "Unkept", });
+    internal_static_org_chivetally_wire_v1_RunStart_descriptor =
+      getDescriptor().getMessageType(32);
+    internal_static_org_chivetally_wire_v1_RunStart_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_RunStart_descriptor,
+        new java.lang.String[] { "Number", "Task", "Run", "Partition", "Epoch", "EchoNanos", "Room", "Payload", "Checkpoint", "Unkept", });
+    internal_static_org_chivetally_wire_v1_RunRefused_descriptor =
+      getDescriptor().getMessageType(33);
+    internal_static_org_chivetally_wire_v1_RunRefused_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_RunRefused_descriptor,
+        new java.lang.String[] { "Task", "Run", "Reason", "Report", });
+    internal_static_org_chivetally_wire_v1_RunEnd_descriptor =
+      getDescriptor().getMessageType(34);
+    internal_static_org_chivetally_wire_v1_RunEnd_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_RunEnd_descriptor,
+        new java.lang.String[] { "Minion", "Sequence", "Task", "Run", "Outcome", "Checkpoint", });
+    internal_static_org_chivetally_wire_v1_RunEnds_descriptor =
+      getDescriptor().getMessageType(35);
+    internal_static_org_chivetally_wire_v1_RunEnds_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_RunEnds_descriptor,
+        new java.lang.String[] { "Ends", "Report", });
+    internal_static_org_chivetally_wire_v1_EndsKept_descriptor =
+      getDescriptor().getMessageType(36);
+    internal_static_org_chivetally_wire_v1_EndsKept_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_EndsKept_descriptor,
+        new java.lang.String[] { "Minion", "Sequences", });
+    internal_static_org_chivetally_wire_v1_RunStop_descriptor =
+      getDescriptor().getMessageType(37);
+    internal_static_org_chivetally_wire_v1_RunStop_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_RunStop_descriptor,
+        new java.lang.String[] { "Task", "Run", "Partition", "Epoch", "Unkept", });
+    internal_static_org_chivetally_wire_v1_JobSubmission_descriptor =
+      getDescriptor().getMessageType(38);
+    internal_static_org_chivetally_wire_v1_JobSubmission_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_JobSubmission_descriptor,
+        new java.lang.String[] { "Job", });
+    internal_static_org_chivetally_wire_v1_JobQuery_descriptor =
+      getDescriptor().getMessageType(39);
+    internal_static_org_chivetally_wire_v1_JobQuery_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_JobQuery_descriptor,
+        new java.lang.String[] { "JobId", });
+    internal_static_org_chivetally_wire_v1_JobCancellation_descriptor =
+      getDescriptor().getMessageType(40);
+    internal_static_org_chivetally_wire_v1_JobCancellation_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_JobCancellation_descriptor,
+        new java.lang.String[] { "JobId", });
+    internal_static_org_chivetally_wire_v1_JobReply_descriptor =
+      getDescriptor().getMessageType(41);
+    internal_static_org_chivetally_wire_v1_JobReply_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_JobReply_descriptor,
+        new java.lang.String[] { "Verdict", "Phase", "Reason", "RetryAfterMillis", });
+    internal_static_org_chivetally_wire_v1_StoredJob_descriptor =
+      getDescriptor().getMessageType(42);
+    internal_static_org_chivetally_wire_v1_StoredJob_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredJob_descriptor,
+        new java.lang.String[] { "Id", "Queue", "Service", "Payload", "MaximumAttempts", "Priority", "SlackFactor", "TargetLatencyMillis", "AcceptedAtMillis", "Steps", "BestEffort", "LongRunning", "RepeatCount", "FirstRunMillis", "IntervalMillis", "MaximumUnavailable", });
+    internal_static_org_chivetally_wire_v1_StoredStep_descriptor =
+      getDescriptor().getMessageType(43);
+    internal_static_org_chivetally_wire_v1_StoredStep_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredStep_descriptor,
+        new java.lang.String[] { "Count", "Room", "EstimatedMillis", "After", "Checkpointing", "Gang", "SameRack", "RequiredLabel", "PreferredRack", "MaximumPerWorker", "DuplicatesAllowed", "FillsUnused", "Image", "TargetMillis", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_descriptor =
+      getDescriptor().getMessageType(44);
+    internal_static_org_chivetally_wire_v1_StoredProgress_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_descriptor,
+        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor =
+      internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(0);
+    internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_org_chivetally_wire_v1_StoredMember_descriptor =
+      getDescriptor().getMessageType(45);
+    internal_static_org_chivetally_wire_v1_StoredMember_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredMember_descriptor,
+        new java.lang.String[] { "Incarnation", "Agent", "FailureDomain", "Host", "Port", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
