--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -194,6 +194,9 @@
 
     private void replaced(MinionState old, String reason) {
         pastBoots.add(old.boot());
+        // An answer of the old boot may take long or never come; the new one is looked at without waiting for it.
+        lookInFlight = false;
+        lookNumber++;
         loseAll(old.boot(), reason);
         ends.clear();
         keptSent = 0;
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -377,6 +377,8 @@
             ownership.forget(owner.partition());
             runs.partitionLost(owner);
             owner.close();
+            // It may have been dealt away and back between two calls; then it is this entry's again at once.
+            ownership.join();
         }
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/JobDesk.java
+++ b/library/src/main/java/org/chivetally/queue/entry/JobDesk.java
@@ -194,6 +194,13 @@
         }
     }
 
+    /** Answers all callers that still wait, as the process ends now. */
+    public void endAll() {
+        for (Question question : new ArrayList<>(open.values())) {
+            expire(question);
+        }
+    }
+
     /** Takes the answer of another entry. */
     void replied(long id, JobReply reply) {
         Question question = open.get(id);
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.Job;
@@ -26,11 +27,18 @@
     /** When to come back after a job could not be started in its caller's time. */
     static final Duration RETRY = Duration.ofSeconds(1);
 
+    /**
+     * How many times its estimate a job must have left when it comes while the entry stops. Estimates are off by 40%
+     * (standard deviation), and one that is cut off at the end has run in vain.
+     */
+    static final int STOPPING_ESTIMATES = 2;
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
     private final Admission admission;
     private final Map<String, Open> open = new LinkedHashMap<>();
+    private OptionalLong stopsAtNanos = OptionalLong.empty();
 
     UnkeptJobs(Timers timers, Admission admission) {
         this.timers = timers;
@@ -63,6 +71,11 @@
             return;
         }
         Job job = new Job(specification, timers.nanos(), deadlineNanos);
+        if (stopsAtNanos.isPresent() && endsAfter(job, stopsAtNanos.getAsLong())) {
+            log("job-refused", job, "stopping");
+            answer.accept(new JobAnswer.Refused("stopping", RETRY));
+            return;
+        }
         Optional<Duration> retry = admission.refuse(job);
         if (retry.isPresent()) {
             log("job-refused", job, "backlog");
@@ -77,6 +90,24 @@
         admission.ready(job.tasksIn(Task.Status.WAITING));
     }
 
+    private boolean endsAfter(Job job, long limitNanos) {
+        long estimate = Duration.ofMillis(STOPPING_ESTIMATES * job.specification().chainMillis())
+                .toNanos();
+        return timers.nanos() + estimate > limitNanos;
+    }
+
+    /** Takes only jobs on that will have ended by the time at which the process stops. */
+    public void stopAt(long nanos) {
+        stopsAtNanos = OptionalLong.of(nanos);
+    }
+
+    /** Answers all callers that still wait, as the process ends now; a reset would leave them guessing longer. */
+    public void endAll() {
+        for (Open last : new ArrayList<>(open.values())) {
+            expire(last);
+        }
+    }
+
     /** Notes that a caller has gone; a job without callers is cancelled. */
     public void callerLeft(String id, Consumer<JobAnswer> answer) {
         Open known = open.get(id);
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/JobTest.java
@@ -0,0 +1,86 @@
+package org.chivetally.queue;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class JobTest {
+    private static final String ID = "00000000000000a1";
+
+    @Test
+    void isCompletedWhenItsLastTaskIsDoneAndShownSoOnlyOnceStored() {
+        Job job = new Job(Jobs.of(ID, 2), 0);
+        for (Task task : job.tasks()) {
+            job.place(task, "agent", 1);
+            job.end(task, RunOutcome.DONE, 5);
+        }
+        assertThat(job.phase(), is(JobPhase.COMPLETED));
+        assertThat(job.shownPhase(), is(JobPhase.RUNNING));
+        job.endStored();
+        assertThat(job.shownPhase(), is(JobPhase.COMPLETED));
+    }
+
+    @Test
+    void failsWhenOneTaskHasUsedUpItsAttempts() {
+        Job job = new Job(Jobs.of(ID, 2), 0);
+        Task task = job.tasks().getFirst();
+        job.place(task, "agent", 1);
+        assertThat(job.end(task, RunOutcome.FAILED, 5), is(List.of(task)));
+        job.place(task, "agent", 2);
+        assertThat(job.end(task, RunOutcome.FAILED, 6), is(empty()));
+        assertThat(job.phase(), is(JobPhase.FAILED));
+    }
+
+    @Test
+    void countsNoAttemptForRunsThatWereStoppedLapsedOrLost() {
+        Job job = new Job(Jobs.of(ID, 1), 0);
+        Task task = job.tasks().getFirst();
+        for (RunOutcome outcome : List.of(
+                RunOutcome.STOPPED, RunOutcome.LAPSED, RunOutcome.LOST, RunOutcome.NEVER_STARTED)) {
+            job.place(task, "agent", task.lastRun() + 1);
+            assertThat(job.end(task, outcome, 5), is(List.of(task)));
+        }
+        assertThat(task.failures(), is(0));
+        assertThat(job.phase(), is(JobPhase.RUNNING));
+    }
+
+    @Test
+    void releasesALaterStepOnlyWhenAllOfTheEarlierOneIsDone() {
+        Job job = new Job(Jobs.chain(ID, 2, 3), 0);
+        assertThat(job.tasksIn(Task.Status.WAITING), hasSize(2));
+        List<Task> first = job.tasksIn(Task.Status.WAITING);
+        job.place(first.get(0), "agent", 1);
+        assertThat(job.end(first.get(0), RunOutcome.DONE, 5), is(empty()));
+        job.place(first.get(1), "agent", 1);
+        assertThat(job.end(first.get(1), RunOutcome.DONE, 6), hasSize(3));
+    }
+
+    /**
+     * An owner dies after it has started tasks that the log knows nothing of. The next owner must not take them for
+     * waiting, or they would run twice; and its run numbers must be higher than all of the owner before.
+     */
+    @Test
+    void isUncertainAboutUnfinishedTasksAfterARestore() {
+        Job before = new Job(Jobs.chain(ID, 2, 1), 0);
+        Task done = before.tasks().getFirst();
+        before.place(done, "agent", 1);
+        before.end(done, RunOutcome.DONE, 5);
+
+        Job after = new Job(Jobs.chain(ID, 2, 1), 0);
+        after.restore(JobCodec.decodeProgress(JobCodec.encode(before.progress())), 129);
+        assertThat(after.tasks().get(0).status(), is(Task.Status.DONE));
+        assertThat(after.tasks().get(1).status(), is(Task.Status.UNCERTAIN));
+        assertThat(after.tasks().get(2).status(), is(Task.Status.BLOCKED));
+        assertThat(after.tasks().get(1).lastRun(), is(128L));
+    }
+
+    @Test
+    void survivesItsWayThroughTheLog() {
+        JobSpecification job = Jobs.chain(ID, 2, 1);
+        assertThat(JobCodec.decodeJob(JobCodec.encode(job).toByteArray()), is(job));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
@@ -0,0 +1,245 @@
+package org.chivetally.queue.agent;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.chivetally.queue.ManualTimers;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.link.LinkListener;
+import org.chivetally.queue.link.LinkTable;
+import org.chivetally.queue.link.MemoryNetwork;
+import org.chivetally.queue.link.Peer;
+import org.chivetally.queue.link.PeerLink;
+import org.chivetally.time.Timers;
+import org.chivetally.wire.v1.EntryBeat;
+import org.chivetally.wire.v1.Frame;
+import org.chivetally.wire.v1.OwnedPartition;
+import org.chivetally.wire.v1.RunInventory;
+import org.chivetally.wire.v1.RunStart;
+import org.junit.jupiter.api.Test;
+
+class AgentNodeTest {
+    private static final Peer AGENT = new Peer("agent", 1, true, "north", "agent", 1);
+    private static final Room CAPACITY = new Room(12_000, 1_000, 0);
+
+    private final ManualTimers timers = new ManualTimers();
+    private final MemoryNetwork network = new MemoryNetwork(timers);
+    private final ModelMinion minion = new ModelMinion(timers);
+    private final AgentNode agent = new AgentNode(AGENT, timers, network.dialer("agent"), minion, 16);
+
+    /** An entry that beats and notes what it is told. */
+    private final class ScriptedEntry implements LinkListener {
+        private final List<Frame> frames = new ArrayList<>();
+        private final Peer self;
+        private final long epoch;
+        private final LinkTable links;
+        private PeerLink link;
+        private Timers.Timer beats;
+        private long number;
+
+        private ScriptedEntry(String name, long epoch) {
+            this.self = new Peer(name, 1, false, "north", name, 1);
+            this.epoch = epoch;
+            this.links = new LinkTable(self, timers, network.dialer(name), this);
+            network.listen(name, links.acceptor());
+            this.beats = timers.every(Duration.ofMillis(100), this::beat);
+        }
+
+        private void beat() {
+            if (link == null) {
+                return;
+            }
+            EntryBeat.Builder beat = EntryBeat.newBuilder()
+                    .setStampNanos(timers.nanos())
+                    .setEchoNanos(link.peerStampNanos());
+            if (epoch > 0) {
+                beat.addOwned(OwnedPartition.newBuilder().setPartition(3).setEpoch(epoch));
+            }
+            link.send(Frame.newBuilder().setEntryBeat(beat).build());
+        }
+
+        private void start(String job, long run, boolean unkept) {
+            number++;
+            link.send(Frame.newBuilder()
+                    .setRunStart(RunStart.newBuilder()
+                            .setNumber(number)
+                            .setTask(job + ".0.0.0")
+                            .setRun(run)
+                            .setPartition(3)
+                            .setEpoch(epoch)
+                            .setUnkept(unkept)
+                            .setEchoNanos(link.peerStampNanos())
+                            .setRoom(org.chivetally.wire.v1.Room.newBuilder().setProcessorMillis(6_000)))
+                    .build());
+        }
+
+        @Override
+        public void up(PeerLink up) {
+            link = up;
+        }
+
+        @Override
+        public void received(PeerLink from, Frame frame) {
+            frames.add(frame);
+            switch (frame.getBodyCase()) {
+                case AGENT_BEAT -> from.stamps(frame.getAgentBeat().getStampNanos(), 0);
+                case RUN_INVENTORY -> from.stamps(frame.getRunInventory().getStampNanos(), 0);
+                default -> {}
+            }
+        }
+
+        @Override
+        public void down(PeerLink down, String reason) {
+            link = null;
+        }
+
+        private List<RunInventory> inventories() {
+            return frames.stream()
+                    .filter(Frame::hasRunInventory)
+                    .map(Frame::getRunInventory)
+                    .toList();
+        }
+
+        private List<String> refusals() {
+            return frames.stream()
+                    .filter(Frame::hasRunRefused)
+                    .map(frame -> frame.getRunRefused().getReason())
+                    .toList();
+        }
+    }
+
+    private ScriptedEntry entry(String name, long epoch) {
+        ScriptedEntry entry = new ScriptedEntry(name, epoch);
+        agent.meet(entry.self);
+        return entry;
+    }
+
+    private void announce() {
+        agent.supervisor()
+                .announced(new MinionState("boot", "reports", CAPACITY, List.of(), false, minion.clock()));
+        timers.advance(Duration.ofMillis(500));
+    }
+
+    private static RunKey run(String job, long number) {
+        return new RunKey(new TaskKey(job, 0, 0, 0), number);
+    }
+
+    /**
+     * An entry dies with unkept jobs in progress. Their callers send them again 1.3 s later, to another entry, which
+     * starts the same tasks. By then the runs of the dead entry have been stopped, so no task runs twice at once.
+     */
+    @Test
+    void stopsRunsOfAnEntryThatHasGoneSilentBeforeTheirCallersComeAgain() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("job", 1, true);
+        timers.advance(Duration.ofMillis(300));
+        assertThat(minion.running.keySet(), contains(run("job", 1)));
+        network.cut("agent", "entry-1", true);
+        timers.advance(Duration.ofMillis(1_200));
+        assertThat(minion.running.keySet(), is(empty()));
+    }
+
+    /** The entry lives and is heard all the time: its runs go on, renewed, far beyond one lease. */
+    @Test
+    void renewsRunsOfAnEntryThatIsHeard() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("job", 1, true);
+        timers.advance(Duration.ofSeconds(5));
+        assertThat(minion.running.keySet(), contains(run("job", 1)));
+        assertThat(minion.isLapsed(), is(false));
+        assertThat(minion.stops, is(empty()));
+    }
+
+    /**
+     * The owner of a partition is replaced while it is cut off, and comes back believing that it still owns it. Its
+     * starts are refused, as the agent has seen the epoch of the one that replaced it.
+     */
+    @Test
+    void refusesStartsOfAnOwnerThatWasReplaced() {
+        ScriptedEntry old = entry("entry-1", 5);
+        ScriptedEntry next = entry("entry-2", 6);
+        announce();
+        old.start("job", 1, false);
+        timers.advance(Duration.ofMillis(50));
+        assertThat(old.refusals(), contains("fenced by epoch 6"));
+        next.start("job", 1, false);
+        timers.advance(Duration.ofMillis(50));
+        assertThat(next.refusals(), is(empty()));
+    }
+
+    /**
+     * A start is held up on its way while the owner gives the agent up and starts the task elsewhere. When it arrives,
+     * the stamp in it is old, and it is refused.
+     */
+    @Test
+    void refusesAStartThatWasHeldUp() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.beats.cancel();
+        PeerLink link = entry.link;
+        long stamp = link.peerStampNanos();
+        timers.advance(Duration.ofMillis(700));
+        link.stamps(stamp, 0);
+        entry.start("job", 1, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(entry.refusals(), hasSize(1));
+        assertThat(entry.refusals().getFirst(), containsString("stale"));
+    }
+
+    /** The machine is suspended for some seconds, which its steady clock doesn't count. What it was told is old. */
+    @Test
+    void refusesStartsFromBeforeASuspension() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        timers.suspend(Duration.ofSeconds(4));
+        entry.start("job", 1, true);
+        timers.advance(Duration.ofMillis(3));
+        assertThat(entry.refusals(), hasSize(1));
+        timers.advance(Duration.ofMillis(500));
+        entry.start("job", 2, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(minion.running.keySet(), contains(run("job", 2)));
+    }
+
+    /**
+     * A new owner raises the epoch at an agent that was just restarted and doesn't know yet what its minion runs. It
+     * gets no inventory until the agent knows; an empty one would make it start tasks that still run.
+     */
+    @Test
+    void tellsOwnersNothingUntilItKnowsWhatItsMinionRuns() {
+        ScriptedEntry entry = entry("entry-1", 7);
+        timers.advance(Duration.ofSeconds(1));
+        assertThat(entry.inventories(), is(empty()));
+        announce();
+        assertThat(entry.inventories(), is(not(empty())));
+        assertThat(entry.inventories().getLast().getFenced(0).getEpoch(), is(7L));
+    }
+
+    @Test
+    void tellsAnEntryOnlyOfItsOwnUnkeptRuns() {
+        ScriptedEntry one = entry("entry-1", 0);
+        ScriptedEntry other = entry("entry-2", 0);
+        announce();
+        one.start("job", 1, true);
+        timers.advance(Duration.ofMillis(50));
+        network.kill("entry-2");
+        timers.advance(Duration.ofMillis(100));
+        ScriptedEntry again = entry("entry-2", 4);
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(again.inventories(), is(not(empty())));
+        assertThat(again.inventories().getLast().getRunsList(), is(empty()));
+        assertThat(other.frames, is(not(empty())));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
@@ -0,0 +1,98 @@
+package org.chivetally.queue.agent;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.chivetally.queue.ManualTimers;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.RunOutcome;
+
+/** A minion in memory that keeps leases and lists, and whose answers a test can hold back. */
+public final class ModelMinion implements MinionPort {
+    public final Map<RunKey, StartOrder> running = new LinkedHashMap<>();
+    public final TreeMap<Long, ListedEnd> ends = new TreeMap<>();
+    public final List<StartOrder> starts = new ArrayList<>();
+    public final List<RunKey> stops = new ArrayList<>();
+    public final List<LookOrder> looks = new ArrayList<>();
+    private final ManualTimers timers;
+    private final List<RunKey> excluded = new ArrayList<>();
+    private long leaseUntilMillis;
+    private long sequence;
+    public boolean silent;
+    public boolean startsUnanswered;
+    public boolean startsHeldUp;
+
+    public ModelMinion(ManualTimers timers) {
+        this.timers = timers;
+    }
+
+    public long clock() {
+        return timers.nanos() / 1_000_000;
+    }
+
+    public boolean isLapsed() {
+        return clock() > leaseUntilMillis;
+    }
+
+    @Override
+    public void start(String boot, StartOrder order, Consumer<StartAnswer> answer) {
+        starts.add(order);
+        if (startsHeldUp || silent) {
+            timers.after(Duration.ofMillis(350), () -> answer.accept(new StartAnswer.Unknown("no answer in time")));
+            return;
+        }
+        carryOut(order);
+        if (startsUnanswered) {
+            timers.after(Duration.ofMillis(350), () -> answer.accept(new StartAnswer.Unknown("no answer in time")));
+            return;
+        }
+        answer.accept(new StartAnswer.Started(clock()));
+    }
+
+    /** Carries a start out, as a minion does late with one that got no answer. */
+    public void carryOut(StartOrder order) {
+        if (order.leaseUntilMillis() < clock() || excluded.contains(order.run())) {
+            return;
+        }
+        running.put(order.run(), order);
+        leaseUntilMillis = Math.max(leaseUntilMillis, order.leaseUntilMillis());
+    }
+
+    public void end(RunKey run, RunOutcome outcome) {
+        running.remove(run);
+        sequence++;
+        ends.put(sequence, new ListedEnd(sequence, run, outcome, ""));
+    }
+
+    @Override
+    public void stop(String boot, RunKey run, long token, Consumer<Boolean> answer) {
+        stops.add(run);
+        if (silent) {
+            timers.after(Duration.ofMillis(350), () -> answer.accept(false));
+            return;
+        }
+        excluded.add(run);
+        if (running.containsKey(run)) {
+            end(run, RunOutcome.STOPPED);
+        }
+        answer.accept(true);
+    }
+
+    @Override
+    public void look(String boot, LookOrder order, Consumer<LookAnswer> answer) {
+        looks.add(order);
+        if (silent) {
+            timers.after(Duration.ofMillis(400), () -> answer.accept(new LookAnswer.Unknown("no answer in time")));
+            return;
+        }
+        order.leaseUntilMillis().ifPresent(until -> leaseUntilMillis = Math.max(leaseUntilMillis, until));
+        ends.headMap(order.keptThrough(), true).clear();
+        // Answered a little later, as over a socket; ends that come meanwhile are in it.
+        timers.after(Duration.ofMillis(order.longestWait().isZero() ? 1 : 10), () -> answer.accept(new LookAnswer.Lists(
+                clock(), List.copyOf(running.keySet()), List.copyOf(ends.values()))));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -0,0 +1,229 @@
+package org.chivetally.queue.agent;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.chivetally.queue.ManualTimers;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.TaskKey;
+import org.junit.jupiter.api.Test;
+
+class RunSupervisorTest {
+    private static final Room CAPACITY = new Room(12_000, 1_000, 0);
+    private static final Room HALF = new Room(6_000, 64, 0);
+    private static final RunOwner OWNER = new RunOwner.Partition(3);
+
+    private final ManualTimers timers = new ManualTimers();
+    private final ModelMinion minion = new ModelMinion(timers);
+    private final List<EndedRun> told = new ArrayList<>();
+    private boolean mayRenew = true;
+    private final RunSupervisor supervisor = new RunSupervisor(timers, minion, new Listener(), 16);
+
+    private final class Listener implements SupervisorListener {
+        @Override
+        public boolean mayRenew(Set<RunOwner> owners) {
+            return mayRenew;
+        }
+
+        @Override
+        public void ended(List<EndedRun> ends) {
+            told.addAll(ends);
+        }
+
+        @Override
+        public void roomChanged() {}
+    }
+
+    private static RunKey run(String job, long number) {
+        return new RunKey(new TaskKey(job, 0, 0, 0), number);
+    }
+
+    private void announce(String boot, boolean leaving) {
+        supervisor.announced(new MinionState(boot, "reports", CAPACITY, List.of("a"), leaving, minion.clock()));
+        timers.advance(Duration.ofMillis(5));
+    }
+
+    private Optional<String> start(RunKey run) {
+        return supervisor.start(run, OWNER, HALF, "payload", "");
+    }
+
+    private List<RunOutcome> outcomes() {
+        return told.stream().map(EndedRun::outcome).toList();
+    }
+
+    @Test
+    void startsUpToTheCapacityAndNoFurther() {
+        announce("boot", false);
+        assertThat(start(run("a", 1)), is(Optional.empty()));
+        assertThat(start(run("b", 1)), is(Optional.empty()));
+        assertThat(start(run("c", 1)), is(Optional.of("no room")));
+        assertThat(minion.starts, hasSize(2));
+    }
+
+    @Test
+    void givesTheRoomBackWhenTheEndIsListed() {
+        announce("boot", false);
+        start(run("a", 1));
+        start(run("b", 1));
+        minion.end(run("a", 1), RunOutcome.DONE);
+        assertThat(start(run("c", 1)), is(Optional.of("no room")));
+        timers.advance(Duration.ofMillis(50));
+        assertThat(outcomes(), contains(RunOutcome.DONE));
+        assertThat(start(run("c", 1)), is(Optional.empty()));
+    }
+
+    /**
+     * A start gets no answer, and the minion carries it out seconds later. Were its room given away at once, the worker
+     * would hold more than its capacity. The room stays taken until a stop has ruled the start out.
+     */
+    @Test
+    void holdsTheRoomOfADoubtfulStartUntilItIsRuledOut() {
+        announce("boot", false);
+        minion.startsHeldUp = true;
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(360));
+        assertThat(supervisor.free(), is(CAPACITY.minus(HALF)));
+        timers.advance(Duration.ofMillis(500));
+        assertThat(minion.stops, contains(run("a", 1)));
+        assertThat(outcomes(), contains(RunOutcome.NEVER_STARTED));
+        assertThat(supervisor.free(), is(CAPACITY));
+        minion.carryOut(minion.starts.getFirst());
+        assertThat(minion.running.keySet(), is(empty()));
+    }
+
+    /**
+     * The minion starts a run and its answer is lost. The run shows up in the next look, so it goes on: stopping it
+     * would throw its work away.
+     */
+    @Test
+    void keepsARunWhoseStartWasCarriedOutWithoutAnAnswer() {
+        announce("boot", false);
+        minion.startsUnanswered = true;
+        start(run("a", 1));
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(minion.stops, is(empty()));
+        assertThat(told, is(empty()));
+        assertThat(minion.running.keySet(), contains(run("a", 1)));
+    }
+
+    /**
+     * The minion goes silent while a run is in progress. Only when its lease has certainly ended is the run called
+     * lost; any sooner, the owner would start the task elsewhere beside it.
+     */
+    @Test
+    void callsRunsOfASilentMinionLostOnlyAfterTheirLease() {
+        announce("boot", false);
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(500));
+        minion.silent = true;
+        while (told.isEmpty()) {
+            timers.advance(Duration.ofMillis(10));
+        }
+        assertThat(outcomes(), contains(RunOutcome.LOST));
+        assertThat(minion.isLapsed(), is(true));
+        assertThat(supervisor.isAccepting(), is(false));
+    }
+
+    /** The owner isn't heard any more. The lease is left to end, so whoever replaces the owner can rely on it. */
+    @Test
+    void doesNotRenewWithoutTheOwnersLeave() {
+        announce("boot", false);
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(900));
+        assertThat(minion.isLapsed(), is(false));
+        mayRenew = false;
+        timers.advance(Duration.ofMillis(1_100));
+        assertThat(minion.isLapsed(), is(true));
+    }
+
+    /**
+     * An agent is killed and starts again while its minion runs on. The new one does not know the room of what runs, so
+     * it starts nothing and says nothing about it until that has ended: its owner would take silence for absence.
+     */
+    @Test
+    void startsNothingBesideRunsOfAnAgentBefore() {
+        minion.running.put(run("old", 7), new MinionPort.StartOrder(run("old", 7), "", 0, 1, ""));
+        announce("boot", false);
+        assertThat(supervisor.isAccepting(), is(false));
+        assertThat(supervisor.isComplete(), is(false));
+        assertThat(start(run("a", 1)), is(Optional.of("not accepting")));
+        minion.end(run("old", 7), RunOutcome.LAPSED);
+        timers.advance(Duration.ofMillis(100));
+        assertThat(supervisor.isAccepting(), is(true));
+        assertThat(supervisor.isComplete(), is(true));
+        assertThat(outcomes(), contains(RunOutcome.LAPSED));
+    }
+
+    @Test
+    void letsTheMinionForgetEndsInOrderOnceTheyAreStored() {
+        announce("boot", false);
+        start(run("a", 1));
+        start(run("b", 1));
+        minion.end(run("a", 1), RunOutcome.DONE);
+        minion.end(run("b", 1), RunOutcome.DONE);
+        timers.advance(Duration.ofMillis(100));
+        supervisor.kept("boot", List.of(2L));
+        timers.advance(Duration.ofMillis(100));
+        assertThat(minion.ends.keySet(), contains(1L, 2L));
+        supervisor.kept("boot", List.of(1L));
+        timers.advance(Duration.ofMillis(100));
+        assertThat(minion.ends.keySet(), is(empty()));
+        assertThat(supervisor.isIdle(), is(true));
+    }
+
+    @Test
+    void letsTheMinionForgetEndsOfUnkeptJobsAtOnce() {
+        announce("boot", false);
+        supervisor.start(run("a", 1), new RunOwner.Entry("entry", 1), HALF, "payload", "");
+        minion.end(run("a", 1), RunOutcome.DONE);
+        timers.advance(Duration.ofMillis(100));
+        assertThat(outcomes(), contains(RunOutcome.DONE));
+        assertThat(minion.ends.keySet(), is(empty()));
+    }
+
+    /**
+     * A minion crashes and a new boot announces itself at the same address; then an announcement of the old boot comes
+     * that was held up. It must not replace the new one, whose room is the one in force.
+     */
+    @Test
+    void ignoresAnnouncementsOfABootThatWasReplaced() {
+        announce("old", false);
+        start(run("a", 1));
+        minion.running.clear();
+        announce("new", false);
+        assertThat(outcomes(), contains(RunOutcome.LOST));
+        announce("old", true);
+        assertThat(supervisor.minion().orElseThrow().boot(), is("new"));
+        assertThat(supervisor.isAccepting(), is(true));
+    }
+
+    @Test
+    void takesNoStartsOnceTheMinionLeaves() {
+        announce("boot", false);
+        announce("boot", true);
+        assertThat(start(run("a", 1)), is(Optional.of("not accepting")));
+        announce("boot", false);
+        assertThat(supervisor.isAccepting(), is(false));
+    }
+
+    @Test
+    void stopsARunOnce() {
+        announce("boot", false);
+        start(run("a", 1));
+        supervisor.stop(run("a", 1));
+        supervisor.stop(run("a", 1));
+        timers.advance(Duration.ofMillis(100));
+        assertThat(minion.stops, hasSize(1));
+        assertThat(outcomes(), contains(RunOutcome.STOPPED));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -0,0 +1,147 @@
+package org.chivetally.queue.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobSpecification;
+import org.chivetally.queue.ManualTimers;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.agent.AgentNode;
+import org.chivetally.queue.agent.MinionState;
+import org.chivetally.queue.agent.ModelMinion;
+import org.chivetally.queue.link.MemoryNetwork;
+import org.chivetally.queue.link.Peer;
+import org.chivetally.queue.log.LogStream;
+import org.chivetally.queue.log.ScriptedKeyedLog;
+
+/** Entries and agents in one test: a network and a log in memory, and clocks that the test advances. */
+final class Cluster {
+    static final int PARTITIONS = 4;
+    static final Room CAPACITY = new Room(12_000, 1_000, 0);
+    private static final EntryOptions OPTIONS =
+            new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120));
+
+    final ManualTimers timers = new ManualTimers();
+    final MemoryNetwork network = new MemoryNetwork(timers);
+    final ScriptedKeyedLog log = new ScriptedKeyedLog(timers, PARTITIONS);
+    final Map<String, EntryNode> entries = new LinkedHashMap<>();
+    final Map<String, AgentNode> agents = new LinkedHashMap<>();
+    final Map<String, ModelMinion> minions = new LinkedHashMap<>();
+    private long incarnations;
+
+    EntryNode entry(String name) {
+        incarnations++;
+        Peer self = new Peer(name, incarnations, false, "north", name, 1);
+        ScriptedKeyedLog.Access access = log.access(name);
+        EntryNode entry = new EntryNode(self, timers, network.dialer(name), access, access, OPTIONS);
+        network.listen(name, entry.acceptor());
+        entry.start();
+        entries.put(name, entry);
+        return entry;
+    }
+
+    AgentNode agent(String name) {
+        incarnations++;
+        Peer self = new Peer(name, incarnations, true, "north", name, 1);
+        ModelMinion minion = minions.computeIfAbsent(name, key -> new ModelMinion(timers));
+        AgentNode agent = new AgentNode(self, timers, network.dialer(name), minion, PARTITIONS);
+        network.listen(name, agent.acceptor());
+        MemberDirectory directory = new MemberDirectory(log.access(name), timers, "members");
+        directory.announce(self);
+        directory.readOnce(agent::meet);
+        timers.every(Duration.ofSeconds(1), () -> {
+            if (agent.links().links().isEmpty()) {
+                directory.readOnce(agent::meet);
+            }
+        });
+        agent.supervisor()
+                .announced(new MinionState("boot-" + name, "reports", CAPACITY, List.of("a"), false, minion.clock()));
+        agents.put(name, agent);
+        return agent;
+    }
+
+    /** Lets everybody find everybody. */
+    Cluster settled() {
+        timers.advance(Duration.ofSeconds(3));
+        return this;
+    }
+
+    /** Kills an entry: its timers go on in the test's clock, but it neither hears nor reaches anybody. */
+    void kill(String name) {
+        network.kill(name);
+        log.cut(name, true);
+        for (String other : entries.keySet()) {
+            network.cut(name, other, true);
+        }
+        for (String other : agents.keySet()) {
+            network.cut(name, other, true);
+        }
+        entries.remove(name);
+    }
+
+    void advance(long millis) {
+        timers.advance(Duration.ofMillis(millis));
+    }
+
+    List<JobAnswer> submit(EntryNode entry, JobSpecification job) {
+        List<JobAnswer> answers = new ArrayList<>();
+        entry.desk().submit(job, timers.nanos() + Duration.ofSeconds(2).toNanos(), answers::add);
+        return answers;
+    }
+
+    List<JobAnswer> submitUnkept(EntryNode entry, JobSpecification job, long limitMillis) {
+        List<JobAnswer> answers = new ArrayList<>();
+        entry.unkept()
+                .submit(job, timers.nanos() + Duration.ofMillis(limitMillis).toNanos(), answers::add);
+        return answers;
+    }
+
+    List<JobAnswer> query(EntryNode entry, String id) {
+        List<JobAnswer> answers = new ArrayList<>();
+        entry.desk().query(id, timers.nanos() + Duration.ofSeconds(1).toNanos(), answers::add);
+        advance(50);
+        return answers;
+    }
+
+    /** Returns the minion that runs anything of a job. */
+    Optional<ModelMinion> runner(String jobId) {
+        return minions.values().stream()
+                .filter(minion -> minion.running.keySet().stream()
+                        .anyMatch(run -> run.task().jobId().equals(jobId)))
+                .findFirst();
+    }
+
+    /** Returns the runs of a job that are in progress under a lease. */
+    List<RunKey> running(String jobId) {
+        List<RunKey> runs = new ArrayList<>();
+        for (ModelMinion minion : minions.values()) {
+            if (!minion.isLapsed()) {
+                minion.running.keySet().stream()
+                        .filter(run -> run.task().jobId().equals(jobId))
+                        .forEach(runs::add);
+            }
+        }
+        return runs;
+    }
+
+    void finish(String jobId, RunOutcome outcome) {
+        for (ModelMinion minion : minions.values()) {
+            for (RunKey run : List.copyOf(minion.running.keySet())) {
+                if (run.task().jobId().equals(jobId)) {
+                    minion.end(run, outcome);
+                }
+            }
+        }
+        advance(50);
+    }
+
+    Map<String, byte[]> stored(int partition) {
+        return log.newest(new LogStream("jobs", partition));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -0,0 +1,171 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasKey;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobPhase;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.log.ScriptedKeyedLog;
+import org.junit.jupiter.api.Test;
+
+class KeptJobsTest {
+    private static final String ID = "00000000000000a1";
+
+    private final Cluster cluster = new Cluster();
+
+    private EntryNode ownerOf(String id) {
+        int partition = Partitions.of(id, Cluster.PARTITIONS);
+        return cluster.entries.values().stream()
+                .filter(entry -> entry.local(partition).isPresent())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private String nameOf(EntryNode entry) {
+        return cluster.entries.entrySet().stream()
+                .filter(known -> known.getValue() == entry)
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    private void three() {
+        for (String name : List.of("entry-1", "entry-2", "entry-3")) {
+            cluster.entry(name);
+        }
+        cluster.agent("agent-1");
+        cluster.agent("agent-2");
+        cluster.settled();
+    }
+
+    @Test
+    void servesAJobThroughAnyEntryAndShowsItsEnd() {
+        three();
+        for (EntryNode entry : cluster.entries.values()) {
+            List<JobAnswer> answers = cluster.submit(entry, Jobs.of(ID, 2));
+            cluster.advance(50);
+            assertThat(answers, contains(new JobAnswer.Accepted()));
+        }
+        assertThat(cluster.running(ID), hasSize(2));
+        cluster.finish(ID, RunOutcome.DONE);
+        for (EntryNode entry : cluster.entries.values()) {
+            assertThat(cluster.query(entry, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
+        }
+        int partition = Partitions.of(ID, Cluster.PARTITIONS);
+        assertThat(cluster.stored(partition), hasKey("p" + ID));
+        assertThat(cluster.stored(partition), not(hasKey("j" + ID)));
+    }
+
+    /**
+     * The owner of a job dies while its tasks run. The next owner finds the job in the log and its runs at the agents,
+     * lets them go on, and shows the job completed: no task starts twice, and none is forgotten.
+     */
+    @Test
+    void runsNoTaskTwiceWhenTheOwnerDies() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 3));
+        cluster.advance(100);
+        int starts = cluster.minions.values().stream().mapToInt(minion -> minion.starts.size()).sum();
+        cluster.kill(nameOf(owner));
+        cluster.advance(9_000);
+        EntryNode next = ownerOf(ID);
+        assertThat(cluster.query(next, ID), contains(new JobAnswer.State(JobPhase.RUNNING)));
+        assertThat(cluster.running(ID), hasSize(3));
+        assertThat(
+                cluster.minions.values().stream().mapToInt(minion -> minion.starts.size()).sum(), is(starts));
+        cluster.finish(ID, RunOutcome.DONE);
+        assertThat(cluster.query(next, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
+    /**
+     * The owner and an agent that runs its tasks are lost together. The next owner waits until the agent's lease must
+     * have ended, then starts the tasks again elsewhere under higher run numbers.
+     */
+    @Test
+    void startsTasksOfALostAgentAgainOnlyAfterItsLease() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 1));
+        cluster.advance(100);
+        String agent = cluster.minions.entrySet().stream()
+                .filter(known -> !known.getValue().running.isEmpty())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+        for (String entry : List.of("entry-1", "entry-2", "entry-3")) {
+            cluster.network.cut(agent, entry, true);
+        }
+        for (int step = 0; step < 1_000; step++) {
+            cluster.advance(10);
+            assertThat(cluster.running(ID).size() <= 1, is(true));
+        }
+        assertThat(cluster.running(ID), hasSize(1));
+        assertThat(cluster.running(ID).getFirst().run() > 1, is(true));
+    }
+
+    /** The log takes nothing: the caller is refused at once with a time to come back, and the job is truly not there. */
+    @Test
+    void refusesAJobThatTheLogDoesNotTake() {
+        three();
+        cluster.log.mood = ScriptedKeyedLog.Mood.REFUSING;
+        List<JobAnswer> answers = cluster.submit(ownerOf(ID), Jobs.of(ID, 1));
+        cluster.advance(600);
+        assertThat(answers, contains(instanceOf(JobAnswer.Refused.class)));
+        cluster.log.mood = ScriptedKeyedLog.Mood.WELL;
+        cluster.advance(2_000);
+        assertThat(cluster.running(ID), is(empty()));
+        assertThat(cluster.query(ownerOf(ID), ID), contains(new JobAnswer.UnknownJob()));
+    }
+
+    @Test
+    void cancelsAJobAndStopsItsRuns() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 2));
+        cluster.advance(100);
+        List<JobAnswer> answers = new java.util.ArrayList<>();
+        EntryNode other = cluster.entries.values().stream()
+                .filter(entry -> entry != owner)
+                .findFirst()
+                .orElseThrow();
+        other.desk().cancel(ID, cluster.timers.nanos() + 1_000_000_000L, answers::add);
+        cluster.advance(100);
+        assertThat(answers, contains(new JobAnswer.Cancelled()));
+        assertThat(cluster.running(ID), is(empty()));
+        assertThat(cluster.query(other, ID), contains(new JobAnswer.State(JobPhase.CANCELLED)));
+    }
+
+    /** All power is lost right after a job was accepted. A fresh fleet finds it in the log and runs it. */
+    @Test
+    void findsAcceptedJobsAgainAfterEverythingWasLost() {
+        three();
+        List<JobAnswer> answers = cluster.submit(ownerOf(ID), Jobs.of(ID, 1));
+        cluster.advance(10);
+        assertThat(answers, hasItem(new JobAnswer.Accepted()));
+        for (String name : List.copyOf(cluster.entries.keySet())) {
+            cluster.kill(name);
+        }
+        for (String name : List.copyOf(cluster.agents.keySet())) {
+            cluster.network.kill(name);
+        }
+        cluster.minions.clear();
+        cluster.agents.clear();
+        cluster.entry("entry-8");
+        cluster.entry("entry-9");
+        cluster.agent("agent-8");
+        cluster.advance(9_000);
+        assertThat(cluster.running(ID), hasSize(1));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
@@ -0,0 +1,173 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobPhase;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.log.ScriptedKeyedLog;
+import org.junit.jupiter.api.Test;
+
+class UnkeptJobsTest {
+    private static final String ID = "00000000000000b1";
+    private static final String OTHER = "00000000000000b2";
+
+    private final Cluster cluster = new Cluster();
+    private final EntryNode entry = cluster.entry("entry-1");
+
+    private void agents(int count) {
+        for (int number = 1; number <= count; number++) {
+            cluster.agent("agent-" + number);
+        }
+        cluster.settled();
+    }
+
+    @Test
+    void answersTheCallerWithTheEndAndStoresNothing() {
+        agents(1);
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 2), 2_000);
+        cluster.advance(50);
+        assertThat(answers, is(empty()));
+        cluster.finish(ID, RunOutcome.DONE);
+        assertThat(answers, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+        for (int partition = 0; partition < Cluster.PARTITIONS; partition++) {
+            assertThat(cluster.stored(partition).keySet(), is(empty()));
+        }
+    }
+
+    /** The log is down: unkept jobs don't need it, so their callers notice nothing. */
+    @Test
+    void servesWhileTheLogIsDown() {
+        agents(1);
+        cluster.log.mood = ScriptedKeyedLog.Mood.SILENT;
+        cluster.advance(5_000);
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 2_000);
+        cluster.advance(50);
+        cluster.finish(ID, RunOutcome.DONE);
+        assertThat(answers, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
+    @Test
+    void runsTheSameIdOnceWhileItIsInProgress() {
+        agents(1);
+        List<JobAnswer> first = cluster.submitUnkept(entry, Jobs.of(ID, 1), 2_000);
+        List<JobAnswer> again = cluster.submitUnkept(entry, Jobs.of(ID, 1), 2_000);
+        cluster.advance(50);
+        assertThat(cluster.running(ID), hasSize(1));
+        cluster.finish(ID, RunOutcome.DONE);
+        assertThat(first, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+        assertThat(again, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
+    /** The caller hangs up. Its work would go on for nobody, and keep others from the room; it is stopped at once. */
+    @Test
+    void stopsTheWorkOfACallerThatHasGone() {
+        agents(1);
+        List<JobAnswer> answers = new ArrayList<>();
+        Consumer<JobAnswer> caller = answers::add;
+        entry.unkept().submit(Jobs.of(ID, 1), cluster.timers.nanos() + 2_000_000_000L, caller);
+        cluster.advance(50);
+        entry.unkept().callerLeft(ID, caller);
+        cluster.advance(50);
+        assertThat(cluster.running(ID), is(empty()));
+        assertThat(entry.unkept().size(), is(0));
+    }
+
+    /**
+     * The worker is full until after the caller's time. The job is refused as not run as soon as it can't make it any
+     * more, which is true, and the caller doesn't wait for the rest of its time in vain.
+     */
+    @Test
+    void refusesAWaitingJobAsSoonAsItCanNotMakeIt() {
+        agents(1);
+        cluster.submitUnkept(entry, Jobs.of(OTHER, 2), 9_000);
+        cluster.advance(50);
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1, 0, 400), 1_000);
+        cluster.advance(550);
+        assertThat(answers, is(empty()));
+        cluster.advance(400);
+        assertThat(answers, contains(instanceOf(JobAnswer.Refused.class)));
+        assertThat(cluster.running(ID), is(empty()));
+    }
+
+    /** The caller's time ends while its job runs: that it has not run can't be said, and its runs are stopped. */
+    @Test
+    void doesNotSayThatAStartedJobHasNotRun() {
+        agents(1);
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 1_000);
+        cluster.advance(1_100);
+        assertThat(answers, contains(instanceOf(JobAnswer.Undecided.class)));
+        assertThat(cluster.running(ID), is(empty()));
+    }
+
+    /**
+     * An agent is cut off with a run in progress. The run is started elsewhere, but never while the first one can still
+     * be at work.
+     */
+    @Test
+    void movesTheRunsOfALostAgentWithoutRunningThemTwice() {
+        agents(2);
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 9_000);
+        cluster.advance(50);
+        String agent = cluster.minions.entrySet().stream()
+                .filter(known -> !known.getValue().running.isEmpty())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+        cluster.network.cut("entry-1", agent, true);
+        for (int step = 0; step < 350; step++) {
+            cluster.advance(10);
+            assertThat(cluster.running(ID).size() <= 1, is(true));
+        }
+        assertThat(cluster.running(ID), hasSize(1));
+        cluster.finish(ID, RunOutcome.DONE);
+        assertThat(answers, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
+    @Test
+    void triesAFailedTaskOnceMoreOnAnotherWorker() {
+        agents(2);
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 9_000);
+        cluster.advance(50);
+        var first = cluster.runner(ID).orElseThrow();
+        cluster.finish(ID, RunOutcome.FAILED);
+        assertThat(cluster.runner(ID).orElseThrow() != first, is(true));
+        cluster.finish(ID, RunOutcome.FAILED);
+        assertThat(answers, contains(new JobAnswer.State(JobPhase.FAILED)));
+    }
+
+    /**
+     * The entry gets SIGTERM, and a caller still sends it a job on an open connection. A job that would be cut off at
+     * the end is refused at once as not run; a short one is served.
+     */
+    @Test
+    void takesOnlyJobsOnThatEndBeforeItStops() {
+        agents(1);
+        entry.unkept().stopAt(cluster.timers.nanos() + 1_000_000_000L);
+        List<JobAnswer> longer = cluster.submitUnkept(entry, Jobs.of(ID, 1, 0, 700), 5_000);
+        List<JobAnswer> shorter = cluster.submitUnkept(entry, Jobs.of(OTHER, 1, 0, 100), 5_000);
+        assertThat(longer, contains(instanceOf(JobAnswer.Refused.class)));
+        cluster.advance(50);
+        cluster.finish(OTHER, RunOutcome.DONE);
+        assertThat(shorter, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
+    /** The entry's time is over while a job runs: its caller is told so, instead of a connection that breaks. */
+    @Test
+    void answersWhoeverStillWaitsWhenTheProcessEnds() {
+        agents(1);
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 5_000);
+        cluster.advance(50);
+        entry.unkept().endAll();
+        assertThat(answers, contains(instanceOf(JobAnswer.Undecided.class)));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/link/MemoryNetwork.java
@@ -0,0 +1,129 @@
+package org.chivetally.queue.link;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.chivetally.time.Timers;
+import org.chivetally.transport.FrameConnection;
+import org.chivetally.transport.FrameListener;
+import org.chivetally.wire.v1.Frame;
+
+/** Connections in memory between processes named by their hosts; a test can cut paths silently or end connections. */
+public final class MemoryNetwork {
+    private static final Duration ONE_WAY = Duration.ofMillis(1);
+
+    private final Timers timers;
+    private final Map<String, FrameListener> listeners = new HashMap<>();
+    private final Set<String> cuts = new HashSet<>();
+    private final Set<String> dead = new HashSet<>();
+    private final List<End> ends = new ArrayList<>();
+
+    /** Creates a network without processes. */
+    public MemoryNetwork(Timers timers) {
+        this.timers = timers;
+    }
+
+    /** Listens on a host. */
+    public void listen(String host, FrameListener listener) {
+        listeners.put(host, listener);
+        dead.remove(host);
+    }
+
+    /** Returns how a host dials. */
+    public Dialer dialer(String from) {
+        return (host, port, listener) -> dial(from, host, listener);
+    }
+
+    /** Loses everything between two hosts, without an error, until it is undone. */
+    public void cut(String one, String other, boolean off) {
+        for (String path : List.of(one + ">" + other, other + ">" + one)) {
+            if (off) {
+                cuts.add(path);
+            } else {
+                cuts.remove(path);
+            }
+        }
+    }
+
+    /** Ends a process: its connections are reset, and nobody can dial it. */
+    public void kill(String host) {
+        listeners.remove(host);
+        dead.add(host);
+        for (End end : List.copyOf(ends)) {
+            if (end.from.equals(host)) {
+                end.reset();
+            }
+        }
+    }
+
+    private void dial(String from, String to, FrameListener dialling) {
+        FrameListener accepting = listeners.get(to);
+        if (accepting == null || dead.contains(from) || cuts.contains(from + ">" + to)) {
+            timers.after(Duration.ofMillis(500), () -> dialling.disconnected(null, "dial failed"));
+            return;
+        }
+        timers.after(ONE_WAY, () -> {
+            End near = new End(from, to, dialling);
+            End far = new End(to, from, accepting);
+            near.other = far;
+            far.other = near;
+            ends.add(near);
+            ends.add(far);
+            accepting.connected(far);
+            dialling.connected(near);
+        });
+    }
+
+    private final class End implements FrameConnection {
+        private final String from;
+        private final String to;
+        private final FrameListener listener;
+        private End other;
+        private boolean open = true;
+
+        private End(String from, String to, FrameListener listener) {
+            this.from = from;
+            this.to = to;
+            this.listener = listener;
+        }
+
+        @Override
+        public void send(Frame frame) {
+            if (!open || cuts.contains(from + ">" + to)) {
+                return;
+            }
+            End receiver = other;
+            timers.after(ONE_WAY, () -> {
+                if (receiver.open) {
+                    receiver.listener.received(receiver, frame);
+                }
+            });
+        }
+
+        @Override
+        public void close() {
+            reset();
+        }
+
+        private void reset() {
+            if (!open) {
+                return;
+            }
+            open = false;
+            ends.remove(this);
+            listener.disconnected(this, "closed");
+            if (!cuts.contains(from + ">" + to)) {
+                timers.after(ONE_WAY, other::reset);
+            }
+        }
+
+        @Override
+        public String peer() {
+            return to;
+        }
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/log/ScriptedKeyedLog.java
@@ -0,0 +1,239 @@
+package org.chivetally.queue.log;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.chivetally.time.Timers;
+
+/**
+ * A log in memory with the features that the queue path relies on: newest values by key, writers fenced by epochs,
+ * sequences that make a repeat harmless, and a group that deals partitions out. Answers take time, and can be made to
+ * fail for all callers or for some.
+ */
+public final class ScriptedKeyedLog {
+    private static final Duration ANSWER = Duration.ofMillis(4);
+
+    private final Timers timers;
+    private final Map<LogStream, Partition> partitions = new HashMap<>();
+    private final Map<String, Long> membersUntil = new TreeMap<>();
+    private final Map<Integer, String> holders = new HashMap<>();
+    private final Map<Integer, String> dealt = new HashMap<>();
+    private final int partitionCount;
+    private final List<LogStream> appends = new ArrayList<>();
+    private long generation;
+    private final Set<String> cutOff = new HashSet<>();
+
+    /** What the log does with appends. */
+    public enum Mood {
+        /** Takes them. */
+        WELL,
+        /** Refuses them. */
+        REFUSING,
+        /** Takes them, and the answer is lost. */
+        ANSWERS_LOST,
+        /** Neither takes nor answers them. */
+        SILENT
+    }
+
+    /** What appends meet now. */
+    public Mood mood = Mood.WELL;
+
+    /** Creates an empty log. */
+    public ScriptedKeyedLog(Timers timers, int partitionCount) {
+        this.timers = timers;
+        this.partitionCount = partitionCount;
+    }
+
+    /** Cuts one caller off, or lets it through again. */
+    public void cut(String caller, boolean off) {
+        if (off) {
+            cutOff.add(caller);
+        } else {
+            cutOff.remove(caller);
+        }
+    }
+
+    /** Returns the streams that were appended to, one entry an append that was taken. */
+    public List<LogStream> appends() {
+        return appends;
+    }
+
+    /** Returns the log as one caller reaches it. */
+    public Access access(String caller) {
+        return new Access(caller);
+    }
+
+    /** Returns the newest values of a partition. */
+    public Map<String, byte[]> newest(LogStream stream) {
+        return partition(stream).newest;
+    }
+
+    private Partition partition(LogStream stream) {
+        return partitions.computeIfAbsent(stream, key -> new Partition());
+    }
+
+    private static final class Partition {
+        private final List<KeyedRecord> records = new ArrayList<>();
+        private final TreeMap<String, byte[]> newest = new TreeMap<>();
+        private final Map<String, Long> epochs = new HashMap<>();
+        private final Map<String, Long> sequences = new HashMap<>();
+    }
+
+    /** One caller's way to the log. */
+    public final class Access implements KeyedLog, OwnershipGroup {
+        private final String caller;
+
+        private Access(String caller) {
+            this.caller = caller;
+        }
+
+        private boolean isCut() {
+            return cutOff.contains(caller);
+        }
+
+        @Override
+        public void append(
+                LogStream stream,
+                Optional<WriterStamp> stamp,
+                List<KeyedRecord> records,
+                Consumer<AppendOutcome> answer) {
+            if (isCut() || mood == Mood.SILENT) {
+                timers.after(Duration.ofMillis(600), () -> answer.accept(new AppendOutcome.Unknown("silent")));
+                return;
+            }
+            if (mood == Mood.REFUSING) {
+                timers.after(ANSWER, () -> answer.accept(new AppendOutcome.Refused("busy")));
+                return;
+            }
+            boolean lost = mood == Mood.ANSWERS_LOST;
+            timers.after(ANSWER, () -> {
+                AppendOutcome outcome = carryOut(stream, stamp, records);
+                if (lost) {
+                    timers.after(
+                            Duration.ofMillis(600), () -> answer.accept(new AppendOutcome.Unknown("answer lost")));
+                } else {
+                    answer.accept(outcome);
+                }
+            });
+        }
+
+        private AppendOutcome carryOut(LogStream stream, Optional<WriterStamp> stamp, List<KeyedRecord> records) {
+            Partition partition = partition(stream);
+            if (stamp.isPresent()) {
+                WriterStamp writer = stamp.get();
+                long epoch = partition.epochs.getOrDefault(writer.writer(), -1L);
+                if (writer.epoch() < epoch) {
+                    return new AppendOutcome.Fenced();
+                }
+                long last = partition.sequences.getOrDefault(writer.writer(), 0L);
+                if (writer.epoch() == epoch && !records.isEmpty()) {
+                    if (writer.sequence() <= last && writer.sequence() > last - 5) {
+                        return new AppendOutcome.Appended(partition.records.size());
+                    }
+                    if (writer.sequence() != last + 1) {
+                        return new AppendOutcome.OutOfSequence(last + 1);
+                    }
+                }
+                partition.epochs.put(writer.writer(), writer.epoch());
+                partition.sequences.put(writer.writer(), writer.sequence());
+            }
+            appends.add(stream);
+            for (KeyedRecord entry : records) {
+                partition.records.add(entry);
+                if (entry.drops()) {
+                    partition.newest.remove(entry.key());
+                } else {
+                    partition.newest.put(entry.key(), entry.value());
+                }
+            }
+            return new AppendOutcome.Appended(partition.records.size());
+        }
+
+        @Override
+        public void newest(LogStream stream, String afterKey, Consumer<NewestOutcome> answer) {
+            if (isCut()) {
+                timers.after(Duration.ofMillis(600), () -> answer.accept(new NewestOutcome.Unavailable("cut off")));
+                return;
+            }
+            timers.after(ANSWER, () -> {
+                Partition partition = partition(stream);
+                List<KeyedRecord> items = new ArrayList<>();
+                partition
+                        .newest
+                        .tailMap(afterKey, false)
+                        .forEach((key, value) -> items.add(new KeyedRecord(key, value)));
+                answer.accept(new NewestOutcome.Page(items, false, partition.records.size()));
+            });
+        }
+
+        @Override
+        public void read(LogStream stream, long from, Duration wait, Consumer<ReadOutcome> answer) {
+            if (isCut()) {
+                timers.after(Duration.ofMillis(600), () -> answer.accept(new ReadOutcome.Unavailable("cut off")));
+                return;
+            }
+            Partition partition = partition(stream);
+            timers.after(partition.records.size() > from ? ANSWER : Duration.ofMillis(50), () -> {
+                List<KeyedRecord> records = List.copyOf(
+                        partition.records.subList((int) from, partition.records.size()));
+                answer.accept(new ReadOutcome.Records(from + records.size(), records));
+            });
+        }
+
+        @Override
+        public void join(String member, long known, Duration timeToLive, Consumer<JoinOutcome> answer) {
+            if (isCut() || mood == Mood.SILENT) {
+                timers.after(Duration.ofMillis(600), () -> answer.accept(new JoinOutcome.Unavailable("silent")));
+                return;
+            }
+            timers.after(ANSWER, () -> {
+                membersUntil.put(member, timers.nanos() + timeToLive.toNanos());
+                deal();
+                if (known >= generation) {
+                    // The member has learned what it has lost, so that can be dealt on.
+                    holders.replaceAll((partition, holder) ->
+                            holder.equals(member) ? dealt.get(partition) : holder);
+                }
+                Set<Integer> own = new HashSet<>();
+                dealt.forEach((partition, next) -> {
+                    if (next.equals(member) && holders.get(partition).equals(member)) {
+                        own.add(partition);
+                    }
+                });
+                answer.accept(new JoinOutcome.Joined(generation, own));
+            });
+        }
+
+        @Override
+        public void leave(String member, Runnable done) {
+            timers.after(ANSWER, () -> {
+                membersUntil.remove(member);
+                deal();
+                done.run();
+            });
+        }
+    }
+
+    private void deal() {
+        membersUntil.values().removeIf(until -> until < timers.nanos());
+        List<String> members = new ArrayList<>(membersUntil.keySet());
+        Map<Integer, String> next = new HashMap<>();
+        for (int partition = 0; partition < partitionCount && !members.isEmpty(); partition++) {
+            next.put(partition, members.get(partition % members.size()));
+        }
+        if (!next.equals(dealt)) {
+            dealt.clear();
+            dealt.putAll(next);
+            generation++;
+        }
+        dealt.forEach((partition, member) -> holders.compute(
+                partition, (same, holder) -> members.contains(holder) ? holder : member));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/placement/DecisionsTest.java
@@ -0,0 +1,109 @@
+package org.chivetally.queue.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.Task;
+import org.junit.jupiter.api.Test;
+
+class DecisionsTest {
+    private static final Room CAPACITY = new Room(64_000, 131_072, 0);
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private static Worker worker(String name, long freeMillis) {
+        Worker worker = new Worker(name, 0);
+        worker.linked(name);
+        worker.report(
+                new Worker.View(
+                        "boot", "reports", CAPACITY, new Room(freeMillis, 99_999, 0), true, List.of("a"), "north", 0),
+                0);
+        return worker;
+    }
+
+    private static Task task(String job) {
+        return new Job(Jobs.of(job, 1), 0).tasks().getFirst();
+    }
+
+    @Test
+    void placesOnTheWorkerWithTheMostRoom() {
+        List<Worker> workers = List.of(worker("a", 20_000), worker("b", 30_000), worker("c", 5_000));
+        assertThat(PlacementPolicy.choose(task("j"), workers, 1).map(Worker::process), is(Optional.of("b")));
+    }
+
+    @Test
+    void countsItsOwnStartsThatTheAgentHasNotReportedYet() {
+        Worker worker = worker("a", 11_000);
+        worker.send(task("j"), 1);
+        assertThat(PlacementPolicy.choose(task("k"), List.of(worker), 1), is(Optional.empty()));
+    }
+
+    /**
+     * One worker fails all that it starts. It always has the most room, so it would get every task and fail it; after
+     * three failures of different jobs it gets nothing while another worker has room.
+     */
+    @Test
+    void avoidsAWorkerThatFailsWhateverItStarts() {
+        Worker bad = worker("bad", 60_000);
+        Worker good = worker("good", 7_000);
+        for (String job : List.of("j1", "j2", "j3")) {
+            assertThat(PlacementPolicy.choose(task("k"), List.of(bad, good), 1), is(Optional.of(bad)));
+            bad.health().failed(job, 1);
+        }
+        assertThat(PlacementPolicy.choose(task("k"), List.of(bad, good), 1), is(Optional.of(good)));
+        long later = WorkerHealth.AVOIDANCE.toNanos() + 2;
+        assertThat(PlacementPolicy.choose(task("k"), List.of(bad, good), later), is(Optional.of(bad)));
+    }
+
+    /** Jobs that can never be done fail on every worker. They must not make the workers look bad. */
+    @Test
+    void doesNotBlameAWorkerForOneJobThatFailsAgainAndAgain() {
+        Worker worker = worker("a", 60_000);
+        for (int run = 0; run < 10; run++) {
+            worker.health().failed("hopeless", run);
+        }
+        assertThat(worker.health().isAvoided(11), is(false));
+    }
+
+    /**
+     * A burst: a hundred jobs wait, and the oldest have run out of time. Those that can still make it go first, by
+     * priority and age; without that, the whole backlog would be late one after the other.
+     */
+    @Test
+    void placesJobsThatCanStillMakeItBeforeThoseThatCanNot() {
+        WaitingTasks waiting = new WaitingTasks();
+        Job hopeless = new Job(Jobs.of("old", 1, 0, 100), 0, SECOND);
+        Job urgent = new Job(Jobs.of("urgent", 1, 0, 100), SECOND, 3 * SECOND);
+        Job usual = new Job(Jobs.of("usual", 1, 1, 100), SECOND / 2, 3 * SECOND);
+        for (Job job : List.of(hopeless, usual, urgent)) {
+            waiting.add(job.tasks().getFirst(), 2 * SECOND);
+        }
+        List<String> order = new ArrayList<>();
+        for (Task task : waiting.first("reports", 9)) {
+            order.add(task.job().specification().id());
+        }
+        assertThat(order, is(List.of("urgent", "usual", "old")));
+    }
+
+    @Test
+    void admitsAJobWhoseTurnComesInTime() {
+        Job job = new Job(Jobs.of("j", 2, 0, 200), 0, SECOND);
+        long halfASecondOfWork = 64_000L / 1_000 * 500;
+        assertThat(AdmissionPolicy.refuse(job, 0, halfASecondOfWork, 64_000), is(Optional.empty()));
+    }
+
+    /** The backlog is longer than the caller waits: it is told at once when to come back, not at the end of its time. */
+    @Test
+    void refusesAJobWhoseTurnComesTooLate() {
+        Job job = new Job(Jobs.of("j", 2, 0, 200), 0, SECOND);
+        long threeSecondsOfWork = 64_000L / 1_000 * 3_000;
+        assertThat(
+                AdmissionPolicy.refuse(job, 0, threeSecondsOfWork, 64_000), is(Optional.of(Duration.ofSeconds(3))));
+    }
+}
