--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -36,10 +36,14 @@
      * Creates a job that is kept in this process only.
      *
      * @param acceptedAtNanos when this process took the job on, by its steady clock
-     * @param limitNanos when its end is worth nothing any more, by that clock
+     * @param deadlineNanos when its caller gives up, by that clock
      */
-    public Job(JobSpecification specification, long acceptedAtNanos, long limitNanos) {
-        this(specification, acceptedAtNanos, limitNanos, false);
+    public Job(JobSpecification specification, long acceptedAtNanos, long deadlineNanos) {
+        this(
+                specification,
+                acceptedAtNanos,
+                Math.min(deadlineNanos, acceptedAtNanos + lateLimitNanos(specification)),
+                false);
     }
 
     private Job(JobSpecification specification, long acceptedAtNanos, long limitNanos, boolean kept) {
--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -41,14 +41,17 @@
  * and tells owners what became of their runs.
  */
 public final class AgentNode implements LinkListener, SupervisorListener {
-    /** Interval of heartbeats: seven fit into the silence after which a link is closed. */
-    static final Duration BEAT_INTERVAL = Duration.ofMillis(200);
+    /**
+     * Interval of heartbeats, and of all else that is looked at regularly: on half a core, wake-ups are most of what an
+     * idle agent costs. Three fit into the silence after which runs are stopped, six into that which closes a link.
+     */
+    static final Duration BEAT_INTERVAL = Duration.ofMillis(250);
 
     /** Pause before a changed room is told, so that a burst of ends makes one frame. */
     static final Duration REPORT_PAUSE = Duration.ofMillis(10);
 
-    /** Interval in which ends that nobody has stored are told again, for an owner that was not ready for them. */
-    static final Duration END_INTERVAL = Duration.ofMillis(500);
+    /** Heartbeats after which ends that nobody has stored are told again, for an owner that was not ready for them. */
+    static final int BEATS_PER_REPEAT = 2;
 
     /**
      * How old the owner's knowledge of this agent may be for its runs to be renewed. Longer than a failover, which
@@ -58,16 +61,13 @@
 
     /**
      * How old an entry's knowledge of this agent may be before the runs of its unkept jobs are stopped. Their callers
-     * send a job again 1.3 s after its entry has failed them; with 50 ms for a stop, the old runs have ended by then.
-     * Three heartbeats fit into it.
+     * send a job again 1.3 s after its entry has failed them; with one heartbeat until it is noticed and 50 ms for a
+     * stop, the old runs have ended by then.
      */
     static final Duration ENTRY_SILENCE = Duration.ofMillis(800);
 
     /** How much longer such runs are renewed, while they are being stopped. */
-    static final Duration STOP_MARGIN = Duration.ofMillis(200);
-
-    /** How often silent entries are looked for, which adds to their silence at most. */
-    static final Duration SILENCE_LOOK = Duration.ofMillis(100);
+    static final Duration STOP_MARGIN = Duration.ofMillis(350);
 
     /**
      * Part of the capacity under which a change of the free room is told at once. Above it no entry waits for room, and
@@ -94,6 +94,7 @@
     private final Map<RunOwner.Entry, Long> echoes = new HashMap<>();
     private final Set<PeerLink> owedInventory = new HashSet<>();
     private long stampFloorNanos;
+    private long beats;
     private boolean reportArmed;
     private boolean toldAccepting;
 
@@ -107,8 +108,6 @@
         this.suspension = new SuspensionDetector(timers);
         this.stampFloorNanos = timers.nanos();
         timers.every(BEAT_INTERVAL, this::beat);
-        timers.every(SILENCE_LOOK, this::stopRunsOfSilentEntries);
-        timers.every(END_INTERVAL, () -> tellOwners(supervisor.openEnds()));
     }
 
     /** Returns what keeps the minion's runs. */
@@ -217,7 +216,7 @@
         }
         LOGGER.atInfo().log(
                 "%s",
-                EventLine.of("run-start")
+                EventLine.of("run-sent")
                         .with("task", start.getTask())
                         .with("run", start.getRun())
                         .with("epoch", start.getEpoch())
@@ -388,7 +387,12 @@
     }
 
     private void beat() {
-        lookForSuspension();
+        beats++;
+        links.closeSilent();
+        stopRunsOfSilentEntries();
+        if (beats % BEATS_PER_REPEAT == 0) {
+            tellOwners(supervisor.openEnds());
+        }
         sendInventories();
         sendBeats();
     }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -202,6 +202,7 @@
         pastBoots.add(old.boot());
         // An answer of the old boot may take long or never come; the new one is looked at without waiting for it.
         lookInFlight = false;
+        lookArmed = false;
         lookNumber++;
         loseAll(old.boot(), reason);
         ends.clear();
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -37,6 +37,9 @@
     /** Interval of heartbeats: six fit into the silence after which a link is closed. */
     static final Duration BEAT_INTERVAL = Duration.ofMillis(250);
 
+    /** Heartbeats after which agents get one too; between them the echoes of their own keep the link alive. */
+    static final int BEATS_PER_AGENT_BEAT = 4;
+
     /** Least time between two echoes on a link. */
     static final Duration ECHO_INTERVAL = Duration.ofMillis(100);
 
@@ -63,6 +66,7 @@
     private final Map<String, Map<String, Long>> pendingElsewhere = new HashMap<>();
     private final Map<PeerLink, Long> echoedAtNanos = new HashMap<>();
     private boolean leaving;
+    private long beats;
 
     /** Creates an entry that does nothing yet. */
     public EntryNode(
@@ -128,7 +132,7 @@
             for (PartitionOwner owner : List.copyOf(partitions.values())) {
                 lost(owner.partition());
             }
-            beat();
+            sendBeats(true);
             done.run();
         });
     }
@@ -212,7 +216,7 @@
 
     /**
      * Tells an agent that it was heard. At most every tenth of a second, as agents report far more often under load;
-     * with heartbeats every 0.2 s that keeps an agent's knowledge well inside the 0.8 s after which it stops runs.
+     * with heartbeats every 0.25 s that keeps an agent's knowledge well inside the 0.8 s after which it stops runs.
      */
     private void echo(PeerLink link) {
         long now = timers.nanos();
@@ -270,12 +274,16 @@
         }
         runs.entries(entries);
         runs.sweep();
-        sendBeats();
+        links.closeSilent();
+        beats++;
+        sendBeats(beats % BEATS_PER_AGENT_BEAT == 0);
     }
 
-    private void sendBeats() {
+    private void sendBeats(boolean toAgents) {
         for (PeerLink link : links.links()) {
-            link.send(beatFor(link));
+            if (toAgents || !link.peer().agent()) {
+                link.send(beatFor(link));
+            }
         }
     }
 
@@ -391,7 +399,7 @@
             }
         }
         owner.awaitAgents(agents);
-        sendBeats();
+        sendBeats(true);
     }
 
     @Override
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -48,9 +48,12 @@
 
     /**
      * Silence after which the runs of unkept jobs are given up. The agent stops them when this entry's knowledge of it
-     * is 0.8 s old, and renews no longer than 1 s; the lease of 1 s then ends by a clock that may be 2% slow.
+     * is 0.8 s old, and renews no longer than 1.15 s; the lease of 1 s then ends by a clock that may be 2% slow.
      */
-    static final Duration UNKEPT_ABSENCE = Duration.ofMillis(2_200);
+    static final Duration UNKEPT_ABSENCE = Duration.ofMillis(2_350);
+
+    /** Part of the workers that may be slow at once for their runs to be moved. */
+    static final int SLOW_PART = 3;
 
     /** Pause of a worker that refused a start for another reason than room: one interval of heartbeats. */
     static final Duration REFUSAL_PAUSE = Duration.ofMillis(250);
@@ -253,7 +256,7 @@
         if (wanted && known.get().status() == Task.Status.UNCERTAIN) {
             Task task = known.get();
             task.job().place(task, worker.process(), run.getRun());
-            worker.adopt(task, run.getRun());
+            worker.adopt(task, run.getRun(), timers.nanos());
             return;
         }
         boolean ours = wanted
@@ -327,6 +330,9 @@
     }
 
     private void finished(Worker worker, Worker.Sent start, RunOutcome outcome, Runnable kept) {
+        if (outcome == RunOutcome.DONE) {
+            worker.ended(start, timers.nanos());
+        }
         worker.remove(start.task().key());
         settle(worker, start.task(), start.run(), outcome, kept);
     }
@@ -383,11 +389,45 @@
                 }
             }
         }
+        moveFromSlowWorkers(now);
         unkept.refuseHopeless();
         waiting.refresh(now);
         armPass();
     }
 
+    /**
+     * Stops overdue runs of unkept jobs on slow workers, so that they start again elsewhere: tasks that stand still would
+     * hold their callers until the time limit. Not when many workers look slow, as then something else is.
+     */
+    private void moveFromSlowWorkers(long now) {
+        List<Worker> slow = new ArrayList<>();
+        int open = 0;
+        for (Worker worker : workers.values()) {
+            open += worker.isOpen(now) ? 1 : 0;
+            boolean late = !worker.newlyOverdue(now).isEmpty();
+            if (worker.health().isSlow(now)) {
+                slow.add(worker);
+                if (late) {
+                    LOGGER.atWarning().log(
+                            "%s",
+                            EventLine.of("worker-slow")
+                                    .with("worker", worker.process())
+                                    .with("overdue", worker.overdue().size()));
+                }
+            }
+        }
+        if (SLOW_PART * slow.size() > open) {
+            return;
+        }
+        for (Worker worker : slow) {
+            for (Worker.Sent start : worker.overdue()) {
+                if (!start.task().job().isKept() && !start.task().job().phase().isFinal()) {
+                    stop(worker.process(), start.task().key(), start.run(), homeOf(start.task()));
+                }
+            }
+        }
+    }
+
     private void giveUp(Worker worker, long silentNanos) {
         int count = 0;
         for (Worker.Sent start : worker.sent()) {
@@ -444,7 +484,7 @@
         RunHome.RunAuthority authority = home.get().authority();
         waiting.remove(task);
         long run = task.lastRun() + 1;
-        Worker.Sent sent = worker.send(task, run);
+        Worker.Sent sent = worker.send(task, run, timers.nanos());
         task.job().place(task, worker.process(), run);
         LOGGER.atInfo().log(
                 "%s",
--- a/library/src/main/java/org/chivetally/queue/link/LinkTable.java
+++ b/library/src/main/java/org/chivetally/queue/link/LinkTable.java
@@ -28,9 +28,6 @@
      */
     static final Duration SILENCE = Duration.ofMillis(1_500);
 
-    /** How often silence is looked for. */
-    static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
-
     /** Pause before the first redial: a process that restarts takes about two seconds, so sooner is in vain. */
     static final Duration FIRST_PAUSE = Duration.ofMillis(200);
 
@@ -51,7 +48,6 @@
         this.timers = timers;
         this.dialer = dialer;
         this.listener = listener;
-        timers.every(CHECK_INTERVAL, this::closeSilent);
     }
 
     /** Returns who is told about connections that others open. */
@@ -102,7 +98,8 @@
         }
     }
 
-    private void closeSilent() {
+    /** Closes links that have gone silent; to be called with each heartbeat, so that one wake-up serves both. */
+    public void closeSilent() {
         long now = timers.nanos();
         for (PeerLink link : links()) {
             if (now - link.heardAtNanos() > SILENCE.toNanos()) {
--- a/library/src/main/java/org/chivetally/queue/placement/Worker.java
+++ b/library/src/main/java/org/chivetally/queue/placement/Worker.java
@@ -1,10 +1,13 @@
 package org.chivetally.queue.placement;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
@@ -13,6 +16,7 @@
 public final class Worker {
     private final String process;
     private final Map<TaskKey, Sent> sent = new LinkedHashMap<>();
+    private final Set<TaskKey> overdue = new LinkedHashSet<>();
     private final WorkerHealth health = new WorkerHealth();
     private View view = View.NONE;
     private Object link;
@@ -65,8 +69,22 @@
      * @param run number of the run
      * @param link the link it went out on
      * @param number its number on that link
+     * @param atNanos when, by the steady clock
      */
-    public record Sent(Task task, long run, Object link, long number) {}
+    public record Sent(Task task, long run, Object link, long number, long atNanos) {
+        /** Lasting this many times the estimate is no chance: estimates are off by 40% (standard deviation). */
+        private static final int OVERDUE_ESTIMATES = 3;
+
+        /** What start and end may take on top, in milliseconds. */
+        private static final int OVERDUE_MARGIN_MILLIS = 80;
+
+        /** Tells whether the run lasts far longer than estimated; never so without an estimate. */
+        public boolean isOverdue(long nowNanos) {
+            long estimate = task.step().estimatedMillis();
+            long ageMillis = (nowNanos - atNanos) / 1_000_000;
+            return estimate > 0 && ageMillis > OVERDUE_ESTIMATES * estimate + OVERDUE_MARGIN_MILLIS;
+        }
+    }
 
     /** Returns the name of the agent's process. */
     public String process() {
@@ -141,17 +159,17 @@
     }
 
     /** Notes that a start goes out; returns it with its number. */
-    public Sent send(Task task, long run) {
+    public Sent send(Task task, long run, long nowNanos) {
         numbers++;
-        Sent start = new Sent(task, run, link, numbers);
+        Sent start = new Sent(task, run, link, numbers, nowNanos);
         sent.put(task.key(), start);
         pending = pending.plus(task.room());
         return start;
     }
 
     /** Notes a run that the agent holds and that somebody else sent. */
-    public void adopt(Task task, long run) {
-        sent.put(task.key(), new Sent(task, run, link, 0));
+    public void adopt(Task task, long run, long nowNanos) {
+        sent.put(task.key(), new Sent(task, run, link, 0, nowNanos));
     }
 
     /** Returns the start of a task that is in progress here. */
@@ -164,8 +182,41 @@
         return List.copyOf(sent.values());
     }
 
+    /** Returns the runs that have become overdue since the last look, and notes them. */
+    public List<Sent> newlyOverdue(long nowNanos) {
+        List<Sent> late = new ArrayList<>();
+        for (Sent start : sent.values()) {
+            if (start.isOverdue(nowNanos) && overdue.add(start.task().key())) {
+                health.isOverdue(nowNanos);
+                late.add(start);
+            }
+        }
+        return late;
+    }
+
+    /** Returns all runs that are overdue. */
+    public List<Sent> overdue() {
+        List<Sent> late = new ArrayList<>();
+        for (TaskKey key : overdue) {
+            late.add(sent.get(key));
+        }
+        return late;
+    }
+
+    /** Notes that a run ended by itself. */
+    public void ended(Sent start, long nowNanos) {
+        if (start.isOverdue(nowNanos)) {
+            if (overdue.add(start.task().key())) {
+                health.isOverdue(nowNanos);
+            }
+        } else {
+            health.endedInTime(nowNanos);
+        }
+    }
+
     /** Notes that a start is no longer in progress here. */
     public void remove(TaskKey task) {
+        overdue.remove(task);
         Sent start = sent.remove(task);
         if (start != null && isUnseen(start)) {
             pending = pending.minus(start.task().room());
--- a/library/src/main/java/org/chivetally/transport/FrameMeters.java
+++ b/library/src/main/java/org/chivetally/transport/FrameMeters.java
@@ -2,39 +2,33 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
-import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.chivetally.wire.v1.Frame;
 
 /** Counts frames and bytes by direction and kind of frame. */
 final class FrameMeters {
-    private final Map<Frame.BodyCase, Counter> framesIn;
-    private final Map<Frame.BodyCase, Counter> framesOut;
-    private final Map<Frame.BodyCase, Counter> bytesIn;
-    private final Map<Frame.BodyCase, Counter> bytesOut;
+    private final MeterRegistry registry;
+    private final Map<Frame.BodyCase, Traffic> received = new ConcurrentHashMap<>();
+    private final Map<Frame.BodyCase, Traffic> sent = new ConcurrentHashMap<>();
     private final Counter malformed;
     private final Counter overflows;
     private final Counter oversize;
 
     FrameMeters(MeterRegistry registry) {
-        framesIn = counters(registry, "chivetally.transport.frames", "in");
-        framesOut = counters(registry, "chivetally.transport.frames", "out");
-        bytesIn = counters(registry, "chivetally.transport.bytes", "in");
-        bytesOut = counters(registry, "chivetally.transport.bytes", "out");
+        this.registry = registry;
         malformed = registry.counter("chivetally.transport.closed", "cause", "malformed");
         overflows = registry.counter("chivetally.transport.closed", "cause", "overflow");
         oversize = registry.counter("chivetally.transport.oversize.dropped");
     }
 
     void received(Frame frame, int bytes) {
-        framesIn.get(frame.getBodyCase()).increment();
-        bytesIn.get(frame.getBodyCase()).increment(bytes);
+        received.computeIfAbsent(frame.getBodyCase(), body -> traffic(body, "in")).add(bytes);
     }
 
     void sent(Frame frame, int bytes) {
-        framesOut.get(frame.getBodyCase()).increment();
-        bytesOut.get(frame.getBodyCase()).increment(bytes);
+        sent.computeIfAbsent(frame.getBodyCase(), body -> traffic(body, "out")).add(bytes);
     }
 
     void closedAsMalformed() {
@@ -49,12 +43,19 @@
         oversize.increment();
     }
 
-    private static Map<Frame.BodyCase, Counter> counters(MeterRegistry registry, String name, String direction) {
-        Map<Frame.BodyCase, Counter> counters = new EnumMap<>(Frame.BodyCase.class);
-        for (Frame.BodyCase body : Frame.BodyCase.values()) {
-            String kind = body.name().toLowerCase(Locale.ROOT);
-            counters.put(body, registry.counter(name, "direction", direction, "body", kind));
+    /** Meters are made when a kind of frame is first seen: a process uses a third of them, and all cost its start-up. */
+    private Traffic traffic(Frame.BodyCase body, String direction) {
+        String kind = body.name().toLowerCase(Locale.ROOT);
+        return new Traffic(
+                registry.counter("chivetally.transport.frames", "direction", direction, "body", kind),
+                registry.counter("chivetally.transport.bytes", "direction", direction, "body", kind));
+    }
+
+    /** Counts of one kind of frame in one direction. */
+    private record Traffic(Counter frames, Counter bytes) {
+        private void add(int size) {
+            frames.increment();
+            bytes.increment(size);
         }
-        return counters;
     }
 }
--- /dev/null
+++ b/library/src/test/java/org/chivetally/http/HttpListenerTest.java
@@ -0,0 +1,166 @@
+package org.chivetally.http;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.chivetally.settings.HostPort;
+import org.chivetally.transport.LoopTimers;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class HttpListenerTest {
+    private static final int TIMEOUT_MILLIS = 5_000;
+
+    private final BlockingQueue<HttpExchange> exchanges = new LinkedBlockingQueue<>();
+    private MultiThreadIoEventLoopGroup group;
+    private EventLoop loop;
+    private HttpListener listener;
+    private HostPort address;
+
+    @BeforeEach
+    void start() throws IOException {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        try (ServerSocket socket = new ServerSocket(0)) {
+            address = new HostPort("127.0.0.1", socket.getLocalPort());
+        }
+        listener = new HttpListener(loop, new HttpListener.Limits(1_024, 64, 60_000), exchanges::add);
+        listener.bind(address);
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private HttpExchange next() throws InterruptedException {
+        return exchanges.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static void answer(HttpExchange exchange, String text) {
+        exchange.answer(200, Map.of(), "text/plain", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private Socket connect(String bytes) throws IOException {
+        Socket socket = new Socket("127.0.0.1", address.port());
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.UTF_8));
+        return socket;
+    }
+
+    private static String read(Socket socket, String until) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        while (text.indexOf(until) < 0) {
+            int next = in.read();
+            if (next < 0) {
+                break;
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    @Test
+    void answersRequestsOnOneConnectionInTheirOrder() throws Exception {
+        try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            HttpExchange first = next();
+            assertThat(first.path(), is("/a"));
+            assertThat(exchanges.poll(100, TimeUnit.MILLISECONDS) == null, is(true));
+            answer(first, "one!");
+            HttpExchange second = next();
+            assertThat(second.path(), is("/b"));
+            answer(second, "two!");
+            assertThat(read(socket, "one!"), startsWith("HTTP/1.1 200"));
+            assertThat(read(socket, "two!"), startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    @Test
+    void refusesBodiesOverTheLimit() throws Exception {
+        try (Socket socket = connect("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 65\r\n\r\n")) {
+            assertThat(read(socket, "\r\n\r\n"), startsWith("HTTP/1.1 413"));
+        }
+    }
+
+    @Test
+    void refusesWhatIsNoRequest() throws Exception {
+        try (Socket socket = connect("nonsense\r\n\r\n")) {
+            assertThat(read(socket, "\r\n\r\n"), startsWith("HTTP/1.1 400"));
+        }
+    }
+
+    /** A caller hangs up while its work is in progress: whoever does the work is told, and can stop it. */
+    @Test
+    void tellsWhenTheCallerHangsUp() throws Exception {
+        CountDownLatch gone = new CountDownLatch(1);
+        try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            next().onCallerGone(gone::countDown);
+        }
+        assertThat(gone.await(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), is(true));
+    }
+
+    @Test
+    void closesConnectionsAfterTheirAnswerWhileDraining() throws Exception {
+        try (Socket socket = connect("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")) {
+            HttpExchange exchange = next();
+            listener.drain();
+            answer(exchange, "last");
+            String text = read(socket, "never");
+            assertThat(text, containsString("connection: close"));
+            assertThat(text, containsString("last"));
+        }
+    }
+
+    @Test
+    void servesItsOwnCallerOverOneConnection() throws Exception {
+        HttpCaller caller = new HttpCaller(loop, new LoopTimers(loop), address, 1);
+        for (String text : new String[] {"one", "two"}) {
+            CompletableFuture<HttpResult> result = new CompletableFuture<>();
+            loop.execute(() -> caller.call(HttpCall.get("/x", Duration.ofSeconds(5)), result::complete));
+            answer(next(), text);
+            HttpResult.Answer answer = (HttpResult.Answer) result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            assertThat(new String(answer.body(), StandardCharsets.UTF_8), is(text));
+        }
+        assertThat(listener.openConnections(), is(1));
+    }
+
+    /** The other process takes a call and never answers. The call fails in time, as one that may have been carried out. */
+    @Test
+    void endsACallWithoutAnAnswer() throws Exception {
+        HttpCaller caller = new HttpCaller(loop, new LoopTimers(loop), address, 1);
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        loop.execute(() -> caller.call(HttpCall.get("/x", Duration.ofMillis(100)), result::complete));
+        HttpResult.Failed failed = (HttpResult.Failed) result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(failed.sent(), is(true));
+    }
+
+    @Test
+    void tellsThatACallNeverLeft() throws Exception {
+        HttpCaller caller = new HttpCaller(loop, new LoopTimers(loop), new HostPort("127.0.0.1", 1), 1);
+        CompletableFuture<HttpResult> result = new CompletableFuture<>();
+        loop.execute(() -> caller.call(HttpCall.get("/x", Duration.ofSeconds(2)), result::complete));
+        HttpResult outcome = result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+        assertThat(outcome, instanceOf(HttpResult.Failed.class));
+        assertThat(((HttpResult.Failed) outcome).sent(), is(false));
+    }
+}
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredJob.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredJob.java
@@ -325,72 +325,6 @@
     return steps_.get(index);
   }
 
-  public static final int BEST_EFFORT_FIELD_NUMBER = 11;
-  private boolean bestEffort_ = false;
-  /**
-   * <code>bool best_effort = 11;</code>
-   * @return The bestEffort.
-   */
-  @java.lang.Override
-  public boolean getBestEffort() {
-    return bestEffort_;
-  }
-
-  public static final int LONG_RUNNING_FIELD_NUMBER = 12;
-  private boolean longRunning_ = false;
-  /**
-   * <code>bool long_running = 12;</code>
-   * @return The longRunning.
-   */
-  @java.lang.Override
-  public boolean getLongRunning() {
-    return longRunning_;
-  }
-
-  public static final int REPEAT_COUNT_FIELD_NUMBER = 13;
-  private int repeatCount_ = 0;
-  /**
-   * <code>uint32 repeat_count = 13;</code>
-   * @return The repeatCount.
-   */
-  @java.lang.Override
-  public int getRepeatCount() {
-    return repeatCount_;
-  }
-
-  public static final int FIRST_RUN_MILLIS_FIELD_NUMBER = 14;
-  private long firstRunMillis_ = 0L;
-  /**
-   * <code>uint64 first_run_millis = 14;</code>
-   * @return The firstRunMillis.
-   */
-  @java.lang.Override
-  public long getFirstRunMillis() {
-    return firstRunMillis_;
-  }
-
-  public static final int INTERVAL_MILLIS_FIELD_NUMBER = 15;
-  private long intervalMillis_ = 0L;
-  /**
-   * <code>uint64 interval_millis = 15;</code>
-   * @return The intervalMillis.
-   */
-  @java.lang.Override
-  public long getIntervalMillis() {
-    return intervalMillis_;
-  }
-
-  public static final int MAXIMUM_UNAVAILABLE_FIELD_NUMBER = 16;
-  private int maximumUnavailable_ = 0;
-  /**
-   * <code>uint32 maximum_unavailable = 16;</code>
-   * @return The maximumUnavailable.
-   */
-  @java.lang.Override
-  public int getMaximumUnavailable() {
-    return maximumUnavailable_;
-  }
-
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -435,24 +369,6 @@
     for (int i = 0; i < steps_.size(); i++) {
       output.writeMessage(10, steps_.get(i));
     }
-    if (bestEffort_ != false) {
-      output.writeBool(11, bestEffort_);
-    }
-    if (longRunning_ != false) {
-      output.writeBool(12, longRunning_);
-    }
-    if (repeatCount_ != 0) {
-      output.writeUInt32(13, repeatCount_);
-    }
-    if (firstRunMillis_ != 0L) {
-      output.writeUInt64(14, firstRunMillis_);
-    }
-    if (intervalMillis_ != 0L) {
-      output.writeUInt64(15, intervalMillis_);
-    }
-    if (maximumUnavailable_ != 0) {
-      output.writeUInt32(16, maximumUnavailable_);
-    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -498,30 +414,6 @@
           }
           size += 1 * count;
         }
-    if (bestEffort_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(11, bestEffort_);
-    }
-    if (longRunning_ != false) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(12, longRunning_);
-    }
-    if (repeatCount_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(13, repeatCount_);
-    }
-    if (firstRunMillis_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(14, firstRunMillis_);
-    }
-    if (intervalMillis_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(15, intervalMillis_);
-    }
-    if (maximumUnavailable_ != 0) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(16, maximumUnavailable_);
-    }
     return size;
   }
   @java.lang.Override
@@ -567,18 +459,6 @@
         != other.getAcceptedAtMillis()) return false;
     if (!getStepsList()
         .equals(other.getStepsList())) return false;
-    if (getBestEffort()
-        != other.getBestEffort()) return false;
-    if (getLongRunning()
-        != other.getLongRunning()) return false;
-    if (getRepeatCount()
-        != other.getRepeatCount()) return false;
-    if (getFirstRunMillis()
-        != other.getFirstRunMillis()) return false;
-    if (getIntervalMillis()
-        != other.getIntervalMillis()) return false;
-    if (getMaximumUnavailable()
-        != other.getMaximumUnavailable()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -614,22 +494,6 @@
       hash = (37 * hash) + STEPS_FIELD_NUMBER;
       hash = (53 * hash) + getStepsList().hashCode();
     }
-    hash = (37 * hash) + BEST_EFFORT_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getBestEffort());
-    hash = (37 * hash) + LONG_RUNNING_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getLongRunning());
-    hash = (37 * hash) + REPEAT_COUNT_FIELD_NUMBER;
-    hash = (53 * hash) + getRepeatCount();
-    hash = (37 * hash) + FIRST_RUN_MILLIS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getFirstRunMillis());
-    hash = (37 * hash) + INTERVAL_MILLIS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getIntervalMillis());
-    hash = (37 * hash) + MAXIMUM_UNAVAILABLE_FIELD_NUMBER;
-    hash = (53 * hash) + getMaximumUnavailable();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -781,12 +645,6 @@
         stepsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000200);
-      bestEffort_ = false;
-      longRunning_ = false;
-      repeatCount_ = 0;
-      firstRunMillis_ = 0L;
-      intervalMillis_ = 0L;
-      maximumUnavailable_ = 0;
       return this;
     }
 
@@ -860,24 +718,6 @@
       if (((from_bitField0_ & 0x00000100) != 0)) {
         result.acceptedAtMillis_ = acceptedAtMillis_;
       }
-      if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.bestEffort_ = bestEffort_;
-      }
-      if (((from_bitField0_ & 0x00000800) != 0)) {
-        result.longRunning_ = longRunning_;
-      }
-      if (((from_bitField0_ & 0x00001000) != 0)) {
-        result.repeatCount_ = repeatCount_;
-      }
-      if (((from_bitField0_ & 0x00002000) != 0)) {
-        result.firstRunMillis_ = firstRunMillis_;
-      }
-      if (((from_bitField0_ & 0x00004000) != 0)) {
-        result.intervalMillis_ = intervalMillis_;
-      }
-      if (((from_bitField0_ & 0x00008000) != 0)) {
-        result.maximumUnavailable_ = maximumUnavailable_;
-      }
     }
 
     @java.lang.Override
@@ -953,24 +793,6 @@
           }
         }
       }
-      if (other.getBestEffort() != false) {
-        setBestEffort(other.getBestEffort());
-      }
-      if (other.getLongRunning() != false) {
-        setLongRunning(other.getLongRunning());
-      }
-      if (other.getRepeatCount() != 0) {
-        setRepeatCount(other.getRepeatCount());
-      }
-      if (other.getFirstRunMillis() != 0L) {
-        setFirstRunMillis(other.getFirstRunMillis());
-      }
-      if (other.getIntervalMillis() != 0L) {
-        setIntervalMillis(other.getIntervalMillis());
-      }
-      if (other.getMaximumUnavailable() != 0) {
-        setMaximumUnavailable(other.getMaximumUnavailable());
-      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1053,36 +875,6 @@
               }
               break;
             } // case 82
-            case 88: {
-              bestEffort_ = input.readBool();
-              bitField0_ |= 0x00000400;
-              break;
-            } // case 88
-            case 96: {
-              longRunning_ = input.readBool();
-              bitField0_ |= 0x00000800;
-              break;
-            } // case 96
-            case 104: {
-              repeatCount_ = input.readUInt32();
-              bitField0_ |= 0x00001000;
-              break;
-            } // case 104
-            case 112: {
-              firstRunMillis_ = input.readUInt64();
-              bitField0_ |= 0x00002000;
-              break;
-            } // case 112
-            case 120: {
-              intervalMillis_ = input.readUInt64();
-              bitField0_ |= 0x00004000;
-              break;
-            } // case 120
-            case 128: {
-              maximumUnavailable_ = input.readUInt32();
-              bitField0_ |= 0x00008000;
-              break;
-            } // case 128
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1830,198 +1622,6 @@
       return stepsBuilder_;
     }
 
-    private boolean bestEffort_ ;
-    /**
-     * <code>bool best_effort = 11;</code>
-     * @return The bestEffort.
-     */
-    @java.lang.Override
-    public boolean getBestEffort() {
-      return bestEffort_;
-    }
-    /**
-     * <code>bool best_effort = 11;</code>
-     * @param value The bestEffort to set.
-     * @return This builder for chaining.
-     */
-    public Builder setBestEffort(boolean value) {
-
-      bestEffort_ = value;
-      bitField0_ |= 0x00000400;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bool best_effort = 11;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearBestEffort() {
-      bitField0_ = (bitField0_ & ~0x00000400);
-      bestEffort_ = false;
-      onChanged();
-      return this;
-    }
-
-    private boolean longRunning_ ;
-    /**
-     * <code>bool long_running = 12;</code>
-     * @return The longRunning.
-     */
-    @java.lang.Override
-    public boolean getLongRunning() {
-      return longRunning_;
-    }
-    /**
-     * <code>bool long_running = 12;</code>
-     * @param value The longRunning to set.
-     * @return This builder for chaining.
-     */
-    public Builder setLongRunning(boolean value) {
-
-      longRunning_ = value;
-      bitField0_ |= 0x00000800;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>bool long_running = 12;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearLongRunning() {
-      bitField0_ = (bitField0_ & ~0x00000800);
-      longRunning_ = false;
-      onChanged();
-      return this;
-    }
-
-    private int repeatCount_ ;
-    /**
-     * <code>uint32 repeat_count = 13;</code>
-     * @return The repeatCount.
-     */
-    @java.lang.Override
-    public int getRepeatCount() {
-      return repeatCount_;
-    }
-    /**
-     * <code>uint32 repeat_count = 13;</code>
-     * @param value The repeatCount to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRepeatCount(int value) {
-
-      repeatCount_ = value;
-      bitField0_ |= 0x00001000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint32 repeat_count = 13;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRepeatCount() {
-      bitField0_ = (bitField0_ & ~0x00001000);
-      repeatCount_ = 0;
-      onChanged();
-      return this;
-    }
-
-    private long firstRunMillis_ ;
-    /**
-     * <code>uint64 first_run_millis = 14;</code>
-     * @return The firstRunMillis.
-     */
-    @java.lang.Override
-    public long getFirstRunMillis() {
-      return firstRunMillis_;
-    }
-    /**
-     * <code>uint64 first_run_millis = 14;</code>
-     * @param value The firstRunMillis to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFirstRunMillis(long value) {
-
-      firstRunMillis_ = value;
-      bitField0_ |= 0x00002000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 first_run_millis = 14;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearFirstRunMillis() {
-      bitField0_ = (bitField0_ & ~0x00002000);
-      firstRunMillis_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private long intervalMillis_ ;
-    /**
-     * <code>uint64 interval_millis = 15;</code>
-     * @return The intervalMillis.
-     */
-    @java.lang.Override
-    public long getIntervalMillis() {
-      return intervalMillis_;
-    }
-    /**
-     * <code>uint64 interval_millis = 15;</code>
-     * @param value The intervalMillis to set.
-     * @return This builder for chaining.
-     */
-    public Builder setIntervalMillis(long value) {
-
-      intervalMillis_ = value;
-      bitField0_ |= 0x00004000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 interval_millis = 15;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearIntervalMillis() {
-      bitField0_ = (bitField0_ & ~0x00004000);
-      intervalMillis_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private int maximumUnavailable_ ;
-    /**
-     * <code>uint32 maximum_unavailable = 16;</code>
-     * @return The maximumUnavailable.
-     */
-    @java.lang.Override
-    public int getMaximumUnavailable() {
-      return maximumUnavailable_;
-    }
-    /**
-     * <code>uint32 maximum_unavailable = 16;</code>
-     * @param value The maximumUnavailable to set.
-     * @return This builder for chaining.
-     */
-    public Builder setMaximumUnavailable(int value) {
-
-      maximumUnavailable_ = value;
-      bitField0_ |= 0x00008000;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint32 maximum_unavailable = 16;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearMaximumUnavailable() {
-      bitField0_ = (bitField0_ & ~0x00008000);
-      maximumUnavailable_ = 0;
-      onChanged();
-      return this;
-    }
-
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.StoredJob)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredJobOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredJobOrBuilder.java
@@ -127,40 +127,4 @@
    */
   org.chivetally.wire.v1.StoredStepOrBuilder getStepsOrBuilder(
       int index);
-
-  /**
-   * <code>bool best_effort = 11;</code>
-   * @return The bestEffort.
-   */
-  boolean getBestEffort();
-
-  /**
-   * <code>bool long_running = 12;</code>
-   * @return The longRunning.
-   */
-  boolean getLongRunning();
-
-  /**
-   * <code>uint32 repeat_count = 13;</code>
-   * @return The repeatCount.
-   */
-  int getRepeatCount();
-
-  /**
-   * <code>uint64 first_run_millis = 14;</code>
-   * @return The firstRunMillis.
-   */
-  long getFirstRunMillis();
-
-  /**
-   * <code>uint64 interval_millis = 15;</code>
-   * @return The intervalMillis.
-   */
-  long getIntervalMillis();
-
-  /**
-   * <code>uint32 maximum_unavailable = 16;</code>
-   * @return The maximumUnavailable.
-   */
-  int getMaximumUnavailable();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -425,62 +425,59 @@
       " \001(\0162\".org.chivetally.wire.v1.JobVerdict" +
       "\022/\n\005phase\030\002 \001(\0162 .org.chivetally.wire.v1" +
       ".JobPhase\022\016\n\006reason\030\003 \001(\t\022\032\n\022retry_after" +
-      "_millis\030\004 \001(\r\"\211\003\n\tStoredJob\022\n\n\002id\030\001 \001(\t\022" +
+      "_millis\030\004 \001(\r\"\370\001\n\tStoredJob\022\n\n\002id\030\001 \001(\t\022" +
       "\r\n\005queue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007paylo" +
       "ad\030\004 \001(\t\022\030\n\020maximum_attempts\030\005 \001(\r\022\020\n\010pr" +
       "iority\030\006 \001(\r\022\024\n\014slack_factor\030\007 \001(\001\022\035\n\025ta" +
       "rget_latency_millis\030\010 \001(\r\022\032\n\022accepted_at" +
       "_millis\030\t \001(\004\0221\n\005steps\030\n \003(\0132\".org.chive" +
-      "tally.wire.v1.StoredStep\022\023\n\013best_effort\030" +
-      "\013 \001(\010\022\024\n\014long_running\030\014 \001(\010\022\024\n\014repeat_co" +
-      "unt\030\r \001(\r\022\030\n\020first_run_millis\030\016 \001(\004\022\027\n\017i" +
-      "nterval_millis\030\017 \001(\004\022\033\n\023maximum_unavaila" +
-      "ble\030\020 \001(\r\"\314\002\n\nStoredStep\022\r\n\005count\030\001 \001(\r\022" +
-      "*\n\004room\030\002 \001(\0132\034.org.chivetally.wire.v1.R" +
-      "oom\022\030\n\020estimated_millis\030\003 \001(\r\022\r\n\005after\030\004" +
-      " \003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(" +
-      "\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016required_label\030\010" +
-      " \001(\t\022\026\n\016preferred_rack\030\t \001(\t\022\032\n\022maximum_" +
-      "per_worker\030\n \001(\r\022\032\n\022duplicates_allowed\030\013" +
-      " \001(\010\022\024\n\014fills_unused\030\014 \001(\010\022\r\n\005image\030\r \001(" +
-      "\t\022\025\n\rtarget_millis\030\016 \001(\r\"\341\001\n\016StoredProgr" +
-      "ess\022/\n\005phase\030\001 \001(\0162 .org.chivetally.wire" +
-      ".v1.JobPhase\022\014\n\004done\030\002 \001(\014\022F\n\010failures\030\003" +
-      " \003(\01324.org.chivetally.wire.v1.StoredProg" +
-      "ress.FailuresEntry\022\027\n\017ended_at_millis\030\004 " +
-      "\001(\004\032/\n\rFailuresEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005val" +
-      "ue\030\002 \001(\r:\0028\001\"f\n\014StoredMember\022\023\n\013incarnat" +
-      "ion\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016failure_doma" +
-      "in\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r*\242\001\n" +
-      "\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIED\020\000" +
-      "\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TASK_STATUS_FA" +
-      "ILED\020\002\022\027\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n\023TASK_" +
-      "STATUS_UNKNOWN\020\004\022\027\n\023TASK_STATUS_RUNNING\020" +
-      "\005*\347\002\n\rRefusalReason\022\036\n\032REFUSAL_REASON_UN" +
-      "SPECIFIED\020\000\022\027\n\023REFUSAL_REASON_FULL\020\001\022\033\n\027" +
-      "REFUSAL_REASON_DRAINING\020\002\022\037\n\033REFUSAL_REA" +
-      "SON_STALE_TICKET\020\003\022!\n\035REFUSAL_REASON_OLD" +
-      "_GENERATION\020\004\022 \n\034REFUSAL_REASON_WRONG_SE" +
-      "RVICE\020\005\022\034\n\030REFUSAL_REASON_CANCELLED\020\006\022\032\n" +
-      "\026REFUSAL_REASON_EXPIRED\020\007\022\"\n\036REFUSAL_REA" +
-      "SON_ALREADY_STARTED\020\010\022\036\n\032REFUSAL_REASON_" +
-      "MINION_DOWN\020\t\022\034\n\030REFUSAL_REASON_TOO_LARG" +
-      "E\020\n*\354\001\n\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPEC" +
-      "IFIED\020\000\022\024\n\020RUN_OUTCOME_DONE\020\001\022\026\n\022RUN_OUT" +
-      "COME_FAILED\020\002\022\027\n\023RUN_OUTCOME_STOPPED\020\003\022\026" +
-      "\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n\022RUN_OUTCOME_BR" +
-      "OKEN\020\005\022\025\n\021RUN_OUTCOME_ALONE\020\006\022\024\n\020RUN_OUT" +
-      "COME_LOST\020\007\022\035\n\031RUN_OUTCOME_NEVER_STARTED" +
-      "\020\010*\306\001\n\nJobVerdict\022\033\n\027JOB_VERDICT_UNSPECI" +
-      "FIED\020\000\022\030\n\024JOB_VERDICT_ACCEPTED\020\001\022\027\n\023JOB_" +
-      "VERDICT_REFUSED\020\002\022\033\n\027JOB_VERDICT_UNKNOWN" +
-      "_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OWNER\020\004\022\025\n\021JOB" +
-      "_VERDICT_STATE\020\005\022\031\n\025JOB_VERDICT_CANCELLE" +
-      "D\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECIFIE" +
-      "D\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n\021JOB_PHASE_R" +
-      "UNNING\020\002\022\027\n\023JOB_PHASE_COMPLETED\020\003\022\024\n\020JOB" +
-      "_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE_CANCELLED\020\005" +
-      "B\032\n\026org.chivetally.wire.v1P\001b\006proto3"
+      "tally.wire.v1.StoredStep\"\314\002\n\nStoredStep\022" +
+      "\r\n\005count\030\001 \001(\r\022*\n\004room\030\002 \001(\0132\034.org.chive" +
+      "tally.wire.v1.Room\022\030\n\020estimated_millis\030\003" +
+      " \001(\r\022\r\n\005after\030\004 \003(\r\022\025\n\rcheckpointing\030\005 \001" +
+      "(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016r" +
+      "equired_label\030\010 \001(\t\022\026\n\016preferred_rack\030\t " +
+      "\001(\t\022\032\n\022maximum_per_worker\030\n \001(\r\022\032\n\022dupli" +
+      "cates_allowed\030\013 \001(\010\022\024\n\014fills_unused\030\014 \001(" +
+      "\010\022\r\n\005image\030\r \001(\t\022\025\n\rtarget_millis\030\016 \001(\r\"" +
+      "\341\001\n\016StoredProgress\022/\n\005phase\030\001 \001(\0162 .org." +
+      "chivetally.wire.v1.JobPhase\022\014\n\004done\030\002 \001(" +
+      "\014\022F\n\010failures\030\003 \003(\01324.org.chivetally.wir" +
+      "e.v1.StoredProgress.FailuresEntry\022\027\n\017end" +
+      "ed_at_millis\030\004 \001(\004\032/\n\rFailuresEntry\022\013\n\003k" +
+      "ey\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\"f\n\014StoredMem" +
+      "ber\022\023\n\013incarnation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022" +
+      "\026\n\016failure_domain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n" +
+      "\004port\030\005 \001(\r*\242\001\n\nTaskStatus\022\033\n\027TASK_STATU" +
+      "S_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n" +
+      "\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STATUS_NOT" +
+      "_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_" +
+      "STATUS_RUNNING\020\005*\347\002\n\rRefusalReason\022\036\n\032RE" +
+      "FUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFUSAL_RE" +
+      "ASON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAINING\020\002" +
+      "\022\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022!\n\035REF" +
+      "USAL_REASON_OLD_GENERATION\020\004\022 \n\034REFUSAL_" +
+      "REASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_REASON" +
+      "_CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXPIRED\020\007" +
+      "\022\"\n\036REFUSAL_REASON_ALREADY_STARTED\020\010\022\036\n\032" +
+      "REFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030REFUSAL_" +
+      "REASON_TOO_LARGE\020\n*\354\001\n\nRunOutcome\022\033\n\027RUN" +
+      "_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTCOME_DO" +
+      "NE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RUN_OUTC" +
+      "OME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n" +
+      "\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCOME_ALO" +
+      "NE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_OUTCOM" +
+      "E_NEVER_STARTED\020\010*\306\001\n\nJobVerdict\022\033\n\027JOB_" +
+      "VERDICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDICT_ACC" +
+      "EPTED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033\n\027JOB_" +
+      "VERDICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDICT_NOT" +
+      "_OWNER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n\025JOB_V" +
+      "ERDICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_P" +
+      "HASE_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001" +
+      "\022\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHASE_COM" +
+      "PLETED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023JOB_PH" +
+      "ASE_CANCELLED\020\005B\032\n\026org.chivetally.wire.v" +
+      "1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -743,7 +740,7 @@
     internal_static_org_chivetally_wire_v1_StoredJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredJob_descriptor,
-        new java.lang.String[] { "Id", "Queue", "Service", "Payload", "MaximumAttempts", "Priority", "SlackFactor", "TargetLatencyMillis", "AcceptedAtMillis", "Steps", "BestEffort", "LongRunning", "RepeatCount", "FirstRunMillis", "IntervalMillis", "MaximumUnavailable", });
+        new java.lang.String[] { "Id", "Queue", "Service", "Payload", "MaximumAttempts", "Priority", "SlackFactor", "TargetLatencyMillis", "AcceptedAtMillis", "Steps", });
     internal_static_org_chivetally_wire_v1_StoredStep_descriptor =
       getDescriptor().getMessageType(43);
     internal_static_org_chivetally_wire_v1_StoredStep_fieldAccessorTable = new
