--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -396,8 +396,8 @@
     }
 
     /**
-     * Stops overdue runs of unkept jobs on slow workers, so that they start again elsewhere: tasks that stand still would
-     * hold their callers until the time limit. Not when many workers look slow, as then something else is.
+     * Stops overdue runs of unkept jobs on slow workers, so that they start again elsewhere: tasks that stand still
+     * would hold their callers until the time limit. Not when many workers look slow, as then something else is.
      */
     private void moveFromSlowWorkers(long now) {
         List<Worker> slow = new ArrayList<>();
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -91,7 +91,8 @@
     }
 
     private boolean endsAfter(Job job, long limitNanos) {
-        long estimate = Duration.ofMillis(STOPPING_ESTIMATES * job.specification().chainMillis())
+        long estimate = Duration.ofMillis(
+                        STOPPING_ESTIMATES * job.specification().chainMillis())
                 .toNanos();
         return timers.nanos() + estimate > limitNanos;
     }
--- a/library/src/main/java/org/chivetally/queue/placement/WorkerHealth.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WorkerHealth.java
@@ -25,7 +25,9 @@
     /** Overdue runs, weighted by age, that make a worker slow; fewer come by chance, as estimates are off. */
     static final double SLOW_RUNS = 2.5;
 
-    /** Time in which the weight of a run falls to about a third: a slow spell lasts 5 to 7 s and has to be seen early. */
+    /**
+     * Time in which the weight of a run falls to about a third: a slow spell lasts 5 to 7 s and has to be seen early.
+     */
     static final Duration MEMORY = Duration.ofMillis(1_500);
 
     private double inTime;
--- a/library/src/main/java/org/chivetally/transport/FrameMeters.java
+++ b/library/src/main/java/org/chivetally/transport/FrameMeters.java
@@ -24,7 +24,8 @@
     }
 
     void received(Frame frame, int bytes) {
-        received.computeIfAbsent(frame.getBodyCase(), body -> traffic(body, "in")).add(bytes);
+        received.computeIfAbsent(frame.getBodyCase(), body -> traffic(body, "in"))
+                .add(bytes);
     }
 
     void sent(Frame frame, int bytes) {
@@ -43,7 +44,9 @@
         oversize.increment();
     }
 
-    /** Meters are made when a kind of frame is first seen: a process uses a third of them, and all cost its start-up. */
+    /**
+     * Meters are made when a kind of frame is first seen: a process uses a third of them, and all cost its start-up.
+     */
     private Traffic traffic(Frame.BodyCase body, String direction) {
         String kind = body.name().toLowerCase(Locale.ROOT);
         return new Traffic(
--- a/library/src/test/java/org/chivetally/http/HttpListenerTest.java
+++ b/library/src/test/java/org/chivetally/http/HttpListenerTest.java
@@ -144,7 +144,9 @@
         assertThat(listener.openConnections(), is(1));
     }
 
-    /** The other process takes a call and never answers. The call fails in time, as one that may have been carried out. */
+    /**
+     * The other process takes a call and never answers. The call fails in time, as one that may have been carried out.
+     */
     @Test
     void endsACallWithoutAnAnswer() throws Exception {
         HttpCaller caller = new HttpCaller(loop, new LoopTimers(loop), address, 1);
--- a/library/src/test/java/org/chivetally/queue/JobTest.java
+++ b/library/src/test/java/org/chivetally/queue/JobTest.java
@@ -39,8 +39,8 @@
     void countsNoAttemptForRunsThatWereStoppedLapsedOrLost() {
         Job job = new Job(Jobs.of(ID, 1), 0);
         Task task = job.tasks().getFirst();
-        for (RunOutcome outcome : List.of(
-                RunOutcome.STOPPED, RunOutcome.LAPSED, RunOutcome.LOST, RunOutcome.NEVER_STARTED)) {
+        for (RunOutcome outcome :
+                List.of(RunOutcome.STOPPED, RunOutcome.LAPSED, RunOutcome.LOST, RunOutcome.NEVER_STARTED)) {
             job.place(task, "agent", task.lastRun() + 1);
             assertThat(job.end(task, outcome, 5), is(List.of(task)));
         }
--- a/library/src/test/java/org/chivetally/queue/Jobs.java
+++ b/library/src/test/java/org/chivetally/queue/Jobs.java
@@ -17,8 +17,7 @@
     /** Returns a job of one step with a priority and an estimate. */
     public static JobSpecification of(String id, int tasks, int priority, int estimatedMillis) {
         QueueTerms terms = new QueueTerms("queue-" + priority, "reports", 2, priority, 1.6, 60);
-        StepSpecification step =
-                new StepSpecification(tasks, SIX_CORES, estimatedMillis, List.of(), StepTraits.NONE);
+        StepSpecification step = new StepSpecification(tasks, SIX_CORES, estimatedMillis, List.of(), StepTraits.NONE);
         return new JobSpecification(id, terms, "payload", 1_800_000_000_000L, List.of(step));
     }
 
--- a/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
@@ -59,9 +59,8 @@
             if (link == null) {
                 return;
             }
-            EntryBeat.Builder beat = EntryBeat.newBuilder()
-                    .setStampNanos(timers.nanos())
-                    .setEchoNanos(link.peerStampNanos());
+            EntryBeat.Builder beat =
+                    EntryBeat.newBuilder().setStampNanos(timers.nanos()).setEchoNanos(link.peerStampNanos());
             if (epoch > 0) {
                 beat.addOwned(OwnedPartition.newBuilder().setPartition(3).setEpoch(epoch));
             }
@@ -125,8 +124,7 @@
     }
 
     private void announce() {
-        agent.supervisor()
-                .announced(new MinionState("boot", "reports", CAPACITY, List.of(), false, minion.clock()));
+        agent.supervisor().announced(new MinionState("boot", "reports", CAPACITY, List.of(), false, minion.clock()));
         timers.advance(Duration.ofMillis(500));
     }
 
--- a/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
@@ -92,7 +92,9 @@
         order.leaseUntilMillis().ifPresent(until -> leaseUntilMillis = Math.max(leaseUntilMillis, until));
         ends.headMap(order.keptThrough(), true).clear();
         // Answered a little later, as over a socket; ends that come meanwhile are in it.
-        timers.after(Duration.ofMillis(order.longestWait().isZero() ? 1 : 10), () -> answer.accept(new LookAnswer.Lists(
-                clock(), List.copyOf(running.keySet()), List.copyOf(ends.values()))));
+        timers.after(
+                Duration.ofMillis(order.longestWait().isZero() ? 1 : 10),
+                () -> answer.accept(
+                        new LookAnswer.Lists(clock(), List.copyOf(running.keySet()), List.copyOf(ends.values()))));
     }
 }
--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -77,14 +77,19 @@
         EntryNode owner = ownerOf(ID);
         cluster.submit(owner, Jobs.of(ID, 3));
         cluster.advance(100);
-        int starts = cluster.minions.values().stream().mapToInt(minion -> minion.starts.size()).sum();
+        int starts = cluster.minions.values().stream()
+                .mapToInt(minion -> minion.starts.size())
+                .sum();
         cluster.kill(nameOf(owner));
         cluster.advance(9_000);
         EntryNode next = ownerOf(ID);
         assertThat(cluster.query(next, ID), contains(new JobAnswer.State(JobPhase.RUNNING)));
         assertThat(cluster.running(ID), hasSize(3));
         assertThat(
-                cluster.minions.values().stream().mapToInt(minion -> minion.starts.size()).sum(), is(starts));
+                cluster.minions.values().stream()
+                        .mapToInt(minion -> minion.starts.size())
+                        .sum(),
+                is(starts));
         cluster.finish(ID, RunOutcome.DONE);
         assertThat(cluster.query(next, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
     }
@@ -115,7 +120,9 @@
         assertThat(cluster.running(ID).getFirst().run() > 1, is(true));
     }
 
-    /** The log takes nothing: the caller is refused at once with a time to come back, and the job is truly not there. */
+    /**
+     * The log takes nothing: the caller is refused at once with a time to come back, and the job is truly not there.
+     */
     @Test
     void refusesAJobThatTheLogDoesNotTake() {
         three();
--- a/library/src/test/java/org/chivetally/queue/log/ScriptedKeyedLog.java
+++ b/library/src/test/java/org/chivetally/queue/log/ScriptedKeyedLog.java
@@ -116,8 +116,7 @@
             timers.after(ANSWER, () -> {
                 AppendOutcome outcome = carryOut(stream, stamp, records);
                 if (lost) {
-                    timers.after(
-                            Duration.ofMillis(600), () -> answer.accept(new AppendOutcome.Unknown("answer lost")));
+                    timers.after(Duration.ofMillis(600), () -> answer.accept(new AppendOutcome.Unknown("answer lost")));
                 } else {
                     answer.accept(outcome);
                 }
@@ -181,8 +180,8 @@
             }
             Partition partition = partition(stream);
             timers.after(partition.records.size() > from ? ANSWER : Duration.ofMillis(50), () -> {
-                List<KeyedRecord> records = List.copyOf(
-                        partition.records.subList((int) from, partition.records.size()));
+                List<KeyedRecord> records =
+                        List.copyOf(partition.records.subList((int) from, partition.records.size()));
                 answer.accept(new ReadOutcome.Records(from + records.size(), records));
             });
         }
@@ -198,8 +197,7 @@
                 deal();
                 if (known >= generation) {
                     // The member has learned what it has lost, so that can be dealt on.
-                    holders.replaceAll((partition, holder) ->
-                            holder.equals(member) ? dealt.get(partition) : holder);
+                    holders.replaceAll((partition, holder) -> holder.equals(member) ? dealt.get(partition) : holder);
                 }
                 Set<Integer> own = new HashSet<>();
                 dealt.forEach((partition, next) -> {
@@ -233,7 +231,7 @@
             dealt.putAll(next);
             generation++;
         }
-        dealt.forEach((partition, member) -> holders.compute(
-                partition, (same, holder) -> members.contains(holder) ? holder : member));
+        dealt.forEach((partition, member) ->
+                holders.compute(partition, (same, holder) -> members.contains(holder) ? holder : member));
     }
 }
--- a/library/src/test/java/org/chivetally/queue/placement/DecisionsTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/DecisionsTest.java
@@ -62,8 +62,8 @@
     }
 
     /**
-     * One worker is slowed to a sixth. Its runs last beyond three times their estimate while those elsewhere end in time;
-     * after three of them it gets nothing as long as others have room, and some seconds later it is tried again.
+     * One worker is slowed to a sixth. Its runs last beyond three times their estimate while those elsewhere end in
+     * time; after three of them it gets nothing as long as others have room, and some seconds later it is tried again.
      */
     @Test
     void avoidsAWorkerWhoseRunsLastTooLong() {
@@ -132,12 +132,13 @@
         assertThat(AdmissionPolicy.refuse(job, 0, halfASecondOfWork, 64_000), is(Optional.empty()));
     }
 
-    /** The backlog is longer than the caller waits: it is told at once when to come back, not at the end of its time. */
+    /**
+     * The backlog is longer than the caller waits: it is told at once when to come back, not at the end of its time.
+     */
     @Test
     void refusesAJobWhoseTurnComesTooLate() {
         Job job = new Job(Jobs.of("j", 2, 0, 200), 0, SECOND);
         long threeSecondsOfWork = 64_000L / 1_000 * 3_000;
-        assertThat(
-                AdmissionPolicy.refuse(job, 0, threeSecondsOfWork, 64_000), is(Optional.of(Duration.ofSeconds(3))));
+        assertThat(AdmissionPolicy.refuse(job, 0, threeSecondsOfWork, 64_000), is(Optional.of(Duration.ofSeconds(3))));
     }
 }
