--- a/library/src/main/java/org/chivetally/http/HttpCall.java
+++ b/library/src/main/java/org/chivetally/http/HttpCall.java
@@ -1,6 +1,7 @@
 package org.chivetally.http;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
 
@@ -39,7 +40,7 @@
 
     /** Returns the call with another header. */
     public HttpCall withHeader(String name, String value) {
-        Map<String, String> more = new java.util.HashMap<>(headers);
+        Map<String, String> more = new HashMap<>(headers);
         more.put(name, value);
         return new HttpCall(method, path, more, contentType, body, timeout);
     }
--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -339,16 +339,16 @@
     }
 
     @Override
-    public void ended(List<EndedRun> ends) {
+    public void ended(List<OwnedEnd> ends) {
         tellOwners(ends);
     }
 
-    private void tellOwners(List<EndedRun> ends) {
+    private void tellOwners(List<OwnedEnd> ends) {
         Map<PeerLink, RunEnds.Builder> frames = new LinkedHashMap<>();
-        for (EndedRun end : ends) {
+        for (OwnedEnd end : ends) {
             linkTo(end.owner())
                     .ifPresent(link -> frames.computeIfAbsent(link, same -> RunEnds.newBuilder())
-                            .addEnds(EndCodec.encode(end)));
+                            .addEnds(EndCodec.encode(end.end())));
         }
         frames.forEach((link, frame) -> link.send(
                 Frame.newBuilder().setRunEnds(frame.setReport(report(link))).build()));
@@ -431,8 +431,8 @@
                         .setUnkept(unkept));
             }
         });
-        for (EndedRun end : supervisor.openEnds()) {
-            inventory.addEnds(EndCodec.encode(end));
+        for (OwnedEnd end : supervisor.openEnds()) {
+            inventory.addEnds(EndCodec.encode(end.end()));
         }
         fences.forEach((partition, fence) -> inventory.addFenced(
                 OwnedPartition.newBuilder().setPartition(partition).setEpoch(fence.epoch())));
--- a/library/src/main/java/org/chivetally/queue/agent/EndCodec.java
+++ b/library/src/main/java/org/chivetally/queue/agent/EndCodec.java
@@ -1,7 +1,6 @@
 package org.chivetally.queue.agent;
 
 import java.util.Optional;
-import org.chivetally.queue.Partitions;
 import org.chivetally.queue.RunKey;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.TaskKey;
@@ -24,15 +23,13 @@
     }
 
     /** Reads an end; empty when it names no task or an outcome that this release doesn't know. */
-    public static Optional<EndedRun> decode(RunEnd end, int partitions) {
+    public static Optional<EndedRun> decode(RunEnd end) {
         Optional<RunOutcome> outcome = decode(end.getOutcome());
         Optional<TaskKey> task = TaskKey.parse(end.getTask());
         if (outcome.isEmpty() || task.isEmpty()) {
             return Optional.empty();
         }
-        RunOwner owner = new RunOwner.Partition(Partitions.of(task.get().jobId(), partitions));
         return Optional.of(new EndedRun(
-                owner,
                 end.getMinion(),
                 end.getSequence(),
                 new RunKey(task.get(), end.getRun()),
--- a/library/src/main/java/org/chivetally/queue/agent/EndList.java
+++ b/library/src/main/java/org/chivetally/queue/agent/EndList.java
@@ -35,12 +35,11 @@
     }
 
     /** Returns the ends that aren't kept. */
-    List<EndedRun> open(String boot) {
-        List<EndedRun> open = new ArrayList<>();
+    List<OwnedEnd> open(String boot) {
+        List<OwnedEnd> open = new ArrayList<>();
         for (Entry entry : entries.values()) {
             if (!entry.kept) {
-                MinionPort.ListedEnd end = entry.end;
-                open.add(new EndedRun(entry.owner, boot, end.sequence(), end.run(), end.outcome(), end.checkpoint()));
+                open.add(new OwnedEnd(entry.owner, entry.end.of(boot)));
             }
         }
         return open;
--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -84,5 +84,10 @@
             Objects.requireNonNull(run, "run");
             Objects.requireNonNull(outcome, "outcome");
         }
+
+        /** Returns the end as one of a boot of the minion. */
+        EndedRun of(String boot) {
+            return new EndedRun(boot, sequence, run, outcome, checkpoint);
+        }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -141,7 +141,7 @@
     }
 
     /** Returns the listed ends that nobody has stored yet. */
-    public List<EndedRun> openEnds() {
+    public List<OwnedEnd> openEnds() {
         return minion.isEmpty() ? List.of() : ends.open(minion.get().boot());
     }
 
@@ -213,9 +213,9 @@
     }
 
     private void loseAll(String boot, String reason) {
-        List<EndedRun> lost = new ArrayList<>();
+        List<OwnedEnd> lost = new ArrayList<>();
         for (HeldRun run : held.values()) {
-            lost.add(new EndedRun(run.owner(), boot, 0, run.key(), RunOutcome.LOST, ""));
+            lost.add(unlisted(boot, run, RunOutcome.LOST));
         }
         held.clear();
         taken = Room.NONE;
@@ -319,10 +319,15 @@
 
     private void neverStarted(String boot, HeldRun run) {
         release(run);
-        listener.ended(List.of(new EndedRun(run.owner(), boot, 0, run.key(), RunOutcome.NEVER_STARTED, "")));
+        listener.ended(List.of(unlisted(boot, run, RunOutcome.NEVER_STARTED)));
         listener.roomChanged();
     }
 
+    /** Returns an end that the minion does not list, and so needs no word from the owner. */
+    private static OwnedEnd unlisted(String boot, HeldRun run, RunOutcome outcome) {
+        return new OwnedEnd(run.owner(), new EndedRun(boot, 0, run.key(), outcome, ""));
+    }
+
     private void release(HeldRun run) {
         held.remove(run.key().task());
         taken = taken.minus(run.room());
@@ -496,7 +501,7 @@
     private boolean took(String boot, LookAnswer.Lists lists, long sentAtNanos) {
         Room before = free();
         boolean acceptingBefore = isAccepting();
-        List<EndedRun> fresh = new ArrayList<>();
+        List<OwnedEnd> fresh = new ArrayList<>();
         for (ListedEnd end : lists.ends()) {
             HeldRun run = held.get(end.run().task());
             boolean followed = run != null && run.key().equals(end.run());
@@ -504,7 +509,7 @@
             if (!ends.add(end, owner)) {
                 continue;
             }
-            fresh.add(new EndedRun(owner, boot, end.sequence(), end.run(), end.outcome(), end.checkpoint()));
+            fresh.add(new OwnedEnd(owner, end.of(boot)));
             if (followed) {
                 release(run);
             }
@@ -551,7 +556,7 @@
         LOGGER.atWarning().log(
                 "%s", EventLine.of("run-vanished").with("run", run.key()).with("minion", boot));
         release(run);
-        listener.ended(List.of(new EndedRun(run.owner(), boot, 0, run.key(), RunOutcome.LOST, "")));
+        listener.ended(List.of(unlisted(boot, run, RunOutcome.LOST)));
         listener.roomChanged();
     }
 
--- a/library/src/main/java/org/chivetally/queue/agent/SupervisorListener.java
+++ b/library/src/main/java/org/chivetally/queue/agent/SupervisorListener.java
@@ -9,7 +9,7 @@
     boolean mayRenew(Set<RunOwner> owners);
 
     /** Runs have ended; their owners are to be told. */
-    void ended(List<EndedRun> ends);
+    void ended(List<OwnedEnd> ends);
 
     /** The free room, or whether starts are taken, has changed. */
     void roomChanged();
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -213,8 +213,7 @@
             });
         }
         for (RunEnd end : inventory.getEndsList()) {
-            EndCodec.decode(end, partitionCount)
-                    .ifPresent(ended -> listed.add(ended.run().task()));
+            EndCodec.decode(end).ifPresent(ended -> listed.add(ended.run().task()));
         }
         ends(link, inventory.getEndsList());
         for (Worker.Sent start : worker.sent()) {
@@ -276,7 +275,7 @@
     void ends(PeerLink link, List<RunEnd> ends) {
         Worker worker = worker(link.peer().process());
         for (RunEnd encoded : ends) {
-            EndCodec.decode(encoded, partitionCount).ifPresent(end -> end(link, worker, end));
+            EndCodec.decode(encoded).ifPresent(end -> end(link, worker, end));
         }
     }
 
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -25,7 +25,7 @@
 
     private final ManualTimers timers = new ManualTimers();
     private final ModelMinion minion = new ModelMinion(timers);
-    private final List<EndedRun> told = new ArrayList<>();
+    private final List<OwnedEnd> told = new ArrayList<>();
     private boolean mayRenew = true;
     private final RunSupervisor supervisor = new RunSupervisor(timers, minion, new Listener(), 16);
 
@@ -36,7 +36,7 @@
         }
 
         @Override
-        public void ended(List<EndedRun> ends) {
+        public void ended(List<OwnedEnd> ends) {
             told.addAll(ends);
         }
 
@@ -58,7 +58,7 @@
     }
 
     private List<RunOutcome> outcomes() {
-        return told.stream().map(EndedRun::outcome).toList();
+        return told.stream().map(end -> end.end().outcome()).toList();
     }
 
     @Test
