A minion that is down draws no starts

Tests: takesNoStartsWhileTheMinionIsDown and runsJobsElsewhereWhileAMinionIsDown; the first failed before the change was whole.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -140,7 +140,7 @@
         return found;
     }
 
-    /** Notes that a start was sent to a worker; returns nothing, as the run is in doubt until the worker tells. */
+    /** Notes that a start of a task was sent to a worker, or that a worker has told of one. */
     public void place(Task task, String worker, long run) {
         task.placed(worker, run);
         if (phase == JobPhase.QUEUED) {
--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -48,6 +48,9 @@
         /** Nothing was started, and this start never will be. */
         record Rejected(String reason, boolean fenced) implements StartAnswer {}
 
+        /** The start never left, as nobody listens at the minion's address. */
+        record Unreachable(String reason) implements StartAnswer {}
+
         /** It was or wasn't started, or will be. */
         record Unknown(String reason) implements StartAnswer {}
     }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -61,6 +61,9 @@
      */
     static final long UNANNOUNCED_NANOS = Duration.ofSeconds(4).toNanos();
 
+    /** Refusal of a start that doesn't fit; the worker may be tried again as soon as it reports room. */
+    public static final String NO_ROOM = "no room";
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
@@ -77,6 +80,7 @@
     private final long startedAtNanos;
     private boolean reconciled;
     private boolean complete;
+    private boolean answering = true;
     private boolean leaving;
     private boolean lookInFlight;
     private boolean lookArmed;
@@ -111,6 +115,7 @@
     /** Tells whether starts are taken. */
     public boolean isAccepting() {
         return !leaving
+                && answering
                 && reconciled
                 && strangers.isEmpty()
                 && minion.isPresent()
@@ -202,6 +207,7 @@
         pastBoots.add(old.boot());
         // An answer of the old boot may take long or never come; the new one is looked at without waiting for it.
         lookInFlight = false;
+        answering = true;
         lookArmed = false;
         lookNumber++;
         loseAll(old.boot(), reason);
@@ -244,7 +250,7 @@
             return Optional.of("held as run " + known.key().run());
         }
         if (!room.fitsInto(free())) {
-            return Optional.of("no room");
+            return Optional.of(NO_ROOM);
         }
         long now = timers.nanos();
         long until = clock.now(now) + LEASE_MILLIS;
@@ -286,6 +292,17 @@
                 }
                 neverStarted(boot, run);
             }
+            case StartAnswer.Unreachable unreachable -> {
+                LOGGER.atInfo().log(
+                        "%s",
+                        EventLine.of("run-rejected")
+                                .with("run", run.key())
+                                .with("minion", boot)
+                                .with("reason", unreachable.reason()));
+                stopAnswering();
+                neverStarted(boot, run);
+                look();
+            }
             case StartAnswer.Unknown unknown -> {
                 LOGGER.atWarning().log(
                         "%s",
@@ -300,6 +317,21 @@
         }
     }
 
+    /**
+     * Takes no starts until the minion has answered a look. Its room looks free while it is down, so owners would send
+     * it every task that waits, again and again, and none of them would start elsewhere.
+     */
+    private void stopAnswering() {
+        if (answering) {
+            answering = false;
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("minion-not-answering")
+                            .with("minion", minion.map(MinionState::boot).orElse("")));
+            listener.roomChanged();
+        }
+    }
+
     /**
      * Rules a doubtful start out. A stop that was answered keeps the minion from ever taking this run, so the room is
      * free from the next look that does not list it; without that, a start carried out late would overfill the worker.
@@ -409,7 +441,7 @@
     }
 
     private boolean isLookNeeded() {
-        return !reconciled || !strangers.isEmpty() || !held.isEmpty() || ends.keptThrough() > keptSent;
+        return !reconciled || !answering || !strangers.isEmpty() || !held.isEmpty() || ends.keptThrough() > keptSent;
     }
 
     private OptionalLong renewal(long now) {
@@ -478,6 +510,7 @@
                 LOGGER.atInfo().log(
                         "%s",
                         EventLine.of("look-unanswered").with("minion", boot).with("reason", unknown.reason()));
+                stopAnswering();
                 lookAfter(LOOK_RETRY);
             }
         }
@@ -519,6 +552,7 @@
             }
         }
         tookRunning(boot, lists, sentAtNanos);
+        answering = true;
         reconciled = true;
         if (!fresh.isEmpty()) {
             listener.ended(fresh);
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -20,6 +20,7 @@
 import org.chivetally.queue.TaskKey;
 import org.chivetally.queue.agent.EndCodec;
 import org.chivetally.queue.agent.EndedRun;
+import org.chivetally.queue.agent.RunSupervisor;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.queue.placement.AdmissionPolicy;
 import org.chivetally.queue.placement.PlacementPolicy;
@@ -234,7 +235,7 @@
         return owner != null && owner.isReady() ? Optional.of(owner) : Optional.empty();
     }
 
-    /** Returns where the job of a task is known; jobs with a time limit of their caller's are the unkept ones. */
+    /** Returns where the job of a task is known; empty when its partition isn't this entry's any more. */
     private Optional<RunHome> homeOf(Task task) {
         return task.job().isKept() ? ownerOf(task.key()).map(RunHome.class::cast) : Optional.of(unkept);
     }
@@ -285,6 +286,10 @@
         Optional<Worker.Sent> start =
                 worker.sent(key).filter(sent -> sent.run() == end.run().run());
         if (start.isPresent()) {
+            if (end.outcome() == RunOutcome.NEVER_STARTED) {
+                // A worker that can't start has room all the time and would be chosen again at once, for every task.
+                worker.pause(timers.nanos() + REFUSAL_PAUSE.toNanos());
+            }
             finished(worker, start.get(), end.outcome(), kept);
             return;
         }
@@ -366,7 +371,7 @@
         if (start.isEmpty()) {
             return;
         }
-        if (!"no room".equals(refused.getReason())) {
+        if (!RunSupervisor.NO_ROOM.equals(refused.getReason())) {
             worker.pause(timers.nanos() + REFUSAL_PAUSE.toNanos());
         }
         finished(worker, start.get(), RunOutcome.NEVER_STARTED, () -> {});
@@ -508,15 +513,4 @@
                         .setPayload(task.job().specification().payload()))
                 .build());
     }
-
-    /** Returns the names of the workers and the processors that each has free, for metrics. */
-    List<String> openWorkers() {
-        List<String> open = new ArrayList<>();
-        for (Worker worker : workers.values()) {
-            if (worker.isOpen(timers.nanos())) {
-                open.add(worker.process());
-            }
-        }
-        return open;
-    }
 }
--- a/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
@@ -22,6 +22,9 @@
     private final List<RunKey> excluded = new ArrayList<>();
     private long leaseUntilMillis;
     private long sequence;
+    /** Nobody listens at the minion's address. */
+    public boolean down;
+
     public boolean silent;
     public boolean startsUnanswered;
     public boolean startsHeldUp;
@@ -41,6 +44,10 @@
     @Override
     public void start(String boot, StartOrder order, Consumer<StartAnswer> answer) {
         starts.add(order);
+        if (down) {
+            timers.after(Duration.ofMillis(1), () -> answer.accept(new StartAnswer.Unreachable("can't connect")));
+            return;
+        }
         if (startsHeldUp || silent) {
             timers.after(Duration.ofMillis(350), () -> answer.accept(new StartAnswer.Unknown("no answer in time")));
             return;
@@ -85,6 +92,10 @@
     @Override
     public void look(String boot, LookOrder order, Consumer<LookAnswer> answer) {
         looks.add(order);
+        if (down) {
+            timers.after(Duration.ofMillis(1), () -> answer.accept(new LookAnswer.Unknown("can't connect")));
+            return;
+        }
         if (silent) {
             timers.after(Duration.ofMillis(400), () -> answer.accept(new LookAnswer.Unknown("no answer in time")));
             return;
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -226,4 +226,21 @@
         assertThat(minion.stops, hasSize(1));
         assertThat(outcomes(), contains(RunOutcome.STOPPED));
     }
+
+    /**
+     * The minion crashes. Its worker has all its room free and would draw every waiting task to itself, each refused
+     * within a millisecond and sent again. After the first one nothing is taken until the minion answers again.
+     */
+    @Test
+    void takesNoStartsWhileTheMinionIsDown() {
+        announce("boot", false);
+        minion.down = true;
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(5));
+        assertThat(outcomes(), contains(RunOutcome.NEVER_STARTED));
+        assertThat(start(run("b", 1)), is(Optional.of("not accepting")));
+        minion.down = false;
+        timers.advance(Duration.ofMillis(200));
+        assertThat(start(run("b", 1)), is(Optional.empty()));
+    }
 }
--- a/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
@@ -201,4 +201,22 @@
             assertThat(answer, contains(new JobAnswer.State(JobPhase.COMPLETED)));
         }
     }
+
+    /**
+     * One of two minions is down while jobs come. They run on the other one at once, instead of going back and forth
+     * between this entry and the agent whose worker looks empty.
+     */
+    @Test
+    void runsJobsElsewhereWhileAMinionIsDown() {
+        agents(2);
+        cluster.minions.get("agent-1").down = true;
+        List<JobAnswer> first = cluster.submitUnkept(entry, Jobs.of(ID, 1), 2_000);
+        List<JobAnswer> second = cluster.submitUnkept(entry, Jobs.of(OTHER, 1), 2_000);
+        cluster.advance(30);
+        assertThat(cluster.minions.get("agent-1").starts.size() <= 2, is(true));
+        cluster.finish(ID, RunOutcome.DONE);
+        cluster.finish(OTHER, RunOutcome.DONE);
+        assertThat(first, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+        assertThat(second, contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
 }
