--- a/command/src/test/java/org/chivetally/command/PagesTest.java
+++ b/command/src/test/java/org/chivetally/command/PagesTest.java
@@ -21,7 +21,7 @@
 /** The pages name what the sources have, and no file that is not there. */
 class PagesTest {
     private static final Path ROOT = Path.of("..");
-    private static final List<String> MODULES = List.of("library", "command", "load", "standins");
+    private static final List<String> MODULES = List.of("library", "command", "load", "standins", "platform");
     // The first argument of EventLine.of and of the helpers that pass it on; both branches of a conditional.
     private static final Pattern EVENT =
             Pattern.compile("(?<![\\w.])(?:(?:EventLine|ClaimLines)\\.of|of|ofTask|line|startLine|attemptLine)\\(\\s*"
