A claim never overtakes the dispatcher's refusal of its job

The claim's decision and the dispatcher's refusal reached the submission actor by two ways, so a log that answered at once could make it tell the dispatcher to start what that had just refused. The decision now takes the way through the dispatcher's mailbox, behind the submission.

--- a/library/src/main/java/org/chivetally/entry/EntryActors.java
+++ b/library/src/main/java/org/chivetally/entry/EntryActors.java
@@ -43,6 +43,7 @@
 import org.chivetally.entry.member.MembershipSettings;
 import org.chivetally.entry.peer.PeerActor;
 import org.chivetally.entry.peer.PeerCommand;
+import org.chivetally.entry.submission.Dispatch;
 import org.chivetally.entry.submission.Peers;
 import org.chivetally.entry.submission.SubmissionActor;
 import org.chivetally.entry.submission.SubmissionCommand;
@@ -232,7 +233,7 @@
                 parts.self(),
                 settings,
                 parts.claims(),
-                this::tell,
+                new ActorDispatch(),
                 new ActorPeers(),
                 parts.extension().policies(),
                 this::catchUpMembers,
@@ -307,6 +308,18 @@
                 signals);
     }
 
+    private final class ActorDispatch implements Dispatch {
+        @Override
+        public void tell(DispatchEvent event) {
+            EntryActors.this.tell(event);
+        }
+
+        @Override
+        public void afterwards(Runnable then) {
+            dispatch.thenAccept(actor -> actor.tell(new DispatchCommand.Afterwards(then)));
+        }
+    }
+
     private final class ActorPeers implements Peers {
         @Override
         public void ask(Coordinator coordinator, JobId job, String key) {
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchActor.java
@@ -104,6 +104,7 @@
         noticeLease();
         switch (command) {
             case DispatchCommand.Event event -> decide(event.event());
+            case DispatchCommand.Afterwards afterwards -> afterwards.then().run();
             case DispatchCommand.Signal signal ->
                 links.signal(signal.signal(), parts.clock().nanos());
             case DispatchCommand.Send send -> links.send(send.processId(), send.frame());
--- a/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
+++ b/library/src/main/java/org/chivetally/entry/dispatch/DispatchCommand.java
@@ -13,6 +13,9 @@
     /** An event for the decisions. */
     record Event(DispatchEvent event) implements DispatchCommand {}
 
+    /** Something to run once the events told before have been decided; it must not wait. */
+    record Afterwards(Runnable then) implements DispatchCommand {}
+
     /** The transport reports about a connection to an agent. */
     record Signal(LinkSignal signal) implements DispatchCommand {}
 
--- a/library/src/main/java/org/chivetally/entry/submission/Dispatch.java
+++ b/library/src/main/java/org/chivetally/entry/submission/Dispatch.java
@@ -7,4 +7,12 @@
 public interface Dispatch {
     /** Hands an event to the dispatcher. */
     void tell(DispatchEvent event);
+
+    /**
+     * Runs something once the events told before have been decided and what came of them was told on. A dispatcher that
+     * decides within {@link #tell} runs it at once.
+     */
+    default void afterwards(Runnable then) {
+        then.run();
+    }
 }
--- a/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
+++ b/library/src/main/java/org/chivetally/entry/submission/SubmissionActor.java
@@ -125,7 +125,13 @@
         dispatch(record.job(), submission, service, Claim.FIRST_GENERATION);
         parts.claims()
                 .claim(submission.key(), submission.digest(), record.job(), service.claimMode())
-                .thenAccept(decision -> tell(new SubmissionCommand.ClaimDecided(record.job(), decision)));
+                .thenAccept(decision -> claimDecided(record.job(), decision));
+    }
+
+    // The dispatcher's refusal has to come first. A claim that overtakes it is told to the dispatcher as the word to
+    // start a job that it has just refused, and only then released.
+    private void claimDecided(JobId job, ClaimDecision decision) {
+        parts.dispatch().afterwards(() -> tell(new SubmissionCommand.ClaimDecided(job, decision)));
     }
 
     private void join(JobRecord record, Submission submission, CompletableFuture<SubmissionReply> reply) {
--- a/library/src/test/java/org/chivetally/entry/submission/SubmissionActorTest.java
+++ b/library/src/test/java/org/chivetally/entry/submission/SubmissionActorTest.java
@@ -1,10 +1,14 @@
 package org.chivetally.entry.submission;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import java.time.Duration;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -15,7 +19,10 @@
 import org.chivetally.claim.ClaimDecision;
 import org.chivetally.claim.Coordinator;
 import org.chivetally.claim.SubmissionKey;
+import org.chivetally.coordination.DispatchEvent;
+import org.chivetally.errors.ErrorCode;
 import org.chivetally.job.JobId;
+import org.chivetally.job.JobOutcome;
 import org.chivetally.job.JobOutcome.Certainty;
 import org.chivetally.job.JobSpecification;
 import org.chivetally.job.Resources;
@@ -29,6 +36,9 @@
     private static final Coordinator SELF = new Coordinator("entry-1", "1", "10.0.0.1", 7000);
     private static final Coordinator LEFT = new Coordinator("entry-9", "1", "10.0.0.9", 7000);
 
+    private static final long RETRY_MILLIS = 1_500;
+
+    private final HeldDispatch dispatch = new HeldDispatch();
     private final UnavailableClaims claims = new UnavailableClaims();
     private final BehaviorTestKit<SubmissionCommand> actor = BehaviorTestKit.create(SubmissionActor.create(parts()));
     private boolean nobodyHas = true;
@@ -82,6 +92,23 @@
         assertThat(claims.takeovers, is(1));
     }
 
+    // A caller sends a job to an entry that is full. The dispatcher refuses it, but a log that answers at once has the
+    // claim before the refusal is told. The dispatcher would then hear that it may start what it has just refused.
+    @Test
+    void aClaimNeverOvertakesTheDispatchersRefusal() {
+        claims.decision = new ClaimDecision.Won(new Claim(KEY, DIGEST, new JobId("job"), SELF, 1, false));
+        dispatch.holdsBack = true;
+        actor.run(new SubmissionCommand.Submit(submission(), new CompletableFuture<>()));
+        handleAll();
+        JobId refused = dispatch.submitted();
+        actor.run(new SubmissionCommand.JobFinished(
+                refused,
+                new JobOutcome.Failure(ErrorCode.OVERLOADED, Certainty.NOT_RUN, "full", List.of(), RETRY_MILLIS)));
+        dispatch.settle();
+        handleAll();
+        assertThat(dispatch.events, not(hasItem(instanceOf(DispatchEvent.JobClaimed.class))));
+    }
+
     private boolean isKnown() {
         CompletableFuture<Boolean> known = new CompletableFuture<>();
         actor.run(new SubmissionCommand.AskKey(KEY, known::complete));
@@ -90,16 +117,20 @@
 
     /** Submits the key and returns the refusal's certainty. */
     private Optional<Certainty> submit() {
-        TaskSpecification task = new TaskSpecification("1", Resources.NONE);
-        JobSpecification job = new JobSpecification("routing", "team", Duration.ofSeconds(10), List.of(task));
         CompletableFuture<SubmissionReply> reply = new CompletableFuture<>();
-        actor.run(new SubmissionCommand.Submit(new Submission(KEY, false, DIGEST, job), reply));
+        actor.run(new SubmissionCommand.Submit(submission(), reply));
         handleAll();
         return reply.join() instanceof SubmissionReply.Refused refused
                 ? Optional.of(refused.failure().certainty())
                 : Optional.empty();
     }
 
+    private static Submission submission() {
+        TaskSpecification task = new TaskSpecification("1", Resources.NONE);
+        JobSpecification job = new JobSpecification("routing", "team", Duration.ofSeconds(10), List.of(task));
+        return new Submission(KEY, false, DIGEST, job);
+    }
+
     private void handleAll() {
         while (actor.selfInbox().hasMessages()) {
             actor.run(actor.selfInbox().receiveMessage());
@@ -111,7 +142,7 @@
                 SELF,
                 new SubmissionSettings(Duration.ofMinutes(10), 1 << 20),
                 claims,
-                event -> {},
+                dispatch,
                 new Asked(),
                 new UndeclaredPolicies(),
                 () -> CompletableFuture.completedStage(membersRead),
@@ -121,6 +152,39 @@
                 (outcome, nanos) -> {});
     }
 
+    /** A dispatcher whose decisions the test makes. */
+    private static final class HeldDispatch implements Dispatch {
+        private final List<DispatchEvent> events = new ArrayList<>();
+        private final List<Runnable> heldBack = new ArrayList<>();
+        private boolean holdsBack;
+
+        @Override
+        public void tell(DispatchEvent event) {
+            events.add(event);
+        }
+
+        @Override
+        public void afterwards(Runnable then) {
+            if (holdsBack) {
+                heldBack.add(then);
+            } else {
+                then.run();
+            }
+        }
+
+        void settle() {
+            heldBack.forEach(Runnable::run);
+        }
+
+        JobId submitted() {
+            return events.stream()
+                    .filter(DispatchEvent.JobSubmitted.class::isInstance)
+                    .map(event -> ((DispatchEvent.JobSubmitted) event).job())
+                    .findFirst()
+                    .orElseThrow();
+        }
+    }
+
     private final class Asked implements Peers {
         @Override
         public void ask(Coordinator coordinator, JobId job, String key) {}
