--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -53,6 +53,12 @@
      */
     static final Duration UNKEPT_ABSENCE = Duration.ofMillis(2_350);
 
+    /**
+     * Time from the start of an entry in which no job is refused for the backlog. Agents that start with it are linked
+     * and know their minions within 1.5 s; until then it knows few workers and would take the service for overloaded.
+     */
+    static final Duration SETTLING = Duration.ofSeconds(2);
+
     /** Part of the workers that may be slow at once for their runs to be moved. */
     static final int SLOW_PART = 3;
 
@@ -72,6 +78,7 @@
     private final Map<Integer, PartitionOwner> partitions;
     private final UnkeptJobs unkept;
     private final BooleanSupplier mayStart;
+    private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting = new WaitingTasks();
@@ -91,6 +98,7 @@
         this.partitions = partitions;
         this.unkept = new UnkeptJobs(timers, this);
         this.mayStart = mayStart;
+        this.startedAtNanos = timers.nanos();
     }
 
     /** Returns the jobs that only this entry knows. */
@@ -100,6 +108,9 @@
 
     @Override
     public Optional<Duration> refuse(Job job) {
+        if (timers.nanos() - startedAtNanos < SETTLING.toNanos()) {
+            return Optional.empty();
+        }
         String service = job.specification().terms().service();
         long processors = 0;
         for (Worker worker : workers.values()) {
--- a/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
@@ -100,6 +100,21 @@
         assertThat(cluster.running(ID), is(empty()));
     }
 
+    /**
+     * All power was lost and callers are back at once. One agent of many is linked so far, so what waits would take it
+     * seconds; refused for that, callers would be turned away though the other agents come a moment later.
+     */
+    @Test
+    void refusesNothingWhileTheAgentsAreStillComing() {
+        cluster.agent("agent-1");
+        cluster.advance(700);
+        List<JobAnswer> answers = new ArrayList<>();
+        for (int number = 0; number < 40; number++) {
+            answers.addAll(cluster.submitUnkept(entry, Jobs.of("00000000000001" + (10 + number), 4), 2_000));
+        }
+        assertThat(answers, is(empty()));
+    }
+
     /** The caller's time ends while its job runs: that it has not run can't be said, and its runs are stopped. */
     @Test
     void doesNotSayThatAStartedJobHasNotRun() {
