--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -226,9 +226,9 @@
 
     private Optional<String> refusal(PeerLink link, RunStart start) {
         lookForSuspension();
-        Fence known = fences.get(start.getPartition());
-        if (!start.getUnkept() && known != null && known.epoch() > start.getEpoch()) {
-            return Optional.of("fenced by epoch " + known.epoch());
+        if (!start.getUnkept() && isFenced(start.getPartition(), start.getEpoch())) {
+            return Optional.of(
+                    "fenced by epoch " + fences.get(start.getPartition()).epoch());
         }
         long age = timers.nanos() - start.getEchoNanos();
         if (start.getEchoNanos() < stampFloorNanos || age > START_VALIDITY.toNanos()) {
@@ -240,6 +240,12 @@
         return Optional.empty();
     }
 
+    /** Tells whether the partition has an owner of a higher epoch. */
+    private boolean isFenced(int partition, long epoch) {
+        Fence known = fences.get(partition);
+        return known != null && known.epoch() > epoch;
+    }
+
     private static RunOwner ownerOf(PeerLink link, RunStart start) {
         return start.getUnkept() ? entryOf(link) : new RunOwner.Partition(start.getPartition());
     }
@@ -266,8 +272,7 @@
     }
 
     private void runStop(RunStop stop) {
-        Fence known = fences.get(stop.getPartition());
-        if (!stop.getUnkept() && known != null && known.epoch() > stop.getEpoch()) {
+        if (!stop.getUnkept() && isFenced(stop.getPartition(), stop.getEpoch())) {
             return;
         }
         TaskKey.parse(stop.getTask()).ifPresent(task -> {
@@ -307,12 +312,13 @@
 
     private void stopRunsOfSilentEntries() {
         lookForSuspension();
-        for (RunOwner owner : supervisor.owners()) {
+        Set<RunOwner> owners = supervisor.owners();
+        for (RunOwner owner : owners) {
             if (owner instanceof RunOwner.Entry entry && !isEntryFresh(entry, ENTRY_SILENCE)) {
                 supervisor.stopAll(entry);
             }
         }
-        echoes.keySet().removeIf(entry -> !supervisor.owners().contains(entry));
+        echoes.keySet().retainAll(owners);
     }
 
     private boolean isOwnerFresh(int partition) {
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -137,11 +137,6 @@
         });
     }
 
-    /** Closes all links. */
-    public void close() {
-        links.close();
-    }
-
     private void met(Peer peer) {
         // One of each pair of entries dials, the later by name, so that two dials don't replace each other for ever.
         boolean dials = !peer.agent() && peer.process().compareTo(self.process()) < 0;
--- a/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -53,12 +53,6 @@
         write(new KeyedRecord(self.process(), member.toByteArray()));
     }
 
-    /** Withdraws a process that is known to be gone for good. */
-    public void withdraw(String process) {
-        members.remove(process);
-        write(KeyedRecord.dropping(process));
-    }
-
     private void write(KeyedRecord entry) {
         // Written without a stamp: a repeat writes the same value once more, which changes nothing.
         log.append(stream, Optional.empty(), List.of(entry), outcome -> {
@@ -75,10 +69,19 @@
 
     /** Reads the announcements once, and tries on until the log has answered. */
     public void readOnce(Consumer<Peer> listener) {
-        log.newest(stream, "", outcome -> {
+        readAfter("", listener);
+    }
+
+    private void readAfter(String key, Consumer<Peer> listener) {
+        log.newest(stream, key, outcome -> {
             switch (outcome) {
-                case NewestOutcome.Page page -> page.items().forEach(entry -> take(entry, listener));
-                case NewestOutcome.Unavailable unavailable -> timers.after(RETRY_PAUSE, () -> readOnce(listener));
+                case NewestOutcome.Page page -> {
+                    page.items().forEach(entry -> take(entry, listener));
+                    if (page.hasMore() && !page.items().isEmpty()) {
+                        readAfter(page.items().getLast().key(), listener);
+                    }
+                }
+                case NewestOutcome.Unavailable unavailable -> timers.after(RETRY_PAUSE, () -> readAfter(key, listener));
             }
         });
     }
--- a/library/src/main/java/org/chivetally/queue/link/LinkTable.java
+++ b/library/src/main/java/org/chivetally/queue/link/LinkTable.java
@@ -2,9 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -39,8 +39,8 @@
     private final Dialer dialer;
     private final LinkListener listener;
     private final Map<String, PeerLink> links = new LinkedHashMap<>();
+    private final Map<FrameConnection, PeerLink> byConnection = new IdentityHashMap<>();
     private final Map<String, Target> targets = new HashMap<>();
-    private boolean closed;
 
     /** Creates a table that dials nobody yet. */
     public LinkTable(Peer self, Timers timers, Dialer dialer, LinkListener listener) {
@@ -76,28 +76,6 @@
         target.dial();
     }
 
-    /** Dials a peer no longer. */
-    public void forget(String process) {
-        targets.remove(process);
-    }
-
-    /** Returns the peers that are dialled while there is no link to them. */
-    public List<Peer> targets() {
-        List<Peer> peers = new ArrayList<>();
-        for (Target target : targets.values()) {
-            peers.add(target.peer);
-        }
-        return peers;
-    }
-
-    /** Closes all links and dials no more. */
-    public void close() {
-        closed = true;
-        for (PeerLink link : links()) {
-            link.connection().close();
-        }
-    }
-
     /** Closes links that have gone silent; to be called with each heartbeat, so that one wake-up serves both. */
     public void closeSilent() {
         long now = timers.nanos();
@@ -110,6 +88,7 @@
 
     private void drop(PeerLink link, String reason) {
         link.connection().close();
+        byConnection.remove(link.connection());
         if (!links.remove(link.peer().process(), link)) {
             return;
         }
@@ -138,6 +117,7 @@
         }
         PeerLink link = new PeerLink(peer, connection, timers.nanos());
         links.put(peer.process(), link);
+        byConnection.put(connection, link);
         LOGGER.atInfo().log(
                 "%s", EventLine.of("link-up").with("peer", peer.process()).with("incarnation", peer.incarnation()));
         Target target = targets.get(peer.process());
@@ -157,7 +137,7 @@
         }
 
         private void dial() {
-            if (closed || targets.get(peer.process()) != this || links.containsKey(peer.process())) {
+            if (targets.get(peer.process()) != this || links.containsKey(peer.process())) {
                 return;
             }
             Handshake handshake = new Handshake(Optional.of(this));
@@ -199,20 +179,15 @@
                 }
                 return;
             }
-            PeerLink current = linkOf(connection);
-            if (current != null) {
-                current.heard(timers.nanos());
-                listener.received(current, frame);
-            }
+            linkOf(connection).ifPresent(newest -> {
+                newest.heard(timers.nanos());
+                listener.received(newest, frame);
+            });
         }
 
         @Override
         public void disconnected(FrameConnection connection, String reason) {
-            PeerLink current = linkOf(connection);
-            if (current != null) {
-                drop(current, reason);
-                return;
-            }
+            linkOf(connection).ifPresent(newest -> drop(newest, reason));
             if (!introduced && !ended) {
                 ended = true;
                 target.ifPresent(Target::redialLater);
@@ -231,13 +206,8 @@
         }
 
         /** Returns the link of a connection while it is the newest one to its peer. */
-        private PeerLink linkOf(FrameConnection connection) {
-            for (PeerLink candidate : links.values()) {
-                if (candidate.connection() == connection) {
-                    return candidate;
-                }
-            }
-            return null;
+        private Optional<PeerLink> linkOf(FrameConnection connection) {
+            return Optional.ofNullable(byConnection.get(connection));
         }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/log/PartitionWriter.java
+++ b/library/src/main/java/org/chivetally/queue/log/PartitionWriter.java
@@ -111,11 +111,6 @@
         return failing && now - failingSinceNanos > STALL_NANOS || inFlight && now - sentAtNanos > PATIENCE_NANOS;
     }
 
-    /** Tells whether everything written so far has its outcome. */
-    public boolean isIdle() {
-        return batch.isEmpty() && waiting.isEmpty();
-    }
-
     /** Gives up; every write without an outcome is told FENCED. */
     public void close() {
         if (closed) {
@@ -135,13 +130,17 @@
         if (inFlight || closed || failing) {
             return;
         }
+        fillBatch();
+        if (!batch.isEmpty()) {
+            send();
+        }
+    }
+
+    private void fillBatch() {
         if (batch.isEmpty()) {
             batch = nextBatch();
             ambiguous = false;
         }
-        if (!batch.isEmpty()) {
-            send();
-        }
     }
 
     private List<Write> nextBatch() {
@@ -269,10 +268,7 @@
         if (closed || inFlight) {
             return;
         }
-        if (batch.isEmpty()) {
-            batch = nextBatch();
-            ambiguous = false;
-        }
+        fillBatch();
         if (batch.isEmpty()) {
             // Nothing is left to write; whether the log is back shows with the next write.
             failing = false;
