--- a/library/src/test/java/org/chivetally/queue/placement/WorstLoadTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/WorstLoadTest.java
@@ -1,6 +1,7 @@
 package org.chivetally.queue.placement;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
@@ -8,11 +9,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import org.chivetally.queue.Job;
+import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Outlook;
 import org.chivetally.queue.Room;
@@ -101,17 +105,23 @@
     void whoGetsNoTurnInABurstIsToldWithinTheObjective() {
         int perSecond = 150 * WORKERS * SLOTS / 10 / 2;
         ArrivalRate arrivals = new ArrivalRate();
+        Set<Job> untold = new HashSet<>();
         for (int number = 0; number < 3 * perSecond; number++) {
             advanceTo(Duration.ofSeconds(1).toNanos() * number / perSecond);
-            arrivals.arrived(arrive(number).specification(), nowNanos);
+            Job fresh = arrive(number);
+            untold.add(fresh);
+            arrivals.arrived(fresh.specification(), nowNanos);
             long spare = WORKERS * CAPACITY.processorMillis() - arrivals.processorMillis(nowNanos);
             for (Job job : waiting.withoutProspect("reports", spare, nowNanos)) {
                 long waited = nowNanos - job.acceptedAtNanos();
                 assertThat(waited, lessThan(number < perSecond ? LATE : OBJECTIVE));
                 job.tasks().forEach(waiting::remove);
+                untold.remove(job);
             }
         }
+        untold.removeIf(job -> job.phase() != JobPhase.QUEUED || !job.isHopeless(nowNanos));
         assertThat((double) inTime / (3 * perSecond), greaterThan(0.55));
+        assertThat(untold, is(empty()));
     }
 
     private String failingWorker = "";
