An unanswered look or start costs a fifth of a second, not most of one

Looks now wait 120 ms and time out 150 ms later, one of them alone doesn't close the worker, and a start is doubted after 100 ms. The test of a doubtful start's room asked for it at a fixed time; it now asks at every millisecond until the stop, which is more.

--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -69,6 +69,9 @@
         /** The minion is another boot, or refuses this agent's token. */
         record Refused(String reason, boolean fenced) implements LookAnswer {}
 
+        /** Nobody listens at the minion's address. */
+        record Unreachable(String reason) implements LookAnswer {}
+
         /** No answer that could be used. */
         record Unknown(String reason) implements LookAnswer {}
     }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -31,8 +31,11 @@
     /** Longest lease that a minion grants, by the platform's pages. */
     static final long LEASE_MILLIS = 1_000;
 
-    /** Longest wait of one look. Two looks fit into a lease, so one lost answer does not end it. */
-    static final Duration LOOK_WAIT = Duration.ofMillis(400);
+    /**
+     * Longest wait of one look. Ends are learned by looks alone, so an answer that is lost delays all ends by the wait
+     * and the timeout: with one look in eighteen lost, a wait of 400 ms left a minion unseen for most of the time.
+     */
+    static final Duration LOOK_WAIT = Duration.ofMillis(120);
 
     /** Pause after a look that told nothing new at once: ends wait to be stored, which takes the log about 10 ms. */
     static final Duration LOOK_PAUSE = Duration.ofMillis(20);
@@ -46,12 +49,25 @@
     /** Pause after a look without an answer, so that a minion that is down isn't called in a tight loop. */
     static final Duration LOOK_RETRY = Duration.ofMillis(100);
 
-    /** How long a doubtful start may show up in a look before it is stopped: one look's wait is cut short by it. */
-    static final Duration DOUBT_PAUSE = Duration.ofMillis(150);
+    /**
+     * Time without an answer after which a start is doubted. Answers take a millisecond, and the tasks of callers who
+     * wait last 85 ms and more: any later, the job would miss its objective by the doubt alone.
+     */
+    static final Duration START_DOUBT = Duration.ofMillis(100);
+
+    /** How long a doubtful start may show up in a look before it is stopped; the next look comes within it. */
+    static final Duration DOUBT_PAUSE = Duration.ofMillis(60);
 
     /** Age of the last answer from which looks no longer renew, so that the lease of a minion in doubt runs out. */
     static final long UNANSWERED_NANOS = Duration.ofMillis(800).toNanos();
 
+    /**
+     * Age of the last answer from which the minion counts as not answering, and starts are refused. A minion that
+     * leaves one call in eighteen unanswered loses two looks in a row every 300 looks; one that is cut off is found out
+     * within the time in which its first starts are doubted and given up.
+     */
+    static final long NOT_ANSWERING_NANOS = Duration.ofMillis(600).toNanos();
+
     /** Margin on the end of a lease before its runs are called lost: the minion's own timers fire late. */
     static final long LAPSE_MARGIN_MILLIS = 100;
 
@@ -263,6 +279,7 @@
                 boot,
                 new StartOrder(run, payload, until, token, checkpoint),
                 answer -> startAnswered(boot, fresh, answer));
+        timers.after(START_DOUBT, () -> doubt(boot, fresh, "no answer yet"));
         look();
         return Optional.empty();
     }
@@ -303,20 +320,25 @@
                 neverStarted(boot, run);
                 look();
             }
-            case StartAnswer.Unknown unknown -> {
-                LOGGER.atWarning().log(
-                        "%s",
-                        EventLine.of("run-doubtful")
-                                .with("run", run.key())
-                                .with("minion", boot)
-                                .with("reason", unknown.reason()));
-                run.become(HeldRun.Stage.DOUBTFUL, timers.nanos());
-                timers.after(DOUBT_PAUSE, () -> resolve(boot, run));
-                look();
-            }
+            case StartAnswer.Unknown unknown -> doubt(boot, run, unknown.reason());
         }
     }
 
+    private void doubt(String boot, HeldRun run, String reason) {
+        if (isNotHeld(boot, run) || run.stage() != HeldRun.Stage.STARTING) {
+            return;
+        }
+        LOGGER.atWarning().log(
+                "%s",
+                EventLine.of("run-doubtful")
+                        .with("run", run.key())
+                        .with("minion", boot)
+                        .with("reason", reason));
+        run.become(HeldRun.Stage.DOUBTFUL, timers.nanos());
+        timers.after(DOUBT_PAUSE, () -> resolve(boot, run));
+        look();
+    }
+
     /**
      * Takes no starts until the minion has answered a look. Its room looks free while it is down, so owners would send
      * it every task that waits, again and again, and none of them would start elsewhere.
@@ -506,16 +528,28 @@
                     departed(boot);
                 }
             }
-            case LookAnswer.Unknown unknown -> {
-                LOGGER.atInfo().log(
-                        "%s",
-                        EventLine.of("look-unanswered").with("minion", boot).with("reason", unknown.reason()));
+            case LookAnswer.Unreachable unreachable -> {
+                unanswered(boot, unreachable.reason());
                 stopAnswering();
                 lookAfter(LOOK_RETRY);
             }
+            case LookAnswer.Unknown unknown -> {
+                unanswered(boot, unknown.reason());
+                if (timers.nanos() - lastAnswerNanos > NOT_ANSWERING_NANOS) {
+                    stopAnswering();
+                    lookAfter(LOOK_RETRY);
+                } else {
+                    lookAfter(LOOK_PAUSE);
+                }
+            }
         }
     }
 
+    private static void unanswered(String boot, String reason) {
+        LOGGER.atInfo().log(
+                "%s", EventLine.of("look-unanswered").with("minion", boot).with("reason", reason));
+    }
+
     private void lookAfter(Duration pause) {
         if (pause.isZero()) {
             look();
--- a/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
@@ -27,6 +27,10 @@
 
     public boolean silent;
     public boolean startsUnanswered;
+
+    /** How many of the next looks get no answer. */
+    public int looksUnanswered;
+
     public boolean startsHeldUp;
 
     public ModelMinion(ManualTimers timers) {
@@ -93,11 +97,14 @@
     public void look(String boot, LookOrder order, Consumer<LookAnswer> answer) {
         looks.add(order);
         if (down) {
-            timers.after(Duration.ofMillis(1), () -> answer.accept(new LookAnswer.Unknown("can't connect")));
+            timers.after(Duration.ofMillis(1), () -> answer.accept(new LookAnswer.Unreachable("can't connect")));
             return;
         }
-        if (silent) {
-            timers.after(Duration.ofMillis(400), () -> answer.accept(new LookAnswer.Unknown("no answer in time")));
+        if (silent || looksUnanswered > 0) {
+            looksUnanswered--;
+            timers.after(
+                    order.longestWait().plusMillis(150),
+                    () -> answer.accept(new LookAnswer.Unknown("no answer in time")));
             return;
         }
         order.leaseUntilMillis().ifPresent(until -> leaseUntilMillis = Math.max(leaseUntilMillis, until));
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -91,8 +91,10 @@
         announce("boot", false);
         minion.startsHeldUp = true;
         start(run("a", 1));
-        timers.advance(Duration.ofMillis(360));
-        assertThat(supervisor.free(), is(CAPACITY.minus(HALF)));
+        while (minion.stops.isEmpty()) {
+            assertThat(supervisor.free(), is(CAPACITY.minus(HALF)));
+            timers.advance(Duration.ofMillis(1));
+        }
         timers.advance(Duration.ofMillis(500));
         assertThat(minion.stops, contains(run("a", 1)));
         assertThat(outcomes(), contains(RunOutcome.NEVER_STARTED));
@@ -101,6 +103,38 @@
         assertThat(minion.running.keySet(), is(empty()));
     }
 
+    /**
+     * A start gets no answer and is not carried out. The caller's objective is a few hundred milliseconds away, so the
+     * task has to be given back in time for a start elsewhere.
+     */
+    @Test
+    void givesADoubtfulStartBackWithinAThirdOfASecond() {
+        announce("boot", false);
+        minion.startsHeldUp = true;
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(320));
+        assertThat(outcomes(), contains(RunOutcome.NEVER_STARTED));
+    }
+
+    /**
+     * The minion leaves a look unanswered while a run ends. Its owner learns of the end with the next look, and the
+     * worker takes starts all the while: it is not down, and its room would lie idle.
+     */
+    @Test
+    void oneLookWithoutAnAnswerNeitherHidesAnEndNorClosesTheWorker() {
+        announce("boot", false);
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(50));
+        minion.looksUnanswered = 1;
+        timers.advance(Duration.ofMillis(150));
+        minion.end(run("a", 1), RunOutcome.DONE);
+        for (int step = 0; step < 30; step++) {
+            assertThat(supervisor.isAccepting(), is(true));
+            timers.advance(Duration.ofMillis(10));
+        }
+        assertThat(outcomes(), contains(RunOutcome.DONE));
+    }
+
     /**
      * The minion starts a run and its answer is lost. The run shows up in the next look, so it goes on: stopping it
      * would throw its work away.
