--- a/library/src/main/java/org/chivetally/queue/JobAnswer.java
+++ b/library/src/main/java/org/chivetally/queue/JobAnswer.java
@@ -14,7 +14,7 @@
      * @param reason why, for logs and the caller
      * @param retryAfter when another request may fare better
      */
-    record Refused(String reason, Duration retryAfter) implements JobAnswer {
+    record Refused(RefusalReason reason, Duration retryAfter) implements JobAnswer {
         /** Refuses missing parts. */
         public Refused {
             Objects.requireNonNull(reason, "reason");
--- a/library/src/main/java/org/chivetally/queue/entry/JobDesk.java
+++ b/library/src/main/java/org/chivetally/queue/entry/JobDesk.java
@@ -12,6 +12,7 @@
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.JobSpecification;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.Frame;
@@ -120,7 +121,9 @@
     }
 
     private static JobAnswer unasked(Question question, String reason) {
-        return question.submission ? new JobAnswer.Refused(reason, OWNER_RETRY) : new JobAnswer.Unavailable(reason);
+        return question.submission
+                ? new JobAnswer.Refused(RefusalReason.OWNER_UNAVAILABLE, OWNER_RETRY)
+                : new JobAnswer.Unavailable(reason);
     }
 
     private static JobAnswer undecided(Question question, String reason) {
--- a/library/src/main/java/org/chivetally/queue/entry/JobReplies.java
+++ b/library/src/main/java/org/chivetally/queue/entry/JobReplies.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.RefusalReason;
 import org.chivetally.wire.v1.JobReply;
 import org.chivetally.wire.v1.JobVerdict;
 
@@ -16,7 +17,7 @@
             case JobAnswer.Accepted accepted -> reply.setVerdict(JobVerdict.JOB_VERDICT_ACCEPTED);
             case JobAnswer.Refused refused ->
                 reply.setVerdict(JobVerdict.JOB_VERDICT_REFUSED)
-                        .setReason(refused.reason())
+                        .setReason(refused.reason().text())
                         .setRetryAfterMillis((int) refused.retryAfter().toMillis());
             case JobAnswer.UnknownJob unknown -> reply.setVerdict(JobVerdict.JOB_VERDICT_UNKNOWN_JOB);
             case JobAnswer.State state ->
@@ -34,7 +35,8 @@
         return switch (reply.getVerdict()) {
             case JOB_VERDICT_ACCEPTED -> new JobAnswer.Accepted();
             case JOB_VERDICT_REFUSED ->
-                new JobAnswer.Refused(reply.getReason(), Duration.ofMillis(reply.getRetryAfterMillis()));
+                new JobAnswer.Refused(
+                        RefusalReason.of(reply.getReason()), Duration.ofMillis(reply.getRetryAfterMillis()));
             case JOB_VERDICT_UNKNOWN_JOB -> new JobAnswer.UnknownJob();
             case JOB_VERDICT_STATE -> new JobAnswer.State(JobCodec.decode(reply.getPhase()));
             case JOB_VERDICT_CANCELLED -> new JobAnswer.Cancelled();
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -19,6 +19,7 @@
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.JobProgress;
 import org.chivetally.queue.JobSpecification;
+import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
@@ -267,7 +268,7 @@
                     EventLine.of("job-refused")
                             .with("job", id)
                             .with("queue", specification.terms().queue())
-                            .with("reason", refusal.get().reason())
+                            .with("reason", refusal.get().reason().text())
                             .with("retry_ms", refusal.get().retryAfter().toMillis()));
             answer.accept(refusal.get());
             return;
@@ -280,16 +281,16 @@
 
     private Optional<JobAnswer.Refused> refusal(JobSpecification specification) {
         if (writer.isStalled()) {
-            return Optional.of(new JobAnswer.Refused("log takes no writes", LOG_RETRY));
+            return Optional.of(new JobAnswer.Refused(RefusalReason.LOG_UNAVAILABLE, LOG_RETRY));
         }
         return events.refuse(new Job(specification, timers.nanos()))
-                .map(retry -> new JobAnswer.Refused("backlog", retry));
+                .map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
     }
 
     private void submitted(JobSpecification specification, PartitionWriter.Result result) {
         JobAnswer answer = switch (result) {
             case STORED -> new JobAnswer.Accepted();
-            case REFUSED -> new JobAnswer.Refused("log took no write", LOG_RETRY);
+            case REFUSED -> new JobAnswer.Refused(RefusalReason.LOG_UNAVAILABLE, LOG_RETRY);
             case FENCED -> new JobAnswer.NotOwner();
         };
         if (result == PartitionWriter.Result.STORED) {
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -14,6 +14,7 @@
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.JobSpecification;
+import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
@@ -72,14 +73,14 @@
         }
         Job job = new Job(specification, timers.nanos(), deadlineNanos);
         if (stopsAtNanos.isPresent() && endsAfter(job, stopsAtNanos.getAsLong())) {
-            log("job-refused", job, "stopping");
-            answer.accept(new JobAnswer.Refused("stopping", RETRY));
+            log("job-refused", job, RefusalReason.STOPPING.text());
+            answer.accept(new JobAnswer.Refused(RefusalReason.STOPPING, RETRY));
             return;
         }
         Optional<Duration> retry = admission.refuse(job);
         if (retry.isPresent()) {
-            log("job-refused", job, "backlog");
-            answer.accept(new JobAnswer.Refused("backlog", retry.get()));
+            log("job-refused", job, RefusalReason.BACKLOG.text());
+            answer.accept(new JobAnswer.Refused(RefusalReason.BACKLOG, retry.get()));
             return;
         }
         Open fresh = new Open(job, answer);
@@ -124,7 +125,7 @@
         long now = timers.nanos();
         for (Open candidate : new ArrayList<>(open.values())) {
             if (candidate.job.phase() == JobPhase.QUEUED && candidate.job.isHopeless(now)) {
-                refuse(candidate, "not started in time");
+                refuse(candidate, RefusalReason.NOT_STARTED_IN_TIME);
             }
         }
     }
@@ -133,13 +134,13 @@
     void refuseOvertaken(Job job) {
         Open candidate = open.get(job.specification().id());
         if (candidate != null && candidate.job == job) {
-            refuse(candidate, "overtaken");
+            refuse(candidate, RefusalReason.OVERTAKEN);
         }
     }
 
-    private void refuse(Open refused, String reason) {
+    private void refuse(Open refused, RefusalReason reason) {
         refused.job.finish(JobPhase.CANCELLED, timers.epochMillis());
-        close(refused, reason);
+        close(refused, reason.text());
         refused.tell(new JobAnswer.Refused(reason, RETRY));
     }
 
@@ -153,7 +154,7 @@
         expired.tell(
                 started
                         ? new JobAnswer.Undecided("not done in time")
-                        : new JobAnswer.Refused("not started in time", RETRY));
+                        : new JobAnswer.Refused(RefusalReason.NOT_STARTED_IN_TIME, RETRY));
     }
 
     private void close(Open ended, String reason) {
