--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.Job;
@@ -23,6 +24,7 @@
 import org.chivetally.queue.log.KeyedLog;
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.queue.log.OwnershipGroup;
+import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.time.Timers;
 import org.chivetally.transport.FrameListener;
 import org.chivetally.wire.v1.BeatEcho;
@@ -77,7 +79,9 @@
         this.options = options;
         this.links = new LinkTable(self, timers, dialer, this);
         this.ownership = new Ownership(group, timers, self.process() + "-" + self.incarnation(), this);
-        this.runs = new RunCoordinator(timers, options.partitions(), partitions, this::mayStart);
+        PlacementPolicy placement = new PlacementPolicy(
+                self.failureDomain(), new SplittableRandom(self.process().hashCode()));
+        this.runs = new RunCoordinator(timers, placement, options.partitions(), partitions, this::mayStart);
         this.desk = new JobDesk(timers, options.partitions(), this);
         this.directory = new MemberDirectory(log, timers, options.memberStream());
         this.suspension = new SuspensionDetector(timers);
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -79,6 +79,7 @@
     private final Map<Integer, PartitionOwner> partitions;
     private final UnkeptJobs unkept;
     private final BooleanSupplier mayStart;
+    private final PlacementPolicy placement;
     private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
@@ -90,11 +91,17 @@
     /**
      * Creates a coordinator.
      *
+     * @param placement where tasks go
      * @param partitions the entry's partitions by number, kept up by the entry
      * @param mayStart whether the entry is sure enough of its ownership to start anything
      */
     RunCoordinator(
-            Timers timers, int partitionCount, Map<Integer, PartitionOwner> partitions, BooleanSupplier mayStart) {
+            Timers timers,
+            PlacementPolicy placement,
+            int partitionCount,
+            Map<Integer, PartitionOwner> partitions,
+            BooleanSupplier mayStart) {
+        this.placement = placement;
         this.timers = timers;
         this.partitionCount = partitionCount;
         this.partitions = partitions;
@@ -506,11 +513,11 @@
         if (waiting.refresh(now)) {
             refuseWithoutProspect(now);
         }
-        PlacementPolicy placement = PlacementPolicy.over(workers.values(), now);
+        PlacementPolicy.Pass choices = placement.over(workers.values(), now);
         for (String service : waiting.services()) {
             int misses = 0;
             for (Task task : waiting.first(service, TASKS_PER_PASS)) {
-                Optional<Worker> worker = placement.choose(task);
+                Optional<Worker> worker = choices.choose(task);
                 if (worker.isPresent()) {
                     start(worker.get(), task);
                 } else if (++misses >= MISSES_PER_PASS) {
--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
 
@@ -12,7 +13,9 @@
  * processors free. Spreading keeps every worker's queue of starts short; the tasks of the sheets fit ten times into a
  * worker, so packing them tightly would gain less than a tenth of a worker's room.
  *
- * <p>Made for one pass over the waiting tasks: what it says of the workers' health holds for a moment.
+ * <p>Under load the workers have room for a task now and then, and each entry learns of it at the same moment. All
+ * would choose the same worker, and all but one be refused: 30% of the starts were at 95% load. Among workers with
+ * little room the choice is therefore random.
  */
 public final class PlacementPolicy {
     /**
@@ -21,73 +24,113 @@
      */
     static final int AVOIDED_PART = 3;
 
+    /** Part of the capacity under which a worker's free room is contended. */
+    static final int SCARCE_PART = 4;
+
+    /**
+     * Part of the capacity by which a worker of the entry's own failure domain may be fuller than another and is still
+     * chosen: frames to it are not priced, and the way is a fifth as long.
+     */
+    static final int NEAR_PART = 8;
+
     /** Penalty that outweighs all free room, as rooms stay below a thousand cores. */
     private static final long FAR_MILLIS = 1_000_000_000L;
 
     private static final long BAD_MILLIS = 2_000_000_000L;
 
-    private final long nowNanos;
-    private final List<Worker> open = new ArrayList<>();
-    private final boolean passesOver;
-
-    private PlacementPolicy(Collection<Worker> workers, long nowNanos) {
-        this.nowNanos = nowNanos;
-        int bad = 0;
-        for (Worker worker : workers) {
-            if (worker.isOpen(nowNanos)) {
-                open.add(worker);
-                bad += isPassedOver(worker) ? 1 : 0;
-            }
-        }
-        passesOver = AVOIDED_PART * bad <= open.size();
-    }
+    private final String failureDomain;
+    private final RandomGenerator random;
 
-    /** Returns the choices that the workers allow now. */
-    public static PlacementPolicy over(Collection<Worker> workers, long nowNanos) {
-        return new PlacementPolicy(workers, nowNanos);
+    /**
+     * Creates the policy of one entry.
+     *
+     * @param failureDomain the entry's own
+     * @param random differs from that of other entries
+     */
+    public PlacementPolicy(String failureDomain, RandomGenerator random) {
+        this.failureDomain = failureDomain;
+        this.random = random;
     }
 
-    private boolean isPassedOver(Worker worker) {
-        return worker.health().isAvoided(nowNanos) || worker.health().isTried(nowNanos) && worker.isBusy();
+    /** Returns the choices that the workers allow at a moment, for one pass over the waiting tasks. */
+    public Pass over(Collection<Worker> workers, long nowNanos) {
+        return new Pass(workers, nowNanos);
     }
 
-    /**
-     * Returns the best worker that has room for the task now; empty when none has. A task that failed on a worker waits
-     * for another one, as long as there is one: its attempts are few, and a worker that fails all has room at once.
-     */
-    public Optional<Worker> choose(Task task) {
-        Worker best = null;
-        long bestScore = Long.MIN_VALUE;
-        boolean elsewhere = isPossibleElsewhere(task);
-        for (Worker worker : open) {
-            boolean excluded = elsewhere && failedAt(task, worker) || passesOver && isPassedOver(worker);
-            if (excluded || !mayRun(task, worker) || !task.room().fitsInto(worker.free())) {
-                continue;
-            }
-            long score = score(task, worker);
-            if (score > bestScore) {
-                best = worker;
-                bestScore = score;
+    /** Choices at one moment. */
+    public final class Pass {
+        private final long nowNanos;
+        private final List<Worker> open = new ArrayList<>();
+        private final boolean passesOver;
+
+        private Pass(Collection<Worker> workers, long nowNanos) {
+            this.nowNanos = nowNanos;
+            int bad = 0;
+            for (Worker worker : workers) {
+                if (worker.isOpen(nowNanos)) {
+                    open.add(worker);
+                    bad += isPassedOver(worker) ? 1 : 0;
+                }
             }
+            passesOver = AVOIDED_PART * bad <= open.size();
         }
-        return Optional.ofNullable(best);
-    }
 
-    private static boolean failedAt(Task task, Worker worker) {
-        return task.failedAt().isPresent() && task.failedAt().get().equals(worker.process());
-    }
+        private boolean isPassedOver(Worker worker) {
+            return worker.health().isAvoided(nowNanos) || worker.health().isTried(nowNanos) && worker.isBusy();
+        }
 
-    /** Tells whether there is a sound worker for the task where it has not just failed, with room or without. */
-    private boolean isPossibleElsewhere(Task task) {
-        if (task.failedAt().isEmpty()) {
-            return false;
+        /**
+         * Returns the best worker that has room for the task now; empty when none has. A task that failed on a worker
+         * waits for another one, as long as there is one: its attempts are few, and a worker that fails all has room at
+         * once.
+         */
+        public Optional<Worker> choose(Task task) {
+            Worker best = null;
+            long bestScore = Long.MIN_VALUE;
+            boolean elsewhere = isPossibleElsewhere(task);
+            for (Worker worker : open) {
+                boolean excluded = elsewhere && failedAt(task, worker) || passesOver && isPassedOver(worker);
+                if (excluded || !mayRun(task, worker) || !task.room().fitsInto(worker.free())) {
+                    continue;
+                }
+                long score = score(task, worker);
+                if (score > bestScore) {
+                    best = worker;
+                    bestScore = score;
+                }
+            }
+            return Optional.ofNullable(best);
         }
-        for (Worker worker : open) {
-            if (!failedAt(task, worker) && !isPassedOver(worker) && mayRun(task, worker)) {
-                return true;
+
+        /** Tells whether there is a sound worker for the task where it has not just failed, with room or without. */
+        private boolean isPossibleElsewhere(Task task) {
+            if (task.failedAt().isEmpty()) {
+                return false;
+            }
+            for (Worker worker : open) {
+                if (!failedAt(task, worker) && !isPassedOver(worker) && mayRun(task, worker)) {
+                    return true;
+                }
             }
+            return false;
+        }
+
+        private long score(Task task, Worker worker) {
+            boolean far = !task.step().traits().preferredRack().isEmpty()
+                    && !worker.view().labels().contains(task.step().traits().preferredRack());
+            long free = worker.free().processorMillis();
+            long capacity = worker.view().capacity().processorMillis();
+            boolean scarce = SCARCE_PART * free < capacity;
+            long score = scarce ? random.nextLong(free + 1) : free;
+            score += worker.view().failureDomain().equals(failureDomain) ? capacity / NEAR_PART : 0;
+            score -= isPassedOver(worker) ? BAD_MILLIS : 0;
+            score -= far ? FAR_MILLIS : 0;
+            return score;
         }
-        return false;
+    }
+
+    private static boolean failedAt(Task task, Worker worker) {
+        return task.failedAt().isPresent() && task.failedAt().get().equals(worker.process());
     }
 
     /** Tells whether a worker is allowed to run the task, whether it has room or not. */
@@ -111,13 +154,4 @@
         }
         return count;
     }
-
-    private long score(Task task, Worker worker) {
-        boolean far = !task.step().traits().preferredRack().isEmpty()
-                && !worker.view().labels().contains(task.step().traits().preferredRack());
-        long score = worker.free().processorMillis();
-        score -= isPassedOver(worker) ? BAD_MILLIS : 0;
-        score -= far ? FAR_MILLIS : 0;
-        return score;
-    }
 }
--- a/library/src/test/java/org/chivetally/queue/placement/DecisionsTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/DecisionsTest.java
@@ -2,11 +2,15 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
 import org.chivetally.queue.Job;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Room;
@@ -15,14 +19,26 @@
 
 class DecisionsTest {
     private static final Room CAPACITY = new Room(64_000, 131_072, 0);
+    private static final PlacementPolicy POLICY = new PlacementPolicy("south", new SplittableRandom(1));
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
     private static Worker worker(String name, long freeMillis) {
+        return worker(name, "north", freeMillis);
+    }
+
+    private static Worker worker(String name, String failureDomain, long freeMillis) {
         Worker worker = new Worker(name, 0);
         worker.linked(name);
         worker.report(
                 new Worker.View(
-                        "boot", "reports", CAPACITY, new Room(freeMillis, 99_999, 0), true, List.of("a"), "north", 0),
+                        "boot",
+                        "reports",
+                        CAPACITY,
+                        new Room(freeMillis, 99_999, 0),
+                        true,
+                        List.of("a"),
+                        failureDomain,
+                        0),
                 0);
         return worker;
     }
@@ -34,14 +50,58 @@
     @Test
     void placesOnTheWorkerWithTheMostRoom() {
         List<Worker> workers = List.of(worker("a", 20_000), worker("b", 30_000), worker("c", 5_000));
-        assertThat(PlacementPolicy.over(workers, 1).choose(task("j")).map(Worker::process), is(Optional.of("b")));
+        assertThat(POLICY.over(workers, 1).choose(task("j")).map(Worker::process), is(Optional.of("b")));
     }
 
     @Test
     void countsItsOwnStartsThatTheAgentHasNotReportedYet() {
         Worker worker = worker("a", 11_000);
         worker.send(task("j"), 1, 1);
-        assertThat(PlacementPolicy.over(List.of(worker), 1).choose(task("k")), is(Optional.empty()));
+        assertThat(POLICY.over(List.of(worker), 1).choose(task("k")), is(Optional.empty()));
+    }
+
+    /**
+     * At full load eight workers report room for one task each, and three entries see it at once. If all choose the
+     * same one, two of three starts are refused; at random, about one in four.
+     */
+    @Test
+    void entriesRarelyChooseTheSameWorkerWhenRoomIsScarce() {
+        List<Worker> workers = new ArrayList<>();
+        for (int number = 0; number < 8; number++) {
+            workers.add(worker("w" + number, 6_000 + 100 * number));
+        }
+        List<PlacementPolicy> entries = new ArrayList<>();
+        for (int number = 0; number < 3; number++) {
+            entries.add(new PlacementPolicy("north", new SplittableRandom(number)));
+        }
+        int refused = 0;
+        for (int round = 0; round < 1_000; round++) {
+            Set<Worker> chosen = new HashSet<>();
+            for (PlacementPolicy entry : entries) {
+                chosen.add(entry.over(workers, 1).choose(task("j")).orElseThrow());
+            }
+            refused += entries.size() - chosen.size();
+        }
+        assertThat(refused, lessThan(700));
+    }
+
+    /**
+     * Frames between failure domains are priced; a worker that is as good and near is chosen before one that is far.
+     */
+    @Test
+    void prefersAWorkerOfItsOwnFailureDomain() {
+        PlacementPolicy near = new PlacementPolicy("north", new SplittableRandom(1));
+        Worker far = worker("far", "south", 33_000);
+        assertThat(
+                near.over(List.of(far, worker("near", 30_000)), 1)
+                        .choose(task("j"))
+                        .map(Worker::process),
+                is(Optional.of("near")));
+        assertThat(
+                near.over(List.of(far, worker("near", 20_000)), 1)
+                        .choose(task("j"))
+                        .map(Worker::process),
+                is(Optional.of("far")));
     }
 
     /**
@@ -53,12 +113,12 @@
         Worker bad = worker("bad", 60_000);
         Worker good = worker("good", 7_000);
         for (String job : List.of("j1", "j2", "j3")) {
-            assertThat(PlacementPolicy.over(List.of(bad, good), 1).choose(task("k")), is(Optional.of(bad)));
+            assertThat(POLICY.over(List.of(bad, good), 1).choose(task("k")), is(Optional.of(bad)));
             bad.health().failed(job, 1);
         }
-        assertThat(PlacementPolicy.over(List.of(bad, good), 1).choose(task("k")), is(Optional.of(good)));
+        assertThat(POLICY.over(List.of(bad, good), 1).choose(task("k")), is(Optional.of(good)));
         long later = WorkerHealth.AVOIDANCE.toNanos() + 2;
-        assertThat(PlacementPolicy.over(List.of(bad, good), later).choose(task("k")), is(Optional.of(bad)));
+        assertThat(POLICY.over(List.of(bad, good), later).choose(task("k")), is(Optional.of(bad)));
     }
 
     /**
@@ -77,9 +137,9 @@
         now = Duration.ofMillis(400).toNanos();
         assertThat(slow.newlyOverdue(now).size(), is(3));
         assertThat(slow.newlyOverdue(now).size(), is(0));
-        assertThat(PlacementPolicy.over(List.of(slow, good), now).choose(task("k")), is(Optional.of(good)));
+        assertThat(POLICY.over(List.of(slow, good), now).choose(task("k")), is(Optional.of(good)));
         long later = now + 2 * WorkerHealth.MEMORY.toNanos();
-        assertThat(PlacementPolicy.over(List.of(slow, good), later).choose(task("k")), is(Optional.of(slow)));
+        assertThat(POLICY.over(List.of(slow, good), later).choose(task("k")), is(Optional.of(slow)));
     }
 
     /** Estimates are rough, so a run now and then lasts three times as long. That says nothing about its worker. */
--- a/library/src/test/java/org/chivetally/queue/placement/WorstLoadTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/WorstLoadTest.java
@@ -15,6 +15,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.chivetally.queue.Job;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
@@ -44,6 +45,7 @@
     private final WaitingTasks waiting = new WaitingTasks();
     private final List<Worker> workers = new ArrayList<>();
     private final Random random = new Random(7);
+    private final PlacementPolicy policy = new PlacementPolicy("north", new SplittableRandom(7));
     private long nowNanos;
     private int failingRuns;
     private int failedJobs;
@@ -178,7 +180,7 @@
         for (Worker worker : workers) {
             report(worker);
         }
-        PlacementPolicy placement = PlacementPolicy.over(workers, nowNanos);
+        PlacementPolicy.Pass placement = policy.over(workers, nowNanos);
         for (Task task : waiting.first("reports", SLOTS)) {
             if (task.job().phase().isFinal() || task.job().outlook(nowNanos).reach() == Outlook.Reach.HOPELESS) {
                 waiting.remove(task);
