--- a/library/src/main/java/org/chivetally/queue/RefusalReason.java
+++ b/library/src/main/java/org/chivetally/queue/RefusalReason.java
@@ -12,6 +12,8 @@
     NOT_STARTED_IN_TIME("not started in time", true),
     /** The process stops before the job could end. */
     STOPPING("stopping", false),
+    /** The process stood still, and the caller may have sent the job again elsewhere meanwhile. */
+    STOOD_STILL("stood still", false),
     /** The log takes no writes now, so the job can't be kept. */
     LOG_UNAVAILABLE("log takes no writes", false),
     /** The owner of the job's partition could not be reached. */
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -20,6 +20,7 @@
 import org.chivetally.queue.link.LinkTable;
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.link.PeerLink;
+import org.chivetally.queue.link.StallDetector;
 import org.chivetally.queue.link.SuspensionDetector;
 import org.chivetally.queue.log.KeyedLog;
 import org.chivetally.queue.log.LogStream;
@@ -63,6 +64,7 @@
     private final JobDesk desk;
     private final MemberDirectory directory;
     private final SuspensionDetector suspension;
+    private final StallDetector stall;
     private final Map<Integer, PartitionOwner> partitions = new TreeMap<>();
     private final Map<Integer, RemoteOwner> remoteOwners = new HashMap<>();
     private final Map<String, Map<String, Long>> pendingElsewhere = new HashMap<>();
@@ -81,10 +83,12 @@
         this.ownership = new Ownership(group, timers, self.process() + "-" + self.incarnation(), this);
         PlacementPolicy placement = new PlacementPolicy(
                 self.failureDomain(), new SplittableRandom(self.process().hashCode()));
-        this.runs = new RunCoordinator(timers, placement, options.partitions(), partitions, this::mayStart);
+        this.runs = new RunCoordinator(
+                timers, placement, options.partitions(), partitions, this::mayStart, this::hasStoodStill);
         this.desk = new JobDesk(timers, options.partitions(), this);
         this.directory = new MemberDirectory(log, timers, options.memberStream());
         this.suspension = new SuspensionDetector(timers);
+        this.stall = new StallDetector(timers);
     }
 
     /** Announces the entry, follows the other processes and begins to own partitions. */
@@ -150,12 +154,18 @@
     }
 
     private boolean mayStart() {
+        boolean doubtful = hasStoodStill();
+        return !doubtful && ownership.isTrusted();
+    }
+
+    private boolean hasStoodStill() {
         long gap = suspension.look();
         if (gap > 0) {
             LOGGER.atWarning().log("%s", EventLine.of("suspended").with("gap_ms", gap));
             ownership.distrust();
+            stall.doubt();
         }
-        return ownership.isTrusted();
+        return stall.look();
     }
 
     // ---- links ----
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -79,6 +79,7 @@
     private final Map<Integer, PartitionOwner> partitions;
     private final UnkeptJobs unkept;
     private final BooleanSupplier mayStart;
+    private final BooleanSupplier stoodStill;
     private final PlacementPolicy placement;
     private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
@@ -94,13 +95,16 @@
      * @param placement where tasks go
      * @param partitions the entry's partitions by number, kept up by the entry
      * @param mayStart whether the entry is sure enough of its ownership to start anything
+     * @param stoodStill whether what the entry reads now may be old
      */
     RunCoordinator(
             Timers timers,
             PlacementPolicy placement,
             int partitionCount,
             Map<Integer, PartitionOwner> partitions,
-            BooleanSupplier mayStart) {
+            BooleanSupplier mayStart,
+            BooleanSupplier stoodStill) {
+        this.stoodStill = stoodStill;
         this.placement = placement;
         this.timers = timers;
         this.partitionCount = partitionCount;
@@ -128,6 +132,11 @@
         return refusal;
     }
 
+    @Override
+    public boolean hasStoodStill() {
+        return stoodStill.getAsBoolean();
+    }
+
     private boolean isSettling() {
         return timers.nanos() - startedAtNanos < SETTLING.toNanos();
     }
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -48,6 +48,9 @@
 
     /** What these jobs ask of and tell to the entry around them. */
     interface Admission {
+        /** Tells whether what is read now may be so old that its caller has sent it again elsewhere. */
+        boolean hasStoodStill();
+
         /** Decides whether a job is taken on; returns when to come back if it isn't. */
         Optional<Duration> refuse(Job job);
 
@@ -72,6 +75,11 @@
             return;
         }
         Job job = new Job(specification, timers.nanos(), deadlineNanos);
+        if (admission.hasStoodStill()) {
+            log("job-refused", job, RefusalReason.STOOD_STILL.text());
+            answer.accept(new JobAnswer.Refused(RefusalReason.STOOD_STILL, RETRY));
+            return;
+        }
         if (stopsAtNanos.isPresent() && endsAfter(job, stopsAtNanos.getAsLong())) {
             log("job-refused", job, RefusalReason.STOPPING.text());
             answer.accept(new JobAnswer.Refused(RefusalReason.STOPPING, RETRY));
--- a/library/src/test/java/org/chivetally/queue/ManualTimers.java
+++ b/library/src/test/java/org/chivetally/queue/ManualTimers.java
@@ -51,6 +51,11 @@
         epochMillis += time.toMillis();
     }
 
+    /** Stands for a process that stood still: its clocks go on, and what falls due is run afterwards. */
+    public void stall(Duration time) {
+        pass(nanos + time.toNanos());
+    }
+
     private void pass(long to) {
         epochMillis += (to - nanos) / 1_000_000;
         nanos = to;
--- a/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
@@ -100,6 +101,48 @@
         assertThat(cluster.running(ID), is(empty()));
     }
 
+    /**
+     * A caller sends a job while the entry stands still for three seconds, gives up and sends it to another entry,
+     * which runs it. The entry wakes up and reads the first request, which looks new. Its tasks must not start beside
+     * those.
+     */
+    @Test
+    void startsNothingThatItReadsJustAfterItStoodStill() {
+        agents(1);
+        cluster.advance(2_000);
+        cluster.timers.stall(Duration.ofSeconds(3));
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 2_000);
+        assertThat(answers, contains(instanceOf(JobAnswer.Refused.class)));
+        cluster.advance(200);
+        assertThat(cluster.running(ID), is(empty()));
+        cluster.advance(800);
+        cluster.submitUnkept(entry, Jobs.of(OTHER, 1), 2_000);
+        cluster.advance(50);
+        assertThat(cluster.running(OTHER), hasSize(1));
+    }
+
+    /**
+     * A job waits for room when its entry stands still. Its caller's connection breaks meanwhile and the job comes
+     * again elsewhere; the entry hears of that only once it has read its sockets, and starts nothing before.
+     */
+    @Test
+    void startsNothingThatWaitedUntilItHasReadItsSockets() {
+        agents(1);
+        cluster.submitUnkept(entry, Jobs.of(OTHER, 2, 0, 5_000), 9_000);
+        cluster.advance(50);
+        List<JobAnswer> answers = new ArrayList<>();
+        Consumer<JobAnswer> caller = answers::add;
+        entry.unkept().submit(Jobs.of(ID, 1, 0, 1_000), cluster.timers.nanos() + 9_000_000_000L, caller);
+        cluster.advance(50);
+        cluster.finish(OTHER, RunOutcome.DONE);
+        cluster.timers.stall(Duration.ofSeconds(1));
+        cluster.advance(100);
+        assertThat(cluster.running(ID), is(empty()));
+        entry.unkept().callerLeft(ID, caller);
+        cluster.advance(1_000);
+        assertThat(cluster.running(ID), is(empty()));
+    }
+
     /**
      * All power was lost and callers are back at once. One agent of many is linked so far, so what waits would take it
      * seconds; refused for that, callers would be turned away though the other agents come a moment later.
