No end is acknowledged before it is stored; a job whose starts were all turned down is queued again

Agents tell open ends again every half second, and an end told again was acknowledged at once though its write was still in progress; the next owner found it nowhere and started the tasks again (5 of them). An end is now kept only when nothing of its job is being written. KeptJobsTest replays it.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -31,6 +31,7 @@
     private final List<Task> tasks = new ArrayList<>();
     private final int[] openInStep;
     private int open;
+    private boolean begun;
     private JobPhase phase = JobPhase.QUEUED;
     private JobPhase shown = JobPhase.QUEUED;
     private long endedAtMillis;
@@ -220,6 +221,7 @@
         if (task.status() == Task.Status.DONE) {
             return List.of();
         }
+        begun |= outcome != RunOutcome.NEVER_STARTED;
         if (outcome == RunOutcome.DONE) {
             return done(task, nowMillis);
         }
@@ -230,6 +232,14 @@
             }
         }
         release(task);
+        if (!kept
+                && !begun
+                && phase == JobPhase.RUNNING
+                && tasksIn(Task.Status.PLACED).isEmpty()) {
+            // Its starts were all turned down, so that it can still be refused as not run when its turn doesn't come.
+            phase = JobPhase.QUEUED;
+            shown = JobPhase.QUEUED;
+        }
         return phase.isFinal() ? List.of() : List.of(task);
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -68,6 +68,9 @@
     private final Map<String, Job> jobs = new LinkedHashMap<>();
     private final Map<String, Ended> ended = new LinkedHashMap<>();
     private final Map<String, List<Consumer<JobAnswer>>> accepting = new HashMap<>();
+    /** Writes in progress by job. */
+    private final Map<String, Integer> writing = new HashMap<>();
+
     private final Set<String> unheardAgents = new HashSet<>();
     private final long openedAtNanos;
     private boolean ready;
@@ -366,10 +369,14 @@
         if (!ready.isEmpty() && !job.phase().isFinal()) {
             events.ready(ready);
         }
-        if (wasFinal || !counts) {
+        if (!counts) {
             kept.run();
             return;
         }
+        if (wasFinal) {
+            toldAgain(task, kept);
+            return;
+        }
         if (job.phase().isFinal()) {
             events.ended(job);
             writeEnd(job, stored -> {
@@ -379,11 +386,31 @@
             });
             return;
         }
-        KeyedRecord progress = progressOf(job);
-        writer.write(List.of(progress), false, result -> {
-            if (result == PartitionWriter.Result.STORED) {
+        write(job, List.of(progressOf(job)), stored -> {
+            if (stored) {
                 kept.run();
             }
+        });
+    }
+
+    /**
+     * Keeps an end only while nothing of its job is being written. Agents tell open ends again every half second, also
+     * while the log takes no writes: kept then, the minion forgets an end that no log has, and the next owner starts
+     * the task again. What is left out here is told again.
+     */
+    @Override
+    public void toldAgain(Task task, Runnable kept) {
+        if (!writing.containsKey(task.key().jobId())) {
+            kept.run();
+        }
+    }
+
+    private void write(Job job, List<KeyedRecord> records, Consumer<Boolean> answer) {
+        String id = job.specification().id();
+        writing.merge(id, 1, Integer::sum);
+        writer.write(records, false, result -> {
+            writing.computeIfPresent(id, (same, count) -> count > 1 ? count - 1 : null);
+            answer.accept(result == PartitionWriter.Result.STORED);
             loseIfFenced(result);
         });
     }
@@ -391,13 +418,11 @@
     private void writeEnd(Job job, Consumer<Boolean> answer) {
         String id = job.specification().id();
         List<KeyedRecord> records = List.of(progressOf(job), KeyedRecord.dropping(JOB_PREFIX + id));
-        writer.write(records, false, result -> {
-            boolean stored = result == PartitionWriter.Result.STORED;
+        write(job, records, stored -> {
             if (stored) {
                 endStored(job);
             }
             answer.accept(stored);
-            loseIfFenced(result);
         });
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -361,8 +361,7 @@
         if (task.status() == Task.Status.UNCERTAIN || isLastWord(task, end)) {
             endedUnseen(worker, task, end, kept);
         } else {
-            // Told twice, or of a run that was given up before the task was started elsewhere.
-            kept.run();
+            homeOf(task).ifPresent(home -> home.toldAgain(task, kept));
         }
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/RunHome.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunHome.java
@@ -17,6 +17,13 @@
      */
     void ended(Task task, RunOutcome outcome, Runnable kept);
 
+    /**
+     * Notes that an end was told that changes nothing any more: it was told before, or its run was given up.
+     *
+     * @param kept run once the minion may forget the end; never, if it is to be told again
+     */
+    void toldAgain(Task task, Runnable kept);
+
     /** Returns what agents check orders for these runs by. */
     RunAuthority authority();
 
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -206,6 +206,11 @@
         }
     }
 
+    @Override
+    public void toldAgain(Task task, Runnable kept) {
+        kept.run();
+    }
+
     @Override
     public RunAuthority authority() {
         return RunAuthority.UNKEPT;
--- a/library/src/test/java/org/chivetally/queue/JobTest.java
+++ b/library/src/test/java/org/chivetally/queue/JobTest.java
@@ -48,6 +48,26 @@
         assertThat(job.phase(), is(JobPhase.RUNNING));
     }
 
+    /**
+     * The only start of a job was turned down for want of room. It has not run, and its caller may be told so; once any
+     * start may have been carried out, that would be a guess.
+     */
+    @Test
+    void isQueuedAgainOnlyWhenNoStartCanHaveBeenCarriedOut() {
+        Job job = new Job(Jobs.of(ID, 2), 0, 9_000_000_000L);
+        Task first = job.tasks().getFirst();
+        Task second = job.tasks().getLast();
+        job.place(first, "agent", 1);
+        job.place(second, "agent", 1);
+        job.end(first, RunOutcome.NEVER_STARTED, 5);
+        assertThat(job.phase(), is(JobPhase.RUNNING));
+        job.end(second, RunOutcome.NEVER_STARTED, 5);
+        assertThat(job.phase(), is(JobPhase.QUEUED));
+        job.place(first, "agent", 2);
+        job.end(first, RunOutcome.LOST, 6);
+        assertThat(job.phase(), is(JobPhase.RUNNING));
+    }
+
     @Test
     void releasesALaterStepOnlyWhenAllOfTheEarlierOneIsDone() {
         Job job = new Job(Jobs.chain(ID, 2, 3), 0);
--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -94,6 +94,31 @@
         assertThat(cluster.query(next, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
     }
 
+    /**
+     * A task ends while the log takes no writes, and its agent tells the end again and again. Were one of these taken
+     * for stored, the minion would forget the end, and the next owner would find it nowhere and start the task once
+     * more.
+     */
+    @Test
+    void forgetsNoEndThatIsNotStoredYet() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 1));
+        cluster.advance(100);
+        cluster.log.mood = ScriptedKeyedLog.Mood.SILENT;
+        cluster.finish(ID, RunOutcome.DONE);
+        cluster.advance(1_200);
+        int listed = cluster.minions.values().stream()
+                .mapToInt(minion -> minion.ends.size())
+                .sum();
+        assertThat(listed, is(1));
+        cluster.kill(nameOf(owner));
+        cluster.log.mood = ScriptedKeyedLog.Mood.WELL;
+        cluster.advance(9_000);
+        assertThat(cluster.running(ID), is(empty()));
+        assertThat(cluster.query(ownerOf(ID), ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
     /**
      * The owner and an agent that runs its tasks are lost together. The next owner waits until the agent's lease must
      * have ended, then starts the tasks again elsewhere under higher run numbers.
