--- a/library/src/test/java/org/chivetally/queue/placement/DecisionsTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/DecisionsTest.java
@@ -12,8 +12,12 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.chivetally.queue.Job;
+import org.chivetally.queue.JobSpecification;
 import org.chivetally.queue.Jobs;
+import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.Room;
+import org.chivetally.queue.StepSpecification;
+import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
 import org.junit.jupiter.api.Test;
 
@@ -53,6 +57,54 @@
         assertThat(POLICY.over(workers, 1).choose(task("j")).map(Worker::process), is(Optional.of("b")));
     }
 
+    private static Task task(String job, StepTraits traits) {
+        QueueTerms terms = new QueueTerms("queue", "reports", 2, 0, 1.6, 60);
+        StepSpecification step = new StepSpecification(2, Jobs.SIX_CORES, 100, List.of(), traits);
+        return new Job(new JobSpecification(job, terms, "payload", 0, List.of(step)), 0)
+                .tasks()
+                .getFirst();
+    }
+
+    private static StepTraits traits(String label, String rack, int maximumPerWorker) {
+        return new StepTraits(false, false, false, label, rack, maximumPerWorker, false, false, "", 0);
+    }
+
+    @Test
+    void placesOnlyWhereTheRequiredLabelIs() {
+        List<Worker> workers = List.of(worker("a", 60_000));
+        assertThat(POLICY.over(workers, 1).choose(task("j", traits("a", "", 0))).isPresent(), is(true));
+        assertThat(POLICY.over(workers, 1).choose(task("j", traits("b", "", 0))), is(Optional.empty()));
+    }
+
+    @Test
+    void placesNoMoreTasksOfAStepOnAWorkerThanAllowed() {
+        Worker worker = worker("a", 60_000);
+        Task first = task("j", traits("", "", 1));
+        worker.send(first, 1, 1);
+        Task second = first.job().tasks().getLast();
+        assertThat(POLICY.over(List.of(worker), 1).choose(second), is(Optional.empty()));
+    }
+
+    /** The data of the task is on one rack. A worker there is chosen before a freer one elsewhere. */
+    @Test
+    void prefersTheRackOfTheData() {
+        Worker near = new Worker("near", 0);
+        near.linked("near");
+        near.report(
+                new Worker.View(
+                        "boot",
+                        "reports",
+                        CAPACITY,
+                        new Room(7_000, 99_999, 0),
+                        true,
+                        List.of("a", "rack-2"),
+                        "north",
+                        0),
+                0);
+        List<Worker> workers = List.of(worker("far", 60_000), near);
+        assertThat(POLICY.over(workers, 1).choose(task("j", traits("", "rack-2", 0))), is(Optional.of(near)));
+    }
+
     @Test
     void countsItsOwnStartsThatTheAgentHasNotReportedYet() {
         Worker worker = worker("a", 11_000);
