One chain of steps, one decaying sum, one reading of newest values

Read again: Job repeated the chain of its specification with one condition, WorkerHealth and ArrivalRate each decayed sums by hand, the announcements were paged by a third copy of what partitions do, the waiting tasks were looked up in three places, two constants said that a third of the workers may look bad, and three refusals of unkept jobs were told one by one.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -118,7 +118,8 @@
 
     /** Returns what the job can still reach if its next task starts now. */
     public Outlook outlook(long nowNanos) {
-        long remaining = Duration.ofMillis(remainingMillis()).toNanos();
+        long remaining = Duration.ofMillis(specification.chainMillis(place -> openInStep[place] > 0))
+                .toNanos();
         long lastInTime = objectiveNanos - remaining;
         if (phase == JobPhase.QUEUED) {
             lastInTime = acceptedAtNanos + (long) (SHARE_OF_WAIT * (lastInTime - acceptedAtNanos));
@@ -137,21 +138,6 @@
         return outlook(nowNanos).reach() == Outlook.Reach.HOPELESS;
     }
 
-    /** Returns the longest chain of estimates among the steps that aren't done. */
-    private long remainingMillis() {
-        long[] ends = new long[openInStep.length];
-        long longest = 0;
-        for (int place = 0; place < openInStep.length; place++) {
-            StepSpecification step = specification.steps().get(place);
-            for (int earlier : step.after()) {
-                ends[place] = Math.max(ends[place], ends[earlier]);
-            }
-            ends[place] += openInStep[place] == 0 ? 0 : step.estimatedMillis();
-            longest = Math.max(longest, ends[place]);
-        }
-        return longest;
-    }
-
     /** Returns all tasks, in the order of steps and indexes. */
     public List<Task> tasks() {
         return List.copyOf(tasks);
--- a/library/src/main/java/org/chivetally/queue/JobSpecification.java
+++ b/library/src/main/java/org/chivetally/queue/JobSpecification.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.function.IntPredicate;
 
 /**
  * An accepted job, as it is kept in the log.
@@ -36,6 +37,15 @@
 
     /** Returns the estimated milliseconds of the longest chain of steps. */
     public long chainMillis() {
+        return chainMillis(place -> true);
+    }
+
+    /**
+     * Returns the estimated milliseconds of the longest chain of steps.
+     *
+     * @param counts whether the step at a place counts; the others take no time
+     */
+    public long chainMillis(IntPredicate counts) {
         long[] ends = new long[steps.size()];
         long longest = 0;
         for (int place = 0; place < steps.size(); place++) {
@@ -43,7 +53,7 @@
             for (int earlier : step.after()) {
                 ends[place] = Math.max(ends[place], ends[earlier]);
             }
-            ends[place] += step.estimatedMillis();
+            ends[place] += counts.test(place) ? step.estimatedMillis() : 0;
             longest = Math.max(longest, ends[place]);
         }
         return longest;
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -154,8 +154,7 @@
     }
 
     private boolean mayStart() {
-        boolean doubtful = hasStoodStill();
-        return !doubtful && ownership.isTrusted();
+        return !hasStoodStill() && ownership.isTrusted();
     }
 
     private boolean hasStoodStill() {
--- a/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -15,7 +15,7 @@
 import org.chivetally.queue.log.KeyedLog;
 import org.chivetally.queue.log.KeyedRecord;
 import org.chivetally.queue.log.LogStream;
-import org.chivetally.queue.log.NewestOutcome;
+import org.chivetally.queue.log.NewestValues;
 import org.chivetally.queue.log.StreamTail;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.StoredMember;
@@ -69,21 +69,8 @@
 
     /** Reads the announcements once, and tries on until the log has answered. */
     public void readOnce(Consumer<Peer> listener) {
-        readAfter("", listener);
-    }
-
-    private void readAfter(String key, Consumer<Peer> listener) {
-        log.newest(stream, key, outcome -> {
-            switch (outcome) {
-                case NewestOutcome.Page page -> {
-                    page.items().forEach(entry -> take(entry, listener));
-                    if (page.hasMore() && !page.items().isEmpty()) {
-                        readAfter(page.items().getLast().key(), listener);
-                    }
-                }
-                case NewestOutcome.Unavailable unavailable -> timers.after(RETRY_PAUSE, () -> readAfter(key, listener));
-            }
-        });
+        new NewestValues(log, timers, stream, RETRY_PAUSE, () -> true, entry -> take(entry, listener), () -> {})
+                .start();
     }
 
     /** Returns the processes as last read. */
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -26,7 +26,7 @@
 import org.chivetally.queue.log.KeyedLog;
 import org.chivetally.queue.log.KeyedRecord;
 import org.chivetally.queue.log.LogStream;
-import org.chivetally.queue.log.NewestOutcome;
+import org.chivetally.queue.log.NewestValues;
 import org.chivetally.queue.log.PartitionWriter;
 import org.chivetally.time.Timers;
 
@@ -93,7 +93,7 @@
                 return;
             }
             if (result == PartitionWriter.Result.STORED) {
-                load("", new HashMap<>());
+                load();
             } else {
                 lose("fenced at opening");
             }
@@ -149,25 +149,17 @@
         events.lost(this);
     }
 
-    private void load(String afterKey, Map<String, byte[]> records) {
-        log.newest(stream, afterKey, outcome -> {
-            if (closed) {
-                return;
-            }
-            switch (outcome) {
-                case NewestOutcome.Page page -> {
-                    for (KeyedRecord item : page.items()) {
-                        records.put(item.key(), item.value());
-                    }
-                    if (page.hasMore() && !page.items().isEmpty()) {
-                        load(page.items().getLast().key(), records);
-                    } else {
-                        restore(records);
-                    }
-                }
-                case NewestOutcome.Unavailable unavailable -> timers.after(LOAD_RETRY, () -> load(afterKey, records));
-            }
-        });
+    private void load() {
+        Map<String, byte[]> records = new HashMap<>();
+        new NewestValues(
+                        log,
+                        timers,
+                        stream,
+                        LOAD_RETRY,
+                        () -> !closed,
+                        item -> records.put(item.key(), item.value()),
+                        () -> restore(records))
+                .start();
     }
 
     private void restore(Map<String, byte[]> records) {
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -60,9 +60,6 @@
      */
     static final Duration SETTLING = Duration.ofSeconds(2);
 
-    /** Part of the workers that may be slow at once for their runs to be moved. */
-    static final int SLOW_PART = 3;
-
     /** Pause of a worker that refused a start for another reason than room: one interval of heartbeats. */
     static final Duration REFUSAL_PAUSE = Duration.ofMillis(250);
 
@@ -471,7 +468,7 @@
                 }
             }
         }
-        if (SLOW_PART * slow.size() > open) {
+        if (PlacementPolicy.AVOIDED_PART * slow.size() > open) {
             return;
         }
         for (Worker worker : slow) {
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -75,20 +75,10 @@
             return;
         }
         Job job = new Job(specification, timers.nanos(), deadlineNanos);
-        if (admission.hasStoodStill()) {
-            log("job-refused", job, RefusalReason.STOOD_STILL.text());
-            answer.accept(new JobAnswer.Refused(RefusalReason.STOOD_STILL, RETRY));
-            return;
-        }
-        if (stopsAtNanos.isPresent() && endsAfter(job, stopsAtNanos.getAsLong())) {
-            log("job-refused", job, RefusalReason.STOPPING.text());
-            answer.accept(new JobAnswer.Refused(RefusalReason.STOPPING, RETRY));
-            return;
-        }
-        Optional<Duration> retry = admission.refuse(job);
-        if (retry.isPresent()) {
-            log("job-refused", job, RefusalReason.BACKLOG.text());
-            answer.accept(new JobAnswer.Refused(RefusalReason.BACKLOG, retry.get()));
+        Optional<JobAnswer.Refused> refusal = refusal(job);
+        if (refusal.isPresent()) {
+            log("job-refused", job, refusal.get().reason().text());
+            answer.accept(refusal.get());
             return;
         }
         Open fresh = new Open(job, answer);
@@ -99,6 +89,16 @@
         admission.ready(job.tasksIn(Task.Status.WAITING));
     }
 
+    private Optional<JobAnswer.Refused> refusal(Job job) {
+        if (admission.hasStoodStill()) {
+            return Optional.of(new JobAnswer.Refused(RefusalReason.STOOD_STILL, RETRY));
+        }
+        if (stopsAtNanos.isPresent() && endsAfter(job, stopsAtNanos.getAsLong())) {
+            return Optional.of(new JobAnswer.Refused(RefusalReason.STOPPING, RETRY));
+        }
+        return admission.refuse(job).map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
+    }
+
     private boolean endsAfter(Job job, long limitNanos) {
         long estimate = Duration.ofMillis(
                         STOPPING_ESTIMATES * job.specification().chainMillis())
--- a/library/src/main/java/org/chivetally/queue/link/StallDetector.java
+++ b/library/src/main/java/org/chivetally/queue/link/StallDetector.java
@@ -20,7 +20,7 @@
     static final Duration STALL = Duration.ofMillis(700);
 
     /** How long requests are doubtful afterwards: the sockets are read many times over in it. */
-    public static final Duration DOUBT = Duration.ofMillis(250);
+    static final Duration DOUBT = Duration.ofMillis(250);
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
--- a/library/src/main/java/org/chivetally/queue/log/StreamTail.java
+++ b/library/src/main/java/org/chivetally/queue/log/StreamTail.java
@@ -24,8 +24,6 @@
     private final Duration wait;
     private final Consumer<KeyedRecord> listener;
     private boolean lost;
-    private boolean closed;
-    private boolean caughtUp;
 
     /**
      * Creates a tail that has yet to be started.
@@ -46,21 +44,8 @@
         readNewest("", Long.MAX_VALUE);
     }
 
-    /** Ends reading. */
-    public void close() {
-        closed = true;
-    }
-
-    /** Tells whether the newest values have been read once. */
-    public boolean isCaughtUp() {
-        return caughtUp;
-    }
-
     private void readNewest(String afterKey, long from) {
         log.newest(stream, afterKey, outcome -> {
-            if (closed) {
-                return;
-            }
             switch (outcome) {
                 case NewestOutcome.Page page -> took(page, Math.min(from, page.endOffset()));
                 case NewestOutcome.Unavailable unavailable -> {
@@ -78,15 +63,11 @@
             readNewest(page.items().getLast().key(), from);
             return;
         }
-        caughtUp = true;
         readOn(from);
     }
 
     private void readOn(long from) {
         log.read(stream, from, wait, outcome -> {
-            if (closed) {
-                return;
-            }
             switch (outcome) {
                 case ReadOutcome.Records records -> {
                     regained();
--- a/library/src/main/java/org/chivetally/queue/placement/ArrivalRate.java
+++ b/library/src/main/java/org/chivetally/queue/placement/ArrivalRate.java
@@ -8,22 +8,16 @@
     /** Time in which the weight of what came falls to a third: longer than a gap between jobs, shorter than a burst. */
     static final Duration MEMORY = Duration.ofSeconds(1);
 
-    private double weighed;
-    private long weighedAtNanos;
+    private final DecayingSum work = new DecayingSum(MEMORY);
 
     /** Notes a job. One that lasts longer than the memory counts with what it takes in that time. */
     public void arrived(JobSpecification job, long nowNanos) {
         double part = Math.min(1, (double) MEMORY.toMillis() / Math.max(1, job.chainMillis()));
-        weighed = weighedAt(nowNanos) + part * job.estimatedWork();
-        weighedAtNanos = nowNanos;
+        work.add(part * job.estimatedWork(), nowNanos);
     }
 
     /** Returns the processors, in thousandths, that what comes keeps busy. */
     public long processorMillis(long nowNanos) {
-        return (long) (1000 * weighedAt(nowNanos) / MEMORY.toMillis());
-    }
-
-    private double weighedAt(long nowNanos) {
-        return weighed * Math.exp(-(double) (nowNanos - weighedAtNanos) / MEMORY.toNanos());
+        return (long) (1000 * work.at(nowNanos) / MEMORY.toMillis());
     }
 }
--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -19,10 +19,10 @@
  */
 public final class PlacementPolicy {
     /**
-     * At most one worker in so many is passed over for its health. Where more look bad, it is the tasks or the load,
-     * and the rest could not bear what comes.
+     * At most one worker in so many is passed over for its health, or gives up its runs. Where more look bad, it is the
+     * tasks or the load, and the rest could not bear what comes.
      */
-    static final int AVOIDED_PART = 3;
+    public static final int AVOIDED_PART = 3;
 
     /** Part of the capacity under which a worker's free room is contended. */
     static final int SCARCE_PART = 4;
--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -77,7 +78,7 @@
     public List<Job> withoutProspect(String service, long spareMillis, long nowNanos) {
         Set<Job> jobs = new LinkedHashSet<>();
         long work = 0;
-        for (Entry entry : byService.getOrDefault(service, new TreeSet<>(ORDER))) {
+        for (Entry entry : inOrder(service)) {
             Job job = entry.task().job();
             long waitNanos = spareMillis <= 0 ? Long.MAX_VALUE : 1_000_000_000L * work / spareMillis;
             boolean overtaken = entry.reach() == Outlook.Reach.LATE && entry.untilNanos() - nowNanos < waitNanos;
@@ -98,7 +99,7 @@
     /** Returns the first tasks of a service, in order. */
     public List<Task> first(String service, int most) {
         List<Task> tasks = new ArrayList<>();
-        for (Entry entry : byService.getOrDefault(service, new TreeSet<>(ORDER))) {
+        for (Entry entry : inOrder(service)) {
             if (tasks.size() == most) {
                 break;
             }
@@ -115,7 +116,7 @@
     /** Returns the estimated processor milliseconds that are placed before a new job of the given priority. */
     public long workAhead(String service, int priority) {
         long work = 0;
-        for (Entry entry : byService.getOrDefault(service, new TreeSet<>(ORDER))) {
+        for (Entry entry : inOrder(service)) {
             if (entry.reach() != Outlook.Reach.IN_TIME || entry.priority() > priority) {
                 break;
             }
@@ -124,6 +125,10 @@
         return work;
     }
 
+    private NavigableSet<Entry> inOrder(String service) {
+        return byService.getOrDefault(service, Collections.emptyNavigableSet());
+    }
+
     private static String service(Task task) {
         return task.job().specification().terms().service();
     }
--- a/library/src/main/java/org/chivetally/queue/placement/WorkerHealth.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WorkerHealth.java
@@ -41,22 +41,20 @@
 
     private State state = State.GOOD;
     private long avoidedUntilNanos;
-    private double inTime;
-    private double overdue;
-    private double failed;
-    private long weighedAtNanos;
+    private final DecayingSum inTime = new DecayingSum(MEMORY);
+    private final DecayingSum overdue = new DecayingSum(MEMORY);
+    private final DecayingSum failed = new DecayingSum(MEMORY);
     private String lastFailedJob = "";
 
     /** Notes that a run ended done, no later than can be expected. */
     public void endedInTime(long nowNanos) {
-        if (state != State.GOOD && nowNanos - avoidedUntilNanos >= 0) {
+        if (isTried(nowNanos)) {
             state = State.GOOD;
-            inTime = 0;
-            overdue = 0;
-            failed = 0;
+            inTime.clear();
+            overdue.clear();
+            failed.clear();
         }
-        weigh(nowNanos);
-        inTime++;
+        inTime.add(1, nowNanos);
     }
 
     /** Notes that a run of a job ended failed; tells whether the worker is avoided because of it. */
@@ -65,36 +63,27 @@
             return false;
         }
         lastFailedJob = jobId;
-        weigh(nowNanos);
-        failed++;
-        boolean bad = failed >= BAD_RUNS && failed > FAILED_SHARE * (failed + overdue + inTime);
+        failed.add(1, nowNanos);
+        double runs = failed.at(nowNanos) + overdue.at(nowNanos) + inTime.at(nowNanos);
+        boolean bad = failed.at(nowNanos) >= BAD_RUNS && failed.at(nowNanos) > FAILED_SHARE * runs;
         return judge(bad, State.FAILING, nowNanos);
     }
 
     /** Notes that a run lasts longer than can be expected. */
     public void isOverdue(long nowNanos) {
-        weigh(nowNanos);
-        overdue++;
-        judge(overdue >= BAD_RUNS && overdue > inTime, State.SLOW, nowNanos);
+        overdue.add(1, nowNanos);
+        boolean bad = overdue.at(nowNanos) >= BAD_RUNS && overdue.at(nowNanos) > inTime.at(nowNanos);
+        judge(bad, State.SLOW, nowNanos);
     }
 
-    /** Avoids the worker if it is bad, or still was when it was tried; tells whether it wasn't avoided before. */
+    /** Avoids the worker from now on if it turns out bad, or did not stand its trial; tells whether it does. */
     private boolean judge(boolean bad, State next, long nowNanos) {
-        boolean tried = state != State.GOOD && nowNanos - avoidedUntilNanos >= 0;
-        boolean fresh = state == State.GOOD && bad;
-        if (fresh || tried) {
+        boolean avoids = state == State.GOOD ? bad : isTried(nowNanos);
+        if (avoids) {
             state = next;
             avoidedUntilNanos = nowNanos + AVOIDANCE.toNanos();
         }
-        return fresh || tried;
-    }
-
-    private void weigh(long nowNanos) {
-        double factor = Math.exp(-(double) (nowNanos - weighedAtNanos) / MEMORY.toNanos());
-        inTime *= factor;
-        overdue *= factor;
-        failed *= factor;
-        weighedAtNanos = nowNanos;
+        return avoids;
     }
 
     /** Tells whether runs last too long here, as far as known. */
