--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -11,11 +11,13 @@
 import static org.hamcrest.Matchers.not;
 
 import java.util.List;
+import java.util.function.ToIntFunction;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Partitions;
 import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.agent.ModelMinion;
 import org.chivetally.queue.log.ScriptedKeyedLog;
 import org.junit.jupiter.api.Test;
 
@@ -40,6 +42,14 @@
                 .getKey();
     }
 
+    private int starts() {
+        return total(minion -> minion.starts.size());
+    }
+
+    private int total(ToIntFunction<ModelMinion> figure) {
+        return cluster.minions.values().stream().mapToInt(figure).sum();
+    }
+
     private void three() {
         for (String name : List.of("entry-1", "entry-2", "entry-3")) {
             cluster.entry(name);
@@ -77,19 +87,13 @@
         EntryNode owner = ownerOf(ID);
         cluster.submit(owner, Jobs.of(ID, 3));
         cluster.advance(100);
-        int starts = cluster.minions.values().stream()
-                .mapToInt(minion -> minion.starts.size())
-                .sum();
+        int starts = starts();
         cluster.kill(nameOf(owner));
         cluster.advance(9_000);
         EntryNode next = ownerOf(ID);
         assertThat(cluster.query(next, ID), contains(new JobAnswer.State(JobPhase.RUNNING)));
         assertThat(cluster.running(ID), hasSize(3));
-        assertThat(
-                cluster.minions.values().stream()
-                        .mapToInt(minion -> minion.starts.size())
-                        .sum(),
-                is(starts));
+        assertThat(starts(), is(starts));
         cluster.finish(ID, RunOutcome.DONE);
         assertThat(cluster.query(next, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
     }
@@ -108,10 +112,7 @@
         cluster.log.mood = ScriptedKeyedLog.Mood.SILENT;
         cluster.finish(ID, RunOutcome.DONE);
         cluster.advance(1_200);
-        int listed = cluster.minions.values().stream()
-                .mapToInt(minion -> minion.ends.size())
-                .sum();
-        assertThat(listed, is(1));
+        assertThat(total(minion -> minion.ends.size()), is(1));
         cluster.kill(nameOf(owner));
         cluster.log.mood = ScriptedKeyedLog.Mood.WELL;
         cluster.advance(9_000);
