Starts of one owner no longer renew the runs and ends of another that was cut off

A minion has one lease; renewals were held back while an owner had not heard the agent, but every start of another owner extended the lease all the same. A run whose owner had given it up went on beside the second one, and an end that the owner never heard of still counted. Besides, an end told after its run was given up was acknowledged at once and the second run went on.

Change: starts are refused while the lease is held back; ends that their owner has not stored hold it back until it has ended once; runs of kept jobs whose owner is silent are stopped, as those of entries were; a success that is told late ends the task, and the second run is stopped.

Four tests in KeptJobsTest; the first three failed before the change (run).

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -60,8 +60,8 @@
     static final int BEATS_PER_REPEAT = 2;
 
     /**
-     * How old the owner's knowledge of this agent may be for its runs to be renewed. Longer than a failover, which
-     * takes about 2.5 s, so that an owner's death does not cost the work in progress.
+     * How old the owner's knowledge of this agent may be before the runs of its kept jobs are stopped. Longer than a
+     * failover, which takes about 2.5 s, so that an owner's death does not cost the work in progress.
      */
     public static final Duration RENEWAL = Duration.ofMillis(4_000);
 
@@ -72,7 +72,7 @@
      */
     static final Duration ENTRY_SILENCE = Duration.ofMillis(800);
 
-    /** How much longer such runs are renewed, while they are being stopped. */
+    /** How much longer runs of owners that were not heard are renewed, while they are being stopped. */
     static final Duration STOP_MARGIN = Duration.ofMillis(350);
 
     /**
@@ -297,7 +297,7 @@
         lookForSuspension();
         for (RunOwner owner : owners) {
             boolean fresh = switch (owner) {
-                case RunOwner.Partition partition -> isOwnerFresh(partition.number());
+                case RunOwner.Partition partition -> isOwnerFresh(partition.number(), RENEWAL.plus(STOP_MARGIN));
                 case RunOwner.Entry entry -> isEntryFresh(entry, ENTRY_SILENCE.plus(STOP_MARGIN));
             };
             if (!fresh) {
@@ -316,18 +316,22 @@
         return heard >= stampFloorNanos && timers.nanos() - heard <= limit.toNanos();
     }
 
-    private void stopRunsOfSilentEntries() {
+    private void stopRunsOfSilentOwners() {
         lookForSuspension();
         Set<RunOwner> owners = supervisor.owners();
         for (RunOwner owner : owners) {
-            if (owner instanceof RunOwner.Entry entry && !isEntryFresh(entry, ENTRY_SILENCE)) {
-                supervisor.stopAll(entry);
+            boolean fresh = switch (owner) {
+                case RunOwner.Partition partition -> isOwnerFresh(partition.number(), RENEWAL);
+                case RunOwner.Entry entry -> isEntryFresh(entry, ENTRY_SILENCE);
+            };
+            if (!fresh) {
+                supervisor.stopAll(owner);
             }
         }
         echoes.keySet().retainAll(owners);
     }
 
-    private boolean isOwnerFresh(int partition) {
+    private boolean isOwnerFresh(int partition, Duration limit) {
         Fence fence = fences.get(partition);
         if (fence == null) {
             return false;
@@ -338,7 +342,7 @@
             heard = Math.max(heard, link.get().echoNanos());
             fences.put(partition, new Fence(fence.epoch(), fence.process(), heard));
         }
-        return heard >= stampFloorNanos && timers.nanos() - heard <= RENEWAL.toNanos();
+        return heard >= stampFloorNanos && timers.nanos() - heard <= limit.toNanos();
     }
 
     private void lookForSuspension() {
@@ -406,7 +410,7 @@
     private void beat() {
         beats++;
         links.closeSilent();
-        stopRunsOfSilentEntries();
+        stopRunsOfSilentOwners();
         if (beats % BEATS_PER_REPEAT == 0) {
             tellOwners(supervisor.openEnds());
         }
--- a/library/src/main/java/org/chivetally/queue/agent/EndList.java
+++ b/library/src/main/java/org/chivetally/queue/agent/EndList.java
@@ -1,7 +1,9 @@
 package org.chivetally.queue.agent;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** Ends that the minion has listed and that aren't acknowledged to it, in the order of their sequences. */
@@ -29,6 +31,24 @@
         }
     }
 
+    /** Notes that the minion's lease has ended since all of these, so that they no longer count at the minion. */
+    void lapsed() {
+        for (Entry entry : entries.values()) {
+            entry.lapsed = true;
+        }
+    }
+
+    /** Returns the owners that haven't stored an end yet since which the lease has not ended. */
+    Set<RunOwner> ownersBeforeLapse() {
+        Set<RunOwner> owners = new HashSet<>();
+        for (Entry entry : entries.values()) {
+            if (!entry.kept && !entry.lapsed) {
+                owners.add(entry.owner);
+            }
+        }
+        return owners;
+    }
+
     /** Returns the sequence up to which all ends are kept. */
     long keptThrough() {
         return keptThrough;
@@ -58,6 +78,7 @@
         private final MinionPort.ListedEnd end;
         private final RunOwner owner;
         private boolean kept;
+        private boolean lapsed;
 
         private Entry(MinionPort.ListedEnd end, RunOwner owner) {
             this.end = end;
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -189,6 +189,8 @@
             before.ifPresent(old -> replaced(old, "reborn"));
             clock.reset(state.clockMillis(), timers.nanos());
             lastAnswerNanos = timers.nanos();
+            // The agent before this one may have extended the lease a moment ago.
+            leaseSentUntilMillis = before.isEmpty() ? clock.now(lastAnswerNanos) + LEASE_MILLIS : 0;
         }
         // A minion that has said it leaves never stays after all; a late announcement must not undo it.
         boolean stillLeaving = sameBoot && before.get().leaving();
@@ -231,7 +233,6 @@
         keptSent = 0;
         strangers = Set.of();
         reconciled = false;
-        leaseSentUntilMillis = 0;
     }
 
     private void loseAll(String boot, String reason) {
@@ -269,6 +270,9 @@
             return Optional.of(NO_ROOM);
         }
         long now = timers.nanos();
+        if (!mayExtendLease(now)) {
+            return Optional.of("lease held back");
+        }
         long until = clock.now(now) + LEASE_MILLIS;
         HeldRun fresh = new HeldRun(run, owner, room, until, now);
         held.put(run.task(), fresh);
@@ -467,14 +471,27 @@
     }
 
     private OptionalLong renewal(long now) {
-        if (held.isEmpty() || now - lastAnswerNanos > UNANSWERED_NANOS) {
+        if (held.isEmpty() || now - lastAnswerNanos > UNANSWERED_NANOS || !mayExtendLease(now)) {
             return OptionalLong.empty();
         }
-        Set<RunOwner> owners = new HashSet<>();
-        for (HeldRun run : held.values()) {
-            owners.add(run.owner());
+        long until = clock.now(now) + LEASE_MILLIS;
+        leaseSentUntilMillis = Math.max(leaseSentUntilMillis, until);
+        return OptionalLong.of(until);
+    }
+
+    /**
+     * Tells whether the minion's one lease may be extended, by a renewal or by a start. Not while the owner of anything
+     * there may have given it up: an owner that is cut off starts its tasks elsewhere after a time, relying on the
+     * lease to have ended by then. The starts of other owners would keep the old runs going beside the new ones, and
+     * would make an end that the owner never heard of count although its task was started again.
+     */
+    private boolean mayExtendLease(long now) {
+        if (hasLapsed(now)) {
+            ends.lapsed();
         }
-        boolean allowed = listener.mayRenew(owners);
+        Set<RunOwner> owners = owners();
+        owners.addAll(ends.ownersBeforeLapse());
+        boolean allowed = owners.isEmpty() || listener.mayRenew(owners);
         if (allowed == renewalHeld) {
             renewalHeld = !allowed;
             LOGGER.atWarning().log(
@@ -483,12 +500,11 @@
                             .with("runs", held.size())
                             .with("owners", owners));
         }
-        if (!allowed) {
-            return OptionalLong.empty();
-        }
-        long until = clock.now(now) + LEASE_MILLIS;
-        leaseSentUntilMillis = Math.max(leaseSentUntilMillis, until);
-        return OptionalLong.of(until);
+        return allowed;
+    }
+
+    private boolean hasLapsed(long now) {
+        return clock.now(now) > leaseSentUntilMillis + LAPSE_MARGIN_MILLIS;
     }
 
     /**
@@ -497,7 +513,7 @@
      */
     private void loseAfterLapse(long now) {
         boolean silent = now - lastAnswerNanos > UNANSWERED_NANOS;
-        if (silent && !held.isEmpty() && clock.now(now) > leaseSentUntilMillis + LAPSE_MARGIN_MILLIS) {
+        if (silent && !held.isEmpty() && hasLapsed(now)) {
             loseAll(minion.orElseThrow().boot(), "silent");
             reconciled = false;
             listener.roomChanged();
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -42,8 +42,8 @@
 /** Places the tasks of the entry's partitions on workers and follows their runs, until their ends are known. */
 final class RunCoordinator implements UnkeptJobs.Admission {
     /**
-     * Silence after which an agent's runs are given up: the agent stops renewing when the owner's knowledge of it is
-     * {@code AgentNode.RENEWAL} old, 4 s, the lease of 1 s then ends by a clock that may be 2% slow, and timers on a
+     * Silence after which an agent's runs are given up: the agent stops them when the owner's knowledge of it is 4 s
+     * old, and renews no longer than 4.35 s; the lease of 1 s then ends by a clock that may be 2% slow, and timers on a
      * slowed machine fire late. Any sooner, a task could be started beside its old run.
      */
     static final Duration ABSENCE = Duration.ofMillis(5_700);
@@ -356,15 +356,21 @@
         }
         Task task = known.get();
         if (task.status() == Task.Status.UNCERTAIN || isLastWord(task, end)) {
+            stopNewerRun(task);
             endedUnseen(worker, task, end, kept);
         } else {
             homeOf(task).ifPresent(home -> home.toldAgain(task, kept));
         }
     }
 
-    /** Tells whether a run that this entry did not follow has done the task before another was started for it. */
+    /** Tells whether a run that this entry no longer followed has done the task, so that no other run is needed. */
     private static boolean isLastWord(Task task, EndedRun end) {
-        return task.status() == Task.Status.WAITING && end.outcome() == RunOutcome.DONE;
+        return task.status() != Task.Status.DONE && end.outcome() == RunOutcome.DONE;
+    }
+
+    /** Stops the run in progress of a task that an earlier run has done: the work must not be done twice. */
+    private void stopNewerRun(Task task) {
+        task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), homeOf(task)));
     }
 
     private void endedUnseen(Worker worker, Task task, EndedRun end, Runnable kept) {
--- a/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,6 +19,12 @@
     public final List<StartOrder> starts = new ArrayList<>();
     public final List<RunKey> stops = new ArrayList<>();
     public final List<LookOrder> looks = new ArrayList<>();
+
+    /** Runs whose ends were acknowledged before any lease ended after them, so that they count for good. */
+    public final List<ListedEnd> noted = new ArrayList<>();
+
+    private final Map<Long, Long> endedAtMillis = new HashMap<>();
+    private long lapsedAtMillis = Long.MIN_VALUE;
     private final ManualTimers timers;
     private final List<RunKey> excluded = new ArrayList<>();
     private long leaseUntilMillis;
@@ -69,14 +76,34 @@
         if (order.leaseUntilMillis() < clock() || excluded.contains(order.run())) {
             return;
         }
+        lease(order.leaseUntilMillis());
         running.put(order.run(), order);
-        leaseUntilMillis = Math.max(leaseUntilMillis, order.leaseUntilMillis());
+    }
+
+    private void lease(long untilMillis) {
+        if (isLapsed()) {
+            lapsedAtMillis = leaseUntilMillis;
+        }
+        leaseUntilMillis = Math.max(leaseUntilMillis, untilMillis);
     }
 
     public void end(RunKey run, RunOutcome outcome) {
         running.remove(run);
         sequence++;
         ends.put(sequence, new ListedEnd(sequence, run, outcome, ""));
+        endedAtMillis.put(sequence, clock());
+    }
+
+    private void acknowledged(long through) {
+        Map<Long, ListedEnd> forgotten = ends.headMap(through, true);
+        for (ListedEnd end : forgotten.values()) {
+            long ended = endedAtMillis.get(end.sequence());
+            boolean lapsed = lapsedAtMillis >= ended || isLapsed() && leaseUntilMillis >= ended;
+            if (!lapsed) {
+                noted.add(end);
+            }
+        }
+        forgotten.clear();
     }
 
     @Override
@@ -107,8 +134,8 @@
                     () -> answer.accept(new LookAnswer.Unknown("no answer in time")));
             return;
         }
-        order.leaseUntilMillis().ifPresent(until -> leaseUntilMillis = Math.max(leaseUntilMillis, until));
-        ends.headMap(order.keptThrough(), true).clear();
+        acknowledged(order.keptThrough());
+        order.leaseUntilMillis().ifPresent(this::lease);
         // Answered a little later, as over a socket; ends that come meanwhile are in it.
         timers.after(
                 Duration.ofMillis(order.longestWait().isZero() ? 1 : 10),
--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 import java.util.List;
@@ -146,6 +147,127 @@
         assertThat(cluster.running(ID).getFirst().run() > 1, is(true));
     }
 
+    /** Cuts the owner of a job off from the agent that runs it; that agent goes on with jobs of the other owners. */
+    private String cutOwnerFromRunner(EntryNode owner) {
+        String agent = runnerOf(ID);
+        cluster.network.cut(agent, nameOf(owner), true);
+        return agent;
+    }
+
+    private String runnerOf(String id) {
+        return cluster.minions.entrySet().stream()
+                .filter(known -> known.getValue().running.keySet().stream()
+                        .anyMatch(run -> run.task().jobId().equals(id)))
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    /** Hands in jobs of other owners, which end after 200 ms, so that every worker is busy all the time. */
+    private void keepBusy(EntryNode owner, int steps, Runnable check) {
+        for (int step = 0; step < steps; step++) {
+            String id = String.format("%016x", 0xb000 + step);
+            if (ownerOf(id) != owner) {
+                cluster.submit(ownerOf(id), Jobs.of(id, 1));
+            }
+            cluster.advance(100);
+            check.run();
+            if (step > 1) {
+                cluster.finish(String.format("%016x", 0xb000 + step - 2), RunOutcome.DONE);
+                check.run();
+            }
+        }
+    }
+
+    /**
+     * The owner of a job and the agent that runs it lose each other for good, while other owners keep the agent's
+     * worker busy. Each of their starts renews the lease of all that runs there. The owner gives the run up after its
+     * time and starts the task elsewhere: by then the old run must have ended, or the task runs twice.
+     */
+    @Test
+    void endsARunWhoseOwnerIsCutOffThoughOthersKeepTheWorkerBusy() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 1));
+        cluster.advance(100);
+        cutOwnerFromRunner(owner);
+        keepBusy(owner, 80, () -> assertThat(cluster.running(ID), hasSize(lessThanOrEqualTo(1))));
+        assertThat(cluster.running(ID), hasSize(1));
+        assertThat(cluster.running(ID).getFirst().run() > 1, is(true));
+    }
+
+    /**
+     * A task ends while its owner is cut off from the agent, whose worker others keep busy. The owner starts the task
+     * again after its time, and hears of the end later. Had the minion's lease been renewed all the while, the first
+     * end would count as well as the second start. The end must not count, or the task must not start again.
+     */
+    @Test
+    void noEndCountsAfterItsTaskWasStartedAgain() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 1));
+        cluster.advance(100);
+        String agent = cutOwnerFromRunner(owner);
+        cluster.finish(ID, RunOutcome.DONE);
+        keepBusy(owner, 70, () -> {});
+        assertThat(cluster.running(ID), hasSize(1));
+        cluster.network.cut(agent, nameOf(owner), false);
+        keepBusy(owner, 30, () -> {});
+        assertThat(
+                cluster.minions.get(agent).noted.stream()
+                        .filter(end -> end.run().task().jobId().equals(ID))
+                        .toList(),
+                is(empty()));
+    }
+
+    /**
+     * A task is started again after its first run was given up, and then the first run's success is heard of. The job
+     * is done with that: the second run is stopped, since a caller must not have the work done twice.
+     */
+    @Test
+    void stopsTheSecondRunWhenTheFirstTurnsOutToBeDone() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 1));
+        cluster.advance(100);
+        String agent = cutOwnerFromRunner(owner);
+        cluster.finish(ID, RunOutcome.DONE);
+        cluster.advance(7_000);
+        assertThat(cluster.running(ID), hasSize(1));
+        cluster.network.cut(agent, nameOf(owner), false);
+        cluster.advance(3_000);
+        assertThat(cluster.running(ID), is(empty()));
+        assertThat(cluster.query(owner, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
+    /**
+     * A minion leaves all looks unanswered while a task ends there, until its lease must have ended; the task is
+     * started elsewhere. When the minion answers again it lists the first end, just after the second start was sent.
+     * The job is done with the first end, which doesn't count at the minion since its lease ended, and the second run
+     * is stopped.
+     */
+    @Test
+    void takesAnEndThatAMinionTellsAfterItsLeaseHasEnded() {
+        three();
+        EntryNode owner = ownerOf(ID);
+        cluster.submit(owner, Jobs.of(ID, 1));
+        cluster.advance(100);
+        ModelMinion minion = cluster.minions.get(runnerOf(ID));
+        minion.silent = true;
+        cluster.advance(200);
+        cluster.finish(ID, RunOutcome.DONE);
+        for (int step = 0; step < 4_000 && starts() < 2; step++) {
+            cluster.advance(1);
+        }
+        assertThat(starts(), is(2));
+        minion.silent = false;
+        cluster.advance(1_000);
+        assertThat(minion.noted, is(empty()));
+        assertThat(minion.ends.values(), is(empty()));
+        assertThat(cluster.running(ID), is(empty()));
+        assertThat(cluster.query(owner, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
+    }
+
     /**
      * The log takes nothing: the caller is refused at once with a time to come back, and the job is truly not there.
      */
