An agent finds its minion again at its start instead of waiting for its next announcement

Change: an agent's announcement in the log names its minion; the next start reads it with the announcements that it reads anyway and looks at that boot. Nothing starts before the look is answered; another boot or none is found out and forgotten. The lease and its clock are a class of their own.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -103,6 +103,7 @@
     private long beats;
     private boolean reportArmed;
     private boolean toldAccepting;
+    private Runnable minionListener = () -> {};
 
     /** Creates an agent that dials nobody yet. */
     public AgentNode(Peer self, Timers timers, Dialer dialer, MinionPort minion, int partitions) {
@@ -121,6 +122,11 @@
         return supervisor;
     }
 
+    /** Names who is told when the minion has changed. */
+    public void whenMinionChanges(Runnable listener) {
+        minionListener = listener;
+    }
+
     /** Returns the links. */
     public LinkTable links() {
         return links;
@@ -379,6 +385,11 @@
         };
     }
 
+    @Override
+    public void minionChanged() {
+        minionListener.run();
+    }
+
     @Override
     public void roomChanged() {
         boolean accepting = supervisor.isAccepting();
--- a/library/src/main/java/org/chivetally/queue/agent/HeldRun.java
+++ b/library/src/main/java/org/chivetally/queue/agent/HeldRun.java
@@ -44,9 +44,17 @@
         return room;
     }
 
-    /** Returns the time on the minion's clock after which the start is refused. */
-    long leaseUntilMillis() {
-        return leaseUntilMillis;
+    /**
+     * Tells whether a run that a look doesn't list will never be there.
+     *
+     * @param clockMillis the minion's clock at its answer
+     * @param sentAtNanos when the look was sent
+     */
+    boolean isRuledOut(long clockMillis, long sentAtNanos) {
+        if (stage != Stage.DOUBTFUL || sentAtNanos - stageSinceNanos < 0) {
+            return false;
+        }
+        return stopAnswered || MinionLease.isOver(leaseUntilMillis, clockMillis);
     }
 
     Stage stage() {
--- a/library/src/main/java/org/chivetally/queue/agent/MinionState.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionState.java
@@ -23,4 +23,9 @@
         Objects.requireNonNull(capacity, "capacity");
         labels = List.copyOf(labels);
     }
+
+    /** Returns the same of a minion that is about to end. */
+    MinionState asLeaving() {
+        return new MinionState(boot, service, capacity, labels, true, clockMillis);
+    }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -28,9 +28,6 @@
  * before a start is sent until the run's end is listed, or until it is certain that the start will not be carried out.
  */
 public final class RunSupervisor {
-    /** Longest lease that a minion grants, by the platform's pages. */
-    static final long LEASE_MILLIS = 1_000;
-
     /**
      * Longest wait of one look. Ends are learned by looks alone, so an answer that is lost delays all ends by the wait
      * and the timeout: with one look in eighteen lost, a wait of 400 ms left a minion unseen for most of the time.
@@ -68,9 +65,6 @@
      */
     static final long NOT_ANSWERING_NANOS = Duration.ofMillis(600).toNanos();
 
-    /** Margin on the end of a lease before its runs are called lost: the minion's own timers fire late. */
-    static final long LAPSE_MARGIN_MILLIS = 100;
-
     /**
      * Time from the start of this process after which a minion that has not announced itself is taken for gone, as is
      * all that an agent before this one started there: two announcements come in it, and four leases end.
@@ -89,13 +83,14 @@
     private final Map<TaskKey, HeldRun> held = new LinkedHashMap<>();
     private final EndList ends = new EndList();
     private final Set<String> pastBoots = new HashSet<>();
-    private final MinionClock clock = new MinionClock();
+    private final MinionLease lease = new MinionLease();
     private Optional<MinionState> minion = Optional.empty();
     private Room taken = Room.NONE;
     private Set<RunKey> strangers = Set.of();
     private final long startedAtNanos;
     private boolean reconciled;
     private boolean complete;
+    private boolean recalled;
     private boolean answering = true;
     private boolean leaving;
     private boolean lookInFlight;
@@ -105,7 +100,6 @@
     private long token;
     private long keptSent;
     private long lastAnswerNanos;
-    private long leaseSentUntilMillis;
 
     /**
      * Creates a supervisor that knows of no minion yet.
@@ -177,8 +171,46 @@
         listener.roomChanged();
     }
 
+    /**
+     * Takes up the minion that the agent before this one had here, without waiting for its next announcement: that
+     * comes up to 1.5 s later, and after a loss of all power no worker would be known until then. Nothing is started
+     * before it has answered a look that names its boot, so another boot is found out. One that does not answer is
+     * forgotten.
+     */
+    public void recall(MinionState state) {
+        if (minion.isPresent() || !pastBoots.isEmpty()) {
+            // It has announced itself or taken its leave meanwhile, which is newer.
+            return;
+        }
+        LOGGER.atInfo().log("%s", EventLine.of("minion-recalled").with("minion", state.boot()));
+        announced(state);
+        recalled = true;
+        timers.after(Duration.ofNanos(UNANNOUNCED_NANOS), this::forgetUnlessAnswered);
+    }
+
+    private void forgetUnlessAnswered() {
+        if (!recalled) {
+            return;
+        }
+        LOGGER.atWarning().log(
+                "%s",
+                EventLine.of("minion-not-found")
+                        .with("minion", minion.orElseThrow().boot()));
+        recalled = false;
+        lookInFlight = false;
+        lookNumber++;
+        minion = Optional.empty();
+        minionChanged();
+    }
+
+    private void minionChanged() {
+        listener.minionChanged();
+        listener.roomChanged();
+    }
+
     /** Notes what the minion announced. A boot that was replaced is ignored, as its announcement was held up. */
     public void announced(MinionState state) {
+        recalled = false;
         if (pastBoots.contains(state.boot())) {
             LOGGER.atInfo().log("%s", EventLine.of("minion-announcement-old").with("minion", state.boot()));
             return;
@@ -187,14 +219,12 @@
         boolean sameBoot = before.isPresent() && before.get().boot().equals(state.boot());
         if (!sameBoot) {
             before.ifPresent(old -> replaced(old, "reborn"));
-            clock.reset(state.clockMillis(), timers.nanos());
+            lease.reset(state.clockMillis(), timers.nanos());
             lastAnswerNanos = timers.nanos();
-            // The agent before this one may have extended the lease a moment ago.
-            leaseSentUntilMillis = before.isEmpty() ? clock.now(lastAnswerNanos) + LEASE_MILLIS : 0;
         }
         // A minion that has said it leaves never stays after all; a late announcement must not undo it.
         boolean stillLeaving = sameBoot && before.get().leaving();
-        minion = Optional.of(stillLeaving ? leaving(state) : state);
+        minion = Optional.of(stillLeaving ? state.asLeaving() : state);
         if (!sameBoot || before.get().leaving() != minion.get().leaving()) {
             LOGGER.atInfo().log(
                     "%s",
@@ -202,26 +232,22 @@
                             .with("minion", state.boot())
                             .with("leaving", minion.get().leaving())
                             .with("capacity", state.capacity()));
-            listener.roomChanged();
+            minionChanged();
         }
         look();
     }
 
-    private static MinionState leaving(MinionState state) {
-        return new MinionState(
-                state.boot(), state.service(), state.capacity(), state.labels(), true, state.clockMillis());
-    }
-
     /** Notes that the minion has taken its leave; whatever ran on it is gone. */
     public void departed(String boot) {
         if (minion.isPresent() && minion.get().boot().equals(boot)) {
             replaced(minion.get(), "departed");
             minion = Optional.empty();
-            listener.roomChanged();
+            minionChanged();
         }
     }
 
     private void replaced(MinionState old, String reason) {
+        recalled = false;
         pastBoots.add(old.boot());
         // An answer of the old boot may take long or never come; the new one is looked at without waiting for it.
         lookInFlight = false;
@@ -273,11 +299,10 @@
         if (!mayExtendLease(now)) {
             return Optional.of("lease held back");
         }
-        long until = clock.now(now) + LEASE_MILLIS;
+        long until = lease.extend(now);
         HeldRun fresh = new HeldRun(run, owner, room, until, now);
         held.put(run.task(), fresh);
         taken = taken.plus(room);
-        leaseSentUntilMillis = Math.max(leaseSentUntilMillis, until);
         String boot = minion.orElseThrow().boot();
         port.start(
                 boot,
@@ -294,7 +319,7 @@
         }
         switch (answer) {
             case StartAnswer.Started started -> {
-                clock.observe(started.clockMillis(), timers.nanos());
+                lease.observe(started.clockMillis(), timers.nanos());
                 run.become(HeldRun.Stage.RUNNING, timers.nanos());
                 if (run.isStopWanted()) {
                     sendStop(boot, run);
@@ -474,9 +499,7 @@
         if (held.isEmpty() || now - lastAnswerNanos > UNANSWERED_NANOS || !mayExtendLease(now)) {
             return OptionalLong.empty();
         }
-        long until = clock.now(now) + LEASE_MILLIS;
-        leaseSentUntilMillis = Math.max(leaseSentUntilMillis, until);
-        return OptionalLong.of(until);
+        return OptionalLong.of(lease.extend(now));
     }
 
     /**
@@ -486,7 +509,7 @@
      * would make an end that the owner never heard of count although its task was started again.
      */
     private boolean mayExtendLease(long now) {
-        if (hasLapsed(now)) {
+        if (lease.hasLapsed(now)) {
             ends.lapsed();
         }
         Set<RunOwner> owners = owners();
@@ -503,17 +526,13 @@
         return allowed;
     }
 
-    private boolean hasLapsed(long now) {
-        return clock.now(now) > leaseSentUntilMillis + LAPSE_MARGIN_MILLIS;
-    }
-
     /**
      * Calls the runs of a minion that doesn't answer lost, once every lease that it may have taken has ended. Until
      * then a run may go on there, and a second one elsewhere would run beside it.
      */
     private void loseAfterLapse(long now) {
         boolean silent = now - lastAnswerNanos > UNANSWERED_NANOS;
-        if (silent && !held.isEmpty() && hasLapsed(now)) {
+        if (silent && !held.isEmpty() && lease.hasLapsed(now)) {
             loseAll(minion.orElseThrow().boot(), "silent");
             reconciled = false;
             listener.roomChanged();
@@ -524,7 +543,12 @@
         switch (answer) {
             case LookAnswer.Lists lists -> {
                 lastAnswerNanos = timers.nanos();
-                clock.observe(lists.clockMillis(), lastAnswerNanos);
+                lease.observe(lists.clockMillis(), lastAnswerNanos);
+                recalled = false;
+                if (!complete) {
+                    // The agent before this one may have extended the lease a moment ago.
+                    lease.extend(lastAnswerNanos);
+                }
                 keptSent = Math.max(keptSent, keptWithIt);
                 boolean news = took(boot, lists, sentAtNanos);
                 boolean quick = lastAnswerNanos - sentAtNanos < LOOK_PAUSE.toNanos();
@@ -624,7 +648,7 @@
                 }
                 continue;
             }
-            if (isRuledOut(run, lists.clockMillis(), sentAtNanos)) {
+            if (run.isRuledOut(lists.clockMillis(), sentAtNanos)) {
                 neverStarted(boot, run);
             } else if (run.stage() == HeldRun.Stage.RUNNING && sentAtNanos - run.stageSinceNanos() > 0) {
                 vanished(boot, run);
@@ -644,14 +668,6 @@
         listener.roomChanged();
     }
 
-    /** Tells whether a run that a look doesn't list will never be there. */
-    private static boolean isRuledOut(HeldRun run, long clockMillis, long sentAtNanos) {
-        if (run.stage() != HeldRun.Stage.DOUBTFUL || sentAtNanos - run.stageSinceNanos() < 0) {
-            return false;
-        }
-        return run.isStopAnswered() || clockMillis > run.leaseUntilMillis() + LAPSE_MARGIN_MILLIS;
-    }
-
     /** Returns the owner of a run that an agent before this one started: only kept jobs have owners that last. */
     private RunOwner partitionOf(RunKey run) {
         return new RunOwner.Partition(Partitions.of(run.task().jobId(), partitions));
--- a/library/src/main/java/org/chivetally/queue/agent/SupervisorListener.java
+++ b/library/src/main/java/org/chivetally/queue/agent/SupervisorListener.java
@@ -11,6 +11,9 @@
     /** Runs have ended; their owners are to be told. */
     void ended(List<OwnedEnd> ends);
 
+    /** Another minion, or none, is here now, or it has said that it leaves. */
+    void minionChanged();
+
     /** The free room, or whether starts are taken, has changed. */
     void roomChanged();
 }
--- a/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -4,12 +4,15 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.chivetally.logging.EventLine;
+import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.agent.MinionState;
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.log.AppendOutcome;
 import org.chivetally.queue.log.KeyedLog;
@@ -19,6 +22,7 @@
 import org.chivetally.queue.log.StreamTail;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.StoredMember;
+import org.chivetally.wire.v1.StoredMinion;
 
 /** The processes that have announced themselves in the log, by name. Some may be gone. */
 public final class MemberDirectory {
@@ -33,6 +37,8 @@
     private final Timers timers;
     private final LogStream stream;
     private final Map<String, Peer> members = new LinkedHashMap<>();
+    private final Map<String, MinionState> minions = new HashMap<>();
+    private long announcements;
 
     /** Creates a directory that has read nothing yet. */
     public MemberDirectory(KeyedLog log, Timers timers, String stream) {
@@ -43,25 +49,56 @@
 
     /** Announces this process, and tries on until the log has taken it. */
     public void announce(Peer self) {
-        StoredMember member = StoredMember.newBuilder()
+        announce(self, Optional.empty());
+    }
+
+    /** Announces this process with the minion that it has, and tries on until the log has taken it. */
+    public void announce(Peer self, Optional<MinionState> minion) {
+        StoredMember.Builder member = StoredMember.newBuilder()
                 .setIncarnation(self.incarnation())
                 .setAgent(self.agent())
                 .setFailureDomain(self.failureDomain())
                 .setHost(self.host())
-                .setPort(self.port())
-                .build();
-        write(new KeyedRecord(self.process(), member.toByteArray()));
+                .setPort(self.port());
+        minion.ifPresent(state -> member.setMinion(encode(state)));
+        announcements++;
+        write(new KeyedRecord(self.process(), member.build().toByteArray()), announcements);
     }
 
-    private void write(KeyedRecord entry) {
+    private void write(KeyedRecord entry, long number) {
+        if (number != announcements) {
+            // A newer announcement is on its way.
+            return;
+        }
         // Written without a stamp: a repeat writes the same value once more, which changes nothing.
         log.append(stream, Optional.empty(), List.of(entry), outcome -> {
             if (!(outcome instanceof AppendOutcome.Appended)) {
-                timers.after(RETRY_PAUSE, () -> write(entry));
+                timers.after(RETRY_PAUSE, () -> write(entry, number));
             }
         });
     }
 
+    private static StoredMinion encode(MinionState minion) {
+        return StoredMinion.newBuilder()
+                .setBoot(minion.boot())
+                .setService(minion.service())
+                .setCapacity(JobCodec.encode(minion.capacity()))
+                .addAllLabels(minion.labels())
+                .setLeaving(minion.leaving())
+                .setClockMillis(minion.clockMillis())
+                .build();
+    }
+
+    private static MinionState decode(StoredMinion minion) {
+        return new MinionState(
+                minion.getBoot(),
+                minion.getService(),
+                JobCodec.decode(minion.getCapacity()),
+                minion.getLabelsList(),
+                minion.getLeaving(),
+                minion.getClockMillis());
+    }
+
     /** Follows the announcements from now on. */
     public void follow(Consumer<Peer> listener) {
         new StreamTail(log, timers, stream, WAIT, entry -> take(entry, listener)).start();
@@ -69,8 +106,17 @@
 
     /** Reads the announcements once, and tries on until the log has answered. */
     public void readOnce(Consumer<Peer> listener) {
-        new NewestValues(log, timers, stream, RETRY_PAUSE, () -> true, entry -> take(entry, listener), () -> {})
-                .start();
+        readOnce(listener, () -> {});
+    }
+
+    /** Reads the announcements once, tries on until the log has answered, and then tells that all were read. */
+    public void readOnce(Consumer<Peer> listener, Runnable done) {
+        new NewestValues(log, timers, stream, RETRY_PAUSE, () -> true, entry -> take(entry, listener), done).start();
+    }
+
+    /** Returns the minion with which a process was announced, as last read. */
+    public Optional<MinionState> minionOf(String process) {
+        return Optional.ofNullable(minions.get(process));
     }
 
     /** Returns the processes as last read. */
@@ -81,6 +127,7 @@
     private void take(KeyedRecord entry, Consumer<Peer> listener) {
         if (entry.drops()) {
             members.remove(entry.key());
+            minions.remove(entry.key());
             return;
         }
         try {
@@ -93,6 +140,11 @@
                     member.getHost(),
                     member.getPort());
             members.put(peer.process(), peer);
+            if (member.hasMinion()) {
+                minions.put(peer.process(), decode(member.getMinion()));
+            } else {
+                minions.remove(peer.process());
+            }
             listener.accept(peer);
         } catch (InvalidProtocolBufferException e) {
             LOGGER.atWarning().log(
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -40,6 +40,9 @@
             told.addAll(ends);
         }
 
+        @Override
+        public void minionChanged() {}
+
         @Override
         public void roomChanged() {}
     }
@@ -277,4 +280,54 @@
         timers.advance(Duration.ofMillis(200));
         assertThat(start(run("b", 1)), is(Optional.empty()));
     }
+
+    private static MinionState remembered(long clockMillis) {
+        return new MinionState("boot", "reports", CAPACITY, List.of("a"), false, clockMillis);
+    }
+
+    /**
+     * All power was lost, and the minion's next announcement is a second away. Its agent remembers it, finds it alive
+     * with one look, and takes starts at once; its clock is read from the answer, not from what was remembered.
+     */
+    @Test
+    void takesStartsAsSoonAsARememberedMinionHasAnswered() {
+        timers.advance(Duration.ofSeconds(20));
+        supervisor.recall(remembered(5));
+        assertThat(supervisor.isAccepting(), is(false));
+        timers.advance(Duration.ofMillis(5));
+        assertThat(supervisor.isAccepting(), is(true));
+        assertThat(start(run("a", 1)), is(Optional.empty()));
+        timers.advance(Duration.ofMillis(50));
+        assertThat(minion.running.keySet(), contains(run("a", 1)));
+    }
+
+    /**
+     * The remembered minion is gone for good. Were it looked for without end, every look would be a wasted message; it
+     * is forgotten, and an announcement of the same boot after all is still taken.
+     */
+    @Test
+    void forgetsARememberedMinionThatDoesNotAnswer() {
+        minion.down = true;
+        supervisor.recall(remembered(5));
+        timers.advance(Duration.ofSeconds(5));
+        assertThat(supervisor.minion(), is(Optional.empty()));
+        assertThat(supervisor.isComplete(), is(true));
+        int looks = minion.looks.size();
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(minion.looks, hasSize(looks));
+        minion.down = false;
+        announce("boot", false);
+        assertThat(supervisor.isAccepting(), is(true));
+    }
+
+    /** What the minion has said itself is newer than what was remembered, also when it has gone. */
+    @Test
+    void remembersNothingOverAnAnnouncement() {
+        announce("newer", false);
+        supervisor.recall(remembered(5));
+        assertThat(supervisor.minion().map(MinionState::boot), is(Optional.of("newer")));
+        supervisor.departed("newer");
+        supervisor.recall(remembered(5));
+        assertThat(supervisor.minion(), is(Optional.empty()));
+    }
 }
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -47,21 +47,32 @@
     }
 
     AgentNode agent(String name) {
+        AgentNode agent = silentAgent(name);
+        agent.supervisor()
+                .announced(new MinionState(
+                        "boot-" + name,
+                        "reports",
+                        capacity,
+                        List.of("a"),
+                        false,
+                        minions.get(name).clock()));
+        return agent;
+    }
+
+    /** Starts an agent whose minion has not announced itself to it yet. */
+    AgentNode silentAgent(String name) {
         incarnations++;
         Peer self = new Peer(name, incarnations, true, "north", name, 1);
         ModelMinion minion = minions.computeIfAbsent(name, key -> new ModelMinion(timers));
         AgentNode agent = new AgentNode(self, timers, network.dialer(name), minion, PARTITIONS);
         network.listen(name, agent.acceptor());
         MemberDirectory directory = new MemberDirectory(log.access(name), timers, "members");
-        directory.announce(self);
-        directory.readOnce(agent::meet);
+        new AgentAnnouncement(directory, self, agent).start(agent::meet);
         timers.every(Duration.ofSeconds(1), () -> {
             if (agent.links().links().isEmpty()) {
                 directory.readOnce(agent::meet);
             }
         });
-        agent.supervisor()
-                .announced(new MinionState("boot-" + name, "reports", capacity, List.of("a"), false, minion.clock()));
         agents.put(name, agent);
         return agent;
     }
--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -302,6 +302,23 @@
         assertThat(cluster.query(other, ID), contains(new JobAnswer.State(JobPhase.CANCELLED)));
     }
 
+    /** All power is lost, and the minions live on. The new agents know them from the log and run what was accepted. */
+    @Test
+    void findsTheMinionsAgainBeforeTheyAnnounceThemselves() {
+        three();
+        for (String name : List.copyOf(cluster.entries.keySet())) {
+            cluster.kill(name);
+        }
+        for (String name : List.copyOf(cluster.agents.keySet())) {
+            cluster.network.kill(name);
+        }
+        cluster.advance(1_000);
+        cluster.entry("entry-8");
+        cluster.silentAgent("agent-1");
+        cluster.advance(100);
+        assertThat(cluster.agents.get("agent-1").supervisor().isAccepting(), is(true));
+    }
+
     /** All power is lost right after a job was accepted. A fresh fleet finds it in the log and runs it. */
     @Test
     void findsAcceptedJobsAgainAfterEverythingWasLost() {
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredMember.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredMember.java
@@ -54,6 +54,7 @@
             org.chivetally.wire.v1.StoredMember.class, org.chivetally.wire.v1.StoredMember.Builder.class);
   }
 
+  private int bitField0_;
   public static final int INCARNATION_FIELD_NUMBER = 1;
   private long incarnation_ = 0L;
   /**
@@ -165,6 +166,44 @@
     return port_;
   }
 
+  public static final int MINION_FIELD_NUMBER = 6;
+  private org.chivetally.wire.v1.StoredMinion minion_;
+  /**
+   * <pre>
+   * The minion of an agent, for the agent's next start; absent while it has none.
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+   * @return Whether the minion field is set.
+   */
+  @java.lang.Override
+  public boolean hasMinion() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The minion of an agent, for the agent's next start; absent while it has none.
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+   * @return The minion.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.StoredMinion getMinion() {
+    return minion_ == null ? org.chivetally.wire.v1.StoredMinion.getDefaultInstance() : minion_;
+  }
+  /**
+   * <pre>
+   * The minion of an agent, for the agent's next start; absent while it has none.
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.StoredMinionOrBuilder getMinionOrBuilder() {
+    return minion_ == null ? org.chivetally.wire.v1.StoredMinion.getDefaultInstance() : minion_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -194,6 +233,9 @@
     if (port_ != 0) {
       output.writeUInt32(5, port_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(6, getMinion());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -216,6 +258,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, port_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, getMinion());
+    }
     return size;
   }
   @java.lang.Override
@@ -250,6 +296,11 @@
         .equals(other.getHost())) return false;
     if (getPort()
         != other.getPort()) return false;
+    if (hasMinion() != other.hasMinion()) return false;
+    if (hasMinion()) {
+      if (!getMinion()
+          .equals(other.getMinion())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -273,6 +324,10 @@
     hash = (53 * hash) + getHost().hashCode();
     hash = (37 * hash) + PORT_FIELD_NUMBER;
     hash = (53 * hash) + getPort();
+    if (hasMinion()) {
+      hash = (37 * hash) + MINION_FIELD_NUMBER;
+      hash = (53 * hash) + getMinion().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -396,13 +451,19 @@
 
     // Construct using org.chivetally.wire.v1.StoredMember.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetMinionFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -413,6 +474,11 @@
       failureDomain_ = "";
       host_ = "";
       port_ = 0;
+      minion_ = null;
+      if (minionBuilder_ != null) {
+        minionBuilder_.dispose();
+        minionBuilder_ = null;
+      }
       return this;
     }
 
@@ -461,6 +527,14 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.port_ = port_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.minion_ = minionBuilder_ == null
+            ? minion_
+            : minionBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -494,6 +568,9 @@
       if (other.getPort() != 0) {
         setPort(other.getPort());
       }
+      if (other.hasMinion()) {
+        mergeMinion(other.getMinion());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -543,6 +620,13 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 50: {
+              input.readMessage(
+                  internalGetMinionFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -800,6 +884,161 @@
       return this;
     }
 
+    private org.chivetally.wire.v1.StoredMinion minion_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.StoredMinion, org.chivetally.wire.v1.StoredMinion.Builder, org.chivetally.wire.v1.StoredMinionOrBuilder> minionBuilder_;
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     * @return Whether the minion field is set.
+     */
+    public boolean hasMinion() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     * @return The minion.
+     */
+    public org.chivetally.wire.v1.StoredMinion getMinion() {
+      if (minionBuilder_ == null) {
+        return minion_ == null ? org.chivetally.wire.v1.StoredMinion.getDefaultInstance() : minion_;
+      } else {
+        return minionBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     */
+    public Builder setMinion(org.chivetally.wire.v1.StoredMinion value) {
+      if (minionBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        minion_ = value;
+      } else {
+        minionBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     */
+    public Builder setMinion(
+        org.chivetally.wire.v1.StoredMinion.Builder builderForValue) {
+      if (minionBuilder_ == null) {
+        minion_ = builderForValue.build();
+      } else {
+        minionBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     */
+    public Builder mergeMinion(org.chivetally.wire.v1.StoredMinion value) {
+      if (minionBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0) &&
+          minion_ != null &&
+          minion_ != org.chivetally.wire.v1.StoredMinion.getDefaultInstance()) {
+          getMinionBuilder().mergeFrom(value);
+        } else {
+          minion_ = value;
+        }
+      } else {
+        minionBuilder_.mergeFrom(value);
+      }
+      if (minion_ != null) {
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     */
+    public Builder clearMinion() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      minion_ = null;
+      if (minionBuilder_ != null) {
+        minionBuilder_.dispose();
+        minionBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     */
+    public org.chivetally.wire.v1.StoredMinion.Builder getMinionBuilder() {
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return internalGetMinionFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     */
+    public org.chivetally.wire.v1.StoredMinionOrBuilder getMinionOrBuilder() {
+      if (minionBuilder_ != null) {
+        return minionBuilder_.getMessageOrBuilder();
+      } else {
+        return minion_ == null ?
+            org.chivetally.wire.v1.StoredMinion.getDefaultInstance() : minion_;
+      }
+    }
+    /**
+     * <pre>
+     * The minion of an agent, for the agent's next start; absent while it has none.
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.StoredMinion, org.chivetally.wire.v1.StoredMinion.Builder, org.chivetally.wire.v1.StoredMinionOrBuilder> 
+        internalGetMinionFieldBuilder() {
+      if (minionBuilder_ == null) {
+        minionBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.StoredMinion, org.chivetally.wire.v1.StoredMinion.Builder, org.chivetally.wire.v1.StoredMinionOrBuilder>(
+                getMinion(),
+                getParentForChildren(),
+                isClean());
+        minion_ = null;
+      }
+      return minionBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.StoredMember)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredMemberOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredMemberOrBuilder.java
@@ -51,4 +51,31 @@
    * @return The port.
    */
   int getPort();
+
+  /**
+   * <pre>
+   * The minion of an agent, for the agent's next start; absent while it has none.
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+   * @return Whether the minion field is set.
+   */
+  boolean hasMinion();
+  /**
+   * <pre>
+   * The minion of an agent, for the agent's next start; absent while it has none.
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+   * @return The minion.
+   */
+  org.chivetally.wire.v1.StoredMinion getMinion();
+  /**
+   * <pre>
+   * The minion of an agent, for the agent's next start; absent while it has none.
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.StoredMinion minion = 6;</code>
+   */
+  org.chivetally.wire.v1.StoredMinionOrBuilder getMinionOrBuilder();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -261,6 +261,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_StoredMember_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredMinion_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredMinion_fieldAccessorTable;
 
   public static com.google.protobuf.Descriptors.FileDescriptor
       getDescriptor() {
@@ -445,39 +450,44 @@
       "\014\022F\n\010failures\030\003 \003(\01324.org.chivetally.wir" +
       "e.v1.StoredProgress.FailuresEntry\022\027\n\017end" +
       "ed_at_millis\030\004 \001(\004\032/\n\rFailuresEntry\022\013\n\003k" +
-      "ey\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\"f\n\014StoredMem" +
-      "ber\022\023\n\013incarnation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022" +
-      "\026\n\016failure_domain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n" +
-      "\004port\030\005 \001(\r*\242\001\n\nTaskStatus\022\033\n\027TASK_STATU" +
-      "S_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n" +
-      "\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STATUS_NOT" +
-      "_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_" +
-      "STATUS_RUNNING\020\005*\347\002\n\rRefusalReason\022\036\n\032RE" +
-      "FUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFUSAL_RE" +
-      "ASON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAINING\020\002" +
-      "\022\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022!\n\035REF" +
-      "USAL_REASON_OLD_GENERATION\020\004\022 \n\034REFUSAL_" +
-      "REASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_REASON" +
-      "_CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXPIRED\020\007" +
-      "\022\"\n\036REFUSAL_REASON_ALREADY_STARTED\020\010\022\036\n\032" +
-      "REFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030REFUSAL_" +
-      "REASON_TOO_LARGE\020\n*\354\001\n\nRunOutcome\022\033\n\027RUN" +
-      "_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTCOME_DO" +
-      "NE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RUN_OUTC" +
-      "OME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n" +
-      "\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCOME_ALO" +
-      "NE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_OUTCOM" +
-      "E_NEVER_STARTED\020\010*\306\001\n\nJobVerdict\022\033\n\027JOB_" +
-      "VERDICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDICT_ACC" +
-      "EPTED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033\n\027JOB_" +
-      "VERDICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDICT_NOT" +
-      "_OWNER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n\025JOB_V" +
-      "ERDICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_P" +
-      "HASE_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001" +
-      "\022\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHASE_COM" +
-      "PLETED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023JOB_PH" +
-      "ASE_CANCELLED\020\005B\032\n\026org.chivetally.wire.v" +
-      "1P\001b\006proto3"
+      "ey\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\"\234\001\n\014StoredMe" +
+      "mber\022\023\n\013incarnation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010" +
+      "\022\026\n\016failure_domain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014" +
+      "\n\004port\030\005 \001(\r\0224\n\006minion\030\006 \001(\0132$.org.chive" +
+      "tally.wire.v1.StoredMinion\"\224\001\n\014StoredMin" +
+      "ion\022\014\n\004boot\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022.\n\010ca" +
+      "pacity\030\003 \001(\0132\034.org.chivetally.wire.v1.Ro" +
+      "om\022\016\n\006labels\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\022\024\n\014c" +
+      "lock_millis\030\006 \001(\004*\242\001\n\nTaskStatus\022\033\n\027TASK" +
+      "_STATUS_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DON" +
+      "E\020\001\022\026\n\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STAT" +
+      "US_NOT_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n" +
+      "\023TASK_STATUS_RUNNING\020\005*\347\002\n\rRefusalReason" +
+      "\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFU" +
+      "SAL_REASON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAI" +
+      "NING\020\002\022\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022" +
+      "!\n\035REFUSAL_REASON_OLD_GENERATION\020\004\022 \n\034RE" +
+      "FUSAL_REASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_" +
+      "REASON_CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXP" +
+      "IRED\020\007\022\"\n\036REFUSAL_REASON_ALREADY_STARTED" +
+      "\020\010\022\036\n\032REFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030RE" +
+      "FUSAL_REASON_TOO_LARGE\020\n*\354\001\n\nRunOutcome\022" +
+      "\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTC" +
+      "OME_DONE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RU" +
+      "N_OUTCOME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSE" +
+      "D\020\004\022\026\n\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCO" +
+      "ME_ALONE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_" +
+      "OUTCOME_NEVER_STARTED\020\010*\306\001\n\nJobVerdict\022\033" +
+      "\n\027JOB_VERDICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDI" +
+      "CT_ACCEPTED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033" +
+      "\n\027JOB_VERDICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDI" +
+      "CT_NOT_OWNER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n" +
+      "\025JOB_VERDICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n" +
+      "\025JOB_PHASE_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QU" +
+      "EUED\020\001\022\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHA" +
+      "SE_COMPLETED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023" +
+      "JOB_PHASE_CANCELLED\020\005B\032\n\026org.chivetally." +
+      "wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -764,7 +774,13 @@
     internal_static_org_chivetally_wire_v1_StoredMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredMember_descriptor,
-        new java.lang.String[] { "Incarnation", "Agent", "FailureDomain", "Host", "Port", });
+        new java.lang.String[] { "Incarnation", "Agent", "FailureDomain", "Host", "Port", "Minion", });
+    internal_static_org_chivetally_wire_v1_StoredMinion_descriptor =
+      getDescriptor().getMessageType(46);
+    internal_static_org_chivetally_wire_v1_StoredMinion_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredMinion_descriptor,
+        new java.lang.String[] { "Boot", "Service", "Capacity", "Labels", "Leaving", "ClockMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
