A start that finds no room waits 30 ms at the agent for the next end

Cause: at full load all entries hear of the same free room and all send a start for it.

Change: up to two starts wait at the agent, at most 30 ms, and begin in the moment in which room comes free. They are turned down when stopped, when their link is gone or gets an inventory, and their room isn't reported as free.

Tests: AgentNodeTest, six.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Room;
@@ -99,6 +100,7 @@
     private final Map<PeerLink, Long> startsSeen = new HashMap<>();
     private final Map<RunOwner.Entry, Long> echoes = new HashMap<>();
     private final Set<PeerLink> owedInventory = new HashSet<>();
+    private final WaitingStarts waitingStarts = new WaitingStarts();
     private long stampFloorNanos;
     private long beats;
     private boolean reportArmed;
@@ -153,6 +155,8 @@
 
     @Override
     public void down(PeerLink link, String reason) {
+        // Nobody follows them any more; the entry finds them in no inventory and starts them elsewhere.
+        waitingStarts.removeIf(waiting -> waiting.link() == link);
         startsSeen.remove(link);
         owedInventory.remove(link);
     }
@@ -213,27 +217,62 @@
             refuse(link, start, "no such task name");
             return;
         }
+        RunKey run = new RunKey(task.get(), start.getRun());
+        Optional<String> refusal = begin(link, start, run);
+        if (refusal.isEmpty()) {
+            return;
+        }
+        boolean waits = RunSupervisor.NO_ROOM.equals(refusal.get()) && await(link, start, run);
+        if (!waits) {
+            refuse(link, start, refusal.get());
+        }
+    }
+
+    /** Starts a run; returns why not, if it isn't. */
+    private Optional<String> begin(PeerLink link, RunStart start, RunKey run) {
         Optional<String> refusal = refusal(link, start);
         if (refusal.isEmpty()) {
             refusal = supervisor.start(
-                    new RunKey(task.get(), start.getRun()),
+                    run,
                     ownerOf(link, start),
                     JobCodec.decode(start.getRoom()),
                     start.getPayload(),
                     start.getCheckpoint());
         }
-        if (refusal.isPresent()) {
-            refuse(link, start, refusal.get());
-            return;
+        if (refusal.isEmpty()) {
+            LOGGER.atInfo().log(
+                    "%s",
+                    EventLine.of("run-sent")
+                            .with("task", start.getTask())
+                            .with("run", start.getRun())
+                            .with("epoch", start.getEpoch())
+                            .with("owner", link.peer().process())
+                            .with("free_millicores", supervisor.free().processorMillis()));
+        }
+        return refusal;
+    }
+
+    private boolean await(PeerLink link, RunStart start, RunKey run) {
+        Optional<WaitingStarts.Waiting> waiting = waitingStarts.add(link, start, run);
+        waiting.ifPresent(added ->
+                timers.after(WaitingStarts.PATIENCE, () -> refuseWaiting(RunSupervisor.NO_ROOM, added::equals)));
+        return waiting.isPresent();
+    }
+
+    private void refuseWaiting(String reason, Predicate<WaitingStarts.Waiting> condition) {
+        for (WaitingStarts.Waiting start : waitingStarts.removeIf(condition)) {
+            refuse(start.link(), start.start(), reason);
+        }
+    }
+
+    private void beginWaiting() {
+        Optional<WaitingStarts.Waiting> next = waitingStarts.pollFitting(supervisor.free());
+        while (next.isPresent()) {
+            WaitingStarts.Waiting start = next.get();
+            begin(start.link(), start.start(), start.run())
+                    .ifPresent(reason -> refuse(start.link(), start.start(), reason));
+            next = waitingStarts.pollFitting(supervisor.free());
         }
-        LOGGER.atInfo().log(
-                "%s",
-                EventLine.of("run-sent")
-                        .with("task", start.getTask())
-                        .with("run", start.getRun())
-                        .with("epoch", start.getEpoch())
-                        .with("owner", link.peer().process())
-                        .with("free_millicores", supervisor.free().processorMillis()));
     }
 
     private Optional<String> refusal(PeerLink link, RunStart start) {
@@ -246,6 +285,10 @@
         if (start.getEchoNanos() < stampFloorNanos || age > START_VALIDITY.toNanos()) {
             return Optional.of("stale by " + age / 1_000_000 + " ms");
         }
+        // The start itself shows what its owner has heard; the first echo may still be on its way, and a lease that is
+        // held
+        // back until then would turn down the first starts after a loss of all power.
+        link.echoed(start.getEchoNanos());
         if (!start.getUnkept()) {
             raise(start.getPartition(), start.getEpoch(), link);
         }
@@ -288,9 +331,11 @@
             return;
         }
         TaskKey.parse(stop.getTask()).ifPresent(task -> {
+            RunKey run = new RunKey(task, stop.getRun());
+            refuseWaiting("stopped", waiting -> waiting.run().equals(run));
             LOGGER.atInfo().log(
                     "%s", EventLine.of("run-stop").with("task", stop.getTask()).with("run", stop.getRun()));
-            supervisor.stop(new RunKey(task, stop.getRun()));
+            supervisor.stop(run);
         });
     }
 
@@ -392,6 +437,7 @@
 
     @Override
     public void roomChanged() {
+        beginWaiting();
         boolean accepting = supervisor.isAccepting();
         if (accepting == toldAccepting && !isScarce()) {
             return;
@@ -446,6 +492,8 @@
             return;
         }
         for (PeerLink link : owedInventory) {
+            // An inventory says that what it doesn't list never runs, so nothing may wait beside it.
+            refuseWaiting("inventory", waiting -> waiting.link() == link);
             link.send(inventory(link));
         }
         owedInventory.clear();
@@ -481,7 +529,7 @@
                 .ifPresent(minion -> report.setMinion(minion.boot())
                         .setService(minion.service())
                         .setCapacity(JobCodec.encode(minion.capacity()))
-                        .setFree(JobCodec.encode(clamped(supervisor.free())))
+                        .setFree(JobCodec.encode(clamped(supervisor.free().minus(waitingStarts.room()))))
                         .addAllLabels(minion.labels()));
         return report.build();
     }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/WaitingStarts.java
@@ -0,0 +1,75 @@
+package org.chivetally.queue.agent;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.link.PeerLink;
+import org.chivetally.wire.v1.RunStart;
+
+/**
+ * Starts that found no room at the worker and wait a moment for it.
+ *
+ * <p>The load it answers: nearly all room is taken, each end is told to all entries, and all of them send a start for
+ * the same room. Turned down at once, two in five starts went round again, and the room that the next end frees lay
+ * idle until an entry had heard of it.
+ */
+final class WaitingStarts {
+    /**
+     * How long a start waits: a worker with a dozen tasks of a third of a second frees room every 30 ms. Longer, and
+     * the start were better off at another worker.
+     */
+    static final Duration PATIENCE = Duration.ofMillis(30);
+
+    /**
+     * Starts that may wait: the room of about one end in {@link #PATIENCE} comes free, and ends of a job come together.
+     */
+    static final int MOST = 2;
+
+    private final List<Waiting> waiting = new ArrayList<>();
+
+    /** A start, the link that it came on, and what it names. */
+    record Waiting(PeerLink link, RunStart start, RunKey run) {}
+
+    /** Lets a start wait if there is a place for it. */
+    Optional<Waiting> add(PeerLink link, RunStart start, RunKey run) {
+        if (waiting.size() >= MOST) {
+            return Optional.empty();
+        }
+        Waiting added = new Waiting(link, start, run);
+        waiting.add(added);
+        return Optional.of(added);
+    }
+
+    /** Takes out the first start that fits into the free room, if it is the one that has waited longest. */
+    Optional<Waiting> pollFitting(Room free) {
+        if (waiting.isEmpty() || !roomOf(waiting.getFirst()).fitsInto(free)) {
+            return Optional.empty();
+        }
+        return Optional.of(waiting.removeFirst());
+    }
+
+    /** Takes out all starts of a kind. */
+    List<Waiting> removeIf(Predicate<Waiting> condition) {
+        List<Waiting> removed = waiting.stream().filter(condition).toList();
+        waiting.removeAll(removed);
+        return removed;
+    }
+
+    /** Returns the room that all of them need. */
+    Room room() {
+        Room room = Room.NONE;
+        for (Waiting start : waiting) {
+            room = room.plus(roomOf(start));
+        }
+        return room;
+    }
+
+    private static Room roomOf(Waiting waiting) {
+        return JobCodec.decode(waiting.start().getRoom());
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/link/PeerLink.java
+++ b/library/src/main/java/org/chivetally/queue/link/PeerLink.java
@@ -48,6 +48,11 @@
         echoNanos = echoedNanos;
     }
 
+    /** Notes that the peer has had a stamp of this process. */
+    public void echoed(long stampNanos) {
+        echoNanos = Math.max(echoNanos, stampNanos);
+    }
+
     void heard(long nowNanos) {
         heardAtNanos = nowNanos;
     }
--- a/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
@@ -28,6 +29,7 @@
 import org.chivetally.wire.v1.OwnedPartition;
 import org.chivetally.wire.v1.RunInventory;
 import org.chivetally.wire.v1.RunStart;
+import org.chivetally.wire.v1.RunStop;
 import org.junit.jupiter.api.Test;
 
 class AgentNodeTest {
@@ -273,4 +275,110 @@
         assertThat(again.inventories().getLast().getRunsList(), is(empty()));
         assertThat(other.frames, is(not(empty())));
     }
+
+    /**
+     * Two entries have heard of the same free room, and both send a start for it. The one that comes second waits for
+     * the next end instead of going round again, and begins in the moment in which room comes free.
+     */
+    @Test
+    void letsAStartWaitAMomentForRoom() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("one", 1, true);
+        entry.start("two", 1, true);
+        entry.start("three", 1, true);
+        timers.advance(Duration.ofMillis(10));
+        minion.end(run("one", 1), RunOutcome.DONE);
+        timers.advance(Duration.ofMillis(15));
+        assertThat(entry.refusals(), is(empty()));
+        assertThat(minion.running.keySet(), containsInAnyOrder(run("two", 1), run("three", 1)));
+    }
+
+    /** No room comes free: the starts go back to their entry while another worker may still be in time for them. */
+    @Test
+    void turnsAWaitingStartDownWhenNoRoomComesFree() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        for (String job : List.of("one", "two", "three", "four", "five")) {
+            entry.start(job, 1, true);
+        }
+        timers.advance(Duration.ofMillis(5));
+        assertThat(entry.refusals(), contains(RunSupervisor.NO_ROOM));
+        timers.advance(Duration.ofMillis(35));
+        assertThat(entry.refusals(), hasSize(3));
+        minion.end(run("one", 1), RunOutcome.DONE);
+        timers.advance(Duration.ofMillis(100));
+        assertThat(minion.starts, hasSize(2));
+    }
+
+    /** Room that starts wait for is promised: entries that heard of it as free would send more starts in vain. */
+    @Test
+    void reportsNoRoomAsFreeThatAStartWaitsFor() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce(new Room(15_000, 1_000, 0));
+        entry.start("one", 1, true);
+        entry.start("two", 1, true);
+        entry.start("three", 1, true);
+        ScriptedEntry other = entry("entry-2", 0);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(other.inventories().getLast().getReport().getFree().getProcessorMillis(), is(0L));
+    }
+
+    /**
+     * The caller has gone while the start of its task waits. It must not begin after all: nobody asks for it any more.
+     */
+    @Test
+    void neverBeginsAWaitingStartThatWasStopped() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("one", 1, true);
+        entry.start("two", 1, true);
+        entry.start("three", 1, true);
+        timers.advance(Duration.ofMillis(5));
+        entry.link.send(Frame.newBuilder()
+                .setRunStop(
+                        RunStop.newBuilder().setTask("three.0.0.0").setRun(1).setUnkept(true))
+                .build());
+        timers.advance(Duration.ofMillis(5));
+        minion.end(run("one", 1), RunOutcome.DONE);
+        timers.advance(Duration.ofMillis(100));
+        assertThat(entry.refusals(), contains("stopped"));
+        assertThat(minion.running.keySet(), contains(run("two", 1)));
+    }
+
+    /**
+     * An entry's link breaks while its start waits. The entry finds the task in no inventory and starts it elsewhere,
+     * so the start must not begin here when room comes free.
+     */
+    @Test
+    void neverBeginsAWaitingStartWhoseLinkIsGone() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("one", 1, true);
+        entry.start("two", 1, true);
+        entry.start("three", 1, true);
+        timers.advance(Duration.ofMillis(5));
+        network.kill("entry-1");
+        minion.end(run("one", 1), RunOutcome.DONE);
+        timers.advance(Duration.ofMillis(100));
+        assertThat(minion.starts, hasSize(2));
+    }
+
+    /**
+     * All power was lost, and an entry sends its first starts before its first heartbeat. Each shows that the entry has
+     * heard the agent: the second one is not turned down for a lease that is held back.
+     */
+    @Test
+    void takesTheStartsOfAnEntryThatHasNotBeatenYet() {
+        announce();
+        ScriptedEntry entry = entry("entry-1", 0);
+        entry.beats.cancel();
+        timers.advance(Duration.ofMillis(50));
+        entry.start("one", 1, true);
+        timers.advance(Duration.ofMillis(5));
+        entry.start("two", 1, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(entry.refusals(), is(empty()));
+        assertThat(minion.running.keySet(), hasSize(2));
+    }
 }
