An entry that starts opens its partitions a quarter of a second later

Change: in the first half second a partition that came is opened 250 ms later, if it is still this entry's.

--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -52,6 +52,18 @@
     /** Margin on the time for which ended jobs are kept, over clocks that differ between instances. */
     static final Duration FORGET_MARGIN = Duration.ofSeconds(10);
 
+    /**
+     * Time from the start in which the opening of partitions waits. After a loss of all power the first entry in the
+     * group gets all of them, and gives most back to the others a fifth of a second later.
+     */
+    static final Duration GATHERING = Duration.ofMillis(500);
+
+    /**
+     * Pause before a partition that came in this time is opened. Opening sixteen at once held the cold code of an entry
+     * for half a second in which agents could not be linked, and ten of them were given back.
+     */
+    static final Duration OPENING_PAUSE = Duration.ofMillis(250);
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Peer self;
@@ -69,6 +81,7 @@
     private final Map<Integer, RemoteOwner> remoteOwners = new HashMap<>();
     private final Map<String, Map<String, Long>> pendingElsewhere = new HashMap<>();
     private final Map<PeerLink, Long> echoedAtNanos = new HashMap<>();
+    private final long startedAtNanos;
     private boolean leaving;
     private long beats;
 
@@ -89,6 +102,7 @@
         this.directory = new MemberDirectory(log, timers, options.memberStream());
         this.suspension = new SuspensionDetector(timers);
         this.stall = new StallDetector(timers);
+        this.startedAtNanos = timers.nanos();
     }
 
     /** Announces the entry, follows the other processes and begins to own partitions. */
@@ -371,7 +385,8 @@
             runs.partitionLost(before);
             before.close();
         }
-        owner.open();
+        boolean gathering = timers.nanos() - startedAtNanos < GATHERING.toNanos();
+        timers.after(gathering ? OPENING_PAUSE : Duration.ZERO, owner::open);
     }
 
     @Override
--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -19,6 +19,7 @@
 import org.chivetally.queue.Partitions;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.agent.ModelMinion;
+import org.chivetally.queue.log.LogStream;
 import org.chivetally.queue.log.ScriptedKeyedLog;
 import org.junit.jupiter.api.Test;
 
@@ -302,6 +303,20 @@
         assertThat(cluster.query(other, ID), contains(new JobAnswer.State(JobPhase.CANCELLED)));
     }
 
+    /**
+     * All power was lost, and the first entry that is back gets all partitions and gives most to the others at once.
+     * Each opening costs cold code two calls to the log, in the moment in which callers wait for the links to the
+     * agents.
+     */
+    @Test
+    void opensOnlyThePartitionsThatStayWithItWhenAllStartTogether() {
+        three();
+        List<LogStream> opened = cluster.log.appends().stream()
+                .filter(stream -> "jobs".equals(stream.name()))
+                .toList();
+        assertThat(opened, hasSize(Cluster.PARTITIONS));
+    }
+
     /** All power is lost, and the minions live on. The new agents know them from the log and run what was accepted. */
     @Test
     void findsTheMinionsAgainBeforeTheyAnnounceThemselves() {
