An owner that was replaced starts nothing more, and the next one waits for all agents with every task

Both owners were told the end of a first step. Both started the second step, as it was not among the tasks that the next owner had loaded as uncertain, and the agent that the old owner chose had not heard of the next one.

Change: while agents are unheard, tasks whose turn comes wait like the loaded ones. An owner gives its partition up when an agent's inventory or refusal names a later epoch, instead of taking runs that are listed no more for lost and starting them at an agent that it can still reach.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -317,13 +317,15 @@
                         .with("run", start.getRun())
                         .with("owner", link.peer().process())
                         .with("reason", reason));
-        link.send(Frame.newBuilder()
-                .setRunRefused(RunRefused.newBuilder()
-                        .setTask(start.getTask())
-                        .setRun(start.getRun())
-                        .setReason(reason)
-                        .setReport(report(link)))
-                .build());
+        RunRefused.Builder refused = RunRefused.newBuilder()
+                .setTask(start.getTask())
+                .setRun(start.getRun())
+                .setReason(reason)
+                .setReport(report(link));
+        if (!start.getUnkept() && isFenced(start.getPartition(), start.getEpoch())) {
+            refused.setFencedBy(fences.get(start.getPartition()).epoch());
+        }
+        link.send(Frame.newBuilder().setRunRefused(refused).build());
     }
 
     private void runStop(RunStop stop) {
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -149,6 +149,11 @@
         events.lost(this);
     }
 
+    /** Ends the ownership, as an agent has heard of a later owner. */
+    void replaced(long byEpoch) {
+        lose("replaced by epoch " + byEpoch);
+    }
+
     private void load() {
         Map<String, byte[]> records = new HashMap<>();
         new NewestValues(
@@ -359,7 +364,7 @@
         boolean wasFinal = job.phase().isFinal();
         List<Task> ready = job.end(task, outcome, timers.epochMillis());
         if (!ready.isEmpty() && !job.phase().isFinal()) {
-            events.ready(ready);
+            becameReady(ready);
         }
         if (!counts) {
             kept.run();
@@ -385,6 +390,20 @@
         });
     }
 
+    /**
+     * Has tasks placed whose turn has come; while agents aren't heard they wait for these like all that was loaded. The
+     * owner before may have been told the same end, and have started them at an agent that takes its starts still.
+     */
+    private void becameReady(List<Task> tasks) {
+        if (unheardAgents.isEmpty()) {
+            events.ready(tasks);
+            return;
+        }
+        for (Task task : tasks) {
+            task.job().doubt(task);
+        }
+    }
+
     /**
      * Keeps an end only while nothing of its job is being written. Agents tell open ends again every half second, also
      * while the log takes no writes: kept then, the minion forgets an end that no log has, and the next owner starts
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -261,6 +261,7 @@
     void inventory(PeerLink link, RunInventory inventory) {
         report(link, inventory.getReport());
         Worker worker = worker(link.peer().process());
+        giveUpReplaced(inventory.getFencedList());
         Set<TaskKey> listed = new HashSet<>();
         for (HeldRun run : inventory.getRunsList()) {
             TaskKey.parse(run.getTask()).ifPresent(task -> {
@@ -285,6 +286,19 @@
         }
     }
 
+    /**
+     * Gives up the partitions for which an agent has heard of a later owner. That one may have taken ends there, which
+     * are listed no more: taken for lost, the runs would be started again, at an agent that it has not reached yet.
+     */
+    private void giveUpReplaced(List<OwnedPartition> fenced) {
+        for (OwnedPartition fence : fenced) {
+            PartitionOwner owner = partitions.get(fence.getPartition());
+            if (owner != null && owner.epoch() < fence.getEpoch()) {
+                owner.replaced(fence.getEpoch());
+            }
+        }
+    }
+
     private Optional<PartitionOwner> ownerOf(TaskKey task) {
         PartitionOwner owner = partitions.get(Partitions.of(task.jobId(), partitionCount));
         return owner != null && owner.isReady() ? Optional.of(owner) : Optional.empty();
@@ -421,6 +435,13 @@
     void refused(PeerLink link, RunRefused refused) {
         report(link, refused.getReport());
         Worker worker = worker(link.peer().process());
+        if (refused.getFencedBy() > 0) {
+            // Started elsewhere, at an agent that the later owner has not reached, the task could run twice.
+            TaskKey.parse(refused.getTask())
+                    .flatMap(this::ownerOf)
+                    .filter(owner -> owner.epoch() < refused.getFencedBy())
+                    .ifPresent(owner -> owner.replaced(refused.getFencedBy()));
+        }
         Optional<Worker.Sent> start =
                 TaskKey.parse(refused.getTask()).flatMap(worker::sent).filter(sent -> sent.run() == refused.getRun());
         if (start.isEmpty()) {
--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -241,6 +241,70 @@
         assertThat(cluster.query(owner, ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
     }
 
+    /** Returns the entry that owns the partition of a job now, other than one that thinks so still. */
+    private EntryNode ownerBeside(EntryNode old) {
+        int partition = Partitions.of(ID, Cluster.PARTITIONS);
+        return cluster.entries.values().stream()
+                .filter(entry -> entry != old && entry.local(partition).isPresent())
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /**
+     * The owner of a job is cut off from the log and the other entries, and the next owner reaches only the agent that
+     * runs the first step. The step ends. The second step must wait until the other agent has been heard as well: the
+     * old owner may have started it there, as that agent takes its starts still.
+     */
+    @Test
+    void startsNoNextStepBeforeAllAgentsAreHeard() {
+        three();
+        EntryNode old = ownerOf(ID);
+        cluster.submit(old, Jobs.chain(ID, 1, 1));
+        cluster.advance(100);
+        String runner = runnerOf(ID);
+        String other = "agent-1".equals(runner) ? "agent-2" : "agent-1";
+        for (String entry : cluster.entries.keySet()) {
+            cluster.network.cut(other, entry, true);
+        }
+        cluster.kill(nameOf(old));
+        cluster.advance(3_500);
+        cluster.finish(ID, RunOutcome.DONE);
+        cluster.advance(1_000);
+        assertThat(starts(), is(1));
+        cluster.advance(6_000);
+        assertThat(starts(), is(2));
+    }
+
+    /**
+     * An owner that was replaced is linked to both agents still; the next one has reached only the agent that runs the
+     * task, and has taken its end. The old owner's link to that agent breaks and comes back, and it finds neither the
+     * run nor its end there. It must not take the run for lost and start the task at the other agent.
+     */
+    @Test
+    void anOwnerThatWasReplacedStartsNothingAgain() {
+        three();
+        EntryNode old = ownerOf(ID);
+        String oldName = nameOf(old);
+        cluster.submit(old, Jobs.of(ID, 1));
+        cluster.advance(100);
+        String runner = runnerOf(ID);
+        String other = "agent-1".equals(runner) ? "agent-2" : "agent-1";
+        cluster.log.cut(oldName, true);
+        for (String entry : cluster.entries.keySet()) {
+            cluster.network.cut(oldName, entry, true);
+            cluster.network.cut(other, entry, !entry.equals(oldName));
+        }
+        cluster.network.cut(runner, oldName, true);
+        cluster.advance(3_500);
+        cluster.finish(ID, RunOutcome.DONE);
+        cluster.advance(300);
+        assertThat(cluster.query(ownerBeside(old), ID), contains(new JobAnswer.State(JobPhase.COMPLETED)));
+        cluster.network.cut(runner, oldName, false);
+        cluster.advance(1_500);
+        assertThat(starts(), is(1));
+        assertThat(old.local(Partitions.of(ID, Cluster.PARTITIONS)).isPresent(), is(false));
+    }
+
     /**
      * A minion leaves all looks unanswered while a task ends there, until its lease must have ended; the task is
      * started elsewhere. When the minion answers again it lists the first end, just after the second start was sent.
--- a/wire/src/main/java/org/chivetally/wire/v1/RunRefused.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunRefused.java
@@ -166,6 +166,21 @@
     return report_ == null ? org.chivetally.wire.v1.WorkerReport.getDefaultInstance() : report_;
   }
 
+  public static final int FENCED_BY_FIELD_NUMBER = 5;
+  private long fencedBy_ = 0L;
+  /**
+   * <pre>
+   * epoch of the owner that replaced the sender; 0 when the refusal has another reason
+   * </pre>
+   *
+   * <code>uint64 fenced_by = 5;</code>
+   * @return The fencedBy.
+   */
+  @java.lang.Override
+  public long getFencedBy() {
+    return fencedBy_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -192,6 +207,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(4, getReport());
     }
+    if (fencedBy_ != 0L) {
+      output.writeUInt64(5, fencedBy_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -210,6 +228,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, getReport());
     }
+    if (fencedBy_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, fencedBy_);
+    }
     return size;
   }
   @java.lang.Override
@@ -245,6 +267,8 @@
       if (!getReport()
           .equals(other.getReport())) return false;
     }
+    if (getFencedBy()
+        != other.getFencedBy()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -267,6 +291,9 @@
       hash = (37 * hash) + REPORT_FIELD_NUMBER;
       hash = (53 * hash) + getReport().hashCode();
     }
+    hash = (37 * hash) + FENCED_BY_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getFencedBy());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -412,6 +439,7 @@
         reportBuilder_.dispose();
         reportBuilder_ = null;
       }
+      fencedBy_ = 0L;
       return this;
     }
 
@@ -461,6 +489,9 @@
             : reportBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.fencedBy_ = fencedBy_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -492,6 +523,9 @@
       if (other.hasReport()) {
         mergeReport(other.getReport());
       }
+      if (other.getFencedBy() != 0L) {
+        setFencedBy(other.getFencedBy());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -538,6 +572,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 34
+            case 40: {
+              fencedBy_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -850,6 +889,50 @@
       return reportBuilder_;
     }
 
+    private long fencedBy_ ;
+    /**
+     * <pre>
+     * epoch of the owner that replaced the sender; 0 when the refusal has another reason
+     * </pre>
+     *
+     * <code>uint64 fenced_by = 5;</code>
+     * @return The fencedBy.
+     */
+    @java.lang.Override
+    public long getFencedBy() {
+      return fencedBy_;
+    }
+    /**
+     * <pre>
+     * epoch of the owner that replaced the sender; 0 when the refusal has another reason
+     * </pre>
+     *
+     * <code>uint64 fenced_by = 5;</code>
+     * @param value The fencedBy to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFencedBy(long value) {
+
+      fencedBy_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * epoch of the owner that replaced the sender; 0 when the refusal has another reason
+     * </pre>
+     *
+     * <code>uint64 fenced_by = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFencedBy() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      fencedBy_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.RunRefused)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/RunRefusedOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunRefusedOrBuilder.java
@@ -54,4 +54,14 @@
    * <code>.org.chivetally.wire.v1.WorkerReport report = 4;</code>
    */
   org.chivetally.wire.v1.WorkerReportOrBuilder getReportOrBuilder();
+
+  /**
+   * <pre>
+   * epoch of the owner that replaced the sender; 0 when the refusal has another reason
+   * </pre>
+   *
+   * <code>uint64 fenced_by = 5;</code>
+   * @return The fencedBy.
+   */
+  long getFencedBy();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -410,84 +410,84 @@
       "tition\030\004 \001(\r\022\r\n\005epoch\030\005 \001(\004\022\022\n\necho_nano" +
       "s\030\006 \001(\004\022*\n\004room\030\007 \001(\0132\034.org.chivetally.w" +
       "ire.v1.Room\022\017\n\007payload\030\010 \001(\t\022\022\n\ncheckpoi" +
-      "nt\030\t \001(\t\022\016\n\006unkept\030\n \001(\010\"m\n\nRunRefused\022\014" +
-      "\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\016\n\006reason\030\003 \001(" +
-      "\t\0224\n\006report\030\004 \001(\0132$.org.chivetally.wire." +
-      "v1.WorkerReport\"\216\001\n\006RunEnd\022\016\n\006minion\030\001 \001" +
-      "(\t\022\020\n\010sequence\030\002 \001(\004\022\014\n\004task\030\003 \001(\t\022\013\n\003ru" +
-      "n\030\004 \001(\004\0223\n\007outcome\030\005 \001(\0162\".org.chivetall" +
-      "y.wire.v1.RunOutcome\022\022\n\ncheckpoint\030\006 \001(\t" +
-      "\"m\n\007RunEnds\022,\n\004ends\030\001 \003(\0132\036.org.chivetal" +
-      "ly.wire.v1.RunEnd\0224\n\006report\030\002 \001(\0132$.org." +
-      "chivetally.wire.v1.WorkerReport\"-\n\010EndsK" +
-      "ept\022\016\n\006minion\030\001 \001(\t\022\021\n\tsequences\030\002 \003(\004\"V" +
-      "\n\007RunStop\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\021\n\t" +
-      "partition\030\003 \001(\r\022\r\n\005epoch\030\004 \001(\004\022\016\n\006unkept" +
-      "\030\005 \001(\010\"?\n\rJobSubmission\022.\n\003job\030\001 \001(\0132!.o" +
-      "rg.chivetally.wire.v1.StoredJob\"\032\n\010JobQu" +
-      "ery\022\016\n\006job_id\030\001 \001(\t\"!\n\017JobCancellation\022\016" +
-      "\n\006job_id\030\001 \001(\t\"\234\001\n\010JobReply\0223\n\007verdict\030\001" +
-      " \001(\0162\".org.chivetally.wire.v1.JobVerdict" +
-      "\022/\n\005phase\030\002 \001(\0162 .org.chivetally.wire.v1" +
-      ".JobPhase\022\016\n\006reason\030\003 \001(\t\022\032\n\022retry_after" +
-      "_millis\030\004 \001(\r\"\370\001\n\tStoredJob\022\n\n\002id\030\001 \001(\t\022" +
-      "\r\n\005queue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007paylo" +
-      "ad\030\004 \001(\t\022\030\n\020maximum_attempts\030\005 \001(\r\022\020\n\010pr" +
-      "iority\030\006 \001(\r\022\024\n\014slack_factor\030\007 \001(\001\022\035\n\025ta" +
-      "rget_latency_millis\030\010 \001(\r\022\032\n\022accepted_at" +
-      "_millis\030\t \001(\004\0221\n\005steps\030\n \003(\0132\".org.chive" +
-      "tally.wire.v1.StoredStep\"\314\002\n\nStoredStep\022" +
-      "\r\n\005count\030\001 \001(\r\022*\n\004room\030\002 \001(\0132\034.org.chive" +
-      "tally.wire.v1.Room\022\030\n\020estimated_millis\030\003" +
-      " \001(\r\022\r\n\005after\030\004 \003(\r\022\025\n\rcheckpointing\030\005 \001" +
-      "(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016r" +
-      "equired_label\030\010 \001(\t\022\026\n\016preferred_rack\030\t " +
-      "\001(\t\022\032\n\022maximum_per_worker\030\n \001(\r\022\032\n\022dupli" +
-      "cates_allowed\030\013 \001(\010\022\024\n\014fills_unused\030\014 \001(" +
-      "\010\022\r\n\005image\030\r \001(\t\022\025\n\rtarget_millis\030\016 \001(\r\"" +
-      "\341\001\n\016StoredProgress\022/\n\005phase\030\001 \001(\0162 .org." +
-      "chivetally.wire.v1.JobPhase\022\014\n\004done\030\002 \001(" +
-      "\014\022F\n\010failures\030\003 \003(\01324.org.chivetally.wir" +
-      "e.v1.StoredProgress.FailuresEntry\022\027\n\017end" +
-      "ed_at_millis\030\004 \001(\004\032/\n\rFailuresEntry\022\013\n\003k" +
-      "ey\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\"\234\001\n\014StoredMe" +
-      "mber\022\023\n\013incarnation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010" +
-      "\022\026\n\016failure_domain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014" +
-      "\n\004port\030\005 \001(\r\0224\n\006minion\030\006 \001(\0132$.org.chive" +
-      "tally.wire.v1.StoredMinion\"\224\001\n\014StoredMin" +
-      "ion\022\014\n\004boot\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022.\n\010ca" +
-      "pacity\030\003 \001(\0132\034.org.chivetally.wire.v1.Ro" +
-      "om\022\016\n\006labels\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\022\024\n\014c" +
-      "lock_millis\030\006 \001(\004*\242\001\n\nTaskStatus\022\033\n\027TASK" +
-      "_STATUS_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DON" +
-      "E\020\001\022\026\n\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STAT" +
-      "US_NOT_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n" +
-      "\023TASK_STATUS_RUNNING\020\005*\347\002\n\rRefusalReason" +
-      "\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFU" +
-      "SAL_REASON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAI" +
-      "NING\020\002\022\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022" +
-      "!\n\035REFUSAL_REASON_OLD_GENERATION\020\004\022 \n\034RE" +
-      "FUSAL_REASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_" +
-      "REASON_CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXP" +
-      "IRED\020\007\022\"\n\036REFUSAL_REASON_ALREADY_STARTED" +
-      "\020\010\022\036\n\032REFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030RE" +
-      "FUSAL_REASON_TOO_LARGE\020\n*\354\001\n\nRunOutcome\022" +
-      "\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTC" +
-      "OME_DONE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RU" +
-      "N_OUTCOME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSE" +
-      "D\020\004\022\026\n\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCO" +
-      "ME_ALONE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_" +
-      "OUTCOME_NEVER_STARTED\020\010*\306\001\n\nJobVerdict\022\033" +
-      "\n\027JOB_VERDICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDI" +
-      "CT_ACCEPTED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033" +
-      "\n\027JOB_VERDICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDI" +
-      "CT_NOT_OWNER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n" +
-      "\025JOB_VERDICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n" +
-      "\025JOB_PHASE_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QU" +
-      "EUED\020\001\022\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHA" +
-      "SE_COMPLETED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023" +
-      "JOB_PHASE_CANCELLED\020\005B\032\n\026org.chivetally." +
-      "wire.v1P\001b\006proto3"
+      "nt\030\t \001(\t\022\016\n\006unkept\030\n \001(\010\"\200\001\n\nRunRefused\022" +
+      "\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\016\n\006reason\030\003 \001" +
+      "(\t\0224\n\006report\030\004 \001(\0132$.org.chivetally.wire" +
+      ".v1.WorkerReport\022\021\n\tfenced_by\030\005 \001(\004\"\216\001\n\006" +
+      "RunEnd\022\016\n\006minion\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\004" +
+      "\022\014\n\004task\030\003 \001(\t\022\013\n\003run\030\004 \001(\004\0223\n\007outcome\030\005" +
+      " \001(\0162\".org.chivetally.wire.v1.RunOutcome" +
+      "\022\022\n\ncheckpoint\030\006 \001(\t\"m\n\007RunEnds\022,\n\004ends\030" +
+      "\001 \003(\0132\036.org.chivetally.wire.v1.RunEnd\0224\n" +
+      "\006report\030\002 \001(\0132$.org.chivetally.wire.v1.W" +
+      "orkerReport\"-\n\010EndsKept\022\016\n\006minion\030\001 \001(\t\022" +
+      "\021\n\tsequences\030\002 \003(\004\"V\n\007RunStop\022\014\n\004task\030\001 " +
+      "\001(\t\022\013\n\003run\030\002 \001(\004\022\021\n\tpartition\030\003 \001(\r\022\r\n\005e" +
+      "poch\030\004 \001(\004\022\016\n\006unkept\030\005 \001(\010\"?\n\rJobSubmiss" +
+      "ion\022.\n\003job\030\001 \001(\0132!.org.chivetally.wire.v" +
+      "1.StoredJob\"\032\n\010JobQuery\022\016\n\006job_id\030\001 \001(\t\"" +
+      "!\n\017JobCancellation\022\016\n\006job_id\030\001 \001(\t\"\234\001\n\010J" +
+      "obReply\0223\n\007verdict\030\001 \001(\0162\".org.chivetall" +
+      "y.wire.v1.JobVerdict\022/\n\005phase\030\002 \001(\0162 .or" +
+      "g.chivetally.wire.v1.JobPhase\022\016\n\006reason\030" +
+      "\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\370\001\n\tSt" +
+      "oredJob\022\n\n\002id\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\017\n\007se" +
+      "rvice\030\003 \001(\t\022\017\n\007payload\030\004 \001(\t\022\030\n\020maximum_" +
+      "attempts\030\005 \001(\r\022\020\n\010priority\030\006 \001(\r\022\024\n\014slac" +
+      "k_factor\030\007 \001(\001\022\035\n\025target_latency_millis\030" +
+      "\010 \001(\r\022\032\n\022accepted_at_millis\030\t \001(\004\0221\n\005ste" +
+      "ps\030\n \003(\0132\".org.chivetally.wire.v1.Stored" +
+      "Step\"\314\002\n\nStoredStep\022\r\n\005count\030\001 \001(\r\022*\n\004ro" +
+      "om\030\002 \001(\0132\034.org.chivetally.wire.v1.Room\022\030" +
+      "\n\020estimated_millis\030\003 \001(\r\022\r\n\005after\030\004 \003(\r\022" +
+      "\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\t" +
+      "same_rack\030\007 \001(\010\022\026\n\016required_label\030\010 \001(\t\022" +
+      "\026\n\016preferred_rack\030\t \001(\t\022\032\n\022maximum_per_w" +
+      "orker\030\n \001(\r\022\032\n\022duplicates_allowed\030\013 \001(\010\022" +
+      "\024\n\014fills_unused\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\025\n\r" +
+      "target_millis\030\016 \001(\r\"\341\001\n\016StoredProgress\022/" +
+      "\n\005phase\030\001 \001(\0162 .org.chivetally.wire.v1.J" +
+      "obPhase\022\014\n\004done\030\002 \001(\014\022F\n\010failures\030\003 \003(\0132" +
+      "4.org.chivetally.wire.v1.StoredProgress." +
+      "FailuresEntry\022\027\n\017ended_at_millis\030\004 \001(\004\032/" +
+      "\n\rFailuresEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 " +
+      "\001(\r:\0028\001\"\234\001\n\014StoredMember\022\023\n\013incarnation\030" +
+      "\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016failure_domain\030\003" +
+      " \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\0224\n\006mini" +
+      "on\030\006 \001(\0132$.org.chivetally.wire.v1.Stored" +
+      "Minion\"\224\001\n\014StoredMinion\022\014\n\004boot\030\001 \001(\t\022\017\n" +
+      "\007service\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132\034.org.c" +
+      "hivetally.wire.v1.Room\022\016\n\006labels\030\004 \003(\t\022\017" +
+      "\n\007leaving\030\005 \001(\010\022\024\n\014clock_millis\030\006 \001(\004*\242\001" +
+      "\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIED\020" +
+      "\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TASK_STATUS_F" +
+      "AILED\020\002\022\027\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n\023TASK" +
+      "_STATUS_UNKNOWN\020\004\022\027\n\023TASK_STATUS_RUNNING" +
+      "\020\005*\347\002\n\rRefusalReason\022\036\n\032REFUSAL_REASON_U" +
+      "NSPECIFIED\020\000\022\027\n\023REFUSAL_REASON_FULL\020\001\022\033\n" +
+      "\027REFUSAL_REASON_DRAINING\020\002\022\037\n\033REFUSAL_RE" +
+      "ASON_STALE_TICKET\020\003\022!\n\035REFUSAL_REASON_OL" +
+      "D_GENERATION\020\004\022 \n\034REFUSAL_REASON_WRONG_S" +
+      "ERVICE\020\005\022\034\n\030REFUSAL_REASON_CANCELLED\020\006\022\032" +
+      "\n\026REFUSAL_REASON_EXPIRED\020\007\022\"\n\036REFUSAL_RE" +
+      "ASON_ALREADY_STARTED\020\010\022\036\n\032REFUSAL_REASON" +
+      "_MINION_DOWN\020\t\022\034\n\030REFUSAL_REASON_TOO_LAR" +
+      "GE\020\n*\354\001\n\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPE" +
+      "CIFIED\020\000\022\024\n\020RUN_OUTCOME_DONE\020\001\022\026\n\022RUN_OU" +
+      "TCOME_FAILED\020\002\022\027\n\023RUN_OUTCOME_STOPPED\020\003\022" +
+      "\026\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n\022RUN_OUTCOME_B" +
+      "ROKEN\020\005\022\025\n\021RUN_OUTCOME_ALONE\020\006\022\024\n\020RUN_OU" +
+      "TCOME_LOST\020\007\022\035\n\031RUN_OUTCOME_NEVER_STARTE" +
+      "D\020\010*\306\001\n\nJobVerdict\022\033\n\027JOB_VERDICT_UNSPEC" +
+      "IFIED\020\000\022\030\n\024JOB_VERDICT_ACCEPTED\020\001\022\027\n\023JOB" +
+      "_VERDICT_REFUSED\020\002\022\033\n\027JOB_VERDICT_UNKNOW" +
+      "N_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OWNER\020\004\022\025\n\021JO" +
+      "B_VERDICT_STATE\020\005\022\031\n\025JOB_VERDICT_CANCELL" +
+      "ED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECIFI" +
+      "ED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n\021JOB_PHASE_" +
+      "RUNNING\020\002\022\027\n\023JOB_PHASE_COMPLETED\020\003\022\024\n\020JO" +
+      "B_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE_CANCELLED\020" +
+      "\005B\032\n\026org.chivetally.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -696,7 +696,7 @@
     internal_static_org_chivetally_wire_v1_RunRefused_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunRefused_descriptor,
-        new java.lang.String[] { "Task", "Run", "Reason", "Report", });
+        new java.lang.String[] { "Task", "Run", "Reason", "Report", "FencedBy", });
     internal_static_org_chivetally_wire_v1_RunEnd_descriptor =
       getDescriptor().getMessageType(34);
     internal_static_org_chivetally_wire_v1_RunEnd_fieldAccessorTable = new
