An entry that stood still takes nothing until it keeps up again

Change: the doubt ends when five timers in a row, 50 ms apart, fired less than 20 ms late, and after 2 s at the latest.

Tests: UnkeptJobsTest.startsNothingWhileItStillReadsWhatWaited, which failed before, and servesAgainOnAMachineThatStaysSlow.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -222,7 +222,7 @@
         if (refusal.isEmpty()) {
             return;
         }
-        boolean waits = RunSupervisor.NO_ROOM.equals(refusal.get()) && await(link, start, run);
+        boolean waits = RunSupervisor.NO_ROOM.equals(refusal.get()) && waitsForRoom(link, start, run);
         if (!waits) {
             refuse(link, start, refusal.get());
         }
@@ -252,7 +252,8 @@
         return refusal;
     }
 
-    private boolean await(PeerLink link, RunStart start, RunKey run) {
+    /** Lets a start wait for room; tells whether there was a place for it. */
+    private boolean waitsForRoom(PeerLink link, RunStart start, RunKey run) {
         Optional<WaitingStarts.Waiting> waiting = waitingStarts.add(link, start, run);
         waiting.ifPresent(added ->
                 timers.after(WaitingStarts.PATIENCE, () -> refuseWaiting(RunSupervisor.NO_ROOM, added::equals)));
@@ -285,9 +286,9 @@
         if (start.getEchoNanos() < stampFloorNanos || age > START_VALIDITY.toNanos()) {
             return Optional.of("stale by " + age / 1_000_000 + " ms");
         }
-        // The start itself shows what its owner has heard; the first echo may still be on its way, and a lease that is
-        // held
-        // back until then would turn down the first starts after a loss of all power.
+        // A start proves that its owner has heard the agent, also before the first echo has come. Otherwise the lease
+        // would
+        // be held back for it, and the first starts after a loss of all power would be refused.
         link.echoed(start.getEchoNanos());
         if (!start.getUnkept()) {
             raise(start.getPartition(), start.getEpoch(), link);
--- a/library/src/main/java/org/chivetally/queue/agent/WaitingStarts.java
+++ b/library/src/main/java/org/chivetally/queue/agent/WaitingStarts.java
@@ -21,7 +21,7 @@
 final class WaitingStarts {
     /**
      * How long a start waits: a worker with a dozen tasks of a third of a second frees room every 30 ms. Longer, and
-     * the start were better off at another worker.
+     * the start would be better off at another worker.
      */
     static final Duration PATIENCE = Duration.ofMillis(30);
 
@@ -45,7 +45,7 @@
         return Optional.of(added);
     }
 
-    /** Takes out the first start that fits into the free room, if it is the one that has waited longest. */
+    /** Takes out the start that has waited longest, if it fits into the free room. */
     Optional<Waiting> pollFitting(Room free) {
         if (waiting.isEmpty() || !roomOf(waiting.getFirst()).fitsInto(free)) {
             return Optional.empty();
--- a/library/src/main/java/org/chivetally/queue/link/StallDetector.java
+++ b/library/src/main/java/org/chivetally/queue/link/StallDetector.java
@@ -10,7 +10,7 @@
  *
  * <p>While it stands still, requests wait in its sockets, and their callers give up and send them again elsewhere. Read
  * after that, such a request looks new, and its tasks would run beside those of the second one. Nothing tells old ones
- * from new ones, so for a moment all that comes is doubtful; what waited has been read by then.
+ * from new ones, so all that comes is doubtful until the process keeps up again; what waited has been read by then.
  */
 public final class StallDetector {
     /**
@@ -19,14 +19,28 @@
      */
     static final Duration STALL = Duration.ofMillis(700);
 
-    /** How long requests are doubtful afterwards: the sockets are read many times over in it. */
-    static final Duration DOUBT = Duration.ofMillis(250);
+    /**
+     * Interval in which the process shows that it keeps up. While it reads what has waited, its timers fire late: a
+     * request that had waited for three seconds was read 0.4 s after the process went on, and the end of its caller's
+     * connection 0.6 s later still.
+     */
+    static final Duration PROBE = Duration.ofMillis(50);
+
+    /** Lateness of a timer up to which the process keeps up: a few requests are read in between. */
+    static final Duration PUNCTUAL = Duration.ofMillis(20);
+
+    /** Timers in a row that must be punctual, so that requests are doubtful for a quarter of a second at least. */
+    static final int PUNCTUAL_PROBES = 5;
+
+    /** Longest time for which requests are doubtful: a machine that stays slow must serve again. */
+    static final Duration LONGEST_DOUBT = Duration.ofSeconds(2);
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
     private long lookedAtNanos;
     private long doubtfulUntilNanos;
+    private int punctualProbes = PUNCTUAL_PROBES;
 
     /** Creates a detector that compares from now on. */
     public StallDetector(Timers timers) {
@@ -44,11 +58,29 @@
             LOGGER.atWarning().log("%s", EventLine.of("stood-still").with("gap_ms", gap / 1_000_000));
             doubt();
         }
-        return now - doubtfulUntilNanos < 0;
+        return punctualProbes < PUNCTUAL_PROBES && now - doubtfulUntilNanos < 0;
     }
 
     /** Makes what is read doubtful, as somebody else has noticed that the process stood still. */
     public void doubt() {
-        doubtfulUntilNanos = timers.nanos() + DOUBT.toNanos();
+        boolean watching = punctualProbes < PUNCTUAL_PROBES;
+        punctualProbes = 0;
+        doubtfulUntilNanos = timers.nanos() + LONGEST_DOUBT.toNanos();
+        if (!watching) {
+            watch();
+        }
+    }
+
+    private void watch() {
+        long due = timers.nanos() + PROBE.toNanos();
+        timers.after(PROBE, () -> {
+            boolean punctual = timers.nanos() - due <= PUNCTUAL.toNanos();
+            punctualProbes = punctual ? punctualProbes + 1 : 0;
+            if (punctualProbes < PUNCTUAL_PROBES && timers.nanos() - doubtfulUntilNanos < 0) {
+                watch();
+            } else {
+                punctualProbes = PUNCTUAL_PROBES;
+            }
+        });
     }
 }
--- a/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/UnkeptJobsTest.java
@@ -121,6 +121,47 @@
         assertThat(cluster.running(OTHER), hasSize(1));
     }
 
+    /**
+     * An entry goes on after it stood still, and reads what has waited for half a second: its timers fire late. A
+     * request that it reads at the end of that is as old as the first one, and its caller has sent it elsewhere. Once
+     * the entry keeps up, it serves again.
+     */
+    @Test
+    void startsNothingWhileItStillReadsWhatWaited() {
+        agents(1);
+        cluster.advance(2_000);
+        cluster.timers.stall(Duration.ofSeconds(3));
+        cluster.advance(1);
+        for (int step = 0; step < 6; step++) {
+            cluster.timers.stall(Duration.ofMillis(90));
+            cluster.advance(1);
+        }
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 2_000);
+        assertThat(answers, contains(instanceOf(JobAnswer.Refused.class)));
+        cluster.advance(400);
+        cluster.submitUnkept(entry, Jobs.of(OTHER, 1), 2_000);
+        cluster.advance(50);
+        assertThat(cluster.running(OTHER), hasSize(1));
+    }
+
+    /**
+     * A machine stays slow after its process stood still, and no timer fires in time. It serves again all the same when
+     * what waited must have been read.
+     */
+    @Test
+    void servesAgainOnAMachineThatStaysSlow() {
+        agents(1);
+        cluster.advance(2_000);
+        cluster.timers.stall(Duration.ofSeconds(3));
+        cluster.advance(1);
+        for (int step = 0; step < 24; step++) {
+            cluster.timers.stall(Duration.ofMillis(90));
+            cluster.advance(1);
+        }
+        List<JobAnswer> answers = cluster.submitUnkept(entry, Jobs.of(ID, 1), 2_000);
+        assertThat(answers, is(empty()));
+    }
+
     /**
      * A job waits for room when its entry stands still. Its caller's connection breaks meanwhile and the job comes
      * again elsewhere; the entry hears of that only once it has read its sockets, and starts nothing before.
