An agent that finds its minion again announces itself once

Cause: the announcement counted as read before the minion was recalled, so the recall announced it by the listener, and the start announced it once more. Change: the recall comes first; one announcement follows it. A comment that the formatter had torn is worded anew. Measured: KeptJobsTest.announcesAnAgentOnceThatFindsItsMinionAgain counts one write to the log at such a start, two before.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -286,9 +286,8 @@
         if (start.getEchoNanos() < stampFloorNanos || age > START_VALIDITY.toNanos()) {
             return Optional.of("stale by " + age / 1_000_000 + " ms");
         }
-        // A start proves that its owner has heard the agent, also before the first echo has come. Otherwise the lease
-        // would
-        // be held back for it, and the first starts after a loss of all power would be refused.
+        // A start proves that its owner has heard the agent, also before the first echo has come.
+        // Without that, the lease is held back, and the first starts after a loss of all power are refused.
         link.echoed(start.getEchoNanos());
         if (!start.getUnkept()) {
             raise(start.getPartition(), start.getEpoch(), link);
--- a/library/src/main/java/org/chivetally/queue/entry/AgentAnnouncement.java
+++ b/library/src/main/java/org/chivetally/queue/entry/AgentAnnouncement.java
@@ -32,12 +32,9 @@
     public void start(Consumer<Peer> met) {
         agent.whenMinionChanges(this::minionChanged);
         directory.readOnce(met, () -> {
-            read = true;
-            announced = agent.supervisor().minion();
             directory.minionOf(self.process()).ifPresent(agent.supervisor()::recall);
-            if (announced.isEmpty()) {
-                announced = agent.supervisor().minion();
-            }
+            announced = agent.supervisor().minion();
+            read = true;
             directory.announce(self, announced);
         });
     }
--- a/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/KeptJobsTest.java
@@ -398,6 +398,24 @@
         assertThat(cluster.agents.get("agent-1").supervisor().isAccepting(), is(true));
     }
 
+    /** An agent starts again and finds its minion in the log: its announcement costs one call, not one for each. */
+    @Test
+    void announcesAnAgentOnceThatFindsItsMinionAgain() {
+        three();
+        cluster.network.kill("agent-1");
+        cluster.advance(1_000);
+        long before = announcements();
+        cluster.silentAgent("agent-1");
+        cluster.advance(500);
+        assertThat(announcements() - before, is(1L));
+    }
+
+    private long announcements() {
+        return cluster.log.appends().stream()
+                .filter(stream -> "members".equals(stream.name()))
+                .count();
+    }
+
     /** All power is lost right after a job was accepted. A fresh fleet finds it in the log and runs it. */
     @Test
     void findsAcceptedJobsAgainAfterEverythingWasLost() {
