--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/AnswerTimes.java
@@ -0,0 +1,44 @@
+package org.chivetally.queue.agent;
+
+import java.time.Duration;
+
+/**
+ * How long a minion takes to answer, as observed, and so after which time an answer is likely to be lost. The estimate
+ * is that of TCP's retransmission timer (RFC 6298): the smoothed time and four times its smoothed deviation.
+ */
+final class AnswerTimes {
+    /** Least patience: answers take a millisecond, and a pause of the agent's collector takes up to 10 ms. */
+    static final Duration SHORTEST = Duration.ofMillis(12);
+
+    /** Longest patience: the objectives of callers leave 60 ms beside the work. */
+    static final Duration LONGEST = Duration.ofMillis(60);
+
+    private static final double MEAN_GAIN = 1.0 / 8;
+    private static final double DEVIATION_GAIN = 1.0 / 4;
+    private static final int DEVIATIONS = 4;
+
+    private boolean observed;
+    private double meanNanos;
+    private double deviationNanos;
+
+    /** Notes the time that one answer took. */
+    void observe(long nanos) {
+        if (!observed) {
+            observed = true;
+            meanNanos = nanos;
+            deviationNanos = nanos / 2.0;
+            return;
+        }
+        deviationNanos += DEVIATION_GAIN * (Math.abs(nanos - meanNanos) - deviationNanos);
+        meanNanos += MEAN_GAIN * (nanos - meanNanos);
+    }
+
+    /** Returns how long to wait for an answer before the call is repeated; the longest time while none was observed. */
+    Duration patience() {
+        if (!observed) {
+            return LONGEST;
+        }
+        double nanos = meanNanos + DEVIATIONS * deviationNanos;
+        return Duration.ofNanos((long) Math.clamp(nanos, SHORTEST.toNanos(), LONGEST.toNanos()));
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -38,7 +38,12 @@
      * @param leaseUntilMillis when the lease of all that runs ends, on the minion's clock; empty to leave it
      * @param longestWait how long the minion may wait for an end
      */
-    record LookOrder(long token, long keptThrough, OptionalLong leaseUntilMillis, Duration longestWait) {}
+    record LookOrder(long token, long keptThrough, OptionalLong leaseUntilMillis, Duration longestWait) {
+        /** Returns the same look with another wait. */
+        LookOrder waiting(Duration wait) {
+            return new LookOrder(token, keptThrough, leaseUntilMillis, wait);
+        }
+    }
 
     /** What became of a start. */
     sealed interface StartAnswer {
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/agent/LossyMinion.java
@@ -0,0 +1,63 @@
+package org.chivetally.queue.agent;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.chivetally.queue.ManualTimers;
+import org.chivetally.queue.RunKey;
+
+/** Calls of which a share gets no answer and is carried out seconds later, as a minion in trouble does. */
+final class LossyMinion implements MinionPort {
+    private static final Duration TIMEOUT = Duration.ofMillis(200);
+
+    private final ManualTimers timers;
+    private final MinionPort minion;
+    private final double lostShare;
+    private final Random random;
+    int calls;
+
+    LossyMinion(ManualTimers timers, MinionPort minion, double lostShare, long seed) {
+        this.timers = timers;
+        this.minion = minion;
+        this.lostShare = lostShare;
+        this.random = new Random(seed);
+    }
+
+    private boolean isLost(Runnable late) {
+        calls++;
+        boolean lost = random.nextDouble() < lostShare;
+        if (lost) {
+            timers.after(Duration.ofMillis(2_000 + random.nextInt(10_000)), late);
+        }
+        return lost;
+    }
+
+    @Override
+    public void start(String boot, StartOrder order, Consumer<StartAnswer> answer) {
+        if (isLost(() -> minion.start(boot, order, late -> {}))) {
+            timers.after(TIMEOUT, () -> answer.accept(new StartAnswer.Unknown("no answer in time")));
+        } else {
+            timers.after(Duration.ofMillis(1), () -> minion.start(boot, order, answer));
+        }
+    }
+
+    @Override
+    public void stop(String boot, RunKey run, long token, Consumer<Boolean> answer) {
+        if (isLost(() -> minion.stop(boot, run, token, late -> {}))) {
+            timers.after(TIMEOUT, () -> answer.accept(false));
+        } else {
+            timers.after(Duration.ofMillis(1), () -> minion.stop(boot, run, token, answer));
+        }
+    }
+
+    @Override
+    public void look(String boot, LookOrder order, Consumer<LookAnswer> answer) {
+        if (isLost(() -> minion.look(boot, order, late -> {}))) {
+            timers.after(
+                    order.longestWait().plus(TIMEOUT),
+                    () -> answer.accept(new LookAnswer.Unknown("no answer in time")));
+        } else {
+            minion.look(boot, order, answer);
+        }
+    }
+}
