--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -210,11 +210,43 @@
 
     /** Notes what the minion announced. A boot that was replaced is ignored, as its announcement was held up. */
     public void announced(MinionState state) {
-        recalled = false;
         if (pastBoots.contains(state.boot())) {
             LOGGER.atInfo().log("%s", EventLine.of("minion-announcement-old").with("minion", state.boot()));
             return;
         }
+        boolean anotherBoot = minion.isPresent() && !minion.get().boot().equals(state.boot());
+        if (anotherBoot && !recalled && answering && reconciled) {
+            confirm(state);
+        } else {
+            accept(state);
+        }
+    }
+
+    /**
+     * Asks whether an announced boot is there before it replaces one that answers. An announcement can come from
+     * somebody else and name a minion that there never was; taken at its word, every run of the one that works would be
+     * lost.
+     */
+    private void confirm(MinionState state) {
+        LookOrder order = new LookOrder(token, 0, OptionalLong.empty(), Duration.ZERO);
+        port.look(state.boot(), order, answer -> {
+            boolean isThere = answer instanceof LookAnswer.Lists
+                    || answer instanceof LookAnswer.Refused refused && refused.fenced();
+            if (isThere && !pastBoots.contains(state.boot())) {
+                accept(state);
+                return;
+            }
+            LOGGER.atWarning().log(
+                    "%s",
+                    EventLine.of("minion-unconfirmed")
+                            .with("minion", state.boot())
+                            .with("service", state.service())
+                            .with("answer", answer.getClass().getSimpleName()));
+        });
+    }
+
+    private void accept(MinionState state) {
+        recalled = false;
         Optional<MinionState> before = minion;
         boolean sameBoot = before.isPresent() && before.get().boot().equals(state.boot());
         if (!sameBoot) {
--- a/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
@@ -40,6 +40,9 @@
 
     public boolean startsHeldUp;
 
+    /** Boots that are named in calls and were never there. */
+    public final List<String> absentBoots = new ArrayList<>();
+
     public ModelMinion(ManualTimers timers) {
         this.timers = timers;
     }
@@ -127,6 +130,10 @@
             timers.after(Duration.ofMillis(1), () -> answer.accept(new LookAnswer.Unreachable("can't connect")));
             return;
         }
+        if (absentBoots.contains(boot)) {
+            timers.after(Duration.ofMillis(1), () -> answer.accept(new LookAnswer.Refused("another boot", false)));
+            return;
+        }
         if (silent || looksUnanswered > 0) {
             looksUnanswered--;
             timers.after(
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -330,4 +330,20 @@
         supervisor.recall(remembered(5));
         assertThat(supervisor.minion(), is(Optional.empty()));
     }
+
+    /**
+     * Somebody announces a minion that isn't there, beside one that works. Taken at its word, the caller's run would be
+     * called lost and begun elsewhere beside the old one; the minion that answers stays instead.
+     */
+    @Test
+    void anAnnouncedBootThatNobodyAnswersForReplacesNothing() {
+        announce("boot", false);
+        start(run("a", 1));
+        minion.absentBoots.add("nobody");
+        announce("nobody", false);
+        timers.advance(Duration.ofMillis(200));
+        assertThat(told, is(empty()));
+        assertThat(supervisor.minion().orElseThrow().boot(), is("boot"));
+        assertThat(supervisor.isAccepting(), is(true));
+    }
 }
