An entry's part of the processors goes by what all entries ask for

Hypothesis: with equal parts an entry that has more than its part of the callers refuses jobs beside idle workers. Change: entries tell each other in their heartbeats what comes to them and what waits; the backlog forecast and the refusal of overtaken jobs go by the whole demand, and by the entry's part of all that waits.

--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -26,9 +26,11 @@
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.queue.log.OwnershipGroup;
 import org.chivetally.queue.placement.PlacementPolicy;
+import org.chivetally.queue.placement.ServiceDemand;
 import org.chivetally.time.Timers;
 import org.chivetally.transport.FrameListener;
 import org.chivetally.wire.v1.BeatEcho;
+import org.chivetally.wire.v1.Demand;
 import org.chivetally.wire.v1.EntryAddress;
 import org.chivetally.wire.v1.EntryBeat;
 import org.chivetally.wire.v1.Frame;
@@ -201,6 +203,7 @@
             return;
         }
         pendingElsewhere.remove(link.peer().process());
+        runs.forgetDemandOf(link.peer().process());
         desk.linkLost(link.peer().process());
         ownership.join();
     }
@@ -262,6 +265,11 @@
             counts.put(count.getQueue(), count.getPending());
         }
         pendingElsewhere.put(process, counts);
+        Map<String, ServiceDemand> demand = new HashMap<>();
+        for (Demand told : beat.getDemandList()) {
+            demand.put(told.getService(), new ServiceDemand(told.getArrivingMillis(), told.getWaitingWork()));
+        }
+        runs.demandElsewhere(process, demand);
         for (EntryAddress entry : beat.getEntriesList()) {
             met(new Peer(entry.getProcess(), entry.getIncarnation(), false, "", entry.getHost(), entry.getPort()));
         }
@@ -328,6 +336,11 @@
             pendingHere()
                     .forEach((queue, count) -> beat.addPending(
                             QueueCount.newBuilder().setQueue(queue).setPending(count)));
+            runs.demand()
+                    .forEach((service, demand) -> beat.addDemand(Demand.newBuilder()
+                            .setService(service)
+                            .setArrivingMillis(demand.arrivingMillis())
+                            .setWaitingWork(demand.waitingWork())));
         }
         return Frame.newBuilder().setEntryBeat(beat).build();
     }
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -25,6 +25,8 @@
 import org.chivetally.queue.placement.AdmissionPolicy;
 import org.chivetally.queue.placement.ArrivalRate;
 import org.chivetally.queue.placement.PlacementPolicy;
+import org.chivetally.queue.placement.ServiceDemand;
+import org.chivetally.queue.placement.SharedProcessors;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
 import org.chivetally.time.Timers;
@@ -83,6 +85,7 @@
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting = new WaitingTasks();
     private final Map<String, ArrivalRate> arrivals = new HashMap<>();
+    private final Map<String, Map<String, ServiceDemand>> demandElsewhere = new HashMap<>();
     private int entries = 1;
     private boolean passArmed;
 
@@ -121,8 +124,9 @@
         String service = job.specification().terms().service();
         long ahead = waiting.workAhead(service, job.specification().terms().priority());
         long now = timers.nanos();
-        Optional<Duration> refusal =
-                isSettling() ? Optional.empty() : AdmissionPolicy.refuse(job, now, ahead, processorShare(service));
+        Optional<Duration> refusal = isSettling()
+                ? Optional.empty()
+                : AdmissionPolicy.refuse(job, now, ahead, processors(service).forBacklog());
         if (refusal.isEmpty()) {
             arrivals.computeIfAbsent(service, name -> new ArrivalRate()).arrived(job.specification(), now);
         }
@@ -138,18 +142,46 @@
         return timers.nanos() - startedAtNanos < SETTLING.toNanos();
     }
 
-    /**
-     * Returns this entry's part of the processors of a service, in thousandths: each entry sees its own backlog only,
-     * and gets about its share of the workers beside the other entries.
-     */
-    private long processorShare(String service) {
+    /** Returns this entry's part of a service's processors, beside what the other entries ask of them. */
+    private SharedProcessors processors(String service) {
+        Map<String, ServiceDemand> told = new HashMap<>();
+        demandElsewhere.forEach((entry, demand) -> told.put(entry, demand.getOrDefault(service, ServiceDemand.NONE)));
+        return SharedProcessors.among(capacity(service), demand(service), told, entries);
+    }
+
+    private ServiceDemand demand(String service) {
+        ArrivalRate arriving = arrivals.get(service);
+        long arrivingMillis = arriving == null ? 0 : arriving.processorMillis(timers.nanos());
+        return new ServiceDemand(arrivingMillis, waiting.work(service));
+    }
+
+    /** Returns what this entry asks of each service's workers. */
+    Map<String, ServiceDemand> demand() {
+        Map<String, ServiceDemand> demand = new HashMap<>();
+        for (String service : arrivals.keySet()) {
+            demand.put(service, demand(service));
+        }
+        return demand;
+    }
+
+    /** Notes what another entry asks of each service's workers. */
+    void demandElsewhere(String entry, Map<String, ServiceDemand> demand) {
+        demandElsewhere.put(entry, demand);
+    }
+
+    /** Forgets what another entry asked for, as it is gone or can't be heard. */
+    void forgetDemandOf(String entry) {
+        demandElsewhere.remove(entry);
+    }
+
+    private long capacity(String service) {
         long processors = 0;
         for (Worker worker : workers.values()) {
             boolean serves =
                     worker.view().service().equals(service) && worker.view().accepting();
             processors += serves ? worker.view().capacity().processorMillis() : 0;
         }
-        return processors / Math.max(1, entries);
+        return processors;
     }
 
     private void refuseWithoutProspect(long now) {
@@ -158,11 +190,9 @@
             return;
         }
         for (String service : waiting.services()) {
-            long share = processorShare(service);
-            ArrivalRate arriving = arrivals.get(service);
-            if (share > 0 && arriving != null) {
-                long spare = share - arriving.processorMillis(now);
-                waiting.withoutProspect(service, spare, now).forEach(unkept::refuseOvertaken);
+            SharedProcessors processors = processors(service);
+            if (processors.capacityMillis() > 0) {
+                waiting.withoutProspect(service, processors.spare(), now).forEach(unkept::refuseOvertaken);
             }
         }
     }
--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
@@ -125,6 +125,15 @@
         return work;
     }
 
+    /** Returns the estimated processor milliseconds of all waiting tasks of a service. */
+    public long work(String service) {
+        long work = 0;
+        for (Entry entry : inOrder(service)) {
+            work += entry.work();
+        }
+        return work;
+    }
+
     private NavigableSet<Entry> inOrder(String service) {
         return byService.getOrDefault(service, Collections.emptyNavigableSet());
     }
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/UnevenLoadTest.java
@@ -0,0 +1,78 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.RunOutcome;
+import org.junit.jupiter.api.Test;
+
+class UnevenLoadTest {
+    private static final int TASK_MILLIS = 100;
+    private static final int ARRIVAL_MILLIS = 40;
+
+    private final Cluster cluster = new Cluster();
+    private final Map<String, Long> placedAtMillis = new LinkedHashMap<>();
+    private final List<JobAnswer> refused = new ArrayList<>();
+    private final List<List<JobAnswer>> answersOf = new ArrayList<>();
+    private long nowMillis;
+
+    /**
+     * All callers come to one of three entries, with three fifths of what the workers can do. For a quarter of a second
+     * no task ends, so some jobs have to wait, and miss their objective. By equal parts the entry would take the
+     * workers for overloaded and turn these callers away, though the room for them comes free at once.
+     */
+    @Test
+    void oneEntryWithAllTheCallersTurnsNobodyAwayBesideRoom() {
+        EntryNode busy = cluster.entry("entry-1");
+        cluster.entry("entry-2");
+        cluster.entry("entry-3");
+        cluster.agent("agent-1");
+        cluster.agent("agent-2");
+        cluster.settled();
+        for (int number = 0; number < 100; number++) {
+            String id = "%016x".formatted(number);
+            List<JobAnswer> answers = cluster.submitUnkept(busy, Jobs.of(id, 1), 2_000);
+            boolean stalled = number >= 50 && number < 56;
+            work(stalled ? Integer.MAX_VALUE : TASK_MILLIS);
+            answersOf.add(answers);
+        }
+        for (int round = 0; round < 30; round++) {
+            work(TASK_MILLIS);
+        }
+        for (List<JobAnswer> answers : answersOf) {
+            answers.stream()
+                    .filter(answer -> !(answer instanceof JobAnswer.State))
+                    .forEach(refused::add);
+        }
+        assertThat(refused, is(List.of()));
+    }
+
+    /** Lets the time of one arrival pass, and ends the tasks that have run long enough. */
+    private void work(int taskMillis) {
+        for (int step = 0; step < ARRIVAL_MILLIS / 10; step++) {
+            cluster.advance(10);
+            nowMillis += 10;
+            List<String> due = new ArrayList<>();
+            cluster.minions
+                    .values()
+                    .forEach(minion -> minion.running.keySet().forEach(run -> {
+                        String job = run.task().jobId();
+                        long placed = placedAtMillis.computeIfAbsent(job, same -> nowMillis);
+                        if (nowMillis - placed >= taskMillis) {
+                            due.add(job);
+                        }
+                    }));
+            due.forEach(job -> cluster.minions
+                    .values()
+                    .forEach(minion -> List.copyOf(minion.running.keySet()).stream()
+                            .filter(run -> run.task().jobId().equals(job))
+                            .forEach(run -> minion.end(run, RunOutcome.DONE))));
+        }
+    }
+}
--- a/wire/src/main/java/org/chivetally/wire/v1/EntryBeat.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/EntryBeat.java
@@ -35,6 +35,7 @@
     owned_ = java.util.Collections.emptyList();
     pending_ = java.util.Collections.emptyList();
     entries_ = java.util.Collections.emptyList();
+    demand_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -219,6 +220,67 @@
     return leaving_;
   }
 
+  public static final int DEMAND_FIELD_NUMBER = 7;
+  @SuppressWarnings("serial")
+  private java.util.List<org.chivetally.wire.v1.Demand> demand_;
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.chivetally.wire.v1.Demand> getDemandList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.chivetally.wire.v1.DemandOrBuilder> 
+      getDemandOrBuilderList() {
+    return demand_;
+  }
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  @java.lang.Override
+  public int getDemandCount() {
+    return demand_.size();
+  }
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.Demand getDemand(int index) {
+    return demand_.get(index);
+  }
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.DemandOrBuilder getDemandOrBuilder(
+      int index) {
+    return demand_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -251,6 +313,9 @@
     if (leaving_ != false) {
       output.writeBool(6, leaving_);
     }
+    for (int i = 0; i < demand_.size(); i++) {
+      output.writeMessage(7, demand_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -294,6 +359,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(6, leaving_);
     }
+
+        {
+          final int count = demand_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(demand_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -330,6 +404,8 @@
         .equals(other.getEntriesList())) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (!getDemandList()
+        .equals(other.getDemandList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -362,6 +438,10 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    if (getDemandCount() > 0) {
+      hash = (37 * hash) + DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getDemandList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -521,6 +601,13 @@
       }
       bitField0_ = (bitField0_ & ~0x00000010);
       leaving_ = false;
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+      } else {
+        demand_ = null;
+        demandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000040);
       return this;
     }
 
@@ -581,6 +668,15 @@
       } else {
         result.entries_ = entriesBuilder_.build();
       }
+      if (demandBuilder_ == null) {
+        if (((bitField0_ & 0x00000040) != 0)) {
+          demand_ = java.util.Collections.unmodifiableList(demand_);
+          bitField0_ = (bitField0_ & ~0x00000040);
+        }
+        result.demand_ = demand_;
+      } else {
+        result.demand_ = demandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.chivetally.wire.v1.EntryBeat result) {
@@ -695,6 +791,32 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (demandBuilder_ == null) {
+        if (!other.demand_.isEmpty()) {
+          if (demand_.isEmpty()) {
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+          } else {
+            ensureDemandIsMutable();
+            demand_.addAll(other.demand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.demand_.isEmpty()) {
+          if (demandBuilder_.isEmpty()) {
+            demandBuilder_.dispose();
+            demandBuilder_ = null;
+            demand_ = other.demand_;
+            bitField0_ = (bitField0_ & ~0x00000040);
+            demandBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetDemandFieldBuilder() : null;
+          } else {
+            demandBuilder_.addAllMessages(other.demand_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -773,6 +895,19 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              org.chivetally.wire.v1.Demand m =
+                  input.readMessage(
+                      org.chivetally.wire.v1.Demand.parser(),
+                      extensionRegistry);
+              if (demandBuilder_ == null) {
+                ensureDemandIsMutable();
+                demand_.add(m);
+              } else {
+                demandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1612,6 +1747,312 @@
       return this;
     }
 
+    private java.util.List<org.chivetally.wire.v1.Demand> demand_ =
+      java.util.Collections.emptyList();
+    private void ensureDemandIsMutable() {
+      if (!((bitField0_ & 0x00000040) != 0)) {
+        demand_ = new java.util.ArrayList<org.chivetally.wire.v1.Demand>(demand_);
+        bitField0_ |= 0x00000040;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.chivetally.wire.v1.Demand, org.chivetally.wire.v1.Demand.Builder, org.chivetally.wire.v1.DemandOrBuilder> demandBuilder_;
+
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public java.util.List<org.chivetally.wire.v1.Demand> getDemandList() {
+      if (demandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(demand_);
+      } else {
+        return demandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public int getDemandCount() {
+      if (demandBuilder_ == null) {
+        return demand_.size();
+      } else {
+        return demandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public org.chivetally.wire.v1.Demand getDemand(int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);
+      } else {
+        return demandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder setDemand(
+        int index, org.chivetally.wire.v1.Demand value) {
+      if (demandBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandIsMutable();
+        demand_.set(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder setDemand(
+        int index, org.chivetally.wire.v1.Demand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder addDemand(org.chivetally.wire.v1.Demand value) {
+      if (demandBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandIsMutable();
+        demand_.add(value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder addDemand(
+        int index, org.chivetally.wire.v1.Demand value) {
+      if (demandBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureDemandIsMutable();
+        demand_.add(index, value);
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder addDemand(
+        org.chivetally.wire.v1.Demand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder addDemand(
+        int index, org.chivetally.wire.v1.Demand.Builder builderForValue) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        demandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder addAllDemand(
+        java.lang.Iterable<? extends org.chivetally.wire.v1.Demand> values) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, demand_);
+        onChanged();
+      } else {
+        demandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder clearDemand() {
+      if (demandBuilder_ == null) {
+        demand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000040);
+        onChanged();
+      } else {
+        demandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public Builder removeDemand(int index) {
+      if (demandBuilder_ == null) {
+        ensureDemandIsMutable();
+        demand_.remove(index);
+        onChanged();
+      } else {
+        demandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public org.chivetally.wire.v1.Demand.Builder getDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public org.chivetally.wire.v1.DemandOrBuilder getDemandOrBuilder(
+        int index) {
+      if (demandBuilder_ == null) {
+        return demand_.get(index);  } else {
+        return demandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public java.util.List<? extends org.chivetally.wire.v1.DemandOrBuilder> 
+         getDemandOrBuilderList() {
+      if (demandBuilder_ != null) {
+        return demandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(demand_);
+      }
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public org.chivetally.wire.v1.Demand.Builder addDemandBuilder() {
+      return internalGetDemandFieldBuilder().addBuilder(
+          org.chivetally.wire.v1.Demand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public org.chivetally.wire.v1.Demand.Builder addDemandBuilder(
+        int index) {
+      return internalGetDemandFieldBuilder().addBuilder(
+          index, org.chivetally.wire.v1.Demand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * to entries only
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+     */
+    public java.util.List<org.chivetally.wire.v1.Demand.Builder> 
+         getDemandBuilderList() {
+      return internalGetDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.chivetally.wire.v1.Demand, org.chivetally.wire.v1.Demand.Builder, org.chivetally.wire.v1.DemandOrBuilder> 
+        internalGetDemandFieldBuilder() {
+      if (demandBuilder_ == null) {
+        demandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.chivetally.wire.v1.Demand, org.chivetally.wire.v1.Demand.Builder, org.chivetally.wire.v1.DemandOrBuilder>(
+                demand_,
+                ((bitField0_ & 0x00000040) != 0),
+                getParentForChildren(),
+                isClean());
+        demand_ = null;
+      }
+      return demandBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.EntryBeat)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/EntryBeatOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/EntryBeatOrBuilder.java
@@ -107,4 +107,48 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  java.util.List<org.chivetally.wire.v1.Demand> 
+      getDemandList();
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  org.chivetally.wire.v1.Demand getDemand(int index);
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  int getDemandCount();
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  java.util.List<? extends org.chivetally.wire.v1.DemandOrBuilder> 
+      getDemandOrBuilderList();
+  /**
+   * <pre>
+   * to entries only
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.Demand demand = 7;</code>
+   */
+  org.chivetally.wire.v1.DemandOrBuilder getDemandOrBuilder(
+      int index);
 }
