--- a/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
@@ -45,6 +45,7 @@
             JobsCommand.class,
             CancelCommand.class,
             ExplainCommand.class,
+            LossesCommand.class,
             ConfigurationCommand.class,
             StandInCommand.class,
             LayoutCommand.class,
