--- a/library/src/main/java/org/chivetally/queue/agent/AnswerTimes.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AnswerTimes.java
@@ -7,7 +7,7 @@
  * is that of TCP's retransmission timer (RFC 6298): the smoothed time and four times its smoothed deviation.
  */
 final class AnswerTimes {
-    /** Least patience: answers take a millisecond, and a pause of the agent's collector takes up to 10 ms. */
+    /** Least patience: an answer takes a millisecond, and a busy agent reads it a few milliseconds later. */
     static final Duration SHORTEST = Duration.ofMillis(12);
 
     /** Longest patience: the objectives of callers leave 60 ms beside the work. */
--- a/library/src/main/java/org/chivetally/queue/agent/RepeatingMinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RepeatingMinionPort.java
@@ -26,9 +26,7 @@
      */
     static final Duration LOSSY_WAIT = Duration.ofMillis(30);
 
-    /**
-     * Time for which answers count as getting lost after one was: ten losses an agent come in it under such a fault.
-     */
+    /** Time for which answers count as getting lost after one was: at one call in twenty lost, several come in it. */
     static final Duration LOSSY_MEMORY = Duration.ofSeconds(2);
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
