--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -152,7 +152,8 @@
     private ServiceDemand demand(String service) {
         ArrivalRate arriving = arrivals.get(service);
         long arrivingMillis = arriving == null ? 0 : arriving.processorMillis(timers.nanos());
-        return new ServiceDemand(arrivingMillis, waiting.work(service));
+        // A job that was stored before estimates were checked may have a negative one.
+        return new ServiceDemand(Math.max(0, arrivingMillis), Math.max(0, waiting.work(service)));
     }
 
     /** Returns what this entry asks of each service's workers. */
