--- a/library/src/main/java/org/chivetally/queue/agent/RepeatingMinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RepeatingMinionPort.java
@@ -4,6 +4,9 @@
 import java.time.Duration;
 import java.util.OptionalLong;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
+import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.RunKey;
 import org.chivetally.time.Timers;
@@ -48,63 +51,114 @@
 
     @Override
     public void start(String boot, StartOrder order, Consumer<StartAnswer> answer) {
-        new StartCall(boot, order, answer).attempt();
+        new Call<StartAnswer>(
+                        "start " + order.run(),
+                        number -> Duration.ZERO,
+                        (number, told) -> port.start(boot, order, told),
+                        told -> !(told instanceof StartAnswer.Unknown),
+                        RepeatingMinionPort::besideUnsettled,
+                        answer)
+                .attempt();
+    }
+
+    /** A refusal of one copy doesn't keep another one, which may still be on its way, from being carried out. */
+    private static StartAnswer besideUnsettled(StartAnswer answer) {
+        return answer instanceof StartAnswer.Started
+                ? answer
+                : new StartAnswer.Unknown("refused beside an attempt without an answer");
     }
 
     @Override
     public void stop(String boot, RunKey run, long token, Consumer<Boolean> answer) {
-        new StopCall(boot, run, token, answer).attempt();
+        new Call<Boolean>(
+                        "stop " + run,
+                        number -> Duration.ZERO,
+                        (number, told) -> port.stop(boot, run, token, told),
+                        taken -> taken,
+                        UnaryOperator.identity(),
+                        answer)
+                .attempt();
     }
 
     @Override
     public void look(String boot, LookOrder order, Consumer<LookAnswer> answer) {
         boolean shortened = isLossy() && order.longestWait().compareTo(LOSSY_WAIT) > 0;
         LookOrder first = shortened ? order.waiting(LOSSY_WAIT) : order;
-        new LookCall(boot, first, answer).attempt();
+        LookOrder repeated = order.waiting(Duration.ZERO);
+        new Call<LookAnswer>(
+                        "look",
+                        number -> number == 1 ? first.longestWait() : Duration.ZERO,
+                        (number, told) -> port.look(boot, number == 1 ? first : repeated, told),
+                        told -> !(told instanceof LookAnswer.Unknown),
+                        UnaryOperator.identity(),
+                        answer)
+                .attempt();
     }
 
     private boolean isLossy() {
         return lostAtNanos.isPresent() && timers.nanos() - lostAtNanos.getAsLong() < LOSSY_MEMORY.toNanos();
     }
 
+    /**
+     * Makes one attempt of a call.
+     *
+     * @param <A> what is answered
+     */
+    private interface Attempt<A> {
+        /** Makes the attempt of that number, from 1. */
+        void send(int number, Consumer<A> answer);
+    }
+
     /**
      * One call and its attempts, until one of them is answered or all are given up.
      *
      * @param <A> what is answered
      */
-    private abstract class Call<A> {
+    private final class Call<A> {
+        private final String name;
+        private final IntFunction<Duration> heldBack;
+        private final Attempt<A> attempt;
+        private final Predicate<A> isSettled;
+        private final UnaryOperator<A> besideUnsettled;
         private final Consumer<A> result;
         private int attempts;
         private int unsettled;
         private boolean finished;
         private Timers.Timer repetition = () -> {};
 
-        private Call(Consumer<A> result) {
+        /**
+         * Creates a call that isn't made yet.
+         *
+         * @param name for logs
+         * @param heldBack how long the minion may hold the answer of an attempt back, by its number
+         * @param attempt makes one attempt
+         * @param isSettled whether an answer says what became of its attempt
+         * @param besideUnsettled what an answer means beside attempts of which nothing is known
+         * @param result told once
+         */
+        private Call(
+                String name,
+                IntFunction<Duration> heldBack,
+                Attempt<A> attempt,
+                Predicate<A> isSettled,
+                UnaryOperator<A> besideUnsettled,
+                Consumer<A> result) {
+            this.name = name;
+            this.heldBack = heldBack;
+            this.attempt = attempt;
+            this.isSettled = isSettled;
+            this.besideUnsettled = besideUnsettled;
             this.result = result;
         }
 
-        /** Makes the attempt of that number, from 1. */
-        abstract void send(int number, Consumer<A> answer);
-
-        /** Returns how long the minion may hold the answer of an attempt back. */
-        abstract Duration heldBack(int number);
-
-        /** Tells whether an answer says what became of the attempt. */
-        abstract boolean isSettled(A answer);
-
-        /** Returns what an answer means beside attempts of which nothing is known. */
-        abstract A besideUnsettled(A answer);
-
-        abstract String name();
-
-        final void attempt() {
+        private void attempt() {
             attempts++;
             unsettled++;
             int number = attempts;
             long sentAtNanos = timers.nanos();
-            Duration heldBack = heldBack(number);
-            repetition = timers.after(heldBack.plus(answerTimes.patience()), () -> repeat(number));
-            send(number, answer -> answered(answer, heldBack.isZero(), timers.nanos() - sentAtNanos));
+            Duration held = heldBack.apply(number);
+            repetition = timers.after(held.plus(answerTimes.patience()), () -> repeat(number));
+            attempt.send(number, answer -> answered(answer, held.isZero(), timers.nanos() - sentAtNanos));
         }
 
         private void repeat(int number) {
@@ -113,14 +167,14 @@
                 return;
             }
             EventLine.of("call-repeated")
-                    .with("call", name())
+                    .with("call", name)
                     .with("attempts", number)
                     .log(LOGGER.atInfo());
             attempt();
         }
 
         private void answered(A answer, boolean atOnce, long tookNanos) {
-            boolean settled = isSettled(answer);
+            boolean settled = isSettled.test(answer);
             unsettled -= settled ? 1 : 0;
             if (settled && atOnce) {
                 answerTimes.observe(tookNanos);
@@ -131,120 +185,7 @@
             }
             finished = true;
             repetition.cancel();
-            result.accept(unsettled > 0 ? besideUnsettled(answer) : answer);
-        }
-    }
-
-    private final class StartCall extends Call<StartAnswer> {
-        private final String boot;
-        private final StartOrder order;
-
-        private StartCall(String boot, StartOrder order, Consumer<StartAnswer> result) {
-            super(result);
-            this.boot = boot;
-            this.order = order;
-        }
-
-        @Override
-        void send(int number, Consumer<StartAnswer> answer) {
-            port.start(boot, order, answer);
-        }
-
-        @Override
-        Duration heldBack(int number) {
-            return Duration.ZERO;
-        }
-
-        @Override
-        boolean isSettled(StartAnswer answer) {
-            return !(answer instanceof StartAnswer.Unknown);
-        }
-
-        /** A refusal of one copy doesn't keep another one, which may still be on its way, from being carried out. */
-        @Override
-        StartAnswer besideUnsettled(StartAnswer answer) {
-            return answer instanceof StartAnswer.Started
-                    ? answer
-                    : new StartAnswer.Unknown("refused beside an attempt without an answer");
-        }
-
-        @Override
-        String name() {
-            return "start " + order.run();
-        }
-    }
-
-    private final class StopCall extends Call<Boolean> {
-        private final String boot;
-        private final RunKey run;
-        private final long token;
-
-        private StopCall(String boot, RunKey run, long token, Consumer<Boolean> result) {
-            super(result);
-            this.boot = boot;
-            this.run = run;
-            this.token = token;
-        }
-
-        @Override
-        void send(int number, Consumer<Boolean> answer) {
-            port.stop(boot, run, token, answer);
-        }
-
-        @Override
-        Duration heldBack(int number) {
-            return Duration.ZERO;
-        }
-
-        @Override
-        boolean isSettled(Boolean taken) {
-            return taken;
-        }
-
-        @Override
-        Boolean besideUnsettled(Boolean taken) {
-            return taken;
-        }
-
-        @Override
-        String name() {
-            return "stop " + run;
-        }
-    }
-
-    private final class LookCall extends Call<LookAnswer> {
-        private final String boot;
-        private final LookOrder order;
-
-        private LookCall(String boot, LookOrder order, Consumer<LookAnswer> result) {
-            super(result);
-            this.boot = boot;
-            this.order = order;
-        }
-
-        @Override
-        void send(int number, Consumer<LookAnswer> answer) {
-            port.look(boot, number == 1 ? order : order.waiting(Duration.ZERO), answer);
-        }
-
-        @Override
-        Duration heldBack(int number) {
-            return number == 1 ? order.longestWait() : Duration.ZERO;
-        }
-
-        @Override
-        boolean isSettled(LookAnswer answer) {
-            return !(answer instanceof LookAnswer.Unknown);
-        }
-
-        @Override
-        LookAnswer besideUnsettled(LookAnswer answer) {
-            return answer;
-        }
-
-        @Override
-        String name() {
-            return "look";
+            result.accept(unsettled > 0 ? besideUnsettled.apply(answer) : answer);
         }
     }
 }
--- a/library/src/test/java/org/chivetally/queue/agent/RepeatingMinionPortTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RepeatingMinionPortTest.java
@@ -35,36 +35,25 @@
     private final ManualTimers timers = new ManualTimers();
     private final ModelMinion minion = new ModelMinion(timers);
     private final Map<RunKey, Long> endedAtNanos = new HashMap<>();
-    private final List<OwnedEnd> told = new ArrayList<>();
     private final Map<RunKey, Long> begunAtNanos = new HashMap<>();
     private final Set<RunKey> ended = new HashSet<>();
     private final Set<RunKey> begunAgain = new HashSet<>();
 
-    private final class Listener implements SupervisorListener {
-        @Override
-        public boolean mayRenew(Set<RunOwner> owners) {
-            return true;
-        }
-
+    private final ScriptedListener listener = new ScriptedListener() {
         @Override
         public void ended(List<OwnedEnd> ends) {
-            told.addAll(ends);
+            super.ended(ends);
             ends.forEach(end -> endedAtNanos.put(end.end().run(), timers.nanos()));
         }
-
-        @Override
-        public void minionChanged() {}
-
-        @Override
-        public void roomChanged() {}
-    }
+    };
+    private final List<OwnedEnd> told = listener.told;
 
     private static RunKey run(int number) {
         return new RunKey(new TaskKey("job-" + number, 0, 0, 0), 1);
     }
 
     private RunSupervisor supervise(MinionPort port) {
-        RunSupervisor supervisor = new RunSupervisor(timers, port, new Listener(), 16);
+        RunSupervisor supervisor = new RunSupervisor(timers, port, listener, 16);
         supervisor.announced(
                 new MinionState("boot", "reports", new Room(32_000, 65_536, 0), List.of("a"), false, minion.clock()));
         timers.advance(Duration.ofMillis(500));
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -8,10 +8,8 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import org.chivetally.queue.ManualTimers;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.RunKey;
@@ -26,27 +24,9 @@
 
     private final ManualTimers timers = new ManualTimers();
     private final ModelMinion minion = new ModelMinion(timers);
-    private final List<OwnedEnd> told = new ArrayList<>();
-    private boolean mayRenew = true;
-    private final RunSupervisor supervisor = new RunSupervisor(timers, minion, new Listener(), 16);
-
-    private final class Listener implements SupervisorListener {
-        @Override
-        public boolean mayRenew(Set<RunOwner> owners) {
-            return mayRenew;
-        }
-
-        @Override
-        public void ended(List<OwnedEnd> ends) {
-            told.addAll(ends);
-        }
-
-        @Override
-        public void minionChanged() {}
-
-        @Override
-        public void roomChanged() {}
-    }
+    private final ScriptedListener listener = new ScriptedListener();
+    private final List<OwnedEnd> told = listener.told;
+    private final RunSupervisor supervisor = new RunSupervisor(timers, minion, listener, 16);
 
     private static RunKey run(String job, long number) {
         return new RunKey(new TaskKey(job, 0, 0, 0), number);
@@ -198,7 +178,7 @@
         start(run("a", 1));
         timers.advance(Duration.ofMillis(900));
         assertThat(minion.isLapsed(), is(false));
-        mayRenew = false;
+        listener.mayRenew = false;
         timers.advance(Duration.ofMillis(1_100));
         assertThat(minion.isLapsed(), is(true));
     }
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/agent/ScriptedListener.java
@@ -0,0 +1,27 @@
+package org.chivetally.queue.agent;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/** Lets leases be renewed or not, and notes the ends that it is told. */
+class ScriptedListener implements SupervisorListener {
+    final List<OwnedEnd> told = new ArrayList<>();
+    boolean mayRenew = true;
+
+    @Override
+    public boolean mayRenew(Set<RunOwner> owners) {
+        return mayRenew;
+    }
+
+    @Override
+    public void ended(List<OwnedEnd> ends) {
+        told.addAll(ends);
+    }
+
+    @Override
+    public void minionChanged() {}
+
+    @Override
+    public void roomChanged() {}
+}
