--- a/library/src/main/java/org/chivetally/logging/BoundedLogHandler.java
+++ b/library/src/main/java/org/chivetally/logging/BoundedLogHandler.java
@@ -31,7 +31,8 @@
     private volatile Thread unheard;
     private final PrintStream out;
 
-    private BoundedLogHandler(PrintStream out) {
+    /** Creates a handler that writes when it is flushed, and from its own thread once it is installed. */
+    BoundedLogHandler(PrintStream out) {
         this.out = out;
     }
 
