--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -168,6 +168,11 @@
         return held.isEmpty() && ends.isEmpty();
     }
 
+    /** Returns what fences calls of agents that were replaced, as this one sends it now. */
+    public long token() {
+        return token;
+    }
+
     /** Tells whether nothing was ever started here. */
     public boolean isUnused() {
         return !used;
