An entry that starts slowly doubts nobody for it

Cause: after a loss of all power a small entry needs 1.7 s until its event loop turns for the first time. Change: it counts from the moment at which the entry begins to listen; a stall of 0.7 s after that makes requests doubtful as before.

--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -121,6 +121,11 @@
         timers.every(FORGET_INTERVAL, this::forget);
     }
 
+    /** Notes that callers can reach the entry from now on. */
+    public void opened() {
+        stall.opened();
+    }
+
     /** Returns where callers are answered. */
     public JobDesk desk() {
         return desk;
--- a/library/src/main/java/org/chivetally/queue/link/StallDetector.java
+++ b/library/src/main/java/org/chivetally/queue/link/StallDetector.java
@@ -49,6 +49,14 @@
         this.doubtfulUntilNanos = timers.nanos();
     }
 
+    /**
+     * Notes that callers can reach the process from now on, so that nothing which is read can be older. A small entry
+     * takes more than a second from its start to here, and would refuse everybody for two more.
+     */
+    public void opened() {
+        lookedAtNanos = timers.nanos();
+    }
+
     /** Tells whether what is read now may be old; to be called regularly, and before anything new is taken on. */
     public boolean look() {
         long now = timers.nanos();
