--- a/library/src/main/java/org/chivetally/http/HttpCaller.java
+++ b/library/src/main/java/org/chivetally/http/HttpCaller.java
@@ -37,6 +37,7 @@
     private final EventLoop loop;
     private final Timers timers;
     private final HostPort target;
+    private final String host;
     private final int mostConnections;
     private final Deque<Connection> idle = new ArrayDeque<>();
     private final Deque<Pending> waiting = new ArrayDeque<>();
@@ -51,6 +52,7 @@
         this.loop = loop;
         this.timers = timers;
         this.target = target;
+        this.host = target.toString();
         this.mostConnections = mostConnections;
     }
 
@@ -144,7 +146,7 @@
                     HttpMethod.valueOf(call.method()),
                     call.path(),
                     Unpooled.wrappedBuffer(call.body()));
-            request.headers().set(HttpHeaderNames.HOST, target.toString());
+            request.headers().set(HttpHeaderNames.HOST, host);
             call.headers().forEach((name, value) -> request.headers().set(name, value));
             if (!call.contentType().isEmpty()) {
                 request.headers().set(HttpHeaderNames.CONTENT_TYPE, call.contentType());
--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -463,7 +463,7 @@
     }
 
     private Duration reportPause() {
-        int entries = Math.max(ENTRIES_PER_PAUSE, links.links().size());
+        int entries = Math.max(ENTRIES_PER_PAUSE, links.size());
         Duration byEntries = REPORT_PAUSE.multipliedBy(entries).dividedBy(ENTRIES_PER_PAUSE);
         Duration byAgents = Duration.ofSeconds(agents).dividedBy(REPORTS_PER_SECOND);
         return byAgents.compareTo(byEntries) > 0 ? byAgents : byEntries;
@@ -490,12 +490,14 @@
 
     private void sendBeats() {
         toldAccepting = supervisor.isAccepting();
+        WorkerReport.Builder report = report();
         for (PeerLink link : links.links()) {
             link.send(Frame.newBuilder()
                     .setAgentBeat(AgentBeat.newBuilder()
                             .setStampNanos(timers.nanos())
                             .setEchoNanos(link.peerStampNanos())
-                            .setReport(report(link)))
+                            .setReport(report.setStartsSeen(startsSeen.getOrDefault(link, 0L))
+                                    .build()))
                     .build());
         }
     }
@@ -533,10 +535,13 @@
     }
 
     private WorkerReport report(PeerLink link) {
-        WorkerReport.Builder report = WorkerReport.newBuilder()
-                .setFailureDomain(self.failureDomain())
-                .setAccepting(supervisor.isAccepting())
-                .setStartsSeen(startsSeen.getOrDefault(link, 0L));
+        return report().setStartsSeen(startsSeen.getOrDefault(link, 0L)).build();
+    }
+
+    /** Returns what all entries are told, without what each of them has sent. */
+    private WorkerReport.Builder report() {
+        WorkerReport.Builder report =
+                WorkerReport.newBuilder().setFailureDomain(self.failureDomain()).setAccepting(supervisor.isAccepting());
         supervisor
                 .minion()
                 .ifPresent(minion -> report.setMinion(minion.boot())
@@ -544,7 +549,7 @@
                         .setCapacity(JobCodec.encode(minion.capacity()))
                         .setFree(JobCodec.encode(clamped(supervisor.free().minus(waitingStarts.room()))))
                         .addAllLabels(minion.labels()));
-        return report.build();
+        return report;
     }
 
     private static Room clamped(Room free) {
--- a/library/src/main/java/org/chivetally/queue/agent/RunOwner.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunOwner.java
@@ -22,5 +22,17 @@
         public Entry {
             Objects.requireNonNull(process, "process");
         }
+
+        /** As by default, but written out: each start and look compares the owners of all runs. */
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Entry entry && incarnation == entry.incarnation && process.equals(entry.process);
+        }
+
+        /** As by default, but written out, for the reason that {@link #equals} has. */
+        @Override
+        public int hashCode() {
+            return process.hashCode() + Long.hashCode(incarnation);
+        }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/link/LinkTable.java
+++ b/library/src/main/java/org/chivetally/queue/link/LinkTable.java
@@ -60,6 +60,11 @@
         return List.copyOf(links.values());
     }
 
+    /** Returns the number of open links. */
+    public int size() {
+        return links.size();
+    }
+
     /** Returns the link to a process, if it is open. */
     public Optional<PeerLink> link(String process) {
         return Optional.ofNullable(links.get(process));
