An event loop sleeps until its next timer instead of polling before it

Cause: Netty rounds the time to the next timer to the nearest millisecond, so in the half millisecond before each timer the loop polls without a pause.

--- a/library/src/main/java/org/chivetally/transport/FrameTransport.java
+++ b/library/src/main/java/org/chivetally/transport/FrameTransport.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -53,7 +52,7 @@
      */
     public FrameTransport(int threads, MeterRegistry registry) {
         Objects.requireNonNull(registry, "registry");
-        this.eventLoops = new MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory());
+        this.eventLoops = new MultiThreadIoEventLoopGroup(threads, PatientIoHandler.newFactory());
         this.ownsEventLoops = true;
         this.meters = new FrameMeters(registry);
     }
--- /dev/null
+++ b/library/src/test/java/org/chivetally/transport/PatientIoHandlerTest.java
@@ -0,0 +1,117 @@
+package org.chivetally.transport;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoRegistration;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PatientIoHandlerTest {
+    private static final int TIMERS = 100;
+
+    private final AtomicInteger turns = new AtomicInteger();
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(
+            1,
+            PatientIoHandler.newFactory(
+                    executor -> new CountingHandler(NioIoHandler.newFactory().newHandler(executor))));
+
+    @AfterEach
+    void end() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    /**
+     * A hundred timers are due one after the other, none of them at a whole millisecond. The loop polled without a
+     * pause in the half millisecond before each, up to a hundred times; a turn or two a timer are enough.
+     */
+    @Test
+    void sleepsUntilTheNextTimerIsDue() throws InterruptedException {
+        CountDownLatch fired = new CountDownLatch(TIMERS);
+        turns.set(0);
+
+        next(fired);
+
+        assertThat(fired.await(10, TimeUnit.SECONDS), is(true));
+        assertThat(turns.get(), is(lessThan(4 * TIMERS)));
+    }
+
+    private void next(CountDownLatch fired) {
+        group.next()
+                .schedule(
+                        () -> {
+                            fired.countDown();
+                            if (fired.getCount() > 0) {
+                                next(fired);
+                            }
+                        },
+                        2_300,
+                        TimeUnit.MICROSECONDS);
+    }
+
+    @Test
+    void neverFiresEarly() throws Exception {
+        long begun = System.nanoTime();
+        long fired = group.next()
+                .schedule(System::nanoTime, 3_700, TimeUnit.MICROSECONDS)
+                .get();
+
+        assertThat(fired - begun, is(greaterThanOrEqualTo(3_700_000L)));
+    }
+
+    /** Counts the turns of the loop. */
+    private final class CountingHandler implements IoHandler {
+        private final IoHandler handler;
+
+        private CountingHandler(IoHandler handler) {
+            this.handler = handler;
+        }
+
+        @Override
+        public void initialize() {
+            handler.initialize();
+        }
+
+        @Override
+        public int run(IoHandlerContext context) {
+            turns.incrementAndGet();
+            return handler.run(context);
+        }
+
+        @Override
+        public void prepareToDestroy() {
+            handler.prepareToDestroy();
+        }
+
+        @Override
+        public void destroy() {
+            handler.destroy();
+        }
+
+        @Override
+        public IoRegistration register(IoHandle handle) throws Exception {
+            return handler.register(handle);
+        }
+
+        @Override
+        public void wakeup() {
+            handler.wakeup();
+        }
+
+        @Override
+        public boolean isCompatible(Class<? extends IoHandle> handleType) {
+            return handler.isCompatible(handleType);
+        }
+    }
+}
