--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -85,6 +85,7 @@
     private final EndList ends = new EndList();
     private final AnnouncedBoots boots;
     private final MinionLease lease = new MinionLease();
+    private final FencingToken token;
     private Optional<MinionState> minion = Optional.empty();
     private Room taken = Room.NONE;
     private Set<RunKey> strangers = Set.of();
@@ -99,7 +100,6 @@
     private boolean lookArmed;
     private boolean renewalHeld;
     private long lookNumber;
-    private long token;
     private long keptSent;
     private long lastAnswerNanos;
 
@@ -115,9 +115,7 @@
         this.boots = new AnnouncedBoots(port);
         this.listener = listener;
         this.startedAtNanos = timers.nanos();
-        // Calls of an agent that was killed may still reach the minion. A higher token fences them; the time of day is
-        // higher than at any earlier start, as a restart takes longer than clocks are apart.
-        this.token = timers.epochMillis();
+        this.token = new FencingToken(timers);
     }
 
     /** Returns the minion, once one has announced itself. */
@@ -170,7 +168,7 @@
 
     /** Returns what fences calls of agents that were replaced, as this one sends it now. */
     public long token() {
-        return token;
+        return token.value();
     }
 
     /** Tells whether nothing was ever started here. */
@@ -227,7 +225,7 @@
         }
         boolean anotherBoot = minion.isPresent() && !minion.get().boot().equals(state.boot());
         if (anotherBoot && !recalled && answering && reconciled) {
-            boots.confirm(state, token, this::accept);
+            boots.confirm(state, token.value(), this::accept);
         } else {
             accept(state);
         }
@@ -325,7 +323,7 @@
         String boot = minion.orElseThrow().boot();
         port.start(
                 boot,
-                new StartOrder(run, payload, until, token, checkpoint),
+                new StartOrder(run, payload, until, token.value(), checkpoint),
                 answer -> startAnswered(boot, fresh, answer));
         timers.after(START_DOUBT, () -> doubt(boot, fresh, "no answer yet"));
         look();
@@ -348,7 +346,7 @@
             case StartAnswer.Rejected rejected -> {
                 logRejected(boot, run, rejected.reason());
                 if (rejected.fenced()) {
-                    raiseToken();
+                    token.raise();
                 }
                 neverStarted(boot, run);
             }
@@ -426,12 +424,6 @@
         taken = taken.minus(run.room());
     }
 
-    private void raiseToken() {
-        // Only the agent of this machine calls the minion, so whoever had the higher token is gone.
-        token = Math.max(token + Duration.ofSeconds(10).toMillis(), timers.epochMillis());
-        EventLine.of("agent-token-raised").with("token", token).log(LOGGER.atWarning());
-    }
-
     /** Stops a run; nothing happens when it isn't held. */
     public void stop(RunKey key) {
         HeldRun run = held.get(key.task());
@@ -443,7 +435,7 @@
     }
 
     private void sendStop(String boot, HeldRun run) {
-        port.stop(boot, run.key(), token, taken -> {
+        port.stop(boot, run.key(), token.value(), taken -> {
             if (isNotHeld(boot, run)) {
                 return;
             }
@@ -489,7 +481,7 @@
         OptionalLong lease = renewal(now);
         Duration wait = held.isEmpty() ? Duration.ZERO : LOOK_WAIT;
         long kept = ends.keptThrough();
-        port.look(boot, new LookOrder(token, kept, lease, wait), answer -> {
+        port.look(boot, new LookOrder(token.value(), kept, lease, wait), answer -> {
             lookInFlight = false;
             if (number == lookNumber
                     && minion.isPresent()
@@ -573,7 +565,7 @@
                         .with("reason", refused.reason())
                         .log(LOGGER.atWarning());
                 if (refused.fenced()) {
-                    raiseToken();
+                    token.raise();
                     lookAfter(Duration.ZERO);
                 } else {
                     departed(boot);
