Nothing starts in a failure domain that operators have evacuated

Cause: the operators' stream carries requests to leave a failure domain alone, and nothing read them.

Change: entries read the requests with the configuration and tell agents at once and with their heartbeats, each with the offset up to which they have read. An agent goes by the newest reading of any entry, refuses starts, gives back those that wait for room and reports that it takes nothing, so that an entry which is cut off from the log learns it from the agents. Jobs of a service without any domain left are refused at once. A key that is dropped while the log forgets its history is told as dropped after the next listing; without that, a domain would stay closed for ever.

--- a/library/src/main/java/org/chivetally/queue/JobCodec.java
+++ b/library/src/main/java/org/chivetally/queue/JobCodec.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Set;
 import org.chivetally.errors.ChivetallyException;
 import org.chivetally.errors.ErrorCode;
 import org.chivetally.wire.v1.StoredJob;
@@ -68,6 +69,19 @@
         return new Room(room.getProcessorMillis(), room.getMemoryMegabytes(), room.getAccelerators());
     }
 
+    /** Writes evacuations. */
+    public static org.chivetally.wire.v1.Evacuations encode(Evacuations evacuations) {
+        return org.chivetally.wire.v1.Evacuations.newBuilder()
+                .setVersion(evacuations.version())
+                .addAllFailureDomains(evacuations.failureDomains())
+                .build();
+    }
+
+    /** Reads evacuations. */
+    public static Evacuations decode(org.chivetally.wire.v1.Evacuations evacuations) {
+        return new Evacuations(evacuations.getVersion(), Set.copyOf(evacuations.getFailureDomainsList()));
+    }
+
     /** Reads an accepted job. */
     public static JobSpecification decode(StoredJob stored) {
         List<StepSpecification> steps = new ArrayList<>();
--- a/library/src/main/java/org/chivetally/queue/RefusalReason.java
+++ b/library/src/main/java/org/chivetally/queue/RefusalReason.java
@@ -14,6 +14,8 @@
     STOPPING("stopping", false),
     /** The process stood still, and the caller may have sent the job again elsewhere meanwhile. */
     STOOD_STILL("stood still", false),
+    /** Operators have evacuated all failure domains that have workers for the job. */
+    EVACUATED("evacuated", false),
     /** The log takes no writes now, so the job can't be kept. */
     LOG_UNAVAILABLE("log takes no writes", false),
     /** The owner of the job's partition could not be reached. */
--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Evacuations;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.RunKey;
@@ -95,6 +96,9 @@
      */
     static final Duration START_VALIDITY = Duration.ofMillis(600);
 
+    /** Refusal of a start in an evacuated failure domain. */
+    static final String EVACUATED = "evacuated";
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Peer self;
@@ -108,6 +112,7 @@
     private final Map<RunOwner.Entry, Long> echoes = new HashMap<>();
     private final Set<PeerLink> owedInventory = new HashSet<>();
     private final WaitingStarts waitingStarts = new WaitingStarts();
+    private Evacuations evacuations = Evacuations.UNKNOWN;
     private long stampFloorNanos;
     private long beats;
     /** Agents that the entry heard last is linked to. */
@@ -191,6 +196,7 @@
     private void entryBeat(PeerLink link, EntryBeat beat) {
         link.stamps(beat.getStampNanos(), beat.getEchoNanos());
         agents = beat.getAgents();
+        evacuations(JobCodec.decode(beat.getEvacuations()));
         boolean raised = false;
         for (OwnedPartition owned : beat.getOwnedList()) {
             raised |= raise(owned.getPartition(), owned.getEpoch(), link);
@@ -204,6 +210,31 @@
         }
     }
 
+    /** Goes by the newest evacuations that any entry has read; what runs here ends by itself. */
+    private void evacuations(Evacuations told) {
+        boolean before = isEvacuated();
+        evacuations = evacuations.newest(told);
+        if (isEvacuated() == before) {
+            return;
+        }
+        EventLine.of(isEvacuated() ? "domain-evacuated" : "domain-taken-back")
+                .with("failure_domain", self.failureDomain())
+                .with("version", evacuations.version())
+                .log(LOGGER.atInfo());
+        if (isEvacuated()) {
+            refuseWaiting(EVACUATED, waiting -> true);
+        }
+        sendBeats();
+    }
+
+    private boolean isEvacuated() {
+        return evacuations.cover(self.failureDomain());
+    }
+
+    private boolean isAccepting() {
+        return supervisor.isAccepting() && !isEvacuated();
+    }
+
     /** Notes an owner's epoch; tells whether it is higher than any before. */
     private boolean raise(int partition, long epoch, PeerLink owner) {
         Fence known = fences.get(partition);
@@ -286,6 +317,10 @@
 
     private Optional<String> refusal(PeerLink link, RunStart start) {
         lookForSuspension();
+        if (isEvacuated()) {
+            // An entry that is cut off from the log does not know of it, and would go on sending.
+            return Optional.of(EVACUATED);
+        }
         if (!start.getUnkept() && isFenced(start.getPartition(), start.getEpoch())) {
             return Optional.of(
                     "fenced by epoch " + fences.get(start.getPartition()).epoch());
@@ -449,7 +484,7 @@
     @Override
     public void roomChanged() {
         beginWaiting();
-        boolean accepting = supervisor.isAccepting();
+        boolean accepting = isAccepting();
         if (accepting == toldAccepting && !isScarce()) {
             return;
         }
@@ -489,7 +524,7 @@
     }
 
     private void sendBeats() {
-        toldAccepting = supervisor.isAccepting();
+        toldAccepting = isAccepting();
         WorkerReport.Builder report = report();
         for (PeerLink link : links.links()) {
             link.send(Frame.newBuilder()
@@ -541,7 +576,7 @@
     /** Returns what all entries are told, without what each of them has sent. */
     private WorkerReport.Builder report() {
         WorkerReport.Builder report =
-                WorkerReport.newBuilder().setFailureDomain(self.failureDomain()).setAccepting(supervisor.isAccepting());
+                WorkerReport.newBuilder().setFailureDomain(self.failureDomain()).setAccepting(isAccepting());
         supervisor
                 .minion()
                 .ifPresent(minion -> report.setMinion(minion.boot())
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -12,7 +12,10 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Evacuations;
 import org.chivetally.queue.Job;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.link.Dialer;
@@ -89,6 +92,7 @@
     private final Map<Integer, RemoteOwner> remoteOwners = new HashMap<>();
     private final Map<String, Map<String, Long>> pendingElsewhere = new HashMap<>();
     private final long startedAtNanos;
+    private Evacuations evacuations = Evacuations.UNKNOWN;
     private boolean leaving;
     private long beats;
 
@@ -159,6 +163,22 @@
         return count;
     }
 
+    /**
+     * Notes what operators want to be left alone, and tells the agents at once if that is another domain than before.
+     */
+    public void evacuations(Evacuations read) {
+        Evacuations before = evacuations;
+        evacuations = evacuations.newest(read);
+        runs.evacuations(evacuations);
+        if (!evacuations.failureDomains().equals(before.failureDomains())) {
+            EventLine.of("evacuations-read")
+                    .with("version", evacuations.version())
+                    .with("failure_domains", evacuations.failureDomains())
+                    .log(LOGGER.atInfo());
+            sendBeats(true);
+        }
+    }
+
     /** Hands the partitions over and takes no new ones; callers are answered as before. */
     public void leave(Runnable done) {
         leaving = true;
@@ -341,6 +361,7 @@
         }
         if (link.peer().agent()) {
             addEntries(beat);
+            beat.setEvacuations(JobCodec.encode(evacuations));
         } else {
             pendingHere()
                     .forEach((queue, count) -> beat.addPending(
@@ -452,7 +473,7 @@
     }
 
     @Override
-    public Optional<Duration> refuse(Job job) {
+    public Optional<JobAnswer.Refused> refuse(Job job) {
         return runs.refuse(job);
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionEvents.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionEvents.java
@@ -1,15 +1,15 @@
 package org.chivetally.queue.entry;
 
-import java.time.Duration;
 import java.util.Collection;
 import java.util.Optional;
 import org.chivetally.queue.Job;
+import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.Task;
 
 /** What a {@link PartitionOwner} asks of and tells to the entry around it. */
 interface PartitionEvents {
-    /** Decides whether a job is taken on; returns when to come back if it isn't. */
-    Optional<Duration> refuse(Job job);
+    /** Decides whether a job is taken on; returns what its caller is told if it isn't. */
+    Optional<JobAnswer.Refused> refuse(Job job);
 
     /** The jobs are read; agents are to be asked what they hold of them. */
     void loaded(PartitionOwner partition);
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -279,8 +279,7 @@
         if (writer.isStalled()) {
             return Optional.of(new JobAnswer.Refused(RefusalReason.LOG_UNAVAILABLE, LOG_RETRY));
         }
-        return events.refuse(new Job(specification, timers.nanos()))
-                .map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
+        return events.refuse(new Job(specification, timers.nanos()));
     }
 
     private void submitted(JobSpecification specification, PartitionWriter.Result result) {
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -13,9 +13,12 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Evacuations;
 import org.chivetally.queue.Job;
+import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
@@ -79,6 +82,11 @@
      */
     static final Duration PASS_PAUSE = Duration.ofMillis(5);
 
+    /**
+     * When to come back to a service without a failure domain in use: operators work in minutes, but may be done soon.
+     */
+    static final Duration EVACUATION_RETRY = Duration.ofSeconds(5);
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
@@ -94,6 +102,7 @@
     private final WaitingTasks waiting = new WaitingTasks();
     private final Map<String, ArrivalRate> arrivals = new HashMap<>();
     private final Map<String, Map<String, ServiceDemand>> demandElsewhere = new HashMap<>();
+    private Evacuations evacuations = Evacuations.UNKNOWN;
     private int entries = 1;
     private boolean passArmed;
     private OptionalLong missedAtNanos = OptionalLong.empty();
@@ -129,8 +138,11 @@
     }
 
     @Override
-    public Optional<Duration> refuse(Job job) {
+    public Optional<JobAnswer.Refused> refuse(Job job) {
         String service = job.specification().terms().service();
+        if (isEvacuated(service)) {
+            return Optional.of(new JobAnswer.Refused(RefusalReason.EVACUATED, EVACUATION_RETRY));
+        }
         long ahead = waiting.workAhead(service, job.specification().terms().priority());
         long now = timers.nanos();
         Optional<Duration> refusal = isSettling()
@@ -139,7 +151,27 @@
         if (refusal.isEmpty()) {
             arrivals.computeIfAbsent(service, name -> new ArrivalRate()).arrived(job.specification(), now);
         }
-        return refusal;
+        return refusal.map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
+    }
+
+    /** Tells whether a service has workers, and all that are known stand in evacuated failure domains. */
+    private boolean isEvacuated(String service) {
+        boolean any = false;
+        for (Worker worker : workers.values()) {
+            if (!worker.view().service().equals(service)) {
+                continue;
+            }
+            if (!evacuations.cover(worker.view().failureDomain())) {
+                return false;
+            }
+            any = true;
+        }
+        return any;
+    }
+
+    /** Notes which failure domains operators want to be left alone. */
+    void evacuations(Evacuations read) {
+        evacuations = read;
     }
 
     @Override
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -51,8 +51,8 @@
         /** Tells whether what is read now may be so old that its caller has sent it again elsewhere. */
         boolean hasStoodStill();
 
-        /** Decides whether a job is taken on; returns when to come back if it isn't. */
-        Optional<Duration> refuse(Job job);
+        /** Decides whether a job is taken on; returns what its caller is told if it isn't. */
+        Optional<JobAnswer.Refused> refuse(Job job);
 
         /** Tasks may be placed. */
         void ready(List<Task> tasks);
@@ -96,7 +96,7 @@
         if (stopsAtNanos.isPresent() && endsAfter(job, stopsAtNanos.getAsLong())) {
             return Optional.of(new JobAnswer.Refused(RefusalReason.STOPPING, RETRY));
         }
-        return admission.refuse(job).map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
+        return admission.refuse(job);
     }
 
     private boolean endsAfter(Job job, long limitNanos) {
--- a/library/src/main/java/org/chivetally/queue/log/StreamTail.java
+++ b/library/src/main/java/org/chivetally/queue/log/StreamTail.java
@@ -2,6 +2,9 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.chivetally.logging.EventLine;
 import org.chivetally.time.Timers;
@@ -10,7 +13,8 @@
  * Follows a stream of keyed records: first the newest value of each key, then what is appended.
  *
  * <p>A stream may lose its history at any time; then the newest values are read again, so a change is never missed, and
- * records may be told twice.
+ * records may be told twice. A key that was dropped in between is not among these values: it is told as dropped after
+ * the last one, as a listener that waits for the lost record would keep the old value for ever.
  */
 public final class StreamTail {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -23,6 +27,10 @@
     private final LogStream stream;
     private final Duration wait;
     private final Consumer<KeyedRecord> listener;
+    /** Keys with a value, as told so far. */
+    private final Set<String> keys = new HashSet<>();
+
+    private long offset;
     private boolean lost;
 
     /**
@@ -41,13 +49,18 @@
 
     /** Begins to read. */
     public void start() {
-        readNewest("", Long.MAX_VALUE);
+        readNewest("", Long.MAX_VALUE, new HashSet<>());
+    }
+
+    /** Returns the offset up to which records were told, the one being told included; 0 before the first. */
+    public long offset() {
+        return offset;
     }
 
-    private void readNewest(String afterKey, long from) {
+    private void readNewest(String afterKey, long from, Set<String> listed) {
         log.newest(stream, afterKey, outcome -> {
             switch (outcome) {
-                case NewestOutcome.Page page -> took(page, Math.min(from, page.endOffset()));
+                case NewestOutcome.Page page -> took(page, Math.min(from, page.endOffset()), listed);
                 case NewestOutcome.Unavailable unavailable -> {
                     lost(unavailable.reason());
                     timers.after(RETRY_PAUSE, this::start);
@@ -56,22 +69,40 @@
         });
     }
 
-    private void took(NewestOutcome.Page page, long from) {
+    private void took(NewestOutcome.Page page, long from, Set<String> listed) {
         regained();
-        page.items().forEach(listener);
+        // Pages are no snapshot: what was appended since the first one is read after the last.
+        offset = Math.max(offset, from);
+        page.items().forEach(item -> listed.add(item.key()));
+        page.items().forEach(this::tell);
         if (page.hasMore() && !page.items().isEmpty()) {
-            readNewest(page.items().getLast().key(), from);
+            readNewest(page.items().getLast().key(), from, listed);
             return;
         }
+        for (String key : List.copyOf(keys)) {
+            if (!listed.contains(key)) {
+                tell(KeyedRecord.dropping(key));
+            }
+        }
         readOn(from);
     }
 
+    private void tell(KeyedRecord entry) {
+        if (entry.drops()) {
+            keys.remove(entry.key());
+        } else {
+            keys.add(entry.key());
+        }
+        listener.accept(entry);
+    }
+
     private void readOn(long from) {
         log.read(stream, from, wait, outcome -> {
             switch (outcome) {
                 case ReadOutcome.Records records -> {
                     regained();
-                    records.records().forEach(listener);
+                    offset = Math.max(offset, records.nextOffset());
+                    records.records().forEach(this::tell);
                     readOn(records.nextOffset());
                 }
                 case ReadOutcome.Expired expired -> start();
--- a/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
@@ -13,6 +13,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import org.chivetally.queue.Evacuations;
+import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.ManualTimers;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.RunKey;
@@ -50,6 +53,7 @@
         private PeerLink link;
         private Timers.Timer beats;
         private int agents;
+        private Evacuations evacuations = Evacuations.UNKNOWN;
         private long number;
 
         private ScriptedEntry(String name, long epoch) {
@@ -67,7 +71,8 @@
             EntryBeat.Builder beat = EntryBeat.newBuilder()
                     .setStampNanos(timers.nanos())
                     .setEchoNanos(link.peerStampNanos())
-                    .setAgents(agents);
+                    .setAgents(agents)
+                    .setEvacuations(JobCodec.encode(evacuations));
             if (epoch > 0) {
                 beat.addOwned(OwnedPartition.newBuilder().setPartition(3).setEpoch(epoch));
             }
@@ -116,6 +121,16 @@
                     .toList();
         }
 
+        private boolean isAccepted() {
+            return frames.stream()
+                    .filter(Frame::hasAgentBeat)
+                    .reduce((first, second) -> second)
+                    .orElseThrow()
+                    .getAgentBeat()
+                    .getReport()
+                    .getAccepting();
+        }
+
         private List<String> refusals() {
             return frames.stream()
                     .filter(Frame::hasRunRefused)
@@ -405,4 +420,79 @@
         assertThat(entry.refusals(), is(empty()));
         assertThat(minion.running.keySet(), hasSize(2));
     }
+
+    /**
+     * Operators evacuate the failure domain while two tasks run and one waits for room. Every entry is told that the
+     * worker takes nothing; the waiting start goes back at once, and what runs ends by itself.
+     */
+    @Test
+    void startsNothingInAnEvacuatedFailureDomain() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("one", 1, true);
+        entry.start("two", 1, true);
+        timers.advance(Duration.ofMillis(10));
+        entry.start("three", 1, true);
+        entry.evacuations = new Evacuations(5, Set.of("north"));
+        entry.beat();
+        timers.advance(Duration.ofMillis(20));
+        assertThat(entry.refusals(), contains(AgentNode.EVACUATED));
+        assertThat(entry.isAccepted(), is(false));
+        minion.end(run("one", 1), RunOutcome.DONE);
+        timers.advance(Duration.ofMillis(100));
+        entry.start("four", 1, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(entry.refusals(), contains(AgentNode.EVACUATED, AgentNode.EVACUATED));
+        assertThat(minion.running.keySet(), contains(run("two", 1)));
+        assertThat(minion.stops, is(empty()));
+    }
+
+    /** Operators evacuate another failure domain: this one goes on. */
+    @Test
+    void startsGoOnWhileAnotherFailureDomainIsEvacuated() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.evacuations = new Evacuations(5, Set.of("south"));
+        timers.advance(Duration.ofMillis(200));
+        entry.start("one", 1, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(minion.running.keySet(), contains(run("one", 1)));
+    }
+
+    /**
+     * One entry is cut off from the log and knows nothing of the evacuation, and later nothing of its end. The agent
+     * goes by the entry that has read further, so the first one's starts are refused, and later no longer.
+     */
+    @Test
+    void goesByTheNewestEvacuationsThatAnEntryHasRead() {
+        ScriptedEntry stale = entry("entry-1", 0);
+        ScriptedEntry current = entry("entry-2", 0);
+        stale.evacuations = new Evacuations(3, Set.of());
+        current.evacuations = new Evacuations(5, Set.of("north"));
+        announce();
+        stale.start("one", 1, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(stale.refusals(), contains(AgentNode.EVACUATED));
+        current.evacuations = new Evacuations(8, Set.of());
+        timers.advance(Duration.ofMillis(200));
+        stale.evacuations = new Evacuations(5, Set.of("north"));
+        timers.advance(Duration.ofMillis(200));
+        stale.start("two", 1, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(minion.running.keySet(), contains(run("two", 1)));
+        assertThat(stale.isAccepted(), is(true));
+    }
+
+    /** An entry that has just started has read nothing: its heartbeats open no evacuated failure domain. */
+    @Test
+    void staysEvacuatedWhenAnEntryThatHasReadNothingIsMet() {
+        ScriptedEntry current = entry("entry-1", 0);
+        current.evacuations = new Evacuations(5, Set.of("north"));
+        announce();
+        ScriptedEntry fresh = entry("entry-2", 0);
+        timers.advance(Duration.ofMillis(300));
+        fresh.start("one", 1, true);
+        timers.advance(Duration.ofMillis(20));
+        assertThat(fresh.refusals(), contains(AgentNode.EVACUATED));
+    }
 }
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -47,7 +47,11 @@
     }
 
     AgentNode agent(String name) {
-        AgentNode agent = silentAgent(name);
+        return agentIn("north", name);
+    }
+
+    AgentNode agentIn(String failureDomain, String name) {
+        AgentNode agent = silentAgent(failureDomain, name);
         agent.supervisor()
                 .announced(new MinionState(
                         "boot-" + name,
@@ -61,8 +65,12 @@
 
     /** Starts an agent whose minion has not announced itself to it yet. */
     AgentNode silentAgent(String name) {
+        return silentAgent("north", name);
+    }
+
+    private AgentNode silentAgent(String failureDomain, String name) {
         incarnations++;
-        Peer self = new Peer(name, incarnations, true, "north", name, 1);
+        Peer self = new Peer(name, incarnations, true, failureDomain, name, 1);
         ModelMinion minion = minions.computeIfAbsent(name, key -> new ModelMinion(timers));
         AgentNode agent = new AgentNode(self, timers, network.dialer(name), minion, PARTITIONS);
         network.listen(name, agent.acceptor());
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/EvacuationTest.java
@@ -0,0 +1,73 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.Set;
+import org.chivetally.queue.Evacuations;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.RefusalReason;
+import org.junit.jupiter.api.Test;
+
+class EvacuationTest {
+    private static final Evacuations NORTH = new Evacuations(5, Set.of("north"));
+    private static final Evacuations NONE = new Evacuations(9, Set.of());
+
+    private final Cluster cluster = new Cluster();
+
+    /**
+     * The only failure domain with workers is evacuated. A caller who comes then is told so at once, and that its job
+     * has not run; after the domain was taken back, the next one is served.
+     */
+    @Test
+    void refusesJobsAtOnceWhileNoFailureDomainIsLeft() {
+        EntryNode entry = cluster.entry("entry-1");
+        cluster.agent("agent-1");
+        cluster.settled();
+        entry.evacuations(NORTH);
+        cluster.advance(50);
+        List<JobAnswer> early = cluster.submitUnkept(entry, Jobs.of("1111111111111111", 1), 2_000);
+        assertThat(early, hasSize(1));
+        assertThat(early.getFirst(), instanceOf(JobAnswer.Refused.class));
+        assertThat(((JobAnswer.Refused) early.getFirst()).reason(), is(RefusalReason.EVACUATED));
+        entry.evacuations(NONE);
+        cluster.advance(50);
+        List<JobAnswer> late = cluster.submitUnkept(entry, Jobs.of("2222222222222222", 1), 2_000);
+        cluster.advance(50);
+        assertThat(late, is(empty()));
+        assertThat(cluster.minions.get("agent-1").running.keySet(), hasSize(1));
+    }
+
+    /**
+     * One entry reads of the evacuation, the other is cut off from the log. Both go on with the workers of the domain
+     * that is left: the agents tell the second one that they take nothing, so none of its starts has to be refused.
+     */
+    @Test
+    void anEntryWithoutTheLogLearnsFromTheAgentsWhatIsEvacuated() {
+        EntryNode reader = cluster.entry("entry-1");
+        EntryNode cutOff = cluster.entry("entry-2");
+        cluster.agent("agent-1");
+        cluster.agentIn("south", "agent-2");
+        cluster.settled();
+        cluster.log.cut("entry-2", true);
+        reader.evacuations(NORTH);
+        cluster.advance(20);
+        for (int number = 0; number < 2; number++) {
+            cluster.submitUnkept(cutOff, Jobs.of("%016x".formatted(number), 1), 2_000);
+        }
+        cluster.advance(50);
+        assertThat(cluster.minions.get("agent-1").running.keySet(), is(empty()));
+        assertThat(cluster.minions.get("agent-2").running.keySet(), hasSize(2));
+        assertThat(
+                cluster.minions.get("agent-2").starts.stream()
+                        .map(start -> start.run().run())
+                        .toList(),
+                contains(1L, 1L));
+    }
+}
--- a/library/src/test/java/org/chivetally/queue/log/ScriptedKeyedLog.java
+++ b/library/src/test/java/org/chivetally/queue/log/ScriptedKeyedLog.java
@@ -79,8 +79,15 @@
         return partitions.computeIfAbsent(stream, key -> new Partition());
     }
 
+    /** Deletes all records of a partition but the newest value of each key. */
+    public void forgetHistory(LogStream stream) {
+        Partition partition = partition(stream);
+        partition.firstKept = partition.records.size();
+    }
+
     private static final class Partition {
         private final List<KeyedRecord> records = new ArrayList<>();
+        private long firstKept;
         private final TreeMap<String, byte[]> newest = new TreeMap<>();
         private final Map<String, Long> epochs = new HashMap<>();
         private final Map<String, Long> sequences = new HashMap<>();
@@ -180,6 +187,10 @@
             }
             Partition partition = partition(stream);
             timers.after(partition.records.size() > from ? ANSWER : Duration.ofMillis(50), () -> {
+                if (from < partition.firstKept) {
+                    answer.accept(new ReadOutcome.Expired());
+                    return;
+                }
                 List<KeyedRecord> records =
                         List.copyOf(partition.records.subList((int) from, partition.records.size()));
                 answer.accept(new ReadOutcome.Records(from + records.size(), records));
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/log/StreamTailTest.java
@@ -0,0 +1,65 @@
+package org.chivetally.queue.log;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chivetally.queue.ManualTimers;
+import org.junit.jupiter.api.Test;
+
+class StreamTailTest {
+    private static final LogStream STREAM = new LogStream("wishes", 0);
+    private static final byte[] VALUE = {1};
+
+    private final ManualTimers timers = new ManualTimers();
+    private final ScriptedKeyedLog log = new ScriptedKeyedLog(timers, 1);
+    private final List<String> told = new ArrayList<>();
+    private final StreamTail tail = new StreamTail(
+            log.access("reader"), timers, STREAM, Duration.ofSeconds(1), entry -> told.add(describe(entry)));
+
+    private static String describe(KeyedRecord entry) {
+        return (entry.drops() ? "-" : "+") + entry.key();
+    }
+
+    private void append(KeyedRecord entry) {
+        log.access("writer").append(STREAM, Optional.empty(), List.of(entry), outcome -> {});
+        timers.advance(Duration.ofMillis(100));
+    }
+
+    /**
+     * The offset that a record is told with is behind the record, so that two readers can tell who has read further.
+     */
+    @Test
+    void tellsRecordsWithTheOffsetBehindThem() {
+        append(new KeyedRecord("a", VALUE));
+        tail.start();
+        timers.advance(Duration.ofMillis(100));
+        assertThat(tail.offset(), is(1L));
+        append(KeyedRecord.dropping("a"));
+        assertThat(tail.offset(), is(2L));
+        assertThat(told, contains("+a", "-a"));
+    }
+
+    /**
+     * A key is dropped while the reader is cut off, and the log forgets its history before the reader is back. The
+     * newest values don't show the drop; without being told, the reader would keep the value for ever.
+     */
+    @Test
+    void tellsOfKeysThatWereDroppedInLostHistory() {
+        append(new KeyedRecord("a", VALUE));
+        append(new KeyedRecord("b", VALUE));
+        tail.start();
+        timers.advance(Duration.ofMillis(100));
+        log.cut("reader", true);
+        append(KeyedRecord.dropping("a"));
+        log.forgetHistory(STREAM);
+        timers.advance(Duration.ofSeconds(2));
+        log.cut("reader", false);
+        timers.advance(Duration.ofSeconds(2));
+        assertThat(told, contains("+a", "+b", "+b", "-a"));
+    }
+}
--- a/wire/src/main/java/org/chivetally/wire/v1/EntryBeat.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/EntryBeat.java
@@ -56,6 +56,7 @@
             org.chivetally.wire.v1.EntryBeat.class, org.chivetally.wire.v1.EntryBeat.Builder.class);
   }
 
+  private int bitField0_;
   public static final int STAMP_NANOS_FIELD_NUMBER = 1;
   private long stampNanos_ = 0L;
   /**
@@ -296,6 +297,44 @@
     return agents_;
   }
 
+  public static final int EVACUATIONS_FIELD_NUMBER = 9;
+  private org.chivetally.wire.v1.Evacuations evacuations_;
+  /**
+   * <pre>
+   * to agents only
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+   * @return Whether the evacuations field is set.
+   */
+  @java.lang.Override
+  public boolean hasEvacuations() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * to agents only
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+   * @return The evacuations.
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.Evacuations getEvacuations() {
+    return evacuations_ == null ? org.chivetally.wire.v1.Evacuations.getDefaultInstance() : evacuations_;
+  }
+  /**
+   * <pre>
+   * to agents only
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.EvacuationsOrBuilder getEvacuationsOrBuilder() {
+    return evacuations_ == null ? org.chivetally.wire.v1.Evacuations.getDefaultInstance() : evacuations_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -334,6 +373,9 @@
     if (agents_ != 0) {
       output.writeUInt32(8, agents_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(9, getEvacuations());
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -390,6 +432,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(8, agents_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(9, getEvacuations());
+    }
     return size;
   }
   @java.lang.Override
@@ -430,6 +476,11 @@
         .equals(other.getDemandList())) return false;
     if (getAgents()
         != other.getAgents()) return false;
+    if (hasEvacuations() != other.hasEvacuations()) return false;
+    if (hasEvacuations()) {
+      if (!getEvacuations()
+          .equals(other.getEvacuations())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -468,6 +519,10 @@
     }
     hash = (37 * hash) + AGENTS_FIELD_NUMBER;
     hash = (53 * hash) + getAgents();
+    if (hasEvacuations()) {
+      hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getEvacuations().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -591,13 +646,23 @@
 
     // Construct using org.chivetally.wire.v1.EntryBeat.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetOwnedFieldBuilder();
+        internalGetPendingFieldBuilder();
+        internalGetEntriesFieldBuilder();
+        internalGetDemandFieldBuilder();
+        internalGetEvacuationsFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -635,6 +700,11 @@
       }
       bitField0_ = (bitField0_ & ~0x00000040);
       agents_ = 0;
+      evacuations_ = null;
+      if (evacuationsBuilder_ != null) {
+        evacuationsBuilder_.dispose();
+        evacuationsBuilder_ = null;
+      }
       return this;
     }
 
@@ -720,6 +790,14 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.agents_ = agents_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.evacuations_ = evacuationsBuilder_ == null
+            ? evacuations_
+            : evacuationsBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -850,6 +928,9 @@
       if (other.getAgents() != 0) {
         setAgents(other.getAgents());
       }
+      if (other.hasEvacuations()) {
+        mergeEvacuations(other.getEvacuations());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -946,6 +1027,13 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 74: {
+              input.readMessage(
+                  internalGetEvacuationsFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2135,6 +2223,161 @@
       return this;
     }
 
+    private org.chivetally.wire.v1.Evacuations evacuations_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Evacuations, org.chivetally.wire.v1.Evacuations.Builder, org.chivetally.wire.v1.EvacuationsOrBuilder> evacuationsBuilder_;
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     * @return Whether the evacuations field is set.
+     */
+    public boolean hasEvacuations() {
+      return ((bitField0_ & 0x00000100) != 0);
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     * @return The evacuations.
+     */
+    public org.chivetally.wire.v1.Evacuations getEvacuations() {
+      if (evacuationsBuilder_ == null) {
+        return evacuations_ == null ? org.chivetally.wire.v1.Evacuations.getDefaultInstance() : evacuations_;
+      } else {
+        return evacuationsBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     */
+    public Builder setEvacuations(org.chivetally.wire.v1.Evacuations value) {
+      if (evacuationsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        evacuations_ = value;
+      } else {
+        evacuationsBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     */
+    public Builder setEvacuations(
+        org.chivetally.wire.v1.Evacuations.Builder builderForValue) {
+      if (evacuationsBuilder_ == null) {
+        evacuations_ = builderForValue.build();
+      } else {
+        evacuationsBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     */
+    public Builder mergeEvacuations(org.chivetally.wire.v1.Evacuations value) {
+      if (evacuationsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0) &&
+          evacuations_ != null &&
+          evacuations_ != org.chivetally.wire.v1.Evacuations.getDefaultInstance()) {
+          getEvacuationsBuilder().mergeFrom(value);
+        } else {
+          evacuations_ = value;
+        }
+      } else {
+        evacuationsBuilder_.mergeFrom(value);
+      }
+      if (evacuations_ != null) {
+        bitField0_ |= 0x00000100;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     */
+    public Builder clearEvacuations() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      evacuations_ = null;
+      if (evacuationsBuilder_ != null) {
+        evacuationsBuilder_.dispose();
+        evacuationsBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     */
+    public org.chivetally.wire.v1.Evacuations.Builder getEvacuationsBuilder() {
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return internalGetEvacuationsFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     */
+    public org.chivetally.wire.v1.EvacuationsOrBuilder getEvacuationsOrBuilder() {
+      if (evacuationsBuilder_ != null) {
+        return evacuationsBuilder_.getMessageOrBuilder();
+      } else {
+        return evacuations_ == null ?
+            org.chivetally.wire.v1.Evacuations.getDefaultInstance() : evacuations_;
+      }
+    }
+    /**
+     * <pre>
+     * to agents only
+     * </pre>
+     *
+     * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.chivetally.wire.v1.Evacuations, org.chivetally.wire.v1.Evacuations.Builder, org.chivetally.wire.v1.EvacuationsOrBuilder> 
+        internalGetEvacuationsFieldBuilder() {
+      if (evacuationsBuilder_ == null) {
+        evacuationsBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.chivetally.wire.v1.Evacuations, org.chivetally.wire.v1.Evacuations.Builder, org.chivetally.wire.v1.EvacuationsOrBuilder>(
+                getEvacuations(),
+                getParentForChildren(),
+                isClean());
+        evacuations_ = null;
+      }
+      return evacuationsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.EntryBeat)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/EntryBeatOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/EntryBeatOrBuilder.java
@@ -161,4 +161,31 @@
    * @return The agents.
    */
   int getAgents();
+
+  /**
+   * <pre>
+   * to agents only
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+   * @return Whether the evacuations field is set.
+   */
+  boolean hasEvacuations();
+  /**
+   * <pre>
+   * to agents only
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+   * @return The evacuations.
+   */
+  org.chivetally.wire.v1.Evacuations getEvacuations();
+  /**
+   * <pre>
+   * to agents only
+   * </pre>
+   *
+   * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
+   */
+  org.chivetally.wire.v1.EvacuationsOrBuilder getEvacuationsOrBuilder();
 }
