--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -59,9 +59,9 @@
     static final int ENTRIES_PER_PAUSE = 3;
 
     /**
-     * Reports a second that all agents together send to one entry between their heartbeats. Without this bound, 80
-     * agents under full load send 1,600 to each of 15 entries, and 8,000 to a single one, which leaves a small entry no
-     * time to place anything; with so many agents, an entry hears of free room often enough as it is.
+     * Reports a second that all agents together send to one entry between their heartbeats. Without a bound they grow
+     * with the agents, until a small entry has no time left to place anything; with so many agents, it hears of free
+     * room often enough as it is.
      */
     static final int REPORTS_PER_SECOND = 800;
 
@@ -86,7 +86,7 @@
 
     /**
      * Part of the capacity under which a change of the free room is told at once. Above it no entry waits for room, and
-     * the next heartbeat is soon enough; telling every change cost an entry 550 frames a second at 150 jobs a second.
+     * the next heartbeat is soon enough, and each change told costs every entry a frame.
      */
     static final int SCARCE_PART = 4;
 
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -38,9 +38,8 @@
     static final Duration LOOK_PAUSE = Duration.ofMillis(20);
 
     /**
-     * Pause after a look that told of ends. Each look costs about as much as a start: at 43 starts a second an agent
-     * looked 57 times a second with a pause of 4 ms. The pause is small beside the 60 ms that callers allow beyond the
-     * work, and an end waits for half of it at the mean.
+     * Pause after a look that told of ends. Each look costs about as much as a start, and without a pause there is one
+     * for each end. It is small beside the 60 ms that callers allow beyond the work.
      */
     static final Duration NEWS_PAUSE = Duration.ofMillis(15);
 
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -76,9 +76,9 @@
     static final int MISSES_PER_PASS = 8;
 
     /**
-     * Least time between two passes while tasks wait for room. Under a backlog 80 agents report almost every
-     * millisecond, and each report began a pass over all of them: 1,000 passes in 0.1 s in the model, 22 at most with
-     * the pause, which is small beside the 60 ms that callers allow beyond the work.
+     * Least time between two passes while tasks wait for room. Under a backlog dozens of agents report almost every
+     * millisecond, and without the pause each report would begin a pass over all of them. It is small beside the 60 ms
+     * that callers allow beyond the work.
      */
     static final Duration PASS_PAUSE = Duration.ofMillis(5);
 
--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -111,8 +111,7 @@
         /**
          * Returns the best worker that has room for the task now, and of whose room this entry's starts on their way
          * take no more than a part. When workers are few and all entries have a backlog, as after a loss of power, each
-         * would send a worker's whole room to it, and all but one be refused: 843 of 1,849 starts in the two seconds
-         * after such a loss with six entries.
+         * would send a worker's whole room to it, and all but one be refused.
          *
          * @param part this entry's part of the room; 1 for no bound
          */
--- a/library/src/main/java/org/chivetally/queue/warmup/WarmUp.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/WarmUp.java
@@ -12,8 +12,8 @@
  * Does rounds of an exercise while the process has nothing else to do.
  *
  * <p>The failure it prevents: the first callers after a start meet code that is interpreted, and hundreds of things
- * that are set up at their first use. A job of four tasks took an entry 80 ms of processor time then, and 2 ms later;
- * on a small entry the jobs of the first second waited for each other until most were late. A process that has work
+ * that are set up at their first use. On a small entry the jobs of the first second then wait for each other until most
+ * are late. A process that has work
  * from its start, as after a loss of power, gets its practice from that and does none of this.
  */
 public final class WarmUp {
@@ -26,7 +26,7 @@
      */
     static final Duration PAUSE = Duration.ofMillis(200);
 
-    /** Rounds: methods are compiled after ten calls, and not all are called in each round. */
+    /** Rounds: methods are compiled after forty calls, and a round calls most of them several times. */
     static final int ROUNDS = 25;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
