An entry's shares of the workers are a class of their own

RunCoordinator held placing, following of runs and the reckoning of what other entries ask for; the last is one job and has its own state.

--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -169,7 +169,7 @@
     public void evacuations(Evacuations read) {
         Evacuations before = evacuations;
         evacuations = evacuations.newest(read);
-        runs.evacuations(evacuations);
+        runs.shares().evacuations(evacuations);
         if (!evacuations.failureDomains().equals(before.failureDomains())) {
             EventLine.of("evacuations-read")
                     .with("version", evacuations.version())
@@ -232,7 +232,7 @@
             return;
         }
         pendingElsewhere.remove(link.peer().process());
-        runs.forgetDemandOf(link.peer().process());
+        runs.shares().forgetDemandOf(link.peer().process());
         desk.linkLost(link.peer().process());
         ownership.join();
     }
@@ -298,7 +298,7 @@
         for (Demand told : beat.getDemandList()) {
             demand.put(told.getService(), new ServiceDemand(told.getArrivingMillis(), told.getWaitingWork()));
         }
-        runs.demandElsewhere(process, demand);
+        runs.shares().demandElsewhere(process, demand);
         for (EntryAddress entry : beat.getEntriesList()) {
             met(new Peer(entry.getProcess(), entry.getIncarnation(), false, "", entry.getHost(), entry.getPort()));
         }
@@ -330,7 +330,7 @@
         for (PeerLink link : links.links()) {
             entries += link.peer().agent() ? 0 : 1;
         }
-        runs.entries(entries);
+        runs.shares().entries(entries);
         runs.sweep();
         links.closeSilent();
         beats++;
@@ -366,7 +366,8 @@
             pendingHere()
                     .forEach((queue, count) -> beat.addPending(
                             QueueCount.newBuilder().setQueue(queue).setPending(count)));
-            runs.demand()
+            runs.shares()
+                    .demand()
                     .forEach((service, demand) -> beat.addDemand(Demand.newBuilder()
                             .setService(service)
                             .setArrivingMillis(demand.arrivingMillis())
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -13,7 +13,6 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.chivetally.logging.EventLine;
-import org.chivetally.queue.Evacuations;
 import org.chivetally.queue.Job;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
@@ -27,9 +26,7 @@
 import org.chivetally.queue.agent.RunSupervisor;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.queue.placement.AdmissionPolicy;
-import org.chivetally.queue.placement.ArrivalRate;
 import org.chivetally.queue.placement.PlacementPolicy;
-import org.chivetally.queue.placement.ServiceDemand;
 import org.chivetally.queue.placement.SharedProcessors;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
@@ -100,10 +97,7 @@
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting = new WaitingTasks();
-    private final Map<String, ArrivalRate> arrivals = new HashMap<>();
-    private final Map<String, Map<String, ServiceDemand>> demandElsewhere = new HashMap<>();
-    private Evacuations evacuations = Evacuations.UNKNOWN;
-    private int entries = 1;
+    private final ServiceShares shares;
     private boolean passArmed;
     private OptionalLong missedAtNanos = OptionalLong.empty();
 
@@ -130,6 +124,12 @@
         this.unkept = new UnkeptJobs(timers, this);
         this.mayStart = mayStart;
         this.startedAtNanos = timers.nanos();
+        this.shares = new ServiceShares(timers, waiting, workers.values());
+    }
+
+    /** Returns what this entry may use of the workers beside the other entries. */
+    ServiceShares shares() {
+        return shares;
     }
 
     /** Returns the jobs that only this entry knows. */
@@ -140,40 +140,20 @@
     @Override
     public Optional<JobAnswer.Refused> refuse(Job job) {
         String service = job.specification().terms().service();
-        if (isEvacuated(service)) {
+        if (shares.isEvacuated(service)) {
             return Optional.of(new JobAnswer.Refused(RefusalReason.EVACUATED, EVACUATION_RETRY));
         }
         long ahead = waiting.workAhead(service, job.specification().terms().priority());
         long now = timers.nanos();
         Optional<Duration> refusal = isSettling()
                 ? Optional.empty()
-                : AdmissionPolicy.refuse(job, now, ahead, processors(service).forBacklog());
+                : AdmissionPolicy.refuse(job, now, ahead, shares.of(service).forBacklog());
         if (refusal.isEmpty()) {
-            arrivals.computeIfAbsent(service, name -> new ArrivalRate()).arrived(job.specification(), now);
+            shares.arrived(job.specification());
         }
         return refusal.map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
     }
 
-    /** Tells whether a service has workers, and all that are known stand in evacuated failure domains. */
-    private boolean isEvacuated(String service) {
-        boolean any = false;
-        for (Worker worker : workers.values()) {
-            if (!worker.view().service().equals(service)) {
-                continue;
-            }
-            if (!evacuations.cover(worker.view().failureDomain())) {
-                return false;
-            }
-            any = true;
-        }
-        return any;
-    }
-
-    /** Notes which failure domains operators want to be left alone. */
-    void evacuations(Evacuations read) {
-        evacuations = read;
-    }
-
     @Override
     public boolean hasStoodStill() {
         return stoodStill.getAsBoolean();
@@ -183,67 +163,19 @@
         return timers.nanos() - startedAtNanos < SETTLING.toNanos();
     }
 
-    /** Returns this entry's part of a service's processors, beside what the other entries ask of them. */
-    private SharedProcessors processors(String service) {
-        Map<String, ServiceDemand> told = new HashMap<>();
-        demandElsewhere.forEach((entry, demand) -> told.put(entry, demand.getOrDefault(service, ServiceDemand.NONE)));
-        return SharedProcessors.among(capacity(service), demand(service), told, entries);
-    }
-
-    private ServiceDemand demand(String service) {
-        ArrivalRate arriving = arrivals.get(service);
-        long arrivingMillis = arriving == null ? 0 : arriving.processorMillis(timers.nanos());
-        // A job that was stored before estimates were checked may have a negative one.
-        return new ServiceDemand(Math.max(0, arrivingMillis), Math.max(0, waiting.work(service)));
-    }
-
-    /** Returns what this entry asks of each service's workers. */
-    Map<String, ServiceDemand> demand() {
-        Map<String, ServiceDemand> demand = new HashMap<>();
-        for (String service : arrivals.keySet()) {
-            demand.put(service, demand(service));
-        }
-        return demand;
-    }
-
-    /** Notes what another entry asks of each service's workers. */
-    void demandElsewhere(String entry, Map<String, ServiceDemand> demand) {
-        demandElsewhere.put(entry, demand);
-    }
-
-    /** Forgets what another entry asked for, as it is gone or can't be heard. */
-    void forgetDemandOf(String entry) {
-        demandElsewhere.remove(entry);
-    }
-
-    private long capacity(String service) {
-        long processors = 0;
-        for (Worker worker : workers.values()) {
-            boolean serves =
-                    worker.view().service().equals(service) && worker.view().accepting();
-            processors += serves ? worker.view().capacity().processorMillis() : 0;
-        }
-        return processors;
-    }
-
     private void refuseWithoutProspect(long now) {
         unkept.refuseHopeless();
         if (isSettling()) {
             return;
         }
         for (String service : waiting.services()) {
-            SharedProcessors processors = processors(service);
+            SharedProcessors processors = shares.of(service);
             if (processors.capacityMillis() > 0) {
                 waiting.withoutProspect(service, processors.spare(), now).forEach(unkept::refuseOvertaken);
             }
         }
     }
 
-    /** Notes how many entries place tasks on the workers. */
-    void entries(int count) {
-        entries = count;
-    }
-
     /** Tells whether runs that this entry started, or took over, are in progress at an agent. */
     boolean hasRunsAt(String agent) {
         Worker worker = workers.get(agent);
@@ -635,7 +567,7 @@
     private void place(long now) {
         PlacementPolicy.Pass choices = placement.over(workers.values(), now);
         for (String service : waiting.services()) {
-            double part = processors(service).backlogPart();
+            double part = shares.of(service).backlogPart();
             boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
             int misses = 0;
             for (Task task : waiting.first(service, TASKS_PER_PASS)) {
--- a/library/src/main/java/org/chivetally/queue/warmup/WarmUp.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/WarmUp.java
@@ -13,8 +13,8 @@
  *
  * <p>The failure it prevents: the first callers after a start meet code that is interpreted, and hundreds of things
  * that are set up at their first use. On a small entry the jobs of the first second then wait for each other until most
- * are late. A process that has work
- * from its start, as after a loss of power, gets its practice from that and does none of this.
+ * are late. A process that has work from its start, as after a loss of power, gets its practice from that and does none
+ * of this.
  */
 public final class WarmUp {
     /** Time from the start in which links are made and partitions are opened. */
