An agent's knowledge of its owners is a class of its own

AgentNode held links, reports, waiting starts, and the fences and stamps by which it goes; the last decide apart from the rest and are now RunOwners.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -21,7 +21,6 @@
 import org.chivetally.queue.link.LinkTable;
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.link.PeerLink;
-import org.chivetally.queue.link.SuspensionDetector;
 import org.chivetally.time.Timers;
 import org.chivetally.transport.FrameListener;
 import org.chivetally.wire.v1.AgentBeat;
@@ -68,34 +67,12 @@
     /** Heartbeats after which ends that nobody has stored are told again, for an owner that was not ready for them. */
     static final int BEATS_PER_REPEAT = 2;
 
-    /**
-     * How old the owner's knowledge of this agent may be before the runs of its kept jobs are stopped. Longer than a
-     * failover, which takes about 2.5 s, so that an owner's death does not cost the work in progress.
-     */
-    public static final Duration RENEWAL = Duration.ofMillis(4_000);
-
-    /**
-     * How old an entry's knowledge of this agent may be before the runs of its unkept jobs are stopped. Their callers
-     * send a job again 1.3 s after its entry has failed them; with one heartbeat until it is noticed and 50 ms for a
-     * stop, the old runs have ended by then.
-     */
-    static final Duration ENTRY_SILENCE = Duration.ofMillis(800);
-
-    /** How much longer runs of owners that were not heard are renewed, while they are being stopped. */
-    static final Duration STOP_MARGIN = Duration.ofMillis(350);
-
     /**
      * Part of the capacity under which a change of the free room is told at once. Above it no entry waits for room, and
      * the next heartbeat is soon enough, and each change told costs every entry a frame.
      */
     static final int SCARCE_PART = 4;
 
-    /**
-     * How old the owner's knowledge of this agent may be for a start to be taken. A start that was held up longer may
-     * have been given up and sent elsewhere.
-     */
-    static final Duration START_VALIDITY = Duration.ofMillis(600);
-
     /** Refusal of a start in an evacuated failure domain. */
     static final String EVACUATED = "evacuated";
 
@@ -106,14 +83,11 @@
     private final int partitions;
     private final LinkTable links;
     private final RunSupervisor supervisor;
-    private final SuspensionDetector suspension;
-    private final Map<Integer, Fence> fences = new HashMap<>();
+    private final RunOwners owners;
     private final Map<PeerLink, Long> startsSeen = new HashMap<>();
-    private final Map<RunOwner.Entry, Long> echoes = new HashMap<>();
     private final Set<PeerLink> owedInventory = new HashSet<>();
     private final WaitingStarts waitingStarts = new WaitingStarts();
     private Evacuations evacuations = Evacuations.UNKNOWN;
-    private long stampFloorNanos;
     private long beats;
     /** Agents that the entry heard last is linked to. */
     private int agents;
@@ -129,8 +103,7 @@
         this.partitions = partitions;
         this.links = new LinkTable(self, timers, dialer, this);
         this.supervisor = new RunSupervisor(timers, minion, this, partitions);
-        this.suspension = new SuspensionDetector(timers);
-        this.stampFloorNanos = timers.nanos();
+        this.owners = new RunOwners(timers, links);
         timers.every(BEAT_INTERVAL, this::beat);
     }
 
@@ -199,7 +172,7 @@
         evacuations(JobCodec.decode(beat.getEvacuations()));
         boolean raised = false;
         for (OwnedPartition owned : beat.getOwnedList()) {
-            raised |= raise(owned.getPartition(), owned.getEpoch(), link);
+            raised |= owners.raise(owned.getPartition(), owned.getEpoch(), link);
         }
         if (raised) {
             owedInventory.add(link);
@@ -235,21 +208,6 @@
         return supervisor.isAccepting() && !isEvacuated();
     }
 
-    /** Notes an owner's epoch; tells whether it is higher than any before. */
-    private boolean raise(int partition, long epoch, PeerLink owner) {
-        Fence known = fences.get(partition);
-        if (known != null && known.epoch() >= epoch) {
-            return false;
-        }
-        fences.put(partition, new Fence(epoch, owner.peer().process()));
-        EventLine.of("owner-changed")
-                .with("partition", partition)
-                .with("epoch", epoch)
-                .with("owner", owner.peer().process())
-                .log(LOGGER.atInfo());
-        return true;
-    }
-
     private void runStart(PeerLink link, RunStart start) {
         startsSeen.computeIfPresent(link, (same, seen) -> Math.max(seen, start.getNumber()));
         Optional<TaskKey> task = TaskKey.parse(start.getTask());
@@ -316,40 +274,32 @@
     }
 
     private Optional<String> refusal(PeerLink link, RunStart start) {
-        lookForSuspension();
+        owners.lookForSuspension();
         if (isEvacuated()) {
             // An entry that is cut off from the log does not know of it, and would go on sending.
             return Optional.of(EVACUATED);
         }
-        if (!start.getUnkept() && isFenced(start.getPartition(), start.getEpoch())) {
-            return Optional.of(
-                    "fenced by epoch " + fences.get(start.getPartition()).epoch());
+        if (isFenced(start)) {
+            return Optional.of("fenced by epoch " + owners.epoch(start.getPartition()));
         }
-        long age = timers.nanos() - start.getEchoNanos();
-        if (start.getEchoNanos() < stampFloorNanos || age > START_VALIDITY.toNanos()) {
-            return Optional.of("stale by " + age / 1_000_000 + " ms");
+        if (!owners.isValid(start.getEchoNanos())) {
+            return Optional.of("stale by " + (timers.nanos() - start.getEchoNanos()) / 1_000_000 + " ms");
         }
         // A start proves that its owner has heard the agent, also before the first echo has come.
         // Without that, the lease is held back, and the first starts after a loss of all power are refused.
         link.echoed(start.getEchoNanos());
         if (!start.getUnkept()) {
-            raise(start.getPartition(), start.getEpoch(), link);
+            owners.raise(start.getPartition(), start.getEpoch(), link);
         }
         return Optional.empty();
     }
 
-    /** Tells whether the partition has an owner of a higher epoch. */
-    private boolean isFenced(int partition, long epoch) {
-        Fence known = fences.get(partition);
-        return known != null && known.epoch() > epoch;
+    private boolean isFenced(RunStart start) {
+        return !start.getUnkept() && owners.isFenced(start.getPartition(), start.getEpoch());
     }
 
     private static RunOwner ownerOf(PeerLink link, RunStart start) {
-        return start.getUnkept() ? entryOf(link) : new RunOwner.Partition(start.getPartition());
-    }
-
-    private static RunOwner.Entry entryOf(PeerLink link) {
-        return new RunOwner.Entry(link.peer().process(), link.peer().incarnation());
+        return start.getUnkept() ? RunOwner.Entry.at(link.peer()) : new RunOwner.Partition(start.getPartition());
     }
 
     private void refuse(PeerLink link, RunStart start, String reason) {
@@ -364,14 +314,14 @@
                 .setRun(start.getRun())
                 .setReason(reason)
                 .setReport(report(link));
-        if (!start.getUnkept() && isFenced(start.getPartition(), start.getEpoch())) {
-            refused.setFencedBy(fences.get(start.getPartition()).epoch());
+        if (isFenced(start)) {
+            refused.setFencedBy(owners.epoch(start.getPartition()));
         }
         link.send(Frame.newBuilder().setRunRefused(refused).build());
     }
 
     private void runStop(RunStop stop) {
-        if (!stop.getUnkept() && isFenced(stop.getPartition(), stop.getEpoch())) {
+        if (!stop.getUnkept() && owners.isFenced(stop.getPartition(), stop.getEpoch())) {
             return;
         }
         TaskKey.parse(stop.getTask()).ifPresent(task -> {
@@ -390,65 +340,8 @@
     }
 
     @Override
-    public boolean mayRenew(Set<RunOwner> owners) {
-        lookForSuspension();
-        for (RunOwner owner : owners) {
-            boolean fresh = switch (owner) {
-                case RunOwner.Partition partition -> isOwnerFresh(partition.number(), RENEWAL.plus(STOP_MARGIN));
-                case RunOwner.Entry entry -> isEntryFresh(entry, ENTRY_SILENCE.plus(STOP_MARGIN));
-            };
-            if (!fresh) {
-                return false;
-            }
-        }
-        return true;
-    }
-
-    private boolean isEntryFresh(RunOwner.Entry entry, Duration limit) {
-        Optional<PeerLink> link = links.link(entry.process());
-        if (link.isPresent() && link.get().peer().incarnation() == entry.incarnation()) {
-            echoes.merge(entry, link.get().echoNanos(), Math::max);
-        }
-        long heard = echoes.getOrDefault(entry, Long.MIN_VALUE);
-        return heard >= stampFloorNanos && timers.nanos() - heard <= limit.toNanos();
-    }
-
-    private void stopRunsOfSilentOwners() {
-        lookForSuspension();
-        Set<RunOwner> owners = supervisor.owners();
-        for (RunOwner owner : owners) {
-            boolean fresh = switch (owner) {
-                case RunOwner.Partition partition -> isOwnerFresh(partition.number(), RENEWAL);
-                case RunOwner.Entry entry -> isEntryFresh(entry, ENTRY_SILENCE);
-            };
-            if (!fresh) {
-                supervisor.stopAll(owner);
-            }
-        }
-        echoes.keySet().retainAll(owners);
-    }
-
-    private boolean isOwnerFresh(int partition, Duration limit) {
-        Fence fence = fences.get(partition);
-        if (fence == null) {
-            return false;
-        }
-        long heard = fence.heardNanos();
-        Optional<PeerLink> link = links.link(fence.process());
-        if (link.isPresent() && link.get().echoNanos() != 0) {
-            heard = Math.max(heard, link.get().echoNanos());
-            fences.put(partition, new Fence(fence.epoch(), fence.process(), heard));
-        }
-        return heard >= stampFloorNanos && timers.nanos() - heard <= limit.toNanos();
-    }
-
-    private void lookForSuspension() {
-        long gap = suspension.look();
-        if (gap > 0) {
-            // Whatever came before the gap was meant for an agent that may have been given up since.
-            stampFloorNanos = timers.nanos();
-            EventLine.of("suspended").with("gap_ms", gap).log(LOGGER.atWarning());
-        }
+    public boolean mayRenew(Set<RunOwner> following) {
+        return owners.mayRenew(following);
     }
 
     @Override
@@ -459,7 +352,7 @@
     private void tellOwners(List<OwnedEnd> ends) {
         Map<PeerLink, RunEnds.Builder> frames = new LinkedHashMap<>();
         for (OwnedEnd end : ends) {
-            linkTo(end.owner())
+            owners.linkTo(end.owner())
                     .ifPresent(link -> frames.computeIfAbsent(link, same -> RunEnds.newBuilder())
                             .addEnds(EndCodec.encode(end.end())));
         }
@@ -467,15 +360,6 @@
                 Frame.newBuilder().setRunEnds(frame.setReport(report(link))).build()));
     }
 
-    private Optional<PeerLink> linkTo(RunOwner owner) {
-        return switch (owner) {
-            case RunOwner.Entry entry ->
-                links.link(entry.process()).filter(link -> link.peer().incarnation() == entry.incarnation());
-            case RunOwner.Partition partition ->
-                Optional.ofNullable(fences.get(partition.number())).flatMap(fence -> links.link(fence.process()));
-        };
-    }
-
     @Override
     public void minionChanged() {
         minionListener.run();
@@ -515,7 +399,7 @@
     private void beat() {
         beats++;
         links.closeSilent();
-        stopRunsOfSilentOwners();
+        owners.silent(supervisor.owners()).forEach(supervisor::stopAll);
         if (beats % BEATS_PER_REPEAT == 0) {
             tellOwners(supervisor.openEnds());
         }
@@ -554,7 +438,7 @@
                 RunInventory.newBuilder().setStampNanos(timers.nanos()).setReport(report(link));
         supervisor.runs().forEach((run, owner) -> {
             boolean unkept = owner instanceof RunOwner.Entry;
-            if (!unkept || owner.equals(entryOf(link))) {
+            if (!unkept || owner.equals(RunOwner.Entry.at(link.peer()))) {
                 inventory.addRuns(HeldRun.newBuilder()
                         .setTask(run.task().toString())
                         .setRun(run.run())
@@ -564,8 +448,7 @@
         for (OwnedEnd end : supervisor.openEnds()) {
             inventory.addEnds(EndCodec.encode(end.end()));
         }
-        fences.forEach((partition, fence) -> inventory.addFenced(
-                OwnedPartition.newBuilder().setPartition(partition).setEpoch(fence.epoch())));
+        owners.addFences(inventory);
         return Frame.newBuilder().setRunInventory(inventory).build();
     }
 
@@ -593,11 +476,4 @@
                 Math.max(0, free.memoryMegabytes()),
                 Math.max(0, free.accelerators()));
     }
-
-    /** Highest epoch seen of a partition, whose it is, and the newest stamp of ours that the owner has had. */
-    private record Fence(long epoch, String process, long heardNanos) {
-        private Fence(long epoch, String process) {
-            this(epoch, process, Long.MIN_VALUE);
-        }
-    }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/RunOwner.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunOwner.java
@@ -1,6 +1,7 @@
 package org.chivetally.queue.agent;
 
 import java.util.Objects;
+import org.chivetally.queue.link.Peer;
 
 /** Whoever started a run and follows it. */
 public sealed interface RunOwner {
@@ -23,6 +24,11 @@
             Objects.requireNonNull(process, "process");
         }
 
+        /** Returns the entry at the other end of a link. */
+        static Entry at(Peer peer) {
+            return new Entry(peer.process(), peer.incarnation());
+        }
+
         /** As by default, but written out: each start and look compares the owners of all runs. */
         @Override
         public boolean equals(Object other) {
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/RunOwners.java
@@ -0,0 +1,178 @@
+package org.chivetally.queue.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.link.LinkTable;
+import org.chivetally.queue.link.PeerLink;
+import org.chivetally.queue.link.SuspensionDetector;
+import org.chivetally.time.Timers;
+import org.chivetally.wire.v1.OwnedPartition;
+import org.chivetally.wire.v1.RunInventory;
+
+/**
+ * Whose runs an agent may keep going: the highest epoch that it has heard of for each partition, and how old each
+ * owner's knowledge of this agent is, by the stamps of the agent's own clock that come back.
+ */
+final class RunOwners {
+    /**
+     * How old the owner's knowledge of this agent may be before the runs of its kept jobs are stopped. Longer than a
+     * failover, which takes about 2.5 s, so that an owner's death does not cost the work in progress.
+     */
+    private static final Duration RENEWAL = Duration.ofMillis(4_000);
+
+    /**
+     * How old an entry's knowledge of this agent may be before the runs of its unkept jobs are stopped. Their callers
+     * send a job again 1.3 s after its entry has failed them; with one heartbeat until it is noticed and 50 ms for a
+     * stop, the old runs have ended by then.
+     */
+    private static final Duration ENTRY_SILENCE = Duration.ofMillis(800);
+
+    /** How much longer runs of owners that were not heard are renewed, while they are being stopped. */
+    private static final Duration STOP_MARGIN = Duration.ofMillis(350);
+
+    /**
+     * How old the owner's knowledge of this agent may be for a start to be taken. A start that was held up longer may
+     * have been given up and sent elsewhere.
+     */
+    private static final Duration START_VALIDITY = Duration.ofMillis(600);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Timers timers;
+    private final LinkTable links;
+    private final SuspensionDetector suspension;
+    private final Map<Integer, Fence> fences = new HashMap<>();
+    private final Map<RunOwner.Entry, Long> echoes = new HashMap<>();
+    private long stampFloorNanos;
+
+    /** Creates the owners of an agent that has heard of nobody yet. */
+    RunOwners(Timers timers, LinkTable links) {
+        this.timers = timers;
+        this.links = links;
+        this.suspension = new SuspensionDetector(timers);
+        this.stampFloorNanos = timers.nanos();
+    }
+
+    /** Notes an owner's epoch; tells whether it is higher than any before. */
+    boolean raise(int partition, long epoch, PeerLink owner) {
+        Fence known = fences.get(partition);
+        if (known != null && known.epoch() >= epoch) {
+            return false;
+        }
+        fences.put(partition, new Fence(epoch, owner.peer().process()));
+        EventLine.of("owner-changed")
+                .with("partition", partition)
+                .with("epoch", epoch)
+                .with("owner", owner.peer().process())
+                .log(LOGGER.atInfo());
+        return true;
+    }
+
+    /** Tells whether the partition has an owner of a higher epoch. */
+    boolean isFenced(int partition, long epoch) {
+        return epoch(partition) > epoch;
+    }
+
+    /** Returns the highest epoch heard of for a partition; 0 for none. */
+    long epoch(int partition) {
+        Fence known = fences.get(partition);
+        return known == null ? 0 : known.epoch();
+    }
+
+    /** Lists the epochs, for an owner that may have been replaced. */
+    void addFences(RunInventory.Builder inventory) {
+        fences.forEach((partition, fence) -> inventory.addFenced(
+                OwnedPartition.newBuilder().setPartition(partition).setEpoch(fence.epoch())));
+    }
+
+    /** Tells whether a start whose sender had a stamp of this agent may still be taken. */
+    boolean isValid(long stampNanos) {
+        return isHeardWithin(stampNanos, START_VALIDITY);
+    }
+
+    /** Tells whether leases may be extended while runs of these owners are there. */
+    boolean mayRenew(Set<RunOwner> owners) {
+        lookForSuspension();
+        for (RunOwner owner : owners) {
+            if (!isFresh(owner, RENEWAL.plus(STOP_MARGIN), ENTRY_SILENCE.plus(STOP_MARGIN))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns those of the owners of all runs that have been silent so long that their runs are to be stopped. */
+    Set<RunOwner> silent(Set<RunOwner> owners) {
+        lookForSuspension();
+        Set<RunOwner> silent = new HashSet<>();
+        for (RunOwner owner : owners) {
+            if (!isFresh(owner, RENEWAL, ENTRY_SILENCE)) {
+                silent.add(owner);
+            }
+        }
+        echoes.keySet().retainAll(owners);
+        return silent;
+    }
+
+    private boolean isFresh(RunOwner owner, Duration partitionLimit, Duration entryLimit) {
+        return switch (owner) {
+            case RunOwner.Partition partition -> isHeardWithin(heardNanos(partition), partitionLimit);
+            case RunOwner.Entry entry -> isHeardWithin(heardNanos(entry), entryLimit);
+        };
+    }
+
+    private boolean isHeardWithin(long stampNanos, Duration limit) {
+        return stampNanos >= stampFloorNanos && timers.nanos() - stampNanos <= limit.toNanos();
+    }
+
+    private long heardNanos(RunOwner.Entry entry) {
+        linkTo(entry).ifPresent(link -> echoes.merge(entry, link.echoNanos(), Math::max));
+        return echoes.getOrDefault(entry, Long.MIN_VALUE);
+    }
+
+    private long heardNanos(RunOwner.Partition partition) {
+        Fence fence = fences.get(partition.number());
+        if (fence == null) {
+            return Long.MIN_VALUE;
+        }
+        long heard = fence.heardNanos();
+        Optional<PeerLink> link = linkTo(partition);
+        if (link.isPresent() && link.get().echoNanos() != 0) {
+            heard = Math.max(heard, link.get().echoNanos());
+            fences.put(partition.number(), new Fence(fence.epoch(), fence.process(), heard));
+        }
+        return heard;
+    }
+
+    /** Takes what came before a suspension for old: it was meant for an agent that may have been given up since. */
+    void lookForSuspension() {
+        long gap = suspension.look();
+        if (gap > 0) {
+            stampFloorNanos = timers.nanos();
+            EventLine.of("suspended").with("gap_ms", gap).log(LOGGER.atWarning());
+        }
+    }
+
+    /** Returns the link to an owner, if there is one. */
+    Optional<PeerLink> linkTo(RunOwner owner) {
+        return switch (owner) {
+            case RunOwner.Entry entry ->
+                links.link(entry.process()).filter(link -> link.peer().incarnation() == entry.incarnation());
+            case RunOwner.Partition partition ->
+                Optional.ofNullable(fences.get(partition.number())).flatMap(fence -> links.link(fence.process()));
+        };
+    }
+
+    /** Highest epoch seen of a partition, whose it is, and the newest stamp of ours that the owner has had. */
+    private record Fence(long epoch, String process, long heardNanos) {
+        private Fence(long epoch, String process) {
+            this(epoch, process, Long.MIN_VALUE);
+        }
+    }
+}
