Log events of evacuations are on the operations page, and both are seen by its check

Cause: PagesTest found evacuations-read missing; the two events of an agent were hidden from it behind a method call in a conditional. No change of behaviour.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -187,14 +187,15 @@
     private void evacuations(Evacuations told) {
         boolean before = isEvacuated();
         evacuations = evacuations.newest(told);
-        if (isEvacuated() == before) {
+        boolean evacuated = isEvacuated();
+        if (evacuated == before) {
             return;
         }
-        EventLine.of(isEvacuated() ? "domain-evacuated" : "domain-taken-back")
+        EventLine.of(evacuated ? "domain-evacuated" : "domain-taken-back")
                 .with("failure_domain", self.failureDomain())
                 .with("version", evacuations.version())
                 .log(LOGGER.atInfo());
-        if (isEvacuated()) {
+        if (evacuated) {
             refuseWaiting(EVACUATED, waiting -> true);
         }
         sendBeats();
