--- a/library/src/main/java/org/chivetally/queue/RunOutcome.java
+++ b/library/src/main/java/org/chivetally/queue/RunOutcome.java
@@ -17,5 +17,7 @@
     /** Its minion is gone, and everything that ran there. */
     LOST,
     /** The start was not carried out and never will be. */
-    NEVER_STARTED
+    NEVER_STARTED,
+    /** Its minion ended without notice while it ran there. */
+    CRASHED
 }
--- a/library/src/main/java/org/chivetally/queue/agent/EndCodec.java
+++ b/library/src/main/java/org/chivetally/queue/agent/EndCodec.java
@@ -47,6 +47,7 @@
             case ALONE -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_ALONE;
             case LOST -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_LOST;
             case NEVER_STARTED -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_NEVER_STARTED;
+            case CRASHED -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_CRASHED;
         };
     }
 
@@ -60,6 +61,7 @@
             case RUN_OUTCOME_ALONE -> Optional.of(RunOutcome.ALONE);
             case RUN_OUTCOME_LOST -> Optional.of(RunOutcome.LOST);
             case RUN_OUTCOME_NEVER_STARTED -> Optional.of(RunOutcome.NEVER_STARTED);
+            case RUN_OUTCOME_CRASHED -> Optional.of(RunOutcome.CRASHED);
             case RUN_OUTCOME_UNSPECIFIED, UNRECOGNIZED -> Optional.empty();
         };
     }
--- a/library/src/main/java/org/chivetally/queue/warmup/EntryExercise.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/EntryExercise.java
@@ -21,6 +21,7 @@
 import org.chivetally.queue.link.LinkTable;
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.link.PeerLink;
+import org.chivetally.settings.SchedulingSettings;
 import org.chivetally.time.VirtualTimers;
 import org.chivetally.wire.v1.AgentBeat;
 import org.chivetally.wire.v1.Frame;
@@ -40,7 +41,7 @@
     private static final Room CAPACITY = new Room(64_000, 65_536, 0);
     private static final QueueTerms TERMS = new QueueTerms("warm-up", "warm-up", 2, 0, 1.5, 60);
     private static final EntryOptions OPTIONS =
-            new EntryOptions("warm-up-jobs", "warm-up-members", 1, Duration.ofSeconds(1));
+            new EntryOptions("warm-up-jobs", "warm-up-members", 1, Duration.ofSeconds(1), SchedulingSettings.NONE);
 
     private final VirtualTimers timers = new VirtualTimers();
     private final EntryNode entry;
--- a/library/src/main/java/org/chivetally/settings/QueueSettings.java
+++ b/library/src/main/java/org/chivetally/settings/QueueSettings.java
@@ -20,6 +20,7 @@
  * @param statusRetention how long an ended job's state is kept
  * @param drainTimeout longest time from SIGTERM to the end of the process
  * @param logLevel least level of log lines
+ * @param scheduling parts of scheduling that are switched on
  * @param entry what only an entry is told
  * @param agent what only an agent is told
  */
@@ -33,6 +34,7 @@
         Duration statusRetention,
         Duration drainTimeout,
         LogLevel logLevel,
+        SchedulingSettings scheduling,
         Optional<EntryAddresses> entry,
         Optional<AgentAddresses> agent) {
     private static final int MOST_PARTITIONS = 1_000;
@@ -44,6 +46,7 @@
     public QueueSettings {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(failureDomain, "failureDomain");
+        Objects.requireNonNull(scheduling, "scheduling");
         Objects.requireNonNull(entry, "entry");
         Objects.requireNonNull(agent, "agent");
     }
@@ -85,6 +88,7 @@
                 root.requiredDuration("statusRetention", SECOND, DAY),
                 root.requiredDuration("drainTimeout", SECOND, HOUR),
                 root.choice("logLevel", LogLevel.class, LogLevel.INFO),
+                root.has("scheduling") ? SchedulingSettings.read(root.section("scheduling")) : SchedulingSettings.NONE,
                 root.has("entry") ? Optional.of(entry(root.section("entry"))) : Optional.empty(),
                 root.has("agent") ? Optional.of(agent(root.section("agent"))) : Optional.empty());
     }
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -19,12 +19,13 @@
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.queue.log.ScriptedKeyedLog;
+import org.chivetally.settings.SchedulingSettings;
 
 /** Entries and agents in one test: a network and a log in memory, and clocks that the test advances. */
 final class Cluster {
     static final int PARTITIONS = 4;
     private static final EntryOptions OPTIONS =
-            new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120));
+            new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120), SchedulingSettings.NONE);
 
     final ManualTimers timers = new ManualTimers();
     final MemoryNetwork network = new MemoryNetwork(timers);
--- a/wire/src/main/java/org/chivetally/wire/v1/EntryBeat.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/EntryBeat.java
@@ -36,6 +36,7 @@
     pending_ = java.util.Collections.emptyList();
     entries_ = java.util.Collections.emptyList();
     demand_ = java.util.Collections.emptyList();
+    queueDemand_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -335,6 +336,67 @@
     return evacuations_ == null ? org.chivetally.wire.v1.Evacuations.getDefaultInstance() : evacuations_;
   }
 
+  public static final int QUEUE_DEMAND_FIELD_NUMBER = 10;
+  @SuppressWarnings("serial")
+  private java.util.List<org.chivetally.wire.v1.QueueDemand> queueDemand_;
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.chivetally.wire.v1.QueueDemand> getQueueDemandList() {
+    return queueDemand_;
+  }
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.chivetally.wire.v1.QueueDemandOrBuilder> 
+      getQueueDemandOrBuilderList() {
+    return queueDemand_;
+  }
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  @java.lang.Override
+  public int getQueueDemandCount() {
+    return queueDemand_.size();
+  }
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.QueueDemand getQueueDemand(int index) {
+    return queueDemand_.get(index);
+  }
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.QueueDemandOrBuilder getQueueDemandOrBuilder(
+      int index) {
+    return queueDemand_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -376,6 +438,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(9, getEvacuations());
     }
+    for (int i = 0; i < queueDemand_.size(); i++) {
+      output.writeMessage(10, queueDemand_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -436,6 +501,15 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(9, getEvacuations());
     }
+
+        {
+          final int count = queueDemand_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(queueDemand_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -481,6 +555,8 @@
       if (!getEvacuations()
           .equals(other.getEvacuations())) return false;
     }
+    if (!getQueueDemandList()
+        .equals(other.getQueueDemandList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -523,6 +599,10 @@
       hash = (37 * hash) + EVACUATIONS_FIELD_NUMBER;
       hash = (53 * hash) + getEvacuations().hashCode();
     }
+    if (getQueueDemandCount() > 0) {
+      hash = (37 * hash) + QUEUE_DEMAND_FIELD_NUMBER;
+      hash = (53 * hash) + getQueueDemandList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -662,6 +742,7 @@
         internalGetEntriesFieldBuilder();
         internalGetDemandFieldBuilder();
         internalGetEvacuationsFieldBuilder();
+        internalGetQueueDemandFieldBuilder();
       }
     }
     @java.lang.Override
@@ -705,6 +786,13 @@
         evacuationsBuilder_.dispose();
         evacuationsBuilder_ = null;
       }
+      if (queueDemandBuilder_ == null) {
+        queueDemand_ = java.util.Collections.emptyList();
+      } else {
+        queueDemand_ = null;
+        queueDemandBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000200);
       return this;
     }
 
@@ -774,6 +862,15 @@
       } else {
         result.demand_ = demandBuilder_.build();
       }
+      if (queueDemandBuilder_ == null) {
+        if (((bitField0_ & 0x00000200) != 0)) {
+          queueDemand_ = java.util.Collections.unmodifiableList(queueDemand_);
+          bitField0_ = (bitField0_ & ~0x00000200);
+        }
+        result.queueDemand_ = queueDemand_;
+      } else {
+        result.queueDemand_ = queueDemandBuilder_.build();
+      }
     }
 
     private void buildPartial0(org.chivetally.wire.v1.EntryBeat result) {
@@ -931,6 +1028,32 @@
       if (other.hasEvacuations()) {
         mergeEvacuations(other.getEvacuations());
       }
+      if (queueDemandBuilder_ == null) {
+        if (!other.queueDemand_.isEmpty()) {
+          if (queueDemand_.isEmpty()) {
+            queueDemand_ = other.queueDemand_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+          } else {
+            ensureQueueDemandIsMutable();
+            queueDemand_.addAll(other.queueDemand_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.queueDemand_.isEmpty()) {
+          if (queueDemandBuilder_.isEmpty()) {
+            queueDemandBuilder_.dispose();
+            queueDemandBuilder_ = null;
+            queueDemand_ = other.queueDemand_;
+            bitField0_ = (bitField0_ & ~0x00000200);
+            queueDemandBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetQueueDemandFieldBuilder() : null;
+          } else {
+            queueDemandBuilder_.addAllMessages(other.queueDemand_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1034,6 +1157,19 @@
               bitField0_ |= 0x00000100;
               break;
             } // case 74
+            case 82: {
+              org.chivetally.wire.v1.QueueDemand m =
+                  input.readMessage(
+                      org.chivetally.wire.v1.QueueDemand.parser(),
+                      extensionRegistry);
+              if (queueDemandBuilder_ == null) {
+                ensureQueueDemandIsMutable();
+                queueDemand_.add(m);
+              } else {
+                queueDemandBuilder_.addMessage(m);
+              }
+              break;
+            } // case 82
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2378,6 +2514,312 @@
       return evacuationsBuilder_;
     }
 
+    private java.util.List<org.chivetally.wire.v1.QueueDemand> queueDemand_ =
+      java.util.Collections.emptyList();
+    private void ensureQueueDemandIsMutable() {
+      if (!((bitField0_ & 0x00000200) != 0)) {
+        queueDemand_ = new java.util.ArrayList<org.chivetally.wire.v1.QueueDemand>(queueDemand_);
+        bitField0_ |= 0x00000200;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.chivetally.wire.v1.QueueDemand, org.chivetally.wire.v1.QueueDemand.Builder, org.chivetally.wire.v1.QueueDemandOrBuilder> queueDemandBuilder_;
+
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public java.util.List<org.chivetally.wire.v1.QueueDemand> getQueueDemandList() {
+      if (queueDemandBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(queueDemand_);
+      } else {
+        return queueDemandBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public int getQueueDemandCount() {
+      if (queueDemandBuilder_ == null) {
+        return queueDemand_.size();
+      } else {
+        return queueDemandBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public org.chivetally.wire.v1.QueueDemand getQueueDemand(int index) {
+      if (queueDemandBuilder_ == null) {
+        return queueDemand_.get(index);
+      } else {
+        return queueDemandBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder setQueueDemand(
+        int index, org.chivetally.wire.v1.QueueDemand value) {
+      if (queueDemandBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureQueueDemandIsMutable();
+        queueDemand_.set(index, value);
+        onChanged();
+      } else {
+        queueDemandBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder setQueueDemand(
+        int index, org.chivetally.wire.v1.QueueDemand.Builder builderForValue) {
+      if (queueDemandBuilder_ == null) {
+        ensureQueueDemandIsMutable();
+        queueDemand_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        queueDemandBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder addQueueDemand(org.chivetally.wire.v1.QueueDemand value) {
+      if (queueDemandBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureQueueDemandIsMutable();
+        queueDemand_.add(value);
+        onChanged();
+      } else {
+        queueDemandBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder addQueueDemand(
+        int index, org.chivetally.wire.v1.QueueDemand value) {
+      if (queueDemandBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureQueueDemandIsMutable();
+        queueDemand_.add(index, value);
+        onChanged();
+      } else {
+        queueDemandBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder addQueueDemand(
+        org.chivetally.wire.v1.QueueDemand.Builder builderForValue) {
+      if (queueDemandBuilder_ == null) {
+        ensureQueueDemandIsMutable();
+        queueDemand_.add(builderForValue.build());
+        onChanged();
+      } else {
+        queueDemandBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder addQueueDemand(
+        int index, org.chivetally.wire.v1.QueueDemand.Builder builderForValue) {
+      if (queueDemandBuilder_ == null) {
+        ensureQueueDemandIsMutable();
+        queueDemand_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        queueDemandBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder addAllQueueDemand(
+        java.lang.Iterable<? extends org.chivetally.wire.v1.QueueDemand> values) {
+      if (queueDemandBuilder_ == null) {
+        ensureQueueDemandIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, queueDemand_);
+        onChanged();
+      } else {
+        queueDemandBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder clearQueueDemand() {
+      if (queueDemandBuilder_ == null) {
+        queueDemand_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000200);
+        onChanged();
+      } else {
+        queueDemandBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public Builder removeQueueDemand(int index) {
+      if (queueDemandBuilder_ == null) {
+        ensureQueueDemandIsMutable();
+        queueDemand_.remove(index);
+        onChanged();
+      } else {
+        queueDemandBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public org.chivetally.wire.v1.QueueDemand.Builder getQueueDemandBuilder(
+        int index) {
+      return internalGetQueueDemandFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public org.chivetally.wire.v1.QueueDemandOrBuilder getQueueDemandOrBuilder(
+        int index) {
+      if (queueDemandBuilder_ == null) {
+        return queueDemand_.get(index);  } else {
+        return queueDemandBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public java.util.List<? extends org.chivetally.wire.v1.QueueDemandOrBuilder> 
+         getQueueDemandOrBuilderList() {
+      if (queueDemandBuilder_ != null) {
+        return queueDemandBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(queueDemand_);
+      }
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public org.chivetally.wire.v1.QueueDemand.Builder addQueueDemandBuilder() {
+      return internalGetQueueDemandFieldBuilder().addBuilder(
+          org.chivetally.wire.v1.QueueDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public org.chivetally.wire.v1.QueueDemand.Builder addQueueDemandBuilder(
+        int index) {
+      return internalGetQueueDemandFieldBuilder().addBuilder(
+          index, org.chivetally.wire.v1.QueueDemand.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * to entries only, while queues share room by weight
+     * </pre>
+     *
+     * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+     */
+    public java.util.List<org.chivetally.wire.v1.QueueDemand.Builder> 
+         getQueueDemandBuilderList() {
+      return internalGetQueueDemandFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.chivetally.wire.v1.QueueDemand, org.chivetally.wire.v1.QueueDemand.Builder, org.chivetally.wire.v1.QueueDemandOrBuilder> 
+        internalGetQueueDemandFieldBuilder() {
+      if (queueDemandBuilder_ == null) {
+        queueDemandBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.chivetally.wire.v1.QueueDemand, org.chivetally.wire.v1.QueueDemand.Builder, org.chivetally.wire.v1.QueueDemandOrBuilder>(
+                queueDemand_,
+                ((bitField0_ & 0x00000200) != 0),
+                getParentForChildren(),
+                isClean());
+        queueDemand_ = null;
+      }
+      return queueDemandBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.EntryBeat)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/EntryBeatOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/EntryBeatOrBuilder.java
@@ -188,4 +188,48 @@
    * <code>.org.chivetally.wire.v1.Evacuations evacuations = 9;</code>
    */
   org.chivetally.wire.v1.EvacuationsOrBuilder getEvacuationsOrBuilder();
+
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  java.util.List<org.chivetally.wire.v1.QueueDemand> 
+      getQueueDemandList();
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  org.chivetally.wire.v1.QueueDemand getQueueDemand(int index);
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  int getQueueDemandCount();
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  java.util.List<? extends org.chivetally.wire.v1.QueueDemandOrBuilder> 
+      getQueueDemandOrBuilderList();
+  /**
+   * <pre>
+   * to entries only, while queues share room by weight
+   * </pre>
+   *
+   * <code>repeated .org.chivetally.wire.v1.QueueDemand queue_demand = 10;</code>
+   */
+  org.chivetally.wire.v1.QueueDemandOrBuilder getQueueDemandOrBuilder(
+      int index);
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/RunOutcome.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunOutcome.java
@@ -71,6 +71,14 @@
    * <code>RUN_OUTCOME_NEVER_STARTED = 8;</code>
    */
   RUN_OUTCOME_NEVER_STARTED(8),
+  /**
+   * <pre>
+   * its minion ended without notice while it ran there
+   * </pre>
+   *
+   * <code>RUN_OUTCOME_CRASHED = 9;</code>
+   */
+  RUN_OUTCOME_CRASHED(9),
   UNRECOGNIZED(-1),
   ;
 
@@ -143,6 +151,14 @@
    * <code>RUN_OUTCOME_NEVER_STARTED = 8;</code>
    */
   public static final int RUN_OUTCOME_NEVER_STARTED_VALUE = 8;
+  /**
+   * <pre>
+   * its minion ended without notice while it ran there
+   * </pre>
+   *
+   * <code>RUN_OUTCOME_CRASHED = 9;</code>
+   */
+  public static final int RUN_OUTCOME_CRASHED_VALUE = 9;
 
 
   public final int getNumber() {
@@ -178,6 +194,7 @@
       case 6: return RUN_OUTCOME_ALONE;
       case 7: return RUN_OUTCOME_LOST;
       case 8: return RUN_OUTCOME_NEVER_STARTED;
+      case 9: return RUN_OUTCOME_CRASHED;
       default: return null;
     }
   }
--- a/wire/src/main/java/org/chivetally/wire/v1/RunStart.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunStart.java
@@ -277,6 +277,36 @@
     return unkept_;
   }
 
+  public static final int ESTIMATED_MILLIS_FIELD_NUMBER = 11;
+  private int estimatedMillis_ = 0;
+  /**
+   * <pre>
+   * caller's estimate of the run's duration; 0 when none was given
+   * </pre>
+   *
+   * <code>uint32 estimated_millis = 11;</code>
+   * @return The estimatedMillis.
+   */
+  @java.lang.Override
+  public int getEstimatedMillis() {
+    return estimatedMillis_;
+  }
+
+  public static final int SUSPECTED_FIELD_NUMBER = 12;
+  private boolean suspected_ = false;
+  /**
+   * <pre>
+   * the task was on a minion that crashed
+   * </pre>
+   *
+   * <code>bool suspected = 12;</code>
+   * @return The suspected.
+   */
+  @java.lang.Override
+  public boolean getSuspected() {
+    return suspected_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -321,6 +351,12 @@
     if (unkept_ != false) {
       output.writeBool(10, unkept_);
     }
+    if (estimatedMillis_ != 0) {
+      output.writeUInt32(11, estimatedMillis_);
+    }
+    if (suspected_ != false) {
+      output.writeBool(12, suspected_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -362,6 +398,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(10, unkept_);
     }
+    if (estimatedMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(11, estimatedMillis_);
+    }
+    if (suspected_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, suspected_);
+    }
     return size;
   }
   @java.lang.Override
@@ -409,6 +453,10 @@
         .equals(other.getCheckpoint())) return false;
     if (getUnkept()
         != other.getUnkept()) return false;
+    if (getEstimatedMillis()
+        != other.getEstimatedMillis()) return false;
+    if (getSuspected()
+        != other.getSuspected()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -447,6 +495,11 @@
     hash = (37 * hash) + UNKEPT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getUnkept());
+    hash = (37 * hash) + ESTIMATED_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getEstimatedMillis();
+    hash = (37 * hash) + SUSPECTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getSuspected());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -602,6 +655,8 @@
       payload_ = "";
       checkpoint_ = "";
       unkept_ = false;
+      estimatedMillis_ = 0;
+      suspected_ = false;
       return this;
     }
 
@@ -669,6 +724,12 @@
       if (((from_bitField0_ & 0x00000200) != 0)) {
         result.unkept_ = unkept_;
       }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.estimatedMillis_ = estimatedMillis_;
+      }
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.suspected_ = suspected_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -720,6 +781,12 @@
       if (other.getUnkept() != false) {
         setUnkept(other.getUnkept());
       }
+      if (other.getEstimatedMillis() != 0) {
+        setEstimatedMillis(other.getEstimatedMillis());
+      }
+      if (other.getSuspected() != false) {
+        setSuspected(other.getSuspected());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -796,6 +863,16 @@
               bitField0_ |= 0x00000200;
               break;
             } // case 80
+            case 88: {
+              estimatedMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
+            case 96: {
+              suspected_ = input.readBool();
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1376,6 +1453,94 @@
       return this;
     }
 
+    private int estimatedMillis_ ;
+    /**
+     * <pre>
+     * caller's estimate of the run's duration; 0 when none was given
+     * </pre>
+     *
+     * <code>uint32 estimated_millis = 11;</code>
+     * @return The estimatedMillis.
+     */
+    @java.lang.Override
+    public int getEstimatedMillis() {
+      return estimatedMillis_;
+    }
+    /**
+     * <pre>
+     * caller's estimate of the run's duration; 0 when none was given
+     * </pre>
+     *
+     * <code>uint32 estimated_millis = 11;</code>
+     * @param value The estimatedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEstimatedMillis(int value) {
+
+      estimatedMillis_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * caller's estimate of the run's duration; 0 when none was given
+     * </pre>
+     *
+     * <code>uint32 estimated_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEstimatedMillis() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      estimatedMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private boolean suspected_ ;
+    /**
+     * <pre>
+     * the task was on a minion that crashed
+     * </pre>
+     *
+     * <code>bool suspected = 12;</code>
+     * @return The suspected.
+     */
+    @java.lang.Override
+    public boolean getSuspected() {
+      return suspected_;
+    }
+    /**
+     * <pre>
+     * the task was on a minion that crashed
+     * </pre>
+     *
+     * <code>bool suspected = 12;</code>
+     * @param value The suspected to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSuspected(boolean value) {
+
+      suspected_ = value;
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * the task was on a minion that crashed
+     * </pre>
+     *
+     * <code>bool suspected = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSuspected() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      suspected_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.RunStart)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/RunStartOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunStartOrBuilder.java
@@ -108,4 +108,24 @@
    * @return The unkept.
    */
   boolean getUnkept();
+
+  /**
+   * <pre>
+   * caller's estimate of the run's duration; 0 when none was given
+   * </pre>
+   *
+   * <code>uint32 estimated_millis = 11;</code>
+   * @return The estimatedMillis.
+   */
+  int getEstimatedMillis();
+
+  /**
+   * <pre>
+   * the task was on a minion that crashed
+   * </pre>
+   *
+   * <code>bool suspected = 12;</code>
+   * @return The suspected.
+   */
+  boolean getSuspected();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredMinion.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredMinion.java
@@ -224,6 +224,21 @@
     return clockMillis_;
   }
 
+  public static final int BORN_AT_MILLIS_FIELD_NUMBER = 7;
+  private long bornAtMillis_ = 0L;
+  /**
+   * <pre>
+   * Start of its life, in milliseconds since 1970; 0 when it told none.
+   * </pre>
+   *
+   * <code>uint64 born_at_millis = 7;</code>
+   * @return The bornAtMillis.
+   */
+  @java.lang.Override
+  public long getBornAtMillis() {
+    return bornAtMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -256,6 +271,9 @@
     if (clockMillis_ != 0L) {
       output.writeUInt64(6, clockMillis_);
     }
+    if (bornAtMillis_ != 0L) {
+      output.writeUInt64(7, bornAtMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -286,6 +304,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(6, clockMillis_);
     }
+    if (bornAtMillis_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, bornAtMillis_);
+    }
     return size;
   }
   @java.lang.Override
@@ -325,6 +347,8 @@
         != other.getLeaving()) return false;
     if (getClockMillis()
         != other.getClockMillis()) return false;
+    if (getBornAtMillis()
+        != other.getBornAtMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -354,6 +378,9 @@
     hash = (37 * hash) + CLOCK_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getClockMillis());
+    hash = (37 * hash) + BORN_AT_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getBornAtMillis());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -506,6 +533,7 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       leaving_ = false;
       clockMillis_ = 0L;
+      bornAtMillis_ = 0L;
       return this;
     }
 
@@ -562,6 +590,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.clockMillis_ = clockMillis_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.bornAtMillis_ = bornAtMillis_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -606,6 +637,9 @@
       if (other.getClockMillis() != 0L) {
         setClockMillis(other.getClockMillis());
       }
+      if (other.getBornAtMillis() != 0L) {
+        setBornAtMillis(other.getBornAtMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -662,6 +696,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              bornAtMillis_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1129,6 +1168,50 @@
       return this;
     }
 
+    private long bornAtMillis_ ;
+    /**
+     * <pre>
+     * Start of its life, in milliseconds since 1970; 0 when it told none.
+     * </pre>
+     *
+     * <code>uint64 born_at_millis = 7;</code>
+     * @return The bornAtMillis.
+     */
+    @java.lang.Override
+    public long getBornAtMillis() {
+      return bornAtMillis_;
+    }
+    /**
+     * <pre>
+     * Start of its life, in milliseconds since 1970; 0 when it told none.
+     * </pre>
+     *
+     * <code>uint64 born_at_millis = 7;</code>
+     * @param value The bornAtMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBornAtMillis(long value) {
+
+      bornAtMillis_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Start of its life, in milliseconds since 1970; 0 when it told none.
+     * </pre>
+     *
+     * <code>uint64 born_at_millis = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBornAtMillis() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      bornAtMillis_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.StoredMinion)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredMinionOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredMinionOrBuilder.java
@@ -89,4 +89,14 @@
    * @return The clockMillis.
    */
   long getClockMillis();
+
+  /**
+   * <pre>
+   * Start of its life, in milliseconds since 1970; 0 when it told none.
+   * </pre>
+   *
+   * <code>uint64 born_at_millis = 7;</code>
+   * @return The bornAtMillis.
+   */
+  long getBornAtMillis();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
@@ -53,6 +53,8 @@
     switch (number) {
       case 3:
         return internalGetFailures();
+      case 5:
+        return internalGetCrashes();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -203,6 +205,99 @@
     return endedAtMillis_;
   }
 
+  public static final int CRASHES_FIELD_NUMBER = 5;
+  private static final class CrashesDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, java.lang.Integer> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, java.lang.Integer>newDefaultInstance(
+                org.chivetally.wire.v1.Wire.internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, java.lang.Integer> crashes_;
+  private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+  internalGetCrashes() {
+    if (crashes_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          CrashesDefaultEntryHolder.defaultEntry);
+    }
+    return crashes_;
+  }
+  public int getCrashesCount() {
+    return internalGetCrashes().getMap().size();
+  }
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  @java.lang.Override
+  public boolean containsCrashes(
+      int key) {
+
+    return internalGetCrashes().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getCrashesMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, java.lang.Integer> getCrashes() {
+    return getCrashesMap();
+  }
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, java.lang.Integer> getCrashesMap() {
+    return internalGetCrashes().getMap();
+  }
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  @java.lang.Override
+  public int getCrashesOrDefault(
+      int key,
+      int defaultValue) {
+
+    java.util.Map<java.lang.Integer, java.lang.Integer> map =
+        internalGetCrashes().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  @java.lang.Override
+  public int getCrashesOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, java.lang.Integer> map =
+        internalGetCrashes().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -232,6 +327,12 @@
     if (endedAtMillis_ != 0L) {
       output.writeUInt64(4, endedAtMillis_);
     }
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetCrashes(),
+        CrashesDefaultEntryHolder.defaultEntry,
+        5);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -258,6 +359,16 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, endedAtMillis_);
     }
+    for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> entry
+         : internalGetCrashes().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Integer>
+      crashes__ = CrashesDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(5, crashes__);
+    }
     return size;
   }
   @java.lang.Override
@@ -289,6 +400,8 @@
         other.internalGetFailures())) return false;
     if (getEndedAtMillis()
         != other.getEndedAtMillis()) return false;
+    if (!internalGetCrashes().equals(
+        other.internalGetCrashes())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -311,6 +424,10 @@
     hash = (37 * hash) + ENDED_AT_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getEndedAtMillis());
+    if (!internalGetCrashes().getMap().isEmpty()) {
+      hash = (37 * hash) + CRASHES_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetCrashes().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -430,6 +547,8 @@
       switch (number) {
         case 3:
           return internalGetFailures();
+        case 5:
+          return internalGetCrashes();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -441,6 +560,8 @@
       switch (number) {
         case 3:
           return internalGetMutableFailures();
+        case 5:
+          return internalGetMutableCrashes();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -472,6 +593,7 @@
       done_ = com.google.protobuf.ByteString.EMPTY;
       internalGetMutableFailures().clear();
       endedAtMillis_ = 0L;
+      internalGetMutableCrashes().clear();
       return this;
     }
 
@@ -518,6 +640,10 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.endedAtMillis_ = endedAtMillis_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.crashes_ = internalGetCrashes();
+        result.crashes_.makeImmutable();
+      }
     }
 
     @java.lang.Override
@@ -544,6 +670,9 @@
       if (other.getEndedAtMillis() != 0L) {
         setEndedAtMillis(other.getEndedAtMillis());
       }
+      internalGetMutableCrashes().mergeFrom(
+          other.internalGetCrashes());
+      bitField0_ |= 0x00000010;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -592,6 +721,15 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 42: {
+              com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Integer>
+              crashes__ = input.readMessage(
+                  CrashesDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableCrashes().getMutableMap().put(
+                  crashes__.getKey(), crashes__.getValue());
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 42
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -890,6 +1028,159 @@
       return this;
     }
 
+    private com.google.protobuf.MapField<
+        java.lang.Integer, java.lang.Integer> crashes_;
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+        internalGetCrashes() {
+      if (crashes_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            CrashesDefaultEntryHolder.defaultEntry);
+      }
+      return crashes_;
+    }
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+        internalGetMutableCrashes() {
+      if (crashes_ == null) {
+        crashes_ = com.google.protobuf.MapField.newMapField(
+            CrashesDefaultEntryHolder.defaultEntry);
+      }
+      if (!crashes_.isMutable()) {
+        crashes_ = crashes_.copy();
+      }
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return crashes_;
+    }
+    public int getCrashesCount() {
+      return internalGetCrashes().getMap().size();
+    }
+    /**
+     * <pre>
+     * minions that crashed under a task, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+     */
+    @java.lang.Override
+    public boolean containsCrashes(
+        int key) {
+
+      return internalGetCrashes().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getCrashesMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Integer> getCrashes() {
+      return getCrashesMap();
+    }
+    /**
+     * <pre>
+     * minions that crashed under a task, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, java.lang.Integer> getCrashesMap() {
+      return internalGetCrashes().getMap();
+    }
+    /**
+     * <pre>
+     * minions that crashed under a task, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+     */
+    @java.lang.Override
+    public int getCrashesOrDefault(
+        int key,
+        int defaultValue) {
+
+      java.util.Map<java.lang.Integer, java.lang.Integer> map =
+          internalGetCrashes().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * minions that crashed under a task, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+     */
+    @java.lang.Override
+    public int getCrashesOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, java.lang.Integer> map =
+          internalGetCrashes().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearCrashes() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      internalGetMutableCrashes().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * minions that crashed under a task, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+     */
+    public Builder removeCrashes(
+        int key) {
+
+      internalGetMutableCrashes().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Integer>
+        getMutableCrashes() {
+      bitField0_ |= 0x00000010;
+      return internalGetMutableCrashes().getMutableMap();
+    }
+    /**
+     * <pre>
+     * minions that crashed under a task, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+     */
+    public Builder putCrashes(
+        int key,
+        int value) {
+
+
+      internalGetMutableCrashes().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00000010;
+      return this;
+    }
+    /**
+     * <pre>
+     * minions that crashed under a task, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+     */
+    public Builder putAllCrashes(
+        java.util.Map<java.lang.Integer, java.lang.Integer> values) {
+      internalGetMutableCrashes().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00000010;
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.StoredProgress)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
@@ -88,4 +88,56 @@
    * @return The endedAtMillis.
    */
   long getEndedAtMillis();
+
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  int getCrashesCount();
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  boolean containsCrashes(
+      int key);
+  /**
+   * Use {@link #getCrashesMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, java.lang.Integer>
+  getCrashes();
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  java.util.Map<java.lang.Integer, java.lang.Integer>
+  getCrashesMap();
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  int getCrashesOrDefault(
+      int key,
+      int defaultValue);
+  /**
+   * <pre>
+   * minions that crashed under a task, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; crashes = 5;</code>
+   */
+  int getCrashesOrThrow(
+      int key);
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -166,6 +166,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_EntryBeat_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_QueueDemand_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_QueueDemand_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_chivetally_wire_v1_Evacuations_descriptor;
   static final 
@@ -266,6 +271,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_chivetally_wire_v1_StoredMember_descriptor;
   static final 
@@ -395,7 +405,7 @@
       ",\n\nQueueCount\022\r\n\005queue\030\001 \001(\t\022\017\n\007pending\030" +
       "\002 \001(\004\"H\n\006Demand\022\017\n\007service\030\001 \001(\t\022\027\n\017arri" +
       "ving_millis\030\002 \001(\004\022\024\n\014waiting_work\030\003 \001(\004\"" +
-      "\342\002\n\tEntryBeat\022\023\n\013stamp_nanos\030\001 \001(\004\022\022\n\nec" +
+      "\235\003\n\tEntryBeat\022\023\n\013stamp_nanos\030\001 \001(\004\022\022\n\nec" +
       "ho_nanos\030\002 \001(\004\0225\n\005owned\030\003 \003(\0132&.org.chiv" +
       "etally.wire.v1.OwnedPartition\0223\n\007pending" +
       "\030\004 \003(\0132\".org.chivetally.wire.v1.QueueCou" +
@@ -403,108 +413,119 @@
       "e.v1.EntryAddress\022\017\n\007leaving\030\006 \001(\010\022.\n\006de" +
       "mand\030\007 \003(\0132\036.org.chivetally.wire.v1.Dema" +
       "nd\022\016\n\006agents\030\010 \001(\r\0228\n\013evacuations\030\t \001(\0132" +
-      "#.org.chivetally.wire.v1.Evacuations\"7\n\013" +
-      "Evacuations\022\017\n\007version\030\001 \001(\004\022\027\n\017failure_" +
-      "domains\030\002 \003(\t\"\333\001\n\014WorkerReport\022\016\n\006minion" +
-      "\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022.\n\010capacity\030\003 \001(" +
-      "\0132\034.org.chivetally.wire.v1.Room\022*\n\004free\030" +
-      "\004 \001(\0132\034.org.chivetally.wire.v1.Room\022\021\n\ta" +
-      "ccepting\030\005 \001(\010\022\016\n\006labels\030\006 \003(\t\022\026\n\016failur" +
-      "e_domain\030\007 \001(\t\022\023\n\013starts_seen\030\010 \001(\004\"j\n\tA" +
-      "gentBeat\022\023\n\013stamp_nanos\030\001 \001(\004\022\022\n\necho_na" +
-      "nos\030\002 \001(\004\0224\n\006report\030\003 \001(\0132$.org.chivetal" +
-      "ly.wire.v1.WorkerReport\"\036\n\010BeatEcho\022\022\n\ne" +
-      "cho_nanos\030\001 \001(\004\"\356\001\n\014RunInventory\022\023\n\013stam" +
-      "p_nanos\030\001 \001(\004\0224\n\006report\030\002 \001(\0132$.org.chiv" +
-      "etally.wire.v1.WorkerReport\022-\n\004runs\030\003 \003(" +
-      "\0132\037.org.chivetally.wire.v1.HeldRun\022,\n\004en" +
-      "ds\030\004 \003(\0132\036.org.chivetally.wire.v1.RunEnd" +
-      "\0226\n\006fenced\030\005 \003(\0132&.org.chivetally.wire.v" +
-      "1.OwnedPartition\"4\n\007HeldRun\022\014\n\004task\030\001 \001(" +
-      "\t\022\013\n\003run\030\002 \001(\004\022\016\n\006unkept\030\003 \001(\010\"\314\001\n\010RunSt" +
-      "art\022\016\n\006number\030\001 \001(\004\022\014\n\004task\030\002 \001(\t\022\013\n\003run" +
-      "\030\003 \001(\004\022\021\n\tpartition\030\004 \001(\r\022\r\n\005epoch\030\005 \001(\004" +
-      "\022\022\n\necho_nanos\030\006 \001(\004\022*\n\004room\030\007 \001(\0132\034.org" +
-      ".chivetally.wire.v1.Room\022\017\n\007payload\030\010 \001(" +
-      "\t\022\022\n\ncheckpoint\030\t \001(\t\022\016\n\006unkept\030\n \001(\010\"\200\001" +
-      "\n\nRunRefused\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022" +
-      "\016\n\006reason\030\003 \001(\t\0224\n\006report\030\004 \001(\0132$.org.ch" +
-      "ivetally.wire.v1.WorkerReport\022\021\n\tfenced_" +
-      "by\030\005 \001(\004\"\216\001\n\006RunEnd\022\016\n\006minion\030\001 \001(\t\022\020\n\010s" +
-      "equence\030\002 \001(\004\022\014\n\004task\030\003 \001(\t\022\013\n\003run\030\004 \001(\004" +
-      "\0223\n\007outcome\030\005 \001(\0162\".org.chivetally.wire." +
-      "v1.RunOutcome\022\022\n\ncheckpoint\030\006 \001(\t\"m\n\007Run" +
-      "Ends\022,\n\004ends\030\001 \003(\0132\036.org.chivetally.wire" +
-      ".v1.RunEnd\0224\n\006report\030\002 \001(\0132$.org.chiveta" +
-      "lly.wire.v1.WorkerReport\"-\n\010EndsKept\022\016\n\006" +
-      "minion\030\001 \001(\t\022\021\n\tsequences\030\002 \003(\004\"V\n\007RunSt" +
-      "op\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\021\n\tpartiti" +
-      "on\030\003 \001(\r\022\r\n\005epoch\030\004 \001(\004\022\016\n\006unkept\030\005 \001(\010\"" +
-      "?\n\rJobSubmission\022.\n\003job\030\001 \001(\0132!.org.chiv" +
-      "etally.wire.v1.StoredJob\"\032\n\010JobQuery\022\016\n\006" +
-      "job_id\030\001 \001(\t\"!\n\017JobCancellation\022\016\n\006job_i" +
-      "d\030\001 \001(\t\"\234\001\n\010JobReply\0223\n\007verdict\030\001 \001(\0162\"." +
-      "org.chivetally.wire.v1.JobVerdict\022/\n\005pha" +
-      "se\030\002 \001(\0162 .org.chivetally.wire.v1.JobPha" +
-      "se\022\016\n\006reason\030\003 \001(\t\022\032\n\022retry_after_millis" +
-      "\030\004 \001(\r\"\370\001\n\tStoredJob\022\n\n\002id\030\001 \001(\t\022\r\n\005queu" +
-      "e\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007payload\030\004 \001(" +
-      "\t\022\030\n\020maximum_attempts\030\005 \001(\r\022\020\n\010priority\030" +
-      "\006 \001(\r\022\024\n\014slack_factor\030\007 \001(\001\022\035\n\025target_la" +
-      "tency_millis\030\010 \001(\r\022\032\n\022accepted_at_millis" +
-      "\030\t \001(\004\0221\n\005steps\030\n \003(\0132\".org.chivetally.w" +
-      "ire.v1.StoredStep\"\314\002\n\nStoredStep\022\r\n\005coun" +
-      "t\030\001 \001(\r\022*\n\004room\030\002 \001(\0132\034.org.chivetally.w" +
-      "ire.v1.Room\022\030\n\020estimated_millis\030\003 \001(\r\022\r\n" +
-      "\005after\030\004 \003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004g" +
-      "ang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016required" +
-      "_label\030\010 \001(\t\022\026\n\016preferred_rack\030\t \001(\t\022\032\n\022" +
-      "maximum_per_worker\030\n \001(\r\022\032\n\022duplicates_a" +
-      "llowed\030\013 \001(\010\022\024\n\014fills_unused\030\014 \001(\010\022\r\n\005im" +
-      "age\030\r \001(\t\022\025\n\rtarget_millis\030\016 \001(\r\"\341\001\n\016Sto" +
-      "redProgress\022/\n\005phase\030\001 \001(\0162 .org.chiveta" +
-      "lly.wire.v1.JobPhase\022\014\n\004done\030\002 \001(\014\022F\n\010fa" +
-      "ilures\030\003 \003(\01324.org.chivetally.wire.v1.St" +
-      "oredProgress.FailuresEntry\022\027\n\017ended_at_m" +
-      "illis\030\004 \001(\004\032/\n\rFailuresEntry\022\013\n\003key\030\001 \001(" +
-      "\r\022\r\n\005value\030\002 \001(\r:\0028\001\"\234\001\n\014StoredMember\022\023\n" +
-      "\013incarnation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016fai" +
-      "lure_domain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004port\030" +
-      "\005 \001(\r\0224\n\006minion\030\006 \001(\0132$.org.chivetally.w" +
-      "ire.v1.StoredMinion\"\224\001\n\014StoredMinion\022\014\n\004" +
-      "boot\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022.\n\010capacity\030" +
-      "\003 \001(\0132\034.org.chivetally.wire.v1.Room\022\016\n\006l" +
-      "abels\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\022\024\n\014clock_mi" +
-      "llis\030\006 \001(\004*\242\001\n\nTaskStatus\022\033\n\027TASK_STATUS" +
-      "_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022" +
-      "TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STATUS_NOT_" +
-      "RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_S" +
-      "TATUS_RUNNING\020\005*\347\002\n\rRefusalReason\022\036\n\032REF" +
-      "USAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFUSAL_REA" +
-      "SON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAINING\020\002\022" +
-      "\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022!\n\035REFU" +
-      "SAL_REASON_OLD_GENERATION\020\004\022 \n\034REFUSAL_R" +
-      "EASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_REASON_" +
-      "CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXPIRED\020\007\022" +
-      "\"\n\036REFUSAL_REASON_ALREADY_STARTED\020\010\022\036\n\032R" +
-      "EFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030REFUSAL_R" +
-      "EASON_TOO_LARGE\020\n*\354\001\n\nRunOutcome\022\033\n\027RUN_" +
-      "OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTCOME_DON" +
-      "E\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RUN_OUTCO" +
-      "ME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n\022" +
-      "RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCOME_ALON" +
-      "E\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_OUTCOME" +
-      "_NEVER_STARTED\020\010*\306\001\n\nJobVerdict\022\033\n\027JOB_V" +
-      "ERDICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDICT_ACCE" +
-      "PTED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033\n\027JOB_V" +
-      "ERDICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_" +
-      "OWNER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n\025JOB_VE" +
-      "RDICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PH" +
-      "ASE_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022" +
-      "\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHASE_COMP" +
-      "LETED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023JOB_PHA" +
-      "SE_CANCELLED\020\005B\032\n\026org.chivetally.wire.v1" +
-      "P\001b\006proto3"
+      "#.org.chivetally.wire.v1.Evacuations\0229\n\014" +
+      "queue_demand\030\n \003(\0132#.org.chivetally.wire" +
+      ".v1.QueueDemand\"]\n\013QueueDemand\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\026\n\016running_millis" +
+      "\030\003 \001(\004\022\026\n\016waiting_millis\030\004 \001(\004\"7\n\013Evacua" +
+      "tions\022\017\n\007version\030\001 \001(\004\022\027\n\017failure_domain" +
+      "s\030\002 \003(\t\"\243\002\n\014WorkerReport\022\016\n\006minion\030\001 \001(\t" +
+      "\022\017\n\007service\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132\034.or" +
+      "g.chivetally.wire.v1.Room\022*\n\004free\030\004 \001(\0132" +
+      "\034.org.chivetally.wire.v1.Room\022\021\n\taccepti" +
+      "ng\030\005 \001(\010\022\016\n\006labels\030\006 \003(\t\022\026\n\016failure_doma" +
+      "in\030\007 \001(\t\022\023\n\013starts_seen\030\010 \001(\004\022\030\n\020stretch" +
+      "_permille\030\t \001(\r\022\024\n\014stretch_runs\030\n \001(\r\022\026\n" +
+      "\016suspected_runs\030\013 \001(\r\"j\n\tAgentBeat\022\023\n\013st" +
+      "amp_nanos\030\001 \001(\004\022\022\n\necho_nanos\030\002 \001(\004\0224\n\006r" +
+      "eport\030\003 \001(\0132$.org.chivetally.wire.v1.Wor" +
+      "kerReport\"\036\n\010BeatEcho\022\022\n\necho_nanos\030\001 \001(" +
+      "\004\"\356\001\n\014RunInventory\022\023\n\013stamp_nanos\030\001 \001(\004\022" +
+      "4\n\006report\030\002 \001(\0132$.org.chivetally.wire.v1" +
+      ".WorkerReport\022-\n\004runs\030\003 \003(\0132\037.org.chivet" +
+      "ally.wire.v1.HeldRun\022,\n\004ends\030\004 \003(\0132\036.org" +
+      ".chivetally.wire.v1.RunEnd\0226\n\006fenced\030\005 \003" +
+      "(\0132&.org.chivetally.wire.v1.OwnedPartiti" +
+      "on\"4\n\007HeldRun\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004" +
+      "\022\016\n\006unkept\030\003 \001(\010\"\371\001\n\010RunStart\022\016\n\006number\030" +
+      "\001 \001(\004\022\014\n\004task\030\002 \001(\t\022\013\n\003run\030\003 \001(\004\022\021\n\tpart" +
+      "ition\030\004 \001(\r\022\r\n\005epoch\030\005 \001(\004\022\022\n\necho_nanos" +
+      "\030\006 \001(\004\022*\n\004room\030\007 \001(\0132\034.org.chivetally.wi" +
+      "re.v1.Room\022\017\n\007payload\030\010 \001(\t\022\022\n\ncheckpoin" +
+      "t\030\t \001(\t\022\016\n\006unkept\030\n \001(\010\022\030\n\020estimated_mil" +
+      "lis\030\013 \001(\r\022\021\n\tsuspected\030\014 \001(\010\"\200\001\n\nRunRefu" +
+      "sed\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\016\n\006reason" +
+      "\030\003 \001(\t\0224\n\006report\030\004 \001(\0132$.org.chivetally." +
+      "wire.v1.WorkerReport\022\021\n\tfenced_by\030\005 \001(\004\"" +
+      "\216\001\n\006RunEnd\022\016\n\006minion\030\001 \001(\t\022\020\n\010sequence\030\002" +
+      " \001(\004\022\014\n\004task\030\003 \001(\t\022\013\n\003run\030\004 \001(\004\0223\n\007outco" +
+      "me\030\005 \001(\0162\".org.chivetally.wire.v1.RunOut" +
+      "come\022\022\n\ncheckpoint\030\006 \001(\t\"m\n\007RunEnds\022,\n\004e" +
+      "nds\030\001 \003(\0132\036.org.chivetally.wire.v1.RunEn" +
+      "d\0224\n\006report\030\002 \001(\0132$.org.chivetally.wire." +
+      "v1.WorkerReport\"-\n\010EndsKept\022\016\n\006minion\030\001 " +
+      "\001(\t\022\021\n\tsequences\030\002 \003(\004\"V\n\007RunStop\022\014\n\004tas" +
+      "k\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\021\n\tpartition\030\003 \001(\r\022" +
+      "\r\n\005epoch\030\004 \001(\004\022\016\n\006unkept\030\005 \001(\010\"?\n\rJobSub" +
+      "mission\022.\n\003job\030\001 \001(\0132!.org.chivetally.wi" +
+      "re.v1.StoredJob\"\032\n\010JobQuery\022\016\n\006job_id\030\001 " +
+      "\001(\t\"!\n\017JobCancellation\022\016\n\006job_id\030\001 \001(\t\"\234" +
+      "\001\n\010JobReply\0223\n\007verdict\030\001 \001(\0162\".org.chive" +
+      "tally.wire.v1.JobVerdict\022/\n\005phase\030\002 \001(\0162" +
+      " .org.chivetally.wire.v1.JobPhase\022\016\n\006rea" +
+      "son\030\003 \001(\t\022\032\n\022retry_after_millis\030\004 \001(\r\"\370\001" +
+      "\n\tStoredJob\022\n\n\002id\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\017" +
+      "\n\007service\030\003 \001(\t\022\017\n\007payload\030\004 \001(\t\022\030\n\020maxi" +
+      "mum_attempts\030\005 \001(\r\022\020\n\010priority\030\006 \001(\r\022\024\n\014" +
+      "slack_factor\030\007 \001(\001\022\035\n\025target_latency_mil" +
+      "lis\030\010 \001(\r\022\032\n\022accepted_at_millis\030\t \001(\004\0221\n" +
+      "\005steps\030\n \003(\0132\".org.chivetally.wire.v1.St" +
+      "oredStep\"\314\002\n\nStoredStep\022\r\n\005count\030\001 \001(\r\022*" +
+      "\n\004room\030\002 \001(\0132\034.org.chivetally.wire.v1.Ro" +
+      "om\022\030\n\020estimated_millis\030\003 \001(\r\022\r\n\005after\030\004 " +
+      "\003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010" +
+      "\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016required_label\030\010 " +
+      "\001(\t\022\026\n\016preferred_rack\030\t \001(\t\022\032\n\022maximum_p" +
+      "er_worker\030\n \001(\r\022\032\n\022duplicates_allowed\030\013 " +
+      "\001(\010\022\024\n\014fills_unused\030\014 \001(\010\022\r\n\005image\030\r \001(\t" +
+      "\022\025\n\rtarget_millis\030\016 \001(\r\"\327\002\n\016StoredProgre" +
+      "ss\022/\n\005phase\030\001 \001(\0162 .org.chivetally.wire." +
+      "v1.JobPhase\022\014\n\004done\030\002 \001(\014\022F\n\010failures\030\003 " +
+      "\003(\01324.org.chivetally.wire.v1.StoredProgr" +
+      "ess.FailuresEntry\022\027\n\017ended_at_millis\030\004 \001" +
+      "(\004\022D\n\007crashes\030\005 \003(\01323.org.chivetally.wir" +
+      "e.v1.StoredProgress.CrashesEntry\032/\n\rFail" +
+      "uresEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028" +
+      "\001\032.\n\014CrashesEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030" +
+      "\002 \001(\r:\0028\001\"\234\001\n\014StoredMember\022\023\n\013incarnatio" +
+      "n\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016failure_domain" +
+      "\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\0224\n\006mi" +
+      "nion\030\006 \001(\0132$.org.chivetally.wire.v1.Stor" +
+      "edMinion\"\254\001\n\014StoredMinion\022\014\n\004boot\030\001 \001(\t\022" +
+      "\017\n\007service\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132\034.org" +
+      ".chivetally.wire.v1.Room\022\016\n\006labels\030\004 \003(\t" +
+      "\022\017\n\007leaving\030\005 \001(\010\022\024\n\014clock_millis\030\006 \001(\004\022" +
+      "\026\n\016born_at_millis\030\007 \001(\004*\242\001\n\nTaskStatus\022\033" +
+      "\n\027TASK_STATUS_UNSPECIFIED\020\000\022\024\n\020TASK_STAT" +
+      "US_DONE\020\001\022\026\n\022TASK_STATUS_FAILED\020\002\022\027\n\023TAS" +
+      "K_STATUS_NOT_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOW" +
+      "N\020\004\022\027\n\023TASK_STATUS_RUNNING\020\005*\347\002\n\rRefusal" +
+      "Reason\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000\022\027" +
+      "\n\023REFUSAL_REASON_FULL\020\001\022\033\n\027REFUSAL_REASO" +
+      "N_DRAINING\020\002\022\037\n\033REFUSAL_REASON_STALE_TIC" +
+      "KET\020\003\022!\n\035REFUSAL_REASON_OLD_GENERATION\020\004" +
+      "\022 \n\034REFUSAL_REASON_WRONG_SERVICE\020\005\022\034\n\030RE" +
+      "FUSAL_REASON_CANCELLED\020\006\022\032\n\026REFUSAL_REAS" +
+      "ON_EXPIRED\020\007\022\"\n\036REFUSAL_REASON_ALREADY_S" +
+      "TARTED\020\010\022\036\n\032REFUSAL_REASON_MINION_DOWN\020\t" +
+      "\022\034\n\030REFUSAL_REASON_TOO_LARGE\020\n*\205\002\n\nRunOu" +
+      "tcome\022\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RU" +
+      "N_OUTCOME_DONE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002" +
+      "\022\027\n\023RUN_OUTCOME_STOPPED\020\003\022\026\n\022RUN_OUTCOME" +
+      "_LAPSED\020\004\022\026\n\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN" +
+      "_OUTCOME_ALONE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035" +
+      "\n\031RUN_OUTCOME_NEVER_STARTED\020\010\022\027\n\023RUN_OUT" +
+      "COME_CRASHED\020\t*\306\001\n\nJobVerdict\022\033\n\027JOB_VER" +
+      "DICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDICT_ACCEPT" +
+      "ED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033\n\027JOB_VER" +
+      "DICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OW" +
+      "NER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n\025JOB_VERD" +
+      "ICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHAS" +
+      "E_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n" +
+      "\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHASE_COMPLE" +
+      "TED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE" +
+      "_CANCELLED\020\005B\032\n\026org.chivetally.wire.v1P\001" +
+      "b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -677,139 +698,151 @@
     internal_static_org_chivetally_wire_v1_EntryBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_EntryBeat_descriptor,
-        new java.lang.String[] { "StampNanos", "EchoNanos", "Owned", "Pending", "Entries", "Leaving", "Demand", "Agents", "Evacuations", });
-    internal_static_org_chivetally_wire_v1_Evacuations_descriptor =
+        new java.lang.String[] { "StampNanos", "EchoNanos", "Owned", "Pending", "Entries", "Leaving", "Demand", "Agents", "Evacuations", "QueueDemand", });
+    internal_static_org_chivetally_wire_v1_QueueDemand_descriptor =
       getDescriptor().getMessageType(28);
+    internal_static_org_chivetally_wire_v1_QueueDemand_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_QueueDemand_descriptor,
+        new java.lang.String[] { "Service", "Queue", "RunningMillis", "WaitingMillis", });
+    internal_static_org_chivetally_wire_v1_Evacuations_descriptor =
+      getDescriptor().getMessageType(29);
     internal_static_org_chivetally_wire_v1_Evacuations_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_Evacuations_descriptor,
         new java.lang.String[] { "Version", "FailureDomains", });
     internal_static_org_chivetally_wire_v1_WorkerReport_descriptor =
-      getDescriptor().getMessageType(29);
+      getDescriptor().getMessageType(30);
     internal_static_org_chivetally_wire_v1_WorkerReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_WorkerReport_descriptor,
-        new java.lang.String[] { "Minion", "Service", "Capacity", "Free", "Accepting", "Labels", "FailureDomain", "StartsSeen", });
+        new java.lang.String[] { "Minion", "Service", "Capacity", "Free", "Accepting", "Labels", "FailureDomain", "StartsSeen", "StretchPermille", "StretchRuns", "SuspectedRuns", });
     internal_static_org_chivetally_wire_v1_AgentBeat_descriptor =
-      getDescriptor().getMessageType(30);
+      getDescriptor().getMessageType(31);
     internal_static_org_chivetally_wire_v1_AgentBeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_AgentBeat_descriptor,
         new java.lang.String[] { "StampNanos", "EchoNanos", "Report", });
     internal_static_org_chivetally_wire_v1_BeatEcho_descriptor =
-      getDescriptor().getMessageType(31);
+      getDescriptor().getMessageType(32);
     internal_static_org_chivetally_wire_v1_BeatEcho_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_BeatEcho_descriptor,
         new java.lang.String[] { "EchoNanos", });
     internal_static_org_chivetally_wire_v1_RunInventory_descriptor =
-      getDescriptor().getMessageType(32);
+      getDescriptor().getMessageType(33);
     internal_static_org_chivetally_wire_v1_RunInventory_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunInventory_descriptor,
         new java.lang.String[] { "StampNanos", "Report", "Runs", "Ends", "Fenced", });
     internal_static_org_chivetally_wire_v1_HeldRun_descriptor =
-      getDescriptor().getMessageType(33);
+      getDescriptor().getMessageType(34);
     internal_static_org_chivetally_wire_v1_HeldRun_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_HeldRun_descriptor,
         new java.lang.String[] { "Task", "Run", "Unkept", });
     internal_static_org_chivetally_wire_v1_RunStart_descriptor =
-      getDescriptor().getMessageType(34);
+      getDescriptor().getMessageType(35);
     internal_static_org_chivetally_wire_v1_RunStart_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunStart_descriptor,
-        new java.lang.String[] { "Number", "Task", "Run", "Partition", "Epoch", "EchoNanos", "Room", "Payload", "Checkpoint", "Unkept", });
+        new java.lang.String[] { "Number", "Task", "Run", "Partition", "Epoch", "EchoNanos", "Room", "Payload", "Checkpoint", "Unkept", "EstimatedMillis", "Suspected", });
     internal_static_org_chivetally_wire_v1_RunRefused_descriptor =
-      getDescriptor().getMessageType(35);
+      getDescriptor().getMessageType(36);
     internal_static_org_chivetally_wire_v1_RunRefused_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunRefused_descriptor,
         new java.lang.String[] { "Task", "Run", "Reason", "Report", "FencedBy", });
     internal_static_org_chivetally_wire_v1_RunEnd_descriptor =
-      getDescriptor().getMessageType(36);
+      getDescriptor().getMessageType(37);
     internal_static_org_chivetally_wire_v1_RunEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunEnd_descriptor,
         new java.lang.String[] { "Minion", "Sequence", "Task", "Run", "Outcome", "Checkpoint", });
     internal_static_org_chivetally_wire_v1_RunEnds_descriptor =
-      getDescriptor().getMessageType(37);
+      getDescriptor().getMessageType(38);
     internal_static_org_chivetally_wire_v1_RunEnds_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunEnds_descriptor,
         new java.lang.String[] { "Ends", "Report", });
     internal_static_org_chivetally_wire_v1_EndsKept_descriptor =
-      getDescriptor().getMessageType(38);
+      getDescriptor().getMessageType(39);
     internal_static_org_chivetally_wire_v1_EndsKept_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_EndsKept_descriptor,
         new java.lang.String[] { "Minion", "Sequences", });
     internal_static_org_chivetally_wire_v1_RunStop_descriptor =
-      getDescriptor().getMessageType(39);
+      getDescriptor().getMessageType(40);
     internal_static_org_chivetally_wire_v1_RunStop_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunStop_descriptor,
         new java.lang.String[] { "Task", "Run", "Partition", "Epoch", "Unkept", });
     internal_static_org_chivetally_wire_v1_JobSubmission_descriptor =
-      getDescriptor().getMessageType(40);
+      getDescriptor().getMessageType(41);
     internal_static_org_chivetally_wire_v1_JobSubmission_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_JobSubmission_descriptor,
         new java.lang.String[] { "Job", });
     internal_static_org_chivetally_wire_v1_JobQuery_descriptor =
-      getDescriptor().getMessageType(41);
+      getDescriptor().getMessageType(42);
     internal_static_org_chivetally_wire_v1_JobQuery_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_JobQuery_descriptor,
         new java.lang.String[] { "JobId", });
     internal_static_org_chivetally_wire_v1_JobCancellation_descriptor =
-      getDescriptor().getMessageType(42);
+      getDescriptor().getMessageType(43);
     internal_static_org_chivetally_wire_v1_JobCancellation_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_JobCancellation_descriptor,
         new java.lang.String[] { "JobId", });
     internal_static_org_chivetally_wire_v1_JobReply_descriptor =
-      getDescriptor().getMessageType(43);
+      getDescriptor().getMessageType(44);
     internal_static_org_chivetally_wire_v1_JobReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_JobReply_descriptor,
         new java.lang.String[] { "Verdict", "Phase", "Reason", "RetryAfterMillis", });
     internal_static_org_chivetally_wire_v1_StoredJob_descriptor =
-      getDescriptor().getMessageType(44);
+      getDescriptor().getMessageType(45);
     internal_static_org_chivetally_wire_v1_StoredJob_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredJob_descriptor,
         new java.lang.String[] { "Id", "Queue", "Service", "Payload", "MaximumAttempts", "Priority", "SlackFactor", "TargetLatencyMillis", "AcceptedAtMillis", "Steps", });
     internal_static_org_chivetally_wire_v1_StoredStep_descriptor =
-      getDescriptor().getMessageType(45);
+      getDescriptor().getMessageType(46);
     internal_static_org_chivetally_wire_v1_StoredStep_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredStep_descriptor,
         new java.lang.String[] { "Count", "Room", "EstimatedMillis", "After", "Checkpointing", "Gang", "SameRack", "RequiredLabel", "PreferredRack", "MaximumPerWorker", "DuplicatesAllowed", "FillsUnused", "Image", "TargetMillis", });
     internal_static_org_chivetally_wire_v1_StoredProgress_descriptor =
-      getDescriptor().getMessageType(46);
+      getDescriptor().getMessageType(47);
     internal_static_org_chivetally_wire_v1_StoredProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_descriptor,
-        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", });
+        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", "Crashes", });
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor =
       internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(0);
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_descriptor =
+      internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(1);
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
     internal_static_org_chivetally_wire_v1_StoredMember_descriptor =
-      getDescriptor().getMessageType(47);
+      getDescriptor().getMessageType(48);
     internal_static_org_chivetally_wire_v1_StoredMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredMember_descriptor,
         new java.lang.String[] { "Incarnation", "Agent", "FailureDomain", "Host", "Port", "Minion", });
     internal_static_org_chivetally_wire_v1_StoredMinion_descriptor =
-      getDescriptor().getMessageType(48);
+      getDescriptor().getMessageType(49);
     internal_static_org_chivetally_wire_v1_StoredMinion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredMinion_descriptor,
-        new java.lang.String[] { "Boot", "Service", "Capacity", "Labels", "Leaving", "ClockMillis", });
+        new java.lang.String[] { "Boot", "Service", "Capacity", "Labels", "Leaving", "ClockMillis", "BornAtMillis", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/WorkerReport.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/WorkerReport.java
@@ -314,6 +314,51 @@
     return startsSeen_;
   }
 
+  public static final int STRETCH_PERMILLE_FIELD_NUMBER = 9;
+  private int stretchPermille_ = 0;
+  /**
+   * <pre>
+   * duration of its runs over their estimates, geometric mean; 0 while unknown
+   * </pre>
+   *
+   * <code>uint32 stretch_permille = 9;</code>
+   * @return The stretchPermille.
+   */
+  @java.lang.Override
+  public int getStretchPermille() {
+    return stretchPermille_;
+  }
+
+  public static final int STRETCH_RUNS_FIELD_NUMBER = 10;
+  private int stretchRuns_ = 0;
+  /**
+   * <pre>
+   * weight of that mean, in runs
+   * </pre>
+   *
+   * <code>uint32 stretch_runs = 10;</code>
+   * @return The stretchRuns.
+   */
+  @java.lang.Override
+  public int getStretchRuns() {
+    return stretchRuns_;
+  }
+
+  public static final int SUSPECTED_RUNS_FIELD_NUMBER = 11;
+  private int suspectedRuns_ = 0;
+  /**
+   * <pre>
+   * held runs whose task was on a minion that crashed
+   * </pre>
+   *
+   * <code>uint32 suspected_runs = 11;</code>
+   * @return The suspectedRuns.
+   */
+  @java.lang.Override
+  public int getSuspectedRuns() {
+    return suspectedRuns_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -352,6 +397,15 @@
     if (startsSeen_ != 0L) {
       output.writeUInt64(8, startsSeen_);
     }
+    if (stretchPermille_ != 0) {
+      output.writeUInt32(9, stretchPermille_);
+    }
+    if (stretchRuns_ != 0) {
+      output.writeUInt32(10, stretchRuns_);
+    }
+    if (suspectedRuns_ != 0) {
+      output.writeUInt32(11, suspectedRuns_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -389,6 +443,18 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(8, startsSeen_);
     }
+    if (stretchPermille_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(9, stretchPermille_);
+    }
+    if (stretchRuns_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(10, stretchRuns_);
+    }
+    if (suspectedRuns_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(11, suspectedRuns_);
+    }
     return size;
   }
   @java.lang.Override
@@ -435,6 +501,12 @@
         .equals(other.getFailureDomain())) return false;
     if (getStartsSeen()
         != other.getStartsSeen()) return false;
+    if (getStretchPermille()
+        != other.getStretchPermille()) return false;
+    if (getStretchRuns()
+        != other.getStretchRuns()) return false;
+    if (getSuspectedRuns()
+        != other.getSuspectedRuns()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -470,6 +542,12 @@
     hash = (37 * hash) + STARTS_SEEN_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getStartsSeen());
+    hash = (37 * hash) + STRETCH_PERMILLE_FIELD_NUMBER;
+    hash = (53 * hash) + getStretchPermille();
+    hash = (37 * hash) + STRETCH_RUNS_FIELD_NUMBER;
+    hash = (53 * hash) + getStretchRuns();
+    hash = (37 * hash) + SUSPECTED_RUNS_FIELD_NUMBER;
+    hash = (53 * hash) + getSuspectedRuns();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -629,6 +707,9 @@
           com.google.protobuf.LazyStringArrayList.emptyList();
       failureDomain_ = "";
       startsSeen_ = 0L;
+      stretchPermille_ = 0;
+      stretchRuns_ = 0;
+      suspectedRuns_ = 0;
       return this;
     }
 
@@ -694,6 +775,15 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.startsSeen_ = startsSeen_;
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.stretchPermille_ = stretchPermille_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.stretchRuns_ = stretchRuns_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.suspectedRuns_ = suspectedRuns_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -746,6 +836,15 @@
       if (other.getStartsSeen() != 0L) {
         setStartsSeen(other.getStartsSeen());
       }
+      if (other.getStretchPermille() != 0) {
+        setStretchPermille(other.getStretchPermille());
+      }
+      if (other.getStretchRuns() != 0) {
+        setStretchRuns(other.getStretchRuns());
+      }
+      if (other.getSuspectedRuns() != 0) {
+        setSuspectedRuns(other.getSuspectedRuns());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -814,6 +913,21 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 64
+            case 72: {
+              stretchPermille_ = input.readUInt32();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 72
+            case 80: {
+              stretchRuns_ = input.readUInt32();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 80
+            case 88: {
+              suspectedRuns_ = input.readUInt32();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 88
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1540,6 +1654,138 @@
       return this;
     }
 
+    private int stretchPermille_ ;
+    /**
+     * <pre>
+     * duration of its runs over their estimates, geometric mean; 0 while unknown
+     * </pre>
+     *
+     * <code>uint32 stretch_permille = 9;</code>
+     * @return The stretchPermille.
+     */
+    @java.lang.Override
+    public int getStretchPermille() {
+      return stretchPermille_;
+    }
+    /**
+     * <pre>
+     * duration of its runs over their estimates, geometric mean; 0 while unknown
+     * </pre>
+     *
+     * <code>uint32 stretch_permille = 9;</code>
+     * @param value The stretchPermille to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStretchPermille(int value) {
+
+      stretchPermille_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * duration of its runs over their estimates, geometric mean; 0 while unknown
+     * </pre>
+     *
+     * <code>uint32 stretch_permille = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStretchPermille() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      stretchPermille_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int stretchRuns_ ;
+    /**
+     * <pre>
+     * weight of that mean, in runs
+     * </pre>
+     *
+     * <code>uint32 stretch_runs = 10;</code>
+     * @return The stretchRuns.
+     */
+    @java.lang.Override
+    public int getStretchRuns() {
+      return stretchRuns_;
+    }
+    /**
+     * <pre>
+     * weight of that mean, in runs
+     * </pre>
+     *
+     * <code>uint32 stretch_runs = 10;</code>
+     * @param value The stretchRuns to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStretchRuns(int value) {
+
+      stretchRuns_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * weight of that mean, in runs
+     * </pre>
+     *
+     * <code>uint32 stretch_runs = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearStretchRuns() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      stretchRuns_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int suspectedRuns_ ;
+    /**
+     * <pre>
+     * held runs whose task was on a minion that crashed
+     * </pre>
+     *
+     * <code>uint32 suspected_runs = 11;</code>
+     * @return The suspectedRuns.
+     */
+    @java.lang.Override
+    public int getSuspectedRuns() {
+      return suspectedRuns_;
+    }
+    /**
+     * <pre>
+     * held runs whose task was on a minion that crashed
+     * </pre>
+     *
+     * <code>uint32 suspected_runs = 11;</code>
+     * @param value The suspectedRuns to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSuspectedRuns(int value) {
+
+      suspectedRuns_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * held runs whose task was on a minion that crashed
+     * </pre>
+     *
+     * <code>uint32 suspected_runs = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearSuspectedRuns() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      suspectedRuns_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.WorkerReport)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/WorkerReportOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/WorkerReportOrBuilder.java
@@ -140,4 +140,34 @@
    * @return The startsSeen.
    */
   long getStartsSeen();
+
+  /**
+   * <pre>
+   * duration of its runs over their estimates, geometric mean; 0 while unknown
+   * </pre>
+   *
+   * <code>uint32 stretch_permille = 9;</code>
+   * @return The stretchPermille.
+   */
+  int getStretchPermille();
+
+  /**
+   * <pre>
+   * weight of that mean, in runs
+   * </pre>
+   *
+   * <code>uint32 stretch_runs = 10;</code>
+   * @return The stretchRuns.
+   */
+  int getStretchRuns();
+
+  /**
+   * <pre>
+   * held runs whose task was on a minion that crashed
+   * </pre>
+   *
+   * <code>uint32 suspected_runs = 11;</code>
+   * @return The suspectedRuns.
+   */
+  int getSuspectedRuns();
 }
