One log manager for all processes

The command line had a copy of the library's log manager that keeps handlers while a process stops. It uses the library's now. StandaloneTest and KeyValueFormatterTest pass (9 tests).

--- a/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
+++ b/command/src/main/java/org/chivetally/command/ChivetallyCommand.java
@@ -1,8 +1,8 @@
 package org.chivetally.command;
 
 import java.io.PrintWriter;
-import org.chivetally.command.daemon.LastingLogManager;
 import org.chivetally.errors.ChivetallyException;
+import org.chivetally.logging.LastingLogManager;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
