Pattern switches and record methods of the packaged jars are linked at build time

Each start generated a hidden class for each call site of SwitchBootstraps and ObjectMethods that it came through, which the class archive can't contain.

A class with a form that it doesn't know stays as it is and is reported.

--- /dev/null
+++ b/linkage/src/main/java/org/chivetally/linkage/LinkageStep.java
@@ -0,0 +1,120 @@
+package org.chivetally.linkage;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Enumeration;
+import java.util.List;
+import java.util.stream.Stream;
+import java.util.zip.ZipEntry;
+import java.util.zip.ZipFile;
+import java.util.zip.ZipOutputStream;
+
+/**
+ * Links the classes of jars and of class directories in place. A class on which it fails stays as it is, and is
+ * reported.
+ */
+public final class LinkageStep {
+    private static final String CLASS = ".class";
+
+    private final ClassLinker linker;
+    private final List<String> failures = new ArrayList<>();
+    private int classes;
+    private int replaced;
+
+    /**
+     * Creates a step.
+     *
+     * @param classes finds the classes that the linked ones refer to
+     */
+    public LinkageStep(ClassLoader classes) {
+        linker = new ClassLinker(classes);
+    }
+
+    /** Links the jars and class directories that are named; their classes have to be on the class path too. */
+    public static void main(String[] arguments) {
+        LinkageStep step = new LinkageStep(ClassLoader.getSystemClassLoader());
+        Arrays.stream(arguments).map(Path::of).forEach(step::link);
+        step.failures.forEach(System.err::println);
+        System.out.println("event=linked classes=" + step.classes + " call_sites=" + step.replaced + " failures="
+                + step.failures.size());
+    }
+
+    /** Returns a line for each class that could not be linked. */
+    public List<String> failures() {
+        return List.copyOf(failures);
+    }
+
+    /** Returns the number of call sites that were replaced. */
+    public int replaced() {
+        return replaced;
+    }
+
+    /** Links the classes of a jar or of a directory. */
+    public void link(Path target) {
+        try {
+            if (Files.isDirectory(target)) {
+                linkDirectory(target);
+            } else {
+                linkJar(target);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException("linking " + target, e);
+        }
+    }
+
+    private void linkDirectory(Path directory) throws IOException {
+        List<Path> files;
+        try (Stream<Path> all = Files.walk(directory)) {
+            files = all.filter(file -> file.toString().endsWith(CLASS)).toList();
+        }
+        for (Path file : files) {
+            byte[] bytes = Files.readAllBytes(file);
+            byte[] linked = linked(directory.relativize(file).toString(), bytes);
+            if (linked != bytes) {
+                Files.write(file, linked);
+            }
+        }
+    }
+
+    private void linkJar(Path jar) throws IOException {
+        Path result = Files.createTempFile(jar.toAbsolutePath().getParent(), "linked", ".jar");
+        try (ZipFile source = new ZipFile(jar.toFile());
+                ZipOutputStream target = new ZipOutputStream(Files.newOutputStream(result))) {
+            Enumeration<? extends ZipEntry> entries = source.entries();
+            while (entries.hasMoreElements()) {
+                ZipEntry entry = entries.nextElement();
+                ZipEntry copy = new ZipEntry(entry.getName());
+                copy.setLastModifiedTime(entry.getLastModifiedTime());
+                target.putNextEntry(copy);
+                target.write(content(source, entry));
+                target.closeEntry();
+            }
+        }
+        Files.move(result, jar, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private byte[] content(ZipFile source, ZipEntry entry) throws IOException {
+        try (InputStream stream = source.getInputStream(entry)) {
+            byte[] bytes = stream.readAllBytes();
+            return entry.getName().endsWith(CLASS) ? linked(entry.getName(), bytes) : bytes;
+        }
+    }
+
+    private byte[] linked(String name, byte[] bytes) {
+        try {
+            ClassLinker.Linked linked = linker.link(bytes);
+            classes += linked.replaced() > 0 ? 1 : 0;
+            replaced += linked.replaced();
+            return linked.bytes();
+        } catch (IllegalArgumentException | UnsupportedCallSiteException e) {
+            failures.add("event=class-not-linked class=" + name + " reason=\"" + e.getMessage() + '"');
+            return bytes;
+        }
+    }
+}
--- /dev/null
+++ b/linkage/src/main/java/org/chivetally/linkage/TypeSwitchSite.java
@@ -0,0 +1,85 @@
+package org.chivetally.linkage;
+
+import java.lang.classfile.CodeBuilder;
+import java.lang.classfile.Label;
+import java.lang.classfile.instruction.InvokeDynamicInstruction;
+import java.lang.classfile.instruction.SwitchCase;
+import java.lang.constant.ClassDesc;
+import java.lang.constant.ConstantDesc;
+import java.lang.constant.ConstantDescs;
+import java.lang.constant.MethodTypeDesc;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Choice of a label in a pattern switch, as {@code SwitchBootstraps.typeSwitch} and {@code enumSwitch} specify it: -1
+ * for null, else the index of the first matching label from the restart index on, else the number of labels.
+ *
+ * @param stem of the method's name
+ * @param type the selector and the restart index to an index
+ * @param labels classes, and for {@code enumSwitch} also names of constants
+ */
+record TypeSwitchSite(String stem, MethodTypeDesc type, List<ConstantDesc> labels) implements CallSite {
+    private static final ClassDesc OBJECTS = ClassDesc.of("java.util.Objects");
+    private static final MethodTypeDesc CHECK_INDEX =
+            MethodTypeDesc.of(ConstantDescs.CD_int, ConstantDescs.CD_int, ConstantDescs.CD_int);
+    private static final int SELECTOR = 0;
+    private static final int RESTART = 1;
+
+    static TypeSwitchSite of(InvokeDynamicInstruction instruction) {
+        String method = instruction.bootstrapMethod().methodName();
+        MethodTypeDesc type = instruction.typeSymbol();
+        if (type.parameterCount() != 2 || type.parameterType(0).isPrimitive()) {
+            throw new UnsupportedCallSiteException(method + " of type " + type.displayDescriptor());
+        }
+        boolean named = method.equals("enumSwitch");
+        for (ConstantDesc label : instruction.bootstrapArgs()) {
+            boolean known =
+                    label instanceof ClassDesc wanted && !wanted.isPrimitive() || named && label instanceof String;
+            if (!known) {
+                throw new UnsupportedCallSiteException(method + " with label " + label);
+            }
+        }
+        return new TypeSwitchSite(method, type, List.copyOf(instruction.bootstrapArgs()));
+    }
+
+    @Override
+    public void write(CodeBuilder code) {
+        code.iload(RESTART)
+                .loadConstant(labels.size() + 1)
+                .invokestatic(OBJECTS, "checkIndex", CHECK_INDEX)
+                .pop();
+        Label present = code.newLabel();
+        code.aload(SELECTOR).ifnonnull(present).iconst_m1().ireturn().labelBinding(present);
+        List<SwitchCase> tests = new ArrayList<>();
+        for (int index = 0; index < labels.size(); index++) {
+            tests.add(SwitchCase.of(index, code.newLabel()));
+        }
+        Label none = code.newLabel();
+        if (!tests.isEmpty()) {
+            code.iload(RESTART).tableswitch(none, tests);
+        }
+        for (int index = 0; index < labels.size(); index++) {
+            code.labelBinding(tests.get(index).target());
+            writeTest(code, index);
+        }
+        code.labelBinding(none).loadConstant(labels.size()).ireturn();
+    }
+
+    /** Returns the index if its label matches, and else goes on to what follows. */
+    private void writeTest(CodeBuilder code, int index) {
+        Label next = code.newLabel();
+        if (labels.get(index) instanceof ClassDesc wanted) {
+            code.aload(SELECTOR).instanceOf(wanted);
+        } else {
+            code.loadConstant(labels.get(index))
+                    .aload(SELECTOR)
+                    .invokevirtual(ConstantDescs.CD_Enum, "name", MethodTypeDesc.of(ConstantDescs.CD_String))
+                    .invokevirtual(
+                            ConstantDescs.CD_String,
+                            "equals",
+                            MethodTypeDesc.of(ConstantDescs.CD_boolean, ConstantDescs.CD_Object));
+        }
+        code.ifeq(next).loadConstant(index).ireturn().labelBinding(next);
+    }
+}
--- /dev/null
+++ b/linkage/src/test/java/org/chivetally/linkage/UnknownForm.java
@@ -0,0 +1,14 @@
+package org.chivetally.linkage;
+
+/** A pattern switch with a label that the step doesn't know. */
+final class UnknownForm {
+    private UnknownForm() {}
+
+    static String of(Object value) {
+        return switch (value) {
+            case Samples.Colour.RED -> "red";
+            case Samples.Colour other -> "colour";
+            default -> "other";
+        };
+    }
+}
