--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiFunction;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobSpecification;
 import org.chivetally.queue.ManualTimers;
@@ -20,6 +21,7 @@
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.queue.log.ScriptedKeyedLog;
 import org.chivetally.settings.SchedulingSettings;
+import org.chivetally.time.Timers;
 
 /** Entries and agents in one test: a network and a log in memory, and clocks that the test advances. */
 final class Cluster {
@@ -34,13 +36,17 @@
     final Map<String, AgentNode> agents = new LinkedHashMap<>();
     final Map<String, ModelMinion> minions = new LinkedHashMap<>();
     Room capacity = new Room(12_000, 1_000, 0);
+    /** Wraps the timers of each process, for tests that count what wakes it up. */
+    BiFunction<String, Timers, Timers> timersOf = (name, shared) -> shared;
+
     private long incarnations;
 
     EntryNode entry(String name) {
         incarnations++;
         Peer self = new Peer(name, incarnations, false, "north", name, 1);
         ScriptedKeyedLog.Access access = log.access(name);
-        EntryNode entry = new EntryNode(self, timers, network.dialer(name), access, access, OPTIONS);
+        EntryNode entry =
+                new EntryNode(self, timersOf.apply(name, timers), network.dialer(name), access, access, OPTIONS);
         network.listen(name, entry.acceptor());
         entry.start();
         entries.put(name, entry);
@@ -73,11 +79,12 @@
         incarnations++;
         Peer self = new Peer(name, incarnations, true, failureDomain, name, 1);
         ModelMinion minion = minions.computeIfAbsent(name, key -> new ModelMinion(timers));
-        AgentNode agent = new AgentNode(self, timers, network.dialer(name), minion, PARTITIONS);
+        Timers own = timersOf.apply(name, timers);
+        AgentNode agent = new AgentNode(self, own, network.dialer(name), minion, PARTITIONS);
         network.listen(name, agent.acceptor());
-        MemberDirectory directory = new MemberDirectory(log.access(name), timers, "members");
+        MemberDirectory directory = new MemberDirectory(log.access(name), own, "members");
         new AgentAnnouncement(directory, self, agent).start(agent::meet);
-        timers.every(Duration.ofSeconds(1), () -> {
+        own.every(Duration.ofSeconds(1), () -> {
             if (agent.links().links().isEmpty()) {
                 directory.readOnce(agent::meet);
             }
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/WakeUps.java
@@ -0,0 +1,74 @@
+package org.chivetally.queue.entry;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.chivetally.queue.link.MemoryNetwork;
+import org.chivetally.time.Timers;
+
+/** Counts what wakes each process of a {@link Cluster} up: its timers, and the frames that reach it. */
+final class WakeUps {
+    private final Timers shared;
+    private final Map<String, Map<String, Integer>> causes = new HashMap<>();
+    private final Map<String, Set<Long>> instants = new HashMap<>();
+
+    WakeUps(Timers shared, MemoryNetwork network) {
+        this.shared = shared;
+        network.whenArrived(this::count);
+    }
+
+    /** Returns timers of a process that are counted by their delay. */
+    Timers of(String process) {
+        return new Counted(process);
+    }
+
+    void clear() {
+        causes.clear();
+        instants.clear();
+    }
+
+    /** Returns how often each cause woke a process up. */
+    Map<String, Integer> causes(String process) {
+        return new TreeMap<>(causes.getOrDefault(process, Map.of()));
+    }
+
+    /** Returns the number of distinct times at which a process had anything to do. */
+    int instants(String process) {
+        return instants.getOrDefault(process, Set.of()).size();
+    }
+
+    private void count(String process, String cause) {
+        causes.computeIfAbsent(process, name -> new HashMap<>()).merge(cause, 1, Integer::sum);
+        instants.computeIfAbsent(process, name -> new HashSet<>()).add(shared.nanos());
+    }
+
+    private final class Counted implements Timers {
+        private final String process;
+
+        private Counted(String process) {
+            this.process = process;
+        }
+
+        @Override
+        public long nanos() {
+            return shared.nanos();
+        }
+
+        @Override
+        public long epochMillis() {
+            return shared.epochMillis();
+        }
+
+        @Override
+        public Timer after(Duration delay, Runnable action) {
+            String cause = "timer after " + delay.toMillis() + " ms";
+            return shared.after(delay, () -> {
+                count(process, cause);
+                action.run();
+            });
+        }
+    }
+}
--- a/library/src/test/java/org/chivetally/queue/link/MemoryNetwork.java
+++ b/library/src/test/java/org/chivetally/queue/link/MemoryNetwork.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BiConsumer;
 import org.chivetally.time.Timers;
 import org.chivetally.transport.FrameConnection;
 import org.chivetally.transport.FrameListener;
@@ -21,7 +22,11 @@
     /** Frames sent so far, by kind. */
     public final Map<Frame.BodyCase, Integer> sent = new EnumMap<>(Frame.BodyCase.class);
 
+    /** Frames received so far, by receiving host and kind. */
+    public final Map<String, Map<Frame.BodyCase, Integer>> received = new HashMap<>();
+
     private final Map<String, FrameListener> listeners = new HashMap<>();
+    private BiConsumer<String, String> arrival = (host, cause) -> {};
     private final Set<String> cuts = new HashSet<>();
     private final Set<String> dead = new HashSet<>();
     private final List<End> ends = new ArrayList<>();
@@ -31,6 +36,11 @@
         this.timers = timers;
     }
 
+    /** Names who is told the host and the kind of each frame that arrives. */
+    public void whenArrived(BiConsumer<String, String> listener) {
+        arrival = listener;
+    }
+
     /** Listens on a host. */
     public void listen(String host, FrameListener listener) {
         listeners.put(host, listener);
@@ -104,6 +114,9 @@
             End receiver = other;
             timers.after(ONE_WAY, () -> {
                 if (receiver.open) {
+                    received.computeIfAbsent(receiver.from, host -> new EnumMap<>(Frame.BodyCase.class))
+                            .merge(frame.getBodyCase(), 1, Integer::sum);
+                    arrival.accept(receiver.from, "frame " + frame.getBodyCase());
                     receiver.listener.received(receiver, frame);
                 }
             });
