An agent learns how long its worker's runs last, compared with their estimates

Workers may differ by 2.4 in speed and look alike by their free room. A port in front of the minion's times each run from the answer to its start until its end is listed; the agent reports the geometric mean of duration over estimate with its weight in runs. Runs whose start or end can't be dated, that resume another or were stopped don't count, nor do those that an agent before this one started. Nothing is learned while entries send no estimates.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -21,6 +21,7 @@
 import org.chivetally.queue.link.LinkTable;
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.link.PeerLink;
+import org.chivetally.queue.speed.LearnedStretch;
 import org.chivetally.time.Timers;
 import org.chivetally.transport.FrameListener;
 import org.chivetally.wire.v1.AgentBeat;
@@ -82,6 +83,7 @@
     private final Timers timers;
     private final int partitions;
     private final LinkTable links;
+    private final TimingMinionPort timing;
     private final RunSupervisor supervisor;
     private final RunOwners owners;
     private final Map<PeerLink, Long> startsSeen = new HashMap<>();
@@ -102,7 +104,8 @@
         this.timers = timers;
         this.partitions = partitions;
         this.links = new LinkTable(self, timers, dialer, this);
-        this.supervisor = new RunSupervisor(timers, minion, this, partitions);
+        this.timing = new TimingMinionPort(minion, timers);
+        this.supervisor = new RunSupervisor(timers, timing, this, partitions);
         this.owners = new RunOwners(timers, links);
         timers.every(BEAT_INTERVAL, this::beat);
     }
@@ -112,6 +115,11 @@
         return supervisor;
     }
 
+    /** Returns how long the minion's runs last compared with their estimates, as far as learned. */
+    public LearnedStretch stretch() {
+        return timing.stretch();
+    }
+
     /** Names who is told when the minion has changed. */
     public void whenMinionChanges(Runnable listener) {
         minionListener = listener;
@@ -231,6 +239,7 @@
     private Optional<String> begin(PeerLink link, RunStart start, RunKey run) {
         Optional<String> refusal = refusal(link, start);
         if (refusal.isEmpty()) {
+            timing.expect(run, start.getEstimatedMillis());
             refusal = supervisor.start(
                     run,
                     ownerOf(link, start),
@@ -246,6 +255,8 @@
                     .with("owner", link.peer().process())
                     .with("free_millicores", supervisor.free().processorMillis())
                     .log(LOGGER.atInfo());
+        } else {
+            timing.forget(run);
         }
         return refusal;
     }
@@ -461,6 +472,8 @@
     private WorkerReport.Builder report() {
         WorkerReport.Builder report =
                 WorkerReport.newBuilder().setFailureDomain(self.failureDomain()).setAccepting(isAccepting());
+        LearnedStretch stretch = timing.stretch();
+        report.setStretchPermille(stretch.permille()).setStretchRuns(stretch.runs());
         supervisor
                 .minion()
                 .ifPresent(minion -> report.setMinion(minion.boot())
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/speed/LearnedStretch.java
@@ -0,0 +1,34 @@
+package org.chivetally.queue.speed;
+
+/**
+ * What an agent tells about its worker's speed.
+ *
+ * @param permille duration of its runs over their estimates, geometric mean, in thousandths; 0 while unknown
+ * @param runs weight of that mean, in runs; 0 also for a mean whose runs all ended long ago
+ */
+public record LearnedStretch(int permille, int runs) {
+    /** Nothing known. */
+    public static final LearnedStretch UNKNOWN = new LearnedStretch(0, 0);
+
+    /** Least and greatest mean that is believed; what lies outside comes from a mistake or a damaged report. */
+    private static final int LEAST_PERMILLE = 20;
+
+    private static final int MOST_PERMILLE = 50_000;
+
+    private static final int MOST_RUNS = 1_000_000;
+
+    /** Limits what another process may have told, so that one damaged report can't outweigh all others. */
+    public LearnedStretch {
+        permille = permille <= 0 ? 0 : Math.clamp(permille, LEAST_PERMILLE, MOST_PERMILLE);
+        runs = permille == 0 ? 0 : Math.clamp(runs, 0, MOST_RUNS);
+    }
+
+    /** Tells whether any run has told something. */
+    public boolean isKnown() {
+        return permille > 0;
+    }
+
+    double logarithm() {
+        return Math.log(permille / 1000.0);
+    }
+}
