Placement goes by learned speeds where workers differ by more than a queue allows for

With learnedSpeeds on, a task goes to the fastest workers that have room to spare; the last room of fast workers is kept for tasks that would be late elsewhere, and such a task waits for a fast worker when that is early enough. Otherwise, and with the setting off, placement is unchanged. Runs count as overdue by what is usual for the kind of worker.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -116,6 +116,20 @@
         return limitNanos;
     }
 
+    /** Returns when the job's end is no longer in time, by this process's steady clock. */
+    public long objectiveNanos() {
+        return objectiveNanos;
+    }
+
+    /** Returns the estimated milliseconds of the steps that are open after a task's own. */
+    public long restMillis(Task task) {
+        if (openInStep.length == 1) {
+            return 0;
+        }
+        long chain = specification.chainMillis(place -> openInStep[place] > 0);
+        return Math.max(0, chain - task.step().estimatedMillis());
+    }
+
     /** Returns what the job can still reach if its next task starts now. */
     public Outlook outlook(long nowNanos) {
         long remaining = Duration.ofMillis(specification.chainMillis(place -> openInStep[place] > 0))
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -106,7 +106,9 @@
         this.links = new LinkTable(self, timers, dialer, this);
         this.ownership = new Ownership(group, timers, self.process() + "-" + self.incarnation(), this);
         PlacementPolicy placement = new PlacementPolicy(
-                self.failureDomain(), new SplittableRandom(self.process().hashCode()));
+                self.failureDomain(),
+                new SplittableRandom(self.process().hashCode()),
+                options.scheduling().learnedSpeeds());
         this.runs = new RunCoordinator(
                 timers, placement, options.partitions(), partitions, this::mayStart, this::hasStoodStill);
         this.desk = new JobDesk(timers, options.partitions(), this);
@@ -140,6 +142,16 @@
         return runs.unkept();
     }
 
+    /** Returns how many times as long the slowest workers take as the fastest; 1 while speeds aren't learned. */
+    public double speedSpread() {
+        return runs.speedSpread();
+    }
+
+    /** Returns how many starts went to a worker that was chosen by its speed. */
+    public long startsBySpeed() {
+        return runs.startsBySpeed();
+    }
+
     /** Returns who is told about connections that other processes open. */
     public FrameListener acceptor() {
         return links.acceptor();
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -26,10 +26,12 @@
 import org.chivetally.queue.agent.RunSupervisor;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.queue.placement.AdmissionPolicy;
+import org.chivetally.queue.placement.Choice;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.queue.placement.SharedProcessors;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
+import org.chivetally.queue.speed.LearnedStretch;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.EndsKept;
 import org.chivetally.wire.v1.Frame;
@@ -98,6 +100,7 @@
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting = new WaitingTasks();
     private final ServiceShares shares;
+    private long startsBySpeed;
     private boolean passArmed;
     private OptionalLong missedAtNanos = OptionalLong.empty();
 
@@ -182,6 +185,16 @@
         return worker != null && !worker.sent().isEmpty();
     }
 
+    /** Returns how many times as long the slowest workers take as the fastest; 1 while speeds aren't learned. */
+    double speedSpread() {
+        return placement.speedSpread();
+    }
+
+    /** Returns how many starts went to a worker that was chosen by its speed. */
+    long startsBySpeed() {
+        return startsBySpeed;
+    }
+
     /** Returns the names of all agents that are linked. */
     Set<String> linkedAgents() {
         return new HashSet<>(links.keySet());
@@ -264,6 +277,7 @@
                         report.getFailureDomain(),
                         report.getStartsSeen()),
                 timers.nanos());
+        worker.learned(new LearnedStretch(report.getStretchPermille(), report.getStretchRuns()));
         armPass();
     }
 
@@ -418,7 +432,7 @@
 
     private void finished(Worker worker, Worker.Sent start, RunOutcome outcome, Runnable kept) {
         if (outcome == RunOutcome.DONE) {
-            worker.ended(start, timers.nanos());
+            placement.ended(worker, start, timers.nanos());
         }
         worker.remove(start.task().key());
         settle(worker, start.task(), start.run(), outcome, kept);
@@ -571,17 +585,17 @@
             boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
             int misses = 0;
             for (Task task : waiting.first(service, TASKS_PER_PASS)) {
-                Optional<Worker> worker = choices.choose(task, contended ? part : 1);
-                if (worker.isPresent()) {
-                    start(worker.get(), task);
-                } else if (++misses >= MISSES_PER_PASS) {
+                Choice choice = choices.decide(task, contended ? part : 1, part);
+                if (choice.worker().isPresent()) {
+                    start(choice.worker().get(), task, choice.bySpeed());
+                } else if (!choice.heldBack() && ++misses >= MISSES_PER_PASS) {
                     break;
                 }
             }
         }
     }
 
-    private void start(Worker worker, Task task) {
+    private void start(Worker worker, Task task, boolean bySpeed) {
         Optional<RunHome> home = homeOf(task);
         PeerLink link = links.get(worker.process());
         if (home.isEmpty() || link == null) {
@@ -590,17 +604,22 @@
         RunHome.RunAuthority authority = home.get().authority();
         waiting.remove(task);
         long run = task.lastRun() + 1;
-        Worker.Sent sent = worker.send(task, run, timers.nanos());
+        double expectedMillis = placement.expectedMillis(task);
+        Worker.Sent sent = worker.send(task, run, timers.nanos(), expectedMillis);
         task.job().place(task, worker.process(), run);
-        EventLine.of("run-placed")
+        EventLine placed = EventLine.of("run-placed")
                 .with("task", task.key())
                 .with("run", run)
                 .with("worker", worker.process())
                 .with("free_millicores", worker.free().processorMillis())
                 .with("waited_ms", (timers.nanos() - task.job().acceptedAtNanos()) / 1_000_000)
                 .with("report_age_ms", (timers.nanos() - worker.heardAtNanos()) / 1_000_000)
-                .with("waiting", waiting.size())
-                .log(LOGGER.atInfo());
+                .with("waiting", waiting.size());
+        if (bySpeed) {
+            startsBySpeed++;
+            placed = placed.with("stretch", Math.round(100 * worker.stretch()) / 100.0);
+        }
+        placed.log(LOGGER.atInfo());
         link.echoSent(timers.nanos());
         link.send(Frame.newBuilder()
                 .setRunStart(RunStart.newBuilder()
@@ -611,6 +630,10 @@
                         .setEpoch(authority.epoch())
                         .setUnkept(authority.unkept())
                         .setEchoNanos(link.peerStampNanos())
+                        .setEstimatedMillis(
+                                placement.learnsSpeeds()
+                                        ? Math.max(0, task.step().estimatedMillis())
+                                        : 0)
                         .setRoom(JobCodec.encode(task.room()))
                         .setPayload(task.job().specification().payload()))
                 .build());
--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -5,8 +5,11 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.speed.QueueEstimates;
+import org.chivetally.queue.speed.SpeedClasses;
 
 /**
  * Chooses the worker of a task: one that may run it and is likely to run it well, and of these the one with the most
@@ -40,16 +43,63 @@
 
     private final String failureDomain;
     private final RandomGenerator random;
+    private final boolean learnsSpeeds;
+    private final WorkerSpeeds speeds = new WorkerSpeeds();
+    private final QueueEstimates estimates = new QueueEstimates();
 
     /**
-     * Creates the policy of one entry.
+     * Creates the policy of one entry, to which all workers are equally fast.
      *
      * @param failureDomain the entry's own
      * @param random differs from that of other entries
      */
     public PlacementPolicy(String failureDomain, RandomGenerator random) {
+        this(failureDomain, random, false);
+    }
+
+    /**
+     * Creates the policy of one entry.
+     *
+     * @param failureDomain the entry's own
+     * @param random differs from that of other entries
+     * @param learnsSpeeds whether workers' speeds are learned from their runs, and decide where a task goes
+     */
+    public PlacementPolicy(String failureDomain, RandomGenerator random, boolean learnsSpeeds) {
         this.failureDomain = failureDomain;
         this.random = random;
+        this.learnsSpeeds = learnsSpeeds;
+    }
+
+    /** Tells whether workers' speeds are learned from their runs. */
+    public boolean learnsSpeeds() {
+        return learnsSpeeds;
+    }
+
+    /**
+     * Returns the duration to expect of a task in milliseconds, on a worker whose runs last as estimated; 0 without an
+     * estimate. While speeds aren't learned it is the estimate.
+     */
+    public double expectedMillis(Task task) {
+        int estimate = Math.max(0, task.step().estimatedMillis());
+        return learnsSpeeds
+                ? estimates.expectedMillis(task.job().specification().terms().queue(), estimate)
+                : estimate;
+    }
+
+    /** Notes that a run ended done, before it is removed from its worker. */
+    public void ended(Worker worker, Worker.Sent start, long nowNanos) {
+        worker.ended(start, nowNanos);
+        if (learnsSpeeds && start.number() > 0) {
+            double millis = (nowNanos - start.atNanos()) / (1e6 * worker.stretch());
+            Task task = start.task();
+            String queue = task.job().specification().terms().queue();
+            estimates.ended(queue, task.step().estimatedMillis(), millis, nowNanos);
+        }
+    }
+
+    /** Returns how many times as long the slowest open workers take as the fastest; 1 while speeds aren't learned. */
+    public double speedSpread() {
+        return speeds.spread();
     }
 
     /** Returns the choices that the workers allow at a moment, for one pass over the waiting tasks. */
@@ -73,6 +123,8 @@
         private final long nowNanos;
         private final List<Worker> open = new ArrayList<>();
         private final boolean passesOver;
+        private SpeedCandidates candidates;
+        private ClassRelease release;
 
         private Pass(Collection<Worker> workers, long nowNanos) {
             this.nowNanos = nowNanos;
@@ -84,6 +136,9 @@
                 }
             }
             passesOver = AVOIDED_PART * bad <= open.size();
+            if (learnsSpeeds) {
+                speeds.refresh(open, nowNanos);
+            }
         }
 
         private long freeMillis(String service) {
@@ -120,12 +175,7 @@
             long bestScore = Long.MIN_VALUE;
             boolean elsewhere = isPossibleElsewhere(task);
             for (Worker worker : open) {
-                boolean excluded = elsewhere && failedAt(task, worker) || passesOver && isPassedOver(worker);
-                boolean overPart = part < 1 && worker.isOverPart(task.room(), part);
-                if (excluded
-                        || overPart
-                        || !mayRun(task, worker)
-                        || !task.room().fitsInto(worker.free())) {
+                if (isExcluded(task, worker, elsewhere) || !hasRoom(task, worker, part)) {
                     continue;
                 }
                 long score = score(task, worker);
@@ -137,6 +187,64 @@
             return Optional.ofNullable(best);
         }
 
+        /**
+         * Decides where a task goes, by the workers' speeds if these differ by more than the task's queue allows for: a
+         * worker that is slower than the fastest by more than the slack factor makes a job late by itself.
+         *
+         * @param part this entry's part of the room; 1 for no bound
+         * @param share this entry's part of the room that comes free
+         */
+        public Choice decide(Task task, double part, double share) {
+            double expectedMillis = expectedMillis(task);
+            if (!learnsSpeeds || expectedMillis <= 0) {
+                return Choice.byRoom(choose(task, part));
+            }
+            QueueTerms terms = task.job().specification().terms();
+            SpeedClasses classes = speeds.of(terms.service());
+            if (!classes.isSpreadOver(terms.slackFactor())) {
+                return Choice.byRoom(choose(task, part));
+            }
+            collect(task, part, classes.count());
+            if (release == null || !release.isOf(terms.service())) {
+                release = new ClassRelease(open, terms.service(), classes.count());
+            }
+            release.ask(share, task.room().processorMillis(), expectedMillis);
+            return candidates.choose(TaskForecast.of(task, expectedMillis, nowNanos), classes, release);
+        }
+
+        private void collect(Task task, double part, int classes) {
+            if (candidates == null) {
+                candidates = new SpeedCandidates(open.size());
+            }
+            candidates.clear(classes);
+            boolean elsewhere = isPossibleElsewhere(task);
+            for (Worker worker : open) {
+                if (isExcluded(task, worker, elsewhere)) {
+                    continue;
+                }
+                if (hasRoom(task, worker, part)) {
+                    candidates.add(worker, scoreInClass(task, worker), !isScarce(worker));
+                } else if (task.room().fitsInto(worker.view().capacity())) {
+                    candidates.usable(worker.speed().rank());
+                }
+            }
+        }
+
+        private boolean isExcluded(Task task, Worker worker, boolean elsewhere) {
+            return elsewhere && failedAt(task, worker) || passesOver && isPassedOver(worker) || !mayRun(task, worker);
+        }
+
+        private static boolean hasRoom(Task task, Worker worker, double part) {
+            boolean overPart = part < 1 && worker.isOverPart(task.room(), part);
+            return !overPart && task.room().fitsInto(worker.free());
+        }
+
+        /** Tells whether a worker's free room is contended. */
+        private static boolean isScarce(Worker worker) {
+            return SCARCE_PART * worker.free().processorMillis()
+                    < worker.view().capacity().processorMillis();
+        }
+
         /** Tells whether there is a sound worker for the task where it has not just failed, with room or without. */
         private boolean isPossibleElsewhere(Task task) {
             if (task.failedAt().isEmpty()) {
@@ -150,13 +258,23 @@
             return false;
         }
 
+        /**
+         * Returns a score in which room to spare counts by chance. All entries prefer the same few fast workers, and
+         * know their room as it was up to a heartbeat ago: all would send to the emptiest until the next one comes.
+         */
+        private long scoreInClass(Task task, Worker worker) {
+            long score = score(task, worker);
+            long spare =
+                    worker.free().processorMillis() - worker.view().capacity().processorMillis() / SCARCE_PART;
+            return spare <= 0 ? score : score - random.nextLong(spare + 1);
+        }
+
         private long score(Task task, Worker worker) {
             boolean far = !task.step().traits().preferredRack().isEmpty()
                     && !worker.view().labels().contains(task.step().traits().preferredRack());
             long free = worker.free().processorMillis();
             long capacity = worker.view().capacity().processorMillis();
-            boolean scarce = SCARCE_PART * free < capacity;
-            long score = scarce ? random.nextLong(free + 1) : free;
+            long score = isScarce(worker) ? random.nextLong(free + 1) : free;
             score += worker.view().failureDomain().equals(failureDomain) ? capacity / NEAR_PART : 0;
             score -= isPassedOver(worker) ? BAD_MILLIS : 0;
             score -= far ? FAR_MILLIS : 0;
--- a/library/src/main/java/org/chivetally/queue/placement/Worker.java
+++ b/library/src/main/java/org/chivetally/queue/placement/Worker.java
@@ -11,6 +11,7 @@
 import org.chivetally.queue.Room;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.speed.LearnedStretch;
 
 /** A worker as one owner sees it: what its agent last told, and the owner's own starts on top. */
 public final class Worker {
@@ -19,6 +20,8 @@
     private final Set<TaskKey> overdue = new LinkedHashSet<>();
     private final WorkerHealth health = new WorkerHealth();
     private View view = View.NONE;
+    private LearnedStretch learned = LearnedStretch.UNKNOWN;
+    private WorkerSpeed speed = WorkerSpeed.UNKNOWN;
     private Object link;
     private Room pending = Room.NONE;
     private long numbers;
@@ -70,19 +73,24 @@
      * @param link the link it went out on
      * @param number its number on that link
      * @param atNanos when, by the steady clock
+     * @param expectedMillis duration to expect in milliseconds, where runs last as estimated; 0 without an estimate
      */
-    public record Sent(Task task, long run, Object link, long number, long atNanos) {
+    public record Sent(Task task, long run, Object link, long number, long atNanos, double expectedMillis) {
         /** Lasting this many times the estimate is no chance: estimates are off by 40% (standard deviation). */
         private static final int OVERDUE_ESTIMATES = 3;
 
         /** What start and end may take on top, in milliseconds. */
         private static final int OVERDUE_MARGIN_MILLIS = 80;
 
-        /** Tells whether the run lasts far longer than estimated; never so without an estimate. */
-        public boolean isOverdue(long nowNanos) {
-            long estimate = task.step().estimatedMillis();
+        /**
+         * Tells whether the run lasts far longer than expected; never so without an estimate.
+         *
+         * @param stretch duration over estimate that is usual for the kind of worker
+         */
+        public boolean isOverdue(long nowNanos, double stretch) {
+            double expected = expectedMillis * stretch;
             long ageMillis = (nowNanos - atNanos) / 1_000_000;
-            return estimate > 0 && ageMillis > OVERDUE_ESTIMATES * estimate + OVERDUE_MARGIN_MILLIS;
+            return expected > 0 && ageMillis > OVERDUE_ESTIMATES * expected + OVERDUE_MARGIN_MILLIS;
         }
     }
 
@@ -96,6 +104,55 @@
         return view;
     }
 
+    /** Returns the kind of the worker; empty when it has none. */
+    String kind() {
+        return view.labels().isEmpty() ? "" : view.labels().getFirst();
+    }
+
+    /** Notes what the agent tells about its worker's speed. */
+    public void learned(LearnedStretch told) {
+        learned = told;
+    }
+
+    /** Returns what the agent last told about its worker's speed. */
+    LearnedStretch learned() {
+        return learned;
+    }
+
+    /** Returns how fast the worker is among the others. */
+    WorkerSpeed speed() {
+        return speed;
+    }
+
+    /** Notes how fast the worker is among the others. */
+    void speed(WorkerSpeed next) {
+        speed = next;
+    }
+
+    /** Returns the duration of its runs over their estimates, as far as learned. */
+    public double stretch() {
+        return speed.stretch();
+    }
+
+    /** Returns the processors, in thousandths, of this owner's runs here that have an estimate. */
+    double sentRoomMillis() {
+        double room = 0;
+        for (Sent start : sent.values()) {
+            room += start.expectedMillis() > 0 ? start.task().room().processorMillis() : 0;
+        }
+        return room;
+    }
+
+    /** Returns the processors, in thousandths, that these runs free in a millisecond. */
+    double sentReleaseRate() {
+        double rate = 0;
+        for (Sent start : sent.values()) {
+            double millis = start.expectedMillis() * speed.stretch();
+            rate += millis > 0 ? start.task().room().processorMillis() / millis : 0;
+        }
+        return rate;
+    }
+
     /** Returns how its runs end. */
     public WorkerHealth health() {
         return health;
@@ -170,8 +227,17 @@
 
     /** Notes that a start goes out; returns it with its number. */
     public Sent send(Task task, long run, long nowNanos) {
+        return send(task, run, nowNanos, task.step().estimatedMillis());
+    }
+
+    /**
+     * Notes that a start goes out; returns it with its number.
+     *
+     * @param expectedMillis duration to expect in milliseconds, where runs last as estimated; 0 without an estimate
+     */
+    public Sent send(Task task, long run, long nowNanos, double expectedMillis) {
         numbers++;
-        Sent start = new Sent(task, run, link, numbers, nowNanos);
+        Sent start = new Sent(task, run, link, numbers, nowNanos, expectedMillis);
         sent.put(task.key(), start);
         pending = pending.plus(task.room());
         return start;
@@ -179,7 +245,7 @@
 
     /** Notes a run that the agent holds and that somebody else sent. */
     public void adopt(Task task, long run, long nowNanos) {
-        sent.put(task.key(), new Sent(task, run, link, 0, nowNanos));
+        sent.put(task.key(), new Sent(task, run, link, 0, nowNanos, task.step().estimatedMillis()));
     }
 
     /** Returns the start of a task that is in progress here. */
@@ -201,7 +267,7 @@
     public List<Sent> newlyOverdue(long nowNanos) {
         List<Sent> late = new ArrayList<>();
         for (Sent start : sent.values()) {
-            if (start.isOverdue(nowNanos) && overdue.add(start.task().key())) {
+            if (isOverdue(start, nowNanos) && overdue.add(start.task().key())) {
                 health.isOverdue(nowNanos);
                 late.add(start);
             }
@@ -209,6 +275,11 @@
         return late;
     }
 
+    private boolean isOverdue(Sent start, long nowNanos) {
+        // By its kind, not by the worker itself: one that has become slow is to be found out.
+        return start.isOverdue(nowNanos, speed.kindStretch());
+    }
+
     /** Returns all runs that are overdue. */
     public List<Sent> overdue() {
         List<Sent> late = new ArrayList<>();
@@ -220,7 +291,7 @@
 
     /** Notes that a run ended by itself. */
     public void ended(Sent start, long nowNanos) {
-        if (start.isOverdue(nowNanos)) {
+        if (isOverdue(start, nowNanos)) {
             if (overdue.add(start.task().key())) {
                 health.isOverdue(nowNanos);
             }
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -24,8 +24,6 @@
 /** Entries and agents in one test: a network and a log in memory, and clocks that the test advances. */
 final class Cluster {
     static final int PARTITIONS = 4;
-    private static final EntryOptions OPTIONS =
-            new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120), SchedulingSettings.NONE);
 
     final ManualTimers timers = new ManualTimers();
     final MemoryNetwork network = new MemoryNetwork(timers);
@@ -34,13 +32,16 @@
     final Map<String, AgentNode> agents = new LinkedHashMap<>();
     final Map<String, ModelMinion> minions = new LinkedHashMap<>();
     Room capacity = new Room(12_000, 1_000, 0);
+    List<String> labels = List.of("a");
+    SchedulingSettings scheduling = SchedulingSettings.NONE;
     private long incarnations;
 
     EntryNode entry(String name) {
         incarnations++;
         Peer self = new Peer(name, incarnations, false, "north", name, 1);
         ScriptedKeyedLog.Access access = log.access(name);
-        EntryNode entry = new EntryNode(self, timers, network.dialer(name), access, access, OPTIONS);
+        EntryOptions options = new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120), scheduling);
+        EntryNode entry = new EntryNode(self, timers, network.dialer(name), access, access, options);
         network.listen(name, entry.acceptor());
         entry.start();
         entries.put(name, entry);
@@ -58,7 +59,7 @@
                         "boot-" + name,
                         "reports",
                         capacity,
-                        List.of("a"),
+                        labels,
                         false,
                         minions.get(name).clock()));
         return agent;
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/placement/SpeedChoiceTest.java
@@ -0,0 +1,214 @@
+package org.chivetally.queue.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.JobSpecification;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.QueueTerms;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.StepSpecification;
+import org.chivetally.queue.StepTraits;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.speed.LearnedStretch;
+import org.junit.jupiter.api.Test;
+
+/** Single decisions by learned speeds: workers of stretch 0.6 and 1.5, tasks of six cores. */
+class SpeedChoiceTest {
+    private static final Room CAPACITY = new Room(60_000, 131_072, 0);
+    private static final long MILLISECOND = 1_000_000;
+
+    /** Neither scarce nor all. */
+    private static final int ROOMY = 30_000;
+
+    /** Room for one task, which all entries compete for. */
+    private static final int SCARCE = 7_000;
+
+    /** Room for no task. */
+    private static final int FULL = 1_000;
+
+    private final PlacementPolicy policy = new PlacementPolicy("north", new SplittableRandom(1), true);
+    private final List<Worker> workers = new ArrayList<>();
+
+    private Worker worker(String kind, int freeMillis, String... labels) {
+        Worker worker = new Worker(kind + workers.size(), 0);
+        worker.linked(worker.process());
+        List<String> all = new ArrayList<>(List.of(kind));
+        all.addAll(List.of(labels));
+        worker.report(
+                new Worker.View("boot", "reports", CAPACITY, new Room(freeMillis, 99_999, 0), true, all, "north", 0),
+                0);
+        worker.learned(new LearnedStretch(kind.equals("fast") ? 600 : 1_500, 60));
+        workers.add(worker);
+        return worker;
+    }
+
+    private static Task task(int estimatedMillis) {
+        return new Job(Jobs.of("job", 1, 0, estimatedMillis), 0).tasks().getFirst();
+    }
+
+    private Choice decide(Task task, long afterMillis) {
+        return policy.over(workers, afterMillis * MILLISECOND).decide(task, 1, 1);
+    }
+
+    private String kindFor(Task task, long afterMillis) {
+        Choice choice = decide(task, afterMillis);
+        return choice.heldBack() ? "waits" : choice.worker().map(Worker::kind).orElse("no room");
+    }
+
+    @Test
+    void prefersFastWorkersWhileTheyHaveRoomToSpare() {
+        worker("slow", 60_000);
+        worker("fast", ROOMY);
+        assertThat(kindFor(task(50), 0), is("fast"));
+        assertThat(kindFor(task(2_000), 0), is("fast"));
+    }
+
+    /**
+     * The last room of fast workers is for those that need it: 50 ms last 75 ms on a slow worker and may last 140,
+     * while 2 s last 3 s there and may last 3.26.
+     */
+    @Test
+    void keepsTheLastFastRoomForTasksThatWouldBeLateElsewhere() {
+        worker("slow", ROOMY);
+        worker("fast", SCARCE);
+        assertThat(kindFor(task(50), 0), is("slow"));
+        assertThat(kindFor(task(2_000), 0), is("fast"));
+    }
+
+    /** With half of its objective gone, also a short task would be late on a slow worker. */
+    @Test
+    void sendsTasksOfAJobThatHasWaitedToFastWorkers() {
+        worker("slow", ROOMY);
+        worker("fast", SCARCE);
+        assertThat(kindFor(task(50), 60), is("fast"));
+    }
+
+    @Test
+    void leavesScarceFastRoomAlsoWhenSlowRoomIsScarce() {
+        worker("slow", SCARCE);
+        worker("fast", SCARCE);
+        assertThat(kindFor(task(50), 0), is("slow"));
+        assertThat(kindFor(task(2_000), 0), is("fast"));
+    }
+
+    private Worker busyFast(int estimatedMillis) {
+        Worker fast = worker("fast", (int) (FULL + 9 * Jobs.SIX_CORES.processorMillis()));
+        for (int run = 0; run < 9; run++) {
+            fast.send(
+                    new Job(Jobs.of("run-" + run, 1, 0, estimatedMillis), 0)
+                            .tasks()
+                            .getFirst(),
+                    1,
+                    0);
+        }
+        return fast;
+    }
+
+    /**
+     * A fast worker ends a run of 30 ms every 3 ms. A task that would be late on the slow one gets its room in time.
+     */
+    @Test
+    void waitsForAFastWorkerThatSoonHasRoom() {
+        worker("slow", ROOMY);
+        busyFast(50);
+        assertThat(kindFor(task(2_000), 0), is("waits"));
+        assertThat(kindFor(task(50), 0), is("slow"));
+    }
+
+    /**
+     * Runs of several seconds hold the fast worker. The task would be late there too, so it is done where there is
+     * room.
+     */
+    @Test
+    void takesASlowWorkerWhenWaitingIsNoBetter() {
+        worker("slow", ROOMY);
+        busyFast(60_000);
+        assertThat(kindFor(task(2_000), 0), is("slow"));
+    }
+
+    /** The objective is missed anywhere, but the job is still worth something. */
+    @Test
+    void takesASlowWorkerForAJobThatIsLateAnyway() {
+        worker("slow", ROOMY);
+        busyFast(50);
+        assertThat(kindFor(task(2_000), 3_000), is("slow"));
+    }
+
+    /** Tasks that wait for the same fast worker get its room one after the other. */
+    @Test
+    void countsTheTasksThatAlreadyWaitForAFastWorker() {
+        worker("slow", 60_000);
+        busyFast(2_000);
+        PlacementPolicy.Pass pass = policy.over(workers, 0);
+        int held = 0;
+        while (held < 100 && pass.decide(task(2_000), 1, 1).heldBack()) {
+            held++;
+        }
+        assertThat(held > 1 && held < 20, is(true));
+    }
+
+    /** The rack of a task's data outweighs speed, as it outweighs room. */
+    @Test
+    void keepsToTheRackOfTheData() {
+        worker("slow", ROOMY, "rack-2");
+        worker("fast", ROOMY, "rack-1");
+        QueueTerms terms = new QueueTerms("queue", "reports", 2, 0, 1.6, 60);
+        StepTraits traits = new StepTraits(false, false, false, "", "rack-2", 0, false, false, "", 0);
+        StepSpecification step = new StepSpecification(1, Jobs.SIX_CORES, 50, List.of(), traits);
+        Job job = new Job(new JobSpecification("job", terms, "payload", 0, List.of(step)), 0);
+        assertThat(kindFor(job.tasks().getFirst(), 0), is("slow"));
+    }
+
+    @Test
+    void goesByRoomWithoutAnEstimate() {
+        worker("slow", 60_000);
+        worker("fast", ROOMY);
+        assertThat(kindFor(task(0), 0), is("slow"));
+        assertThat(decide(task(0), 0).bySpeed(), is(false));
+    }
+
+    /** A queue that allows for more than the workers differ is placed by room. */
+    @Test
+    void goesByRoomWhereTheQueueAllowsForSlowWorkers() {
+        worker("slow", 60_000);
+        worker("fast", ROOMY);
+        QueueTerms terms = new QueueTerms("queue", "reports", 2, 0, 3, 60);
+        StepSpecification step = new StepSpecification(1, Jobs.SIX_CORES, 50, List.of(), StepTraits.NONE);
+        Job job = new Job(new JobSpecification("job", terms, "payload", 0, List.of(step)), 0);
+        assertThat(kindFor(job.tasks().getFirst(), 0), is("slow"));
+    }
+
+    /**
+     * Workers come and go between two computations of the speeds. Classes of an earlier set of workers must not be
+     * taken for those of the present one.
+     */
+    @Test
+    void followsWorkersThatComeAndGo() {
+        Worker slow = worker("slow", ROOMY);
+        Worker fast = worker("fast", ROOMY);
+        assertThat(kindFor(task(50), 0), is("fast"));
+        workers.remove(fast);
+        assertThat(kindFor(task(50), 1), is("slow"));
+        workers.remove(slow);
+        workers.add(fast);
+        assertThat(kindFor(task(50), 2), is("fast"));
+        workers.clear();
+        assertThat(kindFor(task(50), 3), is("no room"));
+    }
+
+    /** A slow kind of worker is not sick: its runs last 2.5 times their estimate by nature. */
+    @Test
+    void doesNotTakeASlowKindForSick() {
+        Worker slow = worker("slow", ROOMY);
+        worker("fast", ROOMY);
+        policy.over(workers, 0);
+        slow.send(task(1_000), 1, 0);
+        assertThat(slow.newlyOverdue(3_500 * MILLISECOND).size(), is(0));
+        assertThat(slow.newlyOverdue(4_900 * MILLISECOND).size(), is(1));
+    }
+}
