--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -27,10 +27,12 @@
 import org.chivetally.queue.agent.RunSupervisor;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.queue.placement.AdmissionPolicy;
+import org.chivetally.queue.placement.Choice;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.queue.placement.SharedProcessors;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
+import org.chivetally.queue.speed.LearnedStretch;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.EndsKept;
 import org.chivetally.wire.v1.Frame;
@@ -100,6 +102,7 @@
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting = new WaitingTasks();
     private final ServiceShares shares;
+    private long startsBySpeed;
     private boolean passArmed;
     private OptionalLong missedAtNanos = OptionalLong.empty();
 
@@ -200,6 +203,16 @@
         return true;
     }
 
+    /** Returns how many times as long the slowest workers take as the fastest; 1 while speeds aren't learned. */
+    double speedSpread() {
+        return placement.speedSpread();
+    }
+
+    /** Returns how many starts went to a worker that was chosen by its speed. */
+    long startsBySpeed() {
+        return startsBySpeed;
+    }
+
     /** Returns the names of all agents that are linked. */
     Set<String> linkedAgents() {
         return new HashSet<>(links.keySet());
@@ -282,6 +295,7 @@
                         report.getFailureDomain(),
                         report.getStartsSeen()),
                 timers.nanos());
+        worker.learned(new LearnedStretch(report.getStretchPermille(), report.getStretchRuns()));
         armPass();
     }
 
@@ -436,7 +450,7 @@
 
     private void finished(Worker worker, Worker.Sent start, RunOutcome outcome, Runnable kept) {
         if (outcome == RunOutcome.DONE) {
-            worker.ended(start, timers.nanos());
+            placement.ended(worker, start, timers.nanos());
         }
         worker.remove(start.task().key());
         settle(worker, start.task(), start.run(), outcome, kept);
@@ -589,17 +603,17 @@
             boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
             int misses = 0;
             for (Task task : waiting.first(service, TASKS_PER_PASS)) {
-                Optional<Worker> worker = choices.choose(task, contended ? part : 1);
-                if (worker.isPresent()) {
-                    start(worker.get(), task);
-                } else if (++misses >= MISSES_PER_PASS) {
+                Choice choice = choices.decide(task, contended ? part : 1, part);
+                if (choice.worker().isPresent()) {
+                    start(choice.worker().get(), task, choice.bySpeed());
+                } else if (!choice.heldBack() && ++misses >= MISSES_PER_PASS) {
                     break;
                 }
             }
         }
     }
 
-    private void start(Worker worker, Task task) {
+    private void start(Worker worker, Task task, boolean bySpeed) {
         Optional<RunHome> home = homeOf(task);
         PeerLink link = links.get(worker.process());
         if (home.isEmpty() || link == null) {
@@ -609,17 +623,22 @@
         waiting.remove(task);
         long run = task.lastRun() + 1;
         long now = timers.nanos();
-        Worker.Sent sent = worker.send(task, run, now);
+        double expectedMillis = placement.expectedMillis(task);
+        Worker.Sent sent = worker.send(task, run, now, expectedMillis);
         task.job().place(task, worker.process(), run);
-        EventLine.of("run-placed")
+        EventLine placed = EventLine.of("run-placed")
                 .with("task", task.key())
                 .with("run", run)
                 .with("worker", worker.process())
                 .with("free_millicores", worker.free().processorMillis())
                 .with("waited_ms", (now - task.job().acceptedAtNanos()) / 1_000_000)
                 .with("report_age_ms", (now - worker.heardAtNanos()) / 1_000_000)
-                .with("waiting", waiting.size())
-                .log(LOGGER.atInfo());
+                .with("waiting", waiting.size());
+        if (bySpeed) {
+            startsBySpeed++;
+            placed = placed.with("stretch", Math.round(100 * worker.stretch()) / 100.0);
+        }
+        placed.log(LOGGER.atInfo());
         link.echoSent(now);
         link.send(Frame.newBuilder()
                 .setRunStart(RunStart.newBuilder()
@@ -631,6 +650,10 @@
                         .setUnkept(authority.unkept())
                         .setEchoNanos(link.peerStampNanos())
                         .setStampAgeNanos(link.stampAgeNanos(keptUpAtNanos.getAsLong()))
+                        .setEstimatedMillis(
+                                placement.learnsSpeeds()
+                                        ? Math.max(0, task.step().estimatedMillis())
+                                        : 0)
                         .setRoom(JobCodec.encode(task.room()))
                         .setPayload(task.job().specification().payload()))
                 .build());
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -26,8 +26,6 @@
 /** Entries and agents in one test: a network and a log in memory, and clocks that the test advances. */
 final class Cluster {
     static final int PARTITIONS = 4;
-    private static final EntryOptions OPTIONS =
-            new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120), SchedulingSettings.NONE);
 
     final ManualTimers timers = new ManualTimers();
     final MemoryNetwork network = new MemoryNetwork(timers);
@@ -36,6 +34,8 @@
     final Map<String, AgentNode> agents = new LinkedHashMap<>();
     final Map<String, ModelMinion> minions = new LinkedHashMap<>();
     Room capacity = new Room(12_000, 1_000, 0);
+    List<String> labels = List.of("a");
+    SchedulingSettings scheduling = SchedulingSettings.NONE;
     /** Wraps the timers of each process, for tests that count what wakes it up. */
     BiFunction<String, Timers, Timers> timersOf = (name, shared) -> shared;
 
@@ -45,8 +45,9 @@
         incarnations++;
         Peer self = new Peer(name, incarnations, false, "north", name, 1);
         ScriptedKeyedLog.Access access = log.access(name);
+        EntryOptions options = new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120), scheduling);
         EntryNode entry =
-                new EntryNode(self, timersOf.apply(name, timers), network.dialer(name), access, access, OPTIONS);
+                new EntryNode(self, timersOf.apply(name, timers), network.dialer(name), access, access, options);
         network.listen(name, entry.acceptor());
         entry.start();
         entries.put(name, entry);
@@ -64,7 +65,7 @@
                         "boot-" + name,
                         "reports",
                         capacity,
-                        List.of("a"),
+                        labels,
                         false,
                         minions.get(name).clock()));
         return agent;
