--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -94,6 +94,7 @@
 
     private boolean reportArmed;
     private boolean toldAccepting;
+    private boolean toldScarce;
     private Runnable minionListener = () -> {};
 
     /** Creates an agent that dials nobody yet. */
@@ -366,6 +367,19 @@
         minionListener.run();
     }
 
+    @Override
+    public void capacityChanged(boolean shrunk) {
+        boolean wasTold = toldScarce;
+        beginWaiting();
+        if (shrunk) {
+            // They would wait for ends that give the room of other starts back, and have a better chance elsewhere.
+            refuseWaiting(RunSupervisor.NO_ROOM, waiting -> true);
+        }
+        if (shrunk || wasTold) {
+            sendBeats();
+        }
+    }
+
     @Override
     public void roomChanged() {
         beginWaiting();
@@ -410,6 +424,7 @@
 
     private void sendBeats() {
         toldAccepting = isAccepting();
+        toldScarce = isScarce();
         WorkerReport.Builder report = report();
         for (PeerLink link : links.links()) {
             link.send(Frame.newBuilder()
@@ -463,7 +478,7 @@
                 WorkerReport.newBuilder().setFailureDomain(self.failureDomain()).setAccepting(isAccepting());
         supervisor
                 .minion()
-                .ifPresent(minion -> report.setMinion(minion.boot())
+                .ifPresent(minion -> report.setMinion(minion.incarnation().name())
                         .setService(minion.service())
                         .setCapacity(JobCodec.encode(minion.capacity()))
                         .setFree(JobCodec.encode(clamped(supervisor.free().minus(waitingStarts.room()))))
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
@@ -0,0 +1,73 @@
+package org.chivetally.queue.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.OptionalLong;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.agent.MinionPort.LookAnswer;
+import org.chivetally.queue.agent.MinionPort.LookOrder;
+import org.chivetally.time.Timers;
+
+/**
+ * Finds out which incarnation a departure is about. It names the id only: held up by a partition, the departure of an
+ * earlier incarnation would end every run of the one that has come back under the same id.
+ */
+final class DepartureCheck {
+    /** Pause between two looks at a minion that has taken its leave and still answers. */
+    static final Duration PAUSE = Duration.ofMillis(100);
+
+    /** Looks after which a minion that still answers has not left; one that does ends within a second. */
+    static final int MOST_LOOKS = 10;
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Timers timers;
+    private final MinionPort port;
+    private final Incarnation minion;
+    private final FencingToken token;
+    private final Runnable gone;
+    private final Runnable stays;
+    private int looks;
+
+    /**
+     * Creates a check that has not begun.
+     *
+     * @param minion the incarnation that is known
+     * @param token of the agent's calls
+     * @param gone told when it isn't there any more
+     * @param stays told when it has gone on answering, or can't be asked
+     */
+    DepartureCheck(
+            Timers timers, MinionPort port, Incarnation minion, FencingToken token, Runnable gone, Runnable stays) {
+        this.timers = timers;
+        this.port = port;
+        this.minion = minion;
+        this.token = token;
+        this.gone = gone;
+        this.stays = stays;
+    }
+
+    /** Looks at the minion until it is gone or has been there long enough. */
+    void look() {
+        looks++;
+        LookOrder order = new LookOrder(token.value(), 0, OptionalLong.empty(), Duration.ZERO);
+        port.look(minion.id(), order, this::answered);
+    }
+
+    private void answered(LookAnswer answer) {
+        boolean isGone = switch (answer) {
+            case LookAnswer.Lists lists -> !minion.isBornAs(lists.bornAtMillis());
+            case LookAnswer.Refused refused -> !refused.fenced();
+            case LookAnswer.Unreachable unreachable -> true;
+            case LookAnswer.Unknown unknown -> false;
+        };
+        if (isGone) {
+            gone.run();
+        } else if (looks < MOST_LOOKS) {
+            timers.after(PAUSE, this::look);
+        } else {
+            EventLine.of("departure-unfounded").with("minion", minion.name()).log(LOGGER.atWarning());
+            stays.run();
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/agent/FencingToken.java
+++ b/library/src/main/java/org/chivetally/queue/agent/FencingToken.java
@@ -28,6 +28,11 @@
         return value;
     }
 
+    /** Passes to the next token, so that what was sent with the one before is refused wherever this one was seen. */
+    void next() {
+        value++;
+    }
+
     /** Raises the token: only the agent of this machine calls the minion, so whoever had a higher one is gone. */
     void raise() {
         value = Math.max(value + STEP.toMillis(), timers.epochMillis());
--- a/library/src/main/java/org/chivetally/queue/agent/HeldRun.java
+++ b/library/src/main/java/org/chivetally/queue/agent/HeldRun.java
@@ -23,6 +23,8 @@
     private Stage stage = Stage.STARTING;
     private boolean stopWanted;
     private boolean stopAnswered;
+    private Incarnation carriedFrom;
+    private RunOutcome carriedOutcome;
     private long stageSinceNanos;
 
     HeldRun(RunKey key, RunOwner owner, Room room, long leaseUntilMillis, long nowNanos) {
@@ -63,6 +65,39 @@
         return new OwnedEnd(owner, new EndedRun(boot, 0, key, outcome, ""));
     }
 
+    /**
+     * Notes that its minion was replaced under the same id. Its start may have been carried out by either incarnation,
+     * so the new one's lists decide whether it is there.
+     *
+     * @param from the incarnation that was replaced
+     * @param outcome how the run has ended if it isn't there
+     */
+    void carryOver(Incarnation from, RunOutcome outcome) {
+        if (carriedFrom != null) {
+            return;
+        }
+        carriedFrom = from;
+        carriedOutcome = outcome;
+        stopAnswered = false;
+    }
+
+    boolean isCarriedOver() {
+        return carriedFrom != null;
+    }
+
+    /** Notes that the incarnation that answers now lists it. */
+    void listed(long nowNanos) {
+        carriedFrom = null;
+        if (stage != Stage.RUNNING) {
+            become(Stage.RUNNING, nowNanos);
+        }
+    }
+
+    /** Returns the end of a run that was carried over and isn't there. */
+    OwnedEnd endElsewhere() {
+        return unlistedEnd(carriedFrom.name(), carriedOutcome);
+    }
+
     Stage stage() {
         return stage;
     }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/HeldRuns.java
@@ -0,0 +1,84 @@
+package org.chivetally.queue.agent;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.TaskKey;
+
+/** The runs whose room is taken at the minion, one for each task, and the sum of their room. */
+final class HeldRuns {
+    private final Map<TaskKey, HeldRun> runs = new LinkedHashMap<>();
+    private Room room = Room.NONE;
+
+    boolean isEmpty() {
+        return runs.isEmpty();
+    }
+
+    int size() {
+        return runs.size();
+    }
+
+    /** Returns the run of a task; null when there is none. */
+    HeldRun of(TaskKey task) {
+        return runs.get(task);
+    }
+
+    boolean has(HeldRun run) {
+        return runs.get(run.key().task()) == run;
+    }
+
+    void add(HeldRun run) {
+        runs.put(run.key().task(), run);
+        room = room.plus(run.room());
+    }
+
+    void remove(HeldRun run) {
+        runs.remove(run.key().task());
+        room = room.minus(run.room());
+    }
+
+    /** Returns the room that all of them take. */
+    Room room() {
+        return room;
+    }
+
+    /** Returns all of them as they are now. */
+    List<HeldRun> all() {
+        return List.copyOf(runs.values());
+    }
+
+    /** Removes all; returns their ends at a minion of that name. */
+    List<OwnedEnd> endAll(String minion, RunOutcome outcome) {
+        List<OwnedEnd> ended = new ArrayList<>();
+        for (HeldRun run : runs.values()) {
+            ended.add(run.unlistedEnd(minion, outcome));
+        }
+        runs.clear();
+        room = Room.NONE;
+        return ended;
+    }
+
+    /** Returns whose runs these are. */
+    Set<RunOwner> owners() {
+        Set<RunOwner> owners = new HashSet<>();
+        for (HeldRun run : runs.values()) {
+            owners.add(run.owner());
+        }
+        return owners;
+    }
+
+    /** Returns the owners by run. */
+    Map<RunKey, RunOwner> byKey() {
+        Map<RunKey, RunOwner> byKey = new LinkedHashMap<>();
+        for (HeldRun run : runs.values()) {
+            byKey.put(run.key(), run.owner());
+        }
+        return byKey;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionLists.java
@@ -0,0 +1,134 @@
+package org.chivetally.queue.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.agent.MinionPort.ListedEnd;
+import org.chivetally.queue.agent.MinionPort.LookAnswer;
+import org.chivetally.time.Timers;
+
+/** Brings what is held in line with a minion's lists of what runs and what has ended. */
+final class MinionLists {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Timers timers;
+    private final HeldRuns held;
+    private final EndList ends;
+    private final RunCalls calls;
+    private final RunEnds told;
+    private final int partitions;
+    private final Strangers strangers = new Strangers();
+    private boolean complete;
+
+    MinionLists(Timers timers, HeldRuns held, EndList ends, RunCalls calls, RunEnds told, int partitions) {
+        this.timers = timers;
+        this.held = held;
+        this.ends = ends;
+        this.calls = calls;
+        this.told = told;
+        this.partitions = partitions;
+    }
+
+    /** Tells whether everything that the lists have shown so far is known here, or was at one time. */
+    boolean isComplete() {
+        return complete;
+    }
+
+    /** Tells whether runs are there that nobody here knows. */
+    boolean hasStrangers() {
+        return !strangers.isEmpty();
+    }
+
+    /** Forgets what an earlier incarnation listed. */
+    void clear() {
+        strangers.clear();
+    }
+
+    /**
+     * Takes the lists over.
+     *
+     * @param at the incarnation that lists
+     * @param sentAtNanos when it was asked
+     * @return ends that are new
+     */
+    List<OwnedEnd> take(Incarnation at, LookAnswer.Lists lists, long sentAtNanos) {
+        List<OwnedEnd> fresh = takeEnds(at, lists.ends());
+        takeRunning(at, lists, sentAtNanos);
+        return fresh;
+    }
+
+    private List<OwnedEnd> takeEnds(Incarnation at, List<ListedEnd> listed) {
+        List<OwnedEnd> fresh = new ArrayList<>();
+        for (ListedEnd end : listed) {
+            HeldRun run = held.of(end.run().task());
+            boolean followed = run != null && run.key().equals(end.run());
+            RunOwner owner = followed ? run.owner() : partitionOf(end.run());
+            if (!ends.add(end, owner)) {
+                continue;
+            }
+            fresh.add(new OwnedEnd(owner, end.of(at.name())));
+            if (followed) {
+                held.remove(run);
+            }
+            if (owner instanceof RunOwner.Entry) {
+                // Nothing of such a job is stored, so the minion may forget the end as soon as it was told here.
+                ends.keep(end.sequence());
+            }
+        }
+        return fresh;
+    }
+
+    private void takeRunning(Incarnation at, LookAnswer.Lists lists, long sentAtNanos) {
+        Set<RunKey> running = new HashSet<>(lists.running());
+        Set<RunKey> unknown = new HashSet<>(running);
+        List<OwnedEnd> lost = new ArrayList<>();
+        for (HeldRun run : held.all()) {
+            unknown.remove(run.key());
+            if (running.contains(run.key())) {
+                isThere(at, run);
+            } else if (run.isCarriedOver()) {
+                held.remove(run);
+                lost.add(run.endElsewhere());
+            } else if (run.isRuledOut(lists.clockMillis(), sentAtNanos)) {
+                told.neverStarted(at, run);
+            } else if (run.stage() == HeldRun.Stage.RUNNING && sentAtNanos - run.stageSinceNanos() > 0) {
+                vanished(at, run);
+            }
+        }
+        told.lost(at.name(), lost, "reborn");
+        // Runs of an agent before this one: their room isn't known here, so nothing is started until their lease,
+        // which nobody renews, has ended. Once none is left, nobody knows a run that turns up, and it is stopped.
+        strangers.listed(unknown);
+        complete |= strangers.isEmpty();
+        if (complete) {
+            calls.stopStrangers(at, strangers);
+        }
+    }
+
+    private void isThere(Incarnation at, HeldRun run) {
+        boolean stopAgain = run.isCarriedOver() && run.isStopWanted();
+        run.listed(timers.nanos());
+        if (stopAgain) {
+            calls.stop(at, run);
+        }
+    }
+
+    private void vanished(Incarnation at, HeldRun run) {
+        EventLine.of("run-vanished")
+                .with("run", run.key())
+                .with("minion", at.name())
+                .log(LOGGER.atWarning());
+        told.ended(run, run.unlistedEnd(at.name(), RunOutcome.LOST));
+    }
+
+    /** Returns the owner of a run that an agent before this one started: only kept jobs have owners that last. */
+    private RunOwner partitionOf(RunKey run) {
+        return new RunOwner.Partition(Partitions.of(run.task().jobId(), partitions));
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -62,13 +62,26 @@
 
     /** What became of a look. */
     sealed interface LookAnswer {
-        /** The minion's lists. */
-        record Lists(long clockMillis, List<RunKey> running, List<ListedEnd> ends) implements LookAnswer {
+        /**
+         * The minion's lists.
+         *
+         * @param bornAtMillis start of the incarnation that lists, in milliseconds since 1970; 0 when it tells none
+         * @param clockMillis its clock
+         * @param running what runs there
+         * @param ends ends that it was not told to forget
+         */
+        record Lists(long bornAtMillis, long clockMillis, List<RunKey> running, List<ListedEnd> ends)
+                implements LookAnswer {
             /** Copies the lists. */
             public Lists {
                 running = List.copyOf(running);
                 ends = List.copyOf(ends);
             }
+
+            /** Creates the lists of a minion that does not tell its start. */
+            public Lists(long clockMillis, List<RunKey> running, List<ListedEnd> ends) {
+                this(0, clockMillis, running, ends);
+            }
         }
 
         /** The minion is another boot, or refuses this agent's token. */
@@ -96,9 +109,9 @@
             Objects.requireNonNull(outcome, "outcome");
         }
 
-        /** Returns the end as one of a boot of the minion. */
-        EndedRun of(String boot) {
-            return new EndedRun(boot, sequence, run, outcome, checkpoint);
+        /** Returns the end as one of a minion by the name of its incarnation. */
+        EndedRun of(String minion) {
+            return new EndedRun(minion, sequence, run, outcome, checkpoint);
         }
     }
 }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/agent/RunEnds.java
@@ -0,0 +1,49 @@
+package org.chivetally.queue.agent;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.RunOutcome;
+
+/** Ends of runs that the minion doesn't list: their room is free again, and their owners are told. */
+final class RunEnds {
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final HeldRuns held;
+    private final SupervisorListener listener;
+
+    RunEnds(HeldRuns held, SupervisorListener listener) {
+        this.held = held;
+        this.listener = listener;
+    }
+
+    /** Ends a run that isn't at a minion and never will be. */
+    void neverStarted(Incarnation at, HeldRun run) {
+        ended(run, run.unlistedEnd(at.name(), RunOutcome.NEVER_STARTED));
+    }
+
+    /** Ends one run. */
+    void ended(HeldRun run, OwnedEnd end) {
+        held.remove(run);
+        listener.ended(List.of(end));
+        listener.roomChanged();
+    }
+
+    /** Ends all runs that are held. */
+    void allLost(String minion, RunOutcome outcome, String reason) {
+        lost(minion, held.endAll(minion, outcome), reason);
+    }
+
+    /** Tells of runs that are no longer held. */
+    void lost(String minion, List<OwnedEnd> lost, String reason) {
+        if (lost.isEmpty()) {
+            return;
+        }
+        EventLine.of("runs-lost")
+                .with("minion", minion)
+                .with("runs", lost.size())
+                .with("reason", reason)
+                .log(LOGGER.atWarning());
+        listener.ended(lost);
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/agent/RunOwners.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunOwners.java
@@ -22,9 +22,11 @@
 final class RunOwners {
     /**
      * How old the owner's knowledge of this agent may be before the runs of its kept jobs are stopped. Longer than a
-     * failover, which takes about 2.5 s, so that an owner's death does not cost the work in progress.
+     * failover, which takes about 2.5 s, so that an owner's death does not cost the work in progress. A run that was
+     * cancelled while the owner is cut off has to have ended 4.05 s later, and the age is looked at with each
+     * heartbeat.
      */
-    private static final Duration RENEWAL = Duration.ofMillis(4_000);
+    private static final Duration RENEWAL = Duration.ofMillis(4_000).minus(AgentNode.BEAT_INTERVAL.plusMillis(50));
 
     /**
      * How old an entry's knowledge of this agent may be before the runs of its unkept jobs are stopped. Their callers
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -2,24 +2,17 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.chivetally.logging.EventLine;
-import org.chivetally.queue.Partitions;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.RunKey;
 import org.chivetally.queue.RunOutcome;
-import org.chivetally.queue.TaskKey;
-import org.chivetally.queue.agent.MinionPort.ListedEnd;
 import org.chivetally.queue.agent.MinionPort.LookAnswer;
 import org.chivetally.queue.agent.MinionPort.LookOrder;
-import org.chivetally.queue.agent.MinionPort.StartAnswer;
 import org.chivetally.queue.agent.MinionPort.StartOrder;
 import org.chivetally.time.Timers;
 
@@ -46,15 +39,6 @@
     /** Pause after a look without an answer, so that a minion that is down isn't called in a tight loop. */
     static final Duration LOOK_RETRY = Duration.ofMillis(100);
 
-    /**
-     * Time without an answer after which a start is doubted. Answers take a millisecond, and the tasks of callers who
-     * wait last 85 ms and more: any later, the job would miss its objective by the doubt alone.
-     */
-    static final Duration START_DOUBT = Duration.ofMillis(100);
-
-    /** How long a doubtful start may show up in a look before it is stopped; the next look comes within it. */
-    static final Duration DOUBT_PAUSE = Duration.ofMillis(60);
-
     /** Age of the last answer from which looks no longer renew, so that the lease of a minion in doubt runs out. */
     static final long UNANSWERED_NANOS = Duration.ofMillis(800).toNanos();
 
@@ -79,25 +63,28 @@
     private final Timers timers;
     private final MinionPort port;
     private final SupervisorListener listener;
-    private final int partitions;
-    private final Map<TaskKey, HeldRun> held = new LinkedHashMap<>();
+    private final HeldRuns held = new HeldRuns();
     private final EndList ends = new EndList();
     private final AnnouncedBoots boots;
     private final MinionLease lease = new MinionLease();
     private final FencingToken token;
+    private final LeasePermission permission;
+    private final RunCalls calls;
+    private final RunEnds runEnds;
+    private final MinionLists lists;
     private Optional<MinionState> minion = Optional.empty();
-    private Room taken = Room.NONE;
-    private Set<RunKey> strangers = Set.of();
     private final long startedAtNanos;
     private boolean reconciled;
-    private boolean complete;
     private boolean recalled;
+    /** The minion has answered for itself and has not announced this incarnation yet. */
+    private boolean unannounced;
+
+    private boolean departing;
     private boolean answering = true;
     private boolean leaving;
     private boolean used;
     private boolean lookInFlight;
     private boolean lookArmed;
-    private boolean renewalHeld;
     private long lookNumber;
     private long keptSent;
     private long lastAnswerNanos;
@@ -108,13 +95,16 @@
      * @param partitions partitions among which kept jobs are dealt out
      */
     public RunSupervisor(Timers timers, MinionPort port, SupervisorListener listener, int partitions) {
-        this.partitions = partitions;
         this.timers = timers;
         this.port = port;
         this.boots = new AnnouncedBoots(port);
         this.listener = listener;
         this.startedAtNanos = timers.nanos();
         this.token = new FencingToken(timers);
+        this.permission = new LeasePermission(lease, held, ends, listener);
+        this.calls = new RunCalls(timers, port, token, lease, new Calling());
+        this.runEnds = new RunEnds(held, listener);
+        this.lists = new MinionLists(timers, held, ends, calls, runEnds, partitions);
     }
 
     /** Returns the minion, once one has announced itself. */
@@ -127,7 +117,9 @@
         return !leaving
                 && answering
                 && reconciled
-                && strangers.isEmpty()
+                && !unannounced
+                && !departing
+                && !lists.hasStrangers()
                 && minion.isPresent()
                 && !minion.get().leaving();
     }
@@ -138,26 +130,24 @@
      * them.
      */
     public boolean isComplete() {
-        return complete || minion.isEmpty() && timers.nanos() - startedAtNanos > UNANNOUNCED_NANOS;
+        return lists.isComplete() || minion.isEmpty() && timers.nanos() - startedAtNanos > UNANNOUNCED_NANOS;
     }
 
     /** Returns the capacity less the room of everything that runs, stops or may still start. */
     public Room free() {
-        return minion.isEmpty() ? Room.NONE : minion.get().capacity().minus(taken);
+        return minion.isEmpty() ? Room.NONE : minion.get().capacity().minus(held.room());
     }
 
     /** Returns the runs whose room is taken, with their owners. */
     public Map<RunKey, RunOwner> runs() {
-        Map<RunKey, RunOwner> runs = new LinkedHashMap<>();
-        for (HeldRun run : held.values()) {
-            runs.put(run.key(), run.owner());
-        }
-        return runs;
+        return held.byKey();
     }
 
     /** Returns the listed ends that nobody has stored yet. */
     public List<OwnedEnd> openEnds() {
-        return minion.isEmpty() ? List.of() : ends.open(minion.get().boot());
+        return minion.isEmpty()
+                ? List.of()
+                : ends.open(minion.get().incarnation().name());
     }
 
     /** Tells whether nothing runs and no end waits to be stored. */
@@ -192,7 +182,9 @@
             // It has announced itself or taken its leave meanwhile, which is newer.
             return;
         }
-        EventLine.of("minion-recalled").with("minion", state.boot()).log(LOGGER.atInfo());
+        EventLine.of("minion-recalled")
+                .with("minion", state.incarnation().name())
+                .log(LOGGER.atInfo());
         announced(state);
         recalled = true;
         timers.after(Duration.ofNanos(UNANNOUNCED_NANOS), this::forgetUnlessAnswered);
@@ -202,9 +194,7 @@
         if (!recalled) {
             return;
         }
-        EventLine.of("minion-not-found")
-                .with("minion", minion.orElseThrow().boot())
-                .log(LOGGER.atWarning());
+        EventLine.of("minion-not-found").with("minion", name()).log(LOGGER.atWarning());
         recalled = false;
         lookInFlight = false;
         lookNumber++;
@@ -212,85 +202,172 @@
         minionChanged();
     }
 
+    private String name() {
+        return minion.isEmpty() ? "" : minion.get().incarnation().name();
+    }
+
     private void minionChanged() {
         listener.minionChanged();
         listener.roomChanged();
     }
 
-    /** Notes what the minion announced. A boot that was replaced is ignored, as its announcement was held up. */
+    /**
+     * Notes what the minion announced. What an earlier incarnation announced is ignored, as is what this one announced
+     * before something that is known already: both were held up.
+     */
     public void announced(MinionState state) {
-        if (boots.isPast(state)) {
+        if (boots.isOld(state, minion.orElse(null))) {
             return;
         }
-        boolean anotherBoot = minion.isPresent() && !minion.get().boot().equals(state.boot());
-        if (anotherBoot && !recalled && answering && reconciled) {
-            boots.confirm(state, token.value(), this::accept);
+        boolean another = minion.isPresent() && !minion.get().incarnation().isSame(state.incarnation());
+        if (another && !recalled && answering && reconciled) {
+            boots.confirm(state, token.value(), this::confirmed);
         } else {
-            accept(state);
+            accept(state, true);
         }
     }
 
-    private void accept(MinionState state) {
+    private void confirmed(MinionState state) {
+        if (!boots.isOld(state, minion.orElse(null))) {
+            accept(state, true);
+        }
+    }
+
+    private void accept(MinionState told, boolean announced) {
         recalled = false;
         Optional<MinionState> before = minion;
-        boolean sameBoot = before.isPresent() && before.get().boot().equals(state.boot());
-        if (!sameBoot) {
-            before.ifPresent(old -> replaced(old, "reborn"));
-            lease.reset(state.clockMillis(), timers.nanos());
-            lastAnswerNanos = timers.nanos();
-        }
-        // A minion that has said it leaves never stays after all; a late announcement must not undo it.
-        boolean stillLeaving = sameBoot && before.get().leaving();
-        minion = Optional.of(stillLeaving ? state.asLeaving() : state);
-        if (!sameBoot || before.get().leaving() != minion.get().leaving()) {
+        boolean same = before.isPresent() && before.get().incarnation().isSame(told.incarnation());
+        if (!same) {
+            before.ifPresent(old -> replaced(old, told.boot(), "reborn"));
+            restartLease(told.clockMillis());
+        }
+        minion = Optional.of(same ? update(before.get(), told) : told);
+        MinionState now = minion.get();
+        boolean news = !same || before.get().leaving() != now.leaving() || unannounced && announced;
+        unannounced = !announced;
+        if (news) {
             EventLine.of("minion-announced")
-                    .with("minion", state.boot())
-                    .with("leaving", minion.get().leaving())
-                    .with("capacity", state.capacity())
+                    .with("minion", now.incarnation().name())
+                    .with("leaving", now.leaving())
+                    .with("capacity", now.capacity())
                     .log(LOGGER.atInfo());
             minionChanged();
         }
+        if (same && !before.get().capacity().equals(now.capacity())) {
+            capacityChanged(before.get().capacity(), now.capacity());
+        }
         look();
     }
 
+    private static MinionState update(MinionState before, MinionState told) {
+        boolean bornIsKnown = told.incarnation().bornAtMillis() == 0;
+        MinionState state = bornIsKnown ? told.known(before.incarnation()) : told;
+        // A minion that has said it leaves never stays after all; a late announcement must not undo it.
+        return before.leaving() ? state.asLeaving() : state;
+    }
+
+    /** Forgets the clock and the lease of an earlier incarnation. */
+    private void restartLease(long clockMillis) {
+        lastAnswerNanos = timers.nanos();
+        lease.reset(clockMillis, lastAnswerNanos);
+        if (!held.isEmpty()) {
+            // A start that was sent to the incarnation before may have begun a lease at this one.
+            lease.extend(lastAnswerNanos);
+        }
+    }
+
+    private void capacityChanged(Room before, Room now) {
+        EventLine.of("minion-capacity-changed")
+                .with("minion", name())
+                .with("before", before)
+                .with("capacity", now)
+                .with("taken", held.room())
+                .log(LOGGER.atInfo());
+        listener.capacityChanged(!before.fitsInto(now));
+        listener.minionChanged();
+    }
+
     /** Notes that the minion has taken its leave; whatever ran on it is gone. */
     public void departed(String boot) {
-        if (minion.isPresent() && minion.get().boot().equals(boot)) {
-            replaced(minion.get(), "departed");
-            minion = Optional.empty();
-            minionChanged();
+        if (minion.isEmpty() || !minion.get().boot().equals(boot) || departing) {
+            return;
+        }
+        if (!boots.isReused(boot)) {
+            gone("departed");
+            return;
         }
+        departing = true;
+        Incarnation asked = minion.get().incarnation();
+        new DepartureCheck(
+                        timers,
+                        port,
+                        asked,
+                        token,
+                        () -> departureChecked(asked, true),
+                        () -> departureChecked(asked, false))
+                .look();
+        listener.roomChanged();
     }
 
-    private void replaced(MinionState old, String reason) {
+    private void departureChecked(Incarnation asked, boolean isGone) {
+        if (!departing || minion.isEmpty() || !minion.get().incarnation().isSame(asked)) {
+            return;
+        }
+        departing = false;
+        if (isGone) {
+            gone("departed");
+        } else {
+            listener.roomChanged();
+        }
+    }
+
+    private void gone(String reason) {
+        replaced(minion.orElseThrow(), "", reason);
+        minion = Optional.empty();
+        minionChanged();
+    }
+
+    /**
+     * Discards what is known of an incarnation.
+     *
+     * @param nextId id of the one that is there instead; empty when there is none
+     */
+    private void replaced(MinionState old, String nextId, String reason) {
         recalled = false;
-        boots.replaced(old.boot());
+        unannounced = false;
+        departing = false;
+        boots.replaced(old.incarnation());
         // An answer of the old boot may take long or never come; the new one is looked at without waiting for it.
         lookInFlight = false;
         answering = true;
         lookArmed = false;
         lookNumber++;
-        loseAll(old.boot(), reason);
+        if (old.boot().equals(nextId)) {
+            carryOver(old);
+        } else {
+            runEnds.allLost(old.incarnation().name(), RunOutcome.LOST, reason);
+        }
         ends.clear();
         keptSent = 0;
-        strangers = Set.of();
+        lists.clear();
         reconciled = false;
     }
 
-    private void loseAll(String boot, String reason) {
-        List<OwnedEnd> lost = new ArrayList<>();
-        for (HeldRun run : held.values()) {
-            lost.add(run.unlistedEnd(boot, RunOutcome.LOST));
-        }
-        held.clear();
-        taken = Room.NONE;
-        if (!lost.isEmpty()) {
-            EventLine.of("runs-lost")
-                    .with("minion", boot)
-                    .with("runs", lost.size())
-                    .with("reason", reason)
+    /**
+     * Leaves it to the first lists of an incarnation under the same id which runs are gone: calls carry the id only, so
+     * it may have carried out starts that were meant for the one before. The next token keeps it from carrying out more
+     * of them once it has been looked at, so that those lists are the last word.
+     */
+    private void carryOver(MinionState old) {
+        token.next();
+        for (HeldRun run : held.all()) {
+            run.carryOver(old.incarnation(), RunOutcome.LOST);
+        }
+        if (!held.isEmpty()) {
+            EventLine.of("runs-carried-over")
+                    .with("minion", old.incarnation().name())
+                    .with("runs", held.size())
                     .log(LOGGER.atWarning());
-            listener.ended(lost);
         }
     }
 
@@ -303,7 +380,7 @@
         if (!isAccepting()) {
             return Optional.of("not accepting");
         }
-        HeldRun known = held.get(run.task());
+        HeldRun known = held.of(run.task());
         if (known != null) {
             return Optional.of("held as run " + known.key().run());
         }
@@ -311,76 +388,19 @@
             return Optional.of(NO_ROOM);
         }
         long now = timers.nanos();
-        if (!mayExtendLease(now)) {
+        if (!permission.isGiven(now)) {
             return Optional.of("lease held back");
         }
         used = true;
         long until = lease.extend(now);
         HeldRun fresh = new HeldRun(run, owner, room, until, now);
-        held.put(run.task(), fresh);
-        taken = taken.plus(room);
-        String boot = minion.orElseThrow().boot();
-        port.start(
-                boot,
-                new StartOrder(run, payload, until, token.value(), checkpoint),
-                answer -> startAnswered(boot, fresh, answer));
-        timers.after(START_DOUBT, () -> doubt(boot, fresh, "no answer yet"));
+        held.add(fresh);
+        StartOrder order = new StartOrder(run, payload, until, token.value(), checkpoint);
+        calls.start(minion.orElseThrow().incarnation(), fresh, order);
         look();
         return Optional.empty();
     }
 
-    private void startAnswered(String boot, HeldRun run, StartAnswer answer) {
-        if (isNotHeld(boot, run)) {
-            return;
-        }
-        switch (answer) {
-            case StartAnswer.Started started -> {
-                lease.observe(started.clockMillis(), timers.nanos());
-                run.become(HeldRun.Stage.RUNNING, timers.nanos());
-                if (run.isStopWanted()) {
-                    sendStop(boot, run);
-                }
-                look();
-            }
-            case StartAnswer.Rejected rejected -> {
-                logRejected(boot, run, rejected.reason());
-                if (rejected.fenced()) {
-                    token.raise();
-                }
-                neverStarted(boot, run);
-            }
-            case StartAnswer.Unreachable unreachable -> {
-                logRejected(boot, run, unreachable.reason());
-                stopAnswering();
-                neverStarted(boot, run);
-                look();
-            }
-            case StartAnswer.Unknown unknown -> doubt(boot, run, unknown.reason());
-        }
-    }
-
-    private static void logRejected(String boot, HeldRun run, String reason) {
-        EventLine.of("run-rejected")
-                .with("run", run.key())
-                .with("minion", boot)
-                .with("reason", reason)
-                .log(LOGGER.atInfo());
-    }
-
-    private void doubt(String boot, HeldRun run, String reason) {
-        if (isNotHeld(boot, run) || run.stage() != HeldRun.Stage.STARTING) {
-            return;
-        }
-        EventLine.of("run-doubtful")
-                .with("run", run.key())
-                .with("minion", boot)
-                .with("reason", reason)
-                .log(LOGGER.atWarning());
-        run.become(HeldRun.Stage.DOUBTFUL, timers.nanos());
-        timers.after(DOUBT_PAUSE, () -> resolve(boot, run));
-        look();
-    }
-
     /**
      * Takes no starts until the minion has answered a look. Its room looks free while it is down, so owners would send
      * it every task that waits, again and again, and none of them would start elsewhere.
@@ -388,72 +408,24 @@
     private void stopAnswering() {
         if (answering) {
             answering = false;
-            EventLine.of("minion-not-answering")
-                    .with("minion", minion.map(MinionState::boot).orElse(""))
-                    .log(LOGGER.atWarning());
+            EventLine.of("minion-not-answering").with("minion", name()).log(LOGGER.atWarning());
             listener.roomChanged();
         }
     }
 
-    /**
-     * Rules a doubtful start out. A stop that was answered keeps the minion from ever taking this run, so the room is
-     * free from the next look that does not list it; without that, a start carried out late would overfill the worker.
-     */
-    private void resolve(String boot, HeldRun run) {
-        if (isNotHeld(boot, run) || run.stage() != HeldRun.Stage.DOUBTFUL || run.isStopAnswered()) {
-            return;
-        }
-        sendStop(boot, run);
-    }
-
-    private boolean isNotHeld(String boot, HeldRun run) {
-        return held.get(run.key().task()) != run
-                || minion.isEmpty()
-                || !minion.get().boot().equals(boot);
-    }
-
-    private void neverStarted(String boot, HeldRun run) {
-        release(run);
-        listener.ended(List.of(run.unlistedEnd(boot, RunOutcome.NEVER_STARTED)));
-        listener.roomChanged();
-    }
-
-    private void release(HeldRun run) {
-        held.remove(run.key().task());
-        taken = taken.minus(run.room());
-    }
-
     /** Stops a run; nothing happens when it isn't held. */
     public void stop(RunKey key) {
-        HeldRun run = held.get(key.task());
+        HeldRun run = held.of(key.task());
         if (run == null || run.key().run() != key.run() || run.isStopWanted() || minion.isEmpty()) {
             return;
         }
         run.wantStop();
-        sendStop(minion.get().boot(), run);
+        calls.stop(minion.get().incarnation(), run);
     }
 
-    private void sendStop(String boot, HeldRun run) {
-        port.stop(boot, run.key(), token.value(), taken -> {
-            if (isNotHeld(boot, run)) {
-                return;
-            }
-            if (taken) {
-                run.stopAnswered(timers.nanos());
-                look();
-            } else {
-                timers.after(LOOK_RETRY, () -> {
-                    if (!isNotHeld(boot, run) && !run.isStopAnswered()) {
-                        sendStop(boot, run);
-                    }
-                });
-            }
-        });
-    }
-
-    /** Notes that ends of a boot are stored, so that the minion may forget them. */
-    public void kept(String boot, List<Long> sequences) {
-        if (minion.isEmpty() || !minion.get().boot().equals(boot)) {
+    /** Notes that ends of an incarnation are stored, so that the minion may forget them. */
+    public void kept(String incarnation, List<Long> sequences) {
+        if (!name().equals(incarnation)) {
             return;
         }
         for (long sequence : sequences) {
@@ -476,56 +448,46 @@
         lookInFlight = true;
         lookNumber++;
         long number = lookNumber;
-        String boot = minion.get().boot();
-        OptionalLong lease = renewal(now);
-        Duration wait = held.isEmpty() ? Duration.ZERO : LOOK_WAIT;
-        long kept = ends.keptThrough();
-        port.look(boot, new LookOrder(token.value(), kept, lease, wait), answer -> {
+        Incarnation at = minion.get().incarnation();
+        LookOrder order = lookOrder(now);
+        port.look(at.id(), order, answer -> {
             lookInFlight = false;
             if (number == lookNumber
                     && minion.isPresent()
-                    && minion.get().boot().equals(boot)) {
-                looked(boot, answer, now, kept);
+                    && minion.get().incarnation().isSame(at)) {
+                looked(at, answer, now, order.keptThrough());
             } else {
                 look();
             }
         });
     }
 
+    private LookOrder lookOrder(long now) {
+        boolean another = mayBeAnother();
+        Duration wait = held.isEmpty() || !reconciled || another ? Duration.ZERO : LOOK_WAIT;
+        return new LookOrder(token.value(), another ? 0 : ends.keptThrough(), renewal(now), wait);
+    }
+
+    /**
+     * Tells whether the minion may have come back under the same id since it answered last. An acknowledgement would
+     * make the next incarnation forget its own ends, and a lease by the clock before would be as long as it grants.
+     */
+    private boolean mayBeAnother() {
+        return !answering && minion.orElseThrow().incarnation().bornAtMillis() != 0;
+    }
+
     private boolean isLookNeeded() {
-        return !reconciled || !answering || !strangers.isEmpty() || !held.isEmpty() || ends.keptThrough() > keptSent;
+        return !reconciled || !answering || lists.hasStrangers() || !held.isEmpty() || ends.keptThrough() > keptSent;
     }
 
     private OptionalLong renewal(long now) {
-        if (held.isEmpty() || now - lastAnswerNanos > UNANSWERED_NANOS || !mayExtendLease(now)) {
+        boolean another = !reconciled || mayBeAnother();
+        if (held.isEmpty() || another || now - lastAnswerNanos > UNANSWERED_NANOS || !permission.isGiven(now)) {
             return OptionalLong.empty();
         }
         return OptionalLong.of(lease.extend(now));
     }
 
-    /**
-     * Tells whether the minion's one lease may be extended, by a renewal or by a start. Not while the owner of anything
-     * there may have given it up: an owner that is cut off starts its tasks elsewhere after a time, relying on the
-     * lease to have ended by then. The starts of other owners would keep the old runs going beside the new ones, and
-     * would make an end that the owner never heard of count although its task was started again.
-     */
-    private boolean mayExtendLease(long now) {
-        if (lease.hasLapsed(now)) {
-            ends.lapsed();
-        }
-        Set<RunOwner> owners = owners();
-        owners.addAll(ends.ownersBeforeLapse());
-        boolean allowed = owners.isEmpty() || listener.mayRenew(owners);
-        if (allowed == renewalHeld) {
-            renewalHeld = !allowed;
-            EventLine.of(allowed ? "lease-renewed-again" : "lease-not-renewed")
-                    .with("runs", held.size())
-                    .with("owners", owners)
-                    .log(LOGGER.atWarning());
-        }
-        return allowed;
-    }
-
     /**
      * Calls the runs of a minion that doesn't answer lost, once every lease that it may have taken has ended. Until
      * then a run may go on there, and a second one elsewhere would run beside it.
@@ -533,24 +495,29 @@
     private void loseAfterLapse(long now) {
         boolean silent = now - lastAnswerNanos > UNANSWERED_NANOS;
         if (silent && !held.isEmpty() && lease.hasLapsed(now)) {
-            loseAll(minion.orElseThrow().boot(), "silent");
+            runEnds.allLost(name(), RunOutcome.LOST, "silent");
             reconciled = false;
             listener.roomChanged();
         }
     }
 
-    private void looked(String boot, LookAnswer answer, long sentAtNanos, long keptWithIt) {
+    private void looked(Incarnation at, LookAnswer answer, long sentAtNanos, long keptWithIt) {
         switch (answer) {
-            case LookAnswer.Lists lists -> {
+            case LookAnswer.Lists told -> {
+                if (!at.isBornAs(told.bornAtMillis())) {
+                    answeredByAnother(at, told);
+                    return;
+                }
+                learnBorn(told.bornAtMillis());
                 lastAnswerNanos = timers.nanos();
-                lease.observe(lists.clockMillis(), lastAnswerNanos);
+                lease.observe(told.clockMillis(), lastAnswerNanos);
                 recalled = false;
-                if (!complete) {
+                if (!lists.isComplete()) {
                     // The agent before this one may have extended the lease a moment ago.
                     lease.extend(lastAnswerNanos);
                 }
                 keptSent = Math.max(keptSent, keptWithIt);
-                boolean news = took(boot, lists, sentAtNanos);
+                boolean news = took(told, sentAtNanos);
                 boolean quick = lastAnswerNanos - sentAtNanos < LOOK_PAUSE.toNanos();
                 if (news) {
                     lookAfter(NEWS_PAUSE);
@@ -560,23 +527,23 @@
             }
             case LookAnswer.Refused refused -> {
                 EventLine.of("look-refused")
-                        .with("minion", boot)
+                        .with("minion", at.name())
                         .with("reason", refused.reason())
                         .log(LOGGER.atWarning());
                 if (refused.fenced()) {
                     token.raise();
                     lookAfter(Duration.ZERO);
                 } else {
-                    departed(boot);
+                    gone("another id");
                 }
             }
             case LookAnswer.Unreachable unreachable -> {
-                unanswered(boot, unreachable.reason());
+                unanswered(at, unreachable.reason());
                 stopAnswering();
                 lookAfter(LOOK_RETRY);
             }
             case LookAnswer.Unknown unknown -> {
-                unanswered(boot, unknown.reason());
+                unanswered(at, unknown.reason());
                 if (timers.nanos() - lastAnswerNanos > NOT_ANSWERING_NANOS) {
                     stopAnswering();
                     lookAfter(LOOK_RETRY);
@@ -587,13 +554,39 @@
         }
     }
 
-    private static void unanswered(String boot, String reason) {
+    private static void unanswered(Incarnation at, String reason) {
         EventLine.of("look-unanswered")
-                .with("minion", boot)
+                .with("minion", at.name())
                 .with("reason", reason)
                 .log(LOGGER.atInfo());
     }
 
+    /**
+     * Takes the word of an incarnation that answers in place of the known one. It has not announced itself, so its
+     * capacity isn't known and it takes no starts yet. One of an earlier start is believed only when the known one has
+     * not been heard for long: its clock was set back, or the known one was never there.
+     */
+    private void answeredByAnother(Incarnation known, LookAnswer.Lists lists) {
+        boolean earlier = lists.bornAtMillis() < known.bornAtMillis();
+        if (earlier && timers.nanos() - lastAnswerNanos <= UNANNOUNCED_NANOS) {
+            unanswered(known, "an earlier incarnation answers");
+            stopAnswering();
+            lookAfter(LOOK_RETRY);
+            return;
+        }
+        accept(minion.orElseThrow().reborn(lists.bornAtMillis(), lists.clockMillis()), false);
+        if (earlier) {
+            boots.forget(known.id());
+        }
+    }
+
+    private void learnBorn(long bornAtMillis) {
+        MinionState known = minion.orElseThrow();
+        if (bornAtMillis != 0 && known.incarnation().bornAtMillis() == 0) {
+            minion = Optional.of(known.known(Incarnation.of(known.boot(), bornAtMillis)));
+        }
+    }
+
     private void lookAfter(Duration pause) {
         if (pause.isZero()) {
             look();
@@ -609,27 +602,10 @@
     }
 
     /** Takes the lists over; tells whether they held anything new. */
-    private boolean took(String boot, LookAnswer.Lists lists, long sentAtNanos) {
+    private boolean took(LookAnswer.Lists told, long sentAtNanos) {
         Room before = free();
         boolean acceptingBefore = isAccepting();
-        List<OwnedEnd> fresh = new ArrayList<>();
-        for (ListedEnd end : lists.ends()) {
-            HeldRun run = held.get(end.run().task());
-            boolean followed = run != null && run.key().equals(end.run());
-            RunOwner owner = followed ? run.owner() : partitionOf(end.run());
-            if (!ends.add(end, owner)) {
-                continue;
-            }
-            fresh.add(new OwnedEnd(owner, end.of(boot)));
-            if (followed) {
-                release(run);
-            }
-            if (owner instanceof RunOwner.Entry) {
-                // Nothing of such a job is stored, so the minion may forget the end as soon as it was told here.
-                ends.keep(end.sequence());
-            }
-        }
-        tookRunning(boot, lists, sentAtNanos);
+        List<OwnedEnd> fresh = lists.take(minion.orElseThrow().incarnation(), told, sentAtNanos);
         answering = true;
         reconciled = true;
         if (!fresh.isEmpty()) {
@@ -641,44 +617,9 @@
         return !fresh.isEmpty();
     }
 
-    private void tookRunning(String boot, LookAnswer.Lists lists, long sentAtNanos) {
-        Set<RunKey> running = new HashSet<>(lists.running());
-        Set<RunKey> unknown = new HashSet<>(running);
-        for (HeldRun run : List.copyOf(held.values())) {
-            unknown.remove(run.key());
-            if (running.contains(run.key())) {
-                if (run.stage() != HeldRun.Stage.RUNNING) {
-                    run.become(HeldRun.Stage.RUNNING, timers.nanos());
-                }
-                continue;
-            }
-            if (run.isRuledOut(lists.clockMillis(), sentAtNanos)) {
-                neverStarted(boot, run);
-            } else if (run.stage() == HeldRun.Stage.RUNNING && sentAtNanos - run.stageSinceNanos() > 0) {
-                vanished(boot, run);
-            }
-        }
-        // Runs of an agent before this one: their room isn't known here, so nothing is started until their lease,
-        // which nobody renews, has ended.
-        strangers = Set.copyOf(unknown);
-        complete |= strangers.isEmpty();
-    }
-
-    private void vanished(String boot, HeldRun run) {
-        EventLine.of("run-vanished").with("run", run.key()).with("minion", boot).log(LOGGER.atWarning());
-        release(run);
-        listener.ended(List.of(run.unlistedEnd(boot, RunOutcome.LOST)));
-        listener.roomChanged();
-    }
-
-    /** Returns the owner of a run that an agent before this one started: only kept jobs have owners that last. */
-    private RunOwner partitionOf(RunKey run) {
-        return new RunOwner.Partition(Partitions.of(run.task().jobId(), partitions));
-    }
-
     /** Stops everything that an owner has here. */
     public void stopAll(RunOwner owner) {
-        for (HeldRun run : List.copyOf(held.values())) {
+        for (HeldRun run : held.all()) {
             if (run.owner().equals(owner)) {
                 stop(run.key());
             }
@@ -687,10 +628,31 @@
 
     /** Returns whose runs are here. */
     public Set<RunOwner> owners() {
-        Set<RunOwner> owners = new HashSet<>();
-        for (HeldRun run : held.values()) {
-            owners.add(run.owner());
+        return held.owners();
+    }
+
+    /** What calls about single runs ask of and tell to this. */
+    private final class Calling implements RunCalls.Supervision {
+        @Override
+        public boolean isHeld(Incarnation at, HeldRun run) {
+            return held.has(run)
+                    && minion.isPresent()
+                    && minion.get().incarnation().isSame(at);
+        }
+
+        @Override
+        public void neverStarted(Incarnation at, HeldRun run) {
+            runEnds.neverStarted(at, run);
+        }
+
+        @Override
+        public void unreachable() {
+            stopAnswering();
+        }
+
+        @Override
+        public void look() {
+            RunSupervisor.this.look();
         }
-        return owners;
     }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/SupervisorListener.java
+++ b/library/src/main/java/org/chivetally/queue/agent/SupervisorListener.java
@@ -14,6 +14,13 @@
     /** Another minion, or none, is here now, or it has said that it leaves. */
     void minionChanged();
 
+    /**
+     * The capacity has changed while the minion runs.
+     *
+     * @param shrunk whether any part of it is smaller now
+     */
+    void capacityChanged(boolean shrunk);
+
     /** The free room, or whether starts are taken, has changed. */
     void roomChanged();
 }
--- a/library/src/main/java/org/chivetally/queue/entry/AgentAnnouncement.java
+++ b/library/src/main/java/org/chivetally/queue/entry/AgentAnnouncement.java
@@ -48,12 +48,16 @@
         directory.announce(self, announced);
     }
 
-    /** Compares what a restart needs to know: not the clock, which goes on all the time. */
+    /**
+     * Compares what a restart needs to know: not the clock, which goes on all the time, and of the capacity only that
+     * no more is announced than there is, so that one that goes up and down is written once.
+     */
     private boolean isSame(Optional<MinionState> minion) {
         if (minion.isEmpty() || announced.isEmpty()) {
             return minion.isEmpty() && announced.isEmpty();
         }
-        return minion.get().boot().equals(announced.get().boot())
+        return minion.get().incarnation().equals(announced.get().incarnation())
+                && announced.get().capacity().fitsInto(minion.get().capacity())
                 && minion.get().leaving() == announced.get().leaving();
     }
 }
--- a/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -12,6 +12,7 @@
 import java.util.function.Consumer;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.agent.Incarnation;
 import org.chivetally.queue.agent.MinionState;
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.log.AppendOutcome;
@@ -86,17 +87,19 @@
                 .addAllLabels(minion.labels())
                 .setLeaving(minion.leaving())
                 .setClockMillis(minion.clockMillis())
+                .setBornAtMillis(minion.incarnation().bornAtMillis())
                 .build();
     }
 
     private static MinionState decode(StoredMinion minion) {
         return new MinionState(
-                minion.getBoot(),
+                Incarnation.of(minion.getBoot(), minion.getBornAtMillis()),
                 minion.getService(),
                 JobCodec.decode(minion.getCapacity()),
                 minion.getLabelsList(),
                 minion.getLeaving(),
-                minion.getClockMillis());
+                minion.getClockMillis(),
+                0);
     }
 
     /** Follows the announcements from now on. */
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -45,8 +45,8 @@
 /** Places the tasks of the entry's partitions on workers and follows their runs, until their ends are known. */
 final class RunCoordinator implements UnkeptJobs.Admission {
     /**
-     * Silence after which an agent's runs are given up: the agent stops them when the owner's knowledge of it is 4 s
-     * old, and renews no longer than 4.35 s; the lease of 1 s then ends by a clock that may be 2% slow, and timers on a
+     * Silence after which an agent's runs are given up: the agent stops them when the owner's knowledge of it is 3.7 s
+     * old, and renews no longer than 4.05 s; the lease of 1 s then ends by a clock that may be 2% slow, and timers on a
      * slowed machine fire late. Any sooner, a task could be started beside its old run.
      */
     static final Duration ABSENCE = Duration.ofMillis(5_700);
--- a/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
@@ -495,4 +495,77 @@
         timers.advance(Duration.ofMillis(20));
         assertThat(fresh.refusals(), contains(AgentNode.EVACUATED));
     }
+
+    private void announceCapacity(Room capacity) {
+        agent.supervisor()
+                .announced(new MinionState(
+                        Incarnation.of("boot", 0), "reports", capacity, List.of(), false, minion.clock(), 0));
+    }
+
+    /**
+     * The worker shrinks while a start waits for room. Entries are told at once, so that they send no more of what
+     * doesn't fit, and the start goes back before its patience is over.
+     */
+    @Test
+    void aCapacityThatShrinksReturnsWaitingStartsAndIsToldAtOnce() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("a", 1, true);
+        entry.start("b", 1, true);
+        entry.start("c", 1, true);
+        timers.advance(Duration.ofMillis(5));
+        assertThat(entry.refusals(), is(empty()));
+        entry.frames.clear();
+        announceCapacity(new Room(6_000, 1_000, 0));
+        timers.advance(Duration.ofMillis(2));
+        assertThat(entry.refusals(), contains("no room"));
+        assertThat(
+                entry.frames.stream()
+                        .anyMatch(frame -> frame.hasAgentBeat()
+                                && frame.getAgentBeat()
+                                                .getReport()
+                                                .getCapacity()
+                                                .getProcessorMillis()
+                                        == 6_000),
+                is(true));
+        assertThat(minion.stops, is(empty()));
+        assertThat(minion.running.keySet(), contains(run("a", 1), run("b", 1)));
+    }
+
+    /** The worker grows while a start waits for room: it begins at once, and entries hear of the rest. */
+    @Test
+    void aCapacityThatGrowsBeginsWaitingStarts() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("a", 1, true);
+        entry.start("b", 1, true);
+        timers.advance(Duration.ofMillis(300));
+        entry.start("c", 1, true);
+        timers.advance(Duration.ofMillis(5));
+        entry.frames.clear();
+        announceCapacity(new Room(24_000, 1_000, 0));
+        timers.advance(Duration.ofMillis(2));
+        assertThat(minion.running.keySet(), contains(run("a", 1), run("b", 1), run("c", 1)));
+        assertThat(
+                entry.frames.stream()
+                        .anyMatch(frame -> frame.hasAgentBeat()
+                                && frame.getAgentBeat().getReport().getFree().getProcessorMillis() == 6_000),
+                is(true));
+    }
+
+    /** A capacity goes up and down with each heartbeat: nothing is stopped or told as ended because of it. */
+    @Test
+    void aCapacityThatFlapsEndsNothing() {
+        ScriptedEntry entry = entry("entry-1", 0);
+        announce();
+        entry.start("a", 1, true);
+        entry.start("b", 1, true);
+        for (int beat = 0; beat < 20; beat++) {
+            timers.advance(Duration.ofMillis(200));
+            announceCapacity(beat % 2 == 0 ? new Room(3_000, 1_000, 0) : CAPACITY);
+        }
+        assertThat(minion.stops, is(empty()));
+        assertThat(minion.running.keySet(), contains(run("a", 1), run("b", 1)));
+        assertThat(entry.frames.stream().filter(Frame::hasRunEnds).count(), is(0L));
+    }
 }
--- a/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/ModelMinion.java
@@ -43,12 +43,44 @@
     /** Boots that are named in calls and were never there. */
     public final List<String> absentBoots = new ArrayList<>();
 
+    /** Start of the incarnation that lists itself, in milliseconds since 1970; 0 for a minion that tells none. */
+    private long bornAtMillis;
+
+    private long clockAtStart;
+    private long token;
+
     public ModelMinion(ManualTimers timers) {
         this.timers = timers;
     }
 
     public long clock() {
-        return timers.nanos() / 1_000_000;
+        return timers.nanos() / 1_000_000 - clockAtStart;
+    }
+
+    /** Starts again under the same id: nothing runs, and everything counts from the beginning. */
+    public void reborn(long born) {
+        bornAtMillis = born;
+        clockAtStart = timers.nanos() / 1_000_000;
+        token = 0;
+        sequence = 0;
+        leaseUntilMillis = 0;
+        lapsedAtMillis = Long.MIN_VALUE;
+        running.clear();
+        ends.clear();
+        endedAtMillis.clear();
+        excluded.clear();
+        down = false;
+    }
+
+    public long born() {
+        return bornAtMillis;
+    }
+
+    /** Tells whether a caller's token is too low; notes it if it isn't. */
+    private boolean isFenced(long callers) {
+        boolean fenced = callers < token;
+        token = Math.max(token, callers);
+        return fenced;
     }
 
     public boolean isLapsed() {
@@ -76,10 +108,10 @@
 
     /** Carries a start out, as a minion does late with one that got no answer. */
     public void carryOut(StartOrder order) {
-        if (order.leaseUntilMillis() < clock() || excluded.contains(order.run())) {
+        if (isFenced(order.token()) || order.leaseUntilMillis() < clock() || excluded.contains(order.run())) {
             return;
         }
-        lease(order.leaseUntilMillis());
+        lease(Math.min(order.leaseUntilMillis(), clock() + MinionLease.LENGTH_MILLIS));
         running.put(order.run(), order);
     }
 
@@ -110,12 +142,16 @@
     }
 
     @Override
-    public void stop(String boot, RunKey run, long token, Consumer<Boolean> answer) {
+    public void stop(String boot, RunKey run, long callersToken, Consumer<Boolean> answer) {
         stops.add(run);
         if (silent) {
             timers.after(Duration.ofMillis(350), () -> answer.accept(false));
             return;
         }
+        if (isFenced(callersToken)) {
+            answer.accept(false);
+            return;
+        }
         excluded.add(run);
         if (running.containsKey(run)) {
             end(run, RunOutcome.STOPPED);
@@ -141,12 +177,16 @@
                     () -> answer.accept(new LookAnswer.Unknown("no answer in time")));
             return;
         }
+        if (isFenced(order.token())) {
+            timers.after(Duration.ofMillis(1), () -> answer.accept(new LookAnswer.Refused("fenced", true)));
+            return;
+        }
         acknowledged(order.keptThrough());
         order.leaseUntilMillis().ifPresent(this::lease);
         // Answered a little later, as over a socket; ends that come meanwhile are in it.
         timers.after(
                 Duration.ofMillis(order.longestWait().isZero() ? 1 : 10),
-                () -> answer.accept(
-                        new LookAnswer.Lists(clock(), List.copyOf(running.keySet()), List.copyOf(ends.values()))));
+                () -> answer.accept(new LookAnswer.Lists(
+                        bornAtMillis, clock(), List.copyOf(running.keySet()), List.copyOf(ends.values()))));
     }
 }
--- a/library/src/test/java/org/chivetally/queue/agent/ScriptedListener.java
+++ b/library/src/test/java/org/chivetally/queue/agent/ScriptedListener.java
@@ -7,6 +7,7 @@
 /** Lets leases be renewed or not, and notes the ends that it is told. */
 class ScriptedListener implements SupervisorListener {
     final List<OwnedEnd> told = new ArrayList<>();
+    final List<Boolean> shrunkTold = new ArrayList<>();
     boolean mayRenew = true;
 
     @Override
@@ -22,6 +23,11 @@
     @Override
     public void minionChanged() {}
 
+    @Override
+    public void capacityChanged(boolean shrunk) {
+        shrunkTold.add(shrunk);
+    }
+
     @Override
     public void roomChanged() {}
 }
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/CancelBoundTest.java
@@ -0,0 +1,166 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.Partitions;
+import org.chivetally.queue.agent.ModelMinion;
+import org.junit.jupiter.api.Test;
+
+/** A cancelled job's tasks stop in time, whatever its owner and its agents can reach of each other. */
+class CancelBoundTest {
+    /** From the acknowledgement, or from a late start, until nothing of the job may run. */
+    private static final long BOUND_MILLIS = 4_050;
+
+    private static final String ID = "00000000000000a1";
+
+    private final Cluster cluster = new Cluster();
+
+    private void settle() {
+        for (String name : List.of("entry-1", "entry-2", "entry-3")) {
+            cluster.entry(name);
+        }
+        cluster.agent("agent-1");
+        cluster.agent("agent-2");
+        cluster.settled();
+    }
+
+    private String owner() {
+        int partition = Partitions.of(ID, Cluster.PARTITIONS);
+        return cluster.entries.entrySet().stream()
+                .filter(entry -> entry.getValue().local(partition).isPresent())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    private String runner() {
+        for (Map.Entry<String, ModelMinion> known : cluster.minions.entrySet()) {
+            if (!known.getValue().running.isEmpty()) {
+                return known.getKey();
+            }
+        }
+        throw new AssertionError("nothing runs");
+    }
+
+    private void advanceUntil(BooleanSupplier reached) {
+        for (int step = 0; !reached.getAsBoolean(); step++) {
+            assertThat("reached within 20 s", step < 4_000, is(true));
+            cluster.advance(5);
+        }
+    }
+
+    private void cancelAcknowledged(EntryNode entry) {
+        List<JobAnswer> answers = new ArrayList<>();
+        entry.desk().cancel(ID, cluster.timers.nanos() + 20_000_000_000L, answers::add);
+        advanceUntil(() -> !answers.isEmpty());
+        assertThat(answers, contains(new JobAnswer.Cancelled()));
+    }
+
+    private boolean isRunning() {
+        return cluster.minions.values().stream().anyMatch(minion -> !minion.running.isEmpty());
+    }
+
+    /**
+     * The owner loses the agent in the moment of the cancel, at any moment between two heartbeats, so that no stop
+     * reaches it. The agent stops the run by itself.
+     */
+    @Test
+    void aRunWhoseAgentNoStopReachesStopsInTime() {
+        for (int phase = 0; phase < 250; phase += 25) {
+            CancelBoundTest again = new CancelBoundTest();
+            again.settle();
+            again.cluster.submit(again.cluster.entries.get(again.owner()), Jobs.of(ID, 1));
+            again.cluster.advance(500 + phase);
+            again.cluster.network.cut(again.runner(), again.owner(), true);
+            again.cancelAcknowledged(again.cluster.entries.get(again.owner()));
+            again.cluster.advance(BOUND_MILLIS);
+            assertThat("runs at phase " + phase, again.isRunning(), is(false));
+        }
+    }
+
+    /** The entry that started the task is gone for good; whoever owns the job then is asked to cancel it. */
+    @Test
+    void aRunWhoseStarterIsGoneForGoodStopsInTime() {
+        settle();
+        cluster.submit(cluster.entries.get(owner()), Jobs.of(ID, 1));
+        cluster.advance(500);
+        cluster.kill(owner());
+        advanceUntil(() -> cluster.entries.values().stream()
+                .anyMatch(entry ->
+                        entry.local(Partitions.of(ID, Cluster.PARTITIONS)).isPresent()));
+        cancelAcknowledged(cluster.entries.get(owner()));
+        cluster.advance(BOUND_MILLIS);
+        assertThat(isRunning(), is(false));
+    }
+
+    /** No entry is left at all: the agent stops what runs, as nobody could tell it of a cancel. */
+    @Test
+    void aRunStopsWhenNoEntryIsLeft() {
+        settle();
+        cluster.submit(cluster.entries.get(owner()), Jobs.of(ID, 1));
+        cluster.advance(500);
+        for (String name : List.of("entry-1", "entry-2", "entry-3")) {
+            cluster.kill(name);
+        }
+        cluster.advance(BOUND_MILLIS);
+        assertThat(isRunning(), is(false));
+    }
+
+    /**
+     * The minion leaves the start and the stops unanswered, and carries the start out after the cancel. The agent sees
+     * the run as soon as the minion answers again.
+     */
+    @Test
+    void aStartThatIsCarriedOutAfterTheCancelIsStopped() {
+        settle();
+        for (ModelMinion minion : cluster.minions.values()) {
+            minion.startsHeldUp = true;
+        }
+        cluster.submit(cluster.entries.get(owner()), Jobs.of(ID, 1));
+        cluster.advance(60);
+        ModelMinion minion = cluster.minions.values().stream()
+                .filter(known -> !known.starts.isEmpty())
+                .findFirst()
+                .orElseThrow();
+        minion.silent = true;
+        cancelAcknowledged(cluster.entries.get(owner()));
+        cluster.advance(200);
+        minion.carryOut(minion.starts.getFirst());
+        assertThat(minion.running.keySet(), hasSize(1));
+        minion.silent = false;
+        cluster.advance(BOUND_MILLIS);
+        assertThat(minion.running.keySet(), is(empty()));
+    }
+
+    /** The same, but the minion crashes in between and another incarnation under its id carries the start out. */
+    @Test
+    void aCancelledStartThatAnotherIncarnationCarriesOutIsStopped() {
+        settle();
+        cluster.minions.values().forEach(minion -> minion.reborn(1_700_000_000_000L));
+        for (ModelMinion minion : cluster.minions.values()) {
+            minion.startsHeldUp = true;
+        }
+        cluster.submit(cluster.entries.get(owner()), Jobs.of(ID, 1));
+        cluster.advance(60);
+        ModelMinion minion = cluster.minions.values().stream()
+                .filter(known -> !known.starts.isEmpty())
+                .findFirst()
+                .orElseThrow();
+        cancelAcknowledged(cluster.entries.get(owner()));
+        minion.reborn(1_800_000_000_000L);
+        minion.carryOut(minion.starts.getFirst());
+        assertThat(minion.running.keySet(), hasSize(1));
+        cluster.advance(BOUND_MILLIS);
+        assertThat(minion.running.keySet(), is(empty()));
+    }
+}
