--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -108,6 +108,7 @@
 
     private boolean reportArmed;
     private boolean toldAccepting;
+    private boolean toldScarce;
     private Runnable minionListener = () -> {};
 
     /** Creates an agent that dials nobody yet. */
@@ -395,6 +396,19 @@
         minionListener.run();
     }
 
+    @Override
+    public void capacityChanged(boolean shrunk) {
+        boolean wasTold = toldScarce;
+        beginWaiting();
+        if (shrunk) {
+            // They would wait for ends that give the room of other starts back, and have a better chance elsewhere.
+            refuseWaiting(RunSupervisor.NO_ROOM, waiting -> true);
+        }
+        if (shrunk || wasTold) {
+            sendBeats();
+        }
+    }
+
     @Override
     public void roomChanged() {
         beginWaiting();
@@ -477,6 +491,7 @@
 
     private void sendBeats() {
         toldAccepting = isAccepting();
+        toldScarce = isScarce();
         WorkerReport report = report().build();
         for (PeerLink link : links.links()) {
             long seen = startsSeen.getOrDefault(link, 0L);
@@ -535,7 +550,7 @@
         report.setStretchPermille(stretch.permille()).setStretchRuns(stretch.runs());
         supervisor
                 .minion()
-                .ifPresent(minion -> report.setMinion(minion.boot())
+                .ifPresent(minion -> report.setMinion(minion.incarnation().name())
                         .setService(minion.service())
                         .setCapacity(JobCodec.encode(minion.capacity()))
                         .setFree(JobCodec.encode(clamped(supervisor.free().minus(waitingStarts.room()))))
