Queues that together ask for more than there is are placed by their shares

With fairShares on, entries tell each other by queue what their runs hold and their waiting tasks need, and each divides the open workers by it. A pass takes tasks of queues that hold less than their share first; each queue has an ordered set of its own, and the pass compares their first tasks. Jobs of which a part runs go before those that have not begun, at equal reach and priority. An entry that hears no other keeps its division for 2 s and then its equal part. Without the setting the order is as before.

--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -39,6 +39,7 @@
 import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.OwnedPartition;
 import org.chivetally.wire.v1.QueueCount;
+import org.chivetally.wire.v1.QueueDemand;
 
 /** An entry among its peers and agents: brings ownership, runs and callers together. */
 public final class EntryNode implements LinkListener, PartitionEvents, Ownership.Changes, JobDesk.OwnerDirectory {
@@ -108,7 +109,13 @@
         PlacementPolicy placement = new PlacementPolicy(
                 self.failureDomain(), new SplittableRandom(self.process().hashCode()));
         this.runs = new RunCoordinator(
-                timers, placement, options.partitions(), partitions, this::mayStart, this::hasStoodStill);
+                timers,
+                placement,
+                options.partitions(),
+                partitions,
+                this::mayStart,
+                this::hasStoodStill,
+                options.scheduling());
         this.desk = new JobDesk(timers, options.partitions(), this);
         this.directory = new MemberDirectory(log, timers, options.memberStream());
         this.suspension = new SuspensionDetector(timers);
@@ -140,6 +147,16 @@
         return runs.unkept();
     }
 
+    /** Returns the number of services whose queues ask for more than there is; 0 unless queues have shares. */
+    public int contendedServices() {
+        return runs.queueShares().map(QueueShares::contendedServices).orElse(0);
+    }
+
+    /** Returns how queues share the workers; empty unless that is switched on. */
+    Optional<QueueShares> queueShares() {
+        return runs.queueShares();
+    }
+
     /** Returns who is told about connections that other processes open. */
     public FrameListener acceptor() {
         return links.acceptor();
@@ -222,7 +239,7 @@
         } else {
             ownership.join();
         }
-        link.send(beatFor(link));
+        link.send(beatFor(link, queueDemand()));
     }
 
     @Override
@@ -299,6 +316,9 @@
             demand.put(told.getService(), new ServiceDemand(told.getArrivingMillis(), told.getWaitingWork()));
         }
         runs.shares().demandElsewhere(process, demand);
+        if (runs.queueShares().isPresent()) {
+            runs.queueShares().get().told(process, QueueDemands.decode(beat), beat.getLeaving());
+        }
         for (EntryAddress entry : beat.getEntriesList()) {
             met(new Peer(entry.getProcess(), entry.getIncarnation(), false, "", entry.getHost(), entry.getPort()));
         }
@@ -338,15 +358,22 @@
     }
 
     private void sendBeats(boolean toAgents) {
+        List<QueueDemand> queueDemand = queueDemand();
         for (PeerLink link : links.links()) {
             if (toAgents || !link.peer().agent()) {
                 link.echoSent(timers.nanos());
-                link.send(beatFor(link));
+                link.send(beatFor(link, queueDemand));
             }
         }
     }
 
-    private Frame beatFor(PeerLink link) {
+    private List<QueueDemand> queueDemand() {
+        return runs.queueShares().isEmpty()
+                ? List.of()
+                : QueueDemands.encode(runs.queueShares().get().own());
+    }
+
+    private Frame beatFor(PeerLink link, List<QueueDemand> queueDemand) {
         EntryBeat.Builder beat = EntryBeat.newBuilder()
                 .setStampNanos(timers.nanos())
                 .setEchoNanos(link.peerStampNanos())
@@ -372,6 +399,7 @@
                             .setService(service)
                             .setArrivingMillis(demand.arrivingMillis())
                             .setWaitingWork(demand.waitingWork())));
+            beat.addAllQueueDemand(queueDemand);
         }
         return Frame.newBuilder().setEntryBeat(beat).build();
     }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/QueueDemands.java
@@ -0,0 +1,44 @@
+package org.chivetally.queue.entry;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.chivetally.queue.share.QueueLoad;
+import org.chivetally.queue.share.QueueLoads;
+import org.chivetally.wire.v1.EntryBeat;
+import org.chivetally.wire.v1.QueueDemand;
+
+/** Translates what queues use and need to and from the heartbeats between entries. */
+final class QueueDemands {
+    private QueueDemands() {}
+
+    static List<QueueDemand> encode(Map<String, QueueLoads> byService) {
+        List<QueueDemand> encoded = new ArrayList<>();
+        for (Map.Entry<String, QueueLoads> service : byService.entrySet()) {
+            for (Map.Entry<String, QueueLoad> queue :
+                    service.getValue().byQueue().entrySet()) {
+                encoded.add(QueueDemand.newBuilder()
+                        .setService(service.getKey())
+                        .setQueue(queue.getKey())
+                        .setRunningMillis(queue.getValue().runningMillis())
+                        .setWaitingMillis(queue.getValue().waitingMillis())
+                        .build());
+            }
+        }
+        return encoded;
+    }
+
+    static Map<String, QueueLoads> decode(EntryBeat beat) {
+        Map<String, QueueLoads> byService = new HashMap<>();
+        for (QueueDemand told : beat.getQueueDemandList()) {
+            QueueLoads loads = byService.get(told.getService());
+            if (loads == null) {
+                loads = new QueueLoads();
+                byService.put(told.getService(), loads);
+            }
+            loads.add(told.getQueue(), told.getRunningMillis(), told.getWaitingMillis());
+        }
+        return byService;
+    }
+}
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/QueueShares.java
@@ -0,0 +1,137 @@
+package org.chivetally.queue.entry;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.chivetally.logging.EventLine;
+import org.chivetally.queue.placement.Turns;
+import org.chivetally.queue.placement.WaitingTasks;
+import org.chivetally.queue.placement.Worker;
+import org.chivetally.queue.share.Division;
+import org.chivetally.queue.share.LoadsElsewhere;
+import org.chivetally.queue.share.QueueLoads;
+import org.chivetally.time.Timers;
+
+/**
+ * An entry's knowledge of how the queues of each service share its processors, while they ask for more than there is.
+ */
+final class QueueShares {
+    /**
+     * Time without contention after which a service counts as uncontended. At a load near the capacity the demands
+     * cross it several times a second, and each crossing would make a log line.
+     */
+    static final Duration CALM = Duration.ofSeconds(1);
+
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    private final Timers timers;
+    private final WaitingTasks waiting;
+    private final Collection<Worker> workers;
+    private final LoadsElsewhere elsewhere = new LoadsElsewhere();
+    private final Map<String, Long> contendedAtNanos = new HashMap<>();
+
+    /**
+     * Creates the shares of an entry that is alone.
+     *
+     * @param waiting the entry's waiting tasks, kept up by the entry
+     * @param workers all workers that it knows, kept up by the entry
+     */
+    QueueShares(Timers timers, WaitingTasks waiting, Collection<Worker> workers) {
+        this.timers = timers;
+        this.waiting = waiting;
+        this.workers = workers;
+    }
+
+    /** Returns what this entry's runs hold and its waiting tasks need, by service and queue. */
+    Map<String, QueueLoads> own() {
+        Map<String, QueueLoads> byService = new HashMap<>();
+        waiting.addTo(byService);
+        for (Worker worker : workers) {
+            worker.addRunsTo(byService);
+        }
+        return byService;
+    }
+
+    /** Notes what another entry tells of its queues. */
+    void told(String entry, Map<String, QueueLoads> byService, boolean leaving) {
+        elsewhere.told(entry, byService, leaving, timers.nanos());
+    }
+
+    /** Returns how a service is divided now. */
+    Division division(String service) {
+        return division(service, own().getOrDefault(service, new QueueLoads()));
+    }
+
+    private Division division(String service, QueueLoads own) {
+        LoadsElsewhere.Known known = elsewhere.of(service, timers.nanos());
+        return new Division(known.capacityOf(usableMillis(service)), own, known.loads());
+    }
+
+    /**
+     * Returns the processors, in thousandths, that can be used: those that are held, and of each worker's free ones as
+     * many as whole waiting tasks can use. The rest of a worker that no task fits into would make the shares of queues
+     * that want more larger than what they can get.
+     */
+    private long usableMillis(String service) {
+        long unit = waiting.smallestRoom(service);
+        long usable = 0;
+        for (Worker worker : workers) {
+            Worker.View view = worker.view();
+            if (view.service().equals(service) && view.accepting()) {
+                long capacity = view.capacity().processorMillis();
+                long free = Math.max(0, view.free().processorMillis());
+                usable += unit > 0 ? capacity - free % unit : capacity;
+            }
+        }
+        return usable;
+    }
+
+    /** Returns the order of a pass over the waiting tasks of a service. */
+    Turns turns(String service, int most) {
+        QueueLoads own = own().getOrDefault(service, new QueueLoads());
+        return waiting.turns(service, division(service, own), own, most);
+    }
+
+    /** Tells whether the queues of a service have lately asked for more than there is. */
+    boolean isContended(String service) {
+        return contendedAtNanos.containsKey(service);
+    }
+
+    /** Returns the number of services whose queues have lately asked for more than there is. */
+    int contendedServices() {
+        return contendedAtNanos.size();
+    }
+
+    /** Looks which services are contended, and forgets entries that are gone. */
+    void look() {
+        long now = timers.nanos();
+        elsewhere.forgetGone(now);
+        Map<String, QueueLoads> own = own();
+        for (Map.Entry<String, QueueLoads> service : own.entrySet()) {
+            Division division = division(service.getKey(), service.getValue());
+            if (division.isContended() && contendedAtNanos.put(service.getKey(), now) == null) {
+                log("service-contended", service.getKey(), division);
+            }
+        }
+        contendedAtNanos.entrySet().removeIf(service -> isCalm(service, now));
+    }
+
+    private boolean isCalm(Map.Entry<String, Long> service, long now) {
+        boolean calm = now - service.getValue() > CALM.toNanos();
+        if (calm) {
+            log("service-uncontended", service.getKey(), division(service.getKey()));
+        }
+        return calm;
+    }
+
+    private static void log(String event, String service, Division division) {
+        EventLine.of(event)
+                .with("service", service)
+                .with("usable_millicores", division.capacityMillis())
+                .with("demand_millicores", division.demandMillis())
+                .with("shares", division)
+                .log(LOGGER.atInfo());
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,8 +29,10 @@
 import org.chivetally.queue.placement.AdmissionPolicy;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.queue.placement.SharedProcessors;
+import org.chivetally.queue.placement.Turns;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
+import org.chivetally.settings.SchedulingSettings;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.EndsKept;
 import org.chivetally.wire.v1.Frame;
@@ -96,8 +99,9 @@
     private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
-    private final WaitingTasks waiting = new WaitingTasks();
+    private final WaitingTasks waiting;
     private final ServiceShares shares;
+    private final Optional<QueueShares> queueShares;
     private boolean passArmed;
     private OptionalLong missedAtNanos = OptionalLong.empty();
 
@@ -108,6 +112,7 @@
      * @param partitions the entry's partitions by number, kept up by the entry
      * @param mayStart whether the entry is sure enough of its ownership to start anything
      * @param stoodStill whether what the entry reads now may be old
+     * @param scheduling parts of scheduling that are switched on
      */
     RunCoordinator(
             Timers timers,
@@ -115,7 +120,8 @@
             int partitionCount,
             Map<Integer, PartitionOwner> partitions,
             BooleanSupplier mayStart,
-            BooleanSupplier stoodStill) {
+            BooleanSupplier stoodStill,
+            SchedulingSettings scheduling) {
         this.stoodStill = stoodStill;
         this.placement = placement;
         this.timers = timers;
@@ -124,7 +130,11 @@
         this.unkept = new UnkeptJobs(timers, this);
         this.mayStart = mayStart;
         this.startedAtNanos = timers.nanos();
+        this.waiting = new WaitingTasks(scheduling.fairShares());
         this.shares = new ServiceShares(timers, waiting, workers.values());
+        this.queueShares = scheduling.fairShares()
+                ? Optional.of(new QueueShares(timers, waiting, workers.values()))
+                : Optional.empty();
     }
 
     /** Returns what this entry may use of the workers beside the other entries. */
@@ -132,6 +142,11 @@
         return shares;
     }
 
+    /** Returns how queues share the workers; empty unless that is switched on. */
+    Optional<QueueShares> queueShares() {
+        return queueShares;
+    }
+
     /** Returns the jobs that only this entry knows. */
     UnkeptJobs unkept() {
         return unkept;
@@ -479,6 +494,7 @@
         }
         moveFromSlowWorkers(now);
         refuseWithoutProspect(now);
+        queueShares.ifPresent(QueueShares::look);
         armPass();
     }
 
@@ -569,16 +585,43 @@
         for (String service : waiting.services()) {
             double part = shares.of(service).backlogPart();
             boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
-            int misses = 0;
-            for (Task task : waiting.first(service, TASKS_PER_PASS)) {
-                Optional<Worker> worker = choices.choose(task, contended ? part : 1);
-                if (worker.isPresent()) {
-                    start(worker.get(), task);
-                } else if (++misses >= MISSES_PER_PASS) {
-                    break;
-                }
+            double bound = contended ? part : 1;
+            if (queueShares.isPresent()) {
+                placeByShares(choices, queueShares.get().turns(service, TASKS_PER_PASS), bound, now);
+            } else {
+                placeInOrder(choices, service, bound);
+            }
+        }
+    }
+
+    private void placeInOrder(PlacementPolicy.Pass choices, String service, double bound) {
+        int misses = 0;
+        for (Task task : waiting.first(service, TASKS_PER_PASS)) {
+            Optional<Worker> worker = choices.choose(task, bound);
+            if (worker.isPresent()) {
+                start(worker.get(), task);
+            } else if (++misses >= MISSES_PER_PASS) {
+                break;
+            }
+        }
+    }
+
+    private void placeByShares(PlacementPolicy.Pass choices, Turns turns, double bound, long now) {
+        Set<Job> begun = new LinkedHashSet<>();
+        for (Optional<Task> turn = turns.next(); turn.isPresent(); turn = turns.next()) {
+            Task task = turn.get();
+            Optional<Worker> worker = choices.choose(task, bound);
+            if (worker.isPresent()) {
+                begun.add(task.job());
+                start(worker.get(), task);
+                turns.placed();
+            } else {
+                turns.missed();
             }
         }
+        for (Job job : begun) {
+            waiting.begun(job, now);
+        }
     }
 
     private void start(Worker worker, Task task) {
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingLine.java
@@ -0,0 +1,81 @@
+package org.chivetally.queue.placement;
+
+import java.util.Collections;
+import java.util.NavigableMap;
+import java.util.NavigableSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.chivetally.queue.Outlook;
+
+/**
+ * Waiting tasks of one service, or of one queue of it, in order and with their sums. The sums are asked for with each
+ * job that comes and each pass over the workers; added up anew each time, they would cost most when most tasks wait.
+ */
+final class WaitingLine {
+    private final NavigableSet<WaitingTask> inOrder = new TreeSet<>(WaitingTask.ORDER);
+    /** Estimated processor milliseconds of the tasks that can end in time, by priority. */
+    private final NavigableMap<Integer, Long> inTimeWork = new TreeMap<>();
+
+    private long work;
+    private long processorMillis;
+
+    void add(WaitingTask entry) {
+        inOrder.add(entry);
+        count(entry, 1);
+    }
+
+    void remove(WaitingTask entry) {
+        inOrder.remove(entry);
+        count(entry, -1);
+    }
+
+    private void count(WaitingTask entry, int sign) {
+        work += sign * entry.work();
+        processorMillis += (long) sign * entry.task().room().processorMillis();
+        if (entry.reach() == Outlook.Reach.IN_TIME) {
+            inTimeWork.merge(entry.priority(), sign * entry.work(), Long::sum);
+        }
+    }
+
+    boolean isEmpty() {
+        return inOrder.isEmpty();
+    }
+
+    int size() {
+        return inOrder.size();
+    }
+
+    /** Returns the tasks in order; a view. */
+    NavigableSet<WaitingTask> inOrder() {
+        return Collections.unmodifiableNavigableSet(inOrder);
+    }
+
+    /** Returns the first task, or null. */
+    WaitingTask first() {
+        return inOrder.isEmpty() ? null : inOrder.first();
+    }
+
+    /** Returns the task after another one, which may have been removed, or null. */
+    WaitingTask after(WaitingTask entry) {
+        return inOrder.higher(entry);
+    }
+
+    /** Returns the estimated processor milliseconds of tasks that can end in time, up to a priority. */
+    long inTimeWork(int priority) {
+        long sum = 0;
+        for (long part : inTimeWork.headMap(priority, true).values()) {
+            sum += part;
+        }
+        return sum;
+    }
+
+    /** Returns the estimated processor milliseconds of all tasks. */
+    long work() {
+        return work;
+    }
+
+    /** Returns the processors, in thousandths, that all tasks need. */
+    long processorMillis() {
+        return processorMillis;
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.NavigableMap;
 import java.util.NavigableSet;
 import java.util.Set;
 import java.util.TreeMap;
@@ -16,7 +14,10 @@
 import org.chivetally.queue.Job;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Outlook;
+import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.share.Division;
+import org.chivetally.queue.share.QueueLoads;
 
 /**
  * Tasks that wait for room, by service, in the order in which they are placed: first those of jobs that can still end
@@ -26,45 +27,82 @@
  * <p>The load it answers is a backlog that stays, as after an outage with little room to spare. Oldest first, every job
  * waits as long as the backlog is deep and all are a little late: half of the jobs for 14 s after a loss of power at
  * 95% load. Jobs that have missed their objective already give way instead, and the rest are served in time.
+ *
+ * <p>Where queues share room by weight, each queue has an ordered set of its own, so that a pass can take tasks of the
+ * queues below their shares first without sorting anything, and jobs of which a part runs go before those not begun.
  */
 public final class WaitingTasks {
-    private static final Comparator<Entry> ORDER = Comparator.comparing(Entry::reach)
-            .thenComparing(Entry::priority)
-            .thenComparing(entry -> entry.task().job().acceptedAtNanos())
-            .thenComparing(entry -> entry.task().job().specification().id())
-            .thenComparing(entry -> entry.task().place());
+    private static final WaitingLine EMPTY = new WaitingLine();
+
+    /** Name of the only line of a service whose queues share nothing. */
+    private static final String ALL_QUEUES = "";
 
-    private static final Comparator<Entry> BY_END_OF_OUTLOOK =
-            Comparator.comparing(Entry::untilNanos).thenComparing(ORDER);
+    private final boolean byQueue;
+    private final Map<String, Map<String, WaitingLine>> lines = new HashMap<>();
+    private final NavigableSet<WaitingTask> byEndOfOutlook = new TreeSet<>(WaitingTask.BY_END_OF_OUTLOOK);
+    private final Map<Task, WaitingTask> entries = new HashMap<>();
 
-    private static final ServiceQueue EMPTY = new ServiceQueue();
+    /** Creates an empty set of tasks whose queues have no shares. */
+    public WaitingTasks() {
+        this(false);
+    }
 
-    private final Map<String, ServiceQueue> byService = new HashMap<>();
-    private final NavigableSet<Entry> byEndOfOutlook = new TreeSet<>(BY_END_OF_OUTLOOK);
-    private final Map<Task, Entry> entries = new HashMap<>();
+    /**
+     * Creates an empty set.
+     *
+     * @param byQueue whether queues share room by weight
+     */
+    public WaitingTasks(boolean byQueue) {
+        this.byQueue = byQueue;
+    }
 
     /** Adds a task that may be placed. */
     public void add(Task task, long nowNanos) {
         remove(task);
         Outlook outlook = task.job().outlook(nowNanos);
-        int priority = task.job().specification().terms().priority();
-        Entry entry = new Entry(task, priority, outlook.reach(), outlook.untilNanos());
+        QueueTerms terms = task.job().specification().terms();
+        boolean begun = byQueue && task.job().phase() == JobPhase.RUNNING;
+        WaitingTask entry = new WaitingTask(task, terms.priority(), outlook.reach(), outlook.untilNanos(), begun);
         entries.put(task, entry);
         byEndOfOutlook.add(entry);
-        byService.computeIfAbsent(service(task), name -> new ServiceQueue()).add(entry);
+        lines.computeIfAbsent(terms.service(), name -> new TreeMap<>())
+                .computeIfAbsent(lineOf(terms), name -> new WaitingLine())
+                .add(entry);
+    }
+
+    private String lineOf(QueueTerms terms) {
+        return byQueue ? terms.queue() : ALL_QUEUES;
     }
 
     /** Removes a task; nothing happens when it doesn't wait. */
     public void remove(Task task) {
-        Entry entry = entries.remove(task);
+        WaitingTask entry = entries.remove(task);
         if (entry == null) {
             return;
         }
         byEndOfOutlook.remove(entry);
-        ServiceQueue queue = byService.get(service(task));
-        queue.remove(entry);
-        if (queue.inOrder.isEmpty()) {
-            byService.remove(service(task));
+        QueueTerms terms = task.job().specification().terms();
+        Map<String, WaitingLine> ofService = lines.get(terms.service());
+        WaitingLine line = ofService.get(lineOf(terms));
+        line.remove(entry);
+        if (line.isEmpty()) {
+            ofService.remove(lineOf(terms));
+            if (ofService.isEmpty()) {
+                lines.remove(terms.service());
+            }
+        }
+    }
+
+    /** Puts the waiting tasks of a job of which a first task was placed before those of jobs that have not begun. */
+    public void begun(Job job, long nowNanos) {
+        if (!byQueue) {
+            return;
+        }
+        for (Task task : job.tasksIn(Task.Status.WAITING)) {
+            WaitingTask entry = entries.get(task);
+            if (entry != null && !entry.begun()) {
+                add(task, nowNanos);
+            }
         }
     }
 
@@ -85,9 +123,13 @@
      * @param spareMillis processors in thousandths that what comes leaves over
      */
     public List<Job> withoutProspect(String service, long spareMillis, long nowNanos) {
+        return withoutProspect(inOrder(service), spareMillis, nowNanos);
+    }
+
+    private static List<Job> withoutProspect(Collection<WaitingTask> inOrder, long spareMillis, long nowNanos) {
         Set<Job> jobs = new LinkedHashSet<>();
         long work = 0;
-        for (Entry entry : inOrder(service)) {
+        for (WaitingTask entry : inOrder) {
             Job job = entry.task().job();
             long waitNanos = spareMillis <= 0 ? Long.MAX_VALUE : 1_000_000_000L * work / spareMillis;
             boolean overtaken = entry.reach() == Outlook.Reach.LATE && entry.untilNanos() - nowNanos < waitNanos;
@@ -102,13 +144,13 @@
 
     /** Returns the services that have waiting tasks. */
     public Collection<String> services() {
-        return List.copyOf(byService.keySet());
+        return List.copyOf(lines.keySet());
     }
 
     /** Returns the first tasks of a service, in order. */
     public List<Task> first(String service, int most) {
         List<Task> tasks = new ArrayList<>();
-        for (Entry entry : inOrder(service)) {
+        for (WaitingTask entry : inOrder(service)) {
             if (tasks.size() == most) {
                 break;
             }
@@ -117,6 +159,36 @@
         return tasks;
     }
 
+    /**
+     * Returns the order of one pass in which tasks of queues below their shares come first.
+     *
+     * @param own what the entry's runs of each queue hold
+     * @param most tasks that the pass looks at
+     */
+    public Turns turns(String service, Division division, QueueLoads own, int most) {
+        return new Turns(lines(service), division, own, most);
+    }
+
+    /** Adds what the waiting tasks need to a tally for each service. */
+    public void addTo(Map<String, QueueLoads> byService) {
+        for (Map.Entry<String, Map<String, WaitingLine>> service : lines.entrySet()) {
+            QueueLoads loads = byService.computeIfAbsent(service.getKey(), name -> new QueueLoads());
+            for (Map.Entry<String, WaitingLine> line : service.getValue().entrySet()) {
+                loads.add(line.getKey(), 0, line.getValue().processorMillis());
+            }
+        }
+    }
+
+    /** Returns the mean processors, in thousandths, of the waiting tasks of the queue with the smallest; 0 for none. */
+    public long smallestRoom(String service) {
+        long smallest = 0;
+        for (WaitingLine line : lines(service).values()) {
+            long mean = line.processorMillis() / line.size();
+            smallest = smallest == 0 ? mean : Math.min(smallest, mean);
+        }
+        return smallest;
+    }
+
     /** Returns the number of waiting tasks. */
     public int size() {
         return entries.size();
@@ -130,70 +202,45 @@
     /** Returns the estimated processor milliseconds that are placed before a new job of the given priority. */
     public long workAhead(String service, int priority) {
         long work = 0;
-        for (long part : queue(service).inTimeWork.headMap(priority, true).values()) {
-            work += part;
+        for (WaitingLine line : lines(service).values()) {
+            work += line.inTimeWork(priority);
         }
         return work;
     }
 
     /** Returns the processors, in thousandths, that all waiting tasks of a service need. */
     public long processorMillis(String service) {
-        return queue(service).processorMillis;
+        long millis = 0;
+        for (WaitingLine line : lines(service).values()) {
+            millis += line.processorMillis();
+        }
+        return millis;
     }
 
     /** Returns the estimated processor milliseconds of all waiting tasks of a service. */
     public long work(String service) {
-        return queue(service).work;
-    }
-
-    private ServiceQueue queue(String service) {
-        return byService.getOrDefault(service, EMPTY);
-    }
-
-    private NavigableSet<Entry> inOrder(String service) {
-        return Collections.unmodifiableNavigableSet(queue(service).inOrder);
-    }
-
-    private static String service(Task task) {
-        return task.job().specification().terms().service();
-    }
-
-    /** A waiting task with what its place in the order depends on, which may not change while it is in the set. */
-    private record Entry(Task task, int priority, Outlook.Reach reach, long untilNanos) {
-        /** Returns the estimated processor milliseconds. */
-        private long work() {
-            return task.room().processorMillis() * task.step().estimatedMillis() / 1000;
+        long work = 0;
+        for (WaitingLine line : lines(service).values()) {
+            work += line.work();
         }
+        return work;
     }
 
-    /**
-     * The waiting tasks of one service with their sums. These are asked for with each job that comes and each pass over
-     * the workers; added up anew each time, they would cost most when most tasks wait.
-     */
-    private static final class ServiceQueue {
-        private final NavigableSet<Entry> inOrder = new TreeSet<>(ORDER);
-        /** Estimated processor milliseconds of the tasks that can end in time, by priority. */
-        private final NavigableMap<Integer, Long> inTimeWork = new TreeMap<>();
-
-        private long work;
-        private long processorMillis;
-
-        private void add(Entry entry) {
-            inOrder.add(entry);
-            count(entry, 1);
-        }
+    private Map<String, WaitingLine> lines(String service) {
+        return lines.getOrDefault(service, Map.of());
+    }
 
-        private void remove(Entry entry) {
-            inOrder.remove(entry);
-            count(entry, -1);
+    private Collection<WaitingTask> inOrder(String service) {
+        Map<String, WaitingLine> ofService = lines(service);
+        if (ofService.size() <= 1) {
+            return ofService.isEmpty()
+                    ? EMPTY.inOrder()
+                    : ofService.values().iterator().next().inOrder();
         }
-
-        private void count(Entry entry, int sign) {
-            work += sign * entry.work();
-            processorMillis += (long) sign * entry.task().room().processorMillis();
-            if (entry.reach() == Outlook.Reach.IN_TIME) {
-                inTimeWork.merge(entry.priority(), sign * entry.work(), Long::sum);
-            }
+        NavigableSet<WaitingTask> merged = new TreeSet<>(WaitingTask.ORDER);
+        for (WaitingLine line : ofService.values()) {
+            merged.addAll(line.inOrder());
         }
+        return Collections.unmodifiableNavigableSet(merged);
     }
 }
--- a/library/src/main/java/org/chivetally/queue/placement/Worker.java
+++ b/library/src/main/java/org/chivetally/queue/placement/Worker.java
@@ -8,9 +8,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.share.QueueLoads;
 
 /** A worker as one owner sees it: what its agent last told, and the owner's own starts on top. */
 public final class Worker {
@@ -192,6 +194,19 @@
         return List.copyOf(sent.values());
     }
 
+    /** Adds what this owner's runs here hold to a tally for each service. */
+    public void addRunsTo(Map<String, QueueLoads> byService) {
+        for (Sent start : sent.values()) {
+            QueueTerms terms = start.task().job().specification().terms();
+            QueueLoads loads = byService.get(terms.service());
+            if (loads == null) {
+                loads = new QueueLoads();
+                byService.put(terms.service(), loads);
+            }
+            loads.add(terms.queue(), start.task().room().processorMillis(), 0);
+        }
+    }
+
     /** Tells whether a run is in progress here that may still end in time. */
     public boolean isBusy() {
         return sent.size() > overdue.size();
--- a/library/src/test/java/org/chivetally/queue/entry/FleetCostTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/FleetCostTest.java
@@ -18,6 +18,7 @@
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.placement.PlacementPolicy;
+import org.chivetally.settings.SchedulingSettings;
 import org.chivetally.wire.v1.Frame;
 import org.junit.jupiter.api.Test;
 
@@ -82,7 +83,8 @@
                 Cluster.PARTITIONS,
                 Map.of(),
                 () -> passes.add(timers.nanos()),
-                () -> false);
+                () -> false,
+                SchedulingSettings.NONE);
 
         for (int number = 0; number < 1_000; number++) {
             Job job = new Job(
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/QueueSharesTest.java
@@ -0,0 +1,115 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.share.Division;
+import org.chivetally.wire.v1.EntryBeat;
+import org.chivetally.wire.v1.QueueDemand;
+import org.junit.jupiter.api.Test;
+
+class QueueSharesTest {
+    private static final long TASK = Jobs.SIX_CORES.processorMillis();
+    private static final String SERVICE = "reports";
+
+    private final Cluster cluster = new Cluster(Cluster.FAIR_SHARES);
+    private final EntryNode first = cluster.entry("entry-1");
+    private final EntryNode second = cluster.entry("entry-2");
+
+    /** One worker with room for eight tasks; eight of a burst of ten run, and two jobs of another queue wait. */
+    private void contend() {
+        cluster.capacity = new Room(8 * TASK, 10_000, 0);
+        cluster.agent("agent-1");
+        cluster.settled();
+        cluster.submitUnkept(first, Jobs.of("00000000000000a1", 10, 0, 10_000), 60_000);
+        cluster.advance(100);
+        cluster.submitUnkept(second, Jobs.of("00000000000000a2", 2, 1, 10_000), 60_000);
+        cluster.advance(600);
+    }
+
+    private static Division division(EntryNode entry) {
+        return entry.queueShares().orElseThrow().division(SERVICE);
+    }
+
+    /** Entries that divide by what only they know would each take another queue for the one that is below its share. */
+    @Test
+    void allEntriesDivideByWhatAllOfThemRunAndNeed() {
+        contend();
+        for (EntryNode entry : cluster.entries.values()) {
+            assertThat(division(entry).share("queue-0"), is(6 * TASK));
+            assertThat(division(entry).share("queue-1"), is(2 * TASK));
+            assertThat(entry.contendedServices(), is(1));
+        }
+        assertThat(division(first).ownShare("queue-0"), is(6 * TASK));
+        assertThat(division(first).ownShare("queue-1"), is(0L));
+        assertThat(division(second).ownShare("queue-1"), is(2 * TASK));
+    }
+
+    /**
+     * The entries no longer reach each other. What was told last holds for 2 s; then each keeps to its half, as the
+     * other one goes on with its own callers.
+     */
+    @Test
+    void entriesThatDoNotReachEachOtherKeepToEqualParts() {
+        contend();
+        cluster.network.cut("entry-1", "entry-2", true);
+        cluster.advance(1_700);
+        assertThat(division(first).share("queue-0"), is(6 * TASK));
+        cluster.advance(600);
+        assertThat(division(first).capacityMillis(), is(4 * TASK));
+        assertThat(division(first).share("queue-0"), is(4 * TASK));
+        cluster.network.cut("entry-1", "entry-2", false);
+        cluster.advance(3_000);
+        assertThat(division(first).share("queue-0"), is(6 * TASK));
+    }
+
+    /** An entry that takes its leave runs nothing more; a part left to it would be used by nobody. */
+    @Test
+    void nothingIsLeftToAnEntryThatHasLeft() {
+        contend();
+        second.leave(() -> {});
+        cluster.advance(100);
+        cluster.kill("entry-2");
+        cluster.advance(2_600);
+        assertThat(division(first).capacityMillis(), is(8 * TASK));
+    }
+
+    /** The service is told as contended only while it is, or operators would look for a cause that is gone. */
+    @Test
+    void theServiceIsNoLongerContendedAfterTheBurst() {
+        contend();
+        cluster.minions.get("agent-1").running.keySet().stream()
+                .toList()
+                .forEach(run -> cluster.minions.get("agent-1").end(run, RunOutcome.DONE));
+        cluster.advance(2_000);
+        assertThat(first.contendedServices(), is(0));
+        assertThat(second.contendedServices(), is(0));
+    }
+
+    @Test
+    void withoutTheSettingNothingIsShared() {
+        Cluster plain = new Cluster();
+        EntryNode entry = plain.entry("entry-1");
+        assertThat(entry.queueShares(), is(Optional.empty()));
+        assertThat(entry.contendedServices(), is(0));
+    }
+
+    /**
+     * A heartbeat of another implementation may hold amounts that make no sense; taken as they are, shares overflow.
+     */
+    @Test
+    void negativeAmountsCountAsNothing() {
+        EntryBeat beat = EntryBeat.newBuilder()
+                .addQueueDemand(QueueDemand.newBuilder()
+                        .setService(SERVICE)
+                        .setQueue("queue-0")
+                        .setRunningMillis(-5)
+                        .setWaitingMillis(7))
+                .build();
+        assertThat(QueueDemands.decode(beat).get(SERVICE).of("queue-0").demandMillis(), is(7L));
+    }
+}
