A queue's jobs are refused by the forecast of their own queue

With fairShares on a job is refused by the work that waits before it in its queue over what the queue can use: its share and what the others leave. Retry-After is the time in which that work is done, in whole seconds, spread by the job's id over at least two values. Late jobs of a queue whose share covers all that it needs are not refused as overtaken.

--- a/library/src/main/java/org/chivetally/queue/entry/QueueShares.java
+++ b/library/src/main/java/org/chivetally/queue/entry/QueueShares.java
@@ -5,13 +5,18 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.chivetally.logging.EventLine;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.placement.Turns;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
 import org.chivetally.queue.share.Division;
 import org.chivetally.queue.share.LoadsElsewhere;
+import org.chivetally.queue.share.QueueAdmission;
 import org.chivetally.queue.share.QueueLoads;
+import org.chivetally.queue.share.RefusedLately;
 import org.chivetally.time.Timers;
 
 /**
@@ -30,6 +35,7 @@
     private final WaitingTasks waiting;
     private final Collection<Worker> workers;
     private final LoadsElsewhere elsewhere = new LoadsElsewhere();
+    private final RefusedLately refusedLately = new RefusedLately();
     private final Map<String, Long> contendedAtNanos = new HashMap<>();
 
     /**
@@ -88,6 +94,33 @@
         return usable;
     }
 
+    /** Decides whether a job is taken on, by the forecast of its queue; returns when to come back if it isn't. */
+    Optional<Duration> refuse(Job job) {
+        QueueTerms terms = job.specification().terms();
+        long ahead = waiting.workAhead(terms.service(), terms.queue(), terms.priority());
+        long now = timers.nanos();
+        if (ahead == 0 && !job.isHopeless(now)) {
+            // Nothing waits before it, as is usual: no division is needed to tell that it has its turn at once.
+            return Optional.empty();
+        }
+        String id = job.specification().id();
+        long reach = division(terms.service()).ownReach(terms.queue());
+        Optional<Duration> refusal = QueueAdmission.refuse(job, now, ahead, reach, refusedLately.contains(id, now));
+        if (refusal.isPresent()) {
+            refusedLately.refused(id, now);
+        }
+        return refusal;
+    }
+
+    /** Returns when the caller of a job that is given back should come back, and notes that it may. */
+    Duration givenBack(Job job) {
+        QueueTerms terms = job.specification().terms();
+        String id = job.specification().id();
+        refusedLately.refused(id, timers.nanos());
+        long reach = division(terms.service()).ownReach(terms.queue());
+        return QueueAdmission.retryAfter(id, waiting.work(terms.service(), terms.queue()), reach);
+    }
+
     /** Returns the order of a pass over the waiting tasks of a service. */
     Turns turns(String service, int most) {
         QueueLoads own = own().getOrDefault(service, new QueueLoads());
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -18,6 +18,7 @@
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
@@ -32,6 +33,7 @@
 import org.chivetally.queue.placement.Turns;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
+import org.chivetally.queue.share.Division;
 import org.chivetally.settings.SchedulingSettings;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.EndsKept;
@@ -158,17 +160,28 @@
         if (shares.isEvacuated(service)) {
             return Optional.of(new JobAnswer.Refused(RefusalReason.EVACUATED, EVACUATION_RETRY));
         }
-        long ahead = waiting.workAhead(service, job.specification().terms().priority());
-        long now = timers.nanos();
-        Optional<Duration> refusal = isSettling()
-                ? Optional.empty()
-                : AdmissionPolicy.refuse(job, now, ahead, shares.of(service).forBacklog());
+        Optional<Duration> refusal = isSettling() ? Optional.empty() : refuseForBacklog(job);
         if (refusal.isEmpty()) {
             shares.arrived(job.specification());
         }
         return refusal.map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
     }
 
+    private Optional<Duration> refuseForBacklog(Job job) {
+        if (queueShares.isPresent()) {
+            return queueShares.get().refuse(job);
+        }
+        QueueTerms terms = job.specification().terms();
+        long ahead = waiting.workAhead(terms.service(), terms.priority());
+        return AdmissionPolicy.refuse(
+                job, timers.nanos(), ahead, shares.of(terms.service()).forBacklog());
+    }
+
+    @Override
+    public Duration retryAfter(Job job) {
+        return queueShares.isPresent() ? queueShares.get().givenBack(job) : UnkeptJobs.RETRY;
+    }
+
     @Override
     public boolean hasStoodStill() {
         return stoodStill.getAsBoolean();
@@ -186,7 +199,22 @@
         for (String service : waiting.services()) {
             SharedProcessors processors = shares.of(service);
             if (processors.capacityMillis() > 0) {
-                waiting.withoutProspect(service, processors.spare(), now).forEach(unkept::refuseOvertaken);
+                refuseOvertaken(service, waiting.withoutProspect(service, processors.spare(), now));
+            }
+        }
+    }
+
+    /** Refuses jobs that others go before for too long; not those of a queue whose share covers all that it needs. */
+    private void refuseOvertaken(String service, List<Job> overtaken) {
+        if (overtaken.isEmpty()) {
+            return;
+        }
+        Optional<Division> division = queueShares.map(all -> all.division(service));
+        for (Job job : overtaken) {
+            boolean hasTurn = division.isPresent()
+                    && division.get().isSatisfied(job.specification().terms().queue());
+            if (!hasTurn) {
+                unkept.refuseOvertaken(job);
             }
         }
     }
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -54,6 +54,9 @@
         /** Decides whether a job is taken on; returns what its caller is told if it isn't. */
         Optional<JobAnswer.Refused> refuse(Job job);
 
+        /** Returns when the caller of a job that is given back without a start should come back. */
+        Duration retryAfter(Job job);
+
         /** Tasks may be placed. */
         void ready(List<Task> tasks);
 
@@ -149,7 +152,7 @@
     private void refuse(Open refused, RefusalReason reason) {
         refused.job.finish(JobPhase.CANCELLED, timers.epochMillis());
         close(refused, reason.text());
-        refused.tell(new JobAnswer.Refused(reason, RETRY));
+        refused.tell(new JobAnswer.Refused(reason, admission.retryAfter(refused.job)));
     }
 
     private void expire(Open expired) {
--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Collections;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -226,6 +226,20 @@
         return work;
     }
 
+    /** Returns the estimated processor milliseconds of a queue that are placed before a new job of it. */
+    public long workAhead(String service, String queue, int priority) {
+        return line(service, queue).inTimeWork(priority);
+    }
+
+    /** Returns the estimated processor milliseconds of all waiting tasks of a queue. */
+    public long work(String service, String queue) {
+        return line(service, queue).work();
+    }
+
+    private WaitingLine line(String service, String queue) {
+        return lines(service).getOrDefault(queue, EMPTY);
+    }
+
     private Map<String, WaitingLine> lines(String service) {
         return lines.getOrDefault(service, Map.of());
     }
@@ -237,10 +251,32 @@
                     ? EMPTY.inOrder()
                     : ofService.values().iterator().next().inOrder();
         }
-        NavigableSet<WaitingTask> merged = new TreeSet<>(WaitingTask.ORDER);
-        for (WaitingLine line : ofService.values()) {
-            merged.addAll(line.inOrder());
+        return merged(ofService.values());
+    }
+
+    /** Merges lines that are each in order, which costs less than to sort them anew. */
+    private static List<WaitingTask> merged(Collection<WaitingLine> lines) {
+        List<WaitingTask> merged = new ArrayList<>();
+        List<Iterator<WaitingTask>> rests = new ArrayList<>();
+        List<WaitingTask> heads = new ArrayList<>();
+        for (WaitingLine line : lines) {
+            Iterator<WaitingTask> rest = line.inOrder().iterator();
+            rests.add(rest);
+            heads.add(rest.next());
+        }
+        while (!heads.isEmpty()) {
+            int first = 0;
+            for (int place = 1; place < heads.size(); place++) {
+                first = WaitingTask.ORDER.compare(heads.get(place), heads.get(first)) < 0 ? place : first;
+            }
+            merged.add(heads.get(first));
+            if (rests.get(first).hasNext()) {
+                heads.set(first, rests.get(first).next());
+            } else {
+                heads.remove(first);
+                rests.remove(first);
+            }
         }
-        return Collections.unmodifiableNavigableSet(merged);
+        return merged;
     }
 }
--- a/library/src/main/java/org/chivetally/queue/share/Division.java
+++ b/library/src/main/java/org/chivetally/queue/share/Division.java
@@ -69,6 +69,12 @@
         return place < 0 ? 0 : shares[place];
     }
 
+    /** Tells whether a queue's share is all that it can use. */
+    public boolean isSatisfied(String queue) {
+        int place = place(queue);
+        return place < 0 || shares[place] >= demands[place];
+    }
+
     /** Returns this entry's part of a queue's share, by its part of the queue's demand. */
     public long ownShare(String queue) {
         return ownPart(queue, share(queue));
--- a/library/src/test/java/org/chivetally/queue/entry/QueueSharesTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/QueueSharesTest.java
@@ -3,8 +3,11 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.List;
 import java.util.Optional;
+import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.Jobs;
+import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.share.Division;
@@ -90,6 +93,28 @@
         assertThat(second.contendedServices(), is(0));
     }
 
+    /**
+     * A burst of the first queue fills all workers and its backlog takes longer than a caller of the second one waits.
+     * By the backlog of both, that caller would be refused, though its queue has its share; the burst's next one is.
+     */
+    @Test
+    void aJobIsRefusedByTheForecastOfItsOwnQueueOnly() {
+        cluster.capacity = new Room(8 * TASK, 10_000, 0);
+        cluster.agent("agent-1");
+        cluster.settled();
+        for (int number = 0; number < 10; number++) {
+            cluster.submitUnkept(first, Jobs.of("%016x".formatted(number), 8, 0, 1_000), 60_000);
+        }
+        cluster.advance(100);
+        List<JobAnswer> other = cluster.submitUnkept(first, Jobs.of("00000000000000b1", 2, 1, 1_000), 2_500);
+        List<JobAnswer> burst = cluster.submitUnkept(first, Jobs.of("00000000000000b2", 8, 0, 1_000), 2_500);
+        assertThat(other, is(List.of()));
+        assertThat(burst.size(), is(1));
+        JobAnswer.Refused refused = (JobAnswer.Refused) burst.getFirst();
+        assertThat(refused.reason(), is(RefusalReason.BACKLOG));
+        assertThat(refused.retryAfter().toMillis() % 1_000, is(0L));
+    }
+
     @Test
     void withoutTheSettingNothingIsShared() {
         Cluster plain = new Cluster();
