--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -39,6 +39,7 @@
 import org.chivetally.wire.v1.Frame;
 import org.chivetally.wire.v1.OwnedPartition;
 import org.chivetally.wire.v1.QueueCount;
+import org.chivetally.wire.v1.QueueDemand;
 
 /** An entry among its peers and agents: brings ownership, runs and callers together. */
 public final class EntryNode implements LinkListener, PartitionEvents, Ownership.Changes, JobDesk.OwnerDirectory {
@@ -136,7 +137,8 @@
                 partitions,
                 this::mayStart,
                 this::hasStoodStill,
-                stall::keptUpAtNanos);
+                stall::keptUpAtNanos,
+                options.scheduling());
         this.startedAtNanos = timers.nanos();
         this.busyAtNanos = startedAtNanos;
     }
@@ -175,6 +177,16 @@
         return runs.startsBySpeed();
     }
 
+    /** Returns the number of services whose queues ask for more than there is; 0 unless queues have shares. */
+    public int contendedServices() {
+        return runs.queueShares().map(QueueShares::contendedServices).orElse(0);
+    }
+
+    /** Returns how queues share the workers; empty unless that is switched on. */
+    Optional<QueueShares> queueShares() {
+        return runs.queueShares();
+    }
+
     /** Returns who is told about connections that other processes open. */
     public FrameListener acceptor() {
         return links.acceptor();
@@ -258,7 +270,7 @@
             ownership.join();
             outdateAgentBeats();
         }
-        sendBeat(link);
+        sendBeat(link, link.peer().agent() ? List.of() : queueDemand());
     }
 
     /** Lets agents hear of an entry that has come with the answer to their next heartbeat. */
@@ -319,7 +331,7 @@
     private void answerBeat(PeerLink link) {
         long now = timers.nanos();
         if (link.isBeatDue(now, AGENT_BEAT_INTERVAL)) {
-            sendBeat(link);
+            sendBeat(link, link.peer().agent() ? List.of() : queueDemand());
             return;
         }
         Duration interval = runs.hasRunsAt(link.peer().process()) ? ECHO_INTERVAL : IDLE_ECHO_INTERVAL;
@@ -348,6 +360,9 @@
             demand.put(told.getService(), new ServiceDemand(told.getArrivingMillis(), told.getWaitingWork()));
         }
         runs.shares().demandElsewhere(process, demand);
+        if (runs.queueShares().isPresent()) {
+            runs.queueShares().get().told(process, QueueDemands.decode(beat), beat.getLeaving());
+        }
         for (EntryAddress entry : beat.getEntriesList()) {
             met(new Peer(entry.getProcess(), entry.getIncarnation(), false, "", entry.getHost(), entry.getPort()));
         }
@@ -397,19 +412,26 @@
     }
 
     private void sendBeats(boolean toAgents) {
+        List<QueueDemand> queueDemand = queueDemand();
         for (PeerLink link : links.links()) {
             if (toAgents || !link.peer().agent()) {
-                sendBeat(link);
+                sendBeat(link, queueDemand);
             }
         }
     }
 
-    private void sendBeat(PeerLink link) {
+    private void sendBeat(PeerLink link, List<QueueDemand> queueDemand) {
         link.beatSent(timers.nanos());
-        link.send(beatFor(link));
+        link.send(beatFor(link, queueDemand));
+    }
+
+    private List<QueueDemand> queueDemand() {
+        return runs.queueShares().isEmpty()
+                ? List.of()
+                : QueueDemands.encode(runs.queueShares().get().own());
     }
 
-    private Frame beatFor(PeerLink link) {
+    private Frame beatFor(PeerLink link, List<QueueDemand> queueDemand) {
         EntryBeat.Builder beat = EntryBeat.newBuilder()
                 .setStampNanos(timers.nanos())
                 .setEchoNanos(link.peerStampNanos())
@@ -435,6 +457,7 @@
                             .setService(service)
                             .setArrivingMillis(demand.arrivingMillis())
                             .setWaitingWork(demand.waitingWork())));
+            beat.addAllQueueDemand(queueDemand);
         }
         return Frame.newBuilder().setEntryBeat(beat).build();
     }
--- /dev/null
+++ b/library/src/main/java/org/chivetally/queue/entry/PlacementPasses.java
@@ -0,0 +1,154 @@
+package org.chivetally.queue.entry;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.chivetally.queue.Job;
+import org.chivetally.queue.Task;
+import org.chivetally.queue.placement.Choice;
+import org.chivetally.queue.placement.PlacementPolicy;
+import org.chivetally.queue.placement.Turns;
+import org.chivetally.queue.placement.WaitingTasks;
+import org.chivetally.queue.placement.Worker;
+import org.chivetally.time.Timers;
+
+/** Places the entry's waiting tasks, in passes over all that may be placed at a moment. */
+final class PlacementPasses {
+    /** Waiting tasks looked at in one pass; the first that don't fit hardly ever hide one that does behind so many. */
+    static final int TASKS_PER_PASS = 64;
+
+    /** Waiting tasks without a fitting worker after which a pass ends. */
+    static final int MISSES_PER_PASS = 8;
+
+    /**
+     * Least time between two passes while tasks wait for room. Under a backlog dozens of agents report almost every
+     * millisecond, and without the pause each report would begin a pass over all of them. It is small beside the 60 ms
+     * that callers allow beyond the work.
+     */
+    static final Duration PASS_PAUSE = Duration.ofMillis(5);
+
+    private final Timers timers;
+    private final WaitingTasks waiting;
+    private final Collection<Worker> workers;
+    private final PlacementPolicy placement;
+    private final ServiceShares shares;
+    private final Optional<QueueShares> queueShares;
+    private final Runs runs;
+    private boolean armed;
+    private OptionalLong missedAtNanos = OptionalLong.empty();
+
+    /**
+     * Creates the passes of an entry.
+     *
+     * @param waiting the entry's waiting tasks, kept up by the entry
+     * @param workers all workers that it knows, kept up by the entry
+     * @param queueShares how queues share the workers; empty unless that is switched on
+     */
+    PlacementPasses(
+            Timers timers,
+            WaitingTasks waiting,
+            Collection<Worker> workers,
+            PlacementPolicy placement,
+            ServiceShares shares,
+            Optional<QueueShares> queueShares,
+            Runs runs) {
+        this.timers = timers;
+        this.waiting = waiting;
+        this.workers = workers;
+        this.placement = placement;
+        this.shares = shares;
+        this.queueShares = queueShares;
+        this.runs = runs;
+    }
+
+    /** What a pass asks of the entry around it. */
+    interface Runs {
+        /** Tells whether the entry is sure enough of its ownership to start anything. */
+        boolean mayStart();
+
+        /** Starts a task on a worker; tells by {@code bySpeed} whether the worker was chosen by its speed. */
+        void start(Worker worker, Task task, boolean bySpeed);
+
+        /** Some waiting jobs can reach less than before. */
+        void outlookChanged(long nowNanos);
+    }
+
+    /** Has the waiting tasks placed soon, if there are any. */
+    void arm() {
+        if (!armed && !waiting.isEmpty()) {
+            armed = true;
+            timers.after(pauseBeforePass(), this::pass);
+        }
+    }
+
+    /** Returns the rest of the pause after a pass that left tasks waiting; none if it left nothing. */
+    private Duration pauseBeforePass() {
+        if (missedAtNanos.isEmpty()) {
+            return Duration.ZERO;
+        }
+        long sinceNanos = timers.nanos() - missedAtNanos.getAsLong();
+        return Duration.ofNanos(Math.max(0, PASS_PAUSE.toNanos() - sinceNanos));
+    }
+
+    private void pass() {
+        armed = false;
+        if (!runs.mayStart()) {
+            return;
+        }
+        long now = timers.nanos();
+        if (waiting.refresh(now)) {
+            runs.outlookChanged(now);
+        }
+        place(now);
+        missedAtNanos = waiting.isEmpty() ? OptionalLong.empty() : OptionalLong.of(now);
+    }
+
+    private void place(long now) {
+        PlacementPolicy.Pass choices = placement.over(workers, now);
+        for (String service : waiting.services()) {
+            double part = shares.of(service).backlogPart();
+            boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
+            double bound = contended ? part : 1;
+            if (queueShares.isPresent()) {
+                placeByShares(choices, queueShares.get().turns(service, TASKS_PER_PASS), bound, part, now);
+            } else {
+                placeInOrder(choices, service, bound, part);
+            }
+        }
+    }
+
+    private void placeInOrder(PlacementPolicy.Pass choices, String service, double bound, double part) {
+        int misses = 0;
+        for (Task task : waiting.first(service, TASKS_PER_PASS)) {
+            Choice choice = choices.decide(task, bound, part);
+            if (choice.worker().isPresent()) {
+                runs.start(choice.worker().get(), task, choice.bySpeed());
+            } else if (!choice.heldBack() && ++misses >= MISSES_PER_PASS) {
+                break;
+            }
+        }
+    }
+
+    private void placeByShares(PlacementPolicy.Pass choices, Turns turns, double bound, double part, long now) {
+        Set<Job> begun = new LinkedHashSet<>();
+        for (Optional<Task> turn = turns.next(); turn.isPresent(); turn = turns.next()) {
+            Task task = turn.get();
+            Choice choice = choices.decide(task, bound, part);
+            if (choice.worker().isPresent()) {
+                begun.add(task.job());
+                runs.start(choice.worker().get(), task, choice.bySpeed());
+                turns.placed();
+            } else if (choice.heldBack()) {
+                turns.heldBack();
+            } else {
+                turns.missed();
+            }
+        }
+        for (Job job : begun) {
+            waiting.begun(job, now);
+        }
+    }
+}
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -18,6 +17,7 @@
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
@@ -27,12 +27,13 @@
 import org.chivetally.queue.agent.RunSupervisor;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.queue.placement.AdmissionPolicy;
-import org.chivetally.queue.placement.Choice;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.queue.placement.SharedProcessors;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
+import org.chivetally.queue.share.Division;
 import org.chivetally.queue.speed.LearnedStretch;
+import org.chivetally.settings.SchedulingSettings;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.EndsKept;
 import org.chivetally.wire.v1.Frame;
@@ -69,19 +70,6 @@
     /** Pause of a worker that refused a start for another reason than room: one interval of heartbeats. */
     static final Duration REFUSAL_PAUSE = Duration.ofMillis(250);
 
-    /** Waiting tasks looked at in one pass; the first that don't fit hardly ever hide one that does behind so many. */
-    static final int TASKS_PER_PASS = 64;
-
-    /** Waiting tasks without a fitting worker after which a pass ends. */
-    static final int MISSES_PER_PASS = 8;
-
-    /**
-     * Least time between two passes while tasks wait for room. Under a backlog dozens of agents report almost every
-     * millisecond, and without the pause each report would begin a pass over all of them. It is small beside the 60 ms
-     * that callers allow beyond the work.
-     */
-    static final Duration PASS_PAUSE = Duration.ofMillis(5);
-
     /**
      * When to come back to a service without a failure domain in use: operators work in minutes, but may be done soon.
      */
@@ -93,18 +81,17 @@
     private final int partitionCount;
     private final Map<Integer, PartitionOwner> partitions;
     private final UnkeptJobs unkept;
-    private final BooleanSupplier mayStart;
     private final BooleanSupplier stoodStill;
     private final LongSupplier keptUpAtNanos;
     private final PlacementPolicy placement;
     private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
-    private final WaitingTasks waiting = new WaitingTasks();
+    private final WaitingTasks waiting;
     private final ServiceShares shares;
     private long startsBySpeed;
-    private boolean passArmed;
-    private OptionalLong missedAtNanos = OptionalLong.empty();
+    private final Optional<QueueShares> queueShares;
+    private final PlacementPasses passes;
 
     /**
      * Creates a coordinator.
@@ -114,6 +101,7 @@
      * @param mayStart whether the entry is sure enough of its ownership to start anything
      * @param stoodStill whether what the entry reads now may be old
      * @param keptUpAtNanos when the entry last kept up with what it is to read, by the steady clock
+     * @param scheduling parts of scheduling that are switched on
      */
     RunCoordinator(
             Timers timers,
@@ -122,7 +110,8 @@
             Map<Integer, PartitionOwner> partitions,
             BooleanSupplier mayStart,
             BooleanSupplier stoodStill,
-            LongSupplier keptUpAtNanos) {
+            LongSupplier keptUpAtNanos,
+            SchedulingSettings scheduling) {
         this.stoodStill = stoodStill;
         this.keptUpAtNanos = keptUpAtNanos;
         this.placement = placement;
@@ -130,9 +119,29 @@
         this.partitionCount = partitionCount;
         this.partitions = partitions;
         this.unkept = new UnkeptJobs(timers, this);
-        this.mayStart = mayStart;
         this.startedAtNanos = timers.nanos();
+        this.waiting = new WaitingTasks(scheduling.fairShares());
         this.shares = new ServiceShares(timers, waiting, workers.values());
+        this.queueShares = scheduling.fairShares()
+                ? Optional.of(new QueueShares(timers, waiting, workers.values()))
+                : Optional.empty();
+        this.passes = new PlacementPasses(
+                timers, waiting, workers.values(), placement, shares, queueShares, new PlacementPasses.Runs() {
+                    @Override
+                    public boolean mayStart() {
+                        return mayStart.getAsBoolean();
+                    }
+
+                    @Override
+                    public void start(Worker worker, Task task, boolean bySpeed) {
+                        RunCoordinator.this.start(worker, task, bySpeed);
+                    }
+
+                    @Override
+                    public void outlookChanged(long nowNanos) {
+                        refuseWithoutProspect(nowNanos);
+                    }
+                });
     }
 
     /** Returns what this entry may use of the workers beside the other entries. */
@@ -140,6 +149,11 @@
         return shares;
     }
 
+    /** Returns how queues share the workers; empty unless that is switched on. */
+    Optional<QueueShares> queueShares() {
+        return queueShares;
+    }
+
     /** Returns the jobs that only this entry knows. */
     UnkeptJobs unkept() {
         return unkept;
@@ -151,17 +165,28 @@
         if (shares.isEvacuated(service)) {
             return Optional.of(new JobAnswer.Refused(RefusalReason.EVACUATED, EVACUATION_RETRY));
         }
-        long ahead = waiting.workAhead(service, job.specification().terms().priority());
-        long now = timers.nanos();
-        Optional<Duration> refusal = isSettling()
-                ? Optional.empty()
-                : AdmissionPolicy.refuse(job, now, ahead, shares.of(service).forBacklog());
+        Optional<Duration> refusal = isSettling() ? Optional.empty() : refuseForBacklog(job);
         if (refusal.isEmpty()) {
             shares.arrived(job.specification());
         }
         return refusal.map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
     }
 
+    private Optional<Duration> refuseForBacklog(Job job) {
+        if (queueShares.isPresent()) {
+            return queueShares.get().refuse(job);
+        }
+        QueueTerms terms = job.specification().terms();
+        long ahead = waiting.workAhead(terms.service(), terms.priority());
+        return AdmissionPolicy.refuse(
+                job, timers.nanos(), ahead, shares.of(terms.service()).forBacklog());
+    }
+
+    @Override
+    public Duration retryAfter(Job job) {
+        return queueShares.isPresent() ? queueShares.get().givenBack(job) : UnkeptJobs.RETRY;
+    }
+
     @Override
     public boolean hasStoodStill() {
         return stoodStill.getAsBoolean();
@@ -179,7 +204,22 @@
         for (String service : waiting.services()) {
             SharedProcessors processors = shares.of(service);
             if (processors.capacityMillis() > 0) {
-                waiting.withoutProspect(service, processors.spare(), now).forEach(unkept::refuseOvertaken);
+                refuseOvertaken(service, waiting.withoutProspect(service, processors.spare(), now));
+            }
+        }
+    }
+
+    /** Refuses jobs that others go before for too long; not those of a queue whose share covers all that it needs. */
+    private void refuseOvertaken(String service, List<Job> overtaken) {
+        if (overtaken.isEmpty()) {
+            return;
+        }
+        Optional<Division> division = queueShares.map(all -> all.division(service));
+        for (Job job : overtaken) {
+            boolean hasTurn = division.isPresent()
+                    && division.get().isSatisfied(job.specification().terms().queue());
+            if (!hasTurn) {
+                unkept.refuseOvertaken(job);
             }
         }
     }
@@ -223,7 +263,7 @@
         for (Task task : tasks) {
             waiting.add(task, timers.nanos());
         }
-        armPass();
+        passes.arm();
     }
 
     /** Drops what waits of a job and stops what runs. */
@@ -296,7 +336,7 @@
                         report.getStartsSeen()),
                 timers.nanos());
         worker.learned(new LearnedStretch(report.getStretchPermille(), report.getStretchRuns()));
-        armPass();
+        passes.arm();
     }
 
     /** Brings the own view in line with everything that an agent holds. */
@@ -468,7 +508,7 @@
                 .with("failures", task.failures())
                 .log(LOGGER.atInfo());
         homeOf(task).ifPresent(home -> home.ended(task, outcome, kept));
-        armPass();
+        passes.arm();
     }
 
     /** Notes that an agent did not start a run. */
@@ -511,7 +551,8 @@
         }
         moveFromSlowWorkers(now);
         refuseWithoutProspect(now);
-        armPass();
+        queueShares.ifPresent(QueueShares::look);
+        passes.arm();
     }
 
     /**
@@ -567,52 +608,6 @@
         }
     }
 
-    private void armPass() {
-        if (!passArmed && !waiting.isEmpty()) {
-            passArmed = true;
-            timers.after(pauseBeforePass(), this::pass);
-        }
-    }
-
-    /** Returns the rest of the pause after a pass that left tasks waiting; none if it left nothing. */
-    private Duration pauseBeforePass() {
-        if (missedAtNanos.isEmpty()) {
-            return Duration.ZERO;
-        }
-        long sinceNanos = timers.nanos() - missedAtNanos.getAsLong();
-        return Duration.ofNanos(Math.max(0, PASS_PAUSE.toNanos() - sinceNanos));
-    }
-
-    private void pass() {
-        passArmed = false;
-        if (!mayStart.getAsBoolean()) {
-            return;
-        }
-        long now = timers.nanos();
-        if (waiting.refresh(now)) {
-            refuseWithoutProspect(now);
-        }
-        place(now);
-        missedAtNanos = waiting.isEmpty() ? OptionalLong.empty() : OptionalLong.of(now);
-    }
-
-    private void place(long now) {
-        PlacementPolicy.Pass choices = placement.over(workers.values(), now);
-        for (String service : waiting.services()) {
-            double part = shares.of(service).backlogPart();
-            boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
-            int misses = 0;
-            for (Task task : waiting.first(service, TASKS_PER_PASS)) {
-                Choice choice = choices.decide(task, contended ? part : 1, part);
-                if (choice.worker().isPresent()) {
-                    start(choice.worker().get(), task, choice.bySpeed());
-                } else if (!choice.heldBack() && ++misses >= MISSES_PER_PASS) {
-                    break;
-                }
-            }
-        }
-    }
-
     private void start(Worker worker, Task task, boolean bySpeed) {
         Optional<RunHome> home = homeOf(task);
         PeerLink link = links.get(worker.process());
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -27,6 +27,9 @@
 final class Cluster {
     static final int PARTITIONS = 4;
 
+    /** Fair shares and nothing else. */
+    static final SchedulingSettings FAIR_SHARES = new SchedulingSettings(false, true, 0);
+
     final ManualTimers timers = new ManualTimers();
     final MemoryNetwork network = new MemoryNetwork(timers);
     final ScriptedKeyedLog log = new ScriptedKeyedLog(timers, PARTITIONS);
@@ -35,12 +38,20 @@
     final Map<String, ModelMinion> minions = new LinkedHashMap<>();
     Room capacity = new Room(12_000, 1_000, 0);
     List<String> labels = List.of("a");
-    SchedulingSettings scheduling = SchedulingSettings.NONE;
+    SchedulingSettings scheduling;
     /** Wraps the timers of each process, for tests that count what wakes it up. */
     BiFunction<String, Timers, Timers> timersOf = (name, shared) -> shared;
 
     private long incarnations;
 
+    Cluster() {
+        this(SchedulingSettings.NONE);
+    }
+
+    Cluster(SchedulingSettings scheduling) {
+        this.scheduling = scheduling;
+    }
+
     EntryNode entry(String name) {
         incarnations++;
         Peer self = new Peer(name, incarnations, false, "north", name, 1);
