--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
@@ -28,14 +28,13 @@
  * 95% load. Jobs that have missed their objective already give way instead, and the rest are served in time.
  */
 public final class WaitingTasks {
-    private static final Comparator<Entry> ORDER = Comparator.comparing(Entry::reach)
-            .thenComparing(Entry::priority)
-            .thenComparing(entry -> entry.task().job().acceptedAtNanos())
-            .thenComparing(entry -> entry.task().job().specification().id())
-            .thenComparing(entry -> entry.task().place());
+    // Written out: comparators that are put together are serializable lambdas, which the JVM generates at each start.
+    private static final Comparator<Entry> ORDER = WaitingTasks::compare;
 
-    private static final Comparator<Entry> BY_END_OF_OUTLOOK =
-            Comparator.comparing(Entry::untilNanos).thenComparing(ORDER);
+    private static final Comparator<Entry> BY_END_OF_OUTLOOK = (left, right) -> {
+        int order = Long.compare(left.untilNanos(), right.untilNanos());
+        return order != 0 ? order : compare(left, right);
+    };
 
     private static final ServiceQueue EMPTY = new ServiceQueue();
 
@@ -43,6 +42,25 @@
     private final NavigableSet<Entry> byEndOfOutlook = new TreeSet<>(BY_END_OF_OUTLOOK);
     private final Map<Task, Entry> entries = new HashMap<>();
 
+    private static int compare(Entry left, Entry right) {
+        int order = left.reach().compareTo(right.reach());
+        if (order == 0) {
+            order = Integer.compare(left.priority(), right.priority());
+        }
+        return order != 0 ? order : compareAge(left.task(), right.task());
+    }
+
+    private static int compareAge(Task left, Task right) {
+        int order = Long.compare(left.job().acceptedAtNanos(), right.job().acceptedAtNanos());
+        if (order == 0) {
+            order = left.job()
+                    .specification()
+                    .id()
+                    .compareTo(right.job().specification().id());
+        }
+        return order != 0 ? order : Integer.compare(left.place(), right.place());
+    }
+
     /** Adds a task that may be placed. */
     public void add(Task task, long nowNanos) {
         remove(task);
--- a/library/src/main/java/org/chivetally/time/VirtualTimers.java
+++ b/library/src/main/java/org/chivetally/time/VirtualTimers.java
@@ -1,13 +1,11 @@
 package org.chivetally.time;
 
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.PriorityQueue;
 
 /** Clocks and timers that stand still until they are told to go on. Not safe for several threads. */
 public class VirtualTimers implements Timers {
-    private final PriorityQueue<Due> due =
-            new PriorityQueue<>(Comparator.comparingLong(Due::atNanos).thenComparingLong(Due::order));
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
     private long nanos = Duration.ofHours(1).toNanos();
     private long orders;
 
@@ -51,5 +49,11 @@
      * @param order tells those of the same time apart
      * @param action what is due
      */
-    private record Due(long atNanos, long order, Runnable action) {}
+    private record Due(long atNanos, long order, Runnable action) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Long.compare(atNanos, other.atNanos);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
 }
--- a/linkage/src/main/java/org/chivetally/linkage/LinkageStep.java
+++ b/linkage/src/main/java/org/chivetally/linkage/LinkageStep.java
@@ -83,7 +83,8 @@
     }
 
     private void linkJar(Path jar) throws IOException {
-        Path result = Files.createTempFile(jar.toAbsolutePath().getParent(), "linked", ".jar");
+        // Not a temporary file of the library, which nobody but its owner may read.
+        Path result = jar.resolveSibling(jar.getFileName() + ".linked");
         try (ZipFile source = new ZipFile(jar.toFile());
                 ZipOutputStream target = new ZipOutputStream(Files.newOutputStream(result))) {
             Enumeration<? extends ZipEntry> entries = source.entries();
