--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTask.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTask.java
@@ -14,17 +14,35 @@
  * @param begun whether it goes before tasks of jobs of which nothing runs yet
  */
 record WaitingTask(Task task, int priority, Outlook.Reach reach, long untilNanos, boolean begun) {
+    // Written out: comparators that are put together are serializable lambdas, which the JVM generates at each start.
     /** Order in which tasks are placed. */
-    static final Comparator<WaitingTask> ORDER = Comparator.comparing(WaitingTask::reach)
-            .thenComparing(WaitingTask::priority)
-            .thenComparing(entry -> !entry.begun())
-            .thenComparing(entry -> entry.task().job().acceptedAtNanos())
-            .thenComparing(entry -> entry.task().job().specification().id())
-            .thenComparing(entry -> entry.task().place());
+    static final Comparator<WaitingTask> ORDER = WaitingTask::compare;
 
     /** Order in which tasks have to be looked at again. */
-    static final Comparator<WaitingTask> BY_END_OF_OUTLOOK =
-            Comparator.comparing(WaitingTask::untilNanos).thenComparing(ORDER);
+    static final Comparator<WaitingTask> BY_END_OF_OUTLOOK = (left, right) -> {
+        int order = Long.compare(left.untilNanos, right.untilNanos);
+        return order != 0 ? order : compare(left, right);
+    };
+
+    private static int compare(WaitingTask left, WaitingTask right) {
+        int order = left.reach.compareTo(right.reach);
+        if (order == 0) {
+            order = Integer.compare(left.priority, right.priority);
+        }
+        if (order == 0) {
+            order = Boolean.compare(right.begun, left.begun);
+        }
+        return order != 0 ? order : compareAge(left.task, right.task);
+    }
+
+    private static int compareAge(Task left, Task right) {
+        int order = Long.compare(left.job().acceptedAtNanos(), right.job().acceptedAtNanos());
+        if (order == 0) {
+            String leftId = left.job().specification().id();
+            order = leftId.compareTo(right.job().specification().id());
+        }
+        return order != 0 ? order : Integer.compare(left.place(), right.place());
+    }
 
     /** Returns the estimated processor milliseconds. */
     long work() {
