The heartbeat's timer serves what else a process looks at regularly

An agent woke up every second to see whether it had any link, and an entry every five seconds to forget ended jobs, each by a timer of its own. Both are now looked at with the heartbeat. An agent without links looks every 250 ms as before, and for entries every second.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -82,6 +82,9 @@
      */
     static final int SCARCE_PART = 4;
 
+    /** How often an agent without any link looks for entries: all that it knew may be gone. */
+    static final Duration SEARCH_INTERVAL = Duration.ofMillis(1_000);
+
     /** Refusal of a start in an evacuated failure domain. */
     static final String EVACUATED = "evacuated";
 
@@ -101,12 +104,14 @@
     private Timers.Timer nextBeat;
     private long nextBeatNanos;
     private long busyAtNanos;
+    private long aloneSinceNanos;
     /** Agents that the entry heard last is linked to. */
     private int agents;
 
     private boolean reportArmed;
     private boolean toldAccepting;
     private Runnable minionListener = () -> {};
+    private Runnable search = () -> {};
 
     /** Creates an agent that dials nobody yet. */
     public AgentNode(Peer self, Timers timers, Dialer dialer, MinionPort minion, int partitions) {
@@ -117,6 +122,7 @@
         this.supervisor = new RunSupervisor(timers, minion, this, partitions);
         this.owners = new RunOwners(timers, links);
         this.busyAtNanos = timers.nanos();
+        this.aloneSinceNanos = timers.nanos();
         armBeat(BEAT_INTERVAL);
     }
 
@@ -130,6 +136,11 @@
         minionListener = listener;
     }
 
+    /** Names who looks for entries; called every {@link #SEARCH_INTERVAL} while there is no link to any. */
+    public void whenAlone(Runnable listener) {
+        search = listener;
+    }
+
     /** Returns the links. */
     public LinkTable links() {
         return links;
@@ -438,7 +449,7 @@
         if (!isIdle()) {
             busyAtNanos = now;
         }
-        if (now - busyAtNanos < IDLE_AFTER.toNanos()) {
+        if (now - busyAtNanos < IDLE_AFTER.toNanos() || links.size() == 0) {
             return BEAT_INTERVAL;
         }
         Duration silent = links.untilSilent();
@@ -455,6 +466,13 @@
 
     private void lookAround() {
         beats++;
+        long now = timers.nanos();
+        if (links.size() > 0) {
+            aloneSinceNanos = now;
+        } else if (now - aloneSinceNanos >= SEARCH_INTERVAL.toNanos()) {
+            aloneSinceNanos = now;
+            search.run();
+        }
         links.closeSilent();
         owners.silent(supervisor.owners()).forEach(supervisor::stopAll);
         if (beats % BEATS_PER_REPEAT == 0) {
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -72,8 +72,8 @@
      */
     static final Duration IDLE_ECHO_INTERVAL = Duration.ofMillis(450);
 
-    /** Interval in which ended jobs are looked through for those that nobody may ask for any more. */
-    static final Duration FORGET_INTERVAL = Duration.ofSeconds(5);
+    /** Intervals of heartbeats after which ended jobs are looked through for those that nobody may ask for any more. */
+    static final int BEATS_PER_FORGETTING = 20;
 
     /** Margin on the time for which ended jobs are kept, over clocks that differ between instances. */
     static final Duration FORGET_MARGIN = Duration.ofSeconds(10);
@@ -145,7 +145,6 @@
         directory.follow(this::met);
         ownership.start();
         timers.every(BEAT_INTERVAL, this::beat);
-        timers.every(FORGET_INTERVAL, this::forget);
     }
 
     /** Notes that callers can reach the entry from now on. */
@@ -371,6 +370,9 @@
         runs.sweep();
         links.closeSilent();
         beats++;
+        if (beats % BEATS_PER_FORGETTING == 0) {
+            forget();
+        }
         if (!isIdle() || beats % IDLE_INTERVALS_PER_BEAT == 0) {
             sendBeats(false);
         }
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -84,11 +84,7 @@
         network.listen(name, agent.acceptor());
         MemberDirectory directory = new MemberDirectory(log.access(name), own, "members");
         new AgentAnnouncement(directory, self, agent).start(agent::meet);
-        own.every(Duration.ofSeconds(1), () -> {
-            if (agent.links().links().isEmpty()) {
-                directory.readOnce(agent::meet);
-            }
-        });
+        agent.whenAlone(() -> directory.readOnce(agent::meet));
         agents.put(name, agent);
         return agent;
     }
