Log lines, task names and ids without formatters and regular expressions

Of the methods compiled in an agent before its first job, about 60 belonged to formatters and regular expressions: each log line was parsed as a format, its time went through a date formatter, and the warm-up formatted its names. All of these are plain loops and a map now; the output is the same.

--- a/library/src/main/java/org/chivetally/logging/EventLine.java
+++ b/library/src/main/java/org/chivetally/logging/EventLine.java
@@ -32,10 +32,13 @@
      * Writes the line to a logger at the level of the given call.
      *
      * <p>The event's name tells where the line comes from, so no place in the code is looked up for it: the walk over
-     * the stack costs as much as the rest of a line, and an entry writes three lines for each start.
+     * the stack costs as much as the rest of a line, and an entry writes three lines for each start. The text is handed
+     * over as it is, without a format that would be parsed for each line.
      */
     public void log(FluentLogger.Api call) {
-        call.withInjectedLogSite(LogSite.INVALID).log("%s", this);
+        if (call.isEnabled()) {
+            call.withInjectedLogSite(LogSite.INVALID).log(toString());
+        }
     }
 
     @Override
--- a/library/src/main/java/org/chivetally/logging/LogTime.java
+++ b/library/src/main/java/org/chivetally/logging/LogTime.java
@@ -1,6 +1,7 @@
 package org.chivetally.logging;
 
-import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
 
 /**
  * Times of log lines as text: UTC with milliseconds. The text of a second is kept for the lines that follow in it,
@@ -9,8 +10,7 @@
 final class LogTime {
     private static final int MILLIS_PER_SECOND = 1_000;
 
-    /** Length of a time up to its seconds, as in 2026-01-31T23:59:59. */
-    private static final int SECONDS_LENGTH = 19;
+    private static final int TWO_DIGITS = 10;
 
     private Second newest = Second.of(0);
 
@@ -34,9 +34,18 @@
      * @param text date and time without a fraction
      */
     private record Second(long epochSecond, String text) {
+        /** Writes the fields out: a formatter would bring locales and their data up at the first line of a process. */
         private static Second of(long epochSecond) {
-            return new Second(
-                    epochSecond, Instant.ofEpochSecond(epochSecond).toString().substring(0, SECONDS_LENGTH));
+            LocalDateTime time = LocalDateTime.ofEpochSecond(epochSecond, 0, ZoneOffset.UTC);
+            StringBuilder text = new StringBuilder().append(time.toLocalDate()).append('T');
+            append(text, time.getHour());
+            append(text.append(':'), time.getMinute());
+            append(text.append(':'), time.getSecond());
+            return new Second(epochSecond, text.toString());
+        }
+
+        private static void append(StringBuilder text, int number) {
+            text.append(number < TWO_DIGITS ? "0" : "").append(number);
         }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/TaskKey.java
+++ b/library/src/main/java/org/chivetally/queue/TaskKey.java
@@ -12,8 +12,8 @@
  * @param index place of the task in its step, from 0
  */
 public record TaskKey(String jobId, int occurrence, int step, int index) {
-    private static final int PARTS = 4;
     private static final int HASH_FACTOR = 31;
+    private static final int DECIMAL = 10;
 
     /** Refuses a missing id and negative places. */
     public TaskKey {
@@ -25,13 +25,19 @@
 
     /** Reads the form that {@link #toString()} gives; empty when the text names no task. */
     public static Optional<TaskKey> parse(String text) {
-        String[] parts = text.split("\\.", -1);
-        if (parts.length != PARTS) {
+        int first = text.indexOf('.');
+        int second = text.indexOf('.', first + 1);
+        int third = text.indexOf('.', second + 1);
+        boolean fourParts = first >= 0 && second > first && third > second && text.indexOf('.', third + 1) < 0;
+        if (!fourParts) {
             return Optional.empty();
         }
         try {
             return Optional.of(new TaskKey(
-                    parts[0], Integer.parseInt(parts[1]), Integer.parseInt(parts[2]), Integer.parseInt(parts[3])));
+                    text.substring(0, first),
+                    Integer.parseInt(text, first + 1, second, DECIMAL),
+                    Integer.parseInt(text, second + 1, third, DECIMAL),
+                    Integer.parseInt(text, third + 1, text.length(), DECIMAL)));
         } catch (IllegalArgumentException malformed) {
             // Not a number, or a negative one: the caller decides what a name of another kind means.
             return Optional.empty();
--- a/library/src/main/java/org/chivetally/queue/warmup/AgentExercise.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/AgentExercise.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Room;
+import org.chivetally.queue.TaskKey;
 import org.chivetally.queue.agent.AgentNode;
 import org.chivetally.queue.agent.MinionState;
 import org.chivetally.queue.agent.RepeatingMinionPort;
@@ -66,7 +67,7 @@
             agent.ifPresent(link -> link.send(Frame.newBuilder()
                     .setRunStart(RunStart.newBuilder()
                             .setNumber(number)
-                            .setTask(String.format("%016x.0.0.0", number))
+                            .setTask(new TaskKey(JobNames.of(number), 0, 0, 0).toString())
                             .setRun(1)
                             .setUnkept(true)
                             .setEchoNanos(link.peerStampNanos())
--- a/library/src/main/java/org/chivetally/queue/warmup/EntryExercise.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/EntryExercise.java
@@ -62,8 +62,8 @@
     public int round() {
         submitted++;
         StepSpecification step = new StepSpecification(TASKS, TASK, (int) WORK.toMillis(), List.of(), StepTraits.NONE);
-        JobSpecification job = new JobSpecification(
-                String.format("%016x", submitted), TERMS, "warm-up", timers.epochMillis(), List.of(step));
+        JobSpecification job =
+                new JobSpecification(JobNames.of(submitted), TERMS, "warm-up", timers.epochMillis(), List.of(step));
         long deadline = timers.nanos() + Duration.ofSeconds(1).toNanos();
         entry.unkept().submit(job, deadline, this::answered);
         timers.advance(ROUND);
--- a/library/src/main/java/org/chivetally/transport/FrameMeters.java
+++ b/library/src/main/java/org/chivetally/transport/FrameMeters.java
@@ -24,12 +24,19 @@
     }
 
     void received(Frame frame, int bytes) {
-        received.computeIfAbsent(frame.getBodyCase(), body -> traffic(body, "in"))
-                .add(bytes);
+        count(received, frame.getBodyCase(), "in", bytes);
     }
 
     void sent(Frame frame, int bytes) {
-        sent.computeIfAbsent(frame.getBodyCase(), body -> traffic(body, "out")).add(bytes);
+        count(sent, frame.getBodyCase(), "out", bytes);
+    }
+
+    private void count(Map<Frame.BodyCase, Traffic> traffic, Frame.BodyCase body, String direction, int bytes) {
+        Traffic known = traffic.get(body);
+        if (known == null) {
+            known = traffic.computeIfAbsent(body, kind -> traffic(kind, direction));
+        }
+        known.add(bytes);
     }
 
     void closedAsMalformed() {
--- a/library/src/test/java/org/chivetally/logging/LogTimeTest.java
+++ b/library/src/test/java/org/chivetally/logging/LogTimeTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.time.Instant;
 import org.junit.jupiter.api.Test;
 
 class LogTimeTest {
@@ -23,4 +24,15 @@
         assertThat(time.text(5_000), is("1970-01-01T00:00:05.000Z"));
         assertThat(time.text(-1), is("1969-12-31T23:59:59.999Z"));
     }
+
+    /** The text is written without a formatter, and stays as the formatter of the JDK wrote it. */
+    @Test
+    void writesDatesAsTheStandardDoes() {
+        LogTime time = new LogTime();
+
+        for (long seconds = -2_000_000_000L; seconds < 8_000_000_000L; seconds += 7_654_321) {
+            String expected = Instant.ofEpochSecond(seconds).toString().replace("Z", ".000Z");
+            assertThat(time.text(seconds * 1_000), is(expected));
+        }
+    }
 }
