--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -83,6 +83,9 @@
      */
     static final int SCARCE_PART = 4;
 
+    /** How often an agent without any link looks for entries: all that it knew may be gone. */
+    static final Duration SEARCH_INTERVAL = Duration.ofMillis(1_000);
+
     /** Refusal of a start in an evacuated failure domain. */
     static final String EVACUATED = "evacuated";
 
@@ -103,6 +106,7 @@
     private Timers.Timer nextBeat;
     private long nextBeatNanos;
     private long busyAtNanos;
+    private long aloneSinceNanos;
     /** Agents that the entry heard last is linked to. */
     private int agents;
 
@@ -110,6 +114,7 @@
     private boolean toldAccepting;
     private boolean toldScarce;
     private Runnable minionListener = () -> {};
+    private Runnable search = () -> {};
 
     /** Creates an agent that dials nobody yet. */
     public AgentNode(Peer self, Timers timers, Dialer dialer, MinionPort minion, int partitions) {
@@ -121,6 +126,7 @@
         this.supervisor = new RunSupervisor(timers, timing, this, partitions);
         this.owners = new RunOwners(timers, links);
         this.busyAtNanos = timers.nanos();
+        this.aloneSinceNanos = timers.nanos();
         armBeat(BEAT_INTERVAL);
     }
 
@@ -139,6 +145,11 @@
         minionListener = listener;
     }
 
+    /** Names who looks for entries; called every {@link #SEARCH_INTERVAL} while there is no link to any. */
+    public void whenAlone(Runnable listener) {
+        search = listener;
+    }
+
     /** Returns the links. */
     public LinkTable links() {
         return links;
@@ -463,7 +474,7 @@
         if (!isIdle()) {
             busyAtNanos = now;
         }
-        if (now - busyAtNanos < IDLE_AFTER.toNanos()) {
+        if (now - busyAtNanos < IDLE_AFTER.toNanos() || links.size() == 0) {
             return BEAT_INTERVAL;
         }
         Duration silent = links.untilSilent();
@@ -480,6 +491,13 @@
 
     private void lookAround() {
         beats++;
+        long now = timers.nanos();
+        if (links.size() > 0) {
+            aloneSinceNanos = now;
+        } else if (now - aloneSinceNanos >= SEARCH_INTERVAL.toNanos()) {
+            aloneSinceNanos = now;
+            search.run();
+        }
         links.closeSilent();
         owners.silent(supervisor.owners()).forEach(supervisor::stopAll);
         if (beats % BEATS_PER_REPEAT == 0) {
