--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -222,10 +222,11 @@
                 if (isExcluded(task, worker, elsewhere)) {
                     continue;
                 }
+                if (task.room().fitsInto(worker.view().capacity())) {
+                    candidates.usable(worker);
+                }
                 if (hasRoom(task, worker, part)) {
-                    candidates.add(worker, scoreInClass(task, worker), !isScarce(worker));
-                } else if (task.room().fitsInto(worker.view().capacity())) {
-                    candidates.usable(worker.speed().rank());
+                    candidates.add(worker, scoreInClass(task, worker));
                 }
             }
         }
@@ -259,14 +260,12 @@
         }
 
         /**
-         * Returns a score in which room to spare counts by chance. All entries prefer the same few fast workers, and
-         * know their room as it was up to a heartbeat ago: all would send to the emptiest until the next one comes.
+         * Returns a score in which room counts by chance. All entries prefer the same few fast workers, and know their
+         * room as it was up to a heartbeat ago: all would send to the emptiest until the next one comes.
          */
         private long scoreInClass(Task task, Worker worker) {
-            long score = score(task, worker);
-            long spare =
-                    worker.free().processorMillis() - worker.view().capacity().processorMillis() / SCARCE_PART;
-            return spare <= 0 ? score : score - random.nextLong(spare + 1);
+            long free = worker.free().processorMillis();
+            return isScarce(worker) ? score(task, worker) : score(task, worker) - random.nextLong(free + 1);
         }
 
         private long score(Task task, Worker worker) {
--- a/library/src/main/java/org/chivetally/queue/placement/SpeedCandidates.java
+++ b/library/src/main/java/org/chivetally/queue/placement/SpeedCandidates.java
@@ -19,8 +19,8 @@
 
     private final Worker[] best;
     private final long[] scores;
-    private final boolean[] roomy;
-    private final boolean[] usable;
+    private final long[] freeMillis;
+    private final long[] capacityMillis;
     private int count;
 
     /**
@@ -31,31 +31,28 @@
     SpeedCandidates(int most) {
         this.best = new Worker[most];
         this.scores = new long[most];
-        this.roomy = new boolean[most];
-        this.usable = new boolean[most];
+        this.freeMillis = new long[most];
+        this.capacityMillis = new long[most];
     }
 
     /** Begins with a new task. */
     void clear(int classes) {
         count = classes;
         Arrays.fill(best, 0, classes, null);
-        Arrays.fill(roomy, 0, classes, false);
-        Arrays.fill(usable, 0, classes, false);
+        Arrays.fill(freeMillis, 0, classes, 0);
+        Arrays.fill(capacityMillis, 0, classes, 0);
     }
 
-    /** Notes that a class has a worker that may run the task, with room or without. */
-    void usable(int rank) {
-        usable[rank] = true;
+    /** Notes a worker that may run the task, with room or without. */
+    void usable(Worker worker) {
+        int rank = worker.speed().rank();
+        freeMillis[rank] += Math.max(0, worker.free().processorMillis());
+        capacityMillis[rank] += worker.view().capacity().processorMillis();
     }
 
-    /**
-     * Adds a worker that has room.
-     *
-     * @param isRoomy whether its room is more than what all entries compete for
-     */
-    void add(Worker worker, long score, boolean isRoomy) {
+    /** Adds a worker that has room. */
+    void add(Worker worker, long score) {
         int rank = worker.speed().rank();
-        roomy[rank] |= isRoomy;
         if (best[rank] == null || score > scores[rank]) {
             best[rank] = worker;
             scores[rank] = score;
@@ -102,7 +99,7 @@
             if (best[rank] == null) {
                 continue;
             }
-            if (roomy[rank]) {
+            if (isRoomy(rank)) {
                 return rank;
             }
             if (slowest == NONE || task.isInTime(classes.stretch(rank))) {
@@ -112,6 +109,14 @@
         return slowest;
     }
 
+    /**
+     * Tells whether a class has more room than all entries compete for. By the class, not by the worker: while only one
+     * worker of it had room to spare, all entries would send to that one.
+     */
+    private boolean isRoomy(int rank) {
+        return PlacementPolicy.SCARCE_PART * freeMillis[rank] >= capacityMillis[rank];
+    }
+
     /** Returns the slowest of the faster classes with room where the task is in time; without one the fastest. */
     private int faster(int rank, TaskForecast task, SpeedClasses classes) {
         int fastest = rank;
@@ -134,7 +139,7 @@
             return false;
         }
         for (int other = 0; other < rank; other++) {
-            if (!usable[other]) {
+            if (capacityMillis[other] == 0) {
                 continue;
             }
             long endThere = task.endNanos(classes.stretch(other), waits.millis(other));
--- a/library/src/main/java/org/chivetally/queue/placement/WorkerSpeeds.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WorkerSpeeds.java
@@ -22,6 +22,7 @@
     private long epoch;
     private long computedAtNanos;
     private int computedWorkers;
+    private double spread = 1;
 
     /** Brings the speeds of the open workers up to date, unless they are. */
     void refresh(List<Worker> open, long nowNanos) {
@@ -43,9 +44,12 @@
                     .workers
                     .add(worker);
         }
+        double greatest = 1;
         for (Service service : services.values()) {
             service.compute(nowNanos, epoch);
+            greatest = Math.max(greatest, service.classes.spread());
         }
+        spread = greatest;
     }
 
     /** Tells whether there is a worker that the last computation did not cover. */
@@ -64,13 +68,9 @@
         return known == null ? Service.NO_CLASSES : known.classes;
     }
 
-    /** Returns the greatest spread of any service; 1 where all workers are equally fast. */
+    /** Returns the greatest spread of any service at the last computation; 1 where all workers are equally fast. */
     double spread() {
-        double greatest = 1;
-        for (Service service : services.values()) {
-            greatest = Math.max(greatest, service.classes.spread());
-        }
-        return greatest;
+        return spread;
     }
 
     /** The workers of one service. */
--- a/library/src/main/java/org/chivetally/queue/speed/KindStretches.java
+++ b/library/src/main/java/org/chivetally/queue/speed/KindStretches.java
@@ -48,6 +48,7 @@
 
     private final Map<String, Kind> kinds = new HashMap<>();
     private double overall;
+    private double slowest;
     private long keptAtNanos;
 
     /** Begins to take reports of all workers. */
@@ -92,6 +93,10 @@
             logarithms += kind.keptRuns * kind.logarithm;
         }
         overall = runs == 0 ? 0 : logarithms / runs;
+        slowest = overall;
+        for (Kind kind : kinds.values()) {
+            slowest = Math.max(slowest, drawn(kind.logarithm, kind.keptRuns, overall, KIND_PRIOR_RUNS));
+        }
     }
 
     /** Returns the stretch of a kind; that of all kinds for one that is unknown, and 1 while nothing is known. */
@@ -99,14 +104,21 @@
         return Math.exp(logarithm(kind));
     }
 
-    /** Returns the stretch of a worker of a kind: that of its kind, unless its own is distinct. */
+    /**
+     * Returns the stretch of a worker of a kind: that of its kind, unless its own is distinct. One that has fallen
+     * behind its kind counts as slower than the slowest kind: what its runs tell lags behind what it has become, and it
+     * would be taken for the best after those of its kind, and get all that these leave.
+     */
     public double of(String kind, LearnedStretch worker) {
         double expected = logarithm(kind);
         if (!worker.isKnown()) {
             return Math.exp(expected);
         }
         double own = drawn(worker.logarithm(), worker.runs(), expected, WORKER_PRIOR_RUNS);
-        return Math.exp(Math.abs(own - expected) > DISTINCT_LOGARITHM ? own : expected);
+        if (own - expected > DISTINCT_LOGARITHM) {
+            return Math.exp(Math.max(own, slowest + DISTINCT_LOGARITHM));
+        }
+        return Math.exp(expected - own > DISTINCT_LOGARITHM ? own : expected);
     }
 
     private double logarithm(String kind) {
--- a/library/src/test/java/org/chivetally/queue/speed/KindStretchesTest.java
+++ b/library/src/test/java/org/chivetally/queue/speed/KindStretchesTest.java
@@ -52,6 +52,15 @@
         assertThat(kinds.of("fast", new LearnedStretch(1_800, 60)), is(greaterThan(1.3)));
     }
 
+    /** A fast worker has just turned slow. It must not be the next best while its mean passes that of the slow kind. */
+    @Test
+    void takesAWorkerThatFallsBehindItsKindForSlowerThanTheSlowestKind() {
+        learn(0, SLOW, FAST);
+        assertThat(kinds.of("fast", new LearnedStretch(900, 60)), is(greaterThan(1.2 * kinds.of("slow"))));
+        assertThat(kinds.of("fast", new LearnedStretch(3_000, 60)), is(greaterThan(1.5 * kinds.of("slow"))));
+        assertThat(kinds.of("slow", new LearnedStretch(700, 60)), is(lessThan(0.9)));
+    }
+
     /**
      * All work goes to the fast workers for minutes, so the slow ones tell of no runs. Taken for average they would get
      * a share of it again.
--- a/wire/src/main/java/org/chivetally/wire/v1/RunStart.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunStart.java
@@ -281,7 +281,7 @@
   private int estimatedMillis_ = 0;
   /**
    * <pre>
-   * caller's estimate of the run's duration; 0 when none was given
+   * duration to expect, by the caller's estimate as its entry corrects it; 0 when none was given
    * </pre>
    *
    * <code>uint32 estimated_millis = 11;</code>
@@ -1456,7 +1456,7 @@
     private int estimatedMillis_ ;
     /**
      * <pre>
-     * caller's estimate of the run's duration; 0 when none was given
+     * duration to expect, by the caller's estimate as its entry corrects it; 0 when none was given
      * </pre>
      *
      * <code>uint32 estimated_millis = 11;</code>
@@ -1468,7 +1468,7 @@
     }
     /**
      * <pre>
-     * caller's estimate of the run's duration; 0 when none was given
+     * duration to expect, by the caller's estimate as its entry corrects it; 0 when none was given
      * </pre>
      *
      * <code>uint32 estimated_millis = 11;</code>
@@ -1484,7 +1484,7 @@
     }
     /**
      * <pre>
-     * caller's estimate of the run's duration; 0 when none was given
+     * duration to expect, by the caller's estimate as its entry corrects it; 0 when none was given
      * </pre>
      *
      * <code>uint32 estimated_millis = 11;</code>
--- a/wire/src/main/java/org/chivetally/wire/v1/RunStartOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunStartOrBuilder.java
@@ -111,7 +111,7 @@
 
   /**
    * <pre>
-   * caller's estimate of the run's duration; 0 when none was given
+   * duration to expect, by the caller's estimate as its entry corrects it; 0 when none was given
    * </pre>
    *
    * <code>uint32 estimated_millis = 11;</code>
