--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 import org.chivetally.queue.QueueTerms;
+import org.chivetally.queue.Room;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.speed.QueueEstimates;
@@ -175,10 +176,14 @@
             long bestScore = Long.MIN_VALUE;
             boolean elsewhere = isPossibleElsewhere(task);
             for (Worker worker : open) {
-                if (isExcluded(task, worker, elsewhere) || !hasRoom(task, worker, part)) {
+                if (isExcluded(task, worker, elsewhere)) {
+                    continue;
+                }
+                Room free = worker.free();
+                if (!hasRoom(task, worker, free, part)) {
                     continue;
                 }
-                long score = score(task, worker);
+                long score = score(task, worker, free.processorMillis());
                 if (score > bestScore) {
                     best = worker;
                     bestScore = score;
@@ -222,11 +227,12 @@
                 if (isExcluded(task, worker, elsewhere)) {
                     continue;
                 }
+                Room free = worker.free();
                 if (task.room().fitsInto(worker.view().capacity())) {
-                    candidates.usable(worker);
+                    candidates.usable(worker, free.processorMillis());
                 }
-                if (hasRoom(task, worker, part)) {
-                    candidates.add(worker, scoreInClass(task, worker));
+                if (hasRoom(task, worker, free, part)) {
+                    candidates.add(worker, scoreInClass(task, worker, free.processorMillis()));
                 }
             }
         }
@@ -235,15 +241,14 @@
             return elsewhere && failedAt(task, worker) || passesOver && isPassedOver(worker) || !mayRun(task, worker);
         }
 
-        private static boolean hasRoom(Task task, Worker worker, double part) {
+        private static boolean hasRoom(Task task, Worker worker, Room free, double part) {
             boolean overPart = part < 1 && worker.isOverPart(task.room(), part);
-            return !overPart && task.room().fitsInto(worker.free());
+            return !overPart && task.room().fitsInto(free);
         }
 
         /** Tells whether a worker's free room is contended. */
-        private static boolean isScarce(Worker worker) {
-            return SCARCE_PART * worker.free().processorMillis()
-                    < worker.view().capacity().processorMillis();
+        private static boolean isScarce(Worker worker, long free) {
+            return SCARCE_PART * free < worker.view().capacity().processorMillis();
         }
 
         /** Tells whether there is a sound worker for the task where it has not just failed, with room or without. */
@@ -263,17 +268,16 @@
          * Returns a score in which room counts by chance. All entries prefer the same few fast workers, and know their
          * room as it was up to a heartbeat ago: all would send to the emptiest until the next one comes.
          */
-        private long scoreInClass(Task task, Worker worker) {
-            long free = worker.free().processorMillis();
-            return isScarce(worker) ? score(task, worker) : score(task, worker) - random.nextLong(free + 1);
+        private long scoreInClass(Task task, Worker worker, long free) {
+            long score = score(task, worker, free);
+            return isScarce(worker, free) ? score : score - random.nextLong(free + 1);
         }
 
-        private long score(Task task, Worker worker) {
+        private long score(Task task, Worker worker, long free) {
             boolean far = !task.step().traits().preferredRack().isEmpty()
                     && !worker.view().labels().contains(task.step().traits().preferredRack());
-            long free = worker.free().processorMillis();
             long capacity = worker.view().capacity().processorMillis();
-            long score = isScarce(worker) ? random.nextLong(free + 1) : free;
+            long score = isScarce(worker, free) ? random.nextLong(free + 1) : free;
             score += worker.view().failureDomain().equals(failureDomain) ? capacity / NEAR_PART : 0;
             score -= isPassedOver(worker) ? BAD_MILLIS : 0;
             score -= far ? FAR_MILLIS : 0;
--- a/library/src/main/java/org/chivetally/queue/placement/SpeedCandidates.java
+++ b/library/src/main/java/org/chivetally/queue/placement/SpeedCandidates.java
@@ -43,10 +43,10 @@
         Arrays.fill(capacityMillis, 0, classes, 0);
     }
 
-    /** Notes a worker that may run the task, with room or without. */
-    void usable(Worker worker) {
+    /** Notes a worker that may run the task, with room or without; what is free there in thousandths of a processor. */
+    void usable(Worker worker, long free) {
         int rank = worker.speed().rank();
-        freeMillis[rank] += Math.max(0, worker.free().processorMillis());
+        freeMillis[rank] += Math.max(0, free);
         capacityMillis[rank] += worker.view().capacity().processorMillis();
     }
 
