--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -152,6 +152,11 @@
         return runs.queueShares().map(QueueShares::contendedServices).orElse(0);
     }
 
+    /** Returns the number of entries that are out of reach and keep their parts; 0 unless queues have shares. */
+    public int silentEntries() {
+        return runs.queueShares().map(QueueShares::silentEntries).orElse(0);
+    }
+
     /** Returns how queues share the workers; empty unless that is switched on. */
     Optional<QueueShares> queueShares() {
         return runs.queueShares();
--- a/library/src/main/java/org/chivetally/queue/entry/QueueShares.java
+++ b/library/src/main/java/org/chivetally/queue/entry/QueueShares.java
@@ -37,6 +37,7 @@
     private final LoadsElsewhere elsewhere = new LoadsElsewhere();
     private final RefusedLately refusedLately = new RefusedLately();
     private final Map<String, Long> contendedAtNanos = new HashMap<>();
+    private int silentEntries;
 
     /**
      * Creates the shares of an entry that is alone.
@@ -121,26 +122,30 @@
         return QueueAdmission.retryAfter(id, waiting.work(terms.service(), terms.queue()), reach);
     }
 
-    /** Returns the order of a pass over the waiting tasks of a service. */
-    Turns turns(String service, int most) {
-        QueueLoads own = own().getOrDefault(service, new QueueLoads());
+    /**
+     * Returns the order of a pass over the waiting tasks of a service.
+     *
+     * @param own what this entry's runs hold and its waiting tasks need of the service
+     */
+    Turns turns(String service, QueueLoads own, int most) {
         return waiting.turns(service, division(service, own), own, most);
     }
 
-    /** Tells whether the queues of a service have lately asked for more than there is. */
-    boolean isContended(String service) {
-        return contendedAtNanos.containsKey(service);
-    }
-
     /** Returns the number of services whose queues have lately asked for more than there is. */
     int contendedServices() {
         return contendedAtNanos.size();
     }
 
+    /** Returns the number of entries that were out of reach at the last look. */
+    int silentEntries() {
+        return silentEntries;
+    }
+
     /** Looks which services are contended, and forgets entries that are gone. */
     void look() {
         long now = timers.nanos();
         elsewhere.forgetGone(now);
+        silentEntries = elsewhere.of("", now).silent();
         Map<String, QueueLoads> own = own();
         for (Map.Entry<String, QueueLoads> service : own.entrySet()) {
             Division division = division(service.getKey(), service.getValue());
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,6 +16,7 @@
 import org.chivetally.queue.Job;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
+import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Partitions;
 import org.chivetally.queue.QueueTerms;
 import org.chivetally.queue.RefusalReason;
@@ -34,6 +34,7 @@
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
 import org.chivetally.queue.share.Division;
+import org.chivetally.queue.share.QueueLoads;
 import org.chivetally.settings.SchedulingSettings;
 import org.chivetally.time.Timers;
 import org.chivetally.wire.v1.EndsKept;
@@ -232,8 +233,13 @@
 
     @Override
     public void ready(List<Task> tasks) {
+        Job last = null;
         for (Task task : tasks) {
             waiting.add(task, timers.nanos());
+            if (task.job() != last) {
+                last = task.job();
+                waiting.reorder(last, timers.nanos());
+            }
         }
         armPass();
     }
@@ -610,12 +616,14 @@
 
     private void place(long now) {
         PlacementPolicy.Pass choices = placement.over(workers.values(), now);
+        Map<String, QueueLoads> own =
+                queueShares.isPresent() ? queueShares.get().own() : Map.of();
         for (String service : waiting.services()) {
             double part = shares.of(service).backlogPart();
             boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
             double bound = contended ? part : 1;
             if (queueShares.isPresent()) {
-                placeByShares(choices, queueShares.get().turns(service, TASKS_PER_PASS), bound, now);
+                placeByShares(choices, queueShares.get().turns(service, own.get(service), TASKS_PER_PASS), bound, now);
             } else {
                 placeInOrder(choices, service, bound);
             }
@@ -635,12 +643,14 @@
     }
 
     private void placeByShares(PlacementPolicy.Pass choices, Turns turns, double bound, long now) {
-        Set<Job> begun = new LinkedHashSet<>();
+        List<Job> begun = new ArrayList<>();
         for (Optional<Task> turn = turns.next(); turn.isPresent(); turn = turns.next()) {
             Task task = turn.get();
             Optional<Worker> worker = choices.choose(task, bound);
             if (worker.isPresent()) {
-                begun.add(task.job());
+                if (task.job().phase() == JobPhase.QUEUED) {
+                    begun.add(task.job());
+                }
                 start(worker.get(), task);
                 turns.placed();
             } else {
@@ -648,7 +658,7 @@
             }
         }
         for (Job job : begun) {
-            waiting.begun(job, now);
+            waiting.reorder(job, now);
         }
     }
 
--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
@@ -61,8 +61,8 @@
         remove(task);
         Outlook outlook = task.job().outlook(nowNanos);
         QueueTerms terms = task.job().specification().terms();
-        boolean begun = byQueue && task.job().phase() == JobPhase.RUNNING;
-        WaitingTask entry = new WaitingTask(task, terms.priority(), outlook.reach(), outlook.untilNanos(), begun);
+        WaitingTask entry =
+                new WaitingTask(task, terms.priority(), outlook.reach(), outlook.untilNanos(), hasBegun(task.job()));
         entries.put(task, entry);
         byEndOfOutlook.add(entry);
         lines.computeIfAbsent(terms.service(), name -> new TreeMap<>())
@@ -93,19 +93,26 @@
         }
     }
 
-    /** Puts the waiting tasks of a job of which a first task was placed before those of jobs that have not begun. */
-    public void begun(Job job, long nowNanos) {
+    /**
+     * Puts the waiting tasks of a job where its phase says: before those of jobs that have not begun, or among them
+     * again when all its starts were turned down.
+     */
+    public void reorder(Job job, long nowNanos) {
         if (!byQueue) {
             return;
         }
         for (Task task : job.tasksIn(Task.Status.WAITING)) {
             WaitingTask entry = entries.get(task);
-            if (entry != null && !entry.begun()) {
+            if (entry != null && entry.begun() != hasBegun(job)) {
                 add(task, nowNanos);
             }
         }
     }
 
+    private boolean hasBegun(Job job) {
+        return byQueue && job.phase() == JobPhase.RUNNING;
+    }
+
     /** Moves the tasks whose jobs can reach less than when they were added; tells whether there were any. */
     public boolean refresh(long nowNanos) {
         boolean moved = false;
--- a/library/src/test/java/org/chivetally/queue/entry/QueueSharesTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/QueueSharesTest.java
@@ -64,6 +64,7 @@
         assertThat(division(first).share("queue-0"), is(6 * TASK));
         cluster.advance(600);
         assertThat(division(first).capacityMillis(), is(4 * TASK));
+        assertThat(first.silentEntries(), is(1));
         assertThat(division(first).share("queue-0"), is(4 * TASK));
         cluster.network.cut("entry-1", "entry-2", false);
         cluster.advance(3_000);
--- a/library/src/test/java/org/chivetally/queue/placement/TurnsTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/TurnsTest.java
@@ -12,6 +12,7 @@
 import org.chivetally.queue.JobSpecification;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.QueueTerms;
+import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.StepSpecification;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
@@ -125,11 +126,30 @@
         Job begun = job("begun", 0, 2, 1);
         begun.place(begun.tasks().getFirst(), "worker", 1);
         waiting.remove(begun.tasks().getFirst());
-        waiting.begun(begun, 2);
+        waiting.reorder(begun, 2);
         assertThat(placed(turns(60 * TASK), 9), contains("begun", "older", "older"));
         assertThat(older.tasks().size(), is(2));
     }
 
+    /**
+     * All starts of a job were turned down. Kept before the others, it would go on with the longer wait of a running
+     * job.
+     */
+    @Test
+    void aJobWhoseStartsWereAllTurnedDownHasNotBegun() {
+        Job older = job("older", 0, 1, 0);
+        Job turnedDown = job("turned-down", 0, 2, 1);
+        Task first = turnedDown.tasks().getFirst();
+        turnedDown.place(first, "worker", 1);
+        waiting.remove(first);
+        waiting.reorder(turnedDown, 2);
+        turnedDown.end(first, RunOutcome.NEVER_STARTED, 3);
+        waiting.add(first, 3);
+        waiting.reorder(turnedDown, 3);
+        assertThat(placed(turns(60 * TASK), 9), contains("older", "turned-down", "turned-down"));
+        assertThat(older.tasks().size(), is(1));
+    }
+
     /** Without shares, the order must stay as it was: the oldest first, begun or not. */
     @Test
     void withoutSharesTheOldestJobGoesFirst() {
@@ -139,7 +159,7 @@
         begun.place(begun.tasks().getFirst(), "worker", 1);
         plain.add(begun.tasks().getLast(), 2);
         plain.add(older.tasks().getFirst(), 2);
-        plain.begun(begun, 2);
+        plain.reorder(begun, 2);
         assertThat(plain.first("reports", 9).getFirst().job(), is(older));
     }
 }
