--- a/library/src/main/java/org/chivetally/queue/entry/QueueDemands.java
+++ b/library/src/main/java/org/chivetally/queue/entry/QueueDemands.java
@@ -16,13 +16,13 @@
     static List<QueueDemand> encode(Map<String, QueueLoads> byService) {
         List<QueueDemand> encoded = new ArrayList<>();
         for (Map.Entry<String, QueueLoads> service : byService.entrySet()) {
-            for (Map.Entry<String, QueueLoad> queue :
-                    service.getValue().byQueue().entrySet()) {
+            for (String queue : service.getValue().queues()) {
+                QueueLoad load = service.getValue().of(queue);
                 encoded.add(QueueDemand.newBuilder()
                         .setService(service.getKey())
-                        .setQueue(queue.getKey())
-                        .setRunningMillis(queue.getValue().runningMillis())
-                        .setWaitingMillis(queue.getValue().waitingMillis())
+                        .setQueue(queue)
+                        .setRunningMillis(load.runningMillis())
+                        .setWaitingMillis(load.waitingMillis())
                         .build());
             }
         }
@@ -37,7 +37,9 @@
                 loads = new QueueLoads();
                 byService.put(told.getService(), loads);
             }
-            loads.add(told.getQueue(), told.getRunningMillis(), told.getWaitingMillis());
+            // What makes no sense, as from another implementation, is bounded before it is added up.
+            QueueLoad load = new QueueLoad(told.getRunningMillis(), told.getWaitingMillis());
+            loads.add(told.getQueue(), load.runningMillis(), load.waitingMillis());
         }
         return byService;
     }
--- a/library/src/main/java/org/chivetally/queue/share/Division.java
+++ b/library/src/main/java/org/chivetally/queue/share/Division.java
@@ -33,14 +33,14 @@
         this.all = new QueueLoads();
         all.add(own);
         all.add(elsewhere);
-        int count = all.byQueue().size();
+        int count = all.queues().size();
         this.queues = new String[count];
         this.demands = new long[count];
         this.weights = new long[count];
         int place = 0;
-        for (Map.Entry<String, QueueLoad> load : all.byQueue().entrySet()) {
-            queues[place] = load.getKey();
-            demands[place] = load.getValue().demandMillis();
+        for (String queue : all.queues()) {
+            queues[place] = queue;
+            demands[place] = all.of(queue).demandMillis();
             weights[place] = WEIGHT;
             demandMillis += demands[place];
             place++;
--- a/library/src/main/java/org/chivetally/queue/share/LoadsElsewhere.java
+++ b/library/src/main/java/org/chivetally/queue/share/LoadsElsewhere.java
@@ -1,6 +1,7 @@
 package org.chivetally.queue.share;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -17,6 +18,10 @@
     public static final Duration REMEMBERED = Duration.ofSeconds(30);
 
     private final Map<String, Told> byEntry = new LinkedHashMap<>();
+    /** What is known by service until something is told or gets too old: passes ask several times as often. */
+    private final Map<String, Known> known = new HashMap<>();
+
+    private long knownUntilNanos;
 
     /** What an entry told when. */
     private record Told(Map<String, QueueLoads> byService, long atNanos, boolean leaving) {}
@@ -46,16 +51,31 @@
      */
     public void told(String entry, Map<String, QueueLoads> byService, boolean leaving, long nowNanos) {
         byEntry.put(entry, new Told(byService, nowNanos, leaving));
+        known.clear();
     }
 
     /** Returns what is known of a service. */
     public Known of(String service, long nowNanos) {
+        if (nowNanos - knownUntilNanos > 0) {
+            known.clear();
+        }
+        Known ofService = known.get(service);
+        if (ofService == null) {
+            ofService = look(service, nowNanos);
+            known.put(service, ofService);
+        }
+        return ofService;
+    }
+
+    private Known look(String service, long nowNanos) {
+        knownUntilNanos = nowNanos + TOLD_VALID.toNanos();
         QueueLoads loads = new QueueLoads();
         int heard = 1;
         int silent = 0;
         for (Told told : byEntry.values()) {
             if (nowNanos - told.atNanos() <= TOLD_VALID.toNanos()) {
                 heard++;
+                knownUntilNanos = Math.min(knownUntilNanos, told.atNanos() + TOLD_VALID.toNanos());
                 QueueLoads ofService = told.byService().get(service);
                 if (ofService != null) {
                     loads.add(ofService);
@@ -73,6 +93,7 @@
         while (all.hasNext()) {
             if (nowNanos - all.next().atNanos() > REMEMBERED.toNanos()) {
                 all.remove();
+                known.clear();
             }
         }
     }
--- a/library/src/main/java/org/chivetally/queue/share/QueueLoad.java
+++ b/library/src/main/java/org/chivetally/queue/share/QueueLoad.java
@@ -25,8 +25,4 @@
     public long demandMillis() {
         return runningMillis + waitingMillis;
     }
-
-    QueueLoad plus(long running, long waiting) {
-        return new QueueLoad(runningMillis + running, waitingMillis + waiting);
-    }
 }
--- a/library/src/main/java/org/chivetally/queue/share/QueueLoads.java
+++ b/library/src/main/java/org/chivetally/queue/share/QueueLoads.java
@@ -1,34 +1,47 @@
 package org.chivetally.queue.share;
 
-import java.util.Collections;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.TreeMap;
+import java.util.Set;
 
-/** A tally of what each queue uses and needs of one service, at one entry or at several. */
+/**
+ * A tally of what each queue uses and needs of one service, at one entry or at several. It is made anew for each pass
+ * over the waiting tasks, from each run in progress, so its sums are changed in place.
+ */
 public final class QueueLoads {
-    private final Map<String, QueueLoad> byQueue = new TreeMap<>();
+    private final Map<String, Sums> byQueue = new HashMap<>();
 
     /** Adds to what a queue uses and needs, in thousandths of a processor. */
     public void add(String queue, long runningMillis, long waitingMillis) {
-        QueueLoad before = byQueue.get(queue);
-        byQueue.put(queue, (before == null ? QueueLoad.NONE : before).plus(runningMillis, waitingMillis));
+        Sums sums = byQueue.get(queue);
+        if (sums == null) {
+            sums = new Sums();
+            byQueue.put(queue, sums);
+        }
+        sums.runningMillis += runningMillis;
+        sums.waitingMillis += waitingMillis;
     }
 
     /** Adds all of another tally. */
     public void add(QueueLoads other) {
-        for (Map.Entry<String, QueueLoad> load : other.byQueue.entrySet()) {
-            add(load.getKey(), load.getValue().runningMillis(), load.getValue().waitingMillis());
+        for (Map.Entry<String, Sums> load : other.byQueue.entrySet()) {
+            add(load.getKey(), load.getValue().runningMillis, load.getValue().waitingMillis);
         }
     }
 
     /** Returns what a queue uses and needs. */
     public QueueLoad of(String queue) {
-        QueueLoad load = byQueue.get(queue);
-        return load == null ? QueueLoad.NONE : load;
+        Sums sums = byQueue.get(queue);
+        return sums == null ? QueueLoad.NONE : new QueueLoad(sums.runningMillis, sums.waitingMillis);
+    }
+
+    /** Returns the queues that use or need something. */
+    public Set<String> queues() {
+        return byQueue.keySet();
     }
 
-    /** Returns the queues that use or need something, by name. */
-    public Map<String, QueueLoad> byQueue() {
-        return Collections.unmodifiableMap(byQueue);
+    private static final class Sums {
+        private long runningMillis;
+        private long waitingMillis;
     }
 }
