--- a/library/src/test/java/org/chivetally/queue/entry/ContentionReplay.java
+++ b/library/src/test/java/org/chivetally/queue/entry/ContentionReplay.java
@@ -57,7 +57,7 @@
     private final Map<String, Double> speeds = new LinkedHashMap<>();
     private final Map<String, Map<Result, Integer>> results = new LinkedHashMap<>();
     private final List<EntryNode> entries = new ArrayList<>();
-    final Map<String, Integer> refusals = new TreeMap<>();
+    private final Map<String, Integer> refusals = new TreeMap<>();
     private long jobs;
 
     /** What became of a job, by its caller's reckoning. */
