--- a/library/src/main/java/org/chivetally/queue/entry/PlacementPasses.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PlacementPasses.java
@@ -1,18 +1,21 @@
 package org.chivetally.queue.entry;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import org.chivetally.queue.Job;
+import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.placement.Choice;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.queue.placement.Turns;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
+import org.chivetally.queue.share.QueueLoads;
 import org.chivetally.time.Timers;
 
 /** Places the entry's waiting tasks, in passes over all that may be placed at a moment. */
@@ -108,12 +111,15 @@
 
     private void place(long now) {
         PlacementPolicy.Pass choices = placement.over(workers, now);
+        Map<String, QueueLoads> own =
+                queueShares.isPresent() ? queueShares.get().own() : Map.of();
         for (String service : waiting.services()) {
             double part = shares.of(service).backlogPart();
             boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
             double bound = contended ? part : 1;
             if (queueShares.isPresent()) {
-                placeByShares(choices, queueShares.get().turns(service, TASKS_PER_PASS), bound, part, now);
+                placeByShares(
+                        choices, queueShares.get().turns(service, own.get(service), TASKS_PER_PASS), bound, part, now);
             } else {
                 placeInOrder(choices, service, bound, part);
             }
@@ -133,12 +139,14 @@
     }
 
     private void placeByShares(PlacementPolicy.Pass choices, Turns turns, double bound, double part, long now) {
-        Set<Job> begun = new LinkedHashSet<>();
+        List<Job> begun = new ArrayList<>();
         for (Optional<Task> turn = turns.next(); turn.isPresent(); turn = turns.next()) {
             Task task = turn.get();
             Choice choice = choices.decide(task, bound, part);
             if (choice.worker().isPresent()) {
-                begun.add(task.job());
+                if (task.job().phase() == JobPhase.QUEUED) {
+                    begun.add(task.job());
+                }
                 runs.start(choice.worker().get(), task, choice.bySpeed());
                 turns.placed();
             } else if (choice.heldBack()) {
@@ -148,7 +156,7 @@
             }
         }
         for (Job job : begun) {
-            waiting.begun(job, now);
+            waiting.reorder(job, now);
         }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -260,8 +260,13 @@
 
     @Override
     public void ready(List<Task> tasks) {
+        Job last = null;
         for (Task task : tasks) {
             waiting.add(task, timers.nanos());
+            if (task.job() != last) {
+                last = task.job();
+                waiting.reorder(last, timers.nanos());
+            }
         }
         passes.arm();
     }
