--- a/scripts/process-cost.sh
+++ b/scripts/process-cost.sh
@@ -1,13 +1,30 @@
 #!/usr/bin/env bash
-# Prints what the first jobs after a start cost an entry and an agent in processor time.
+# Prints what a start and the first jobs cost an entry and an agent in processor time, with the options and archives of
+# the deployment: until ready, until the first caller, and for the first 1, 20, 50, 100 and 400 jobs, by thread. A last run
+# also logs the classes that are loaded, by source, and the methods that are compiled, by package; its times are higher.
+#
+#   scripts/process-cost.sh [RUNS]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 JAVA_HOME=$(bin/find-jdk)
 export JAVA_HOME
-mvn --batch-mode -q -DskipTests -pl platform -am test-compile
+bin/build-platform
 class_path=$(mktemp)
 trap 'rm "$class_path"' EXIT
-mvn --batch-mode -q -pl wire,library,platform -DskipTests test-compile dependency:build-classpath \
+mvn --batch-mode -q -pl linkage,wire,library,platform -DskipTests test-compile dependency:build-classpath \
     -Dmdep.outputFile="$class_path" -Dmdep.includeScope=test
-"$JAVA_HOME/bin/java" --sun-misc-unsafe-memory-access=allow \
-    -cp "platform/target/test-classes:platform/target/classes:$(cat "$class_path")" org.chivetally.platform.ProcessCost
+
+# Prints the command of a role.
+command_of() {
+    sed -n "/^\[roles.$1\]/,/^\$/s/^run = \"\(.*\)\"/\1/p" deploy/system.toml
+}
+measure() {
+    "$JAVA_HOME/bin/java" --sun-misc-unsafe-memory-access=allow "-Dcost.entry=$(command_of entry)" \
+        "-Dcost.agent=$(command_of agent)" "$@" \
+        -cp "platform/target/test-classes:platform/target/classes:$(cat "$class_path")" org.chivetally.platform.ProcessCost
+}
+
+for ((run = 1; run <= ${1:-1}; run++)); do
+    measure
+done
+measure -Dcost.logs=true
