Twelve rounds of warm-up, in buffers that are used again

The warm-up did 25 rounds. Methods are compiled after forty calls, so twelve rounds of four starts compile what a start calls, and further rounds hardly anything that a job needs. Each frame of an exercise also got a buffer outside the heap of its own.

WarmUpTest passes.

--- a/library/src/main/java/org/chivetally/queue/warmup/ModelConnection.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/ModelConnection.java
@@ -15,9 +15,13 @@
 final class ModelConnection implements FrameConnection {
     private static final Duration ONE_WAY = Duration.ofMillis(1);
 
+    /** More than any frame of an exercise takes; a buffer for each frame costs more than the frame. */
+    private static final int BUFFER_BYTES = 8 * 1024;
+
     private final Timers timers;
     private final FrameListener listener;
     private ModelConnection far;
+    private ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER_BYTES);
 
     private ModelConnection(Timers timers, FrameListener listener) {
         this.timers = timers;
@@ -40,8 +44,11 @@
         timers.after(ONE_WAY, () -> far.listener.received(far, read));
     }
 
-    private static ByteBuffer written(Frame frame) {
-        ByteBuffer buffer = ByteBuffer.allocateDirect(frame.getSerializedSize());
+    private ByteBuffer written(Frame frame) {
+        if (frame.getSerializedSize() > buffer.capacity()) {
+            buffer = ByteBuffer.allocateDirect(frame.getSerializedSize());
+        }
+        buffer.clear();
         try {
             CodedOutputStream out = CodedOutputStream.newInstance(buffer);
             frame.writeTo(out);
--- a/library/src/main/java/org/chivetally/queue/warmup/WarmUp.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/WarmUp.java
@@ -26,8 +26,11 @@
      */
     static final Duration PAUSE = Duration.ofMillis(200);
 
-    /** Rounds: methods are compiled after forty calls, and a round calls most of them several times. */
-    static final int ROUNDS = 25;
+    /**
+     * Rounds: methods are compiled after forty calls, and with four starts in a round most of what a start calls is by
+     * then. More rounds hardly compile anything else, since what a round calls once is far from it.
+     */
+    static final int ROUNDS = 12;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
