--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import org.chivetally.queue.crash.CrashCount;
 
 /** An accepted job and its tasks. Its phase is final from the moment an end is decided, before that is stored. */
 public final class Job {
@@ -133,6 +134,13 @@
                 : new Outlook(Outlook.Reach.HOPELESS, Long.MAX_VALUE);
     }
 
+    /** Returns the last moment at which a task may start for the job's end to be worth anything, by the estimates. */
+    public long lastStartNanos() {
+        long remaining = Duration.ofMillis(specification.chainMillis(place -> openInStep[place] > 0))
+                .toNanos();
+        return limitNanos - remaining;
+    }
+
     /** Tells whether a job that goes on now can't end before its limit, going by the estimates. */
     public boolean isHopeless(long nowNanos) {
         return outlook(nowNanos).reach() == Outlook.Reach.HOPELESS;
@@ -211,6 +219,9 @@
         if (outcome == RunOutcome.DONE) {
             return done(task, nowMillis);
         }
+        if (outcome == RunOutcome.CRASHED) {
+            task.crashed(task.lastRun());
+        }
         if (outcome == RunOutcome.FAILED) {
             task.failed();
             if (!phase.isFinal() && task.failures() >= specification.terms().maximumAttempts()) {
@@ -275,6 +286,7 @@
     public JobProgress progress() {
         BitSet done = new BitSet(tasks.size());
         Map<Integer, Integer> failures = new TreeMap<>();
+        Map<Integer, CrashCount> crashes = new TreeMap<>();
         for (Task task : tasks) {
             if (task.status() == Task.Status.DONE) {
                 done.set(task.place());
@@ -282,8 +294,11 @@
             if (task.failures() > 0) {
                 failures.put(task.place(), task.failures());
             }
+            if (task.crashes() != CrashCount.NONE) {
+                crashes.put(task.place(), task.crashes());
+            }
         }
-        return new JobProgress(phase, done, failures, endedAtMillis);
+        return new JobProgress(phase, done, failures, crashes, endedAtMillis);
     }
 
     /**
@@ -294,7 +309,10 @@
      */
     public void restore(JobProgress kept, long firstRun) {
         for (Task task : tasks) {
-            task.restore(kept.failures().getOrDefault(task.place(), 0), firstRun - 1);
+            task.restore(
+                    kept.failures().getOrDefault(task.place(), 0),
+                    kept.crashes().getOrDefault(task.place(), CrashCount.NONE),
+                    firstRun - 1);
             if (kept.done().get(task.place())) {
                 done(task, kept.endedAtMillis());
             }
--- a/library/src/main/java/org/chivetally/queue/JobCodec.java
+++ b/library/src/main/java/org/chivetally/queue/JobCodec.java
@@ -4,10 +4,13 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.chivetally.errors.ChivetallyException;
 import org.chivetally.errors.ErrorCode;
+import org.chivetally.queue.crash.CrashCount;
 import org.chivetally.wire.v1.StoredJob;
 import org.chivetally.wire.v1.StoredProgress;
 import org.chivetally.wire.v1.StoredStep;
@@ -125,8 +128,12 @@
 
     /** Writes the progress of a job. */
     public static byte[] encode(JobProgress progress) {
-        return StoredProgress.newBuilder()
-                .setPhase(encode(progress.phase()))
+        StoredProgress.Builder stored = StoredProgress.newBuilder();
+        progress.crashes()
+                .forEach((place, count) -> stored.putCrashes(place, count.crashes())
+                        .putCrashedRuns(place, count.newestRun())
+                        .putBoundedStarts(place, count.boundedStarts()));
+        return stored.setPhase(encode(progress.phase()))
                 .setDone(ByteString.copyFrom(progress.done().toByteArray()))
                 .putAllFailures(progress.failures())
                 .setEndedAtMillis(progress.endedAtMillis())
@@ -142,12 +149,25 @@
                     decode(stored.getPhase()),
                     BitSet.valueOf(stored.getDone().toByteArray()),
                     stored.getFailuresMap(),
+                    crashes(stored),
                     stored.getEndedAtMillis());
         } catch (InvalidProtocolBufferException e) {
             throw new ChivetallyException(ErrorCode.INTERNAL, "a job's progress can't be read", e);
         }
     }
 
+    private static Map<Integer, CrashCount> crashes(StoredProgress stored) {
+        Map<Integer, CrashCount> crashes = new HashMap<>();
+        stored.getCrashesMap()
+                .forEach((place, count) -> crashes.put(
+                        place,
+                        new CrashCount(
+                                count,
+                                stored.getCrashedRunsOrDefault(place, 0),
+                                stored.getBoundedStartsOrDefault(place, 0))));
+        return crashes;
+    }
+
     /** Writes a phase. */
     public static org.chivetally.wire.v1.JobPhase encode(JobPhase phase) {
         return switch (phase) {
--- a/library/src/main/java/org/chivetally/queue/Task.java
+++ b/library/src/main/java/org/chivetally/queue/Task.java
@@ -1,6 +1,7 @@
 package org.chivetally.queue;
 
 import java.util.Optional;
+import org.chivetally.queue.crash.CrashCount;
 
 /** One task of a job: whether it waits, runs or is done. Changed only by its {@link Job}. */
 public final class Task {
@@ -26,6 +27,7 @@
     private String worker = "";
     private String failedAt = "";
     private int failures;
+    private CrashCount crashes = CrashCount.NONE;
 
     Task(Job job, TaskKey key, int place, Status status) {
         this.job = job;
@@ -84,6 +86,23 @@
         return failures;
     }
 
+    /** Returns the minions that crashed under it. */
+    public CrashCount crashes() {
+        return crashes;
+    }
+
+    /** Notes that a minion crashed under a run; tells whether that was not known. */
+    public boolean crashed(long run) {
+        CrashCount before = crashes;
+        crashes = crashes.plus(run);
+        return crashes != before;
+    }
+
+    /** Counts starts after the third crash, or takes back what was counted and not carried out. */
+    public void countStarts(int more) {
+        crashes = crashes.withStarts(more);
+    }
+
     void become(Status next) {
         status = next;
         if (next != Status.PLACED) {
@@ -102,7 +121,8 @@
         failures++;
     }
 
-    void restore(int failedRuns, long runs) {
+    void restore(int failedRuns, CrashCount crashedRuns, long runs) {
+        crashes = crashedRuns;
         failures = failedRuns;
         lastRun = Math.max(lastRun, runs);
     }
--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -236,6 +236,7 @@
                     run,
                     ownerOf(link, start),
                     JobCodec.decode(start.getRoom()),
+                    start.getSuspected(),
                     start.getPayload(),
                     start.getCheckpoint());
         }
@@ -474,8 +475,10 @@
 
     /** Returns what all entries are told, without what each of them has sent. */
     private WorkerReport.Builder report() {
-        WorkerReport.Builder report =
-                WorkerReport.newBuilder().setFailureDomain(self.failureDomain()).setAccepting(isAccepting());
+        WorkerReport.Builder report = WorkerReport.newBuilder()
+                .setFailureDomain(self.failureDomain())
+                .setAccepting(isAccepting())
+                .setSuspectedRuns(supervisor.suspected());
         supervisor
                 .minion()
                 .ifPresent(minion -> report.setMinion(minion.incarnation().name())
--- a/library/src/main/java/org/chivetally/queue/agent/HeldRun.java
+++ b/library/src/main/java/org/chivetally/queue/agent/HeldRun.java
@@ -20,6 +20,7 @@
     private final RunOwner owner;
     private final Room room;
     private final long leaseUntilMillis;
+    private final boolean suspected;
     private Stage stage = Stage.STARTING;
     private boolean stopWanted;
     private boolean stopAnswered;
@@ -27,7 +28,8 @@
     private RunOutcome carriedOutcome;
     private long stageSinceNanos;
 
-    HeldRun(RunKey key, RunOwner owner, Room room, long leaseUntilMillis, long nowNanos) {
+    HeldRun(RunKey key, RunOwner owner, Room room, long leaseUntilMillis, boolean suspected, long nowNanos) {
+        this.suspected = suspected;
         this.key = key;
         this.owner = owner;
         this.room = room;
@@ -43,6 +45,11 @@
         return owner;
     }
 
+    /** Tells whether its task was on a minion that crashed. */
+    boolean isSuspected() {
+        return suspected;
+    }
+
     Room room() {
         return room;
     }
--- a/library/src/main/java/org/chivetally/queue/agent/HeldRuns.java
+++ b/library/src/main/java/org/chivetally/queue/agent/HeldRuns.java
@@ -15,6 +15,7 @@
 final class HeldRuns {
     private final Map<TaskKey, HeldRun> runs = new LinkedHashMap<>();
     private Room room = Room.NONE;
+    private int suspected;
 
     boolean isEmpty() {
         return runs.isEmpty();
@@ -36,11 +37,13 @@
     void add(HeldRun run) {
         runs.put(run.key().task(), run);
         room = room.plus(run.room());
+        suspected += run.isSuspected() ? 1 : 0;
     }
 
     void remove(HeldRun run) {
         runs.remove(run.key().task());
         room = room.minus(run.room());
+        suspected -= run.isSuspected() ? 1 : 0;
     }
 
     /** Returns the room that all of them take. */
@@ -48,6 +51,11 @@
         return room;
     }
 
+    /** Returns how many are of tasks that were on a minion that crashed. */
+    int suspected() {
+        return suspected;
+    }
+
     /** Returns all of them as they are now. */
     List<HeldRun> all() {
         return List.copyOf(runs.values());
@@ -57,10 +65,11 @@
     List<OwnedEnd> endAll(String minion, RunOutcome outcome) {
         List<OwnedEnd> ended = new ArrayList<>();
         for (HeldRun run : runs.values()) {
-            ended.add(run.unlistedEnd(minion, outcome));
+            ended.add(run.isCarriedOver() ? run.endElsewhere() : run.unlistedEnd(minion, outcome));
         }
         runs.clear();
         room = Room.NONE;
+        suspected = 0;
         return ended;
     }
 
--- a/library/src/main/java/org/chivetally/queue/agent/RunEnds.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunEnds.java
@@ -1,6 +1,7 @@
 package org.chivetally.queue.agent;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
 import java.util.List;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.RunOutcome;
@@ -11,10 +12,12 @@
 
     private final HeldRuns held;
     private final SupervisorListener listener;
+    private final CrashLedger ledger;
 
-    RunEnds(HeldRuns held, SupervisorListener listener) {
+    RunEnds(HeldRuns held, SupervisorListener listener, CrashLedger ledger) {
         this.held = held;
         this.listener = listener;
+        this.ledger = ledger;
     }
 
     /** Ends a run that isn't at a minion and never will be. */
@@ -43,7 +46,13 @@
                 .with("minion", minion)
                 .with("runs", lost.size())
                 .with("reason", reason)
+                .with("outcome", lost.getFirst().end().outcome())
                 .log(LOGGER.atWarning());
-        listener.ended(lost);
+        List<OwnedEnd> told = new ArrayList<>();
+        for (OwnedEnd end : lost) {
+            boolean isCounted = end.end().outcome() == RunOutcome.CRASHED && end.owner() instanceof RunOwner.Partition;
+            told.add(isCounted ? ledger.add(end) : end);
+        }
+        listener.ended(told);
     }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -58,6 +58,9 @@
     /** Refusal of a start that doesn't fit; the worker may be tried again as soon as it reports room. */
     public static final String NO_ROOM = "no room";
 
+    /** Refusal of a suspect beside another one; the worker may be tried again as soon as it holds none. */
+    public static final String SUSPECT_HELD = "suspect held";
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
@@ -70,6 +73,7 @@
     private final FencingToken token;
     private final LeasePermission permission;
     private final RunCalls calls;
+    private final CrashLedger ledger;
     private final RunEnds runEnds;
     private final MinionLists lists;
     private Optional<MinionState> minion = Optional.empty();
@@ -80,6 +84,9 @@
     private boolean unannounced;
 
     private boolean departing;
+    /** Nobody listened at the minion's address when it was last looked at. */
+    private boolean nobodyListens;
+
     private boolean answering = true;
     private boolean leaving;
     private boolean used;
@@ -103,7 +110,8 @@
         this.token = new FencingToken(timers);
         this.permission = new LeasePermission(lease, held, ends, listener);
         this.calls = new RunCalls(timers, port, token, lease, new Calling());
-        this.runEnds = new RunEnds(held, listener);
+        this.ledger = new CrashLedger("crashes@" + token.value());
+        this.runEnds = new RunEnds(held, listener, ledger);
         this.lists = new MinionLists(timers, held, ends, calls, runEnds, partitions);
     }
 
@@ -145,9 +153,11 @@
 
     /** Returns the listed ends that nobody has stored yet. */
     public List<OwnedEnd> openEnds() {
-        return minion.isEmpty()
-                ? List.of()
-                : ends.open(minion.get().incarnation().name());
+        List<OwnedEnd> open = ledger.open();
+        if (minion.isPresent()) {
+            open.addAll(ends.open(minion.get().incarnation().name()));
+        }
+        return open;
     }
 
     /** Tells whether nothing runs and no end waits to be stored. */
@@ -155,6 +165,11 @@
         return held.isEmpty() && ends.isEmpty();
     }
 
+    /** Returns how many of the runs are of tasks that were on a minion that crashed. */
+    public int suspected() {
+        return held.suspected();
+    }
+
     /** Returns what fences calls of agents that were replaced, as this one sends it now. */
     public long token() {
         return token.value();
@@ -238,7 +253,7 @@
         Optional<MinionState> before = minion;
         boolean same = before.isPresent() && before.get().incarnation().isSame(told.incarnation());
         if (!same) {
-            before.ifPresent(old -> replaced(old, told.boot(), "reborn"));
+            before.ifPresent(old -> replaced(old, told.boot(), outcomeAt(old), "reborn"));
             restartLease(told.clockMillis());
         }
         minion = Optional.of(same ? update(before.get(), told) : told);
@@ -293,7 +308,7 @@
             return;
         }
         if (!boots.isReused(boot)) {
-            gone("departed");
+            gone(RunOutcome.LOST, "departed");
             return;
         }
         departing = true;
@@ -315,14 +330,14 @@
         }
         departing = false;
         if (isGone) {
-            gone("departed");
+            gone(RunOutcome.LOST, "departed");
         } else {
             listener.roomChanged();
         }
     }
 
-    private void gone(String reason) {
-        replaced(minion.orElseThrow(), "", reason);
+    private void gone(RunOutcome outcome, String reason) {
+        replaced(minion.orElseThrow(), "", outcome, reason);
         minion = Optional.empty();
         minionChanged();
     }
@@ -331,8 +346,9 @@
      * Discards what is known of an incarnation.
      *
      * @param nextId id of the one that is there instead; empty when there is none
+     * @param outcome how its runs have ended
      */
-    private void replaced(MinionState old, String nextId, String reason) {
+    private void replaced(MinionState old, String nextId, RunOutcome outcome, String reason) {
         recalled = false;
         unannounced = false;
         departing = false;
@@ -343,9 +359,9 @@
         lookArmed = false;
         lookNumber++;
         if (old.boot().equals(nextId)) {
-            carryOver(old);
+            carryOver(old, outcome);
         } else {
-            runEnds.allLost(old.incarnation().name(), RunOutcome.LOST, reason);
+            runEnds.allLost(old.incarnation().name(), outcome, reason);
         }
         ends.clear();
         keptSent = 0;
@@ -353,15 +369,20 @@
         reconciled = false;
     }
 
+    /** Returns how runs end at a minion that is found gone: it has crashed, unless it had said that it leaves. */
+    private RunOutcome outcomeAt(MinionState gone) {
+        return gone.leaving() || departing ? RunOutcome.LOST : RunOutcome.CRASHED;
+    }
+
     /**
      * Leaves it to the first lists of an incarnation under the same id which runs are gone: calls carry the id only, so
      * it may have carried out starts that were meant for the one before. The next token keeps it from carrying out more
      * of them once it has been looked at, so that those lists are the last word.
      */
-    private void carryOver(MinionState old) {
+    private void carryOver(MinionState old, RunOutcome outcome) {
         token.next();
         for (HeldRun run : held.all()) {
-            run.carryOver(old.incarnation(), RunOutcome.LOST);
+            run.carryOver(old.incarnation(), outcome);
         }
         if (!held.isEmpty()) {
             EventLine.of("runs-carried-over")
@@ -371,12 +392,19 @@
         }
     }
 
+    /** Starts a run of a task that was on no minion that crashed. */
+    Optional<String> start(RunKey run, RunOwner owner, Room room, String payload, String checkpoint) {
+        return start(run, owner, room, false, payload, checkpoint);
+    }
+
     /**
      * Starts a run.
      *
+     * @param suspected whether the task was on a minion that crashed
      * @return why it isn't started and never will be by this call; empty when it was sent to the minion
      */
-    public Optional<String> start(RunKey run, RunOwner owner, Room room, String payload, String checkpoint) {
+    public Optional<String> start(
+            RunKey run, RunOwner owner, Room room, boolean suspected, String payload, String checkpoint) {
         if (!isAccepting()) {
             return Optional.of("not accepting");
         }
@@ -387,13 +415,16 @@
         if (!room.fitsInto(free())) {
             return Optional.of(NO_ROOM);
         }
+        if (suspected && held.suspected() > 0) {
+            return Optional.of(SUSPECT_HELD);
+        }
         long now = timers.nanos();
         if (!permission.isGiven(now)) {
             return Optional.of("lease held back");
         }
         used = true;
         long until = lease.extend(now);
-        HeldRun fresh = new HeldRun(run, owner, room, until, now);
+        HeldRun fresh = new HeldRun(run, owner, room, until, suspected, now);
         held.add(fresh);
         StartOrder order = new StartOrder(run, payload, until, token.value(), checkpoint);
         calls.start(minion.orElseThrow().incarnation(), fresh, order);
@@ -425,7 +456,7 @@
 
     /** Notes that ends of an incarnation are stored, so that the minion may forget them. */
     public void kept(String incarnation, List<Long> sequences) {
-        if (!name().equals(incarnation)) {
+        if (ledger.kept(incarnation, sequences) || !name().equals(incarnation)) {
             return;
         }
         for (long sequence : sequences) {
@@ -490,18 +521,20 @@
 
     /**
      * Calls the runs of a minion that doesn't answer lost, once every lease that it may have taken has ended. Until
-     * then a run may go on there, and a second one elsewhere would run beside it.
+     * then a run may go on there, and a second one elsewhere would run beside it. A minion at whose address nobody
+     * listens has not gone silent: its process has ended, and usually it is back only after the lease.
      */
     private void loseAfterLapse(long now) {
         boolean silent = now - lastAnswerNanos > UNANSWERED_NANOS;
         if (silent && !held.isEmpty() && lease.hasLapsed(now)) {
-            runEnds.allLost(name(), RunOutcome.LOST, "silent");
+            runEnds.allLost(name(), nobodyListens ? outcomeAt(minion.orElseThrow()) : RunOutcome.LOST, "silent");
             reconciled = false;
             listener.roomChanged();
         }
     }
 
     private void looked(Incarnation at, LookAnswer answer, long sentAtNanos, long keptWithIt) {
+        nobodyListens = answer instanceof LookAnswer.Unreachable;
         switch (answer) {
             case LookAnswer.Lists told -> {
                 if (!at.isBornAs(told.bornAtMillis())) {
@@ -534,7 +567,7 @@
                     token.raise();
                     lookAfter(Duration.ZERO);
                 } else {
-                    gone("another id");
+                    gone(outcomeAt(minion.orElseThrow()), "another id");
                 }
             }
             case LookAnswer.Unreachable unreachable -> {
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -18,6 +18,8 @@
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.crash.CrashPolicy;
+import org.chivetally.queue.crash.CrashWatch;
 import org.chivetally.queue.link.Dialer;
 import org.chivetally.queue.link.LinkListener;
 import org.chivetally.queue.link.LinkTable;
@@ -83,6 +85,7 @@
     private final EntryOptions options;
     private final LinkTable links;
     private final Ownership ownership;
+    private final CrashWatch crashes;
     private final RunCoordinator runs;
     private final JobDesk desk;
     private final MemberDirectory directory;
@@ -105,10 +108,12 @@
         this.options = options;
         this.links = new LinkTable(self, timers, dialer, this);
         this.ownership = new Ownership(group, timers, self.process() + "-" + self.incarnation(), this);
+        CrashPolicy crashPolicy = new CrashPolicy(options.scheduling().crashLimit());
+        this.crashes = new CrashWatch(crashPolicy);
         PlacementPolicy placement = new PlacementPolicy(
-                self.failureDomain(), new SplittableRandom(self.process().hashCode()));
+                self.failureDomain(), new SplittableRandom(self.process().hashCode()), crashPolicy);
         this.runs = new RunCoordinator(
-                timers, placement, options.partitions(), partitions, this::mayStart, this::hasStoodStill);
+                timers, placement, crashes, options.partitions(), partitions, this::mayStart, this::hasStoodStill);
         this.desk = new JobDesk(timers, options.partitions(), this);
         this.directory = new MemberDirectory(log, timers, options.memberStream());
         this.suspension = new SuspensionDetector(timers);
@@ -140,6 +145,11 @@
         return runs.unkept();
     }
 
+    /** Returns the crashes of minions that this entry has heard of. */
+    public CrashWatch crashes() {
+        return crashes;
+    }
+
     /** Returns who is told about connections that other processes open. */
     public FrameListener acceptor() {
         return links.acceptor();
@@ -428,7 +438,7 @@
                 .with("generation", generation)
                 .log(LOGGER.atInfo());
         PartitionOwner owner =
-                new PartitionOwner(log, timers, new LogStream(options.stream(), partition), generation, this);
+                new PartitionOwner(log, timers, new LogStream(options.stream(), partition), generation, crashes, this);
         PartitionOwner before = partitions.put(partition, owner);
         if (before != null) {
             runs.partitionLost(before);
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -23,6 +23,8 @@
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.crash.CrashPolicy;
+import org.chivetally.queue.crash.CrashWatch;
 import org.chivetally.queue.log.KeyedLog;
 import org.chivetally.queue.log.KeyedRecord;
 import org.chivetally.queue.log.LogStream;
@@ -63,6 +65,7 @@
     private final Timers timers;
     private final LogStream stream;
     private final long epoch;
+    private final CrashWatch crashes;
     private final PartitionEvents events;
     private final PartitionWriter writer;
     private final Map<String, Job> jobs = new LinkedHashMap<>();
@@ -72,11 +75,16 @@
     private final Map<String, Integer> writing = new HashMap<>();
 
     private final Set<String> unheardAgents = new HashSet<>();
+    /** Tasks with a crash that is not stored yet. */
+    private final Set<Task> uncounted = new HashSet<>();
+
     private final long openedAtNanos;
     private boolean ready;
     private boolean closed;
 
-    PartitionOwner(KeyedLog log, Timers timers, LogStream stream, long epoch, PartitionEvents events) {
+    PartitionOwner(
+            KeyedLog log, Timers timers, LogStream stream, long epoch, CrashWatch crashes, PartitionEvents events) {
+        this.crashes = crashes;
         this.log = log;
         this.timers = timers;
         this.stream = stream;
@@ -228,8 +236,10 @@
         List<Task> released = new ArrayList<>();
         for (Job job : jobs.values()) {
             for (Task task : job.tasksIn(Task.Status.UNCERTAIN)) {
-                job.release(task);
-                released.add(task);
+                if (!uncounted.contains(task)) {
+                    job.release(task);
+                    released.add(task);
+                }
             }
         }
         if (!released.isEmpty()) {
@@ -238,7 +248,7 @@
                     .with("epoch", epoch)
                     .with("tasks_to_start", released.size())
                     .log(LOGGER.atInfo());
-            events.ready(released);
+            mayStart(released);
         }
     }
 
@@ -354,13 +364,20 @@
     @Override
     public void ended(Task task, RunOutcome outcome, Runnable kept) {
         Job job = task.job();
-        boolean counts = outcome == RunOutcome.DONE || outcome == RunOutcome.FAILED;
         boolean wasFinal = job.phase().isFinal();
         List<Task> ready = job.end(task, outcome, timers.epochMillis());
+        if (!wasFinal) {
+            judge(task, outcome);
+        }
+        boolean ended = !wasFinal && job.phase().isFinal();
+        if (outcome == RunOutcome.CRASHED && !wasFinal && !ended) {
+            storeCrash(task, kept);
+            return;
+        }
         if (!ready.isEmpty() && !job.phase().isFinal()) {
             becameReady(ready);
         }
-        if (!counts) {
+        if (outcome != RunOutcome.DONE && outcome != RunOutcome.FAILED && !ended) {
             kept.run();
             return;
         }
@@ -370,18 +387,10 @@
         }
         if (job.phase().isFinal()) {
             events.ended(job);
-            writeEnd(job, stored -> {
-                if (stored) {
-                    kept.run();
-                }
-            });
+            writeEnd(job, stored -> keepIf(stored, kept));
             return;
         }
-        write(job, List.of(progressOf(job)), stored -> {
-            if (stored) {
-                kept.run();
-            }
-        });
+        write(job, List.of(progressOf(job)), stored -> keepIf(stored, kept));
     }
 
     /**
@@ -390,7 +399,7 @@
      */
     private void becameReady(List<Task> tasks) {
         if (unheardAgents.isEmpty()) {
-            events.ready(tasks);
+            mayStart(tasks);
             return;
         }
         for (Task task : tasks) {
@@ -398,6 +407,114 @@
         }
     }
 
+    @Override
+    public void crashedBefore(Task task, long run, Runnable kept) {
+        Job job = task.job();
+        if (job.phase().isFinal() || task.status() == Task.Status.DONE || !task.crashed(run)) {
+            toldAgain(task, kept);
+            return;
+        }
+        boolean overLimit = crashes.crashed(task, run);
+        if (task.status() == Task.Status.PLACED
+                && CrashPolicy.isBounded(task.crashes().crashes())) {
+            // It was started before anybody here knew of this crash.
+            task.countStarts(1);
+        }
+        if (overLimit) {
+            giveUp(task);
+            events.ended(job);
+            writeEnd(job, stored -> keepIf(stored, kept));
+        } else {
+            storeCrash(task, kept);
+        }
+    }
+
+    /**
+     * Stores the crashes of a task before it is started again: each run under which a minion crashed is then in the log
+     * before the next one exists, whichever owner hears of it.
+     */
+    private void storeCrash(Task task, Runnable kept) {
+        uncounted.add(task);
+        write(task.job(), List.of(progressOf(task.job())), stored -> {
+            uncounted.remove(task);
+            if (!stored) {
+                return;
+            }
+            kept.run();
+            if (!isReady() || task.job().phase().isFinal()) {
+                return;
+            }
+            if (task.status() == Task.Status.WAITING) {
+                becameReady(List.of(task));
+            } else {
+                releaseWhenHeard();
+            }
+        });
+    }
+
+    /** Gives a task up that has crashed as many minions as are allowed, or that may be started no more. */
+    private void judge(Task task, RunOutcome outcome) {
+        if (outcome == RunOutcome.NEVER_STARTED
+                && CrashPolicy.isBounded(task.crashes().crashes())) {
+            task.countStarts(-1);
+        }
+        boolean overLimit = outcome == RunOutcome.CRASHED && crashes.crashed(task, task.lastRun());
+        if (!task.job().phase().isFinal() && (overLimit || isUsedUp(task))) {
+            giveUp(task);
+        }
+    }
+
+    private static void keepIf(boolean stored, Runnable kept) {
+        if (stored) {
+            kept.run();
+        }
+    }
+
+    private static boolean isUsedUp(Task task) {
+        return task.status() != Task.Status.DONE
+                && CrashPolicy.isUsedUp(task.crashes().crashes(), task.crashes().boundedStarts());
+    }
+
+    private void giveUp(Task task) {
+        crashes.givenUp(task);
+        task.job().finish(JobPhase.FAILED, timers.epochMillis());
+    }
+
+    /** Has tasks placed, those whose starts are bounded only once the start is counted in the log. */
+    private void mayStart(List<Task> tasks) {
+        List<Task> unbounded = new ArrayList<>();
+        for (Task task : tasks) {
+            if (CrashPolicy.isBounded(task.crashes().crashes())) {
+                countStart(task);
+            } else {
+                unbounded.add(task);
+            }
+        }
+        if (!unbounded.isEmpty()) {
+            events.ready(unbounded);
+        }
+    }
+
+    private void countStart(Task task) {
+        Job job = task.job();
+        if (job.phase().isFinal()) {
+            return;
+        }
+        if (isUsedUp(task)) {
+            giveUp(task);
+            events.ended(job);
+            writeEnd(job, stored -> {});
+            return;
+        }
+        task.countStarts(1);
+        write(job, List.of(progressOf(job)), stored -> {
+            boolean waits = task.status() == Task.Status.WAITING && !job.phase().isFinal();
+            if (stored && waits && isReady()) {
+                events.ready(List.of(task));
+            }
+        });
+    }
+
     /**
      * Keeps an end only while nothing of its job is being written. Agents tell open ends again every half second, also
      * while the log takes no writes: kept then, the minion forgets an end that no log has, and the next owner starts
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -24,6 +24,7 @@
 import org.chivetally.queue.agent.EndCodec;
 import org.chivetally.queue.agent.EndedRun;
 import org.chivetally.queue.agent.RunSupervisor;
+import org.chivetally.queue.crash.CrashWatch;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.queue.placement.AdmissionPolicy;
 import org.chivetally.queue.placement.PlacementPolicy;
@@ -93,6 +94,7 @@
     private final BooleanSupplier mayStart;
     private final BooleanSupplier stoodStill;
     private final PlacementPolicy placement;
+    private final CrashWatch crashes;
     private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
@@ -105,6 +107,7 @@
      * Creates a coordinator.
      *
      * @param placement where tasks go
+     * @param crashes what decides about tasks under which minions crashed
      * @param partitions the entry's partitions by number, kept up by the entry
      * @param mayStart whether the entry is sure enough of its ownership to start anything
      * @param stoodStill whether what the entry reads now may be old
@@ -112,16 +115,18 @@
     RunCoordinator(
             Timers timers,
             PlacementPolicy placement,
+            CrashWatch crashes,
             int partitionCount,
             Map<Integer, PartitionOwner> partitions,
             BooleanSupplier mayStart,
             BooleanSupplier stoodStill) {
         this.stoodStill = stoodStill;
         this.placement = placement;
+        this.crashes = crashes;
         this.timers = timers;
         this.partitionCount = partitionCount;
         this.partitions = partitions;
-        this.unkept = new UnkeptJobs(timers, this);
+        this.unkept = new UnkeptJobs(timers, crashes, this);
         this.mayStart = mayStart;
         this.startedAtNanos = timers.nanos();
         this.shares = new ServiceShares(timers, waiting, workers.values());
@@ -198,6 +203,7 @@
     /** Drops what waits of a job and stops what runs. */
     @Override
     public void ended(Job job) {
+        crashes.ended(job);
         for (Task task : job.tasks()) {
             waiting.remove(task);
             task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), homeOf(task)));
@@ -207,6 +213,7 @@
     /** Forgets the tasks of a partition that another process owns now. */
     void partitionLost(PartitionOwner partition) {
         for (Job job : partition.jobs()) {
+            crashes.ended(job);
             for (Task task : job.tasks()) {
                 waiting.remove(task);
                 task.worker().map(workers::get).ifPresent(worker -> worker.remove(task.key()));
@@ -264,6 +271,7 @@
                         report.getFailureDomain(),
                         report.getStartsSeen()),
                 timers.nanos());
+        worker.reportSuspects(report.getSuspectedRuns());
         armPass();
     }
 
@@ -280,7 +288,10 @@
             });
         }
         for (RunEnd end : inventory.getEndsList()) {
-            EndCodec.decode(end).ifPresent(ended -> listed.add(ended.run().task()));
+            // A crash is told until it is stored, and says nothing of a later run of the task.
+            EndCodec.decode(end)
+                    .filter(ended -> ended.outcome() != RunOutcome.CRASHED)
+                    .ifPresent(ended -> listed.add(ended.run().task()));
         }
         ends(link, inventory.getEndsList());
         for (Worker.Sent start : worker.sent()) {
@@ -378,6 +389,10 @@
             return;
         }
         Task task = known.get();
+        if (end.outcome() == RunOutcome.CRASHED) {
+            homeOf(task).ifPresent(home -> home.crashedBefore(task, end.run().run(), kept));
+            return;
+        }
         if (task.status() == Task.Status.UNCERTAIN || isLastWord(task, end)) {
             stopNewerRun(task);
             endedUnseen(worker, task, end, kept);
@@ -419,6 +434,7 @@
     private void finished(Worker worker, Worker.Sent start, RunOutcome outcome, Runnable kept) {
         if (outcome == RunOutcome.DONE) {
             worker.ended(start, timers.nanos());
+            crashes.cleared(start.task());
         }
         worker.remove(start.task().key());
         settle(worker, start.task(), start.run(), outcome, kept);
@@ -455,7 +471,8 @@
         if (start.isEmpty()) {
             return;
         }
-        if (!RunSupervisor.NO_ROOM.equals(refused.getReason())) {
+        String reason = refused.getReason();
+        if (!RunSupervisor.NO_ROOM.equals(reason) && !RunSupervisor.SUSPECT_HELD.equals(reason)) {
             worker.pause(timers.nanos() + REFUSAL_PAUSE.toNanos());
         }
         finished(worker, start.get(), RunOutcome.NEVER_STARTED, () -> {});
@@ -570,11 +587,12 @@
             double part = shares.of(service).backlogPart();
             boolean contended = PlacementPolicy.isContended(choices, service, waiting.processorMillis(service), part);
             int misses = 0;
-            for (Task task : waiting.first(service, TASKS_PER_PASS)) {
+            // Suspects that wait for a worker of their own don't keep those behind them waiting.
+            for (Task task : waiting.first(service, TASKS_PER_PASS + crashes.suspects())) {
                 Optional<Worker> worker = choices.choose(task, contended ? part : 1);
                 if (worker.isPresent()) {
                     start(worker.get(), task);
-                } else if (++misses >= MISSES_PER_PASS) {
+                } else if (!crashes.isSuspect(task) && ++misses >= MISSES_PER_PASS) {
                     break;
                 }
             }
@@ -592,6 +610,14 @@
         long run = task.lastRun() + 1;
         Worker.Sent sent = worker.send(task, run, timers.nanos());
         task.job().place(task, worker.process(), run);
+        // One that shares the worker with another suspect would be refused, were it sent as one.
+        boolean isolated = crashes.isSuspect(task) && !worker.holdsSuspect();
+        if (isolated) {
+            worker.sentSuspect(task.key());
+        } else if (crashes.isSuspect(task)) {
+            worker.sent().forEach(beside -> crashes.sent(beside.task(), false));
+        }
+        crashes.sent(task, isolated);
         EventLine.of("run-placed")
                 .with("task", task.key())
                 .with("run", run)
@@ -610,6 +636,7 @@
                         .setPartition(authority.partition())
                         .setEpoch(authority.epoch())
                         .setUnkept(authority.unkept())
+                        .setSuspected(isolated)
                         .setEchoNanos(link.peerStampNanos())
                         .setRoom(JobCodec.encode(task.room()))
                         .setPayload(task.job().specification().payload()))
--- a/library/src/main/java/org/chivetally/queue/entry/RunHome.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunHome.java
@@ -24,6 +24,15 @@
      */
     void toldAgain(Task task, Runnable kept);
 
+    /**
+     * Notes that a minion crashed under a run that nobody here follows any more.
+     *
+     * @param kept run once the agent may forget the crash
+     */
+    default void crashedBefore(Task task, long run, Runnable kept) {
+        toldAgain(task, kept);
+    }
+
     /** Returns what agents check orders for these runs by. */
     RunAuthority authority();
 
--- a/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/UnkeptJobs.java
@@ -18,6 +18,7 @@
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.crash.CrashWatch;
 import org.chivetally.time.Timers;
 
 /**
@@ -37,11 +38,13 @@
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
+    private final CrashWatch crashes;
     private final Admission admission;
     private final Map<String, Open> open = new LinkedHashMap<>();
     private OptionalLong stopsAtNanos = OptionalLong.empty();
 
-    UnkeptJobs(Timers timers, Admission admission) {
+    UnkeptJobs(Timers timers, CrashWatch crashes, Admission admission) {
+        this.crashes = crashes;
         this.timers = timers;
         this.admission = admission;
     }
@@ -197,6 +200,10 @@
         if (known == null || known.job != task.job()) {
             return;
         }
+        if (outcome == RunOutcome.CRASHED && crashes.crashed(task, task.lastRun())) {
+            crashes.givenUp(task);
+            task.job().finish(JobPhase.FAILED, timers.epochMillis());
+        }
         if (task.job().phase().isFinal()) {
             close(known, "done");
             known.tell(new JobAnswer.State(task.job().phase()));
--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -5,8 +5,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.random.RandomGenerator;
+import org.chivetally.queue.Room;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.crash.CrashPolicy;
 
 /**
  * Chooses the worker of a task: one that may run it and is likely to run it well, and of these the one with the most
@@ -38,8 +40,15 @@
 
     private static final long BAD_MILLIS = 2_000_000_000L;
 
+    /** Penalty of a worker that holds a suspect: it outweighs all free room, and less than a bad worker does. */
+    private static final long SUSPECT_MILLIS = 500_000_000L;
+
+    /** Weight of what a worker holds over what it has free, in the choice for a suspect. */
+    private static final long HELD_WEIGHT = 100;
+
     private final String failureDomain;
     private final RandomGenerator random;
+    private final CrashPolicy crashes;
 
     /**
      * Creates the policy of one entry.
@@ -48,6 +57,16 @@
      * @param random differs from that of other entries
      */
     public PlacementPolicy(String failureDomain, RandomGenerator random) {
+        this(failureDomain, random, CrashPolicy.NONE);
+    }
+
+    /**
+     * Creates the policy of one entry.
+     *
+     * @param crashes decides which tasks are kept apart
+     */
+    public PlacementPolicy(String failureDomain, RandomGenerator random, CrashPolicy crashes) {
+        this.crashes = crashes;
         this.failureDomain = failureDomain;
         this.random = random;
     }
@@ -116,6 +135,15 @@
          * @param part this entry's part of the room; 1 for no bound
          */
         public Optional<Worker> choose(Task task, double part) {
+            boolean suspect = isSuspect(task);
+            Optional<Worker> worker = choose(task, part, suspect);
+            boolean alone = worker.isPresent() || !suspect;
+            return alone || !crashes.isUrgent(nowNanos, task.job().lastStartNanos())
+                    ? worker
+                    : choose(task, part, false);
+        }
+
+        private Optional<Worker> choose(Task task, double part, boolean isolated) {
             Worker best = null;
             long bestScore = Long.MIN_VALUE;
             boolean elsewhere = isPossibleElsewhere(task);
@@ -123,12 +151,13 @@
                 boolean excluded = elsewhere && failedAt(task, worker) || passesOver && isPassedOver(worker);
                 boolean overPart = part < 1 && worker.isOverPart(task.room(), part);
                 if (excluded
+                        || isolated && worker.holdsSuspect()
                         || overPart
                         || !mayRun(task, worker)
                         || !task.room().fitsInto(worker.free())) {
                     continue;
                 }
-                long score = score(task, worker);
+                long score = score(task, worker) + apart(worker, isolated);
                 if (score > bestScore) {
                     best = worker;
                     bestScore = score;
@@ -137,6 +166,26 @@
             return Optional.ofNullable(best);
         }
 
+        /** Tells whether a task is kept apart from others that may be the cause of a crash. */
+        private boolean isSuspect(Task task) {
+            return crashes.isSuspect(task.crashes().crashes());
+        }
+
+        /**
+         * Returns what counts for or against a worker while suspects are kept apart: a suspect goes where little runs,
+         * and others keep away from suspects while there is room elsewhere, as they would crash together.
+         */
+        private long apart(Worker worker, boolean isolated) {
+            if (crashes.limit() == 0) {
+                return 0;
+            }
+            if (!isolated) {
+                return worker.holdsSuspect() ? -SUSPECT_MILLIS : 0;
+            }
+            Room capacity = worker.view().capacity();
+            return -(capacity.processorMillis() - worker.free().processorMillis()) * HELD_WEIGHT;
+        }
+
         /** Tells whether there is a sound worker for the task where it has not just failed, with room or without. */
         private boolean isPossibleElsewhere(Task task) {
             if (task.failedAt().isEmpty()) {
--- a/library/src/main/java/org/chivetally/queue/placement/Worker.java
+++ b/library/src/main/java/org/chivetally/queue/placement/Worker.java
@@ -16,6 +16,7 @@
 public final class Worker {
     private final String process;
     private final Map<TaskKey, Sent> sent = new LinkedHashMap<>();
+    private final Set<TaskKey> suspects = new LinkedHashSet<>();
     private final Set<TaskKey> overdue = new LinkedHashSet<>();
     private final WorkerHealth health = new WorkerHealth();
     private View view = View.NONE;
@@ -24,6 +25,7 @@
     private long numbers;
     private long heardAtNanos;
     private long pausedUntilNanos;
+    private int suspectedRuns;
 
     /** Creates a worker of which nothing is known yet. */
     public Worker(String process, long nowNanos) {
@@ -116,6 +118,7 @@
         link = newLink;
         numbers = 0;
         pending = Room.NONE;
+        suspectedRuns = 0;
         view = View.NONE;
     }
 
@@ -123,6 +126,7 @@
     public void unlinked() {
         link = null;
         pending = Room.NONE;
+        suspectedRuns = 0;
         view = View.NONE;
     }
 
@@ -138,6 +142,21 @@
         }
     }
 
+    /** Notes how many runs of suspects the agent holds, for whichever entry. */
+    public void reportSuspects(int runs) {
+        suspectedRuns = runs;
+    }
+
+    /** Notes that a start that was sent is one of a suspect. */
+    public void sentSuspect(TaskKey task) {
+        suspects.add(task);
+    }
+
+    /** Tells whether a suspect runs here or is on its way. */
+    public boolean holdsSuspect() {
+        return suspectedRuns > 0 || !suspects.isEmpty();
+    }
+
     /** Tells whether the agent may not have had a start yet when it last reported. */
     public boolean isUnseen(Sent start) {
         return start.link() == link && start.number() > view.startsSeen();
@@ -232,6 +251,7 @@
     /** Notes that a start is no longer in progress here. */
     public void remove(TaskKey task) {
         overdue.remove(task);
+        suspects.remove(task);
         Sent start = sent.remove(task);
         if (start != null && isUnseen(start)) {
             pending = pending.minus(start.task().room());
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/crash/CrashPolicyTest.java
@@ -0,0 +1,68 @@
+package org.chivetally.queue.crash;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+class CrashPolicyTest {
+    private static final long SECOND = Duration.ofSeconds(1).toNanos();
+
+    private final CrashPolicy two = new CrashPolicy(2);
+
+    /** Twenty tasks run on a minion that crashes: each is a suspect, and none is given up for one crash. */
+    @Test
+    void oneCrashMakesASuspectAndTwoGiveATaskUp() {
+        assertThat(two.isSuspect(0), is(false));
+        assertThat(two.isSuspect(1), is(true));
+        assertThat(two.isGivenUp(1, true), is(false));
+        assertThat(two.isGivenUp(2, true), is(true));
+    }
+
+    /** There are more suspects than workers, and several are under the second crash: one more tells which it was. */
+    @Test
+    void aSuspectThatWasNotAloneIsGivenUpOneCrashLater() {
+        assertThat(two.isGivenUp(2, false), is(false));
+        assertThat(two.isGivenUp(3, false), is(true));
+    }
+
+    /** A deployment that sets no limit: whatever crashes, tasks are placed as before. */
+    @Test
+    void withoutALimitNobodyIsASuspect() {
+        assertThat(CrashPolicy.NONE.isSuspect(5), is(false));
+        assertThat(CrashPolicy.NONE.isGivenUp(5, true), is(false));
+    }
+
+    /**
+     * The time of a suspect's caller is nearly over: held back, the job of an innocent task would be lost. Afterwards
+     * there is nothing to lose, and the suspect would only endanger others.
+     */
+    @Test
+    void aSuspectIsUrgentJustBeforeItsLastStart() {
+        assertThat(two.isUrgent(0, SECOND), is(false));
+        assertThat(two.isUrgent(SECOND - Duration.ofMillis(50).toNanos(), SECOND), is(true));
+        assertThat(two.isUrgent(SECOND, SECOND), is(true));
+        assertThat(two.isUrgent(SECOND + 1, SECOND), is(false));
+    }
+
+    /** After the third crash the starts are counted, whatever the limit, and the fourth of these is not made. */
+    @Test
+    void boundsTheStartsAfterTheThirdCrash() {
+        assertThat(CrashPolicy.isBounded(2), is(false));
+        assertThat(CrashPolicy.isUsedUp(2, 9), is(false));
+        assertThat(CrashPolicy.isBounded(3), is(true));
+        assertThat(CrashPolicy.isUsedUp(3, 2), is(false));
+        assertThat(CrashPolicy.isUsedUp(3, 3), is(true));
+    }
+
+    /** An agent tells a crash until it is stored, also to the next owner: it is one crash. */
+    @Test
+    void aCrashThatIsToldAgainCountsOnce() {
+        CrashCount once = CrashCount.NONE.plus(65);
+        assertThat(once.plus(65), is(once));
+        assertThat(once.plus(64), is(once));
+        assertThat(once.plus(66).crashes(), is(2));
+        assertThat(once.withStarts(-1).boundedStarts(), is(0));
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/CrashLoad.java
@@ -0,0 +1,114 @@
+package org.chivetally.queue.entry;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.chivetally.queue.RunKey;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.TaskKey;
+import org.chivetally.queue.agent.Incarnation;
+import org.chivetally.queue.agent.MinionState;
+import org.chivetally.queue.agent.ModelMinion;
+
+/** Minions that carry tasks out, and that crash under some of them and come back under the same id. */
+final class CrashLoad {
+    private static final long BORN = 1_800_000_000_000L;
+    private static final long STEP_MILLIS = 5;
+    private static final long HEARTBEAT_MILLIS = 1_500;
+
+    final Map<TaskKey, Integer> crashes =
+            new TreeMap<>((one, other) -> one.toString().compareTo(other.toString()));
+    private final Cluster cluster;
+    private final Set<String> guiltyJobs;
+    private final Map<String, Map<RunKey, Long>> seenAt = new HashMap<>();
+    private final Map<String, Long> backAt = new HashMap<>();
+    private final Map<String, Long> sequences = new HashMap<>();
+    long workMillis = 90;
+    long crashAfterMillis = 30;
+    long awayMillis = 3_000;
+    private long nowMillis;
+
+    CrashLoad(Cluster cluster, Set<String> guiltyJobs) {
+        this.cluster = cluster;
+        this.guiltyJobs = guiltyJobs;
+    }
+
+    void agent(String name) {
+        cluster.silentAgent(name);
+        seenAt.put(name, new HashMap<>());
+        cluster.minions.get(name).reborn(BORN);
+        beat(name);
+    }
+
+    private void beat(String name) {
+        ModelMinion minion = cluster.minions.get(name);
+        long sequence = sequences.merge(name, 1L, Long::sum);
+        cluster.agents
+                .get(name)
+                .supervisor()
+                .announced(new MinionState(
+                        Incarnation.of("boot-" + name, minion.born()),
+                        "reports",
+                        cluster.capacity,
+                        List.of("a"),
+                        false,
+                        minion.clock(),
+                        sequence));
+    }
+
+    void advance(long millis) {
+        for (long passed = 0; passed < millis; passed += STEP_MILLIS) {
+            cluster.advance(STEP_MILLIS);
+            nowMillis += STEP_MILLIS;
+            for (String name : seenAt.keySet()) {
+                step(name, cluster.minions.get(name));
+            }
+        }
+    }
+
+    private void step(String name, ModelMinion minion) {
+        if (backAt.getOrDefault(name, Long.MAX_VALUE) <= nowMillis) {
+            backAt.remove(name);
+            sequences.remove(name);
+            minion.reborn(BORN + nowMillis);
+            beat(name);
+        }
+        if (backAt.containsKey(name)) {
+            return;
+        }
+        if (nowMillis % HEARTBEAT_MILLIS == 0) {
+            beat(name);
+        }
+        Map<RunKey, Long> seen = seenAt.get(name);
+        seen.keySet().retainAll(minion.running.keySet());
+        for (RunKey run : List.copyOf(minion.running.keySet())) {
+            long age = nowMillis - seen.computeIfAbsent(run, key -> nowMillis);
+            if (guiltyJobs.contains(run.task().jobId()) && age >= crashAfterMillis) {
+                crash(name, minion, run);
+                return;
+            }
+            if (age >= workMillis) {
+                minion.end(run, RunOutcome.DONE);
+            }
+        }
+    }
+
+    private void crash(String name, ModelMinion minion, RunKey run) {
+        crashes.merge(run.task(), 1, Integer::sum);
+        minion.running.clear();
+        minion.ends.clear();
+        minion.down = true;
+        backAt.put(name, nowMillis + awayMillis);
+    }
+
+    /** Returns how many different runs of a job's tasks minions have started. */
+    long starts(String jobId) {
+        return cluster.minions.values().stream()
+                .flatMap(minion -> minion.carriedOut.stream())
+                .filter(run -> run.task().jobId().equals(jobId))
+                .distinct()
+                .count();
+    }
+}
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/CrashingTasksTest.java
@@ -0,0 +1,199 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.everyItem;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobPhase;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.Partitions;
+import org.chivetally.queue.Room;
+import org.chivetally.queue.log.ScriptedKeyedLog;
+import org.chivetally.settings.SchedulingSettings;
+import org.junit.jupiter.api.Test;
+
+class CrashingTasksTest {
+    private static final String GUILTY = "00000000000000c1";
+    private static final JobAnswer FAILED = new JobAnswer.State(JobPhase.FAILED);
+    private static final JobAnswer COMPLETED = new JobAnswer.State(JobPhase.COMPLETED);
+
+    private Cluster cluster;
+    private CrashLoad load;
+
+    private void begin(int crashLimit, int agents, Set<String> guilty) {
+        cluster = new Cluster(new SchedulingSettings(false, false, crashLimit));
+        cluster.capacity = new Room(60_000, 65_536, 0);
+        load = new CrashLoad(cluster, guilty);
+        for (int number = 1; number <= 3; number++) {
+            cluster.entry("entry-" + number);
+        }
+        for (int number = 1; number <= agents; number++) {
+            load.agent("agent-" + number);
+        }
+        load.advance(3_000);
+    }
+
+    private EntryNode entry(int number) {
+        return cluster.entries.get("entry-" + number);
+    }
+
+    private String ownerName() {
+        int partition = Partitions.of(GUILTY, Cluster.PARTITIONS);
+        return cluster.entries.entrySet().stream()
+                .filter(entry -> entry.getValue().local(partition).isPresent())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    private void advanceToCrash(int count) {
+        for (int step = 0; crashed() < count; step++) {
+            assertThat("crash " + count + " within 20 s", step < 4_000, is(true));
+            load.advance(5);
+        }
+    }
+
+    private int crashed() {
+        return load.crashes.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
+    /**
+     * A few tasks crash every minion that starts them, among many jobs whose tasks run beside them. Every guilty job is
+     * given up after two crashes of each of its tasks at most, and no other job is; those lose no attempt either.
+     */
+    @Test
+    void givesUpTheGuiltyAndNobodyElse() {
+        List<String> guilty = List.of("00000000000000d1", "00000000000000d2", "00000000000000d3", "00000000000000d4");
+        begin(2, 12, Set.copyOf(guilty));
+        Map<String, List<JobAnswer>> answers = new LinkedHashMap<>();
+        for (int number = 0; number < 400; number++) {
+            String id = String.format("%016x", 0xe000 + number);
+            answers.put(id, cluster.submitUnkept(entry(1 + number % 3), Jobs.of(id, 4, 0, 300), 4_000));
+            if (number % 80 == 40) {
+                String job = guilty.get(number / 80 % guilty.size());
+                answers.computeIfAbsent(job, key -> cluster.submitUnkept(entry(2), Jobs.of(key, 1, 0, 300), 4_000));
+            }
+            load.advance(20);
+        }
+        load.advance(6_000);
+        for (String job : guilty) {
+            assertThat(answers.remove(job), contains(FAILED));
+        }
+        List<JobAnswer> others = new ArrayList<>();
+        answers.values().forEach(others::addAll);
+        assertThat(others, hasSize(400));
+        assertThat(others, everyItem(is(COMPLETED)));
+        assertThat(load.crashes.values(), everyItem(lessThanOrEqualTo(2)));
+        assertThat(crashed(), is(8));
+    }
+
+    /** All tasks of a job crash their minions at the same moment, with hundreds of suspects for few workers. */
+    @Test
+    void givesUpAJobAllOfWhoseTasksCrash() {
+        begin(2, 12, Set.of(GUILTY));
+        List<JobAnswer> others = new ArrayList<>();
+        List<JobAnswer> guilty = List.of();
+        for (int number = 0; number < 300; number++) {
+            String id = String.format("%016x", 0xe000 + number);
+            entry(1 + number % 3)
+                    .unkept()
+                    .submit(Jobs.of(id, 4, 0, 300), cluster.timers.nanos() + 4_000_000_000L, others::add);
+            if (number == 50) {
+                guilty = cluster.submitUnkept(entry(1), Jobs.of(GUILTY, 6, 0, 300), 4_000);
+            }
+            load.advance(20);
+        }
+        load.advance(6_000);
+        assertThat(guilty, contains(FAILED));
+        assertThat(load.crashes.values(), everyItem(lessThanOrEqualTo(2)));
+        assertThat(others, hasSize(300));
+        assertThat(others.stream().filter(FAILED::equals).toList(), is(empty()));
+    }
+
+    /** Without a limit such a task goes on, as before, until its caller gives up. */
+    @Test
+    void withoutALimitNothingIsGivenUp() {
+        begin(0, 6, Set.of(GUILTY));
+        List<JobAnswer> answers = cluster.submitUnkept(entry(1), Jobs.of(GUILTY, 1, 0, 3_000), 9_000);
+        load.advance(10_000);
+        assertThat(answers.contains(FAILED), is(false));
+        assertThat(crashed(), is(greaterThan(3)));
+    }
+
+    /** Whatever the settings, a kept task starts three times after its third crash, and then its job has failed. */
+    @Test
+    void boundsTheStartsOfAKeptTaskWithoutALimit() {
+        begin(0, 8, Set.of(GUILTY));
+        cluster.submit(entry(1), Jobs.of(GUILTY, 1, 0, 100));
+        load.advance(20_000);
+        assertThat(load.starts(GUILTY), is(6L));
+        assertThat(crashed(), is(6));
+        assertThat(cluster.query(entry(2), GUILTY), contains(FAILED));
+    }
+
+    /** With the limit, a kept job is given up like any other, and its callers are told. */
+    @Test
+    void givesAKeptJobUpAtTheLimit() {
+        begin(2, 6, Set.of(GUILTY));
+        cluster.submit(entry(1), Jobs.of(GUILTY, 1, 0, 100));
+        load.advance(8_000);
+        assertThat(crashed(), is(2));
+        assertThat(cluster.query(entry(2), GUILTY), contains(FAILED));
+    }
+
+    /**
+     * The entry that is told of each crash dies before the log has the count. The agents tell the next owner, so that
+     * the bound holds over all owners together.
+     */
+    @Test
+    void countsACrashWhoseOwnerDiesBeforeItIsStored() {
+        begin(0, 8, Set.of(GUILTY));
+        cluster.submit(entry(1), Jobs.of(GUILTY, 1, 0, 100));
+        for (int deaths = 0; deaths < 2; deaths++) {
+            advanceToCrash(crashed() + 1);
+            cluster.log.mood = ScriptedKeyedLog.Mood.SILENT;
+            load.advance(1_500);
+            cluster.kill(ownerName());
+            cluster.log.mood = ScriptedKeyedLog.Mood.WELL;
+        }
+        load.advance(30_000);
+        assertThat(load.starts(GUILTY), lessThanOrEqualTo(6L));
+        assertThat(cluster.query(entry(Integer.parseInt(ownerName().substring(6))), GUILTY), contains(FAILED));
+    }
+
+    /** The store is down when the third minion has crashed: nothing starts before the count is stored. */
+    @Test
+    void startsNothingAfterTheThirdCrashWhileTheStoreIsDown() {
+        begin(0, 8, Set.of(GUILTY));
+        cluster.submit(entry(1), Jobs.of(GUILTY, 1, 0, 100));
+        advanceToCrash(3);
+        cluster.log.mood = ScriptedKeyedLog.Mood.SILENT;
+        load.advance(6_000);
+        assertThat(load.starts(GUILTY), is(3L));
+        cluster.log.mood = ScriptedKeyedLog.Mood.WELL;
+        load.advance(30_000);
+        assertThat(load.starts(GUILTY), is(6L));
+    }
+
+    /** The minions are back before anybody has missed them, each under its id: the crashes count all the same. */
+    @Test
+    void countsCrashesOfMinionsThatAreBackAtOnce() {
+        begin(2, 6, Set.of(GUILTY));
+        load.awayMillis = 5;
+        List<JobAnswer> answers = cluster.submitUnkept(entry(1), Jobs.of(GUILTY, 1, 0, 300), 4_000);
+        load.advance(2_000);
+        assertThat(answers, contains(FAILED));
+        assertThat(crashed(), is(2));
+    }
+}
--- a/library/src/test/java/org/chivetally/queue/entry/FleetCostTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/FleetCostTest.java
@@ -17,6 +17,8 @@
 import org.chivetally.queue.ManualTimers;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.crash.CrashPolicy;
+import org.chivetally.queue.crash.CrashWatch;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.wire.v1.Frame;
 import org.junit.jupiter.api.Test;
@@ -79,6 +81,7 @@
         RunCoordinator runs = new RunCoordinator(
                 timers,
                 new PlacementPolicy("north", new SplittableRandom(1)),
+                new CrashWatch(CrashPolicy.NONE),
                 Cluster.PARTITIONS,
                 Map.of(),
                 () -> passes.add(timers.nanos()),
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
@@ -55,6 +55,10 @@
         return internalGetFailures();
       case 5:
         return internalGetCrashes();
+      case 6:
+        return internalGetCrashedRuns();
+      case 7:
+        return internalGetBoundedStarts();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -298,6 +302,192 @@
     return map.get(key);
   }
 
+  public static final int CRASHED_RUNS_FIELD_NUMBER = 6;
+  private static final class CrashedRunsDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, java.lang.Long> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, java.lang.Long>newDefaultInstance(
+                org.chivetally.wire.v1.Wire.internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.UINT64,
+                0L);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, java.lang.Long> crashedRuns_;
+  private com.google.protobuf.MapField<java.lang.Integer, java.lang.Long>
+  internalGetCrashedRuns() {
+    if (crashedRuns_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          CrashedRunsDefaultEntryHolder.defaultEntry);
+    }
+    return crashedRuns_;
+  }
+  public int getCrashedRunsCount() {
+    return internalGetCrashedRuns().getMap().size();
+  }
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  @java.lang.Override
+  public boolean containsCrashedRuns(
+      int key) {
+
+    return internalGetCrashedRuns().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getCrashedRunsMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, java.lang.Long> getCrashedRuns() {
+    return getCrashedRunsMap();
+  }
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, java.lang.Long> getCrashedRunsMap() {
+    return internalGetCrashedRuns().getMap();
+  }
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  @java.lang.Override
+  public long getCrashedRunsOrDefault(
+      int key,
+      long defaultValue) {
+
+    java.util.Map<java.lang.Integer, java.lang.Long> map =
+        internalGetCrashedRuns().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  @java.lang.Override
+  public long getCrashedRunsOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, java.lang.Long> map =
+        internalGetCrashedRuns().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
+  public static final int BOUNDED_STARTS_FIELD_NUMBER = 7;
+  private static final class BoundedStartsDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, java.lang.Integer> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, java.lang.Integer>newDefaultInstance(
+                org.chivetally.wire.v1.Wire.internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0);
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, java.lang.Integer> boundedStarts_;
+  private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+  internalGetBoundedStarts() {
+    if (boundedStarts_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          BoundedStartsDefaultEntryHolder.defaultEntry);
+    }
+    return boundedStarts_;
+  }
+  public int getBoundedStartsCount() {
+    return internalGetBoundedStarts().getMap().size();
+  }
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  @java.lang.Override
+  public boolean containsBoundedStarts(
+      int key) {
+
+    return internalGetBoundedStarts().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getBoundedStartsMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, java.lang.Integer> getBoundedStarts() {
+    return getBoundedStartsMap();
+  }
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, java.lang.Integer> getBoundedStartsMap() {
+    return internalGetBoundedStarts().getMap();
+  }
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  @java.lang.Override
+  public int getBoundedStartsOrDefault(
+      int key,
+      int defaultValue) {
+
+    java.util.Map<java.lang.Integer, java.lang.Integer> map =
+        internalGetBoundedStarts().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  @java.lang.Override
+  public int getBoundedStartsOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, java.lang.Integer> map =
+        internalGetBoundedStarts().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -333,6 +523,18 @@
         internalGetCrashes(),
         CrashesDefaultEntryHolder.defaultEntry,
         5);
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetCrashedRuns(),
+        CrashedRunsDefaultEntryHolder.defaultEntry,
+        6);
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetBoundedStarts(),
+        BoundedStartsDefaultEntryHolder.defaultEntry,
+        7);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -369,6 +571,26 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(5, crashes__);
     }
+    for (java.util.Map.Entry<java.lang.Integer, java.lang.Long> entry
+         : internalGetCrashedRuns().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Long>
+      crashedRuns__ = CrashedRunsDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(6, crashedRuns__);
+    }
+    for (java.util.Map.Entry<java.lang.Integer, java.lang.Integer> entry
+         : internalGetBoundedStarts().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Integer>
+      boundedStarts__ = BoundedStartsDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(7, boundedStarts__);
+    }
     return size;
   }
   @java.lang.Override
@@ -402,6 +624,10 @@
         != other.getEndedAtMillis()) return false;
     if (!internalGetCrashes().equals(
         other.internalGetCrashes())) return false;
+    if (!internalGetCrashedRuns().equals(
+        other.internalGetCrashedRuns())) return false;
+    if (!internalGetBoundedStarts().equals(
+        other.internalGetBoundedStarts())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -428,6 +654,14 @@
       hash = (37 * hash) + CRASHES_FIELD_NUMBER;
       hash = (53 * hash) + internalGetCrashes().hashCode();
     }
+    if (!internalGetCrashedRuns().getMap().isEmpty()) {
+      hash = (37 * hash) + CRASHED_RUNS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetCrashedRuns().hashCode();
+    }
+    if (!internalGetBoundedStarts().getMap().isEmpty()) {
+      hash = (37 * hash) + BOUNDED_STARTS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetBoundedStarts().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -549,6 +783,10 @@
           return internalGetFailures();
         case 5:
           return internalGetCrashes();
+        case 6:
+          return internalGetCrashedRuns();
+        case 7:
+          return internalGetBoundedStarts();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -562,6 +800,10 @@
           return internalGetMutableFailures();
         case 5:
           return internalGetMutableCrashes();
+        case 6:
+          return internalGetMutableCrashedRuns();
+        case 7:
+          return internalGetMutableBoundedStarts();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -594,6 +836,8 @@
       internalGetMutableFailures().clear();
       endedAtMillis_ = 0L;
       internalGetMutableCrashes().clear();
+      internalGetMutableCrashedRuns().clear();
+      internalGetMutableBoundedStarts().clear();
       return this;
     }
 
@@ -644,6 +888,14 @@
         result.crashes_ = internalGetCrashes();
         result.crashes_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.crashedRuns_ = internalGetCrashedRuns();
+        result.crashedRuns_.makeImmutable();
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.boundedStarts_ = internalGetBoundedStarts();
+        result.boundedStarts_.makeImmutable();
+      }
     }
 
     @java.lang.Override
@@ -673,6 +925,12 @@
       internalGetMutableCrashes().mergeFrom(
           other.internalGetCrashes());
       bitField0_ |= 0x00000010;
+      internalGetMutableCrashedRuns().mergeFrom(
+          other.internalGetCrashedRuns());
+      bitField0_ |= 0x00000020;
+      internalGetMutableBoundedStarts().mergeFrom(
+          other.internalGetBoundedStarts());
+      bitField0_ |= 0x00000040;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -730,6 +988,24 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Long>
+              crashedRuns__ = input.readMessage(
+                  CrashedRunsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableCrashedRuns().getMutableMap().put(
+                  crashedRuns__.getKey(), crashedRuns__.getValue());
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
+            case 58: {
+              com.google.protobuf.MapEntry<java.lang.Integer, java.lang.Integer>
+              boundedStarts__ = input.readMessage(
+                  BoundedStartsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableBoundedStarts().getMutableMap().put(
+                  boundedStarts__.getKey(), boundedStarts__.getValue());
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1181,6 +1457,312 @@
       return this;
     }
 
+    private com.google.protobuf.MapField<
+        java.lang.Integer, java.lang.Long> crashedRuns_;
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Long>
+        internalGetCrashedRuns() {
+      if (crashedRuns_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            CrashedRunsDefaultEntryHolder.defaultEntry);
+      }
+      return crashedRuns_;
+    }
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Long>
+        internalGetMutableCrashedRuns() {
+      if (crashedRuns_ == null) {
+        crashedRuns_ = com.google.protobuf.MapField.newMapField(
+            CrashedRunsDefaultEntryHolder.defaultEntry);
+      }
+      if (!crashedRuns_.isMutable()) {
+        crashedRuns_ = crashedRuns_.copy();
+      }
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return crashedRuns_;
+    }
+    public int getCrashedRunsCount() {
+      return internalGetCrashedRuns().getMap().size();
+    }
+    /**
+     * <pre>
+     * newest run that is counted in it, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+     */
+    @java.lang.Override
+    public boolean containsCrashedRuns(
+        int key) {
+
+      return internalGetCrashedRuns().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getCrashedRunsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Long> getCrashedRuns() {
+      return getCrashedRunsMap();
+    }
+    /**
+     * <pre>
+     * newest run that is counted in it, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, java.lang.Long> getCrashedRunsMap() {
+      return internalGetCrashedRuns().getMap();
+    }
+    /**
+     * <pre>
+     * newest run that is counted in it, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+     */
+    @java.lang.Override
+    public long getCrashedRunsOrDefault(
+        int key,
+        long defaultValue) {
+
+      java.util.Map<java.lang.Integer, java.lang.Long> map =
+          internalGetCrashedRuns().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * newest run that is counted in it, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+     */
+    @java.lang.Override
+    public long getCrashedRunsOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, java.lang.Long> map =
+          internalGetCrashedRuns().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearCrashedRuns() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      internalGetMutableCrashedRuns().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * newest run that is counted in it, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+     */
+    public Builder removeCrashedRuns(
+        int key) {
+
+      internalGetMutableCrashedRuns().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Long>
+        getMutableCrashedRuns() {
+      bitField0_ |= 0x00000020;
+      return internalGetMutableCrashedRuns().getMutableMap();
+    }
+    /**
+     * <pre>
+     * newest run that is counted in it, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+     */
+    public Builder putCrashedRuns(
+        int key,
+        long value) {
+
+
+      internalGetMutableCrashedRuns().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00000020;
+      return this;
+    }
+    /**
+     * <pre>
+     * newest run that is counted in it, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+     */
+    public Builder putAllCrashedRuns(
+        java.util.Map<java.lang.Integer, java.lang.Long> values) {
+      internalGetMutableCrashedRuns().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00000020;
+      return this;
+    }
+
+    private com.google.protobuf.MapField<
+        java.lang.Integer, java.lang.Integer> boundedStarts_;
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+        internalGetBoundedStarts() {
+      if (boundedStarts_ == null) {
+        return com.google.protobuf.MapField.emptyMapField(
+            BoundedStartsDefaultEntryHolder.defaultEntry);
+      }
+      return boundedStarts_;
+    }
+    private com.google.protobuf.MapField<java.lang.Integer, java.lang.Integer>
+        internalGetMutableBoundedStarts() {
+      if (boundedStarts_ == null) {
+        boundedStarts_ = com.google.protobuf.MapField.newMapField(
+            BoundedStartsDefaultEntryHolder.defaultEntry);
+      }
+      if (!boundedStarts_.isMutable()) {
+        boundedStarts_ = boundedStarts_.copy();
+      }
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return boundedStarts_;
+    }
+    public int getBoundedStartsCount() {
+      return internalGetBoundedStarts().getMap().size();
+    }
+    /**
+     * <pre>
+     * starts that were charged after the third crash, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+     */
+    @java.lang.Override
+    public boolean containsBoundedStarts(
+        int key) {
+
+      return internalGetBoundedStarts().getMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getBoundedStartsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Integer> getBoundedStarts() {
+      return getBoundedStartsMap();
+    }
+    /**
+     * <pre>
+     * starts that were charged after the third crash, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, java.lang.Integer> getBoundedStartsMap() {
+      return internalGetBoundedStarts().getMap();
+    }
+    /**
+     * <pre>
+     * starts that were charged after the third crash, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+     */
+    @java.lang.Override
+    public int getBoundedStartsOrDefault(
+        int key,
+        int defaultValue) {
+
+      java.util.Map<java.lang.Integer, java.lang.Integer> map =
+          internalGetBoundedStarts().getMap();
+      return map.containsKey(key) ? map.get(key) : defaultValue;
+    }
+    /**
+     * <pre>
+     * starts that were charged after the third crash, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+     */
+    @java.lang.Override
+    public int getBoundedStartsOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, java.lang.Integer> map =
+          internalGetBoundedStarts().getMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return map.get(key);
+    }
+    public Builder clearBoundedStarts() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      internalGetMutableBoundedStarts().getMutableMap()
+          .clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * starts that were charged after the third crash, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+     */
+    public Builder removeBoundedStarts(
+        int key) {
+
+      internalGetMutableBoundedStarts().getMutableMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, java.lang.Integer>
+        getMutableBoundedStarts() {
+      bitField0_ |= 0x00000040;
+      return internalGetMutableBoundedStarts().getMutableMap();
+    }
+    /**
+     * <pre>
+     * starts that were charged after the third crash, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+     */
+    public Builder putBoundedStarts(
+        int key,
+        int value) {
+
+
+      internalGetMutableBoundedStarts().getMutableMap()
+          .put(key, value);
+      bitField0_ |= 0x00000040;
+      return this;
+    }
+    /**
+     * <pre>
+     * starts that were charged after the third crash, by place of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+     */
+    public Builder putAllBoundedStarts(
+        java.util.Map<java.lang.Integer, java.lang.Integer> values) {
+      internalGetMutableBoundedStarts().getMutableMap()
+          .putAll(values);
+      bitField0_ |= 0x00000040;
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.StoredProgress)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
@@ -140,4 +140,108 @@
    */
   int getCrashesOrThrow(
       int key);
+
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  int getCrashedRunsCount();
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  boolean containsCrashedRuns(
+      int key);
+  /**
+   * Use {@link #getCrashedRunsMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, java.lang.Long>
+  getCrashedRuns();
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  java.util.Map<java.lang.Integer, java.lang.Long>
+  getCrashedRunsMap();
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  long getCrashedRunsOrDefault(
+      int key,
+      long defaultValue);
+  /**
+   * <pre>
+   * newest run that is counted in it, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
+   */
+  long getCrashedRunsOrThrow(
+      int key);
+
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  int getBoundedStartsCount();
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  boolean containsBoundedStarts(
+      int key);
+  /**
+   * Use {@link #getBoundedStartsMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, java.lang.Integer>
+  getBoundedStarts();
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  java.util.Map<java.lang.Integer, java.lang.Integer>
+  getBoundedStartsMap();
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  int getBoundedStartsOrDefault(
+      int key,
+      int defaultValue);
+  /**
+   * <pre>
+   * starts that were charged after the third crash, by place of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, uint32&gt; bounded_starts = 7;</code>
+   */
+  int getBoundedStartsOrThrow(
+      int key);
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -276,6 +276,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_chivetally_wire_v1_StoredMember_descriptor;
   static final 
@@ -478,54 +488,60 @@
       "\001(\t\022\026\n\016preferred_rack\030\t \001(\t\022\032\n\022maximum_p" +
       "er_worker\030\n \001(\r\022\032\n\022duplicates_allowed\030\013 " +
       "\001(\010\022\024\n\014fills_unused\030\014 \001(\010\022\r\n\005image\030\r \001(\t" +
-      "\022\025\n\rtarget_millis\030\016 \001(\r\"\327\002\n\016StoredProgre" +
+      "\022\025\n\rtarget_millis\030\016 \001(\r\"\343\004\n\016StoredProgre" +
       "ss\022/\n\005phase\030\001 \001(\0162 .org.chivetally.wire." +
       "v1.JobPhase\022\014\n\004done\030\002 \001(\014\022F\n\010failures\030\003 " +
       "\003(\01324.org.chivetally.wire.v1.StoredProgr" +
       "ess.FailuresEntry\022\027\n\017ended_at_millis\030\004 \001" +
       "(\004\022D\n\007crashes\030\005 \003(\01323.org.chivetally.wir" +
-      "e.v1.StoredProgress.CrashesEntry\032/\n\rFail" +
-      "uresEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028" +
-      "\001\032.\n\014CrashesEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030" +
-      "\002 \001(\r:\0028\001\"\234\001\n\014StoredMember\022\023\n\013incarnatio" +
-      "n\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016failure_domain" +
-      "\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\0224\n\006mi" +
-      "nion\030\006 \001(\0132$.org.chivetally.wire.v1.Stor" +
-      "edMinion\"\254\001\n\014StoredMinion\022\014\n\004boot\030\001 \001(\t\022" +
-      "\017\n\007service\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132\034.org" +
-      ".chivetally.wire.v1.Room\022\016\n\006labels\030\004 \003(\t" +
-      "\022\017\n\007leaving\030\005 \001(\010\022\024\n\014clock_millis\030\006 \001(\004\022" +
-      "\026\n\016born_at_millis\030\007 \001(\004*\242\001\n\nTaskStatus\022\033" +
-      "\n\027TASK_STATUS_UNSPECIFIED\020\000\022\024\n\020TASK_STAT" +
-      "US_DONE\020\001\022\026\n\022TASK_STATUS_FAILED\020\002\022\027\n\023TAS" +
-      "K_STATUS_NOT_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOW" +
-      "N\020\004\022\027\n\023TASK_STATUS_RUNNING\020\005*\347\002\n\rRefusal" +
-      "Reason\022\036\n\032REFUSAL_REASON_UNSPECIFIED\020\000\022\027" +
-      "\n\023REFUSAL_REASON_FULL\020\001\022\033\n\027REFUSAL_REASO" +
-      "N_DRAINING\020\002\022\037\n\033REFUSAL_REASON_STALE_TIC" +
-      "KET\020\003\022!\n\035REFUSAL_REASON_OLD_GENERATION\020\004" +
-      "\022 \n\034REFUSAL_REASON_WRONG_SERVICE\020\005\022\034\n\030RE" +
-      "FUSAL_REASON_CANCELLED\020\006\022\032\n\026REFUSAL_REAS" +
-      "ON_EXPIRED\020\007\022\"\n\036REFUSAL_REASON_ALREADY_S" +
-      "TARTED\020\010\022\036\n\032REFUSAL_REASON_MINION_DOWN\020\t" +
-      "\022\034\n\030REFUSAL_REASON_TOO_LARGE\020\n*\205\002\n\nRunOu" +
-      "tcome\022\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RU" +
-      "N_OUTCOME_DONE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002" +
-      "\022\027\n\023RUN_OUTCOME_STOPPED\020\003\022\026\n\022RUN_OUTCOME" +
-      "_LAPSED\020\004\022\026\n\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN" +
-      "_OUTCOME_ALONE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035" +
-      "\n\031RUN_OUTCOME_NEVER_STARTED\020\010\022\027\n\023RUN_OUT" +
-      "COME_CRASHED\020\t*\306\001\n\nJobVerdict\022\033\n\027JOB_VER" +
-      "DICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDICT_ACCEPT" +
-      "ED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033\n\027JOB_VER" +
-      "DICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OW" +
-      "NER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n\025JOB_VERD" +
-      "ICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHAS" +
-      "E_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n" +
-      "\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHASE_COMPLE" +
-      "TED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE" +
-      "_CANCELLED\020\005B\032\n\026org.chivetally.wire.v1P\001" +
-      "b\006proto3"
+      "e.v1.StoredProgress.CrashesEntry\022M\n\014cras" +
+      "hed_runs\030\006 \003(\01327.org.chivetally.wire.v1." +
+      "StoredProgress.CrashedRunsEntry\022Q\n\016bound" +
+      "ed_starts\030\007 \003(\01329.org.chivetally.wire.v1" +
+      ".StoredProgress.BoundedStartsEntry\032/\n\rFa" +
+      "iluresEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:" +
+      "\0028\001\032.\n\014CrashesEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005valu" +
+      "e\030\002 \001(\r:\0028\001\0322\n\020CrashedRunsEntry\022\013\n\003key\030\001" +
+      " \001(\r\022\r\n\005value\030\002 \001(\004:\0028\001\0324\n\022BoundedStarts" +
+      "Entry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\"\234\001" +
+      "\n\014StoredMember\022\023\n\013incarnation\030\001 \001(\004\022\r\n\005a" +
+      "gent\030\002 \001(\010\022\026\n\016failure_domain\030\003 \001(\t\022\014\n\004ho" +
+      "st\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\0224\n\006minion\030\006 \001(\0132$" +
+      ".org.chivetally.wire.v1.StoredMinion\"\254\001\n" +
+      "\014StoredMinion\022\014\n\004boot\030\001 \001(\t\022\017\n\007service\030\002" +
+      " \001(\t\022.\n\010capacity\030\003 \001(\0132\034.org.chivetally." +
+      "wire.v1.Room\022\016\n\006labels\030\004 \003(\t\022\017\n\007leaving\030" +
+      "\005 \001(\010\022\024\n\014clock_millis\030\006 \001(\004\022\026\n\016born_at_m" +
+      "illis\030\007 \001(\004*\242\001\n\nTaskStatus\022\033\n\027TASK_STATU" +
+      "S_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n" +
+      "\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STATUS_NOT" +
+      "_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_" +
+      "STATUS_RUNNING\020\005*\347\002\n\rRefusalReason\022\036\n\032RE" +
+      "FUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFUSAL_RE" +
+      "ASON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAINING\020\002" +
+      "\022\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022!\n\035REF" +
+      "USAL_REASON_OLD_GENERATION\020\004\022 \n\034REFUSAL_" +
+      "REASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_REASON" +
+      "_CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXPIRED\020\007" +
+      "\022\"\n\036REFUSAL_REASON_ALREADY_STARTED\020\010\022\036\n\032" +
+      "REFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030REFUSAL_" +
+      "REASON_TOO_LARGE\020\n*\205\002\n\nRunOutcome\022\033\n\027RUN" +
+      "_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTCOME_DO" +
+      "NE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RUN_OUTC" +
+      "OME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n" +
+      "\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCOME_ALO" +
+      "NE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_OUTCOM" +
+      "E_NEVER_STARTED\020\010\022\027\n\023RUN_OUTCOME_CRASHED" +
+      "\020\t*\306\001\n\nJobVerdict\022\033\n\027JOB_VERDICT_UNSPECI" +
+      "FIED\020\000\022\030\n\024JOB_VERDICT_ACCEPTED\020\001\022\027\n\023JOB_" +
+      "VERDICT_REFUSED\020\002\022\033\n\027JOB_VERDICT_UNKNOWN" +
+      "_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OWNER\020\004\022\025\n\021JOB" +
+      "_VERDICT_STATE\020\005\022\031\n\025JOB_VERDICT_CANCELLE" +
+      "D\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECIFIE" +
+      "D\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n\021JOB_PHASE_R" +
+      "UNNING\020\002\022\027\n\023JOB_PHASE_COMPLETED\020\003\022\024\n\020JOB" +
+      "_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE_CANCELLED\020\005" +
+      "B\032\n\026org.chivetally.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -818,7 +834,7 @@
     internal_static_org_chivetally_wire_v1_StoredProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_descriptor,
-        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", "Crashes", });
+        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", "Crashes", "CrashedRuns", "BoundedStarts", });
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor =
       internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(0);
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_fieldAccessorTable = new
@@ -831,6 +847,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_descriptor =
+      internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(2);
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_descriptor =
+      internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(3);
+    internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
     internal_static_org_chivetally_wire_v1_StoredMember_descriptor =
       getDescriptor().getMessageType(48);
     internal_static_org_chivetally_wire_v1_StoredMember_fieldAccessorTable = new
