--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -272,6 +272,7 @@
                     run,
                     ownerOf(link, start),
                     JobCodec.decode(start.getRoom()),
+                    start.getSuspected(),
                     start.getPayload(),
                     start.getCheckpoint());
         }
@@ -562,10 +563,13 @@
 
     /** Returns what all entries are told, without what each of them has sent. */
     private WorkerReport.Builder report() {
-        WorkerReport.Builder report =
-                WorkerReport.newBuilder().setFailureDomain(self.failureDomain()).setAccepting(isAccepting());
         LearnedStretch stretch = timing.stretch();
-        report.setStretchPermille(stretch.permille()).setStretchRuns(stretch.runs());
+        WorkerReport.Builder report = WorkerReport.newBuilder()
+                .setFailureDomain(self.failureDomain())
+                .setAccepting(isAccepting())
+                .setSuspectedRuns(supervisor.suspected())
+                .setStretchPermille(stretch.permille())
+                .setStretchRuns(stretch.runs());
         supervisor
                 .minion()
                 .ifPresent(minion -> report.setMinion(minion.incarnation().name())
--- a/library/src/main/java/org/chivetally/queue/entry/PlacementPasses.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PlacementPasses.java
@@ -10,6 +10,7 @@
 import org.chivetally.queue.Job;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.crash.CrashWatch;
 import org.chivetally.queue.placement.Choice;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.queue.placement.Turns;
@@ -37,6 +38,7 @@
     private final WaitingTasks waiting;
     private final Collection<Worker> workers;
     private final PlacementPolicy placement;
+    private final CrashWatch crashes;
     private final ServiceShares shares;
     private final Optional<QueueShares> queueShares;
     private final Runs runs;
@@ -55,6 +57,7 @@
             WaitingTasks waiting,
             Collection<Worker> workers,
             PlacementPolicy placement,
+            CrashWatch crashes,
             ServiceShares shares,
             Optional<QueueShares> queueShares,
             Runs runs) {
@@ -62,6 +65,7 @@
         this.waiting = waiting;
         this.workers = workers;
         this.placement = placement;
+        this.crashes = crashes;
         this.shares = shares;
         this.queueShares = queueShares;
         this.runs = runs;
@@ -119,7 +123,11 @@
             double bound = contended ? part : 1;
             if (queueShares.isPresent()) {
                 placeByShares(
-                        choices, queueShares.get().turns(service, own.get(service), TASKS_PER_PASS), bound, part, now);
+                        choices,
+                        queueShares.get().turns(service, own.get(service), TASKS_PER_PASS + crashes.suspects()),
+                        bound,
+                        part,
+                        now);
             } else {
                 placeInOrder(choices, service, bound, part);
             }
@@ -128,11 +136,12 @@
 
     private void placeInOrder(PlacementPolicy.Pass choices, String service, double bound, double part) {
         int misses = 0;
-        for (Task task : waiting.first(service, TASKS_PER_PASS)) {
+        // Suspects that wait for a worker of their own don't keep those behind them waiting.
+        for (Task task : waiting.first(service, TASKS_PER_PASS + crashes.suspects())) {
             Choice choice = choices.decide(task, bound, part);
             if (choice.worker().isPresent()) {
                 runs.start(choice.worker().get(), task, choice.bySpeed());
-            } else if (!choice.heldBack() && ++misses >= MISSES_PER_PASS) {
+            } else if (!choice.heldBack() && !crashes.isSuspect(task) && ++misses >= MISSES_PER_PASS) {
                 break;
             }
         }
@@ -149,7 +158,7 @@
                 }
                 runs.start(choice.worker().get(), task, choice.bySpeed());
                 turns.placed();
-            } else if (choice.heldBack()) {
+            } else if (choice.heldBack() || crashes.isSuspect(task)) {
                 turns.heldBack();
             } else {
                 turns.missed();
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -25,6 +25,7 @@
 import org.chivetally.queue.agent.EndCodec;
 import org.chivetally.queue.agent.EndedRun;
 import org.chivetally.queue.agent.RunSupervisor;
+import org.chivetally.queue.crash.CrashWatch;
 import org.chivetally.queue.link.PeerLink;
 import org.chivetally.queue.placement.AdmissionPolicy;
 import org.chivetally.queue.placement.PlacementPolicy;
@@ -84,6 +85,7 @@
     private final BooleanSupplier stoodStill;
     private final LongSupplier keptUpAtNanos;
     private final PlacementPolicy placement;
+    private final CrashWatch crashes;
     private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
@@ -97,6 +99,7 @@
      * Creates a coordinator.
      *
      * @param placement where tasks go
+     * @param crashes what decides about tasks under which minions crashed
      * @param partitions the entry's partitions by number, kept up by the entry
      * @param mayStart whether the entry is sure enough of its ownership to start anything
      * @param stoodStill whether what the entry reads now may be old
@@ -106,6 +109,7 @@
     RunCoordinator(
             Timers timers,
             PlacementPolicy placement,
+            CrashWatch crashes,
             int partitionCount,
             Map<Integer, PartitionOwner> partitions,
             BooleanSupplier mayStart,
@@ -115,10 +119,11 @@
         this.stoodStill = stoodStill;
         this.keptUpAtNanos = keptUpAtNanos;
         this.placement = placement;
+        this.crashes = crashes;
         this.timers = timers;
         this.partitionCount = partitionCount;
         this.partitions = partitions;
-        this.unkept = new UnkeptJobs(timers, this);
+        this.unkept = new UnkeptJobs(timers, crashes, this);
         this.startedAtNanos = timers.nanos();
         this.waiting = new WaitingTasks(scheduling.fairShares());
         this.shares = new ServiceShares(timers, waiting, workers.values());
@@ -126,7 +131,7 @@
                 ? Optional.of(new QueueShares(timers, waiting, workers.values()))
                 : Optional.empty();
         this.passes = new PlacementPasses(
-                timers, waiting, workers.values(), placement, shares, queueShares, new PlacementPasses.Runs() {
+                timers, waiting, workers.values(), placement, crashes, shares, queueShares, new PlacementPasses.Runs() {
                     @Override
                     public boolean mayStart() {
                         return mayStart.getAsBoolean();
@@ -274,6 +279,7 @@
     /** Drops what waits of a job and stops what runs. */
     @Override
     public void ended(Job job) {
+        crashes.ended(job);
         for (Task task : job.tasks()) {
             waiting.remove(task);
             task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), homeOf(task)));
@@ -283,6 +289,7 @@
     /** Forgets the tasks of a partition that another process owns now. */
     void partitionLost(PartitionOwner partition) {
         for (Job job : partition.jobs()) {
+            crashes.ended(job);
             for (Task task : job.tasks()) {
                 waiting.remove(task);
                 task.worker().map(workers::get).ifPresent(worker -> worker.remove(task.key()));
@@ -341,6 +348,7 @@
                         report.getStartsSeen()),
                 timers.nanos());
         worker.learned(new LearnedStretch(report.getStretchPermille(), report.getStretchRuns()));
+        worker.reportSuspects(report.getSuspectedRuns());
         passes.arm();
     }
 
@@ -357,7 +365,10 @@
             });
         }
         for (RunEnd end : inventory.getEndsList()) {
-            EndCodec.decode(end).ifPresent(ended -> listed.add(ended.run().task()));
+            // A crash is told until it is stored, and says nothing of a later run of the task.
+            EndCodec.decode(end)
+                    .filter(ended -> ended.outcome() != RunOutcome.CRASHED)
+                    .ifPresent(ended -> listed.add(ended.run().task()));
         }
         ends(link, inventory.getEndsList());
         for (Worker.Sent start : worker.sent()) {
@@ -455,6 +466,10 @@
             return;
         }
         Task task = known.get();
+        if (end.outcome() == RunOutcome.CRASHED) {
+            homeOf(task).ifPresent(home -> home.crashedBefore(task, end.run().run(), kept));
+            return;
+        }
         if (task.status() == Task.Status.UNCERTAIN || isLastWord(task, end)) {
             stopNewerRun(task);
             endedUnseen(worker, task, end, kept);
@@ -496,6 +511,7 @@
     private void finished(Worker worker, Worker.Sent start, RunOutcome outcome, Runnable kept) {
         if (outcome == RunOutcome.DONE) {
             placement.ended(worker, start, timers.nanos());
+            crashes.cleared(start.task());
         }
         worker.remove(start.task().key());
         settle(worker, start.task(), start.run(), outcome, kept);
@@ -532,7 +548,8 @@
         if (start.isEmpty()) {
             return;
         }
-        if (!RunSupervisor.NO_ROOM.equals(refused.getReason())) {
+        String reason = refused.getReason();
+        if (!RunSupervisor.NO_ROOM.equals(reason) && !RunSupervisor.SUSPECT_HELD.equals(reason)) {
             worker.pause(timers.nanos() + REFUSAL_PAUSE.toNanos());
         }
         finished(worker, start.get(), RunOutcome.NEVER_STARTED, () -> {});
@@ -626,6 +643,14 @@
         double expectedMillis = placement.expectedMillis(task);
         Worker.Sent sent = worker.send(task, run, now, expectedMillis);
         task.job().place(task, worker.process(), run);
+        // One that shares the worker with another suspect would be refused, were it sent as one.
+        boolean isolated = crashes.isSuspect(task) && !worker.holdsSuspect();
+        if (isolated) {
+            worker.sentSuspect(task.key());
+        } else if (crashes.isSuspect(task)) {
+            worker.sent().forEach(beside -> crashes.sent(beside.task(), false));
+        }
+        crashes.sent(task, isolated);
         EventLine placed = EventLine.of("run-placed")
                 .with("task", task.key())
                 .with("run", run)
@@ -648,6 +673,7 @@
                         .setPartition(authority.partition())
                         .setEpoch(authority.epoch())
                         .setUnkept(authority.unkept())
+                        .setSuspected(isolated)
                         .setEchoNanos(link.peerStampNanos())
                         .setStampAgeNanos(link.stampAgeNanos(keptUpAtNanos.getAsLong()))
                         .setEstimatedMillis(
--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -9,6 +9,7 @@
 import org.chivetally.queue.Room;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.crash.CrashPolicy;
 import org.chivetally.queue.speed.QueueEstimates;
 import org.chivetally.queue.speed.SpeedClasses;
 
@@ -42,20 +43,27 @@
 
     private static final long BAD_MILLIS = 2_000_000_000L;
 
+    /** Penalty of a worker that holds a suspect: it outweighs all free room, and less than a bad worker does. */
+    private static final long SUSPECT_MILLIS = 500_000_000L;
+
+    /** Weight of what a worker holds over what it has free, in the choice for a suspect. */
+    private static final long HELD_WEIGHT = 100;
+
     private final String failureDomain;
     private final RandomGenerator random;
     private final boolean learnsSpeeds;
     private final WorkerSpeeds speeds = new WorkerSpeeds();
     private final QueueEstimates estimates = new QueueEstimates();
+    private final CrashPolicy crashes;
 
     /**
-     * Creates the policy of one entry, to which all workers are equally fast.
+     * Creates the policy of one entry, to which all workers are equally fast and no task is suspect.
      *
      * @param failureDomain the entry's own
      * @param random differs from that of other entries
      */
     public PlacementPolicy(String failureDomain, RandomGenerator random) {
-        this(failureDomain, random, false);
+        this(failureDomain, random, false, CrashPolicy.NONE);
     }
 
     /**
@@ -64,8 +72,10 @@
      * @param failureDomain the entry's own
      * @param random differs from that of other entries
      * @param learnsSpeeds whether workers' speeds are learned from their runs, and decide where a task goes
+     * @param crashes decides which tasks are kept apart
      */
-    public PlacementPolicy(String failureDomain, RandomGenerator random, boolean learnsSpeeds) {
+    public PlacementPolicy(String failureDomain, RandomGenerator random, boolean learnsSpeeds, CrashPolicy crashes) {
+        this.crashes = crashes;
         this.failureDomain = failureDomain;
         this.random = random;
         this.learnsSpeeds = learnsSpeeds;
@@ -172,18 +182,27 @@
          * @param part this entry's part of the room; 1 for no bound
          */
         public Optional<Worker> choose(Task task, double part) {
+            boolean suspect = isSuspect(task);
+            Optional<Worker> worker = choose(task, part, suspect);
+            boolean alone = worker.isPresent() || !suspect;
+            return alone || !crashes.isUrgent(nowNanos, task.job().lastStartNanos())
+                    ? worker
+                    : choose(task, part, false);
+        }
+
+        private Optional<Worker> choose(Task task, double part, boolean isolated) {
             Worker best = null;
             long bestScore = Long.MIN_VALUE;
             boolean elsewhere = isPossibleElsewhere(task);
             for (Worker worker : open) {
-                if (isExcluded(task, worker, elsewhere)) {
+                if (isExcluded(task, worker, elsewhere) || isolated && worker.holdsSuspect()) {
                     continue;
                 }
                 Room free = worker.free();
                 if (!hasRoom(task, worker, free, part)) {
                     continue;
                 }
-                long score = score(task, worker, free.processorMillis());
+                long score = score(task, worker, free.processorMillis()) + apart(worker, isolated);
                 if (score > bestScore) {
                     best = worker;
                     bestScore = score;
@@ -201,7 +220,7 @@
          */
         public Choice decide(Task task, double part, double share) {
             double expectedMillis = expectedMillis(task);
-            if (!learnsSpeeds || expectedMillis <= 0) {
+            if (!learnsSpeeds || expectedMillis <= 0 || isSuspect(task)) {
                 return Choice.byRoom(choose(task, part));
             }
             QueueTerms terms = task.job().specification().terms();
@@ -232,7 +251,7 @@
                     candidates.usable(worker, free.processorMillis());
                 }
                 if (hasRoom(task, worker, free, part)) {
-                    candidates.add(worker, scoreInClass(task, worker, free.processorMillis()));
+                    candidates.add(worker, scoreInClass(task, worker, free.processorMillis()) + apart(worker, false));
                 }
             }
         }
@@ -251,6 +270,26 @@
             return SCARCE_PART * free < worker.view().capacity().processorMillis();
         }
 
+        /** Tells whether a task is kept apart from others that may be the cause of a crash. */
+        private boolean isSuspect(Task task) {
+            return crashes.isSuspect(task.crashes().crashes());
+        }
+
+        /**
+         * Returns what counts for or against a worker while suspects are kept apart: a suspect goes where little runs,
+         * and others keep away from suspects while there is room elsewhere, as they would crash together.
+         */
+        private long apart(Worker worker, boolean isolated) {
+            if (crashes.limit() == 0) {
+                return 0;
+            }
+            if (!isolated) {
+                return worker.holdsSuspect() ? -SUSPECT_MILLIS : 0;
+            }
+            Room capacity = worker.view().capacity();
+            return -(capacity.processorMillis() - worker.free().processorMillis()) * HELD_WEIGHT;
+        }
+
         /** Tells whether there is a sound worker for the task where it has not just failed, with room or without. */
         private boolean isPossibleElsewhere(Task task) {
             if (task.failedAt().isEmpty()) {
--- a/library/src/test/java/org/chivetally/queue/placement/FleetReplay.java
+++ b/library/src/test/java/org/chivetally/queue/placement/FleetReplay.java
@@ -19,6 +19,7 @@
 import org.chivetally.queue.StepSpecification;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.crash.CrashPolicy;
 import org.chivetally.queue.speed.LearnedStretch;
 import org.chivetally.queue.speed.RunStretch;
 
@@ -206,7 +207,8 @@
 
         private Entry(int number) {
             this.number = number;
-            this.policy = new PlacementPolicy(domain(number), new SplittableRandom(number), learnsSpeeds);
+            this.policy =
+                    new PlacementPolicy(domain(number), new SplittableRandom(number), learnsSpeeds, CrashPolicy.NONE);
             for (Agent agent : agents) {
                 Worker worker = new Worker("worker-" + agent.number, nowNanos);
                 worker.linked(this);
--- a/library/src/test/java/org/chivetally/queue/placement/SpeedChoiceTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/SpeedChoiceTest.java
@@ -14,6 +14,7 @@
 import org.chivetally.queue.StepSpecification;
 import org.chivetally.queue.StepTraits;
 import org.chivetally.queue.Task;
+import org.chivetally.queue.crash.CrashPolicy;
 import org.chivetally.queue.speed.LearnedStretch;
 import org.junit.jupiter.api.Test;
 
@@ -31,7 +32,8 @@
     /** Room for no task. */
     private static final int FULL = 1_000;
 
-    private final PlacementPolicy policy = new PlacementPolicy("north", new SplittableRandom(1), true);
+    private final PlacementPolicy policy =
+            new PlacementPolicy("north", new SplittableRandom(1), true, CrashPolicy.NONE);
     private final List<Worker> workers = new ArrayList<>();
 
     private Worker worker(String kind, int freeMillis, String... labels) {
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -276,6 +276,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_chivetally_wire_v1_StoredMember_descriptor;
   static final 
@@ -479,53 +489,60 @@
       "d_rack\030\t \001(\t\022\032\n\022maximum_per_worker\030\n \001(\r" +
       "\022\032\n\022duplicates_allowed\030\013 \001(\010\022\024\n\014fills_un" +
       "used\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\025\n\rtarget_mill" +
-      "is\030\016 \001(\r\"\327\002\n\016StoredProgress\022/\n\005phase\030\001 \001" +
+      "is\030\016 \001(\r\"\343\004\n\016StoredProgress\022/\n\005phase\030\001 \001" +
       "(\0162 .org.chivetally.wire.v1.JobPhase\022\014\n\004" +
       "done\030\002 \001(\014\022F\n\010failures\030\003 \003(\01324.org.chive" +
       "tally.wire.v1.StoredProgress.FailuresEnt" +
       "ry\022\027\n\017ended_at_millis\030\004 \001(\004\022D\n\007crashes\030\005" +
       " \003(\01323.org.chivetally.wire.v1.StoredProg" +
-      "ress.CrashesEntry\032/\n\rFailuresEntry\022\013\n\003ke" +
-      "y\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032.\n\014CrashesEnt" +
-      "ry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\"\234\001\n\014S" +
-      "toredMember\022\023\n\013incarnation\030\001 \001(\004\022\r\n\005agen" +
-      "t\030\002 \001(\010\022\026\n\016failure_domain\030\003 \001(\t\022\014\n\004host\030" +
-      "\004 \001(\t\022\014\n\004port\030\005 \001(\r\0224\n\006minion\030\006 \001(\0132$.or" +
-      "g.chivetally.wire.v1.StoredMinion\"\254\001\n\014St" +
-      "oredMinion\022\014\n\004boot\030\001 \001(\t\022\017\n\007service\030\002 \001(" +
-      "\t\022.\n\010capacity\030\003 \001(\0132\034.org.chivetally.wir" +
-      "e.v1.Room\022\016\n\006labels\030\004 \003(\t\022\017\n\007leaving\030\005 \001" +
-      "(\010\022\024\n\014clock_millis\030\006 \001(\004\022\026\n\016born_at_mill" +
-      "is\030\007 \001(\004*\242\001\n\nTaskStatus\022\033\n\027TASK_STATUS_U" +
-      "NSPECIFIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TA" +
-      "SK_STATUS_FAILED\020\002\022\027\n\023TASK_STATUS_NOT_RU" +
-      "N\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_STA" +
-      "TUS_RUNNING\020\005*\347\002\n\rRefusalReason\022\036\n\032REFUS" +
-      "AL_REASON_UNSPECIFIED\020\000\022\027\n\023REFUSAL_REASO" +
-      "N_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAINING\020\002\022\037\n" +
-      "\033REFUSAL_REASON_STALE_TICKET\020\003\022!\n\035REFUSA" +
-      "L_REASON_OLD_GENERATION\020\004\022 \n\034REFUSAL_REA" +
-      "SON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_REASON_CA" +
-      "NCELLED\020\006\022\032\n\026REFUSAL_REASON_EXPIRED\020\007\022\"\n" +
-      "\036REFUSAL_REASON_ALREADY_STARTED\020\010\022\036\n\032REF" +
-      "USAL_REASON_MINION_DOWN\020\t\022\034\n\030REFUSAL_REA" +
-      "SON_TOO_LARGE\020\n*\205\002\n\nRunOutcome\022\033\n\027RUN_OU" +
-      "TCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTCOME_DONE\020" +
-      "\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RUN_OUTCOME" +
-      "_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n\022RU" +
-      "N_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCOME_ALONE\020" +
-      "\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_OUTCOME_N" +
-      "EVER_STARTED\020\010\022\027\n\023RUN_OUTCOME_CRASHED\020\t*" +
-      "\306\001\n\nJobVerdict\022\033\n\027JOB_VERDICT_UNSPECIFIE" +
-      "D\020\000\022\030\n\024JOB_VERDICT_ACCEPTED\020\001\022\027\n\023JOB_VER" +
-      "DICT_REFUSED\020\002\022\033\n\027JOB_VERDICT_UNKNOWN_JO" +
-      "B\020\003\022\031\n\025JOB_VERDICT_NOT_OWNER\020\004\022\025\n\021JOB_VE" +
-      "RDICT_STATE\020\005\022\031\n\025JOB_VERDICT_CANCELLED\020\006" +
-      "*\232\001\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000" +
-      "\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n\021JOB_PHASE_RUNN" +
-      "ING\020\002\022\027\n\023JOB_PHASE_COMPLETED\020\003\022\024\n\020JOB_PH" +
-      "ASE_FAILED\020\004\022\027\n\023JOB_PHASE_CANCELLED\020\005B\032\n" +
-      "\026org.chivetally.wire.v1P\001b\006proto3"
+      "ress.CrashesEntry\022M\n\014crashed_runs\030\006 \003(\0132" +
+      "7.org.chivetally.wire.v1.StoredProgress." +
+      "CrashedRunsEntry\022Q\n\016bounded_starts\030\007 \003(\013" +
+      "29.org.chivetally.wire.v1.StoredProgress" +
+      ".BoundedStartsEntry\032/\n\rFailuresEntry\022\013\n\003" +
+      "key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032.\n\014CrashesE" +
+      "ntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020" +
+      "CrashedRunsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002" +
+      " \001(\004:\0028\001\0324\n\022BoundedStartsEntry\022\013\n\003key\030\001 " +
+      "\001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\"\234\001\n\014StoredMember\022" +
+      "\023\n\013incarnation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016f" +
+      "ailure_domain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004por" +
+      "t\030\005 \001(\r\0224\n\006minion\030\006 \001(\0132$.org.chivetally" +
+      ".wire.v1.StoredMinion\"\254\001\n\014StoredMinion\022\014" +
+      "\n\004boot\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022.\n\010capacit" +
+      "y\030\003 \001(\0132\034.org.chivetally.wire.v1.Room\022\016\n" +
+      "\006labels\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\022\024\n\014clock_" +
+      "millis\030\006 \001(\004\022\026\n\016born_at_millis\030\007 \001(\004*\242\001\n" +
+      "\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIED\020\000" +
+      "\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TASK_STATUS_FA" +
+      "ILED\020\002\022\027\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n\023TASK_" +
+      "STATUS_UNKNOWN\020\004\022\027\n\023TASK_STATUS_RUNNING\020" +
+      "\005*\347\002\n\rRefusalReason\022\036\n\032REFUSAL_REASON_UN" +
+      "SPECIFIED\020\000\022\027\n\023REFUSAL_REASON_FULL\020\001\022\033\n\027" +
+      "REFUSAL_REASON_DRAINING\020\002\022\037\n\033REFUSAL_REA" +
+      "SON_STALE_TICKET\020\003\022!\n\035REFUSAL_REASON_OLD" +
+      "_GENERATION\020\004\022 \n\034REFUSAL_REASON_WRONG_SE" +
+      "RVICE\020\005\022\034\n\030REFUSAL_REASON_CANCELLED\020\006\022\032\n" +
+      "\026REFUSAL_REASON_EXPIRED\020\007\022\"\n\036REFUSAL_REA" +
+      "SON_ALREADY_STARTED\020\010\022\036\n\032REFUSAL_REASON_" +
+      "MINION_DOWN\020\t\022\034\n\030REFUSAL_REASON_TOO_LARG" +
+      "E\020\n*\205\002\n\nRunOutcome\022\033\n\027RUN_OUTCOME_UNSPEC" +
+      "IFIED\020\000\022\024\n\020RUN_OUTCOME_DONE\020\001\022\026\n\022RUN_OUT" +
+      "COME_FAILED\020\002\022\027\n\023RUN_OUTCOME_STOPPED\020\003\022\026" +
+      "\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n\022RUN_OUTCOME_BR" +
+      "OKEN\020\005\022\025\n\021RUN_OUTCOME_ALONE\020\006\022\024\n\020RUN_OUT" +
+      "COME_LOST\020\007\022\035\n\031RUN_OUTCOME_NEVER_STARTED" +
+      "\020\010\022\027\n\023RUN_OUTCOME_CRASHED\020\t*\306\001\n\nJobVerdi" +
+      "ct\022\033\n\027JOB_VERDICT_UNSPECIFIED\020\000\022\030\n\024JOB_V" +
+      "ERDICT_ACCEPTED\020\001\022\027\n\023JOB_VERDICT_REFUSED" +
+      "\020\002\022\033\n\027JOB_VERDICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_V" +
+      "ERDICT_NOT_OWNER\020\004\022\025\n\021JOB_VERDICT_STATE\020" +
+      "\005\022\031\n\025JOB_VERDICT_CANCELLED\020\006*\232\001\n\010JobPhas" +
+      "e\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000\022\024\n\020JOB_PHAS" +
+      "E_QUEUED\020\001\022\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB" +
+      "_PHASE_COMPLETED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004" +
+      "\022\027\n\023JOB_PHASE_CANCELLED\020\005B\032\n\026org.chiveta" +
+      "lly.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -818,7 +835,7 @@
     internal_static_org_chivetally_wire_v1_StoredProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_descriptor,
-        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", "Crashes", });
+        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", "Crashes", "CrashedRuns", "BoundedStarts", });
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor =
       internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(0);
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_fieldAccessorTable = new
@@ -831,6 +848,18 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_CrashesEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_descriptor =
+      internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(2);
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_descriptor =
+      internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(3);
+    internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_BoundedStartsEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
     internal_static_org_chivetally_wire_v1_StoredMember_descriptor =
       getDescriptor().getMessageType(48);
     internal_static_org_chivetally_wire_v1_StoredMember_fieldAccessorTable = new
