--- a/library/src/main/java/org/chivetally/queue/agent/TimingMinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/TimingMinionPort.java
@@ -19,8 +19,8 @@
  */
 final class TimingMinionPort implements MinionPort {
     /**
-     * Time after which the answer to a start no longer dates it. Answers take a millisecond; a call that was repeated
-     * takes 25 ms more, which would make the shortest runs look a third faster.
+     * Time after which the answer to a start no longer dates it. Answers take a millisecond; where one was lost, the
+     * repeated call is answered tens of milliseconds later, which would make the shortest runs look a third faster.
      */
     static final Duration LATEST_ANSWER = Duration.ofMillis(20);
 
--- a/library/src/main/java/org/chivetally/queue/placement/SpeedCandidates.java
+++ b/library/src/main/java/org/chivetally/queue/placement/SpeedCandidates.java
@@ -6,10 +6,10 @@
 /**
  * Chooses among the classes of speed that have room for a task.
  *
- * <p>The load it answers: workers that differ by 2.4 in speed and all have room. By free room alone a fifth of the runs
- * goes to the slow ones, and of four tasks of a job that just fits its objective one is late there. Tasks go to the
- * fastest workers that have room to spare, so that slow ones get what is left; and when the fast ones are nearly full,
- * their last room goes to tasks that would be late elsewhere, while those that have time take slow workers.
+ * <p>The load it answers: workers that differ by 2.4 in speed and all have room. By free room alone 30% of the runs go
+ * to the slow ones, and of four tasks of a job that just fits its objective one is late there. Tasks go to the fastest
+ * workers that have room to spare, so that slow ones get what is left; and when the fast ones are nearly full, their
+ * last room goes to tasks that would be late elsewhere, while those that have time take slow workers.
  */
 final class SpeedCandidates {
     /** Scores that are further apart differ by a penalty, which outweighs speed as it does room. */
@@ -66,7 +66,7 @@
      */
     Choice choose(TaskForecast task, SpeedClasses classes, Waits waits) {
         dropPenalized();
-        int rank = preferred(task, classes);
+        int rank = preferred();
         if (rank == NONE) {
             return Choice.noRoom();
         }
@@ -92,9 +92,12 @@
         }
     }
 
-    /** Returns the fastest class with room to spare; without one the slowest where the task is in time. */
-    private int preferred(TaskForecast task, SpeedClasses classes) {
-        int slowest = NONE;
+    /**
+     * Returns the fastest class with room to spare; without one the fastest with any room: whoever comes first then has
+     * the right to it, as under overload every queue would lose more on slow workers than the last one gains.
+     */
+    private int preferred() {
+        int fastest = NONE;
         for (int rank = 0; rank < count; rank++) {
             if (best[rank] == null) {
                 continue;
@@ -102,11 +105,9 @@
             if (isRoomy(rank)) {
                 return rank;
             }
-            if (slowest == NONE || task.isInTime(classes.stretch(rank))) {
-                slowest = rank;
-            }
+            fastest = fastest == NONE ? rank : fastest;
         }
-        return slowest;
+        return fastest;
     }
 
     /**
@@ -132,9 +133,13 @@
         return fastest;
     }
 
-    /** Tells whether a faster class will have room early enough for a task that is late on the given one. */
+    /**
+     * Tells whether a faster class will have room early enough for a task that is late on the given one. Late even
+     * without the margin, and early enough with it: others may take the room that comes free, and under overload most
+     * of the tasks that waited at the mere risk of being late were later for it.
+     */
     private boolean isWorthWaiting(int rank, TaskForecast task, SpeedClasses classes, Waits waits) {
-        long endHere = task.endNanos(classes.stretch(rank), 0);
+        long endHere = task.expectedEndNanos(classes.stretch(rank));
         if (endHere <= task.objectiveNanos()) {
             return false;
         }
--- a/library/src/main/java/org/chivetally/queue/placement/TaskForecast.java
+++ b/library/src/main/java/org/chivetally/queue/placement/TaskForecast.java
@@ -25,7 +25,14 @@
                 nowNanos, task.step().estimatedMillis(), job.restMillis(task), job.objectiveNanos(), job.limitNanos());
     }
 
-    /** Returns when the job ends if the task starts after a wait on a worker of the given stretch. */
+    /**
+     * Returns when the job ends, as likely sooner as later, if the task starts now on a worker of the given stretch.
+     */
+    long expectedEndNanos(double stretch) {
+        return nowNanos + (long) (1e6 * (stretch * expectedMillis + restMillis));
+    }
+
+    /** Returns when the job has most likely ended if the task starts after a wait on a worker of the given stretch. */
     long endNanos(double stretch, double waitMillis) {
         double millis = waitMillis + MARGIN * stretch * expectedMillis + restMillis;
         return nowNanos + (long) (1e6 * millis);
--- a/library/src/main/java/org/chivetally/queue/placement/WorkerSpeeds.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WorkerSpeeds.java
@@ -40,9 +40,12 @@
             service.workers.clear();
         }
         for (Worker worker : open) {
-            services.computeIfAbsent(worker.view().service(), name -> new Service())
-                    .workers
-                    .add(worker);
+            Service service = services.get(worker.view().service());
+            if (service == null) {
+                service = new Service();
+                services.put(worker.view().service(), service);
+            }
+            service.workers.add(worker);
         }
         double greatest = 1;
         for (Service service : services.values()) {
--- a/library/src/main/java/org/chivetally/queue/speed/QueueEstimates.java
+++ b/library/src/main/java/org/chivetally/queue/speed/QueueEstimates.java
@@ -10,8 +10,8 @@
  *
  * <p>The load it answers: estimates are off by 40% while the tasks of a queue are much alike. Taken as they are, tasks
  * that were estimated too short look as if a slow worker could still do them in time. The slow workers then get just
- * these, seem ever slower by the ratio of duration to estimate, and get only worse ones: within ten seconds workers of
- * stretch 1.5 were taken for 3.5.
+ * these, seem ever slower by the ratio of duration to estimate, and get only worse ones: in a replay, workers of
+ * stretch 1.5 were taken for 3 to 4.
  */
 public final class QueueEstimates {
     /** Time in which the weight of a run falls to about a third; what a queue's callers know changes slowly. */
