A suspect shares a worker only when its caller's time is nearly over

Sharing began before the last start that is worth anything, which for short tasks is when a crash has just been found out: the guilty task and its victims went to the same workers together.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -28,6 +28,7 @@
     private final long acceptedAtNanos;
     private final long objectiveNanos;
     private final long limitNanos;
+    private final long deadlineNanos;
     private final boolean kept;
     private final List<Task> tasks = new ArrayList<>();
     private final int[] openInStep;
@@ -43,7 +44,7 @@
      * @param acceptedAtNanos when this process took the job on, by its steady clock
      */
     public Job(JobSpecification specification, long acceptedAtNanos) {
-        this(specification, acceptedAtNanos, acceptedAtNanos + lateLimitNanos(specification), true);
+        this(specification, acceptedAtNanos, acceptedAtNanos + lateLimitNanos(specification), Long.MAX_VALUE, true);
     }
 
     /**
@@ -57,10 +58,13 @@
                 specification,
                 acceptedAtNanos,
                 Math.min(deadlineNanos, acceptedAtNanos + lateLimitNanos(specification)),
+                deadlineNanos,
                 false);
     }
 
-    private Job(JobSpecification specification, long acceptedAtNanos, long limitNanos, boolean kept) {
+    private Job(
+            JobSpecification specification, long acceptedAtNanos, long limitNanos, long deadlineNanos, boolean kept) {
+        this.deadlineNanos = deadlineNanos;
         this.kept = kept;
         this.specification = specification;
         this.acceptedAtNanos = acceptedAtNanos;
@@ -134,11 +138,14 @@
                 : new Outlook(Outlook.Reach.HOPELESS, Long.MAX_VALUE);
     }
 
-    /** Returns the last moment at which a task may start for the job's end to be worth anything, by the estimates. */
+    /**
+     * Returns the last moment at which a task may start for the job to end before its caller gives up, by the
+     * estimates; never for a job that is kept.
+     */
     public long lastStartNanos() {
         long remaining = Duration.ofMillis(specification.chainMillis(place -> openInStep[place] > 0))
                 .toNanos();
-        return limitNanos - remaining;
+        return deadlineNanos - remaining;
     }
 
     /** Tells whether a job that goes on now can't end before its limit, going by the estimates. */
--- a/library/src/main/java/org/chivetally/queue/crash/CrashPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/crash/CrashPolicy.java
@@ -24,8 +24,8 @@
     public static final int STARTS_AFTER_BOUND = 3;
 
     /**
-     * Time before the last start with a prospect from which a suspect isn't held back for a worker of its own. Several
-     * passes over the workers come within it.
+     * Time before the last start in a caller's time from which a suspect isn't held back for a worker of its own.
+     * Several passes over the workers come within it.
      */
     static final Duration ISOLATION_MARGIN = Duration.ofMillis(50);
 
@@ -46,10 +46,10 @@
 
     /**
      * Tells whether a suspect for which there is no worker without another one is placed like any other task. That is
-     * when its time is nearly over: being a suspect is no reason to refuse its job. Once its job is worth nothing any
-     * more it may as well wait.
+     * when its caller's time is nearly over: being a suspect is no reason to refuse its job. Not before, when its job
+     * is only late: one in twenty suspects is guilty and takes ten jobs with it, and a late job is worth a fifth.
      *
-     * @param lastStartNanos when it has to start for its job to be worth anything, by the steady clock
+     * @param lastStartNanos when it has to start for its job to end in its caller's time, by the steady clock
      */
     public boolean isUrgent(long nowNanos, long lastStartNanos) {
         long left = lastStartNanos - nowNanos;
--- a/library/src/test/java/org/chivetally/queue/entry/CrashingTasksTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/CrashingTasksTest.java
@@ -22,6 +22,8 @@
 import org.chivetally.queue.log.ScriptedKeyedLog;
 import org.chivetally.settings.SchedulingSettings;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class CrashingTasksTest {
     private static final String GUILTY = "00000000000000c1";
@@ -72,13 +74,15 @@
      * A few tasks crash every minion that starts them, among many jobs whose tasks run beside them. Every guilty job is
      * given up after two crashes of each of its tasks at most, and no other job is; those lose no attempt either.
      */
-    @Test
-    void givesUpTheGuiltyAndNobodyElse() {
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4})
+    void givesUpTheGuiltyAndNobodyElse(int variant) {
         List<String> guilty = List.of("00000000000000d1", "00000000000000d2", "00000000000000d3", "00000000000000d4");
         begin(2, 12, Set.copyOf(guilty));
+        load.advance(35L * variant);
         Map<String, List<JobAnswer>> answers = new LinkedHashMap<>();
         for (int number = 0; number < 400; number++) {
-            String id = String.format("%016x", 0xe000 + number);
+            String id = String.format("%016x", 0xe000 + 1_000 * variant + number);
             answers.put(id, cluster.submitUnkept(entry(1 + number % 3), Jobs.of(id, 4, 0, 300), 4_000));
             if (number % 80 == 40) {
                 String job = guilty.get(number / 80 % guilty.size());
@@ -99,13 +103,15 @@
     }
 
     /** All tasks of a job crash their minions at the same moment, with hundreds of suspects for few workers. */
-    @Test
-    void givesUpAJobAllOfWhoseTasksCrash() {
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 4})
+    void givesUpAJobAllOfWhoseTasksCrash(int variant) {
         begin(2, 12, Set.of(GUILTY));
+        load.advance(35L * variant);
         List<JobAnswer> others = new ArrayList<>();
         List<JobAnswer> guilty = List.of();
         for (int number = 0; number < 300; number++) {
-            String id = String.format("%016x", 0xe000 + number);
+            String id = String.format("%016x", 0xe000 + 1_000 * variant + number);
             entry(1 + number % 3)
                     .unkept()
                     .submit(Jobs.of(id, 4, 0, 300), cluster.timers.nanos() + 4_000_000_000L, others::add);
