--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -254,6 +254,10 @@
         boolean same = before.isPresent() && before.get().incarnation().isSame(told.incarnation());
         if (!same) {
             before.ifPresent(old -> replaced(old, told.boot(), outcomeAt(old), "reborn"));
+            if (before.isEmpty() && boots.isReused(told.boot())) {
+                // What was sent to the one that took its leave is refused once this one has been looked at.
+                token.next();
+            }
             restartLease(told.clockMillis());
         }
         minion = Optional.of(same ? update(before.get(), told) : told);
--- a/library/src/test/java/org/chivetally/queue/agent/IncarnationTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/IncarnationTest.java
@@ -309,6 +309,23 @@
         assertThat(supervisor.isAccepting(), is(true));
     }
 
+    /** A start to an incarnation that took its leave is held up, and arrives when the next one is there. */
+    @Test
+    void aStartToAnIncarnationThatTookItsLeaveIsNotCarriedOutByTheNext() {
+        begin();
+        minion.startsHeldUp = true;
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(10));
+        supervisor.departed("minion");
+        minion.startsHeldUp = false;
+        minion.reborn(BORN_AGAIN);
+        announce(BORN_AGAIN);
+        timers.advance(Duration.ofMillis(50));
+        minion.carryOut(minion.starts.getFirst());
+        assertThat(minion.running.keySet(), is(empty()));
+        assertThat(supervisor.isAccepting(), is(true));
+    }
+
     /** The agent remembers an incarnation that has been replaced while it was away itself. */
     @Test
     void aRememberedIncarnationIsNotTakenForTheOneThatAnswers() {
