--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -457,11 +457,12 @@
     }
 
     private void beat() {
-        // Armed first: an exception in what follows must not end the heartbeats.
-        armBeat(BEAT_INTERVAL);
-        lookAround();
-        nextBeat.cancel();
-        armBeat(untilNextBeat());
+        try {
+            lookAround();
+        } finally {
+            // Also after an exception, which must not end the heartbeats.
+            armBeat(untilNextBeat());
+        }
     }
 
     private void lookAround() {
