--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -111,8 +111,8 @@
     private int agents;
 
     private boolean reportArmed;
-    private boolean toldAccepting;
-    private boolean toldScarce;
+    private boolean reportedAccepting;
+    private boolean reportedScarce;
     private Runnable minionListener = () -> {};
     private Runnable search = () -> {};
 
@@ -410,13 +410,13 @@
 
     @Override
     public void capacityChanged(boolean shrunk) {
-        boolean wasTold = toldScarce;
+        boolean wasScarce = reportedScarce;
         beginWaiting();
         if (shrunk) {
             // They would wait for ends that give the room of other starts back, and have a better chance elsewhere.
             refuseWaiting(RunSupervisor.NO_ROOM, waiting -> true);
         }
-        if (shrunk || wasTold) {
+        if (shrunk || wasScarce) {
             sendBeats();
         }
     }
@@ -425,7 +425,7 @@
     public void roomChanged() {
         beginWaiting();
         boolean accepting = isAccepting();
-        if (accepting == toldAccepting && !isScarce()) {
+        if (accepting == reportedAccepting && !isScarce()) {
             return;
         }
         if (!reportArmed) {
@@ -510,8 +510,8 @@
     }
 
     private void sendBeats() {
-        toldAccepting = isAccepting();
-        toldScarce = isScarce();
+        reportedAccepting = isAccepting();
+        reportedScarce = isScarce();
         WorkerReport report = report().build();
         for (PeerLink link : links.links()) {
             long seen = startsSeen.getOrDefault(link, 0L);
--- a/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
+++ b/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
@@ -25,8 +25,8 @@
     private final MinionPort port;
     private final Incarnation minion;
     private final FencingToken token;
-    private final Runnable gone;
-    private final Runnable stays;
+    private final Runnable whenDeparted;
+    private final Runnable whenPresent;
     private int looks;
 
     /**
@@ -34,17 +34,22 @@
      *
      * @param minion the incarnation that is known
      * @param token of the agent's calls
-     * @param gone told when it isn't there any more
-     * @param stays told when it has gone on answering, or can't be asked
+     * @param whenDeparted called when it isn't there any more
+     * @param whenPresent called when it has gone on answering, or can't be asked
      */
     DepartureCheck(
-            Timers timers, MinionPort port, Incarnation minion, FencingToken token, Runnable gone, Runnable stays) {
+            Timers timers,
+            MinionPort port,
+            Incarnation minion,
+            FencingToken token,
+            Runnable whenDeparted,
+            Runnable whenPresent) {
         this.timers = timers;
         this.port = port;
         this.minion = minion;
         this.token = token;
-        this.gone = gone;
-        this.stays = stays;
+        this.whenDeparted = whenDeparted;
+        this.whenPresent = whenPresent;
     }
 
     /** Looks at the minion until it is gone or has been there long enough. */
@@ -62,12 +67,12 @@
             case LookAnswer.Unknown unknown -> false;
         };
         if (isGone) {
-            gone.run();
+            whenDeparted.run();
         } else if (looks < MOST_LOOKS) {
             timers.after(PAUSE, this::look);
         } else {
             EventLine.of("departure-unfounded").with("minion", minion.name()).log(LOGGER.atWarning());
-            stays.run();
+            whenPresent.run();
         }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/MinionLists.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionLists.java
@@ -21,17 +21,17 @@
     private final HeldRuns held;
     private final EndList ends;
     private final RunCalls calls;
-    private final RunEnds told;
+    private final RunEnds runEnds;
     private final int partitions;
-    private final Strangers strangers = new Strangers();
+    private final UnknownRuns unknownRuns = new UnknownRuns();
     private boolean complete;
 
-    MinionLists(Timers timers, HeldRuns held, EndList ends, RunCalls calls, RunEnds told, int partitions) {
+    MinionLists(Timers timers, HeldRuns held, EndList ends, RunCalls calls, RunEnds runEnds, int partitions) {
         this.timers = timers;
         this.held = held;
         this.ends = ends;
         this.calls = calls;
-        this.told = told;
+        this.runEnds = runEnds;
         this.partitions = partitions;
     }
 
@@ -41,13 +41,13 @@
     }
 
     /** Tells whether runs are there that nobody here knows. */
-    boolean hasStrangers() {
-        return !strangers.isEmpty();
+    boolean hasUnknownRuns() {
+        return !unknownRuns.isEmpty();
     }
 
     /** Forgets what an earlier incarnation listed. */
     void clear() {
-        strangers.clear();
+        unknownRuns.clear();
     }
 
     /**
@@ -96,18 +96,18 @@
                 held.remove(run);
                 lost.add(run.endElsewhere());
             } else if (run.isRuledOut(lists.clockMillis(), sentAtNanos)) {
-                told.neverStarted(at, run);
+                runEnds.neverStarted(at, run);
             } else if (run.stage() == HeldRun.Stage.RUNNING && sentAtNanos - run.stageSinceNanos() > 0) {
                 vanished(at, run);
             }
         }
-        told.lost(at.name(), lost, "reborn");
+        runEnds.lost(at.name(), lost, "reborn");
         // Runs of an agent before this one: their room isn't known here, so nothing is started until their lease,
         // which nobody renews, has ended. Once none is left, nobody knows a run that turns up, and it is stopped.
-        strangers.listed(unknown);
-        complete |= strangers.isEmpty();
+        unknownRuns.listed(unknown);
+        complete |= unknownRuns.isEmpty();
         if (complete) {
-            calls.stopStrangers(at, strangers);
+            calls.stopUnknown(at, unknownRuns);
         }
     }
 
@@ -124,7 +124,7 @@
                 .with("run", run.key())
                 .with("minion", at.name())
                 .log(LOGGER.atWarning());
-        told.ended(run, run.unlistedEnd(at.name(), RunOutcome.LOST));
+        runEnds.ended(run, run.unlistedEnd(at.name(), RunOutcome.LOST));
     }
 
     /** Returns the owner of a run that an agent before this one started: only kept jobs have owners that last. */
--- a/library/src/main/java/org/chivetally/queue/agent/RunCalls.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunCalls.java
@@ -144,8 +144,8 @@
     }
 
     /** Sends stops to runs that nobody here knows. */
-    void stopStrangers(Incarnation at, Strangers strangers) {
-        for (RunKey run : strangers.dueForStop(timers.nanos())) {
+    void stopUnknown(Incarnation at, UnknownRuns unknownRuns) {
+        for (RunKey run : unknownRuns.dueForStop(timers.nanos())) {
             EventLine.of("run-unknown")
                     .with("run", run)
                     .with("minion", at.name())
--- a/library/src/main/java/org/chivetally/queue/agent/RunEnds.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunEnds.java
@@ -6,7 +6,7 @@
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.RunOutcome;
 
-/** Ends of runs that the minion doesn't list: their room is free again, and their owners are told. */
+/** Ends of runs that the minion doesn't list: frees their room and reports them to their owners. */
 final class RunEnds {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -37,7 +37,7 @@
         lost(minion, held.endAll(minion, outcome), reason);
     }
 
-    /** Tells of runs that are no longer held. */
+    /** Reports runs that are no longer held. */
     void lost(String minion, List<OwnedEnd> lost, String reason) {
         if (lost.isEmpty()) {
             return;
@@ -48,11 +48,11 @@
                 .with("reason", reason)
                 .with("outcome", lost.getFirst().end().outcome())
                 .log(LOGGER.atWarning());
-        List<OwnedEnd> told = new ArrayList<>();
+        List<OwnedEnd> reported = new ArrayList<>();
         for (OwnedEnd end : lost) {
             boolean isCounted = end.end().outcome() == RunOutcome.CRASHED && end.owner() instanceof RunOwner.Partition;
-            told.add(isCounted ? ledger.add(end) : end);
+            reported.add(isCounted ? ledger.add(end) : end);
         }
-        listener.ended(told);
+        listener.ended(reported);
     }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -127,7 +127,7 @@
                 && reconciled
                 && !unannounced
                 && !departing
-                && !lists.hasStrangers()
+                && !lists.hasUnknownRuns()
                 && minion.isPresent()
                 && !minion.get().leaving();
     }
@@ -248,19 +248,19 @@
         }
     }
 
-    private void accept(MinionState told, boolean announced) {
+    private void accept(MinionState reported, boolean announced) {
         recalled = false;
         Optional<MinionState> before = minion;
-        boolean same = before.isPresent() && before.get().incarnation().isSame(told.incarnation());
+        boolean same = before.isPresent() && before.get().incarnation().isSame(reported.incarnation());
         if (!same) {
-            before.ifPresent(old -> replaced(old, told.boot(), outcomeAt(old), "reborn"));
-            if (before.isEmpty() && boots.isReused(told.boot())) {
+            before.ifPresent(old -> replaced(old, reported.boot(), outcomeAt(old), "reborn"));
+            if (before.isEmpty() && boots.isReused(reported.boot())) {
                 // What was sent to the one that took its leave is refused once this one has been looked at.
                 token.next();
             }
-            restartLease(told.clockMillis());
+            restartLease(reported.clockMillis());
         }
-        minion = Optional.of(same ? update(before.get(), told) : told);
+        minion = Optional.of(same ? update(before.get(), reported) : reported);
         MinionState now = minion.get();
         boolean news = !same || before.get().leaving() != now.leaving() || unannounced && announced;
         unannounced = !announced;
@@ -278,9 +278,9 @@
         look();
     }
 
-    private static MinionState update(MinionState before, MinionState told) {
-        boolean bornIsKnown = told.incarnation().bornAtMillis() == 0;
-        MinionState state = bornIsKnown ? told.known(before.incarnation()) : told;
+    private static MinionState update(MinionState before, MinionState reported) {
+        boolean bornIsMissing = reported.incarnation().bornAtMillis() == 0;
+        MinionState state = bornIsMissing ? reported.known(before.incarnation()) : reported;
         // A minion that has said it leaves never stays after all; a late announcement must not undo it.
         return before.leaving() ? state.asLeaving() : state;
     }
@@ -512,7 +512,7 @@
     }
 
     private boolean isLookNeeded() {
-        return !reconciled || !answering || lists.hasStrangers() || !held.isEmpty() || ends.keptThrough() > keptSent;
+        return !reconciled || !answering || lists.hasUnknownRuns() || !held.isEmpty() || ends.keptThrough() > keptSent;
     }
 
     private OptionalLong renewal(long now) {
@@ -540,21 +540,21 @@
     private void looked(Incarnation at, LookAnswer answer, long sentAtNanos, long keptWithIt) {
         nobodyListens = answer instanceof LookAnswer.Unreachable;
         switch (answer) {
-            case LookAnswer.Lists told -> {
-                if (!at.isBornAs(told.bornAtMillis())) {
-                    answeredByAnother(at, told);
+            case LookAnswer.Lists listed -> {
+                if (!at.isBornAs(listed.bornAtMillis())) {
+                    answeredByAnother(at, listed);
                     return;
                 }
-                learnBorn(told.bornAtMillis());
+                learnBorn(listed.bornAtMillis());
                 lastAnswerNanos = timers.nanos();
-                lease.observe(told.clockMillis(), lastAnswerNanos);
+                lease.observe(listed.clockMillis(), lastAnswerNanos);
                 recalled = false;
                 if (!lists.isComplete()) {
                     // The agent before this one may have extended the lease a moment ago.
                     lease.extend(lastAnswerNanos);
                 }
                 keptSent = Math.max(keptSent, keptWithIt);
-                boolean news = took(told, sentAtNanos);
+                boolean news = took(listed, sentAtNanos);
                 boolean quick = lastAnswerNanos - sentAtNanos < LOOK_PAUSE.toNanos();
                 if (news) {
                     lookAfter(NEWS_PAUSE);
@@ -639,10 +639,10 @@
     }
 
     /** Takes the lists over; tells whether they held anything new. */
-    private boolean took(LookAnswer.Lists told, long sentAtNanos) {
+    private boolean took(LookAnswer.Lists listed, long sentAtNanos) {
         Room before = free();
         boolean acceptingBefore = isAccepting();
-        List<OwnedEnd> fresh = lists.take(minion.orElseThrow().incarnation(), told, sentAtNanos);
+        List<OwnedEnd> fresh = lists.take(minion.orElseThrow().incarnation(), listed, sentAtNanos);
         answering = true;
         reconciled = true;
         if (!fresh.isEmpty()) {
--- a/library/src/main/java/org/chivetally/queue/agent/Strangers.java
+++ b/library/src/main/java/org/chivetally/queue/agent/UnknownRuns.java
@@ -13,7 +13,7 @@
  * earlier incarnation under the same id and that this one has carried out. Their room isn't known, so nothing is
  * started beside them.
  */
-final class Strangers {
+final class UnknownRuns {
     /** Pause before a stop is sent again while the run is still listed. */
     static final Duration STOP_AGAIN = Duration.ofMillis(100);
 
