A rehearsal that fails ends, and is held again

The rehearsal's main thread had ended with an exception while its listeners kept the process alive (thread dump of the process that was left), so that the script waited for it; why the rehearsal failed is not known, as its log went with the test's folder. A build could wait for ever in the same way.

--- a/scripts/class-archives.sh
+++ b/scripts/class-archives.sh
@@ -7,6 +7,7 @@
 # jobs: classes of the other role would only cost time at a start. Its classes are linked already, which saves each process
 # work. Logs are beside the archives.
 set -euo pipefail
+readonly ATTEMPTS=3
 java=$1/bin/java
 folder=$2
 
@@ -27,7 +28,7 @@
         -Xshare:off -Xlog:disable -jar "$folder/chivetally.jar" "$role" &
     process=$!
     wait "$rehearsal" || result=$?
-    kill -TERM "$process"
+    kill -TERM "$process" || true
     wait "$process" || true
     return "$result"
 }
@@ -35,8 +36,17 @@
     "$java" "${options[@]}" -Xshare:dump "-XX:SharedClassListFile=$folder/$1.classes" \
         "-XX:SharedArchiveFile=$folder/$1.jsa" -XX:+AOTClassLinking -jar "$folder/chivetally.jar"
 }
+# A port that was free can be taken until the process listens, so a rehearsal that fails is held again.
 prepare() {
-    train "$1" && archive "$1"
+    local attempt
+    for ((attempt = 1; attempt <= ATTEMPTS; attempt++)); do
+        if train "$1"; then
+            archive "$1"
+            return
+        fi
+        echo "event=rehearsal-repeated role=$1 attempt=$attempt"
+    done
+    return 1
 }
 
 rm -f "$folder"/*.jsa "$folder"/*.classes
