--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 JAVA_HOME=$(bin/find-jdk)
 mkdir -p target/review
-"$JAVA_HOME/bin/javac" -Xlint:-options -d target/review review/standins/*.java
+"$JAVA_HOME/bin/javac" -Xlint:-options -d target/review review/*.java
