Count the failure of a run once, by the run's number

Cause: ends are reported at least once, but a failure was counted at each report. An agent sends its unstored ends with the inventory for each partition whose owner has changed, and every 0.5 s until they are stored. The task of a new owner stays uncertain until all agents have reported, and an end that reached an uncertain task always counted. The stored progress held the number of failures only, so an end that was stored but not acknowledged when its owner died was counted again by the next.

Change: a task holds the numbers of its failed runs (CountedRuns) in place of a count, the stored progress too (failed_runs; failures is still written for older releases, and failures without numbers are still read). A failure whose run is counted has no effect and is acknowledged as soon as no write of the job is pending. The end of a run is recorded with the run's own number, not with the task's highest one. Numbers of new runs exceed those of counted ones, so that a number names one run.

Tests: RunEndAccountingTest, both methods fail before (FAILED in place of RUNNING); JobTest for the stored numbers, for records without numbers and for the numbers of new runs. recordRunEnd takes the number of the run; the calls in tests pass it, and check the same. MemoryNetwork can lose the frames of one direction.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -258,14 +258,15 @@
     }
 
     /**
-     * Records the end of the latest run of a task.
+     * Records the end of a task's run in progress.
      *
      * @param task the task
+     * @param run number of the run
      * @param outcome how the run ended
      * @param nowMillis time of day in milliseconds since the Unix epoch
      * @return the tasks that can be placed as a result
      */
-    public List<Task> recordRunEnd(Task task, RunOutcome outcome, long nowMillis) {
+    public List<Task> recordRunEnd(Task task, long run, RunOutcome outcome, long nowMillis) {
         if (task.status() == Task.Status.DONE) {
             return List.of();
         }
@@ -274,10 +275,10 @@
             return completeTask(task, nowMillis);
         }
         if (outcome == RunOutcome.CRASHED) {
-            task.recordCrash(task.lastRun());
+            task.recordCrash(run);
         }
         if (outcome == RunOutcome.FAILED) {
-            task.recordFailure();
+            task.recordFailure(run);
             if (!phase.isFinal() && task.failures() >= specification.terms().maximumAttempts()) {
                 finish(JobPhase.FAILED, nowMillis);
             }
@@ -344,14 +345,14 @@
     /** Returns the progress of the job, to be stored in the log. */
     public JobProgress progress() {
         BitSet done = new BitSet(tasks.size());
-        Map<Integer, Integer> failures = new TreeMap<>();
+        Map<Integer, CountedRuns> failures = new TreeMap<>();
         Map<Integer, CrashCount> crashes = new TreeMap<>();
         for (Task task : tasks) {
             if (task.status() == Task.Status.DONE) {
                 done.set(task.position());
             }
             if (task.failures() > 0) {
-                failures.put(task.position(), task.failures());
+                failures.put(task.position(), task.failedRuns());
             }
             if (task.crashes() != CrashCount.NONE) {
                 crashes.put(task.position(), task.crashes());
@@ -370,7 +371,7 @@
     public void restore(JobProgress stored, long firstRun) {
         for (Task task : tasks) {
             task.restore(
-                    stored.failures().getOrDefault(task.position(), 0),
+                    stored.failures().getOrDefault(task.position(), CountedRuns.NONE),
                     stored.crashes().getOrDefault(task.position(), CrashCount.NONE),
                     firstRun - 1);
             if (stored.done().get(task.position())) {
--- a/library/src/main/java/org/chivetally/queue/JobCodec.java
+++ b/library/src/main/java/org/chivetally/queue/JobCodec.java
@@ -11,6 +11,7 @@
 import org.chivetally.errors.ChivetallyException;
 import org.chivetally.errors.ErrorCode;
 import org.chivetally.queue.crash.CrashCount;
+import org.chivetally.wire.v1.RunNumbers;
 import org.chivetally.wire.v1.StoredJob;
 import org.chivetally.wire.v1.StoredProgress;
 import org.chivetally.wire.v1.StoredStep;
@@ -135,9 +136,11 @@
                 .forEach((position, count) -> stored.putCrashes(position, count.crashes())
                         .putCrashedRuns(position, count.latestRun())
                         .putBoundedStarts(position, count.boundedStarts()));
+        progress.failures()
+                .forEach((position, failed) ->
+                        stored.putFailures(position, failed.total()).putFailedRuns(position, encode(failed)));
         return stored.setPhase(encode(progress.phase()))
                 .setDone(ByteString.copyFrom(progress.done().toByteArray()))
-                .putAllFailures(progress.failures())
                 .setEndedAtMillis(progress.endedAtMillis())
                 .build()
                 .toByteArray();
@@ -150,7 +153,7 @@
             return new JobProgress(
                     decode(stored.getPhase()),
                     BitSet.valueOf(stored.getDone().toByteArray()),
-                    stored.getFailuresMap(),
+                    failures(stored),
                     crashes(stored),
                     stored.getEndedAtMillis());
         } catch (InvalidProtocolBufferException e) {
@@ -158,6 +161,24 @@
         }
     }
 
+    private static RunNumbers encode(CountedRuns counted) {
+        return RunNumbers.newBuilder().addAllRuns(counted.runs()).build();
+    }
+
+    private static Map<Integer, CountedRuns> failures(StoredProgress stored) {
+        Map<Integer, CountedRuns> failures = new HashMap<>();
+        stored.getFailuresMap()
+                .forEach((position, total) -> failures.put(
+                        position,
+                        countedRuns(stored.getFailedRunsOrDefault(position, RunNumbers.getDefaultInstance()), total)));
+        return failures;
+    }
+
+    private static CountedRuns countedRuns(RunNumbers numbers, int total) {
+        Set<Long> runs = Set.copyOf(numbers.getRunsList());
+        return new CountedRuns(runs, Math.max(0, total - runs.size()));
+    }
+
     private static Map<Integer, CrashCount> crashes(StoredProgress stored) {
         Map<Integer, CrashCount> crashes = new HashMap<>();
         stored.getCrashesMap()
--- a/library/src/main/java/org/chivetally/queue/JobProgress.java
+++ b/library/src/main/java/org/chivetally/queue/JobProgress.java
@@ -10,14 +10,14 @@
  *
  * @param phase phase of the job
  * @param done positions of the tasks that are done
- * @param failures number of failed runs, by position of the task
+ * @param failures failed runs, by position of the task
  * @param crashes minion crashes, by position of the task
  * @param endedAtMillis when the job ended, in milliseconds since the Unix epoch; 0 before its end
  */
 public record JobProgress(
         JobPhase phase,
         BitSet done,
-        Map<Integer, Integer> failures,
+        Map<Integer, CountedRuns> failures,
         Map<Integer, CrashCount> crashes,
         long endedAtMillis) {
     /** Requires a phase and copies the collections. */
--- a/library/src/main/java/org/chivetally/queue/Task.java
+++ b/library/src/main/java/org/chivetally/queue/Task.java
@@ -28,7 +28,7 @@
     private long lastRun;
     private String worker = "";
     private String lastFailedWorker = "";
-    private int failures;
+    private CountedRuns failedRuns = CountedRuns.NONE;
     private CrashCount crashes = CrashCount.NONE;
 
     Task(Job job, TaskKey key, int position, Status status) {
@@ -85,7 +85,17 @@
 
     /** Returns the number of failed runs. */
     public int failures() {
-        return failures;
+        return failedRuns.total();
+    }
+
+    /** Tells whether the failure of a run has been recorded. */
+    public boolean hasFailedIn(long run) {
+        return failedRuns.includes(run);
+    }
+
+    /** Returns the failed runs. */
+    CountedRuns failedRuns() {
+        return failedRuns;
     }
 
     /** Returns the count of minions that crashed while they ran the task. */
@@ -127,14 +137,15 @@
         lastRun = Math.max(lastRun, run);
     }
 
-    void recordFailure() {
+    /** Records that a run has failed; has no effect if that is recorded already. */
+    void recordFailure(long run) {
         lastFailedWorker = worker;
-        failures++;
+        failedRuns = failedRuns.with(run);
     }
 
-    void restore(int failedRuns, CrashCount crashedRuns, long runs) {
+    void restore(CountedRuns failures, CrashCount crashedRuns, long runs) {
         crashes = crashedRuns;
-        failures = failedRuns;
-        lastRun = Math.max(lastRun, runs);
+        failedRuns = failures;
+        lastRun = Math.max(runs, failures.latest());
     }
 }
--- a/library/src/main/java/org/chivetally/queue/entry/InMemoryJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/InMemoryJobs.java
@@ -212,14 +212,14 @@
     }
 
     @Override
-    public void ended(Task task, RunOutcome outcome, Runnable acknowledge) {
+    public void ended(Task task, long run, RunOutcome outcome, Runnable acknowledge) {
         acknowledge.run();
         OpenJob openJob = openJobs.get(task.key().jobId());
-        List<Task> ready = task.job().recordRunEnd(task, outcome, timers.epochMillis());
+        List<Task> ready = task.job().recordRunEnd(task, run, outcome, timers.epochMillis());
         if (openJob == null || openJob.job != task.job()) {
             return;
         }
-        if (outcome == RunOutcome.CRASHED && crashes.recordCrash(task, task.lastRun())) {
+        if (outcome == RunOutcome.CRASHED && crashes.recordCrash(task, run)) {
             crashes.recordGivenUp(task);
             task.job().finish(JobPhase.FAILED, timers.epochMillis());
         }
--- a/library/src/main/java/org/chivetally/queue/entry/JobOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/JobOwner.java
@@ -11,11 +11,12 @@
     Optional<Task> task(TaskKey key);
 
     /**
-     * Handles the end of the latest run of a task.
+     * Handles the end of a task's run in progress.
      *
+     * @param run number of the run
      * @param acknowledge run once the minion may discard the end
      */
-    void ended(Task task, RunOutcome outcome, Runnable acknowledge);
+    void ended(Task task, long run, RunOutcome outcome, Runnable acknowledge);
 
     /**
      * Handles a reported end that has no effect any more, since it was reported before or its run counts as lost.
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -365,12 +365,12 @@
     }
 
     @Override
-    public void ended(Task task, RunOutcome outcome, Runnable acknowledge) {
+    public void ended(Task task, long run, RunOutcome outcome, Runnable acknowledge) {
         Job job = task.job();
         boolean wasFinal = job.phase().isFinal();
-        List<Task> ready = job.recordRunEnd(task, outcome, timers.epochMillis());
+        List<Task> ready = job.recordRunEnd(task, run, outcome, timers.epochMillis());
         if (!wasFinal) {
-            applyCrashLimits(task, outcome);
+            applyCrashLimits(task, run, outcome);
         }
         boolean ended = !wasFinal && job.phase().isFinal();
         if (outcome == RunOutcome.CRASHED && !wasFinal && !ended) {
@@ -458,12 +458,12 @@
     /**
      * Fails the job of a task that has crashed as many minions as the crash limit allows, or that has no starts left.
      */
-    private void applyCrashLimits(Task task, RunOutcome outcome) {
+    private void applyCrashLimits(Task task, long run, RunOutcome outcome) {
         if (outcome == RunOutcome.NEVER_STARTED
                 && CrashPolicy.isBounded(task.crashes().crashes())) {
             task.adjustBoundedStarts(-1);
         }
-        boolean overLimit = outcome == RunOutcome.CRASHED && crashes.recordCrash(task, task.lastRun());
+        boolean overLimit = outcome == RunOutcome.CRASHED && crashes.recordCrash(task, run);
         if (!task.job().phase().isFinal() && (overLimit || hasNoStartsLeft(task))) {
             failJob(task);
         }
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -478,7 +478,9 @@
                     .ifPresent(owner -> owner.earlierRunCrashed(task, end.run().run(), acknowledge));
             return;
         }
-        if (task.status() == Task.Status.UNCERTAIN || completesTask(task, end)) {
+        boolean isRepeatedFailure =
+                end.outcome() == RunOutcome.FAILED && task.hasFailedIn(end.run().run());
+        if (!isRepeatedFailure && (task.status() == Task.Status.UNCERTAIN || completesTask(task, end))) {
             stopNewerRun(task);
             endUntrackedRun(worker, task, end, acknowledge);
         } else {
@@ -537,7 +539,7 @@
                 .with("outcome", outcome)
                 .with("failures", task.failures())
                 .log(LOGGER.atInfo());
-        jobOwnerOf(task).ifPresent(owner -> owner.ended(task, outcome, acknowledge));
+        jobOwnerOf(task).ifPresent(owner -> owner.ended(task, run, outcome, acknowledge));
         passes.schedule();
     }
 
--- a/library/src/test/java/org/chivetally/queue/JobTest.java
+++ b/library/src/test/java/org/chivetally/queue/JobTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import org.chivetally.wire.v1.StoredProgress;
 import org.junit.jupiter.api.Test;
 
 /** Tests the phases of jobs, the statuses of their tasks, and the restore of both from the log. */
@@ -18,7 +19,7 @@
         Job job = new Job(Jobs.of(ID, 2), 0);
         for (Task task : job.tasks()) {
             job.recordPlacement(task, "agent", 1);
-            job.recordRunEnd(task, RunOutcome.DONE, 5);
+            job.recordRunEnd(task, task.lastRun(), RunOutcome.DONE, 5);
         }
         assertThat(job.phase(), is(JobPhase.COMPLETED));
         assertThat(job.reportedPhase(), is(JobPhase.RUNNING));
@@ -32,9 +33,9 @@
         Job job = new Job(Jobs.of(ID, 2), 0);
         Task task = job.tasks().getFirst();
         job.recordPlacement(task, "agent", 1);
-        assertThat(job.recordRunEnd(task, RunOutcome.FAILED, 5), is(List.of(task)));
+        assertThat(job.recordRunEnd(task, task.lastRun(), RunOutcome.FAILED, 5), is(List.of(task)));
         job.recordPlacement(task, "agent", 2);
-        assertThat(job.recordRunEnd(task, RunOutcome.FAILED, 6), is(empty()));
+        assertThat(job.recordRunEnd(task, task.lastRun(), RunOutcome.FAILED, 6), is(empty()));
         assertThat(job.phase(), is(JobPhase.FAILED));
     }
 
@@ -46,7 +47,7 @@
         for (RunOutcome outcome :
                 List.of(RunOutcome.STOPPED, RunOutcome.LAPSED, RunOutcome.LOST, RunOutcome.NEVER_STARTED)) {
             job.recordPlacement(task, "agent", task.lastRun() + 1);
-            assertThat(job.recordRunEnd(task, outcome, 5), is(List.of(task)));
+            assertThat(job.recordRunEnd(task, task.lastRun(), outcome, 5), is(List.of(task)));
         }
         assertThat(task.failures(), is(0));
         assertThat(job.phase(), is(JobPhase.RUNNING));
@@ -63,12 +64,12 @@
         Task second = job.tasks().getLast();
         job.recordPlacement(first, "agent", 1);
         job.recordPlacement(second, "agent", 1);
-        job.recordRunEnd(first, RunOutcome.NEVER_STARTED, 5);
+        job.recordRunEnd(first, first.lastRun(), RunOutcome.NEVER_STARTED, 5);
         assertThat(job.phase(), is(JobPhase.RUNNING));
-        job.recordRunEnd(second, RunOutcome.NEVER_STARTED, 5);
+        job.recordRunEnd(second, second.lastRun(), RunOutcome.NEVER_STARTED, 5);
         assertThat(job.phase(), is(JobPhase.QUEUED));
         job.recordPlacement(first, "agent", 2);
-        job.recordRunEnd(first, RunOutcome.LOST, 6);
+        job.recordRunEnd(first, first.lastRun(), RunOutcome.LOST, 6);
         assertThat(job.phase(), is(JobPhase.RUNNING));
     }
 
@@ -79,9 +80,9 @@
         assertThat(job.tasksIn(Task.Status.WAITING), hasSize(2));
         List<Task> firstStep = job.tasksIn(Task.Status.WAITING);
         job.recordPlacement(firstStep.get(0), "agent", 1);
-        assertThat(job.recordRunEnd(firstStep.get(0), RunOutcome.DONE, 5), is(empty()));
+        assertThat(job.recordRunEnd(firstStep.get(0), firstStep.get(0).lastRun(), RunOutcome.DONE, 5), is(empty()));
         job.recordPlacement(firstStep.get(1), "agent", 1);
-        assertThat(job.recordRunEnd(firstStep.get(1), RunOutcome.DONE, 6), hasSize(3));
+        assertThat(job.recordRunEnd(firstStep.get(1), firstStep.get(1).lastRun(), RunOutcome.DONE, 6), hasSize(3));
     }
 
     /**
@@ -93,7 +94,7 @@
         Job original = new Job(Jobs.chain(ID, 2, 1), 0);
         Task done = original.tasks().getFirst();
         original.recordPlacement(done, "agent", 1);
-        original.recordRunEnd(done, RunOutcome.DONE, 5);
+        original.recordRunEnd(done, done.lastRun(), RunOutcome.DONE, 5);
 
         Job restored = new Job(Jobs.chain(ID, 2, 1), 0);
         restored.restore(JobCodec.decodeProgress(JobCodec.encode(original.progress())), 129);
@@ -103,6 +104,53 @@
         assertThat(restored.tasks().get(1).lastRun(), is(128L));
     }
 
+    /** A failure that the next owner can't attribute to its run would count again when its end is reported again. */
+    @Test
+    void failedRunsAreKnownByNumberAfterARestore() {
+        Job original = new Job(Jobs.of(ID, 1), 0);
+        Task failed = original.tasks().getFirst();
+        original.recordPlacement(failed, "agent", 3);
+        original.recordRunEnd(failed, 3, RunOutcome.FAILED, 5);
+        original.recordRunEnd(failed, 3, RunOutcome.FAILED, 6);
+
+        Job restored = new Job(Jobs.of(ID, 1), 0);
+        restored.restore(JobCodec.decodeProgress(JobCodec.encode(original.progress())), 129);
+        Task task = restored.tasks().getFirst();
+        assertThat(task.failures(), is(1));
+        assertThat(task.hasFailedIn(3), is(true));
+        assertThat(task.hasFailedIn(4), is(false));
+    }
+
+    /** If the next owner gave a run the number of a failed one, the new run's failure would not count. */
+    @Test
+    void runNumbersExceedThoseOfFailedRunsAfterARestore() {
+        Job original = new Job(Jobs.of(ID, 1), 0);
+        Task failed = original.tasks().getFirst();
+        original.recordPlacement(failed, "agent", 130);
+        original.recordRunEnd(failed, 130, RunOutcome.FAILED, 5);
+
+        Job restored = new Job(Jobs.of(ID, 1), 0);
+        restored.restore(JobCodec.decodeProgress(JobCodec.encode(original.progress())), 129);
+        assertThat(restored.tasks().getFirst().lastRun(), is(130L));
+    }
+
+    /** Failures stored by a release that did not store their run numbers must still use up attempts. */
+    @Test
+    void readsFailuresStoredWithoutRunNumbers() {
+        byte[] record = StoredProgress.newBuilder()
+                .setPhase(org.chivetally.wire.v1.JobPhase.JOB_PHASE_RUNNING)
+                .putFailures(0, 1)
+                .build()
+                .toByteArray();
+        Job restored = new Job(Jobs.of(ID, 1), 0);
+        restored.restore(JobCodec.decodeProgress(record), 129);
+        Task task = restored.tasks().getFirst();
+        assertThat(task.failures(), is(1));
+        restored.recordPlacement(task, "agent", 129);
+        restored.recordRunEnd(task, 129, RunOutcome.FAILED, 5);
+        assertThat(restored.phase(), is(JobPhase.FAILED));
+    }
+
     /** A part of a specification that is not encoded would be lost when another process takes over the job. */
     @Test
     void specificationSurvivesEncodingAndDecoding() {
--- /dev/null
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -0,0 +1,138 @@
+package org.chivetally.queue.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobPhase;
+import org.chivetally.queue.Jobs;
+import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RunOutcome;
+import org.chivetally.queue.agent.FakeMinion;
+import org.chivetally.queue.log.ScriptedKeyedLog.AppendBehavior;
+import org.junit.jupiter.api.Test;
+
+/** Each failed run of a durable task counts once, whoever owns the job and however often its end is reported. */
+class RunEndAccountingTest {
+    private static final String ID = "00000000000000a1";
+    private static final int PARTITION = Partitions.of(ID, Cluster.PARTITIONS);
+    private static final JobAnswer RUNNING = new JobAnswer.State(JobPhase.RUNNING);
+    private static final JobAnswer FAILED = new JobAnswer.State(JobPhase.FAILED);
+    private static final JobAnswer COMPLETED = new JobAnswer.State(JobPhase.COMPLETED);
+
+    private final Cluster cluster = new Cluster();
+
+    private void startCluster(int agents) {
+        cluster.entry("entry-1");
+        cluster.entry("entry-2");
+        for (int number = 1; number <= agents; number++) {
+            cluster.agent("agent-" + number);
+        }
+        cluster.awaitLinks();
+    }
+
+    private String ownerName() {
+        return cluster.entries.entrySet().stream()
+                .filter(entry -> entry.getValue().localOwner(PARTITION).isPresent())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    private EntryNode owner() {
+        return cluster.entries.get(ownerName());
+    }
+
+    private String runnerName() {
+        return cluster.minions.entrySet().stream()
+                .filter(known -> !known.getValue().running.isEmpty())
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private void cutFromEntries(String agent, boolean cut) {
+        for (String entry : cluster.entries.keySet()) {
+            cluster.network.setCut(agent, entry, cut);
+        }
+    }
+
+    private void submit() {
+        cluster.submit(owner(), Jobs.of(ID, 1));
+        cluster.advance(100);
+    }
+
+    /** Ends the run in progress at an agent's minion without advancing the clock. */
+    private void failRunAt(String agent) {
+        FakeMinion minion = cluster.minions.get(agent);
+        minion.end(minion.running.keySet().iterator().next(), RunOutcome.FAILED);
+    }
+
+    private void advanceUntil(BooleanSupplier reached) {
+        for (int step = 0; !reached.getAsBoolean(); step++) {
+            assertThat("reached within 20 s", step < 20_000, is(true));
+            cluster.advance(1);
+        }
+    }
+
+    private int starts() {
+        return cluster.minions.values().stream()
+                .mapToInt(minion -> minion.starts.size())
+                .sum();
+    }
+
+    private void completeInSecondRun() {
+        advanceUntil(() -> !cluster.running(ID).isEmpty());
+        cluster.finish(ID, RunOutcome.DONE);
+        assertThat(cluster.query(owner(), ID), contains(COMPLETED));
+        assertThat(starts(), is(2));
+    }
+
+    /** The new owner must not count an end again that agents repeat until it is stored. */
+    @Test
+    void countsAFailureOnceWhenItIsRepeatedToANewOwner() {
+        startCluster(2);
+        submit();
+        String runner = runnerName();
+        cutFromEntries("agent-1".equals(runner) ? "agent-2" : "agent-1", true);
+        cluster.kill(ownerName());
+        failRunAt(runner);
+        advanceUntil(() -> cluster.entries.values().stream()
+                .anyMatch(entry -> entry.localOwner(PARTITION).isPresent()));
+        cluster.log.appendBehavior = AppendBehavior.SILENT;
+        cluster.advance(1_500);
+        cluster.log.appendBehavior = AppendBehavior.ACCEPTING;
+        cluster.advance(1_000);
+        assertThat(cluster.query(owner(), ID), not(contains(FAILED)));
+        completeInSecondRun();
+    }
+
+    /**
+     * The owner dies after it has stored a failure and before the agent knows; the next one must not count it again.
+     */
+    @Test
+    void countsAStoredFailureOnceWhenItIsRepeatedToTheNextOwner() {
+        startCluster(1);
+        submit();
+        failRunAndLoseNextStart();
+        advanceUntil(() -> cluster.stored(PARTITION).containsKey("p" + ID));
+        cluster.kill(ownerName());
+        assertThat(cluster.minions.get("agent-1").ends.values(), hasSize(1));
+        cluster.advance(9_000);
+        assertThat(cluster.minions.get("agent-1").ends.values(), is(empty()));
+        assertThat(cluster.query(owner(), ID), contains(RUNNING));
+        completeInSecondRun();
+    }
+
+    /** Fails the run at the only agent, and loses what the owner sends to the agent in response. */
+    private void failRunAndLoseNextStart() {
+        cluster.network.setPathCut(ownerName(), "agent-1", true);
+        failRunAt("agent-1");
+    }
+}
--- a/library/src/test/java/org/chivetally/queue/link/MemoryNetwork.java
+++ b/library/src/test/java/org/chivetally/queue/link/MemoryNetwork.java
@@ -57,12 +57,16 @@
 
     /** Starts or ends a network partition between two hosts, in which frames are lost without an error. */
     public void setCut(String one, String other, boolean cut) {
-        for (String path : List.of(one + ">" + other, other + ">" + one)) {
-            if (cut) {
-                cutPaths.add(path);
-            } else {
-                cutPaths.remove(path);
-            }
+        setPathCut(one, other, cut);
+        setPathCut(other, one, cut);
+    }
+
+    /** Starts or ends the loss of the frames from one host to another. */
+    public void setPathCut(String from, String to, boolean cut) {
+        if (cut) {
+            cutPaths.add(from + ">" + to);
+        } else {
+            cutPaths.remove(from + ">" + to);
         }
     }
 
--- a/library/src/test/java/org/chivetally/queue/placement/FairShareOrderTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/FairShareOrderTest.java
@@ -159,7 +159,7 @@
         refused.recordPlacement(first, "worker", 1);
         waiting.remove(first);
         waiting.reorder(refused, 2);
-        refused.recordRunEnd(first, RunOutcome.NEVER_STARTED, 3);
+        refused.recordRunEnd(first, first.lastRun(), RunOutcome.NEVER_STARTED, 3);
         waiting.add(first, 3);
         waiting.reorder(refused, 3);
         assertThat(placeAll(order(60 * TASK_MILLICORES), 9), contains("older", "turned-down", "turned-down"));
--- a/library/src/test/java/org/chivetally/queue/placement/FleetSimulation.java
+++ b/library/src/test/java/org/chivetally/queue/placement/FleetSimulation.java
@@ -319,7 +319,7 @@
             }
             worker.remove(sent.task().key());
             Job job = sent.task().job();
-            for (Task ready : job.recordRunEnd(sent.task(), outcome, 0)) {
+            for (Task ready : job.recordRunEnd(sent.task(), sent.run(), outcome, 0)) {
                 waiting.add(ready, nowNanos);
             }
             if (job.phase().isFinal()) {
--- a/library/src/test/java/org/chivetally/queue/placement/OverloadSimulationTest.java
+++ b/library/src/test/java/org/chivetally/queue/placement/OverloadSimulationTest.java
@@ -169,7 +169,7 @@
         }
         run.worker().remove(run.task().key());
         RunOutcome outcome = run.fails() ? RunOutcome.FAILED : RunOutcome.DONE;
-        for (Task ready : job.recordRunEnd(run.task(), outcome, 0)) {
+        for (Task ready : job.recordRunEnd(run.task(), run.task().lastRun(), outcome, 0)) {
             waiting.add(ready, nowNanos);
         }
         if (open && job.phase().isFinal()) {
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
@@ -59,6 +59,8 @@
         return internalGetCrashedRuns();
       case 7:
         return internalGetBoundedStarts();
+      case 8:
+        return internalGetFailedRuns();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -488,6 +490,101 @@
     return map.get(key);
   }
 
+  public static final int FAILED_RUNS_FIELD_NUMBER = 8;
+  private static final class FailedRunsDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, org.chivetally.wire.v1.RunNumbers> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>newDefaultInstance(
+                org.chivetally.wire.v1.Wire.internal_static_org_chivetally_wire_v1_StoredProgress_FailedRunsEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.MESSAGE,
+                org.chivetally.wire.v1.RunNumbers.getDefaultInstance());
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, org.chivetally.wire.v1.RunNumbers> failedRuns_;
+  private com.google.protobuf.MapField<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+  internalGetFailedRuns() {
+    if (failedRuns_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          FailedRunsDefaultEntryHolder.defaultEntry);
+    }
+    return failedRuns_;
+  }
+  public int getFailedRunsCount() {
+    return internalGetFailedRuns().getMap().size();
+  }
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  @java.lang.Override
+  public boolean containsFailedRuns(
+      int key) {
+
+    return internalGetFailedRuns().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getFailedRunsMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getFailedRuns() {
+    return getFailedRunsMap();
+  }
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getFailedRunsMap() {
+    return internalGetFailedRuns().getMap();
+  }
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  @java.lang.Override
+  public /* nullable */
+org.chivetally.wire.v1.RunNumbers getFailedRunsOrDefault(
+      int key,
+      /* nullable */
+org.chivetally.wire.v1.RunNumbers defaultValue) {
+
+    java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> map =
+        internalGetFailedRuns().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunNumbers getFailedRunsOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> map =
+        internalGetFailedRuns().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -535,6 +632,12 @@
         internalGetBoundedStarts(),
         BoundedStartsDefaultEntryHolder.defaultEntry,
         7);
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetFailedRuns(),
+        FailedRunsDefaultEntryHolder.defaultEntry,
+        8);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -591,6 +694,16 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(7, boundedStarts__);
     }
+    for (java.util.Map.Entry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> entry
+         : internalGetFailedRuns().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+      failedRuns__ = FailedRunsDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(8, failedRuns__);
+    }
     return size;
   }
   @java.lang.Override
@@ -628,6 +741,8 @@
         other.internalGetCrashedRuns())) return false;
     if (!internalGetBoundedStarts().equals(
         other.internalGetBoundedStarts())) return false;
+    if (!internalGetFailedRuns().equals(
+        other.internalGetFailedRuns())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -662,6 +777,10 @@
       hash = (37 * hash) + BOUNDED_STARTS_FIELD_NUMBER;
       hash = (53 * hash) + internalGetBoundedStarts().hashCode();
     }
+    if (!internalGetFailedRuns().getMap().isEmpty()) {
+      hash = (37 * hash) + FAILED_RUNS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetFailedRuns().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -787,6 +906,8 @@
           return internalGetCrashedRuns();
         case 7:
           return internalGetBoundedStarts();
+        case 8:
+          return internalGetFailedRuns();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -804,6 +925,8 @@
           return internalGetMutableCrashedRuns();
         case 7:
           return internalGetMutableBoundedStarts();
+        case 8:
+          return internalGetMutableFailedRuns();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -838,6 +961,7 @@
       internalGetMutableCrashes().clear();
       internalGetMutableCrashedRuns().clear();
       internalGetMutableBoundedStarts().clear();
+      internalGetMutableFailedRuns().clear();
       return this;
     }
 
@@ -896,6 +1020,9 @@
         result.boundedStarts_ = internalGetBoundedStarts();
         result.boundedStarts_.makeImmutable();
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.failedRuns_ = internalGetFailedRuns().build(FailedRunsDefaultEntryHolder.defaultEntry);
+      }
     }
 
     @java.lang.Override
@@ -931,6 +1058,9 @@
       internalGetMutableBoundedStarts().mergeFrom(
           other.internalGetBoundedStarts());
       bitField0_ |= 0x00000040;
+      internalGetMutableFailedRuns().mergeFrom(
+          other.internalGetFailedRuns());
+      bitField0_ |= 0x00000080;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1006,6 +1136,15 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 58
+            case 66: {
+              com.google.protobuf.MapEntry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+              failedRuns__ = input.readMessage(
+                  FailedRunsDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableFailedRuns().ensureBuilderMap().put(
+                  failedRuns__.getKey(), failedRuns__.getValue());
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1763,6 +1902,192 @@
       return this;
     }
 
+    private static final class FailedRunsConverter implements com.google.protobuf.MapFieldBuilder.Converter<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers> {
+      @java.lang.Override
+      public org.chivetally.wire.v1.RunNumbers build(org.chivetally.wire.v1.RunNumbersOrBuilder val) {
+        if (val instanceof org.chivetally.wire.v1.RunNumbers) { return (org.chivetally.wire.v1.RunNumbers) val; }
+        return ((org.chivetally.wire.v1.RunNumbers.Builder) val).build();
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.MapEntry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> defaultEntry() {
+        return FailedRunsDefaultEntryHolder.defaultEntry;
+      }
+    };
+    private static final FailedRunsConverter failedRunsConverter = new FailedRunsConverter();
+
+    private com.google.protobuf.MapFieldBuilder<
+        java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers, org.chivetally.wire.v1.RunNumbers.Builder> failedRuns_;
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers, org.chivetally.wire.v1.RunNumbers.Builder>
+        internalGetFailedRuns() {
+      if (failedRuns_ == null) {
+        return new com.google.protobuf.MapFieldBuilder<>(failedRunsConverter);
+      }
+      return failedRuns_;
+    }
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers, org.chivetally.wire.v1.RunNumbers.Builder>
+        internalGetMutableFailedRuns() {
+      if (failedRuns_ == null) {
+        failedRuns_ = new com.google.protobuf.MapFieldBuilder<>(failedRunsConverter);
+      }
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return failedRuns_;
+    }
+    public int getFailedRunsCount() {
+      return internalGetFailedRuns().ensureBuilderMap().size();
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    @java.lang.Override
+    public boolean containsFailedRuns(
+        int key) {
+
+      return internalGetFailedRuns().ensureBuilderMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getFailedRunsMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getFailedRuns() {
+      return getFailedRunsMap();
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getFailedRunsMap() {
+      return internalGetFailedRuns().getImmutableMap();
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    @java.lang.Override
+    public /* nullable */
+org.chivetally.wire.v1.RunNumbers getFailedRunsOrDefault(
+        int key,
+        /* nullable */
+org.chivetally.wire.v1.RunNumbers defaultValue) {
+
+      java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder> map = internalGetMutableFailedRuns().ensureBuilderMap();
+      return map.containsKey(key) ? failedRunsConverter.build(map.get(key)) : defaultValue;
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.RunNumbers getFailedRunsOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder> map = internalGetMutableFailedRuns().ensureBuilderMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return failedRunsConverter.build(map.get(key));
+    }
+    public Builder clearFailedRuns() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      internalGetMutableFailedRuns().clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    public Builder removeFailedRuns(
+        int key) {
+
+      internalGetMutableFailedRuns().ensureBuilderMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+        getMutableFailedRuns() {
+      bitField0_ |= 0x00000080;
+      return internalGetMutableFailedRuns().ensureMessageMap();
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    public Builder putFailedRuns(
+        int key,
+        org.chivetally.wire.v1.RunNumbers value) {
+
+      java.util.Objects.requireNonNull(value, "map value");
+      internalGetMutableFailedRuns().ensureBuilderMap()
+          .put(key, value);
+      bitField0_ |= 0x00000080;
+      return this;
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    public Builder putAllFailedRuns(
+        java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> values) {
+      for (java.util.Map.Entry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> e : values.entrySet()) {
+        java.util.Objects.requireNonNull(e.getKey());
+        java.util.Objects.requireNonNull(e.getValue());
+      }
+      internalGetMutableFailedRuns().ensureBuilderMap()
+          .putAll(values);
+      bitField0_ |= 0x00000080;
+      return this;
+    }
+    /**
+     * <pre>
+     * the runs counted in `failures`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+     */
+    public org.chivetally.wire.v1.RunNumbers.Builder putFailedRunsBuilderIfAbsent(
+        int key) {
+      java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder> builderMap = internalGetMutableFailedRuns().ensureBuilderMap();
+      org.chivetally.wire.v1.RunNumbersOrBuilder entry = builderMap.get(key);
+      if (entry == null) {
+        entry = org.chivetally.wire.v1.RunNumbers.newBuilder();
+        builderMap.put(key, entry);
+      }
+      if (entry instanceof org.chivetally.wire.v1.RunNumbers) {
+        entry = ((org.chivetally.wire.v1.RunNumbers) entry).toBuilder();
+        builderMap.put(key, entry);
+      }
+      return (org.chivetally.wire.v1.RunNumbers.Builder) entry;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.StoredProgress)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
@@ -244,4 +244,58 @@
    */
   int getBoundedStartsOrThrow(
       int key);
+
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  int getFailedRunsCount();
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  boolean containsFailedRuns(
+      int key);
+  /**
+   * Use {@link #getFailedRunsMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+  getFailedRuns();
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+  getFailedRunsMap();
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  /* nullable */
+org.chivetally.wire.v1.RunNumbers getFailedRunsOrDefault(
+      int key,
+      /* nullable */
+org.chivetally.wire.v1.RunNumbers defaultValue);
+  /**
+   * <pre>
+   * the runs counted in `failures`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; failed_runs = 8;</code>
+   */
+  org.chivetally.wire.v1.RunNumbers getFailedRunsOrThrow(
+      int key);
 }
