Count the failure of an earlier run when a later one is known

Cause: the end of a run that isn't in progress counted only while its task was uncertain. Where the new owner had already adopted a later run of the task, or the task waited or was blocked behind an earlier step, the failure was acknowledged without being counted, so the minion discarded it. Whether a failure counts hung on the order in which agents reported.

Evidence: RunEndAccountingTest.countsTheFailureOfAnEarlierRunAfterALaterOneIsKnown fails with the commit before this one: the job is shown as running, and run 193 is sent after runs 1 and 2 have failed.

Ruled out: that the failure is lost with the old owner; the agent reports it to the new one, which acknowledges it.

Change: a failure counts if its run isn't counted yet and the task isn't done, whatever the task's status. The status stays as it is: a later run goes on, an uncertain task waits for the reports of all agents, and a job that has failed as often as allowed ends and its runs are stopped. An end is acknowledged after its effect is stored, as before. Ends without effect (stopped, lapsed) are no longer acknowledged while a write of their job is pending, as all repeated ends.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -241,6 +241,10 @@
      */
     public void recordPlacement(Task task, String worker, long run) {
         task.recordPlacement(worker, run);
+        markStarted();
+    }
+
+    private void markStarted() {
         if (phase == JobPhase.QUEUED) {
             phase = JobPhase.RUNNING;
             reportedPhase = JobPhase.RUNNING;
@@ -278,10 +282,7 @@
             task.recordCrash(run);
         }
         if (outcome == RunOutcome.FAILED) {
-            task.recordFailure(run);
-            if (!phase.isFinal() && task.failures() >= specification.terms().maximumAttempts()) {
-                finish(JobPhase.FAILED, nowMillis);
-            }
+            recordFailure(task, run, task.worker().orElse(""), nowMillis);
         }
         markWaiting(task);
         if (!durable
@@ -295,6 +296,23 @@
         return phase.isFinal() ? List.of() : List.of(task);
     }
 
+    /**
+     * Records the failure of a run of a task. The status of the task stays as it is, since another run may be in
+     * progress or may have been started by a previous owner.
+     *
+     * @param task the task
+     * @param run number of the run
+     * @param worker name of the worker
+     * @param nowMillis time of day in milliseconds since the Unix epoch
+     */
+    public void recordFailure(Task task, long run, String worker, long nowMillis) {
+        markStarted();
+        task.recordFailure(run, worker);
+        if (!phase.isFinal() && task.failures() >= specification.terms().maximumAttempts()) {
+            finish(JobPhase.FAILED, nowMillis);
+        }
+    }
+
     private List<Task> completeTask(Task task, long nowMillis) {
         task.changeStatus(Task.Status.DONE);
         unfinishedTasks--;
--- a/library/src/main/java/org/chivetally/queue/Task.java
+++ b/library/src/main/java/org/chivetally/queue/Task.java
@@ -137,9 +137,9 @@
         lastRun = Math.max(lastRun, run);
     }
 
-    /** Records that a run has failed; has no effect if that is recorded already. */
-    void recordFailure(long run) {
-        lastFailedWorker = worker;
+    /** Records that a run has failed on a worker; has no effect on the count if that is recorded already. */
+    void recordFailure(long run, String failedOn) {
+        lastFailedWorker = failedOn;
         failedRuns = failedRuns.with(run);
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/JobOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/JobOwner.java
@@ -25,6 +25,17 @@
      */
     void reportedAgain(Task task, Runnable acknowledge);
 
+    /**
+     * Handles the failure of a run that is no longer tracked here.
+     *
+     * @param run number of that run, which has not been counted yet
+     * @param worker name of the worker that reports the failure
+     * @param acknowledge run once the minion may discard the end
+     */
+    default void earlierRunFailed(Task task, long run, String worker, Runnable acknowledge) {
+        reportedAgain(task, acknowledge);
+    }
+
     /**
      * Handles the crash of a minion under a run that is no longer tracked here.
      *
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -388,12 +388,23 @@
             reportedAgain(task, acknowledge);
             return;
         }
+        storeEnd(job, acknowledge);
+    }
+
+    /** Stores the effect of a run's end on its job, after which the minion may discard the end. */
+    private void storeEnd(Job job, Runnable acknowledge) {
         if (job.phase().isFinal()) {
             events.ended(job);
             writeEnd(job, stored -> acknowledgeIfStored(stored, acknowledge));
-            return;
+        } else {
+            write(job, List.of(progressOf(job)), stored -> acknowledgeIfStored(stored, acknowledge));
         }
-        write(job, List.of(progressOf(job)), stored -> acknowledgeIfStored(stored, acknowledge));
+    }
+
+    @Override
+    public void earlierRunFailed(Task task, long run, String worker, Runnable acknowledge) {
+        task.job().recordFailure(task, run, worker, timers.epochMillis());
+        storeEnd(task.job(), acknowledge);
     }
 
     /**
@@ -425,8 +436,7 @@
         }
         if (overLimit) {
             failJob(task);
-            events.ended(job);
-            writeEnd(job, stored -> acknowledgeIfStored(stored, acknowledge));
+            storeEnd(job, acknowledge);
         } else {
             storeCrash(task, acknowledge);
         }
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -44,8 +44,6 @@
 import org.chivetally.wire.v1.RunEnd;
 import org.chivetally.wire.v1.RunInventory;
 import org.chivetally.wire.v1.RunRefused;
-import org.chivetally.wire.v1.RunStart;
-import org.chivetally.wire.v1.RunStop;
 import org.chivetally.wire.v1.WorkerReport;
 
 /** Places the entry's tasks on workers and tracks their runs until these have ended. */
@@ -305,14 +303,8 @@
             // The run is stopped when the agent reconnects and lists it in its inventory, as its job has ended.
             return;
         }
-        JobOwner.FencingToken token = owner.get().fencingToken();
         link.send(Frame.newBuilder()
-                .setRunStop(RunStop.newBuilder()
-                        .setTask(task.toString())
-                        .setRun(run)
-                        .setPartition(token.partition())
-                        .setEpoch(token.epoch())
-                        .setUnkept(token.inMemory()))
+                .setRunStop(RunOrderCodec.stop(task, run, owner.get().fencingToken()))
                 .build());
     }
 
@@ -473,40 +465,41 @@
             return;
         }
         Task task = known.get();
+        jobOwnerOf(task).ifPresent(owner -> endUntrackedRun(worker, owner, task, end, acknowledge));
+    }
+
+    /**
+     * Handles the end of a run that is not in progress here: a former owner started it, it counted as lost, or its end
+     * is reported again.
+     */
+    private void endUntrackedRun(Worker worker, JobOwner owner, Task task, EndedRun end, Runnable acknowledge) {
+        long run = end.run().run();
         if (end.outcome() == RunOutcome.CRASHED) {
-            jobOwnerOf(task)
-                    .ifPresent(owner -> owner.earlierRunCrashed(task, end.run().run(), acknowledge));
-            return;
-        }
-        boolean isRepeatedFailure =
-                end.outcome() == RunOutcome.FAILED && task.hasFailedIn(end.run().run());
-        if (!isRepeatedFailure && (task.status() == Task.Status.UNCERTAIN || completesTask(task, end))) {
-            stopNewerRun(task);
-            endUntrackedRun(worker, task, end, acknowledge);
+            owner.earlierRunCrashed(task, run, acknowledge);
+        } else if (!hasEffect(task, end)) {
+            owner.reportedAgain(task, acknowledge);
+        } else if (end.outcome() == RunOutcome.FAILED) {
+            logEnd(worker, task, run, end.outcome());
+            owner.earlierRunFailed(task, run, worker.process(), acknowledge);
         } else {
-            jobOwnerOf(task).ifPresent(owner -> owner.reportedAgain(task, acknowledge));
+            // Stops the current run, so that the work isn't done twice.
+            task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), Optional.of(owner)));
+            waiting.remove(task);
+            task.job().recordPlacement(task, worker.process(), run);
+            recordEnd(worker, task, run, end.outcome(), acknowledge);
         }
     }
 
-    /** Returns whether a run that is no longer tracked has done its task, so that no other run is needed. */
-    private static boolean completesTask(Task task, EndedRun end) {
-        return task.status() != Task.Status.DONE && end.outcome() == RunOutcome.DONE;
-    }
-
-    /** Stops the current run of a task that an earlier run has completed, so that the work isn't done twice. */
-    private void stopNewerRun(Task task) {
-        task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), jobOwnerOf(task)));
-    }
-
-    private void endUntrackedRun(Worker worker, Task task, EndedRun end, Runnable acknowledge) {
-        boolean counts = end.outcome() == RunOutcome.DONE || end.outcome() == RunOutcome.FAILED;
-        if (!counts) {
-            acknowledge.run();
-            return;
+    /** Returns whether the end of an untracked run changes its task: the task is done, or one more run has failed. */
+    private static boolean hasEffect(Task task, EndedRun end) {
+        if (task.job().phase().isFinal() || task.status() == Task.Status.DONE) {
+            return false;
         }
-        waiting.remove(task);
-        task.job().recordPlacement(task, worker.process(), end.run().run());
-        recordEnd(worker, task, end.run().run(), end.outcome(), acknowledge);
+        return switch (end.outcome()) {
+            case DONE -> true;
+            case FAILED -> !task.hasFailedIn(end.run().run());
+            case STOPPED, LAPSED, BROKEN, ALONE, LOST, NEVER_STARTED, CRASHED -> false;
+        };
     }
 
     private void acknowledge(PeerLink link, EndedRun end) {
@@ -528,6 +521,12 @@
     }
 
     private void recordEnd(Worker worker, Task task, long run, RunOutcome outcome, Runnable acknowledge) {
+        logEnd(worker, task, run, outcome);
+        jobOwnerOf(task).ifPresent(owner -> owner.ended(task, run, outcome, acknowledge));
+        passes.schedule();
+    }
+
+    private void logEnd(Worker worker, Task task, long run, RunOutcome outcome) {
         if (outcome == RunOutcome.FAILED
                 && worker.health().recordFailedRun(task.key().jobId(), timers.nanos())) {
             EventLine.of("worker-avoided").with("worker", worker.process()).log(LOGGER.atWarning());
@@ -539,8 +538,6 @@
                 .with("outcome", outcome)
                 .with("failures", task.failures())
                 .log(LOGGER.atInfo());
-        jobOwnerOf(task).ifPresent(owner -> owner.ended(task, run, outcome, acknowledge));
-        passes.schedule();
     }
 
     /** Handles an agent's refusal to start a run. */
@@ -679,22 +676,14 @@
         placed.log(LOGGER.atInfo());
         link.recordEchoSent(now);
         link.send(Frame.newBuilder()
-                .setRunStart(RunStart.newBuilder()
-                        .setNumber(sent.number())
-                        .setTask(task.key().toString())
-                        .setRun(run)
-                        .setPartition(token.partition())
-                        .setEpoch(token.epoch())
-                        .setUnkept(token.inMemory())
+                .setRunStart(RunOrderCodec.start(sent, token)
                         .setSuspected(isolated)
                         .setEchoNanos(link.peerStampNanos())
                         .setStampAgeNanos(link.stampAgeNanos(lastResponsiveNanos.getAsLong()))
                         .setEstimatedMillis(
                                 placement.learnsSpeeds()
                                         ? Math.max(0, task.step().estimatedMillis())
-                                        : 0)
-                        .setRoom(JobCodec.encode(task.room()))
-                        .setPayload(task.job().specification().payload()))
+                                        : 0))
                 .build());
     }
 }
--- a/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -130,6 +130,30 @@
         completeInSecondRun();
     }
 
+    /** A task must not run a third time because the new owner learned of its second run before the end of its first. */
+    @Test
+    void countsTheFailureOfAnEarlierRunAfterALaterOneIsKnown() {
+        startCluster(2);
+        submit();
+        String first = runnerName();
+        cluster.log.appendBehavior = AppendBehavior.SILENT;
+        failRunAt(first);
+        advanceUntil(() -> starts() == 2);
+        String second = runnerName();
+        assertThat(second, is(not(first)));
+        cluster.advance(300);
+        cutFromEntries(first, true);
+        cluster.kill(ownerName());
+        cluster.log.appendBehavior = AppendBehavior.ACCEPTING;
+        cluster.advance(3_500);
+        cutFromEntries(first, false);
+        advanceUntil(() -> cluster.minions.get(first).ends.isEmpty());
+        failRunAt(second);
+        cluster.advance(9_000);
+        assertThat(cluster.query(owner(), ID), contains(FAILED));
+        assertThat(starts(), is(2));
+    }
+
     /** Fails the run at the only agent, and loses what the owner sends to the agent in response. */
     private void failRunAndLoseNextStart() {
         cluster.network.setPathCut(ownerName(), "agent-1", true);
