Start a task again whose start was lost after an earlier run had failed

What callers saw: nothing yet; a job would stay running for good (LOST). Found while reading what decides by a reported end.

Cause: an owner finds starts that were lost with a link by comparing its runs with the inventory of the agent that has linked again. A task counted as present there if any end of it was listed, also that of an earlier run whose acknowledgement was lost with the link. The owner then waited for good for the end of a run that no agent holds.

It takes one failed run, one lost direction of a link for 2 s, and the same worker chosen again.

Change: only a held run shows that a start isn't lost. The listed ends are applied before the comparison, which removes the runs that they end; this was already the rule for crashes.

--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -354,22 +354,17 @@
         report(link, inventory.getReport());
         Worker worker = worker(link.peer().process());
         loseSupersededPartitions(inventory.getFencedList());
-        Set<TaskKey> listed = new HashSet<>();
+        Set<TaskKey> held = new HashSet<>();
         for (HeldRun run : inventory.getRunsList()) {
             TaskKey.parse(run.getTask()).ifPresent(task -> {
-                listed.add(task);
+                held.add(task);
                 reconcileRun(worker, task, run);
             });
         }
-        for (RunEnd end : inventory.getEndsList()) {
-            // A crash is reported until it is stored, and is no evidence about a later run of the task.
-            EndCodec.decode(end)
-                    .filter(ended -> ended.outcome() != RunOutcome.CRASHED)
-                    .ifPresent(ended -> listed.add(ended.run().task()));
-        }
         ends(link, inventory.getEndsList());
         for (Worker.SentStart start : worker.inProgress()) {
-            if (!listed.contains(start.task().key()) && !worker.isUnacknowledged(start)) {
+            // Only a run that is held shows that the start isn't lost; ends of earlier runs are listed until stored.
+            if (!held.contains(start.task().key()) && !worker.isUnacknowledged(start)) {
                 finishRun(worker, start, RunOutcome.LOST, () -> {});
             }
         }
--- a/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -154,6 +154,18 @@
         assertThat(starts(), is(2));
     }
 
+    /** A start that gets lost must be detected although the agent still lists the failure of the task's earlier run. */
+    @Test
+    void startsATaskAgainWhoseStartIsLostAfterAnUnstoredFailure() {
+        startCluster(1);
+        submit();
+        failRunAndLoseNextStart();
+        cluster.advance(2_000);
+        cluster.network.setPathCut(ownerName(), "agent-1", false);
+        cluster.advance(10_000);
+        assertThat(cluster.running(ID), hasSize(1));
+    }
+
     /** Fails the run at the only agent, and loses what the owner sends to the agent in response. */
     private void failRunAndLoseNextStart() {
         cluster.network.setPathCut(ownerName(), "agent-1", true);
