Stop adopted runs by their own numbers

What callers saw: the tasks of a job went on after its cancellation, when another entry than the present owner had started them (UNASKED); the same for the other tasks of a job that had failed, and for a later run of a task whose earlier run was done.

Cause: a stop carries a run number, and an agent ignores one whose number isn't that of the run it holds. The owner sent the greatest number that any owner can have used. For a run that a previous owner started this is higher than the run's own number, so the stop had no effect.

Evidence: RunEndAccountingTest.stopsAnAdoptedRunWhenItsJobIsCancelled fails with the commit before this one: run 1 goes on after the cancellation is stored. CancellationBoundTest.runStopsInTimeAfterItsOwnerDied passes before, as the new owner there is cancelled at once, before it has adopted the run.

Change: a task knows the number of its run in progress, and stops carry that one.

--- a/library/src/main/java/org/chivetally/queue/Task.java
+++ b/library/src/main/java/org/chivetally/queue/Task.java
@@ -26,6 +26,7 @@
     private final int position;
     private Status status;
     private long lastRun;
+    private long currentRun;
     private String worker = "";
     private String lastFailedWorker = "";
     private CountedRuns failedRuns = CountedRuns.NONE;
@@ -78,7 +79,15 @@
         return lastFailedWorker.isEmpty() ? Optional.empty() : Optional.of(lastFailedWorker);
     }
 
-    /** Returns the number of the latest run; 0 before the first. */
+    /**
+     * Returns the number of the run in progress. It is lower than that of the latest run if a previous owner started
+     * it.
+     */
+    public long currentRun() {
+        return currentRun;
+    }
+
+    /** Returns the greatest number of a run that any owner can have used; 0 before the first. */
     public long lastRun() {
         return lastRun;
     }
@@ -134,6 +143,7 @@
     void recordPlacement(String placedOn, long run) {
         status = Status.PLACED;
         worker = placedOn;
+        currentRun = run;
         lastRun = Math.max(lastRun, run);
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -282,7 +282,7 @@
         crashes.removeJob(job);
         for (Task task : job.tasks()) {
             waiting.remove(task);
-            task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), jobOwnerOf(task)));
+            task.worker().ifPresent(name -> stop(name, task.key(), task.currentRun(), jobOwnerOf(task)));
         }
     }
 
@@ -478,7 +478,7 @@
             owner.earlierRunFailed(task, run, worker.process(), acknowledge);
         } else {
             // Stops the current run, so that the work isn't done twice.
-            task.worker().ifPresent(name -> stop(name, task.key(), task.lastRun(), Optional.of(owner)));
+            task.worker().ifPresent(name -> stop(name, task.key(), task.currentRun(), Optional.of(owner)));
             waiting.remove(task);
             task.job().recordPlacement(task, worker.process(), run);
             recordEnd(worker, task, run, end.outcome(), acknowledge);
--- a/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasKey;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -13,6 +14,7 @@
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RunKey;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.agent.FakeMinion;
 import org.chivetally.queue.log.ScriptedKeyedLog.AppendBehavior;
@@ -171,4 +173,19 @@
         cluster.network.setPathCut(ownerName(), "agent-1", true);
         failRunAt("agent-1");
     }
+
+    /** A cancellation must stop the run of a former owner, whose number is lower than those of the present owner. */
+    @Test
+    void stopsAnAdoptedRunWhenItsJobIsCancelled() {
+        startCluster(2);
+        submit();
+        RunKey run = cluster.running(ID).getFirst();
+        cluster.kill(ownerName());
+        cluster.advance(4_500);
+        assertThat(cluster.running(ID), contains(run));
+        owner().jobRouter().cancel(ID, cluster.timers.nanos() + 1_000_000_000L, answer -> {});
+        cluster.advance(200);
+        assertThat(cluster.running(ID), is(empty()));
+        assertThat(cluster.stored(PARTITION), not(hasKey("j" + ID)));
+    }
 }
