Count the crash of an earlier run after that of a later one

What callers saw: nothing yet; a task that crashes its minions would be started once more than its bound allows (BUDGET).

Cause: crashes were counted with the number of the latest run that had crashed, and a lower one was taken for a repetition. A run that counted as lost, since its agent was cut off, can have crashed as well; the agent reports it when it is linked again, after the crash of the run that replaced it.

Evidence: RunEndAccountingTest.countsTheCrashOfAnEarlierRunAfterThatOfALaterRun fails with the commit before this one: one crash is stored, two minions have crashed.

Change: crashes are counted by a set of run numbers, as failures are (CountedRuns), in the stored progress too (crashed_run_numbers; crashed_runs is still written for older releases and read from them).

--- a/library/src/main/java/org/chivetally/queue/CountedRuns.java
+++ b/library/src/main/java/org/chivetally/queue/CountedRuns.java
@@ -25,7 +25,7 @@
     }
 
     /** Returns the greatest run number; 0 if there is none. */
-    long latest() {
+    public long latest() {
         long latest = 0;
         for (long run : runs) {
             latest = Math.max(latest, run);
--- a/library/src/main/java/org/chivetally/queue/JobCodec.java
+++ b/library/src/main/java/org/chivetally/queue/JobCodec.java
@@ -134,7 +134,8 @@
         StoredProgress.Builder stored = StoredProgress.newBuilder();
         progress.crashes()
                 .forEach((position, count) -> stored.putCrashes(position, count.crashes())
-                        .putCrashedRuns(position, count.latestRun())
+                        .putCrashedRuns(position, count.runs().latest())
+                        .putCrashedRunNumbers(position, encode(count.runs()))
                         .putBoundedStarts(position, count.boundedStarts()));
         progress.failures()
                 .forEach((position, failed) ->
@@ -182,15 +183,23 @@
     private static Map<Integer, CrashCount> crashes(StoredProgress stored) {
         Map<Integer, CrashCount> crashes = new HashMap<>();
         stored.getCrashesMap()
-                .forEach((position, count) -> crashes.put(
+                .forEach((position, total) -> crashes.put(
                         position,
                         new CrashCount(
-                                count,
-                                stored.getCrashedRunsOrDefault(position, 0),
+                                countedRuns(crashedRuns(stored, position), total),
                                 stored.getBoundedStartsOrDefault(position, 0))));
         return crashes;
     }
 
+    /** Returns the known numbers of crashed runs; an earlier release stored only the latest one. */
+    private static RunNumbers crashedRuns(StoredProgress stored, int position) {
+        return stored.getCrashedRunNumbersOrDefault(
+                position,
+                RunNumbers.newBuilder()
+                        .addRuns(stored.getCrashedRunsOrDefault(position, 0))
+                        .build());
+    }
+
     /** Encodes a job phase. */
     public static org.chivetally.wire.v1.JobPhase encode(JobPhase phase) {
         return switch (phase) {
--- a/library/src/main/java/org/chivetally/queue/Task.java
+++ b/library/src/main/java/org/chivetally/queue/Task.java
@@ -156,6 +156,6 @@
     void restore(CountedRuns failures, CrashCount crashedRuns, long runs) {
         crashes = crashedRuns;
         failedRuns = failures;
-        lastRun = Math.max(runs, failures.latest());
+        lastRun = Math.max(runs, Math.max(failures.latest(), crashedRuns.runs().latest()));
     }
 }
--- a/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -11,12 +11,14 @@
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import org.chivetally.queue.JobAnswer;
+import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Partitions;
 import org.chivetally.queue.RunKey;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.agent.FakeMinion;
+import org.chivetally.queue.agent.MinionState;
 import org.chivetally.queue.log.ScriptedKeyedLog.AppendBehavior;
 import org.junit.jupiter.api.Test;
 
@@ -188,4 +190,39 @@
         assertThat(cluster.running(ID), is(empty()));
         assertThat(cluster.stored(PARTITION), not(hasKey("j" + ID)));
     }
+
+    /** A task that crashes its minions must use up its starts also if the crash of an earlier run is reported last. */
+    @Test
+    void countsTheCrashOfAnEarlierRunAfterThatOfALaterRun() {
+        startCluster(2);
+        submit();
+        String first = runnerName();
+        cutFromEntries(first, true);
+        cluster.advance(1_000);
+        crash(first);
+        advanceUntil(() -> starts() == 2);
+        cluster.advance(100);
+        crash(runnerName());
+        cluster.advance(500);
+        assertThat(storedCrashes(), is(1));
+        cutFromEntries(first, false);
+        cluster.advance(3_000);
+        assertThat(storedCrashes(), is(2));
+    }
+
+    /** Replaces the minion of an agent by another one while it runs a task. */
+    private void crash(String agent) {
+        FakeMinion minion = cluster.minions.get(agent);
+        minion.restart(0);
+        cluster.agents
+                .get(agent)
+                .supervisor()
+                .announced(new MinionState(
+                        "next-" + agent, "reports", cluster.capacity, cluster.labels, false, minion.clock()));
+    }
+
+    private int storedCrashes() {
+        byte[] progress = cluster.stored(PARTITION).get("p" + ID);
+        return JobCodec.decodeProgress(progress).crashes().get(0).crashes();
+    }
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgress.java
@@ -61,6 +61,8 @@
         return internalGetBoundedStarts();
       case 8:
         return internalGetFailedRuns();
+      case 9:
+        return internalGetCrashedRunNumbers();
       default:
         throw new RuntimeException(
             "Invalid map field number: " + number);
@@ -332,7 +334,7 @@
   }
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -353,7 +355,7 @@
   }
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -364,7 +366,7 @@
   }
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -380,7 +382,7 @@
   }
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -585,6 +587,101 @@
     return map.get(key);
   }
 
+  public static final int CRASHED_RUN_NUMBERS_FIELD_NUMBER = 9;
+  private static final class CrashedRunNumbersDefaultEntryHolder {
+    static final com.google.protobuf.MapEntry<
+        java.lang.Integer, org.chivetally.wire.v1.RunNumbers> defaultEntry =
+            com.google.protobuf.MapEntry
+            .<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>newDefaultInstance(
+                org.chivetally.wire.v1.Wire.internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunNumbersEntry_descriptor, 
+                com.google.protobuf.WireFormat.FieldType.UINT32,
+                0,
+                com.google.protobuf.WireFormat.FieldType.MESSAGE,
+                org.chivetally.wire.v1.RunNumbers.getDefaultInstance());
+  }
+  @SuppressWarnings("serial")
+  private com.google.protobuf.MapField<
+      java.lang.Integer, org.chivetally.wire.v1.RunNumbers> crashedRunNumbers_;
+  private com.google.protobuf.MapField<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+  internalGetCrashedRunNumbers() {
+    if (crashedRunNumbers_ == null) {
+      return com.google.protobuf.MapField.emptyMapField(
+          CrashedRunNumbersDefaultEntryHolder.defaultEntry);
+    }
+    return crashedRunNumbers_;
+  }
+  public int getCrashedRunNumbersCount() {
+    return internalGetCrashedRunNumbers().getMap().size();
+  }
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  @java.lang.Override
+  public boolean containsCrashedRunNumbers(
+      int key) {
+
+    return internalGetCrashedRunNumbers().getMap().containsKey(key);
+  }
+  /**
+   * Use {@link #getCrashedRunNumbersMap()} instead.
+   */
+  @java.lang.Override
+  @java.lang.Deprecated
+  public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getCrashedRunNumbers() {
+    return getCrashedRunNumbersMap();
+  }
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getCrashedRunNumbersMap() {
+    return internalGetCrashedRunNumbers().getMap();
+  }
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  @java.lang.Override
+  public /* nullable */
+org.chivetally.wire.v1.RunNumbers getCrashedRunNumbersOrDefault(
+      int key,
+      /* nullable */
+org.chivetally.wire.v1.RunNumbers defaultValue) {
+
+    java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> map =
+        internalGetCrashedRunNumbers().getMap();
+    return map.containsKey(key) ? map.get(key) : defaultValue;
+  }
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  @java.lang.Override
+  public org.chivetally.wire.v1.RunNumbers getCrashedRunNumbersOrThrow(
+      int key) {
+
+    java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> map =
+        internalGetCrashedRunNumbers().getMap();
+    if (!map.containsKey(key)) {
+      throw new java.lang.IllegalArgumentException();
+    }
+    return map.get(key);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -638,6 +735,12 @@
         internalGetFailedRuns(),
         FailedRunsDefaultEntryHolder.defaultEntry,
         8);
+    com.google.protobuf.GeneratedMessage
+      .serializeIntegerMapTo(
+        output,
+        internalGetCrashedRunNumbers(),
+        CrashedRunNumbersDefaultEntryHolder.defaultEntry,
+        9);
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -704,6 +807,16 @@
       size += com.google.protobuf.CodedOutputStream
           .computeMessageSize(8, failedRuns__);
     }
+    for (java.util.Map.Entry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> entry
+         : internalGetCrashedRunNumbers().getMap().entrySet()) {
+      com.google.protobuf.MapEntry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+      crashedRunNumbers__ = CrashedRunNumbersDefaultEntryHolder.defaultEntry.newBuilderForType()
+          .setKey(entry.getKey())
+          .setValue(entry.getValue())
+          .buildPartial();
+      size += com.google.protobuf.CodedOutputStream
+          .computeMessageSize(9, crashedRunNumbers__);
+    }
     return size;
   }
   @java.lang.Override
@@ -743,6 +856,8 @@
         other.internalGetBoundedStarts())) return false;
     if (!internalGetFailedRuns().equals(
         other.internalGetFailedRuns())) return false;
+    if (!internalGetCrashedRunNumbers().equals(
+        other.internalGetCrashedRunNumbers())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -781,6 +896,10 @@
       hash = (37 * hash) + FAILED_RUNS_FIELD_NUMBER;
       hash = (53 * hash) + internalGetFailedRuns().hashCode();
     }
+    if (!internalGetCrashedRunNumbers().getMap().isEmpty()) {
+      hash = (37 * hash) + CRASHED_RUN_NUMBERS_FIELD_NUMBER;
+      hash = (53 * hash) + internalGetCrashedRunNumbers().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -908,6 +1027,8 @@
           return internalGetBoundedStarts();
         case 8:
           return internalGetFailedRuns();
+        case 9:
+          return internalGetCrashedRunNumbers();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -927,6 +1048,8 @@
           return internalGetMutableBoundedStarts();
         case 8:
           return internalGetMutableFailedRuns();
+        case 9:
+          return internalGetMutableCrashedRunNumbers();
         default:
           throw new RuntimeException(
               "Invalid map field number: " + number);
@@ -962,6 +1085,7 @@
       internalGetMutableCrashedRuns().clear();
       internalGetMutableBoundedStarts().clear();
       internalGetMutableFailedRuns().clear();
+      internalGetMutableCrashedRunNumbers().clear();
       return this;
     }
 
@@ -1023,6 +1147,9 @@
       if (((from_bitField0_ & 0x00000080) != 0)) {
         result.failedRuns_ = internalGetFailedRuns().build(FailedRunsDefaultEntryHolder.defaultEntry);
       }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.crashedRunNumbers_ = internalGetCrashedRunNumbers().build(CrashedRunNumbersDefaultEntryHolder.defaultEntry);
+      }
     }
 
     @java.lang.Override
@@ -1061,6 +1188,9 @@
       internalGetMutableFailedRuns().mergeFrom(
           other.internalGetFailedRuns());
       bitField0_ |= 0x00000080;
+      internalGetMutableCrashedRunNumbers().mergeFrom(
+          other.internalGetCrashedRunNumbers());
+      bitField0_ |= 0x00000100;
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1145,6 +1275,15 @@
               bitField0_ |= 0x00000080;
               break;
             } // case 66
+            case 74: {
+              com.google.protobuf.MapEntry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+              crashedRunNumbers__ = input.readMessage(
+                  CrashedRunNumbersDefaultEntryHolder.defaultEntry.getParserForType(), extensionRegistry);
+              internalGetMutableCrashedRunNumbers().ensureBuilderMap().put(
+                  crashedRunNumbers__.getKey(), crashedRunNumbers__.getValue());
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1624,7 +1763,7 @@
     }
     /**
      * <pre>
-     * latest run counted in `crashes`, by position of the task
+     * latest run counted in `crashes`, for releases without `crashed_run_numbers`
      * </pre>
      *
      * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -1645,7 +1784,7 @@
     }
     /**
      * <pre>
-     * latest run counted in `crashes`, by position of the task
+     * latest run counted in `crashes`, for releases without `crashed_run_numbers`
      * </pre>
      *
      * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -1656,7 +1795,7 @@
     }
     /**
      * <pre>
-     * latest run counted in `crashes`, by position of the task
+     * latest run counted in `crashes`, for releases without `crashed_run_numbers`
      * </pre>
      *
      * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -1672,7 +1811,7 @@
     }
     /**
      * <pre>
-     * latest run counted in `crashes`, by position of the task
+     * latest run counted in `crashes`, for releases without `crashed_run_numbers`
      * </pre>
      *
      * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -1696,7 +1835,7 @@
     }
     /**
      * <pre>
-     * latest run counted in `crashes`, by position of the task
+     * latest run counted in `crashes`, for releases without `crashed_run_numbers`
      * </pre>
      *
      * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -1719,7 +1858,7 @@
     }
     /**
      * <pre>
-     * latest run counted in `crashes`, by position of the task
+     * latest run counted in `crashes`, for releases without `crashed_run_numbers`
      * </pre>
      *
      * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -1736,7 +1875,7 @@
     }
     /**
      * <pre>
-     * latest run counted in `crashes`, by position of the task
+     * latest run counted in `crashes`, for releases without `crashed_run_numbers`
      * </pre>
      *
      * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -2088,6 +2227,192 @@
       return (org.chivetally.wire.v1.RunNumbers.Builder) entry;
     }
 
+    private static final class CrashedRunNumbersConverter implements com.google.protobuf.MapFieldBuilder.Converter<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers> {
+      @java.lang.Override
+      public org.chivetally.wire.v1.RunNumbers build(org.chivetally.wire.v1.RunNumbersOrBuilder val) {
+        if (val instanceof org.chivetally.wire.v1.RunNumbers) { return (org.chivetally.wire.v1.RunNumbers) val; }
+        return ((org.chivetally.wire.v1.RunNumbers.Builder) val).build();
+      }
+
+      @java.lang.Override
+      public com.google.protobuf.MapEntry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> defaultEntry() {
+        return CrashedRunNumbersDefaultEntryHolder.defaultEntry;
+      }
+    };
+    private static final CrashedRunNumbersConverter crashedRunNumbersConverter = new CrashedRunNumbersConverter();
+
+    private com.google.protobuf.MapFieldBuilder<
+        java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers, org.chivetally.wire.v1.RunNumbers.Builder> crashedRunNumbers_;
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers, org.chivetally.wire.v1.RunNumbers.Builder>
+        internalGetCrashedRunNumbers() {
+      if (crashedRunNumbers_ == null) {
+        return new com.google.protobuf.MapFieldBuilder<>(crashedRunNumbersConverter);
+      }
+      return crashedRunNumbers_;
+    }
+    private com.google.protobuf.MapFieldBuilder<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder, org.chivetally.wire.v1.RunNumbers, org.chivetally.wire.v1.RunNumbers.Builder>
+        internalGetMutableCrashedRunNumbers() {
+      if (crashedRunNumbers_ == null) {
+        crashedRunNumbers_ = new com.google.protobuf.MapFieldBuilder<>(crashedRunNumbersConverter);
+      }
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return crashedRunNumbers_;
+    }
+    public int getCrashedRunNumbersCount() {
+      return internalGetCrashedRunNumbers().ensureBuilderMap().size();
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    @java.lang.Override
+    public boolean containsCrashedRunNumbers(
+        int key) {
+
+      return internalGetCrashedRunNumbers().ensureBuilderMap().containsKey(key);
+    }
+    /**
+     * Use {@link #getCrashedRunNumbersMap()} instead.
+     */
+    @java.lang.Override
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getCrashedRunNumbers() {
+      return getCrashedRunNumbersMap();
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    @java.lang.Override
+    public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> getCrashedRunNumbersMap() {
+      return internalGetCrashedRunNumbers().getImmutableMap();
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    @java.lang.Override
+    public /* nullable */
+org.chivetally.wire.v1.RunNumbers getCrashedRunNumbersOrDefault(
+        int key,
+        /* nullable */
+org.chivetally.wire.v1.RunNumbers defaultValue) {
+
+      java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder> map = internalGetMutableCrashedRunNumbers().ensureBuilderMap();
+      return map.containsKey(key) ? crashedRunNumbersConverter.build(map.get(key)) : defaultValue;
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    @java.lang.Override
+    public org.chivetally.wire.v1.RunNumbers getCrashedRunNumbersOrThrow(
+        int key) {
+
+      java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder> map = internalGetMutableCrashedRunNumbers().ensureBuilderMap();
+      if (!map.containsKey(key)) {
+        throw new java.lang.IllegalArgumentException();
+      }
+      return crashedRunNumbersConverter.build(map.get(key));
+    }
+    public Builder clearCrashedRunNumbers() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      internalGetMutableCrashedRunNumbers().clear();
+      return this;
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    public Builder removeCrashedRunNumbers(
+        int key) {
+
+      internalGetMutableCrashedRunNumbers().ensureBuilderMap()
+          .remove(key);
+      return this;
+    }
+    /**
+     * Use alternate mutation accessors instead.
+     */
+    @java.lang.Deprecated
+    public java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+        getMutableCrashedRunNumbers() {
+      bitField0_ |= 0x00000100;
+      return internalGetMutableCrashedRunNumbers().ensureMessageMap();
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    public Builder putCrashedRunNumbers(
+        int key,
+        org.chivetally.wire.v1.RunNumbers value) {
+
+      java.util.Objects.requireNonNull(value, "map value");
+      internalGetMutableCrashedRunNumbers().ensureBuilderMap()
+          .put(key, value);
+      bitField0_ |= 0x00000100;
+      return this;
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    public Builder putAllCrashedRunNumbers(
+        java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> values) {
+      for (java.util.Map.Entry<java.lang.Integer, org.chivetally.wire.v1.RunNumbers> e : values.entrySet()) {
+        java.util.Objects.requireNonNull(e.getKey());
+        java.util.Objects.requireNonNull(e.getValue());
+      }
+      internalGetMutableCrashedRunNumbers().ensureBuilderMap()
+          .putAll(values);
+      bitField0_ |= 0x00000100;
+      return this;
+    }
+    /**
+     * <pre>
+     * the runs counted in `crashes`, by position of the task
+     * </pre>
+     *
+     * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+     */
+    public org.chivetally.wire.v1.RunNumbers.Builder putCrashedRunNumbersBuilderIfAbsent(
+        int key) {
+      java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbersOrBuilder> builderMap = internalGetMutableCrashedRunNumbers().ensureBuilderMap();
+      org.chivetally.wire.v1.RunNumbersOrBuilder entry = builderMap.get(key);
+      if (entry == null) {
+        entry = org.chivetally.wire.v1.RunNumbers.newBuilder();
+        builderMap.put(key, entry);
+      }
+      if (entry instanceof org.chivetally.wire.v1.RunNumbers) {
+        entry = ((org.chivetally.wire.v1.RunNumbers) entry).toBuilder();
+        builderMap.put(key, entry);
+      }
+      return (org.chivetally.wire.v1.RunNumbers.Builder) entry;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.StoredProgress)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/StoredProgressOrBuilder.java
@@ -143,7 +143,7 @@
 
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -151,7 +151,7 @@
   int getCrashedRunsCount();
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -166,7 +166,7 @@
   getCrashedRuns();
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -175,7 +175,7 @@
   getCrashedRunsMap();
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -185,7 +185,7 @@
       long defaultValue);
   /**
    * <pre>
-   * latest run counted in `crashes`, by position of the task
+   * latest run counted in `crashes`, for releases without `crashed_run_numbers`
    * </pre>
    *
    * <code>map&lt;uint32, uint64&gt; crashed_runs = 6;</code>
@@ -298,4 +298,58 @@
    */
   org.chivetally.wire.v1.RunNumbers getFailedRunsOrThrow(
       int key);
+
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  int getCrashedRunNumbersCount();
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  boolean containsCrashedRunNumbers(
+      int key);
+  /**
+   * Use {@link #getCrashedRunNumbersMap()} instead.
+   */
+  @java.lang.Deprecated
+  java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+  getCrashedRunNumbers();
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  java.util.Map<java.lang.Integer, org.chivetally.wire.v1.RunNumbers>
+  getCrashedRunNumbersMap();
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  /* nullable */
+org.chivetally.wire.v1.RunNumbers getCrashedRunNumbersOrDefault(
+      int key,
+      /* nullable */
+org.chivetally.wire.v1.RunNumbers defaultValue);
+  /**
+   * <pre>
+   * the runs counted in `crashes`, by position of the task
+   * </pre>
+   *
+   * <code>map&lt;uint32, .org.chivetally.wire.v1.RunNumbers&gt; crashed_run_numbers = 9;</code>
+   */
+  org.chivetally.wire.v1.RunNumbers getCrashedRunNumbersOrThrow(
+      int key);
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -291,6 +291,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_org_chivetally_wire_v1_StoredProgress_FailedRunsEntry_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunNumbersEntry_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunNumbersEntry_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_org_chivetally_wire_v1_RunNumbers_descriptor;
   static final 
@@ -499,7 +504,7 @@
       "d_rack\030\t \001(\t\022\032\n\022maximum_per_worker\030\n \001(\r" +
       "\022\032\n\022duplicates_allowed\030\013 \001(\010\022\024\n\014fills_un" +
       "used\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\025\n\rtarget_mill" +
-      "is\030\016 \001(\r\"\207\006\n\016StoredProgress\022/\n\005phase\030\001 \001" +
+      "is\030\016 \001(\r\"\301\007\n\016StoredProgress\022/\n\005phase\030\001 \001" +
       "(\0162 .org.chivetally.wire.v1.JobPhase\022\014\n\004" +
       "done\030\002 \001(\014\022F\n\010failures\030\003 \003(\01324.org.chive" +
       "tally.wire.v1.StoredProgress.FailuresEnt" +
@@ -511,53 +516,57 @@
       "29.org.chivetally.wire.v1.StoredProgress" +
       ".BoundedStartsEntry\022K\n\013failed_runs\030\010 \003(\013" +
       "26.org.chivetally.wire.v1.StoredProgress" +
-      ".FailedRunsEntry\032/\n\rFailuresEntry\022\013\n\003key" +
-      "\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032.\n\014CrashesEntr" +
-      "y\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020Cra" +
-      "shedRunsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(" +
-      "\004:\0028\001\0324\n\022BoundedStartsEntry\022\013\n\003key\030\001 \001(\r" +
-      "\022\r\n\005value\030\002 \001(\r:\0028\001\032U\n\017FailedRunsEntry\022\013" +
-      "\n\003key\030\001 \001(\r\0221\n\005value\030\002 \001(\0132\".org.chiveta" +
-      "lly.wire.v1.RunNumbers:\0028\001\"\032\n\nRunNumbers" +
-      "\022\014\n\004runs\030\001 \003(\004\"\234\001\n\014StoredMember\022\023\n\013incar" +
-      "nation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026\n\016failure_d" +
-      "omain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\022" +
-      "4\n\006minion\030\006 \001(\0132$.org.chivetally.wire.v1" +
-      ".StoredMinion\"\254\001\n\014StoredMinion\022\014\n\004boot\030\001" +
-      " \001(\t\022\017\n\007service\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132" +
-      "\034.org.chivetally.wire.v1.Room\022\016\n\006labels\030" +
-      "\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\022\024\n\014clock_millis\030\006" +
-      " \001(\004\022\026\n\016born_at_millis\030\007 \001(\004*\242\001\n\nTaskSta" +
-      "tus\022\033\n\027TASK_STATUS_UNSPECIFIED\020\000\022\024\n\020TASK" +
-      "_STATUS_DONE\020\001\022\026\n\022TASK_STATUS_FAILED\020\002\022\027" +
-      "\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n\023TASK_STATUS_U" +
-      "NKNOWN\020\004\022\027\n\023TASK_STATUS_RUNNING\020\005*\347\002\n\rRe" +
-      "fusalReason\022\036\n\032REFUSAL_REASON_UNSPECIFIE" +
-      "D\020\000\022\027\n\023REFUSAL_REASON_FULL\020\001\022\033\n\027REFUSAL_" +
-      "REASON_DRAINING\020\002\022\037\n\033REFUSAL_REASON_STAL" +
-      "E_TICKET\020\003\022!\n\035REFUSAL_REASON_OLD_GENERAT" +
-      "ION\020\004\022 \n\034REFUSAL_REASON_WRONG_SERVICE\020\005\022" +
-      "\034\n\030REFUSAL_REASON_CANCELLED\020\006\022\032\n\026REFUSAL" +
-      "_REASON_EXPIRED\020\007\022\"\n\036REFUSAL_REASON_ALRE" +
-      "ADY_STARTED\020\010\022\036\n\032REFUSAL_REASON_MINION_D" +
-      "OWN\020\t\022\034\n\030REFUSAL_REASON_TOO_LARGE\020\n*\205\002\n\n" +
-      "RunOutcome\022\033\n\027RUN_OUTCOME_UNSPECIFIED\020\000\022" +
-      "\024\n\020RUN_OUTCOME_DONE\020\001\022\026\n\022RUN_OUTCOME_FAI" +
-      "LED\020\002\022\027\n\023RUN_OUTCOME_STOPPED\020\003\022\026\n\022RUN_OU" +
-      "TCOME_LAPSED\020\004\022\026\n\022RUN_OUTCOME_BROKEN\020\005\022\025" +
-      "\n\021RUN_OUTCOME_ALONE\020\006\022\024\n\020RUN_OUTCOME_LOS" +
-      "T\020\007\022\035\n\031RUN_OUTCOME_NEVER_STARTED\020\010\022\027\n\023RU" +
-      "N_OUTCOME_CRASHED\020\t*\306\001\n\nJobVerdict\022\033\n\027JO" +
-      "B_VERDICT_UNSPECIFIED\020\000\022\030\n\024JOB_VERDICT_A" +
-      "CCEPTED\020\001\022\027\n\023JOB_VERDICT_REFUSED\020\002\022\033\n\027JO" +
-      "B_VERDICT_UNKNOWN_JOB\020\003\022\031\n\025JOB_VERDICT_N" +
-      "OT_OWNER\020\004\022\025\n\021JOB_VERDICT_STATE\020\005\022\031\n\025JOB" +
-      "_VERDICT_CANCELLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB" +
-      "_PHASE_UNSPECIFIED\020\000\022\024\n\020JOB_PHASE_QUEUED" +
-      "\020\001\022\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023JOB_PHASE_C" +
-      "OMPLETED\020\003\022\024\n\020JOB_PHASE_FAILED\020\004\022\027\n\023JOB_" +
-      "PHASE_CANCELLED\020\005B\032\n\026org.chivetally.wire" +
-      ".v1P\001b\006proto3"
+      ".FailedRunsEntry\022Z\n\023crashed_run_numbers\030" +
+      "\t \003(\0132=.org.chivetally.wire.v1.StoredPro" +
+      "gress.CrashedRunNumbersEntry\032/\n\rFailures" +
+      "Entry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032.\n" +
+      "\014CrashesEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(" +
+      "\r:\0028\001\0322\n\020CrashedRunsEntry\022\013\n\003key\030\001 \001(\r\022\r" +
+      "\n\005value\030\002 \001(\004:\0028\001\0324\n\022BoundedStartsEntry\022" +
+      "\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032U\n\017Faile" +
+      "dRunsEntry\022\013\n\003key\030\001 \001(\r\0221\n\005value\030\002 \001(\0132\"" +
+      ".org.chivetally.wire.v1.RunNumbers:\0028\001\032\\" +
+      "\n\026CrashedRunNumbersEntry\022\013\n\003key\030\001 \001(\r\0221\n" +
+      "\005value\030\002 \001(\0132\".org.chivetally.wire.v1.Ru" +
+      "nNumbers:\0028\001\"\032\n\nRunNumbers\022\014\n\004runs\030\001 \003(\004" +
+      "\"\234\001\n\014StoredMember\022\023\n\013incarnation\030\001 \001(\004\022\r" +
+      "\n\005agent\030\002 \001(\010\022\026\n\016failure_domain\030\003 \001(\t\022\014\n" +
+      "\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\0224\n\006minion\030\006 \001(" +
+      "\0132$.org.chivetally.wire.v1.StoredMinion\"" +
+      "\254\001\n\014StoredMinion\022\014\n\004boot\030\001 \001(\t\022\017\n\007servic" +
+      "e\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132\034.org.chivetal" +
+      "ly.wire.v1.Room\022\016\n\006labels\030\004 \003(\t\022\017\n\007leavi" +
+      "ng\030\005 \001(\010\022\024\n\014clock_millis\030\006 \001(\004\022\026\n\016born_a" +
+      "t_millis\030\007 \001(\004*\242\001\n\nTaskStatus\022\033\n\027TASK_ST" +
+      "ATUS_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001" +
+      "\022\026\n\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STATUS_" +
+      "NOT_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TA" +
+      "SK_STATUS_RUNNING\020\005*\347\002\n\rRefusalReason\022\036\n" +
+      "\032REFUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFUSAL" +
+      "_REASON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAININ" +
+      "G\020\002\022\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022!\n\035" +
+      "REFUSAL_REASON_OLD_GENERATION\020\004\022 \n\034REFUS" +
+      "AL_REASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_REA" +
+      "SON_CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXPIRE" +
+      "D\020\007\022\"\n\036REFUSAL_REASON_ALREADY_STARTED\020\010\022" +
+      "\036\n\032REFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030REFUS" +
+      "AL_REASON_TOO_LARGE\020\n*\205\002\n\nRunOutcome\022\033\n\027" +
+      "RUN_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTCOME" +
+      "_DONE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RUN_O" +
+      "UTCOME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004" +
+      "\022\026\n\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCOME_" +
+      "ALONE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_OUT" +
+      "COME_NEVER_STARTED\020\010\022\027\n\023RUN_OUTCOME_CRAS" +
+      "HED\020\t*\306\001\n\nJobVerdict\022\033\n\027JOB_VERDICT_UNSP" +
+      "ECIFIED\020\000\022\030\n\024JOB_VERDICT_ACCEPTED\020\001\022\027\n\023J" +
+      "OB_VERDICT_REFUSED\020\002\022\033\n\027JOB_VERDICT_UNKN" +
+      "OWN_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OWNER\020\004\022\025\n\021" +
+      "JOB_VERDICT_STATE\020\005\022\031\n\025JOB_VERDICT_CANCE" +
+      "LLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECI" +
+      "FIED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n\021JOB_PHAS" +
+      "E_RUNNING\020\002\022\027\n\023JOB_PHASE_COMPLETED\020\003\022\024\n\020" +
+      "JOB_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE_CANCELLE" +
+      "D\020\005B\032\n\026org.chivetally.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -850,7 +859,7 @@
     internal_static_org_chivetally_wire_v1_StoredProgress_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_descriptor,
-        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", "Crashes", "CrashedRuns", "BoundedStarts", "FailedRuns", });
+        new java.lang.String[] { "Phase", "Done", "Failures", "EndedAtMillis", "Crashes", "CrashedRuns", "BoundedStarts", "FailedRuns", "CrashedRunNumbers", });
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_descriptor =
       internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(0);
     internal_static_org_chivetally_wire_v1_StoredProgress_FailuresEntry_fieldAccessorTable = new
@@ -881,6 +890,12 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_StoredProgress_FailedRunsEntry_descriptor,
         new java.lang.String[] { "Key", "Value", });
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunNumbersEntry_descriptor =
+      internal_static_org_chivetally_wire_v1_StoredProgress_descriptor.getNestedType(5);
+    internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunNumbersEntry_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_org_chivetally_wire_v1_StoredProgress_CrashedRunNumbersEntry_descriptor,
+        new java.lang.String[] { "Key", "Value", });
     internal_static_org_chivetally_wire_v1_RunNumbers_descriptor =
       getDescriptor().getMessageType(48);
     internal_static_org_chivetally_wire_v1_RunNumbers_fieldAccessorTable = new
