Start no waiting task before the crash of its earlier run is stored

Cause: a crash is stored before its task starts again, so that the starts after the third crash are counted whichever owner makes them. That held for the run in progress only. When the crash of a run that counted as lost was reported, its task could be waiting for a worker, and it was placed before the crash was stored. A later run that failed meanwhile was replaced at once, too.

Change: a task with an unstored crash leaves the waiting tasks and isn't placed until its crash is stored, whatever made it ready.

--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -607,6 +607,11 @@
         runs.ready(List.copyOf(tasks));
     }
 
+    @Override
+    public void withdrawn(Task task) {
+        runs.withdrawn(task);
+    }
+
     @Override
     public void ended(Job job) {
         runs.ended(job);
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionEvents.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionEvents.java
@@ -17,6 +17,9 @@
     /** Tasks are ready to be placed. */
     void ready(Collection<Task> tasks);
 
+    /** A task that was ready must not be placed until it is ready again. */
+    void withdrawn(Task task);
+
     /** The job has ended; its running tasks have to be stopped and its waiting tasks removed. */
     void ended(Job job);
 
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -448,6 +448,7 @@
      */
     private void storeCrash(Task task, Runnable acknowledge) {
         tasksWithUnstoredCrash.add(task);
+        events.withdrawn(task);
         write(task.job(), List.of(progressOf(task.job())), stored -> {
             tasksWithUnstoredCrash.remove(task);
             if (!stored) {
@@ -496,10 +497,16 @@
         task.job().finish(JobPhase.FAILED, timers.epochMillis());
     }
 
-    /** Has tasks placed; a task whose starts are limited is placed only after its start is counted in the log. */
+    /**
+     * Has tasks placed; a task whose starts are limited is placed only after its start is counted in the log, and one
+     * with a crash that is not stored only after that is stored.
+     */
     private void place(List<Task> tasks) {
         List<Task> unbounded = new ArrayList<>();
         for (Task task : tasks) {
+            if (tasksWithUnstoredCrash.contains(task)) {
+                continue;
+            }
             if (CrashPolicy.isBounded(task.crashes().crashes())) {
                 countStart(task);
             } else {
@@ -524,8 +531,9 @@
         }
         task.adjustBoundedStarts(1);
         write(job, List.of(progressOf(job)), stored -> {
-            boolean isWaiting =
-                    task.status() == Task.Status.WAITING && !job.phase().isFinal();
+            boolean isWaiting = task.status() == Task.Status.WAITING
+                    && !job.phase().isFinal()
+                    && !tasksWithUnstoredCrash.contains(task);
             if (stored && isWaiting && isReady()) {
                 events.ready(List.of(task));
             }
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -276,6 +276,11 @@
         passes.schedule();
     }
 
+    /** Removes a waiting task until it is ready again. */
+    void withdrawn(Task task) {
+        waiting.remove(task);
+    }
+
     /** Removes the waiting tasks of a job and stops its runs. */
     @Override
     public void ended(Job job) {
--- a/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -210,15 +210,40 @@
         assertThat(storedCrashes(), is(2));
     }
 
+    /**
+     * A crash must be stored before its task starts again, also if it is reported while the task waits for a worker.
+     */
+    @Test
+    void startsNoWaitingTaskBeforeTheCrashOfItsEarlierRunIsStored() {
+        startCluster(1);
+        cluster.agentWithoutMinion("agent-2");
+        submit();
+        cutFromEntries("agent-1", true);
+        cluster.advance(1_000);
+        crash("agent-1");
+        cluster.agents.get("agent-1").supervisor().leave();
+        cluster.advance(6_000);
+        cluster.log.appendBehavior = AppendBehavior.SILENT;
+        cutFromEntries("agent-1", false);
+        advanceUntil(() -> owner().crashes().crashedRuns() == 1);
+        announceMinion("agent-2", "boot-agent-2");
+        cluster.advance(300);
+        assertThat(starts(), is(1));
+        cluster.log.appendBehavior = AppendBehavior.ACCEPTING;
+        cluster.advance(3_000);
+        assertThat(starts(), is(2));
+    }
+
     /** Replaces the minion of an agent by another one while it runs a task. */
     private void crash(String agent) {
-        FakeMinion minion = cluster.minions.get(agent);
-        minion.restart(0);
-        cluster.agents
-                .get(agent)
-                .supervisor()
-                .announced(new MinionState(
-                        "next-" + agent, "reports", cluster.capacity, cluster.labels, false, minion.clock()));
+        cluster.minions.get(agent).restart(0);
+        announceMinion(agent, "next-" + agent);
+    }
+
+    private void announceMinion(String agent, String minionId) {
+        long clockMillis = cluster.minions.get(agent).clock();
+        MinionState state = new MinionState(minionId, "reports", cluster.capacity, cluster.labels, false, clockMillis);
+        cluster.agents.get(agent).supervisor().announced(state);
     }
 
     private int storedCrashes() {
