--- a/review/SecondReview.java
+++ b/review/SecondReview.java
@@ -131,11 +131,12 @@
         Client client = new Client(world, world.entries.getFirst());
         String id = "5c0e7a21d94b36f8";
         // The only minion gets the job; the second one joins afterwards.
-        client.submitUntilAccepted(id, "{\"spec\":\"8000\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64}]}");
+        client.submitUntilAccepted(id, "{\"spec\":\"20000\",\"steps\":[{\"count\":2,\"cpu\":1000,\"mem_mb\":64}]}");
         world.await("both tasks run", 10_000, () -> world.minion("m1").running() == 2);
         world.addMinion("m2", 4_000);
         world.startAgent("m2");
-        pause(4_000);
+        world.await("m2 is known", 10_000, () -> world.minion("m2").isKnown());
+        pause(3_000);
         if (world.minion("m1").running() != 2) {
             throw new CannotRun("a task has moved before the departure");
         }
@@ -412,8 +413,11 @@
         }
         world.await("all tasks run", 10_000, () -> world.running() == 24);
         pause(1_000);
-        former.turnAway(TROUBLE);
-        world.startEntry("front-a-9", world.store.door());
+        Door added = world.store.door();
+        // The refusal begins with the first call of the new entry, however long its start takes.
+        added.beforeFirstCall(() -> former.turnAway(TROUBLE));
+        world.startEntry("front-a-9", added);
+        world.await("the new entry has called the store", 20_000, added::isCalled);
         pause(9_000);
         former.turnAway(false);
         pause(8_000);
@@ -431,6 +435,7 @@
             world.startAgent("m" + number);
         }
         world.awaitReady();
+        world.await("m4 is known", 10_000, () -> world.minion("m4").isKnown());
         pause(4_000);
         if (TROUBLE) {
             world.minion("m4").foreignHeartbeat();
@@ -829,6 +834,7 @@
         private long sequence;
         private boolean draining;
         private boolean gone;
+        private int looks;
         private boolean leased;
         private int lapses;
 
@@ -876,6 +882,11 @@
             return running.size();
         }
 
+        /** Tells whether the agent has taken the minion on. */
+        synchronized boolean isKnown() {
+            return looks > 0;
+        }
+
         /** Returns the time on the minion's clock at which its next run ends. */
         synchronized long nextEnd() {
             return running.values().stream().mapToLong(run -> run.endsAt).min().orElse(Long.MAX_VALUE);
@@ -1066,6 +1077,7 @@
         }
 
         private Http.Reply hold(Map<?, ?> body) throws InterruptedException {
+            looks++;
             tick();
             Map<Long, End> noted = finished.headMap(Json.integer(body, "acked_through"), true);
             for (End end : noted.values()) {
@@ -1237,6 +1249,8 @@
     static final class Door {
         private final Http.Server server;
         private volatile boolean busy;
+        private volatile boolean called;
+        private Runnable beforeFirstCall = () -> {};
         private long silentMillis;
         private long silentUntil;
 
@@ -1252,7 +1266,24 @@
             }
         }
 
+        /** Sets what is done before the first call is answered. */
+        synchronized void beforeFirstCall(Runnable action) {
+            beforeFirstCall = action;
+        }
+
+        boolean isCalled() {
+            return called;
+        }
+
+        private synchronized void recordCall() {
+            if (!called) {
+                beforeFirstCall.run();
+                called = true;
+            }
+        }
+
         private Http.Reply answer(Store store, Http.Request request) throws InterruptedException {
+            recordCall();
             return busy ? Http.reply(503, "{}") : store.handle(request);
         }
 
