End the runs of a departing minion only once it is gone or their lease has expired

Cause: RunSupervisor.departed ended all runs when it had read the departure message, for an id known in one incarnation only. Observed was only that the message had arrived; that the minion had ended was assumed from an answer that hadn't reached it.

On the code before this change keepsRunsOfADepartingMinionUntilTheirLeaseHasExpired, reportsRunsOfADepartedMinionThatDoesNotAnswerAfterTheirLease and acceptsStartsAgainIfTheMinionStaysDespiteItsDeparture fail.

Change: the message ends the acceptance of starts and the renewal of the lease. Runs end when the minion lists their ends, refuses connections, is replaced by another incarnation, or when their lease has expired without an answer. DepartureCheck, used so far for reused ids only, polls after 20 ms first. restoresNothingAfterAnAnnouncement took the message alone for the end; its minion now ends too.

--- a/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
+++ b/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
@@ -9,19 +9,24 @@
 import org.chivetally.time.Timers;
 
 /**
- * Determines which incarnation of a minion a departure message refers to. The message contains only the minion's id. If
- * it is delayed by a network partition, the departure of an earlier incarnation would otherwise end every run of the
- * one that has been started since under the same id.
+ * Determines whether a minion that has sent a departure message is gone. A minion ends at once when its message is
+ * acknowledged, and goes on for seconds if the acknowledgement is lost.
+ *
+ * <p>The message contains only the minion's id. If it is delayed by a network partition, it may refer to an earlier
+ * incarnation than the one that has been started since under the same id.
  */
 final class DepartureCheck {
-    /** Pause between two polls of a minion that has announced its departure and still answers. */
-    static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+    /** Pause after the first poll, which usually reaches the minion just before it ends. Doubled after each poll. */
+    static final Duration FIRST_POLL_INTERVAL = Duration.ofMillis(20);
 
-    /**
-     * Number of polls after which a minion that still answers has not departed. A departing minion ends within a
-     * second.
-     */
-    static final int MAXIMUM_POLLS = 10;
+    /** Longest pause between two polls. */
+    static final Duration LONGEST_POLL_INTERVAL = Duration.ofMillis(100);
+
+    /** Number of polls after which a minion that still answers has not departed. */
+    static final int MAXIMUM_POLLS = 100;
+
+    /** The {@link #MAXIMUM_POLLS} for a reused id, as nothing starts until it is known whether the message is late. */
+    static final int MAXIMUM_POLLS_OF_REUSED_ID = 10;
 
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
@@ -29,8 +34,10 @@
     private final MinionPort port;
     private final Incarnation minion;
     private final FencingToken token;
+    private final int maximumPolls;
     private final Runnable whenDeparted;
     private final Runnable whenPresent;
+    private Duration pollInterval = FIRST_POLL_INTERVAL;
     private int polls;
 
     /**
@@ -38,6 +45,7 @@
      *
      * @param minion the current incarnation
      * @param token fencing token of the agent's calls
+     * @param maximumPolls number of polls after which a minion that still answers has not departed
      * @param whenDeparted called if the incarnation is gone
      * @param whenPresent called if it still answers after all polls, or if it can't be determined
      */
@@ -46,12 +54,14 @@
             MinionPort port,
             Incarnation minion,
             FencingToken token,
+            int maximumPolls,
             Runnable whenDeparted,
             Runnable whenPresent) {
         this.timers = timers;
         this.port = port;
         this.minion = minion;
         this.token = token;
+        this.maximumPolls = maximumPolls;
         this.whenDeparted = whenDeparted;
         this.whenPresent = whenPresent;
     }
@@ -72,8 +82,10 @@
         };
         if (hasDeparted) {
             whenDeparted.run();
-        } else if (polls < MAXIMUM_POLLS) {
-            timers.after(POLL_INTERVAL, this::poll);
+        } else if (polls < maximumPolls) {
+            timers.after(pollInterval, this::poll);
+            Duration doubled = pollInterval.multipliedBy(2);
+            pollInterval = doubled.compareTo(LONGEST_POLL_INTERVAL) > 0 ? LONGEST_POLL_INTERVAL : doubled;
         } else {
             EventLine.of("departure-unfounded").with("minion", minion.name()).log(LOGGER.atWarning());
             whenPresent.run();
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -307,28 +307,37 @@
         listener.minionChanged();
     }
 
-    /** Processes the departure of the minion, which ends its runs. */
+    /**
+     * Processes the departure message of the minion. The minion goes on if the answer to the message is lost, so its
+     * runs end only when it is gone, or by their lease, which isn't renewed any more.
+     */
     public void departed(String minionId) {
         if (minion.isEmpty() || !minion.get().minionId().equals(minionId) || departing) {
             return;
         }
-        if (!history.hasEarlierIncarnation(minionId)) {
-            discardMinion(RunOutcome.LOST, "departed");
-            return;
-        }
         departing = true;
         Incarnation checked = minion.get().incarnation();
+        EventLine.of("minion-departing")
+                .with("minion", checked.name())
+                .with("runs", held.size())
+                .log(LOGGER.atInfo());
         new DepartureCheck(
                         timers,
                         port,
                         checked,
                         token,
+                        isIdReused() ? DepartureCheck.MAXIMUM_POLLS_OF_REUSED_ID : DepartureCheck.MAXIMUM_POLLS,
                         () -> departureChecked(checked, true),
                         () -> departureChecked(checked, false))
                 .poll();
         listener.roomChanged();
     }
 
+    /** Tells whether an earlier incarnation had the minion's id, so that a departure message may refer to that one. */
+    private boolean isIdReused() {
+        return history.hasEarlierIncarnation(minion.orElseThrow().minionId());
+    }
+
     private void departureChecked(Incarnation checked, boolean hasDeparted) {
         if (!departing || minion.isEmpty() || !minion.get().incarnation().matches(checked)) {
             return;
@@ -517,7 +526,7 @@
     }
 
     private OptionalLong renewal(long now) {
-        boolean uncertain = !reconciled || mayHaveRestarted();
+        boolean uncertain = !reconciled || mayHaveRestarted() || departing && !isIdReused();
         if (held.isEmpty() || uncertain || now - lastAnswerNanos > RENEWAL_CUTOFF_NANOS || !leaseCheck.isAllowed(now)) {
             return OptionalLong.empty();
         }
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -344,11 +344,76 @@
         announce("newer", false);
         supervisor.restore(restoredState(5));
         assertThat(supervisor.minion().map(MinionState::minionId), is(Optional.of("newer")));
+        minion.down = true;
         supervisor.departed("newer");
+        timers.advance(Duration.ofMillis(5));
         supervisor.restore(restoredState(5));
         assertThat(supervisor.minion(), is(Optional.empty()));
     }
 
+    /**
+     * The answer to a departure message is lost, and the minion goes on. Reported as ended by the message alone, its
+     * runs would be started elsewhere while they go on until their lease expires.
+     */
+    @Test
+    void keepsRunsOfADepartingMinionUntilTheirLeaseHasExpired() {
+        announce("boot", false);
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(500));
+        supervisor.departed("boot");
+        assertThat(supervisor.isAccepting(), is(false));
+        while (!minion.isLeaseExpired()) {
+            assertThat(reportedEnds, is(empty()));
+            timers.advance(Duration.ofMillis(10));
+        }
+        minion.end(run("a", 1), RunOutcome.LAPSED);
+        timers.advance(Duration.ofMillis(200));
+        assertThat(outcomes(), contains(RunOutcome.LAPSED));
+        minion.down = true;
+        timers.advance(Duration.ofMillis(200));
+        assertThat(supervisor.minion(), is(Optional.empty()));
+    }
+
+    /** A departing minion whose machine is switched off doesn't refuse connections. Its runs end with their lease. */
+    @Test
+    void reportsRunsOfADepartedMinionThatDoesNotAnswerAfterTheirLease() {
+        announce("boot", false);
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(500));
+        minion.unresponsive = true;
+        supervisor.departed("boot");
+        while (!minion.isLeaseExpired()) {
+            assertThat(reportedEnds, is(empty()));
+            timers.advance(Duration.ofMillis(10));
+        }
+        timers.advance(Duration.ofMillis(400));
+        assertThat(outcomes(), contains(RunOutcome.LOST));
+    }
+
+    /** A departing minion ends at once. Waiting for its lease would delay the next start of its tasks by a second. */
+    @Test
+    void reportsRunsOfADepartedMinionOnceItRefusesConnections() {
+        announce("boot", false);
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(500));
+        supervisor.departed("boot");
+        timers.advance(Duration.ofMillis(3));
+        minion.down = true;
+        timers.advance(Duration.ofMillis(30));
+        assertThat(outcomes(), contains(RunOutcome.LOST));
+        assertThat(supervisor.minion(), is(Optional.empty()));
+    }
+
+    /** Another sender's departure message for a working minion must not make the worker unusable for good. */
+    @Test
+    void acceptsStartsAgainIfTheMinionStaysDespiteItsDeparture() {
+        announce("boot", false);
+        supervisor.departed("boot");
+        assertThat(start(run("a", 1)), is(Optional.of("not accepting")));
+        timers.advance(Duration.ofSeconds(12));
+        assertThat(start(run("a", 1)), is(Optional.empty()));
+    }
+
     /**
      * Another sender announces a minion that doesn't exist, beside one that works. If it were accepted, the run would
      * be reported as lost and started elsewhere beside the old one; the minion that answers stays instead.
