Report runs as crashed only if the minion's address refuses connections

Cause: HttpResult.Failed with sent=false stood for a refused connection and for one that couldn't be opened in time. MinionClient turned both into Unreachable, and RunSupervisor reported the runs as CRASHED once their lease had expired; the third crash gives a task up. Observed was only that no answer came.

Change: HttpResult.Refused is a result of its own, for a refusal by the peer. A poll without a connection is Unknown. A start without a connection is NotSent: its task may start elsewhere at once, and nothing follows for the minion. All switches on HttpResult name the new case. reportsThatARequestWasNotSent asserts the refusal now (reportsARefusedConnection) and its counterpart the timeout.

The first start after a crash is not delayed: a refused connection takes the path that it took before.

--- a/library/src/main/java/org/chivetally/http/PooledHttpClient.java
+++ b/library/src/main/java/org/chivetally/http/PooledHttpClient.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -20,6 +21,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.function.Consumer;
@@ -34,6 +36,9 @@
     private static final int MAXIMUM_RESPONSE_BYTES = 8 << 20;
     private static final int CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** Start of the message of the exception for a refused connection. */
+    private static final String REFUSED_MESSAGE = "Connection refused";
+
     private final EventLoop loop;
     private final Timers timers;
     private final HostPort target;
@@ -97,19 +102,27 @@
                 .handler(new Pipeline());
         bootstrap.connect(target.host(), target.port()).addListener((ChannelFuture attempt) -> {
             if (!attempt.isSuccess()) {
-                connectFailed(String.valueOf(attempt.cause().getMessage()));
+                connectFailed(attempt.cause());
             }
         });
     }
 
-    private void connectFailed(String reason) {
+    private void connectFailed(Throwable cause) {
         connections--;
         PendingCall pending = waiting.poll();
         if (pending != null) {
-            pending.complete(new HttpResult.Failed("can't connect: " + reason, false));
+            String reason = "can't connect: " + cause.getMessage();
+            pending.complete(isRefusal(cause) ? new HttpResult.Refused(reason) : new HttpResult.Failed(reason, false));
         }
     }
 
+    /** A timeout is reported by a subclass of the same exception, or by the same class with another message. */
+    private static boolean isRefusal(Throwable cause) {
+        return cause instanceof ConnectException
+                && !(cause instanceof ConnectTimeoutException)
+                && String.valueOf(cause.getMessage()).startsWith(REFUSED_MESSAGE);
+    }
+
     /** Sets up the handlers of a new connection. */
     private final class Pipeline extends ChannelInitializer<Channel> {
         @Override
--- a/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
+++ b/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
@@ -77,7 +77,7 @@
         boolean hasDeparted = switch (result) {
             case PollResult.Lists lists -> !minion.mayHaveStartedAt(lists.startedAtMillis());
             case PollResult.Refused refused -> !refused.fenced();
-            case PollResult.Unreachable unreachable -> true;
+            case PollResult.ConnectionRefused refusedConnection -> true;
             case PollResult.Unknown unknown -> false;
         };
         if (hasDeparted) {
--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -84,11 +84,12 @@
         record Rejected(String reason, boolean fenced) implements StartResult {}
 
         /**
-         * The request wasn't sent, as the minion's address refused the connection.
+         * The request wasn't sent and never will be, as no connection was open in time or the minion's address refused
+         * it. This doesn't show whether the minion is up.
          *
          * @param reason for logs
          */
-        record Unreachable(String reason) implements StartResult {}
+        record NotSent(String reason) implements StartResult {}
 
         /**
          * The run may have been started, or may be started later.
@@ -132,14 +133,14 @@
         record Refused(String reason, boolean fenced) implements PollResult {}
 
         /**
-         * The minion's address refused the connection.
+         * The minion's address refused the connection, so the minion's process has ended.
          *
          * @param reason for logs
          */
-        record Unreachable(String reason) implements PollResult {}
+        record ConnectionRefused(String reason) implements PollResult {}
 
         /**
-         * No usable answer arrived.
+         * No usable answer arrived. The minion may be cut off, suspended or slow, and its runs may go on.
          *
          * @param reason for logs
          */
--- a/library/src/main/java/org/chivetally/queue/agent/RunCommands.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunCommands.java
@@ -52,7 +52,7 @@
         /** Reports that the run wasn't started and never will be. */
         void reportNeverStarted(Incarnation incarnation, HeldRun run);
 
-        /** Reports that the minion's address refused the connection. */
+        /** Reports that no connection to the minion could be used. */
         void unreachable();
 
         /** Polls the minion soon. */
@@ -85,8 +85,8 @@
                 }
                 callbacks.reportNeverStarted(incarnation, run);
             }
-            case StartResult.Unreachable unreachable -> {
-                logRejected(incarnation, run, unreachable.reason());
+            case StartResult.NotSent notSent -> {
+                logRejected(incarnation, run, notSent.reason());
                 callbacks.unreachable();
                 callbacks.reportNeverStarted(incarnation, run);
                 callbacks.poll();
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -550,7 +550,7 @@
 
     private void handlePollResult(
             Incarnation incarnation, PollResult result, long sentAtNanos, long acknowledgedByPoll) {
-        connectionRefused = result instanceof PollResult.Unreachable;
+        connectionRefused = result instanceof PollResult.ConnectionRefused;
         switch (result) {
             case PollResult.Lists listed -> {
                 if (!incarnation.mayHaveStartedAt(listed.startedAtMillis())) {
@@ -586,8 +586,8 @@
                     discardMinion(outcomeOfLostRuns(minion.orElseThrow()), "another id");
                 }
             }
-            case PollResult.Unreachable unreachable -> {
-                logUnanswered(incarnation, unreachable.reason());
+            case PollResult.ConnectionRefused refusedConnection -> {
+                logUnanswered(incarnation, refusedConnection.reason());
                 markUnresponsive();
                 pollAfter(POLL_RETRY_PAUSE);
             }
--- a/library/src/test/java/org/chivetally/http/HttpListenerTest.java
+++ b/library/src/test/java/org/chivetally/http/HttpListenerTest.java
@@ -15,6 +15,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
@@ -162,15 +163,32 @@
         assertThat(failed.sent(), is(true));
     }
 
-    /** Nothing listens on the port, so the request was certainly not processed and may safely be retried. */
-    @Test
-    void reportsThatARequestWasNotSent() throws Exception {
+    private HttpResult call(int port, Duration timeout) throws Exception {
         PooledHttpClient client =
-                new PooledHttpClient(loop, new EventLoopTimers(loop), new HostPort("127.0.0.1", 1), 1);
+                new PooledHttpClient(loop, new EventLoopTimers(loop), new HostPort("127.0.0.1", port), 1);
         CompletableFuture<HttpResult> result = new CompletableFuture<>();
-        loop.execute(() -> client.call(HttpCall.get("/x", Duration.ofSeconds(2)), result::complete));
-        HttpResult outcome = result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        assertThat(outcome, instanceOf(HttpResult.Failed.class));
-        assertThat(((HttpResult.Failed) outcome).sent(), is(false));
+        loop.execute(() -> client.call(HttpCall.get("/x", timeout), result::complete));
+        return result.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Nothing listens on the port, so the request was certainly not processed and may safely be retried. */
+    @Test
+    void reportsARefusedConnection() throws Exception {
+        assertThat(call(1, Duration.ofSeconds(2)), instanceOf(HttpResult.Refused.class));
+    }
+
+    /**
+     * Opening packets are lost on the way to a server that is cut off. Taken for a refused connection, this would mean
+     * that the server has crashed.
+     */
+    @Test
+    void distinguishesAConnectionThatCannotBeOpenedInTimeFromARefusedOne() throws Exception {
+        try (FullBacklog server = new FullBacklog()) {
+            for (Duration timeout : List.of(Duration.ofMillis(100), Duration.ofSeconds(2))) {
+                HttpResult result = call(server.port(), timeout);
+                assertThat(result, instanceOf(HttpResult.Failed.class));
+                assertThat(((HttpResult.Failed) result).sent(), is(false));
+            }
+        }
     }
 }
--- a/library/src/test/java/org/chivetally/queue/agent/FakeMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/FakeMinion.java
@@ -100,7 +100,7 @@
     public void start(String minionId, StartRequest request, Consumer<StartResult> callback) {
         starts.add(request);
         if (down) {
-            timers.after(Duration.ofMillis(1), () -> callback.accept(new StartResult.Unreachable("can't connect")));
+            timers.after(Duration.ofMillis(1), () -> callback.accept(new StartResult.NotSent("can't connect")));
             return;
         }
         if (startsDelayed || unresponsive) {
@@ -173,7 +173,8 @@
     public void poll(String minionId, PollRequest request, Consumer<PollResult> callback) {
         polls.add(request);
         if (down) {
-            timers.after(Duration.ofMillis(1), () -> callback.accept(new PollResult.Unreachable("can't connect")));
+            timers.after(
+                    Duration.ofMillis(1), () -> callback.accept(new PollResult.ConnectionRefused("can't connect")));
             return;
         }
         if (absentIds.contains(minionId)) {
--- a/library/src/test/java/org/chivetally/queue/agent/RetryingMinionPortTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RetryingMinionPortTest.java
@@ -137,7 +137,7 @@
         RetryingMinionPort port = new RetryingMinionPort(timers, minion);
         port.start("boot", new StartRequest(run(1), "payload", 0, 1, ""), answers::add);
         timers.advance(Duration.ofMillis(100));
-        assertThat(answers, contains(instanceOf(StartResult.Unreachable.class)));
+        assertThat(answers, contains(instanceOf(StartResult.NotSent.class)));
         assertThat(minion.starts.size(), is(1));
     }
 
