Confirm an announced incarnation before it ends runs of one that doesn't answer

What callers would see: a task runs twice for up to a second.

Cause: RunSupervisor.announced had a new incarnation confirmed by a poll only while the known one answered. A minion that is cut off doesn't answer, and a delayed announcement of an incarnation that a restarted agent doesn't know ended its runs as crashed at once.

Evidence: keepsRunsOfAnUnresponsiveMinionWhenAnotherIsAnnounced fails before the change: the run is reported before its lease has expired.

Change: an announcement is also confirmed while runs are held. Without a confirmation they end with their lease.

Measured on the paused clock: the run is reported after its lease, as LOST. A successor that answers is accepted by one poll, as before; no test of a crash changed.

--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -229,14 +229,16 @@
 
     /**
      * Processes an announcement of the minion. One from an earlier incarnation, or one that is older than the current
-     * state, was delayed and is ignored.
+     * state, was delayed and is ignored. One that would end runs has to be confirmed by the announced incarnation, also
+     * if the known one doesn't answer: it may be cut off, and its runs go on until their lease has expired.
      */
     public void announced(MinionState state) {
         if (history.isStale(state, minion.orElse(null))) {
             return;
         }
         boolean isAnother = minion.isPresent() && !minion.get().incarnation().matches(state.incarnation());
-        if (isAnother && !restored && responsive && reconciled) {
+        boolean isKnownOnePresent = responsive && reconciled || !held.isEmpty();
+        if (isAnother && !restored && isKnownOnePresent) {
             history.verify(state, token.value(), this::acceptVerified);
         } else {
             accept(state, true);
--- a/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/RunSupervisorTest.java
@@ -429,4 +429,26 @@
         assertThat(supervisor.minion().orElseThrow().minionId(), is("boot"));
         assertThat(supervisor.isAccepting(), is(true));
     }
+
+    /**
+     * The minion is cut off when a delayed announcement of an earlier incarnation arrives, which a restarted agent
+     * doesn't know. If it were accepted, the run would be started elsewhere beside the old one.
+     */
+    @Test
+    void keepsRunsOfAnUnresponsiveMinionWhenAnotherIsAnnounced() {
+        announce("boot", false);
+        start(run("a", 1));
+        timers.advance(Duration.ofMillis(100));
+        minion.unresponsive = true;
+        while (supervisor.isAccepting()) {
+            timers.advance(Duration.ofMillis(10));
+        }
+        announce("earlier", false);
+        while (!minion.isLeaseExpired()) {
+            assertThat(reportedEnds, is(empty()));
+            timers.advance(Duration.ofMillis(10));
+        }
+        timers.advance(Duration.ofMillis(1_500));
+        assertThat(outcomes(), contains(RunOutcome.LOST));
+    }
 }
