Keep runs of a partition only by contact with an entry that claims it

Cause: agents kept the runs of a partition by contact with the process of the owner that they knew, whether it still owned the partition or not. The new owner took an agent without a link for empty 5.7 s after the takeover. Observed was only that the agent had not connected; that it was without contact to any owner was assumed.

Change: - An entry claims its partitions in heartbeats to agents, and starts durable tasks, only for 1 s after the store has last confirmed them. It sends a heartbeat at once when it loses a partition or a claim. - At an agent, echoes of an entry count only for the partitions that its latest heartbeat claims. The contact with the previous owner counts until the next one has echoed a stamp, so that a takeover over a new link doesn't stop the runs. - The new owner waits 6.8 s instead of 5.7 s for an agent without a link, as an earlier claim ends within 1.1 s of the takeover. - A limited start is counted only while starts are allowed; otherwise a takeover right after an outage used up one that was never sent.

Why this works: a claim of a former owner rests on a confirmation from before the takeover. So its last valid echo, whatever it can reach, comes at most 1 s after the takeover, and the time after which an agent has ended the runs starts there.

--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -216,6 +216,7 @@
     }
 
     private void handleHeartbeat(PeerLink link, EntryBeat beat) {
+        owners.recordClaims(link, beat.getOwnedList());
         link.recordStamps(beat.getStampNanos(), beat.getEchoNanos());
         agents = beat.getAgents();
         updateEvacuations(JobCodec.decode(beat.getEvacuations()));
--- a/library/src/main/java/org/chivetally/queue/agent/RunOwners.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunOwners.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -62,13 +63,17 @@
         this.oldestValidStampNanos = timers.nanos();
     }
 
-    /** Records the epoch of a partition's owner. Returns whether it is higher than the known one. */
+    /**
+     * Records the epoch of a partition's owner. Returns whether it is higher than the known one. The contact with the
+     * previous owner counts until the new one has echoed a stamp.
+     */
     boolean raiseEpoch(int partition, long epoch, PeerLink owner) {
         PartitionOwner knownOwner = partitionOwners.get(partition);
         if (knownOwner != null && knownOwner.epoch() >= epoch) {
             return false;
         }
-        partitionOwners.put(partition, new PartitionOwner(epoch, owner.peer().process()));
+        long newestNanos = newestEchoNanos(new RunOwner.Partition(partition));
+        partitionOwners.put(partition, new PartitionOwner(epoch, owner.peer().process(), newestNanos, true));
         EventLine.of("owner-changed")
                 .with("partition", partition)
                 .with("epoch", epoch)
@@ -77,6 +82,19 @@
         return true;
     }
 
+    /**
+     * Records which partitions an entry claims. Contact with an entry keeps the runs of a partition only while the
+     * entry claims it: another owner may have taken them over that the agent can't reach, and start their tasks again.
+     */
+    void recordClaims(PeerLink entry, List<OwnedPartition> claims) {
+        Map<Integer, Long> claimedEpochs = new HashMap<>();
+        claims.forEach(claim -> claimedEpochs.put(claim.getPartition(), claim.getEpoch()));
+        String process = entry.peer().process();
+        partitionOwners.replaceAll((partition, owner) -> owner.process().equals(process)
+                ? owner.withClaim(owner.epoch() == claimedEpochs.getOrDefault(partition, 0L))
+                : owner);
+    }
+
     /** Tells whether a higher epoch of the partition is known. */
     boolean isFenced(int partition, long epoch) {
         return epoch(partition) > epoch;
@@ -160,9 +178,9 @@
         }
         long newestNanos = owner.echoNanos();
         Optional<PeerLink> link = linkTo(partition);
-        if (link.isPresent() && link.get().echoNanos() != 0) {
+        if (owner.claimed() && link.isPresent() && link.get().echoNanos() != 0) {
             newestNanos = Math.max(newestNanos, link.get().echoNanos());
-            partitionOwners.put(partition.number(), new PartitionOwner(owner.epoch(), owner.process(), newestNanos));
+            partitionOwners.put(partition.number(), owner.withEcho(newestNanos));
         }
         return newestNanos;
     }
@@ -191,12 +209,20 @@
     }
 
     /**
-     * The highest known epoch of a partition, the process of its owner, and the latest stamp of this agent that the
-     * owner has echoed.
+     * The owner of a partition.
+     *
+     * @param epoch highest known epoch of the partition
+     * @param process process of its owner
+     * @param echoNanos latest stamp of this agent that an owner has echoed while it claimed the partition
+     * @param claimed whether the owner claimed the partition in its latest heartbeat
      */
-    private record PartitionOwner(long epoch, String process, long echoNanos) {
-        private PartitionOwner(long epoch, String process) {
-            this(epoch, process, Long.MIN_VALUE);
+    private record PartitionOwner(long epoch, String process, long echoNanos, boolean claimed) {
+        private PartitionOwner withEcho(long newEchoNanos) {
+            return new PartitionOwner(epoch, process, newEchoNanos, claimed);
+        }
+
+        private PartitionOwner withClaim(boolean newClaimed) {
+            return new PartitionOwner(epoch, process, echoNanos, newClaimed);
         }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -122,6 +122,10 @@
     private final long startedAtNanos;
     private Evacuations evacuations = Evacuations.UNKNOWN;
     private boolean leaving;
+    /** Whether the heartbeats to agents claim this entry's partitions. */
+    private boolean claiming;
+
+    private boolean heartbeatsScheduled;
     private long ticks;
     private long busyAtNanos;
 
@@ -279,6 +283,7 @@
     }
 
     private boolean mayStart() {
+        updateClaims();
         return !mayReadStaleRequests() && ownership.hasConfirmation();
     }
 
@@ -362,6 +367,7 @@
      * runs of this entry needs them often.
      */
     private void answerHeartbeat(PeerLink link) {
+        updateClaims();
         long now = timers.nanos();
         if (link.isHeartbeatDue(now, AGENT_HEARTBEAT_INTERVAL)) {
             sendHeartbeat(link, link.peer().agent() ? List.of() : queueDemand());
@@ -441,6 +447,28 @@
         }
     }
 
+    /**
+     * Claims the partitions towards agents, and starts tasks of durable jobs, only while the log has confirmed the
+     * ownership lately. Otherwise, another entry may have taken the partitions over.
+     */
+    private void updateClaims() {
+        boolean mayClaim = ownership.mayClaim();
+        if (mayClaim == claiming) {
+            return;
+        }
+        claiming = mayClaim;
+        if (!partitions.isEmpty()) {
+            EventLine.of(claiming ? "claims-renewed" : "claims-withdrawn")
+                    .with("partitions", partitions.size())
+                    .log(claiming ? LOGGER.atInfo() : LOGGER.atWarning());
+        }
+        runs.allowDurableStarts(claiming);
+        if (claiming) {
+            partitions.values().forEach(PartitionOwner::ownershipConfirmed);
+        }
+        sendHeartbeats(true);
+    }
+
     private boolean isIdle() {
         long now = timers.nanos();
         if (!runs.isIdle()) {
@@ -475,7 +503,7 @@
                 .setEchoNanos(link.peerStampNanos())
                 .setLeaving(leaving);
         for (PartitionOwner owner : partitions.values()) {
-            if (owner.isReady()) {
+            if (owner.isReady() && (claiming || !link.peer().agent())) {
                 beat.addOwned(OwnedPartition.newBuilder()
                         .setPartition(owner.partition())
                         .setEpoch(owner.epoch())
@@ -580,13 +608,27 @@
             ownership.markLost(owner.partition());
             runs.partitionLost(owner);
             owner.close();
+            scheduleHeartbeats();
             // The partition may have been reassigned to this entry already; if so, the next join returns it at once.
             ownership.join();
         }
     }
 
+    /** Sends the heartbeats in which the lost partitions are no longer claimed, once for all that are lost at once. */
+    private void scheduleHeartbeats() {
+        if (heartbeatsScheduled) {
+            return;
+        }
+        heartbeatsScheduled = true;
+        timers.after(Duration.ZERO, () -> {
+            heartbeatsScheduled = false;
+            sendHeartbeats(true);
+        });
+    }
+
     @Override
     public void loaded(PartitionOwner owner) {
+        updateClaims();
         Set<String> agents = new HashSet<>(runs.linkedAgents());
         for (Peer member : directory.members()) {
             if (member.agent()) {
@@ -602,6 +644,11 @@
         return runs.refuse(job);
     }
 
+    @Override
+    public boolean mayStartTasks() {
+        return claiming;
+    }
+
     @Override
     public void ready(Collection<Task> tasks) {
         runs.ready(List.copyOf(tasks));
--- a/library/src/main/java/org/chivetally/queue/entry/Ownership.java
+++ b/library/src/main/java/org/chivetally/queue/entry/Ownership.java
@@ -26,6 +26,13 @@
     /** Age of the latest confirmation up to which this entry may answer callers that a job does not exist. */
     static final Duration CONFIRMATION_VALIDITY = Duration.ofMillis(1_200);
 
+    /**
+     * Age of the latest confirmation up to which this entry claims its partitions towards agents and starts tasks of
+     * durable jobs. Two join calls fit into it. A longer one would delay takeovers, which wait for its end if an agent
+     * can't be reached; with a shorter one, a lost answer would interrupt the claim.
+     */
+    static final Duration CLAIM_VALIDITY = Duration.ofMillis(1_000);
+
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final OwnershipGroup group;
@@ -138,7 +145,16 @@
 
     /** Returns whether the platform has confirmed the membership within {@link #CONFIRMATION_VALIDITY}. */
     boolean isRecentlyConfirmed() {
-        return confirmed && timers.nanos() - confirmedAtNanos <= CONFIRMATION_VALIDITY.toNanos();
+        return isConfirmedWithin(CONFIRMATION_VALIDITY);
+    }
+
+    /** Returns whether the platform has confirmed the membership within {@link #CLAIM_VALIDITY}. */
+    boolean mayClaim() {
+        return isConfirmedWithin(CLAIM_VALIDITY);
+    }
+
+    private boolean isConfirmedWithin(Duration age) {
+        return confirmed && timers.nanos() - confirmedAtNanos <= age.toNanos();
     }
 
     /**
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionEvents.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionEvents.java
@@ -14,6 +14,9 @@
     /** The jobs of the partition are loaded; agents have to report which of their runs they hold. */
     void loaded(PartitionOwner partition);
 
+    /** Returns whether the ownership is confirmed, so that tasks may be started. */
+    boolean mayStartTasks();
+
     /** Tasks are ready to be placed. */
     void ready(Collection<Task> tasks);
 
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -75,11 +76,15 @@
     private final Map<String, Integer> pendingWrites = new HashMap<>();
 
     private final Set<String> unreportedAgents = new HashSet<>();
+    /** Tasks with a limited number of starts whose next start is not counted before the ownership is confirmed. */
+    private final Set<Task> uncountedStarts = new LinkedHashSet<>();
+
     /** Tasks with a crash that is not stored in the log yet. */
     private final Set<Task> tasksWithUnstoredCrash = new HashSet<>();
 
     private final long openedAtNanos;
     private boolean ready;
+
     private boolean closed;
 
     PartitionOwner(
@@ -221,17 +226,31 @@
         return Set.copyOf(unreportedAgents);
     }
 
+    /** Returns when the log assigned the partition to this entry, by the monotonic clock in nanoseconds. */
     long openedAtNanos() {
         return openedAtNanos;
     }
 
-    /** Records that an agent has reported all its runs, or that none of them can still be running. */
+    /** Records that an agent has reported all its runs, and knows this owner. */
     void agentReported(String agent) {
         if (unreportedAgents.remove(agent)) {
             releaseWhenAllReported();
         }
     }
 
+    /** Stops waiting for an agent that can't be reached, as none of its runs can still be in progress. */
+    void agentLost(String agent) {
+        if (unreportedAgents.remove(agent)) {
+            EventLine.of("agent-not-awaited")
+                    .with("partition", partition())
+                    .with("epoch", epoch)
+                    .with("agent", agent)
+                    .with("waited_ms", (timers.nanos() - openedAtNanos) / 1_000_000)
+                    .log(LOGGER.atWarning());
+            releaseWhenAllReported();
+        }
+    }
+
     private void releaseWhenAllReported() {
         if (!isReady() || !unreportedAgents.isEmpty()) {
             return;
@@ -518,11 +537,26 @@
         }
     }
 
+    /** Counts the starts that were deferred until the log confirms the ownership. */
+    void ownershipConfirmed() {
+        List<Task> tasks = List.copyOf(uncountedStarts);
+        uncountedStarts.clear();
+        for (Task task : tasks) {
+            if (task.status() == Task.Status.WAITING && !tasksWithUnstoredCrash.contains(task)) {
+                countStart(task);
+            }
+        }
+    }
+
     private void countStart(Task task) {
         Job job = task.job();
         if (job.phase().isFinal()) {
             return;
         }
+        if (!events.mayStartTasks()) {
+            uncountedStarts.add(task);
+            return;
+        }
         if (hasNoStartsLeft(task)) {
             failJob(task);
             events.ended(job);
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -56,6 +57,14 @@
      */
     static final Duration RUN_LOSS_TIMEOUT = Duration.ofMillis(5_700);
 
+    /**
+     * Time after a takeover of a partition after which the runs of an agent that this entry can't reach count as lost.
+     * The agent may be in contact with the former owner, which claims the partition until its last confirmation, from
+     * before the takeover, is too old.
+     */
+    static final Duration TAKEOVER_TIMEOUT =
+            RUN_LOSS_TIMEOUT.plus(Ownership.CLAIM_VALIDITY).plusMillis(100);
+
     /**
      * The {@link #RUN_LOSS_TIMEOUT} for in-memory jobs. The agent stops runs when its newest heartbeat echoed by this
      * entry is 0.8 s old, and renews the lease no longer than 1.15 s. The lease of 1 s expires by a clock that may be
@@ -89,7 +98,11 @@
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting;
+    /** Tasks of durable jobs that are ready and must not be started now. */
+    private final Set<Task> heldBack = new LinkedHashSet<>();
+
     private final ServiceShares shares;
+    private boolean durableStartsAllowed;
     private long startsBySpeed;
     private final Optional<QueueShares> queueShares;
     private final PlacementPasses passes;
@@ -229,6 +242,11 @@
         }
     }
 
+    /** Returns the names of all agents with a link. */
+    Set<String> linkedAgents() {
+        return new HashSet<>(links.keySet());
+    }
+
     /** Returns whether an agent has runs that this entry has started or taken over. */
     boolean hasRunsAt(String agent) {
         Worker worker = workers.get(agent);
@@ -258,15 +276,14 @@
         return startsBySpeed;
     }
 
-    /** Returns the names of all agents with a link. */
-    Set<String> linkedAgents() {
-        return new HashSet<>(links.keySet());
-    }
-
     @Override
     public void ready(List<Task> tasks) {
         Job last = null;
         for (Task task : tasks) {
+            if (task.job().isDurable() && !durableStartsAllowed) {
+                heldBack.add(task);
+                continue;
+            }
             waiting.add(task, timers.nanos());
             if (task.job() != last) {
                 last = task.job();
@@ -279,6 +296,27 @@
     /** Removes a waiting task until it is ready again. */
     void withdrawn(Task task) {
         waiting.remove(task);
+        heldBack.remove(task);
+    }
+
+    /** Allows the start of tasks of durable jobs, or holds those that are ready back until it is allowed. */
+    void allowDurableStarts(boolean allowed) {
+        durableStartsAllowed = allowed;
+        if (allowed) {
+            List<Task> tasks = List.copyOf(heldBack);
+            heldBack.clear();
+            ready(tasks);
+            return;
+        }
+        for (PartitionOwner owner : partitions.values()) {
+            for (Job job : owner.jobs()) {
+                for (Task task : job.tasksIn(Task.Status.WAITING)) {
+                    if (waiting.remove(task)) {
+                        heldBack.add(task);
+                    }
+                }
+            }
+        }
     }
 
     /** Removes the waiting tasks of a job and stops its runs. */
@@ -286,7 +324,7 @@
     public void ended(Job job) {
         crashes.removeJob(job);
         for (Task task : job.tasks()) {
-            waiting.remove(task);
+            withdrawn(task);
             task.worker().ifPresent(name -> stop(name, task.key(), task.currentRun(), jobOwnerOf(task)));
         }
     }
@@ -296,7 +334,7 @@
         for (Job job : partition.jobs()) {
             crashes.removeJob(job);
             for (Task task : job.tasks()) {
-                waiting.remove(task);
+                withdrawn(task);
                 task.worker().map(workers::get).ifPresent(worker -> worker.remove(task.key()));
             }
         }
@@ -484,7 +522,7 @@
         } else {
             // Stops the current run, so that the work isn't done twice.
             task.worker().ifPresent(name -> stop(name, task.key(), task.currentRun(), Optional.of(owner)));
-            waiting.remove(task);
+            withdrawn(task);
             task.job().recordPlacement(task, worker.process(), run);
             recordEnd(worker, task, run, end.outcome(), acknowledge);
         }
@@ -573,10 +611,10 @@
             }
         }
         for (PartitionOwner owner : partitions.values()) {
-            boolean timedOut = now - owner.openedAtNanos() > RUN_LOSS_TIMEOUT.toNanos();
+            boolean timedOut = now - owner.openedAtNanos() > TAKEOVER_TIMEOUT.toNanos();
             for (String agent : timedOut ? owner.unreportedAgents() : Set.<String>of()) {
                 if (!links.containsKey(agent)) {
-                    owner.agentReported(agent);
+                    owner.agentLost(agent);
                 }
             }
         }
--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTasks.java
@@ -79,11 +79,11 @@
         return fairShares ? terms.queue() : ALL_QUEUES;
     }
 
-    /** Removes a task; has no effect on a task that doesn't wait. */
-    public void remove(Task task) {
+    /** Removes a task. Returns whether it was waiting. */
+    public boolean remove(Task task) {
         WaitingTask entry = waitingTasks.remove(task);
         if (entry == null) {
-            return;
+            return false;
         }
         byTimelinessExpiry.remove(entry);
         QueueTerms terms = task.job().specification().terms();
@@ -96,6 +96,7 @@
                 backlogs.remove(terms.service());
             }
         }
+        return true;
     }
 
     /**
--- a/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
@@ -13,6 +13,7 @@
 
 import java.util.List;
 import java.util.function.ToIntFunction;
+import java.util.stream.IntStream;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
@@ -451,4 +452,62 @@
         cluster.advance(9_000);
         assertThat(cluster.running(ID), hasSize(1));
     }
+
+    private static List<String> jobIds(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(number -> String.format("%016x", 0xc000 + number))
+                .toList();
+    }
+
+    /**
+     * The log turns the only owner away while an entry is added that no agent knows. The agents stay in contact with
+     * the former owner, and connect to the new one after each other when the former one has learned of it.
+     */
+    @Test
+    void startsNothingBesideRunsThatAFormerOwnerKeeps() {
+        cluster.entry("entry-2");
+        for (int number = 1; number <= 6; number++) {
+            cluster.agent("agent-" + number);
+        }
+        cluster.awaitLinks();
+        List<String> ids = jobIds(8);
+        ids.forEach(id -> cluster.submit(cluster.entries.get("entry-2"), Jobs.of(id, 1)));
+        cluster.advance(200);
+        cluster.log.setDisconnected("entry-2", true);
+        cluster.entry("entry-1");
+        for (int millis = 0; millis < 20_000; millis += 10) {
+            cluster.log.setDisconnected("entry-2", millis < 9_000);
+            for (int number = 2; number <= 6; number++) {
+                cluster.network.setCut("agent-" + number, "entry-1", millis < 9_000 + number * 100);
+            }
+            cluster.advance(10);
+            ids.forEach(id -> assertThat(cluster.running(id), hasSize(lessThanOrEqualTo(1))));
+        }
+        ids.forEach(id -> assertThat(cluster.running(id), hasSize(1)));
+    }
+
+    /**
+     * A partition moves to an entry that can't reach an agent with runs of it. That agent stays in contact with the
+     * former owner, which must not keep these runs any more.
+     */
+    @Test
+    void stopsRunsThatOnlyAFormerOwnerReaches() {
+        startCluster();
+        EntryNode former = ownerOf(ID);
+        cluster.submit(former, Jobs.of(ID, 1));
+        cluster.advance(100);
+        String runner = runnerOf(ID);
+        cluster.entries.keySet().stream()
+                .filter(name -> !name.equals(nameOf(former)))
+                .forEach(name -> cluster.network.setCut(runner, name, true));
+        cluster.network.setCut(runner, "entry-0", true);
+        cluster.entry("entry-0");
+        for (int step = 0; step < 1_500; step++) {
+            cluster.advance(10);
+            assertThat(cluster.running(ID), hasSize(lessThanOrEqualTo(1)));
+        }
+        assertThat(ownerOf(ID) != former, is(true));
+        assertThat(cluster.running(ID), hasSize(1));
+        assertThat(runnerOf(ID).equals(runner), is(false));
+    }
 }
