Wait for agents that could not be listed at a takeover

What callers would see: tasks of an accepted job run twice at the same time, when an entry is added and its first listing of the members fails.

Cause: EntryNode.loaded awaited the agents that it knew by then. An entry that could not list the members yet awaited none, and started the tasks of all others at the first agent that connected.

Evidence: awaitsAgentsThatCouldNotBeListedAtTheTakeover fails before the change with two runs of a task.

Change: after a partition is loaded, the members are listed anew, until a listing succeeds; one listing serves all partitions that were loaded before it began. Nothing that may be running is started before that. Reports that arrive earlier count.

--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -117,11 +118,15 @@
     private final SuspensionDetector suspension;
     private final StallDetector stall;
     private final Map<Integer, PartitionOwner> partitions = new TreeMap<>();
+    /** Owners of loaded partitions that wait for a listing of the members that begins after the loading. */
+    private final List<PartitionOwner> awaitingMembers = new ArrayList<>();
+
     private final Map<Integer, RemoteOwner> remoteOwners = new HashMap<>();
     private final Map<String, Map<String, Long>> remotePending = new HashMap<>();
     private final long startedAtNanos;
     private Evacuations evacuations = Evacuations.UNKNOWN;
     private boolean leaving;
+    private boolean listingMembers;
     /** Whether the heartbeats to agents claim this entry's partitions. */
     private boolean claiming;
 
@@ -629,6 +634,30 @@
     @Override
     public void loaded(PartitionOwner owner) {
         updateClaims();
+        sendHeartbeats(true);
+        awaitingMembers.add(owner);
+        listMembers();
+    }
+
+    /**
+     * Lists the members anew before it is decided which agents are awaited. Agents that aren't known because the
+     * members could not be read may hold runs.
+     */
+    private void listMembers() {
+        if (listingMembers || awaitingMembers.isEmpty()) {
+            return;
+        }
+        listingMembers = true;
+        List<PartitionOwner> owners = List.copyOf(awaitingMembers);
+        awaitingMembers.clear();
+        directory.readOnce(this::peerDiscovered, () -> {
+            listingMembers = false;
+            owners.forEach(this::awaitAgents);
+            listMembers();
+        });
+    }
+
+    private void awaitAgents(PartitionOwner owner) {
         Set<String> agents = new HashSet<>(runs.linkedAgents());
         for (Peer member : directory.members()) {
             if (member.agent()) {
@@ -636,7 +665,6 @@
             }
         }
         owner.awaitAgents(agents);
-        sendHeartbeats(true);
     }
 
     @Override
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -75,6 +75,7 @@
     /** Number of writes in progress by job id. */
     private final Map<String, Integer> pendingWrites = new HashMap<>();
 
+    private final Set<String> reportedAgents = new HashSet<>();
     private final Set<String> unreportedAgents = new HashSet<>();
     /** Tasks with a limited number of starts whose next start is not counted before the ownership is confirmed. */
     private final Set<Task> uncountedStarts = new LinkedHashSet<>();
@@ -84,6 +85,8 @@
 
     private final long openedAtNanos;
     private boolean ready;
+    /** Whether it is known which agents may hold runs of the loaded jobs. */
+    private boolean agentsKnown;
 
     private boolean closed;
 
@@ -218,7 +221,9 @@
      * these agents has reported its runs, or has been unreachable for so long that they must have ended.
      */
     void awaitAgents(Collection<String> agents) {
+        agentsKnown = true;
         unreportedAgents.addAll(agents);
+        unreportedAgents.removeAll(reportedAgents);
         releaseWhenAllReported();
     }
 
@@ -233,6 +238,7 @@
 
     /** Records that an agent has reported all its runs, and knows this owner. */
     void agentReported(String agent) {
+        reportedAgents.add(agent);
         if (unreportedAgents.remove(agent)) {
             releaseWhenAllReported();
         }
@@ -251,8 +257,13 @@
         }
     }
 
+    /** Tells whether runs that an earlier owner has started may be in progress at agents that haven't reported. */
+    private boolean awaitsAgents() {
+        return !agentsKnown || !unreportedAgents.isEmpty();
+    }
+
     private void releaseWhenAllReported() {
-        if (!isReady() || !unreportedAgents.isEmpty()) {
+        if (!isReady() || awaitsAgents()) {
             return;
         }
         List<Task> released = new ArrayList<>();
@@ -431,7 +442,7 @@
      * have received the same end and started these tasks at an agent that still accepts its starts.
      */
     private void placeWhenAllReported(List<Task> tasks) {
-        if (unreportedAgents.isEmpty()) {
+        if (!awaitsAgents()) {
             place(tasks);
             return;
         }
--- a/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
@@ -18,6 +18,7 @@
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.Room;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.agent.FakeMinion;
 import org.chivetally.queue.log.LogStream;
@@ -510,4 +511,32 @@
         assertThat(cluster.running(ID), hasSize(1));
         assertThat(runnerOf(ID).equals(runner), is(false));
     }
+
+    /**
+     * An added entry takes partitions over before it could list the members. It must not take the agents that it
+     * doesn't know yet for empty and start their tasks at the first one that connects.
+     */
+    @Test
+    void awaitsAgentsThatCouldNotBeListedAtTheTakeover() {
+        cluster.capacity = new Room(48_000, 4_000, 0);
+        cluster.entry("entry-1");
+        for (int number = 1; number <= 6; number++) {
+            cluster.agent("agent-" + number);
+        }
+        cluster.awaitLinks();
+        List<String> ids = jobIds(8);
+        ids.forEach(id -> cluster.submit(cluster.entries.get("entry-1"), Jobs.of(id, 1)));
+        cluster.advance(200);
+        cluster.log.setUnlistable("entry-0", "members", true);
+        for (int number = 2; number <= 6; number++) {
+            cluster.network.setCut("agent-" + number, "entry-0", true);
+        }
+        cluster.entry("entry-0");
+        for (int millis = 0; millis < 20_000; millis += 10) {
+            cluster.log.setUnlistable("entry-0", "members", millis < 4_000);
+            cluster.advance(10);
+            ids.forEach(id -> assertThat(cluster.running(id), hasSize(lessThanOrEqualTo(1))));
+        }
+        assertThat(cluster.entries.get("entry-0").localOwner(0).isPresent(), is(true));
+    }
 }
--- a/library/src/test/java/org/chivetally/queue/log/ScriptedKeyedLog.java
+++ b/library/src/test/java/org/chivetally/queue/log/ScriptedKeyedLog.java
@@ -29,6 +29,7 @@
     private final List<LogStream> appends = new ArrayList<>();
     private long generation;
     private final Set<String> disconnected = new HashSet<>();
+    private final Set<String> unlistable = new HashSet<>();
 
     /** How the log handles appends. */
     public enum AppendBehavior {
@@ -60,6 +61,15 @@
         }
     }
 
+    /** Makes the listings of a stream fail for a caller, or succeed again. */
+    public void setUnlistable(String caller, String stream, boolean fails) {
+        if (fails) {
+            unlistable.add(caller + "/" + stream);
+        } else {
+            unlistable.remove(caller + "/" + stream);
+        }
+    }
+
     /** Returns the stream of each append that was carried out, in order. */
     public List<LogStream> appends() {
         return appends;
@@ -162,7 +172,7 @@
 
         @Override
         public void readNewest(LogStream stream, String afterKey, Consumer<NewestOutcome> callback) {
-            if (isDisconnected()) {
+            if (isDisconnected() || unlistable.contains(caller + "/" + stream.name())) {
                 timers.after(
                         Duration.ofMillis(600), () -> callback.accept(new NewestOutcome.Unavailable("disconnected")));
                 return;
