Connect to agents that are awaited after a takeover and don't know the new owner

Cause: agents learn of entries from the entries that they are connected to. The only one of these couldn't read the announcement of the added entry, which waited for connections that nobody opened.

Change: AwaitedAgents dials the agents that have not connected 0.5 s after a takeover, once per attempt and without redialing, until they have reported or their runs must have ended. It also takes over the listing of the members and the end of the wait.

--- a/library/src/main/java/org/chivetally/queue/agent/HeldRuns.java
+++ b/library/src/main/java/org/chivetally/queue/agent/HeldRuns.java
@@ -61,6 +61,11 @@
         return List.copyOf(runs.values());
     }
 
+    /** Returns the runs of an owner. */
+    List<HeldRun> ownedBy(RunOwner owner) {
+        return runs.values().stream().filter(run -> run.owner().equals(owner)).toList();
+    }
+
     /**
      * Removes all runs and returns their ends.
      *
--- a/library/src/main/java/org/chivetally/queue/agent/MinionState.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionState.java
@@ -68,4 +68,12 @@
                 newClockMillis,
                 0);
     }
+
+    /** Returns the state after a later announcement of the same incarnation. */
+    MinionState updatedTo(MinionState reported) {
+        boolean startIsUnknown = reported.incarnation.startedAtMillis() == 0;
+        MinionState state = startIsUnknown ? reported.withIncarnation(incarnation) : reported;
+        // A minion that is about to stop never stays after all; a delayed announcement must not undo it.
+        return leaving ? state.asLeaving() : state;
+    }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -263,7 +263,7 @@
             }
             restartLease(reported.clockMillis());
         }
-        minion = Optional.of(same ? update(before.get(), reported) : reported);
+        minion = Optional.of(same ? before.get().updatedTo(reported) : reported);
         MinionState now = minion.get();
         boolean changed = !same || before.get().leaving() != now.leaving() || awaitingAnnouncement && announced;
         awaitingAnnouncement = !announced;
@@ -281,13 +281,6 @@
         poll();
     }
 
-    private static MinionState update(MinionState before, MinionState reported) {
-        boolean startIsUnknown = reported.incarnation().startedAtMillis() == 0;
-        MinionState state = startIsUnknown ? reported.withIncarnation(before.incarnation()) : reported;
-        // A minion that is about to stop never stays after all; a delayed announcement must not undo it.
-        return before.leaving() ? state.asLeaving() : state;
-    }
-
     /** Discards the clock and the lease of an earlier incarnation. */
     private void restartLease(long clockMillis) {
         lastAnswerNanos = timers.nanos();
@@ -670,11 +663,7 @@
 
     /** Stops all runs of an owner. */
     public void stopAll(RunOwner owner) {
-        for (HeldRun run : held.all()) {
-            if (run.owner().equals(owner)) {
-                stop(run.key());
-            }
-        }
+        held.ownedBy(owner).forEach(run -> stop(run.key()));
     }
 
     /** Returns the owners of all runs. */
--- a/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
+++ b/library/src/main/java/org/chivetally/queue/entry/EntryNode.java
@@ -2,14 +2,11 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import org.chivetally.logging.EventLine;
@@ -118,15 +115,12 @@
     private final SuspensionDetector suspension;
     private final StallDetector stall;
     private final Map<Integer, PartitionOwner> partitions = new TreeMap<>();
-    /** Owners of loaded partitions that wait for a listing of the members that begins after the loading. */
-    private final List<PartitionOwner> awaitingMembers = new ArrayList<>();
-
+    private final AwaitedAgents awaitedAgents;
     private final Map<Integer, RemoteOwner> remoteOwners = new HashMap<>();
     private final Map<String, Map<String, Long>> remotePending = new HashMap<>();
     private final long startedAtNanos;
     private Evacuations evacuations = Evacuations.UNKNOWN;
     private boolean leaving;
-    private boolean listingMembers;
     /** Whether the heartbeats to agents claim this entry's partitions. */
     private boolean claiming;
 
@@ -164,6 +158,7 @@
                 this::mayReadStaleRequests,
                 stall::lastResponsiveNanos,
                 options.scheduling());
+        this.awaitedAgents = new AwaitedAgents(timers, directory, links, runs::linkedAgents, this::peerDiscovered);
         this.startedAtNanos = timers.nanos();
         this.busyAtNanos = startedAtNanos;
     }
@@ -441,6 +436,7 @@
             entries += link.peer().agent() ? 0 : 1;
         }
         runs.shares().updateEntryCount(entries);
+        awaitedAgents.check(partitions.values());
         runs.sweep();
         links.closeSilentLinks();
         ticks++;
@@ -635,36 +631,7 @@
     public void loaded(PartitionOwner owner) {
         updateClaims();
         sendHeartbeats(true);
-        awaitingMembers.add(owner);
-        listMembers();
-    }
-
-    /**
-     * Lists the members anew before it is decided which agents are awaited. Agents that aren't known because the
-     * members could not be read may hold runs.
-     */
-    private void listMembers() {
-        if (listingMembers || awaitingMembers.isEmpty()) {
-            return;
-        }
-        listingMembers = true;
-        List<PartitionOwner> owners = List.copyOf(awaitingMembers);
-        awaitingMembers.clear();
-        directory.readOnce(this::peerDiscovered, () -> {
-            listingMembers = false;
-            owners.forEach(this::awaitAgents);
-            listMembers();
-        });
-    }
-
-    private void awaitAgents(PartitionOwner owner) {
-        Set<String> agents = new HashSet<>(runs.linkedAgents());
-        for (Peer member : directory.members()) {
-            if (member.agent()) {
-                agents.add(member.process());
-            }
-        }
-        owner.awaitAgents(agents);
+        awaitedAgents.partitionLoaded(owner);
     }
 
     @Override
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -57,14 +56,6 @@
      */
     static final Duration RUN_LOSS_TIMEOUT = Duration.ofMillis(5_700);
 
-    /**
-     * Time after a takeover of a partition after which the runs of an agent that this entry can't reach count as lost.
-     * The agent may be in contact with the former owner, which claims the partition until its last confirmation, from
-     * before the takeover, is too old.
-     */
-    static final Duration TAKEOVER_TIMEOUT =
-            RUN_LOSS_TIMEOUT.plus(Ownership.CLAIM_VALIDITY).plusMillis(100);
-
     /**
      * The {@link #RUN_LOSS_TIMEOUT} for in-memory jobs. The agent stops runs when its newest heartbeat echoed by this
      * entry is 0.8 s old, and renews the lease no longer than 1.15 s. The lease of 1 s expires by a clock that may be
@@ -98,11 +89,8 @@
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting;
-    /** Tasks of durable jobs that are ready and must not be started now. */
-    private final Set<Task> heldBack = new LinkedHashSet<>();
-
+    private final DurableStartGate durableStarts;
     private final ServiceShares shares;
-    private boolean durableStartsAllowed;
     private long startsBySpeed;
     private final Optional<QueueShares> queueShares;
     private final PlacementPasses passes;
@@ -139,6 +127,7 @@
         this.inMemoryJobs = new InMemoryJobs(timers, crashes, this);
         this.startedAtNanos = timers.nanos();
         this.waiting = new WaitingTasks(scheduling.fairShares());
+        this.durableStarts = new DurableStartGate(waiting);
         this.shares = new ServiceShares(timers, waiting, workers.values());
         this.queueShares = scheduling.fairShares()
                 ? Optional.of(new QueueShares(timers, waiting, workers.values()))
@@ -280,8 +269,7 @@
     public void ready(List<Task> tasks) {
         Job last = null;
         for (Task task : tasks) {
-            if (task.job().isDurable() && !durableStartsAllowed) {
-                heldBack.add(task);
+            if (durableStarts.holdBack(task)) {
                 continue;
             }
             waiting.add(task, timers.nanos());
@@ -296,26 +284,15 @@
     /** Removes a waiting task until it is ready again. */
     void withdrawn(Task task) {
         waiting.remove(task);
-        heldBack.remove(task);
+        durableStarts.remove(task);
     }
 
     /** Allows the start of tasks of durable jobs, or holds those that are ready back until it is allowed. */
     void allowDurableStarts(boolean allowed) {
-        durableStartsAllowed = allowed;
         if (allowed) {
-            List<Task> tasks = List.copyOf(heldBack);
-            heldBack.clear();
-            ready(tasks);
-            return;
-        }
-        for (PartitionOwner owner : partitions.values()) {
-            for (Job job : owner.jobs()) {
-                for (Task task : job.tasksIn(Task.Status.WAITING)) {
-                    if (waiting.remove(task)) {
-                        heldBack.add(task);
-                    }
-                }
-            }
+            ready(durableStarts.open());
+        } else {
+            durableStarts.close(partitions.values());
         }
     }
 
@@ -602,7 +579,7 @@
         finishRun(worker, start.get(), RunOutcome.NEVER_STARTED, () -> {});
     }
 
-    /** Ends lost runs, releases tasks whose agents failed to report in time, and refuses jobs that are too late. */
+    /** Ends lost runs, and refuses jobs that are too late. */
     void sweep() {
         long now = timers.nanos();
         for (Worker worker : List.copyOf(workers.values())) {
@@ -610,14 +587,6 @@
                 expireRuns(worker, worker.nanosSinceContact(now));
             }
         }
-        for (PartitionOwner owner : partitions.values()) {
-            boolean timedOut = now - owner.openedAtNanos() > TAKEOVER_TIMEOUT.toNanos();
-            for (String agent : timedOut ? owner.unreportedAgents() : Set.<String>of()) {
-                if (!links.containsKey(agent)) {
-                    owner.agentLost(agent);
-                }
-            }
-        }
         moveFromSlowWorkers(now);
         refuseUnservable(now);
         queueShares.ifPresent(QueueShares::updateContention);
--- a/library/src/main/java/org/chivetally/queue/link/LinkTable.java
+++ b/library/src/main/java/org/chivetally/queue/link/LinkTable.java
@@ -85,11 +85,24 @@
      */
     public void dial(Peer peer) {
         Target existing = targets.get(peer.process());
-        if (existing != null && existing.peer.incarnation() >= peer.incarnation()) {
+        if (existing != null && existing.redials && existing.peer.incarnation() >= peer.incarnation()) {
             return;
         }
-        Target target = new Target(peer);
-        targets.put(peer.process(), target);
+        connect(new Target(peer, true));
+    }
+
+    /**
+     * Connects to a peer that has not connected itself, unless an attempt is in progress. A failed attempt or a lost
+     * link is not retried.
+     */
+    public void dialOnce(Peer peer) {
+        if (!targets.containsKey(peer.process()) && !links.containsKey(peer.process())) {
+            connect(new Target(peer, false));
+        }
+    }
+
+    private void connect(Target target) {
+        targets.put(target.peer.process(), target);
         target.dial();
     }
 
@@ -157,13 +170,15 @@
         listener.up(link);
     }
 
-    /** A peer to which this process keeps a link. */
+    /** A peer to which this process opens a link. */
     private final class Target {
         private final Peer peer;
+        private final boolean redials;
         private Duration redialDelay = FIRST_REDIAL_DELAY;
 
-        private Target(Peer peer) {
+        private Target(Peer peer, boolean redials) {
             this.peer = peer;
+            this.redials = redials;
         }
 
         private void dial() {
@@ -177,6 +192,10 @@
         }
 
         private void scheduleRedial() {
+            if (!redials) {
+                targets.remove(peer.process(), this);
+                return;
+            }
             timers.after(redialDelay, this::dial);
             Duration doubled = redialDelay.multipliedBy(2);
             redialDelay = doubled.compareTo(LONGEST_REDIAL_DELAY) > 0 ? LONGEST_REDIAL_DELAY : doubled;
--- a/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
@@ -539,4 +539,29 @@
         }
         assertThat(cluster.entries.get("entry-0").localOwner(0).isPresent(), is(true));
     }
+
+    /**
+     * An entry that no agent knows takes partitions over while the log turns the former owner away. If it waited for
+     * the agents to connect, all runs would be stopped for lack of an owner, and started again.
+     */
+    @Test
+    void takesRunsOverFromAgentsThatDoNotKnowTheNewOwner() {
+        cluster.entry("entry-2");
+        for (int number = 1; number <= 6; number++) {
+            cluster.agent("agent-" + number);
+        }
+        cluster.awaitLinks();
+        List<String> ids = jobIds(8);
+        ids.forEach(id -> cluster.submit(cluster.entries.get("entry-2"), Jobs.of(id, 1)));
+        cluster.advance(200);
+        cluster.log.setDisconnected("entry-2", true);
+        EntryNode added = cluster.entry("entry-1");
+        cluster.advance(9_000);
+        cluster.log.setDisconnected("entry-2", false);
+        cluster.advance(5_000);
+        ids.forEach(id -> assertThat(cluster.running(id), hasSize(1)));
+        assertThat(starts(), is(8));
+        ids.forEach(id -> cluster.finish(id, RunOutcome.DONE));
+        ids.forEach(id -> assertThat(cluster.query(added, id), contains(new JobAnswer.State(JobPhase.COMPLETED))));
+    }
 }
