Let agents connect by themselves for 1.5 s after a takeover

Cause: agents that start together with the entries need up to 1.5 s to connect, so an ordinary start was taken for the case in which they don't know the entry. It dialed them, a path that the archive's training run never takes in an entry; both sides opening a connection at the same time also costs one of them.

Change: the entry waits 1.5 s, which leaves a second until agents without an owner stop their runs, and the listener of a dial is a record, so that an entry that dials generates no class.

Measured: GeneratedClassesTest and the tests of queue.entry pass; takesRunsOverFromAgentsThatDoNotKnowTheNewOwner still starts no task twice.

--- a/library/src/main/java/org/chivetally/queue/entry/AwaitedAgents.java
+++ b/library/src/main/java/org/chivetally/queue/entry/AwaitedAgents.java
@@ -18,11 +18,11 @@
  */
 final class AwaitedAgents {
     /**
-     * Time after a takeover in which agents connect to this entry by themselves. After it, this entry connects to those
-     * that have runs to report: they can't know it if it was added while the other entries couldn't read its
-     * announcement.
+     * Time after a takeover in which agents connect to this entry by themselves, also if they start with it. After it,
+     * this entry connects to those that have runs to report: they can't know it if it was added while the other entries
+     * couldn't read its announcement. Agents stop their runs 4.7 s after the former owner's last contact with the log.
      */
-    static final Duration AGENT_DIAL_DELAY = Duration.ofMillis(500);
+    static final Duration AGENT_DIAL_DELAY = Duration.ofMillis(1_500);
 
     /**
      * Time after a takeover of a partition after which the runs of an agent that this entry can't reach count as lost.
--- a/library/src/main/java/org/chivetally/transport/FrameTransport.java
+++ b/library/src/main/java/org/chivetally/transport/FrameTransport.java
@@ -5,6 +5,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -115,11 +116,7 @@
                 .option(ChannelOption.SO_KEEPALIVE, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
                 .handler(dialledChannelInitializer(connection, listener));
-        bootstrap.connect(host, port).addListener((ChannelFuture attempt) -> {
-            if (!attempt.isSuccess()) {
-                listener.disconnected(connection, "dial failed: " + attempt.cause());
-            }
-        });
+        bootstrap.connect(host, port).addListener(new DialListener(connection, listener));
     }
 
     /** Closes all connections and listeners if this transport owns its event loops; waits at most 4 s. */
@@ -168,4 +165,15 @@
     private static WriteBufferWaterMark waterMark() {
         return new WriteBufferWaterMark(MAXIMUM_UNSENT_BYTES / 2, MAXIMUM_UNSENT_BYTES);
     }
+
+    /** Reports a failed dial. Not a lambda, for which a process that rarely dials would generate a class. */
+    private record DialListener(NettyFrameConnection connection, FrameListener listener)
+            implements ChannelFutureListener {
+        @Override
+        public void operationComplete(ChannelFuture attempt) {
+            if (!attempt.isSuccess()) {
+                listener.disconnected(connection, "dial failed: " + attempt.cause());
+            }
+        }
+    }
 }
