--- a/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
@@ -564,4 +564,32 @@
         ids.forEach(id -> cluster.finish(id, RunOutcome.DONE));
         ids.forEach(id -> assertThat(cluster.query(added, id), contains(new JobAnswer.State(JobPhase.COMPLETED))));
     }
+
+    /**
+     * The log turns the owner away for longer than its claim lasts. Another entry may have taken its partitions over
+     * and start the same task, so the owner starts no durable task, but goes on with those of in-memory jobs.
+     */
+    @Test
+    void startsNoDurableTaskWhileTheLogDoesNotConfirmTheOwnership() {
+        EntryNode owner = cluster.entry("entry-1");
+        cluster.agent("agent-1");
+        cluster.awaitLinks();
+        List<String> ids = jobIds(3);
+        cluster.submit(owner, Jobs.chain(ids.get(0), 1, 1));
+        cluster.submit(owner, Jobs.of(ids.get(1), 1));
+        cluster.submit(owner, Jobs.of(ids.get(2), 1));
+        cluster.advance(100);
+        assertThat(starts(), is(2));
+        cluster.log.setDisconnected("entry-1", true);
+        cluster.advance(1_500);
+        cluster.finish(ids.get(0), RunOutcome.DONE);
+        cluster.finish(ids.get(1), RunOutcome.DONE);
+        cluster.submitInMemory(owner, Jobs.of(ID, 1), 1_000);
+        cluster.advance(1_000);
+        assertThat(cluster.running(ID), hasSize(1));
+        assertThat(starts(), is(3));
+        cluster.log.setDisconnected("entry-1", false);
+        cluster.advance(1_500);
+        assertThat(cluster.running(ids.get(0)), hasSize(1));
+    }
 }
