--- a/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/DurableJobsTest.java
@@ -460,20 +460,26 @@
                 .toList();
     }
 
-    /**
-     * The log turns the only owner away while an entry is added that no agent knows. The agents stay in contact with
-     * the former owner, and connect to the new one after each other when the former one has learned of it.
-     */
-    @Test
-    void startsNothingBesideRunsThatAFormerOwnerKeeps() {
-        cluster.entry("entry-2");
+    /** Starts an entry and six agents that run a task of each of eight jobs. Returns the ids of the jobs. */
+    private List<String> startJobsOfASingleEntry(String name) {
+        EntryNode entry = cluster.entry(name);
         for (int number = 1; number <= 6; number++) {
             cluster.agent("agent-" + number);
         }
         cluster.awaitLinks();
         List<String> ids = jobIds(8);
-        ids.forEach(id -> cluster.submit(cluster.entries.get("entry-2"), Jobs.of(id, 1)));
+        ids.forEach(id -> cluster.submit(entry, Jobs.of(id, 1)));
         cluster.advance(200);
+        return ids;
+    }
+
+    /**
+     * The log turns the only owner away while an entry is added that no agent knows. The agents stay in contact with
+     * the former owner, and connect to the new one after each other when the former one has learned of it.
+     */
+    @Test
+    void startsNothingBesideRunsThatAFormerOwnerKeeps() {
+        List<String> ids = startJobsOfASingleEntry("entry-2");
         cluster.log.setDisconnected("entry-2", true);
         cluster.entry("entry-1");
         for (int millis = 0; millis < 20_000; millis += 10) {
@@ -519,14 +525,7 @@
     @Test
     void awaitsAgentsThatCouldNotBeListedAtTheTakeover() {
         cluster.capacity = new Room(48_000, 4_000, 0);
-        cluster.entry("entry-1");
-        for (int number = 1; number <= 6; number++) {
-            cluster.agent("agent-" + number);
-        }
-        cluster.awaitLinks();
-        List<String> ids = jobIds(8);
-        ids.forEach(id -> cluster.submit(cluster.entries.get("entry-1"), Jobs.of(id, 1)));
-        cluster.advance(200);
+        List<String> ids = startJobsOfASingleEntry("entry-1");
         cluster.log.setUnlistable("entry-0", "members", true);
         for (int number = 2; number <= 6; number++) {
             cluster.network.setCut("agent-" + number, "entry-0", true);
@@ -546,14 +545,7 @@
      */
     @Test
     void takesRunsOverFromAgentsThatDoNotKnowTheNewOwner() {
-        cluster.entry("entry-2");
-        for (int number = 1; number <= 6; number++) {
-            cluster.agent("agent-" + number);
-        }
-        cluster.awaitLinks();
-        List<String> ids = jobIds(8);
-        ids.forEach(id -> cluster.submit(cluster.entries.get("entry-2"), Jobs.of(id, 1)));
-        cluster.advance(200);
+        List<String> ids = startJobsOfASingleEntry("entry-2");
         cluster.log.setDisconnected("entry-2", true);
         EntryNode added = cluster.entry("entry-1");
         cluster.advance(9_000);
