Keep runs whose ends a truncated list may omit

Cause: an answer to a poll lists at most 500 ends, and the agent took the list for complete. A run in neither list was reported as LOST, an unanswered start as never executed, a run carried over to a new incarnation as crashed, and a restarted agent sent an inventory without what it hadn't seen. Owners then started tasks again whose ends were still to be listed.

Change: a decoded answer says whether ends may be omitted. While they may, runs in neither list stay held and in the inventory, nothing is ruled out, no inventory is sent by an agent that hasn't seen a complete list, and no start is accepted. The ends come into view as owners store those before them.

--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -107,10 +107,17 @@
          * @param startedAtMillis start time of the incarnation that answers, in milliseconds since 1970; 0 if it
          *     reports none
          * @param clockMillis the minion's clock, in milliseconds
-         * @param running runs in progress
-         * @param ends ends that were not acknowledged
+         * @param running runs in progress, all of them
+         * @param ends ends that were not acknowledged, in the order of their sequence
+         * @param endsTruncated whether the minion may have further ends, which it lists once these are acknowledged; a
+         *     run that is in neither list may have ended
          */
-        record Lists(long startedAtMillis, long clockMillis, List<RunKey> running, List<ListedEnd> ends)
+        record Lists(
+                long startedAtMillis,
+                long clockMillis,
+                List<RunKey> running,
+                List<ListedEnd> ends,
+                boolean endsTruncated)
                 implements PollResult {
             /** Copies the lists. */
             public Lists {
@@ -118,9 +125,9 @@
                 ends = List.copyOf(ends);
             }
 
-            /** Creates the lists of a minion that reports no start time. */
+            /** Creates the lists of a minion that reports no start time and lists all of its ends. */
             public Lists(long clockMillis, List<RunKey> running, List<ListedEnd> ends) {
-                this(0, clockMillis, running, ends);
+                this(0, clockMillis, running, ends, false);
             }
         }
 
--- a/library/src/main/java/org/chivetally/queue/agent/MinionReconciler.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionReconciler.java
@@ -25,6 +25,7 @@
     private final int partitions;
     private final UnknownRuns unknownRuns = new UnknownRuns();
     private boolean complete;
+    private boolean endsTruncated;
 
     MinionReconciler(
             Timers timers,
@@ -42,21 +43,27 @@
     }
 
     /**
-     * Tells whether the agent knew all listed runs at some poll. Until then, runs that its predecessor started may be
-     * left.
+     * Tells whether the agent knew all listed runs and all ends at some poll. Until then, runs that its predecessor
+     * started, or their ends, may be left.
      */
     boolean isComplete() {
         return complete;
     }
 
+    /** Tells whether the minion may have ends that the latest lists omit. */
+    boolean mayOmitEnds() {
+        return endsTruncated;
+    }
+
     /** Tells whether the minion runs anything that the agent doesn't know. */
     boolean hasUnknownRuns() {
         return !unknownRuns.isEmpty();
     }
 
-    /** Discards the unknown runs, as their incarnation was replaced. */
+    /** Discards what is known of the minion's lists, as their incarnation was replaced. */
     void clear() {
         unknownRuns.clear();
+        endsTruncated = false;
     }
 
     /**
@@ -69,10 +76,24 @@
      */
     List<OwnedEnd> reconcile(Incarnation incarnation, PollResult.Lists lists, long sentAtNanos) {
         List<OwnedEnd> newEnds = reconcileEnds(incarnation, lists.ends());
+        updateTruncation(incarnation, lists);
         reconcileRunning(incarnation, lists, sentAtNanos);
         return newEnds;
     }
 
+    private void updateTruncation(Incarnation incarnation, PollResult.Lists lists) {
+        if (endsTruncated == lists.endsTruncated()) {
+            return;
+        }
+        endsTruncated = lists.endsTruncated();
+        EventLine.of(endsTruncated ? "ends-truncated" : "ends-complete")
+                .with("minion", incarnation.name())
+                .with("ends", lists.ends().size())
+                .with("running", lists.running().size())
+                .with("held", held.size())
+                .log(endsTruncated ? LOGGER.atWarning() : LOGGER.atInfo());
+    }
+
     private List<OwnedEnd> reconcileEnds(Incarnation incarnation, List<ListedEnd> listed) {
         List<OwnedEnd> newEnds = new ArrayList<>();
         for (ListedEnd end : listed) {
@@ -102,6 +123,9 @@
             unknown.remove(run.key());
             if (running.contains(run.key())) {
                 confirmRunning(incarnation, run);
+            } else if (lists.endsTruncated()) {
+                // Its end may be omitted; reported as lost, its task would start again although it may be done.
+                continue;
             } else if (run.isCarriedOver()) {
                 held.remove(run);
                 lost.add(run.endAtPreviousIncarnation());
@@ -115,7 +139,7 @@
         // The agent's predecessor started these runs, so their resources aren't known here. Nothing is started until
         // their lease, which isn't renewed, has expired. Runs that show up after that have no owner and are stopped.
         unknownRuns.update(unknown);
-        complete |= unknownRuns.isEmpty();
+        complete |= unknownRuns.isEmpty() && !endsTruncated;
         if (complete) {
             commands.stopUnknownRuns(incarnation, unknownRuns);
         }
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -122,7 +122,7 @@
         return minion;
     }
 
-    /** Tells whether starts are accepted. */
+    /** Tells whether starts are accepted. They are not while the list of ends is truncated, as it would only grow. */
     public boolean isAccepting() {
         return !leaving
                 && responsive
@@ -130,13 +130,15 @@
                 && !awaitingAnnouncement
                 && !departing
                 && !reconciler.hasUnknownRuns()
+                && !reconciler.mayOmitEnds()
                 && minion.isPresent()
                 && !minion.get().leaving();
     }
 
     /**
      * Tells whether the known runs and ends are all that the minion has. After a restart of the agent, runs of its
-     * predecessor may be left; an owner that takes them for absent would start their tasks a second time.
+     * predecessor may be left, or ends that a truncated list omits; an owner that takes them for absent would start
+     * their tasks a second time.
      */
     public boolean isInventoryComplete() {
         return reconciler.isComplete()
@@ -563,11 +565,8 @@
                 acknowledgedThrough = Math.max(acknowledgedThrough, acknowledgedByPoll);
                 boolean hasNewEnds = applyLists(listed, sentAtNanos);
                 boolean immediate = lastAnswerNanos - sentAtNanos < EMPTY_POLL_PAUSE.toNanos();
-                if (hasNewEnds) {
-                    pollAfter(PAUSE_AFTER_ENDS);
-                } else {
-                    pollAfter(immediate ? EMPTY_POLL_PAUSE : Duration.ZERO);
-                }
+                Duration pauseWithoutEnds = immediate ? EMPTY_POLL_PAUSE : Duration.ZERO;
+                pollAfter(hasNewEnds ? PAUSE_AFTER_ENDS : pauseWithoutEnds);
             }
             case PollResult.Refused refused -> {
                 EventLine.of("look-refused")
--- a/library/src/test/java/org/chivetally/queue/agent/FakeMinion.java
+++ b/library/src/test/java/org/chivetally/queue/agent/FakeMinion.java
@@ -39,6 +39,9 @@
     public boolean unresponsive;
     public boolean startsUnanswered;
 
+    /** Maximum number of ends in one answer. */
+    public int maximumListedEnds = Integer.MAX_VALUE;
+
     /** Number of following polls that are not answered. */
     public int pollsUnanswered;
 
@@ -205,6 +208,9 @@
                                         startedAtMillis,
                                         clock(),
                                         List.copyOf(running.keySet()),
-                                        List.copyOf(ends.values()))));
+                                        ends.values().stream()
+                                                .limit(maximumListedEnds)
+                                                .toList(),
+                                        ends.size() >= maximumListedEnds)));
     }
 }
