Report an invalid port as a failed connection attempt

Operators saw, elsewhere: an odd entry in the list of members, and processes that stopped following it. Measured here before: a member with port 70000 or -1 makes dial throw IllegalArgumentException out of a timer every 1.5 s for good, and agents behind it in the loop of AwaitedAgents.dial aren't reached.

Cause: Netty checks the port before it makes an attempt, and throws; FrameTransport.dial promises to report failures to the listener.

Change: a port outside 1 to 65535 is a failed attempt, reported on the event loop.

Test: reportsAnInvalidPortAsAFailedConnectionAttempt failed with IllegalArgumentException for -1, 65536 and 70000, and passes.

--- a/library/src/main/java/org/chivetally/transport/FrameTransport.java
+++ b/library/src/main/java/org/chivetally/transport/FrameTransport.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.TimeUnit;
 import org.chivetally.errors.ChivetallyException;
 import org.chivetally.errors.ErrorCode;
+import org.chivetally.settings.HostPort;
 
 /** Accepts and opens TCP connections that carry frames. */
 public final class FrameTransport implements AutoCloseable {
@@ -101,12 +102,18 @@
     }
 
     /**
-     * Opens a connection. A failure or a timeout of 500 ms is reported as {@code disconnected}.
+     * Opens a connection. A failure, a timeout of 500 ms or an invalid port is reported as {@code disconnected}.
      *
      * @param listener receives the events of the connection
      */
     public void dial(String host, int port, FrameListener listener) {
         String peer = host + ":" + port;
+        if (port < 1 || port > HostPort.MAXIMUM_PORT) {
+            // Other processes announce their addresses, so that an invalid one is no mistake of the caller.
+            NettyFrameConnection unopened = new NettyFrameConnection(peer, meters);
+            eventLoops.next().execute(() -> listener.disconnected(unopened, "dial failed: invalid port"));
+            return;
+        }
         NettyFrameConnection connection = new NettyFrameConnection(peer, meters);
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
--- a/library/src/test/java/org/chivetally/transport/FrameTransportTest.java
+++ b/library/src/test/java/org/chivetally/transport/FrameTransportTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class FrameTransportTest {
     private static final String LOOPBACK = "127.0.0.1";
@@ -79,6 +81,14 @@
         assertThat(server.unreadFrames(), is(0));
     }
 
+    /** An exception for an invalid port of a peer ended the loop over the peers behind it, and all later attempts. */
+    @ParameterizedTest
+    @ValueSource(ints = {-1, 0, 65_536, 70_000})
+    void reportsAnInvalidPortAsAFailedConnectionAttempt(int port) throws InterruptedException {
+        transport.dial(LOOPBACK, port, client);
+        assertThat(client.nextDisconnectReason(), startsWith("dial failed"));
+    }
+
     /** Nothing listens on the port; the failure must be reported so that the caller can retry. */
     @Test
     void reportsAFailedConnectionAttempt() throws Exception {
