Go on reading behind a record that can't be processed

Operators saw, elsewhere: processes that stop following a list with one odd entry.

Cause: StreamTail and NewestValuesReader request the next records after the listener has taken those at hand. An exception of the listener passed through them into the HTTP client, and nothing requested the next records: configuration and members were not followed any more, and a takeover whose listing of the members never completed held its tasks back for good.

--- a/library/src/main/java/org/chivetally/queue/log/NewestValuesReader.java
+++ b/library/src/main/java/org/chivetally/queue/log/NewestValuesReader.java
@@ -26,7 +26,7 @@
      * @param stream stream partition to read
      * @param retryDelay delay before a failed read is retried
      * @param stillNeeded returns whether the values are still needed
-     * @param listener receives each value, ordered by key
+     * @param listener receives each value, ordered by key; the reader goes on after an exception for a value
      * @param completion runs after the last value
      */
     public NewestValuesReader(
@@ -64,7 +64,7 @@
     }
 
     private void deliver(NewestOutcome.Page page) {
-        page.items().forEach(listener);
+        page.items().forEach(item -> RecordDelivery.deliver(stream, item, listener));
         if (page.hasMore() && !page.items().isEmpty()) {
             readAfter(page.items().getLast().key());
         } else {
--- a/library/src/main/java/org/chivetally/queue/log/StreamTail.java
+++ b/library/src/main/java/org/chivetally/queue/log/StreamTail.java
@@ -41,7 +41,7 @@
      * @param timers timers of the event loop
      * @param stream stream partition to follow
      * @param maximumWait longest wait of one read; also how long an unresponsive connection can delay changes
-     * @param listener receives each record, oldest first
+     * @param listener receives each record, oldest first; the tail goes on after an exception for a record
      */
     public StreamTail(
             KeyedLog log, Timers timers, LogStream stream, Duration maximumWait, Consumer<KeyedRecord> listener) {
@@ -100,7 +100,7 @@
         } else {
             liveKeys.add(record.key());
         }
-        listener.accept(record);
+        RecordDelivery.deliver(stream, record, listener);
     }
 
     private void readAppended(long from) {
--- a/library/src/test/java/org/chivetally/queue/log/StreamTailTest.java
+++ b/library/src/test/java/org/chivetally/queue/log/StreamTailTest.java
@@ -63,4 +63,43 @@
         timers.advance(Duration.ofSeconds(2));
         assertThat(delivered, contains("+a", "+b", "+b", "-a"));
     }
+
+    private void failOnOddKeys(KeyedRecord record) {
+        if (record.key().startsWith("odd")) {
+            throw new IllegalArgumentException("odd record");
+        }
+        delivered.add(describe(record));
+    }
+
+    /** A record that its listener can't process ended the reading, so that no later change took effect. */
+    @Test
+    void goesOnAfterARecordThatTheListenerRejects() {
+        StreamTail failing =
+                new StreamTail(log.access("reader"), timers, STREAM, Duration.ofSeconds(1), this::failOnOddKeys);
+        append(new KeyedRecord("odd-1", VALUE));
+        append(new KeyedRecord("z", VALUE));
+        failing.start();
+        timers.advance(Duration.ofMillis(100));
+        append(new KeyedRecord("odd-2", VALUE));
+        append(new KeyedRecord("a", VALUE));
+        assertThat(delivered, contains("+z", "+a"));
+    }
+
+    /** A listing that never completes leaves a takeover without the agents to await. */
+    @Test
+    void completesAListingWithAValueThatTheListenerRejects() {
+        append(new KeyedRecord("odd", VALUE));
+        append(new KeyedRecord("z", VALUE));
+        new NewestValuesReader(
+                        log.access("reader"),
+                        timers,
+                        STREAM,
+                        Duration.ofMillis(50),
+                        () -> true,
+                        this::failOnOddKeys,
+                        () -> delivered.add("complete"))
+                .start();
+        timers.advance(Duration.ofMillis(100));
+        assertThat(delivered, contains("+z", "complete"));
+    }
 }
