Ignore members that no process can have announced

Cause: records of the members, hellos and the lists of entries that agents receive became peers unchecked. An agent that dialed such an entry closed the link to the entry that had named it, and a host name would be looked up on the event loop.

Change: a peer with a blank or overlong name, an incarnation below 1, a host that is no IP address or a port out of range is neither linked, dialed nor awaited. An earlier record of the same name stays in force. Settings require an IP address.

The network of the tests has IP addresses now.

--- a/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -146,33 +146,55 @@
         return List.copyOf(members.values());
     }
 
+    /**
+     * Applies a record. One that no process can have announced was left by another writer; it names nobody to connect
+     * to or to wait for, and an earlier record of the same name stays in force.
+     */
     private void apply(KeyedRecord record, Consumer<Peer> listener) {
         if (record.isTombstone()) {
             members.remove(record.key());
             minions.remove(record.key());
             return;
         }
+        Optional<StoredMember> parsed = parse(record);
+        if (parsed.isEmpty()) {
+            return;
+        }
+        StoredMember member = parsed.get();
+        Peer peer = new Peer(
+                record.key(),
+                member.getIncarnation(),
+                member.getAgent(),
+                member.getFailureDomain(),
+                member.getHost(),
+                member.getPort());
+        Optional<String> invalid = peer.invalidComponent();
+        if (invalid.isPresent()) {
+            logUnreadable(record, invalid.get());
+            return;
+        }
+        members.put(peer.process(), peer);
+        if (member.hasMinion()) {
+            minions.put(peer.process(), decode(member.getMinion()));
+        } else {
+            minions.remove(peer.process());
+        }
+        listener.accept(peer);
+    }
+
+    private static Optional<StoredMember> parse(KeyedRecord record) {
         try {
-            StoredMember member = StoredMember.parseFrom(record.value());
-            Peer peer = new Peer(
-                    record.key(),
-                    member.getIncarnation(),
-                    member.getAgent(),
-                    member.getFailureDomain(),
-                    member.getHost(),
-                    member.getPort());
-            members.put(peer.process(), peer);
-            if (member.hasMinion()) {
-                minions.put(peer.process(), decode(member.getMinion()));
-            } else {
-                minions.remove(peer.process());
-            }
-            listener.accept(peer);
+            return Optional.of(StoredMember.parseFrom(record.value()));
         } catch (InvalidProtocolBufferException e) {
-            EventLine.of("member-unreadable")
-                    .with("key", record.key())
-                    .with("cause", e)
-                    .log(LOGGER.atWarning());
+            logUnreadable(record, e.getMessage());
+            return Optional.empty();
         }
     }
+
+    private static void logUnreadable(KeyedRecord record, String cause) {
+        EventLine.of("member-unreadable")
+                .with("key", record.key())
+                .with("cause", cause)
+                .log(LOGGER.atWarning());
+    }
 }
--- a/library/src/main/java/org/chivetally/queue/link/LinkTable.java
+++ b/library/src/main/java/org/chivetally/queue/link/LinkTable.java
@@ -82,25 +82,36 @@
 
     /**
      * Connects to a peer, and redials it whenever the link is lost. A newer incarnation replaces the address of a peer.
+     * A peer with an invalid identity is ignored.
      */
     public void dial(Peer peer) {
         Target existing = targets.get(peer.process());
-        if (existing != null && existing.redials && existing.peer.incarnation() >= peer.incarnation()) {
-            return;
+        boolean isKnown = existing != null && existing.redials && existing.peer.incarnation() >= peer.incarnation();
+        if (!isKnown && !isRejected(peer)) {
+            connect(new Target(peer, true));
         }
-        connect(new Target(peer, true));
     }
 
     /**
      * Connects to a peer that has not connected itself, unless an attempt is in progress. A failed attempt or a lost
-     * link is not retried.
+     * link is not retried. A peer with an invalid identity is ignored.
      */
     public void dialOnce(Peer peer) {
-        if (!targets.containsKey(peer.process()) && !links.containsKey(peer.process())) {
+        boolean isConnecting = targets.containsKey(peer.process()) || links.containsKey(peer.process());
+        if (!isConnecting && !isRejected(peer)) {
             connect(new Target(peer, false));
         }
     }
 
+    private static boolean isRejected(Peer peer) {
+        Optional<String> invalid = peer.invalidComponent();
+        invalid.ifPresent(component -> EventLine.of("peer-rejected")
+                .with("peer", peer.process())
+                .with("component", component)
+                .log(LOGGER.atWarning()));
+        return invalid.isPresent();
+    }
+
     private void connect(Target target) {
         targets.put(target.peer.process(), target);
         target.dial();
@@ -222,10 +233,7 @@
         @Override
         public void received(FrameConnection connection, Frame frame) {
             if (frame.getBodyCase() == Frame.BodyCase.LINK_HELLO) {
-                if (!ended) {
-                    helloReceived = true;
-                    openLink(connection, Peer.of(frame.getLinkHello()));
-                }
+                receiveHello(connection, Peer.of(frame.getLinkHello()));
                 return;
             }
             linkOf(connection).ifPresent(link -> {
@@ -234,6 +242,19 @@
             });
         }
 
+        private void receiveHello(FrameConnection connection, Peer peer) {
+            if (ended) {
+                return;
+            }
+            if (isRejected(peer)) {
+                // An entry passes the addresses of its peers on to all agents.
+                connection.close();
+                return;
+            }
+            helloReceived = true;
+            openLink(connection, peer);
+        }
+
         @Override
         public void disconnected(FrameConnection connection, String reason) {
             linkOf(connection).ifPresent(link -> closeLink(link, reason));
--- a/library/src/main/java/org/chivetally/queue/link/Peer.java
+++ b/library/src/main/java/org/chivetally/queue/link/Peer.java
@@ -1,6 +1,8 @@
 package org.chivetally.queue.link;
 
 import java.util.Objects;
+import java.util.Optional;
+import org.chivetally.settings.HostPort;
 import org.chivetally.wire.v1.LinkHello;
 
 /**
@@ -10,10 +12,13 @@
  * @param incarnation number of the incarnation, which increases with each start
  * @param agent whether the process is an agent; otherwise it is an entry
  * @param failureDomain failure domain in which the process runs
- * @param host host to connect to
+ * @param host IP address to connect to; the lookup of a host name would block the event loop for seconds
  * @param port port to connect to
  */
 public record Peer(String process, long incarnation, boolean agent, String failureDomain, String host, int port) {
+    /** Maximum length of the name of a process, which is the longest that the log takes as a key. */
+    static final int MAXIMUM_NAME_LENGTH = 255;
+
     /** Requires all names. */
     public Peer {
         Objects.requireNonNull(process, "process");
@@ -43,4 +48,21 @@
                 .setPort(port)
                 .build();
     }
+
+    /**
+     * Returns the name of the first component that no process announces of itself; empty if all are valid. Other
+     * writers may leave such an identity in the log, and it must be neither connected to nor awaited.
+     */
+    public Optional<String> invalidComponent() {
+        if (process.isBlank() || process.length() > MAXIMUM_NAME_LENGTH) {
+            return Optional.of("process");
+        }
+        if (incarnation < 1) {
+            return Optional.of("incarnation");
+        }
+        if (!HostPort.isReachableAddress(host)) {
+            return Optional.of("host");
+        }
+        return port < 1 || port > HostPort.MAXIMUM_PORT ? Optional.of("port") : Optional.empty();
+    }
 }
--- a/library/src/main/java/org/chivetally/queue/warmup/AgentWarmUpLoad.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/AgentWarmUpLoad.java
@@ -34,7 +34,7 @@
 
     /** Creates the agent, its minion and its entry, and waits until they are linked. */
     public AgentWarmUpLoad() {
-        Peer self = new Peer("warm-up-agent", 1, true, "warm-up", "model", 2);
+        Peer self = new Peer("warm-up-agent", 1, true, "warm-up", "127.0.0.1", 2);
         SimulatedMinion minion = new SimulatedMinion(timers);
         AgentNode agent = new AgentNode(
                 self,
@@ -61,7 +61,7 @@
 
     /** Sends starts to the agent and counts the reported ends. */
     private final class ScriptedEntry implements LinkListener {
-        private final Peer self = new Peer("warm-up-entry", 1, false, "warm-up", "model", 1);
+        private final Peer self = new Peer("warm-up-entry", 1, false, "warm-up", "127.0.0.1", 1);
         private final LinkTable links = new LinkTable(self, timers, (host, port, listener) -> {}, this);
         private Optional<PeerLink> agent = Optional.empty();
         private int ends;
--- a/library/src/main/java/org/chivetally/queue/warmup/EntryWarmUpLoad.java
+++ b/library/src/main/java/org/chivetally/queue/warmup/EntryWarmUpLoad.java
@@ -50,7 +50,7 @@
 
     /** Creates the entry and its agent, and waits until they are linked. */
     public EntryWarmUpLoad() {
-        Peer self = new Peer("warm-up-entry", 1, false, "warm-up", "model", 1);
+        Peer self = new Peer("warm-up-entry", 1, false, "warm-up", "127.0.0.1", 1);
         DiscardingLog log = new DiscardingLog(timers);
         entry = new EntryNode(self, timers, (host, port, listener) -> {}, log, log, OPTIONS);
         entry.start();
@@ -80,7 +80,7 @@
         private static final String MINION_ID = "warm-up-boot";
 
         private final LinkTable links = new LinkTable(
-                new Peer("warm-up-agent", 1, true, "warm-up", "model", 2),
+                new Peer("warm-up-agent", 1, true, "warm-up", "127.0.0.1", 2),
                 timers,
                 (host, port, listener) -> InMemoryConnection.connect(timers, listener, entry.acceptor()),
                 this);
--- a/library/src/main/java/org/chivetally/settings/HostPort.java
+++ b/library/src/main/java/org/chivetally/settings/HostPort.java
@@ -1,5 +1,6 @@
 package org.chivetally.settings;
 
+import java.net.InetAddress;
 import java.util.Objects;
 
 /**
@@ -20,6 +21,15 @@
         }
     }
 
+    /** Returns whether a text is the IP address of one host, and neither a name nor a wildcard. */
+    public static boolean isReachableAddress(String text) {
+        try {
+            return !InetAddress.ofLiteral(text).isAnyLocalAddress();
+        } catch (IllegalArgumentException notAnAddress) {
+            return false;
+        }
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
--- a/library/src/main/java/org/chivetally/settings/QueueSettings.java
+++ b/library/src/main/java/org/chivetally/settings/QueueSettings.java
@@ -78,6 +78,9 @@
         Section log = root.section("log");
         Section frames = root.section("frames");
         String host = frames.requiredText("host");
+        if (!host.isEmpty() && !HostPort.isReachableAddress(host)) {
+            frames.mistake("host", '"' + host + "\" is not an IP address such as 10.1.0.13");
+        }
         return new QueueSettings(
                 process.requiredText("name"),
                 process.requiredText("failureDomain"),
--- a/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/AgentNodeTest.java
@@ -40,13 +40,13 @@
  * the entries.
  */
 class AgentNodeTest {
-    private static final Peer AGENT = new Peer("agent", 1, true, "north", "agent", 1);
     private static final Room CAPACITY = new Room(12_000, 1_000, 0);
 
     private final ManualTimers timers = new ManualTimers();
     private final MemoryNetwork network = new MemoryNetwork(timers);
+    private final Peer self = new Peer("agent", 1, true, "north", network.addressOf("agent"), 1);
     private final FakeMinion minion = new FakeMinion(timers);
-    private final AgentNode agent = new AgentNode(AGENT, timers, network.dialer("agent"), minion, 16);
+    private final AgentNode agent = new AgentNode(self, timers, network.dialer("agent"), minion, 16);
 
     /** An entry that sends heartbeats and records the frames that it receives. */
     private final class ScriptedEntry implements LinkListener {
@@ -61,7 +61,7 @@
         private long lastStartNumber;
 
         private ScriptedEntry(String name, long epoch) {
-            this.self = new Peer(name, 1, false, "north", name, 1);
+            this.self = new Peer(name, 1, false, "north", network.addressOf(name), 1);
             this.epoch = epoch;
             this.links = new LinkTable(self, timers, network.dialer(name), this);
             network.listen(name, links.acceptor());
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -54,7 +54,7 @@
 
     EntryNode entry(String name) {
         incarnations++;
-        Peer self = new Peer(name, incarnations, false, "north", name, 1);
+        Peer self = new Peer(name, incarnations, false, "north", network.addressOf(name), 1);
         ScriptedKeyedLog.Access access = log.access(name);
         EntryOptions options = new EntryOptions("jobs", "members", PARTITIONS, Duration.ofSeconds(120), scheduling);
         EntryNode entry =
@@ -89,7 +89,7 @@
 
     private AgentNode agentWithoutMinion(String failureDomain, String name) {
         incarnations++;
-        Peer self = new Peer(name, incarnations, true, failureDomain, name, 1);
+        Peer self = new Peer(name, incarnations, true, failureDomain, network.addressOf(name), 1);
         FakeMinion minion = minions.computeIfAbsent(name, key -> new FakeMinion(timers));
         Timers own = timersOf.apply(name, timers);
         AgentNode agent = new AgentNode(self, own, network.dialer(name), minion, PARTITIONS);
--- a/library/src/test/java/org/chivetally/queue/link/MemoryNetwork.java
+++ b/library/src/test/java/org/chivetally/queue/link/MemoryNetwork.java
@@ -15,8 +15,8 @@
 import org.chivetally.wire.v1.Frame;
 
 /**
- * In-memory network of processes that are identified by their hosts. A test can drop frames silently or reset
- * connections.
+ * In-memory network of processes that are identified by the names of their hosts. A test can drop frames silently or
+ * reset connections.
  */
 public final class MemoryNetwork {
     private static final Duration ONE_WAY_DELAY = Duration.ofMillis(1);
@@ -28,6 +28,10 @@
     /** Number of frames received so far, by receiving host and kind. */
     public final Map<String, Map<Frame.BodyCase, Integer>> received = new HashMap<>();
 
+    private static final int HOSTS_PER_SUBNET = 250;
+
+    private final Map<String, String> addresses = new HashMap<>();
+    private final Map<String, String> hostsByAddress = new HashMap<>();
     private final Map<String, FrameListener> listeners = new HashMap<>();
     private BiConsumer<String, String> arrivalListener = (host, cause) -> {};
     private final Set<String> cutPaths = new HashSet<>();
@@ -50,9 +54,19 @@
         stopped.remove(host);
     }
 
+    /** Returns the IP address by which other processes connect to a host. */
+    public String addressOf(String host) {
+        return addresses.computeIfAbsent(host, name -> {
+            int number = addresses.size();
+            String address = "10.0." + number / HOSTS_PER_SUBNET + "." + (1 + number % HOSTS_PER_SUBNET);
+            hostsByAddress.put(address, name);
+            return address;
+        });
+    }
+
     /** Returns the dialer of a host. */
     public Dialer dialer(String from) {
-        return (host, port, listener) -> dial(from, host, listener);
+        return (address, port, listener) -> dial(from, hostsByAddress.getOrDefault(address, ""), listener);
     }
 
     /** Starts or ends a network partition between two hosts, in which frames are lost without an error. */
