Reject announcements of minions with numbers out of range

Cause: clocks, sequences, start times and capacities were accepted up to the greatest 64-bit number, in heartbeats and in the minion that an agent stores of itself. Leases are sums with the clock; overflown, the minion refuses all starts as too late, while its worker looks free.

--- a/library/src/main/java/org/chivetally/queue/agent/MinionState.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionState.java
@@ -23,6 +23,15 @@
         boolean leaving,
         long clockMillis,
         long sequence) {
+    /**
+     * Greatest clock reading, start time and sequence. Sums of greater ones with durations could overflow, and a minion
+     * can't reach it.
+     */
+    public static final long MAXIMUM_COUNT = (1L << 53) - 1;
+
+    /** Greatest amount of each resource of a worker, the same as for a task. */
+    public static final long MAXIMUM_AMOUNT = Integer.MAX_VALUE;
+
     /** Copies the labels and rejects null components. */
     public MinionState {
         Objects.requireNonNull(incarnation, "incarnation");
@@ -37,6 +46,24 @@
         this(Incarnation.of(minionId, 0), service, capacity, labels, leaving, clockMillis, 0);
     }
 
+    /** Returns whether all numbers are in the range that a minion may announce. */
+    public boolean isInRange() {
+        return isCount(incarnation.startedAtMillis())
+                && isCount(clockMillis)
+                && isCount(sequence)
+                && isAmount(capacity.processorMillis())
+                && isAmount(capacity.memoryMegabytes())
+                && isAmount(capacity.accelerators());
+    }
+
+    private static boolean isCount(long number) {
+        return number >= 0 && number <= MAXIMUM_COUNT;
+    }
+
+    private static boolean isAmount(long number) {
+        return number >= 0 && number <= MAXIMUM_AMOUNT;
+    }
+
     /** Returns the id of the minion in calls. */
     public String minionId() {
         return incarnation.id();
--- a/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -174,14 +174,21 @@
             return;
         }
         members.put(peer.process(), peer);
+        minions.remove(peer.process());
         if (member.hasMinion()) {
-            minions.put(peer.process(), decode(member.getMinion()));
-        } else {
-            minions.remove(peer.process());
+            putMinion(record, decode(member.getMinion()));
         }
         listener.accept(peer);
     }
 
+    private void putMinion(KeyedRecord record, MinionState minion) {
+        if (minion.isInRange()) {
+            minions.put(record.key(), minion);
+        } else {
+            logUnreadable(record, "minion");
+        }
+    }
+
     private static Optional<StoredMember> parse(KeyedRecord record) {
         try {
             return Optional.of(StoredMember.parseFrom(record.value()));
--- a/library/src/test/java/org/chivetally/queue/entry/ForeignMembersTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/ForeignMembersTest.java
@@ -1,18 +1,22 @@
 package org.chivetally.queue.entry;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.Room;
 import org.chivetally.queue.link.Peer;
 import org.chivetally.queue.log.KeyedRecord;
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.wire.v1.StoredMember;
+import org.chivetally.wire.v1.StoredMinion;
 import org.junit.jupiter.api.Test;
 
 /** Records among the members that no process has announced. */
@@ -102,4 +106,33 @@
                 .toList();
         assertThat(hosts, is(List.of(cluster.network.addressOf("agent-1"))));
     }
+
+    /**
+     * A restarted agent would calculate leases by such a clock, which overflow, and its minion would refuse all starts.
+     */
+    @Test
+    void restoresNoMinionWithNumbersOutOfRange() {
+        StoredMinion.Builder minion = StoredMinion.newBuilder()
+                .setBoot("boot")
+                .setService("reports")
+                .setCapacity(JobCodec.encode(new Room(12_000, 1_000, 0)));
+        MemberDirectory directory = new MemberDirectory(cluster.log.access("reader"), cluster.timers, "members");
+        StoredMember.Builder announced = StoredMember.newBuilder()
+                .setIncarnation(7)
+                .setAgent(true)
+                .setHost("10.0.0.200")
+                .setPort(8_161);
+        write("agent-1", announced.setMinion(minion.setClockMillis(5)).build().toByteArray());
+        write(
+                "agent-2",
+                announced
+                        .setMinion(minion.setClockMillis(Long.MAX_VALUE))
+                        .build()
+                        .toByteArray());
+        directory.readOnce(peer -> {});
+        cluster.advance(100);
+        assertThat(directory.minionOf("agent-1").isPresent(), is(true));
+        assertThat(directory.minionOf("agent-2").isPresent(), is(false));
+        assertThat(directory.members(), hasSize(2));
+    }
 }
