Reject jobs with numbers out of range

A job has 100,000 tasks at most, in the log too, and the work of a task is limited so that sums fit.

--- a/library/src/main/java/org/chivetally/queue/JobSpecification.java
+++ b/library/src/main/java/org/chivetally/queue/JobSpecification.java
@@ -15,7 +15,13 @@
  */
 public record JobSpecification(
         String id, QueueTerms terms, String payload, long acceptedAtMillis, List<StepSpecification> steps) {
-    /** Requires an id, terms, a payload and at least one step, and copies the steps. */
+    /** Greatest number of tasks of a job. An entry's heap holds the tasks of some jobs of this size. */
+    public static final int MAXIMUM_TASKS = 100_000;
+
+    /**
+     * Requires an id, terms, a payload, from one to {@link #MAXIMUM_TASKS} tasks, and steps that follow only earlier
+     * ones, and copies the steps.
+     */
     public JobSpecification {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(terms, "terms");
@@ -24,6 +30,16 @@
         if (steps.isEmpty()) {
             throw new IllegalArgumentException("job " + id + " has no steps");
         }
+        long tasks = 0;
+        for (int position = 0; position < steps.size(); position++) {
+            tasks += steps.get(position).count();
+            for (int earlier : steps.get(position).after()) {
+                Objects.checkIndex(earlier, position);
+            }
+        }
+        if (tasks > MAXIMUM_TASKS) {
+            throw new IllegalArgumentException("job " + id + " has " + tasks + " tasks");
+        }
     }
 
     /** Returns the number of tasks of all steps. */
@@ -63,7 +79,7 @@
     public long estimatedCoreMillis() {
         long coreMillis = 0;
         for (StepSpecification step : steps) {
-            coreMillis += step.count() * step.room().processorMillis() * step.estimatedMillis() / 1000;
+            coreMillis += step.count() * step.taskCoreMillis();
         }
         return coreMillis;
     }
--- a/library/src/main/java/org/chivetally/queue/StepSpecification.java
+++ b/library/src/main/java/org/chivetally/queue/StepSpecification.java
@@ -13,6 +13,11 @@
  * @param traits further requirements and preferences of the tasks
  */
 public record StepSpecification(int count, Room room, int estimatedMillis, List<Integer> after, StepTraits traits) {
+    /** Greatest estimated work of one task, so that sums over all tasks of an entry don't overflow. */
+    static final long MAXIMUM_TASK_CORE_MILLIS = 1_000_000_000_000L;
+
+    private static final int MILLICORES_PER_CORE = 1_000;
+
     /** Requires resources, traits and at least one task, and copies the list. */
     public StepSpecification {
         Objects.requireNonNull(room, "room");
@@ -22,4 +27,10 @@
             throw new IllegalArgumentException("a step must have at least one task, but count is " + count);
         }
     }
+
+    /** Returns the estimated work of one task, in milliseconds of one core. */
+    public long taskCoreMillis() {
+        double coreMillis = (double) room.processorMillis() * estimatedMillis / MILLICORES_PER_CORE;
+        return (long) Math.min(coreMillis, MAXIMUM_TASK_CORE_MILLIS);
+    }
 }
--- a/library/src/main/java/org/chivetally/queue/placement/WaitingTask.java
+++ b/library/src/main/java/org/chivetally/queue/placement/WaitingTask.java
@@ -53,6 +53,6 @@
 
     /** Returns the estimated work in core milliseconds. */
     long work() {
-        return task.room().processorMillis() * task.step().estimatedMillis() / 1000;
+        return task.step().taskCoreMillis();
     }
 }
