Load a partition's jobs beside a record that can't be decoded

Callers would see: after a takeover no job of a partition goes on, as one record in it can't be decoded or names another job; the next owners fail in the same way.

Cause: PartitionOwner restored all records in one loop in the callback of the read, and an exception ended it before the owner was ready.

Change: each record is restored by itself, and one that fails is logged as job-unreadable. A job without readable progress isn't loaded, as its done tasks would run again.

--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -13,6 +13,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.chivetally.errors.ChivetallyException;
+import org.chivetally.errors.ErrorCode;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.Job;
 import org.chivetally.queue.JobAnswer;
@@ -185,12 +187,14 @@
     private void restore(Map<String, byte[]> records) {
         long now = timers.nanos();
         records.forEach((key, value) -> {
-            String id = key.substring(1);
-            if (key.startsWith(JOB_PREFIX)) {
-                restoreJob(id, value, Optional.ofNullable(records.get(PROGRESS_PREFIX + id)), now);
-            } else if (!records.containsKey(JOB_PREFIX + id)) {
-                JobProgress progress = JobCodec.decodeProgress(value);
-                endedJobs.put(id, new EndedJob(progress.phase(), progress.endedAtMillis()));
+            try {
+                restoreRecord(key, value, records, now);
+            } catch (RuntimeException e) {
+                // Another writer has left it; the other jobs of the partition must not wait for it.
+                EventLine.of("job-unreadable")
+                        .with("partition", partition())
+                        .with("key", key)
+                        .log(LOGGER.atSevere().withCause(e));
             }
         });
         ready = true;
@@ -204,8 +208,21 @@
         events.loaded(this);
     }
 
+    private void restoreRecord(String key, byte[] value, Map<String, byte[]> records, long now) {
+        String id = key.substring(1);
+        if (key.startsWith(JOB_PREFIX)) {
+            restoreJob(id, value, Optional.ofNullable(records.get(PROGRESS_PREFIX + id)), now);
+        } else if (!records.containsKey(JOB_PREFIX + id)) {
+            JobProgress progress = JobCodec.decodeProgress(value);
+            endedJobs.put(id, new EndedJob(progress.phase(), progress.endedAtMillis()));
+        }
+    }
+
     private void restoreJob(String id, byte[] value, Optional<byte[]> progress, long now) {
         JobSpecification specification = JobCodec.decodeJob(value);
+        if (!specification.id().equals(id)) {
+            throw new ChivetallyException(ErrorCode.INTERNAL, "the stored record names job " + specification.id());
+        }
         long ageMillis = Math.max(0, timers.epochMillis() - specification.acceptedAtMillis());
         Job job = new Job(specification, now - Duration.ofMillis(ageMillis).toNanos());
         job.restore(progress.map(JobCodec::decodeProgress).orElse(JobProgress.none()), epoch * RUNS_PER_EPOCH + 1);
