Check ports, ranges and numbers of tasks in one place each

The checks of other writers' records wrote three things more than once: the valid ports (transport, peers, announcements), the range of a minion's numbers (its state, and the reader of announcements), and the number of tasks (reader of jobs, the job, its own count). Comments are reworded. No behaviour changes; the text of one exception for a stored job names the limit in place of the number.

--- a/library/src/main/java/org/chivetally/queue/JobSpecification.java
+++ b/library/src/main/java/org/chivetally/queue/JobSpecification.java
@@ -30,27 +30,34 @@
         if (steps.isEmpty()) {
             throw new IllegalArgumentException("job " + id + " has no steps");
         }
-        long tasks = 0;
         for (int position = 0; position < steps.size(); position++) {
-            tasks += steps.get(position).count();
             for (int earlier : steps.get(position).after()) {
                 Objects.checkIndex(earlier, position);
             }
         }
-        if (tasks > MAXIMUM_TASKS) {
-            throw new IllegalArgumentException("job " + id + " has " + tasks + " tasks");
+        if (hasTooManyTasks(steps)) {
+            throw new IllegalArgumentException("job " + id + " has more than " + MAXIMUM_TASKS + " tasks");
         }
     }
 
-    /** Returns the number of tasks of all steps. */
-    public int taskCount() {
-        int count = 0;
+    /** Returns whether steps have more tasks than a job may have. */
+    public static boolean hasTooManyTasks(List<StepSpecification> steps) {
+        return taskCount(steps) > MAXIMUM_TASKS;
+    }
+
+    private static long taskCount(List<StepSpecification> steps) {
+        long count = 0;
         for (StepSpecification step : steps) {
             count += step.count();
         }
         return count;
     }
 
+    /** Returns the number of tasks of all steps. */
+    public int taskCount() {
+        return (int) taskCount(steps);
+    }
+
     /** Returns the estimated duration of the critical path through the steps, in milliseconds. */
     public long criticalPathMillis() {
         return criticalPathMillis(position -> true);
--- a/library/src/main/java/org/chivetally/queue/agent/MinionState.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionState.java
@@ -27,10 +27,10 @@
      * Greatest clock reading, start time and sequence. Sums of greater ones with durations could overflow, and a minion
      * can't reach it.
      */
-    public static final long MAXIMUM_COUNT = (1L << 53) - 1;
+    private static final long MAXIMUM_COUNT = (1L << 53) - 1;
 
     /** Greatest amount of each resource of a worker, the same as for a task. */
-    public static final long MAXIMUM_AMOUNT = Integer.MAX_VALUE;
+    private static final long MAXIMUM_AMOUNT = Integer.MAX_VALUE;
 
     /** Copies the labels and rejects null components. */
     public MinionState {
@@ -56,11 +56,13 @@
                 && isAmount(capacity.accelerators());
     }
 
-    private static boolean isCount(long number) {
+    /** Returns whether a clock reading in milliseconds, a start time or a sequence is in range. */
+    public static boolean isCount(long number) {
         return number >= 0 && number <= MAXIMUM_COUNT;
     }
 
-    private static boolean isAmount(long number) {
+    /** Returns whether an amount of a resource is in range. */
+    public static boolean isAmount(long number) {
         return number >= 0 && number <= MAXIMUM_AMOUNT;
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
+++ b/library/src/main/java/org/chivetally/queue/entry/MemberDirectory.java
@@ -147,8 +147,8 @@
     }
 
     /**
-     * Applies a record. One that no process can have announced was left by another writer; it names nobody to connect
-     * to or to wait for, and an earlier record of the same name stays in force.
+     * Applies a record. A record with an invalid identity was written by another writer and is ignored; an earlier
+     * record of the same process remains in effect.
      */
     private void apply(KeyedRecord record, Consumer<Peer> listener) {
         if (record.isTombstone()) {
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -190,7 +190,7 @@
             try {
                 restoreRecord(key, value, records, now);
             } catch (RuntimeException e) {
-                // Another writer has left it; the other jobs of the partition must not wait for it.
+                // A record of another writer must not keep the partition's other jobs from being loaded.
                 EventLine.of("job-unreadable")
                         .with("partition", partition())
                         .with("key", key)
--- a/library/src/main/java/org/chivetally/queue/link/Peer.java
+++ b/library/src/main/java/org/chivetally/queue/link/Peer.java
@@ -50,8 +50,8 @@
     }
 
     /**
-     * Returns the name of the first component that no process announces of itself; empty if all are valid. Other
-     * writers may leave such an identity in the log, and it must be neither connected to nor awaited.
+     * Returns the name of the first invalid component; empty if all are valid. No process has such an identity, but a
+     * record or message of another writer may contain it. It must be neither connected to nor awaited.
      */
     public Optional<String> invalidComponent() {
         if (process.isBlank() || process.length() > MAXIMUM_NAME_LENGTH) {
@@ -63,6 +63,6 @@
         if (!HostPort.isReachableAddress(host)) {
             return Optional.of("host");
         }
-        return port < 1 || port > HostPort.MAXIMUM_PORT ? Optional.of("port") : Optional.empty();
+        return HostPort.isReachablePort(port) ? Optional.empty() : Optional.of("port");
     }
 }
--- a/library/src/main/java/org/chivetally/queue/log/RecordDelivery.java
+++ b/library/src/main/java/org/chivetally/queue/log/RecordDelivery.java
@@ -5,8 +5,8 @@
 import org.chivetally.logging.EventLine;
 
 /**
- * Delivers records to a listener. Other writers may leave records that the listener can't process; an exception for one
- * of them must not end the reading, as the records behind it would never be delivered.
+ * Delivers records to a listener. The listener may fail to process a record of another writer; its exception must not
+ * end the reading, as later records would never be delivered.
  */
 final class RecordDelivery {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
--- a/library/src/main/java/org/chivetally/settings/HostPort.java
+++ b/library/src/main/java/org/chivetally/settings/HostPort.java
@@ -21,6 +21,11 @@
         }
     }
 
+    /** Returns whether a connection can be opened to a port; 0 is valid for listening only. */
+    public static boolean isReachablePort(int port) {
+        return port > 0 && port <= MAXIMUM_PORT;
+    }
+
     /** Returns whether a text is the IP address of one host, and neither a name nor a wildcard. */
     public static boolean isReachableAddress(String text) {
         try {
--- a/library/src/main/java/org/chivetally/transport/FrameTransport.java
+++ b/library/src/main/java/org/chivetally/transport/FrameTransport.java
@@ -108,13 +108,12 @@
      */
     public void dial(String host, int port, FrameListener listener) {
         String peer = host + ":" + port;
-        if (port < 1 || port > HostPort.MAXIMUM_PORT) {
-            // Other processes announce their addresses, so that an invalid one is no mistake of the caller.
-            NettyFrameConnection unopened = new NettyFrameConnection(peer, meters);
-            eventLoops.next().execute(() -> listener.disconnected(unopened, "dial failed: invalid port"));
+        NettyFrameConnection connection = new NettyFrameConnection(peer, meters);
+        if (!HostPort.isReachablePort(port)) {
+            // Peers announce their own addresses, so an invalid port is not a mistake of the caller.
+            eventLoops.next().execute(() -> listener.disconnected(connection, "dial failed: invalid port"));
             return;
         }
-        NettyFrameConnection connection = new NettyFrameConnection(peer, meters);
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
