Tests: one place for a partition's owner and for records of other writers

Six tests looked up the name of the entry that owns a partition in the same way, and two wrote records of other writers; Cluster does both now. The two outages of TruncatedEndsTakeoverTest share their steps. The assertions stay the same.

--- a/library/src/test/java/org/chivetally/queue/entry/CancellationBoundTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/CancellationBoundTest.java
@@ -35,12 +35,7 @@
     }
 
     private String ownerName() {
-        int partition = Partitions.of(ID, Cluster.PARTITIONS);
-        return cluster.entries.entrySet().stream()
-                .filter(entry -> entry.getValue().localOwner(partition).isPresent())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        return cluster.ownerName(Partitions.of(ID, Cluster.PARTITIONS));
     }
 
     private String runnerName() {
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -18,6 +18,7 @@
 import org.chivetally.queue.agent.MinionState;
 import org.chivetally.queue.link.MemoryNetwork;
 import org.chivetally.queue.link.Peer;
+import org.chivetally.queue.log.KeyedRecord;
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.queue.log.ScriptedKeyedLog;
 import org.chivetally.settings.SchedulingSettings;
@@ -123,6 +124,22 @@
         entries.remove(name);
     }
 
+    /** Returns the name of the entry that owns a partition. */
+    String ownerName(int partition) {
+        return entries.entrySet().stream()
+                .filter(entry -> entry.getValue().localOwner(partition).isPresent())
+                .findFirst()
+                .orElseThrow()
+                .getKey();
+    }
+
+    /** Writes a record as another writer than the processes of the cluster. */
+    void writeForeign(LogStream stream, String key, byte[] value) {
+        log.access("another writer")
+                .append(stream, Optional.empty(), List.of(new KeyedRecord(key, value)), outcome -> {});
+        advance(50);
+    }
+
     void advance(long millis) {
         timers.advance(Duration.ofMillis(millis));
     }
--- a/library/src/test/java/org/chivetally/queue/entry/CrashingTasksTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/CrashingTasksTest.java
@@ -52,12 +52,7 @@
     }
 
     private String ownerName() {
-        int partition = Partitions.of(CRASHING_JOB, Cluster.PARTITIONS);
-        return cluster.entries.entrySet().stream()
-                .filter(entry -> entry.getValue().localOwner(partition).isPresent())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        return cluster.ownerName(Partitions.of(CRASHING_JOB, Cluster.PARTITIONS));
     }
 
     private void advanceToCrash(int count) {
--- a/library/src/test/java/org/chivetally/queue/entry/ForeignJobRecordsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/ForeignJobRecordsTest.java
@@ -4,15 +4,12 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.hasSize;
 
-import java.util.List;
-import java.util.Optional;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Partitions;
 import org.chivetally.queue.RunOutcome;
-import org.chivetally.queue.log.KeyedRecord;
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.wire.v1.StoredJob;
 import org.chivetally.wire.v1.StoredStep;
@@ -23,19 +20,13 @@
     private static final String ID = "00000000000000a1";
     private static final String ODD = "00000000000000f0";
     private static final int PARTITION = Partitions.of(ID, Cluster.PARTITIONS);
+    private static final LogStream JOBS = new LogStream("jobs", PARTITION);
     private static final byte[] MALFORMED = {(byte) 0xff, (byte) 0xff, 7};
 
     private final Cluster cluster = new Cluster();
 
     private void write(String key, byte[] value) {
-        cluster.log
-                .access("another writer")
-                .append(
-                        new LogStream("jobs", PARTITION),
-                        Optional.empty(),
-                        List.of(new KeyedRecord(key, value)),
-                        outcome -> {});
-        cluster.advance(50);
+        cluster.writeForeign(JOBS, key, value);
     }
 
     private static byte[] jobOfTooManyTasks() {
@@ -52,11 +43,7 @@
         cluster.entry("entry-2");
         cluster.agent("agent-1");
         cluster.awaitLinks();
-        String owner = cluster.entries.entrySet().stream()
-                .filter(entry -> entry.getValue().localOwner(PARTITION).isPresent())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        String owner = cluster.ownerName(PARTITION);
         cluster.submit(cluster.entries.get(owner), Jobs.of(ID, 1));
         cluster.advance(200);
         write("", MALFORMED);
--- a/library/src/test/java/org/chivetally/queue/entry/ForeignMembersTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/ForeignMembersTest.java
@@ -7,14 +7,12 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Jobs;
 import org.chivetally.queue.Partitions;
 import org.chivetally.queue.Room;
 import org.chivetally.queue.agent.FakeMinion;
 import org.chivetally.queue.link.Peer;
-import org.chivetally.queue.log.KeyedRecord;
 import org.chivetally.queue.log.LogStream;
 import org.chivetally.wire.v1.StoredMember;
 import org.chivetally.wire.v1.StoredMinion;
@@ -38,10 +36,7 @@
     }
 
     private void write(String key, byte[] value) {
-        cluster.log
-                .access("another writer")
-                .append(MEMBERS, Optional.empty(), List.of(new KeyedRecord(key, value)), outcome -> {});
-        cluster.advance(100);
+        cluster.writeForeign(MEMBERS, key, value);
     }
 
     private void writeForeignMembers() {
@@ -65,12 +60,7 @@
     private long millisToFirstStart() {
         FakeMinion minion = cluster.minions.get("agent-1");
         minion.startsDelayed = true;
-        int partition = Partitions.of(ID, Cluster.PARTITIONS);
-        String owner = cluster.entries.entrySet().stream()
-                .filter(entry -> entry.getValue().localOwner(partition).isPresent())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        String owner = cluster.ownerName(Partitions.of(ID, Cluster.PARTITIONS));
         cluster.submit(cluster.entries.get(owner), Jobs.of(ID, 1));
         cluster.advance(20);
         cluster.kill(owner);
--- a/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -42,11 +42,7 @@
     }
 
     private String ownerName() {
-        return cluster.entries.entrySet().stream()
-                .filter(entry -> entry.getValue().localOwner(PARTITION).isPresent())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        return cluster.ownerName(PARTITION);
     }
 
     private EntryNode owner() {
--- a/library/src/test/java/org/chivetally/queue/entry/TruncatedEndsTakeoverTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/TruncatedEndsTakeoverTest.java
@@ -66,6 +66,14 @@
         }
     }
 
+    /** Ends all runs while the log handles appends in some way for a time, and then accepts them again. */
+    private void finishAllDuring(AppendBehavior behavior, long millis) {
+        cluster.log.appendBehavior = behavior;
+        finishAll();
+        cluster.advance(millis);
+        cluster.log.appendBehavior = AppendBehavior.ACCEPTING;
+    }
+
     private static void endRun(FakeMinion minion, TaskKey task) {
         for (RunKey run : List.copyOf(minion.running.keySet())) {
             if (run.task().equals(task)) {
@@ -89,12 +97,7 @@
     }
 
     private String ownerName(String id) {
-        int partition = Partitions.of(id, Cluster.PARTITIONS);
-        return cluster.entries.entrySet().stream()
-                .filter(entry -> entry.getValue().localOwner(partition).isPresent())
-                .findFirst()
-                .orElseThrow()
-                .getKey();
+        return cluster.ownerName(Partitions.of(id, Cluster.PARTITIONS));
     }
 
     private void assertEachTaskRanOnce() {
@@ -116,10 +119,7 @@
     void startsNoDoneTaskAgainAfterALongOutage() {
         startCluster();
         runJobs();
-        cluster.log.appendBehavior = AppendBehavior.REFUSING;
-        finishAll();
-        cluster.advance(12_000);
-        cluster.log.appendBehavior = AppendBehavior.ACCEPTING;
+        finishAllDuring(AppendBehavior.REFUSING, 12_000);
         cluster.advance(15_000);
         assertEachTaskRanOnce();
     }
@@ -171,10 +171,7 @@
     void startsNoDoneTaskAgainWithASlowLog() {
         startCluster();
         runJobs();
-        cluster.log.appendBehavior = AppendBehavior.RESPONSES_LOST;
-        finishAll();
-        cluster.advance(20_000);
-        cluster.log.appendBehavior = AppendBehavior.ACCEPTING;
+        finishAllDuring(AppendBehavior.RESPONSES_LOST, 20_000);
         cluster.advance(10_000);
         assertEachTaskRanOnce();
     }
