--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,5 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-target/jdk/bin/javac -Xlint:all -Xlint:-processing -d target/review-3 -cp 'target/lib/*' review/Trial*.java \
-    review/{StartedStepStopped,CancelAtThawedOwner,SuspectsWait,SilentCrashes,PendingAfterKill}.java
+target/jdk/bin/javac -Xlint:all -Xlint:-processing -d target/review-3 -cp 'target/lib/*' \
+    review/9/standins/*.java review/{9,10,11,12,13}/*.java
