--- a/review/9/standins/TrialMinion.java
+++ b/review/9/standins/TrialMinion.java
@@ -55,6 +55,7 @@
     private long leaseUntilMillis;
     private long bornNanos = System.nanoTime();
     private volatile boolean silent;
+    private volatile boolean cut;
     private long crashDownMillis;
     private boolean crashesSilently;
 
@@ -118,6 +119,30 @@
         scheduler.schedule(() -> restart(listens), downMillis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Is cut off from all machines for a time and runs on; connections to it are refused. Its leases are not extended
+     * meanwhile.
+     */
+    synchronized void cutOff(long millis) {
+        record.add("minion-cut", id(), "refuses connections for " + millis + " ms, and runs on");
+        cut = true;
+        server.close();
+        scheduler.schedule(this::healCut, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void healCut() {
+        try {
+            synchronized (this) {
+                server = new TrialServer(port, this::handle);
+                cut = false;
+                record.add("minion-healed", id(), "");
+            }
+            announce();
+        } catch (IOException e) {
+            record.add("minion-failed", name, String.valueOf(e));
+        }
+    }
+
     private void restart(boolean listens) {
         try {
             synchronized (this) {
@@ -140,7 +165,7 @@
         ObjectNode body = TrialServer.object();
         String id;
         synchronized (this) {
-            if (silent) {
+            if (silent || cut) {
                 return;
             }
             id = id();
