--- a/library/src/main/java/org/chivetally/queue/RunOutcome.java
+++ b/library/src/main/java/org/chivetally/queue/RunOutcome.java
@@ -19,5 +19,11 @@
     /** The run was not started and never will be. */
     NEVER_STARTED,
     /** The minion ended unexpectedly during the run. */
-    CRASHED
+    CRASHED,
+    /**
+     * The lease of the run has ended while the minion's address refused connections. Only the minion's next answer
+     * shows whether it has crashed: it has another id then. One that was merely cut off still has its id, and the run
+     * is reported as {@link #LOST}.
+     */
+    CRASH_SUSPECTED
 }
--- a/library/src/main/java/org/chivetally/queue/Task.java
+++ b/library/src/main/java/org/chivetally/queue/Task.java
@@ -1,7 +1,10 @@
 package org.chivetally.queue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.chivetally.queue.crash.CrashCount;
+import org.chivetally.queue.crash.CrashSuspicion;
 
 /** A task of a job, with its status and its counts of failures and crashes. Only its {@link Job} changes the status. */
 public final class Task {
@@ -31,6 +34,7 @@
     private String lastFailedWorker = "";
     private CountedRuns failedRuns = CountedRuns.NONE;
     private CrashCount crashes = CrashCount.NONE;
+    private List<CrashSuspicion> crashSuspicions = List.of();
 
     Task(Job job, TaskKey key, int position, Status status) {
         this.job = job;
@@ -124,6 +128,52 @@
         return crashes != before;
     }
 
+    /** Returns the runs during which a minion may have crashed, in the order of their reports. */
+    public List<CrashSuspicion> crashSuspicions() {
+        return crashSuspicions;
+    }
+
+    /** Returns the number of minions that have crashed, or may have crashed, while they ran the task. */
+    public int possibleCrashes() {
+        return crashes.crashes() + crashSuspicions.size();
+    }
+
+    /**
+     * Records that a minion may have crashed during a run.
+     *
+     * @return whether this was not known before
+     */
+    public boolean suspectCrash(CrashSuspicion suspicion) {
+        if (crashes.runs().includes(suspicion.run())
+                || crashSuspicion(suspicion.run()).isPresent()) {
+            return false;
+        }
+        List<CrashSuspicion> all = new ArrayList<>(crashSuspicions);
+        all.add(suspicion);
+        crashSuspicions = List.copyOf(all);
+        return true;
+    }
+
+    /** Removes the suspicion that a minion crashed during a run, and returns it. */
+    public Optional<CrashSuspicion> removeCrashSuspicion(long run) {
+        Optional<CrashSuspicion> removed = crashSuspicion(run);
+        if (removed.isPresent()) {
+            List<CrashSuspicion> others = new ArrayList<>(crashSuspicions);
+            others.remove(removed.get());
+            crashSuspicions = List.copyOf(others);
+        }
+        return removed;
+    }
+
+    private Optional<CrashSuspicion> crashSuspicion(long run) {
+        for (CrashSuspicion suspicion : crashSuspicions) {
+            if (suspicion.run() == run) {
+                return Optional.of(suspicion);
+            }
+        }
+        return Optional.empty();
+    }
+
     /**
      * Adjusts the count of starts since the third crash.
      *
--- a/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
+++ b/library/src/main/java/org/chivetally/queue/agent/AgentNode.java
@@ -562,7 +562,7 @@
                 RunInventory.newBuilder().setStampNanos(timers.nanos()).setReport(report(link));
         supervisor.runs().forEach((run, owner) -> {
             boolean inMemory = owner instanceof RunOwner.Entry;
-            if (!inMemory || owner.equals(RunOwner.Entry.at(link.peer()))) {
+            if (isOwnedThrough(link, owner)) {
                 inventory.addRuns(HeldRun.newBuilder()
                         .setTask(run.task().toString())
                         .setRun(run.run())
@@ -572,10 +572,20 @@
         for (OwnedEnd end : supervisor.unstoredEnds()) {
             inventory.addEnds(EndCodec.encode(end.end()));
         }
+        for (OwnedEnd end : supervisor.suspectedCrashes()) {
+            if (isOwnedThrough(link, end.owner())) {
+                inventory.addEnds(EndCodec.encode(end.end()));
+            }
+        }
         owners.addKnownEpochs(inventory);
         return Frame.newBuilder().setRunInventory(inventory).build();
     }
 
+    /** Tells whether the peer of a link is, or may be, the owner of a run. */
+    private static boolean isOwnedThrough(PeerLink link, RunOwner owner) {
+        return owner instanceof RunOwner.Partition || owner.equals(RunOwner.Entry.at(link.peer()));
+    }
+
     private WorkerReport report(PeerLink link) {
         return report().setStartsSeen(startsSeen.getOrDefault(link, 0L)).build();
     }
--- a/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
+++ b/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.agent.MinionPort.PollRequest;
 import org.chivetally.queue.agent.MinionPort.PollResult;
@@ -35,8 +36,7 @@
     private final Incarnation minion;
     private final FencingToken token;
     private final int maximumPolls;
-    private final Runnable whenDeparted;
-    private final Runnable whenPresent;
+    private final Consumer<Boolean> result;
     private Duration pollInterval = FIRST_POLL_INTERVAL;
     private int polls;
 
@@ -45,25 +45,23 @@
      *
      * @param minion the current incarnation
      * @param token fencing token of the agent's calls
-     * @param maximumPolls number of polls after which a minion that still answers has not departed
-     * @param whenDeparted called if the incarnation is gone
-     * @param whenPresent called if it still answers after all polls, or if it can't be determined
+     * @param idReused whether the departure message may refer to an earlier incarnation with the same id
+     * @param result receives whether the incarnation is gone; false if it still answers after all polls, or if it can't
+     *     be determined
      */
     DepartureCheck(
             Timers timers,
             MinionPort port,
             Incarnation minion,
             FencingToken token,
-            int maximumPolls,
-            Runnable whenDeparted,
-            Runnable whenPresent) {
+            boolean idReused,
+            Consumer<Boolean> result) {
         this.timers = timers;
         this.port = port;
         this.minion = minion;
         this.token = token;
-        this.maximumPolls = maximumPolls;
-        this.whenDeparted = whenDeparted;
-        this.whenPresent = whenPresent;
+        this.maximumPolls = idReused ? MAXIMUM_POLLS_OF_REUSED_ID : MAXIMUM_POLLS;
+        this.result = result;
     }
 
     /** Polls the minion until it is gone or the maximum number of polls is reached. */
@@ -73,22 +71,22 @@
         port.poll(minion.id(), request, this::answered);
     }
 
-    private void answered(PollResult result) {
-        boolean hasDeparted = switch (result) {
+    private void answered(PollResult answer) {
+        boolean hasDeparted = switch (answer) {
             case PollResult.Lists lists -> !minion.mayHaveStartedAt(lists.startedAtMillis());
             case PollResult.Refused refused -> !refused.fenced();
             case PollResult.ConnectionRefused refusedConnection -> true;
             case PollResult.Unknown unknown -> false;
         };
         if (hasDeparted) {
-            whenDeparted.run();
+            result.accept(true);
         } else if (polls < maximumPolls) {
             timers.after(pollInterval, this::poll);
             Duration doubled = pollInterval.multipliedBy(2);
             pollInterval = doubled.compareTo(LONGEST_POLL_INTERVAL) > 0 ? LONGEST_POLL_INTERVAL : doubled;
         } else {
             EventLine.of("departure-unfounded").with("minion", minion.name()).log(LOGGER.atWarning());
-            whenPresent.run();
+            result.accept(false);
         }
     }
 }
--- a/library/src/main/java/org/chivetally/queue/agent/EndCodec.java
+++ b/library/src/main/java/org/chivetally/queue/agent/EndCodec.java
@@ -18,13 +18,15 @@
                 .setTask(end.run().task().toString())
                 .setRun(end.run().run())
                 .setOutcome(encode(end.outcome()))
+                .setCrashSuspected(end.outcome() == RunOutcome.CRASH_SUSPECTED)
                 .setCheckpoint(end.checkpoint())
                 .build();
     }
 
     /** Converts a message to an end; empty if its task name is malformed or this release doesn't know its outcome. */
     public static Optional<EndedRun> decode(RunEnd end) {
-        Optional<RunOutcome> outcome = decode(end.getOutcome());
+        Optional<RunOutcome> outcome =
+                end.getCrashSuspected() ? Optional.of(RunOutcome.CRASH_SUSPECTED) : decode(end.getOutcome());
         Optional<TaskKey> task = TaskKey.parse(end.getTask());
         if (outcome.isEmpty() || task.isEmpty()) {
             return Optional.empty();
@@ -45,7 +47,8 @@
             case LAPSED -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_LAPSED;
             case BROKEN -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_BROKEN;
             case ALONE -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_ALONE;
-            case LOST -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_LOST;
+            // An entry of an earlier release takes a suspected crash for a loss.
+            case LOST, CRASH_SUSPECTED -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_LOST;
             case NEVER_STARTED -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_NEVER_STARTED;
             case CRASHED -> org.chivetally.wire.v1.RunOutcome.RUN_OUTCOME_CRASHED;
         };
--- a/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
+++ b/library/src/main/java/org/chivetally/queue/agent/MinionPort.java
@@ -140,7 +140,7 @@
         record Refused(String reason, boolean fenced) implements PollResult {}
 
         /**
-         * The minion's address refused the connection, so the minion's process has ended.
+         * The minion's address refused the connection: the minion's process has ended, or the minion is cut off.
          *
          * @param reason for logs
          */
--- a/library/src/main/java/org/chivetally/queue/agent/RunEndReporter.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunEndReporter.java
@@ -13,6 +13,7 @@
     private final HeldRuns held;
     private final SupervisorListener listener;
     private final UnstoredCrashes unstoredCrashes;
+    private final SuspectedCrashes suspectedCrashes = new SuspectedCrashes();
 
     RunEndReporter(HeldRuns held, SupervisorListener listener, UnstoredCrashes unstoredCrashes) {
         this.held = held;
@@ -60,8 +61,39 @@
                 .with("reason", reason)
                 .with("outcome", lost.getFirst().end().outcome())
                 .log(LOGGER.atWarning());
+        reportUnlisted(lost);
+    }
+
+    /** Returns the ends of which it is not known yet whether the minion crashed. */
+    List<OwnedEnd> suspectedCrashes() {
+        return suspectedCrashes.unresolved();
+    }
+
+    /**
+     * Reports what has become of the suspected crashes.
+     *
+     * @param incarnation name of the suspected incarnation, for logs
+     * @param outcome {@link RunOutcome#CRASHED} if another incarnation answers, {@link RunOutcome#LOST} if the
+     *     suspected one does
+     */
+    void resolveSuspectedCrashes(String incarnation, RunOutcome outcome) {
+        List<OwnedEnd> resolved = suspectedCrashes.resolve(outcome);
+        if (resolved.isEmpty()) {
+            return;
+        }
+        EventLine.of(outcome == RunOutcome.CRASHED ? "crash-confirmed" : "crash-disproved")
+                .with("minion", incarnation)
+                .with("runs", resolved.size())
+                .log(LOGGER.atWarning());
+        reportUnlisted(resolved);
+    }
+
+    private void reportUnlisted(List<OwnedEnd> ends) {
         List<OwnedEnd> reported = new ArrayList<>();
-        for (OwnedEnd end : lost) {
+        for (OwnedEnd end : ends) {
+            if (end.end().outcome() == RunOutcome.CRASH_SUSPECTED) {
+                suspectedCrashes.add(end);
+            }
             boolean awaitsStorage =
                     end.end().outcome() == RunOutcome.CRASHED && end.owner() instanceof RunOwner.Partition;
             reported.add(awaitsStorage ? unstoredCrashes.add(end) : end);
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -21,27 +21,6 @@
  * a run are occupied from before its start is sent until its end is listed or its start is ruled out.
  */
 public final class RunSupervisor {
-    /**
-     * Maximum wait of a poll. Only polls report ends, so a lost answer delays all ends by the wait and the timeout.
-     * With one poll in eighteen lost, a wait of 400 ms left the minion unobserved for most of the time.
-     */
-    static final Duration POLL_WAIT = Duration.ofMillis(120);
-
-    /**
-     * Pause after a poll that returned at once without new ends, as ends wait to be stored; the log takes about 10 ms
-     * for it.
-     */
-    static final Duration EMPTY_POLL_PAUSE = Duration.ofMillis(20);
-
-    /**
-     * Pause after a poll with new ends. A poll costs about as much as a start, and without a pause there is one for
-     * each end. The pause is short compared with the 60 ms that callers' objectives allow beyond the work.
-     */
-    static final Duration PAUSE_AFTER_ENDS = Duration.ofMillis(15);
-
-    /** Pause after an unanswered poll, so that an unavailable minion isn't called in a tight loop. */
-    static final Duration POLL_RETRY_PAUSE = Duration.ofMillis(100);
-
     /**
      * Age of the last answer after which polls don't renew the lease, so that it expires if the minion's state is
      * unknown.
@@ -164,6 +143,11 @@
         return open;
     }
 
+    /** Returns the ends of which it is not known yet whether the minion crashed. */
+    public List<OwnedEnd> suspectedCrashes() {
+        return endReporter.suspectedCrashes();
+    }
+
     /** Tells whether there are neither runs nor ends that wait to be stored. */
     public boolean isIdle() {
         return held.isEmpty() && ends.isEmpty();
@@ -323,9 +307,8 @@
                         port,
                         checked,
                         token,
-                        isIdReused() ? DepartureCheck.MAXIMUM_POLLS_OF_REUSED_ID : DepartureCheck.MAXIMUM_POLLS,
-                        () -> departureChecked(checked, true),
-                        () -> departureChecked(checked, false))
+                        isIdReused(),
+                        hasDeparted -> departureChecked(checked, hasDeparted))
                 .poll();
         listener.roomChanged();
     }
@@ -359,6 +342,7 @@
         awaitingAnnouncement = false;
         departing = false;
         history.markReplaced(old.incarnation());
+        endReporter.resolveSuspectedCrashes(old.incarnation().name(), outcome);
         // The answer of the old incarnation may be late or never come; the new one is polled without waiting for it.
         pollInFlight = false;
         responsive = true;
@@ -501,7 +485,7 @@
 
     private PollRequest pollRequest(long now) {
         boolean uncertain = mayHaveRestarted();
-        Duration wait = held.isEmpty() || !reconciled || uncertain ? Duration.ZERO : POLL_WAIT;
+        Duration wait = held.isEmpty() || !reconciled || uncertain ? Duration.ZERO : PollIntervals.POLL_WAIT;
         return new PollRequest(token.value(), uncertain ? 0 : ends.storedThrough(), renewal(now), wait);
     }
 
@@ -532,14 +516,14 @@
 
     /**
      * Reports the runs of an unresponsive minion as lost once every lease that it may have accepted has expired; until
-     * then, a second run elsewhere could overlap with the first. If the minion refuses connections, its process has
-     * ended, and it is usually restarted only after the lease.
+     * then, a second run elsewhere could overlap with the first. Refused connections don't show whether the minion has
+     * crashed or is cut off; its next answer does.
      */
     private void reportLostAfterLease(long now) {
         boolean silent = now - lastAnswerNanos > RENEWAL_CUTOFF_NANOS;
         if (silent && !held.isEmpty() && lease.hasExpired(now)) {
-            endReporter.reportAllLost(
-                    name(), connectionRefused ? outcomeOfLostRuns(minion.orElseThrow()) : RunOutcome.LOST, "silent");
+            boolean mayHaveCrashed = connectionRefused && outcomeOfLostRuns(minion.orElseThrow()) == RunOutcome.CRASHED;
+            endReporter.reportAllLost(name(), mayHaveCrashed ? RunOutcome.CRASH_SUSPECTED : RunOutcome.LOST, "silent");
             reconciled = false;
             listener.roomChanged();
         }
@@ -557,6 +541,7 @@
                 recordStartTime(listed.startedAtMillis());
                 lastAnswerNanos = timers.nanos();
                 lease.observe(listed.clockMillis(), lastAnswerNanos);
+                endReporter.resolveSuspectedCrashes(incarnation.name(), RunOutcome.LOST);
                 restored = false;
                 if (!reconciler.isComplete()) {
                     // The agent's predecessor may have extended the lease just now.
@@ -564,9 +549,7 @@
                 }
                 acknowledgedThrough = Math.max(acknowledgedThrough, acknowledgedByPoll);
                 boolean hasNewEnds = applyLists(listed, sentAtNanos);
-                boolean immediate = lastAnswerNanos - sentAtNanos < EMPTY_POLL_PAUSE.toNanos();
-                Duration pauseWithoutEnds = immediate ? EMPTY_POLL_PAUSE : Duration.ZERO;
-                pollAfter(hasNewEnds ? PAUSE_AFTER_ENDS : pauseWithoutEnds);
+                pollAfter(PollIntervals.pauseAfterAnswer(hasNewEnds, lastAnswerNanos - sentAtNanos));
             }
             case PollResult.Refused refused -> {
                 EventLine.of("look-refused")
@@ -583,15 +566,15 @@
             case PollResult.ConnectionRefused refusedConnection -> {
                 logUnanswered(incarnation, refusedConnection.reason());
                 markUnresponsive();
-                pollAfter(POLL_RETRY_PAUSE);
+                pollAfter(PollIntervals.POLL_RETRY_PAUSE);
             }
             case PollResult.Unknown unknown -> {
                 logUnanswered(incarnation, unknown.reason());
                 if (timers.nanos() - lastAnswerNanos > UNRESPONSIVE_NANOS) {
                     markUnresponsive();
-                    pollAfter(POLL_RETRY_PAUSE);
+                    pollAfter(PollIntervals.POLL_RETRY_PAUSE);
                 } else {
-                    pollAfter(EMPTY_POLL_PAUSE);
+                    pollAfter(PollIntervals.EMPTY_POLL_PAUSE);
                 }
             }
         }
@@ -614,7 +597,7 @@
         if (earlier && timers.nanos() - lastAnswerNanos <= ANNOUNCEMENT_TIMEOUT_NANOS) {
             logUnanswered(known, "an earlier incarnation answered");
             markUnresponsive();
-            pollAfter(POLL_RETRY_PAUSE);
+            pollAfter(PollIntervals.POLL_RETRY_PAUSE);
             return;
         }
         accept(minion.orElseThrow().restarted(lists.startedAtMillis(), lists.clockMillis()), false);
--- a/library/src/main/java/org/chivetally/queue/crash/CrashPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/crash/CrashPolicy.java
@@ -10,6 +10,10 @@
  * single task. That task is given up when its crashes reach the limit; a suspect whose run ends without a crash is no
  * longer a suspect.
  *
+ * <p>A minion whose address refuses connections may have crashed or may be cut off. Until it answers again, each task
+ * that it ran is a suspect, but only crashes that turn out to be real count for giving a task up. If the task would be
+ * given up with all of them, it is not started before that is known.
+ *
  * <p>Regardless of the limit, a task of a job that is kept in the log is started at most three more times after its
  * third crash.
  *
@@ -31,11 +35,33 @@
      */
     static final Duration ISOLATION_MARGIN = Duration.ofMillis(50);
 
-    /** Tells whether a task may have caused a crash. */
+    /**
+     * Longest time for which a task is not started because its latest crash is not confirmed. A minion that crashed is
+     * back within seconds; one that stays away longer is gone for another reason.
+     */
+    public static final Duration MAXIMUM_EVIDENCE_WAIT = Duration.ofSeconds(10);
+
+    /** Tells whether a task may have caused a crash; a suspected crash counts as well. */
     public boolean isSuspect(int crashes) {
         return limit > 0 && crashes > 0;
     }
 
+    /**
+     * Tells whether a task is not started until its suspected crashes are confirmed or disproved.
+     *
+     * @param crashes number of confirmed crashes
+     * @param suspected number of suspected crashes
+     * @param alone whether no other suspect ran on the minion that is the latest suspected one
+     * @param durable whether the task belongs to a job that is kept in the log
+     */
+    public boolean awaitsEvidence(int crashes, int suspected, boolean alone, boolean durable) {
+        if (suspected == 0) {
+            return false;
+        }
+        int possible = crashes + suspected;
+        return isGivenUp(possible, alone) || durable && isBounded(possible) && possible != limit;
+    }
+
     /**
      * Tells whether a task is given up because of its crashes. A task that shared the worker with other suspects,
      * because there was no other worker, is most likely not the cause and is allowed one more crash.
--- a/library/src/main/java/org/chivetally/queue/entry/InMemoryJobs.java
+++ b/library/src/main/java/org/chivetally/queue/entry/InMemoryJobs.java
@@ -148,11 +148,18 @@
         close(openJob, "caller disconnected");
     }
 
-    /** Refuses the jobs without a started task that can no longer end before their deadlines. */
+    /**
+     * Refuses the jobs without a started task that can no longer end before their deadlines, and fails those that can't
+     * because a task is held back. Answered as undecided, the callers would submit them again, and the next entry would
+     * start a task again that has probably crashed its minions.
+     */
     void refuseTooLate() {
         long now = timers.nanos();
         for (OpenJob candidate : new ArrayList<>(openJobs.values())) {
-            if (candidate.job.phase() == JobPhase.QUEUED && candidate.job.isTooLate(now)) {
+            Optional<Task> heldBack = crashes.heldBack(candidate.job);
+            if (heldBack.isPresent() && now > candidate.job.latestStartNanos()) {
+                giveUp(candidate, heldBack.get());
+            } else if (candidate.job.phase() == JobPhase.QUEUED && candidate.job.isTooLate(now)) {
                 refuse(candidate, RefusalReason.NOT_STARTED_IN_TIME);
             }
         }
@@ -178,6 +185,11 @@
         if (openJobs.get(expired.job.specification().id()) != expired) {
             return;
         }
+        Optional<Task> heldBack = crashes.heldBack(expired.job);
+        if (heldBack.isPresent()) {
+            giveUp(expired, heldBack.get());
+            return;
+        }
         boolean started = expired.job.phase() != JobPhase.QUEUED;
         expired.job.finish(JobPhase.CANCELLED, timers.epochMillis());
         close(expired, "deadline exceeded");
@@ -220,14 +232,57 @@
             return;
         }
         if (outcome == RunOutcome.CRASHED && crashes.recordCrash(task, run)) {
-            crashes.recordGivenUp(task);
-            task.job().finish(JobPhase.FAILED, timers.epochMillis());
+            giveUp(openJob, task);
+        } else if (task.job().phase().isFinal()) {
+            answerEnded(openJob);
+        } else {
+            place(ready);
         }
-        if (task.job().phase().isFinal()) {
-            close(openJob, "done");
-            openJob.answerCallers(new JobAnswer.State(task.job().phase()));
-        } else if (!ready.isEmpty()) {
-            scheduler.ready(ready);
+    }
+
+    private void place(List<Task> tasks) {
+        List<Task> allowed = new ArrayList<>();
+        for (Task task : tasks) {
+            if (!crashes.holdBack(task, timers.nanos())) {
+                allowed.add(task);
+            }
+        }
+        if (!allowed.isEmpty()) {
+            scheduler.ready(allowed);
+        }
+    }
+
+    private void giveUp(OpenJob openJob, Task task) {
+        crashes.recordGivenUp(task);
+        openJob.job.finish(JobPhase.FAILED, timers.epochMillis());
+        answerEnded(openJob);
+    }
+
+    private void answerEnded(OpenJob openJob) {
+        close(openJob, "done");
+        openJob.answerCallers(new JobAnswer.State(openJob.job.phase()));
+    }
+
+    @Override
+    public void earlierRunCrashed(Task task, long run, Runnable acknowledge) {
+        acknowledge.run();
+        OpenJob openJob = openJobs.get(task.key().jobId());
+        if (openJob == null
+                || openJob.job != task.job()
+                || task.status() == Task.Status.DONE
+                || !task.recordCrash(run)) {
+            return;
+        }
+        if (crashes.recordCrash(task, run)) {
+            giveUp(openJob, task);
+        }
+    }
+
+    @Override
+    public void reconsider(Task task) {
+        OpenJob openJob = openJobs.get(task.key().jobId());
+        if (openJob != null && openJob.job == task.job() && task.status() == Task.Status.WAITING) {
+            place(List.of(task));
         }
     }
 
--- a/library/src/main/java/org/chivetally/queue/entry/JobOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/JobOwner.java
@@ -46,6 +46,9 @@
         reportedAgain(task, acknowledge);
     }
 
+    /** Places a task again whose start was held back, or that waits, if it may be started now. */
+    void reconsider(Task task);
+
     /** Returns the token that agents check before they execute orders for these runs. */
     FencingToken fencingToken();
 
--- a/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
+++ b/library/src/main/java/org/chivetally/queue/entry/PartitionOwner.java
@@ -545,13 +545,14 @@
     }
 
     /**
-     * Has tasks placed; a task whose starts are limited is placed only after its start is counted in the log, and one
-     * with a crash that is not stored only after that is stored.
+     * Has tasks placed; a task whose starts are limited is placed only after its start is counted in the log, one with
+     * a crash that is not stored only after that is stored, and one with too many suspected crashes only after these
+     * are confirmed or disproved.
      */
     private void place(List<Task> tasks) {
         List<Task> unbounded = new ArrayList<>();
         for (Task task : tasks) {
-            if (tasksWithUnstoredCrash.contains(task)) {
+            if (tasksWithUnstoredCrash.contains(task) || crashes.holdBack(task, timers.nanos())) {
                 continue;
             }
             if (CrashPolicy.isBounded(task.crashes().crashes())) {
@@ -565,6 +566,16 @@
         }
     }
 
+    @Override
+    public void reconsider(Task task) {
+        if (isReady()
+                && !task.job().phase().isFinal()
+                && task.status() == Task.Status.WAITING
+                && !tasksWithUnstoredCrash.contains(task)) {
+            placeWhenAllReported(List.of(task));
+        }
+    }
+
     /** Counts the starts that were deferred until the log confirms the ownership. */
     void ownershipConfirmed() {
         List<Task> tasks = List.copyOf(uncountedStarts);
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -94,6 +93,8 @@
     private long startsBySpeed;
     private final Optional<QueueShares> queueShares;
     private final PlacementPasses passes;
+    private final OverdueRuns overdueRuns;
+    private final CrashEvidence evidence;
 
     /**
      * Creates a coordinator.
@@ -132,6 +133,10 @@
         this.queueShares = scheduling.fairShares()
                 ? Optional.of(new QueueShares(timers, waiting, workers.values()))
                 : Optional.empty();
+        this.overdueRuns = new OverdueRuns(
+                workers.values(),
+                (worker, start) -> stop(worker.process(), start.task().key(), start.run(), jobOwnerOf(start.task())));
+        this.evidence = new CrashEvidence(timers, crashes, this::jobOwnerOf);
         this.passes = new PlacementPasses(
                 timers, waiting, workers.values(), placement, crashes, shares, queueShares, new RunStarter() {
                     @Override
@@ -285,6 +290,7 @@
     void withdrawn(Task task) {
         waiting.remove(task);
         durableStarts.remove(task);
+        crashes.withdraw(task);
     }
 
     /** Allows the start of tasks of durable jobs, or holds those that are ready back until it is allowed. */
@@ -363,6 +369,7 @@
                 timers.nanos());
         worker.learnedStretch(new LearnedStretch(report.getStretchPermille(), report.getStretchRuns()));
         worker.recordSuspectRuns(report.getSuspectedRuns());
+        evidence.applyReport(link.peer(), report);
         passes.schedule();
     }
 
@@ -382,6 +389,7 @@
             });
         }
         ends(link, inventory.getEndsList());
+        evidence.applyInventory(link.peer(), inventory.getEndsList());
         for (Worker.SentStart start : worker.inProgress()) {
             // Only a run that is held shows that the start isn't lost; ends of earlier runs are listed until stored.
             if (!held.contains(start.task().key()) && !worker.isUnacknowledged(start)) {
@@ -465,6 +473,11 @@
         Runnable acknowledge = () -> acknowledge(link, end);
         Optional<Worker.SentStart> start =
                 worker.inProgress(key).filter(sent -> sent.run() == end.run().run());
+        if (end.outcome() == RunOutcome.CRASH_SUSPECTED) {
+            task(key)
+                    .ifPresent(task ->
+                            evidence.suspect(link.peer(), task, end.run().run(), end.incarnation()));
+        }
         if (start.isPresent()) {
             if (end.outcome() == RunOutcome.NEVER_STARTED) {
                 // A worker that can't start runs always has room, and would be chosen again at once for every task.
@@ -491,6 +504,12 @@
         long run = end.run().run();
         if (end.outcome() == RunOutcome.CRASHED) {
             owner.earlierRunCrashed(task, run, acknowledge);
+            evidence.releaseTasks();
+        } else if (end.outcome() == RunOutcome.LOST) {
+            evidence.disprove(task, run);
+            owner.reportedAgain(task, acknowledge);
+        } else if (end.outcome() == RunOutcome.CRASH_SUSPECTED) {
+            holdBackIfWaiting(owner, task);
         } else if (!hasEffect(task, end)) {
             owner.reportedAgain(task, acknowledge);
         } else if (end.outcome() == RunOutcome.FAILED) {
@@ -505,6 +524,13 @@
         }
     }
 
+    /** Has a waiting task placed again, as one more crash of it is suspected. */
+    private void holdBackIfWaiting(JobOwner owner, Task task) {
+        if (waiting.remove(task)) {
+            owner.reconsider(task);
+        }
+    }
+
     /** Returns whether the end of an untracked run changes its task: the task is done, or one more run has failed. */
     private static boolean hasEffect(Task task, EndedRun end) {
         if (task.job().phase().isFinal() || task.status() == Task.Status.DONE) {
@@ -513,7 +539,7 @@
         return switch (end.outcome()) {
             case DONE -> true;
             case FAILED -> !task.hasFailedIn(end.run().run());
-            case STOPPED, LAPSED, BROKEN, ALONE, LOST, NEVER_STARTED, CRASHED -> false;
+            case STOPPED, LAPSED, BROKEN, ALONE, LOST, NEVER_STARTED, CRASHED, CRASH_SUSPECTED -> false;
         };
     }
 
@@ -587,45 +613,13 @@
                 expireRuns(worker, worker.nanosSinceContact(now));
             }
         }
-        moveFromSlowWorkers(now);
+        overdueRuns.moveFromSlowWorkers(now);
+        evidence.releaseTasks();
         refuseUnservable(now);
         queueShares.ifPresent(QueueShares::updateContention);
         passes.schedule();
     }
 
-    /**
-     * Stops overdue runs of in-memory jobs on slow workers, to start them elsewhere: stalled tasks would hold their
-     * callers until the deadline. Stops nothing while many workers look slow, as something else is the cause.
-     */
-    private void moveFromSlowWorkers(long now) {
-        List<Worker> slow = new ArrayList<>();
-        int accepting = 0;
-        for (Worker worker : workers.values()) {
-            accepting += worker.acceptsStarts(now) ? 1 : 0;
-            boolean late = !worker.markNewlyOverdue(now).isEmpty();
-            if (worker.health().isSlow()) {
-                slow.add(worker);
-                if (late) {
-                    EventLine.of("worker-slow")
-                            .with("worker", worker.process())
-                            .with("overdue", worker.overdue().size())
-                            .log(LOGGER.atWarning());
-                }
-            }
-        }
-        if (PlacementPolicy.MINIMUM_WORKERS_PER_AVOIDED * slow.size() > accepting) {
-            return;
-        }
-        for (Worker worker : slow) {
-            for (Worker.SentStart start : worker.overdue()) {
-                if (!start.task().job().isDurable()
-                        && !start.task().job().phase().isFinal()) {
-                    stop(worker.process(), start.task().key(), start.run(), jobOwnerOf(start.task()));
-                }
-            }
-        }
-    }
-
     private void expireRuns(Worker worker, long silentNanos) {
         int count = 0;
         for (Worker.SentStart start : worker.inProgress()) {
--- a/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
+++ b/library/src/main/java/org/chivetally/queue/placement/PlacementPolicy.java
@@ -297,7 +297,7 @@
 
         /** Tells whether the task may have crashed a minion and is kept apart from other such tasks. */
         private boolean isSuspect(Task task) {
-            return crashes.isSuspect(task.crashes().crashes());
+            return crashes.isSuspect(task.possibleCrashes());
         }
 
         /**
--- a/library/src/test/java/org/chivetally/queue/crash/CrashPolicyTest.java
+++ b/library/src/test/java/org/chivetally/queue/crash/CrashPolicyTest.java
@@ -81,4 +81,23 @@
         assertThat(twice.withCrash(64), is(twice));
         assertThat(twice.withCrash(65), is(twice));
     }
+
+    /** A task must not be given up for suspected crashes, nor crash further minions before they are confirmed. */
+    @Test
+    void holdsATaskBackThatSuspectedCrashesWouldGiveUp() {
+        CrashPolicy limitOfThree = new CrashPolicy(3);
+        assertThat(limitOfThree.awaitsEvidence(1, 1, true, true), is(false));
+        assertThat(limitOfThree.awaitsEvidence(1, 2, true, true), is(true));
+        assertThat(limitOfThree.awaitsEvidence(1, 2, false, true), is(false));
+        assertThat(limitOfThree.awaitsEvidence(2, 2, false, true), is(true));
+        assertThat(limitOfThree.awaitsEvidence(3, 0, false, true), is(false));
+    }
+
+    /** Without a limit, the bound on the starts of durable tasks holds for suspected crashes as well. */
+    @Test
+    void holdsADurableTaskBackAfterThreePossibleCrashes() {
+        assertThat(CrashPolicy.NONE.awaitsEvidence(0, 2, true, true), is(false));
+        assertThat(CrashPolicy.NONE.awaitsEvidence(0, 3, true, true), is(true));
+        assertThat(CrashPolicy.NONE.awaitsEvidence(0, 3, true, false), is(false));
+    }
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/RunEnd.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunEnd.java
@@ -213,6 +213,21 @@
     }
   }
 
+  public static final int CRASH_SUSPECTED_FIELD_NUMBER = 7;
+  private boolean crashSuspected_ = false;
+  /**
+   * <pre>
+   * with RUN_OUTCOME_LOST: the minion's address refused connections until the lease ended; whether
+   * </pre>
+   *
+   * <code>bool crash_suspected = 7;</code>
+   * @return The crashSuspected.
+   */
+  @java.lang.Override
+  public boolean getCrashSuspected() {
+    return crashSuspected_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -245,6 +260,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 6, checkpoint_);
     }
+    if (crashSuspected_ != false) {
+      output.writeBool(7, crashSuspected_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -270,6 +288,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(checkpoint_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(6, checkpoint_);
     }
+    if (crashSuspected_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(7, crashSuspected_);
+    }
     return size;
   }
   @java.lang.Override
@@ -305,6 +327,8 @@
     if (outcome_ != other.outcome_) return false;
     if (!getCheckpoint()
         .equals(other.getCheckpoint())) return false;
+    if (getCrashSuspected()
+        != other.getCrashSuspected()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -330,6 +354,9 @@
     hash = (53 * hash) + outcome_;
     hash = (37 * hash) + CHECKPOINT_FIELD_NUMBER;
     hash = (53 * hash) + getCheckpoint().hashCode();
+    hash = (37 * hash) + CRASH_SUSPECTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getCrashSuspected());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -467,6 +494,7 @@
       run_ = 0L;
       outcome_ = 0;
       checkpoint_ = "";
+      crashSuspected_ = false;
       return this;
     }
 
@@ -518,6 +546,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.checkpoint_ = checkpoint_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.crashSuspected_ = crashSuspected_;
+      }
     }
 
     @java.lang.Override
@@ -556,6 +587,9 @@
         bitField0_ |= 0x00000020;
         onChanged();
       }
+      if (other.getCrashSuspected() != false) {
+        setCrashSuspected(other.getCrashSuspected());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -610,6 +644,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 50
+            case 56: {
+              crashSuspected_ = input.readBool();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -971,6 +1010,50 @@
       return this;
     }
 
+    private boolean crashSuspected_ ;
+    /**
+     * <pre>
+     * with RUN_OUTCOME_LOST: the minion's address refused connections until the lease ended; whether
+     * </pre>
+     *
+     * <code>bool crash_suspected = 7;</code>
+     * @return The crashSuspected.
+     */
+    @java.lang.Override
+    public boolean getCrashSuspected() {
+      return crashSuspected_;
+    }
+    /**
+     * <pre>
+     * with RUN_OUTCOME_LOST: the minion's address refused connections until the lease ended; whether
+     * </pre>
+     *
+     * <code>bool crash_suspected = 7;</code>
+     * @param value The crashSuspected to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCrashSuspected(boolean value) {
+
+      crashSuspected_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * with RUN_OUTCOME_LOST: the minion's address refused connections until the lease ended; whether
+     * </pre>
+     *
+     * <code>bool crash_suspected = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCrashSuspected() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      crashSuspected_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.chivetally.wire.v1.RunEnd)
   }
 
--- a/wire/src/main/java/org/chivetally/wire/v1/RunEndOrBuilder.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/RunEndOrBuilder.java
@@ -72,4 +72,14 @@
    */
   com.google.protobuf.ByteString
       getCheckpointBytes();
+
+  /**
+   * <pre>
+   * with RUN_OUTCOME_LOST: the minion's address refused connections until the lease ended; whether
+   * </pre>
+   *
+   * <code>bool crash_suspected = 7;</code>
+   * @return The crashSuspected.
+   */
+  boolean getCrashSuspected();
 }
--- a/wire/src/main/java/org/chivetally/wire/v1/Wire.java
+++ b/wire/src/main/java/org/chivetally/wire/v1/Wire.java
@@ -472,101 +472,102 @@
       "e_nanos\030\r \001(\004\"\200\001\n\nRunRefused\022\014\n\004task\030\001 \001" +
       "(\t\022\013\n\003run\030\002 \001(\004\022\016\n\006reason\030\003 \001(\t\0224\n\006repor" +
       "t\030\004 \001(\0132$.org.chivetally.wire.v1.WorkerR" +
-      "eport\022\021\n\tfenced_by\030\005 \001(\004\"\216\001\n\006RunEnd\022\016\n\006m" +
+      "eport\022\021\n\tfenced_by\030\005 \001(\004\"\247\001\n\006RunEnd\022\016\n\006m" +
       "inion\030\001 \001(\t\022\020\n\010sequence\030\002 \001(\004\022\014\n\004task\030\003 " +
       "\001(\t\022\013\n\003run\030\004 \001(\004\0223\n\007outcome\030\005 \001(\0162\".org." +
       "chivetally.wire.v1.RunOutcome\022\022\n\ncheckpo" +
-      "int\030\006 \001(\t\"m\n\007RunEnds\022,\n\004ends\030\001 \003(\0132\036.org" +
-      ".chivetally.wire.v1.RunEnd\0224\n\006report\030\002 \001" +
-      "(\0132$.org.chivetally.wire.v1.WorkerReport" +
-      "\"-\n\010EndsKept\022\016\n\006minion\030\001 \001(\t\022\021\n\tsequence" +
-      "s\030\002 \003(\004\"V\n\007RunStop\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030" +
-      "\002 \001(\004\022\021\n\tpartition\030\003 \001(\r\022\r\n\005epoch\030\004 \001(\004\022" +
-      "\016\n\006unkept\030\005 \001(\010\"?\n\rJobSubmission\022.\n\003job\030" +
-      "\001 \001(\0132!.org.chivetally.wire.v1.StoredJob" +
-      "\"\032\n\010JobQuery\022\016\n\006job_id\030\001 \001(\t\"!\n\017JobCance" +
-      "llation\022\016\n\006job_id\030\001 \001(\t\"\234\001\n\010JobReply\0223\n\007" +
-      "verdict\030\001 \001(\0162\".org.chivetally.wire.v1.J" +
-      "obVerdict\022/\n\005phase\030\002 \001(\0162 .org.chivetall" +
-      "y.wire.v1.JobPhase\022\016\n\006reason\030\003 \001(\t\022\032\n\022re" +
-      "try_after_millis\030\004 \001(\r\"\370\001\n\tStoredJob\022\n\n\002" +
-      "id\030\001 \001(\t\022\r\n\005queue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t" +
-      "\022\017\n\007payload\030\004 \001(\t\022\030\n\020maximum_attempts\030\005 " +
-      "\001(\r\022\020\n\010priority\030\006 \001(\r\022\024\n\014slack_factor\030\007 " +
-      "\001(\001\022\035\n\025target_latency_millis\030\010 \001(\r\022\032\n\022ac" +
-      "cepted_at_millis\030\t \001(\004\0221\n\005steps\030\n \003(\0132\"." +
-      "org.chivetally.wire.v1.StoredStep\"\314\002\n\nSt" +
-      "oredStep\022\r\n\005count\030\001 \001(\r\022*\n\004room\030\002 \001(\0132\034." +
-      "org.chivetally.wire.v1.Room\022\030\n\020estimated" +
-      "_millis\030\003 \001(\r\022\r\n\005after\030\004 \003(\r\022\025\n\rcheckpoi" +
-      "nting\030\005 \001(\010\022\014\n\004gang\030\006 \001(\010\022\021\n\tsame_rack\030\007" +
-      " \001(\010\022\026\n\016required_label\030\010 \001(\t\022\026\n\016preferre" +
-      "d_rack\030\t \001(\t\022\032\n\022maximum_per_worker\030\n \001(\r" +
-      "\022\032\n\022duplicates_allowed\030\013 \001(\010\022\024\n\014fills_un" +
-      "used\030\014 \001(\010\022\r\n\005image\030\r \001(\t\022\025\n\rtarget_mill" +
-      "is\030\016 \001(\r\"\301\007\n\016StoredProgress\022/\n\005phase\030\001 \001" +
-      "(\0162 .org.chivetally.wire.v1.JobPhase\022\014\n\004" +
-      "done\030\002 \001(\014\022F\n\010failures\030\003 \003(\01324.org.chive" +
-      "tally.wire.v1.StoredProgress.FailuresEnt" +
-      "ry\022\027\n\017ended_at_millis\030\004 \001(\004\022D\n\007crashes\030\005" +
-      " \003(\01323.org.chivetally.wire.v1.StoredProg" +
-      "ress.CrashesEntry\022M\n\014crashed_runs\030\006 \003(\0132" +
-      "7.org.chivetally.wire.v1.StoredProgress." +
-      "CrashedRunsEntry\022Q\n\016bounded_starts\030\007 \003(\013" +
-      "29.org.chivetally.wire.v1.StoredProgress" +
-      ".BoundedStartsEntry\022K\n\013failed_runs\030\010 \003(\013" +
-      "26.org.chivetally.wire.v1.StoredProgress" +
-      ".FailedRunsEntry\022Z\n\023crashed_run_numbers\030" +
-      "\t \003(\0132=.org.chivetally.wire.v1.StoredPro" +
-      "gress.CrashedRunNumbersEntry\032/\n\rFailures" +
-      "Entry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032.\n" +
-      "\014CrashesEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(" +
-      "\r:\0028\001\0322\n\020CrashedRunsEntry\022\013\n\003key\030\001 \001(\r\022\r" +
-      "\n\005value\030\002 \001(\004:\0028\001\0324\n\022BoundedStartsEntry\022" +
-      "\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032U\n\017Faile" +
-      "dRunsEntry\022\013\n\003key\030\001 \001(\r\0221\n\005value\030\002 \001(\0132\"" +
-      ".org.chivetally.wire.v1.RunNumbers:\0028\001\032\\" +
-      "\n\026CrashedRunNumbersEntry\022\013\n\003key\030\001 \001(\r\0221\n" +
-      "\005value\030\002 \001(\0132\".org.chivetally.wire.v1.Ru" +
-      "nNumbers:\0028\001\"\032\n\nRunNumbers\022\014\n\004runs\030\001 \003(\004" +
-      "\"\234\001\n\014StoredMember\022\023\n\013incarnation\030\001 \001(\004\022\r" +
-      "\n\005agent\030\002 \001(\010\022\026\n\016failure_domain\030\003 \001(\t\022\014\n" +
-      "\004host\030\004 \001(\t\022\014\n\004port\030\005 \001(\r\0224\n\006minion\030\006 \001(" +
-      "\0132$.org.chivetally.wire.v1.StoredMinion\"" +
-      "\254\001\n\014StoredMinion\022\014\n\004boot\030\001 \001(\t\022\017\n\007servic" +
-      "e\030\002 \001(\t\022.\n\010capacity\030\003 \001(\0132\034.org.chivetal" +
-      "ly.wire.v1.Room\022\016\n\006labels\030\004 \003(\t\022\017\n\007leavi" +
-      "ng\030\005 \001(\010\022\024\n\014clock_millis\030\006 \001(\004\022\026\n\016born_a" +
-      "t_millis\030\007 \001(\004*\242\001\n\nTaskStatus\022\033\n\027TASK_ST" +
-      "ATUS_UNSPECIFIED\020\000\022\024\n\020TASK_STATUS_DONE\020\001" +
-      "\022\026\n\022TASK_STATUS_FAILED\020\002\022\027\n\023TASK_STATUS_" +
-      "NOT_RUN\020\003\022\027\n\023TASK_STATUS_UNKNOWN\020\004\022\027\n\023TA" +
-      "SK_STATUS_RUNNING\020\005*\347\002\n\rRefusalReason\022\036\n" +
-      "\032REFUSAL_REASON_UNSPECIFIED\020\000\022\027\n\023REFUSAL" +
-      "_REASON_FULL\020\001\022\033\n\027REFUSAL_REASON_DRAININ" +
-      "G\020\002\022\037\n\033REFUSAL_REASON_STALE_TICKET\020\003\022!\n\035" +
-      "REFUSAL_REASON_OLD_GENERATION\020\004\022 \n\034REFUS" +
-      "AL_REASON_WRONG_SERVICE\020\005\022\034\n\030REFUSAL_REA" +
-      "SON_CANCELLED\020\006\022\032\n\026REFUSAL_REASON_EXPIRE" +
-      "D\020\007\022\"\n\036REFUSAL_REASON_ALREADY_STARTED\020\010\022" +
-      "\036\n\032REFUSAL_REASON_MINION_DOWN\020\t\022\034\n\030REFUS" +
-      "AL_REASON_TOO_LARGE\020\n*\205\002\n\nRunOutcome\022\033\n\027" +
-      "RUN_OUTCOME_UNSPECIFIED\020\000\022\024\n\020RUN_OUTCOME" +
-      "_DONE\020\001\022\026\n\022RUN_OUTCOME_FAILED\020\002\022\027\n\023RUN_O" +
-      "UTCOME_STOPPED\020\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004" +
-      "\022\026\n\022RUN_OUTCOME_BROKEN\020\005\022\025\n\021RUN_OUTCOME_" +
-      "ALONE\020\006\022\024\n\020RUN_OUTCOME_LOST\020\007\022\035\n\031RUN_OUT" +
-      "COME_NEVER_STARTED\020\010\022\027\n\023RUN_OUTCOME_CRAS" +
-      "HED\020\t*\306\001\n\nJobVerdict\022\033\n\027JOB_VERDICT_UNSP" +
-      "ECIFIED\020\000\022\030\n\024JOB_VERDICT_ACCEPTED\020\001\022\027\n\023J" +
-      "OB_VERDICT_REFUSED\020\002\022\033\n\027JOB_VERDICT_UNKN" +
-      "OWN_JOB\020\003\022\031\n\025JOB_VERDICT_NOT_OWNER\020\004\022\025\n\021" +
-      "JOB_VERDICT_STATE\020\005\022\031\n\025JOB_VERDICT_CANCE" +
-      "LLED\020\006*\232\001\n\010JobPhase\022\031\n\025JOB_PHASE_UNSPECI" +
-      "FIED\020\000\022\024\n\020JOB_PHASE_QUEUED\020\001\022\025\n\021JOB_PHAS" +
-      "E_RUNNING\020\002\022\027\n\023JOB_PHASE_COMPLETED\020\003\022\024\n\020" +
-      "JOB_PHASE_FAILED\020\004\022\027\n\023JOB_PHASE_CANCELLE" +
-      "D\020\005B\032\n\026org.chivetally.wire.v1P\001b\006proto3"
+      "int\030\006 \001(\t\022\027\n\017crash_suspected\030\007 \001(\010\"m\n\007Ru" +
+      "nEnds\022,\n\004ends\030\001 \003(\0132\036.org.chivetally.wir" +
+      "e.v1.RunEnd\0224\n\006report\030\002 \001(\0132$.org.chivet" +
+      "ally.wire.v1.WorkerReport\"-\n\010EndsKept\022\016\n" +
+      "\006minion\030\001 \001(\t\022\021\n\tsequences\030\002 \003(\004\"V\n\007RunS" +
+      "top\022\014\n\004task\030\001 \001(\t\022\013\n\003run\030\002 \001(\004\022\021\n\tpartit" +
+      "ion\030\003 \001(\r\022\r\n\005epoch\030\004 \001(\004\022\016\n\006unkept\030\005 \001(\010" +
+      "\"?\n\rJobSubmission\022.\n\003job\030\001 \001(\0132!.org.chi" +
+      "vetally.wire.v1.StoredJob\"\032\n\010JobQuery\022\016\n" +
+      "\006job_id\030\001 \001(\t\"!\n\017JobCancellation\022\016\n\006job_" +
+      "id\030\001 \001(\t\"\234\001\n\010JobReply\0223\n\007verdict\030\001 \001(\0162\"" +
+      ".org.chivetally.wire.v1.JobVerdict\022/\n\005ph" +
+      "ase\030\002 \001(\0162 .org.chivetally.wire.v1.JobPh" +
+      "ase\022\016\n\006reason\030\003 \001(\t\022\032\n\022retry_after_milli" +
+      "s\030\004 \001(\r\"\370\001\n\tStoredJob\022\n\n\002id\030\001 \001(\t\022\r\n\005que" +
+      "ue\030\002 \001(\t\022\017\n\007service\030\003 \001(\t\022\017\n\007payload\030\004 \001" +
+      "(\t\022\030\n\020maximum_attempts\030\005 \001(\r\022\020\n\010priority" +
+      "\030\006 \001(\r\022\024\n\014slack_factor\030\007 \001(\001\022\035\n\025target_l" +
+      "atency_millis\030\010 \001(\r\022\032\n\022accepted_at_milli" +
+      "s\030\t \001(\004\0221\n\005steps\030\n \003(\0132\".org.chivetally." +
+      "wire.v1.StoredStep\"\314\002\n\nStoredStep\022\r\n\005cou" +
+      "nt\030\001 \001(\r\022*\n\004room\030\002 \001(\0132\034.org.chivetally." +
+      "wire.v1.Room\022\030\n\020estimated_millis\030\003 \001(\r\022\r" +
+      "\n\005after\030\004 \003(\r\022\025\n\rcheckpointing\030\005 \001(\010\022\014\n\004" +
+      "gang\030\006 \001(\010\022\021\n\tsame_rack\030\007 \001(\010\022\026\n\016require" +
+      "d_label\030\010 \001(\t\022\026\n\016preferred_rack\030\t \001(\t\022\032\n" +
+      "\022maximum_per_worker\030\n \001(\r\022\032\n\022duplicates_" +
+      "allowed\030\013 \001(\010\022\024\n\014fills_unused\030\014 \001(\010\022\r\n\005i" +
+      "mage\030\r \001(\t\022\025\n\rtarget_millis\030\016 \001(\r\"\301\007\n\016St" +
+      "oredProgress\022/\n\005phase\030\001 \001(\0162 .org.chivet" +
+      "ally.wire.v1.JobPhase\022\014\n\004done\030\002 \001(\014\022F\n\010f" +
+      "ailures\030\003 \003(\01324.org.chivetally.wire.v1.S" +
+      "toredProgress.FailuresEntry\022\027\n\017ended_at_" +
+      "millis\030\004 \001(\004\022D\n\007crashes\030\005 \003(\01323.org.chiv" +
+      "etally.wire.v1.StoredProgress.CrashesEnt" +
+      "ry\022M\n\014crashed_runs\030\006 \003(\01327.org.chivetall" +
+      "y.wire.v1.StoredProgress.CrashedRunsEntr" +
+      "y\022Q\n\016bounded_starts\030\007 \003(\01329.org.chivetal" +
+      "ly.wire.v1.StoredProgress.BoundedStartsE" +
+      "ntry\022K\n\013failed_runs\030\010 \003(\01326.org.chivetal" +
+      "ly.wire.v1.StoredProgress.FailedRunsEntr" +
+      "y\022Z\n\023crashed_run_numbers\030\t \003(\0132=.org.chi" +
+      "vetally.wire.v1.StoredProgress.CrashedRu" +
+      "nNumbersEntry\032/\n\rFailuresEntry\022\013\n\003key\030\001 " +
+      "\001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\032.\n\014CrashesEntry\022\013" +
+      "\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\r:\0028\001\0322\n\020Crashe" +
+      "dRunsEntry\022\013\n\003key\030\001 \001(\r\022\r\n\005value\030\002 \001(\004:\002" +
+      "8\001\0324\n\022BoundedStartsEntry\022\013\n\003key\030\001 \001(\r\022\r\n" +
+      "\005value\030\002 \001(\r:\0028\001\032U\n\017FailedRunsEntry\022\013\n\003k" +
+      "ey\030\001 \001(\r\0221\n\005value\030\002 \001(\0132\".org.chivetally" +
+      ".wire.v1.RunNumbers:\0028\001\032\\\n\026CrashedRunNum" +
+      "bersEntry\022\013\n\003key\030\001 \001(\r\0221\n\005value\030\002 \001(\0132\"." +
+      "org.chivetally.wire.v1.RunNumbers:\0028\001\"\032\n" +
+      "\nRunNumbers\022\014\n\004runs\030\001 \003(\004\"\234\001\n\014StoredMemb" +
+      "er\022\023\n\013incarnation\030\001 \001(\004\022\r\n\005agent\030\002 \001(\010\022\026" +
+      "\n\016failure_domain\030\003 \001(\t\022\014\n\004host\030\004 \001(\t\022\014\n\004" +
+      "port\030\005 \001(\r\0224\n\006minion\030\006 \001(\0132$.org.chiveta" +
+      "lly.wire.v1.StoredMinion\"\254\001\n\014StoredMinio" +
+      "n\022\014\n\004boot\030\001 \001(\t\022\017\n\007service\030\002 \001(\t\022.\n\010capa" +
+      "city\030\003 \001(\0132\034.org.chivetally.wire.v1.Room" +
+      "\022\016\n\006labels\030\004 \003(\t\022\017\n\007leaving\030\005 \001(\010\022\024\n\014clo" +
+      "ck_millis\030\006 \001(\004\022\026\n\016born_at_millis\030\007 \001(\004*" +
+      "\242\001\n\nTaskStatus\022\033\n\027TASK_STATUS_UNSPECIFIE" +
+      "D\020\000\022\024\n\020TASK_STATUS_DONE\020\001\022\026\n\022TASK_STATUS" +
+      "_FAILED\020\002\022\027\n\023TASK_STATUS_NOT_RUN\020\003\022\027\n\023TA" +
+      "SK_STATUS_UNKNOWN\020\004\022\027\n\023TASK_STATUS_RUNNI" +
+      "NG\020\005*\347\002\n\rRefusalReason\022\036\n\032REFUSAL_REASON" +
+      "_UNSPECIFIED\020\000\022\027\n\023REFUSAL_REASON_FULL\020\001\022" +
+      "\033\n\027REFUSAL_REASON_DRAINING\020\002\022\037\n\033REFUSAL_" +
+      "REASON_STALE_TICKET\020\003\022!\n\035REFUSAL_REASON_" +
+      "OLD_GENERATION\020\004\022 \n\034REFUSAL_REASON_WRONG" +
+      "_SERVICE\020\005\022\034\n\030REFUSAL_REASON_CANCELLED\020\006" +
+      "\022\032\n\026REFUSAL_REASON_EXPIRED\020\007\022\"\n\036REFUSAL_" +
+      "REASON_ALREADY_STARTED\020\010\022\036\n\032REFUSAL_REAS" +
+      "ON_MINION_DOWN\020\t\022\034\n\030REFUSAL_REASON_TOO_L" +
+      "ARGE\020\n*\205\002\n\nRunOutcome\022\033\n\027RUN_OUTCOME_UNS" +
+      "PECIFIED\020\000\022\024\n\020RUN_OUTCOME_DONE\020\001\022\026\n\022RUN_" +
+      "OUTCOME_FAILED\020\002\022\027\n\023RUN_OUTCOME_STOPPED\020" +
+      "\003\022\026\n\022RUN_OUTCOME_LAPSED\020\004\022\026\n\022RUN_OUTCOME" +
+      "_BROKEN\020\005\022\025\n\021RUN_OUTCOME_ALONE\020\006\022\024\n\020RUN_" +
+      "OUTCOME_LOST\020\007\022\035\n\031RUN_OUTCOME_NEVER_STAR" +
+      "TED\020\010\022\027\n\023RUN_OUTCOME_CRASHED\020\t*\306\001\n\nJobVe" +
+      "rdict\022\033\n\027JOB_VERDICT_UNSPECIFIED\020\000\022\030\n\024JO" +
+      "B_VERDICT_ACCEPTED\020\001\022\027\n\023JOB_VERDICT_REFU" +
+      "SED\020\002\022\033\n\027JOB_VERDICT_UNKNOWN_JOB\020\003\022\031\n\025JO" +
+      "B_VERDICT_NOT_OWNER\020\004\022\025\n\021JOB_VERDICT_STA" +
+      "TE\020\005\022\031\n\025JOB_VERDICT_CANCELLED\020\006*\232\001\n\010JobP" +
+      "hase\022\031\n\025JOB_PHASE_UNSPECIFIED\020\000\022\024\n\020JOB_P" +
+      "HASE_QUEUED\020\001\022\025\n\021JOB_PHASE_RUNNING\020\002\022\027\n\023" +
+      "JOB_PHASE_COMPLETED\020\003\022\024\n\020JOB_PHASE_FAILE" +
+      "D\020\004\022\027\n\023JOB_PHASE_CANCELLED\020\005B\032\n\026org.chiv" +
+      "etally.wire.v1P\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -799,7 +800,7 @@
     internal_static_org_chivetally_wire_v1_RunEnd_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_org_chivetally_wire_v1_RunEnd_descriptor,
-        new java.lang.String[] { "Minion", "Sequence", "Task", "Run", "Outcome", "Checkpoint", });
+        new java.lang.String[] { "Minion", "Sequence", "Task", "Run", "Outcome", "Checkpoint", "CrashSuspected", });
     internal_static_org_chivetally_wire_v1_RunEnds_descriptor =
       getDescriptor().getMessageType(38);
     internal_static_org_chivetally_wire_v1_RunEnds_fieldAccessorTable = new
