Keep the runs of a departing minion that refuses connections

Callers would see a task run on two minions for up to a second when a minion that leaves is cut off before it gets the answer to its departure message and connections to it are refused (TWICE).

Cause: DepartureCheck took a refused connection for the minion's end, so its runs were LOST at once. A minion without that answer goes on for seconds, and its runs until their lease ends. Change: while runs are held, a refused connection leaves the departure open, and the lease ends the runs.

--- a/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
+++ b/library/src/main/java/org/chivetally/queue/agent/DepartureCheck.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.time.Duration;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.chivetally.logging.EventLine;
 import org.chivetally.queue.agent.MinionPort.PollRequest;
@@ -11,7 +12,8 @@
 
 /**
  * Determines whether a minion that has sent a departure message is gone. A minion ends at once when its message is
- * acknowledged, and goes on for seconds if the acknowledgement is lost.
+ * acknowledged, and goes on for seconds if the acknowledgement is lost. So its runs are awaited until their lease ends
+ * if its address refuses connections, which it also does while the minion is cut off.
  *
  * <p>The message contains only the minion's id. If it is delayed by a network partition, it may refer to an earlier
  * incarnation than the one that has been started since under the same id.
@@ -36,6 +38,7 @@
     private final Incarnation minion;
     private final FencingToken token;
     private final int maximumPolls;
+    private final BooleanSupplier hasRuns;
     private final Consumer<Boolean> result;
     private Duration pollInterval = FIRST_POLL_INTERVAL;
     private int polls;
@@ -46,6 +49,7 @@
      * @param minion the current incarnation
      * @param token fencing token of the agent's calls
      * @param idReused whether the departure message may refer to an earlier incarnation with the same id
+     * @param hasRuns tells whether the incarnation may have runs; then refused connections don't show that it is gone
      * @param result receives whether the incarnation is gone; false if it still answers after all polls, or if it can't
      *     be determined
      */
@@ -55,12 +59,14 @@
             Incarnation minion,
             FencingToken token,
             boolean idReused,
+            BooleanSupplier hasRuns,
             Consumer<Boolean> result) {
         this.timers = timers;
         this.port = port;
         this.minion = minion;
         this.token = token;
         this.maximumPolls = idReused ? MAXIMUM_POLLS_OF_REUSED_ID : MAXIMUM_POLLS;
+        this.hasRuns = hasRuns;
         this.result = result;
     }
 
@@ -75,12 +81,13 @@
         boolean hasDeparted = switch (answer) {
             case PollResult.Lists lists -> !minion.mayHaveStartedAt(lists.startedAtMillis());
             case PollResult.Refused refused -> !refused.fenced();
-            case PollResult.ConnectionRefused refusedConnection -> true;
+            // The minion has ended, or it is cut off and its runs go on until their lease ends.
+            case PollResult.ConnectionRefused refusedConnection -> !hasRuns.getAsBoolean();
             case PollResult.Unknown unknown -> false;
         };
         if (hasDeparted) {
             result.accept(true);
-        } else if (polls < maximumPolls) {
+        } else if (polls < maximumPolls || answer instanceof PollResult.ConnectionRefused) {
             timers.after(pollInterval, this::poll);
             Duration doubled = pollInterval.multipliedBy(2);
             pollInterval = doubled.compareTo(LONGEST_POLL_INTERVAL) > 0 ? LONGEST_POLL_INTERVAL : doubled;
--- a/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
+++ b/library/src/main/java/org/chivetally/queue/agent/RunSupervisor.java
@@ -308,6 +308,7 @@
                         checked,
                         token,
                         isIdReused(),
+                        () -> !held.isEmpty(),
                         hasDeparted -> departureChecked(checked, hasDeparted))
                 .poll();
         listener.roomChanged();
--- a/library/src/test/java/org/chivetally/queue/agent/IncarnationTest.java
+++ b/library/src/test/java/org/chivetally/queue/agent/IncarnationTest.java
@@ -320,6 +320,8 @@
         minion.down = true;
         supervisor.departed("minion");
         timers.advance(Duration.ofMillis(300));
+        assertThat(outcomes(), is(empty()));
+        timers.advance(Duration.ofSeconds(2));
         assertThat(outcomes(), contains(RunOutcome.LOST));
         assertThat(supervisor.minion(), is(Optional.empty()));
         supervisor.announced(state(RESTARTED_AT_MILLIS, 5, CAPACITY, 0));
