--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -16,8 +16,6 @@
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Partitions;
-import org.chivetally.queue.QueueTerms;
-import org.chivetally.queue.RefusalReason;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
@@ -27,12 +25,9 @@
 import org.chivetally.queue.crash.CrashTracker;
 import org.chivetally.queue.entry.PlacementPasses.RunStarter;
 import org.chivetally.queue.link.PeerLink;
-import org.chivetally.queue.placement.AdmissionPolicy;
-import org.chivetally.queue.placement.EntryCapacityShare;
 import org.chivetally.queue.placement.PlacementPolicy;
 import org.chivetally.queue.placement.WaitingTasks;
 import org.chivetally.queue.placement.Worker;
-import org.chivetally.queue.share.FairShares;
 import org.chivetally.queue.speed.LearnedStretch;
 import org.chivetally.settings.SchedulingSettings;
 import org.chivetally.time.Timers;
@@ -62,18 +57,9 @@
      */
     static final Duration IN_MEMORY_RUN_LOSS_TIMEOUT = Duration.ofMillis(2_350);
 
-    /**
-     * Time after an entry's start in which no job is refused for the backlog. Agents that start with it need up to 1.5
-     * s to connect and detect their minions; until then the few workers would look overloaded.
-     */
-    static final Duration BACKLOG_GRACE = Duration.ofSeconds(2);
-
     /** Time without starts for a worker that refused one, but not for lack of room: one heartbeat interval. */
     static final Duration REFUSAL_PAUSE = Duration.ofMillis(250);
 
-    /** Retry delay while a service has only evacuated workers: operators take minutes, but may be done soon. */
-    static final Duration EVACUATION_RETRY = Duration.ofSeconds(5);
-
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
     private final Timers timers;
@@ -84,7 +70,6 @@
     private final LongSupplier lastResponsiveNanos;
     private final PlacementPolicy placement;
     private final CrashTracker crashes;
-    private final long startedAtNanos;
     private final Map<String, Worker> workers = new LinkedHashMap<>();
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting;
@@ -92,6 +77,7 @@
     private final ServiceShares shares;
     private long startsBySpeed;
     private final Optional<QueueShares> queueShares;
+    private final BacklogAdmission admission;
     private final PlacementPasses passes;
     private final OverdueRuns overdueRuns;
     private final CrashEvidence evidence;
@@ -126,13 +112,13 @@
         this.partitionCount = partitionCount;
         this.partitions = partitions;
         this.inMemoryJobs = new InMemoryJobs(timers, crashes, this);
-        this.startedAtNanos = timers.nanos();
         this.waiting = new WaitingTasks(scheduling.fairShares());
         this.durableStarts = new DurableStartGate(waiting);
         this.shares = new ServiceShares(timers, waiting, workers.values());
         this.queueShares = scheduling.fairShares()
                 ? Optional.of(new QueueShares(timers, waiting, workers.values()))
                 : Optional.empty();
+        this.admission = new BacklogAdmission(timers, waiting, shares, queueShares, inMemoryJobs);
         this.overdueRuns = new OverdueRuns(
                 workers.values(),
                 (worker, start) -> stop(worker.process(), start.task().key(), start.run(), jobOwnerOf(start.task())));
@@ -151,7 +137,7 @@
 
                     @Override
                     public void forecastsChanged(long nowNanos) {
-                        refuseUnservable(nowNanos);
+                        admission.refuseUnservable(nowNanos);
                     }
                 });
     }
@@ -173,30 +159,12 @@
 
     @Override
     public Optional<JobAnswer.Refused> refuse(Job job) {
-        String service = job.specification().terms().service();
-        if (shares.isEvacuated(service)) {
-            return Optional.of(new JobAnswer.Refused(RefusalReason.EVACUATED, EVACUATION_RETRY));
-        }
-        Optional<Duration> refusal = isInBacklogGrace() ? Optional.empty() : refuseForBacklog(job);
-        if (refusal.isEmpty()) {
-            shares.recordArrival(job.specification());
-        }
-        return refusal.map(retry -> new JobAnswer.Refused(RefusalReason.BACKLOG, retry));
-    }
-
-    private Optional<Duration> refuseForBacklog(Job job) {
-        if (queueShares.isPresent()) {
-            return queueShares.get().refuse(job);
-        }
-        QueueTerms terms = job.specification().terms();
-        long ahead = waiting.workAhead(terms.service(), terms.priority());
-        return AdmissionPolicy.refuse(
-                job, timers.nanos(), ahead, shares.of(terms.service()).backlogMillicores());
+        return admission.refuse(job);
     }
 
     @Override
     public Duration retryAfter(Job job) {
-        return queueShares.isPresent() ? queueShares.get().retryAfterRefusal(job) : InMemoryJobs.RETRY_AFTER;
+        return admission.retryAfter(job);
     }
 
     @Override
@@ -204,38 +172,6 @@
         return mayReadStaleRequests.getAsBoolean();
     }
 
-    private boolean isInBacklogGrace() {
-        return timers.nanos() - startedAtNanos < BACKLOG_GRACE.toNanos();
-    }
-
-    private void refuseUnservable(long now) {
-        inMemoryJobs.refuseTooLate();
-        if (isInBacklogGrace()) {
-            return;
-        }
-        for (String service : waiting.services()) {
-            EntryCapacityShare share = shares.of(service);
-            if (share.capacityMillicores() > 0) {
-                refuseDeprioritized(service, waiting.unservableJobs(service, share.spareMillicores(), now));
-            }
-        }
-    }
-
-    /** Refuses jobs that would wait too long behind others, unless their queue's share covers its demand. */
-    private void refuseDeprioritized(String service, List<Job> deprioritized) {
-        if (deprioritized.isEmpty()) {
-            return;
-        }
-        Optional<FairShares> shares = queueShares.map(all -> all.fairShares(service));
-        for (Job job : deprioritized) {
-            boolean isCoveredByShare = shares.isPresent()
-                    && shares.get().isSatisfied(job.specification().terms().queue());
-            if (!isCoveredByShare) {
-                inMemoryJobs.refuseDeprioritized(job);
-            }
-        }
-    }
-
     /** Returns the names of all agents with a link. */
     Set<String> linkedAgents() {
         return new HashSet<>(links.keySet());
@@ -615,7 +551,7 @@
         }
         overdueRuns.moveFromSlowWorkers(now);
         evidence.releaseTasks();
-        refuseUnservable(now);
+        admission.refuseUnservable(now);
         queueShares.ifPresent(QueueShares::updateContention);
         passes.schedule();
     }
