Adopt runs of steps whose earlier steps aren't stored as done

Cause: an owner starts the next step once it knows that the earlier one is done, also while it can't store that. The next owner took the runs of the next step for unwanted, as their tasks were blocked by the stored progress: it sent a stop, did not track them, and placed the tasks as soon as the ends of the earlier step were reported. Nothing waited for the stop. Change: a run that an agent holds becomes the run in progress of its task if the task is blocked or waits for a worker, as it already did for an uncertain task. It was started after the earlier steps were done. If it ends without success, the task is blocked again until they are known to be done; startsNoTaskBeforeItsEarlierStepIsDoneAgain fails without that. No start is delayed, and the work of the adopted runs is kept.

--- a/library/src/main/java/org/chivetally/queue/Job.java
+++ b/library/src/main/java/org/chivetally/queue/Job.java
@@ -256,9 +256,12 @@
         task.changeStatus(Task.Status.UNCERTAIN);
     }
 
-    /** Records that no run of the task is in progress, so that it can be placed again. */
+    /**
+     * Records that no run of the task is in progress. It can be placed again, unless a step that has to be done first
+     * isn't known to be done: a run that a previous owner started may end before the ends of those steps are reported.
+     */
     public void markWaiting(Task task) {
-        task.changeStatus(Task.Status.WAITING);
+        task.changeStatus(areDone(task.step().after()) ? Task.Status.WAITING : Task.Status.BLOCKED);
     }
 
     /**
@@ -293,7 +296,7 @@
             phase = JobPhase.QUEUED;
             reportedPhase = JobPhase.QUEUED;
         }
-        return phase.isFinal() ? List.of() : List.of(task);
+        return phase.isFinal() || task.status() == Task.Status.BLOCKED ? List.of() : List.of(task);
     }
 
     /**
--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -376,8 +376,9 @@
                 run.getUnkept() ? Optional.of(inMemoryJobs) : ownerOf(key).map(JobOwner.class::cast);
         Optional<Task> known = owner.flatMap(candidate -> candidate.task(key));
         boolean needed = known.isPresent() && !known.get().job().phase().isFinal();
-        if (needed && known.get().status() == Task.Status.UNCERTAIN) {
+        if (needed && isAdoptable(known.get())) {
             Task task = known.get();
+            withdrawn(task);
             task.job().recordPlacement(task, worker.process(), run.getRun());
             worker.adopt(task, run.getRun(), timers.nanos());
             return;
@@ -396,6 +397,19 @@
         }
     }
 
+    /**
+     * Tells whether a run of the task that an agent holds becomes its run in progress. A former owner may have started
+     * it after the ends of earlier steps that it couldn't store. If the run were stopped instead, the task would start
+     * again as soon as these ends are known, and both runs would be in progress until the stop has taken effect.
+     */
+    private static boolean isAdoptable(Task task) {
+        return switch (task.status()) {
+            case UNCERTAIN -> true;
+            case BLOCKED, WAITING -> task.job().isDurable();
+            case PLACED, DONE -> false;
+        };
+    }
+
     /** Handles ends of runs that an agent reports. */
     void ends(PeerLink link, List<RunEnd> ends) {
         Worker worker = worker(link.peer().process());
