Place no task while a run of it that was told to stop goes on

Callers would see two runs of a task at the same time (TWICE): when an agent lists a run beside the one in progress, which is stopped, and the one in progress ends without success or is refused as the agent holds the other; and when the caller of a job in memory disconnects and submits it again to the same entry.

Cause: the entry tracked no run that it stopped as unwanted, and the stopped runs of an ended job only by task objects that a job submitted again doesn't share. The stops of ends that are reported late, of slow workers and of the agents were sound: those tasks are done or stay held until the end is known. Change: such a run is kept by task, worker and number until its end is reported, a complete inventory of its worker lacks it, or its worker is lost. Its task waits until then.

--- a/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
+++ b/library/src/main/java/org/chivetally/queue/entry/RunCoordinator.java
@@ -16,6 +16,7 @@
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.Partitions;
+import org.chivetally.queue.RunKey;
 import org.chivetally.queue.RunOutcome;
 import org.chivetally.queue.Task;
 import org.chivetally.queue.TaskKey;
@@ -74,6 +75,7 @@
     private final Map<String, PeerLink> links = new HashMap<>();
     private final WaitingTasks waiting;
     private final DurableStartGate durableStarts;
+    private final StoppingRuns stoppingRuns = new StoppingRuns();
     private final ServiceShares shares;
     private long startsBySpeed;
     private final Optional<QueueShares> queueShares;
@@ -210,7 +212,7 @@
     public void ready(List<Task> tasks) {
         Job last = null;
         for (Task task : tasks) {
-            if (durableStarts.holdBack(task)) {
+            if (durableStarts.holdBack(task) || stoppingRuns.holdBack(task)) {
                 continue;
             }
             waiting.add(task, timers.nanos());
@@ -227,6 +229,7 @@
         waiting.remove(task);
         durableStarts.remove(task);
         crashes.withdraw(task);
+        stoppingRuns.withdraw(task);
     }
 
     /** Allows the start of tasks of durable jobs, or holds those that are ready back until it is allowed. */
@@ -244,16 +247,25 @@
         crashes.removeJob(job);
         for (Task task : job.tasks()) {
             withdrawn(task);
-            task.worker().ifPresent(name -> stop(name, task.key(), task.currentRun(), jobOwnerOf(task)));
+            task.worker().ifPresent(name -> stopAtEndOfJob(name, task));
         }
     }
 
+    private void stopAtEndOfJob(String workerName, Task task) {
+        if (!task.job().isDurable()) {
+            // The caller may submit the job again. The id of a durable job that has ended starts nothing any more.
+            stoppingRuns.add(workerName, task.key(), task.currentRun());
+        }
+        stop(workerName, task.key(), task.currentRun(), jobOwnerOf(task));
+    }
+
     /** Removes the tasks of a partition that another process owns now. */
     void partitionLost(PartitionOwner partition) {
         for (Job job : partition.jobs()) {
             crashes.removeJob(job);
             for (Task task : job.tasks()) {
                 withdrawn(task);
+                stoppingRuns.discard(task);
                 task.worker().map(workers::get).ifPresent(worker -> worker.remove(task.key()));
             }
         }
@@ -318,12 +330,15 @@
         Worker worker = worker(link.peer().process());
         loseSupersededPartitions(inventory.getFencedList());
         Set<TaskKey> held = new HashSet<>();
+        Set<RunKey> heldRuns = new HashSet<>();
         for (HeldRun run : inventory.getRunsList()) {
             TaskKey.parse(run.getTask()).ifPresent(task -> {
                 held.add(task);
+                heldRuns.add(new RunKey(task, run.getRun()));
                 reconcileRun(worker, task, run);
             });
         }
+        readyAfterStops(stoppingRuns.retain(worker, heldRuns));
         ends(link, inventory.getEndsList());
         evidence.applyInventory(link.peer(), inventory.getEndsList());
         for (Worker.SentStart start : worker.inProgress()) {
@@ -393,10 +408,19 @@
                     .with("run", run.getRun())
                     .with("worker", worker.process())
                     .log(LOGGER.atInfo());
+            if (needed || run.getUnkept()) {
+                stoppingRuns.add(worker.process(), key, run.getRun());
+            }
             stop(worker.process(), key, run.getRun(), owner);
         }
     }
 
+    private void readyAfterStops(List<Task> tasks) {
+        if (!tasks.isEmpty()) {
+            ready(tasks);
+        }
+    }
+
     /**
      * Tells whether a run of the task that an agent holds becomes its run in progress. A former owner may have started
      * it after the ends of earlier steps that it couldn't store. If the run were stopped instead, the task would start
@@ -420,11 +444,13 @@
 
     private void end(PeerLink link, Worker worker, EndedRun end) {
         TaskKey key = end.run().task();
+        readyAfterStops(stoppingRuns.remove(worker.process(), key, end.run().run()));
         Runnable acknowledge = () -> acknowledge(link, end);
         Optional<Worker.SentStart> start =
                 worker.inProgress(key).filter(sent -> sent.run() == end.run().run());
         if (end.outcome() == RunOutcome.CRASH_SUSPECTED) {
-            task(key)
+            start.map(Worker.SentStart::task)
+                    .or(() -> task(key))
                     .ifPresent(task ->
                             evidence.suspect(link.peer(), task, end.run().run(), end.incarnation()));
         }
@@ -508,6 +534,7 @@
             crashes.removeTask(start.task());
         }
         worker.remove(start.task().key());
+        readyAfterStops(stoppingRuns.remove(worker.process(), start.task().key(), start.run()));
         recordEnd(worker, start.task(), start.run(), outcome, acknowledge);
     }
 
@@ -588,6 +615,7 @@
         }
         if (silentNanos > RUN_LOSS_TIMEOUT.toNanos() && worker.inProgress().isEmpty()) {
             workers.remove(worker.process());
+            readyAfterStops(stoppingRuns.retain(worker, Set.of()));
         }
     }
 
