--- a/library/src/main/java/org/chivetally/queue/entry/StoppingRuns.java
+++ b/library/src/main/java/org/chivetally/queue/entry/StoppingRuns.java
@@ -15,9 +15,10 @@
 import org.chivetally.queue.placement.Worker;
 
 /**
- * Runs that were told to stop beside the run in progress of their task, or whose job has ended. A stop takes time, and
- * longer if the worker can't be reached. So the task, or that of a job submitted again under the same id, isn't placed
- * until these runs are known to be over; otherwise, two of its runs would be in progress at the same time.
+ * Runs whose stop was requested, since they are in progress beside another run of their task or since their job has
+ * ended. A stop takes time, and longer if the worker can't be reached. So the task, or that of a job submitted again
+ * under the same id, isn't placed until these runs are known to be over; otherwise, two of its runs would be in
+ * progress at the same time.
  */
 final class StoppingRuns {
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -27,7 +28,7 @@
 
     private record StoppingRun(String worker, long run) {}
 
-    /** Adds a run that a worker was told to stop. */
+    /** Adds a run whose stop was requested from a worker. */
     void add(String worker, TaskKey task, long run) {
         stopping.computeIfAbsent(task, key -> new HashSet<>()).add(new StoppingRun(worker, run));
     }
--- a/library/src/test/java/org/chivetally/queue/entry/Cluster.java
+++ b/library/src/test/java/org/chivetally/queue/entry/Cluster.java
@@ -1,5 +1,8 @@
 package org.chivetally.queue.entry;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -7,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.BiFunction;
+import java.util.function.BooleanSupplier;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobSpecification;
 import org.chivetally.queue.ManualTimers;
@@ -102,6 +106,17 @@
         return agent;
     }
 
+    /** Starts entries and agents, named entry-1 and agent-1 and so on, and waits until they are linked. */
+    void start(int entryCount, int agentCount) {
+        for (int number = 1; number <= entryCount; number++) {
+            entry("entry-" + number);
+        }
+        for (int number = 1; number <= agentCount; number++) {
+            agent("agent-" + number);
+        }
+        awaitLinks();
+    }
+
     /** Advances the clock until all processes have discovered and linked each other. */
     Cluster awaitLinks() {
         timers.advance(Duration.ofSeconds(3));
@@ -133,6 +148,11 @@
                 .getKey();
     }
 
+    /** Returns the entry that owns a partition. */
+    EntryNode owner(int partition) {
+        return entries.get(ownerName(partition));
+    }
+
     /** Writes a record as another writer than the processes of the cluster. */
     void writeForeign(LogStream stream, String key, byte[] value) {
         log.access("another writer")
@@ -144,6 +164,14 @@
         timers.advance(Duration.ofMillis(millis));
     }
 
+    /** Advances the clock in steps of a millisecond until a condition holds, which has to happen within 20 s. */
+    void advanceUntil(BooleanSupplier reached) {
+        for (int step = 0; !reached.getAsBoolean(); step++) {
+            assertThat("reached within 20 s", step < 20_000, is(true));
+            advance(1);
+        }
+    }
+
     List<JobAnswer> submit(EntryNode entry, JobSpecification job) {
         List<JobAnswer> answers = new ArrayList<>();
         entry.jobRouter().submit(job, timers.nanos() + Duration.ofSeconds(2).toNanos(), answers::add);
--- a/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/RunEndAccountingTest.java
@@ -9,7 +9,6 @@
 import static org.hamcrest.Matchers.not;
 
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobCodec;
 import org.chivetally.queue.JobPhase;
@@ -32,21 +31,12 @@
 
     private final Cluster cluster = new Cluster();
 
-    private void startCluster(int agents) {
-        cluster.entry("entry-1");
-        cluster.entry("entry-2");
-        for (int number = 1; number <= agents; number++) {
-            cluster.agent("agent-" + number);
-        }
-        cluster.awaitLinks();
-    }
-
     private String ownerName() {
         return cluster.ownerName(PARTITION);
     }
 
     private EntryNode owner() {
-        return cluster.entries.get(ownerName());
+        return cluster.owner(PARTITION);
     }
 
     private String runnerName() {
@@ -74,13 +64,6 @@
         minion.end(minion.running.keySet().iterator().next(), RunOutcome.FAILED);
     }
 
-    private void advanceUntil(BooleanSupplier reached) {
-        for (int step = 0; !reached.getAsBoolean(); step++) {
-            assertThat("reached within 20 s", step < 20_000, is(true));
-            cluster.advance(1);
-        }
-    }
-
     private int starts() {
         return cluster.minions.values().stream()
                 .mapToInt(minion -> minion.starts.size())
@@ -88,7 +71,7 @@
     }
 
     private void completeInSecondRun() {
-        advanceUntil(() -> !cluster.running(ID).isEmpty());
+        cluster.advanceUntil(() -> !cluster.running(ID).isEmpty());
         cluster.finish(ID, RunOutcome.DONE);
         assertThat(cluster.query(owner(), ID), contains(COMPLETED));
         assertThat(starts(), is(2));
@@ -97,13 +80,13 @@
     /** The new owner must not count an end again that agents repeat until it is stored. */
     @Test
     void countsAFailureOnceWhenItIsRepeatedToANewOwner() {
-        startCluster(2);
+        cluster.start(2, 2);
         submit();
         String runner = runnerName();
         cutFromEntries("agent-1".equals(runner) ? "agent-2" : "agent-1", true);
         cluster.kill(ownerName());
         failRunAt(runner);
-        advanceUntil(() -> cluster.entries.values().stream()
+        cluster.advanceUntil(() -> cluster.entries.values().stream()
                 .anyMatch(entry -> entry.localOwner(PARTITION).isPresent()));
         cluster.log.appendBehavior = AppendBehavior.SILENT;
         cluster.advance(1_500);
@@ -118,10 +101,10 @@
      */
     @Test
     void countsAStoredFailureOnceWhenItIsRepeatedToTheNextOwner() {
-        startCluster(1);
+        cluster.start(2, 1);
         submit();
         failRunAndLoseNextStart();
-        advanceUntil(() -> cluster.stored(PARTITION).containsKey("p" + ID));
+        cluster.advanceUntil(() -> cluster.stored(PARTITION).containsKey("p" + ID));
         cluster.kill(ownerName());
         assertThat(cluster.minions.get("agent-1").ends.values(), hasSize(1));
         cluster.advance(9_000);
@@ -133,12 +116,12 @@
     /** A task must not run a third time because the new owner learned of its second run before the end of its first. */
     @Test
     void countsTheFailureOfAnEarlierRunAfterALaterOneIsKnown() {
-        startCluster(2);
+        cluster.start(2, 2);
         submit();
         String first = runnerName();
         cluster.log.appendBehavior = AppendBehavior.SILENT;
         failRunAt(first);
-        advanceUntil(() -> starts() == 2);
+        cluster.advanceUntil(() -> starts() == 2);
         String second = runnerName();
         assertThat(second, is(not(first)));
         cluster.advance(300);
@@ -147,7 +130,7 @@
         cluster.log.appendBehavior = AppendBehavior.ACCEPTING;
         cluster.advance(3_500);
         cutFromEntries(first, false);
-        advanceUntil(() -> cluster.minions.get(first).ends.isEmpty());
+        cluster.advanceUntil(() -> cluster.minions.get(first).ends.isEmpty());
         failRunAt(second);
         cluster.advance(9_000);
         assertThat(cluster.query(owner(), ID), contains(FAILED));
@@ -157,7 +140,7 @@
     /** A start that gets lost must be detected although the agent still lists the failure of the task's earlier run. */
     @Test
     void startsATaskAgainWhoseStartIsLostAfterAnUnstoredFailure() {
-        startCluster(1);
+        cluster.start(2, 1);
         submit();
         failRunAndLoseNextStart();
         cluster.advance(2_000);
@@ -175,7 +158,7 @@
     /** A cancellation must stop the run of a former owner, whose number is lower than those of the present owner. */
     @Test
     void stopsAnAdoptedRunWhenItsJobIsCancelled() {
-        startCluster(2);
+        cluster.start(2, 2);
         submit();
         RunKey run = cluster.running(ID).getFirst();
         cluster.kill(ownerName());
@@ -190,13 +173,13 @@
     /** A task that crashes its minions must use up its starts also if the crash of an earlier run is reported last. */
     @Test
     void countsTheCrashOfAnEarlierRunAfterThatOfALaterRun() {
-        startCluster(2);
+        cluster.start(2, 2);
         submit();
         String first = runnerName();
         cutFromEntries(first, true);
         cluster.advance(1_000);
         crash(first);
-        advanceUntil(() -> starts() == 2);
+        cluster.advanceUntil(() -> starts() == 2);
         cluster.advance(100);
         crash(runnerName());
         cluster.advance(500);
@@ -211,7 +194,7 @@
      */
     @Test
     void startsNoWaitingTaskBeforeTheCrashOfItsEarlierRunIsStored() {
-        startCluster(1);
+        cluster.start(2, 1);
         cluster.agentWithoutMinion("agent-2");
         submit();
         cutFromEntries("agent-1", true);
@@ -221,7 +204,7 @@
         cluster.advance(6_000);
         cluster.log.appendBehavior = AppendBehavior.SILENT;
         cutFromEntries("agent-1", false);
-        advanceUntil(() -> owner().crashes().crashedRuns() == 1);
+        cluster.advanceUntil(() -> owner().crashes().crashedRuns() == 1);
         announceMinion("agent-2", "boot-agent-2");
         cluster.advance(300);
         assertThat(starts(), is(1));
--- a/library/src/test/java/org/chivetally/queue/entry/StartedStepsTakeoverTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/StartedStepsTakeoverTest.java
@@ -44,39 +44,33 @@
         LEFT
     }
 
-    private void startCluster(int entries, int agents) {
-        for (int number = 1; number <= entries; number++) {
-            cluster.entry("entry-" + number);
-        }
-        for (int number = 1; number <= agents; number++) {
-            cluster.agent("agent-" + number);
-        }
-        cluster.awaitLinks();
-    }
-
     private String ownerName() {
         return cluster.ownerName(PARTITION);
     }
 
     private EntryNode owner() {
-        return cluster.entries.get(ownerName());
-    }
-
-    private void advanceUntil(BooleanSupplier reached) {
-        for (int step = 0; !reached.getAsBoolean(); step++) {
-            assertThat("reached within 20 s", step < 20_000, is(true));
-            advance(1);
-        }
+        return cluster.owner(PARTITION);
     }
 
     /** Advances the clock, and checks that no task runs twice at the same time. */
     private void advance(long millis) {
         for (long passed = 0; passed < millis; passed++) {
             cluster.advance(1);
-            Set<TaskKey> running = new HashSet<>();
-            for (RunKey run : cluster.running(ID)) {
-                assertThat("runs once: " + run, running.add(run.task()), is(true));
-            }
+            assertNoTaskRunsTwice();
+        }
+    }
+
+    private void advanceUntil(BooleanSupplier reached) {
+        cluster.advanceUntil(() -> {
+            assertNoTaskRunsTwice();
+            return reached.getAsBoolean();
+        });
+    }
+
+    private void assertNoTaskRunsTwice() {
+        Set<TaskKey> running = new HashSet<>();
+        for (RunKey run : cluster.running(ID)) {
+            assertThat("runs once: " + run, running.add(run.task()), is(true));
         }
     }
 
@@ -131,7 +125,7 @@
     @ParameterizedTest
     @EnumSource(Takeover.class)
     void startsNoSecondRunOfAStartedStep(Takeover takeover) {
-        startCluster(3, 4);
+        cluster.start(3, 4);
         runFirstStepWithoutStoringItsEnd();
         takeOver(takeover);
         advance(3_000);
@@ -149,7 +143,7 @@
      */
     @Test
     void startsNoTaskBeforeItsEarlierStepIsDoneAgain() {
-        startCluster(3, 4);
+        cluster.start(3, 4);
         runFirstStepWithoutStoringItsEnd();
         crashMinionOf(agentOf(startsOfStep(0).getFirst()));
         takeOver(Takeover.REJECTED);
--- a/library/src/test/java/org/chivetally/queue/entry/StoppingRunsTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/StoppingRunsTest.java
@@ -18,7 +18,7 @@
 import org.chivetally.queue.agent.FakeMinion;
 import org.junit.jupiter.api.Test;
 
-/** A stop takes time. Until a run that was told to stop is over, no other run of its task may start. */
+/** A stop takes time. Until a run whose stop was requested is over, no other run of its task may start. */
 class StoppingRunsTest {
     private static final String ID = "00000000000000a1";
     private static final JobAnswer COMPLETED = new JobAnswer.State(JobPhase.COMPLETED);
@@ -26,12 +26,8 @@
     private final Cluster cluster = new Cluster();
 
     private EntryNode startCluster(int agents) {
-        EntryNode entry = cluster.entry("entry-1");
-        for (int number = 1; number <= agents; number++) {
-            cluster.agent("agent-" + number);
-        }
-        cluster.awaitLinks();
-        return entry;
+        cluster.start(1, agents);
+        return cluster.entries.get("entry-1");
     }
 
     private List<RunKey> starts() {
--- a/library/src/test/java/org/chivetally/queue/entry/SuspectedCrashesTest.java
+++ b/library/src/test/java/org/chivetally/queue/entry/SuspectedCrashesTest.java
@@ -11,7 +11,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.BooleanSupplier;
 import org.chivetally.queue.JobAnswer;
 import org.chivetally.queue.JobPhase;
 import org.chivetally.queue.Jobs;
@@ -39,12 +38,7 @@
 
     private void startCluster(int crashLimit, int agents) {
         cluster = new Cluster(new SchedulingSettings(false, false, crashLimit));
-        cluster.entry("entry-1");
-        cluster.entry("entry-2");
-        for (int number = 1; number <= agents; number++) {
-            cluster.agent("agent-" + number);
-        }
-        cluster.awaitLinks();
+        cluster.start(2, agents);
     }
 
     private String ownerName() {
@@ -52,22 +46,15 @@
     }
 
     private EntryNode owner() {
-        return cluster.entries.get(ownerName());
+        return cluster.owner(PARTITION);
     }
 
     private void submit() {
         cluster.submit(owner(), Jobs.of(ID, 1));
-        advanceUntil(() -> !cluster.running(ID).isEmpty());
+        cluster.advanceUntil(() -> !cluster.running(ID).isEmpty());
         cluster.advance(300);
     }
 
-    private void advanceUntil(BooleanSupplier reached) {
-        for (int step = 0; !reached.getAsBoolean(); step++) {
-            assertThat("reached within 20 s", step < 2_000, is(true));
-            cluster.advance(10);
-        }
-    }
-
     private String runnerName() {
         return cluster.minions.entrySet().stream()
                 .filter(known -> known.getValue().running.keySet().stream()
@@ -88,8 +75,8 @@
     /** Cuts the minion that runs the task off, until the task runs elsewhere. */
     private String cutRunnerUntilNextRun() {
         String name = cutRunner();
-        advanceUntil(() -> cluster.minions.get(name).isLeaseExpired());
-        advanceUntil(() -> !cluster.running(ID).isEmpty());
+        cluster.advanceUntil(() -> cluster.minions.get(name).isLeaseExpired());
+        cluster.advanceUntil(() -> !cluster.running(ID).isEmpty());
         cluster.advance(300);
         return name;
     }
